--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ranks, fairness between client accounts, deadlines, queues.
--- /dev/null
+++ b/crates/declare/src/model.rs
@@ -0,0 +1,201 @@
+//! The declarations themselves and the checks between their parts.
+
+use names::Model;
+use serde::{Deserialize, Serialize};
+use units::{Rate, Span};
+
+use crate::{Error, KeyHash, Labels, Selector};
+
+/// Largest sum of the least shares of all kinds of work, in percent.
+const MAX_TOTAL_LEAST_SHARE_PERCENT: u32 = 90;
+
+/// How urgent a kind of work is. Smaller sorts first and is served first.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+    strum::EnumIter,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Rank {
+    /// Served before all else.
+    Urgent,
+    /// Served before deferrable work.
+    Normal,
+    /// Served when nothing else waits, but for its least share.
+    Deferrable,
+}
+
+/// What answers a service's requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Target {
+    /// Model engines that serve this model.
+    Model(Model),
+    /// Plain upstreams whose labels match.
+    Upstreams(Selector),
+}
+
+/// A service that callers address.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Its name, which callers use as the model's name or in the path.
+    pub name: names::Service,
+    /// What answers its requests.
+    pub target: Target,
+    /// The kind of work of requests that name none.
+    pub kind: names::Kind,
+    /// Whether a call of it may be repeated without harm.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Labels for selectors.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// A client account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClientAccount {
+    /// Its name.
+    pub name: names::ClientAccount,
+    /// Hashes of its API keys.
+    pub keys: Vec<KeyHash>,
+    /// Its share relative to other accounts in a queue.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Most requests that it may make, fleet-wide.
+    #[serde(default)]
+    pub limit: Option<Rate>,
+    /// Labels for selectors.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+/// A kind of work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    /// Its name.
+    pub name: names::Kind,
+    /// How urgent it is.
+    pub rank: Rank,
+    /// How long after its arrival an answer still counts.
+    pub deadline: Span,
+    /// Share of each upstream that it keeps in a flood of other work, in percent.
+    #[serde(default)]
+    pub least_share_percent: u32,
+    /// Labels for selectors.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// All declarations of one revision, each list sorted by name.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Declarations {
+    /// Services that callers address.
+    pub services: Vec<Service>,
+    /// Client accounts.
+    pub client_accounts: Vec<ClientAccount>,
+    /// Kinds of work.
+    pub kinds: Vec<Kind>,
+}
+
+impl Declarations {
+    /// The service called `name`.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let index = self.services.binary_search_by(|item| item.name.as_str().cmp(name)).ok()?;
+        self.services.get(index)
+    }
+
+    /// The kind of work called `name`.
+    pub fn kind(&self, name: &str) -> Option<&Kind> {
+        let index = self.kinds.binary_search_by(|item| item.name.as_str().cmp(name)).ok()?;
+        self.kinds.get(index)
+    }
+
+    /// The client account that `key` belongs to.
+    pub fn account_of_key(&self, key: &str) -> Option<&ClientAccount> {
+        let hash = KeyHash::of(key);
+        self.client_accounts.iter().find(|account| account.keys.contains(&hash))
+    }
+
+    fn sort(&mut self) {
+        self.services.sort_by(|left, right| left.name.cmp(&right.name));
+        self.client_accounts.sort_by(|left, right| left.name.cmp(&right.name));
+        self.kinds.sort_by(|left, right| left.name.cmp(&right.name));
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        check_once("service", self.services.iter().map(|item| item.name.as_str()))?;
+        check_once("client account", self.client_accounts.iter().map(|item| item.name.as_str()))?;
+        check_once("kind of work", self.kinds.iter().map(|item| item.name.as_str()))?;
+        self.check_service_kinds()?;
+        self.check_least_shares()
+    }
+
+    fn check_service_kinds(&self) -> Result<(), Error> {
+        let unknown = self.services.iter().find(|item| self.kind(item.kind.as_str()).is_none());
+        match unknown {
+            Some(service) => Err(Error::Unknown {
+                place: format!("service \"{}\"", service.name),
+                what: "kind of work",
+                name: service.kind.to_string(),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    fn check_least_shares(&self) -> Result<(), Error> {
+        let total: u32 = self.kinds.iter().map(|kind| kind.least_share_percent).sum();
+        if total <= MAX_TOTAL_LEAST_SHARE_PERCENT {
+            return Ok(());
+        }
+        Err(Error::Value {
+            place: "kinds".to_string(),
+            problem: format!("the least shares add up to {total} percent"),
+            help: "keep their sum at 90 percent or less",
+        })
+    }
+}
+
+fn check_once<'a, I>(what: &'static str, sorted: I) -> Result<(), Error>
+where
+    I: Iterator<Item = &'a str>,
+{
+    let mut previous = None;
+    for name in sorted {
+        if previous == Some(name) {
+            return Err(Error::Twice { what, name: name.to_string() });
+        }
+        previous = Some(name);
+    }
+    Ok(())
+}
+
+impl TryFrom<String> for Declarations {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        let mut declarations: Self = serde_norway::from_str(&text)?;
+        declarations.sort();
+        declarations.check()?;
+        Ok(declarations)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Attempts at upstreams: one call, its verdict, retry and resume.
--- /dev/null
+++ b/crates/instance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Assembly of one running instance from its slices.
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Idempotency records of non-idempotent requests.
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load tool: seeded open-loop load against running instances.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which instances live: failure detection with suspicion and refutation.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP for operators.
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of the upstream for a conversation.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,10 @@
+//! Settings of one instance, read from YAML and checked.
+//!
+//! [`Settings`] is built with `TryFrom<String>` from the text of a settings file. Unknown fields
+//! are refused and every quantity carries its unit.
+
+mod error;
+mod model;
+
+pub use error::Error;
+pub use model::{Limits, Listen, Peer, Role, Settings, Timing};
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for model engines and plain services.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log of control instances: consensus, disk, snapshots.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Counters, histograms and log set-up.
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Announced upstreams: expiry, labels, load, cache events, drain.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames between instances: codec, authentication, transport.
