--- /dev/null
+++ b/crates/command/src/commands/mod.rs
@@ -0,0 +1,13 @@
+//! All commands.
+
+mod check;
+mod hash_key;
+mod serve;
+mod stand_in;
+
+use crate::Entry;
+
+/// The parsers of all commands, in the order of the help text.
+pub(crate) fn all() -> Vec<Entry> {
+    vec![serve::entry(), check::entry(), hash_key::entry(), stand_in::entry()]
+}
--- /dev/null
+++ b/crates/command/src/commands/stand_in.rs
@@ -0,0 +1,112 @@
+//! `stand-in`: runs a stand-in engine or service for tests and measurements.
+
+use std::net::SocketAddr;
+
+use bpaf::{Parser, construct, long};
+use declare::Labels;
+use names::{DataCentre, Incarnation, Model, Upstream};
+use standin::{Options, Work};
+use units::Span;
+
+use crate::{Command, Entry, Error, Exit, signals};
+
+const HELP: &str = "Runs a stand-in engine or booking service";
+const EXAMPLES: &str = "Example: turmericrelay stand-in --name engine-1 --data-centre giza \
+                        --model caption --instance 127.0.0.1:8081";
+
+struct StandIn {
+    options: Options,
+}
+
+fn labels(pairs: Vec<String>) -> Result<Labels, String> {
+    let mut labels = Labels::default();
+    for pair in pairs {
+        let (key, value) =
+            pair.split_once('=').ok_or_else(|| format!("label \"{pair}\" is not KEY=VALUE"))?;
+        labels.set(key.to_string(), value.to_string());
+    }
+    Ok(labels)
+}
+
+fn incarnation() -> Incarnation {
+    let since_epoch =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
+
+pub(crate) fn entry() -> Entry {
+    let name = long("name").help("Name of the upstream").argument::<Upstream>("NAME");
+    let data_centre = long("data-centre").help("Its data centre").argument::<DataCentre>("NAME");
+    let model = long("model")
+        .help("Model that it serves; without one it is a booking service")
+        .argument::<Model>("NAME")
+        .optional();
+    let listen = long("listen")
+        .help("Where it listens")
+        .argument::<SocketAddr>("ADDRESS")
+        .fallback(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let instances = long("instance")
+        .help("Operators' address of an instance to announce itself to")
+        .argument::<SocketAddr>("ADDRESS")
+        .many();
+    let token =
+        long("token").help("Token for announcements").argument::<String>("TOKEN").optional();
+    let slots = long("slots").help("Requests at once").argument::<u32>("COUNT").fallback(8);
+    let labels = long("label").help("Label").argument::<String>("KEY=VALUE").many().parse(labels);
+    let word_interval = long("word-interval")
+        .help("Time between two words")
+        .argument::<Span>("SPAN")
+        .fallback(Span::from_millis(20));
+    let prefill_per_block = long("prefill-per-block")
+        .help("Time to compute one block of a prompt")
+        .argument::<Span>("SPAN")
+        .fallback(Span::from_millis(1));
+    let cache_blocks =
+        long("cache-blocks").help("Blocks cached").argument::<usize>("COUNT").fallback(4096);
+    let expires_in = long("expires-in")
+        .help("How long an announcement holds")
+        .argument::<Span>("SPAN")
+        .fallback(Span::from_seconds(3));
+    let incarnation = bpaf::pure_with(|| Ok::<_, Error>(incarnation()));
+    let work = model.map(|model| model.map_or(Work::Service, Work::Engine));
+    let options = construct!(Options {
+        name,
+        incarnation,
+        data_centre,
+        listen,
+        instances,
+        token,
+        work,
+        slots,
+        labels,
+        word_interval,
+        prefill_per_block,
+        cache_blocks,
+        expires_in,
+    });
+    options
+        .map(|options| -> Box<dyn Command> { Box::new(StandIn { options }) })
+        .to_options()
+        .descr(HELP)
+        .footer(EXAMPLES)
+        .command("stand-in")
+        .help(HELP)
+        .boxed()
+}
+
+impl Command for StandIn {
+    fn run(&self) -> Result<Exit, Error> {
+        telemetry::start_logs(false)?;
+        let running = standin::start(self.options.clone())?;
+        println!("listening on {}", running.address());
+        let (stop, stopped) = std::sync::mpsc::channel();
+        signals::on_stop(move || {
+            let _ = stop.send(());
+        })?;
+        if stopped.recv().is_ok() {
+            running.leave();
+            running.stop();
+        }
+        Ok(Exit::Done)
+    }
+}
--- /dev/null
+++ b/crates/command/src/error.rs
@@ -0,0 +1,69 @@
+//! Errors and exit codes of commands.
+
+use std::process::ExitCode;
+
+/// How a command ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// It did what it was asked.
+    Done = 0,
+    /// It failed.
+    Failed = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// A file is not valid.
+    Invalid = 3,
+    /// What it was asked contradicts the fleet's state.
+    Conflict = 4,
+    /// No instance answered.
+    Unreachable = 5,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings cannot be used.
+    #[error(transparent)]
+    Settings(#[from] settings::Error),
+    /// The instance could not start or had to end.
+    #[error(transparent)]
+    Instance(#[from] instance::Error),
+    /// The stand-in could not start.
+    #[error(transparent)]
+    Standin(#[from] standin::Error),
+    /// Logs could not be started.
+    #[error(transparent)]
+    Logs(#[from] telemetry::Error),
+    /// A file is not valid.
+    #[error("{path}: {problem}")]
+    Invalid {
+        /// The file.
+        path: String,
+        /// What is wrong with it.
+        problem: String,
+    },
+    /// A system call failed.
+    #[error("{what}: {source}")]
+    System {
+        /// What was tried.
+        what: &'static str,
+        /// The system's error.
+        source: std::io::Error,
+    },
+}
+
+impl Error {
+    /// The exit code that goes with the error.
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Settings(_) | Self::Invalid { .. } => Exit::Invalid,
+            _ => Exit::Failed,
+        }
+    }
+}
--- a/crates/declare/src/model.rs
+++ b/crates/declare/src/model.rs
@@ -38,7 +38,7 @@
 
 /// What answers a service's requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(try_from = "RawTarget", into = "RawTarget")]
 pub enum Target {
     /// Model engines that serve this model.
     Model(Model),
@@ -46,6 +46,41 @@
     Upstreams(Selector),
 }
 
+/// A target as it stands in YAML: exactly one of the fields.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawTarget {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    model: Option<Model>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    upstreams: Option<Selector>,
+}
+
+impl TryFrom<RawTarget> for Target {
+    type Error = Error;
+
+    fn try_from(raw: RawTarget) -> Result<Self, Error> {
+        match (raw.model, raw.upstreams) {
+            (Some(model), None) => Ok(Target::Model(model)),
+            (None, Some(selector)) => Ok(Target::Upstreams(selector)),
+            _ => Err(Error::Value {
+                place: "target".to_string(),
+                problem: "it needs exactly one of model and upstreams".to_string(),
+                help: "write `model: NAME` or `upstreams: SELECTOR`",
+            }),
+        }
+    }
+}
+
+impl From<Target> for RawTarget {
+    fn from(target: Target) -> Self {
+        match target {
+            Target::Model(model) => Self { model: Some(model), upstreams: None },
+            Target::Upstreams(selector) => Self { model: None, upstreams: Some(selector) },
+        }
+    }
+}
+
 /// A service that callers address.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/entry/src/connection.rs
@@ -0,0 +1,329 @@
+//! The actor of one caller's connection.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use rand::RngExt;
+use stakker::{CX, FixedTimerKey, Fwd, at, fail, fwd_to, stop};
+use stakker_mio::mio::Interest;
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
+
+use crate::body::{Body, Taken};
+use crate::head::{Head, Header, Parsed};
+use crate::reply::{append_end, append_part, append_start, append_whole};
+use crate::server::{Bounds, SOCKET_PRIORITY};
+use crate::{Event, Problem, Reply, Request, Status};
+
+const READ_BYTES: usize = 4096;
+
+/// Header that carries the request's id.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
+enum Phase {
+    /// Waits for a request or reads one.
+    Receiving { body: Option<(Head, Body)> },
+    /// Waits for the handler's answer.
+    Answering { id: names::Request, keeps_alive: bool, is_streaming: bool },
+    /// Writes what is left, then closes.
+    Closing,
+}
+
+/// Reads requests and writes their answers, one after the other.
+pub(crate) struct Connection {
+    stream: TcpStreamBuf,
+    received: Vec<u8>,
+    phase: Phase,
+    deadline: Instant,
+    is_read_open: bool,
+    is_draining: bool,
+    bounds: Rc<Bounds>,
+    handler: Fwd<Event>,
+    timer: FixedTimerKey,
+}
+
+impl Connection {
+    pub(crate) fn init(
+        cx: CX![],
+        stream: TcpStream,
+        bounds: Rc<Bounds>,
+        handler: Fwd<Event>,
+    ) -> Option<Self> {
+        let ready = fwd_to!([cx], ready() as (Ready));
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let source = match cx.anymap_get::<MioPoll>().add(stream, interest, SOCKET_PRIORITY, ready)
+        {
+            Ok(source) => source,
+            Err(error) => {
+                fail!(cx, error);
+                return None;
+            }
+        };
+        let mut stream = TcpStreamBuf::new();
+        stream.set_nodelay(true);
+        stream.init(source);
+        let deadline = cx.now() + bounds.receive;
+        let timer = at!(deadline, [cx], check_deadline());
+        Some(Self {
+            stream,
+            received: Vec::new(),
+            phase: Phase::Receiving { body: None },
+            deadline,
+            is_read_open: true,
+            is_draining: false,
+            bounds,
+            handler,
+            timer,
+        })
+    }
+
+    /// Closes the connection once it has no request.
+    pub(crate) fn drain(&mut self, cx: CX![]) {
+        self.is_draining = true;
+        let is_idle =
+            matches!(self.phase, Phase::Receiving { body: None }) && self.received.is_empty();
+        if is_idle {
+            self.close(cx);
+        }
+    }
+
+    fn set_deadline(&mut self, cx: CX![], deadline: Instant) {
+        self.deadline = deadline;
+        cx.timer_del(self.timer);
+        self.timer = at!(deadline, [cx], check_deadline());
+    }
+
+    fn check_deadline(&mut self, cx: CX![]) {
+        if cx.now() < self.deadline {
+            return;
+        }
+        match self.phase {
+            Phase::Receiving { body: None } if self.received.is_empty() => self.close(cx),
+            Phase::Receiving { .. } => {
+                let message = "the request did not arrive in time; send it whole at once";
+                self.refuse(
+                    cx,
+                    Problem::not_run(Status::REQUEST_TIMEOUT, "request_timeout", message),
+                );
+            }
+            Phase::Answering { .. } if self.stream.out.is_empty() => {}
+            Phase::Answering { .. } | Phase::Closing => self.abandon(cx, "unread"),
+        }
+    }
+
+    fn ready(&mut self, cx: CX![], ready: Ready) {
+        if ready.is_readable() {
+            self.read(cx);
+        }
+        if ready.is_writable() {
+            self.flush(cx);
+        }
+    }
+
+    fn read(&mut self, cx: CX![]) {
+        while self.is_read_open && self.has_room() {
+            match self.stream.read(READ_BYTES) {
+                ReadStatus::NewData => {
+                    let bytes = &self.stream.inp[self.stream.rd..self.stream.wr];
+                    if self.received.is_empty() && matches!(self.phase, Phase::Receiving { .. }) {
+                        self.deadline = self.deadline.min(cx.now() + self.bounds.receive);
+                    }
+                    self.received.extend_from_slice(bytes);
+                    self.stream.rd = self.stream.wr;
+                    self.receive(cx);
+                }
+                ReadStatus::WouldBlock => return,
+                ReadStatus::EndOfStream | ReadStatus::Error(_) => {
+                    self.is_read_open = false;
+                    self.leave(cx);
+                }
+            }
+        }
+    }
+
+    /// Whether more bytes may be taken in; a caller that sends ahead of its answer has to wait.
+    fn has_room(&self) -> bool {
+        match self.phase {
+            Phase::Receiving { .. } => true,
+            Phase::Answering { .. } => self.received.len() < self.bounds.head_bytes,
+            Phase::Closing => false,
+        }
+    }
+
+    fn leave(&mut self, cx: CX![]) {
+        if let Phase::Answering { id, .. } = self.phase {
+            self.handler.fwd(Event::Left { request: id });
+        }
+        stop!(cx);
+    }
+
+    /// Takes requests out of the received bytes.
+    fn receive(&mut self, cx: CX![]) {
+        if let Phase::Receiving { body: None } = self.phase
+            && !self.receive_head(cx)
+        {
+            return;
+        }
+        let Phase::Receiving { body: Some((_, body)) } = &mut self.phase else {
+            return;
+        };
+        match body.take(&mut self.received, self.bounds.body_bytes) {
+            Taken::Partial => {}
+            Taken::Whole(bytes) => self.arrive(cx, bytes),
+            Taken::Refused(problem) => self.refuse(cx, problem),
+        }
+    }
+
+    /// Parses the head; true when it is whole.
+    fn receive_head(&mut self, cx: CX![]) -> bool {
+        match Head::parse(&self.received, self.bounds.head_bytes) {
+            Parsed::Partial => false,
+            Parsed::Refused(problem) => {
+                self.refuse(cx, problem);
+                false
+            }
+            Parsed::Whole(head) => {
+                self.received.drain(..head.length);
+                if head.expects_continue {
+                    self.stream.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    self.flush(cx);
+                }
+                let body = Body::new(head.body);
+                self.phase = Phase::Receiving { body: Some((head, body)) };
+                true
+            }
+        }
+    }
+
+    fn arrive(&mut self, cx: CX![], body: Vec<u8>) {
+        let id = names::Request(rand::rng().random());
+        let phase = Phase::Answering { id, keeps_alive: !self.is_draining, is_streaming: false };
+        let Phase::Receiving { body: Some((head, _)) } = std::mem::replace(&mut self.phase, phase)
+        else {
+            return;
+        };
+        if let Phase::Answering { keeps_alive, .. } = &mut self.phase {
+            *keeps_alive &= head.keeps_alive;
+        }
+        cx.timer_del(self.timer);
+        let request =
+            Request { id, method: head.method, path: head.path, headers: head.headers, body };
+        let reply = fwd_to!([cx], answer(id) as (Reply));
+        self.handler.fwd(Event::Arrived { request, reply });
+    }
+
+    /// Writes part of the answer to the request `id`; parts for another request are dropped.
+    fn answer(&mut self, cx: CX![], id: names::Request, reply: Reply) {
+        let Phase::Answering { id: current, keeps_alive, is_streaming } = &mut self.phase else {
+            return;
+        };
+        if *current != id {
+            return;
+        }
+        let out = &mut self.stream.out;
+        let was_empty = out.is_empty();
+        let finished = match reply {
+            Reply::Whole { status, headers, body } => {
+                append_whole(status, &complete(headers, id, *keeps_alive), &body, out);
+                true
+            }
+            Reply::Start { status, headers } => {
+                *is_streaming = true;
+                append_start(status, &complete(headers, id, *keeps_alive), out);
+                false
+            }
+            Reply::Part(part) => {
+                append_part(&part, out);
+                false
+            }
+            Reply::End => {
+                append_end(out);
+                true
+            }
+            Reply::Cut => {
+                self.phase = Phase::Closing;
+                self.stream.out_eof = true;
+                self.flush(cx);
+                return;
+            }
+        };
+        if was_empty {
+            let deadline = cx.now() + self.bounds.unread;
+            self.set_deadline(cx, deadline);
+        }
+        if !finished && self.stream.out.len() > self.bounds.unread_bytes {
+            self.abandon(cx, "unread");
+            return;
+        }
+        if finished {
+            self.finish(cx);
+        }
+        self.flush(cx);
+    }
+
+    /// Gets ready for the next request, or closes.
+    fn finish(&mut self, cx: CX![]) {
+        let keeps_alive = matches!(self.phase, Phase::Answering { keeps_alive: true, .. });
+        if !keeps_alive || self.is_draining {
+            self.phase = Phase::Closing;
+            self.stream.out_eof = true;
+            return;
+        }
+        self.phase = Phase::Receiving { body: None };
+        let deadline = cx.now() + self.bounds.idle;
+        self.set_deadline(cx, deadline);
+        if !self.received.is_empty() {
+            self.receive(cx);
+        }
+        self.read(cx);
+    }
+
+    fn refuse(&mut self, cx: CX![], problem: Problem) {
+        self.handler.fwd(Event::Refused { reason: "request" });
+        if let Reply::Whole { status, headers, body } = problem.into_reply() {
+            let id = names::Request(rand::rng().random());
+            append_whole(status, &complete(headers, id, false), &body, &mut self.stream.out);
+        }
+        self.close(cx);
+    }
+
+    /// Writes what is left, then closes.
+    fn close(&mut self, cx: CX![]) {
+        self.phase = Phase::Closing;
+        self.stream.out_eof = true;
+        let deadline = cx.now() + self.bounds.unread;
+        self.set_deadline(cx, deadline);
+        self.flush(cx);
+    }
+
+    /// Closes at once; what is left unread is lost.
+    fn abandon(&mut self, cx: CX![], reason: &'static str) {
+        self.handler.fwd(Event::Refused { reason });
+        self.leave(cx);
+    }
+
+    fn flush(&mut self, cx: CX![]) {
+        let before = self.stream.out.len();
+        if self.stream.flush().is_err() {
+            self.leave(cx);
+            return;
+        }
+        let after = self.stream.out.len();
+        if after > 0 && after < before {
+            let deadline = cx.now() + self.bounds.unread;
+            self.set_deadline(cx, deadline);
+        }
+        if after == 0 && matches!(self.phase, Phase::Closing) {
+            stop!(cx);
+        }
+    }
+}
+
+/// Adds the headers that every answer carries.
+fn complete(mut headers: Vec<Header>, id: names::Request, keeps_alive: bool) -> Vec<Header> {
+    headers.push(Header::new(REQUEST_ID_HEADER, id.to_string()));
+    if !keeps_alive {
+        headers.push(Header::new("connection", "close"));
+    }
+    headers
+}
--- /dev/null
+++ b/crates/entry/src/head.rs
@@ -0,0 +1,148 @@
+//! Request lines and headers.
+
+use std::str::FromStr;
+
+use crate::{Method, Problem, Status};
+
+/// Most headers in a request.
+const MAX_HEADERS: usize = 64;
+
+/// One header of a request or reply.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Header {
+    /// Its name, in lower case.
+    pub name: String,
+    /// Its value.
+    pub value: String,
+}
+
+impl Header {
+    /// The header `name` with `value`.
+    pub fn new(name: &str, value: impl Into<String>) -> Self {
+        Self { name: name.to_string(), value: value.into() }
+    }
+}
+
+/// How long the body behind a head is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyLength {
+    Known(usize),
+    Chunked,
+}
+
+/// The parsed head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Head {
+    /// The method.
+    pub method: Method,
+    /// The path with the query.
+    pub path: String,
+    /// The headers, names in lower case, sorted by name.
+    pub headers: Vec<Header>,
+    /// Whether the connection stays open behind the reply.
+    pub keeps_alive: bool,
+    /// Whether the caller waits for leave to send the body.
+    pub expects_continue: bool,
+    /// Length of the head in bytes.
+    pub length: usize,
+    pub(crate) body: BodyLength,
+}
+
+/// Outcome of parsing the bytes so far.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Parsed {
+    /// More bytes are needed.
+    Partial,
+    /// The head is whole.
+    Whole(Head),
+    /// The bytes are no acceptable head.
+    Refused(Problem),
+}
+
+fn malformed(message: impl Into<String>) -> Parsed {
+    Parsed::Refused(Problem::not_run(Status::BAD_REQUEST, "malformed_request", message))
+}
+
+fn collect_headers(raw: &[httparse::Header<'_>]) -> Option<Vec<Header>> {
+    let mut headers = Vec::with_capacity(raw.len());
+    for header in raw {
+        let value = std::str::from_utf8(header.value).ok()?;
+        headers.push(Header { name: header.name.to_ascii_lowercase(), value: value.to_string() });
+    }
+    headers.sort();
+    Some(headers)
+}
+
+fn find<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
+    let header = headers.iter().find(|header| header.name == name)?;
+    Some(header.value.trim())
+}
+
+fn body_length(headers: &[Header]) -> Result<BodyLength, String> {
+    let count = headers.iter().filter(|header| header.name == "content-length").count();
+    let length = find(headers, "content-length");
+    let encoding = find(headers, "transfer-encoding");
+    match (length, encoding) {
+        (None, None) => Ok(BodyLength::Known(0)),
+        (None, Some(value)) if value.eq_ignore_ascii_case("chunked") => Ok(BodyLength::Chunked),
+        (None, Some(value)) => Err(format!("transfer-encoding \"{value}\" is not supported")),
+        (Some(_), Some(_)) => Err("both content-length and transfer-encoding are given".into()),
+        (Some(_), None) if count > 1 => Err("content-length is given more than once".into()),
+        (Some(value), None) if value.bytes().all(|byte| byte.is_ascii_digit()) => value
+            .parse()
+            .map(BodyLength::Known)
+            .map_err(|_| format!("content-length \"{value}\" is too large")),
+        (Some(value), None) => Err(format!("content-length \"{value}\" is not a number")),
+    }
+}
+
+impl Head {
+    /// Parses the head at the start of `bytes`, which may be at most `limit` bytes long.
+    pub fn parse(bytes: &[u8], limit: usize) -> Parsed {
+        let mut raw = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut request = httparse::Request::new(&mut raw);
+        let length = match request.parse(bytes) {
+            Ok(httparse::Status::Complete(length)) if length <= limit => length,
+            Ok(httparse::Status::Partial) if bytes.len() < limit => return Parsed::Partial,
+            Ok(_) => {
+                let message = format!("request line and headers are larger than {limit} bytes");
+                return Parsed::Refused(Problem::not_run(
+                    Status::HEAD_TOO_LARGE,
+                    "head_too_large",
+                    message,
+                ));
+            }
+            Err(error) => return malformed(format!("request is not valid HTTP: {error}")),
+        };
+        Self::convert(&request, length)
+    }
+
+    fn convert(request: &httparse::Request<'_, '_>, length: usize) -> Parsed {
+        let method = request.method.unwrap_or_default();
+        let Ok(method) = Method::from_str(method) else {
+            return malformed(format!("method \"{method}\" is not supported"));
+        };
+        let Some(headers) = collect_headers(request.headers) else {
+            return malformed("a header value is not UTF-8");
+        };
+        let body = match body_length(&headers) {
+            Ok(body) => body,
+            Err(message) => return malformed(message),
+        };
+        let connection = find(&headers, "connection").unwrap_or_default().to_ascii_lowercase();
+        let is_modern = request.version == Some(1);
+        let keeps_alive =
+            if is_modern { connection != "close" } else { connection == "keep-alive" };
+        let expects_continue = find(&headers, "expect")
+            .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
+        Parsed::Whole(Self {
+            method,
+            path: request.path.unwrap_or_default().to_string(),
+            headers,
+            keeps_alive,
+            expects_continue,
+            length,
+            body,
+        })
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,19 @@
 //! HTTP for callers.
+//!
+//! The [`Server`] actor accepts connections; one actor a connection reads requests within bounds
+//! of size and time and writes the replies. Requests go to the handler as [`Event`]s, and the
+//! handler answers with [`Reply`] messages.
+
+mod body;
+mod connection;
+mod event;
+mod head;
+mod problem;
+mod reply;
+mod server;
+
+pub use event::{Event, Method, Request};
+pub use head::{Head, Header, Parsed};
+pub use problem::Problem;
+pub use reply::{Reply, Status};
+pub use server::{Bounds, Server};
--- /dev/null
+++ b/crates/entry/src/reply.rs
@@ -0,0 +1,128 @@
+//! Answers to callers.
+
+use std::fmt;
+
+use crate::Header;
+
+/// An HTTP status.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Status(pub u16);
+
+impl Status {
+    /// The request was answered.
+    pub const OK: Self = Self(200);
+    /// The request is malformed.
+    pub const BAD_REQUEST: Self = Self(400);
+    /// The API key is missing or unknown.
+    pub const UNAUTHORIZED: Self = Self(401);
+    /// The path or service does not exist.
+    pub const NOT_FOUND: Self = Self(404);
+    /// The method does not fit the path.
+    pub const METHOD_NOT_ALLOWED: Self = Self(405);
+    /// The request took too long to arrive.
+    pub const REQUEST_TIMEOUT: Self = Self(408);
+    /// The request contradicts an earlier one.
+    pub const CONFLICT: Self = Self(409);
+    /// The body is larger than allowed.
+    pub const BODY_TOO_LARGE: Self = Self(413);
+    /// The caller asks more than its share, or the deadline cannot be met.
+    pub const TOO_MANY_REQUESTS: Self = Self(429);
+    /// The head is larger than allowed.
+    pub const HEAD_TOO_LARGE: Self = Self(431);
+    /// The upstream failed.
+    pub const BAD_GATEWAY: Self = Self(502);
+    /// The request cannot be served now.
+    pub const UNAVAILABLE: Self = Self(503);
+    /// The deadline passed.
+    pub const GATEWAY_TIMEOUT: Self = Self(504);
+
+    fn reason(self) -> &'static str {
+        match self.0 {
+            200 => "OK",
+            201 => "Created",
+            204 => "No Content",
+            400 => "Bad Request",
+            401 => "Unauthorized",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            409 => "Conflict",
+            413 => "Content Too Large",
+            429 => "Too Many Requests",
+            431 => "Request Header Fields Too Large",
+            502 => "Bad Gateway",
+            503 => "Service Unavailable",
+            504 => "Gateway Timeout",
+            _ => "Status",
+        }
+    }
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+/// Part of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// The whole answer.
+    Whole {
+        /// Its status.
+        status: Status,
+        /// Its headers.
+        headers: Vec<Header>,
+        /// Its body.
+        body: Vec<u8>,
+    },
+    /// The start of a streamed answer.
+    Start {
+        /// Its status.
+        status: Status,
+        /// Its headers.
+        headers: Vec<Header>,
+    },
+    /// The next bytes of a streamed answer.
+    Part(Vec<u8>),
+    /// The end of a streamed answer that is whole.
+    End,
+    /// The streamed answer cannot be completed: the connection is closed without an end.
+    Cut,
+}
+
+fn append_head(status: Status, headers: &[Header], out: &mut Vec<u8>) {
+    out.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", status.reason()).as_bytes());
+    for header in headers {
+        out.extend_from_slice(format!("{}: {}\r\n", header.name, header.value).as_bytes());
+    }
+}
+
+/// Appends a whole answer to `out`.
+pub(crate) fn append_whole(status: Status, headers: &[Header], body: &[u8], out: &mut Vec<u8>) {
+    append_head(status, headers, out);
+    out.extend_from_slice(format!("content-length: {}\r\n\r\n", body.len()).as_bytes());
+    out.extend_from_slice(body);
+}
+
+/// Appends the head of a streamed answer to `out`.
+pub(crate) fn append_start(status: Status, headers: &[Header], out: &mut Vec<u8>) {
+    append_head(status, headers, out);
+    out.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
+}
+
+/// Appends one chunk of a streamed answer to `out`. Empty parts are left out, since an empty
+/// chunk would end the answer.
+pub(crate) fn append_part(part: &[u8], out: &mut Vec<u8>) {
+    if part.is_empty() {
+        return;
+    }
+    out.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+    out.extend_from_slice(part);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends the end of a streamed answer to `out`.
+pub(crate) fn append_end(out: &mut Vec<u8>) {
+    out.extend_from_slice(b"0\r\n\r\n");
+}
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -1,1 +1,17 @@
 //! Assembly of one running instance from its slices.
+//!
+//! [`run`] builds the actors of one instance on one event loop, connects them by messages, and
+//! runs until a planned stop has finished.
+
+mod error;
+mod operators;
+mod placer;
+mod problem;
+mod root;
+mod router;
+mod run;
+mod stop;
+
+pub use error::Error;
+pub use run::{Bound, run};
+pub use stop::Stop;
--- /dev/null
+++ b/crates/instance/src/root.rs
@@ -0,0 +1,197 @@
+//! The actor that creates all others and leads the planned stop.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use declare::Declarations;
+use entry::{Bounds, Server};
+use eventloop::mailbox;
+use names::Incarnation;
+use operator::Response;
+use settings::Settings;
+use stakker::{ActorOwn, CX, StopCause, actor, at, call, fail, fwd_to, ret_some_to, stop};
+use telemetry::Metrics;
+use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
+
+use crate::operators::{Ask, Operators};
+use crate::placer::Placer;
+use crate::router::Router;
+use crate::{Bound, Error, Stop};
+
+/// What an instance is built of.
+pub(crate) struct Parts {
+    pub(crate) settings: Settings,
+    pub(crate) bound: Bound,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) stop: Stop,
+}
+
+/// Owns the actors of the instance.
+pub(crate) struct Root {
+    settings: Rc<Settings>,
+    _hub: ActorOwn<Hub>,
+    placer: ActorOwn<Placer>,
+    router: ActorOwn<Router>,
+    server: ActorOwn<Server>,
+    _operators: operator::Server,
+    declarations: Rc<Declarations>,
+    is_stopping: bool,
+}
+
+fn read_declarations(path: &Path) -> Result<Declarations, Error> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| Error::File { path: path.display().to_string(), source })?;
+    Declarations::try_from(text)
+        .map_err(|source| Error::Declarations { path: path.display().to_string(), source })
+}
+
+fn bounds(settings: &Settings) -> Bounds {
+    Bounds {
+        head_bytes: settings.limits.head.as_bytes(),
+        body_bytes: settings.limits.body.as_bytes(),
+        unread_bytes: settings.limits.unread.as_bytes(),
+        connections: settings.limits.connections,
+        receive: settings.timing.receive.as_duration(),
+        idle: settings.timing.idle.as_duration(),
+        unread: settings.timing.unread.as_duration(),
+    }
+}
+
+/// The number of this run: the wall clock at its start, so that a later run has a greater one.
+fn incarnation() -> Incarnation {
+    let since_epoch =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
+
+impl Root {
+    pub(crate) fn init(cx: CX![], parts: Parts) -> Option<Self> {
+        match Self::build(cx, parts) {
+            Ok(root) => Some(root),
+            Err(error) => {
+                fail!(cx, error);
+                None
+            }
+        }
+    }
+
+    fn build(cx: CX![], parts: Parts) -> Result<Self, Error> {
+        let Parts { settings, bound, metrics, stop } = parts;
+        let settings = Rc::new(settings);
+        let declarations = match &settings.bootstrap_declarations {
+            Some(path) => Rc::new(read_declarations(path)?),
+            None => Rc::default(),
+        };
+        let identity = Arc::new(Identity {
+            me: settings.instance.clone(),
+            incarnation: incarnation(),
+            keyring: Keyring::new(&settings.fleet_secrets),
+            traffic: Arc::new(Traffic::default()),
+        });
+        let deliver = fwd_to!([cx], deliver() as (Delivery));
+        let hub = actor!(
+            cx,
+            Hub::init(identity, bound.peers, deliver),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
+        for peer in &settings.peers {
+            let peer = Peer { instance: peer.instance.clone(), address: peer.address };
+            call!([hub], set_peer(peer));
+        }
+        let placer = actor!(
+            cx,
+            Placer::init(settings.clone(), hub.clone(), metrics.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
+        let router = actor!(
+            cx,
+            Router::init(settings.clone(), placer.clone(), metrics.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
+        call!([router], set_declarations(declarations.clone()));
+        let handler = fwd_to!([router], handle() as (entry::Event));
+        let server = actor!(
+            cx,
+            Server::init(bound.callers, bounds(&settings), handler),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
+        let asks = fwd_to!([cx], answer() as (Ask));
+        let operators = Operators::new(mailbox(cx, asks), metrics.clone());
+        let operators =
+            operator::Server::start(bound.operators, Arc::new(operators)).map_err(|source| {
+                Error::Listen { what: "operators", address: settings.listen.operators, source }
+            })?;
+        let stops = fwd_to!([cx], begin_stop() as (()));
+        stop.connect(mailbox(cx, stops));
+        log::info!("instance {} serves callers on {}", settings.instance, settings.listen.callers);
+        Ok(Self {
+            settings,
+            _hub: hub,
+            placer,
+            router,
+            server,
+            _operators: operators,
+            declarations,
+            is_stopping: false,
+        })
+    }
+
+    fn child_ended(&mut self, cx: CX![], cause: StopCause) {
+        match cause {
+            StopCause::Failed(error) => {
+                let reason = error.to_string();
+                fail!(cx, Error::Failed { reason });
+            }
+            _ => stop!(cx),
+        }
+    }
+
+    /// Hands a message of a peer to the slice that it belongs to.
+    fn deliver(&mut self, _: CX![], delivery: Delivery) {
+        match delivery.slice {
+            Slice::Upstream => call!([self.placer], deliver(delivery)),
+            slice => log::debug!("no one takes messages of slice {slice}"),
+        }
+    }
+
+    /// Answers a request of the operators' port.
+    fn answer(&mut self, _: CX![], ask: Ask) {
+        let request = &ask.request;
+        match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/announce") => call!([self.placer], announce(ask)),
+            ("POST", "/load") => call!([self.placer], report(ask)),
+            ("GET", "/upstreams") => call!([self.placer], list(ask)),
+            ("GET", "/declarations") => {
+                ask.answer(Response::json(200, self.declarations.as_ref()));
+            }
+            ("GET", "/readyz") => {
+                let (status, text) =
+                    if !self.is_stopping { (200, "ready\n") } else { (503, "stopping\n") };
+                ask.answer(Response::text(status, text));
+            }
+            _ => {
+                let message = format!("{} {} does not exist", request.method, request.path);
+                ask.answer(Response::error(404, "unknown_path", message));
+            }
+        }
+    }
+
+    fn begin_stop(&mut self, cx: CX![], _: ()) {
+        if self.is_stopping {
+            return;
+        }
+        log::info!("instance {} stops", self.settings.instance);
+        self.is_stopping = true;
+        call!([self.router], drain());
+        let drained = fwd_to!([cx], finish_stop() as (()));
+        call!([self.server], drain(drained));
+        let deadline = cx.now() + self.settings.timing.drain.as_duration();
+        at!(deadline, [cx], finish_stop(()));
+    }
+
+    fn finish_stop(&mut self, cx: CX![], _: ()) {
+        log::info!("instance {} stopped", self.settings.instance);
+        stop!(cx);
+    }
+}
--- /dev/null
+++ b/crates/instance/src/router/route.rs
@@ -0,0 +1,197 @@
+//! From a caller's request to what has to be done for it.
+
+use std::time::Instant;
+
+use declare::{Declarations, Kind, Rank, Service, Target};
+use dispatch::Field;
+use entry::{Method, Problem, Request, Status};
+use names::{Attempt, ClientAccount};
+use serde::Deserialize;
+use units::Span;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::problem;
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+const SERVICES_PATH: &str = "/services/";
+const KIND_HEADER: &str = "x-turmericrelay-kind";
+const DEADLINE_HEADER: &str = "x-turmericrelay-deadline";
+const CONVERSATION_HEADER: &str = "x-turmericrelay-conversation";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+/// Messages whose text stands for a conversation without an id.
+const LEADING_MESSAGES: usize = 2;
+
+/// What has to be done for a request.
+pub(crate) struct Route {
+    pub(crate) account: ClientAccount,
+    pub(crate) service: names::Service,
+    pub(crate) kind: names::Kind,
+    pub(crate) rank: Rank,
+    pub(crate) deadline: Instant,
+    pub(crate) target: Target,
+    pub(crate) placement_key: u64,
+    pub(crate) streams: bool,
+    pub(crate) is_idempotent: bool,
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Route {
+    /// The headers of a call to an upstream.
+    pub(crate) fn upstream_headers(&self, attempt: Attempt) -> Vec<Field> {
+        let field = |name: &str, value: String| Field { name: name.to_string(), value };
+        vec![
+            field("content-type", "application/json".to_string()),
+            field("x-attempt-id", attempt.to_string()),
+            field("x-client-account", self.account.to_string()),
+            field("x-priority", (self.rank as u32).to_string()),
+        ]
+    }
+}
+
+/// The part of a chat-completions request that routing uses.
+#[derive(Deserialize)]
+struct Chat {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    messages: Vec<serde_json::Value>,
+}
+
+fn not_found(code: &str, message: String) -> Problem {
+    Problem::not_run(Status::NOT_FOUND, code, message)
+}
+
+fn bad_request(code: &str, message: String) -> Problem {
+    Problem::not_run(Status::BAD_REQUEST, code, message)
+}
+
+/// Finds what has to be done for `request`, which arrived at `now`.
+pub(crate) fn resolve(
+    declarations: &Declarations,
+    request: Request,
+    now: Instant,
+) -> Result<Route, Problem> {
+    let account = authenticate(declarations, &request)?;
+    let path = request.path.split('?').next().unwrap_or_default();
+    if path == CHAT_PATH {
+        return resolve_chat(declarations, request, account, now);
+    }
+    if path.starts_with(SERVICES_PATH) {
+        return resolve_service(declarations, request, account, now);
+    }
+    let message = format!("path \"{path}\" does not exist; use {CHAT_PATH} or {SERVICES_PATH}NAME");
+    Err(not_found("unknown_path", message))
+}
+
+fn authenticate(declarations: &Declarations, request: &Request) -> Result<ClientAccount, Problem> {
+    let key = request.header("authorization").and_then(|value| value.strip_prefix("Bearer "));
+    let account = key.and_then(|key| declarations.account_of_key(key.trim()));
+    account.map(|account| account.name.clone()).ok_or_else(|| {
+        let message = "the API key is missing or unknown; send it as `Authorization: Bearer KEY`";
+        Problem::not_run(Status::UNAUTHORIZED, "invalid_api_key", message)
+    })
+}
+
+fn find_kind<'a>(
+    declarations: &'a Declarations,
+    request: &Request,
+    service: &Service,
+) -> Result<&'a Kind, Problem> {
+    let name = request.header(KIND_HEADER).unwrap_or(service.kind.as_str());
+    declarations.kind(name).ok_or_else(|| {
+        bad_request("unknown_kind", format!("kind of work \"{name}\" is not declared"))
+    })
+}
+
+fn find_deadline(request: &Request, kind: &Kind, now: Instant) -> Result<Instant, Problem> {
+    let longest = kind.deadline.as_duration();
+    let Some(text) = request.header(DEADLINE_HEADER) else {
+        return Ok(now + longest);
+    };
+    let span: Span = text
+        .parse()
+        .map_err(|error: units::Error| bad_request("invalid_deadline", error.to_string()))?;
+    Ok(now + span.as_duration().min(longest))
+}
+
+fn resolve_chat(
+    declarations: &Declarations,
+    request: Request,
+    account: ClientAccount,
+    now: Instant,
+) -> Result<Route, Problem> {
+    if request.method != Method::Post {
+        let message = format!("{CHAT_PATH} takes POST, not {}", request.method);
+        return Err(Problem::not_run(Status::METHOD_NOT_ALLOWED, "method_not_allowed", message));
+    }
+    let chat: Chat = serde_json::from_slice(&request.body).map_err(|error| {
+        bad_request("invalid_body", format!("body is not a chat-completions request: {error}"))
+    })?;
+    let service = declarations.service(&chat.model).ok_or_else(|| {
+        not_found("model_not_found", format!("model \"{}\" is not declared", chat.model))
+    })?;
+    let kind = find_kind(declarations, &request, service)?;
+    let conversation = request.header(CONVERSATION_HEADER);
+    let placement_key = match conversation {
+        Some(conversation) => xxh3_64(conversation.as_bytes()),
+        None => leading_hash(&chat.messages),
+    };
+    Ok(Route {
+        account,
+        service: service.name.clone(),
+        kind: kind.name.clone(),
+        rank: kind.rank,
+        deadline: find_deadline(&request, kind, now)?,
+        target: service.target.clone(),
+        placement_key,
+        streams: chat.stream,
+        is_idempotent: true,
+        method: Method::Post,
+        path: CHAT_PATH.to_string(),
+        body: request.body,
+    })
+}
+
+/// The same for all requests of a conversation: the hash of its first messages.
+fn leading_hash(messages: &[serde_json::Value]) -> u64 {
+    let leading = messages.iter().take(LEADING_MESSAGES).map(ToString::to_string);
+    xxh3_64(leading.collect::<String>().as_bytes())
+}
+
+fn resolve_service(
+    declarations: &Declarations,
+    request: Request,
+    account: ClientAccount,
+    now: Instant,
+) -> Result<Route, Problem> {
+    let rest = request.path.strip_prefix(SERVICES_PATH).unwrap_or_default();
+    let (name, path) = match rest.split_once('/') {
+        Some((name, path)) => (name, format!("/{path}")),
+        None => (rest, "/".to_string()),
+    };
+    let service = declarations.service(name).ok_or_else(|| {
+        not_found("service_not_found", format!("service \"{name}\" is not declared"))
+    })?;
+    let kind = find_kind(declarations, &request, service)?;
+    let is_read = matches!(request.method, Method::Get | Method::Head);
+    if request.header(IDEMPOTENCY_HEADER).is_some() {
+        return Err(problem::no_quorum());
+    }
+    Ok(Route {
+        account,
+        service: service.name.clone(),
+        kind: kind.name.clone(),
+        rank: kind.rank,
+        deadline: find_deadline(&request, kind, now)?,
+        target: service.target.clone(),
+        placement_key: request.id.0,
+        streams: false,
+        is_idempotent: is_read || service.idempotent,
+        method: request.method,
+        path,
+        body: request.body,
+    })
+}
--- /dev/null
+++ b/crates/instance/src/run.rs
@@ -0,0 +1,61 @@
+//! Starts an instance and runs it to its end.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use eventloop::Loop;
+use settings::Settings;
+use stakker::{ActorOwn, StopCause, actor, ret_shutdown};
+use telemetry::Metrics;
+use wire::Sockets;
+
+use crate::root::{Parts, Root};
+use crate::{Error, Stop};
+
+/// The bound sockets of an instance; bound before it starts so that errors come early.
+pub struct Bound {
+    pub(crate) callers: TcpListener,
+    pub(crate) operators: TcpListener,
+    pub(crate) peers: Sockets,
+}
+
+impl Bound {
+    /// Binds the addresses that `settings` name.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`] or [`Error::Wire`] when an address cannot be bound.
+    pub fn new(settings: &Settings) -> Result<Self, Error> {
+        let callers = listen("callers", settings.listen.callers)?;
+        let operators = listen("operators", settings.listen.operators)?;
+        let peers = Sockets::bind(settings.listen.peers)?;
+        callers.set_nonblocking(true).map_err(|source| Error::Listen {
+            what: "callers",
+            address: settings.listen.callers,
+            source,
+        })?;
+        Ok(Self { callers, operators, peers })
+    }
+}
+
+fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).map_err(|source| Error::Listen { what, address, source })
+}
+
+/// Runs the instance until `stop` is asked and its requests in flight are answered.
+///
+/// # Errors
+///
+/// When the declarations cannot be read or a part of the instance fails.
+pub fn run(settings: Settings, bound: Bound, stop: &Stop) -> Result<(), Error> {
+    let metrics = Arc::new(Metrics::new());
+    let mut event_loop = Loop::new()?;
+    let stakker = event_loop.stakker();
+    let parts = Parts { settings, bound, metrics, stop: stop.clone() };
+    let _root: ActorOwn<Root> = actor!(stakker, Root::init(parts), ret_shutdown!(stakker));
+    event_loop.run()?;
+    match event_loop.stakker().shutdown_reason() {
+        Some(StopCause::Failed(error)) => Err(Error::Failed { reason: error.to_string() }),
+        _ => Ok(()),
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,1 +1,10 @@
-//! HTTP for operators.
+//! HTTP for operators, upstreams' announcements and metrics.
+//!
+//! A fixed number of threads serve the port with `tiny_http` and hand each request to a
+//! [`Handler`], which may block until the instance has answered.
+
+mod request;
+mod server;
+
+pub use request::{Handler, Request, Response};
+pub use server::Server;
--- /dev/null
+++ b/crates/placement/src/rendezvous.rs
@@ -0,0 +1,25 @@
+//! Rendezvous hashing: each key has its own order of names, which changes little when names
+//! come and go.
+
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{Candidate, Policy};
+
+/// The weight of `name` for `key`; the name with the greatest weight comes first.
+pub fn weight(key: u64, name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), key)
+}
+
+/// Orders candidates by their weight for the conversation.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Rendezvous;
+
+impl Policy for Rendezvous {
+    fn order(&mut self, key: u64, candidates: &mut Vec<Candidate>) {
+        candidates.sort_by_cached_key(|candidate| {
+            Reverse((weight(key, candidate.upstream.as_str()), candidate.upstream.clone()))
+        });
+    }
+}
--- /dev/null
+++ b/crates/standin/src/announcer.rs
@@ -0,0 +1,61 @@
+//! Announces a stand-in to the instances of its data centre.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use ureq::Agent;
+
+/// How long one announcement may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Posts the newest announcement to one instance after another until one takes it.
+pub(crate) struct Announcer {
+    pub(crate) instances: Vec<SocketAddr>,
+    pub(crate) token: Option<String>,
+    pub(crate) announcement: Arc<Mutex<String>>,
+    pub(crate) period: Duration,
+    pub(crate) stopped: Arc<AtomicBool>,
+}
+
+impl Announcer {
+    /// Announces until stopped.
+    pub(crate) fn run(self) {
+        let agent = agent();
+        let mut first = 0;
+        while !self.stopped.load(Ordering::Relaxed) {
+            first = self.announce(&agent, first);
+            std::thread::park_timeout(self.period);
+        }
+        self.announce(&agent, first);
+    }
+
+    /// Announces once, starting with the instance `first`; gives the one that took it.
+    fn announce(&self, agent: &Agent, first: usize) -> usize {
+        let body = self.announcement.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        for offset in 0..self.instances.len() {
+            let index = (first + offset) % self.instances.len();
+            let url = format!("http://{}/announce", self.instances[index]);
+            let mut request = agent.post(&url).header("content-type", "application/json");
+            if let Some(token) = &self.token {
+                request = request.header("authorization", format!("Bearer {token}"));
+            }
+            match request.send(body.as_str()) {
+                Ok(response) if response.status().is_success() => return index,
+                Ok(response) => log::warn!("{url} answered {}", response.status()),
+                Err(error) => log::debug!("{url}: {error}"),
+            }
+        }
+        first
+    }
+}
+
+fn agent() -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .timeout_global(Some(CALL_TIMEOUT))
+        .build()
+        .new_agent()
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,251 @@
+//! The stand-in engine: continuous batching over slots, a prefix cache, priorities.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use entry::{Event, Header, Problem, Reply, Request, Status};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use stakker::{CX, Fwd, after};
+use upstream::Load;
+
+use crate::prefix::Cache;
+use crate::{Options, Prompt, word};
+
+/// Priority of requests that name none; smaller is more urgent.
+const DEFAULT_PRIORITY: u32 = 100;
+
+/// What an engine did so far.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Requests that it works on.
+    pub running: usize,
+    /// Requests that wait for a slot.
+    pub waiting: usize,
+    /// Most requests at once, running and waiting.
+    pub peak: usize,
+    /// Requests taken in.
+    pub taken: u64,
+    /// Requests answered whole.
+    pub answered: u64,
+    /// Requests whose caller went away.
+    pub cancelled: u64,
+    /// Prompt blocks found in the cache.
+    pub cached_blocks: usize,
+    /// Prompt blocks computed.
+    pub computed_blocks: usize,
+}
+
+struct Job {
+    id: names::Request,
+    prompt: Prompt,
+    text: String,
+    priority: u32,
+    next_word: usize,
+    is_started: bool,
+    reply: Fwd<Reply>,
+}
+
+/// A model engine that answers with fixed words at a fixed pace.
+pub struct Engine {
+    options: Options,
+    cache: Cache,
+    running: Vec<Job>,
+    waiting: VecDeque<Job>,
+    stats: Stats,
+}
+
+impl Engine {
+    /// An engine without work.
+    pub fn init(_: CX![], options: Options) -> Option<Self> {
+        let cache = Cache::new(options.cache_blocks);
+        Some(Self {
+            options,
+            cache,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            stats: Stats::default(),
+        })
+    }
+
+    /// Takes one event of the HTTP server.
+    pub fn handle(&mut self, cx: CX![], event: Event) {
+        match event {
+            Event::Arrived { request, reply } => self.arrive(cx, request, reply),
+            Event::Left { request } => self.cancel(cx, request),
+            Event::Refused { .. } => {}
+        }
+    }
+
+    /// The engine's load, as it reports it.
+    pub fn load(&self) -> Load {
+        Load {
+            upstream: self.options.name.clone(),
+            incarnation: self.options.incarnation,
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+        }
+    }
+
+    fn arrive(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
+        match request.path.as_str() {
+            "/v1/chat/completions" => self.take(cx, request, reply),
+            "/stats" => reply.fwd(json_reply(Status::OK, &self.stats())),
+            _ => {
+                let message = format!("path \"{}\" does not exist", request.path);
+                let problem = Problem::not_run(Status::NOT_FOUND, "unknown_path", message);
+                reply.fwd(problem.into_reply());
+            }
+        }
+    }
+
+    fn stats(&self) -> Stats {
+        Stats { running: self.running.len(), waiting: self.waiting.len(), ..self.stats.clone() }
+    }
+
+    fn take(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
+        let prompt: Prompt = match serde_json::from_slice(&request.body) {
+            Ok(prompt) => prompt,
+            Err(error) => {
+                let message = format!("body is not a chat-completions request: {error}");
+                let problem = Problem::not_run(Status::BAD_REQUEST, "invalid_body", message);
+                reply.fwd(problem.into_reply());
+                return;
+            }
+        };
+        let priority = request.header("x-priority").and_then(|value| value.parse().ok());
+        let resumed = request.header("x-resume-offset").and_then(|value| value.parse().ok());
+        let job = Job {
+            id: request.id,
+            text: prompt.text(),
+            prompt,
+            priority: priority.unwrap_or(DEFAULT_PRIORITY),
+            next_word: resumed.unwrap_or(0),
+            is_started: false,
+            reply,
+        };
+        self.stats.taken += 1;
+        let index = self.waiting.iter().position(|other| other.priority > job.priority);
+        self.waiting.insert(index.unwrap_or(self.waiting.len()), job);
+        let total = self.running.len() + self.waiting.len();
+        self.stats.peak = self.stats.peak.max(total);
+        self.fill_slots(cx);
+    }
+
+    fn fill_slots(&mut self, cx: CX![]) {
+        while self.running.len() < self.options.slots as usize {
+            let Some(job) = self.waiting.pop_front() else {
+                return;
+            };
+            let reuse = self.cache.use_prompt(&job.text);
+            self.stats.cached_blocks += reuse.cached_blocks;
+            self.stats.computed_blocks += reuse.computed_blocks;
+            let blocks = u32::try_from(reuse.computed_blocks).unwrap_or(u32::MAX);
+            let prefill = self.options.prefill_per_block.as_duration() * blocks;
+            let id = job.id;
+            self.running.push(job);
+            after!(prefill, [cx], produce(id));
+        }
+    }
+
+    /// Produces the next word of the request `id`.
+    fn produce(&mut self, cx: CX![], id: names::Request) {
+        let Some(index) = self.running.iter().position(|job| job.id == id) else {
+            return;
+        };
+        let job = &mut self.running[index];
+        let words = job.prompt.words();
+        if job.prompt.stream && job.next_word < words {
+            if !job.is_started {
+                job.is_started = true;
+                job.reply.fwd(stream_start());
+            }
+            job.reply.fwd(Reply::Part(stream_word(job)));
+        }
+        job.next_word += 1;
+        if job.next_word < words {
+            after!(self.options.word_interval.as_duration(), [cx], produce(id));
+            return;
+        }
+        let job = self.running.swap_remove(index);
+        finish(&job, words);
+        self.stats.answered += 1;
+        self.fill_slots(cx);
+    }
+
+    fn cancel(&mut self, cx: CX![], id: names::Request) {
+        let before = self.running.len() + self.waiting.len();
+        self.running.retain(|job| job.id != id);
+        self.waiting.retain(|job| job.id != id);
+        let after = self.running.len() + self.waiting.len();
+        self.stats.cancelled += (before - after) as u64;
+        self.fill_slots(cx);
+    }
+}
+
+fn json_reply<T>(status: Status, value: &T) -> Reply
+where
+    T: Serialize,
+{
+    let headers = vec![Header::new("content-type", "application/json")];
+    Reply::Whole { status, headers, body: serde_json::to_vec(value).unwrap_or_default() }
+}
+
+fn stream_start() -> Reply {
+    let headers = vec![
+        Header::new("content-type", "text/event-stream"),
+        Header::new("cache-control", "no-cache"),
+    ];
+    Reply::Start { status: Status::OK, headers }
+}
+
+fn server_sent_event(value: &serde_json::Value) -> Vec<u8> {
+    format!("data: {value}\n\n").into_bytes()
+}
+
+fn stream_word(job: &Job) -> Vec<u8> {
+    server_sent_event(&json!({
+        "id": format!("chatcmpl-{}", job.id),
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": job.prompt.model,
+        "choices": [{
+            "index": 0,
+            "delta": { "role": "assistant", "content": word(&job.text, job.next_word) },
+            "finish_reason": null,
+        }],
+    }))
+}
+
+fn finish(job: &Job, words: usize) {
+    if job.prompt.stream {
+        let last = json!({
+            "id": format!("chatcmpl-{}", job.id),
+            "object": "chat.completion.chunk",
+            "created": 0,
+            "model": job.prompt.model,
+            "choices": [{ "index": 0, "delta": {}, "finish_reason": "stop" }],
+        });
+        job.reply.fwd(Reply::Part(server_sent_event(&last)));
+        job.reply.fwd(Reply::Part(b"data: [DONE]\n\n".to_vec()));
+        job.reply.fwd(Reply::End);
+        return;
+    }
+    let answer = json!({
+        "id": format!("chatcmpl-{}", job.id),
+        "object": "chat.completion",
+        "created": 0,
+        "model": job.prompt.model,
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": crate::answer(&job.text, words) },
+            "finish_reason": "stop",
+        }],
+        "usage": {
+            "prompt_tokens": job.text.len() / 4,
+            "completion_tokens": words,
+            "total_tokens": job.text.len() / 4 + words,
+        },
+    });
+    job.reply.fwd(json_reply(Status::OK, &answer));
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,18 @@
-//! Small stand-ins for model engines and plain services.
+//! Small stand-ins for model engines and plain services, for tests, measurements and the
+//! development command.
+
+mod announcer;
+mod engine;
+mod error;
+mod prefix;
+mod prompt;
+mod run;
+mod service;
+mod text;
+
+pub use engine::{Engine, Stats};
+pub use error::Error;
+pub use prompt::Prompt;
+pub use run::{Options, Running, Work, start};
+pub use service::{Run, Service};
+pub use text::{answer, word};
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,89 @@
+//! The metrics of an instance.
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of a finished request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// Rank of its kind of work.
+    pub rank: String,
+    /// Its kind of work.
+    pub kind: String,
+    /// Whether it was answered, did not run, or may have run.
+    pub verdict: String,
+}
+
+/// Labels of something that happened for a reason.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: String,
+}
+
+/// The metrics of an instance, shared between its threads.
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    refused: Family<ReasonLabels, Counter>,
+    first_byte: Histogram,
+    /// Revision of the declarations in force.
+    pub revision: Gauge,
+    /// Requests that are not answered yet.
+    pub active: Gauge,
+    /// Upstreams that may receive new work.
+    pub upstreams: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// All metrics at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("turmericrelay");
+        let requests = Family::default();
+        registry.register("requests", "Finished requests", requests.clone());
+        let refused = Family::default();
+        registry.register("refused", "Refused connections and requests", refused.clone());
+        let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 16));
+        registry.register("first_byte_seconds", "Time to the first byte", first_byte.clone());
+        let revision = Gauge::default();
+        registry.register("revision", "Revision in force", revision.clone());
+        let active = Gauge::default();
+        registry.register("active_requests", "Requests not answered yet", active.clone());
+        let upstreams = Gauge::default();
+        registry.register("upstreams", "Upstreams that may get new work", upstreams.clone());
+        Self { registry, requests, refused, first_byte, revision, active, upstreams }
+    }
+
+    /// Counts a finished request.
+    pub fn count_request(&self, labels: &RequestLabels) {
+        self.requests.get_or_create(labels).inc();
+    }
+
+    /// Counts something that was refused for `reason`.
+    pub fn count_refused(&self, reason: &str) {
+        self.refused.get_or_create(&ReasonLabels { reason: reason.to_string() }).inc();
+    }
+
+    /// Records the time from a request's arrival to the first byte of its answer, in seconds.
+    pub fn observe_first_byte(&self, seconds: f64) {
+        self.first_byte.observe(seconds);
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub fn encode(&self) -> String {
+        let mut out = String::new();
+        match text::encode(&mut out, &self.registry) {
+            Ok(()) => out,
+            Err(error) => format!("# metrics cannot be encoded: {error}\n"),
+        }
+    }
+}
