Lay the borders between slices and the test support

Cause: the slices are to grow side by side. Each has its actor in the instance, its border (a replicated Machine, an admission Desk, a placement Policy) and its message slice.

--- a/crates/command/src/commands/check.rs
+++ b/crates/command/src/commands/check.rs
@@ -12,7 +12,7 @@
 const EXAMPLES: &str = "Example: turmericrelay check giza-1.yaml declarations.yaml";
 
 /// A field that only settings have.
-const SETTINGS_FIELD: &str = "instance:";
+const SETTINGS_FIELD: &str = "fleet_secrets";
 
 struct Check {
     files: Vec<PathBuf>,
@@ -32,7 +32,7 @@
 
 fn check(path: &Path) -> Result<&'static str, String> {
     let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
-    if text.lines().any(|line| line.starts_with(SETTINGS_FIELD)) {
+    if text.contains(SETTINGS_FIELD) {
         Settings::try_from(text).map_err(|error| error.to_string())?;
         return Ok("settings");
     }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -3,10 +3,14 @@
 //! [`run`] builds the actors of one instance on one event loop, connects them by messages, and
 //! runs until a planned stop has finished.
 
+mod claims;
+mod config;
 mod error;
+mod members;
 mod operators;
 mod placer;
 mod problem;
+mod replica;
 mod root;
 mod router;
 mod run;
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -1,6 +1,5 @@
 //! The actor that creates all others and leads the planned stop.
 
-use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -14,8 +13,12 @@
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
+use crate::claims::Claims;
+use crate::config::Config;
+use crate::members::Members;
 use crate::operators::{Ask, Operators};
 use crate::placer::Placer;
+use crate::replica::Replica;
 use crate::router::Router;
 use crate::{Bound, Error, Stop};
 
@@ -35,17 +38,13 @@
     router: ActorOwn<Router>,
     server: ActorOwn<Server>,
     _operators: operator::Server,
-    declarations: Rc<Declarations>,
+    replica: ActorOwn<Replica>,
+    config: ActorOwn<Config>,
+    claims: ActorOwn<Claims>,
+    members: ActorOwn<Members>,
     is_stopping: bool,
 }
 
-fn read_declarations(path: &Path) -> Result<Declarations, Error> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|source| Error::File { path: path.display().to_string(), source })?;
-    Declarations::try_from(text)
-        .map_err(|source| Error::Declarations { path: path.display().to_string(), source })
-}
-
 fn bounds(settings: &Settings) -> Bounds {
     Bounds {
         head_bytes: settings.limits.head.as_bytes(),
@@ -79,10 +78,6 @@
     fn build(cx: CX![], parts: Parts) -> Result<Self, Error> {
         let Parts { settings, bound, metrics, stop } = parts;
         let settings = Rc::new(settings);
-        let declarations = match &settings.bootstrap_declarations {
-            Some(path) => Rc::new(read_declarations(path)?),
-            None => Rc::default(),
-        };
         let identity = Arc::new(Identity {
             me: settings.instance.clone(),
             incarnation: incarnation(),
@@ -109,7 +104,27 @@
             Router::init(settings.clone(), placer.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        call!([router], set_declarations(declarations.clone()));
+        let replica = actor!(
+            cx,
+            Replica::init(settings.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
+        let in_force = fwd_to!([router], set_declarations() as (Rc<Declarations>));
+        let config = actor!(
+            cx,
+            Config::init(settings.clone(), replica.clone(), hub.clone(), in_force),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
+        let claims = actor!(
+            cx,
+            Claims::init(replica.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
+        let members = actor!(
+            cx,
+            Members::init(settings.clone(), hub.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let handler = fwd_to!([router], handle() as (entry::Event));
         let server = actor!(
             cx,
@@ -132,7 +147,10 @@
             router,
             server,
             _operators: operators,
-            declarations,
+            replica,
+            config,
+            claims,
+            members,
             is_stopping: false,
         })
     }
@@ -150,21 +168,27 @@
     /// Hands a message of a peer to the slice that it belongs to.
     fn deliver(&mut self, _: CX![], delivery: Delivery) {
         match delivery.slice {
-            Slice::Upstream => call!([self.placer], deliver(delivery)),
-            slice => log::debug!("no one takes messages of slice {slice}"),
+            Slice::Membership => call!([self.members], deliver(delivery)),
+            Slice::Upstream | Slice::Permit | Slice::Load | Slice::Account => {
+                call!([self.placer], deliver(delivery));
+            }
+            Slice::State => call!([self.replica], deliver(delivery)),
+            Slice::Ledger => call!([self.claims], deliver(delivery)),
+            Slice::Declare => call!([self.config], deliver(delivery)),
         }
     }
 
     /// Answers a request of the operators' port.
     fn answer(&mut self, _: CX![], ask: Ask) {
         let request = &ask.request;
+        if request.path.starts_with("/declarations") {
+            call!([self.config], answer(ask));
+            return;
+        }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/announce") => call!([self.placer], announce(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
-            ("GET", "/declarations") => {
-                ask.answer(Response::json(200, self.declarations.as_ref()));
-            }
             ("GET", "/readyz") => {
                 let (status, text) =
                     if !self.is_stopping { (200, "ready\n") } else { (503, "stopping\n") };
--- /dev/null
+++ b/tests/support/client.rs
@@ -0,0 +1,93 @@
+//! Callers and operators.
+
+use std::io::Read;
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+use super::PATIENCE;
+
+pub const API_KEY: &str = "test-key-of-nasr";
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .timeout_global(Some(PATIENCE))
+        .build()
+        .new_agent()
+}
+
+/// Body of a successful GET.
+pub fn get(address: SocketAddr, path: &str) -> Result<String, String> {
+    let mut response =
+        agent().get(format!("http://{address}{path}")).call().map_err(|error| error.to_string())?;
+    let body = response.body_mut().read_to_string().map_err(|error| error.to_string())?;
+    if response.status().is_success() { Ok(body) } else { Err(body) }
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub verdict: Option<String>,
+    pub retry_after: Option<String>,
+    pub request_id: Option<String>,
+    pub body: String,
+}
+
+/// Posts JSON as a caller with an API key.
+pub fn post(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> Result<Answer, String> {
+    let mut request = agent()
+        .post(format!("http://{address}{path}"))
+        .header("authorization", format!("Bearer {API_KEY}"))
+        .header("content-type", "application/json");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let mut response = request.send(body.to_string()).map_err(|error| error.to_string())?;
+    let header = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.to_string());
+    let (verdict, retry_after, request_id) =
+        (header("x-turmericrelay-verdict"), header("retry-after"), header("x-request-id"));
+    let status = response.status().as_u16();
+    let mut text = String::new();
+    response.body_mut().as_reader().read_to_string(&mut text).map_err(|error| error.to_string())?;
+    Ok(Answer { status, verdict, retry_after, request_id, body: text })
+}
+
+/// A chat-completions request.
+pub fn chat(text: &str, words: usize, streams: bool) -> Value {
+    json!({
+        "model": "caption-small",
+        "messages": [{ "role": "user", "content": text }],
+        "max_tokens": words,
+        "stream": streams,
+    })
+}
+
+/// The text that a stand-in engine answers to `chat(text, words, _)`.
+pub fn expected_answer(text: &str, words: usize) -> String {
+    standin::answer(&format!("user: {text}\n"), words)
+}
+
+/// The text of a streamed answer; none when it is not whole.
+pub fn streamed_text(body: &str) -> Option<String> {
+    let mut text = String::new();
+    let mut is_whole = false;
+    for line in body.lines() {
+        match line.strip_prefix("data: ") {
+            Some("[DONE]") => is_whole = true,
+            Some(event) => {
+                let event: Value = serde_json::from_str(event).ok()?;
+                text.push_str(event["choices"][0]["delta"]["content"].as_str().unwrap_or(""));
+            }
+            None => {}
+        }
+    }
+    is_whole.then_some(text)
+}
--- /dev/null
+++ b/tests/support/process.rs
@@ -0,0 +1,96 @@
+//! Processes of the program and free addresses for them.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+/// How long a test waits for something that must happen.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_turmericrelay");
+
+static NEXT_HOST: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback address that no other process of this test run uses, with a free port.
+pub fn free_address() -> SocketAddr {
+    let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let host = Ipv4Addr::new(
+        127,
+        1 + (process % 250) as u8,
+        (process / 250 % 250) as u8,
+        1 + (number % 250) as u8,
+    );
+    let listener = TcpListener::bind((host, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Asks `check` again and again until it gives a value; fails the test when it never does.
+pub fn wait_for<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+    let deadline = Instant::now() + PATIENCE;
+    while Instant::now() < deadline {
+        if let Some(value) = check() {
+            return value;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("{what} did not happen within {PATIENCE:?}");
+}
+
+/// A process that is killed when the test ends.
+pub struct Process {
+    child: Child,
+    pub log: PathBuf,
+}
+
+impl Process {
+    pub fn start(arguments: &[String], log: PathBuf) -> Self {
+        let child = Command::new(PROGRAM)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(File::create(&log).unwrap())
+            .spawn()
+            .unwrap();
+        Self { child, log }
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn first_line(&mut self) -> String {
+        let mut line = String::new();
+        BufReader::new(self.child.stdout.as_mut().unwrap()).read_line(&mut line).unwrap();
+        line.trim().to_string()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status =
+            Command::new("kill").args([&format!("-{name}"), &self.id().to_string()]).status();
+        assert!(status.unwrap().success());
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the process to end by itself; gives its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        wait_for("end of process", || self.child.try_wait().unwrap()).code()
+    }
+
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
