Add the development command

Cause: a stranger needs one command. One process now runs an instance, three engines and a booking service on loopback. stakker allows one runtime a process by default: its multi-thread feature allows one a thread; seen as a panic of the second stand-in, gone after.

--- a/crates/command/src/commands/mod.rs
+++ b/crates/command/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! All commands.
 
 mod check;
+mod dev;
 mod hash_key;
 mod serve;
 mod stand_in;
@@ -9,5 +10,5 @@
 
 /// The parsers of all commands, in the order of the help text.
 pub(crate) fn all() -> Vec<Entry> {
-    vec![serve::entry(), check::entry(), hash_key::entry(), stand_in::entry()]
+    vec![serve::entry(), dev::entry(), check::entry(), hash_key::entry(), stand_in::entry()]
 }
--- a/crates/command/src/error.rs
+++ b/crates/command/src/error.rs
@@ -37,6 +37,9 @@
     /// The stand-in could not start.
     #[error(transparent)]
     Standin(#[from] standin::Error),
+    /// A name is not valid.
+    #[error(transparent)]
+    Name(#[from] names::Error),
     /// Logs could not be started.
     #[error(transparent)]
     Logs(#[from] telemetry::Error),
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -36,16 +36,27 @@
     pub body: String,
 }
 
-/// Posts JSON as a caller with an API key.
+/// Posts JSON as the caller with the usual API key.
 pub fn post(
     address: SocketAddr,
     path: &str,
     headers: &[(&str, &str)],
     body: &Value,
+) -> Result<Answer, String> {
+    post_as(API_KEY, address, path, headers, body)
+}
+
+/// Posts JSON as the caller with the API key `key`.
+pub fn post_as(
+    key: &str,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
 ) -> Result<Answer, String> {
     let mut request = agent()
         .post(format!("http://{address}{path}"))
-        .header("authorization", format!("Bearer {API_KEY}"))
+        .header("authorization", format!("Bearer {key}"))
         .header("content-type", "application/json");
     for (name, value) in headers {
         request = request.header(*name, *value);
