--- a/crates/declare/src/error.rs
+++ b/crates/declare/src/error.rs
@@ -61,4 +61,32 @@
         /// The text as given.
         text: String,
     },
+    /// An item of a revision cannot be read or written.
+    #[error("{section} \"{name}\" of the revision is not valid: {source}")]
+    Item {
+        /// The list that it stands in.
+        section: crate::Section,
+        /// Its name.
+        name: String,
+        /// The codec's error.
+        source: serde_json::Error,
+    },
+    /// A revision's number cannot be read.
+    #[error("revision \"{text}\" is not a number; help: `turmericrelay history` lists revisions")]
+    Revision {
+        /// The text as given.
+        text: String,
+    },
+    /// An order id has the wrong form.
+    #[error("order id \"{text}\" is not valid; help: use 1 to 64 letters, digits and . _ -")]
+    Order {
+        /// The text as given.
+        text: String,
+    },
+    /// The bytes of a stored revision are damaged.
+    #[error("stored revision is damaged: {problem}; help: remove the file to fetch it from peers")]
+    Damaged {
+        /// What does not fit.
+        problem: &'static str,
+    },
 }
--- a/crates/declare/src/model.rs
+++ b/crates/declare/src/model.rs
@@ -150,6 +150,8 @@
     pub client_accounts: Vec<ClientAccount>,
     /// Kinds of work.
     pub kinds: Vec<Kind>,
+    /// Upstreams that get no new work, chosen by their labels.
+    pub drains: Vec<Selector>,
 }
 
 impl Declarations {
@@ -171,10 +173,54 @@
         self.client_accounts.iter().find(|account| account.keys.contains(&hash))
     }
 
+    /// Whether a declared drain keeps new work from an upstream with `labels`.
+    pub fn is_drained(&self, labels: &Labels) -> bool {
+        self.drains.iter().any(|selector| selector.matches(labels))
+    }
+
+    /// The declarations with each list sorted and every reference checked.
+    ///
+    /// # Errors
+    ///
+    /// When a name stands twice, a reference leads nowhere or a value is out of range.
+    pub fn checked(mut self) -> Result<Self, Error> {
+        self.sort();
+        self.check()?;
+        Ok(self)
+    }
+
+    /// Reads one of several files that together are the declarations; references are not checked.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Form`] when the text is not YAML of the documented form.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        Ok(serde_norway::from_str(text)?)
+    }
+
+    /// Adds the lists of `other` behind those of these declarations.
+    pub fn append(&mut self, other: Self) {
+        self.services.extend(other.services);
+        self.client_accounts.extend(other.client_accounts);
+        self.kinds.extend(other.kinds);
+        self.drains.extend(other.drains);
+    }
+
+    /// The declarations as YAML.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Form`] when they cannot be written.
+    pub fn to_yaml(&self) -> Result<String, Error> {
+        Ok(serde_norway::to_string(self)?)
+    }
+
     fn sort(&mut self) {
         self.services.sort_by(|left, right| left.name.cmp(&right.name));
         self.client_accounts.sort_by(|left, right| left.name.cmp(&right.name));
         self.kinds.sort_by(|left, right| left.name.cmp(&right.name));
+        self.drains.sort_by_key(Selector::to_string);
+        self.drains.dedup();
     }
 
     fn check(&self) -> Result<(), Error> {
@@ -182,6 +228,7 @@
         check_once("client account", self.client_accounts.iter().map(|item| item.name.as_str()))?;
         check_once("kind of work", self.kinds.iter().map(|item| item.name.as_str()))?;
         self.check_service_kinds()?;
+        self.check_drains()?;
         self.check_least_shares()
     }
 
@@ -197,6 +244,17 @@
         }
     }
 
+    fn check_drains(&self) -> Result<(), Error> {
+        if self.drains.iter().all(|selector| !selector.is_empty()) {
+            return Ok(());
+        }
+        Err(Error::Value {
+            place: "drains".to_string(),
+            problem: "an empty selector matches every upstream".to_string(),
+            help: "name at least one label",
+        })
+    }
+
     fn check_least_shares(&self) -> Result<(), Error> {
         let total: u32 = self.kinds.iter().map(|kind| kind.least_share_percent).sum();
         if total <= MAX_TOTAL_LEAST_SHARE_PERCENT {
@@ -228,9 +286,6 @@
     type Error = Error;
 
     fn try_from(text: String) -> Result<Self, Error> {
-        let mut declarations: Self = serde_norway::from_str(&text)?;
-        declarations.sort();
-        declarations.check()?;
-        Ok(declarations)
+        Self::parse(&text)?.checked()
     }
 }
--- a/crates/declare/src/selector.rs
+++ b/crates/declare/src/selector.rs
@@ -44,6 +44,11 @@
 }
 
 impl Selector {
+    /// Whether it has no condition and so matches everything.
+    pub fn is_empty(&self) -> bool {
+        self.terms.is_empty()
+    }
+
     /// Whether every condition holds for `labels`.
     pub fn matches(&self, labels: &Labels) -> bool {
         self.terms.iter().all(|term| term.matches(labels))
