--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -15,6 +15,7 @@
 mod router;
 mod run;
 mod stop;
+mod traffic;
 
 pub use error::Error;
 pub use run::{Bound, run};
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -27,6 +27,7 @@
     pub(crate) settings: Settings,
     pub(crate) bound: Bound,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) traffic: Arc<Traffic>,
     pub(crate) stop: Stop,
 }
 
@@ -76,13 +77,13 @@
     }
 
     fn build(cx: CX![], parts: Parts) -> Result<Self, Error> {
-        let Parts { settings, bound, metrics, stop } = parts;
+        let Parts { settings, bound, metrics, traffic, stop } = parts;
         let settings = Rc::new(settings);
         let identity = Arc::new(Identity {
             me: settings.instance.clone(),
             incarnation: incarnation(),
             keyring: Keyring::new(&settings.fleet_secrets),
-            traffic: Arc::new(Traffic::default()),
+            traffic,
         });
         let deliver = fwd_to!([cx], deliver() as (Delivery));
         let hub = actor!(
--- a/crates/instance/src/run.rs
+++ b/crates/instance/src/run.rs
@@ -7,9 +7,10 @@
 use settings::Settings;
 use stakker::{ActorOwn, StopCause, actor, ret_shutdown};
 use telemetry::Metrics;
-use wire::Sockets;
+use wire::{Sockets, Traffic};
 
 use crate::root::{Parts, Root};
+use crate::traffic::TrafficCollector;
 use crate::{Error, Stop};
 
 /// The bound sockets of an instance; bound before it starts so that errors come early.
@@ -48,10 +49,13 @@
 ///
 /// When the declarations cannot be read or a part of the instance fails.
 pub fn run(settings: Settings, bound: Bound, stop: &Stop) -> Result<(), Error> {
-    let metrics = Arc::new(Metrics::new());
+    let traffic = Arc::new(Traffic::default());
+    let mut metrics = Metrics::new();
+    metrics.add_collector(Box::new(TrafficCollector::new(traffic.clone())));
+    let metrics = Arc::new(metrics);
     let mut event_loop = Loop::new()?;
     let stakker = event_loop.stakker();
-    let parts = Parts { settings, bound, metrics, stop: stop.clone() };
+    let parts = Parts { settings, bound, metrics, traffic, stop: stop.clone() };
     let _root: ActorOwn<Root> = actor!(stakker, Root::init(parts), ret_shutdown!(stakker));
     event_loop.run()?;
     match event_loop.stakker().shutdown_reason() {
--- /dev/null
+++ b/crates/instance/src/traffic.rs
@@ -0,0 +1,73 @@
+//! Exports the traffic with peers as metrics.
+
+use std::fmt;
+use std::sync::Arc;
+
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::ConstCounter;
+use strum::IntoEnumIterator;
+use wire::{Count, Slice, Traffic};
+
+/// Reads the traffic counts whenever the metrics are asked for.
+#[derive(Debug)]
+pub(crate) struct TrafficCollector {
+    traffic: Arc<Traffic>,
+}
+
+impl TrafficCollector {
+    pub(crate) fn new(traffic: Arc<Traffic>) -> Self {
+        Self { traffic }
+    }
+
+    fn encode_sent<F>(
+        &self,
+        encoder: &mut DescriptorEncoder<'_>,
+        name: &str,
+        help: &str,
+        value: F,
+    ) -> Result<(), fmt::Error>
+    where
+        F: Fn(Count) -> u64,
+    {
+        let mut family = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
+        for slice in Slice::iter() {
+            let labels = [("slice", slice.to_string())];
+            let count = ConstCounter::new(value(self.traffic.sent(slice)));
+            count.encode(family.encode_family(&labels)?)?;
+        }
+        Ok(())
+    }
+
+    fn encode_total(
+        encoder: &mut DescriptorEncoder<'_>,
+        name: &str,
+        help: &str,
+        value: u64,
+    ) -> Result<(), fmt::Error> {
+        let metric = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
+        ConstCounter::new(value).encode(metric)
+    }
+}
+
+impl Collector for TrafficCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let encoder = &mut encoder;
+        self.encode_sent(encoder, "peer_bytes", "Bytes sent to peers", |count| count.bytes)?;
+        self.encode_sent(encoder, "peer_frames", "Frames sent to peers", |count| count.frames)?;
+        let traffic = &self.traffic;
+        Self::encode_total(
+            encoder,
+            "peer_frames_dropped",
+            "Frames dropped because the peer was unreachable or its queue full",
+            traffic.dropped(),
+        )?;
+        Self::encode_total(
+            encoder,
+            "peer_frames_refused",
+            "Frames refused as forged, replayed, malformed or misdirected",
+            traffic.refused(),
+        )
+    }
+}
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of an instance.
 
+use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -78,6 +79,11 @@
         self.first_byte.observe(seconds);
     }
 
+    /// Adds metrics that are read only when all metrics are asked for.
+    pub fn add_collector(&mut self, collector: Box<dyn Collector>) {
+        self.registry.register_collector(collector);
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut out = String::new();
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -1,5 +1,7 @@
 //! Frames: whole or refused, authenticated, in order, seen once.
 
+#![allow(clippy::unwrap_used)]
+
 use names::{Incarnation, Instance};
 use proptest::prelude::*;
 use test_case::test_case;
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -1,5 +1,7 @@
 //! Bad input at the callers' port: a clear error, and nobody else notices.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use std::io::{Read, Write};
--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -1,5 +1,7 @@
 //! The development command: a whole fleet in one process.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use serde_json::json;
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -1,5 +1,7 @@
 //! The examples are valid as they stand.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use std::path::{Path, PathBuf};
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,5 +1,7 @@
 //! The whole path: caller, instance, upstream, as separate processes.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use serde_json::{Value, json};
