--- a/crates/command/src/commands/stand_in.rs
+++ b/crates/command/src/commands/stand_in.rs
@@ -5,7 +5,7 @@
 use bpaf::{Parser, construct, long};
 use declare::Labels;
 use names::{DataCentre, Incarnation, Model, Upstream};
-use standin::{Options, Work};
+use standin::{Options, Running, Work};
 use units::Span;
 
 use crate::{Command, Entry, Error, Exit, signals};
@@ -16,6 +16,7 @@
 
 struct StandIn {
     options: Options,
+    count: usize,
 }
 
 fn labels(pairs: Vec<String>) -> Result<Labels, String> {
@@ -84,8 +85,12 @@
         cache_blocks,
         expires_in,
     });
-    options
-        .map(|options| -> Box<dyn Command> { Box::new(StandIn { options }) })
+    let count = long("count")
+        .help("Starts this many, named NAME-1 and so on when there is more than one")
+        .argument::<usize>("COUNT")
+        .fallback(1);
+    construct!(StandIn { options, count })
+        .map(|stand_in| -> Box<dyn Command> { Box::new(stand_in) })
         .to_options()
         .descr(HELP)
         .footer(EXAMPLES)
@@ -94,18 +99,31 @@
         .boxed()
 }
 
+impl StandIn {
+    fn numbered(&self, number: usize) -> Result<Options, Error> {
+        if self.count == 1 {
+            return Ok(self.options.clone());
+        }
+        let name = format!("{}-{number}", self.options.name).parse()?;
+        Ok(Options { name, ..self.options.clone() })
+    }
+}
+
 impl Command for StandIn {
     fn run(&self) -> Result<Exit, Error> {
         telemetry::start_logs(false)?;
-        let running = standin::start(self.options.clone())?;
-        println!("listening on {}", running.address());
+        let mut running = Vec::new();
+        for number in 1..=self.count {
+            let stand_in = standin::start(self.numbered(number)?)?;
+            println!("listening on {}", stand_in.address());
+            running.push(stand_in);
+        }
         let (stop, stopped) = std::sync::mpsc::channel();
         signals::on_stop(move || {
             let _ = stop.send(());
         })?;
         if stopped.recv().is_ok() {
-            running.leave();
-            running.stop();
+            running.iter().for_each(Running::leave);
         }
         Ok(Exit::Done)
     }
