Claim idempotency keys in a replicated ledger

Cause: keyed requests were refused for want of a ledger. The machine grants a key to one attempt, keeps the answer for resends, and leaves a claim whose attempt outlived its hold as unknown until a late result settles it. Its time comes from commands, which carry estimates from monotonic clocks, so a wall clock that jumps expires nothing early. Ruled out: a tombstone per released key (records that live on after a release fill the ledger while an upstream is down); a ring of withdrawn attempts does the same in 8 KiB.

--- /dev/null
+++ b/crates/ledger/tests/machine.rs
@@ -0,0 +1,160 @@
+//! The ledger's answers to single commands.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use ledger::{
+    Answer, Bounds, Claim, Command, Digest, Ending, Key, Ledger, Reply, Settlement, Ticket, Time,
+};
+use names::Attempt;
+use state::Machine;
+use test_case::test_case;
+
+const HOLD: Duration = Duration::from_secs(10);
+
+fn ticket(account: &str, key: &str, body: &str) -> Ticket {
+    let key = Key::try_from(key.to_string()).unwrap();
+    let service = "shop".parse().unwrap();
+    Ticket::new(&account.parse().unwrap(), &service, &key, &[body.as_bytes()])
+}
+
+fn claim(ledger: &mut Ledger, ticket: &Ticket, fence: u64, now: u64) -> Reply {
+    let (ticket, fence, now) = (ticket.clone(), Attempt(fence), Time(now));
+    ledger.take(Command::Claim(Claim { ticket, fence, now, hold: HOLD })).reply
+}
+
+fn settle(ledger: &mut Ledger, ticket: &Ticket, fence: u64, now: u64, ending: Ending) -> Reply {
+    let (fence, now) = (Attempt(fence), Time(now));
+    ledger.take(Command::Settle(Settlement { key: ticket.key, fence, now, ending })).reply
+}
+
+fn answer(text: &str) -> Answer {
+    Answer { status: 200, headers: Vec::new(), body: Some(text.as_bytes().to_vec()) }
+}
+
+#[test]
+fn a_resend_gets_the_first_answer() {
+    let mut ledger = Ledger::default();
+    let ticket = ticket("nasr", "k1", "book");
+    assert_eq!(claim(&mut ledger, &ticket, 1, 0), Reply::Granted);
+    assert!(matches!(claim(&mut ledger, &ticket, 2, 5), Reply::Running { .. }));
+    assert_eq!(settle(&mut ledger, &ticket, 1, 6, Ending::Answered(answer("a"))), Reply::Settled);
+    assert_eq!(settle(&mut ledger, &ticket, 1, 7, Ending::Answered(answer("b"))), Reply::Settled);
+    assert_eq!(claim(&mut ledger, &ticket, 3, 8), Reply::Answered(answer("a")));
+}
+
+#[test]
+fn scope_is_account_service_and_key() {
+    let mut ledger = Ledger::default();
+    let first = ticket("nasr", "k1", "book");
+    assert_eq!(claim(&mut ledger, &first, 1, 0), Reply::Granted);
+    assert_eq!(claim(&mut ledger, &ticket("nasr", "k1", "other"), 2, 0), Reply::Conflict);
+    assert_eq!(claim(&mut ledger, &ticket("winterdienst", "k1", "other"), 3, 0), Reply::Granted);
+    assert_eq!(claim(&mut ledger, &ticket("nasr", "k2", "other"), 4, 0), Reply::Granted);
+}
+
+#[test]
+fn a_claim_past_its_deadline_is_unknown_until_its_late_result() {
+    let mut ledger = Ledger::default();
+    let ticket = ticket("nasr", "k1", "book");
+    claim(&mut ledger, &ticket, 1, 0);
+    assert_eq!(claim(&mut ledger, &ticket, 2, 10_000), Reply::Unknown);
+    settle(&mut ledger, &ticket, 2, 10_001, Ending::Answered(answer("not mine")));
+    assert_eq!(claim(&mut ledger, &ticket, 2, 10_002), Reply::Unknown);
+    settle(&mut ledger, &ticket, 1, 10_003, Ending::Answered(answer("late")));
+    assert_eq!(claim(&mut ledger, &ticket, 2, 10_004), Reply::Answered(answer("late")));
+}
+
+#[test]
+fn a_released_key_is_granted_to_another_attempt_but_not_to_the_same() {
+    let mut ledger = Ledger::default();
+    let ticket = ticket("nasr", "k1", "book");
+    claim(&mut ledger, &ticket, 1, 0);
+    assert_eq!(settle(&mut ledger, &ticket, 1, 1, Ending::NotRun), Reply::Settled);
+    assert_eq!(claim(&mut ledger, &ticket, 1, 2), Reply::Withdrawn);
+    assert_eq!(claim(&mut ledger, &ticket, 2, 3), Reply::Granted);
+    assert_eq!(settle(&mut ledger, &ticket, 1, 4, Ending::NotRun), Reply::NotClaimed);
+    assert!(matches!(claim(&mut ledger, &ticket, 3, 5), Reply::Running { .. }));
+}
+
+#[test]
+fn keys_expire_and_free_their_bytes() {
+    let bounds = Bounds { lifetime: Duration::from_secs(60), ..Bounds::default() };
+    let mut ledger = Ledger::with_bounds(bounds);
+    let ticket = ticket("nasr", "k1", "book");
+    claim(&mut ledger, &ticket, 1, 0);
+    settle(&mut ledger, &ticket, 1, 1, Ending::Answered(answer("a")));
+    assert_eq!(claim(&mut ledger, &ticket, 2, 59_999), Reply::Answered(answer("a")));
+    assert_eq!(claim(&mut ledger, &ticket, 2, 60_000), Reply::Granted);
+    assert_eq!(ledger.len(), 1);
+    settle(&mut ledger, &ticket, 2, 60_001, Ending::NotRun);
+    assert_eq!((ledger.len(), ledger.size()), (0, 0));
+}
+
+#[test]
+fn time_never_goes_back() {
+    let mut ledger = Ledger::default();
+    claim(&mut ledger, &ticket("nasr", "k1", "book"), 1, 500);
+    claim(&mut ledger, &ticket("nasr", "k2", "book"), 2, 100);
+    assert_eq!(ledger.time(), Time(500));
+}
+
+#[test]
+fn a_full_ledger_refuses_claims_and_keeps_its_records() {
+    let bounds = Bounds { records: 8, account_share: 4, ..Bounds::default() };
+    let mut ledger = Ledger::with_bounds(bounds);
+    let names = ["k1", "k2", "k3"].map(|key| ticket("nasr", key, "book"));
+    assert_eq!(claim(&mut ledger, &names[0], 1, 0), Reply::Granted);
+    assert_eq!(claim(&mut ledger, &names[1], 2, 0), Reply::Granted);
+    let full = Reply::Full { left: Duration::from_secs(3600 - 1) };
+    assert_eq!(claim(&mut ledger, &names[2], 3, 1000), full);
+    assert_eq!(claim(&mut ledger, &ticket("small", "k3", "book"), 4, 1000), Reply::Granted);
+    for number in 0..20 {
+        let account = format!("account-{number}");
+        claim(&mut ledger, &ticket(&account, "k", "book"), 10 + number, 1000);
+    }
+    assert_eq!(ledger.len(), 8);
+    assert!(matches!(claim(&mut ledger, &names[0], 5, 2000), Reply::Running { .. }));
+}
+
+#[test]
+fn an_answer_too_large_to_keep_is_remembered_without_its_body() {
+    let bounds = Bounds { answer_bytes: 10, ..Bounds::default() };
+    let mut ledger = Ledger::with_bounds(bounds);
+    let ticket = ticket("nasr", "k1", "book");
+    claim(&mut ledger, &ticket, 1, 0);
+    settle(&mut ledger, &ticket, 1, 1, Ending::Answered(answer("longer than ten")));
+    let kept = Answer { status: 200, headers: Vec::new(), body: None };
+    assert_eq!(claim(&mut ledger, &ticket, 2, 2), Reply::Answered(kept));
+}
+
+#[test]
+fn a_snapshot_restores_the_same_ledger() {
+    let mut ledger = Ledger::default();
+    for number in 0..50 {
+        let ticket = ticket("nasr", &format!("k{number}"), "book");
+        claim(&mut ledger, &ticket, number, number);
+        if number % 2 == 0 {
+            settle(&mut ledger, &ticket, number, number, Ending::Answered(answer("a")));
+        }
+    }
+    let mut restored = Ledger::default();
+    assert!(restored.restore(&ledger.snapshot()));
+    assert_eq!(restored, ledger);
+    assert!(!restored.restore(b"no snapshot"));
+    assert_eq!(restored, ledger);
+}
+
+#[test_case("", "is empty"; "empty")]
+#[test_case("a key", "contains ' '"; "space")]
+#[test_case("kläss", "contains 'ä'"; "not ascii")]
+fn invalid_keys_are_named(key: &str, problem: &str) {
+    let error = Key::try_from(key.to_string()).unwrap_err().to_string();
+    assert!(error.contains(problem), "{error}");
+}
+
+#[test]
+fn digests_depend_on_where_the_parts_are_cut() {
+    assert_ne!(Digest::of(&[b"ab", b"c"]), Digest::of(&[b"a", b"bc"]));
+}
