--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -27,6 +27,7 @@
     pub(crate) settings: Settings,
     pub(crate) bound: Bound,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) traffic: Arc<Traffic>,
     pub(crate) stop: Stop,
 }
 
@@ -49,6 +50,7 @@
     Bounds {
         head_bytes: settings.limits.head.as_bytes(),
         body_bytes: settings.limits.body.as_bytes(),
+        incoming_bytes: settings.limits.incoming.as_bytes(),
         unread_bytes: settings.limits.unread.as_bytes(),
         connections: settings.limits.connections,
         receive: settings.timing.receive.as_duration(),
@@ -76,13 +78,13 @@
     }
 
     fn build(cx: CX![], parts: Parts) -> Result<Self, Error> {
-        let Parts { settings, bound, metrics, stop } = parts;
+        let Parts { settings, bound, metrics, traffic, stop } = parts;
         let settings = Rc::new(settings);
         let identity = Arc::new(Identity {
             me: settings.instance.clone(),
             incarnation: incarnation(),
             keyring: Keyring::new(&settings.fleet_secrets),
-            traffic: Arc::new(Traffic::default()),
+            traffic,
         });
         let deliver = fwd_to!([cx], deliver() as (Delivery));
         let hub = actor!(
