Serve ranks first, with least shares and fair accounts

Cause: Fifo lets a flood of deferrable work or one large account hold up urgent work, and keeps dead work until a slot is free.

Ranked serves ranks strictly in order, owes each kind of work its least share in slots and in tokens, and inside a rank starts the account with the least virtual token counter. Offers that cannot end in time by the measured pace are refused at once; a full queue gives up the least urgent request of the longest queue, but leaves each kind the places of its least share.

Ruled out: lifting an account's counter at each start (a start for a least share then took credit from accounts that were waiting); remembering all past excess of a kind (it then starved in the next flood); no residual of running work in the forecast (urgent work was let in behind a full slot).

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,9 +1,12 @@
 //! Ranks, fairness between client accounts, deadlines and queues.
 //!
-//! A [`Desk`] decides for one upstream which requests run, wait, or are refused.
+//! A [`Desk`] decides for one upstream which requests run, wait, or are refused. [`Ranked`] is
+//! the desk for service; [`Fifo`] is the baseline that it is measured against.
 
 mod desk;
 mod fifo;
+mod ranked;
 
 pub use desk::{Decision, Desk, Offer, Step, Ticket, Tokens};
 pub use fifo::Fifo;
+pub use ranked::Ranked;
