Detect failed instances in the manner of SWIM

Cause: the members actor took messages and did nothing; nobody could own an upstream, since nobody knew which instances live.

A pure detector probes one peer each 500 ms, asks three others to probe a silent one, and gives 3 s to refute a suspicion. News travels on the probes. Whole views are exchanged on joining and when digests stay apart. Runs are told apart by incarnation; flapping instances are set aside, at most 7.

--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -1,24 +1,163 @@
 //! The actor that knows which instances live.
 
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use membership::{Action, Detector, Member, Message};
+use names::Incarnation;
+use operator::Response;
+use rand::RngExt;
+use serde_json::json;
 use settings::Settings;
-use stakker::{Actor, CX};
-use wire::{Delivery, Hub};
+use stakker::{Actor, CX, Fwd, after, call};
+use telemetry::Metrics;
+use wire::{Delivery, Hub, Outgoing, Peer, Slice, Transport, decode, encode};
+
+use crate::operators::Ask;
+
+/// How often the detector does what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The members as others see them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct View {
+    /// The other members in use, sorted by name.
+    pub(crate) members: Vec<Member>,
+    /// Whether this instance was frozen since the last view.
+    pub(crate) has_stalled: bool,
+}
 
 /// Watches the other instances.
 pub(crate) struct Members {
-    _settings: Rc<Settings>,
-    _hub: Actor<Hub>,
+    settings: Rc<Settings>,
+    hub: Actor<Hub>,
+    metrics: Arc<Metrics>,
+    detector: Detector,
+    changed: Fwd<View>,
+    members: Vec<Member>,
+}
+
+fn detector(settings: &Settings, incarnation: Incarnation, now: Instant) -> Detector {
+    let me = Member {
+        instance: settings.instance.clone(),
+        data_centre: settings.data_centre.clone(),
+        address: settings.listen.peers,
+        incarnation,
+    };
+    let configured = settings.peers.iter().map(|peer| Member {
+        instance: peer.instance.clone(),
+        data_centre: peer.data_centre.clone(),
+        address: peer.address,
+        incarnation: Incarnation(0),
+    });
+    Detector::new(now, me, configured.collect(), rand::rng().random())
 }
 
 impl Members {
-    pub(crate) fn init(_: CX![], settings: Rc<Settings>, hub: Actor<Hub>) -> Option<Self> {
-        Some(Self { _settings: settings, _hub: hub })
+    pub(crate) fn init(
+        cx: CX![],
+        settings: Rc<Settings>,
+        incarnation: Incarnation,
+        hub: Actor<Hub>,
+        metrics: Arc<Metrics>,
+        changed: Fwd<View>,
+    ) -> Option<Self> {
+        let detector = detector(&settings, incarnation, cx.now());
+        after!(TICK, [cx], tick());
+        Some(Self { settings, hub, metrics, detector, changed, members: Vec::new() })
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let actions = self.detector.tick(cx.now());
+        self.perform(actions);
+        after!(TICK, [cx], tick());
     }
 
     /// Takes a message of a peer.
-    pub(crate) fn deliver(&mut self, _: CX![], delivery: Delivery) {
-        log::debug!("membership: message of instance {}", delivery.sender);
+    pub(crate) fn deliver(&mut self, cx: CX![], delivery: Delivery) {
+        match decode("membership message", &delivery.payload) {
+            Ok(message) => {
+                let actions = self.detector.receive(cx.now(), &delivery.sender, message);
+                self.perform(actions);
+            }
+            Err(error) => log::warn!("instance {}: {error}", delivery.sender),
+        }
+    }
+
+    /// Announces the planned leave of this instance.
+    pub(crate) fn leave(&mut self, _: CX![]) {
+        let actions = self.detector.leave();
+        self.perform(actions);
+    }
+
+    /// Lists the instances that were heard of.
+    pub(crate) fn list(&mut self, _: CX![], ask: Ask) {
+        let me = (self.detector.me(), false);
+        let members: Vec<_> = std::iter::once(me)
+            .chain(self.detector.beliefs())
+            .map(|(belief, is_set_aside)| {
+                json!({
+                    "instance": belief.instance,
+                    "data_centre": belief.data_centre,
+                    "address": belief.address,
+                    "incarnation": belief.incarnation.to_string(),
+                    "status": belief.status,
+                    "is_set_aside": is_set_aside,
+                })
+            })
+            .collect();
+        ask.answer(Response::json(200, &members));
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        let mut has_stalled = false;
+        for action in actions {
+            match action {
+                Action::Send(to, message) => self.send(to, Transport::Udp, &message),
+                Action::SendReliably(to, message) => self.send(to, Transport::Tcp, &message),
+                Action::Up(member) => self.meet(member),
+                Action::Down(member, status) => {
+                    log::info!("instance {}: {status}", member.instance);
+                    self.metrics.membership.deaths.inc();
+                }
+                Action::Suspected(instance) => {
+                    log::debug!("instance {instance}: suspected");
+                    self.metrics.membership.suspicions.inc();
+                }
+                Action::Stalled(gap) => {
+                    log::warn!("this instance did not run for {} ms", gap.as_millis());
+                    has_stalled = true;
+                }
+            }
+        }
+        self.tell(has_stalled);
+    }
+
+    fn tell(&mut self, has_stalled: bool) {
+        let members: Vec<_> = self.detector.members().collect();
+        if members == self.members && !has_stalled {
+            return;
+        }
+        self.metrics.membership.members.set(i64::try_from(members.len() + 1).unwrap_or(i64::MAX));
+        self.members.clone_from(&members);
+        self.changed.fwd(View { members, has_stalled });
+    }
+
+    /// Lets the hub reach a member; addresses of the settings win.
+    fn meet(&mut self, member: Member) {
+        log::info!("instance {}: alive in run {}", member.instance, member.incarnation);
+        let is_configured = self.settings.peers.iter().any(|peer| peer.instance == member.instance);
+        if !is_configured {
+            let peer = Peer { instance: member.instance, address: member.address };
+            call!([self.hub], set_peer(peer));
+        }
+    }
+
+    fn send(&self, addressee: names::Instance, transport: Transport, message: &Message) {
+        if let Ok(payload) = encode(message) {
+            let outgoing = Outgoing { addressee, slice: Slice::Membership, transport, payload };
+            call!([self.hub], send(outgoing));
+        }
     }
 }
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -16,6 +16,7 @@
 use upstream::{Announcement, Change, Load, Registry};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
 
+use crate::members::View;
 use crate::operators::Ask;
 
 /// How often lapsed announcements are looked for.
@@ -105,6 +106,11 @@
         ask.answer(Response::json(200, &upstreams));
     }
 
+    /// Takes a change of the members.
+    pub(crate) fn set_view(&mut self, _: CX![], view: View) {
+        log::debug!("{} other members", view.members.len());
+    }
+
     /// Takes a message of a peer.
     pub(crate) fn deliver(&mut self, cx: CX![], delivery: Delivery) {
         match decode("announcement", &delivery.payload) {
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use declare::Declarations;
 use entry::{Bounds, Server};
@@ -9,19 +10,22 @@
 use names::Incarnation;
 use operator::Response;
 use settings::Settings;
-use stakker::{ActorOwn, CX, StopCause, actor, at, call, fail, fwd_to, ret_some_to, stop};
+use stakker::{ActorOwn, CX, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop};
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
 use crate::claims::Claims;
 use crate::config::Config;
-use crate::members::Members;
+use crate::members::{Members, View};
 use crate::operators::{Ask, Operators};
 use crate::placer::Placer;
 use crate::replica::Replica;
 use crate::router::Router;
 use crate::{Bound, Error, Stop};
 
+/// How long the announced leave of this instance may take to reach its peers.
+const LEAVE_TIME: Duration = Duration::from_millis(300);
+
 /// What an instance is built of.
 pub(crate) struct Parts {
     pub(crate) settings: Settings,
@@ -79,9 +83,10 @@
     fn build(cx: CX![], parts: Parts) -> Result<Self, Error> {
         let Parts { settings, bound, metrics, traffic, stop } = parts;
         let settings = Rc::new(settings);
+        let incarnation = incarnation();
         let identity = Arc::new(Identity {
             me: settings.instance.clone(),
-            incarnation: incarnation(),
+            incarnation,
             keyring: Keyring::new(&settings.fleet_secrets),
             traffic,
         });
@@ -121,9 +126,10 @@
             Claims::init(replica.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let views = fwd_to!([placer], set_view() as (View));
         let members = actor!(
             cx,
-            Members::init(settings.clone(), hub.clone()),
+            Members::init(settings.clone(), incarnation, hub.clone(), metrics.clone(), views),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let handler = fwd_to!([router], handle() as (entry::Event));
@@ -189,6 +195,7 @@
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/announce") => call!([self.placer], announce(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
+            ("GET", "/members") => call!([self.members], list(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
             ("GET", "/readyz") => {
                 let (status, text) =
@@ -215,7 +222,13 @@
         at!(deadline, [cx], finish_stop(()));
     }
 
+    /// Announces the leave and gives it time to reach the peers.
     fn finish_stop(&mut self, cx: CX![], _: ()) {
+        call!([self.members], leave());
+        after!(LEAVE_TIME, [cx], end());
+    }
+
+    fn end(&mut self, cx: CX![]) {
         log::info!("instance {} stopped", self.settings.instance);
         stop!(cx);
     }
--- /dev/null
+++ b/crates/membership/src/detector.rs
@@ -0,0 +1,423 @@
+//! The failure detector.
+
+mod views;
+
+use std::time::{Duration, Instant};
+
+use names::{Incarnation, Instance};
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::record::Record;
+use crate::rumours::Rumours;
+use crate::{Member, Message, Rumour, Status};
+
+/// Time between two probes.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// How long a peer may take to answer before others are asked to probe it.
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Peers that are asked to probe a silent one.
+const RELAYS: usize = 3;
+
+/// How long a suspected instance may take to refute, per tenfold of the fleet's size.
+const SUSPICION: Duration = Duration::from_secs(3);
+
+/// How long an instance that is down is remembered.
+const MEMORY: Duration = Duration::from_secs(600);
+
+/// Least time between two exchanges of whole views that this instance begins.
+const VIEW_PAUSE: Duration = Duration::from_secs(5);
+
+/// Differing digests in a row that begin an exchange of whole views.
+const DIFFERENCES: u32 = 6;
+
+/// Rounds between two probes of an instance that is down.
+const DOWN_ROUNDS: u64 = 2;
+
+/// Most instances that are set aside at once.
+const MAX_ASIDE: usize = 7;
+
+/// Pings on others' behalf that are remembered.
+const MAX_RELAYED: usize = 64;
+
+/// What the owner of a detector has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message; it may be lost.
+    Send(Instance, Message),
+    /// Send a message on a reliable transport.
+    SendReliably(Instance, Message),
+    /// An instance, or a new run of it, is a member now.
+    Up(Member),
+    /// That run of an instance is no member any more.
+    Down(Member, Status),
+    /// An instance was suspected; it still is a member.
+    Suspected(Instance),
+    /// This instance did not run for a while; what it believed may have changed.
+    Stalled(Duration),
+}
+
+#[derive(Debug)]
+struct Probe {
+    target: Instance,
+    sequence: u64,
+    relay_at: Option<Instant>,
+    deadline: Instant,
+}
+
+#[derive(Debug)]
+struct Relayed {
+    sequence: u64,
+    asker: Instance,
+    asker_sequence: u64,
+}
+
+/// Knows which instances live.
+#[derive(Debug)]
+pub struct Detector {
+    me: Rumour,
+    records: Vec<Record>,
+    order: Vec<Instance>,
+    rumours: Rumours,
+    probes: Vec<Probe>,
+    relayed: Vec<Relayed>,
+    sequence: u64,
+    round: u64,
+    next_round: Instant,
+    last_tick: Instant,
+    next_view: Instant,
+    differences: u32,
+    random: Pcg64Mcg,
+    actions: Vec<Action>,
+}
+
+impl Detector {
+    /// A detector of the instance `me`, which knows `configured` peers by name. Their addresses
+    /// win over those that are spread.
+    pub fn new(now: Instant, me: Member, configured: Vec<Member>, seed: u64) -> Self {
+        let mut records: Vec<_> =
+            configured.into_iter().map(|peer| Record::unheard(peer, now)).collect();
+        records.sort_by(|one, other| one.belief.instance.cmp(&other.belief.instance));
+        let me = Rumour {
+            instance: me.instance,
+            data_centre: me.data_centre,
+            address: me.address,
+            incarnation: me.incarnation,
+            refutations: 0,
+            status: Status::Alive,
+        };
+        let mut rumours = Rumours::default();
+        rumours.add(me.clone());
+        Self {
+            me,
+            records,
+            order: Vec::new(),
+            rumours,
+            probes: Vec::new(),
+            relayed: Vec::new(),
+            sequence: 0,
+            round: 0,
+            next_round: now,
+            last_tick: now,
+            next_view: now,
+            differences: 0,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            actions: Vec::new(),
+        }
+    }
+
+    /// The other members, without those set aside.
+    pub fn members(&self) -> impl Iterator<Item = Member> {
+        let usable = |record: &&Record| record.is_up() && !record.damping.is_aside();
+        self.records.iter().filter(usable).map(Record::member)
+    }
+
+    /// All beliefs about other instances that were heard of, and whether they are set aside.
+    pub fn beliefs(&self) -> impl Iterator<Item = (&Rumour, bool)> {
+        let heard = |record: &&Record| record.belief.incarnation > Incarnation(0);
+        self.records.iter().filter(heard).map(|record| (&record.belief, record.damping.is_aside()))
+    }
+
+    /// What this instance says of itself.
+    pub fn me(&self) -> &Rumour {
+        &self.me
+    }
+
+    /// Does what is due; to be called at least every 50 ms.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        self.check_stall(now);
+        self.check_probes(now);
+        self.check_deadlines(now);
+        self.update_damping(now);
+        if now >= self.next_round {
+            self.next_round = now + PERIOD;
+            self.begin_round(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Takes a message of the peer `sender`.
+    pub fn receive(&mut self, now: Instant, sender: &Instance, message: Message) -> Vec<Action> {
+        match message {
+            Message::Ping { sequence, digest, rumours } => {
+                self.learn_all(now, rumours);
+                self.compare(now, sender, digest);
+                let rumours = self.news_for(sender);
+                let digest = self.digest();
+                self.send(sender, Message::Ack { sequence, digest, rumours });
+            }
+            Message::Ack { sequence, digest, rumours } => {
+                self.learn_all(now, rumours);
+                self.take_ack(now, sender, sequence, digest);
+            }
+            Message::Relay { sequence, target } => self.relay(sender, sequence, &target),
+            Message::View { rumours, wants_answer } => {
+                self.learn_view(now, sender, rumours);
+                if wants_answer {
+                    self.send_view(sender, false);
+                }
+            }
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Announces the planned leave of this instance.
+    pub fn leave(&mut self) -> Vec<Action> {
+        self.me.status = Status::Left;
+        self.rumours.add(self.me.clone());
+        let up: Vec<_> = self.up().map(|record| record.belief.instance.clone()).collect();
+        let leave = Message::View { rumours: vec![self.me.clone()], wants_answer: false };
+        for peer in up {
+            self.actions.push(Action::SendReliably(peer, leave.clone()));
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn up(&self) -> impl Iterator<Item = &Record> {
+        self.records.iter().filter(|record| record.is_up())
+    }
+
+    fn find(&self, instance: &Instance) -> Result<usize, usize> {
+        self.records.binary_search_by(|record| record.belief.instance.cmp(instance))
+    }
+
+    fn send(&mut self, to: &Instance, message: Message) {
+        self.actions.push(Action::Send(to.clone(), message));
+    }
+
+    /// A sleeping process must not blame others for its own silence.
+    fn check_stall(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.last_tick);
+        self.last_tick = now;
+        if gap < 2 * PERIOD {
+            return;
+        }
+        self.probes.clear();
+        for record in &mut self.records {
+            record.deadline = record.deadline.map(|deadline| deadline + gap);
+        }
+        self.actions.push(Action::Stalled(gap));
+    }
+
+    fn check_probes(&mut self, now: Instant) {
+        let mut relays = Vec::new();
+        for probe in &mut self.probes {
+            if probe.relay_at.is_some_and(|relay_at| relay_at <= now) {
+                probe.relay_at = None;
+                relays.push((probe.target.clone(), probe.sequence));
+            }
+        }
+        for (target, sequence) in relays {
+            self.ask_relays(&target, sequence);
+        }
+        let failed: Vec<_> = self.probes.extract_if(.., |probe| probe.deadline <= now).collect();
+        for probe in failed {
+            self.suspect(now, &probe.target);
+        }
+    }
+
+    fn ask_relays(&mut self, target: &Instance, sequence: u64) {
+        let alive = |record: &&Record| record.belief.status == Status::Alive;
+        let others = self.records.iter().filter(alive).map(|record| &record.belief.instance);
+        let mut others: Vec<_> = others.filter(|other| *other != target).cloned().collect();
+        others.shuffle(&mut self.random);
+        for other in others.iter().take(RELAYS) {
+            self.send(other, Message::Relay { sequence, target: target.clone() });
+        }
+    }
+
+    fn suspect(&mut self, now: Instant, target: &Instance) {
+        let Ok(index) = self.find(target) else {
+            return;
+        };
+        if self.records[index].belief.status != Status::Alive {
+            return;
+        }
+        let members = self.up().count() + 1;
+        let tenfolds = (members as f64).log10().max(1.0);
+        let record = &mut self.records[index];
+        record.belief.status = Status::Suspect;
+        record.deadline = Some(now + SUSPICION.mul_f64(tenfolds));
+        self.rumours.add(record.belief.clone());
+        self.actions.push(Action::Suspected(target.clone()));
+    }
+
+    fn check_deadlines(&mut self, now: Instant) {
+        for index in 0..self.records.len() {
+            let record = &mut self.records[index];
+            let is_due = record.deadline.is_some_and(|deadline| deadline <= now);
+            if is_due && record.belief.status == Status::Suspect {
+                record.belief.status = Status::Dead;
+                record.deadline = Some(now + MEMORY);
+                record.has_answered = false;
+                self.rumours.add(record.belief.clone());
+                self.actions.push(Action::Down(record.member(), Status::Dead));
+            }
+        }
+        self.records.retain(|record| {
+            let is_due = record.deadline.is_some_and(|deadline| deadline <= now);
+            record.is_configured || !is_due || record.is_up()
+        });
+    }
+
+    fn update_damping(&mut self, now: Instant) {
+        let mut aside = self.records.iter().filter(|record| record.damping.is_aside()).count();
+        for record in &mut self.records {
+            let was_aside = record.damping.is_aside();
+            record.damping.update(now, aside < MAX_ASIDE);
+            if record.damping.is_aside() && !was_aside {
+                aside += 1;
+            }
+        }
+    }
+
+    fn begin_round(&mut self, now: Instant) {
+        self.round += 1;
+        if let Some(target) = self.next_target() {
+            self.probe(now, &target);
+        }
+        if let Some(suspect) = self.pick(|record| record.belief.status == Status::Suspect) {
+            self.ping(&suspect);
+        }
+        let is_alone = self.up().next().is_none();
+        if is_alone || self.round.is_multiple_of(DOWN_ROUNDS) {
+            let is_down =
+                |record: &Record| matches!(record.belief.status, Status::Dead | Status::Left);
+            if let Some(down) = self.pick(is_down) {
+                self.ping(&down);
+            }
+        }
+        if self.round == 1 {
+            self.greet();
+        }
+    }
+
+    /// Pings all configured peers, so that a new instance is known within one round trip.
+    fn greet(&mut self) {
+        let all: Vec<_> = self
+            .records
+            .iter()
+            .map(|record| record.belief.instance.clone())
+            .take(RELAYS * 4)
+            .collect();
+        for peer in all {
+            self.ping(&peer);
+        }
+    }
+
+    fn pick<F>(&mut self, wanted: F) -> Option<Instance>
+    where
+        F: Fn(&Record) -> bool,
+    {
+        let matching: Vec<_> = self.records.iter().filter(|record| wanted(record)).collect();
+        if matching.is_empty() {
+            return None;
+        }
+        let index = self.random.random_range(0..matching.len());
+        Some(matching[index].belief.instance.clone())
+    }
+
+    /// The next member in an order that is shuffled anew after each pass.
+    fn next_target(&mut self) -> Option<Instance> {
+        loop {
+            if self.order.is_empty() {
+                self.order = self.up().map(|record| record.belief.instance.clone()).collect();
+                self.order.shuffle(&mut self.random);
+            }
+            let target = self.order.pop()?;
+            let is_up = self.find(&target).is_ok_and(|index| self.records[index].is_up());
+            if is_up {
+                return Some(target);
+            }
+        }
+    }
+
+    fn probe(&mut self, now: Instant, target: &Instance) {
+        let sequence = self.ping(target);
+        self.probes.push(Probe {
+            target: target.clone(),
+            sequence,
+            relay_at: Some(now + DIRECT_TIMEOUT),
+            deadline: now + PERIOD,
+        });
+    }
+
+    fn ping(&mut self, target: &Instance) -> u64 {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let rumours = self.news_for(target);
+        let digest = self.digest();
+        self.send(target, Message::Ping { sequence, digest, rumours });
+        sequence
+    }
+
+    /// News for a message to `peer`: what is believed of it when that is not good, this instance
+    /// itself when the peer may not know it, and what is being spread.
+    fn news_for(&mut self, peer: &Instance) -> Vec<Rumour> {
+        let members = self.up().count() + 1;
+        let mut news = self.rumours.take(members);
+        let Ok(index) = self.find(peer) else {
+            return news;
+        };
+        let record = &self.records[index];
+        let is_heard = record.belief.incarnation > Incarnation(0);
+        if is_heard && record.belief.status != Status::Alive && !news.contains(&record.belief) {
+            news.push(record.belief.clone());
+        }
+        if !record.has_answered && !news.contains(&self.me) {
+            news.push(self.me.clone());
+        }
+        news
+    }
+
+    fn relay(&mut self, asker: &Instance, asker_sequence: u64, target: &Instance) {
+        let sequence = self.ping(target);
+        if self.relayed.len() >= MAX_RELAYED {
+            self.relayed.remove(0);
+        }
+        self.relayed.push(Relayed { sequence, asker: asker.clone(), asker_sequence });
+    }
+
+    fn take_ack(&mut self, now: Instant, sender: &Instance, sequence: u64, digest: u64) {
+        self.probes.retain(|probe| probe.sequence != sequence);
+        let relayed: Vec<_> =
+            self.relayed.extract_if(.., |relayed| relayed.sequence == sequence).collect();
+        for Relayed { asker, asker_sequence, .. } in relayed {
+            let ack = Message::Ack { sequence: asker_sequence, digest, rumours: Vec::new() };
+            self.send(&asker, ack);
+        }
+        let Ok(index) = self.find(sender) else {
+            return;
+        };
+        let is_first = !self.records[index].has_answered;
+        self.records[index].has_answered = self.records[index].is_up();
+        if is_first && self.round <= 2 && now >= self.next_view {
+            self.next_view = now + VIEW_PAUSE;
+            self.send_view(sender, true);
+        }
+        self.compare(now, sender, digest);
+    }
+}
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::Membership;
+
 /// Labels of a finished request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -37,6 +39,8 @@
     pub active: Gauge,
     /// Upstreams that may receive new work.
     pub upstreams: Gauge,
+    /// Members and permits.
+    pub membership: Membership,
 }
 
 impl Default for Metrics {
@@ -61,7 +65,8 @@
         registry.register("active_requests", "Requests not answered yet", active.clone());
         let upstreams = Gauge::default();
         registry.register("upstreams", "Upstreams that may get new work", upstreams.clone());
-        Self { registry, requests, refused, first_byte, revision, active, upstreams }
+        let membership = Membership::register(&mut registry);
+        Self { membership, registry, requests, refused, first_byte, revision, active, upstreams }
     }
 
     /// Counts a finished request.
