--- a/crates/instance/src/error.rs
+++ b/crates/instance/src/error.rs
@@ -37,6 +37,27 @@
     /// The event loop failed.
     #[error(transparent)]
     EventLoop(#[from] eventloop::Error),
+    /// The data folder cannot be used.
+    #[error(transparent)]
+    State(#[from] state::Error),
+    /// A snapshot of the replicated log cannot be read.
+    #[error(
+        "the snapshot at entry {index} is of an unknown form; \
+         help: run the version that wrote it, or start the instance with an empty folder"
+    )]
+    Snapshot {
+        /// The last entry that it covers.
+        index: state::Index,
+    },
+    /// The replicated log contradicts itself.
+    #[error(
+        "committed entry {index} differs from the leader's; \
+         help: keep the data folder, report it, and start the instance with an empty folder"
+    )]
+    Contradiction {
+        /// The entry.
+        index: state::Index,
+    },
     /// An actor that the instance needs has failed.
     #[error("the instance failed: {reason}")]
     Failed {
--- /dev/null
+++ b/crates/instance/src/replica/machines.rs
@@ -0,0 +1,121 @@
+//! The attached machines, which apply commands and are snapshotted together.
+
+use serde::{Deserialize, Serialize};
+use stakker::Fwd;
+use state::{Index, Origin, Sessions};
+
+use super::{Part, SharedMachine};
+
+struct Attached {
+    part: Part,
+    machine: SharedMachine,
+    applied: Fwd<Index>,
+}
+
+/// A command with the machine that it is for.
+#[derive(Serialize, Deserialize)]
+struct Command {
+    part: Part,
+    bytes: Vec<u8>,
+}
+
+/// The state of all machines.
+#[derive(Default, Serialize, Deserialize)]
+struct Stored {
+    sessions: Sessions,
+    parts: Vec<(Part, Vec<u8>)>,
+}
+
+/// What became of a committed command.
+pub(super) enum Applied {
+    /// The machine's outcome.
+    Outcome(Vec<u8>),
+    /// It was applied before, or it is for a machine that is not attached.
+    Nothing,
+}
+
+/// All machines of this instance.
+#[derive(Default)]
+pub(super) struct Machines {
+    attached: Vec<Attached>,
+    sessions: Sessions,
+    /// State of parts that have no machine here.
+    unattached: Vec<(Part, Vec<u8>)>,
+}
+
+/// A command for the machine of `part` as bytes of the log.
+pub(super) fn encode(part: Part, bytes: Vec<u8>) -> Vec<u8> {
+    postcard::to_allocvec(&Command { part, bytes }).unwrap_or_default()
+}
+
+impl Machines {
+    /// Attaches the machine of `part` with the state that was restored for it before.
+    pub(super) fn attach(&mut self, part: Part, machine: SharedMachine, applied: Fwd<Index>) {
+        let found = self.unattached.iter().position(|(unattached, _)| *unattached == part);
+        if let Some((_, bytes)) = found.map(|index| self.unattached.remove(index)) {
+            restore(part, &machine, &bytes);
+        }
+        self.attached.push(Attached { part, machine, applied });
+    }
+
+    /// Applies a committed command.
+    pub(super) fn apply(&mut self, index: Index, origin: &Origin, bytes: &[u8]) -> Applied {
+        if !self.sessions.accept(origin) {
+            return Applied::Nothing;
+        }
+        let Ok(command) = postcard::from_bytes::<Command>(bytes) else {
+            log::warn!("entry {index} holds a command of an unknown form");
+            return Applied::Nothing;
+        };
+        let found = self.attached.iter().find(|attached| attached.part == command.part);
+        let Some(attached) = found else {
+            log::warn!("entry {index} is for part {}, which has no machine", command.part);
+            return Applied::Nothing;
+        };
+        let outcome = attached.machine.borrow_mut().apply(index, &command.bytes);
+        attached.applied.fwd(index);
+        Applied::Outcome(outcome)
+    }
+
+    /// The state of all machines as bytes.
+    pub(super) fn snapshot(&self) -> Vec<u8> {
+        let mut parts = self.unattached.clone();
+        for attached in &self.attached {
+            parts.push((attached.part, attached.machine.borrow().snapshot()));
+        }
+        parts.sort_by_key(|(part, _)| *part);
+        let stored = Stored { sessions: self.sessions.clone(), parts };
+        postcard::to_allocvec(&stored).unwrap_or_default()
+    }
+
+    /// Replaces the state of all machines by that of a snapshot; false when it is none.
+    pub(super) fn restore(&mut self, index: Index, snapshot: &[u8]) -> bool {
+        if snapshot.is_empty() {
+            return true;
+        }
+        let Ok(stored) = postcard::from_bytes::<Stored>(snapshot) else {
+            return false;
+        };
+        self.sessions = stored.sessions;
+        self.unattached.clear();
+        let mut is_whole = true;
+        for (part, bytes) in stored.parts {
+            match self.attached.iter().find(|attached| attached.part == part) {
+                Some(attached) => {
+                    is_whole &= restore(part, &attached.machine, &bytes);
+                    attached.applied.fwd(index);
+                }
+                None => self.unattached.push((part, bytes)),
+            }
+        }
+        is_whole
+    }
+}
+
+fn restore(part: Part, machine: &SharedMachine, bytes: &[u8]) -> bool {
+    let is_restored = machine.borrow_mut().restore(bytes);
+    if !is_restored {
+        log::error!("the snapshot of part {part} is of an unknown form");
+    }
+    is_restored
+}
--- /dev/null
+++ b/crates/instance/src/replica/mod.rs
@@ -0,0 +1,421 @@
+//! The actor through which all slices propose commands to the replicated log.
+
+mod keeper;
+mod leases;
+mod machines;
+mod message;
+mod proposals;
+mod status;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eventloop::mailbox;
+use names::{Incarnation, Instance};
+use operator::Response;
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use settings::{Role, Settings};
+use stakker::{Actor, CX, FixedTimerKey, Fwd, Ret, at, call, fail, fwd_to, ret};
+use state::{
+    Core, DataFolder, Index, Input, Leases, Machine, Origin, Proposed, Recovered, Report, Start,
+    Storage, Timing, Voter,
+};
+use telemetry::Metrics;
+use wire::{Delivery, Hub, Outgoing, Slice, Transport};
+
+use crate::Error;
+use crate::operators::Ask;
+use keeper::{Effect, Keeper};
+use leases::Asked;
+use machines::Machines;
+use message::Message;
+use proposals::{Proposals, Ready};
+use status::Status;
+
+/// Folder of the log within the data folder.
+const LOG_FOLDER: &str = "log";
+
+/// For how long a proposal of another instance is remembered.
+const FORWARDED_SPAN: Duration = Duration::from_secs(10);
+
+/// The machine that a command is for.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumCount,
+)]
+pub(crate) enum Part {
+    /// Revisions of the declarations.
+    Declare,
+    /// Claims and results of non-idempotent requests.
+    Ledger,
+    /// Leases and fencing numbers.
+    Lease,
+}
+
+/// A machine that its slice reads while the log writes it.
+pub(crate) type SharedMachine = Rc<RefCell<dyn Machine>>;
+
+/// A proposal of another instance that this voter has appended.
+struct Forwarded {
+    origin: Origin,
+    until: Instant,
+}
+
+/// Replicates commands: votes where the settings say so, and forwards proposals to the leader.
+pub(crate) struct Replica {
+    settings: Rc<Settings>,
+    incarnation: Incarnation,
+    hub: Actor<Hub>,
+    metrics: Arc<Metrics>,
+    leases: Rc<RefCell<Leases>>,
+    machines: Machines,
+    storage: Option<Storage>,
+    keeper: Option<Keeper>,
+    proposals: Proposals,
+    forwarded: Vec<Forwarded>,
+    timer: FixedTimerKey,
+}
+
+impl Replica {
+    /// Opens the log where this instance votes. The actor fails when the data folder cannot be
+    /// used.
+    pub(crate) fn init(
+        cx: CX![],
+        settings: Rc<Settings>,
+        incarnation: Incarnation,
+        hub: Actor<Hub>,
+        metrics: Arc<Metrics>,
+    ) -> Option<Self> {
+        let storage = match Self::open(cx, &settings) {
+            Ok(storage) => storage,
+            Err(error) => {
+                fail!(cx, error);
+                return None;
+            }
+        };
+        let leases = Rc::new(RefCell::new(Leases::default()));
+        let mut machines = Machines::default();
+        machines.attach(Part::Lease, leases.clone(), Fwd::new(|_: Index| {}));
+        Some(Self {
+            settings,
+            incarnation,
+            hub,
+            metrics,
+            leases,
+            machines,
+            storage,
+            keeper: None,
+            proposals: Proposals::default(),
+            forwarded: Vec::new(),
+            timer: FixedTimerKey::default(),
+        })
+    }
+
+    fn open(cx: CX![], settings: &Settings) -> Result<Option<Storage>, Error> {
+        let is_voter = settings.voters.contains(&settings.instance);
+        let Some(folder) = settings.data_folder.as_ref().filter(|_| is_voter) else {
+            return Ok(None);
+        };
+        if !settings.has_role(Role::Control) {
+            return Ok(None);
+        }
+        let report = fwd_to!([cx], report() as (Report));
+        let reports = mailbox(cx, report);
+        let path = folder.join(LOG_FOLDER);
+        let fresh = Voter(rand::rng().random());
+        let storage =
+            Storage::start(move || DataFolder::open(&path), fresh, move |one| reports.send(one))?;
+        Ok(Some(storage))
+    }
+
+    /// Attaches the machine of `part`; `applied` is told after each change of it.
+    #[allow(dead_code)]
+    pub(crate) fn attach(
+        &mut self,
+        _: CX![],
+        part: Part,
+        machine: SharedMachine,
+        applied: Fwd<Index>,
+    ) {
+        self.machines.attach(part, machine, applied);
+    }
+
+    /// Proposes a command, from any instance of the fleet.
+    pub(crate) fn propose(
+        &mut self,
+        cx: CX![],
+        part: Part,
+        command: Vec<u8>,
+        proposed: Ret<Proposed>,
+    ) {
+        let now = Instant::now();
+        let bytes = machines::encode(part, command);
+        match &self.keeper {
+            Some(keeper) => match keeper.core().leader_instance(now).cloned() {
+                Some(leader) => self.send_proposal(cx, now, leader, bytes, proposed),
+                None => ret!([proposed], Proposed::NotRun),
+            },
+            None if self.storage.is_some() => ret!([proposed], Proposed::NotRun),
+            None => self.seek(cx, now, bytes, proposed),
+        }
+        self.update(cx);
+    }
+
+    /// Sends a proposal to the leader, which may be this instance.
+    fn send_proposal(
+        &mut self,
+        cx: CX![],
+        now: Instant,
+        leader: Instance,
+        bytes: Vec<u8>,
+        proposed: Ret<Proposed>,
+    ) {
+        let sequence = self.proposals.sent(now, proposed);
+        if leader == self.settings.instance {
+            let input = Input::Propose { origin: self.origin(sequence), bytes: bytes.into() };
+            self.step(cx, now, input);
+        } else {
+            self.forward(cx, leader, Ready { sequence, bytes });
+        }
+    }
+
+    fn origin(&self, sequence: u64) -> Origin {
+        let instance = self.settings.instance.clone();
+        Origin { instance, incarnation: self.incarnation, sequence }
+    }
+
+    fn forward(&mut self, cx: CX![], leader: Instance, ready: Ready) {
+        let origin = self.origin(ready.sequence);
+        self.send(cx, leader, &Message::Forward { origin, bytes: ready.bytes });
+    }
+
+    /// Proposes at an instance that keeps no log: the leader has to be found first.
+    fn seek(&mut self, cx: CX![], now: Instant, bytes: Vec<u8>, proposed: Ret<Proposed>) {
+        if let Some(leader) = self.proposals.found(now).cloned() {
+            self.send_proposal(cx, now, leader, bytes, proposed);
+            return;
+        }
+        if self.settings.voters.is_empty() {
+            ret!([proposed], Proposed::NotRun);
+            return;
+        }
+        self.proposals.seek(now, bytes, proposed);
+        if self.proposals.begins_search() {
+            for voter in self.settings.voters.clone() {
+                self.send(cx, voter, &Message::Seek);
+            }
+        }
+    }
+
+    fn send(&mut self, _: CX![], addressee: Instance, message: &Message) {
+        match wire::encode(message) {
+            Ok(payload) => {
+                let (slice, transport) = (Slice::State, Transport::Tcp);
+                let outgoing = Outgoing { addressee, slice, transport, payload };
+                call!([self.hub], send(outgoing));
+            }
+            Err(error) => log::error!("replicated log: {error}"),
+        }
+    }
+
+    /// Takes a message of a peer.
+    pub(crate) fn deliver(&mut self, cx: CX![], delivery: Delivery) {
+        let now = Instant::now();
+        match wire::decode("message of the replicated log", &delivery.payload) {
+            Ok(message) => self.receive(cx, now, delivery.sender, message),
+            Err(error) => log::debug!("instance {}: {error}", delivery.sender),
+        }
+        self.update(cx);
+    }
+
+    fn receive(&mut self, cx: CX![], now: Instant, sender: Instance, message: Message) {
+        match message {
+            Message::Core(envelope) if envelope.instance == sender => {
+                self.step(cx, now, Input::Receive(envelope));
+            }
+            Message::Seek => self.answer_seek(cx, now, sender),
+            Message::Found { is_leading: true, .. } => {
+                for ready in self.proposals.learn_leader(now, sender.clone()) {
+                    self.forward(cx, sender.clone(), ready);
+                }
+            }
+            Message::Found { .. } => {
+                self.proposals.learn_other(sender, self.settings.voters.len());
+            }
+            Message::Forward { origin, bytes } if origin.instance == sender => {
+                self.take_forwarded(cx, now, origin, bytes);
+            }
+            Message::Outcome { sequence, proposed } => self.proposals.finish(sequence, proposed),
+            Message::Core(_) | Message::Forward { .. } => {
+                log::debug!("instance {sender} sent a message in another's name");
+            }
+        }
+    }
+
+    fn answer_seek(&mut self, cx: CX![], now: Instant, sender: Instance) {
+        let core = self.keeper.as_ref().map(Keeper::core);
+        let is_leading = core.is_some_and(|core| core.is_leading(now));
+        let leader = core.and_then(|core| core.leader_instance(now)).cloned();
+        self.send(cx, sender, &Message::Found { is_leading, leader });
+    }
+
+    fn take_forwarded(&mut self, cx: CX![], now: Instant, origin: Origin, bytes: Vec<u8>) {
+        if self.keeper.is_none() {
+            self.finish(cx, &origin, Proposed::NotRun);
+            return;
+        }
+        self.forwarded.retain(|forwarded| now < forwarded.until);
+        self.forwarded.push(Forwarded { origin: origin.clone(), until: now + FORWARDED_SPAN });
+        self.step(cx, now, Input::Propose { origin, bytes: bytes.into() });
+    }
+
+    /// Tells whoever proposed what became of it.
+    fn finish(&mut self, cx: CX![], origin: &Origin, proposed: Proposed) {
+        let sequence = origin.sequence;
+        if origin.instance == self.settings.instance {
+            if origin.incarnation == self.incarnation {
+                self.proposals.finish(sequence, proposed);
+            }
+            return;
+        }
+        let waits = |forwarded: &mut Forwarded| forwarded.origin == *origin;
+        let was_forwarded = self.forwarded.extract_if(.., waits).count() > 0;
+        if was_forwarded || proposed == Proposed::NotRun {
+            self.send(cx, origin.instance.clone(), &Message::Outcome { sequence, proposed });
+        }
+    }
+
+    /// Gives the core an input and does what it asks for.
+    fn step(&mut self, cx: CX![], now: Instant, input: Input) {
+        let Some(keeper) = &mut self.keeper else {
+            return;
+        };
+        for effect in keeper.step(now, input, &mut self.machines) {
+            self.perform(cx, effect);
+        }
+    }
+
+    fn perform(&mut self, cx: CX![], effect: Effect) {
+        match effect {
+            Effect::Send(addressee, envelope) => {
+                self.send(cx, addressee, &Message::Core(envelope));
+            }
+            Effect::Finish(origin, proposed) => self.finish(cx, &origin, proposed),
+            Effect::Fail(error) => fail!(cx, error),
+        }
+    }
+
+    /// Takes a report of the storage thread.
+    fn report(&mut self, cx: CX![], report: Report) {
+        let now = Instant::now();
+        match report {
+            Report::Opened { voter, recovered } => self.start(cx, now, voter, *recovered),
+            Report::Synced { ticket } => self.step(cx, now, Input::Synced { ticket }),
+            Report::Failed(error) => fail!(cx, Error::from(error)),
+        }
+        self.update(cx);
+    }
+
+    fn start(&mut self, cx: CX![], now: Instant, me: Voter, recovered: Recovered) {
+        let Some(storage) = self.storage.take() else {
+            return;
+        };
+        if let Some(effect) = keeper::restore(&recovered.snapshot, &mut self.machines) {
+            self.perform(cx, effect);
+            return;
+        }
+        let start = Start {
+            me,
+            instance: self.settings.instance.clone(),
+            founders: self.settings.voters.clone(),
+            timing: Timing::default(),
+            seed: rand::rng().random(),
+        };
+        log::info!(
+            "voter {me} has {} entries after entry {}",
+            recovered.entries.len(),
+            recovered.snapshot.position.index
+        );
+        let core = Core::new(now, start, recovered);
+        let log_limit = self.settings.limits.log.as_bytes();
+        self.keeper = Some(Keeper::new(core, storage, self.metrics.clone(), log_limit));
+        self.step(cx, now, Input::Tick);
+    }
+
+    /// Sets the timer for whatever is due next.
+    fn update(&mut self, cx: CX![]) {
+        for outcome in self.proposals.take_ended() {
+            self.metrics.replica.count_proposal(outcome);
+        }
+        let core = self.keeper.as_ref().map(|keeper| keeper.core().next_tick());
+        let due = core.into_iter().chain(self.proposals.next_deadline()).min();
+        cx.timer_del(self.timer);
+        if let Some(due) = due {
+            self.timer = at!(due, [cx], tick());
+        }
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = Instant::now();
+        self.proposals.expire(now);
+        self.step(cx, now, Input::Tick);
+        self.update(cx);
+    }
+
+    /// Answers a request of the operators' port under `/state`.
+    pub(crate) fn answer(&mut self, cx: CX![], ask: Ask) {
+        match (ask.request.method.as_str(), ask.request.path.as_str()) {
+            ("GET", "/state") => ask.answer(Response::json(200, &self.status())),
+            ("GET", "/state/leases") => {
+                let response = Response::json(200, &*self.leases.borrow());
+                ask.answer(response);
+            }
+            ("POST", "/state/leases") => self.propose_lease(cx, ask),
+            (method, path) => {
+                let message = format!("{method} {path} does not exist");
+                ask.answer(Response::error(404, "unknown_path", message));
+            }
+        }
+    }
+
+    fn propose_lease(&mut self, cx: CX![], ask: Ask) {
+        let mut tokens = self.settings.operator_tokens.values();
+        let is_known = tokens.any(|token| Some(token) == ask.request.token.as_ref());
+        if !is_known {
+            ask.answer(Response::error(401, "unknown_token", "present an operator's token"));
+            return;
+        }
+        match leases::read(&ask.request.body) {
+            Asked::Propose(command) => {
+                let me = self.settings.instance.clone();
+                let proposed = Ret::new(move |proposed: Option<Proposed>| {
+                    ask.answer(leases::respond(&me, proposed));
+                });
+                self.propose(cx, Part::Lease, command, proposed);
+            }
+            Asked::Answer(response) => ask.answer(response),
+        }
+    }
+
+    fn status(&self) -> Status {
+        let now = Instant::now();
+        let me = self.settings.instance.clone();
+        match &self.keeper {
+            Some(keeper) => Status::of_core(now, me, keeper.core()),
+            None if self.storage.is_some() => Status::without_log(me, "opening", None),
+            None => Status::without_log(me, "none", self.proposals.found(now).cloned()),
+        }
+    }
+}
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -80,9 +80,10 @@
     fn build(cx: CX![], parts: Parts) -> Result<Self, Error> {
         let Parts { settings, bound, metrics, traffic, stop } = parts;
         let settings = Rc::new(settings);
+        let incarnation = incarnation();
         let identity = Arc::new(Identity {
             me: settings.instance.clone(),
-            incarnation: incarnation(),
+            incarnation,
             keyring: Keyring::new(&settings.fleet_secrets),
             traffic,
         });
@@ -108,7 +109,7 @@
         );
         let replica = actor!(
             cx,
-            Replica::init(settings.clone()),
+            Replica::init(settings.clone(), incarnation, hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let in_force = fwd_to!([router], set_declarations() as (Rc<Declarations>));
@@ -187,6 +188,10 @@
             call!([self.config], answer(ask));
             return;
         }
+        if request.path.starts_with("/state") {
+            call!([self.replica], answer(ask));
+            return;
+        }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/announce") => call!([self.placer], announce(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -78,6 +78,8 @@
     pub connections: usize,
     /// Most calls to upstreams at once.
     pub calls: usize,
+    /// Least size of the replicated log at which a snapshot replaces it.
+    pub log: Size,
 }
 
 impl Default for Limits {
@@ -89,6 +91,7 @@
             unread: Size::from_kibibytes(256),
             connections: 4096,
             calls: 512,
+            log: Size::from_kibibytes(1024),
         }
     }
 }
--- /dev/null
+++ b/crates/state/src/core/action.rs
@@ -0,0 +1,144 @@
+//! What goes into the core and what comes out of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use names::Instance;
+
+use crate::{Ballot, Entry, Envelope, Index, Indexed, Origin, Snapshot, Voter};
+
+/// Spans of time of the protocol, the same at all voters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// Between two heartbeats of a leader.
+    pub heartbeat: Duration,
+    /// For which a voter that heard a leader helps nobody else to be elected.
+    pub election: Duration,
+    /// For which a leader acts after the contact with a quorum; shorter than `election` by more
+    /// than clocks drift apart meanwhile.
+    pub lease: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(250),
+            election: Duration::from_millis(1000),
+            lease: Duration::from_millis(900),
+        }
+    }
+}
+
+/// Who the core is.
+#[derive(Debug, Clone)]
+pub struct Start {
+    /// The number of the data folder.
+    pub me: Voter,
+    /// This instance.
+    pub instance: Instance,
+    /// The instances that found the group.
+    pub founders: Vec<Instance>,
+    /// Spans of time.
+    pub timing: Timing,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+}
+
+/// What was read from the data folder.
+#[derive(Debug, Clone, Default)]
+pub struct Recovered {
+    /// Term and vote.
+    pub ballot: Ballot,
+    /// The newest snapshot; blank in a blank folder.
+    pub snapshot: Snapshot,
+    /// The entries after the snapshot.
+    pub entries: Vec<Entry>,
+}
+
+/// What happens to the core.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// A message arrived.
+    Receive(Envelope),
+    /// All writes up to this one are synced.
+    Synced {
+        /// [`Write::ticket`] of the last.
+        ticket: u64,
+    },
+    /// A command is proposed to this voter.
+    Propose {
+        /// Who proposes.
+        origin: Origin,
+        /// The command.
+        bytes: Arc<[u8]>,
+    },
+    /// The machines' state after the applied entry `index`; entries before it may go.
+    Compact {
+        /// The last entry applied.
+        index: Index,
+        /// The state.
+        data: Arc<[u8]>,
+    },
+}
+
+/// Something to be written and synced. The parts are written in the order of the fields.
+#[derive(Debug, Clone)]
+pub struct Write {
+    /// Grows by one with every write.
+    pub ticket: u64,
+    /// Term and vote, if they changed.
+    pub ballot: Option<Ballot>,
+    /// A snapshot; all entries written before are forgotten with it.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// Entries; each replaces those written before at its index and after it.
+    pub entries: Vec<Indexed>,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Send a message.
+    Send {
+        /// The instance to send it to.
+        addressee: Instance,
+        /// The message.
+        envelope: Envelope,
+    },
+    /// Write and sync, then report [`Input::Synced`]. Later writes may be synced together.
+    Persist(Write),
+    /// Apply a committed entry.
+    Apply {
+        /// Its index.
+        index: Index,
+        /// The entry.
+        entry: Entry,
+    },
+    /// Replace the machines' state by that of a snapshot.
+    Restore(Arc<Snapshot>),
+    /// The proposal was not appended: this voter does not lead or has too much to do.
+    Refuse {
+        /// Who proposed.
+        origin: Origin,
+    },
+    /// A committed entry would have to change; the process must stop.
+    Halt {
+        /// The entry.
+        index: Index,
+    },
+}
+
+/// What a core does in its term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// Receives the log without a vote.
+    Learner,
+    /// Receives the log.
+    Follower,
+    /// Asks for votes.
+    Candidate,
+    /// Appends to the log.
+    Leader,
+}
--- /dev/null
+++ b/crates/state/src/core/follower.rs
@@ -0,0 +1,116 @@
+//! Followers: what comes from the leader.
+
+use super::*;
+
+impl Core {
+    /// Accepts `from` as the leader of `term`; false when it cannot be.
+    pub(super) fn follow(&mut self, now: Instant, from: Voter, term: Term) -> bool {
+        self.see_term(now, term);
+        if matches!(self.state, State::Leader(_)) {
+            return false;
+        }
+        self.leader = Some(from);
+        self.heard = now;
+        self.become_follower(now);
+        true
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: Voter,
+        instance: Instance,
+        previous: Position,
+        entries: Vec<Entry>,
+        commit: Index,
+        sent: u64,
+    ) {
+        let (previous, entries) = self.without_compacted(previous, entries);
+        if self.log.term(previous.index) != Some(previous.term) {
+            let hint = self.hint(previous.index);
+            let message = Message::Diverged { previous: previous.index, hint, sent };
+            self.reply(from, instance, message);
+            return;
+        }
+        let last = Index(previous.index.0 + entries.len() as u64);
+        if !self.take_entries(previous.index, entries) {
+            return;
+        }
+        self.verified = self.verified.max(last);
+        self.commit_to(commit.min(self.verified));
+        self.report(from, instance, sent);
+    }
+
+    /// Leaves out entries that the log has in compacted form, which are all committed.
+    fn without_compacted(
+        &self,
+        previous: Position,
+        mut entries: Vec<Entry>,
+    ) -> (Position, Vec<Entry>) {
+        let base = self.log.base();
+        if previous.index >= base.index {
+            return (previous, entries);
+        }
+        let covered = (base.index.0 - previous.index.0) as usize;
+        if entries.len() < covered {
+            return (base, Vec::new());
+        }
+        entries.drain(..covered);
+        (base, entries)
+    }
+
+    /// The last entry that may match the leader's log when the one at `previous` does not.
+    fn hint(&self, previous: Index) -> Index {
+        let Some(term) = self.log.term(previous) else {
+            return self.log.last_index();
+        };
+        let mut index = Index(previous.0.saturating_sub(1));
+        while index > self.commit && self.log.term(index) == Some(term) {
+            index.0 -= 1;
+        }
+        index
+    }
+
+    /// Appends entries after `previous`; false when a committed one would have to change.
+    fn take_entries(&mut self, previous: Index, entries: Vec<Entry>) -> bool {
+        let mut index = previous;
+        for entry in entries {
+            index.0 += 1;
+            match self.log.term(index) {
+                Some(term) if term == entry.term => continue,
+                Some(_) if index <= self.commit => {
+                    self.actions.push(Action::Halt { index });
+                    return false;
+                }
+                Some(_) => {
+                    let last = Index(index.0 - 1);
+                    self.log.truncate(last);
+                    self.persistence.truncate(last);
+                }
+                None => {}
+            }
+            self.log.push(entry);
+            self.persistence.set_entries(index);
+        }
+        true
+    }
+
+    /// Tells the leader how far the log matches its own and is synced.
+    fn report(&mut self, to: Voter, instance: Instance, sent: u64) {
+        let verified = self.verified;
+        let synced = verified.min(self.persistence.durable());
+        self.reply(to, instance, Message::Appended { verified, synced, sent });
+    }
+
+    /// Tells the leader about entries that were synced meanwhile.
+    pub(super) fn report_progress(&mut self) {
+        let Some(leader) = self.leader else {
+            return;
+        };
+        if self.verified > Index::default()
+            && let Some(member) = self.members().find(leader)
+        {
+            let instance = member.instance.clone();
+            self.report(leader, instance, 0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/core/founding.rs
@@ -0,0 +1,91 @@
+//! Founds the first group, once all its instances have shown that their folders are blank.
+
+use super::*;
+
+/// Who has reported a blank folder.
+pub(super) struct Founding {
+    founders: Vec<Instance>,
+    blanks: Vec<(Voter, Instance)>,
+    pub(super) announce_at: Instant,
+}
+
+impl Founding {
+    pub(super) fn new(now: Instant, mut founders: Vec<Instance>) -> Self {
+        founders.sort();
+        Self { founders, blanks: Vec::new(), announce_at: now }
+    }
+
+    /// Records a blank folder; a newer one of the same instance replaces the older.
+    fn note(&mut self, voter: Voter, instance: Instance) {
+        self.blanks.retain(|(_, blank)| *blank != instance);
+        self.blanks.push((voter, instance));
+    }
+
+    fn is_complete(&self) -> bool {
+        self.founders.iter().all(|founder| self.blanks.iter().any(|(_, blank)| blank == founder))
+    }
+}
+
+/// Index and term of the state in which a group starts.
+const FOUNDED: Position = Position { term: Term(1), index: Index(1) };
+
+impl Core {
+    /// Announces the blank folder and founds the group if that is this instance's duty.
+    pub(super) fn check_founding(&mut self, now: Instant) {
+        if now < self.founding.announce_at {
+            return;
+        }
+        self.founding.announce_at = now + self.timing.heartbeat;
+        let mut others = self.founding.founders.clone();
+        others.retain(|founder| *founder != self.instance);
+        for founder in others {
+            self.send(None, founder, Message::Blank);
+        }
+        self.try_found();
+    }
+
+    fn try_found(&mut self) {
+        if self.founding.founders.first() != Some(&self.instance) {
+            return;
+        }
+        self.founding.note(self.me, self.instance.clone());
+        if self.founding.is_complete() {
+            let blanks = std::mem::take(&mut self.founding.blanks);
+            self.found(Members::founding(blanks));
+        }
+    }
+
+    fn found(&mut self, members: Members) {
+        self.snapshot = Arc::new(Snapshot { position: FOUNDED, members, data: Arc::default() });
+        self.log = Log::new(FOUNDED, self.snapshot.members.clone());
+        self.commit = FOUNDED.index;
+        self.applied = FOUNDED.index;
+        self.ballot = Ballot { term: self.ballot.term.max(FOUNDED.term), ..self.ballot };
+        self.persistence.set_ballot();
+        self.persistence.set_snapshot(self.snapshot.clone());
+    }
+
+    pub(super) fn on_blank(&mut self, now: Instant, from: Voter, instance: Instance) {
+        if self.is_blank() {
+            let is_founder = self.founding.founders.contains(&instance);
+            if is_founder {
+                self.founding.note(from, instance);
+                self.try_found();
+            }
+            return;
+        }
+        let is_new = self.snapshot.position == FOUNDED && self.members().find(from).is_some();
+        if is_new {
+            let members = self.snapshot.members.clone();
+            self.send(Some(from), instance, Message::Found(members));
+        } else {
+            self.note_lost_folder(now, from, instance);
+        }
+    }
+
+    pub(super) fn on_found(&mut self, members: Members) {
+        if self.is_blank() && members.find(self.me).is_some() {
+            self.found(members);
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/core/mod.rs
@@ -0,0 +1,347 @@
+//! The consensus core: decides who leads and what is committed, without input or output.
+
+mod action;
+mod election;
+mod follower;
+mod founding;
+mod install;
+mod leader;
+mod persist;
+mod repair;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use names::Instance;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+pub use action::{Action, Input, Recovered, Role, Start, Timing, Write};
+
+use crate::log::Log;
+use crate::{
+    Ballot, Entry, Envelope, Index, Members, Message, Origin, Payload, Position, Snapshot, Term,
+    Voter,
+};
+use founding::Founding;
+use install::Incoming;
+use leader::Leader;
+use persist::Persistence;
+
+/// Most bytes of entries that may wait for commitment at a leader.
+const MAX_UNCOMMITTED_BYTES: usize = 32 << 20;
+
+/// Entries before a snapshot that stay in memory for members that are a little behind.
+const TRAILING_ENTRIES: u64 = 256;
+
+enum State {
+    Follower,
+    PreCandidate(Vec<Voter>),
+    Candidate { granted: Vec<Voter>, since: Instant },
+    Leader(Leader),
+}
+
+/// One voter or learner.
+pub struct Core {
+    me: Voter,
+    instance: Instance,
+    timing: Timing,
+    random: Pcg64Mcg,
+    epoch: Instant,
+    ballot: Ballot,
+    log: Log,
+    snapshot: Arc<Snapshot>,
+    commit: Index,
+    applied: Index,
+    /// Last entry that is known to match the leader of this term.
+    verified: Index,
+    state: State,
+    leader: Option<Voter>,
+    /// When a leader was last heard or a vote was given; no other vote is given for a while.
+    heard: Instant,
+    election_at: Instant,
+    incoming: Option<Incoming>,
+    founding: Founding,
+    persistence: Persistence,
+    actions: Vec<Action>,
+}
+
+impl Core {
+    /// The core over what was `recovered` from disk. It gives no vote in the first election
+    /// timeout, since it may have promised that to a leader before it was restarted.
+    pub fn new(now: Instant, start: Start, recovered: Recovered) -> Self {
+        let Recovered { ballot, snapshot, entries } = recovered;
+        let snapshot = Arc::new(snapshot);
+        let mut log = Log::new(snapshot.position, snapshot.members.clone());
+        for entry in entries {
+            log.push(entry);
+        }
+        let durable = log.last_index();
+        let mut core = Self {
+            me: start.me,
+            instance: start.instance,
+            timing: start.timing,
+            random: Pcg64Mcg::seed_from_u64(start.seed),
+            epoch: now,
+            ballot,
+            commit: snapshot.position.index,
+            applied: snapshot.position.index,
+            verified: Index::default(),
+            log,
+            snapshot,
+            state: State::Follower,
+            leader: None,
+            heard: now,
+            election_at: now,
+            incoming: None,
+            founding: Founding::new(now, start.founders),
+            persistence: Persistence::new(durable),
+            actions: Vec::new(),
+        };
+        core.delay_election(now);
+        core
+    }
+
+    /// Takes one input at `now` and gives what is to be done, in order.
+    pub fn step(&mut self, now: Instant, input: Input) -> Vec<Action> {
+        self.check_lease(now);
+        match input {
+            Input::Tick => {}
+            Input::Receive(envelope) => self.receive(now, envelope),
+            Input::Synced { ticket } => self.synced(now, ticket),
+            Input::Propose { origin, bytes } => self.propose(origin, bytes),
+            Input::Compact { index, data } => self.compact(index, data),
+        }
+        self.check_timers(now);
+        self.finish(now)
+    }
+
+    /// When [`Input::Tick`] is due.
+    pub fn next_tick(&self) -> Instant {
+        let duty = match &self.state {
+            State::Leader(leader) => leader.heartbeat_at,
+            _ => self.election_at,
+        };
+        if self.is_blank() { self.founding.announce_at } else { duty }
+    }
+
+    /// What the core does in its term.
+    pub fn role(&self) -> Role {
+        match &self.state {
+            State::Leader(_) => Role::Leader,
+            State::PreCandidate(_) | State::Candidate { .. } => Role::Candidate,
+            State::Follower if self.members().is_voting(self.me) => Role::Follower,
+            State::Follower => Role::Learner,
+        }
+    }
+
+    /// The voter that leads this term, as far as known.
+    pub fn leader(&self) -> Option<Voter> {
+        self.leader
+    }
+
+    /// The instance of the leader, if it was heard within the election timeout.
+    pub fn leader_instance(&self, now: Instant) -> Option<&Instance> {
+        if self.is_leading(now) {
+            return Some(&self.instance);
+        }
+        let leader = self.leader.filter(|_| now < self.heard + self.timing.election)?;
+        self.members().find(leader).map(|member| &member.instance)
+    }
+
+    /// Whether this voter leads and its lease has not lapsed.
+    pub fn is_leading(&self, now: Instant) -> bool {
+        let is_leader = matches!(self.state, State::Leader(_));
+        is_leader && self.lease_until().is_none_or(|until| now < until)
+    }
+
+    /// When the leader's lease lapses; none at other voters and at a leader that needs nobody.
+    pub fn lease_until(&self) -> Option<Instant> {
+        let State::Leader(leader) = &self.state else {
+            return None;
+        };
+        Some(leader.quorum_contact(self.members(), self.me)? + self.timing.lease)
+    }
+
+    /// This data folder's number.
+    pub fn voter(&self) -> Voter {
+        self.me
+    }
+
+    /// The newest term seen.
+    pub fn term(&self) -> Term {
+        self.ballot.term
+    }
+
+    /// Last committed entry that is known.
+    pub fn commit(&self) -> Index {
+        self.commit
+    }
+
+    /// Last entry of the log.
+    pub fn last(&self) -> Position {
+        self.log.last()
+    }
+
+    /// Last entry that is synced.
+    pub fn durable(&self) -> Index {
+        self.persistence.durable()
+    }
+
+    /// The term of the entry at `index` while it is in memory.
+    pub fn term_at(&self, index: Index) -> Option<Term> {
+        self.log.term(index)
+    }
+
+    /// The entry at `index` while it is in memory.
+    pub fn entry(&self, index: Index) -> Option<&Entry> {
+        self.log.get(index)
+    }
+
+    /// About how many bytes of entries are in memory.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
+    /// The newest snapshot.
+    pub fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// The members in force.
+    pub fn members(&self) -> &Members {
+        self.log.members().1
+    }
+
+    /// Whether the folder holds no log yet.
+    pub fn is_blank(&self) -> bool {
+        self.snapshot.position.index == Index::default()
+    }
+
+    fn receive(&mut self, now: Instant, envelope: Envelope) {
+        if envelope.to.is_some_and(|to| to != self.me) || envelope.from == self.me {
+            return;
+        }
+        let Envelope { from, instance, term, message, .. } = envelope;
+        match message {
+            Message::Blank => self.on_blank(now, from, instance),
+            Message::Found(members) => self.on_found(members),
+            Message::PreVote { campaign, last } => {
+                self.on_pre_vote(now, from, instance, campaign, last);
+            }
+            Message::PreVoted { campaign, is_granted } => {
+                self.on_pre_voted(now, from, term, campaign, is_granted);
+            }
+            Message::Vote { last } => self.on_vote(now, from, instance, term, last),
+            Message::Append { .. } | Message::Install { .. } if term < self.ballot.term => {
+                self.reply(from, instance, Message::Voted { is_granted: false });
+            }
+            Message::Voted { is_granted } => self.on_voted(now, from, term, is_granted),
+            Message::Append { previous, entries, commit, sent } => {
+                if self.follow(now, from, term) {
+                    self.on_append(from, instance, previous, entries, commit, sent);
+                }
+            }
+            Message::Install { position, members, offset, total, bytes, sent } => {
+                if self.follow(now, from, term) {
+                    let part = install::Part { position, members, offset, total, bytes };
+                    self.on_install(from, instance, part, sent);
+                }
+            }
+            Message::Appended { .. } | Message::Diverged { .. } | Message::Installing { .. } => {
+                self.see_term(now, term);
+                if term == self.ballot.term {
+                    self.on_progress(now, from, message);
+                }
+            }
+        }
+    }
+
+    /// Adopts a newer term as a follower.
+    fn see_term(&mut self, now: Instant, term: Term) {
+        if term > self.ballot.term {
+            self.persistence.set_ballot();
+            self.ballot = Ballot { term, vote: None };
+            self.verified = Index::default();
+            self.incoming = None;
+            self.leader = None;
+            self.become_follower(now);
+        }
+    }
+
+    fn become_follower(&mut self, now: Instant) {
+        self.state = State::Follower;
+        self.delay_election(now);
+    }
+
+    /// Starts a new wait of one to two election timeouts.
+    fn delay_election(&mut self, now: Instant) {
+        let share = self.random.random_range(0.0..1.0);
+        self.election_at = now + self.timing.election + self.timing.election.mul_f64(share);
+    }
+
+    /// Steps down when the lease has lapsed, before anything else is done.
+    fn check_lease(&mut self, now: Instant) {
+        if self.lease_until().is_some_and(|until| now >= until) {
+            self.leader = None;
+            self.become_follower(now);
+        }
+    }
+
+    fn check_timers(&mut self, now: Instant) {
+        if self.is_blank() {
+            self.check_founding(now);
+            return;
+        }
+        if matches!(self.state, State::Leader(_)) {
+            self.lead(now);
+        } else if now >= self.election_at {
+            self.campaign(now);
+        }
+    }
+
+    fn reply(&mut self, to: Voter, instance: Instance, message: Message) {
+        self.send(Some(to), instance, message);
+    }
+
+    fn send(&mut self, to: Option<Voter>, addressee: Instance, message: Message) {
+        let envelope = Envelope {
+            from: self.me,
+            instance: self.instance.clone(),
+            to,
+            term: self.ballot.term,
+            message,
+        };
+        self.persistence.send(Action::Send { addressee, envelope });
+    }
+
+    /// Raises the commit index and hands out the entries for application.
+    fn commit_to(&mut self, commit: Index) {
+        self.commit = self.commit.max(commit.min(self.log.last_index()));
+        while self.applied < self.commit {
+            let next = Index(self.applied.0 + 1);
+            let Some(entry) = self.log.get(next) else {
+                break;
+            };
+            self.actions.push(Action::Apply { index: next, entry: entry.clone() });
+            self.applied = next;
+        }
+    }
+
+    fn append(&mut self, payload: Payload) -> Index {
+        let index = self.log.push(Entry { term: self.ballot.term, payload });
+        self.persistence.set_entries(index);
+        index
+    }
+
+    fn propose(&mut self, origin: Origin, bytes: Arc<[u8]>) {
+        let is_full = self.log.bytes() > MAX_UNCOMMITTED_BYTES
+            && self.log.last_index().0 > self.commit.0 + TRAILING_ENTRIES;
+        if is_full || !matches!(self.state, State::Leader(_)) {
+            self.actions.push(Action::Refuse { origin });
+            return;
+        }
+        self.append(Payload::Command { origin, bytes });
+    }
+}
--- /dev/null
+++ b/crates/state/src/core/persist.rs
@@ -0,0 +1,167 @@
+//! What has to be synced before what may be said.
+
+use super::*;
+
+struct Pending {
+    ticket: u64,
+    last: Index,
+    installed: Option<Index>,
+}
+
+/// Collects what a step changed, and holds back messages until the ballot is synced.
+pub(super) struct Persistence {
+    ticket: u64,
+    synced: u64,
+    durable: Index,
+    pending: VecDeque<Pending>,
+    ballot_ticket: u64,
+    is_ballot_changed: bool,
+    changed_from: Option<Index>,
+    snapshot: Option<Arc<Snapshot>>,
+    installed: Option<Index>,
+    held: Vec<Action>,
+}
+
+impl Persistence {
+    pub(super) fn new(durable: Index) -> Self {
+        Self {
+            ticket: 0,
+            synced: 0,
+            durable,
+            pending: VecDeque::new(),
+            ballot_ticket: 0,
+            is_ballot_changed: false,
+            changed_from: None,
+            snapshot: None,
+            installed: None,
+            held: Vec::new(),
+        }
+    }
+
+    pub(super) fn durable(&self) -> Index {
+        self.durable
+    }
+
+    pub(super) fn set_ballot(&mut self) {
+        self.is_ballot_changed = true;
+    }
+
+    /// Marks the entries from `first` as changed.
+    pub(super) fn set_entries(&mut self, first: Index) {
+        let first = self.changed_from.map_or(first, |from| from.min(first));
+        self.changed_from = Some(first);
+    }
+
+    pub(super) fn set_snapshot(&mut self, snapshot: Arc<Snapshot>) {
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Marks the snapshot as one that came from the leader.
+    pub(super) fn set_installed(&mut self, index: Index) {
+        self.installed = Some(index);
+    }
+
+    /// Entries after `last` no longer count as synced.
+    pub(super) fn truncate(&mut self, last: Index) {
+        self.durable = self.durable.min(last);
+        for pending in &mut self.pending {
+            pending.last = pending.last.min(last);
+        }
+    }
+
+    pub(super) fn send(&mut self, action: Action) {
+        self.held.push(action);
+    }
+
+    /// The messages that may go out; none until the ballot is synced.
+    fn release(&mut self) -> Vec<Action> {
+        if self.is_ballot_synced() { std::mem::take(&mut self.held) } else { Vec::new() }
+    }
+
+    /// Whether the present term and vote are synced.
+    pub(super) fn is_ballot_synced(&self) -> bool {
+        !self.is_ballot_changed && self.synced >= self.ballot_ticket
+    }
+
+    /// Records that writes are synced; gives the index of a snapshot installed by them.
+    fn complete(&mut self, ticket: u64) -> Option<Index> {
+        let mut installed = None;
+        self.synced = self.synced.max(ticket);
+        while let Some(pending) = self.pending.pop_front_if(|pending| pending.ticket <= ticket) {
+            self.durable = self.durable.max(pending.last);
+            installed = pending.installed.or(installed);
+        }
+        installed
+    }
+}
+
+impl Core {
+    /// Gathers the actions of a step: first what is to be persisted, then the messages.
+    pub(super) fn finish(&mut self, now: Instant) -> Vec<Action> {
+        if matches!(self.state, State::Leader(_)) {
+            self.replicate(now);
+        }
+        if let Some(write) = self.take_write() {
+            self.actions.push(Action::Persist(write));
+        }
+        self.actions.extend(self.persistence.release());
+        std::mem::take(&mut self.actions)
+    }
+
+    fn take_write(&mut self) -> Option<Write> {
+        let log = &self.log;
+        let persistence = &mut self.persistence;
+        let has_ballot = std::mem::take(&mut persistence.is_ballot_changed);
+        let snapshot = persistence.snapshot.take();
+        let changed_from = persistence.changed_from.take();
+        let installed = persistence.installed.take();
+        if !has_ballot && snapshot.is_none() && changed_from.is_none() {
+            return None;
+        }
+        let after_snapshot = snapshot.as_ref().map(|one| Index(one.position.index.0 + 1));
+        let first = after_snapshot.or(changed_from);
+        let entries = first.map(|first| indexed(log, first)).unwrap_or_default();
+        persistence.ticket += 1;
+        let ticket = persistence.ticket;
+        if has_ballot {
+            persistence.ballot_ticket = ticket;
+        }
+        persistence.pending.push_back(Pending { ticket, last: log.last_index(), installed });
+        Some(Write { ticket, ballot: has_ballot.then_some(self.ballot), snapshot, entries })
+    }
+
+    pub(super) fn synced(&mut self, now: Instant, ticket: u64) {
+        if let Some(installed) = self.persistence.complete(ticket) {
+            self.verified = self.verified.max(installed);
+        }
+        match &self.state {
+            State::Leader(_) => self.advance_commit(),
+            State::Candidate { .. } => self.count_own_vote(now),
+            _ => self.report_progress(),
+        }
+    }
+
+    /// Takes a snapshot of the machines in place of the entries that it covers.
+    pub(super) fn compact(&mut self, index: Index, data: Arc<[u8]>) {
+        if index <= self.snapshot.position.index || index > self.applied {
+            return;
+        }
+        let Some(term) = self.log.term(index) else {
+            return;
+        };
+        let members = self.log.members_at(index).clone();
+        let position = Position { term, index };
+        self.snapshot = Arc::new(Snapshot { position, members, data });
+        self.persistence.set_snapshot(self.snapshot.clone());
+        let base = Index(index.0.saturating_sub(TRAILING_ENTRIES));
+        if let Some(term) = self.log.term(base) {
+            self.log.compact(Position { term, index: base });
+        }
+    }
+}
+
+fn indexed(log: &Log, first: Index) -> Vec<crate::Indexed> {
+    let entries = log.slice(first, usize::MAX);
+    let indices = (first.0..).map(Index);
+    indices.zip(entries).map(|(index, entry)| crate::Indexed { index, entry }).collect()
+}
--- /dev/null
+++ b/crates/state/src/disk/folder.rs
@@ -0,0 +1,162 @@
+//! The interface to the files of one folder.
+
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use crate::Error;
+
+/// Files of one folder. What was written or renamed lasts only once it is synced.
+pub trait Folder: Send {
+    /// The folder's name for messages.
+    fn label(&self) -> String;
+
+    /// Names of all files, sorted.
+    ///
+    /// # Errors
+    ///
+    /// The system's error, as for all operations.
+    fn names(&self) -> io::Result<Vec<String>>;
+
+    /// The whole content of a file.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+
+    /// Appends to a file, which is created if needed.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Shortens a file to `length` bytes.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    fn truncate(&mut self, name: &str, length: usize) -> io::Result<()>;
+
+    /// Syncs the content of a file.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+
+    /// Syncs the names of the folder.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    fn sync_names(&mut self) -> io::Result<()>;
+
+    /// Renames a file, in place of another one if there is one.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+}
+
+const LOCK_FILE: &str = "lock";
+
+/// A folder of the file system, locked against other processes.
+pub struct DataFolder {
+    path: PathBuf,
+    _lock: File,
+    open: Option<(String, File)>,
+}
+
+impl DataFolder {
+    /// Opens or creates the folder at `path`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::File`] when it cannot be written, [`Error::Locked`] when it is in use.
+    pub fn open(path: &Path) -> Result<Self, Error> {
+        let folder = path.display().to_string();
+        let failed = |operation, file: &str| {
+            let (folder, file) = (folder.clone(), file.to_string());
+            move |source| Error::File { folder, operation, file, source }
+        };
+        std::fs::create_dir_all(path).map_err(failed("create", ""))?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(path.join(LOCK_FILE))
+            .map_err(failed("open", LOCK_FILE))?;
+        match lock.try_lock() {
+            Ok(()) => Ok(Self { path: path.to_path_buf(), _lock: lock, open: None }),
+            Err(TryLockError::WouldBlock) => Err(Error::Locked { folder }),
+            Err(TryLockError::Error(source)) => Err(failed("lock", LOCK_FILE)(source)),
+        }
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        let open = match self.open.take() {
+            Some(open) if open.0 == name => open,
+            _ => {
+                let path = self.path.join(name);
+                let file = OpenOptions::new().create(true).append(true).open(path)?;
+                (name.to_string(), file)
+            }
+        };
+        Ok(&mut self.open.insert(open).1)
+    }
+}
+
+impl Folder for DataFolder {
+    fn label(&self) -> String {
+        self.path.display().to_string()
+    }
+
+    fn names(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in std::fs::read_dir(&self.path)? {
+            names.push(entry?.file_name().to_string_lossy().into_owned());
+        }
+        names.retain(|name| name != LOCK_FILE);
+        names.sort();
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        std::fs::read(self.path.join(name))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(bytes)
+    }
+
+    fn truncate(&mut self, name: &str, length: usize) -> io::Result<()> {
+        self.file(name)?.set_len(length as u64)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open = None;
+        std::fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open = None;
+        std::fs::remove_file(self.path.join(name))
+    }
+}
--- /dev/null
+++ b/crates/state/src/disk/journal.rs
@@ -0,0 +1,182 @@
+//! Writes to the data folder, many synced together.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::record;
+use crate::{Ballot, Error, Folder, Indexed, Snapshot, Write};
+
+pub(super) const BALLOT_FILE: &str = "ballot";
+pub(super) const IDENTITY_FILE: &str = "identity";
+pub(super) const SNAPSHOT_PREFIX: &str = "snapshot-";
+pub(super) const SEGMENT_PREFIX: &str = "log-";
+const TEMPORARY_SUFFIX: &str = ".new";
+
+/// Size at which another segment is begun, in bytes.
+const SEGMENT_BYTES: usize = 8 << 20;
+
+/// A snapshot and the segment from which on entries follow it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Stored {
+    pub(super) first_segment: u64,
+    pub(super) snapshot: Arc<Snapshot>,
+}
+
+/// The open data folder.
+pub struct Journal<F> {
+    pub(super) folder: F,
+    pub(super) segment: u64,
+    pub(super) segment_bytes: usize,
+    pub(super) has_segment: bool,
+    buffer: Vec<u8>,
+}
+
+pub(super) fn segment_name(number: u64) -> String {
+    format!("{SEGMENT_PREFIX}{number:020}")
+}
+
+pub(super) fn number_in(name: &str, prefix: &str) -> Option<u64> {
+    name.strip_prefix(prefix)?.parse().ok()
+}
+
+impl<F> Journal<F>
+where
+    F: Folder,
+{
+    pub(super) fn new(folder: F, segment: u64) -> Self {
+        Self { folder, segment, segment_bytes: 0, has_segment: false, buffer: Vec::new() }
+    }
+
+    /// The folder.
+    pub fn folder(&self) -> &F {
+        &self.folder
+    }
+
+    pub(super) fn failed<'name>(
+        &self,
+        operation: &'static str,
+        file: &'name str,
+    ) -> impl FnOnce(std::io::Error) -> Error + use<'name, F> {
+        let folder = self.folder.label();
+        move |source| Error::File { folder, operation, file: file.to_string(), source }
+    }
+
+    /// Writes and syncs all of `writes`; gives the ticket of the last.
+    ///
+    /// # Errors
+    ///
+    /// When anything cannot be written or synced. What is on disk is unknown then, so the
+    /// process must stop.
+    pub fn write(&mut self, writes: &[Write]) -> Result<Option<u64>, Error> {
+        if let Some(ballot) = writes.iter().rev().find_map(|write| write.ballot.as_ref()) {
+            self.write_ballot(ballot)?;
+        }
+        let last_snapshot = writes.iter().rposition(|write| write.snapshot.is_some());
+        let after = &writes[last_snapshot.unwrap_or(0)..];
+        let snapshot = last_snapshot.and_then(|index| writes[index].snapshot.clone());
+        if snapshot.is_some() {
+            self.begin_segment();
+        }
+        let first_segment = self.segment;
+        self.write_entries(after.iter().flat_map(|write| &write.entries))?;
+        if let Some(snapshot) = snapshot {
+            self.write_snapshot(Stored { first_segment, snapshot })?;
+        }
+        Ok(writes.last().map(|write| write.ticket))
+    }
+
+    fn write_ballot(&mut self, ballot: &Ballot) -> Result<(), Error> {
+        self.replace(BALLOT_FILE, ballot)
+    }
+
+    fn write_entries<'write>(
+        &mut self,
+        entries: impl Iterator<Item = &'write Indexed>,
+    ) -> Result<(), Error> {
+        let mut buffer = std::mem::take(&mut self.buffer);
+        buffer.clear();
+        let name = segment_name(self.segment);
+        for indexed in entries {
+            let payload = encode(&name, indexed)?;
+            record::append(&payload, &mut buffer);
+        }
+        let is_written = self.append(&name, &buffer);
+        self.buffer = buffer;
+        is_written
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), Error> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.folder.append(name, bytes).map_err(self.failed("write", name))?;
+        self.folder.sync(name).map_err(self.failed("sync", name))?;
+        if !self.has_segment {
+            self.folder.sync_names().map_err(self.failed("sync the folder of", name))?;
+            self.has_segment = true;
+        }
+        self.segment_bytes += bytes.len();
+        if self.segment_bytes > SEGMENT_BYTES {
+            self.begin_segment();
+        }
+        Ok(())
+    }
+
+    fn begin_segment(&mut self) {
+        self.segment += 1;
+        self.segment_bytes = 0;
+        self.has_segment = false;
+    }
+
+    /// Stores a snapshot, then removes the files that it replaces.
+    fn write_snapshot(&mut self, stored: Stored) -> Result<(), Error> {
+        let name = format!("{SNAPSHOT_PREFIX}{:020}", stored.snapshot.position.index.0);
+        self.replace(&name, &stored)?;
+        self.remove_old(&name, stored.first_segment)
+    }
+
+    fn remove_old(&mut self, newest: &str, first_segment: u64) -> Result<(), Error> {
+        let names = self.folder.names().map_err(self.failed("list", ""))?;
+        for name in names {
+            let is_old_snapshot = name.starts_with(SNAPSHOT_PREFIX) && name != newest;
+            let number = number_in(&name, SEGMENT_PREFIX);
+            if is_old_snapshot || number.is_some_and(|number| number < first_segment) {
+                self.folder.remove(&name).map_err(self.failed("remove", &name))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Replaces the whole content of a file, so that either the old or the new one is there
+    /// after a crash.
+    pub(super) fn replace<T>(&mut self, name: &str, content: &T) -> Result<(), Error>
+    where
+        T: Serialize,
+    {
+        let temporary = format!("{name}{TEMPORARY_SUFFIX}");
+        let mut bytes = Vec::new();
+        record::append(&encode(name, content)?, &mut bytes);
+        self.discard(&temporary)?;
+        self.folder.append(&temporary, &bytes).map_err(self.failed("write", &temporary))?;
+        self.folder.sync(&temporary).map_err(self.failed("sync", &temporary))?;
+        self.folder.rename(&temporary, name).map_err(self.failed("rename", &temporary))?;
+        self.folder.sync_names().map_err(self.failed("sync the folder of", name))
+    }
+
+    /// Removes what an interrupted [`Self::replace`] left.
+    fn discard(&mut self, temporary: &str) -> Result<(), Error> {
+        let names = self.folder.names().map_err(self.failed("list", ""))?;
+        if names.iter().any(|name| name == temporary) {
+            self.folder.remove(temporary).map_err(self.failed("remove", temporary))?;
+        }
+        Ok(())
+    }
+}
+
+fn encode<T>(file: &str, content: &T) -> Result<Vec<u8>, Error>
+where
+    T: Serialize,
+{
+    postcard::to_allocvec(content).map_err(|source| Error::Form { file: file.to_string(), source })
+}
--- /dev/null
+++ b/crates/state/src/disk/opening.rs
@@ -0,0 +1,151 @@
+//! Reads a data folder at the start of a process.
+
+use serde::de::DeserializeOwned;
+
+use super::journal::{
+    BALLOT_FILE, IDENTITY_FILE, SEGMENT_PREFIX, SNAPSHOT_PREFIX, Stored, number_in, segment_name,
+};
+use super::record::{self, Found};
+use crate::{Ballot, Entry, Error, Folder, Index, Indexed, Journal, Recovered, Snapshot, Voter};
+
+const NO_ENTRY: &str = "a record is not of the documented form";
+
+impl<F> Journal<F>
+where
+    F: Folder,
+{
+    /// Reads the folder. A blank one gets the number `fresh`.
+    ///
+    /// # Errors
+    ///
+    /// When a file cannot be read, is damaged or missing. A write at the end of the log that was
+    /// cut short by a crash was never synced and is dropped without an error.
+    pub fn open(folder: F, fresh: Voter) -> Result<(Self, Voter, Recovered), Error> {
+        let mut journal = Self::new(folder, 0);
+        let names = journal.folder.names().map_err(journal.failed("list", ""))?;
+        let segments: Vec<u64> =
+            names.iter().filter_map(|name| number_in(name, SEGMENT_PREFIX)).collect();
+        journal.segment = segments.last().map_or(0, |last| last + 1);
+        let voter = journal.open_identity(&names, fresh)?;
+        let ballot: Ballot = journal.read_if_there(&names, BALLOT_FILE)?.unwrap_or_default();
+        let stored = journal.read_snapshot(&names)?;
+        let Some(Stored { first_segment, snapshot }) = stored else {
+            return match segments.is_empty() && ballot.vote.is_none() {
+                true => Ok((journal, voter, Recovered { ballot, ..Recovered::default() })),
+                false => Err(journal.missing("snapshot")),
+            };
+        };
+        let mut log = Replay::new(&snapshot);
+        for number in segments.iter().filter(|number| **number >= first_segment) {
+            let is_last = segments.last() == Some(number);
+            journal.replay(*number, is_last, &mut log)?;
+        }
+        let snapshot = Snapshot::clone(&snapshot);
+        Ok((journal, voter, Recovered { ballot, snapshot, entries: log.entries }))
+    }
+
+    fn missing(&self, file: &'static str) -> Error {
+        Error::Missing { folder: self.folder.label(), file }
+    }
+
+    fn open_identity(&mut self, names: &[String], fresh: Voter) -> Result<Voter, Error> {
+        // What a crashed process renamed may not be synced yet.
+        self.folder.sync_names().map_err(self.failed("sync", ""))?;
+        if let Some(voter) = self.read_if_there(names, IDENTITY_FILE)? {
+            return Ok(voter);
+        }
+        let is_blank = names.iter().all(|name| name.starts_with(IDENTITY_FILE));
+        if !is_blank {
+            return Err(self.missing(IDENTITY_FILE));
+        }
+        self.replace(IDENTITY_FILE, &fresh)?;
+        Ok(fresh)
+    }
+
+    fn damaged(&self, file: &str, offset: usize, problem: &'static str) -> Error {
+        Error::Damaged { folder: self.folder.label(), file: file.to_string(), offset, problem }
+    }
+
+    fn read_if_there<T>(&self, names: &[String], name: &str) -> Result<Option<T>, Error>
+    where
+        T: DeserializeOwned,
+    {
+        if !names.iter().any(|existing| existing == name) {
+            return Ok(None);
+        }
+        let bytes = self.folder.read(name).map_err(self.failed("read", name))?;
+        let payload = match record::read(&bytes, 0) {
+            Found::Whole { payload, next } if next == bytes.len() => payload,
+            Found::Damaged { problem } => return Err(self.damaged(name, 0, problem)),
+            _ => return Err(self.damaged(name, bytes.len(), "it is not whole")),
+        };
+        let content = postcard::from_bytes(payload).map_err(|_| self.damaged(name, 0, NO_ENTRY))?;
+        Ok(Some(content))
+    }
+
+    fn read_snapshot(&self, names: &[String]) -> Result<Option<Stored>, Error> {
+        let newest = names.iter().rfind(|name| number_in(name, SNAPSHOT_PREFIX).is_some());
+        match newest {
+            Some(name) => self.read_if_there(names, name),
+            None => Ok(None),
+        }
+    }
+
+    fn replay(&mut self, number: u64, is_last: bool, log: &mut Replay) -> Result<(), Error> {
+        let name = segment_name(number);
+        let bytes = self.folder.read(&name).map_err(self.failed("read", &name))?;
+        let mut offset = 0;
+        loop {
+            match record::read(&bytes, offset) {
+                Found::Whole { payload, next } => {
+                    let indexed = postcard::from_bytes(payload)
+                        .map_err(|_| self.damaged(&name, offset, NO_ENTRY))?;
+                    log.push(indexed).map_err(|index| Error::Gap {
+                        folder: self.folder.label(),
+                        file: name.clone(),
+                        index,
+                    })?;
+                    offset = next;
+                }
+                Found::End => break,
+                Found::Torn if is_last => {
+                    self.folder.truncate(&name, offset).map_err(self.failed("truncate", &name))?;
+                    break;
+                }
+                Found::Torn => return Err(self.damaged(&name, offset, "it is cut short")),
+                Found::Damaged { problem } => return Err(self.damaged(&name, offset, problem)),
+            }
+        }
+        if is_last {
+            // What a crashed process wrote may not be synced yet.
+            self.folder.sync(&name).map_err(self.failed("sync", &name))?;
+        }
+        Ok(())
+    }
+}
+
+/// Puts together the entries after a snapshot from their records.
+struct Replay {
+    base: Index,
+    entries: Vec<Entry>,
+}
+
+impl Replay {
+    fn new(snapshot: &Snapshot) -> Self {
+        Self { base: snapshot.position.index, entries: Vec::new() }
+    }
+
+    /// Takes the next record; the missing index if there is a gap before it.
+    fn push(&mut self, indexed: Indexed) -> Result<(), Index> {
+        let Some(offset) = indexed.index.0.checked_sub(self.base.0 + 1) else {
+            return Ok(());
+        };
+        let offset = usize::try_from(offset).unwrap_or(usize::MAX);
+        if offset > self.entries.len() {
+            return Err(Index(self.base.0 + 1 + self.entries.len() as u64));
+        }
+        self.entries.truncate(offset);
+        self.entries.push(indexed.entry);
+        Ok(())
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,7 +1,28 @@
 //! Replicated log of control instances: consensus, disk, snapshots.
 //!
-//! A [`Machine`] is state that every voter computes from the same committed commands.
+//! A [`Machine`] is state that every voter computes from the same committed commands. The
+//! [`Core`] decides, without input or output of its own, what is committed; a [`Storage`] keeps
+//! what the core asks to persist.
 
+mod core;
+mod disk;
+mod entry;
+mod error;
+mod id;
+mod lease;
+mod log;
 mod machine;
+mod members;
+mod message;
+mod sessions;
 
+pub use crate::core::{Action, Core, Input, Recovered, Role, Start, Timing, Write};
+pub use disk::{DataFolder, Folder, Journal, Report, Storage};
+pub use entry::{Entry, Indexed, Payload, Snapshot};
+pub use error::Error;
+pub use id::{Ballot, Origin, Position, Term, Voter};
+pub use lease::{Grant, Holder, LeaseCommand, LeaseOutcome, Leases};
 pub use machine::{Index, Machine, Proposed};
+pub use members::{Change, Member, Members, Standing};
+pub use message::{Envelope, Message};
+pub use sessions::Sessions;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::ReplicaMetrics;
+
 /// Labels of a finished request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -31,6 +33,8 @@
     requests: Family<RequestLabels, Counter>,
     refused: Family<ReasonLabels, Counter>,
     first_byte: Histogram,
+    /// The replicated log.
+    pub replica: ReplicaMetrics,
     /// Revision of the declarations in force.
     pub revision: Gauge,
     /// Requests that are not answered yet.
@@ -55,13 +59,14 @@
         registry.register("refused", "Refused connections and requests", refused.clone());
         let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 16));
         registry.register("first_byte_seconds", "Time to the first byte", first_byte.clone());
+        let replica = ReplicaMetrics::new(&mut registry);
         let revision = Gauge::default();
         registry.register("revision", "Revision in force", revision.clone());
         let active = Gauge::default();
         registry.register("active_requests", "Requests not answered yet", active.clone());
         let upstreams = Gauge::default();
         registry.register("upstreams", "Upstreams that may get new work", upstreams.clone());
-        Self { registry, requests, refused, first_byte, revision, active, upstreams }
+        Self { registry, requests, refused, first_byte, replica, revision, active, upstreams }
     }
 
     /// Counts a finished request.
--- /dev/null
+++ b/crates/telemetry/src/replica.rs
@@ -0,0 +1,56 @@
+//! Metrics of the replicated log.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Labels of a proposal that has ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ProposalLabels {
+    outcome: String,
+}
+
+/// Metrics of the replicated log at one instance.
+#[derive(Default)]
+pub struct ReplicaMetrics {
+    /// The newest term seen.
+    pub term: Gauge,
+    /// 1 while this instance leads.
+    pub is_leader: Gauge,
+    /// Last committed entry that is known.
+    pub commit: Gauge,
+    /// Bytes of entries held in memory.
+    pub log_bytes: Gauge,
+    /// Snapshots taken of the machines.
+    pub snapshots: Counter,
+    /// Snapshots received from a leader.
+    pub installs: Counter,
+    /// Changes of the known leader.
+    pub leader_changes: Counter,
+    proposals: Family<ProposalLabels, Counter>,
+}
+
+impl ReplicaMetrics {
+    /// All metrics at zero, registered under `replica`.
+    pub(crate) fn new(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let registry = registry.sub_registry_with_prefix("replica");
+        registry.register("term", "Newest term seen", metrics.term.clone());
+        registry.register("is_leader", "1 while this instance leads", metrics.is_leader.clone());
+        registry.register("commit_index", "Last committed entry", metrics.commit.clone());
+        registry.register("log_bytes", "Bytes of entries in memory", metrics.log_bytes.clone());
+        registry.register("snapshots", "Snapshots taken", metrics.snapshots.clone());
+        registry.register("installs", "Snapshots received", metrics.installs.clone());
+        let changes = metrics.leader_changes.clone();
+        registry.register("leader_changes", "Changes of the known leader", changes);
+        registry.register("proposals", "Proposals by outcome", metrics.proposals.clone());
+        metrics
+    }
+
+    /// Counts a proposal that ended with `outcome`.
+    pub fn count_proposal(&self, outcome: &str) {
+        self.proposals.get_or_create(&ProposalLabels { outcome: outcome.to_string() }).inc();
+    }
+}
