Put declarations in force through the log, peers and the data folder

Cause: an instance read its bootstrap file and never changed. Orders now go through the replicated log from the instance that takes them; voters follow the log, all others pull from peers (a digest to 2 peers a period of 0.9 to 1.1 s, to 4 at once after a change, steps or 64 KiB parts pulled). A revision is written and synced before it is in force where there is a data folder; a damaged file is named and fetched anew. Without a stored revision an instance asks peers and the log, and readyz says 503 until one has answered: the bootstrap file is used only after the fleet is known to have no revision.

Orders need an operator's token (compared as hashes, so in constant time); with no token configured they are refused unless open_operators is set. Announcements need the upstream token where it is set.

Ruled out: falling back to the bootstrap file after a wait, as it may revert a committed revision; history at every instance, as 8 MiB a node is too much for what operators read seldom (others pass the request to a voter).

--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -14,7 +14,7 @@
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
 use crate::claims::Claims;
-use crate::config::Config;
+use crate::config::{Config, Surroundings};
 use crate::members::Members;
 use crate::operators::{Ask, Operators};
 use crate::placer::Placer;
@@ -112,11 +112,15 @@
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let in_force = fwd_to!([router], set_declarations() as (Rc<Declarations>));
-        let config = actor!(
-            cx,
-            Config::init(settings.clone(), replica.clone(), hub.clone(), in_force),
-            ret_some_to!([cx], child_ended() as (StopCause))
-        );
+        let around = Surroundings {
+            settings: settings.clone(),
+            metrics: metrics.clone(),
+            replica: replica.clone(),
+            hub: hub.clone(),
+            in_force: vec![in_force],
+        };
+        let config =
+            actor!(cx, Config::init(around), ret_some_to!([cx], child_ended() as (StopCause)));
         let claims = actor!(
             cx,
             Claims::init(replica.clone()),
@@ -180,6 +184,17 @@
         }
     }
 
+    /// Whether the request may come from an upstream.
+    fn is_upstream(&self, request: &operator::Request) -> bool {
+        match &self.settings.upstream_token {
+            None => true,
+            Some(expected) => {
+                let presented = request.token.as_deref();
+                presented.is_some_and(|token| operator::is_token(token, expected))
+            }
+        }
+    }
+
     /// Answers a request of the operators' port.
     fn answer(&mut self, _: CX![], ask: Ask) {
         let request = &ask.request;
@@ -188,14 +203,18 @@
             return;
         }
         match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/announce" | "/load") if !self.is_upstream(request) => {
+                let message = "the request needs the fleet's upstream token";
+                ask.answer(Response::error(401, "unauthorised", message));
+            }
             ("POST", "/announce") => call!([self.placer], announce(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
-            ("GET", "/readyz") => {
-                let (status, text) =
-                    if !self.is_stopping { (200, "ready\n") } else { (503, "stopping\n") };
-                ask.answer(Response::text(status, text));
+            ("GET", "/fleet") => call!([self.config], list_instances(ask)),
+            ("GET", "/readyz") if self.is_stopping => {
+                ask.answer(Response::text(503, "stopping\n"));
             }
+            ("GET", "/readyz") => call!([self.config], ready(ask)),
             _ => {
                 let message = format!("{} {} does not exist", request.method, request.path);
                 ask.answer(Response::error(404, "unknown_path", message));
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod request;
 mod server;
+mod tokens;
 
 pub use request::{Handler, Request, Response};
 pub use server::Server;
+pub use tokens::{Tokens, is_token};
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -144,6 +144,9 @@
     /// Tokens of operators, by name.
     #[serde(default)]
     pub operator_tokens: std::collections::BTreeMap<names::Operator, String>,
+    /// Lets anyone change declarations while no operator has a token.
+    #[serde(default)]
+    pub open_operators: bool,
     /// Other instances known at start.
     #[serde(default)]
     pub peers: Vec<Peer>,
