--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -106,14 +106,19 @@
             Placer::init(settings.clone(), hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let router = actor!(
+        let replica = actor!(
             cx,
-            Router::init(settings.clone(), placer.clone(), metrics.clone()),
+            Replica::init(settings.clone(), incarnation, hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let replica = actor!(
+        let claims = actor!(
             cx,
-            Replica::init(settings.clone(), incarnation, hub.clone(), metrics.clone()),
+            Claims::init(replica.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
+        let router = actor!(
+            cx,
+            Router::init(settings.clone(), placer.clone(), claims.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let in_force = fwd_to!([router], set_declarations() as (Rc<Declarations>));
@@ -126,11 +131,6 @@
         };
         let config =
             actor!(cx, Config::init(around), ret_some_to!([cx], child_ended() as (StopCause)));
-        let claims = actor!(
-            cx,
-            Claims::init(replica.clone()),
-            ret_some_to!([cx], child_ended() as (StopCause))
-        );
         let views = fwd_to!([placer], set_view() as (View));
         let members = actor!(
             cx,
