Share account limits over the fleet by demand

Cause: `limit` of a client account was declared but nowhere held.

A limiter at each instance passes a base share (a tenth of the limit over all instances) alone; a coordinator per account grants the rest by max-min demand for 3 s. Grants that may still be held count against the pool, so the sum of rates in force never exceeds the limit with lost and late messages.

256 cases a property: sum of shares <= limit; >= 0.85 of min(demand, limit) passed within 5 s of a change; cut off falls to the base share.

--- /dev/null
+++ b/crates/admission/tests/limit.rs
@@ -0,0 +1,185 @@
+//! Account limits over several instances that lose messages and each other.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use admission::limit::{AccountKey, Apportioner, Grants, Limit, Limiter, Passage, Report};
+use names::{ClientAccount, Instance};
+use proptest::prelude::*;
+use units::Rate;
+
+const CASES: u32 = 256;
+const LIMIT: u64 = 100;
+const TICK: Duration = Duration::from_millis(100);
+const TICKS_PER_SECOND: usize = 10;
+
+fn account() -> AccountKey {
+    AccountKey::from(&"nasr".parse::<ClientAccount>().unwrap())
+}
+
+fn limits() -> Vec<Limit> {
+    vec![Limit { account: account(), rate: Rate::per_second(LIMIT) }]
+}
+
+fn name(index: usize) -> Instance {
+    format!("instance-{index}").parse().unwrap()
+}
+
+/// Instances with one coordinator, driven tick by tick.
+struct Fleet {
+    now: Instant,
+    limiters: Vec<Limiter>,
+    apportioner: Apportioner,
+    late: Vec<(usize, Grants)>,
+    passed: u64,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let total = count as u32;
+        let mut apportioner = Apportioner::new(total, total);
+        apportioner.set_limits(limits());
+        let limiter = || {
+            let mut limiter = Limiter::new(total);
+            limiter.set_limits(limits());
+            limiter
+        };
+        let limiters = (0..count).map(|_| limiter()).collect();
+        Self { now: Instant::now(), limiters, apportioner, late: Vec::new(), passed: 0 }
+    }
+
+    fn report(&mut self, index: usize) -> Option<Report> {
+        let limiter = &mut self.limiters[index];
+        let demands = limiter.due(self.now);
+        (!demands.is_empty()).then(|| limiter.report(self.now, demands))
+    }
+
+    /// Offers each instance its requests of one tick, then exchanges reports; `fate` tells for
+    /// each message whether it arrives (0), is lost (1), or arrives a tick later (2).
+    fn tick(&mut self, arrivals: &[u32], mut fate: impl FnMut(usize) -> u8) {
+        self.now += TICK;
+        for (index, grants) in std::mem::take(&mut self.late) {
+            self.limiters[index].take(self.now, grants);
+        }
+        for (index, count) in arrivals.iter().enumerate() {
+            for _ in 0..*count {
+                let passage = self.limiters[index].pass(self.now, account());
+                self.passed += u64::from(passage == Passage::Pass);
+            }
+        }
+        for index in 0..self.limiters.len() {
+            let Some(report) = self.report(index) else {
+                continue;
+            };
+            if fate(index) == 1 {
+                continue;
+            }
+            let grants = self.apportioner.take(self.now, &name(index), report);
+            match fate(index) {
+                0 => self.limiters[index].take(self.now, grants),
+                2 => self.late.push((index, grants)),
+                _ => {}
+            }
+        }
+        self.apportioner.expire(self.now);
+    }
+
+    fn rate(&self) -> f64 {
+        let rates = self.limiters.iter().map(|limiter| limiter.rate(self.now, account()));
+        rates.map(Option::unwrap).sum()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(CASES))]
+
+    /// Whatever is asked, lost or late, the rates in force never sum to more than the limit, and
+    /// the fleet passes no more than the limit and its bursts.
+    #[test]
+    fn the_sum_of_shares_never_exceeds_the_limit(
+        count in 1..9_usize,
+        ticks in prop::collection::vec((prop::collection::vec(0..30_u32, 9), 0..u64::MAX), 20..150),
+    ) {
+        let mut fleet = Fleet::new(count);
+        let started = fleet.now;
+        for (arrivals, fates) in &ticks {
+            let mut fates = *fates;
+            fleet.tick(&arrivals[..count], |_| {
+                fates = fates.rotate_right(3);
+                [0, 0, 0, 0, 1, 1, 2, 2][(fates % 8) as usize]
+            });
+            prop_assert!(fleet.rate() <= LIMIT as f64 + 1e-6, "{}", fleet.rate());
+            let elapsed = (fleet.now - started).as_secs_f64();
+            let burst = LIMIT as f64 + count as f64;
+            prop_assert!(fleet.passed as f64 <= LIMIT as f64 * elapsed + burst);
+        }
+    }
+
+    /// Within five seconds a steady demand gets nearly all of the limit, wherever it arrives.
+    #[test]
+    fn shares_follow_demand(before in prop::collection::vec(0..30_u32, 6), after in prop::collection::vec(0..30_u32, 6)) {
+        let mut fleet = Fleet::new(6);
+        for _ in 0..5 * TICKS_PER_SECOND {
+            fleet.tick(&before, |_| 0);
+        }
+        for _ in 0..5 * TICKS_PER_SECOND {
+            fleet.tick(&after, |_| 0);
+        }
+        let passed = fleet.passed;
+        for _ in 0..5 * TICKS_PER_SECOND {
+            fleet.tick(&after, |_| 0);
+        }
+        let demand: u64 = after.iter().map(|count| u64::from(*count) * 10).sum();
+        let rate = (fleet.passed - passed) as f64 / 5.0;
+        prop_assert!(rate >= 0.85 * demand.min(LIMIT) as f64, "{rate} of {demand}");
+    }
+}
+
+#[test]
+fn an_instance_that_is_cut_off_falls_to_its_base_share() {
+    let mut fleet = Fleet::new(4);
+    for _ in 0..30 {
+        fleet.tick(&[20, 0, 0, 0], |_| 0);
+    }
+    assert!(fleet.rate() > 90.0, "{}", fleet.rate());
+    for _ in 0..30 {
+        fleet.tick(&[20, 0, 0, 0], |_| 1);
+    }
+    let cut_off = fleet.limiters[0].rate(fleet.now, account()).unwrap();
+    assert!((cut_off - 2.5).abs() < 1e-9, "{cut_off}");
+}
+
+#[test]
+fn a_coordinator_of_a_part_grants_its_part_once_earlier_grants_have_lapsed() {
+    let now = Instant::now();
+    let mut coordinator = Apportioner::new(4, 4);
+    coordinator.set_limits(limits());
+    coordinator.set_reachable(now, 2, 4);
+    let mut limiter = Limiter::new(4);
+    limiter.set_limits(limits());
+    let mut rate = |now| {
+        for _ in 0..100 {
+            limiter.pass(now, account());
+        }
+        let demands = limiter.due(now);
+        let report = limiter.report(now, demands);
+        let grants = coordinator.take(now, &name(1), report);
+        limiter.take(now, grants);
+        limiter.rate(now, account()).unwrap()
+    };
+    assert_eq!(rate(now), 2.5);
+    let later = rate(now + Duration::from_secs(4));
+    assert!((later - 47.5).abs() < 0.01, "{later}");
+}
+
+#[test]
+fn idle_accounts_are_forgotten() {
+    let mut fleet = Fleet::new(2);
+    fleet.tick(&[1, 1], |_| 0);
+    assert_eq!((fleet.limiters[0].active(), fleet.apportioner.active()), (1, 1));
+    for _ in 0..20 * TICKS_PER_SECOND {
+        fleet.tick(&[0, 0], |_| 0);
+    }
+    assert_eq!((fleet.limiters[0].active(), fleet.apportioner.active()), (0, 0));
+}
