Refuse requests of accounts over their fleet-wide limit

Cause: limiter and apportioner had no actor; a declared limit had no effect.

The limits actor derives an account's coordinator by rendezvous over the instances of the settings, exchanges reports and grants as datagrams of the account slice, and the router asks it before placement. Which instances can be reached is not known here yet: until membership tells, a dead coordinator leaves its accounts at their base share (low, never high).

--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod config;
 mod error;
+mod limits;
 mod members;
 mod operators;
 mod placer;
--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -19,6 +19,12 @@
     Problem::not_run(Status::TOO_MANY_REQUESTS, "overloaded", message).with_retry_after(SOON)
 }
 
+/// The client account has used up its share of its limit.
+pub(crate) fn over_limit(account: &names::ClientAccount, retry_after: Duration) -> Problem {
+    let message = format!("client account \"{account}\" is over its limit; ask again later");
+    Problem::not_run(Status::TOO_MANY_REQUESTS, "over_limit", message).with_retry_after(retry_after)
+}
+
 /// The instance is stopping.
 pub(crate) fn stopping() -> Problem {
     let message = "the instance is stopping; ask again at another one";
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -15,6 +15,7 @@
 
 use crate::claims::Claims;
 use crate::config::Config;
+use crate::limits::Limits;
 use crate::members::Members;
 use crate::operators::{Ask, Operators};
 use crate::placer::Placer;
@@ -35,6 +36,7 @@
 pub(crate) struct Root {
     settings: Rc<Settings>,
     _hub: ActorOwn<Hub>,
+    limits: ActorOwn<Limits>,
     placer: ActorOwn<Placer>,
     router: ActorOwn<Router>,
     server: ActorOwn<Server>,
@@ -101,9 +103,14 @@
             Placer::init(settings.clone(), hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let limits = actor!(
+            cx,
+            Limits::init(settings.clone(), hub.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let router = actor!(
             cx,
-            Router::init(settings.clone(), placer.clone(), metrics.clone()),
+            Router::init(settings.clone(), limits.clone(), placer.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let replica = actor!(
@@ -145,6 +152,7 @@
         Ok(Self {
             settings,
             _hub: hub,
+            limits,
             placer,
             router,
             server,
@@ -171,9 +179,10 @@
     fn deliver(&mut self, _: CX![], delivery: Delivery) {
         match delivery.slice {
             Slice::Membership => call!([self.members], deliver(delivery)),
-            Slice::Upstream | Slice::Permit | Slice::Load | Slice::Account => {
-                call!([self.placer], deliver(delivery));
+            Slice::Upstream | Slice::Permit | Slice::Load => {
+                call!([self.placer], deliver(delivery))
             }
+            Slice::Account => call!([self.limits], deliver(delivery)),
             Slice::State => call!([self.replica], deliver(delivery)),
             Slice::Ledger => call!([self.claims], deliver(delivery)),
             Slice::Declare => call!([self.config], deliver(delivery)),
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use admission::limit::Passage;
 use declare::Declarations;
 use dispatch::{Call, Pool, Progress, Reuse, Verdict};
 use entry::{Event, Problem, Reply, Request, Status};
@@ -17,6 +18,7 @@
 use stakker::{Actor, CX, Fwd, at, call, fwd_to, ret_some_to};
 use telemetry::{Metrics, RequestLabels};
 
+use crate::limits::Limits;
 use crate::placer::{Permit, Placed, Placer, Wanted};
 use crate::problem;
 use active::{Active, Calling};
@@ -39,6 +41,7 @@
 pub(crate) struct Router {
     settings: Rc<Settings>,
     declarations: Rc<Declarations>,
+    limits: Actor<Limits>,
     placer: Actor<Placer>,
     metrics: Arc<Metrics>,
     pool: Pool,
@@ -50,6 +53,7 @@
     pub(crate) fn init(
         cx: CX![],
         settings: Rc<Settings>,
+        limits: Actor<Limits>,
         placer: Actor<Placer>,
         metrics: Arc<Metrics>,
     ) -> Option<Self> {
@@ -59,6 +63,7 @@
         Some(Self {
             settings,
             declarations: Rc::default(),
+            limits,
             placer,
             metrics,
             pool,
@@ -69,6 +74,7 @@
 
     /// Puts declarations in force for requests that arrive from now on.
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        call!([self.limits], set_declarations(declarations.clone()));
         self.declarations = declarations;
     }
 
@@ -118,7 +124,30 @@
         }
         self.metrics.active.inc();
         at!(deadline, [cx], expire(id));
-        self.place(cx, id);
+        self.check_limit(cx, id);
+    }
+
+    /// Asks whether the request passes the limit of its account.
+    fn check_limit(&mut self, cx: CX![], id: names::Request) {
+        let Some(index) = self.find(id) else {
+            return;
+        };
+        let account = self.active[index].route.account.clone();
+        let passage = ret_some_to!([cx], passed(id) as (Passage));
+        call!([self.limits], pass(account, passage));
+    }
+
+    fn passed(&mut self, cx: CX![], id: names::Request, passage: Passage) {
+        let Some(index) = self.find(id) else {
+            return;
+        };
+        match passage {
+            Passage::Pass => self.place(cx, id),
+            Passage::Refuse { retry_after } => {
+                let problem = problem::over_limit(&self.active[index].route.account, retry_after);
+                self.refuse(index, problem);
+            }
+        }
     }
 
     /// Asks for a permit for the next attempt.
