Choose placement and admission policies by settings

Cause: the placer knew only rendezvous hashing without a bound, and nothing could be compared.

Policy gains two methods with defaults: placed and knowledge.

Ruled out: cloning each name as a tie-break in the sort (candidates come in name order and the sort is stable).

--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -8,12 +8,13 @@
 use declare::Target;
 use names::Upstream;
 use operator::Response;
-use placement::{Candidate, Policy, Rendezvous};
+use placement::{Candidate, Knowledge, Policy};
+use rand::RngExt;
 use serde_json::json;
 use settings::Settings;
 use stakker::{Actor, CX, Ret, after, call, ret};
 use telemetry::Metrics;
-use upstream::{Announcement, Change, Load, Registry};
+use upstream::{Announcement, Change, Entry, Load, Registry};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
 
 use crate::operators::Ask;
@@ -65,12 +66,14 @@
         metrics: Arc<Metrics>,
     ) -> Option<Self> {
         after!(EXPIRY_CHECK, [cx], expire());
+        let policies = &settings.policies;
+        let policy = policies.placement.policy(policies.load_bound_percent, rand::rng().random());
         Some(Self {
             settings,
             hub,
             metrics,
             registry: Registry::default(),
-            policy: Box::new(Rendezvous),
+            policy,
             in_flight: Vec::new(),
         })
     }
@@ -124,7 +127,7 @@
             .map(|entry| Candidate {
                 upstream: entry.announcement.upstream.clone(),
                 slots: entry.announcement.slots,
-                in_flight: self.in_flight(&entry.announcement.upstream),
+                in_flight: self.load(entry),
             })
             .collect();
         if candidates.is_empty() {
@@ -134,6 +137,9 @@
         self.policy.order(wanted.key, &mut candidates);
         let chosen = candidates.iter().find(|candidate| candidate.in_flight < candidate.slots);
         let permit = chosen.and_then(|candidate| self.grant(&candidate.upstream));
+        if let Some(permit) = &permit {
+            self.policy.placed(wanted.key, &permit.upstream);
+        }
         ret!([placed], permit.map_or(Placed::Full, Placed::Granted));
     }
 
@@ -155,6 +161,16 @@
         self.find(upstream).map_or(0, |index| self.in_flight[index].count)
     }
 
+    /// The load of an upstream as the policy wants to know it.
+    fn load(&self, entry: &Entry) -> u32 {
+        match self.policy.knowledge() {
+            Knowledge::Newest => self.in_flight(&entry.announcement.upstream),
+            Knowledge::Reported => {
+                entry.load.as_ref().map_or(0, |load| load.running + load.waiting)
+            }
+        }
+    }
+
     fn grant(&mut self, upstream: &Upstream) -> Option<Permit> {
         let address = self.registry.get(upstream)?.announcement.address;
         match self.find(upstream) {
--- /dev/null
+++ b/crates/placement/src/baselines.rs
@@ -0,0 +1,61 @@
+//! Policies that the default is measured against.
+
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+
+use crate::{Candidate, Knowledge, Policy};
+
+/// Tries one candidate after another in turn.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Policy for RoundRobin {
+    fn order(&mut self, _: u64, candidates: &mut Vec<Candidate>) {
+        if candidates.is_empty() {
+            return;
+        }
+        let first = self.next % candidates.len();
+        candidates.rotate_left(first);
+        self.next = self.next.wrapping_add(1);
+    }
+}
+
+/// Tries candidates in a random order.
+#[derive(Debug)]
+pub struct Random {
+    generator: Pcg64Mcg,
+}
+
+impl Random {
+    /// A policy whose orders follow from `seed`.
+    pub fn new(seed: u64) -> Self {
+        Self { generator: Pcg64Mcg::seed_from_u64(seed) }
+    }
+}
+
+impl Policy for Random {
+    fn order(&mut self, _: u64, candidates: &mut Vec<Candidate>) {
+        candidates.shuffle(&mut self.generator);
+    }
+}
+
+/// Tries the candidate first that reports the least load for its slots.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct LeastLoad;
+
+impl Policy for LeastLoad {
+    fn order(&mut self, _: u64, candidates: &mut Vec<Candidate>) {
+        candidates.sort_by(|left, right| {
+            let left_load = u64::from(left.in_flight) * u64::from(right.slots);
+            let right_load = u64::from(right.in_flight) * u64::from(left.slots);
+            left_load.cmp(&right_load)
+        });
+    }
+
+    fn knowledge(&self) -> Knowledge {
+        Knowledge::Reported
+    }
+}
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -9,13 +9,30 @@
     pub upstream: Upstream,
     /// How many requests it works on at once.
     pub slots: u32,
-    /// Requests that it works on, by the newest knowledge.
+    /// Requests that it works on, by the [`Knowledge`] that the policy asks for.
     pub in_flight: u32,
 }
 
+/// Where a policy wants the load of candidates from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Knowledge {
+    /// The newest that instances know of requests in flight.
+    Newest,
+    /// What upstreams report of themselves, which lags behind.
+    Reported,
+}
+
 /// Orders candidates for a request.
 pub trait Policy {
     /// Sorts `candidates` so that the first is tried first. `key` is the same for all requests
-    /// of one conversation.
+    /// of one conversation. Candidates come in the order of their names.
     fn order(&mut self, key: u64, candidates: &mut Vec<Candidate>);
+
+    /// Takes note that a request with `key` went to `upstream`.
+    fn placed(&mut self, _key: u64, _upstream: &Upstream) {}
+
+    /// Where the load of candidates comes from.
+    fn knowledge(&self) -> Knowledge {
+        Knowledge::Newest
+    }
 }
--- a/crates/placement/src/rendezvous.rs
+++ b/crates/placement/src/rendezvous.rs
@@ -12,14 +12,17 @@
     xxh3_64_with_seed(name.as_bytes(), key)
 }
 
-/// Orders candidates by their weight for the conversation.
+/// Sorts candidates by their weight for `key`.
+pub(crate) fn sort(key: u64, candidates: &mut [Candidate]) {
+    candidates.sort_by_cached_key(|candidate| Reverse(weight(key, candidate.upstream.as_str())));
+}
+
+/// Orders candidates by their weight for the conversation, whatever their load.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Rendezvous;
 
 impl Policy for Rendezvous {
     fn order(&mut self, key: u64, candidates: &mut Vec<Candidate>) {
-        candidates.sort_by_cached_key(|candidate| {
-            Reverse((weight(key, candidate.upstream.as_str()), candidate.upstream.clone()))
-        });
+        sort(key, candidates);
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod error;
 mod model;
+mod policies;
 
 pub use error::Error;
 pub use model::{Limits, Listen, Peer, Role, Settings, Timing};
+pub use policies::Policies;
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use units::{Size, Span};
 
-use crate::Error;
+use crate::{Error, Policies};
 
 /// Most voters that a control group may have.
 const MAX_VOTERS: usize = 7;
@@ -159,6 +159,9 @@
     /// Spans of time that the instance works with.
     #[serde(default)]
     pub timing: Timing,
+    /// Policies that the instance decides by.
+    #[serde(default)]
+    pub policies: Policies,
     /// Writes log lines as JSON.
     #[serde(default)]
     pub json_logs: bool,
--- /dev/null
+++ b/crates/settings/src/policies.rs
@@ -0,0 +1,32 @@
+//! Which policies an instance decides by.
+
+use placement::Bound;
+use serde::{Deserialize, Serialize};
+
+/// Requests that wait at one upstream at most, unless the settings say otherwise.
+const DEFAULT_MAX_WAITING: usize = 1024;
+
+/// The policies of an instance. All instances of a fleet use the same.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Policies {
+    /// How an upstream is chosen for a request.
+    pub placement: placement::Choice,
+    /// Load that an upstream may carry, in percent of the mean; at least 100.
+    pub load_bound_percent: Bound,
+    /// How an upstream's owner decides which requests run.
+    pub admission: admission::Choice,
+    /// Requests that wait at one upstream at most.
+    pub max_waiting: usize,
+}
+
+impl Default for Policies {
+    fn default() -> Self {
+        Self {
+            placement: placement::Choice::default(),
+            load_bound_percent: Bound::default(),
+            admission: admission::Choice::default(),
+            max_waiting: DEFAULT_MAX_WAITING,
+        }
+    }
+}
