--- a/crates/instance/src/limits.rs
+++ b/crates/instance/src/limits.rs
@@ -12,6 +12,8 @@
 use stakker::{Actor, CX, Ret, after, call, ret};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
 
+use crate::members::View;
+
 /// How often due reports are looked for.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -28,31 +30,46 @@
 pub(crate) struct Limits {
     me: Instance,
     hub: Actor<Hub>,
+    configured: u32,
     instances: Vec<Instance>,
     limiter: Limiter,
     apportioner: Apportioner,
 }
 
-fn count(instances: &[Instance]) -> u32 {
-    u32::try_from(instances.len()).unwrap_or(u32::MAX)
+fn count<T>(list: &[T]) -> u32 {
+    u32::try_from(list.len()).unwrap_or(u32::MAX)
 }
 
 impl Limits {
     pub(crate) fn init(cx: CX![], settings: Rc<Settings>, hub: Actor<Hub>) -> Option<Self> {
         after!(TICK, [cx], tick());
-        let peers = settings.peers.iter().map(|peer| peer.instance.clone());
-        let mut instances: Vec<_> = peers.chain([settings.instance.clone()]).collect();
-        instances.sort();
-        let count = count(&instances);
+        let me = settings.instance.clone();
+        let configured = 1 + count(&settings.peers);
         Some(Self {
-            me: settings.instance.clone(),
+            me: me.clone(),
             hub,
-            instances,
-            limiter: Limiter::new(count),
-            apportioner: Apportioner::new(count, count),
+            configured,
+            instances: vec![me],
+            limiter: Limiter::new(configured),
+            apportioner: Apportioner::new(1, configured),
         })
     }
 
+    /// Learns which other instances are members.
+    pub(crate) fn set_view(&mut self, cx: CX![], view: View) {
+        let members = view.members.into_iter().map(|member| member.instance);
+        let mut instances: Vec<_> = members.chain([self.me.clone()]).collect();
+        instances.sort();
+        if instances == self.instances {
+            return;
+        }
+        let reachable = count(&instances);
+        let all = self.configured.max(reachable);
+        self.instances = instances;
+        self.limiter.set_instances(all);
+        self.apportioner.set_reachable(cx.now(), reachable, all);
+    }
+
     /// Puts the limits of `declarations` in force.
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
         let accounts = declarations.client_accounts.iter();
