--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -73,9 +73,9 @@
 
 fn last(events: &Receiver<Event>) -> Progress {
     loop {
-        match events.recv_timeout(PATIENCE).unwrap().progress {
-            progress @ (Progress::End | Progress::Failed { .. }) => return progress,
-            _ => {}
+        let progress = events.recv_timeout(PATIENCE).unwrap().progress;
+        if matches!(progress, Progress::End | Progress::Failed { .. }) {
+            return progress;
         }
     }
 }
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -10,12 +10,15 @@
 use names::Incarnation;
 use operator::Response;
 use settings::Settings;
-use stakker::{ActorOwn, CX, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop};
+use stakker::{
+    ActorOwn, CX, Fwd, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop,
+};
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
 use crate::claims::Claims;
 use crate::config::{Config, Surroundings};
+use crate::limits::Limits;
 use crate::members::{Members, View};
 use crate::operators::{Ask, Operators};
 use crate::placer::Placer;
@@ -39,6 +42,7 @@
 pub(crate) struct Root {
     settings: Rc<Settings>,
     _hub: ActorOwn<Hub>,
+    limits: ActorOwn<Limits>,
     placer: ActorOwn<Placer>,
     router: ActorOwn<Router>,
     server: ActorOwn<Server>,
@@ -106,6 +110,11 @@
             Placer::init(settings.clone(), hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let limits = actor!(
+            cx,
+            Limits::init(settings.clone(), hub.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let replica = actor!(
             cx,
             Replica::init(settings.clone(), incarnation, hub.clone(), metrics.clone()),
@@ -118,7 +127,13 @@
         );
         let router = actor!(
             cx,
-            Router::init(settings.clone(), placer.clone(), claims.clone(), metrics.clone()),
+            Router::init(
+                settings.clone(),
+                limits.clone(),
+                placer.clone(),
+                claims.clone(),
+                metrics.clone(),
+            ),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let in_force = fwd_to!([router], set_declarations() as (Rc<Declarations>));
@@ -131,7 +146,12 @@
         };
         let config =
             actor!(cx, Config::init(around), ret_some_to!([cx], child_ended() as (StopCause)));
-        let views = fwd_to!([placer], set_view() as (View));
+        let placer_views = fwd_to!([placer], set_view() as (View));
+        let limits_views = fwd_to!([limits], set_view() as (View));
+        let views = Fwd::new(move |view: View| {
+            limits_views.fwd(view.clone());
+            placer_views.fwd(view);
+        });
         let members = actor!(
             cx,
             Members::init(settings.clone(), incarnation, hub.clone(), metrics.clone(), views),
@@ -155,6 +175,7 @@
         Ok(Self {
             settings,
             _hub: hub,
+            limits,
             placer,
             router,
             server,
@@ -181,9 +202,10 @@
     fn deliver(&mut self, _: CX![], delivery: Delivery) {
         match delivery.slice {
             Slice::Membership => call!([self.members], deliver(delivery)),
-            Slice::Upstream | Slice::Permit | Slice::Load | Slice::Account => {
-                call!([self.placer], deliver(delivery));
+            Slice::Upstream | Slice::Permit | Slice::Load => {
+                call!([self.placer], deliver(delivery))
             }
+            Slice::Account => call!([self.limits], deliver(delivery)),
             Slice::State => call!([self.replica], deliver(delivery)),
             Slice::Ledger => call!([self.claims], deliver(delivery)),
             Slice::Declare => call!([self.config], deliver(delivery)),
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use admission::limit::Passage;
 use declare::Declarations;
 use dispatch::{Allowance, Budget, Pool, Verdict};
 use entry::{Event, Problem, Reply, Request, Status};
@@ -19,6 +20,7 @@
 use telemetry::{Metrics, RequestLabels};
 
 use crate::claims::Claims;
+use crate::limits::Limits;
 use crate::placer::{Placed, Placer, Wanted};
 use crate::problem;
 use active::{Active, Phase};
@@ -44,6 +46,7 @@
 pub(crate) struct Router {
     settings: Rc<Settings>,
     declarations: Rc<Declarations>,
+    limits: Actor<Limits>,
     placer: Actor<Placer>,
     claims: Actor<Claims>,
     metrics: Arc<Metrics>,
@@ -57,6 +60,7 @@
     pub(crate) fn init(
         cx: CX![],
         settings: Rc<Settings>,
+        limits: Actor<Limits>,
         placer: Actor<Placer>,
         claims: Actor<Claims>,
         metrics: Arc<Metrics>,
@@ -68,6 +72,7 @@
         Some(Self {
             settings,
             declarations: Rc::default(),
+            limits,
             placer,
             claims,
             metrics,
@@ -80,6 +85,7 @@
 
     /// Puts declarations in force for requests that arrive from now on.
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        call!([self.limits], set_declarations(declarations.clone()));
         self.declarations = declarations;
     }
 
@@ -121,7 +127,6 @@
             }
         };
         let deadline = route.deadline;
-        let is_keyed = route.ticket.is_some();
         let active = Active::new(id, cx.now(), route, reply);
         let index = match self.active.binary_search_by(|other| other.id.cmp(&id)) {
             Ok(_) => return,
@@ -131,10 +136,30 @@
         self.metrics.active.inc();
         self.budget.count_request();
         at!(deadline, [cx], expire(id));
-        if is_keyed {
-            self.claim(cx, index);
-        } else {
-            self.place(cx, id);
+        self.check_limit(cx, id);
+    }
+
+    /// Asks whether the request passes the limit of its account.
+    fn check_limit(&mut self, cx: CX![], id: names::Request) {
+        let Some(index) = self.find(id) else {
+            return;
+        };
+        let account = self.active[index].route.account.clone();
+        let passage = ret_some_to!([cx], passed(id) as (Passage));
+        call!([self.limits], pass(account, passage));
+    }
+
+    fn passed(&mut self, cx: CX![], id: names::Request, passage: Passage) {
+        let Some(index) = self.find(id) else {
+            return;
+        };
+        match passage {
+            Passage::Pass if self.active[index].route.ticket.is_some() => self.claim(cx, index),
+            Passage::Pass => self.place(cx, id),
+            Passage::Refuse { retry_after } => {
+                let problem = problem::over_limit(&self.active[index].route.account, retry_after);
+                self.refuse(index, problem);
+            }
         }
     }
 
