--- a/crates/instance/src/config/mod.rs
+++ b/crates/instance/src/config/mod.rs
@@ -33,6 +33,7 @@
 use crate::operators::Ask;
 use crate::replica::{Part, Replica};
 use access::Access;
+use gossip::Peer;
 use keeper::{Keeper, Kept, Stored};
 use order::Draft;
 use packet::{Packet, Status};
@@ -79,6 +80,7 @@
     declarations: Rc<Declarations>,
     in_force: Revision,
     is_ready: bool,
+    peers: Vec<Peer>,
     waiting: Vec<Waiting>,
     heard: Vec<Heard>,
     diverged: Vec<Instance>,
@@ -146,6 +148,7 @@
             declarations: Rc::default(),
             in_force: Revision::default(),
             is_ready: false,
+            peers: gossip::configured(&settings),
             waiting: Vec::new(),
             heard: Vec::new(),
             diverged: Vec::new(),
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use declare::Target;
+use declare::{Declarations, Target};
 use names::Upstream;
 use operator::Response;
 use placement::{Candidate, Policy, Rendezvous};
@@ -16,6 +16,7 @@
 use upstream::{Announcement, Change, Load, Registry};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
 
+use crate::members::View;
 use crate::operators::Ask;
 
 /// How often lapsed announcements are looked for.
@@ -53,6 +54,7 @@
     hub: Actor<Hub>,
     metrics: Arc<Metrics>,
     registry: Registry,
+    declarations: Rc<Declarations>,
     policy: Box<dyn Policy>,
     in_flight: Vec<InFlight>,
 }
@@ -70,11 +72,17 @@
             hub,
             metrics,
             registry: Registry::default(),
+            declarations: Rc::default(),
             policy: Box::new(Rendezvous),
             in_flight: Vec::new(),
         })
     }
 
+    /// Puts declarations in force for permits that are asked for from now on.
+    pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        self.declarations = declarations;
+    }
+
     /// Takes an announcement that an upstream made to this instance.
     pub(crate) fn announce(&mut self, cx: CX![], ask: Ask) {
         match Announcement::try_from(ask.request.body.as_slice()) {
@@ -105,6 +113,11 @@
         ask.answer(Response::json(200, &upstreams));
     }
 
+    /// Takes a change of the members.
+    pub(crate) fn set_view(&mut self, _: CX![], view: View) {
+        log::debug!("{} other members", view.members.len());
+    }
+
     /// Takes a message of a peer.
     pub(crate) fn deliver(&mut self, cx: CX![], delivery: Delivery) {
         match decode("announcement", &delivery.payload) {
@@ -121,6 +134,7 @@
             .registry
             .available(cx.now(), &wanted.target)
             .filter(|entry| !wanted.tried.contains(&entry.announcement.upstream))
+            .filter(|entry| !self.declarations.is_drained(&entry.announcement.labels))
             .map(|entry| Candidate {
                 upstream: entry.announcement.upstream.clone(),
                 slots: entry.announcement.slots,
