Add the operators' commands

Cause: declarations could be changed only by hand-made HTTP requests. apply, get, diff, history, rollback, audit, fleet and drain; check takes folders and gives line and column also for names that lead nowhere. An order's id is printed first; after a lost answer the order is resent with it through the other instances. A drain is declared, so it is in force through the same path and permits skip the upstreams that it selects.

--- a/crates/command/src/commands/check.rs
+++ b/crates/command/src/commands/check.rs
@@ -3,12 +3,12 @@
 use std::path::{Path, PathBuf};
 
 use bpaf::{Parser, positional};
-use declare::Declarations;
 use settings::Settings;
 
+use crate::files::{self, Text};
 use crate::{Command, Entry, Error, Exit};
 
-const HELP: &str = "Checks files of settings or declarations; changes nothing";
+const HELP: &str = "Checks files and folders of settings or declarations; changes nothing";
 const EXAMPLES: &str = "Example: turmericrelay check giza-1.yaml declarations.yaml";
 
 /// A field that only settings have.
@@ -19,7 +19,8 @@
 }
 
 pub(crate) fn entry() -> Entry {
-    let files = positional("FILE").help("Files to check").some("give at least one file");
+    let files =
+        positional("FILE").help("Files and folders to check").some("give at least one file");
     files
         .map(|files| -> Box<dyn Command> { Box::new(Check { files }) })
         .to_options()
@@ -30,14 +31,26 @@
         .boxed()
 }
 
-fn check(path: &Path) -> Result<&'static str, String> {
-    let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
-    if text.contains(SETTINGS_FIELD) {
-        Settings::try_from(text).map_err(|error| error.to_string())?;
-        return Ok("settings");
+fn is_settings(text: &Text) -> bool {
+    text.text.contains(SETTINGS_FIELD)
+}
+
+/// Checks one file, or the files of a folder, whose declarations are checked together.
+fn check(path: &Path) -> Result<Vec<String>, Error> {
+    let paths = files::expand(path)?;
+    let texts = paths.iter().map(|path| files::read(path)).collect::<Result<Vec<Text>, Error>>()?;
+    let (settings, declarations): (Vec<Text>, Vec<Text>) = texts.into_iter().partition(is_settings);
+    let mut valid = Vec::new();
+    for Text { path, text } in settings {
+        let path = path.display().to_string();
+        Settings::try_from(text)
+            .map_err(|error| Error::Invalid { path: path.clone(), problem: error.to_string() })?;
+        valid.push(format!("{path}: valid settings"));
     }
-    Declarations::try_from(text).map_err(|error| error.to_string())?;
-    Ok("declarations")
+    files::merge(&declarations)?;
+    let paths = declarations.iter().map(|text| text.path.display());
+    valid.extend(paths.map(|path| format!("{path}: valid declarations")));
+    Ok(valid)
 }
 
 impl Command for Check {
@@ -45,9 +58,9 @@
         let mut exit = Exit::Done;
         for path in &self.files {
             match check(path) {
-                Ok(what) => println!("{}: valid {what}", path.display()),
-                Err(problem) => {
-                    eprintln!("{}: {problem}", path.display());
+                Ok(valid) => valid.iter().for_each(|line| println!("{line}")),
+                Err(error) => {
+                    eprintln!("{error}");
                     exit = Exit::Invalid;
                 }
             }
--- /dev/null
+++ b/crates/command/src/commands/diff.rs
@@ -0,0 +1,67 @@
+//! `diff`: shows what files would change, or what changed between two revisions.
+
+use std::path::PathBuf;
+
+use bpaf::{Parser, construct, long, positional};
+use declare::Revision;
+use serde_json::Value;
+
+use crate::fleet::{self, Fleet};
+use crate::table::{items, print_json};
+use crate::{Command, Entry, Error, Exit, files};
+
+const HELP: &str = "Shows what files would change, or the difference between two revisions";
+const EXAMPLES: &str = "Example: turmericrelay diff declarations.yaml
+Example: turmericrelay diff --from 40 --to 41";
+
+struct Diff {
+    from: Option<Revision>,
+    to: Option<Revision>,
+    json: bool,
+    fleet: Fleet,
+    files: Vec<PathBuf>,
+}
+
+pub(crate) fn entry() -> Entry {
+    let from = long("from").help("Earlier revision").argument::<Revision>("REV").optional();
+    let to = long("to").help("Later revision").argument::<Revision>("REV").optional();
+    let json = fleet::json_flag();
+    let fleet = fleet::flags();
+    let files = positional("FILE").help("Files and folders to compare").many();
+    construct!(Diff { from, to, json, fleet, files })
+        .map(|diff| -> Box<dyn Command> { Box::new(diff) })
+        .to_options()
+        .descr(HELP)
+        .footer(EXAMPLES)
+        .command("diff")
+        .help(HELP)
+        .boxed()
+}
+
+impl Diff {
+    fn between_revisions(&self) -> Result<Value, Error> {
+        let from = self.from.map(|revision| format!("from={revision}"));
+        let to = self.to.map(|revision| format!("to={revision}"));
+        let query: Vec<String> = from.into_iter().chain(to).collect();
+        self.fleet.get(&format!("/declarations/diff?{}", query.join("&")))
+    }
+
+    fn of_files(&self) -> Result<Value, Error> {
+        let body = files::read_declarations(&self.files)?.to_yaml()?;
+        self.fleet.post("/declarations/diff", &body)
+    }
+}
+
+impl Command for Diff {
+    fn run(&self) -> Result<Exit, Error> {
+        let page = if self.files.is_empty() { self.between_revisions()? } else { self.of_files()? };
+        if self.json {
+            print_json(&page);
+            return Ok(Exit::Done);
+        }
+        for change in items(&page, "changes") {
+            println!("{}", change.as_str().unwrap_or_default());
+        }
+        Ok(Exit::Done)
+    }
+}
--- /dev/null
+++ b/crates/command/src/commands/get.rs
@@ -0,0 +1,50 @@
+//! `get`: prints the declarations of a revision.
+
+use bpaf::{Parser, construct, long};
+use declare::{Declarations, Revision};
+
+use crate::fleet::{self, Fleet};
+use crate::table::print_json;
+use crate::{Command, Entry, Error, Exit};
+
+const HELP: &str = "Prints the declarations in force, or those of an earlier revision, as YAML";
+const EXAMPLES: &str = "Example: turmericrelay get --revision 40 --token-file token";
+
+struct Get {
+    revision: Option<Revision>,
+    json: bool,
+    fleet: Fleet,
+}
+
+pub(crate) fn entry() -> Entry {
+    let revision =
+        long("revision").help("An earlier revision").argument::<Revision>("REV").optional();
+    let json = fleet::json_flag();
+    let fleet = fleet::flags();
+    construct!(Get { revision, json, fleet })
+        .map(|get| -> Box<dyn Command> { Box::new(get) })
+        .to_options()
+        .descr(HELP)
+        .footer(EXAMPLES)
+        .command("get")
+        .help(HELP)
+        .boxed()
+}
+
+impl Command for Get {
+    fn run(&self) -> Result<Exit, Error> {
+        let path = match self.revision {
+            Some(revision) => format!("/declarations?revision={revision}"),
+            None => "/declarations".to_string(),
+        };
+        let page = self.fleet.get(&path)?;
+        if self.json {
+            print_json(&page);
+            return Ok(Exit::Done);
+        }
+        let declarations = Declarations::try_from(page["declarations"].to_string())?;
+        println!("# revision {}", page["revision"]);
+        print!("{}", declarations.to_yaml()?);
+        Ok(Exit::Done)
+    }
+}
--- a/crates/command/src/commands/mod.rs
+++ b/crates/command/src/commands/mod.rs
@@ -1,8 +1,16 @@
 //! All commands.
 
+mod apply;
+mod audit;
 mod check;
 mod dev;
+mod diff;
+mod drain;
+mod fleet;
+mod get;
 mod hash_key;
+mod history;
+mod rollback;
 mod serve;
 mod stand_in;
 
@@ -10,5 +18,19 @@
 
 /// The parsers of all commands, in the order of the help text.
 pub(crate) fn all() -> Vec<Entry> {
-    vec![serve::entry(), dev::entry(), check::entry(), hash_key::entry(), stand_in::entry()]
+    vec![
+        serve::entry(),
+        dev::entry(),
+        check::entry(),
+        apply::entry(),
+        get::entry(),
+        diff::entry(),
+        history::entry(),
+        rollback::entry(),
+        audit::entry(),
+        fleet::entry(),
+        drain::entry(),
+        hash_key::entry(),
+        stand_in::entry(),
+    ]
 }
--- a/crates/command/src/error.rs
+++ b/crates/command/src/error.rs
@@ -43,6 +43,25 @@
     /// Logs could not be started.
     #[error(transparent)]
     Logs(#[from] telemetry::Error),
+    /// Declarations or an argument that stands in them are not valid.
+    #[error(transparent)]
+    Declarations(#[from] declare::Error),
+    /// The fleet refused what it was asked.
+    #[error("{message} ({code})")]
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// Short code for programs.
+        code: String,
+        /// What is wrong and how to mend it.
+        message: String,
+    },
+    /// No instance gave an answer.
+    #[error("no instance answered: {problem}; help: name others with --instance")]
+    Unreachable {
+        /// What the last one did.
+        problem: String,
+    },
     /// A file is not valid.
     #[error("{path}: {problem}")]
     Invalid {
@@ -65,7 +84,10 @@
     /// The exit code that goes with the error.
     pub fn exit(&self) -> Exit {
         match self {
-            Self::Settings(_) | Self::Invalid { .. } => Exit::Invalid,
+            Self::Settings(_) | Self::Invalid { .. } | Self::Declarations(_) => Exit::Invalid,
+            Self::Refused { status: 400, .. } => Exit::Invalid,
+            Self::Refused { status: 409, .. } => Exit::Conflict,
+            Self::Refused { status: 503 | 504, .. } | Self::Unreachable { .. } => Exit::Unreachable,
             _ => Exit::Failed,
         }
     }
--- a/crates/command/src/lib.rs
+++ b/crates/command/src/lib.rs
@@ -2,7 +2,10 @@
 
 mod commands;
 mod error;
+mod files;
+mod fleet;
 mod signals;
+mod table;
 
 use std::process::ExitCode;
 
--- a/crates/declare/src/error.rs
+++ b/crates/declare/src/error.rs
@@ -90,3 +90,13 @@
         problem: &'static str,
     },
 }
+
+impl Error {
+    /// The name in the declarations that the error is about, if it is about one.
+    pub fn subject(&self) -> Option<&str> {
+        match self {
+            Self::Twice { name, .. } | Self::Unknown { name, .. } => Some(name),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/tests/commands.rs
@@ -0,0 +1,134 @@
+//! The operators' commands against real instances.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod support;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use serde_json::{Value, json};
+use support::{Fleet, PROGRAM, Plan, Proxy, declarations, post, wait_for};
+
+const TOKEN: &str = "token-of-amal-for-tests";
+
+struct Console {
+    fleet: Fleet,
+    instances: Vec<SocketAddr>,
+}
+
+fn fleet(data_centres: &[&str]) -> Fleet {
+    let tokens = json!({ "amal": TOKEN });
+    let plan = Plan::new(data_centres).with_voters(1);
+    Fleet::start_plan(plan.with_setting("operator_tokens", tokens))
+}
+
+impl Console {
+    fn new(fleet: Fleet) -> Self {
+        std::fs::write(fleet.folder.path().join("token"), format!("{TOKEN}\n")).unwrap();
+        let instances = vec![fleet.instances[0].addresses.operators];
+        Self { fleet, instances }
+    }
+
+    fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.fleet.folder.path().join(name);
+        std::fs::create_dir_all(path.parent().unwrap()).unwrap();
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    fn run(&self, arguments: &[&str]) -> Output {
+        let mut command = Command::new(PROGRAM);
+        command.args(arguments).arg("--token-file").arg(self.fleet.folder.path().join("token"));
+        for address in &self.instances {
+            command.args(["--instance", &address.to_string()]);
+        }
+        command.output().unwrap()
+    }
+
+    fn json(&self, arguments: &[&str]) -> Value {
+        let output = self.run(&[arguments, &["--json"]].concat());
+        serde_json::from_slice(&output.stdout).unwrap()
+    }
+}
+
+fn text(output: &Output) -> String {
+    let text = [output.stdout.as_slice(), output.stderr.as_slice()].concat();
+    String::from_utf8(text).unwrap()
+}
+
+#[test]
+fn declarations_go_out_and_come_back_through_the_commands() {
+    let console = Console::new(fleet(&["giza", "cairo"]));
+    let file = console.file("new/all.yaml", &declarations());
+    let folder = file.parent().unwrap().display().to_string();
+    let applied = console.run(&["apply", &folder, "--base", "0", "--order", "mine"]);
+    assert_eq!(applied.status.code(), Some(0), "{}", text(&applied));
+    assert_eq!(text(&applied), "order mine\nrevision 1\n");
+    console.file("new/more.yaml", "kinds: [{name: tag, rank: normal, deadline: 5s}]");
+    let difference = console.run(&["diff", &folder]);
+    assert_eq!(text(&difference), "kind of work \"tag\": added\n");
+    assert_eq!(console.run(&["apply", &folder, "--base", "1"]).status.code(), Some(0));
+    let conflict = console.run(&["apply", &folder, "--base", "1"]);
+    assert_eq!(conflict.status.code(), Some(4));
+    assert!(text(&conflict).contains("by operator \"amal\""), "{}", text(&conflict));
+    assert_eq!(console.run(&["rollback", "--to", "1"]).status.code(), Some(0));
+    let audit = console.json(&["audit", "--limit", "1"]);
+    assert_eq!(audit["audit"][0]["changes"][0], "kind of work \"tag\": removed");
+    let history = console.json(&["history"]);
+    assert_eq!(history["history"][0]["rolled_back_to"], 1);
+    assert_eq!(history["history"].as_array().unwrap().len(), 3);
+    let listed = console.json(&["fleet"]);
+    assert_eq!(listed["instances"].as_array().unwrap().len(), 2);
+    let old = console.run(&["get", "--revision", "2"]);
+    assert!(text(&old).starts_with("# revision 2\n") && text(&old).contains("name: tag"));
+}
+
+#[test]
+fn an_order_is_resent_through_another_instance_after_a_lost_answer() {
+    let mut console = Console::new(fleet(&["giza"]));
+    let proxy = Proxy::start(console.instances[0]);
+    proxy.change(|faults| faults.is_half_open = true);
+    console.instances.insert(0, proxy.address());
+    let file = console.file("all.yaml", &declarations()).display().to_string();
+    let applied = console.run(&["apply", &file, "--base", "0"]);
+    assert_eq!(applied.status.code(), Some(0), "{}", text(&applied));
+    assert!(text(&applied).contains("revision 1\n"), "{}", text(&applied));
+    console.instances.remove(0);
+    assert_eq!(console.json(&["history"])["current"], 1, "the order ran twice");
+}
+
+#[test]
+fn a_declared_drain_keeps_new_work_away_until_it_is_undone() {
+    let console = Console::new(fleet(&["giza", "giza"]));
+    let mut console = console;
+    console.fleet.add_upstream("shop-1", "giza", &["--label", "app=shop"]);
+    let book = |index: usize| {
+        let address = console.fleet.instances[index].addresses.callers;
+        post(address, "/services/shop/bookings", &[], &json!({ "family": "Hassan" })).unwrap()
+    };
+    assert_eq!(book(1).status, 200);
+    let drained = console.run(&["drain", "--select", "app=shop"]);
+    assert_eq!(drained.status.code(), Some(0), "{}", text(&drained));
+    wait_for("drain in force", || (book(1).status == 503).then_some(()));
+    assert_eq!(book(1).verdict.as_deref(), Some("not-run"));
+    assert_eq!(console.run(&["drain", "--select", "app=shop", "--undo"]).status.code(), Some(0));
+    wait_for("end of drain", || (book(1).status == 200).then_some(()));
+}
+
+#[test]
+fn exit_codes_tell_what_went_wrong() {
+    let mut console = Console::new(fleet(&["giza"]));
+    let invalid = console
+        .file("bad.yaml", "services:\n  - name: a\n    target: {model: m}\n    kind: nothing\n");
+    let invalid = invalid.display().to_string();
+    let refused = console.run(&["apply", &invalid, "--base", "0"]);
+    assert_eq!(refused.status.code(), Some(3));
+    assert!(text(&refused).contains("at line 4 column 11"), "{}", text(&refused));
+    assert_eq!(console.run(&["get", "--revision", "99"]).status.code(), Some(1));
+    assert_eq!(console.run(&["rollback"]).status.code(), Some(2));
+    assert_eq!(console.run(&["drain", "--select", ""]).status.code(), Some(3));
+    console.instances = vec![support::free_address()];
+    assert_eq!(console.run(&["history"]).status.code(), Some(5));
+}
