--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -106,14 +106,19 @@
             Placer::init(settings.clone(), hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let router = actor!(
+        let replica = actor!(
             cx,
-            Router::init(settings.clone(), placer.clone(), metrics.clone()),
+            Replica::init(settings.clone(), incarnation, hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let replica = actor!(
+        let claims = actor!(
+            cx,
+            Claims::init(replica.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
+        let router = actor!(
             cx,
-            Replica::init(settings.clone()),
+            Router::init(settings.clone(), placer.clone(), claims.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let in_force = vec![
@@ -129,11 +134,6 @@
         };
         let config =
             actor!(cx, Config::init(around), ret_some_to!([cx], child_ended() as (StopCause)));
-        let claims = actor!(
-            cx,
-            Claims::init(replica.clone()),
-            ret_some_to!([cx], child_ended() as (StopCause))
-        );
         let views = fwd_to!([cx], set_view() as (View));
         let members = actor!(
             cx,
@@ -217,6 +217,10 @@
             call!([self.config], answer(ask));
             return;
         }
+        if request.path.starts_with("/state") {
+            call!([self.replica], answer(ask));
+            return;
+        }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/announce" | "/load") if !self.is_upstream(request) => {
                 let message = "the request needs the fleet's upstream token";
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -78,6 +78,8 @@
     pub connections: usize,
     /// Most calls to upstreams at once.
     pub calls: usize,
+    /// Least size of the replicated log at which a snapshot replaces it.
+    pub log: Size,
 }
 
 impl Default for Limits {
@@ -89,6 +91,7 @@
             unread: Size::from_kibibytes(256),
             connections: 4096,
             calls: 512,
+            log: Size::from_kibibytes(1024),
         }
     }
 }
@@ -121,6 +124,27 @@
     }
 }
 
+/// How retries of failed attempts are limited.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum Retries {
+    /// Every failure that may be retried is retried.
+    Unbounded,
+    /// A share of the requests, and some retries a second in any case.
+    Share {
+        /// Retries for 100 requests.
+        percent: u32,
+        /// Retries a second that quiet traffic may have.
+        per_second: u32,
+    },
+}
+
+impl Default for Retries {
+    fn default() -> Self {
+        Self::Share { percent: 20, per_second: 10 }
+    }
+}
+
 /// Settings of one instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -162,6 +186,9 @@
     /// Spans of time that the instance works with.
     #[serde(default)]
     pub timing: Timing,
+    /// How retries of failed attempts are limited.
+    #[serde(default)]
+    pub retries: Retries,
     /// Writes log lines as JSON.
     #[serde(default)]
     pub json_logs: bool,
