Prove declarations under faults with a quorum of voters

Cause: the tests had one voter, as the log had no consensus yet.

Two faults mended: an instance that does not know the revision answered /declarations with revision 0, now 503; a control instance that is no voter read history from an empty machine, now it passes the request to a voter.

--- a/crates/instance/src/config/mod.rs
+++ b/crates/instance/src/config/mod.rs
@@ -162,7 +162,8 @@
             self.view.settle(Revision::default());
         }
         self.put_in_force();
-        if self.around.settings.has_role(Role::Control) {
+        let settings = &self.around.settings;
+        if settings.has_role(Role::Control) && settings.voters.contains(&settings.instance) {
             let revisions = Rc::new(RefCell::new(Revisions::default()));
             self.revisions = Some(revisions.clone());
             let applied = fwd_to!([cx], applied() as (Index));
--- a/crates/instance/src/config/reading.rs
+++ b/crates/instance/src/config/reading.rs
@@ -37,15 +37,19 @@
                 let response = self.compare(request);
                 ask.answer(response);
             }
-            ("GET", "/declarations") if wanted == in_force => {
+            ("GET", "/declarations") if wanted == in_force && self.is_ready => {
                 ask.answer(page::content(self.in_force, &self.declarations));
             }
+            ("GET", "/declarations") if !self.is_ready => {
+                let message = "the newest revision is not known here yet; ask again later";
+                ask.answer(Response::error(503, "not_ready", message));
+            }
             ("GET", _) => match &self.revisions {
-                Some(revisions) => {
+                Some(revisions) if revisions.borrow().revision() >= self.in_force => {
                     let response = page::read(&path, &ask.request, &revisions.borrow());
                     ask.answer(response);
                 }
-                None => self.pass(cx, ask),
+                _ => self.pass(cx, ask),
             },
             (method, _) => {
                 let message = format!("{method} {path} does not exist");
@@ -68,6 +72,7 @@
 
     fn pass(&mut self, cx: CX![], ask: Ask) {
         let mut voters = self.around.settings.voters.clone();
+        voters.retain(|voter| *voter != self.around.settings.instance);
         voters.shuffle(&mut rand::rng());
         self.last_passed += 1;
         let id = self.last_passed;
--- a/tests/declarations.rs
+++ b/tests/declarations.rs
@@ -4,105 +4,31 @@
 
 mod support;
 
-use std::net::SocketAddr;
-use std::time::{Duration, Instant};
-
 use serde_json::{Value, json};
-use support::{Fleet, Plan, declarations, wait_for};
-
-const AMAL: &str = "token-of-amal-for-tests";
-const BERT: &str = "token-of-bert-for-tests";
-
-/// Target for a healthy fleet.
-const HEALTHY: Duration = Duration::from_secs(2);
-
-/// Target through restarts and cuts that heal.
-const HEALED: Duration = Duration::from_secs(17);
-
-fn plan(data_centres: &[&str]) -> Plan {
-    let tokens = json!({ "amal": AMAL, "bert": BERT });
-    Plan::new(data_centres).with_voters(1).with_setting("operator_tokens", tokens)
-}
-
-struct Reply {
-    status: u16,
-    body: Value,
-}
-
-fn agent() -> ureq::Agent {
-    ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .proxy(None)
-        .timeout_global(Some(support::PATIENCE))
-        .build()
-        .new_agent()
-}
-
-fn read(mut response: ureq::http::Response<ureq::Body>) -> Reply {
-    let status = response.status().as_u16();
-    let text = response.body_mut().read_to_string().unwrap();
-    Reply { status, body: serde_json::from_str(&text).unwrap_or(Value::String(text)) }
-}
-
-fn post(address: SocketAddr, token: &str, path: &str, body: &str) -> Reply {
-    let url = format!("http://{address}{path}");
-    let request = agent().post(url).header("authorization", format!("Bearer {token}"));
-    read(request.send(body).unwrap())
-}
-
-fn get(address: SocketAddr, path: &str) -> Reply {
-    let request = agent().get(format!("http://{address}{path}"));
-    read(request.header("authorization", format!("Bearer {AMAL}")).call().unwrap())
-}
-
-fn operators(fleet: &Fleet, index: usize) -> SocketAddr {
-    fleet.instances[index].addresses.operators
-}
-
-/// The usual declarations with the account's weight changed.
-fn weighing(weight: u64) -> String {
-    format!("{}    weight: {weight}\n", declarations())
-}
-
-fn apply(fleet: &Fleet, index: usize, token: &str, base: u64, order: &str, weight: u64) -> Reply {
-    let path = format!("/declarations?base={base}&order={order}");
-    post(operators(fleet, index), token, &path, &weighing(weight))
-}
-
-fn revision(fleet: &Fleet, index: usize) -> Option<u64> {
-    let request = agent().get(format!("http://{}/declarations", operators(fleet, index)));
-    let response = request.header("authorization", format!("Bearer {AMAL}")).call().ok()?;
-    read(response).body["revision"].as_u64()
-}
-
-/// Waits until `revision` is in force at all of `instances`; gives the time it took.
-fn in_force(fleet: &Fleet, instances: &[usize], wanted: u64) -> Duration {
-    let start = Instant::now();
-    for index in instances {
-        wait_for("revision in force", || (revision(fleet, *index)? == wanted).then_some(()));
-    }
-    start.elapsed()
-}
+use support::{
+    AMAL, BERT, Fleet, HEALED, HEALTHY, Plan, Reply, apply, declared, declaring, in_force,
+    operators, order, revision, wait_for,
+};
 
 #[test]
 fn an_order_is_in_force_everywhere_within_the_target() {
-    let fleet = Fleet::start_plan(plan(&["giza", "giza", "cairo", "cairo"]));
+    let fleet = Fleet::start_plan(declaring(&["giza", "giza", "cairo", "cairo"]));
     for base in 0..10 {
         let reply = apply(&fleet, 0, AMAL, base, &format!("order-{base}"), base + 2);
         assert_eq!((reply.status, reply.body["revision"].as_u64()), (200, Some(base + 1)));
         let took = in_force(&fleet, &[0, 1, 2, 3], base + 1);
         assert!(took <= HEALTHY, "{took:?}");
     }
-    let page = get(operators(&fleet, 3), "/declarations").body;
+    let page = declared(operators(&fleet, 3), "/declarations").body;
     assert_eq!(page["declarations"]["client_accounts"][0]["weight"], 11);
-    let audit = get(operators(&fleet, 3), "/declarations/audit?limit=1").body;
+    let audit = declared(operators(&fleet, 3), "/declarations/audit?limit=1").body;
     let record = &audit["audit"][0];
     assert_eq!(record["operator"], "amal");
     assert_eq!(record["changes"][0], "client account \"nasr\": weight 10 -> 11");
     assert_eq!((&record["base"], &record["revision"]), (&json!(9), &json!(10)));
-    let old = get(operators(&fleet, 2), "/declarations?revision=3").body;
+    let old = declared(operators(&fleet, 2), "/declarations?revision=3").body;
     assert_eq!(old["declarations"]["client_accounts"][0]["weight"], 4);
-    let listed = get(operators(&fleet, 1), "/fleet").body;
+    let listed = declared(operators(&fleet, 1), "/fleet").body;
     for instance in listed["instances"].as_array().unwrap() {
         assert_eq!(instance["revision"], 10, "{listed}");
     }
@@ -110,7 +36,7 @@
 
 #[test]
 fn of_racing_operators_one_wins_and_the_others_learn_of_it() {
-    let fleet = Fleet::start_plan(plan(&["giza", "giza"]));
+    let fleet = Fleet::start_plan(declaring(&["giza", "giza"]));
     for base in 0..5 {
         let replies: Vec<Reply> = std::thread::scope(|scope| {
             let racers: Vec<_> = [(AMAL, "amal"), (BERT, "bert"), (BERT, "bert-2")]
@@ -136,7 +62,7 @@
 
 #[test]
 fn a_resent_order_gets_its_first_answer() {
-    let fleet = Fleet::start_plan(plan(&["giza", "giza"]));
+    let fleet = Fleet::start_plan(declaring(&["giza", "giza"]));
     assert_eq!(apply(&fleet, 0, AMAL, 0, "first", 2).status, 200);
     assert_eq!(apply(&fleet, 0, AMAL, 1, "second", 3).status, 200);
     let resent = apply(&fleet, 0, AMAL, 0, "first", 2);
@@ -148,25 +74,25 @@
 
 #[test]
 fn a_rollback_is_a_new_revision_with_old_content() {
-    let fleet = Fleet::start_plan(plan(&["giza", "cairo"]));
+    let fleet = Fleet::start_plan(declaring(&["giza", "cairo"]));
     for base in 0..3 {
         apply(&fleet, 0, AMAL, base, &format!("order-{base}"), base + 2);
     }
     let path = "/declarations/rollback?to=1&base=3&order=back";
-    let reply = post(operators(&fleet, 0), BERT, path, "");
+    let reply = order(operators(&fleet, 0), BERT, path, "");
     assert_eq!(reply.body["revision"], 4, "{}", reply.body);
     in_force(&fleet, &[0, 1], 4);
-    let page = get(operators(&fleet, 1), "/declarations").body;
+    let page = declared(operators(&fleet, 1), "/declarations").body;
     assert_eq!(page["declarations"]["client_accounts"][0]["weight"], 2);
-    let changes = get(operators(&fleet, 1), "/declarations/diff?from=3&to=4").body;
+    let changes = declared(operators(&fleet, 1), "/declarations/diff?from=3&to=4").body;
     assert_eq!(changes["changes"][0], "client account \"nasr\": weight 4 -> 2");
     let unknown = "/declarations/rollback?to=9&base=4&order=far";
-    assert_eq!(post(operators(&fleet, 0), BERT, unknown, "").status, 404);
+    assert_eq!(order(operators(&fleet, 0), BERT, unknown, "").status, 404);
 }
 
 #[test]
 fn a_cut_instance_catches_up_after_the_heal_even_with_hundreds_of_changes() {
-    let fleet = Fleet::start_plan(plan(&["giza", "cairo", "cairo"]).with_proxies());
+    let fleet = Fleet::start_plan(declaring(&["giza", "cairo", "cairo"]).with_proxies());
     assert_eq!(apply(&fleet, 0, AMAL, 0, "order-0", 2).status, 200);
     in_force(&fleet, &[0, 1, 2], 1);
     fleet.set_cut(&[2], true);
@@ -184,7 +110,7 @@
 
 #[test]
 fn no_instance_goes_back_across_kills() {
-    let mut fleet = Fleet::start_plan(plan(&["giza", "cairo", "cairo"]));
+    let mut fleet = Fleet::start_plan(declaring(&["giza", "cairo", "cairo"]));
     for base in 0..5 {
         apply(&fleet, 0, AMAL, base, &format!("order-{base}"), base + 2);
     }
@@ -201,7 +127,7 @@
 
 #[test]
 fn an_instance_without_a_stored_revision_is_not_ready_before_it_knows() {
-    let mut fleet = Fleet::start_plan(plan(&["giza", "cairo"]).with_proxies());
+    let mut fleet = Fleet::start_plan(declaring(&["giza", "cairo"]).with_proxies());
     apply(&fleet, 0, AMAL, 0, "order-0", 7);
     in_force(&fleet, &[0, 1], 1);
     fleet.set_cut(&[1], true);
@@ -220,7 +146,7 @@
 
 #[test]
 fn a_damaged_stored_revision_is_named_and_fetched_anew() {
-    let mut fleet = Fleet::start_plan(plan(&["giza", "cairo"]).with_voters(2));
+    let mut fleet = Fleet::start_plan(declaring(&["giza", "cairo"]).with_voters(2));
     apply(&fleet, 0, AMAL, 0, "order-0", 7);
     in_force(&fleet, &[0, 1], 1);
     fleet.kill(1);
@@ -237,13 +163,13 @@
 
 #[test]
 fn only_operators_with_a_token_may_read_and_change() {
-    let fleet = Fleet::start_plan(plan(&["giza"]));
+    let fleet = Fleet::start_plan(declaring(&["giza"]));
     let address = operators(&fleet, 0);
     assert_eq!(apply(&fleet, 0, "a wrong token", 0, "order", 2).status, 401);
     assert!(support::get(address, "/declarations").unwrap_err().contains("unauthorised"));
     assert_eq!(apply(&fleet, 0, AMAL, 0, "order", 2).status, 200);
     for path in ["/declarations/audit", "/metrics"] {
-        let page = get(address, path).body.to_string();
+        let page = declared(address, path).body.to_string();
         assert!(!page.contains(AMAL) && !page.contains(BERT), "{page}");
     }
     assert!(!fleet.instances[0].process.log_text().contains(AMAL));
@@ -257,9 +183,9 @@
 
 #[test]
 fn declarations_that_do_not_hold_together_are_refused() {
-    let fleet = Fleet::start_plan(plan(&["giza"]));
+    let fleet = Fleet::start_plan(declaring(&["giza"]));
     let text = "services: [{name: a, target: {model: m}, kind: nothing}]";
-    let reply = post(operators(&fleet, 0), AMAL, "/declarations?base=0&order=x", text);
+    let reply = order(operators(&fleet, 0), AMAL, "/declarations?base=0&order=x", text);
     assert_eq!(reply.status, 400);
     assert!(reply.body.to_string().contains("nothing"), "{}", reply.body);
     let ahead = apply(&fleet, 0, AMAL, 7, "ahead", 2);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,11 +3,13 @@
 #![allow(dead_code, unused_imports, clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod client;
+mod declaring;
 mod fleet;
 mod process;
 mod proxy;
 
 pub use client::*;
+pub use declaring::*;
 pub use fleet::*;
 pub use process::*;
 pub use proxy::*;
