--- a/crates/instance/src/config/gossip.rs
+++ b/crates/instance/src/config/gossip.rs
@@ -3,11 +3,13 @@
 use std::time::{Duration, Instant};
 
 use declare::{Message, Reaction};
-use names::Instance;
+use membership::Member;
+use names::{DataCentre, Instance};
 use operator::Response;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use serde_json::{Value, json};
+use settings::Settings;
 use stakker::{CX, after, call};
 use wire::{Outgoing, Slice};
 
@@ -29,7 +31,36 @@
 /// How long a listing of the fleet waits for its instances.
 const PROBE_WAIT: Duration = Duration::from_millis(500);
 
+/// Another instance.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Peer {
+    pub(super) instance: Instance,
+    pub(super) data_centre: DataCentre,
+}
+
+/// The peers that the settings name, sorted.
+pub(super) fn configured(settings: &Settings) -> Vec<Peer> {
+    let peers = settings.peers.iter();
+    let mut peers: Vec<Peer> = peers
+        .map(|peer| Peer { instance: peer.instance.clone(), data_centre: peer.data_centre.clone() })
+        .collect();
+    peers.sort();
+    peers
+}
+
 impl Config {
+    /// Learns the members; configured peers stay peers also while they seem to have failed, so
+    /// that a cut which heals is noticed.
+    pub(crate) fn set_members(&mut self, _: CX![], members: Vec<Member>) {
+        self.peers = configured(&self.around.settings);
+        for Member { instance, data_centre, .. } in members {
+            let found = self.peers.binary_search_by(|peer| peer.instance.cmp(&instance));
+            if let Err(index) = found {
+                self.peers.insert(index, Peer { instance, data_centre });
+            }
+        }
+    }
+
     /// Tells some peers, and again in every period.
     pub(super) fn tell_period(&mut self, cx: CX![]) {
         self.tell(PEERS_IN_PERIOD);
@@ -40,8 +71,8 @@
     /// Tells `count` peers, chosen at random, the newest known revision.
     pub(super) fn tell(&mut self, count: usize) {
         let digest = Packet::Gossip(Message::Digest(self.view.digest()));
-        let settings = self.around.settings.clone();
-        for peer in settings.peers.sample(&mut rand::rng(), count) {
+        let chosen: Vec<Peer> = self.peers.sample(&mut rand::rng(), count).cloned().collect();
+        for peer in chosen {
             self.send(&peer.instance, &digest);
         }
     }
@@ -102,8 +133,7 @@
             ask.answer(refusal);
             return;
         }
-        let settings = self.around.settings.clone();
-        for peer in &settings.peers {
+        for peer in self.peers.clone() {
             self.send(&peer.instance, &Packet::Probe);
         }
         let asked = cx.now();
@@ -113,7 +143,7 @@
     fn answer_instances(&mut self, _: CX![], ask: Ask, asked: Instant) {
         let settings = &self.around.settings;
         let own = instance(&settings.instance, &settings.data_centre, Some(self.status()));
-        let peers = settings.peers.iter().map(|peer| {
+        let peers = self.peers.iter().map(|peer| {
             let found = self.heard.binary_search_by(|one| one.instance.cmp(&peer.instance)).ok();
             let heard = found.map(|index| &self.heard[index]).filter(|heard| heard.at >= asked);
             instance(&peer.instance, &peer.data_centre, heard.map(|heard| heard.status))
@@ -126,7 +156,7 @@
     }
 }
 
-fn instance(name: &Instance, data_centre: &names::DataCentre, status: Option<Status>) -> Value {
+fn instance(name: &Instance, data_centre: &DataCentre, status: Option<Status>) -> Value {
     json!({
         "instance": name,
         "data_centre": data_centre,
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use declare::Target;
+use declare::{Declarations, Target};
 use names::Upstream;
 use operator::Response;
 use placement::{Candidate, Knowledge, Policy};
@@ -55,6 +55,7 @@
     hub: Actor<Hub>,
     metrics: Arc<Metrics>,
     registry: Registry,
+    declarations: Rc<Declarations>,
     policy: Box<dyn Policy>,
     in_flight: Vec<InFlight>,
 }
@@ -74,11 +75,17 @@
             hub,
             metrics,
             registry: Registry::default(),
+            declarations: Rc::default(),
             policy,
             in_flight: Vec::new(),
         })
     }
 
+    /// Puts declarations in force for permits that are asked for from now on.
+    pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        self.declarations = declarations;
+    }
+
     /// Takes an announcement that an upstream made to this instance.
     pub(crate) fn announce(&mut self, cx: CX![], ask: Ask) {
         match Announcement::try_from(ask.request.body.as_slice()) {
@@ -130,6 +137,7 @@
             .registry
             .available(cx.now(), &wanted.target)
             .filter(|entry| !wanted.tried.contains(&entry.announcement.upstream))
+            .filter(|entry| !self.declarations.is_drained(&entry.announcement.labels))
             .map(|entry| Candidate {
                 upstream: entry.announcement.upstream.clone(),
                 slots: entry.announcement.slots,
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -136,22 +136,20 @@
             ),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let in_force = fwd_to!([router], set_declarations() as (Rc<Declarations>));
+        let in_force = vec![
+            fwd_to!([router], set_declarations() as (Rc<Declarations>)),
+            fwd_to!([placer], set_declarations() as (Rc<Declarations>)),
+        ];
         let around = Surroundings {
             settings: settings.clone(),
             metrics: metrics.clone(),
             replica: replica.clone(),
             hub: hub.clone(),
-            in_force: vec![in_force],
+            in_force,
         };
         let config =
             actor!(cx, Config::init(around), ret_some_to!([cx], child_ended() as (StopCause)));
-        let placer_views = fwd_to!([placer], set_view() as (View));
-        let limits_views = fwd_to!([limits], set_view() as (View));
-        let views = Fwd::new(move |view: View| {
-            limits_views.fwd(view.clone());
-            placer_views.fwd(view);
-        });
+        let views = fwd_to!([cx], set_view() as (View));
         let members = actor!(
             cx,
             Members::init(settings.clone(), incarnation, hub.clone(), metrics.clone(), views),
@@ -198,6 +196,13 @@
         }
     }
 
+    /// Hands the members to the slices that use them.
+    fn set_view(&mut self, _: CX![], view: View) {
+        call!([self.config], set_members(view.members.clone()));
+        call!([self.limits], set_view(view.clone()));
+        call!([self.placer], set_view(view));
+    }
+
     /// Hands a message of a peer to the slice that it belongs to.
     fn deliver(&mut self, _: CX![], delivery: Delivery) {
         match delivery.slice {
