--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -72,12 +72,10 @@
 }
 
 fn last(events: &Receiver<Event>) -> Progress {
-    loop {
-        match events.recv_timeout(PATIENCE).unwrap().progress {
-            progress @ (Progress::End | Progress::Failed { .. }) => return progress,
-            _ => {}
-        }
-    }
+    let is_last = |progress: &Progress| matches!(progress, Progress::End | Progress::Failed { .. });
+    std::iter::repeat_with(|| events.recv_timeout(PATIENCE).unwrap().progress)
+        .find(is_last)
+        .unwrap()
 }
 
 #[test_case("content-length: 20\r\n\r\nten bytes."; "short of its length")]
--- /dev/null
+++ b/tests/ledger.rs
@@ -0,0 +1,153 @@
+//! Requests with an idempotency key run at most once, and a refusal as not run is true.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use support::{API_KEY, Answer, Fleet, Plan, post, set_fault, wait_for};
+
+const BOOKINGS: &str = "/services/shop/bookings";
+
+fn fleet(voters: usize) -> Fleet {
+    let mut fleet = Fleet::start_plan(Plan::new(&["giza", "giza", "giza"]).with_voters(voters));
+    add_shop(&mut fleet);
+    fleet
+}
+
+fn add_shop(fleet: &mut Fleet) {
+    let journal = journal_path(fleet);
+    let flags = ["--label", "app=shop", "--word-interval", "50ms", "--journal", &journal];
+    fleet.add_upstream("shop-1", "giza", &flags);
+}
+
+fn journal_path(fleet: &Fleet) -> String {
+    fleet.folder.path().join("journal").display().to_string()
+}
+
+/// How often the booking of `family` ran.
+fn runs(fleet: &Fleet, family: &str) -> usize {
+    let journal = std::fs::read_to_string(journal_path(fleet)).unwrap_or_default();
+    let booking = booking(family).to_string();
+    let body = |line: &str| Some(serde_json::from_str::<Value>(line).ok()?["body"].to_string());
+    let booked = Value::String(booking).to_string();
+    journal.lines().filter_map(body).filter(|body| *body == booked).count()
+}
+
+fn booking(family: &str) -> Value {
+    json!({ "family": family })
+}
+
+fn book(address: SocketAddr, key: &str, family: &str) -> Result<Answer, String> {
+    post(address, BOOKINGS, &[("idempotency-key", key)], &booking(family))
+}
+
+#[test]
+fn a_resend_gets_the_first_answer() {
+    let fleet = fleet(1);
+    let address = fleet.instances[0].addresses.callers;
+    let first = book(address, "k1", "Hassan").unwrap();
+    assert_eq!(first.status, 200, "{first:?}");
+    for _ in 0..3 {
+        let again = book(address, "k1", "Hassan").unwrap();
+        assert_eq!((again.status, &again.body), (200, &first.body));
+    }
+    assert_eq!(runs(&fleet, "Hassan"), 1);
+    let other = book(address, "k1", "Mansour").unwrap();
+    assert_eq!(other.status, 409, "{other:?}");
+    assert_eq!(other.verdict.as_deref(), Some("not-run"));
+    assert_eq!(runs(&fleet, "Mansour"), 0);
+}
+
+#[test]
+fn resends_at_once_wait_for_the_one_that_runs() {
+    let fleet = fleet(1);
+    let address = fleet.instances[0].addresses.callers;
+    let answers: Vec<Answer> = std::thread::scope(|scope| {
+        let book = || scope.spawn(move || book(address, "k1", "Hassan").unwrap());
+        let callers: Vec<_> = (0..8).map(|_| book()).collect();
+        callers.into_iter().map(|caller| caller.join().unwrap()).collect()
+    });
+    for answer in &answers {
+        assert_eq!((answer.status, &answer.body), (200, &answers[0].body));
+    }
+    assert_eq!(runs(&fleet, "Hassan"), 1);
+}
+
+#[test]
+fn what_may_have_run_is_not_run_again() {
+    let fleet = fleet(1);
+    let address = fleet.instances[0].addresses.callers;
+    let shop = fleet.upstreams[0].address;
+    set_fault(shop, "cut:0");
+    let first = book(address, "k1", "Hassan").unwrap();
+    assert_eq!(first.verdict.as_deref(), Some("may-have-run"), "{first:?}");
+    set_fault(shop, "none");
+    let again = book(address, "k1", "Hassan").unwrap();
+    assert_eq!((again.status, again.verdict.as_deref()), (409, Some("may-have-run")));
+    assert_eq!(runs(&fleet, "Hassan"), 1);
+}
+
+#[test]
+fn what_did_not_run_may_run_later() {
+    let fleet = fleet(1);
+    let address = fleet.instances[0].addresses.callers;
+    let shop = fleet.upstreams[0].address;
+    set_fault(shop, "refuse");
+    let first = book(address, "k1", "Hassan").unwrap();
+    assert_eq!(first.verdict.as_deref(), Some("not-run"), "{first:?}");
+    assert!(first.retry_after.is_some());
+    assert_eq!(runs(&fleet, "Hassan"), 0);
+    set_fault(shop, "none");
+    let again = book(address, "k1", "Hassan").unwrap();
+    assert_eq!(again.status, 200, "{again:?}");
+    assert_eq!(runs(&fleet, "Hassan"), 1);
+}
+
+#[test]
+fn a_caller_that_leaves_finds_its_booking() {
+    let fleet = fleet(1);
+    let address = fleet.instances[0].addresses.callers;
+    let body = booking("Hassan").to_string();
+    let mut stream = TcpStream::connect(address).unwrap();
+    write!(
+        stream,
+        "POST {BOOKINGS} HTTP/1.1\r\nauthorization: Bearer {API_KEY}\r\nidempotency-key: k1\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .unwrap();
+    wait_for("booking", || (runs(&fleet, "Hassan") == 1).then_some(()));
+    drop(stream);
+    let again = book(address, "k1", "Hassan").unwrap();
+    assert_eq!(again.status, 200, "{again:?}");
+    assert_eq!(runs(&fleet, "Hassan"), 1);
+}
+
+#[test]
+fn without_a_quorum_a_booking_is_refused_at_once() {
+    let fleet = fleet(0);
+    for instance in &fleet.instances {
+        let started = Instant::now();
+        let answer = book(instance.addresses.callers, "k1", "Hassan").unwrap();
+        let elapsed = started.elapsed();
+        println!("refused after {elapsed:?}");
+        assert_eq!((answer.status, answer.verdict.as_deref()), (503, Some("not-run")));
+        assert!(answer.retry_after.is_some());
+        assert!(elapsed < Duration::from_secs(3));
+    }
+    assert_eq!(runs(&fleet, "Hassan"), 0);
+}
+
+#[test]
+fn an_invalid_key_is_named() {
+    let fleet = fleet(1);
+    let address = fleet.instances[0].addresses.callers;
+    let answer = book(address, "a key", "Hassan").unwrap();
+    assert_eq!(answer.status, 400);
+    assert!(answer.body.contains("idempotency-key"), "{answer:?}");
+}
