Avoid upstreams that fail or lag behind their peers

Cause: an engine that answers errors at once, or is twenty times slower, kept its share of work. Three failures in a row, or a pace five times the median of its peers, make an instance avoid an upstream for a second, doubling to 32 s; no more than half of a service's upstreams. Ruled out: moving a slow stream while it runs (its prefix would be computed twice, and the engine's reported load does not say which of the two is late).

--- /dev/null
+++ b/crates/dispatch/src/health.rs
@@ -0,0 +1,171 @@
+//! Which upstreams fail or lag behind their peers.
+
+use std::time::{Duration, Instant};
+
+use names::{Service, Upstream};
+
+/// Failures in a row after which an upstream is avoided.
+const MAX_FAILURES: u32 = 3;
+
+/// How many times as long as its peers' median an upstream may take.
+const MAX_SLOWNESS: u32 = 5;
+
+/// Fewest observations of a pace that count.
+const MIN_OBSERVATIONS: u32 = 8;
+
+/// Weight of one observation in the mean pace: one of so many.
+const PACE_WEIGHT: u32 = 8;
+
+/// How long an upstream is avoided first; it doubles each time it is found unhealthy again.
+const FIRST_AVOIDANCE: Duration = Duration::from_secs(1);
+
+/// Most doublings of the time for which an upstream is avoided.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// Whether an upstream's state has changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// It stays as it was.
+    Unchanged,
+    /// It is to be avoided from now on.
+    Avoided,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    upstream: Upstream,
+    service: Service,
+    failures: u32,
+    /// Times that it was avoided since it was last found healthy.
+    avoidances: u32,
+    avoided_until: Option<Instant>,
+    pace: Duration,
+    observations: u32,
+}
+
+impl Entry {
+    fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided_until.is_some_and(|until| now < until)
+    }
+
+    fn avoid(&mut self, now: Instant) -> Finding {
+        let doublings = self.avoidances.min(MAX_DOUBLINGS);
+        self.avoided_until = Some(now + FIRST_AVOIDANCE * (1 << doublings));
+        self.avoidances += 1;
+        self.observations = 0;
+        Finding::Avoided
+    }
+}
+
+/// What one instance has seen of the upstreams, sorted by upstream.
+#[derive(Debug, Default)]
+pub struct Health {
+    entries: Vec<Entry>,
+}
+
+impl Health {
+    /// Notes an answered attempt.
+    pub fn succeeded(&mut self, service: &Service, upstream: &Upstream) {
+        let entry = self.entry(service, upstream);
+        entry.failures = 0;
+        if entry.avoided_until.is_none() {
+            entry.avoidances = 0;
+        }
+    }
+
+    /// Notes a failed attempt.
+    pub fn failed(&mut self, service: &Service, upstream: &Upstream, now: Instant) -> Finding {
+        let entry = self.entry(service, upstream);
+        entry.failures += 1;
+        let is_on_trial = entry.avoided_until.is_some_and(|until| until <= now);
+        if !entry.is_avoided(now) && (is_on_trial || entry.failures >= MAX_FAILURES) {
+            return entry.avoid(now);
+        }
+        Finding::Unchanged
+    }
+
+    /// Notes how long one unit of an answer took, such as a word or a whole call.
+    pub fn paced(
+        &mut self,
+        service: &Service,
+        upstream: &Upstream,
+        pace: Duration,
+        now: Instant,
+    ) -> Finding {
+        let median = self.median_of_peers(service, upstream);
+        let entry = self.entry(service, upstream);
+        entry.observations += 1;
+        entry.pace = match entry.observations {
+            1 => pace,
+            _ => (entry.pace * (PACE_WEIGHT - 1) + pace) / PACE_WEIGHT,
+        };
+        if entry.is_avoided(now) || entry.observations < MIN_OBSERVATIONS {
+            return Finding::Unchanged;
+        }
+        match median {
+            Some(median) if entry.pace > median * MAX_SLOWNESS => entry.avoid(now),
+            _ => {
+                entry.avoided_until = None;
+                Finding::Unchanged
+            }
+        }
+    }
+
+    /// The upstreams of `service` to avoid at `now`: none when that would be more than half.
+    pub fn avoided(&self, service: &Service, now: Instant) -> Vec<Upstream> {
+        let known = self.entries.iter().filter(|entry| entry.service == *service).count();
+        let avoided: Vec<Upstream> = self
+            .entries
+            .iter()
+            .filter(|entry| entry.service == *service && entry.is_avoided(now))
+            .map(|entry| entry.upstream.clone())
+            .collect();
+        if avoided.len() * 2 > known { Vec::new() } else { avoided }
+    }
+
+    fn median_of_peers(&self, service: &Service, upstream: &Upstream) -> Option<Duration> {
+        let is_peer = |entry: &&Entry| entry.service == *service && entry.upstream != *upstream;
+        let mut paces: Vec<Duration> = self
+            .entries
+            .iter()
+            .filter(is_peer)
+            .filter(|entry| entry.observations >= MIN_OBSERVATIONS)
+            .map(|entry| entry.pace)
+            .collect();
+        paces.sort_unstable();
+        paces.get(paces.len() / 2).copied()
+    }
+
+    fn entry(&mut self, service: &Service, upstream: &Upstream) -> &mut Entry {
+        let key = (service, upstream);
+        let found =
+            self.entries.binary_search_by(|entry| (&entry.service, &entry.upstream).cmp(&key));
+        let index = match found {
+            Ok(index) => index,
+            Err(index) => {
+                self.entries.insert(
+                    index,
+                    Entry {
+                        upstream: upstream.clone(),
+                        service: service.clone(),
+                        failures: 0,
+                        avoidances: 0,
+                        avoided_until: None,
+                        pace: Duration::ZERO,
+                        observations: 0,
+                    },
+                );
+                index
+            }
+        };
+        &mut self.entries[index]
+    }
+
+    /// Forgets upstreams that are not known any more.
+    pub fn retain<F>(&mut self, is_known: F)
+    where
+        F: Fn(&Upstream) -> bool,
+    {
+        self.entries.retain(|entry| is_known(&entry.upstream));
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,13 +4,14 @@
 //! [`Progress`] to a [`Sink`]; its [`Handle`] cancels and paces a call. [`Verdict`] says whether
 //! a request may have run, [`Failure`] chooses what to do after a failed attempt within the
 //! [`Budget`] of retries. An [`Adapter`] speaks one protocol of upstreams, and a [`Transcript`]
-//! makes one whole stream of several attempts.
+//! makes one whole stream of several attempts. [`Health`] says which upstreams to avoid.
 
 mod adapter;
 mod budget;
 mod call;
 mod events;
 mod handle;
+mod health;
 mod pool;
 mod step;
 mod transcript;
@@ -20,6 +21,7 @@
 pub use budget::{Allowance, Budget};
 pub use call::{Call, Event, Field, Progress, Reuse, Sink};
 pub use handle::Handle;
+pub use health::{Finding, Health};
 pub use pool::{Full, Pool};
 pub use step::{Failure, Step};
 pub use transcript::{Flaw, Transcript};
--- a/crates/instance/src/router/active.rs
+++ b/crates/instance/src/router/active.rs
@@ -1,8 +1,8 @@
 //! Requests that are not answered yet.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use dispatch::Handle;
+use dispatch::{Handle, Progress};
 use entry::Reply;
 use names::{Attempt, Upstream};
 use stakker::Fwd;
@@ -11,6 +11,9 @@
 use super::route::Route;
 use crate::placer::Permit;
 
+/// Fewest parts of an answer that tell its pace.
+const MIN_PARTS: u32 = 4;
+
 /// The attempt that is running.
 pub(super) struct Calling {
     pub(super) attempt: Attempt,
@@ -18,6 +21,9 @@
     pub(super) handle: Handle,
     /// When the upstream was last heard of.
     pub(super) heard: Instant,
+    /// Parts of the answer that have arrived, and when the first one did.
+    pub(super) parts: u32,
+    pub(super) first_part: Instant,
 }
 
 /// What a request is doing.
@@ -42,11 +48,31 @@
     pub(super) answer: Answer,
     pub(super) tried: Vec<Upstream>,
     pub(super) attempts: usize,
+    /// Whether upstreams that fail or lag are left out.
+    pub(super) avoids_unhealthy: bool,
     /// The attempt under which its idempotency key is claimed.
     pub(super) fence: Option<Attempt>,
     pub(super) has_started: bool,
 }
 
+impl Calling {
+    pub(super) fn new(attempt: Attempt, permit: Permit, handle: Handle, now: Instant) -> Self {
+        Self { attempt, permit, handle, heard: now, parts: 0, first_part: now }
+    }
+
+    /// Takes note that `progress` has arrived.
+    pub(super) fn hear(&mut self, progress: &Progress, now: Instant) {
+        self.heard = now;
+        if let Progress::Part(part) = progress {
+            self.handle.took(part.len());
+            if self.parts == 0 {
+                self.first_part = now;
+            }
+            self.parts += 1;
+        }
+    }
+}
+
 impl Active {
     pub(super) fn new(
         id: names::Request,
@@ -64,6 +90,7 @@
             answer,
             tried: Vec::new(),
             attempts: 0,
+            avoids_unhealthy: true,
             fence: None,
             has_started: false,
         }
@@ -77,6 +104,17 @@
         }
     }
 
+    /// Mean time between the parts of the running attempt's answer; none while there are few.
+    pub(super) fn pace(&self, now: Instant) -> Option<Duration> {
+        match &self.phase {
+            Phase::Calling(calling) if calling.parts >= MIN_PARTS => {
+                let elapsed = now.saturating_duration_since(calling.first_part);
+                Some(elapsed / (calling.parts - 1))
+            }
+            _ => None,
+        }
+    }
+
     /// Whether the running attempt is `attempt`.
     pub(super) fn is_calling(&self, attempt: Attempt) -> bool {
         matches!(&self.phase, Phase::Calling(calling) if calling.attempt == attempt)
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts: the call of an upstream, its progress and what follows a failure.
 
-use dispatch::{Call, Failure, Progress, Reuse, Step, Verdict};
+use dispatch::{Call, Failure, Finding, Reuse, Step, Verdict};
 use entry::{Problem, Reply, Status};
 use names::Attempt;
 use rand::RngExt;
@@ -37,7 +37,7 @@
             Ok(handle) => {
                 active.attempts += 1;
                 active.tried.push(permit.upstream.clone());
-                active.phase = Phase::Calling(Calling { attempt, permit, handle, heard: now });
+                active.phase = Phase::Calling(Calling::new(attempt, permit, handle, now));
                 if watches {
                     at!(silence, [cx], check_silence(attempt));
                 }
@@ -60,23 +60,53 @@
         let now = cx.now();
         let active = &mut self.active[index];
         if let Some(calling) = active.calling() {
-            calling.heard = now;
-            if let Progress::Part(part) = &event.progress {
-                calling.handle.took(part.len());
-            }
+            calling.hear(&event.progress, now);
         }
         let limit = self.settings.limits.body.as_bytes();
         match active.answer.take(event.progress, limit) {
             Outcome::Nothing => {}
-            Outcome::Replies(replies) => self.pass_on(cx, index, replies),
-            Outcome::Finished(replies) => self.complete(index, replies),
+            Outcome::Replies(replies) => {
+                self.judge_pace(cx, index);
+                self.pass_on(cx, index, replies);
+            }
+            Outcome::Finished(replies) => {
+                self.judge(cx, index, true);
+                self.complete(index, replies);
+            }
             Outcome::Failed { replies, verdict, reason } => {
                 self.pass_on(cx, index, replies);
+                self.judge(cx, index, false);
                 self.fail(cx, index, verdict, &reason);
             }
         }
     }
 
+    /// Notes how an attempt ended at its upstream.
+    fn judge(&mut self, cx: CX![], index: usize, is_success: bool) {
+        let active = &self.active[index];
+        let Phase::Calling(calling) = &active.phase else {
+            return;
+        };
+        let (service, upstream) = (&active.route.service, &calling.permit.upstream);
+        if is_success {
+            self.health.succeeded(service, upstream);
+        } else if self.health.failed(service, upstream, cx.now()) == Finding::Avoided {
+            log::info!("upstream {upstream}: avoided for service {service} after failures");
+        }
+    }
+
+    /// Notes the pace of a stream.
+    fn judge_pace(&mut self, cx: CX![], index: usize) {
+        let active = &self.active[index];
+        let (Phase::Calling(calling), Some(pace)) = (&active.phase, active.pace(cx.now())) else {
+            return;
+        };
+        let (service, upstream) = (&active.route.service, &calling.permit.upstream);
+        if self.health.paced(service, upstream, pace, cx.now()) == Finding::Avoided {
+            log::info!("upstream {upstream}: avoided for service {service}, {pace:?} a part");
+        }
+    }
+
     fn pass_on(&mut self, cx: CX![], index: usize, replies: Vec<Reply>) {
         let active = &mut self.active[index];
         if !active.has_started && !replies.is_empty() {
@@ -170,7 +200,10 @@
         let verdict = Verdict::MayHaveRun;
         match self.next_step(cx, index, verdict) {
             Step::Refuse | Step::Cut => {}
-            step => self.take_step(cx, index, step, verdict, "it was silent for too long"),
+            step => {
+                self.judge(cx, index, false);
+                self.take_step(cx, index, step, verdict, "it was silent for too long");
+            }
         }
     }
 }
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use declare::Declarations;
-use dispatch::{Allowance, Budget, Pool, Verdict};
+use dispatch::{Allowance, Budget, Health, Pool, Verdict};
 use entry::{Event, Problem, Reply, Request, Status};
 use eventloop::{Sender, mailbox};
 use names::Attempt;
@@ -49,6 +49,7 @@
     metrics: Arc<Metrics>,
     pool: Pool,
     budget: Budget,
+    health: Health,
     active: Vec<Active>,
     is_draining: bool,
 }
@@ -73,6 +74,7 @@
             metrics,
             pool,
             budget,
+            health: Health::default(),
             active: Vec::new(),
             is_draining: false,
         })
@@ -143,12 +145,15 @@
         let Some(index) = self.find(id) else {
             return;
         };
-        let active = &self.active[index];
-        let wanted = Wanted {
-            target: active.route.target.clone(),
-            key: active.route.placement_key,
-            tried: active.tried.clone(),
-        };
+        let active = &mut self.active[index];
+        let mut tried = active.tried.clone();
+        if active.avoids_unhealthy {
+            let avoided = self.health.avoided(&active.route.service, cx.now());
+            active.avoids_unhealthy = !avoided.is_empty();
+            tried.extend(avoided);
+        }
+        let wanted =
+            Wanted { target: active.route.target.clone(), key: active.route.placement_key, tried };
         let placed = ret_some_to!([cx], placed(id) as (Placed));
         call!([self.placer], place(wanted, placed));
     }
@@ -177,7 +182,10 @@
     /// Refuses a request that no upstream takes; a started stream waits for one.
     fn not_placed(&mut self, cx: CX![], index: usize, problem: Problem) {
         let active = &mut self.active[index];
-        if active.has_started {
+        if std::mem::replace(&mut active.avoids_unhealthy, false) {
+            let id = active.id;
+            self.place(cx, id);
+        } else if active.has_started {
             active.tried.clear();
             active.attempts += 1;
             self.place_later(cx, index);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -25,7 +25,7 @@
     pub waiting: usize,
     /// Most requests at once, running and waiting.
     pub peak: usize,
-    /// Requests taken in.
+    /// Requests received.
     pub taken: u64,
     /// Requests answered whole.
     pub answered: u64,
@@ -97,11 +97,7 @@
 
     fn arrive(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
         match request.path.as_str() {
-            "/v1/chat/completions" => match self.fault {
-                Fault::Error => reply.fwd(server_error()),
-                Fault::Refuse => reply.fwd(refusal()),
-                _ => self.take(cx, request, reply),
-            },
+            "/v1/chat/completions" => self.take_or_fail(cx, request, reply),
             "/fault" => {
                 let name = String::from_utf8_lossy(&request.body);
                 reply.fwd(set_fault(&mut self.fault, &name));
@@ -119,6 +115,15 @@
         Stats { running: self.running.len(), waiting: self.waiting.len(), ..self.stats.clone() }
     }
 
+    fn take_or_fail(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
+        self.stats.taken += 1;
+        match self.fault {
+            Fault::Error => reply.fwd(server_error()),
+            Fault::Refuse => reply.fwd(refusal()),
+            _ => self.take(cx, request, reply),
+        }
+    }
+
     fn take(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
         let prompt: Prompt = match serde_json::from_slice(&request.body) {
             Ok(prompt) => prompt,
@@ -147,7 +152,6 @@
             fault: self.fault,
             reply,
         };
-        self.stats.taken += 1;
         let index = self.waiting.iter().position(|other| other.priority > job.priority);
         self.waiting.insert(index.unwrap_or(self.waiting.len()), job);
         let total = self.running.len() + self.waiting.len();
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -155,6 +155,37 @@
     assert!(taken > 0 && taken == abandoned);
 }
 
+/// Work that the first engine took among that of all.
+fn share_of_first(fleet: &Fleet) -> (u64, u64) {
+    let taken: Vec<u64> =
+        fleet.upstreams.iter().map(|engine| stat(engine.address, "taken")).collect();
+    (taken[0], taken.iter().sum())
+}
+
+#[test_case("error"; "answers errors at once")]
+#[test_case("slow:20"; "is twenty times slower")]
+fn an_engine_that_fails_or_lags_gets_little_work(fault: &str) {
+    let fleet = fleet(4);
+    set_fault(fleet.upstreams[0].address, fault);
+    for round in 0..6 {
+        let start = |number: usize| {
+            let address = fleet.instances[number % 2].addresses.callers;
+            Caller::start(address, format!("round {round} caller {number}"), 12, true)
+        };
+        let callers: Vec<Caller> = (0..10).map(start).collect();
+        if round == 0 {
+            std::thread::sleep(Duration::from_secs(4));
+        }
+        for caller in callers {
+            assert_eq!(caller.finish(), Outcome::Whole);
+        }
+        let (first, all) = share_of_first(&fleet);
+        println!("{fault}, round {round}: {first} of {all} requests went to it so far");
+    }
+    let (first, all) = share_of_first(&fleet);
+    assert!(first * 6 < all, "{first} of {all} requests went to the faulty engine");
+}
+
 #[test]
 fn a_failure_of_every_engine_is_told_at_once() {
     let fleet = fleet(2);
