--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -2,6 +2,9 @@
 
 use std::str::FromStr;
 
+use dispatch::Verdict;
+
+use crate::problem::VERDICT_HEADER;
 use crate::{Method, Problem, Status};
 
 /// Most headers in a request.
@@ -21,6 +24,11 @@
     pub fn new(name: &str, value: impl Into<String>) -> Self {
         Self { name: name.to_string(), value: value.into() }
     }
+
+    /// The header that says whether a request may have run.
+    pub fn verdict(verdict: Verdict) -> Self {
+        Self::new(VERDICT_HEADER, verdict.to_string())
+    }
 }
 
 /// How long the body behind a head is.
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -6,6 +6,7 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -15,23 +16,42 @@
 
 fn fleet(voters: usize) -> Fleet {
     let mut fleet = Fleet::start_plan(Plan::new(&["giza", "giza", "giza"]).with_voters(voters));
-    add_shop(&mut fleet);
+    add_shop(&mut fleet, "shop-1");
+    if voters > 0 {
+        wait_quorum(&fleet);
+    }
     fleet
 }
 
-fn add_shop(fleet: &mut Fleet) {
-    let journal = journal_path(fleet);
+/// Waits until bookings with a key are taken through every instance.
+fn wait_quorum(fleet: &Fleet) {
+    for instance in &fleet.instances {
+        let key = format!("warm-up-{}", instance.addresses.name);
+        wait_for("quorum", || {
+            let answer = book(instance.addresses.callers, &key, "Nobody").ok()?;
+            (answer.status == 200).then_some(())
+        });
+    }
+}
+
+/// Adds a shop whose journal outlives it.
+fn add_shop(fleet: &mut Fleet, name: &str) {
+    let journal = journal_path(fleet).display().to_string();
     let flags = ["--label", "app=shop", "--word-interval", "50ms", "--journal", &journal];
-    fleet.add_upstream("shop-1", "giza", &flags);
+    fleet.add_upstream(name, "giza", &flags);
 }
 
-fn journal_path(fleet: &Fleet) -> String {
-    fleet.folder.path().join("journal").display().to_string()
+fn journal_path(fleet: &Fleet) -> PathBuf {
+    fleet.folder.path().join("journal")
 }
 
 /// How often the booking of `family` ran.
 fn runs(fleet: &Fleet, family: &str) -> usize {
-    let journal = std::fs::read_to_string(journal_path(fleet)).unwrap_or_default();
+    runs_in(&journal_path(fleet), family)
+}
+
+fn runs_in(journal: &Path, family: &str) -> usize {
+    let journal = std::fs::read_to_string(journal).unwrap_or_default();
     let booking = booking(family).to_string();
     let body = |line: &str| Some(serde_json::from_str::<Value>(line).ok()?["body"].to_string());
     let booked = Value::String(booking).to_string();
@@ -63,13 +83,32 @@
     assert_eq!(runs(&fleet, "Mansour"), 0);
 }
 
+#[test]
+fn a_resend_through_another_instance_gets_the_first_answer() {
+    let fleet = fleet(3);
+    let callers: Vec<SocketAddr> =
+        fleet.instances.iter().map(|instance| instance.addresses.callers).collect();
+    for (number, first) in callers.iter().enumerate() {
+        let (key, family) = (format!("k{number}"), format!("family {number}"));
+        let answer = book(*first, &key, &family).unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        for other in &callers {
+            let again = book(*other, &key, &family).unwrap();
+            assert_eq!((again.status, &again.body), (200, &answer.body));
+        }
+        assert_eq!(runs(&fleet, &family), 1);
+    }
+}
+
 #[test]
 fn resends_at_once_wait_for_the_one_that_runs() {
-    let fleet = fleet(1);
-    let address = fleet.instances[0].addresses.callers;
+    let fleet = fleet(3);
     let answers: Vec<Answer> = std::thread::scope(|scope| {
-        let book = || scope.spawn(move || book(address, "k1", "Hassan").unwrap());
-        let callers: Vec<_> = (0..8).map(|_| book()).collect();
+        let book = |number: usize| {
+            let address = fleet.instances[number % 3].addresses.callers;
+            scope.spawn(move || book(address, "k1", "Hassan").unwrap())
+        };
+        let callers: Vec<_> = (0..9).map(book).collect();
         callers.into_iter().map(|caller| caller.join().unwrap()).collect()
     });
     for answer in &answers {
@@ -151,3 +190,21 @@
     assert_eq!(answer.status, 400);
     assert!(answer.body.contains("idempotency-key"), "{answer:?}");
 }
+
+#[test]
+fn an_owner_killed_while_the_call_runs_leaves_the_outcome_unknown() {
+    let mut fleet = fleet(3);
+    set_fault(fleet.upstreams[0].address, "hang");
+    let address = fleet.instances[2].addresses.callers;
+    let deadline = ("x-turmericrelay-deadline", "2s");
+    let caller = std::thread::spawn(move || {
+        post(address, BOOKINGS, &[("idempotency-key", "k1"), deadline], &booking("Hassan"))
+    });
+    wait_for("booking", || (runs(&fleet, "Hassan") == 1).then_some(()));
+    fleet.kill(2);
+    assert!(caller.join().unwrap().is_err());
+    set_fault(fleet.upstreams[0].address, "none");
+    let again = book(fleet.instances[0].addresses.callers, "k1", "Hassan").unwrap();
+    assert_eq!((again.status, again.verdict.as_deref()), (409, Some("may-have-run")), "{again:?}");
+    assert_eq!(runs(&fleet, "Hassan"), 1);
+}
