--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -72,12 +72,10 @@
 }
 
 fn last(events: &Receiver<Event>) -> Progress {
-    loop {
-        let progress = events.recv_timeout(PATIENCE).unwrap().progress;
-        if matches!(progress, Progress::End | Progress::Failed { .. }) {
-            return progress;
-        }
-    }
+    let is_last = |progress: &Progress| matches!(progress, Progress::End | Progress::Failed { .. });
+    std::iter::repeat_with(|| events.recv_timeout(PATIENCE).unwrap().progress)
+        .find(is_last)
+        .unwrap()
 }
 
 #[test_case("content-length: 20\r\n\r\nten bytes."; "short of its length")]
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -71,10 +71,8 @@
 
     /// The problem as a whole reply.
     pub fn into_reply(self) -> Reply {
-        let mut headers = vec![
-            Header::new("content-type", "application/json"),
-            Header::new(VERDICT_HEADER, self.verdict.to_string()),
-        ];
+        let mut headers =
+            vec![Header::new("content-type", "application/json"), Header::verdict(self.verdict)];
         if let Some(wait) = self.retry_after {
             let seconds = wait.as_millis().div_ceil(1000).max(1);
             headers.push(Header::new("retry-after", seconds.to_string()));
--- a/crates/instance/src/claims.rs
+++ b/crates/instance/src/claims.rs
@@ -19,6 +19,9 @@
 /// Most keys that an instance remembers to have granted.
 const MAX_RECENT: usize = 4096;
 
+/// How long a proposal may take before it counts as lost.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// When a caller should ask again while too many claims are being settled.
 const SOON: Duration = Duration::from_secs(1);
 
@@ -46,6 +49,8 @@
     fence: Attempt,
     claimant: Claimant,
     decided: Fwd<Decision>,
+    /// Number of its latest proposal.
+    proposal: u32,
 }
 
 /// Claims keys before non-idempotent requests run, and records their results.
@@ -84,7 +89,7 @@
         };
         let mut claimant = Claimant::new(ticket, fence, cx.now(), deadline);
         let next = claimant.wake(cx.now(), &self.clock);
-        self.entries.insert(index, Entry { fence, claimant, decided });
+        self.entries.insert(index, Entry { fence, claimant, decided, proposal: 0 });
         at!(deadline, [cx], expire(fence));
         self.follow(cx, fence, next);
     }
@@ -116,10 +121,8 @@
 
     fn expire(&mut self, cx: CX![], fence: Attempt) {
         if let Ok(index) = self.find(fence) {
-            match self.entries[index].claimant.expire() {
-                Next::Finished => {}
-                next => self.follow(cx, fence, next),
-            }
+            let next = self.entries[index].claimant.expire();
+            self.follow(cx, fence, next);
         }
     }
 
@@ -128,12 +131,20 @@
         self.clock.observe(cx.now(), time);
     }
 
-    fn proposed(&mut self, cx: CX![], fence: Attempt, proposed: Proposed) {
+    /// Takes the outcome of a proposal. One that came too late counts if it was applied.
+    fn proposed(&mut self, cx: CX![], fence: Attempt, proposal: u32, proposed: Proposed) {
         let now = cx.now();
-        if let Ok(index) = self.find(fence) {
-            let next = self.entries[index].claimant.proposed(now, &mut self.clock, proposed);
-            self.follow(cx, fence, next);
+        let Ok(index) = self.find(fence) else {
+            return;
+        };
+        let entry = &mut self.entries[index];
+        let is_late = entry.proposal != proposal;
+        if is_late && !matches!(proposed, Proposed::Applied { .. }) {
+            return;
         }
+        entry.proposal += 1;
+        let next = entry.claimant.proposed(now, &mut self.clock, proposed);
+        self.follow(cx, fence, next);
     }
 
     fn wake(&mut self, cx: CX![], fence: Attempt) {
@@ -168,13 +179,20 @@
                 self.decide(fence, Decision::Deliver);
                 self.wake(cx, fence);
             }
+            Next::Nothing => {}
             Next::Finished => self.remove(fence),
         }
     }
 
     fn propose(&mut self, cx: CX![], fence: Attempt, command: &Command) {
-        let proposed = ret_some_to!([cx], proposed(fence) as (Proposed));
+        let Ok(index) = self.find(fence) else {
+            return;
+        };
+        self.entries[index].proposal += 1;
+        let proposal = self.entries[index].proposal;
+        let proposed = ret_some_to!([cx], proposed(fence, proposal) as (Proposed));
         call!([self.replica], propose(Part::Ledger, command.to_bytes(), proposed));
+        at!(cx.now() + PROPOSAL_TIMEOUT, [cx], proposed(fence, proposal, Proposed::Unknown));
     }
 
     fn refuse(&mut self, cx: CX![], fence: Attempt, refusal: Refusal) {
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -10,9 +10,7 @@
 use names::Incarnation;
 use operator::Response;
 use settings::Settings;
-use stakker::{
-    ActorOwn, CX, Fwd, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop,
-};
+use stakker::{ActorOwn, CX, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop};
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
--- a/crates/instance/src/router/answer.rs
+++ b/crates/instance/src/router/answer.rs
@@ -173,7 +173,10 @@
                 broken("the answer ended before it was whole")
             }
             Phase::Collecting { head, body } => {
-                let (status, headers) = (Status(head.status), pass_on(head.headers));
+                let (status, mut headers) = (Status(head.status), pass_on(head.headers));
+                if status.0 >= 500 {
+                    headers.push(Header::verdict(Verdict::MayHaveRun));
+                }
                 Outcome::Finished(vec![Reply::Whole { status, headers, body }])
             }
         }
--- a/crates/ledger/src/claimant.rs
+++ b/crates/ledger/src/claimant.rs
@@ -68,6 +68,8 @@
     Refuse(Refusal),
     /// Give the caller the upstream's answer; it is recorded unless the quorum is out of reach.
     Deliver,
+    /// Nothing is to be done now.
+    Nothing,
     /// Nothing is left to do.
     Finished,
 }
@@ -124,7 +126,8 @@
             Phase::Claiming { .. } => Next::Propose(self.claim(now, clock)),
             Phase::Settling { .. } if now >= self.deadline + HOLD_MARGIN => self.finish(),
             Phase::Settling { .. } => Next::Propose(self.settlement(now, clock)),
-            Phase::Running | Phase::Finished => Next::Finished,
+            Phase::Running => Next::Nothing,
+            Phase::Finished => Next::Finished,
         }
     }
 
@@ -147,7 +150,8 @@
                 Proposed::Applied { outcome, .. } => self.settled(now, clock, &outcome, deliver_by),
                 _ => self.retry_settlement(now, deliver_by),
             },
-            Phase::Running | Phase::Finished => Next::Finished,
+            Phase::Running => Next::Nothing,
+            Phase::Finished => Next::Finished,
         }
     }
 
@@ -163,7 +167,7 @@
                 self.phase = Phase::Settling { deliver_by: None };
                 Next::Deliver
             }
-            _ => Next::Finished,
+            _ => Next::Nothing,
         }
     }
 
@@ -176,7 +180,7 @@
     /// caller is to be told at once; the claim is settled behind its back.
     pub fn ended(&mut self, now: Instant, clock: &Clock, end: End) -> Next {
         if self.phase != Phase::Running {
-            return Next::Finished;
+            return Next::Nothing;
         }
         let (ending, deliver_by) = match end {
             End::Answered(answer) => (Ending::Answered(answer), Some(now + SETTLE_PATIENCE)),
--- a/tests/declarations.rs
+++ b/tests/declarations.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use serde_json::{Value, json};
+use serde_json::json;
 use support::{
     AMAL, BERT, Fleet, HEALED, HEALTHY, Plan, Reply, apply, declared, declaring, in_force,
     operators, order, revision, wait_for,
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -31,6 +31,7 @@
     pub name: String,
     pub address: SocketAddr,
     pub process: Process,
+    arguments: Vec<String>,
 }
 
 /// The one-way link on which one instance reaches another.
@@ -253,6 +254,48 @@
         flags: &[&str],
         count: usize,
     ) -> SocketAddr {
+        let address = self.start_upstream(name, data_centre, flags);
+        self.wait_listed(name, data_centre, count);
+        address
+    }
+
+    /// Starts a stand-in that instances reach through a proxy, and announces it once.
+    pub fn add_proxied_upstream(&mut self, name: &str, data_centre: &str, flags: &[&str]) -> Proxy {
+        let address = self.start_upstream(name, "nowhere", flags);
+        let proxy = Proxy::start(address);
+        let models: Vec<&str> =
+            flags.windows(2).filter(|pair| pair[0] == "--model").map(|pair| pair[1]).collect();
+        let protocol = if models.is_empty() { "plain" } else { "chat-completions" };
+        let announcement = json!({
+            "upstream": name,
+            "incarnation": 1,
+            "data_centre": data_centre,
+            "address": proxy.address().to_string(),
+            "protocol": protocol,
+            "models": models,
+            "slots": 64,
+            "labels": { "app": "shop" },
+            "expires_in": "300s",
+        });
+        let instances = self.operators_in(data_centre);
+        let url = format!("http://{}/announce", instances[0]);
+        ureq::post(&url).send(announcement.to_string()).unwrap();
+        self.wait_listed(name, data_centre, 1);
+        proxy
+    }
+
+    /// Starts a killed stand-in again, at the address that it had.
+    pub fn restart_upstream(&mut self, index: usize) {
+        let upstream = &mut self.upstreams[index];
+        upstream.process.kill();
+        let mut arguments = upstream.arguments.clone();
+        arguments.extend(["--listen".to_string(), upstream.address.to_string()]);
+        let log = self.folder.path().join(format!("{}.log", upstream.name));
+        upstream.process = Process::start(&arguments, log);
+        upstream.process.first_line();
+    }
+
+    fn start_upstream(&mut self, name: &str, data_centre: &str, flags: &[&str]) -> SocketAddr {
         let mut arguments: Vec<String> =
             ["stand-in", "--name", name, "--data-centre", data_centre].map(String::from).into();
         for address in self.operators_in(data_centre) {
@@ -264,7 +307,11 @@
         let mut process = Process::start(&arguments, log);
         let line = process.first_line();
         let address = line.strip_prefix("listening on ").unwrap().parse().unwrap();
-        self.upstreams.push(Upstream { name: name.to_string(), address, process });
+        self.upstreams.push(Upstream { name: name.to_string(), address, process, arguments });
+        address
+    }
+
+    fn wait_listed(&self, name: &str, data_centre: &str, count: usize) {
         for operators in self.operators_in(data_centre) {
             wait_for("announcement", || {
                 let listed = get(operators, "/upstreams").ok()?;
@@ -272,7 +319,6 @@
                 (listed.matches(&prefix).count() >= count).then_some(())
             });
         }
-        address
     }
 
     fn operators_in(&self, data_centre: &str) -> Vec<SocketAddr> {
