Send renewals of upstreams to their owners, and only changes to all

Cause: every announcement went to every instance of the data centre, so that traffic grew with upstreams times instances, and a lost message stayed lost.

Changes go to all, renewals to the owner by rendezvous hash. The owner asks the others before an announcement lapses. A new instance says that it is ready once it knows the set.

--- a/crates/membership/src/damping.rs
+++ b/crates/damping/src/lib.rs
@@ -1,29 +1,30 @@
-//! Damping of instances that come and go again and again.
+//! Damping of instances and upstreams that come and go again and again.
 
 use std::time::{Duration, Instant};
 
 /// Time in which a penalty halves.
 const HALF_LIFE: Duration = Duration::from_secs(30);
 
-/// Penalty above which an instance is set aside: the fourth return within seconds.
+/// Penalty above which a thing is set aside: the fourth return within seconds.
 const SET_ASIDE_ABOVE: f64 = 3.5;
 
-/// Penalty below which an instance set aside is used again.
+/// Penalty below which a thing set aside is used again.
 const USE_BELOW: f64 = 1.0;
 
-/// Penalty that no flapping exceeds, so that no instance stays aside for more than two minutes.
+/// Penalty that no flapping exceeds, so that nothing stays aside for more than two minutes.
 const MAX_PENALTY: f64 = 8.0;
 
-/// The penalty of one instance, which grows with each return and decays.
+/// The penalty of one thing, which grows with each return and decays.
 #[derive(Debug, Clone)]
-pub(crate) struct Damping {
+pub struct Damping {
     penalty: f64,
     updated: Instant,
     is_aside: bool,
 }
 
 impl Damping {
-    pub(crate) fn new(now: Instant) -> Self {
+    /// No penalty at `now`.
+    pub fn new(now: Instant) -> Self {
         Self { penalty: 0.0, updated: now, is_aside: false }
     }
 
@@ -34,13 +35,13 @@
     }
 
     /// Takes note of a return.
-    pub(crate) fn count_return(&mut self, now: Instant) {
+    pub fn count_return(&mut self, now: Instant) {
         self.decay(now);
         self.penalty = (self.penalty + 1.0).min(MAX_PENALTY);
     }
 
     /// Recomputes whether the instance is set aside; `may_set_aside` bounds how many are.
-    pub(crate) fn update(&mut self, now: Instant, may_set_aside: bool) {
+    pub fn update(&mut self, now: Instant, may_set_aside: bool) {
         self.decay(now);
         if self.is_aside {
             self.is_aside = self.penalty >= USE_BELOW;
@@ -49,7 +50,8 @@
         }
     }
 
-    pub(crate) fn is_aside(&self) -> bool {
+    /// Whether the thing is set aside.
+    pub fn is_aside(&self) -> bool {
         self.is_aside
     }
 }
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -6,21 +6,26 @@
 use std::time::{Duration, Instant};
 
 use declare::Target;
-use names::Upstream;
+use membership::Member;
+use names::{Instance, Upstream};
 use operator::Response;
 use placement::{Candidate, Policy, Rendezvous};
+use rand::RngExt;
 use serde_json::json;
 use settings::Settings;
 use stakker::{Actor, CX, Ret, after, call, ret};
 use telemetry::Metrics;
-use upstream::{Announcement, Change, Load, Registry};
+use upstream::{Action, Announcement, Change, Directory, Load, Message};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
 
 use crate::members::View;
 use crate::operators::Ask;
 
-/// How often lapsed announcements are looked for.
-const EXPIRY_CHECK: Duration = Duration::from_millis(100);
+/// How often the directory does what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// How long a new instance waits for others of its data centre before it serves alone.
+const ALONE_AFTER: Duration = Duration::from_secs(3);
 
 /// A request for a permit.
 pub(crate) struct Wanted {
@@ -53,7 +58,9 @@
     settings: Rc<Settings>,
     hub: Actor<Hub>,
     metrics: Arc<Metrics>,
-    registry: Registry,
+    directory: Directory,
+    alone_at: Instant,
+    has_members: bool,
     policy: Box<dyn Policy>,
     in_flight: Vec<InFlight>,
 }
@@ -65,12 +72,18 @@
         hub: Actor<Hub>,
         metrics: Arc<Metrics>,
     ) -> Option<Self> {
-        after!(EXPIRY_CHECK, [cx], expire());
+        after!(TICK, [cx], tick());
+        let directory = Directory::new(cx.now(), settings.instance.clone(), rand::rng().random());
+        let is_configured = |peer: &settings::Peer| peer.data_centre == settings.data_centre;
+        let is_alone = !settings.peers.iter().any(is_configured);
+        let alone_at = if is_alone { cx.now() } else { cx.now() + ALONE_AFTER };
         Some(Self {
+            directory,
+            alone_at,
+            has_members: false,
             settings,
             hub,
             metrics,
-            registry: Registry::default(),
             policy: Box::new(Rendezvous),
             in_flight: Vec::new(),
         })
@@ -79,9 +92,17 @@
     /// Takes an announcement that an upstream made to this instance.
     pub(crate) fn announce(&mut self, cx: CX![], ask: Ask) {
         match Announcement::try_from(ask.request.body.as_slice()) {
+            Ok(announcement) if announcement.data_centre != self.settings.data_centre => {
+                let message = format!(
+                    "upstream \"{}\" is in data centre \"{}\", this instance in \"{}\"; announce \
+                     it to an instance of its own data centre",
+                    announcement.upstream, announcement.data_centre, self.settings.data_centre
+                );
+                ask.answer(Response::error(400, "other_data_centre", message));
+            }
             Ok(announcement) => {
-                self.forward(&announcement);
-                let change = self.take(cx.now(), announcement);
+                let (change, actions) = self.directory.announce(cx.now(), announcement);
+                self.perform(actions);
                 ask.answer(Response::json(200, &json!({ "change": change.to_string() })));
             }
             Err(error) => {
@@ -92,8 +113,8 @@
 
     /// Takes an upstream's load report.
     pub(crate) fn report(&mut self, _: CX![], ask: Ask) {
-        let reported =
-            Load::try_from(ask.request.body.as_slice()).and_then(|load| self.registry.report(load));
+        let reported = Load::try_from(ask.request.body.as_slice())
+            .and_then(|load| self.directory.registry_mut().report(load));
         match reported {
             Ok(()) => ask.answer(Response::json(200, &json!({}))),
             Err(error) => ask.answer(Response::error(400, "invalid_load", error.to_string())),
@@ -102,30 +123,50 @@
 
     /// Lists the known upstreams.
     pub(crate) fn list(&mut self, _: CX![], ask: Ask) {
-        let upstreams: Vec<_> = self.registry.iter().map(|entry| &entry.announcement).collect();
+        let upstreams: Vec<_> =
+            self.directory.registry().iter().map(|entry| &entry.announcement).collect();
         ask.answer(Response::json(200, &upstreams));
     }
 
+    /// Answers whether this instance knows all upstreams of its data centre.
+    pub(crate) fn ready(&mut self, cx: CX![], ask: Ask) {
+        ask.answer(if self.is_ready(cx.now()) {
+            Response::text(200, "ready\n")
+        } else {
+            Response::text(503, "learning the upstreams\n")
+        });
+    }
+
+    fn is_ready(&self, now: Instant) -> bool {
+        self.directory.has_learned() || (!self.has_members && self.alone_at <= now)
+    }
+
     /// Takes a change of the members.
-    pub(crate) fn set_view(&mut self, _: CX![], view: View) {
-        log::debug!("{} other members", view.members.len());
+    pub(crate) fn set_view(&mut self, cx: CX![], view: View) {
+        let is_local = |member: &Member| member.data_centre == self.settings.data_centre;
+        let members = view.members.into_iter().filter(is_local);
+        let members: Vec<_> = members.map(|member| member.instance).collect();
+        self.has_members = !members.is_empty();
+        self.directory.set_members(cx.now(), members);
     }
 
     /// Takes a message of a peer.
     pub(crate) fn deliver(&mut self, cx: CX![], delivery: Delivery) {
-        match decode("announcement", &delivery.payload) {
-            Ok(announcement) => {
-                self.take(cx.now(), announcement);
+        match decode::<Message>("message about upstreams", &delivery.payload) {
+            Ok(message) => {
+                let actions = self.directory.receive(cx.now(), &delivery.sender, message);
+                self.perform(actions);
             }
             Err(error) => log::warn!("instance {}: {error}", delivery.sender),
         }
     }
 
     /// Asks for a permit.
-    pub(crate) fn place(&mut self, cx: CX![], wanted: Wanted, placed: Ret<Placed>) {
+    pub(crate) fn place(&mut self, _: CX![], wanted: Wanted, placed: Ret<Placed>) {
         let mut candidates: Vec<_> = self
-            .registry
-            .available(cx.now(), &wanted.target)
+            .directory
+            .registry()
+            .available(&wanted.target)
             .filter(|entry| !wanted.tried.contains(&entry.announcement.upstream))
             .map(|entry| Candidate {
                 upstream: entry.announcement.upstream.clone(),
@@ -162,7 +203,7 @@
     }
 
     fn grant(&mut self, upstream: &Upstream) -> Option<Permit> {
-        let address = self.registry.get(upstream)?.announcement.address;
+        let address = self.directory.registry().get(upstream)?.announcement.address;
         match self.find(upstream) {
             Ok(index) => self.in_flight[index].count += 1,
             Err(index) => {
@@ -172,42 +213,32 @@
         Some(Permit { upstream: upstream.clone(), address })
     }
 
-    fn take(&mut self, now: Instant, announcement: Announcement) -> Change {
-        let upstream = announcement.upstream.clone();
-        let change = self.registry.announce(now, announcement);
-        if matches!(change, Change::Joined | Change::Leaving) {
-            log::info!("upstream {upstream}: {change}");
-        }
-        self.count(now);
-        change
+    fn tick(&mut self, cx: CX![]) {
+        let actions = self.directory.tick(cx.now());
+        self.perform(actions);
+        after!(TICK, [cx], tick());
     }
 
-    fn forward(&mut self, announcement: &Announcement) {
-        let Ok(payload) = encode(announcement) else {
-            return;
-        };
-        let peers = self.settings.peers.iter();
-        for peer in peers.filter(|peer| peer.data_centre == self.settings.data_centre) {
-            let outgoing = Outgoing {
-                addressee: peer.instance.clone(),
-                slice: Slice::Upstream,
-                transport: Transport::Tcp,
-                payload: payload.clone(),
-            };
-            call!([self.hub], send(outgoing));
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, message) => self.send(to, Transport::Tcp, &message),
+                Action::SendQuickly(to, message) => self.send(to, Transport::Udp, &message),
+                Action::Changed(upstream, Change::Altered) => {
+                    log::debug!("upstream {upstream}: altered");
+                }
+                Action::Changed(upstream, change) => log::info!("upstream {upstream}: {change}"),
+            }
         }
+        let registry = self.directory.registry();
+        let available = registry.iter().filter(|entry| entry.is_available()).count();
+        self.metrics.upstreams.set(i64::try_from(available).unwrap_or(i64::MAX));
     }
 
-    fn expire(&mut self, cx: CX![]) {
-        for upstream in self.registry.expire(cx.now()) {
-            log::info!("upstream {upstream}: lapsed");
+    fn send(&self, addressee: Instance, transport: Transport, message: &Message) {
+        if let Ok(payload) = encode(message) {
+            let outgoing = Outgoing { addressee, slice: Slice::Upstream, transport, payload };
+            call!([self.hub], send(outgoing));
         }
-        self.count(cx.now());
-        after!(EXPIRY_CHECK, [cx], expire());
-    }
-
-    fn count(&self, now: Instant) {
-        let available = self.registry.iter().filter(|entry| entry.is_available(now)).count();
-        self.metrics.upstreams.set(i64::try_from(available).unwrap_or(i64::MAX));
     }
 }
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -197,11 +197,10 @@
             ("POST", "/load") => call!([self.placer], report(ask)),
             ("GET", "/members") => call!([self.members], list(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
-            ("GET", "/readyz") => {
-                let (status, text) =
-                    if !self.is_stopping { (200, "ready\n") } else { (503, "stopping\n") };
-                ask.answer(Response::text(status, text));
+            ("GET", "/readyz") if self.is_stopping => {
+                ask.answer(Response::text(503, "stopping\n"));
             }
+            ("GET", "/readyz") => call!([self.placer], ready(ask)),
             _ => {
                 let message = format!("{} {} does not exist", request.method, request.path);
                 ask.answer(Response::error(404, "unknown_path", message));
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -5,7 +5,6 @@
 //! spreads what it learns on the probes themselves, so that the cost of an instance does not
 //! depend on the size of the fleet.
 
-mod damping;
 mod detector;
 mod message;
 mod record;
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use damping::Damping;
 use names::{DataCentre, Incarnation, Instance};
 
-use crate::damping::Damping;
 use crate::{Rumour, Status};
 
 /// An instance and where it is reached.
