--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -13,7 +13,7 @@
 use rand::RngExt;
 use serde_json::json;
 use settings::Settings;
-use stakker::{Actor, CX, Ret, after, call, ret};
+use stakker::{Actor, CX, Fwd, Ret, after, call, ret};
 use telemetry::Metrics;
 use upstream::{Action, Announcement, Change, Directory, Load, Message};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
@@ -128,13 +128,14 @@
         ask.answer(Response::json(200, &upstreams));
     }
 
-    /// Answers whether this instance knows all upstreams of its data centre.
-    pub(crate) fn ready(&mut self, cx: CX![], ask: Ask) {
-        ask.answer(if self.is_ready(cx.now()) {
-            Response::text(200, "ready\n")
+    /// Passes the question for readiness on once this instance knows all upstreams of its data
+    /// centre.
+    pub(crate) fn ready(&mut self, cx: CX![], ask: Ask, next: Fwd<Ask>) {
+        if self.is_ready(cx.now()) {
+            next.fwd(ask);
         } else {
-            Response::text(503, "learning the upstreams\n")
-        });
+            ask.answer(Response::text(503, "learning the upstreams\n"));
+        }
     }
 
     fn is_ready(&self, now: Instant) -> bool {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -70,12 +70,16 @@
     pub head: Size,
     /// Largest request body.
     pub body: Size,
+    /// Most bytes of requests on their way in, over all callers.
+    pub incoming: Size,
     /// Most bytes of answer held for a caller that reads slowly.
     pub unread: Size,
     /// Most open connections of callers.
     pub connections: usize,
     /// Most calls to upstreams at once.
     pub calls: usize,
+    /// Least size of the replicated log at which a snapshot replaces it.
+    pub log: Size,
 }
 
 impl Default for Limits {
@@ -83,9 +87,11 @@
         Self {
             head: Size::from_kibibytes(16),
             body: Size::from_kibibytes(4096),
+            incoming: Size::from_kibibytes(32 * 1024),
             unread: Size::from_kibibytes(256),
             connections: 4096,
             calls: 512,
+            log: Size::from_kibibytes(1024),
         }
     }
 }
@@ -118,6 +124,27 @@
     }
 }
 
+/// How retries of failed attempts are limited.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum Retries {
+    /// Every failure that may be retried is retried.
+    Unbounded,
+    /// A share of the requests, and some retries a second in any case.
+    Share {
+        /// Retries for 100 requests.
+        percent: u32,
+        /// Retries a second that quiet traffic may have.
+        per_second: u32,
+    },
+}
+
+impl Default for Retries {
+    fn default() -> Self {
+        Self::Share { percent: 20, per_second: 10 }
+    }
+}
+
 /// Settings of one instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -141,6 +168,9 @@
     /// Tokens of operators, by name.
     #[serde(default)]
     pub operator_tokens: std::collections::BTreeMap<names::Operator, String>,
+    /// Lets anyone change declarations while no operator has a token.
+    #[serde(default)]
+    pub open_operators: bool,
     /// Other instances known at start.
     #[serde(default)]
     pub peers: Vec<Peer>,
@@ -156,6 +186,9 @@
     /// Spans of time that the instance works with.
     #[serde(default)]
     pub timing: Timing,
+    /// How retries of failed attempts are limited.
+    #[serde(default)]
+    pub retries: Retries,
     /// Writes log lines as JSON.
     #[serde(default)]
     pub json_logs: bool,
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts a stand-in on threads of its own.
 
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
@@ -53,6 +54,8 @@
     pub prefill_per_block: Span,
     /// Blocks that the prefix cache holds.
     pub cache_blocks: usize,
+    /// File to which a service appends what ran, so that its journal outlives it.
+    pub journal: Option<PathBuf>,
     /// How long an announcement holds; it is renewed three times in that time.
     pub expires_in: Span,
 }
@@ -82,6 +85,7 @@
 const BOUNDS: Bounds = Bounds {
     head_bytes: 16 << 10,
     body_bytes: 16 << 20,
+    incoming_bytes: 256 << 20,
     unread_bytes: 1 << 20,
     connections: 8192,
     receive: Duration::from_secs(30),
