--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -250,7 +250,10 @@
             ("GET", "/readyz") if self.is_stopping => {
                 ask.answer(Response::text(503, "stopping\n"));
             }
-            ("GET", "/readyz") => call!([self.config], ready(ask)),
+            ("GET", "/readyz") => {
+                let next = fwd_to!([self.config], ready() as (Ask));
+                call!([self.placer], ready(ask, next));
+            }
             _ => {
                 let message = format!("{} {} does not exist", request.method, request.path);
                 ask.answer(Response::error(404, "unknown_path", message));
