Index cache events of upstreams and detect their gaps

Cause: cache events come late and with gaps; a placement that trusted them would send chats to engines that have evicted their context.

Ruled out: applying what comes after a gap (an eviction may be among the lost). 256 cases with lost, late and repeated messages and restarts: what is trusted was the engine's state at some time.

--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,9 +1,10 @@
-//! Announced upstreams: expiry, labels, load reports, drain.
+//! Announced upstreams: expiry, labels, load reports, cache events, drain.
 //!
 //! [`Registry`] is a core without I/O: it takes announcements with the time of their arrival and
 //! tells which upstreams may receive new work.
 
 mod announcement;
+pub mod cache;
 mod error;
 mod registry;
 
--- /dev/null
+++ b/crates/upstream/tests/cache.rs
@@ -0,0 +1,119 @@
+//! The cache index never trusts what gaps have made wrong.
+
+#![allow(clippy::unwrap_used)]
+
+use names::{Incarnation, Upstream};
+use proptest::prelude::*;
+use upstream::cache::{Block, Change, Events, Index, Outcome, Snapshot};
+
+const CASES: u32 = 256;
+
+fn name() -> Upstream {
+    "engine-1".parse().unwrap()
+}
+
+fn events(incarnation: u64, first: u64, changes: Vec<Change>) -> Events {
+    Events { upstream: name(), incarnation: Incarnation(incarnation), first, changes }
+}
+
+/// An engine that remembers the state of its cache after each change.
+struct Engine {
+    incarnation: u64,
+    changes: Vec<Change>,
+    states: Vec<Vec<Block>>,
+}
+
+impl Engine {
+    fn new(incarnation: u64) -> Self {
+        Self { incarnation, changes: Vec::new(), states: vec![Vec::new()] }
+    }
+
+    fn toggle(&mut self, number: u64) {
+        let mut state = self.states.last().unwrap().clone();
+        let block = Block(number);
+        match state.binary_search(&block) {
+            Ok(index) => {
+                state.remove(index);
+                self.changes.push(Change::Evicted(block));
+            }
+            Err(index) => {
+                state.insert(index, block);
+                self.changes.push(Change::Stored(block));
+            }
+        }
+        self.states.push(state);
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            upstream: name(),
+            incarnation: Incarnation(self.incarnation),
+            next: self.changes.len() as u64,
+            blocks: self.states.last().unwrap().clone(),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(CASES))]
+
+    /// With lost, late and repeated messages and restarts, what the index trusts was the state
+    /// of the newest run's cache at some time, and after a resync it is the newest state.
+    #[test]
+    fn what_is_trusted_was_once_true(
+        steps in prop::collection::vec((0..12_u64, 0..8_u8, any::<prop::sample::Index>()), 1..200),
+    ) {
+        let mut engine = Engine::new(1);
+        let mut index = Index::default();
+        let mut held: Vec<Events> = Vec::new();
+        for (number, fate, pick) in steps {
+            if fate == 7 && number == 0 {
+                engine = Engine::new(engine.incarnation + 1);
+                index.take(events(engine.incarnation, 0, Vec::new()));
+            }
+            engine.toggle(number);
+            let first = engine.changes.len() as u64 - 1;
+            let newest = events(engine.incarnation, first, vec![engine.changes[first as usize]]);
+            let outcome = match fate {
+                0 => None,
+                1 => { held.push(newest); None }
+                2 if !held.is_empty() => Some(index.take(held[pick.index(held.len())].clone())),
+                _ => Some(index.take(newest)),
+            };
+            let blocks: Vec<Block> = (0..12).map(Block).collect();
+            if let Some(length) = index.len(&name()) {
+                let as_index = |state: &Vec<Block>| {
+                    state.len() == length && blocks.iter().all(|block| {
+                        let cached = index.reuse(&name(), &[*block]) == Some(1);
+                        cached == state.contains(block)
+                    })
+                };
+                prop_assert!(engine.states.iter().any(as_index));
+            }
+            if outcome == Some(Outcome::Resync) {
+                prop_assert_eq!(index.len(&name()), None);
+                prop_assert_eq!(index.reset(engine.snapshot()), Outcome::Applied);
+                prop_assert_eq!(index.len(&name()), Some(engine.states.last().unwrap().len()));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_gap_is_found_and_a_snapshot_mends_it() {
+    let stored = |number| Change::Stored(Block(number));
+    let mut index = Index::default();
+    assert_eq!(index.take(events(1, 0, vec![stored(1), stored(2)])), Outcome::Applied);
+    assert_eq!(index.reuse(&name(), &[Block(1), Block(2), Block(3)]), Some(2));
+    assert_eq!(index.take(events(1, 3, vec![stored(4)])), Outcome::Resync);
+    assert_eq!(index.reuse(&name(), &[Block(1)]), None);
+    assert_eq!(index.take(events(1, 2, vec![stored(3)])), Outcome::Resync);
+    let blocks = vec![Block(4), Block(1)];
+    let snapshot = Snapshot { upstream: name(), incarnation: Incarnation(1), next: 4, blocks };
+    assert_eq!(index.reset(snapshot.clone()), Outcome::Applied);
+    assert_eq!(index.take(events(1, 2, vec![stored(3), stored(4), stored(5)])), Outcome::Applied);
+    assert_eq!(index.reuse(&name(), &[Block(1), Block(5), Block(2)]), Some(2));
+    assert_eq!(index.reset(snapshot), Outcome::Repeated);
+    assert_eq!(index.take(events(0, 0, vec![stored(9)])), Outcome::Repeated);
+    assert_eq!(index.take(events(2, 5, vec![stored(9)])), Outcome::Resync);
+}
