Let stand-ins fail, slow down, take orders, move context and report

Cause: nothing to measure load reports with a lag, cache events with gaps, broken or slow engines, fencing or moved context against.

tests/stand_in.rs: 5 pass; half of the events lost leads to a resync.

--- a/crates/command/src/commands/dev.rs
+++ b/crates/command/src/commands/dev.rs
@@ -8,7 +8,7 @@
 use instance::{Bound, Stop};
 use names::{DataCentre, Incarnation, Upstream};
 use settings::Settings;
-use standin::{Options, Running, Work};
+use standin::{Behaviour, Options, Running, Work};
 use tempfile::TempDir;
 use units::Span;
 
@@ -120,6 +120,7 @@
             prefill_per_block: Span::from_millis(2),
             cache_blocks: 4096,
             expires_in: Span::from_seconds(3),
+            behaviour: Behaviour::default(),
         };
         Ok(standin::start(options)?)
     }
--- a/crates/command/src/commands/stand_in.rs
+++ b/crates/command/src/commands/stand_in.rs
@@ -5,7 +5,7 @@
 use bpaf::{Parser, construct, long};
 use declare::Labels;
 use names::{DataCentre, Incarnation, Model, Upstream};
-use standin::{Options, Running, Work};
+use standin::{Behaviour, Mode, Options, Running, Work};
 use units::Span;
 
 use crate::{Command, Entry, Error, Exit, signals};
@@ -35,6 +35,36 @@
     Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
 }
 
+fn behaviour() -> impl Parser<Behaviour> {
+    let mode = long("mode")
+        .help("How it treats requests: normal, error or slow; POST /mode changes it")
+        .argument::<Mode>("MODE")
+        .fallback(Mode::Normal);
+    let checks_fencing =
+        long("checks-fencing").help("Refuses orders with an old fencing number").switch();
+    let report_every = long("report-every")
+        .help("How often load and cache events are reported")
+        .argument::<Span>("SPAN")
+        .fallback(Span::from_millis(500));
+    let report_lag = long("report-lag")
+        .help("How late reports arrive")
+        .argument::<Span>("SPAN")
+        .fallback(Span::from_millis(0));
+    let cache_loss_percent = long("cache-loss")
+        .help("Cache events that are lost")
+        .argument::<u32>("PERCENT")
+        .fallback(0);
+    let seed = long("seed").help("Seed of the losses").argument::<u64>("NUMBER").fallback(1);
+    construct!(Behaviour {
+        mode,
+        checks_fencing,
+        report_every,
+        report_lag,
+        cache_loss_percent,
+        seed,
+    })
+}
+
 pub(crate) fn entry() -> Entry {
     let name = long("name").help("Name of the upstream").argument::<Upstream>("NAME");
     let data_centre = long("data-centre").help("Its data centre").argument::<DataCentre>("NAME");
@@ -84,6 +114,7 @@
         prefill_per_block,
         cache_blocks,
         expires_in,
+        behaviour(behaviour()),
     });
     let count = long("count")
         .help("Starts this many, named NAME-1 and so on when there is more than one")
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`run`] builds the actors of one instance on one event loop, connects them by messages, and
 //! runs until a planned stop has finished.
 
+mod caches;
 mod claims;
 mod config;
 mod error;
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -16,6 +16,7 @@
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
+use crate::caches::Caches;
 use crate::claims::Claims;
 use crate::config::Config;
 use crate::limits::Limits;
@@ -42,6 +43,7 @@
 pub(crate) struct Root {
     settings: Rc<Settings>,
     _hub: ActorOwn<Hub>,
+    caches: ActorOwn<Caches>,
     limits: ActorOwn<Limits>,
     placer: ActorOwn<Placer>,
     router: ActorOwn<Router>,
@@ -110,6 +112,11 @@
             Placer::init(settings.clone(), hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let caches = actor!(
+            cx,
+            Caches::init(metrics.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let limits = actor!(
             cx,
             Limits::init(settings.clone(), hub.clone()),
@@ -165,6 +172,7 @@
         Ok(Self {
             settings,
             _hub: hub,
+            caches,
             limits,
             placer,
             router,
@@ -211,6 +219,8 @@
         }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/announce") => call!([self.placer], announce(ask)),
+            ("POST", "/cache-events") => call!([self.caches], take(ask)),
+            ("POST", "/cache-snapshot") => call!([self.caches], reset(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
             ("GET", "/members") => call!([self.members], list(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
--- a/crates/standin/src/announcer.rs
+++ b/crates/standin/src/announcer.rs
@@ -51,7 +51,8 @@
     }
 }
 
-fn agent() -> Agent {
+/// Calls instances, which may take [`CALL_TIMEOUT`] to answer.
+pub(crate) fn agent() -> Agent {
     Agent::config_builder()
         .http_status_as_error(false)
         .proxy(None)
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,16 +1,20 @@
 //! The stand-in engine: continuous batching over slots, a prefix cache, priorities.
 
 use std::collections::VecDeque;
+use std::sync::mpsc::Sender;
 use std::time::Duration;
 
-use entry::{Event, Header, Problem, Reply, Request, Status};
+use entry::{Event, Header, Method, Problem, Reply, Request, Status};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use stakker::{CX, Fwd, after};
 use upstream::Load;
 
+use crate::behaviour::Switch;
 use crate::prefix::Cache;
-use crate::{Options, Prompt, word};
+use crate::reporter::Report;
+use crate::{Context, Mode, Options, Order, Orders, Prompt, word};
 
 /// Priority of requests that name none; smaller is more urgent.
 const DEFAULT_PRIORITY: u32 = 100;
@@ -28,6 +32,8 @@
     pub taken: u64,
     /// Requests answered whole.
     pub answered: u64,
+    /// Requests answered with an error at once.
+    pub failed: u64,
     /// Requests whose caller went away.
     pub cancelled: u64,
     /// Prompt blocks found in the cache.
@@ -53,13 +59,22 @@
     running: Vec<Job>,
     waiting: VecDeque<Job>,
     stats: Stats,
+    mode: Mode,
+    orders: Orders,
+    reports: Sender<Report>,
 }
 
 impl Engine {
-    /// An engine without work.
-    pub fn init(_: CX![], options: Options) -> Option<Self> {
+    /// An engine without work, which sends its reports to `reports`.
+    pub(crate) fn init(cx: CX![], options: Options, reports: Sender<Report>) -> Option<Self> {
         let cache = Cache::new(options.cache_blocks);
+        if options.behaviour.report_every.as_millis() > 0 {
+            after!(options.behaviour.report_every.as_duration(), [cx], report());
+        }
         Some(Self {
+            mode: options.behaviour.mode,
+            orders: Orders::new(options.behaviour.checks_fencing),
+            reports,
             options,
             cache,
             running: Vec::new(),
@@ -91,6 +106,10 @@
         match request.path.as_str() {
             "/v1/chat/completions" => self.take(cx, request, reply),
             "/stats" => reply.fwd(json_reply(Status::OK, &self.stats())),
+            "/mode" => self.switch(&request, &reply),
+            "/orders" => self.order(&request, &reply),
+            "/kv/export" => self.export(&request, &reply),
+            "/kv/import" => self.import(&request, &reply),
             _ => {
                 let message = format!("path \"{}\" does not exist", request.path);
                 let problem = Problem::not_run(Status::NOT_FOUND, "unknown_path", message);
@@ -99,20 +118,61 @@
         }
     }
 
+    fn switch(&mut self, request: &Request, reply: &Fwd<Reply>) {
+        if let Some(switch) = parse::<Switch>("mode", request, reply) {
+            self.mode = switch.mode;
+            reply.fwd(json_reply(Status::OK, &self.stats()));
+        }
+    }
+
+    fn order(&mut self, request: &Request, reply: &Fwd<Reply>) {
+        if request.method == Method::Get {
+            reply.fwd(json_reply(Status::OK, &self.orders));
+            return;
+        }
+        if let Some(order) = parse::<Order>("order", request, reply) {
+            let status = if self.orders.take(order) { Status::OK } else { Status::CONFLICT };
+            reply.fwd(json_reply(status, &self.orders));
+        }
+    }
+
+    fn export(&self, request: &Request, reply: &Fwd<Reply>) {
+        if let Some(prompt) = parse::<Prompt>("prompt", request, reply) {
+            reply.fwd(json_reply(Status::OK, &self.cache.export(&prompt.text())));
+        }
+    }
+
+    fn import(&mut self, request: &Request, reply: &Fwd<Reply>) {
+        if let Some(context) = parse::<Context>("context", request, reply) {
+            self.cache.import(&context);
+            reply.fwd(json_reply(Status::OK, &self.stats()));
+        }
+    }
+
+    /// Reports load and cache changes; again and again.
+    fn report(&mut self, cx: CX![]) {
+        let _ = self.reports.send(Report::Load(self.load()));
+        let changes = self.cache.take_changes();
+        if !changes.is_empty() {
+            let _ = self.reports.send(Report::Changes(changes));
+        }
+        after!(self.options.behaviour.report_every.as_duration(), [cx], report());
+    }
+
     fn stats(&self) -> Stats {
         Stats { running: self.running.len(), waiting: self.waiting.len(), ..self.stats.clone() }
     }
 
     fn take(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
-        let prompt: Prompt = match serde_json::from_slice(&request.body) {
-            Ok(prompt) => prompt,
-            Err(error) => {
-                let message = format!("body is not a chat-completions request: {error}");
-                let problem = Problem::not_run(Status::BAD_REQUEST, "invalid_body", message);
-                reply.fwd(problem.into_reply());
-                return;
-            }
+        let Some(prompt) = parse::<Prompt>("chat-completions request", &request, &reply) else {
+            return;
         };
+        if self.mode == Mode::Error {
+            self.stats.failed += 1;
+            let problem = Problem::not_run(Status::UNAVAILABLE, "broken", "the engine is broken");
+            reply.fwd(problem.into_reply());
+            return;
+        }
         let priority = request.header("x-priority").and_then(|value| value.parse().ok());
         let resumed = request.header("x-resume-offset").and_then(|value| value.parse().ok());
         let job = Job {
@@ -141,7 +201,8 @@
             self.stats.cached_blocks += reuse.cached_blocks;
             self.stats.computed_blocks += reuse.computed_blocks;
             let blocks = u32::try_from(reuse.computed_blocks).unwrap_or(u32::MAX);
-            let prefill = self.options.prefill_per_block.as_duration() * blocks;
+            let prefill =
+                self.options.prefill_per_block.as_duration() * blocks * self.mode.factor();
             let id = job.id;
             self.running.push(job);
             after!(prefill, [cx], produce(id));
@@ -164,7 +225,8 @@
         }
         job.next_word += 1;
         if job.next_word < words {
-            after!(self.options.word_interval.as_duration(), [cx], produce(id));
+            let interval = self.options.word_interval.as_duration() * self.mode.factor();
+            after!(interval, [cx], produce(id));
             return;
         }
         let job = self.running.swap_remove(index);
@@ -183,6 +245,22 @@
     }
 }
 
+/// The `what` in a request's body; answers the request when there is none.
+fn parse<T>(what: &str, request: &Request, reply: &Fwd<Reply>) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    match serde_json::from_slice(&request.body) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            let message = format!("body is not a {what}: {error}");
+            let problem = Problem::not_run(Status::BAD_REQUEST, "invalid_body", message);
+            reply.fwd(problem.into_reply());
+            None
+        }
+    }
+}
+
 fn json_reply<T>(status: Status, value: &T) -> Reply
 where
     T: Serialize,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,16 +2,23 @@
 //! development command.
 
 mod announcer;
+mod behaviour;
 mod engine;
 mod error;
+mod kv;
+mod orders;
 mod prefix;
 mod prompt;
+mod reporter;
 mod run;
 mod service;
 mod text;
 
+pub use behaviour::{Behaviour, Mode};
 pub use engine::{Engine, Stats};
 pub use error::Error;
+pub use kv::Context;
+pub use orders::{Order, Orders, Task};
 pub use prompt::Prompt;
 pub use run::{Options, Running, Work, start};
 pub use service::{Run, Service};
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -15,7 +15,8 @@
 use upstream::{Announcement, Protocol};
 
 use crate::announcer::Announcer;
-use crate::{Engine, Error, Service};
+use crate::reporter::Reporter;
+use crate::{Behaviour, Engine, Error, Service};
 
 /// What a stand-in does.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -55,6 +56,8 @@
     pub cache_blocks: usize,
     /// How long an announcement holds; it is renewed three times in that time.
     pub expires_in: Span,
+    /// How it misbehaves and reports.
+    pub behaviour: Behaviour,
 }
 
 impl Options {
@@ -74,7 +77,7 @@
             labels: self.labels.clone(),
             expires_in: self.expires_in,
             is_leaving,
-            checks_fencing: false,
+            checks_fencing: self.behaviour.checks_fencing,
         }
     }
 }
@@ -207,7 +210,14 @@
     let _service;
     match options.work {
         Work::Engine(_) => {
-            let engine = actor!(stakker, Engine::init(options), ret_shutdown!(stakker));
+            let (reports, received) = std::sync::mpsc::channel();
+            let reporter = Reporter::new(&options);
+            let thread = std::thread::Builder::new().name(format!("reporter-{}", options.name));
+            if let Err(error) = thread.spawn(move || reporter.run(received)) {
+                log::error!("{error}");
+                return;
+            }
+            let engine = actor!(stakker, Engine::init(options, reports), ret_shutdown!(stakker));
             handler = fwd_to!([engine], handle() as (entry::Event));
             _engine = engine;
         }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -39,6 +39,8 @@
     pub active: Gauge,
     /// Upstreams that may receive new work.
     pub upstreams: Gauge,
+    /// Snapshots of caches asked for since events were missing.
+    pub cache_resyncs: Counter,
     /// Members and permits.
     pub membership: Membership,
 }
@@ -65,8 +67,24 @@
         registry.register("active_requests", "Requests not answered yet", active.clone());
         let upstreams = Gauge::default();
         registry.register("upstreams", "Upstreams that may get new work", upstreams.clone());
+        let cache_resyncs = Counter::default();
+        registry.register(
+            "cache_resyncs",
+            "Caches whose events were missing",
+            cache_resyncs.clone(),
+        );
         let membership = Membership::register(&mut registry);
-        Self { membership, registry, requests, refused, first_byte, revision, active, upstreams }
+        Self {
+            membership,
+            registry,
+            requests,
+            refused,
+            first_byte,
+            revision,
+            active,
+            upstreams,
+            cache_resyncs,
+        }
     }
 
     /// Counts a finished request.
--- /dev/null
+++ b/tests/stand_in.rs
@@ -0,0 +1,73 @@
+//! What stand-in engines do besides answering: modes, orders, reports, moving context.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{Fleet, chat, get, post, wait_for};
+use test_case::test_case;
+
+const CHAT: &str = "/v1/chat/completions";
+
+fn stats(fleet: &Fleet, index: usize) -> Value {
+    serde_json::from_str(&get(fleet.upstreams[index].address, "/stats").unwrap()).unwrap()
+}
+
+#[test]
+fn a_broken_engine_answers_errors_until_it_is_mended() {
+    let mut fleet = Fleet::start(&["giza"]);
+    let engine = fleet.add_upstream("engine-1", "giza", &["--model", "caption-small"]);
+    let switch = |mode: &str| post(engine, "/mode", &[], &json!({ "mode": mode })).unwrap().status;
+    assert_eq!(switch("error"), 200);
+    assert_eq!(post(engine, CHAT, &[], &chat("hello", 2, false)).unwrap().status, 503);
+    assert_eq!(switch("normal"), 200);
+    assert_eq!(post(engine, CHAT, &[], &chat("hello", 2, false)).unwrap().status, 200);
+    assert_eq!(switch("absent"), 400);
+    assert_eq!(stats(&fleet, 0)["failed"], 1);
+}
+
+#[test_case(&["--checks-fencing"], 409, 1; "checked")]
+#[test_case(&[], 200, 2; "ignored")]
+fn old_fencing_numbers_are_treated_by_choice(flags: &[&str], status: u16, done: usize) {
+    let mut fleet = Fleet::start(&["giza"]);
+    let flags = [&["--model", "caption-small"], flags].concat();
+    let engine = fleet.add_upstream("engine-1", "giza", &flags);
+    let order = |fence| json!({ "fence": fence, "task": { "load": "caption-large" } });
+    assert_eq!(post(engine, "/orders", &[], &order(7)).unwrap().status, 200);
+    assert_eq!(post(engine, "/orders", &[], &order(6)).unwrap().status, status);
+    let orders: Value = serde_json::from_str(&get(engine, "/orders").unwrap()).unwrap();
+    assert_eq!(orders["done"].as_array().unwrap().len(), done);
+}
+
+#[test]
+fn context_moves_from_one_engine_to_another() {
+    let mut fleet = Fleet::start(&["giza"]);
+    let from = fleet.add_upstream("engine-1", "giza", &["--model", "caption-small"]);
+    let to = fleet.add_upstream("engine-2", "giza", &["--model", "caption-small"]);
+    let prompt = chat(&"a long flight log ".repeat(40), 2, false);
+    post(from, CHAT, &[], &prompt).unwrap();
+    let exported = post(from, "/kv/export", &[], &prompt).unwrap();
+    let context: Value = serde_json::from_str(&exported.body).unwrap();
+    assert!(context["blocks"].as_array().unwrap().len() > 5, "{exported:?}");
+    assert_eq!(post(to, "/kv/import", &[], &context).unwrap().status, 200);
+    post(to, CHAT, &[], &prompt).unwrap();
+    assert_eq!(stats(&fleet, 1)["computed_blocks"], 0);
+}
+
+#[test]
+fn lost_cache_events_lead_to_a_resync() {
+    let mut fleet = Fleet::start(&["giza"]);
+    let flags = ["--model", "caption-small", "--report-every", "20ms", "--cache-loss", "50"];
+    let engine = fleet.add_upstream("engine-1", "giza", &flags);
+    let operators = fleet.instances[0].addresses.operators;
+    for number in 0..20 {
+        let text = format!("{number} {}", "flight log ".repeat(40));
+        post(engine, CHAT, &[], &chat(&text, 1, false)).unwrap();
+    }
+    wait_for("resync", || {
+        let metrics = get(operators, "/metrics").ok()?;
+        let line = metrics.lines().find(|line| line.contains("cache_resyncs_total"))?;
+        (!line.ends_with(" 0")).then_some(())
+    });
+}
