--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -18,7 +18,7 @@
 
 use crate::caches::Caches;
 use crate::claims::Claims;
-use crate::config::Config;
+use crate::config::{Config, Surroundings};
 use crate::limits::Limits;
 use crate::members::{Members, View};
 use crate::operators::{Ask, Operators};
@@ -122,27 +122,40 @@
             Limits::init(settings.clone(), hub.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let router = actor!(
-            cx,
-            Router::init(settings.clone(), limits.clone(), placer.clone(), metrics.clone()),
-            ret_some_to!([cx], child_ended() as (StopCause))
-        );
         let replica = actor!(
             cx,
-            Replica::init(settings.clone()),
+            Replica::init(settings.clone(), incarnation, hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let in_force = fwd_to!([router], set_declarations() as (Rc<Declarations>));
-        let config = actor!(
+        let claims = actor!(
             cx,
-            Config::init(settings.clone(), replica.clone(), hub.clone(), in_force),
+            Claims::init(replica.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let claims = actor!(
+        let router = actor!(
             cx,
-            Claims::init(replica.clone()),
+            Router::init(
+                settings.clone(),
+                limits.clone(),
+                placer.clone(),
+                claims.clone(),
+                metrics.clone()
+            ),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let in_force = vec![
+            fwd_to!([router], set_declarations() as (Rc<Declarations>)),
+            fwd_to!([limits], set_declarations() as (Rc<Declarations>)),
+        ];
+        let around = Surroundings {
+            settings: settings.clone(),
+            metrics: metrics.clone(),
+            replica: replica.clone(),
+            hub: hub.clone(),
+            in_force,
+        };
+        let config =
+            actor!(cx, Config::init(around), ret_some_to!([cx], child_ended() as (StopCause)));
         let placer_views = fwd_to!([placer], set_view() as (View));
         let limits_views = fwd_to!([limits], set_view() as (View));
         let views = Fwd::new(move |view: View| {
@@ -210,6 +223,17 @@
         }
     }
 
+    /// Whether the request may come from an upstream.
+    fn is_upstream(&self, request: &operator::Request) -> bool {
+        match &self.settings.upstream_token {
+            None => true,
+            Some(expected) => {
+                let presented = request.token.as_deref();
+                presented.is_some_and(|token| operator::is_token(token, expected))
+            }
+        }
+    }
+
     /// Answers a request of the operators' port.
     fn answer(&mut self, _: CX![], ask: Ask) {
         let request = &ask.request;
@@ -217,18 +241,28 @@
             call!([self.config], answer(ask));
             return;
         }
+        if request.path.starts_with("/state") {
+            call!([self.replica], answer(ask));
+            return;
+        }
         match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/announce" | "/load" | "/cache-events" | "/cache-snapshot")
+                if !self.is_upstream(request) =>
+            {
+                let message = "the request needs the fleet's upstream token";
+                ask.answer(Response::error(401, "unauthorised", message));
+            }
             ("POST", "/announce") => call!([self.placer], announce(ask)),
             ("POST", "/cache-events") => call!([self.caches], take(ask)),
             ("POST", "/cache-snapshot") => call!([self.caches], reset(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
             ("GET", "/members") => call!([self.members], list(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
-            ("GET", "/readyz") => {
-                let (status, text) =
-                    if !self.is_stopping { (200, "ready\n") } else { (503, "stopping\n") };
-                ask.answer(Response::text(status, text));
+            ("GET", "/fleet") => call!([self.config], list_instances(ask)),
+            ("GET", "/readyz") if self.is_stopping => {
+                ask.answer(Response::text(503, "stopping\n"));
             }
+            ("GET", "/readyz") => call!([self.config], ready(ask)),
             _ => {
                 let message = format!("{} {} does not exist", request.method, request.path);
                 ask.answer(Response::error(404, "unknown_path", message));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,5 +8,5 @@
 mod policies;
 
 pub use error::Error;
-pub use model::{Limits, Listen, Peer, Role, Settings, Timing};
+pub use model::{Limits, Listen, Peer, Retries, Role, Settings, Timing};
 pub use policies::Policies;
