--- a/crates/command/src/commands/stand_in.rs
+++ b/crates/command/src/commands/stand_in.rs
@@ -6,7 +6,7 @@
 use bpaf::{Parser, construct, long};
 use declare::Labels;
 use names::{DataCentre, Incarnation, Model, Upstream};
-use standin::{Options, Running, Work};
+use standin::{Behaviour, Options, Running, Work};
 use units::Span;
 
 use crate::{Command, Entry, Error, Exit, signals};
@@ -36,6 +36,25 @@
     Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
 }
 
+fn behaviour() -> impl Parser<Behaviour> {
+    let checks_fencing =
+        long("checks-fencing").help("Refuses orders with an old fencing number").switch();
+    let report_every = long("report-every")
+        .help("How often load and cache events are reported")
+        .argument::<Span>("SPAN")
+        .fallback(Span::from_millis(500));
+    let report_lag = long("report-lag")
+        .help("How late reports arrive")
+        .argument::<Span>("SPAN")
+        .fallback(Span::from_millis(0));
+    let cache_loss_percent = long("cache-loss")
+        .help("Cache events that are lost")
+        .argument::<u32>("PERCENT")
+        .fallback(0);
+    let seed = long("seed").help("Seed of the losses").argument::<u64>("NUMBER").fallback(1);
+    construct!(Behaviour { checks_fencing, report_every, report_lag, cache_loss_percent, seed })
+}
+
 pub(crate) fn entry() -> Entry {
     let name = long("name").help("Name of the upstream").argument::<Upstream>("NAME");
     let data_centre = long("data-centre").help("Its data centre").argument::<DataCentre>("NAME");
@@ -90,6 +109,7 @@
         cache_blocks,
         journal,
         expires_in,
+        behaviour(behaviour()),
     });
     let count = long("count")
         .help("Starts this many, named NAME-1 and so on when there is more than one")
