Claim keys before the account's limit, not after it

Cause: the merge asked the limit first and again after the claim, so that a first request met its own claim and was told "still running" (9 tests red). Ruled out: the limit first, once: a resend of a booking that ran would then be refused as not-run, which is false. Measured: tests/ledger.rs 9, tests/bookings.rs 1, tests/dev.rs 1 passed; red before.

--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -128,6 +128,7 @@
             }
         };
         let deadline = route.deadline;
+        let is_keyed = route.ticket.is_some();
         let active = Active::new(id, cx.now(), route, reply);
         let index = match self.active.binary_search_by(|other| other.id.cmp(&id)) {
             Ok(_) => return,
@@ -137,7 +138,11 @@
         self.metrics.active.inc();
         self.budget.count_request();
         at!(deadline, [cx], expire(id));
-        self.check_limit(cx, id);
+        if is_keyed {
+            self.claim(cx, index);
+        } else {
+            self.check_limit(cx, id);
+        }
     }
 
     /// Asks whether the request passes the limit of its account.
@@ -155,7 +160,6 @@
             return;
         };
         match passage {
-            Passage::Pass if self.active[index].route.ticket.is_some() => self.claim(cx, index),
             Passage::Pass => self.place(cx, id),
             Passage::Refuse { retry_after } => {
                 let problem = problem::over_limit(&self.active[index].route.account, retry_after);
