--- a/crates/state/src/core/action.rs
+++ b/crates/state/src/core/action.rs
@@ -83,7 +83,7 @@
     },
 }
 
-/// Something to be written and synced. The parts are written in the order of the fields.
+/// Something to be written and synced.
 #[derive(Debug, Clone)]
 pub struct Write {
     /// Grows by one with every write.
--- a/crates/state/src/core/founding.rs
+++ b/crates/state/src/core/founding.rs
@@ -36,12 +36,17 @@
             return;
         }
         self.founding.announce_at = now + self.timing.heartbeat;
+        self.announce(Message::Blank);
+        self.try_found();
+    }
+
+    /// Tells all other instances that keep the log something about this folder.
+    pub(super) fn announce(&mut self, message: Message) {
         let mut others = self.founding.founders.clone();
         others.retain(|founder| *founder != self.instance);
         for founder in others {
-            self.send(None, founder, Message::Blank);
+            self.send(None, founder, message.clone());
         }
-        self.try_found();
     }
 
     fn try_found(&mut self) {
@@ -79,7 +84,7 @@
             let members = self.snapshot.members.clone();
             self.send(Some(from), instance, Message::Found(members));
         } else {
-            self.note_lost_folder(now, from, instance);
+            self.note_outsider(now, from, instance);
         }
     }
 
--- a/crates/state/src/core/leader.rs
+++ b/crates/state/src/core/leader.rs
@@ -34,7 +34,7 @@
     told_commit: Index,
 }
 
-struct Blank {
+struct Outsider {
     voter: Voter,
     instance: Instance,
     seen: Instant,
@@ -48,7 +48,7 @@
     elected_by: Vec<Voter>,
     since: Instant,
     progress: Vec<Progress>,
-    blanks: Vec<Blank>,
+    outsiders: Vec<Outsider>,
 }
 
 impl Leader {
@@ -65,7 +65,7 @@
             elected_by,
             since,
             progress: Vec::new(),
-            blanks: Vec::new(),
+            outsiders: Vec::new(),
         }
     }
 
@@ -98,32 +98,32 @@
         (now < found.contact + span).then_some(found.synced)
     }
 
-    pub(super) fn note_blank(&mut self, now: Instant, voter: Voter, instance: Instance) {
-        self.blanks.retain(|blank| blank.instance != instance);
-        self.blanks.push(Blank { voter, instance, seen: now });
+    pub(super) fn note_outsider(&mut self, now: Instant, voter: Voter, instance: Instance) {
+        self.outsiders.retain(|outsider| outsider.instance != instance);
+        self.outsiders.push(Outsider { voter, instance, seen: now });
     }
 
-    /// Adds a learner for an instance of the group that came back with a blank folder.
+    /// Adds a learner for an instance of the group whose folder is no member.
     pub(super) fn addition(
         &self,
         now: Instant,
         span: Duration,
         members: &Members,
     ) -> Option<Change> {
-        let is_due = |blank: &&Blank| {
-            let has_place = members.voting().any(|member| member.instance == blank.instance);
-            has_place && now < blank.seen + span && members.find(blank.voter).is_none()
+        let is_due = |outsider: &&Outsider| {
+            let has_place = members.voting().any(|member| member.instance == outsider.instance);
+            has_place && now < outsider.seen + span && members.find(outsider.voter).is_none()
         };
-        let blank = self.blanks.iter().find(is_due)?;
+        let outsider = self.outsiders.iter().find(is_due)?;
         let is_busy = members.list().iter().any(|member| {
             member.standing == Standing::Learner
-                && member.instance != blank.instance
+                && member.instance != outsider.instance
                 && self.synced_of(member.voter, now, span).is_some()
         });
         if is_busy {
             return None;
         }
-        Some(Change::Add(blank.voter, blank.instance.clone()))
+        Some(Change::Add(outsider.voter, outsider.instance.clone()))
     }
 }
 
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -78,6 +78,11 @@
             log.push(entry);
         }
         let durable = log.last_index();
+        // The term of the last entry may have been synced before the ballot that belongs to it.
+        let ballot = match log.last().term {
+            term if term > ballot.term => Ballot { term, vote: None },
+            _ => ballot,
+        };
         let mut core = Self {
             me: start.me,
             instance: start.instance,
@@ -123,7 +128,7 @@
             State::Leader(leader) => leader.heartbeat_at,
             _ => self.election_at,
         };
-        if self.is_blank() { self.founding.announce_at } else { duty }
+        if self.members().is_voting(self.me) { duty } else { self.founding.announce_at }
     }
 
     /// What the core does in its term.
@@ -214,6 +219,11 @@
         self.log.members().1
     }
 
+    /// Whether the members in force are committed.
+    pub fn has_committed_members(&self) -> bool {
+        self.log.members().0 <= self.commit
+    }
+
     /// Whether the folder holds no log yet.
     pub fn is_blank(&self) -> bool {
         self.snapshot.position.index == Index::default()
@@ -226,6 +236,7 @@
         let Envelope { from, instance, term, message, .. } = envelope;
         match message {
             Message::Blank => self.on_blank(now, from, instance),
+            Message::Admit => self.note_outsider(now, from, instance),
             Message::Found(members) => self.on_found(members),
             Message::PreVote { campaign, last } => {
                 self.on_pre_vote(now, from, instance, campaign, last);
@@ -294,6 +305,7 @@
             self.check_founding(now);
             return;
         }
+        self.ask_admission(now);
         if matches!(self.state, State::Leader(_)) {
             self.lead(now);
         } else if now >= self.election_at {
--- a/crates/state/src/core/repair.rs
+++ b/crates/state/src/core/repair.rs
@@ -7,10 +7,22 @@
 const MAX_LEARNER_LAG: u64 = 64;
 
 impl Core {
-    /// Remembers at the leader that an instance of the group came back with a blank folder.
-    pub(super) fn note_lost_folder(&mut self, now: Instant, voter: Voter, instance: Instance) {
+    /// Asks for admission while no leader is heard and this folder does not vote: the change that
+    /// admitted it may never have been committed.
+    pub(super) fn ask_admission(&mut self, now: Instant) {
+        if now < self.founding.announce_at || self.members().is_voting(self.me) {
+            return;
+        }
+        self.founding.announce_at = now + self.timing.heartbeat;
+        if now >= self.heard + self.timing.election {
+            self.announce(Message::Admit);
+        }
+    }
+
+    /// Remembers at the leader that an instance of the group has a folder that is no member.
+    pub(super) fn note_outsider(&mut self, now: Instant, voter: Voter, instance: Instance) {
         if let State::Leader(leader) = &mut self.state {
-            leader.note_blank(now, voter, instance);
+            leader.note_outsider(now, voter, instance);
         }
     }
 
@@ -37,7 +49,10 @@
         let learners = members.list().iter().filter(|one| one.standing == Standing::Learner);
         let is_ready = |member: &&Member| {
             let synced = leader.synced_of(member.voter, now, self.timing.election);
-            synced.is_some_and(|synced| synced.0 + MAX_LEARNER_LAG >= self.log.last_index().0)
+            synced.is_some_and(|synced| {
+                let is_near = synced.0 + MAX_LEARNER_LAG >= self.log.last_index().0;
+                is_near && synced >= leader.first()
+            })
         };
         learners.into_iter().find(is_ready).map(|member| Change::Promote(member.voter))
     }
--- a/crates/state/src/disk/journal.rs
+++ b/crates/state/src/disk/journal.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::record;
-use crate::{Ballot, Error, Folder, Indexed, Snapshot, Write};
+use crate::{Ballot, Error, Folder, Snapshot, Write};
 
 pub(super) const BALLOT_FILE: &str = "ballot";
 pub(super) const IDENTITY_FILE: &str = "identity";
@@ -29,6 +29,7 @@
     pub(super) segment: u64,
     pub(super) segment_bytes: usize,
     pub(super) has_segment: bool,
+    pub(super) has_snapshot: bool,
     buffer: Vec<u8>,
 }
 
@@ -45,7 +46,14 @@
     F: Folder,
 {
     pub(super) fn new(folder: F, segment: u64) -> Self {
-        Self { folder, segment, segment_bytes: 0, has_segment: false, buffer: Vec::new() }
+        Self {
+            folder,
+            segment,
+            segment_bytes: 0,
+            has_segment: false,
+            has_snapshot: false,
+            buffer: Vec::new(),
+        }
     }
 
     /// The folder.
@@ -69,19 +77,18 @@
     /// When anything cannot be written or synced. What is on disk is unknown then, so the
     /// process must stop.
     pub fn write(&mut self, writes: &[Write]) -> Result<Option<u64>, Error> {
-        if let Some(ballot) = writes.iter().rev().find_map(|write| write.ballot.as_ref()) {
-            self.write_ballot(ballot)?;
-        }
         let last_snapshot = writes.iter().rposition(|write| write.snapshot.is_some());
-        let after = &writes[last_snapshot.unwrap_or(0)..];
-        let snapshot = last_snapshot.and_then(|index| writes[index].snapshot.clone());
-        if snapshot.is_some() {
-            self.begin_segment();
-        }
-        let first_segment = self.segment;
-        self.write_entries(after.iter().flat_map(|write| &write.entries))?;
-        if let Some(snapshot) = snapshot {
-            self.write_snapshot(Stored { first_segment, snapshot })?;
+        let ballot = writes.iter().rev().find_map(|write| write.ballot.as_ref());
+        match last_snapshot {
+            // A vote without a snapshot on disk would look like a lost snapshot.
+            Some(index) => {
+                self.write_snapshot(&writes[index..])?;
+                ballot.map_or(Ok(()), |ballot| self.write_ballot(ballot))?;
+            }
+            None => {
+                ballot.map_or(Ok(()), |ballot| self.write_ballot(ballot))?;
+                self.write_entries(writes)?;
+            }
         }
         Ok(writes.last().map(|write| write.ticket))
     }
@@ -90,14 +97,11 @@
         self.replace(BALLOT_FILE, ballot)
     }
 
-    fn write_entries<'write>(
-        &mut self,
-        entries: impl Iterator<Item = &'write Indexed>,
-    ) -> Result<(), Error> {
+    fn write_entries(&mut self, writes: &[Write]) -> Result<(), Error> {
         let mut buffer = std::mem::take(&mut self.buffer);
         buffer.clear();
         let name = segment_name(self.segment);
-        for indexed in entries {
+        for indexed in writes.iter().flat_map(|write| &write.entries) {
             let payload = encode(&name, indexed)?;
             record::append(&payload, &mut buffer);
         }
@@ -129,11 +133,24 @@
         self.has_segment = false;
     }
 
-    /// Stores a snapshot, then removes the files that it replaces.
-    fn write_snapshot(&mut self, stored: Stored) -> Result<(), Error> {
-        let name = format!("{SNAPSHOT_PREFIX}{:020}", stored.snapshot.position.index.0);
+    /// Stores the snapshot of the first write and the entries of all in a segment of their own,
+    /// then removes the files that these replace.
+    fn write_snapshot(&mut self, writes: &[Write]) -> Result<(), Error> {
+        let Some(snapshot) = writes.first().and_then(|write| write.snapshot.clone()) else {
+            return Ok(());
+        };
+        self.begin_segment();
+        let first_segment = self.segment;
+        let name = format!("{SNAPSHOT_PREFIX}{:020}", snapshot.position.index.0);
+        let stored = Stored { first_segment, snapshot };
+        if !std::mem::replace(&mut self.has_snapshot, true) {
+            // Entries without any snapshot on disk would look like a lost snapshot.
+            self.replace(&name, &stored)?;
+            return self.write_entries(writes);
+        }
+        self.write_entries(writes)?;
         self.replace(&name, &stored)?;
-        self.remove_old(&name, stored.first_segment)
+        self.remove_old(&name, first_segment)
     }
 
     fn remove_old(&mut self, newest: &str, first_segment: u64) -> Result<(), Error> {
--- a/crates/state/src/disk/opening.rs
+++ b/crates/state/src/disk/opening.rs
@@ -35,6 +35,8 @@
                 false => Err(journal.missing("snapshot")),
             };
         };
+        journal.has_snapshot = true;
+        journal.segment = journal.segment.max(first_segment);
         let mut log = Replay::new(&snapshot);
         for number in segments.iter().filter(|number| **number >= first_segment) {
             let is_last = segments.last() == Some(number);
@@ -144,6 +146,11 @@
         if offset > self.entries.len() {
             return Err(Index(self.base.0 + 1 + self.entries.len() as u64));
         }
+        let present = self.entries.get(offset);
+        if present.is_some_and(|present| present.term == indexed.entry.term) {
+            // The same entry, written again with a snapshot; those after it still count.
+            return Ok(());
+        }
         self.entries.truncate(offset);
         self.entries.push(indexed.entry);
         Ok(())
--- a/crates/state/src/message.rs
+++ b/crates/state/src/message.rs
@@ -25,6 +25,8 @@
 pub enum Message {
     /// The sender's folder is blank.
     Blank,
+    /// The sender's folder is not among the members that it knows.
+    Admit,
     /// The group was founded with these members, of which the addressee is one.
     Found(Members),
     /// Asks whether a vote would be granted in the next term.
--- /dev/null
+++ b/crates/state/tests/common/world.rs
@@ -0,0 +1,440 @@
+//! A group of cores under a seeded network, with the promises checked at every step.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use names::{Incarnation, Instance};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use state::{
+    Action, Core, Entry, Envelope, Index, Input, Journal, Origin, Payload, Role, Start, Term,
+    Timing, Voter, Write,
+};
+
+use super::MemoryFolder;
+
+const STEP: Duration = Duration::from_millis(10);
+
+/// What may go wrong, in percent of the occasions.
+#[derive(Debug, Clone, Copy)]
+pub struct Faults {
+    pub loss: u32,
+    pub duplicates: u32,
+    pub max_delay: Duration,
+    /// Crashes, freezes, cuts and lost folders.
+    pub has_outages: bool,
+    pub has_lost_folders: bool,
+}
+
+pub struct Node {
+    pub instance: Instance,
+    pub core: Option<Core>,
+    pub folder: MemoryFolder,
+    /// Number of its folder; none after the folder was lost.
+    voter: Option<Voter>,
+    /// Whether the folder was ever seen to hold a log.
+    has_log: bool,
+    journal: Option<Journal<MemoryFolder>>,
+    writes: Vec<Write>,
+    sync_at: Instant,
+    pub is_frozen: bool,
+    pub is_cut: bool,
+    /// The machine: the numbers of all commands applied, in order.
+    pub machine: Vec<u64>,
+}
+
+struct Flying {
+    due: Instant,
+    from: Instance,
+    to: Instance,
+    envelope: Envelope,
+}
+
+pub struct World {
+    pub seed: u64,
+    pub now: Instant,
+    pub random: Pcg64Mcg,
+    pub nodes: Vec<Node>,
+    pub faults: Faults,
+    flying: Vec<Flying>,
+    /// All entries that were ever applied anywhere.
+    pub applied: BTreeMap<Index, Entry>,
+    leaders: BTreeMap<Term, Voter>,
+    next_command: u64,
+    pub refused: Vec<u64>,
+}
+
+impl World {
+    pub fn new(seed: u64, size: usize, faults: Faults) -> Self {
+        let now = Instant::now();
+        let instances: Vec<Instance> =
+            (0..size).map(|number| format!("instance-{number}").parse().unwrap()).collect();
+        let node = |instance: &Instance| Node {
+            instance: instance.clone(),
+            core: None,
+            folder: MemoryFolder::default(),
+            voter: None,
+            has_log: false,
+            journal: None,
+            writes: Vec::new(),
+            sync_at: now,
+            is_frozen: false,
+            is_cut: false,
+            machine: Vec::new(),
+        };
+        let mut world = Self {
+            seed,
+            now,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            nodes: instances.iter().map(node).collect(),
+            faults,
+            flying: Vec::new(),
+            applied: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            next_command: 0,
+            refused: Vec::new(),
+        };
+        (0..size).for_each(|index| world.start(index));
+        world
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.random.random_range(0..100) < percent
+    }
+
+    /// Starts the process of a node on its folder.
+    pub fn start(&mut self, index: usize) {
+        let fresh = Voter(self.random.random());
+        let founders = self.nodes.iter().map(|node| node.instance.clone()).collect();
+        let seed = self.random.random();
+        let node = &mut self.nodes[index];
+        let (journal, me, recovered) = Journal::open(node.folder.clone(), fresh)
+            .unwrap_or_else(|error| panic!("seed {}: {error}", self.seed));
+        node.machine = decode(&recovered.snapshot.data);
+        node.journal = Some(journal);
+        node.voter = Some(me);
+        node.is_frozen = false;
+        node.writes.clear();
+        let instance = node.instance.clone();
+        let start = Start { me, instance, founders, timing: Timing::default(), seed };
+        node.core = Some(Core::new(self.now, start, recovered));
+        self.input(index, Input::Tick);
+    }
+
+    /// Ends the process of a node with the loss of what it did not sync.
+    pub fn crash(&mut self, index: usize) {
+        let seed = self.random.random();
+        let node = &mut self.nodes[index];
+        node.core = None;
+        node.journal = None;
+        node.writes.clear();
+        node.folder.crash(seed);
+    }
+
+    /// Ends the process of a node and empties its folder.
+    pub fn lose_folder(&mut self, index: usize) {
+        self.crash(index);
+        self.nodes[index].folder = MemoryFolder::default();
+        self.nodes[index].voter = None;
+        self.nodes[index].has_log = false;
+    }
+
+    pub fn input(&mut self, index: usize, input: Input) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let Some(core) = node.core.as_mut().filter(|_| !node.is_frozen) else {
+            return;
+        };
+        let actions = core.step(now, input);
+        for action in actions {
+            self.perform(index, action);
+        }
+        self.check_leader(index);
+    }
+
+    fn perform(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Send { addressee, envelope } => self.send(index, addressee, envelope),
+            Action::Apply { index: at, entry } => self.apply(index, at, entry),
+            Action::Persist(write) => self.nodes[index].writes.push(write),
+            Action::Restore(snapshot) => {
+                let machine = decode(&snapshot.data);
+                assert_eq!(machine, self.expected(snapshot.position.index), "seed {}", self.seed);
+                self.nodes[index].machine = machine;
+            }
+            Action::Refuse { origin } => self.refused.push(origin.sequence),
+            Action::Halt { index } => panic!("seed {}: entry {index} contradicts", self.seed),
+        }
+    }
+
+    fn send(&mut self, index: usize, to: Instance, envelope: Envelope) {
+        let copies = if self.chance(self.faults.duplicates) { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.chance(self.faults.loss) {
+                continue;
+            }
+            let limit = self.faults.max_delay.as_micros() as u64;
+            let delay = Duration::from_micros(self.random.random_range(0..=limit));
+            let from = self.nodes[index].instance.clone();
+            let (to, envelope) = (to.clone(), envelope.clone());
+            self.flying.push(Flying { due: self.now + delay, from, to, envelope });
+        }
+    }
+
+    /// The machine after all entries up to `index`.
+    pub fn expected(&self, index: Index) -> Vec<u64> {
+        self.applied.range(..=index).filter_map(|(_, entry)| command(entry)).collect()
+    }
+
+    fn apply(&mut self, node: usize, index: Index, entry: Entry) {
+        let known = self.applied.entry(index).or_insert_with(|| entry.clone());
+        assert_eq!(*known, entry, "seed {}: entry {index} differs at node {node}", self.seed);
+        let node = &mut self.nodes[node];
+        if let Some(number) = command(&entry) {
+            node.machine.push(number);
+        }
+    }
+
+    /// Checks that there is one leader a term, and that it has all entries ever applied.
+    fn check_leader(&mut self, index: usize) {
+        let Some(core) = &self.nodes[index].core else {
+            return;
+        };
+        if core.role() != Role::Leader {
+            return;
+        }
+        let leader = *self.leaders.entry(core.term()).or_insert(core.voter());
+        assert_eq!(leader, core.voter(), "seed {}: two leaders of {}", self.seed, core.term());
+        for (at, entry) in self.applied.range(Index(core.snapshot().position.index.0 + 1)..) {
+            let term = core.term_at(*at);
+            if entry.term < core.term() {
+                assert_eq!(term, Some(entry.term), "seed {}: leader lacks {at}", self.seed);
+            }
+        }
+    }
+
+    /// Checks that one lease holds at most, also while a node is frozen.
+    fn check_leases(&self) {
+        let leading = self
+            .nodes
+            .iter()
+            .filter(|node| node.core.as_ref().is_some_and(|core| core.is_leading(self.now)));
+        assert!(leading.count() <= 1, "seed {}: two leases at once", self.seed);
+    }
+
+    /// Checks that logs with an entry in common are the same up to it.
+    pub fn check_logs(&self) {
+        let cores: Vec<&Core> = self.nodes.iter().filter_map(|node| node.core.as_ref()).collect();
+        for (number, one) in cores.iter().enumerate() {
+            for other in &cores[number + 1..] {
+                self.check_pair(one, other);
+            }
+        }
+    }
+
+    fn check_pair(&self, one: &Core, other: &Core) {
+        let last = one.last().index.min(other.last().index);
+        let mut has_match = false;
+        let mut index = last;
+        while let (Some(mine), Some(theirs)) = (one.entry(index), other.entry(index)) {
+            has_match |= mine.term == theirs.term;
+            assert!(!has_match || mine == theirs, "seed {}: logs differ at {index}", self.seed);
+            index.0 -= 1;
+        }
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        self.nodes.iter().position(|node| {
+            let is_leading = |core: &Core| core.is_leading(self.now);
+            !node.is_frozen && node.core.as_ref().is_some_and(is_leading)
+        })
+    }
+
+    /// Proposes a command to whoever leads.
+    pub fn propose(&mut self) {
+        let leaders: Vec<usize> = (0..self.nodes.len())
+            .filter(|index| {
+                let core = self.nodes[*index].core.as_ref();
+                core.is_some_and(|core| core.role() == Role::Leader)
+            })
+            .collect();
+        for index in leaders {
+            self.next_command += 1;
+            let origin = Origin {
+                instance: self.nodes[index].instance.clone(),
+                incarnation: Incarnation(1),
+                sequence: self.next_command,
+            };
+            let bytes = self.next_command.to_le_bytes().to_vec().into();
+            self.input(index, Input::Propose { origin, bytes });
+        }
+    }
+
+    pub fn compact(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        if let Some(core) = &node.core {
+            let data = encode(&node.machine).into();
+            self.input(index, Input::Compact { index: core.commit(), data });
+        }
+    }
+
+    /// Whether every instance votes with its present folder, and that is committed.
+    pub fn is_repaired(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let node = &self.nodes[leader];
+        let Some(core) = node.core.as_ref() else {
+            return false;
+        };
+        let members = core.members();
+        let votes =
+            |node: &Node| node.has_log && node.voter.is_some_and(|voter| members.is_voting(voter));
+        core.has_committed_members()
+            && members.voting().count() == self.nodes.len()
+            && members.list().len() == self.nodes.len()
+            && self.nodes.iter().all(votes)
+    }
+
+    /// Lets a short time pass.
+    pub fn advance(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        for index in 0..self.nodes.len() {
+            self.sync(index);
+            let core = self.nodes[index].core.as_ref();
+            let has_log = core.is_some_and(|core| core.durable() > Index::default());
+            self.nodes[index].has_log |= has_log;
+            let tick = self.nodes[index].core.as_ref().map(Core::next_tick);
+            if tick.is_some_and(|tick| tick <= self.now) {
+                self.input(index, Input::Tick);
+            }
+        }
+        self.check_leases();
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let mut due: Vec<Flying> = self.flying.extract_if(.., |one| one.due <= now).collect();
+        due.sort_by_key(|flying| flying.due);
+        for flying in due {
+            let find = |name: &Instance| self.nodes.iter().position(|node| node.instance == *name);
+            let (Some(from), Some(to)) = (find(&flying.from), find(&flying.to)) else {
+                continue;
+            };
+            if self.nodes[from].is_cut != self.nodes[to].is_cut {
+                continue;
+            }
+            if self.nodes[to].is_frozen {
+                // It waits in the buffers of the frozen process.
+                self.flying.push(Flying { due: now + STEP, ..flying });
+                continue;
+            }
+            self.input(to, Input::Receive(flying.envelope));
+        }
+    }
+
+    /// Syncs what a node has written, unless its disk is still busy.
+    fn sync(&mut self, index: usize) {
+        let now = self.now;
+        let busy = Duration::from_millis(self.random.random_range(0..40));
+        let node = &mut self.nodes[index];
+        if node.is_frozen || node.writes.is_empty() || now < node.sync_at {
+            return;
+        }
+        node.sync_at = now + busy;
+        let Some(journal) = &mut node.journal else {
+            return;
+        };
+        let writes = std::mem::take(&mut node.writes);
+        match journal.write(&writes) {
+            Ok(Some(ticket)) => self.input(index, Input::Synced { ticket }),
+            Ok(None) => {}
+            Err(_) => self.crash(index),
+        }
+    }
+
+    /// Ends all faults and waits until every node has applied a new command.
+    pub fn heal(&mut self) {
+        self.faults.loss = 0;
+        self.faults.duplicates = 0;
+        for index in 0..self.nodes.len() {
+            self.nodes[index].is_cut = false;
+            self.nodes[index].is_frozen = false;
+        }
+        let deadline = self.now + Duration::from_secs(120);
+        let mut last = 0;
+        while !(last > 0 && self.nodes.iter().all(|node| node.machine.contains(&last))) {
+            assert!(self.now < deadline, "seed {} does not recover:\n{}", self.seed, self.show());
+            // A disk that was about to fail may do so only now.
+            let down = self.nodes.iter().position(|node| node.core.is_none());
+            if let Some(index) = down {
+                self.start(index);
+            }
+            if self.leader().is_some() && self.is_repaired() && last == 0 {
+                self.propose();
+                last = self.next_command;
+            }
+            if self.next_command > last || self.refused.contains(&last) {
+                last = 0;
+            }
+            self.advance();
+            if last > 0 && self.leader().is_none() {
+                last = 0;
+            }
+        }
+        self.check_end();
+    }
+
+    /// The state of all nodes, for messages.
+    fn show(&self) -> String {
+        let cores = self.nodes.iter().filter_map(|node| node.core.as_ref());
+        let line = |core: &Core| {
+            let members: Vec<String> = core
+                .members()
+                .list()
+                .iter()
+                .map(|one| format!("{}={}/{}", one.instance, one.voter, one.standing))
+                .collect();
+            format!(
+                "{} is {} in {} of {:?}, commit {}, snapshot {:?}, last {:?}, members {members:?}\n",
+                core.voter(),
+                core.role(),
+                core.term(),
+                core.leader(),
+                core.commit(),
+                core.snapshot().position,
+                core.last(),
+            )
+        };
+        cores.map(line).collect()
+    }
+
+    /// Checks that every node has applied all entries that were ever applied.
+    fn check_end(&self) {
+        self.check_logs();
+        let all = self.expected(Index(u64::MAX));
+        for node in &self.nodes {
+            assert!(node.machine.len() >= all.len() - 1, "seed {}: {}", self.seed, node.instance);
+            let shared = node.machine.len().min(all.len());
+            assert_eq!(node.machine[..shared], all[..shared], "seed {}", self.seed);
+        }
+        let twice = all.iter().any(|number| self.refused.contains(number));
+        assert!(!twice, "seed {}: a refused command was applied", self.seed);
+    }
+}
+
+fn command(entry: &Entry) -> Option<u64> {
+    match &entry.payload {
+        Payload::Command { bytes, .. } => Some(u64::from_le_bytes(bytes[..8].try_into().unwrap())),
+        _ => None,
+    }
+}
+
+fn encode(machine: &[u64]) -> Vec<u8> {
+    machine.iter().flat_map(|number| number.to_le_bytes()).collect()
+}
+
+fn decode(bytes: &[u8]) -> Vec<u64> {
+    bytes.chunks(8).map(|chunk| u64::from_le_bytes(chunk.try_into().unwrap())).collect()
+}
--- /dev/null
+++ b/crates/state/tests/disk.rs
@@ -0,0 +1,295 @@
+//! The data folder: crashes at every operation, torn tails, flipped bits, missing files.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+use common::MemoryFolder;
+use state::{
+    Ballot, DataFolder, Entry, Error, Folder, Index, Indexed, Journal, Payload, Position,
+    Recovered, Report, Snapshot, Storage, Term, Voter, Write,
+};
+use test_case::test_case;
+
+const ME: Voter = Voter(7);
+
+fn position(index: u64, term: u64) -> Position {
+    Position { index: Index(index), term: Term(term) }
+}
+
+fn entries(first: u64, last: u64, term: u64) -> Vec<Indexed> {
+    let entry = Entry { term: Term(term), payload: Payload::Empty };
+    (first..=last).map(|index| Indexed { index: Index(index), entry: entry.clone() }).collect()
+}
+
+fn snapshot(index: u64, term: u64) -> Option<Arc<Snapshot>> {
+    let data = vec![index as u8; 700].into();
+    Some(Arc::new(Snapshot { position: position(index, term), data, ..Snapshot::default() }))
+}
+
+fn ballot(term: u64) -> Option<Ballot> {
+    Some(Ballot { term: Term(term), vote: Some(ME) })
+}
+
+/// A life of a voter: founding, entries, a conflict, a snapshot with a suffix, an installation.
+fn history() -> Vec<Write> {
+    let write = |ballot, snapshot, entries| Write { ticket: 0, ballot, snapshot, entries };
+    let mut writes = vec![
+        write(Some(Ballot { term: Term(1), vote: None }), snapshot(1, 1), Vec::new()),
+        write(ballot(1), None, entries(2, 4, 1)),
+        write(None, None, entries(5, 40, 1)),
+        write(ballot(2), None, entries(38, 45, 2)),
+        write(None, snapshot(30, 1), [entries(31, 37, 1), entries(38, 45, 2)].concat()),
+        write(None, None, entries(46, 50, 2)),
+        write(ballot(3), snapshot(90, 3), Vec::new()),
+        write(None, None, entries(91, 93, 3)),
+    ];
+    writes.iter_mut().zip(1..).for_each(|(write, ticket)| write.ticket = ticket);
+    writes
+}
+
+/// What must be found after all of `writes`.
+fn expected(writes: &[Write]) -> (Ballot, Index, Vec<Term>) {
+    let mut state = (Ballot::default(), Index::default(), Vec::new());
+    for write in writes {
+        state.0 = write.ballot.unwrap_or(state.0);
+        if let Some(snapshot) = &write.snapshot {
+            state.1 = snapshot.position.index;
+            state.2.clear();
+        }
+        for indexed in &write.entries {
+            state.2.truncate((indexed.index.0 - state.1.0 - 1) as usize);
+            state.2.push(indexed.entry.term);
+        }
+    }
+    state
+}
+
+fn found(recovered: &Recovered) -> (Ballot, Index, Vec<Term>) {
+    let terms = recovered.entries.iter().map(|entry| entry.term).collect();
+    (recovered.ballot, recovered.snapshot.position.index, terms)
+}
+
+fn written(writes: &[Write]) -> MemoryFolder {
+    let folder = MemoryFolder::default();
+    let (mut journal, voter, _) = Journal::open(folder.clone(), ME).unwrap();
+    assert_eq!(voter, ME);
+    for write in writes {
+        journal.write(std::slice::from_ref(write)).unwrap();
+    }
+    folder
+}
+
+#[test]
+fn a_folder_gives_back_what_was_written() {
+    let writes = history();
+    for count in 0..=writes.len() {
+        let folder = written(&writes[..count]);
+        let (_, voter, recovered) = Journal::open(folder, Voter(8)).unwrap();
+        assert_eq!(voter, ME);
+        assert_eq!(found(&recovered), expected(&writes[..count]), "after {count} writes");
+    }
+}
+
+#[test]
+fn one_group_gives_the_same_as_single_writes() {
+    let writes = history();
+    let folder = MemoryFolder::default();
+    let (mut journal, _, _) = Journal::open(folder.clone(), ME).unwrap();
+    assert_eq!(journal.write(&writes).unwrap(), Some(8));
+    let (_, _, recovered) = Journal::open(folder, ME).unwrap();
+    assert_eq!(found(&recovered), expected(&writes));
+}
+
+#[test]
+fn a_crash_at_any_operation_loses_nothing_synced() {
+    let writes = history();
+    let operations = written(&writes).operations();
+    for operation in 0..operations {
+        for seed in 0..12 {
+            crash_at(&writes, operation, seed);
+        }
+    }
+}
+
+fn crash_at(writes: &[Write], operation: usize, seed: u64) {
+    let folder = MemoryFolder::default();
+    folder.fail_after(operation);
+    let mut synced = 0;
+    if let Ok((mut journal, _, _)) = Journal::open(folder.clone(), ME) {
+        for write in writes {
+            if journal.write(std::slice::from_ref(write)).is_err() {
+                break;
+            }
+            synced += 1;
+        }
+    }
+    assert!(folder.has_failed(), "operation {operation} was never reached");
+    folder.crash(seed);
+    let opened = Journal::open(folder, Voter(8));
+    let (mut journal, voter, recovered) =
+        opened.unwrap_or_else(|error| panic!("operation {operation}, seed {seed}: {error}"));
+    assert!(synced == 0 || voter == ME, "operation {operation}, seed {seed}");
+    check_at_least(&writes[..synced], &writes[..(synced + 1).min(writes.len())], &recovered);
+    // The folder takes further writes, and a second crash loses none of them.
+    let next = recovered.snapshot.position.index.0 + recovered.entries.len() as u64 + 1;
+    if recovered.snapshot.position.index > Index::default() {
+        let more = entries(next, next + 1, 9);
+        journal
+            .write(&[Write { ticket: 1, ballot: ballot(9), snapshot: None, entries: more }])
+            .unwrap();
+        let folder = journal.folder().fork();
+        folder.crash(seed + 1);
+        let (_, _, again) = Journal::open(folder, ME).unwrap();
+        assert_eq!(again.entries.len(), recovered.entries.len() + 2);
+        assert_eq!(again.ballot.term, Term(9));
+    }
+}
+
+/// Checks that all of the synced writes is found, and of the next one perhaps a part.
+fn check_at_least(synced: &[Write], next: &[Write], recovered: &Recovered) {
+    let (ballot, base, terms) = found(recovered);
+    let before = expected(synced);
+    let after = expected(next);
+    assert!(ballot == before.0 || ballot == after.0, "{ballot:?}");
+    assert!(base == before.1 || base == after.1, "{base}");
+    let whole = if base == after.1 { &after } else { &before };
+    let is_after = terms.iter().zip(&after.2).all(|(one, other)| one == other) && base == after.1;
+    let is_before = terms.starts_with(&before.2) && base == before.1;
+    assert!(is_after || is_before, "{terms:?} is neither {:?} nor {:?}", before.2, whole.2);
+    if base == before.1 {
+        let conflict = before.2.iter().zip(&after.2).position(|(one, other)| one != other);
+        let least = conflict.unwrap_or(before.2.len()).min(before.2.len());
+        assert!(terms.len() >= least, "{} entries are left of {least}", terms.len());
+    }
+}
+
+fn newest_segment(folder: &MemoryFolder) -> String {
+    let names = folder.names().unwrap();
+    names.iter().rfind(|name| name.starts_with("log-")).unwrap().clone()
+}
+
+#[test]
+fn a_flipped_bit_anywhere_is_a_named_error() {
+    let folder = written(&history()[..4]);
+    for name in folder.names().unwrap() {
+        let length = folder.read(&name).unwrap().len();
+        for offset in 0..length {
+            let changed = folder.fork();
+            changed.change(&name, |bytes| bytes[offset] ^= 1 << (offset % 8));
+            let opened = Journal::open(changed, ME);
+            let is_named = matches!(&opened, Err(Error::Damaged { file, .. }) if *file == name);
+            assert!(is_named, "byte {offset} of {name}: {:?}", opened.err());
+        }
+    }
+}
+
+#[test]
+fn a_tail_that_was_cut_short_is_dropped() {
+    let writes = history();
+    let folder = written(&writes[..4]);
+    let whole = expected(&writes[..4]).2;
+    let name = newest_segment(&folder);
+    let length = folder.read(&name).unwrap().len();
+    for cut in 1..length {
+        let torn = folder.fork();
+        torn.change(&name, |bytes| bytes.truncate(length - cut));
+        let (_, _, recovered) = Journal::open(torn.clone(), ME).unwrap();
+        assert!(recovered.entries.len() <= whole.len());
+        // What was dropped stays dropped.
+        let (_, _, again) = Journal::open(torn, ME).unwrap();
+        assert_eq!(found(&again), found(&recovered));
+    }
+}
+
+#[test]
+fn a_tail_of_zeros_is_dropped() {
+    let folder = written(&history()[..4]);
+    let name = newest_segment(&folder);
+    folder.change(&name, |bytes| bytes.extend([0; 4096]));
+    let (_, _, recovered) = Journal::open(folder, ME).unwrap();
+    assert_eq!(found(&recovered), expected(&history()[..4]));
+}
+
+#[test_case("identity")]
+#[test_case("snapshot-00000000000000000001")]
+fn a_missing_file_is_a_named_error(name: &str) {
+    let folder = written(&history()[..4]);
+    folder.erase(name);
+    let opened = Journal::open(folder, ME);
+    assert!(matches!(opened, Err(Error::Missing { .. })), "{:?}", opened.err());
+}
+
+#[test]
+fn a_missing_segment_is_a_named_error() {
+    let folder = written(&history()[..3]);
+    let (mut journal, _, _) = Journal::open(folder.clone(), ME).unwrap();
+    let name = newest_segment(&folder);
+    journal
+        .write(&[Write { ticket: 1, ballot: None, snapshot: None, entries: entries(41, 42, 1) }])
+        .unwrap();
+    folder.erase(&name);
+    let opened = Journal::open(folder, ME);
+    let is_gap = matches!(&opened, Err(Error::Gap { index: Index(2), .. }));
+    assert!(is_gap, "{:?}", opened.err());
+}
+
+#[test]
+fn a_full_disk_and_a_failed_sync_are_named_errors() {
+    for operation in 0..2 {
+        let folder = written(&history()[..3]);
+        let (mut journal, _, _) = Journal::open(folder.clone(), ME).unwrap();
+        folder.fail_after(operation);
+        let write = Write { ticket: 1, ballot: None, snapshot: None, entries: entries(41, 42, 1) };
+        let error = journal.write(&[write]).unwrap_err().to_string();
+        let expected = ["write \"log-", "sync \"log-"][operation];
+        assert!(error.contains(expected) && error.contains("no space left"), "{error}");
+    }
+}
+
+#[test]
+fn the_storage_thread_syncs_in_order_and_reports_a_failure_once() {
+    let folder = MemoryFolder::default();
+    let files = folder.clone();
+    let (sender, reports) = channel();
+    let report = move |report| sender.send(report).unwrap();
+    let storage = Storage::start(move || Ok(files), ME, report).unwrap();
+    let wait = || reports.recv_timeout(Duration::from_secs(20)).unwrap();
+    assert!(matches!(wait(), Report::Opened { voter: ME, .. }));
+    let writes = history();
+    writes[..4].iter().for_each(|write| storage.write(write.clone()));
+    let mut synced = 0;
+    while synced < 4 {
+        match wait() {
+            Report::Synced { ticket } if ticket > synced => synced = ticket,
+            other => panic!("{other:?}"),
+        }
+    }
+    folder.fail_after(0);
+    storage.write(writes[4].clone());
+    assert!(matches!(wait(), Report::Failed(Error::File { .. })));
+    storage.write(writes[5].clone());
+    assert!(reports.recv_timeout(Duration::from_secs(20)).is_err(), "nothing comes after it");
+}
+
+#[test]
+fn a_folder_serves_one_process_and_one_that_cannot_be_written_is_a_named_error() {
+    let folder = tempfile::TempDir::new().unwrap();
+    let path = folder.path().join("data");
+    let held = DataFolder::open(&path).unwrap();
+    assert!(matches!(DataFolder::open(&path), Err(Error::Locked { .. })));
+    drop(held);
+    let (mut journal, _, _) = Journal::open(DataFolder::open(&path).unwrap(), ME).unwrap();
+    journal.write(&history()).unwrap();
+    drop(journal);
+    let (_, _, recovered) = Journal::open(DataFolder::open(&path).unwrap(), ME).unwrap();
+    assert_eq!(found(&recovered), expected(&history()));
+    let file = folder.path().join("file");
+    std::fs::write(&file, "a file").unwrap();
+    let error = DataFolder::open(&file.join("data")).err().unwrap().to_string();
+    assert!(error.contains("help: check free space, permissions"), "{error}");
+}
--- /dev/null
+++ b/crates/state/tests/lease.rs
@@ -0,0 +1,121 @@
+//! Leases: one holder at a time, whatever is lost, and greater fencing numbers each time.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use state::{Holder, Index, LeaseCommand, LeaseOutcome, Leases, Machine, Origin, Sessions};
+
+const SPAN: Duration = Duration::from_secs(3);
+
+struct Contender {
+    holder: Holder,
+    frozen_until: Instant,
+    /// When the proposal under way is committed, and whether its outcome gets back.
+    proposal: Option<(Instant, LeaseCommand, bool)>,
+}
+
+fn run(leases: &mut Leases, command: &LeaseCommand) -> LeaseOutcome {
+    let bytes = postcard::to_allocvec(command).unwrap();
+    postcard::from_bytes(&leases.apply(Index(1), &bytes)).unwrap()
+}
+
+#[test]
+fn one_contender_holds_at_a_time() {
+    let mut grants = 0;
+    for seed in 0..200 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut leases = Leases::default();
+        let mut now = Instant::now();
+        let contender = |number: u32| Contender {
+            holder: Holder::new("orders".into(), format!("i-{number}").parse().unwrap(), SPAN),
+            frozen_until: now,
+            proposal: None,
+        };
+        let mut contenders: Vec<Contender> = (0..3).map(contender).collect();
+        let mut fences = Vec::new();
+        for _ in 0..800 {
+            now += Duration::from_millis(random.random_range(10..100));
+            if random.random_range(0..60) == 0 {
+                let frozen = Duration::from_millis(random.random_range(1000..9000));
+                contenders[random.random_range(0..3)].frozen_until = now + frozen;
+            }
+            for contender in &mut contenders {
+                step(contender, &mut leases, now, &mut random);
+            }
+            let held: Vec<u64> = contenders
+                .iter()
+                .filter_map(|one| one.holder.fence(now).map(|(fence, _)| fence))
+                .collect();
+            assert!(held.len() <= 1, "seed {seed}: {held:?} are held at once");
+            fences.extend(held);
+        }
+        fences.dedup();
+        grants += fences.len();
+        assert!(fences.is_sorted_by(|one, next| one < next), "seed {seed}: {fences:?}");
+    }
+    assert!(grants > 600, "the lease changed hands {grants} times only");
+}
+
+fn step(contender: &mut Contender, leases: &mut Leases, now: Instant, random: &mut Pcg64Mcg) {
+    if let Some((_, command, is_known)) = contender.proposal.take_if(|(due, ..)| *due <= now) {
+        let outcome = run(leases, &command);
+        contender.holder.learn(now, is_known.then_some(outcome));
+    }
+    if now < contender.frozen_until {
+        return;
+    }
+    if let Some(grant) = leases.find("orders") {
+        contender.holder.watch(now, grant.clone());
+    }
+    if contender.proposal.is_none()
+        && let Some(command) = contender.holder.next(now)
+    {
+        let delay = Duration::from_millis(random.random_range(5..2500));
+        contender.proposal = Some((now + delay, command, random.random_range(0..4) > 0));
+    }
+}
+
+#[test]
+fn only_the_lapsed_grant_that_was_named_is_replaced() {
+    let mut leases = Leases::default();
+    let take = |holder: &str, lapsed| LeaseCommand::Take {
+        resource: "orders".into(),
+        holder: holder.parse().unwrap(),
+        span_millis: 1000,
+        lapsed,
+    };
+    let LeaseOutcome::Granted(first) = run(&mut leases, &take("one", None)) else {
+        unreachable!("the lease was free");
+    };
+    assert!(matches!(run(&mut leases, &take("two", None)), LeaseOutcome::Held(_)));
+    let renew = LeaseCommand::Renew { resource: "orders".into(), fence: first.fence };
+    assert!(matches!(run(&mut leases, &renew), LeaseOutcome::Granted(_)));
+    let stale = take("two", Some((first.fence, 0)));
+    assert!(matches!(run(&mut leases, &stale), LeaseOutcome::Held(_)));
+    let taken = run(&mut leases, &take("two", Some((first.fence, 1))));
+    assert!(matches!(taken, LeaseOutcome::Granted(grant) if grant.fence > first.fence));
+    assert_eq!(run(&mut leases, &renew), LeaseOutcome::Ended);
+    let mut restored = Leases::default();
+    assert!(restored.restore(&leases.snapshot()));
+    assert_eq!(restored, leases);
+    assert!(!restored.restore(&[255; 3]));
+}
+
+#[test]
+fn a_duplicate_proposal_is_recognized() {
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let mut sessions = Sessions::default();
+    let mut accepted = std::collections::BTreeSet::new();
+    for step in 0..20_000_u64 {
+        let sequence = (step / 3 + 1).saturating_sub(random.random_range(0..20)).max(1);
+        let instance = "one".parse().unwrap();
+        let origin = Origin { instance, incarnation: names::Incarnation(5), sequence };
+        assert_eq!(sessions.accept(&origin), accepted.insert(sequence), "{sequence}");
+    }
+    let instance = "one".parse().unwrap();
+    let old = Origin { instance, incarnation: names::Incarnation(4), sequence: 1 << 40 };
+    assert!(!sessions.accept(&old), "a proposal of an earlier run");
+}
