--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use declare::Declarations;
 use entry::{Bounds, Server};
@@ -9,19 +10,23 @@
 use names::Incarnation;
 use operator::Response;
 use settings::Settings;
-use stakker::{ActorOwn, CX, StopCause, actor, at, call, fail, fwd_to, ret_some_to, stop};
+use stakker::{ActorOwn, CX, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop};
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
 use crate::claims::Claims;
-use crate::config::Config;
-use crate::members::Members;
+use crate::config::{Config, Surroundings};
+use crate::limits::Limits;
+use crate::members::{Members, View};
 use crate::operators::{Ask, Operators};
 use crate::placer::Placer;
 use crate::replica::Replica;
 use crate::router::Router;
 use crate::{Bound, Error, Stop};
 
+/// How long the announced leave of this instance may take to reach its peers.
+const LEAVE_TIME: Duration = Duration::from_millis(300);
+
 /// What an instance is built of.
 pub(crate) struct Parts {
     pub(crate) settings: Settings,
@@ -35,6 +40,7 @@
 pub(crate) struct Root {
     settings: Rc<Settings>,
     _hub: ActorOwn<Hub>,
+    limits: ActorOwn<Limits>,
     placer: ActorOwn<Placer>,
     router: ActorOwn<Router>,
     server: ActorOwn<Server>,
@@ -102,9 +108,9 @@
             Placer::init(settings.clone(), hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let router = actor!(
+        let limits = actor!(
             cx,
-            Router::init(settings.clone(), placer.clone(), metrics.clone()),
+            Limits::init(settings.clone(), hub.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let replica = actor!(
@@ -112,20 +118,39 @@
             Replica::init(settings.clone(), incarnation, hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let in_force = fwd_to!([router], set_declarations() as (Rc<Declarations>));
-        let config = actor!(
+        let claims = actor!(
             cx,
-            Config::init(settings.clone(), replica.clone(), hub.clone(), in_force),
+            Claims::init(replica.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let claims = actor!(
+        let router = actor!(
             cx,
-            Claims::init(replica.clone()),
+            Router::init(
+                settings.clone(),
+                limits.clone(),
+                placer.clone(),
+                claims.clone(),
+                metrics.clone(),
+            ),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let in_force = vec![
+            fwd_to!([router], set_declarations() as (Rc<Declarations>)),
+            fwd_to!([placer], set_declarations() as (Rc<Declarations>)),
+        ];
+        let around = Surroundings {
+            settings: settings.clone(),
+            metrics: metrics.clone(),
+            replica: replica.clone(),
+            hub: hub.clone(),
+            in_force,
+        };
+        let config =
+            actor!(cx, Config::init(around), ret_some_to!([cx], child_ended() as (StopCause)));
+        let views = fwd_to!([cx], set_view() as (View));
         let members = actor!(
             cx,
-            Members::init(settings.clone(), hub.clone()),
+            Members::init(settings.clone(), incarnation, hub.clone(), metrics.clone(), views),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let handler = fwd_to!([router], handle() as (entry::Event));
@@ -146,6 +171,7 @@
         Ok(Self {
             settings,
             _hub: hub,
+            limits,
             placer,
             router,
             server,
@@ -168,19 +194,38 @@
         }
     }
 
+    /// Hands the members to the slices that use them.
+    fn set_view(&mut self, _: CX![], view: View) {
+        call!([self.config], set_members(view.members.clone()));
+        call!([self.limits], set_view(view.clone()));
+        call!([self.placer], set_view(view));
+    }
+
     /// Hands a message of a peer to the slice that it belongs to.
     fn deliver(&mut self, _: CX![], delivery: Delivery) {
         match delivery.slice {
             Slice::Membership => call!([self.members], deliver(delivery)),
-            Slice::Upstream | Slice::Permit | Slice::Load | Slice::Account => {
-                call!([self.placer], deliver(delivery));
+            Slice::Upstream | Slice::Permit | Slice::Load => {
+                call!([self.placer], deliver(delivery))
             }
+            Slice::Account => call!([self.limits], deliver(delivery)),
             Slice::State => call!([self.replica], deliver(delivery)),
             Slice::Ledger => call!([self.claims], deliver(delivery)),
             Slice::Declare => call!([self.config], deliver(delivery)),
         }
     }
 
+    /// Whether the request may come from an upstream.
+    fn is_upstream(&self, request: &operator::Request) -> bool {
+        match &self.settings.upstream_token {
+            None => true,
+            Some(expected) => {
+                let presented = request.token.as_deref();
+                presented.is_some_and(|token| operator::is_token(token, expected))
+            }
+        }
+    }
+
     /// Answers a request of the operators' port.
     fn answer(&mut self, _: CX![], ask: Ask) {
         let request = &ask.request;
@@ -193,13 +238,21 @@
             return;
         }
         match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/announce" | "/load") if !self.is_upstream(request) => {
+                let message = "the request needs the fleet's upstream token";
+                ask.answer(Response::error(401, "unauthorised", message));
+            }
             ("POST", "/announce") => call!([self.placer], announce(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
+            ("GET", "/members") => call!([self.members], list(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
+            ("GET", "/fleet") => call!([self.config], list_instances(ask)),
+            ("GET", "/readyz") if self.is_stopping => {
+                ask.answer(Response::text(503, "stopping\n"));
+            }
             ("GET", "/readyz") => {
-                let (status, text) =
-                    if !self.is_stopping { (200, "ready\n") } else { (503, "stopping\n") };
-                ask.answer(Response::text(status, text));
+                let next = fwd_to!([self.config], ready() as (Ask));
+                call!([self.placer], ready(ask, next));
             }
             _ => {
                 let message = format!("{} {} does not exist", request.method, request.path);
@@ -221,7 +274,13 @@
         at!(deadline, [cx], finish_stop(()));
     }
 
+    /// Announces the leave and gives it time to reach the peers.
     fn finish_stop(&mut self, cx: CX![], _: ()) {
+        call!([self.members], leave());
+        after!(LEAVE_TIME, [cx], end());
+    }
+
+    fn end(&mut self, cx: CX![]) {
         log::info!("instance {} stopped", self.settings.instance);
         stop!(cx);
     }
--- a/crates/instance/src/router/active.rs
+++ b/crates/instance/src/router/active.rs
@@ -1,8 +1,8 @@
 //! Requests that are not answered yet.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use dispatch::Cancel;
+use dispatch::{Handle, Progress};
 use entry::Reply;
 use names::{Attempt, Upstream};
 use stakker::Fwd;
@@ -11,12 +11,31 @@
 use super::route::Route;
 use crate::placer::Permit;
 
+/// Fewest parts of an answer that tell its pace.
+const MIN_PARTS: u32 = 4;
+
 /// The attempt that is running.
 pub(super) struct Calling {
     pub(super) attempt: Attempt,
     pub(super) permit: Permit,
-    pub(super) cancel: Cancel,
-    pub(super) answer: Answer,
+    pub(super) handle: Handle,
+    /// When the upstream was last heard of.
+    pub(super) heard: Instant,
+    /// Parts of the answer that have arrived, and when the first one did.
+    pub(super) parts: u32,
+    pub(super) first_part: Instant,
+}
+
+/// What a request is doing.
+pub(super) enum Phase {
+    /// Waits for its idempotency key.
+    Claiming,
+    /// Waits for a permit, or for the time of the next attempt.
+    Placing,
+    /// An upstream has it.
+    Calling(Calling),
+    /// Has its answer, which waits until it is recorded.
+    Recording(Reply),
 }
 
 /// One request that is not answered yet.
@@ -25,9 +44,33 @@
     pub(super) arrived: Instant,
     pub(super) route: Route,
     pub(super) reply: Fwd<Reply>,
+    pub(super) phase: Phase,
+    pub(super) answer: Answer,
     pub(super) tried: Vec<Upstream>,
-    pub(super) calling: Option<Calling>,
-    pub(super) has_answered: bool,
+    pub(super) attempts: usize,
+    /// Whether upstreams that fail or lag are left out.
+    pub(super) avoids_unhealthy: bool,
+    /// The attempt under which its idempotency key is claimed.
+    pub(super) fence: Option<Attempt>,
+    pub(super) has_started: bool,
+}
+
+impl Calling {
+    pub(super) fn new(attempt: Attempt, permit: Permit, handle: Handle, now: Instant) -> Self {
+        Self { attempt, permit, handle, heard: now, parts: 0, first_part: now }
+    }
+
+    /// Takes note that `progress` has arrived.
+    pub(super) fn hear(&mut self, progress: &Progress, now: Instant) {
+        self.heard = now;
+        if let Progress::Part(part) = progress {
+            self.handle.took(part.len());
+            if self.parts == 0 {
+                self.first_part = now;
+            }
+            self.parts += 1;
+        }
+    }
 }
 
 impl Active {
@@ -37,6 +80,43 @@
         route: Route,
         reply: Fwd<Reply>,
     ) -> Self {
-        Self { id, arrived, route, reply, tried: Vec::new(), calling: None, has_answered: false }
+        let answer = Answer::new(route.streams, route.adapter);
+        Self {
+            id,
+            arrived,
+            route,
+            reply,
+            phase: Phase::Placing,
+            answer,
+            tried: Vec::new(),
+            attempts: 0,
+            avoids_unhealthy: true,
+            fence: None,
+            has_started: false,
+        }
+    }
+
+    /// The running attempt.
+    pub(super) fn calling(&mut self) -> Option<&mut Calling> {
+        match &mut self.phase {
+            Phase::Calling(calling) => Some(calling),
+            _ => None,
+        }
+    }
+
+    /// Mean time between the parts of the running attempt's answer; none while there are few.
+    pub(super) fn pace(&self, now: Instant) -> Option<Duration> {
+        match &self.phase {
+            Phase::Calling(calling) if calling.parts >= MIN_PARTS => {
+                let elapsed = now.saturating_duration_since(calling.first_part);
+                Some(elapsed / (calling.parts - 1))
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether the running attempt is `attempt`.
+    pub(super) fn is_calling(&self, attempt: Attempt) -> bool {
+        matches!(&self.phase, Phase::Calling(calling) if calling.attempt == attempt)
     }
 }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use units::{Size, Span};
 
-use crate::Error;
+use crate::{Error, Policies};
 
 /// Most voters that a control group may have.
 const MAX_VOTERS: usize = 7;
@@ -124,6 +124,27 @@
     }
 }
 
+/// How retries of failed attempts are limited.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum Retries {
+    /// Every failure that may be retried is retried.
+    Unbounded,
+    /// A share of the requests, and some retries a second in any case.
+    Share {
+        /// Retries for 100 requests.
+        percent: u32,
+        /// Retries a second that quiet traffic may have.
+        per_second: u32,
+    },
+}
+
+impl Default for Retries {
+    fn default() -> Self {
+        Self::Share { percent: 20, per_second: 10 }
+    }
+}
+
 /// Settings of one instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -147,6 +168,9 @@
     /// Tokens of operators, by name.
     #[serde(default)]
     pub operator_tokens: std::collections::BTreeMap<names::Operator, String>,
+    /// Lets anyone change declarations while no operator has a token.
+    #[serde(default)]
+    pub open_operators: bool,
     /// Other instances known at start.
     #[serde(default)]
     pub peers: Vec<Peer>,
@@ -162,6 +186,12 @@
     /// Spans of time that the instance works with.
     #[serde(default)]
     pub timing: Timing,
+    /// How retries of failed attempts are limited.
+    #[serde(default)]
+    pub retries: Retries,
+    /// Policies that the instance decides by.
+    #[serde(default)]
+    pub policies: Policies,
     /// Writes log lines as JSON.
     #[serde(default)]
     pub json_logs: bool,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::Membership;
 use crate::ReplicaMetrics;
 
 /// Labels of a finished request.
@@ -41,6 +42,8 @@
     pub active: Gauge,
     /// Upstreams that may receive new work.
     pub upstreams: Gauge,
+    /// Members and permits.
+    pub membership: Membership,
 }
 
 impl Default for Metrics {
@@ -66,7 +69,18 @@
         registry.register("active_requests", "Requests not answered yet", active.clone());
         let upstreams = Gauge::default();
         registry.register("upstreams", "Upstreams that may get new work", upstreams.clone());
-        Self { registry, requests, refused, first_byte, replica, revision, active, upstreams }
+        let membership = Membership::register(&mut registry);
+        Self {
+            registry,
+            requests,
+            refused,
+            first_byte,
+            replica,
+            membership,
+            revision,
+            active,
+            upstreams,
+        }
     }
 
     /// Counts a finished request.
