--- a/crates/command/src/commands/dev.rs
+++ b/crates/command/src/commands/dev.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use bpaf::{Parser, construct, long};
 use declare::{KeyHash, Labels};
 use instance::{Bound, Stop};
 use names::{DataCentre, Incarnation, Upstream};
 use settings::Settings;
-use standin::{Options, Running, Work};
+use standin::{Behaviour, Options, Running, Work};
 use tempfile::TempDir;
 use units::Span;
 
@@ -24,6 +25,9 @@
 const OPERATOR_TOKEN: &str = "dev-operator-token";
 
 const FLEET_SECRET: &str = "development fleet on loopback only";
+/// How often the examples wait for readiness.
+const READY_CHECK: Duration = Duration::from_millis(50);
+
 const MODEL: &str = "caption-small";
 const ENGINES: usize = 3;
 
@@ -121,6 +125,7 @@
             cache_blocks: 4096,
             journal: None,
             expires_in: Span::from_seconds(3),
+            behaviour: Behaviour::default(),
         };
         Ok(standin::start(options)?)
     }
@@ -135,6 +140,23 @@
         Ok(running)
     }
 
+    /// Prints the examples once the instance is ready, from a thread of its own.
+    fn print_examples_when_ready(&self) -> Result<(), Error> {
+        let system = |source| Error::System { what: "thread cannot be started", source };
+        let dev = Dev { callers: self.callers, operators: self.operators };
+        std::thread::Builder::new()
+            .name("readiness".to_string())
+            .spawn(move || {
+                let url = format!("http://{}/readyz", dev.operators);
+                while ureq::get(&url).call().is_err() {
+                    std::thread::sleep(READY_CHECK);
+                }
+                dev.print_examples();
+            })
+            .map_err(system)?;
+        Ok(())
+    }
+
     fn print_examples(&self) {
         let callers = self.callers;
         println!("A streamed chat:");
@@ -164,7 +186,7 @@
         let asked = stop.clone();
         signals::on_stop(move || asked.ask())?;
         let stand_ins = self.stand_ins()?;
-        self.print_examples();
+        self.print_examples_when_ready()?;
         instance::run(settings, bound, &stop)?;
         drop(stand_ins);
         Ok(Exit::Done)
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -14,6 +14,7 @@
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
+use crate::caches::Caches;
 use crate::claims::Claims;
 use crate::config::{Config, Surroundings};
 use crate::limits::Limits;
@@ -40,6 +41,7 @@
 pub(crate) struct Root {
     settings: Rc<Settings>,
     _hub: ActorOwn<Hub>,
+    caches: ActorOwn<Caches>,
     limits: ActorOwn<Limits>,
     placer: ActorOwn<Placer>,
     router: ActorOwn<Router>,
@@ -108,6 +110,11 @@
             Placer::init(settings.clone(), hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let caches = actor!(
+            cx,
+            Caches::init(metrics.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let limits = actor!(
             cx,
             Limits::init(settings.clone(), hub.clone()),
@@ -137,6 +144,7 @@
         let in_force = vec![
             fwd_to!([router], set_declarations() as (Rc<Declarations>)),
             fwd_to!([placer], set_declarations() as (Rc<Declarations>)),
+            fwd_to!([limits], set_declarations() as (Rc<Declarations>)),
         ];
         let around = Surroundings {
             settings: settings.clone(),
@@ -171,6 +179,7 @@
         Ok(Self {
             settings,
             _hub: hub,
+            caches,
             limits,
             placer,
             router,
@@ -238,11 +247,15 @@
             return;
         }
         match (request.method.as_str(), request.path.as_str()) {
-            ("POST", "/announce" | "/load") if !self.is_upstream(request) => {
+            ("POST", "/announce" | "/load" | "/cache-events" | "/cache-snapshot")
+                if !self.is_upstream(request) =>
+            {
                 let message = "the request needs the fleet's upstream token";
                 ask.answer(Response::error(401, "unauthorised", message));
             }
             ("POST", "/announce") => call!([self.placer], announce(ask)),
+            ("POST", "/cache-events") => call!([self.caches], take(ask)),
+            ("POST", "/cache-snapshot") => call!([self.caches], reset(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
             ("GET", "/members") => call!([self.members], list(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
--- a/crates/instance/src/router/keyed.rs
+++ b/crates/instance/src/router/keyed.rs
@@ -61,7 +61,7 @@
         match decision {
             Decision::Run => {
                 self.active[index].phase = Phase::Placing;
-                self.place(cx, id);
+                self.check_limit(cx, id);
             }
             Decision::Replay(answer) => match from_record(answer) {
                 Ok(reply) => {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,18 +2,25 @@
 //! development command.
 
 mod announcer;
+mod behaviour;
 mod engine;
 mod error;
 mod fault;
+mod kv;
+mod orders;
 mod prefix;
 mod prompt;
+mod reporter;
 mod run;
 mod service;
 mod text;
 
+pub use behaviour::Behaviour;
 pub use engine::{Engine, Stats};
 pub use error::Error;
 pub use fault::{Fault, UnknownFault};
+pub use kv::Context;
+pub use orders::{Order, Orders, Task};
 pub use prompt::Prompt;
 pub use run::{Options, Running, Work, start};
 pub use service::{Run, Service};
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,4 +1,4 @@
-//! Announced upstreams: expiry, labels, load reports, drain.
+//! Announced upstreams: expiry, labels, load reports, cache events, drain.
 //!
 //! [`Registry`] is the set that one instance knows and tells which upstreams may receive new
 //! work. [`Directory`] keeps the sets of a data centre equal: changes go to every instance,
@@ -6,6 +6,7 @@
 //! I/O.
 
 mod announcement;
+pub mod cache;
 mod directory;
 mod error;
 mod message;
