--- a/crates/declare/src/key.rs
+++ b/crates/declare/src/key.rs
@@ -22,6 +22,13 @@
     }
 }
 
+impl KeyHash {
+    /// The hash in hexadecimal digits.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
 impl FromStr for KeyHash {
     type Err = Error;
 
--- a/crates/declare/src/model.rs
+++ b/crates/declare/src/model.rs
@@ -152,6 +152,16 @@
     pub kinds: Vec<Kind>,
     /// Upstreams that get no new work, chosen by their labels.
     pub drains: Vec<Selector>,
+    /// Owners of API keys, sorted by hash; built when the declarations are checked.
+    #[serde(skip)]
+    owners: Vec<KeyOwner>,
+}
+
+/// The client account that an API key belongs to, by its position in the list.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct KeyOwner {
+    hash: KeyHash,
+    account: usize,
 }
 
 impl Declarations {
@@ -170,7 +180,8 @@
     /// The client account that `key` belongs to.
     pub fn account_of_key(&self, key: &str) -> Option<&ClientAccount> {
         let hash = KeyHash::of(key);
-        self.client_accounts.iter().find(|account| account.keys.contains(&hash))
+        let index = self.owners.binary_search_by(|owner| owner.hash.cmp(&hash)).ok()?;
+        self.client_accounts.get(self.owners[index].account)
     }
 
     /// Whether a declared drain keeps new work from an upstream with `labels`.
@@ -221,12 +232,25 @@
         self.kinds.sort_by(|left, right| left.name.cmp(&right.name));
         self.drains.sort_by_key(Selector::to_string);
         self.drains.dedup();
+        self.owners = self.key_owners();
+    }
+
+    fn key_owners(&self) -> Vec<KeyOwner> {
+        let accounts = self.client_accounts.iter().enumerate();
+        let mut owners: Vec<KeyOwner> = accounts
+            .flat_map(|(account, declared)| {
+                declared.keys.iter().map(move |hash| KeyOwner { hash: hash.clone(), account })
+            })
+            .collect();
+        owners.sort();
+        owners
     }
 
     fn check(&self) -> Result<(), Error> {
         check_once("service", self.services.iter().map(|item| item.name.as_str()))?;
         check_once("client account", self.client_accounts.iter().map(|item| item.name.as_str()))?;
         check_once("kind of work", self.kinds.iter().map(|item| item.name.as_str()))?;
+        check_once("key hash", self.owners.iter().map(|owner| owner.hash.as_str()))?;
         self.check_service_kinds()?;
         self.check_drains()?;
         self.check_least_shares()
--- a/tests/declarations_faults.rs
+++ b/tests/declarations_faults.rs
@@ -227,3 +227,46 @@
         println!("seed {seed}: {revisions} revisions through 5 faults in {:?}", start.elapsed());
     }
 }
+
+/// Bytes that the instances have sent for declarations, on average.
+fn sent_bytes(fleet: &Fleet) -> f64 {
+    let sent = fleet.instances.iter().map(|instance| {
+        let metrics = get(instance.addresses.operators, "/metrics").unwrap();
+        let line = metrics.lines().find(|line| {
+            line.starts_with("turmericrelay_peer_bytes") && line.contains("\"declare\"")
+        });
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).unwrap()
+    });
+    sent.sum::<f64>() / fleet.instances.len() as f64
+}
+
+/// `DECLARE_SIZES=6,24,48` measures other sizes than those of CI.
+#[test]
+fn what_an_instance_sends_for_declarations_does_not_grow_with_the_fleet() {
+    const QUIET: Duration = Duration::from_secs(5);
+    const CHANGES: u64 = 10;
+    let sizes = std::env::var("DECLARE_SIZES").unwrap_or("6,12".to_string());
+    for size in sizes.split(',').map(|size| size.parse::<usize>().unwrap()) {
+        let data_centres: Vec<&str> = DATA_CENTRES.into_iter().cycle().take(size).collect();
+        let fleet = Fleet::start_plan(declaring(&data_centres).with_voters(3));
+        leader(&fleet);
+        let all: Vec<usize> = (0..size).collect();
+        assert_eq!(resend(&fleet, 0, AMAL, 0, "first", 2).status, 200);
+        in_force(&fleet, &all, 1);
+        let (before, start) = (sent_bytes(&fleet), Instant::now());
+        std::thread::sleep(QUIET);
+        let quiet = (sent_bytes(&fleet) - before) / start.elapsed().as_secs_f64();
+        let (before, start) = (sent_bytes(&fleet), Instant::now());
+        let mut slowest = Duration::ZERO;
+        for base in 1..=CHANGES {
+            assert_eq!(resend(&fleet, 0, AMAL, base, &format!("{base}"), base + 2).status, 200);
+            slowest = slowest.max(in_force(&fleet, &all, base + 1));
+        }
+        let spent = quiet * start.elapsed().as_secs_f64();
+        let change = (sent_bytes(&fleet) - before - spent) / CHANGES as f64;
+        println!("{size} instances: {quiet:.0} bytes/s, {change:.0} bytes a change, {slowest:?}");
+        assert!(quiet < 600.0, "{size} instances sent {quiet} bytes/s each");
+        assert!(change < 6000.0, "{size} instances sent {change} bytes a change each");
+        assert!(slowest <= HEALTHY, "{slowest:?}");
+    }
+}
