Read declarations in bodies on the port's threads; test freezes and full imports

Cause: the event loop read the YAML of an order itself, so a body of megabytes held up every caller of that instance; the token is now checked and the body read before the event loop hears of it. Added: an entry instance and the leader frozen during 20 changes, a data folder that takes no revision (in force, named in the log, not reverted by a restart), 5,700 accounts in one revision.

--- a/crates/instance/src/config/mod.rs
+++ b/crates/instance/src/config/mod.rs
@@ -32,10 +32,11 @@
 use crate::Error;
 use crate::operators::Ask;
 use crate::replica::{Part, Replica};
-use access::Access;
+pub(crate) use access::Access;
 use gossip::Peer;
 use keeper::{Keeper, Kept, Stored};
 use order::Draft;
+pub(crate) use order::document as read_document;
 use packet::{Packet, Status};
 use reading::PassedAsk;
 
@@ -184,7 +185,8 @@
     }
 
     /// Answers a request of the operators' port under `/declarations`.
-    pub(crate) fn answer(&mut self, cx: CX![], ask: Ask) {
+    pub(crate) fn answer(&mut self, cx: CX![], mut ask: Ask) {
+        let document = ask.document.take().unwrap_or_default();
         let request = &ask.request;
         let path = request.path.clone();
         let is_order = request.method == "POST" && path != "/declarations/diff";
@@ -198,7 +200,7 @@
                 ask.answer(refusal);
             }
             (Ok(Some(operator)), "/declarations") => {
-                let draft = Draft::apply(request, operator);
+                let draft = Draft::apply(request, operator, document);
                 self.take_order(cx, ask, draft);
             }
             (Ok(Some(operator)), "/declarations/rollback") => {
@@ -209,6 +211,10 @@
                 let message = format!("POST {path} does not exist");
                 ask.answer(Response::error(404, "unknown_path", message));
             }
+            (Ok(None), "/declarations/diff") if request.method == "POST" => {
+                let response = self.compare(&document);
+                ask.answer(response);
+            }
             (Ok(None), _) => self.read(cx, ask),
         }
     }
--- a/crates/instance/src/config/order.rs
+++ b/crates/instance/src/config/order.rs
@@ -62,9 +62,12 @@
 
 impl Draft {
     /// Reads an order of new content.
-    pub(crate) fn apply(request: &Request, operator: Operator) -> Result<Self, Response> {
-        let wish = Wish::Apply(Box::new(document(request)?));
-        Self::new(request, operator, wish)
+    pub(crate) fn apply(
+        request: &Request,
+        operator: Operator,
+        document: Document,
+    ) -> Result<Self, Response> {
+        Self::new(request, operator, Wish::Apply(Box::new(document)))
     }
 
     /// Reads an order to go back to earlier content.
--- a/crates/instance/src/config/reading.rs
+++ b/crates/instance/src/config/reading.rs
@@ -9,7 +9,7 @@
 use stakker::{CX, after};
 
 use super::packet::{Packet, Passed, Told};
-use super::{Config, order, page};
+use super::{Config, page};
 use crate::operators::Ask;
 
 /// How long one voter may take to answer.
@@ -33,10 +33,6 @@
         let in_force = self.in_force.to_string();
         let wanted = request.parameter("revision").unwrap_or(&in_force);
         match (request.method.as_str(), path.as_str()) {
-            ("POST", "/declarations/diff") => {
-                let response = self.compare(request);
-                ask.answer(response);
-            }
             ("GET", "/declarations") if wanted == in_force && self.is_ready => {
                 ask.answer(page::content(self.in_force, &self.declarations));
             }
@@ -58,15 +54,11 @@
         }
     }
 
-    /// What the declarations in the body would change.
-    fn compare(&self, request: &Request) -> Response {
-        let current = Document::try_from(self.declarations.as_ref())
-            .map_err(|error| Response::error(500, "invalid_revision", error.to_string()));
-        match (current, order::document(request)) {
-            (Ok(current), Ok(document)) => {
-                page::words(self.in_force, None, &current.changes_to(&document))
-            }
-            (Err(problem), _) | (_, Err(problem)) => problem,
+    /// What `document` would change.
+    pub(super) fn compare(&self, document: &Document) -> Response {
+        match Document::try_from(self.declarations.as_ref()) {
+            Ok(current) => page::words(self.in_force, None, &current.changes_to(document)),
+            Err(error) => Response::error(500, "invalid_revision", error.to_string()),
         }
     }
 
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -15,7 +15,7 @@
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
 use crate::claims::Claims;
-use crate::config::{Config, Surroundings};
+use crate::config::{Access, Config, Surroundings};
 use crate::limits::Limits;
 use crate::members::{Members, View};
 use crate::operators::{Ask, Operators};
@@ -160,7 +160,7 @@
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let asks = fwd_to!([cx], answer() as (Ask));
-        let operators = Operators::new(mailbox(cx, asks), metrics.clone());
+        let operators = Operators::new(mailbox(cx, asks), metrics.clone(), Access::new(&settings));
         let operators =
             operator::Server::start(bound.operators, Arc::new(operators)).map_err(|source| {
                 Error::Listen { what: "operators", address: settings.listen.operators, source }
--- a/tests/declarations_faults.rs
+++ b/tests/declarations_faults.rs
@@ -13,8 +13,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use support::{
-    AMAL, BERT, Fleet, HEALED, HEALTHY, Plan, Reply, apply, declared, declaring, get, in_force,
-    operators, revision, revision_at, try_order, wait_for, weighing,
+    AMAL, BERT, Fleet, HEALED, HEALTHY, Plan, Reply, apply, declarations, declared, declaring, get,
+    in_force, operators, revision, revision_at, try_order, wait_for, weighing,
 };
 
 const DATA_CENTRES: [&str; 6] = ["giza", "cairo", "delta", "giza", "cairo", "delta"];
@@ -147,6 +147,65 @@
     assert_eq!(resent.status, 409, "{resent:?}");
 }
 
+#[test]
+fn a_frozen_instance_catches_up_when_it_wakes() {
+    let fleet = Fleet::start_plan(plan());
+    leader(&fleet);
+    for frozen in [4, leader(&fleet)] {
+        let base = revision(&fleet, 3).unwrap();
+        fleet.instances[frozen].process.signal("STOP");
+        for later in 0..20 {
+            let reply = resend(&fleet, 3, AMAL, base + later, &format!("{frozen}-{later}"), later);
+            assert_eq!(reply.status, 200, "{reply:?}");
+        }
+        fleet.instances[frozen].process.signal("CONT");
+        let took = in_force(&fleet, &ALL, base + 20);
+        println!("instance {frozen} was frozen: in force {took:?} after it woke");
+        assert!(took <= HEALED, "{took:?}");
+    }
+}
+
+#[test]
+fn a_revision_that_cannot_be_stored_is_in_force_and_named() {
+    let mut fleet = Fleet::start_plan(plan());
+    leader(&fleet);
+    fleet.kill(4);
+    let folder = fleet.data_folder("instance-5").join("declarations");
+    std::fs::remove_dir_all(&folder).ok();
+    std::fs::create_dir_all(folder.parent().unwrap()).unwrap();
+    std::fs::write(&folder, "a file in the place of the folder").unwrap();
+    fleet.restart(4);
+    assert_eq!(resend(&fleet, 4, AMAL, 0, "first", 2).status, 200);
+    in_force(&fleet, &ALL, 1);
+    let log = fleet.instances[4].process.log_text();
+    assert!(log.contains("revision 1 is not stored: "), "{log}");
+    fleet.restart(4);
+    let shown = wait_for("first answer of a ready instance", || revision(&fleet, 4));
+    assert_eq!(shown, 1, "the instance went back");
+}
+
+#[test]
+fn thousands_of_accounts_go_out_in_one_revision_and_one_changes_after() {
+    let fleet = Fleet::start_plan(plan());
+    leader(&fleet);
+    let accounts: String = (0..5700)
+        .map(|account| format!("  - {{name: account-{account}, keys: [\"{account:064x}\"]}}\n"))
+        .collect();
+    let whole = format!("{}{accounts}", declarations());
+    let path = "/declarations?base=0&order=import";
+    let reply = try_order(operators(&fleet, 3), AMAL, path, &whole).unwrap();
+    assert_eq!(reply.status, 200, "{reply:?}");
+    let imported = in_force(&fleet, &ALL, 1);
+    let changed = whole.replace("name: account-77,", "name: account-77, weight: 9,");
+    let path = "/declarations?base=1&order=one";
+    assert_eq!(try_order(operators(&fleet, 4), AMAL, path, &changed).unwrap().status, 200);
+    let took = in_force(&fleet, &ALL, 2);
+    println!("{} bytes of YAML: in force after {imported:?}, one change {took:?}", whole.len());
+    assert!(imported.max(took) <= HEALED, "{imported:?} {took:?}");
+    let audit = declared(operators(&fleet, 5), "/declarations/audit?limit=1").body;
+    assert_eq!(audit["audit"][0]["changes"][0], "client account \"account-77\": weight 1 -> 9");
+}
+
 /// Watches every instance and fails when one goes back to a lower revision.
 fn watch(addresses: Vec<SocketAddr>, stop: Arc<AtomicBool>) -> std::thread::JoinHandle<usize> {
     std::thread::spawn(move || {
