Document operating and the configuration design; put stored revisions in force

Cause: operators had no page. The example in it is checked, applied, printed and compared by a test. A fault seen while writing the limits down: a revision was put in force only if none newer had arrived while it was written, so changes faster than the disk would have put none in force; now the written one is, and the newest is written next.

--- a/crates/instance/src/config/mod.rs
+++ b/crates/instance/src/config/mod.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use declare::{Command, Declarations, Outcome, Revision, Revisions, View};
+use declare::{Command, Declarations, Document, Outcome, Revision, Revisions, View};
 use eventloop::mailbox;
 use names::Instance;
 use operator::Response;
@@ -55,6 +55,18 @@
     pub(crate) in_force: Vec<Fwd<Rc<Declarations>>>,
 }
 
+/// A revision on its way into force.
+struct Candidate {
+    revision: Revision,
+    document: Rc<Document>,
+}
+
+impl From<&View> for Candidate {
+    fn from(view: &View) -> Self {
+        Self { revision: view.revision(), document: view.document().clone() }
+    }
+}
+
 /// An order whose base revision has not arrived.
 struct Waiting {
     ask: Ask,
@@ -76,7 +88,7 @@
     keeper: Option<Keeper>,
     revisions: Option<Rc<RefCell<Revisions>>>,
     view: View,
-    storing: Option<Revision>,
+    storing: Option<Candidate>,
     bootstrap: Rc<Declarations>,
     declarations: Rc<Declarations>,
     in_force: Revision,
@@ -162,7 +174,9 @@
         if self.around.settings.voters.is_empty() {
             self.view.settle(Revision::default());
         }
-        self.put_in_force();
+        if self.view.is_settled() {
+            self.put_in_force(&Candidate::from(&self.view));
+        }
         let settings = &self.around.settings;
         if settings.has_role(Role::Control) && settings.voters.contains(&settings.instance) {
             let revisions = Rc::new(RefCell::new(Revisions::default()));
@@ -297,40 +311,40 @@
         self.resume_orders(cx);
         match &self.keeper {
             Some(_) if self.view.revision() > self.in_force => self.store(),
-            _ => self.put_in_force(),
+            _ => self.put_in_force(&Candidate::from(&self.view)),
         }
     }
 
     fn store(&mut self) {
-        if let (Some(keeper), None) = (&self.keeper, self.storing) {
-            self.storing = Some(self.view.revision());
+        if let (Some(keeper), None) = (&self.keeper, &self.storing) {
+            self.storing = Some(Candidate::from(&self.view));
             keeper.store(&self.view);
         }
     }
 
     /// A revision was written, or could not be.
     fn stored(&mut self, _: CX![], stored: Stored) {
-        self.storing = None;
         if let Some(problem) = &stored.problem {
             self.around.metrics.count_refused("revision_not_stored");
             log::error!("revision {} is not stored: {problem}", stored.revision);
         }
-        if stored.revision == self.view.revision() {
-            self.put_in_force();
-        } else {
+        if let Some(candidate) = self.storing.take() {
+            self.put_in_force(&candidate);
+        }
+        if self.view.revision() > stored.revision {
             self.store();
         }
     }
 
-    fn put_in_force(&mut self) {
-        if !self.view.is_settled() || (self.is_ready && self.view.revision() <= self.in_force) {
+    fn put_in_force(&mut self, candidate: &Candidate) {
+        let revision = candidate.revision;
+        if self.is_ready && revision <= self.in_force {
             return;
         }
-        let revision = self.view.revision();
         let declarations = if revision == Revision::default() {
             self.bootstrap.clone()
         } else {
-            match Declarations::try_from(self.view.document().as_ref()) {
+            match Declarations::try_from(candidate.document.as_ref()) {
                 Ok(declarations) => Rc::new(declarations),
                 Err(error) => {
                     self.around.metrics.count_refused("invalid_revision");
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -132,3 +132,19 @@
     console.instances = vec![support::free_address()];
     assert_eq!(console.run(&["history"]).status.code(), Some(5));
 }
+
+#[test]
+fn the_documented_declarations_are_valid() {
+    let console = Console::new(fleet(&["giza"]));
+    let page = include_str!("../docs/OPERATING.md");
+    let (_, rest) = page.split_once("```yaml\n").unwrap();
+    let (example, _) = rest.split_once("```").unwrap();
+    let example = example.replace("<64 hexadecimal digits>", &"0".repeat(64));
+    let file = console.file("documented.yaml", &example).display().to_string();
+    let checked = Command::new(PROGRAM).args(["check", &file]).output().unwrap();
+    assert_eq!(checked.status.code(), Some(0), "{}", text(&checked));
+    assert_eq!(console.run(&["apply", &file, "--base", "0"]).status.code(), Some(0));
+    let printed = console.run(&["get"]);
+    let printed = console.file("printed.yaml", &text(&printed)).display().to_string();
+    assert_eq!(text(&console.run(&["diff", &printed])), "");
+}
