--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -87,7 +87,6 @@
 
     /// Puts declarations in force for requests that arrive from now on.
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
-        call!([self.limits], set_declarations(declarations.clone()));
         self.declarations = declarations;
     }
 
