--- a/crates/instance/src/config/mod.rs
+++ b/crates/instance/src/config/mod.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use declare::{Command, Declarations, Outcome, Revision, Revisions, View};
+use declare::{Command, Declarations, Document, Outcome, Revision, Revisions, View};
 use eventloop::mailbox;
 use names::Instance;
 use operator::Response;
@@ -32,10 +32,11 @@
 use crate::Error;
 use crate::operators::Ask;
 use crate::replica::{Part, Replica};
-use access::Access;
+pub(crate) use access::Access;
 use gossip::Peer;
 use keeper::{Keeper, Kept, Stored};
 use order::Draft;
+pub(crate) use order::document as read_document;
 use packet::{Packet, Status};
 use reading::PassedAsk;
 
@@ -54,6 +55,18 @@
     pub(crate) in_force: Vec<Fwd<Rc<Declarations>>>,
 }
 
+/// A revision on its way into force.
+struct Candidate {
+    revision: Revision,
+    document: Rc<Document>,
+}
+
+impl From<&View> for Candidate {
+    fn from(view: &View) -> Self {
+        Self { revision: view.revision(), document: view.document().clone() }
+    }
+}
+
 /// An order whose base revision has not arrived.
 struct Waiting {
     ask: Ask,
@@ -75,7 +88,7 @@
     keeper: Option<Keeper>,
     revisions: Option<Rc<RefCell<Revisions>>>,
     view: View,
-    storing: Option<Revision>,
+    storing: Option<Candidate>,
     bootstrap: Rc<Declarations>,
     declarations: Rc<Declarations>,
     in_force: Revision,
@@ -161,7 +174,9 @@
         if self.around.settings.voters.is_empty() {
             self.view.settle(Revision::default());
         }
-        self.put_in_force();
+        if self.view.is_settled() {
+            self.put_in_force(&Candidate::from(&self.view));
+        }
         let settings = &self.around.settings;
         if settings.has_role(Role::Control) && settings.voters.contains(&settings.instance) {
             let revisions = Rc::new(RefCell::new(Revisions::default()));
@@ -184,7 +199,8 @@
     }
 
     /// Answers a request of the operators' port under `/declarations`.
-    pub(crate) fn answer(&mut self, cx: CX![], ask: Ask) {
+    pub(crate) fn answer(&mut self, cx: CX![], mut ask: Ask) {
+        let document = ask.document.take().unwrap_or_default();
         let request = &ask.request;
         let path = request.path.clone();
         let is_order = request.method == "POST" && path != "/declarations/diff";
@@ -198,7 +214,7 @@
                 ask.answer(refusal);
             }
             (Ok(Some(operator)), "/declarations") => {
-                let draft = Draft::apply(request, operator);
+                let draft = Draft::apply(request, operator, document);
                 self.take_order(cx, ask, draft);
             }
             (Ok(Some(operator)), "/declarations/rollback") => {
@@ -209,6 +225,10 @@
                 let message = format!("POST {path} does not exist");
                 ask.answer(Response::error(404, "unknown_path", message));
             }
+            (Ok(None), "/declarations/diff") if request.method == "POST" => {
+                let response = self.compare(&document);
+                ask.answer(response);
+            }
             (Ok(None), _) => self.read(cx, ask),
         }
     }
@@ -291,40 +311,40 @@
         self.resume_orders(cx);
         match &self.keeper {
             Some(_) if self.view.revision() > self.in_force => self.store(),
-            _ => self.put_in_force(),
+            _ => self.put_in_force(&Candidate::from(&self.view)),
         }
     }
 
     fn store(&mut self) {
-        if let (Some(keeper), None) = (&self.keeper, self.storing) {
-            self.storing = Some(self.view.revision());
+        if let (Some(keeper), None) = (&self.keeper, &self.storing) {
+            self.storing = Some(Candidate::from(&self.view));
             keeper.store(&self.view);
         }
     }
 
     /// A revision was written, or could not be.
     fn stored(&mut self, _: CX![], stored: Stored) {
-        self.storing = None;
         if let Some(problem) = &stored.problem {
             self.around.metrics.count_refused("revision_not_stored");
             log::error!("revision {} is not stored: {problem}", stored.revision);
         }
-        if stored.revision == self.view.revision() {
-            self.put_in_force();
-        } else {
+        if let Some(candidate) = self.storing.take() {
+            self.put_in_force(&candidate);
+        }
+        if self.view.revision() > stored.revision {
             self.store();
         }
     }
 
-    fn put_in_force(&mut self) {
-        if !self.view.is_settled() || (self.is_ready && self.view.revision() <= self.in_force) {
+    fn put_in_force(&mut self, candidate: &Candidate) {
+        let revision = candidate.revision;
+        if self.is_ready && revision <= self.in_force {
             return;
         }
-        let revision = self.view.revision();
         let declarations = if revision == Revision::default() {
             self.bootstrap.clone()
         } else {
-            match Declarations::try_from(self.view.document().as_ref()) {
+            match Declarations::try_from(candidate.document.as_ref()) {
                 Ok(declarations) => Rc::new(declarations),
                 Err(error) => {
                     self.around.metrics.count_refused("invalid_revision");
