Document at most once and whole answers; count attempts without progress

Cause: a stream on engines that break often was cut after ten attempts although each went on; an answer of megabytes did not fit a frame between instances, so its claim was never settled. Attempts count from the last event that the caller received. The limit of retries is a plain setting, since YAML tags cannot be written in JSON. Ruled out: resumes outside the retry budget (an engine that breaks at once would be hit without end).

--- a/crates/dispatch/src/step.rs
+++ b/crates/dispatch/src/step.rs
@@ -7,7 +7,7 @@
 /// Most attempts that a request gets of which the caller has received nothing.
 const MAX_ATTEMPTS: usize = 4;
 
-/// Most attempts that a started stream gets.
+/// Most attempts that a started stream gets without going on.
 const MAX_STREAM_ATTEMPTS: usize = 10;
 
 /// Wait before the third attempt; it doubles with each further one.
@@ -26,7 +26,7 @@
     pub verdict: Verdict,
     /// Whether the request may run twice without harm.
     pub is_idempotent: bool,
-    /// Attempts made so far.
+    /// Attempts made since the caller last received anything.
     pub attempts: usize,
     /// Whether the caller has received part of the answer.
     pub has_started: bool,
--- a/crates/instance/src/router/active.rs
+++ b/crates/instance/src/router/active.rs
@@ -47,6 +47,7 @@
     pub(super) phase: Phase,
     pub(super) answer: Answer,
     pub(super) tried: Vec<Upstream>,
+    /// Attempts since the caller last received anything.
     pub(super) attempts: usize,
     /// Whether upstreams that fail or lag are left out.
     pub(super) avoids_unhealthy: bool,
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -109,7 +109,12 @@
 
     fn pass_on(&mut self, cx: CX![], index: usize, replies: Vec<Reply>) {
         let active = &mut self.active[index];
-        if !active.has_started && !replies.is_empty() {
+        if replies.is_empty() {
+            return;
+        }
+        if active.has_started {
+            active.attempts = 1;
+        } else {
             active.has_started = true;
             let elapsed = cx.now().saturating_duration_since(active.arrived);
             self.metrics.observe_first_byte(elapsed.as_secs_f64());
--- a/crates/instance/src/router/keyed.rs
+++ b/crates/instance/src/router/keyed.rs
@@ -2,7 +2,7 @@
 
 use dispatch::Verdict;
 use entry::{Header, Problem, Reply, Status};
-use ledger::{Answer, End, Field};
+use ledger::{Answer, Bounds, End, Field};
 use names::Attempt;
 use rand::RngExt;
 use stakker::{CX, call, fwd_to};
@@ -23,7 +23,8 @@
     let headers = headers.iter();
     let headers =
         headers.map(|header| Field { name: header.name.clone(), value: header.value.clone() });
-    Answer { status: status.0, headers: headers.collect(), body: Some(body.clone()) }
+    let answer = Answer { status: status.0, headers: headers.collect(), body: Some(body.clone()) };
+    answer.within(Bounds::default().answer_bytes)
 }
 
 /// The reply that a resend gets.
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -14,7 +14,7 @@
 use entry::{Event, Problem, Reply, Request, Status};
 use eventloop::{Sender, mailbox};
 use names::Attempt;
-use settings::{Retries, Settings};
+use settings::{Retries, RetryLimit, Settings};
 use stakker::{Actor, CX, Fwd, at, call, fwd_to, ret_some_to};
 use telemetry::{Metrics, RequestLabels};
 
@@ -34,9 +34,10 @@
 }
 
 fn allowance(retries: &Retries) -> Allowance {
-    match *retries {
-        Retries::Unbounded => Allowance::Unbounded,
-        Retries::Share { percent, per_second } => Allowance::Share { percent, per_second },
+    let Retries { limit, percent, per_second } = *retries;
+    match limit {
+        RetryLimit::Unbounded => Allowance::Unbounded,
+        RetryLimit::Share => Allowance::Share { percent, per_second },
     }
 }
 
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -33,6 +33,14 @@
         let headers = self.headers.iter().map(|field| field.name.len() + field.value.len());
         headers.sum::<usize>() + self.body.as_ref().map_or(0, Vec::len)
     }
+
+    /// The answer if it takes up `limit` bytes or fewer, else its status alone.
+    pub fn within(self, limit: usize) -> Self {
+        if self.size() <= limit {
+            return self;
+        }
+        Self { status: self.status, headers: Vec::new(), body: None }
+    }
 }
 
 /// Claims a key for one attempt.
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -160,11 +160,8 @@
             (_, Stand::Answered(_)) | (Ending::Unknown, Stand::Unknown) => {}
             (Ending::Unknown, Stand::Running { .. }) => record.stand = Stand::Unknown,
             (Ending::NotRun, _) => self.release(key),
-            (Ending::Answered(mut answer), _) => {
-                if answer.size() > limit {
-                    answer.headers.clear();
-                    answer.body = None;
-                }
+            (Ending::Answered(answer), _) => {
+                let answer = answer.within(limit);
                 let size = answer.size();
                 record.stand = Stand::Answered(answer);
                 let account = record.account.clone();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,4 +7,4 @@
 mod model;
 
 pub use error::Error;
-pub use model::{Limits, Listen, Peer, Retries, Role, Settings, Timing};
+pub use model::{Limits, Listen, Peer, Retries, RetryLimit, Role, Settings, Timing};
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -124,24 +124,34 @@
     }
 }
 
-/// How retries of failed attempts are limited.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
-pub enum Retries {
+/// What limits the retries of failed attempts.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum RetryLimit {
     /// Every failure that may be retried is retried.
     Unbounded,
     /// A share of the requests, and some retries a second in any case.
-    Share {
-        /// Retries for 100 requests.
-        percent: u32,
-        /// Retries a second that quiet traffic may have.
-        per_second: u32,
-    },
+    Share,
+}
+
+/// How retries of failed attempts are limited.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Retries {
+    /// What limits them.
+    pub limit: RetryLimit,
+    /// Retries for 100 requests.
+    pub percent: u32,
+    /// Retries a second that quiet traffic may have.
+    pub per_second: u32,
 }
 
 impl Default for Retries {
     fn default() -> Self {
-        Self::Share { percent: 20, per_second: 10 }
+        Self { limit: RetryLimit::Share, percent: 20, per_second: 10 }
     }
 }
 
--- a/tests/bookings.rs
+++ b/tests/bookings.rs
@@ -6,16 +6,14 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde_json::{Value, json};
-use support::{Fleet, Plan, post, set_fault, wait_for};
+use support::{Fleet, Plan, book, runs, set_fault};
 
-const BOOKINGS: &str = "/services/shop/bookings";
 const INSTANCES: usize = 4;
 const VOTERS: usize = 3;
 const CALLERS: usize = 6;
@@ -55,17 +53,6 @@
     }
 }
 
-fn booking(name: &str) -> Value {
-    json!({ "family": name })
-}
-
-/// How often the booking `name` ran.
-fn runs(journal: &Path, name: &str) -> usize {
-    let journal = std::fs::read_to_string(journal).unwrap_or_default();
-    let body = Value::String(booking(name).to_string()).to_string();
-    journal.lines().filter(|line| line.contains(&body)).count()
-}
-
 /// One caller that makes its bookings one after the other.
 struct Caller {
     addresses: Vec<SocketAddr>,
@@ -97,8 +84,7 @@
             self.counts.requests += 1;
             let address = self.addresses[self.random.random_range(0..self.addresses.len())];
             let started = Instant::now();
-            let headers = [("idempotency-key", key.as_str()), ("x-turmericrelay-deadline", "3s")];
-            match post(address, BOOKINGS, &headers, &booking(name)) {
+            match book(address, &key, name) {
                 Ok(answer) if answer.status == 200 => {
                     assert_eq!(runs(&self.journal, name), 1, "{name} is answered");
                     return End::Booked;
@@ -136,19 +122,9 @@
 fn fleet() -> Fleet {
     let plan = Plan::new(&["giza"; INSTANCES]).with_voters(VOTERS).with_proxies();
     let mut fleet = Fleet::start_plan(plan);
-    let journal = fleet.folder.path().join("journal").display().to_string();
-    for name in ["shop-1", "shop-2"] {
-        let flags = ["--label", "app=shop", "--word-interval", "30ms", "--journal", &journal];
-        fleet.add_upstream(name, "giza", &flags);
-    }
-    for instance in &fleet.instances {
-        let headers = [("idempotency-key", instance.addresses.name.as_str())];
-        wait_for("quorum", || {
-            let address = instance.addresses.callers;
-            let answer = post(address, BOOKINGS, &headers, &booking("nobody")).ok()?;
-            (answer.status == 200).then_some(())
-        });
-    }
+    fleet.add_shop("shop-1");
+    fleet.add_shop("shop-2");
+    fleet.wait_quorum();
     fleet
 }
 
@@ -189,7 +165,7 @@
 
 fn run_seed(seed: u64) -> Counts {
     let mut fleet = fleet();
-    let journal = fleet.folder.path().join("journal");
+    let journal = fleet.journal();
     let addresses: Vec<SocketAddr> =
         fleet.instances.iter().map(|instance| instance.addresses.callers).collect();
     let finished = AtomicBool::new(false);
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -6,64 +6,22 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
-use support::{API_KEY, Answer, Fleet, Plan, post, set_fault, wait_for};
-
-const BOOKINGS: &str = "/services/shop/bookings";
+use support::{API_KEY, Answer, BOOKINGS, Fleet, Plan, book, booking, post, set_fault, wait_for};
 
 fn fleet(voters: usize) -> Fleet {
     let mut fleet = Fleet::start_plan(Plan::new(&["giza", "giza", "giza"]).with_voters(voters));
-    add_shop(&mut fleet, "shop-1");
+    fleet.add_shop("shop-1");
     if voters > 0 {
-        wait_quorum(&fleet);
+        fleet.wait_quorum();
     }
     fleet
 }
 
-/// Waits until bookings with a key are taken through every instance.
-fn wait_quorum(fleet: &Fleet) {
-    for instance in &fleet.instances {
-        let key = format!("warm-up-{}", instance.addresses.name);
-        wait_for("quorum", || {
-            let answer = book(instance.addresses.callers, &key, "Nobody").ok()?;
-            (answer.status == 200).then_some(())
-        });
-    }
-}
-
-/// Adds a shop whose journal outlives it.
-fn add_shop(fleet: &mut Fleet, name: &str) {
-    let journal = journal_path(fleet).display().to_string();
-    let flags = ["--label", "app=shop", "--word-interval", "50ms", "--journal", &journal];
-    fleet.add_upstream(name, "giza", &flags);
-}
-
-fn journal_path(fleet: &Fleet) -> PathBuf {
-    fleet.folder.path().join("journal")
-}
-
 /// How often the booking of `family` ran.
 fn runs(fleet: &Fleet, family: &str) -> usize {
-    runs_in(&journal_path(fleet), family)
-}
-
-fn runs_in(journal: &Path, family: &str) -> usize {
-    let journal = std::fs::read_to_string(journal).unwrap_or_default();
-    let booking = booking(family).to_string();
-    let body = |line: &str| Some(serde_json::from_str::<Value>(line).ok()?["body"].to_string());
-    let booked = Value::String(booking).to_string();
-    journal.lines().filter_map(body).filter(|body| *body == booked).count()
-}
-
-fn booking(family: &str) -> Value {
-    json!({ "family": family })
-}
-
-fn book(address: SocketAddr, key: &str, family: &str) -> Result<Answer, String> {
-    post(address, BOOKINGS, &[("idempotency-key", key)], &booking(family))
+    support::runs(&fleet.journal(), family)
 }
 
 #[test]
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -120,3 +120,23 @@
     ids.dedup();
     (ids, ends.len())
 }
+
+/// Path of the bookings of the shop.
+pub const BOOKINGS: &str = "/services/shop/bookings";
+
+pub fn booking(family: &str) -> Value {
+    json!({ "family": family })
+}
+
+/// Books with an idempotency key and a deadline.
+pub fn book(address: SocketAddr, key: &str, family: &str) -> Result<Answer, String> {
+    let headers = [("idempotency-key", key), ("x-turmericrelay-deadline", "3s")];
+    post(address, BOOKINGS, &headers, &booking(family))
+}
+
+/// How often the booking of `family` ran, by the journal of the shops.
+pub fn runs(journal: &std::path::Path, family: &str) -> usize {
+    let journal = std::fs::read_to_string(journal).unwrap_or_default();
+    let body = format!("\"body\":{}", Value::String(booking(family).to_string()));
+    journal.lines().filter(|line| line.contains(&body)).count()
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use super::{API_KEY, PROGRAM, Process, Proxy, free_address, get, wait_for};
+use super::{API_KEY, PROGRAM, Process, Proxy, book, free_address, get, wait_for};
 
 pub const FLEET_SECRET: &str = "a fleet secret for tests only";
 
@@ -284,6 +284,29 @@
         proxy
     }
 
+    /// Starts a booking service whose journal outlives it.
+    pub fn add_shop(&mut self, name: &str) {
+        let journal = self.journal().display().to_string();
+        let flags = ["--label", "app=shop", "--word-interval", "50ms", "--journal", &journal];
+        self.add_upstream(name, "giza", &flags);
+    }
+
+    /// The journal of all booking services.
+    pub fn journal(&self) -> PathBuf {
+        self.folder.path().join("journal")
+    }
+
+    /// Waits until bookings with a key are taken through every instance.
+    pub fn wait_quorum(&self) {
+        for instance in &self.instances {
+            let key = format!("warm-up-{}", instance.addresses.name);
+            wait_for("quorum", || {
+                let answer = book(instance.addresses.callers, &key, "nobody").ok()?;
+                (answer.status == 200).then_some(())
+            });
+        }
+    }
+
     /// Starts a killed stand-in again, at the address that it had.
     pub fn restart_upstream(&mut self, index: usize) {
         let upstream = &mut self.upstreams[index];
