Give permits by owners within the load bound, as a core without I/O

Cause: each instance counted only its own calls, so that an upstream carried up to its slots from every instance and nothing bounded its load.

crates/permit: owners by rendezvous hash keep a book for each upstream; holders walk the conversation's order and ask; an owner that is full is passed, the least loaded one is asked to queue with the sum seen on the walk. Totals come from one aggregator for each pool and err low.

Ruled out by the property test: crediting own growth on top of an older rest (calls that moved were counted twice), parts of different views in one sum, dropping permits of a lost holder at once (it may be calling still), ids given before the permit is.

--- /dev/null
+++ b/crates/permit/src/lib.rs
@@ -0,0 +1,20 @@
+//! Permits to call upstreams.
+//!
+//! Within a data centre each upstream is owned by one live instance, which alone gives permits to
+//! call it and so knows its load exactly. [`Node`] is the part of one instance: as holder it asks
+//! the owners of upstreams for permits on behalf of its callers, as owner it gives them within
+//! the load bound. It is a core without I/O: time, messages and views come in, [`Action`]s go
+//! out.
+
+mod book;
+mod bound;
+mod holder;
+mod message;
+mod node;
+mod owner;
+mod sums;
+mod walk;
+
+pub use bound::{Bound, Sum};
+pub use message::{Ask, Message, Outcome, PermitId, Pool, Report};
+pub use node::{Action, Context, Granted, Node, Placed, Wanted};
--- /dev/null
+++ b/crates/permit/src/owner.rs
@@ -0,0 +1,342 @@
+//! The owner's side: gives permits of the upstreams that this instance owns.
+
+use std::time::Instant;
+
+use admission::Desk;
+use declare::Target;
+use names::{Instance, Upstream};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::book::{Answer, Book, Ids};
+use crate::node::{Context, Out, View};
+use crate::sums::{Aggregator, Pools, SUM_PERIOD};
+use crate::{Ask, Bound, Message, Outcome, PermitId, Pool, Sum};
+
+/// Permit ids of a run start at a random multiple of this number.
+const IDS_PER_RUN: u64 = 1 << 40;
+
+/// The part of the known load that is not counted, since it may have ended meanwhile.
+const DISCOUNT_PARTS: u32 = 10;
+
+/// Books of the owned upstreams, sorted by name, and sums of the pools.
+pub(crate) struct Owner {
+    bound: Bound,
+    desk: Box<dyn Fn() -> Box<dyn Desk>>,
+    books: Vec<Book>,
+    pools: Pools,
+    aggregator: Aggregator,
+    ids: Ids,
+    next_sum: Instant,
+}
+
+impl Owner {
+    pub(crate) fn new(
+        now: Instant,
+        bound: Bound,
+        desk: Box<dyn Fn() -> Box<dyn Desk>>,
+        seed: u64,
+    ) -> Self {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let first_id = random.random_range(1..u64::MAX / IDS_PER_RUN - 1) * IDS_PER_RUN;
+        Self {
+            bound,
+            desk,
+            books: Vec::new(),
+            pools: Pools::default(),
+            aggregator: Aggregator::default(),
+            ids: Ids::new(first_id),
+            next_sum: now,
+        }
+    }
+
+    pub(crate) fn counts(&self) -> (usize, u32) {
+        (self.books.len(), self.books.iter().map(Book::in_flight).sum())
+    }
+
+    fn find(&self, upstream: &Upstream) -> Result<usize, usize> {
+        self.books.binary_search_by(|book| book.upstream.cmp(upstream))
+    }
+
+    /// Opens and closes books after a change of members or upstreams.
+    pub(crate) fn update(&mut self, context: Context<'_>, view: &View, out: &mut Out) {
+        let Context { now, registry } = context;
+        let is_owned = |upstream: &Upstream| {
+            registry.get(upstream).is_some_and(|entry| !entry.is_gone()) && view.is_mine(upstream)
+        };
+        for mut book in self.books.extract_if(.., |book| !is_owned(&book.upstream)) {
+            send(out, book.send_away(&Outcome::NotOwner));
+        }
+        for entry in registry.iter() {
+            let upstream = &entry.announcement.upstream;
+            if let Err(index) = self.find(upstream)
+                && view.is_mine(upstream)
+            {
+                let book = Book::new(now, upstream.clone(), (self.desk)(), &view.members);
+                self.books.insert(index, book);
+            }
+        }
+        for book in &mut self.books {
+            book.retain_members(now, &view.members);
+            if !registry.get(&book.upstream).is_some_and(upstream::Entry::is_available) {
+                send(out, book.send_away(&Outcome::Unavailable));
+            }
+        }
+        self.claim(now, out);
+        self.pools.known.iter_mut().for_each(|known| known.restart(now));
+        self.aggregator.retain_members(&view.owners);
+        self.send_sums(context, view, out);
+        self.run_waiting(context, out);
+    }
+
+    /// Gives nothing until all members have reported anew.
+    pub(crate) fn take_over_all(&mut self, context: Context<'_>, view: &View) {
+        for book in &mut self.books {
+            book.take_over(context.now, &view.members);
+        }
+    }
+
+    /// Takes back the permits of a holder that is known to have ended.
+    pub(crate) fn end_holder(&mut self, now: Instant, holder: &Instance) {
+        self.books.iter_mut().for_each(|book| book.end_holder(now, holder));
+    }
+
+    /// Takes note that another instance claims upstreams that this one owns.
+    pub(crate) fn contest(&mut self, context: Context<'_>, upstreams: &[Upstream]) {
+        for upstream in upstreams {
+            self.with_book(upstream, |book| book.contest(context.now));
+        }
+        self.pools.known.iter_mut().for_each(|known| known.restart(context.now));
+    }
+
+    pub(crate) fn take(
+        &mut self,
+        context: Context<'_>,
+        view: &View,
+        sender: &Instance,
+        message: Message,
+        out: &mut Out,
+    ) {
+        let now = context.now;
+        match message {
+            Message::Ask(ask) if !view.members.contains(sender) => {
+                let outcome = Outcome::NotOwner;
+                out.send(sender, Message::Answer { number: ask.number, outcome });
+            }
+            Message::Ask(ask) => self.ask(context, sender, ask, out),
+            Message::Contest { upstreams } => self.contest(context, &upstreams),
+            Message::Withdraw { number, upstream } => {
+                self.with_book(&upstream, |book| book.withdraw(now, sender, number));
+                self.run_waiting(context, out);
+            }
+            Message::Release { upstream, permit, used } => {
+                self.with_book(&upstream, |book| book.release(now, permit, used));
+                self.run_waiting(context, out);
+            }
+            Message::Held(reports) if view.members.contains(sender) => {
+                for report in reports {
+                    self.with_book(&report.upstream, |book| {
+                        book.report(now, sender, &report.permits, report.agrees);
+                    });
+                }
+                self.run_waiting(context, out);
+            }
+            Message::Holding { as_of, reports } if view.members.contains(sender) => {
+                self.reconcile(context, sender, as_of, &reports);
+                self.run_waiting(context, out);
+            }
+            Message::Part { pool, in_flight, view: digest } if digest == view.digest => {
+                self.aggregator.take(now, sender, pool, in_flight);
+            }
+            Message::Part { .. } => self.aggregator.forget(sender),
+            Message::Total { pool, in_flight, view: digest } if digest == view.digest => {
+                if let Some(known) = self.pools.find(&pool) {
+                    known.set_total(now, in_flight);
+                    self.run_waiting(context, out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn with_book<F>(&mut self, upstream: &Upstream, change: F)
+    where
+        F: FnOnce(&mut Book),
+    {
+        if let Ok(index) = self.find(upstream) {
+            change(&mut self.books[index]);
+        }
+    }
+
+    fn reconcile(
+        &mut self,
+        context: Context<'_>,
+        holder: &Instance,
+        as_of: Option<PermitId>,
+        reports: &[crate::Report],
+    ) {
+        let first = PermitId(self.ids.first);
+        let is_known = |permit: PermitId| {
+            permit >= first && as_of.is_some_and(|as_of| as_of >= first && permit <= as_of)
+        };
+        for book in &mut self.books {
+            let report = reports.iter().find(|report| report.upstream == book.upstream);
+            let permits = report.map_or(&[][..], |report| &report.permits);
+            book.reconcile(context.now, holder, permits, is_known);
+        }
+    }
+
+    fn ask(&mut self, context: Context<'_>, asker: &Instance, ask: Ask, out: &mut Out) {
+        let number = ask.number;
+        let brings_evidence = ask.evidence.is_some();
+        let outcome = self.decide(context, asker, ask);
+        out.send(asker, Message::Answer { number, outcome });
+        if brings_evidence {
+            self.run_waiting(context, out);
+        }
+    }
+
+    fn decide(&mut self, context: Context<'_>, asker: &Instance, ask: Ask) -> Outcome {
+        let Context { now, registry } = context;
+        let Ok(index) = self.find(&ask.upstream) else {
+            return Outcome::NotOwner;
+        };
+        let entry = registry.get(&ask.upstream).filter(|entry| entry.is_available());
+        let Some(entry) = entry else {
+            return Outcome::Unavailable;
+        };
+        let slots = entry.announcement.slots;
+        let own = self.own_part(context, &ask.pool);
+        let known = self.pools.get(now, &ask.pool);
+        if let Some(evidence) = ask.evidence {
+            known.set_evidence(now, scale(evidence, own.slots));
+        }
+        let limit = self.limit(context, &ask.pool, slots);
+        self.books[index].ask(now, asker, ask, &mut self.ids, limit, slots)
+    }
+
+    /// Load of the owned upstreams in `pool`, and the slots of the whole pool.
+    fn own_part(&self, context: Context<'_>, pool: &Pool) -> Sum {
+        let target = Target::from(pool.clone());
+        let mut sum = Sum::default();
+        for entry in context.registry.available(&target) {
+            sum.slots += entry.announcement.slots;
+            if let Ok(index) = self.find(&entry.announcement.upstream) {
+                sum.in_flight += self.books[index].in_flight();
+            }
+        }
+        sum
+    }
+
+    /// Load of the upstreams in `pool` that no other instance may count.
+    fn settled_part(&self, context: Context<'_>, pool: &Pool) -> u32 {
+        let target = Target::from(pool.clone());
+        let pool = context.registry.available(&target);
+        let books = pool.filter_map(|entry| self.find(&entry.announcement.upstream).ok());
+        let books = books.map(|index| &self.books[index]);
+        books.filter(|book| book.is_settled(context.now)).map(Book::certain).sum()
+    }
+
+    fn limit(&mut self, context: Context<'_>, pool: &Pool, slots: u32) -> u32 {
+        let own = self.settled_part(context, pool);
+        let mut sum = self.own_part(context, pool);
+        sum.in_flight = self.pools.get(context.now, pool).total(context.now, own);
+        sum.in_flight -= sum.in_flight / DISCOUNT_PARTS;
+        self.bound.limit(sum, slots)
+    }
+
+    /// Lets waiting asks run where there is room now.
+    fn run_waiting(&mut self, context: Context<'_>, out: &mut Out) {
+        for index in 0..self.books.len() {
+            let book = &self.books[index];
+            let Some(pool) = book.waiting_pool().cloned() else {
+                continue;
+            };
+            let slots =
+                context.registry.get(&book.upstream).map_or(0, |entry| entry.announcement.slots);
+            // Each permit raises the mean, so that the next one may be within the bound too.
+            loop {
+                let limit = self.limit(context, &pool, slots);
+                let book = &mut self.books[index];
+                let is_within = book.in_flight() < limit;
+                book.set_limit(context.now, limit);
+                let answers = book.next(context.now, &mut self.ids);
+                if answers.is_empty() || !is_within {
+                    send(out, answers);
+                    break;
+                }
+                send(out, answers);
+            }
+        }
+    }
+
+    fn claim(&mut self, now: Instant, out: &mut Out) {
+        let mut claims: Vec<(Instance, Vec<Upstream>)> = Vec::new();
+        for book in &mut self.books {
+            for member in book.due_claims(now) {
+                match claims.iter_mut().find(|(to, _)| *to == member) {
+                    Some((_, upstreams)) => upstreams.push(book.upstream.clone()),
+                    None => claims.push((member, vec![book.upstream.clone()])),
+                }
+            }
+        }
+        for (member, upstreams) in claims {
+            out.send(&member, Message::Claim { upstreams });
+        }
+    }
+
+    pub(crate) fn tick(&mut self, context: Context<'_>, view: &View, out: &mut Out) {
+        let now = context.now;
+        self.claim(now, out);
+        self.books.iter_mut().for_each(|book| book.end_lost(now));
+        self.run_waiting(context, out);
+        if now < self.next_sum {
+            return;
+        }
+        self.pools.tidy(now);
+        self.send_sums(context, view, out);
+    }
+
+    fn send_sums(&mut self, context: Context<'_>, view: &View, out: &mut Out) {
+        self.next_sum = context.now + SUM_PERIOD;
+        self.send_parts(context, view, out);
+        for (owner, pool, in_flight) in self.aggregator.due(context.now) {
+            out.send(&owner, Message::Total { pool, in_flight, view: view.digest });
+        }
+    }
+
+    fn send_parts(&mut self, context: Context<'_>, view: &View, out: &mut Out) {
+        for index in 0..self.pools.known.len() {
+            let pool = self.pools.known[index].pool.clone();
+            let part = self.settled_part(context, &pool);
+            if self.pools.known[index].is_due(context.now, part)
+                && let Some(aggregator) = aggregator(&pool, view)
+            {
+                out.send(&aggregator, Message::Part { pool, in_flight: part, view: view.digest });
+            }
+        }
+    }
+}
+
+/// The load that was seen, without that of upstreams that left the pool of `slots` since.
+fn scale(evidence: Sum, slots: u32) -> u32 {
+    let seen = u64::from(evidence.in_flight) * u64::from(slots.min(evidence.slots));
+    u32::try_from(seen / u64::from(evidence.slots.max(1))).unwrap_or(u32::MAX)
+}
+
+/// The member that sums the load of `pool`.
+fn aggregator(pool: &Pool, view: &View) -> Option<Instance> {
+    let name = match pool {
+        Pool::Model(model) => model.to_string(),
+        Pool::Upstreams(selector) => selector.to_string(),
+    };
+    let key = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+    let weight = |member: &&Instance| placement::weight(key, member.as_str());
+    view.owners.iter().max_by_key(weight).cloned()
+}
+
+fn send(out: &mut Out, answers: Vec<Answer>) {
+    for Answer { asker, number, outcome } in answers {
+        out.send(&asker, Message::Answer { number, outcome });
+    }
+}
--- /dev/null
+++ b/crates/permit/src/sums.rs
@@ -0,0 +1,220 @@
+//! The mean load of a pool, from small sums that owners send to one aggregator for each pool.
+
+use std::time::{Duration, Instant};
+
+use names::Instance;
+
+use crate::Pool;
+
+/// Time between two looks for sums that changed.
+pub(crate) const SUM_PERIOD: Duration = Duration::from_millis(100);
+
+/// A sum that changed by less than this part of it is not sent at once.
+const DRIFT_PARTS: u32 = 20;
+
+/// A sum that did not change is sent again after this time.
+const REFRESH: Duration = Duration::from_millis(500);
+
+/// A sum that was not heard again counts as zero after this time.
+const VALIDITY: Duration = Duration::from_millis(800);
+
+/// A part counts with the least value that it had within this time.
+const WINDOW: Duration = Duration::from_millis(300);
+
+/// What an asker learned on its walk counts for this long.
+const EVIDENCE_VALIDITY: Duration = Duration::from_millis(10);
+
+/// How long a pool without asks is reported.
+const POOL_MEMORY: Duration = Duration::from_secs(10);
+
+fn has_drifted(old: u32, new: u32) -> bool {
+    old.abs_diff(new) * DRIFT_PARTS > old
+}
+
+/// A number that was sent, to decide when to send it again.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    value: u32,
+    refresh_at: Instant,
+}
+
+/// Whether `value` has to be sent now; takes note of it if so.
+fn is_due(sent: &mut Option<Sent>, now: Instant, value: u32) -> bool {
+    let is_due = sent.is_none_or(|sent| has_drifted(sent.value, value) || sent.refresh_at <= now);
+    if is_due {
+        *sent = Some(Sent { value, refresh_at: now + REFRESH });
+    }
+    is_due
+}
+
+/// What an owner knows of the load of a pool.
+#[derive(Debug)]
+pub(crate) struct Known {
+    pub(crate) pool: Pool,
+    heard: u32,
+    heard_until: Instant,
+    evidence: u32,
+    evidence_until: Instant,
+    forget_at: Instant,
+    sent: Option<Sent>,
+}
+
+impl Known {
+    fn new(now: Instant, pool: Pool) -> Self {
+        let forget_at = now + POOL_MEMORY;
+        Self {
+            pool,
+            heard: 0,
+            heard_until: now,
+            evidence: 0,
+            evidence_until: now,
+            forget_at,
+            sent: None,
+        }
+    }
+
+    /// The load of the pool, of which `own` is at this instance's upstreams; rather too low than
+    /// too high.
+    pub(crate) fn total(&self, now: Instant, own: u32) -> u32 {
+        let heard = if now < self.heard_until { self.heard } else { 0 };
+        let evidence = if now < self.evidence_until { self.evidence } else { 0 };
+        heard.max(evidence).max(own)
+    }
+
+    pub(crate) fn set_total(&mut self, now: Instant, total: u32) {
+        self.heard = total;
+        self.heard_until = now + VALIDITY;
+    }
+
+    pub(crate) fn set_evidence(&mut self, now: Instant, evidence: u32) {
+        self.evidence = evidence;
+        self.evidence_until = now + EVIDENCE_VALIDITY;
+    }
+
+    /// Whether the own part has to be sent to the aggregator.
+    pub(crate) fn is_due(&mut self, now: Instant, part: u32) -> bool {
+        is_due(&mut self.sent, now, part)
+    }
+
+    /// Forgets what was heard and sends the part anew, since the members changed.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        self.sent = None;
+        self.heard_until = now;
+    }
+}
+
+/// The pools that an owner was asked about.
+#[derive(Debug, Default)]
+pub(crate) struct Pools {
+    pub(crate) known: Vec<Known>,
+}
+
+impl Pools {
+    /// The pool, which is remembered for a while.
+    pub(crate) fn get(&mut self, now: Instant, pool: &Pool) -> &mut Known {
+        let index = match self.known.iter().position(|known| known.pool == *pool) {
+            Some(index) => index,
+            None => {
+                self.known.push(Known::new(now, pool.clone()));
+                self.known.len() - 1
+            }
+        };
+        self.known[index].forget_at = now + POOL_MEMORY;
+        &mut self.known[index]
+    }
+
+    pub(crate) fn find(&mut self, pool: &Pool) -> Option<&mut Known> {
+        self.known.iter_mut().find(|known| known.pool == *pool)
+    }
+
+    pub(crate) fn tidy(&mut self, now: Instant) {
+        self.known.retain(|known| known.forget_at > now);
+    }
+}
+
+#[derive(Debug)]
+struct Row {
+    owner: Instance,
+    /// The parts in force lately, and until when; the last one holds still.
+    parts: Vec<(u32, Instant)>,
+    sent: Option<Sent>,
+}
+
+impl Row {
+    fn take(&mut self, now: Instant, part: u32) {
+        if let Some(last) = self.parts.last_mut() {
+            last.1 = now + WINDOW;
+        }
+        self.parts.push((part, now + VALIDITY));
+    }
+
+    /// The least part in force within the window: a request that ends here and begins elsewhere
+    /// is never counted twice, whichever part is heard first.
+    fn least(&mut self, now: Instant) -> u32 {
+        self.parts.retain(|(_, until)| *until > now);
+        self.parts.iter().map(|(part, _)| *part).min().unwrap_or(0)
+    }
+}
+
+#[derive(Debug)]
+struct Table {
+    pool: Pool,
+    rows: Vec<Row>,
+}
+
+/// Sums the parts of the pools that this instance aggregates.
+#[derive(Debug, Default)]
+pub(crate) struct Aggregator {
+    tables: Vec<Table>,
+}
+
+impl Aggregator {
+    /// Forgets the parts of instances that own nothing any more.
+    pub(crate) fn retain_members(&mut self, owners: &[Instance]) {
+        for table in &mut self.tables {
+            table.rows.retain(|row| owners.contains(&row.owner));
+        }
+    }
+
+    /// Forgets the parts of `owner`, whose view of the members differs.
+    pub(crate) fn forget(&mut self, owner: &Instance) {
+        for table in &mut self.tables {
+            table.rows.retain(|row| row.owner != *owner);
+        }
+    }
+
+    /// Takes the part of `owner`.
+    pub(crate) fn take(&mut self, now: Instant, owner: &Instance, pool: Pool, part: u32) {
+        let index = match self.tables.iter().position(|table| table.pool == pool) {
+            Some(index) => index,
+            None => {
+                self.tables.push(Table { pool, rows: Vec::new() });
+                self.tables.len() - 1
+            }
+        };
+        let rows = &mut self.tables[index].rows;
+        match rows.iter_mut().find(|row| row.owner == *owner) {
+            Some(row) => row.take(now, part),
+            None => {
+                let parts = vec![(part, now + VALIDITY)];
+                rows.push(Row { owner: owner.clone(), parts, sent: None });
+            }
+        }
+    }
+
+    /// The totals that have to be sent: to whom, of which pool, and the load.
+    pub(crate) fn due(&mut self, now: Instant) -> Vec<(Instance, Pool, u32)> {
+        let mut due = Vec::new();
+        for Table { pool, rows } in &mut self.tables {
+            let total: u32 = rows.iter_mut().map(|row| row.least(now)).sum();
+            rows.retain(|row| !row.parts.is_empty());
+            for row in rows {
+                if is_due(&mut row.sent, now, total) {
+                    due.push((row.owner.clone(), pool.clone(), total));
+                }
+            }
+        }
+        self.tables.retain(|table| !table.rows.is_empty());
+        due
+    }
+}
--- /dev/null
+++ b/crates/permit/src/walk.rs
@@ -0,0 +1,181 @@
+//! The way of one request along the upstreams of its conversation.
+
+use std::time::{Duration, Instant};
+
+use names::{Instance, Upstream};
+
+use crate::{Ask, Pool, Sum, Wanted};
+
+/// Time between two walks while the request waits at an upstream.
+const RETRY_PERIOD: Duration = Duration::from_millis(200);
+
+/// Pause before the walk starts anew after no owner gave a usable answer.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// An ask that has no final answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Pending {
+    pub(crate) number: u64,
+    pub(crate) owner: Instance,
+    pub(crate) upstream: Upstream,
+    pub(crate) deadline: Instant,
+}
+
+#[derive(Debug)]
+struct Seen {
+    upstream: Upstream,
+    load: Sum,
+    waiting: u32,
+}
+
+/// What a walk does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Next {
+    /// Asks the owner of this upstream.
+    Ask { upstream: Upstream, evidence: Option<Sum>, may_wait: bool },
+    /// Waits, until [`Walk::resume_at`] at most.
+    Rest,
+}
+
+/// One request on its walk.
+#[derive(Debug)]
+pub(crate) struct Walk {
+    pub(crate) request: u64,
+    pub(crate) wanted: Wanted,
+    order: Vec<Upstream>,
+    position: usize,
+    seen: Vec<Seen>,
+    has_asked_to_wait: bool,
+    /// The ask that is on its way.
+    pub(crate) asked: Option<Pending>,
+    /// The ask that waits in a queue.
+    pub(crate) waiting: Option<Pending>,
+    pub(crate) resume_at: Instant,
+}
+
+impl Walk {
+    pub(crate) fn new(now: Instant, request: u64, wanted: Wanted, order: Vec<Upstream>) -> Self {
+        Self {
+            request,
+            wanted,
+            order,
+            position: 0,
+            seen: Vec::new(),
+            has_asked_to_wait: false,
+            asked: None,
+            waiting: None,
+            resume_at: now,
+        }
+    }
+
+    /// Takes note that the owner of `upstream` answered full.
+    pub(crate) fn see(&mut self, upstream: Upstream, load: Sum, waiting: u32) {
+        self.seen.retain(|seen| seen.upstream != upstream);
+        self.seen.push(Seen { upstream, load, waiting });
+    }
+
+    /// The next step when no ask is on its way.
+    pub(crate) fn next(&mut self, now: Instant) -> Next {
+        if self.waiting.is_some() {
+            return self.try_another(now);
+        }
+        if let Some(upstream) = self.order.get(self.position).cloned() {
+            self.position += 1;
+            return Next::Ask { upstream, evidence: None, may_wait: false };
+        }
+        if !self.has_asked_to_wait
+            && let Some(upstream) = self.least_loaded()
+        {
+            self.has_asked_to_wait = true;
+            return Next::Ask { upstream, evidence: Some(self.evidence()), may_wait: true };
+        }
+        self.restart(now)
+    }
+
+    /// While the request waits, looks for room elsewhere from time to time, and brings the least
+    /// loaded owner the sum of what it saw.
+    fn try_another(&mut self, now: Instant) -> Next {
+        if now < self.resume_at {
+            return Next::Rest;
+        }
+        if let Some(upstream) = self.order.get(self.position).cloned() {
+            self.position += 1;
+            return Next::Ask { upstream, evidence: None, may_wait: false };
+        }
+        self.position = 0;
+        self.resume_at = now + RETRY_PERIOD;
+        let evidence = self.evidence();
+        let least = self.least_loaded();
+        self.seen.clear();
+        match least {
+            Some(upstream) => Next::Ask { upstream, evidence: Some(evidence), may_wait: false },
+            None => Next::Rest,
+        }
+    }
+
+    /// Takes note that the request waits in a queue now.
+    pub(crate) fn rest_in_queue(&mut self, now: Instant, pending: Pending) {
+        self.waiting = Some(pending);
+        self.position = 0;
+        self.seen.clear();
+        self.resume_at = now + RETRY_PERIOD;
+    }
+
+    /// Begins the walk anew after a pause, with upstreams as they are known then.
+    pub(crate) fn restart(&mut self, now: Instant) -> Next {
+        self.position = self.order.len();
+        self.has_asked_to_wait = true;
+        self.waiting = None;
+        self.resume_at = now + PAUSE;
+        Next::Rest
+    }
+
+    /// Whether the walk waits to begin anew.
+    pub(crate) fn is_over(&self) -> bool {
+        self.asked.is_none() && self.waiting.is_none()
+    }
+
+    /// The upstream with the fewest requests for its slots; the first on the walk among equals.
+    fn least_loaded(&self) -> Option<Upstream> {
+        let load = |seen: &&Seen| {
+            let requests = u64::from(seen.load.in_flight + seen.waiting);
+            requests * 1000 / u64::from(seen.load.slots.max(1))
+        };
+        self.seen.iter().min_by_key(load).map(|seen| seen.upstream.clone())
+    }
+
+    /// The load of the upstreams that were seen.
+    fn evidence(&self) -> Sum {
+        self.seen.iter().fold(Sum::default(), |sum, seen| Sum {
+            in_flight: sum.in_flight + seen.load.in_flight,
+            slots: sum.slots + seen.load.slots,
+        })
+    }
+
+    /// The ask for `next`.
+    pub(crate) fn ask(
+        &self,
+        now: Instant,
+        number: u64,
+        upstream: Upstream,
+        evidence: Option<Sum>,
+        may_wait: bool,
+    ) -> Ask {
+        let wanted = &self.wanted;
+        let remaining = wanted.deadline.saturating_duration_since(now);
+        Ask {
+            number,
+            upstream,
+            pool: Pool::from(wanted.target.clone()),
+            account: wanted.account.clone(),
+            weight: wanted.weight,
+            kind: wanted.kind.clone(),
+            rank: wanted.rank,
+            least_share_percent: wanted.least_share_percent,
+            remaining_millis: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+            cost: wanted.cost,
+            evidence,
+            may_wait,
+        }
+    }
+}
