--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -5,17 +5,17 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use declare::Target;
+use declare::{Declarations, Target};
 use membership::Member;
 use names::{Instance, Upstream};
 use operator::Response;
-use placement::{Candidate, Policy, Rendezvous};
+use placement::{Candidate, Knowledge, Policy};
 use rand::RngExt;
 use serde_json::json;
 use settings::Settings;
 use stakker::{Actor, CX, Fwd, Ret, after, call, ret};
 use telemetry::Metrics;
-use upstream::{Action, Announcement, Change, Directory, Load, Message};
+use upstream::{Action, Announcement, Change, Directory, Entry, Load, Message};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
 
 use crate::members::View;
@@ -61,6 +61,7 @@
     directory: Directory,
     alone_at: Instant,
     has_members: bool,
+    declarations: Rc<Declarations>,
     policy: Box<dyn Policy>,
     in_flight: Vec<InFlight>,
 }
@@ -77,6 +78,8 @@
         let is_configured = |peer: &settings::Peer| peer.data_centre == settings.data_centre;
         let is_alone = !settings.peers.iter().any(is_configured);
         let alone_at = if is_alone { cx.now() } else { cx.now() + ALONE_AFTER };
+        let policies = &settings.policies;
+        let policy = policies.placement.policy(policies.load_bound_percent, rand::rng().random());
         Some(Self {
             directory,
             alone_at,
@@ -84,11 +87,17 @@
             settings,
             hub,
             metrics,
-            policy: Box::new(Rendezvous),
+            declarations: Rc::default(),
+            policy,
             in_flight: Vec::new(),
         })
     }
 
+    /// Puts declarations in force for permits that are asked for from now on.
+    pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        self.declarations = declarations;
+    }
+
     /// Takes an announcement that an upstream made to this instance.
     pub(crate) fn announce(&mut self, cx: CX![], ask: Ask) {
         match Announcement::try_from(ask.request.body.as_slice()) {
@@ -169,10 +178,11 @@
             .registry()
             .available(&wanted.target)
             .filter(|entry| !wanted.tried.contains(&entry.announcement.upstream))
+            .filter(|entry| !self.declarations.is_drained(&entry.announcement.labels))
             .map(|entry| Candidate {
                 upstream: entry.announcement.upstream.clone(),
                 slots: entry.announcement.slots,
-                in_flight: self.in_flight(&entry.announcement.upstream),
+                in_flight: self.load(entry),
             })
             .collect();
         if candidates.is_empty() {
@@ -182,6 +192,9 @@
         self.policy.order(wanted.key, &mut candidates);
         let chosen = candidates.iter().find(|candidate| candidate.in_flight < candidate.slots);
         let permit = chosen.and_then(|candidate| self.grant(&candidate.upstream));
+        if let Some(permit) = &permit {
+            self.policy.placed(wanted.key, &permit.upstream);
+        }
         ret!([placed], permit.map_or(Placed::Full, Placed::Granted));
     }
 
@@ -203,6 +216,16 @@
         self.find(upstream).map_or(0, |index| self.in_flight[index].count)
     }
 
+    /// The load of an upstream as the policy wants to know it.
+    fn load(&self, entry: &Entry) -> u32 {
+        match self.policy.knowledge() {
+            Knowledge::Newest => self.in_flight(&entry.announcement.upstream),
+            Knowledge::Reported => {
+                entry.load.as_ref().map_or(0, |load| load.running + load.waiting)
+            }
+        }
+    }
+
     fn grant(&mut self, upstream: &Upstream) -> Option<Permit> {
         let address = self.directory.registry().get(upstream)?.announcement.address;
         match self.find(upstream) {
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -9,8 +9,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use admission::limit::Passage;
 use declare::Declarations;
-use dispatch::{Allowance, Budget, Pool, Verdict};
+use dispatch::{Allowance, Budget, Health, Pool, Verdict};
 use entry::{Event, Problem, Reply, Request, Status};
 use eventloop::{Sender, mailbox};
 use names::Attempt;
@@ -19,6 +20,7 @@
 use telemetry::{Metrics, RequestLabels};
 
 use crate::claims::Claims;
+use crate::limits::Limits;
 use crate::placer::{Placed, Placer, Wanted};
 use crate::problem;
 use active::{Active, Phase};
@@ -44,11 +46,13 @@
 pub(crate) struct Router {
     settings: Rc<Settings>,
     declarations: Rc<Declarations>,
+    limits: Actor<Limits>,
     placer: Actor<Placer>,
     claims: Actor<Claims>,
     metrics: Arc<Metrics>,
     pool: Pool,
     budget: Budget,
+    health: Health,
     active: Vec<Active>,
     is_draining: bool,
 }
@@ -57,6 +61,7 @@
     pub(crate) fn init(
         cx: CX![],
         settings: Rc<Settings>,
+        limits: Actor<Limits>,
         placer: Actor<Placer>,
         claims: Actor<Claims>,
         metrics: Arc<Metrics>,
@@ -68,11 +73,13 @@
         Some(Self {
             settings,
             declarations: Rc::default(),
+            limits,
             placer,
             claims,
             metrics,
             pool,
             budget,
+            health: Health::default(),
             active: Vec::new(),
             is_draining: false,
         })
@@ -80,6 +87,7 @@
 
     /// Puts declarations in force for requests that arrive from now on.
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        call!([self.limits], set_declarations(declarations.clone()));
         self.declarations = declarations;
     }
 
@@ -121,7 +129,6 @@
             }
         };
         let deadline = route.deadline;
-        let is_keyed = route.ticket.is_some();
         let active = Active::new(id, cx.now(), route, reply);
         let index = match self.active.binary_search_by(|other| other.id.cmp(&id)) {
             Ok(_) => return,
@@ -131,10 +138,30 @@
         self.metrics.active.inc();
         self.budget.count_request();
         at!(deadline, [cx], expire(id));
-        if is_keyed {
-            self.claim(cx, index);
-        } else {
-            self.place(cx, id);
+        self.check_limit(cx, id);
+    }
+
+    /// Asks whether the request passes the limit of its account.
+    fn check_limit(&mut self, cx: CX![], id: names::Request) {
+        let Some(index) = self.find(id) else {
+            return;
+        };
+        let account = self.active[index].route.account.clone();
+        let passage = ret_some_to!([cx], passed(id) as (Passage));
+        call!([self.limits], pass(account, passage));
+    }
+
+    fn passed(&mut self, cx: CX![], id: names::Request, passage: Passage) {
+        let Some(index) = self.find(id) else {
+            return;
+        };
+        match passage {
+            Passage::Pass if self.active[index].route.ticket.is_some() => self.claim(cx, index),
+            Passage::Pass => self.place(cx, id),
+            Passage::Refuse { retry_after } => {
+                let problem = problem::over_limit(&self.active[index].route.account, retry_after);
+                self.refuse(index, problem);
+            }
         }
     }
 
@@ -143,12 +170,15 @@
         let Some(index) = self.find(id) else {
             return;
         };
-        let active = &self.active[index];
-        let wanted = Wanted {
-            target: active.route.target.clone(),
-            key: active.route.placement_key,
-            tried: active.tried.clone(),
-        };
+        let active = &mut self.active[index];
+        let mut tried = active.tried.clone();
+        if active.avoids_unhealthy {
+            let avoided = self.health.avoided(&active.route.service, cx.now());
+            active.avoids_unhealthy = !avoided.is_empty();
+            tried.extend(avoided);
+        }
+        let wanted =
+            Wanted { target: active.route.target.clone(), key: active.route.placement_key, tried };
         let placed = ret_some_to!([cx], placed(id) as (Placed));
         call!([self.placer], place(wanted, placed));
     }
@@ -177,7 +207,10 @@
     /// Refuses a request that no upstream takes; a started stream waits for one.
     fn not_placed(&mut self, cx: CX![], index: usize, problem: Problem) {
         let active = &mut self.active[index];
-        if active.has_started {
+        if std::mem::replace(&mut active.avoids_unhealthy, false) {
+            let id = active.id;
+            self.place(cx, id);
+        } else if active.has_started {
             active.tried.clear();
             active.attempts += 1;
             self.place_later(cx, index);
--- a/crates/ledger/tests/claims.rs
+++ b/crates/ledger/tests/claims.rs
@@ -55,6 +55,8 @@
     clocks: [Clock; INSTANCES],
     requests: Vec<Request>,
     delayed: Vec<Command>,
+    /// Outcomes that come after their proposal counted as lost.
+    late: Vec<(Attempt, Proposed)>,
     ran: Vec<Ran>,
     not_run: Vec<Attempt>,
     next_fence: u64,
@@ -80,6 +82,7 @@
             clocks: Default::default(),
             requests: Vec::new(),
             delayed: Vec::new(),
+            late: Vec::new(),
             ran: Vec::new(),
             not_run: Vec::new(),
             next_fence: 1,
@@ -107,6 +110,9 @@
             let command = self.delayed.swap_remove(index);
             self.ledger.take(command);
         }
+        if !self.late.is_empty() && self.chance(30) {
+            self.deliver_late();
+        }
         if self.chance(2) {
             let mut restored = Ledger::default();
             assert!(restored.restore(&self.ledger.snapshot()));
@@ -139,7 +145,7 @@
                 request.claimant.expire()
             }
             Due::Proposal(command) => {
-                let proposed = self.propose(command.clone());
+                let proposed = self.propose(request.fence, command.clone());
                 let clock = &mut self.clocks[request.instance];
                 request.claimant.proposed(self.now, clock, proposed)
             }
@@ -156,7 +162,7 @@
         self.take(request, next);
     }
 
-    fn propose(&mut self, command: Command) -> Proposed {
+    fn propose(&mut self, fence: Attempt, command: Command) -> Proposed {
         if self.chance(10) {
             return Proposed::NotRun;
         }
@@ -168,10 +174,25 @@
         if self.chance(10) {
             self.delayed.push(command);
         }
-        if self.chance(10) {
+        let applied = Proposed::Applied { index: Index(1), outcome };
+        if self.chance(20) {
+            self.late.push((fence, applied));
             return Proposed::Unknown;
         }
-        Proposed::Applied { index: Index(1), outcome }
+        applied
+    }
+
+    /// Delivers an outcome that was given up for lost, if its request is still there.
+    fn deliver_late(&mut self) {
+        let index = self.random.random_range(0..self.late.len());
+        let (fence, proposed) = self.late.swap_remove(index);
+        let found = self.requests.iter().position(|request| request.fence == fence);
+        if let Some(index) = found {
+            let mut request = self.requests.swap_remove(index);
+            let clock = &mut self.clocks[request.instance];
+            let next = request.claimant.proposed(self.now, clock, proposed);
+            self.take(request, next);
+        }
     }
 
     fn run(&mut self, request: &Request) -> End {
@@ -225,6 +246,10 @@
                 self.counts.answered += 1;
                 Some(Due::Wake(self.now)).filter(|_| !request.claimant.is_finished())
             }
+            Next::Nothing => {
+                self.requests.push(request);
+                return;
+            }
             Next::Finished => None,
         };
         if let Some(due) = after {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use units::{Size, Span};
 
-use crate::Error;
+use crate::{Error, Policies};
 
 /// Most voters that a control group may have.
 const MAX_VOTERS: usize = 7;
@@ -189,6 +189,9 @@
     /// How retries of failed attempts are limited.
     #[serde(default)]
     pub retries: Retries,
+    /// Policies that the instance decides by.
+    #[serde(default)]
+    pub policies: Policies,
     /// Writes log lines as JSON.
     #[serde(default)]
     pub json_logs: bool,
--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -15,6 +15,7 @@
         ["dev", "--callers", &callers.to_string(), "--operators", &operators.to_string()]
             .map(String::from);
     let mut process = Process::start(&arguments, folder.path().join("dev.log"));
+    wait_for("readiness", || get(operators, "/readyz").ok());
     wait_for("announcements", || {
         let listed = get(operators, "/upstreams").ok()?;
         (listed.matches("\"upstream\"").count() == 4).then_some(())
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -102,3 +102,21 @@
     }
     is_whole.then_some(text)
 }
+
+/// Puts a fault of a stand-in in force.
+pub fn set_fault(address: SocketAddr, fault: &str) {
+    let mut response = agent().post(format!("http://{address}/fault")).send(fault).unwrap();
+    let body = response.body_mut().read_to_string().unwrap();
+    assert!(response.status().is_success(), "{body}");
+}
+
+/// The ids that the events of a streamed answer carry, without repetitions, and the number of
+/// events that end it.
+pub fn stream_ids(body: &str) -> (Vec<String>, usize) {
+    let events = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    let (ends, chunks): (Vec<&str>, Vec<&str>) = events.partition(|event| *event == "[DONE]");
+    let id = |chunk: &str| serde_json::from_str::<Value>(chunk).unwrap()["id"].to_string();
+    let mut ids: Vec<String> = chunks.into_iter().map(id).collect();
+    ids.dedup();
+    (ids, ends.len())
+}
