--- a/crates/command/src/error.rs
+++ b/crates/command/src/error.rs
@@ -37,6 +37,9 @@
     /// The stand-in could not start.
     #[error(transparent)]
     Standin(#[from] standin::Error),
+    /// The measurement could not be made.
+    #[error(transparent)]
+    Measure(#[from] measure::Error),
     /// A name is not valid.
     #[error(transparent)]
     Name(#[from] names::Error),
