--- a/crates/command/src/commands/mod.rs
+++ b/crates/command/src/commands/mod.rs
@@ -1,9 +1,17 @@
 //! All commands.
 
+mod apply;
+mod audit;
 mod check;
 mod dev;
+mod diff;
+mod drain;
+mod fleet;
+mod get;
 mod hash_key;
+mod history;
 mod measure;
+mod rollback;
 mod serve;
 mod stand_in;
 
@@ -15,6 +23,14 @@
         serve::entry(),
         dev::entry(),
         check::entry(),
+        apply::entry(),
+        get::entry(),
+        diff::entry(),
+        history::entry(),
+        rollback::entry(),
+        audit::entry(),
+        fleet::entry(),
+        drain::entry(),
         hash_key::entry(),
         stand_in::entry(),
         measure::entry(),
--- a/crates/instance/src/config/mod.rs
+++ b/crates/instance/src/config/mod.rs
@@ -33,6 +33,7 @@
 use crate::operators::Ask;
 use crate::replica::{Part, Replica};
 use access::Access;
+use gossip::Peer;
 use keeper::{Keeper, Kept, Stored};
 use order::Draft;
 use packet::{Packet, Status};
@@ -79,6 +80,7 @@
     declarations: Rc<Declarations>,
     in_force: Revision,
     is_ready: bool,
+    peers: Vec<Peer>,
     waiting: Vec<Waiting>,
     heard: Vec<Heard>,
     diverged: Vec<Instance>,
@@ -146,6 +148,7 @@
             declarations: Rc::default(),
             in_force: Revision::default(),
             is_ready: false,
+            peers: gossip::configured(&settings),
             waiting: Vec::new(),
             heard: Vec::new(),
             diverged: Vec::new(),
@@ -159,7 +162,8 @@
             self.view.settle(Revision::default());
         }
         self.put_in_force();
-        if self.around.settings.has_role(Role::Control) {
+        let settings = &self.around.settings;
+        if settings.has_role(Role::Control) && settings.voters.contains(&settings.instance) {
             let revisions = Rc::new(RefCell::new(Revisions::default()));
             self.revisions = Some(revisions.clone());
             let applied = fwd_to!([cx], applied() as (Index));
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -10,9 +10,7 @@
 use names::Incarnation;
 use operator::Response;
 use settings::Settings;
-use stakker::{
-    ActorOwn, CX, Fwd, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop,
-};
+use stakker::{ActorOwn, CX, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop};
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
@@ -139,12 +137,13 @@
                 limits.clone(),
                 placer.clone(),
                 claims.clone(),
-                metrics.clone()
+                metrics.clone(),
             ),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let in_force = vec![
             fwd_to!([router], set_declarations() as (Rc<Declarations>)),
+            fwd_to!([placer], set_declarations() as (Rc<Declarations>)),
             fwd_to!([limits], set_declarations() as (Rc<Declarations>)),
         ];
         let around = Surroundings {
@@ -156,12 +155,7 @@
         };
         let config =
             actor!(cx, Config::init(around), ret_some_to!([cx], child_ended() as (StopCause)));
-        let placer_views = fwd_to!([placer], set_view() as (View));
-        let limits_views = fwd_to!([limits], set_view() as (View));
-        let views = Fwd::new(move |view: View| {
-            limits_views.fwd(view.clone());
-            placer_views.fwd(view);
-        });
+        let views = fwd_to!([cx], set_view() as (View));
         let members = actor!(
             cx,
             Members::init(settings.clone(), incarnation, hub.clone(), metrics.clone(), views),
@@ -209,6 +203,13 @@
         }
     }
 
+    /// Hands the members to the slices that use them.
+    fn set_view(&mut self, _: CX![], view: View) {
+        call!([self.config], set_members(view.members.clone()));
+        call!([self.limits], set_view(view.clone()));
+        call!([self.placer], set_view(view));
+    }
+
     /// Hands a message of a peer to the slice that it belongs to.
     fn deliver(&mut self, _: CX![], delivery: Delivery) {
         match delivery.slice {
@@ -262,7 +263,10 @@
             ("GET", "/readyz") if self.is_stopping => {
                 ask.answer(Response::text(503, "stopping\n"));
             }
-            ("GET", "/readyz") => call!([self.config], ready(ask)),
+            ("GET", "/readyz") => {
+                let next = fwd_to!([self.config], ready() as (Ask));
+                call!([self.placer], ready(ask, next));
+            }
             _ => {
                 let message = format!("{} {} does not exist", request.method, request.path);
                 ask.answer(Response::error(404, "unknown_path", message));
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -186,12 +186,12 @@
     /// Spans of time that the instance works with.
     #[serde(default)]
     pub timing: Timing,
-    /// Policies that the instance decides by.
-    #[serde(default)]
-    pub policies: Policies,
     /// How retries of failed attempts are limited.
     #[serde(default)]
     pub retries: Retries,
+    /// Policies that the instance decides by.
+    #[serde(default)]
+    pub policies: Policies,
     /// Writes log lines as JSON.
     #[serde(default)]
     pub json_logs: bool,
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::free_address;
+use super::bind_pair;
 
 const POLL: Duration = Duration::from_millis(5);
 
@@ -20,6 +20,8 @@
     pub is_cut: bool,
     /// Swallows what comes back on TCP connections.
     pub is_half_open: bool,
+    /// Closes a TCP connection once so many bytes have come back on it; 0 for never.
+    pub truncate_after: usize,
     /// Holds everything back for this long.
     pub delay: Duration,
     /// Share of datagrams that are lost, in percent.
@@ -58,9 +60,8 @@
 impl Proxy {
     /// Starts a proxy towards `target` without faults.
     pub fn start(target: SocketAddr) -> Self {
-        let address = free_address();
-        let listener = TcpListener::bind(address).unwrap();
-        let socket = UdpSocket::bind(address).unwrap();
+        let (listener, socket) = bind_pair();
+        let address = listener.local_addr().unwrap();
         let shared = Arc::new(Shared {
             target,
             faults: Mutex::default(),
@@ -131,6 +132,7 @@
 
 fn copy(shared: &Shared, mut from: TcpStream, mut to: TcpStream, is_back: bool) {
     let mut buffer = [0; 16 << 10];
+    let mut passed = 0;
     let _ = from.set_read_timeout(Some(Duration::from_millis(100)));
     while !shared.is_stopped() {
         let length = match from.read(&mut buffer) {
@@ -141,6 +143,13 @@
             }
             Err(_) => break,
         };
+        let truncate_after = shared.faults().truncate_after;
+        if is_back && truncate_after > 0 && passed + length > truncate_after {
+            let _ = to.write_all(&buffer[..truncate_after.saturating_sub(passed)]);
+            let _ = from.shutdown(std::net::Shutdown::Both);
+            break;
+        }
+        passed += length;
         if !pass(shared, length, is_back) || to.write_all(&buffer[..length]).is_err() {
             break;
         }
