--- a/crates/admission/benches/overload.rs
+++ b/crates/admission/benches/overload.rs
@@ -27,6 +27,45 @@
     Deferrable,
     Urgent,
     Account,
+    None,
+}
+
+/// What the desk is told less of, to see what that part of its decision is worth.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Desks {
+    Ranked,
+    WithoutShares,
+    WithoutAccounts,
+    WithoutDeadlines,
+    Fifo,
+}
+
+impl Desks {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Ranked => "ranked",
+            Self::WithoutShares => "no least shares",
+            Self::WithoutAccounts => "no accounts",
+            Self::WithoutDeadlines => "no deadlines",
+            Self::Fifo => "fifo",
+        }
+    }
+
+    fn desk(self) -> Box<dyn Desk> {
+        let choice = if self == Self::Fifo { Choice::Fifo } else { Choice::Ranked };
+        choice.desk(ROOM, 1024)
+    }
+
+    fn told(self, offer: &Offer) -> Offer {
+        let mut offer = offer.clone();
+        match self {
+            Self::WithoutShares => offer.least_share_percent = 0,
+            Self::WithoutAccounts => offer.account = "all".parse().unwrap(),
+            Self::WithoutDeadlines => offer.deadline += Duration::from_secs(3600),
+            Self::Ranked | Self::Fifo => {}
+        }
+        offer
+    }
 }
 
 struct Generator(u64);
@@ -68,7 +107,7 @@
     match overload {
         Overload::Deferrable => works[2].per_second += 100.0,
         Overload::Urgent => works[0].per_second += 100.0,
-        Overload::Account => {}
+        Overload::Account | Overload::None => {}
     }
     works
 }
@@ -115,9 +154,10 @@
     Planned { at, offer }
 }
 
-/// Runs the load through a desk; true for each offer that was answered in time.
-fn drive(desk: &mut dyn Desk, plan: &[Planned], start: Instant) -> Vec<bool> {
-    let mut answered = vec![false; plan.len()];
+/// Runs the load through a desk; when each offer was answered, if it was.
+fn drive(desks: Desks, plan: &[Planned], start: Instant) -> Vec<Option<Instant>> {
+    let mut desk = desks.desk();
+    let mut answered = vec![None; plan.len()];
     let mut running: Vec<(Instant, Ticket)> = Vec::new();
     let mut arrivals = plan.iter().peekable();
     loop {
@@ -133,10 +173,10 @@
             let (end, ticket) = first_end.unwrap();
             running.retain(|(_, other)| *other != ticket);
             let offer = &plan[ticket.0 as usize].offer;
-            answered[ticket.0 as usize] = end <= offer.deadline;
+            answered[ticket.0 as usize] = Some(end);
             desk.finish(now, ticket, offer.cost);
         } else if let Some(planned) = arrivals.next()
-            && desk.offer(now, planned.offer.clone()) == Decision::Run
+            && desk.offer(now, desks.told(&planned.offer)) == Decision::Run
         {
             running.push(run(now, plan, planned.offer.ticket));
         }
@@ -153,15 +193,15 @@
     (now + Duration::from_millis(cost * MILLIS_PER_TOKEN), ticket)
 }
 
-fn count<F>(plan: &[Planned], answered: &[bool], is_counted: F) -> Outcome
+fn count<F>(plan: &[Planned], answered: &[Option<Instant>], is_counted: F) -> Outcome
 where
     F: Fn(&Offer) -> bool,
 {
     let of = plan.iter().zip(answered).filter(|(planned, _)| is_counted(&planned.offer));
     let (mut offered, mut in_time) = (0, 0);
-    for (_, answered) in of {
+    for (planned, answered) in of {
         offered += 1;
-        in_time += u64::from(*answered);
+        in_time += u64::from(answered.is_some_and(|end| end <= planned.offer.deadline));
     }
     Outcome { offered, in_time }
 }
@@ -170,36 +210,79 @@
     100.0 * outcome.in_time as f64 / outcome.offered.max(1) as f64
 }
 
-fn row(name: &str, choice: Choice, overload: Overload, is_counted: impl Fn(&Offer) -> bool) {
+/// The 95th percentile of urgent requests of the other accounts, in milliseconds.
+fn p95(desks: Desks, overload: Overload, seed: u64) -> f64 {
+    let start = Instant::now();
+    let plan = plan(overload, seed, start);
+    let answered = drive(desks, &plan, start);
+    let mut millis: Vec<f64> = plan
+        .iter()
+        .zip(answered)
+        .filter(|(planned, _)| planned.offer.rank == Rank::Urgent)
+        .filter(|(planned, _)| planned.offer.account.as_str() != "account-0")
+        .filter_map(|(planned, end)| Some(end? - (start + planned.at)))
+        .map(|elapsed| elapsed.as_secs_f64() * 1000.0)
+        .collect();
+    millis.sort_by(f64::total_cmp);
+    millis.get(millis.len() * 95 / 100).copied().unwrap_or_default()
+}
+
+/// How many times the quiet run's the p95 of other accounts is.
+fn p95_row(desks: Desks) {
+    let ratio = |seed| p95(desks, Overload::Account, seed) / p95(desks, Overload::None, seed);
+    let mut ratios: Vec<f64> = (1..=SEEDS).map(ratio).collect();
+    ratios.sort_by(f64::total_cmp);
+    let (name, desk) = ("p95 of the others / quiet run", desks.name());
+    println!("{name:<30}{desk:<18}{:>8.2}{:>8.2}{:>8.2}", ratios[0], ratios[2], ratios[4]);
+}
+
+fn row(name: &str, desks: Desks, overload: Overload, is_counted: impl Fn(&Offer) -> bool) {
     let mut percents: Vec<f64> = (1..=SEEDS)
         .map(|seed| {
             let start = Instant::now();
             let plan = plan(overload, seed, start);
-            let mut desk = choice.desk(ROOM, 1024);
-            let answered = drive(desk.as_mut(), &plan, start);
+            let answered = drive(desks, &plan, start);
             percent(&count(&plan, &answered, &is_counted))
         })
         .collect();
     percents.sort_by(f64::total_cmp);
     let (least, median, most) = (percents[0], percents[2], percents[4]);
-    println!("{name:<34}{choice:<8}{least:>8.1}{median:>8.1}{most:>8.1}");
+    let desk = desks.name();
+    println!("{name:<30}{desk:<18}{least:>8.1}{median:>8.1}{most:>8.1}");
 }
 
 fn main() {
-    println!("{:<34}{:<8}{:>8}{:>8}{:>8}", "in time, percent", "desk", "min", "median", "max");
-    for choice in [Choice::Ranked, Choice::Fifo] {
-        for (flood, overload) in
-            [("deferrable flood", Overload::Deferrable), ("urgent flood", Overload::Urgent)]
-        {
-            for rank in [Rank::Urgent, Rank::Normal, Rank::Deferrable] {
-                row(&format!("{flood}: {rank}"), choice, overload, |offer| offer.rank == rank);
-            }
+    println!("{:<30}{:<18}{:>8}{:>8}{:>8}", "in time, percent", "desk", "min", "median", "max");
+    for overload in [Overload::Deferrable, Overload::Urgent, Overload::Account] {
+        for desks in [
+            Desks::Ranked,
+            Desks::WithoutShares,
+            Desks::WithoutAccounts,
+            Desks::WithoutDeadlines,
+            Desks::Fifo,
+        ] {
+            rows(desks, overload);
+        }
+    }
+}
+
+fn rows(desks: Desks, overload: Overload) {
+    let flood = match overload {
+        Overload::Deferrable => "deferrable flood",
+        Overload::Urgent => "urgent flood",
+        Overload::Account => {
+            row("one account 20x: the others", desks, overload, |offer| {
+                offer.account.as_str() != "account-0"
+            });
+            row("one account 20x: itself", desks, overload, |offer| {
+                offer.account.as_str() == "account-0"
+            });
+            p95_row(desks);
+            return;
         }
-        row("one account 20x: the others", choice, Overload::Account, |offer| {
-            offer.account.as_str() != "account-0"
-        });
-        row("one account 20x: itself", choice, Overload::Account, |offer| {
-            offer.account.as_str() == "account-0"
-        });
+        Overload::None => return,
+    };
+    for rank in [Rank::Urgent, Rank::Normal, Rank::Deferrable] {
+        row(&format!("{flood}: {rank}"), desks, overload, |offer| offer.rank == rank);
     }
 }
