Mix in racing operators and upstreams that die or leave

The randomised run now also has two operators who race, resend after lost answers through other instances, and a watcher that no instance goes back to a lower revision; stand-ins are killed or asked to leave and come back.

--- a/tests/faults/bookings.rs
+++ b/tests/faults/bookings.rs
@@ -10,7 +10,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::json;
 
-use crate::support::{Fleet, get, post};
+use crate::support::{Fleet, post};
 
 /// How often one booking is sent before its caller gives up.
 const MAX_SENDS: usize = 6;
@@ -118,15 +118,10 @@
 
     /// Compares what callers were told with what ran at the services.
     pub fn check_against(&self, fleet: &Fleet, seed: u64) {
-        let journals: String = fleet
-            .upstreams
-            .iter()
-            .filter(|upstream| upstream.name.starts_with("shop"))
-            .map(|upstream| get(upstream.address, "/journal").unwrap())
-            .collect();
+        let journal = std::fs::read_to_string(fleet.journal()).unwrap();
         for booking in &self.bookings {
             let quoted = format!("\\\"{}\\\"", booking.reference);
-            let runs = journals.matches(&quoted).count();
+            let runs = journal.matches(&quoted).count();
             let is_right = match booking.told {
                 Told::Answered => runs == 1,
                 Told::NotRun => runs == 0,
--- a/tests/faults/injector.rs
+++ b/tests/faults/injector.rs
@@ -22,6 +22,7 @@
 enum Undo {
     Thaw(usize),
     Restart(usize),
+    RestartUpstream(usize),
     Heal(Vec<usize>),
     Clear { from: usize, to: usize },
 }
@@ -67,6 +68,7 @@
         match undo {
             Undo::Thaw(index) => self.fleet.instances[index].process.signal("CONT"),
             Undo::Restart(index) => self.fleet.restart(index),
+            Undo::RestartUpstream(index) => self.fleet.restart_upstream(index),
             Undo::Heal(group) => self.fleet.set_cut(&group, false),
             Undo::Clear { from, to } => {
                 self.fleet.link(from, to).change(|faults| *faults = Faults::default());
@@ -82,14 +84,33 @@
     fn is_down(&self, index: usize) -> bool {
         self.lasting.iter().any(|fault| match fault.undo {
             Undo::Thaw(other) | Undo::Restart(other) => other == index,
-            Undo::Heal(_) | Undo::Clear { .. } => false,
+            Undo::RestartUpstream(_) | Undo::Heal(_) | Undo::Clear { .. } => false,
         })
     }
 
+    fn is_upstream_down(&self, index: usize) -> bool {
+        let is_down =
+            |fault: &Lasting| matches!(fault.undo, Undo::RestartUpstream(i) if i == index);
+        self.lasting.iter().any(is_down)
+    }
+
+    /// Kills an upstream, or asks it to leave.
+    fn end_upstream(&mut self) {
+        let index = self.random.random_range(0..self.fleet.upstreams.len());
+        if self.is_upstream_down(index) {
+            return;
+        }
+        let signal = if self.random.random_range(0..2) == 0 { "KILL" } else { "TERM" };
+        let upstream = &self.fleet.upstreams[index];
+        println!("{signal} upstream {}", upstream.name);
+        upstream.process.signal(signal);
+        self.last(3000, Undo::RestartUpstream(index));
+    }
+
     fn inject(&mut self) {
         let instances = self.fleet.instances.len();
         let index = self.random.random_range(0..instances);
-        match self.random.random_range(0..7) {
+        match self.random.random_range(0..9) {
             0 if !self.is_down(index) => {
                 println!("kill instance {index}");
                 self.fleet.kill(index);
@@ -115,6 +136,7 @@
                 println!("reset all connections");
                 self.fleet.links.iter().for_each(|link| link.proxy.reset());
             }
+            5 | 6 => self.end_upstream(),
             _ => self.disturb(index),
         }
     }
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -8,6 +8,7 @@
 mod bookings;
 mod chats;
 mod injector;
+mod operators;
 #[path = "../support/mod.rs"]
 mod support;
 
@@ -20,7 +21,8 @@
 use bookings::Bookings;
 use chats::Chats;
 use injector::Injector;
-use support::{Fleet, Plan, chat, expected_answer, post, streamed_text, wait_for};
+use operators::Operators;
+use support::{Fleet, chat, declaring, expected_answer, post, streamed_text, wait_for};
 
 const DATA_CENTRES: [&str; 6] = ["giza", "giza", "maadi", "maadi", "dokki", "dokki"];
 const DEFAULT_SECONDS: u64 = 12;
@@ -28,13 +30,15 @@
 const BOOKING_CALLERS: usize = 4;
 
 fn fleet() -> Fleet {
-    let mut fleet = Fleet::start_plan(Plan::new(&DATA_CENTRES).with_voters(5).with_proxies());
+    let mut fleet = Fleet::start_plan(declaring(&DATA_CENTRES).with_voters(5).with_proxies());
     for data_centre in ["giza", "maadi", "dokki"] {
         for number in 1..=2 {
             let name = format!("engine-{data_centre}-{number}");
             fleet.add_upstream(&name, data_centre, &["--model", "caption-small"]);
         }
-        fleet.add_upstream(&format!("shop-{data_centre}"), data_centre, &["--label", "app=shop"]);
+        let journal = fleet.journal().display().to_string();
+        let flags = ["--label", "app=shop", "--journal", &journal];
+        fleet.add_upstream(&format!("shop-{data_centre}"), data_centre, &flags);
     }
     fleet
 }
@@ -58,6 +62,10 @@
     fleet.instances.iter().map(|instance| instance.addresses.callers).collect()
 }
 
+fn operators_addresses(fleet: &Fleet) -> Vec<SocketAddr> {
+    fleet.instances.iter().map(|instance| instance.addresses.operators).collect()
+}
+
 fn run(seed: u64) {
     println!("seed {seed}");
     let mut fleet = fleet();
@@ -65,10 +73,13 @@
     let stopped = Arc::new(AtomicBool::new(false));
     let chats = Chats::start(&addresses, CHAT_CALLERS, seed, &stopped);
     let bookings = Bookings::start(&addresses, BOOKING_CALLERS, seed, &stopped);
+    let operators = Operators::start(&operators_addresses(&fleet), seed, &stopped);
     Injector::new(seed, &mut fleet).run(duration());
     stopped.store(true, Ordering::Relaxed);
     let chats = chats.join();
     let bookings = bookings.join();
+    let revisions = operators.join_and_check(seed);
+    println!("revisions {revisions}");
     println!("chats {chats:?}");
     println!("bookings {:?}", bookings.counts());
     assert_eq!(chats.wrong, 0, "seed {seed}: an answer was not the engine's");
