--- a/crates/instance/src/replica/mod.rs
+++ b/crates/instance/src/replica/mod.rs
@@ -212,7 +212,12 @@
             return;
         }
         self.proposals.seek(now, bytes, proposed);
-        if self.proposals.begins_search() {
+        self.search(cx, now);
+    }
+
+    /// Asks the voters who leads, if proposals wait for that.
+    fn search(&mut self, cx: CX![], now: Instant) {
+        if self.proposals.begins_search(now) {
             for voter in self.settings.voters.clone() {
                 self.send(cx, voter, &Message::Seek);
             }
@@ -371,6 +376,7 @@
     fn tick(&mut self, cx: CX![]) {
         let now = Instant::now();
         self.proposals.expire(now);
+        self.search(cx, now);
         self.step(cx, now, Input::Tick);
         self.update(cx);
     }
--- a/crates/instance/src/replica/proposals.rs
+++ b/crates/instance/src/replica/proposals.rs
@@ -12,6 +12,9 @@
 /// How long a leader may take to say that it leads.
 const SEEK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Pause between two questions to the voters.
+const SEARCH_PAUSE: Duration = Duration::from_millis(150);
+
 /// For how long a leader that said so is taken to lead.
 const FOUND_SPAN: Duration = Duration::from_millis(500);
 
@@ -44,6 +47,7 @@
     found: Option<(Instance, Instant)>,
     /// Voters that answered the present search without leading.
     others: Vec<Instance>,
+    search_again_at: Option<Instant>,
     ended: Vec<&'static str>,
 }
 
@@ -71,14 +75,16 @@
         (now < *until).then_some(leader)
     }
 
-    /// Whether a search for the leader has to begin for the next proposal.
-    pub(super) fn begins_search(&mut self) -> bool {
-        let waiting = self.list.iter().filter(|one| matches!(one.stage, Stage::Seeking { .. }));
-        let is_first = waiting.count() == 1;
-        if is_first {
+    /// Whether the voters have to be asked now who leads; they are asked again while proposals
+    /// wait, since the question or its answer may be lost.
+    pub(super) fn begins_search(&mut self, now: Instant) -> bool {
+        let is_waiting = self.list.iter().any(|one| matches!(one.stage, Stage::Seeking { .. }));
+        let is_due = is_waiting && self.search_again_at.is_none_or(|again_at| again_at <= now);
+        if is_due {
+            self.search_again_at = Some(now + SEARCH_PAUSE);
             self.others.clear();
         }
-        is_first
+        is_due
     }
 
     /// Learns that `leader` leads; gives what waited for that.
@@ -152,8 +158,10 @@
         std::mem::take(&mut self.ended)
     }
 
-    /// When [`Self::expire`] is due.
+    /// When [`Self::expire`] and [`Self::begins_search`] are due.
     pub(super) fn next_deadline(&self) -> Option<Instant> {
-        self.list.iter().map(|proposal| proposal.deadline).min()
+        let is_waiting = self.list.iter().any(|one| matches!(one.stage, Stage::Seeking { .. }));
+        let search = self.search_again_at.filter(|_| is_waiting);
+        self.list.iter().map(|proposal| proposal.deadline).chain(search).min()
     }
 }
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use support::{Fleet, PATIENCE, Plan, get, wait_for};
@@ -132,6 +133,33 @@
     assert!(!leases(&fleet, 0).unwrap().contains("alone"));
 }
 
+#[test]
+fn constant_load_finds_the_voters_when_they_are_back() {
+    let mut fleet = Fleet::start_plan(plan(&["giza", "giza"], 1));
+    take_surely(&fleet, 1, "before");
+    let address = operators(&fleet, 1);
+    fleet.kill(0);
+    // The starts are spread out, so that a proposal waits at every moment.
+    let propose = move |number: u32| {
+        std::thread::sleep(Duration::from_millis(u64::from(number) * 60));
+        wait_for("grant", || match take(address, &format!("order-{number}")) {
+            Outcome::Granted(fence) => Some(fence),
+            _ => None,
+        })
+    };
+    let threads: Vec<_> =
+        (0..6).map(|number| std::thread::spawn(move || propose(number))).collect();
+    wait_for("refusals", || {
+        let metrics = get(address, "/metrics").ok()?;
+        let line = metrics.lines().find(|line| line.contains("outcome=\"not-run\""))?;
+        (line.split_whitespace().last()?.parse::<u32>().ok()? >= 12).then_some(())
+    });
+    fleet.restart(0);
+    for thread in threads {
+        thread.join().unwrap();
+    }
+}
+
 #[test]
 fn what_was_granted_survives_a_crash_of_all_voters() {
     let mut fleet = Fleet::start_plan(three());
