--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -15,7 +15,7 @@
 use entry::{Event, Problem, Reply, Request, Status};
 use eventloop::{Sender, mailbox};
 use names::Attempt;
-use settings::{Retries, Settings};
+use settings::{Retries, RetryLimit, Settings};
 use stakker::{Actor, CX, Fwd, at, call, fwd_to, ret_some_to};
 use telemetry::{Metrics, RequestLabels};
 
@@ -36,9 +36,10 @@
 }
 
 fn allowance(retries: &Retries) -> Allowance {
-    match *retries {
-        Retries::Unbounded => Allowance::Unbounded,
-        Retries::Share { percent, per_second } => Allowance::Share { percent, per_second },
+    let Retries { limit, percent, per_second } = *retries;
+    match limit {
+        RetryLimit::Unbounded => Allowance::Unbounded,
+        RetryLimit::Share => Allowance::Share { percent, per_second },
     }
 }
 
@@ -128,6 +129,7 @@
             }
         };
         let deadline = route.deadline;
+        let is_keyed = route.ticket.is_some();
         let active = Active::new(id, cx.now(), route, reply);
         let index = match self.active.binary_search_by(|other| other.id.cmp(&id)) {
             Ok(_) => return,
@@ -137,7 +139,11 @@
         self.metrics.active.inc();
         self.budget.count_request();
         at!(deadline, [cx], expire(id));
-        self.check_limit(cx, id);
+        if is_keyed {
+            self.claim(cx, index);
+        } else {
+            self.check_limit(cx, id);
+        }
     }
 
     /// Asks whether the request passes the limit of its account.
@@ -155,7 +161,6 @@
             return;
         };
         match passage {
-            Passage::Pass if self.active[index].route.ticket.is_some() => self.claim(cx, index),
             Passage::Pass => self.place(cx, id),
             Passage::Refuse { retry_after } => {
                 let problem = problem::over_limit(&self.active[index].route.account, retry_after);
