Say not-run only if no earlier request with the key can have run

A refusal before the ledger has answered says may-have-run, with Retry-After, unless the caller marks the first use of the key with x-turmericrelay-resend: false or the fleet has no voters. The same holds for account limits and for an instance that stops. Ruled out: telling the other instances of the data centre of each key (a single instance that is cut off still does not know, nor does another data centre).

--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dispatch::Verdict;
 use entry::{Problem, Status};
 use ledger::Refusal;
 
@@ -20,12 +21,24 @@
     Problem::not_run(Status::TOO_MANY_REQUESTS, "overloaded", message).with_retry_after(SOON)
 }
 
+/// The client account has used up its share of its limit.
+pub(crate) fn over_limit(account: &names::ClientAccount, retry_after: Duration) -> Problem {
+    let message = format!("client account \"{account}\" is over its limit; ask again later");
+    Problem::not_run(Status::TOO_MANY_REQUESTS, "over_limit", message).with_retry_after(retry_after)
+}
+
 /// The instance is stopping.
 pub(crate) fn stopping() -> Problem {
     let message = "the instance is stopping; ask again at another one";
     Problem::not_run(Status::UNAVAILABLE, "stopping", message).with_retry_after(SOON)
 }
 
+/// The same problem of a request that may be a resend: what it says of this request alone would
+/// be taken for the earlier one too, which may have run.
+pub(crate) fn of_resend(problem: Problem) -> Problem {
+    Problem { verdict: Verdict::MayHaveRun, ..problem }
+}
+
 /// The ledger refuses a request.
 pub(crate) fn of_refusal(refusal: Refusal) -> Problem {
     match refusal {
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -16,6 +16,7 @@
 
 use crate::claims::Claims;
 use crate::config::{Config, Surroundings};
+use crate::limits::Limits;
 use crate::members::{Members, View};
 use crate::operators::{Ask, Operators};
 use crate::placer::Placer;
@@ -39,6 +40,7 @@
 pub(crate) struct Root {
     settings: Rc<Settings>,
     _hub: ActorOwn<Hub>,
+    limits: ActorOwn<Limits>,
     placer: ActorOwn<Placer>,
     router: ActorOwn<Router>,
     server: ActorOwn<Server>,
@@ -106,6 +108,11 @@
             Placer::init(settings.clone(), hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let limits = actor!(
+            cx,
+            Limits::init(settings.clone(), hub.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let replica = actor!(
             cx,
             Replica::init(settings.clone(), incarnation, hub.clone(), metrics.clone()),
@@ -118,20 +125,29 @@
         );
         let router = actor!(
             cx,
-            Router::init(settings.clone(), placer.clone(), claims.clone(), metrics.clone()),
+            Router::init(
+                settings.clone(),
+                limits.clone(),
+                placer.clone(),
+                claims.clone(),
+                metrics.clone(),
+            ),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
-        let in_force = fwd_to!([router], set_declarations() as (Rc<Declarations>));
+        let in_force = vec![
+            fwd_to!([router], set_declarations() as (Rc<Declarations>)),
+            fwd_to!([placer], set_declarations() as (Rc<Declarations>)),
+        ];
         let around = Surroundings {
             settings: settings.clone(),
             metrics: metrics.clone(),
             replica: replica.clone(),
             hub: hub.clone(),
-            in_force: vec![in_force],
+            in_force,
         };
         let config =
             actor!(cx, Config::init(around), ret_some_to!([cx], child_ended() as (StopCause)));
-        let views = fwd_to!([placer], set_view() as (View));
+        let views = fwd_to!([cx], set_view() as (View));
         let members = actor!(
             cx,
             Members::init(settings.clone(), incarnation, hub.clone(), metrics.clone(), views),
@@ -155,6 +171,7 @@
         Ok(Self {
             settings,
             _hub: hub,
+            limits,
             placer,
             router,
             server,
@@ -177,13 +194,21 @@
         }
     }
 
+    /// Hands the members to the slices that use them.
+    fn set_view(&mut self, _: CX![], view: View) {
+        call!([self.config], set_members(view.members.clone()));
+        call!([self.limits], set_view(view.clone()));
+        call!([self.placer], set_view(view));
+    }
+
     /// Hands a message of a peer to the slice that it belongs to.
     fn deliver(&mut self, _: CX![], delivery: Delivery) {
         match delivery.slice {
             Slice::Membership => call!([self.members], deliver(delivery)),
-            Slice::Upstream | Slice::Permit | Slice::Load | Slice::Account => {
-                call!([self.placer], deliver(delivery));
+            Slice::Upstream | Slice::Permit | Slice::Load => {
+                call!([self.placer], deliver(delivery))
             }
+            Slice::Account => call!([self.limits], deliver(delivery)),
             Slice::State => call!([self.replica], deliver(delivery)),
             Slice::Ledger => call!([self.claims], deliver(delivery)),
             Slice::Declare => call!([self.config], deliver(delivery)),
@@ -225,7 +250,10 @@
             ("GET", "/readyz") if self.is_stopping => {
                 ask.answer(Response::text(503, "stopping\n"));
             }
-            ("GET", "/readyz") => call!([self.config], ready(ask)),
+            ("GET", "/readyz") => {
+                let next = fwd_to!([self.config], ready() as (Ask));
+                call!([self.placer], ready(ask, next));
+            }
             _ => {
                 let message = format!("{} {} does not exist", request.method, request.path);
                 ask.answer(Response::error(404, "unknown_path", message));
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use admission::limit::Passage;
 use declare::Declarations;
 use dispatch::{Allowance, Budget, Health, Pool, Verdict};
 use entry::{Event, Problem, Reply, Request, Status};
@@ -19,10 +20,11 @@
 use telemetry::{Metrics, RequestLabels};
 
 use crate::claims::Claims;
+use crate::limits::Limits;
 use crate::placer::{Placed, Placer, Wanted};
 use crate::problem;
 use active::{Active, Phase};
-use route::resolve;
+use route::{resolve, stopping};
 
 /// Sends events of the calls' threads into the event loop.
 struct Events(Sender<dispatch::Event>);
@@ -45,6 +47,7 @@
 pub(crate) struct Router {
     settings: Rc<Settings>,
     declarations: Rc<Declarations>,
+    limits: Actor<Limits>,
     placer: Actor<Placer>,
     claims: Actor<Claims>,
     metrics: Arc<Metrics>,
@@ -59,6 +62,7 @@
     pub(crate) fn init(
         cx: CX![],
         settings: Rc<Settings>,
+        limits: Actor<Limits>,
         placer: Actor<Placer>,
         claims: Actor<Claims>,
         metrics: Arc<Metrics>,
@@ -70,6 +74,7 @@
         Some(Self {
             settings,
             declarations: Rc::default(),
+            limits,
             placer,
             claims,
             metrics,
@@ -83,6 +88,7 @@
 
     /// Puts declarations in force for requests that arrive from now on.
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        call!([self.limits], set_declarations(declarations.clone()));
         self.declarations = declarations;
     }
 
@@ -111,7 +117,7 @@
     fn arrive(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
         let id = request.id;
         let resolved = if self.is_draining {
-            Err(problem::stopping())
+            Err(stopping(&request))
         } else {
             resolve(&self.declarations, request, cx.now())
         };
@@ -124,7 +130,6 @@
             }
         };
         let deadline = route.deadline;
-        let is_keyed = route.ticket.is_some();
         let active = Active::new(id, cx.now(), route, reply);
         let index = match self.active.binary_search_by(|other| other.id.cmp(&id)) {
             Ok(_) => return,
@@ -134,10 +139,30 @@
         self.metrics.active.inc();
         self.budget.count_request();
         at!(deadline, [cx], expire(id));
-        if is_keyed {
-            self.claim(cx, index);
-        } else {
-            self.place(cx, id);
+        self.check_limit(cx, id);
+    }
+
+    /// Asks whether the request passes the limit of its account.
+    fn check_limit(&mut self, cx: CX![], id: names::Request) {
+        let Some(index) = self.find(id) else {
+            return;
+        };
+        let account = self.active[index].route.account.clone();
+        let passage = ret_some_to!([cx], passed(id) as (Passage));
+        call!([self.limits], pass(account, passage));
+    }
+
+    fn passed(&mut self, cx: CX![], id: names::Request, passage: Passage) {
+        let Some(index) = self.find(id) else {
+            return;
+        };
+        match passage {
+            Passage::Pass if self.active[index].route.ticket.is_some() => self.claim(cx, index),
+            Passage::Pass => self.place(cx, id),
+            Passage::Refuse { retry_after } => {
+                let problem = problem::over_limit(&self.active[index].route.account, retry_after);
+                self.refuse(index, problem);
+            }
         }
     }
 
@@ -217,8 +242,11 @@
         self.give_reply(index, problem);
     }
 
+    /// Gives the caller a problem, which says `not-run` only if no earlier request with the same
+    /// key can have run.
     fn give_reply(&mut self, index: usize, problem: Problem) {
         let active = &self.active[index];
+        let problem = if active.is_first { problem } else { problem::of_resend(problem) };
         let verdict = problem.verdict;
         if active.has_started {
             active.reply.fwd(Reply::Cut);
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -111,12 +111,10 @@
     }
 
     fn claim(&mut self, claim: Claim) -> Reply {
-        if self.withdrawn.contains(claim.fence) {
-            return Reply::Withdrawn;
-        }
         let time = self.time;
         match self.records.get_mut(claim.ticket.key) {
             Some(record) => resend(record, &claim, time),
+            None if self.withdrawn.contains(claim.fence) => Reply::Withdrawn,
             None => self.grant(claim),
         }
     }
--- a/tests/bookings.rs
+++ b/tests/bookings.rs
@@ -12,7 +12,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use support::{Fleet, Plan, book, runs, set_fault};
+use support::{Fleet, Plan, book, book_first, runs, set_fault};
 
 const INSTANCES: usize = 4;
 const VOTERS: usize = 3;
@@ -37,8 +37,6 @@
     /// Requests refused as not run, and the longest time that such a refusal took.
     refusals: usize,
     slowest_refusal: Duration,
-    /// Refusals as not run of resends whose first request had run, known to nobody reachable.
-    stale_refusals: usize,
 }
 
 impl Counts {
@@ -49,7 +47,6 @@
         self.unknown += other.unknown;
         self.refusals += other.refusals;
         self.slowest_refusal = self.slowest_refusal.max(other.slowest_refusal);
-        self.stale_refusals += other.stale_refusals;
     }
 }
 
@@ -63,14 +60,19 @@
 
 impl Caller {
     fn book_all(mut self, seed: u64, caller: usize) -> Counts {
+        let mut refused = Vec::new();
         for number in 0..BOOKINGS_PER_CALLER {
             let name = format!("seed {seed} caller {caller} booking {number}");
             match self.book(&name) {
                 End::Booked => self.counts.booked += 1,
-                End::NotRun => self.counts.not_run += 1,
+                End::NotRun => refused.push(name),
                 End::Unknown => self.counts.unknown += 1,
             }
         }
+        for name in &refused {
+            assert_eq!(runs(&self.journal, name), 0, "{name} ran after it was given up");
+        }
+        self.counts.not_run += refused.len();
         self.counts
     }
 
@@ -80,25 +82,27 @@
         let gives_up_early = self.random.random_range(0..10) == 0;
         let mut is_certain = true;
         let mut unknowns = 0;
-        for _ in 0..MAX_TRIES {
+        for number in 0..MAX_TRIES {
             self.counts.requests += 1;
             let address = self.addresses[self.random.random_range(0..self.addresses.len())];
             let started = Instant::now();
+            let book = if number == 0 { book_first } else { book };
             match book(address, &key, name) {
                 Ok(answer) if answer.status == 200 => {
                     assert_eq!(runs(&self.journal, name), 1, "{name} is answered");
                     return End::Booked;
                 }
                 Ok(answer) if answer.verdict.as_deref() == Some("not-run") => {
-                    self.refused(name, started.elapsed(), is_certain);
-                    if gives_up_early && is_certain {
+                    self.refused(name, started.elapsed());
+                    if gives_up_early {
                         return End::NotRun;
                     }
+                    is_certain = true;
                 }
                 Ok(answer) => {
                     assert_eq!(answer.verdict.as_deref(), Some("may-have-run"), "{answer:?}");
                     is_certain = false;
-                    unknowns += 1;
+                    unknowns += usize::from(answer.retry_after.is_none());
                 }
                 Err(_) => is_certain = false,
             }
@@ -110,12 +114,11 @@
         if is_certain { End::NotRun } else { End::Unknown }
     }
 
-    fn refused(&mut self, name: &str, elapsed: Duration, is_certain: bool) {
+    /// Checks that a booking refused as not run has not run, whichever request it was.
+    fn refused(&mut self, name: &str, elapsed: Duration) {
         self.counts.refusals += 1;
         self.counts.slowest_refusal = self.counts.slowest_refusal.max(elapsed);
-        let has_run = runs(&self.journal, name) > 0;
-        assert!(!(is_certain && has_run), "{name} ran and was refused as not run");
-        self.counts.stale_refusals += usize::from(has_run);
+        assert_eq!(runs(&self.journal, name), 0, "{name} ran and was refused as not run");
     }
 }
 
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -15,18 +15,33 @@
 
 static NEXT_HOST: AtomicU32 = AtomicU32::new(0);
 
-/// A loopback address that no other process of this test run uses, with a free port.
-pub fn free_address() -> SocketAddr {
+/// A loopback host that no other process of this test run uses.
+fn next_host() -> Ipv4Addr {
     let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id();
-    let host = Ipv4Addr::new(
+    Ipv4Addr::new(
         127,
         1 + (process % 250) as u8,
         (process / 250 % 250) as u8,
         1 + (number % 250) as u8,
-    );
-    let listener = TcpListener::bind((host, 0)).unwrap();
-    listener.local_addr().unwrap()
+    )
+}
+
+/// Listens on one free port for TCP and UDP. A port that is free for TCP may be taken for UDP, so
+/// further hosts are tried.
+pub fn bind_pair() -> (TcpListener, UdpSocket) {
+    for _ in 0..100 {
+        let listener = TcpListener::bind((next_host(), 0)).unwrap();
+        if let Ok(socket) = UdpSocket::bind(listener.local_addr().unwrap()) {
+            return (listener, socket);
+        }
+    }
+    panic!("no port is free for both TCP and UDP");
+}
+
+/// A loopback address that no other process of this test run uses, with a free port.
+pub fn free_address() -> SocketAddr {
+    bind_pair().0.local_addr().unwrap()
 }
 
 /// Asks `check` again and again until it gives a value; fails the test when it never does.
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::free_address;
+use super::bind_pair;
 
 const POLL: Duration = Duration::from_millis(5);
 
@@ -60,9 +60,8 @@
 impl Proxy {
     /// Starts a proxy towards `target` without faults.
     pub fn start(target: SocketAddr) -> Self {
-        let address = free_address();
-        let listener = TcpListener::bind(address).unwrap();
-        let socket = UdpSocket::bind(address).unwrap();
+        let (listener, socket) = bind_pair();
+        let address = listener.local_addr().unwrap();
         let shared = Arc::new(Shared {
             target,
             faults: Mutex::default(),
