--- a/crates/instance/src/router/active.rs
+++ b/crates/instance/src/router/active.rs
@@ -54,6 +54,8 @@
     /// The attempt under which its idempotency key is claimed.
     pub(super) fence: Option<Attempt>,
     pub(super) has_started: bool,
+    /// Whether no earlier request with the same idempotency key can have run.
+    pub(super) is_first: bool,
 }
 
 impl Calling {
@@ -82,6 +84,7 @@
         reply: Fwd<Reply>,
     ) -> Self {
         let answer = Answer::new(route.streams, route.adapter);
+        let is_first = route.ticket.is_none() || route.is_first;
         Self {
             id,
             arrived,
@@ -94,6 +97,7 @@
             avoids_unhealthy: true,
             fence: None,
             has_started: false,
+            is_first,
         }
     }
 
--- a/crates/instance/src/router/keyed.rs
+++ b/crates/instance/src/router/keyed.rs
@@ -2,7 +2,7 @@
 
 use dispatch::Verdict;
 use entry::{Header, Problem, Reply, Status};
-use ledger::{Answer, Bounds, End, Field};
+use ledger::{Answer, Bounds, End, Field, Refusal};
 use names::Attempt;
 use rand::RngExt;
 use stakker::{CX, call, fwd_to};
@@ -48,6 +48,7 @@
             return;
         };
         active.fence = Some(fence);
+        active.is_first |= self.settings.voters.is_empty();
         active.phase = Phase::Claiming;
         let id = active.id;
         let decided = fwd_to!([cx], decided(id) as (Decision));
@@ -59,6 +60,8 @@
         let Some(index) = self.find(id) else {
             return;
         };
+        let active = &mut self.active[index];
+        active.is_first |= !matches!(decision, Decision::Refuse(Refusal::NoQuorum));
         match decision {
             Decision::Run => {
                 self.active[index].phase = Phase::Placing;
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -134,6 +134,16 @@
     post(address, BOOKINGS, &headers, &booking(family))
 }
 
+/// Books with a key that was not sent before.
+pub fn book_first(address: SocketAddr, key: &str, family: &str) -> Result<Answer, String> {
+    let headers = [
+        ("idempotency-key", key),
+        ("x-turmericrelay-deadline", "3s"),
+        ("x-turmericrelay-resend", "false"),
+    ];
+    post(address, BOOKINGS, &headers, &booking(family))
+}
+
 /// How often the booking of `family` ran, by the journal of the shops.
 pub fn runs(journal: &std::path::Path, family: &str) -> usize {
     let journal = std::fs::read_to_string(journal).unwrap_or_default();
