--- a/crates/admission/src/limit/message.rs
+++ b/crates/admission/src/limit/message.rs
@@ -9,10 +9,23 @@
 
 const SECONDS_PER_HOUR: f64 = 3600.0;
 
-/// A client account in messages: the hash of its name.
+/// A client account in messages: the hash of its name, eight bytes whatever its value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "[u8; 8]", into = "[u8; 8]")]
 pub struct AccountKey(pub u64);
 
+impl From<[u8; 8]> for AccountKey {
+    fn from(bytes: [u8; 8]) -> Self {
+        Self(u64::from_le_bytes(bytes))
+    }
+}
+
+impl From<AccountKey> for [u8; 8] {
+    fn from(key: AccountKey) -> [u8; 8] {
+        key.0.to_le_bytes()
+    }
+}
+
 impl From<&ClientAccount> for AccountKey {
     fn from(account: &ClientAccount) -> Self {
         Self(xxh3_64(account.as_str().as_bytes()))
--- a/crates/admission/tests/limit.rs
+++ b/crates/admission/tests/limit.rs
@@ -4,7 +4,9 @@
 
 use std::time::{Duration, Instant};
 
-use admission::limit::{AccountKey, Apportioner, Grants, Limit, Limiter, Passage, Report};
+use admission::limit::{
+    AccountKey, Apportioner, Demand, Grants, Hourly, Limit, Limiter, Message, Passage, Report,
+};
 use names::{ClientAccount, Instance};
 use proptest::prelude::*;
 use units::Rate;
@@ -183,3 +185,19 @@
     }
     assert_eq!((fleet.limiters[0].active(), fleet.apportioner.active()), (0, 0));
 }
+
+#[test]
+fn an_account_takes_few_bytes_in_messages() {
+    let demand = |number: u64| Demand {
+        account: AccountKey(number.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
+        rate: Hourly::from_per_second(100.0),
+        held: 3600,
+    };
+    let encode = |count| {
+        let demands = (0..count).map(demand).collect();
+        postcard::to_allocvec(&Message::Report(Report { sequence: 3600, demands })).unwrap().len()
+    };
+    let bytes = (encode(64) - encode(0)) as f64 / 64.0;
+    assert!(bytes <= 14.0, "{bytes} bytes an account");
+    assert!(encode(64) <= 1000, "64 demands fit into a datagram");
+}
