--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -16,7 +16,7 @@
 
 use crate::caches::Caches;
 use crate::claims::Claims;
-use crate::config::{Config, Surroundings};
+use crate::config::{Access, Config, Surroundings};
 use crate::limits::Limits;
 use crate::members::{Members, View};
 use crate::operators::{Ask, Operators};
@@ -168,7 +168,7 @@
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let asks = fwd_to!([cx], answer() as (Ask));
-        let operators = Operators::new(mailbox(cx, asks), metrics.clone());
+        let operators = Operators::new(mailbox(cx, asks), metrics.clone(), Access::new(&settings));
         let operators =
             operator::Server::start(bound.operators, Arc::new(operators)).map_err(|source| {
                 Error::Listen { what: "operators", address: settings.listen.operators, source }
@@ -281,6 +281,7 @@
         log::info!("instance {} stops", self.settings.instance);
         self.is_stopping = true;
         call!([self.router], drain());
+        call!([self.replica], retire());
         let drained = fwd_to!([cx], finish_stop() as (()));
         call!([self.server], drain(drained));
         let deadline = cx.now() + self.settings.timing.drain.as_duration();
