List load and drains of upstreams; kill instances while they store

Cause: fleet showed upstreams without their load, and nothing showed that a drain is in force.

Ruled out: asking all instances for their calls in flight; the asked instance tells what it knows until upstreams have one owner.

--- a/crates/command/src/commands/fleet.rs
+++ b/crates/command/src/commands/fleet.rs
@@ -48,7 +48,9 @@
         let columns = ["instance", "data_centre", "answers", "revision", "active_requests"];
         print_rows(&columns, &instances["instances"]);
         println!();
-        print_rows(&["upstream", "data_centre", "address", "slots", "is_leaving"], &upstreams);
+        let columns = ["upstream", "data_centre", "address", "slots", "in_flight", "running"];
+        let flags = ["waiting", "is_leaving", "is_drained"];
+        print_rows(&[columns.as_slice(), &flags].concat(), &upstreams);
         Ok(Exit::Done)
     }
 }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod error;
 mod limits;
+mod listing;
 mod members;
 mod operators;
 mod placer;
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -18,6 +18,7 @@
 use upstream::{Action, Announcement, Change, Directory, Entry, Load, Message};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
 
+use crate::listing::Listed;
 use crate::members::View;
 use crate::operators::Ask;
 
@@ -132,8 +133,13 @@
 
     /// Lists the known upstreams.
     pub(crate) fn list(&mut self, _: CX![], ask: Ask) {
-        let upstreams: Vec<_> =
-            self.directory.registry().iter().map(|entry| &entry.announcement).collect();
+        let entries = self.directory.registry().iter();
+        let upstreams: Vec<Listed<'_>> = entries
+            .map(|entry| {
+                let in_flight = self.in_flight(&entry.announcement.upstream);
+                Listed::new(entry, in_flight, &self.declarations)
+            })
+            .collect();
         ask.answer(Response::json(200, &upstreams));
     }
 
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -113,6 +113,9 @@
     assert_eq!(drained.status.code(), Some(0), "{}", text(&drained));
     wait_for("drain in force", || (book(1).status == 503).then_some(()));
     assert_eq!(book(1).verdict.as_deref(), Some("not-run"));
+    wait_for("drain at the instance that lists", || {
+        (console.json(&["fleet"])["upstreams"][0]["is_drained"] == true).then_some(())
+    });
     assert_eq!(console.run(&["drain", "--select", "app=shop", "--undo"]).status.code(), Some(0));
     wait_for("end of drain", || (book(1).status == 200).then_some(()));
 }
--- a/tests/declarations_faults.rs
+++ b/tests/declarations_faults.rs
@@ -165,6 +165,37 @@
     }
 }
 
+#[test]
+fn an_instance_killed_while_it_stores_never_goes_back() {
+    const SEED: u64 = 7;
+    let mut random = Pcg64Mcg::seed_from_u64(SEED);
+    let mut fleet = Fleet::start_plan(plan());
+    leader(&fleet);
+    let mut base = 0;
+    for round in 0..12 {
+        let victim = random.random_range(3..6);
+        let seen = std::thread::scope(|scope| {
+            let orders = scope.spawn(|| {
+                for number in 0..8 {
+                    let order = format!("{round}-{number}");
+                    let reply = resend(&fleet, number % 3, AMAL, base + number as u64, &order, 2);
+                    assert_eq!(reply.status, 200, "{reply:?}");
+                }
+            });
+            std::thread::sleep(Duration::from_millis(random.random_range(0..60)));
+            let seen = revision(&fleet, victim).unwrap();
+            fleet.instances[victim].process.signal("KILL");
+            orders.join().unwrap();
+            seen
+        });
+        base += 8;
+        fleet.restart(victim);
+        let shown = wait_for("first answer of a ready instance", || revision(&fleet, victim));
+        assert!(shown >= seen, "seed {SEED}, round {round}: {shown} after {seen}");
+        in_force(&fleet, &ALL, base);
+    }
+}
+
 #[test]
 fn a_revision_that_cannot_be_stored_is_in_force_and_named() {
     let mut fleet = Fleet::start_plan(plan());
