Load models by declared rollouts under a fenced lease

Cause: nobody gave orders to engines. Rollouts are declared; one instance of each data centre holds the lease for orders and compares what is declared with what engines announce. Ruled out: one-off commands, orders by the leader of the log (docs/design/orders.md). Measured: crates/orders 5 passed; tests/orders.rs 4 passed (holder killed, frozen, cut off; one engine checks fencing numbers, one ignores them; no older number after a newer one at either).

--- a/crates/declare/src/document.rs
+++ b/crates/declare/src/document.rs
@@ -34,6 +34,9 @@
     /// Drains of upstreams.
     #[strum(serialize = "drain")]
     Drain,
+    /// Models that engines are to load.
+    #[strum(serialize = "rollout")]
+    Rollout,
 }
 
 /// One declared thing.
@@ -186,11 +189,13 @@
         let services = declarations.services.iter();
         let accounts = declarations.client_accounts.iter();
         let drains = declarations.drains.iter();
+        let rollouts = declarations.rollouts.iter();
         let mut items = kinds
             .map(|kind| item(Section::Kind, kind.name.to_string(), kind))
             .chain(services.map(|one| item(Section::Service, one.name.to_string(), one)))
             .chain(accounts.map(|one| item(Section::ClientAccount, one.name.to_string(), one)))
             .chain(drains.map(|one| item(Section::Drain, one.to_string(), one)))
+            .chain(rollouts.map(|one| item(Section::Rollout, one.model.to_string(), one)))
             .collect::<Result<Vec<Item>, Error>>()?;
         items.sort();
         Ok(Self { items })
@@ -219,6 +224,7 @@
                 Section::Service => declarations.services.push(read(item)?),
                 Section::ClientAccount => declarations.client_accounts.push(read(item)?),
                 Section::Drain => declarations.drains.push(read(item)?),
+                Section::Rollout => declarations.rollouts.push(read(item)?),
             }
         }
         declarations.checked()
--- a/crates/declare/src/model.rs
+++ b/crates/declare/src/model.rs
@@ -140,6 +140,30 @@
     pub labels: Labels,
 }
 
+/// A model that engines are to load.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rollout {
+    /// The model, with its version where it has one.
+    pub model: Model,
+    /// The engines, chosen by their labels.
+    pub upstreams: Selector,
+    /// How many engines of a data centre load it at the same time.
+    #[serde(default = "default_at_once")]
+    pub at_once: u32,
+    /// Least time between two orders in a data centre, which bounds the load of the weight store.
+    #[serde(default = "default_interval")]
+    pub interval: Span,
+}
+
+fn default_at_once() -> u32 {
+    1
+}
+
+fn default_interval() -> Span {
+    Span::from_seconds(1)
+}
+
 /// All declarations of one revision, each list sorted by name.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -152,6 +176,8 @@
     pub kinds: Vec<Kind>,
     /// Upstreams that get no new work, chosen by their labels.
     pub drains: Vec<Selector>,
+    /// Models that engines are to load.
+    pub rollouts: Vec<Rollout>,
     /// Owners of API keys, sorted by hash; built when the declarations are checked.
     #[serde(skip)]
     owners: Vec<KeyOwner>,
@@ -215,6 +241,7 @@
         self.client_accounts.extend(other.client_accounts);
         self.kinds.extend(other.kinds);
         self.drains.extend(other.drains);
+        self.rollouts.extend(other.rollouts);
     }
 
     /// The declarations as YAML.
@@ -232,6 +259,7 @@
         self.kinds.sort_by(|left, right| left.name.cmp(&right.name));
         self.drains.sort_by_key(Selector::to_string);
         self.drains.dedup();
+        self.rollouts.sort_by(|left, right| left.model.cmp(&right.model));
         self.owners = self.key_owners();
     }
 
@@ -252,7 +280,9 @@
         check_once("kind of work", self.kinds.iter().map(|item| item.name.as_str()))?;
         check_once("key hash", self.owners.iter().map(|owner| owner.hash.as_str()))?;
         self.check_service_kinds()?;
+        check_once("rollout", self.rollouts.iter().map(|item| item.model.as_str()))?;
         self.check_drains()?;
+        self.check_rollouts()?;
         self.check_least_shares()
     }
 
@@ -279,6 +309,17 @@
         })
     }
 
+    fn check_rollouts(&self) -> Result<(), Error> {
+        match self.rollouts.iter().find(|rollout| rollout.at_once == 0) {
+            Some(rollout) => Err(Error::Value {
+                place: format!("rollout \"{}\"", rollout.model),
+                problem: "at_once is 0".to_string(),
+                help: "give at least 1",
+            }),
+            None => Ok(()),
+        }
+    }
+
     fn check_least_shares(&self) -> Result<(), Error> {
         let total: u32 = self.kinds.iter().map(|kind| kind.least_share_percent).sum();
         if total <= MAX_TOTAL_LEAST_SHARE_PERCENT {
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod members;
 mod operators;
+mod orders;
 mod placer;
 mod problem;
 mod replica;
--- /dev/null
+++ b/crates/instance/src/orders.rs
@@ -0,0 +1,268 @@
+//! The actor that gives orders to engines while it holds its data centre's lease for them.
+//!
+//! One entry instance of the data centre, chosen by rendezvous, contends for the lease. A call
+//! that carries an order ends with the lease at the latest, and what an engine announces is
+//! compared anew with what is declared, so an order that arrives late is repeated or harmless.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use declare::{Declarations, Rollout};
+use dispatch::{Call, Field, Pool, Reuse};
+use eventloop::{Sender, mailbox};
+use names::{Attempt, Instance, Upstream};
+use operator::Response;
+use orders::{Engine, Order, Progress, Standing, Task};
+use placement::owner;
+use rand::RngExt;
+use serde_json::json;
+use settings::{Role, Settings};
+use stakker::{Actor, CX, after, call, fwd_to, ret_some_to};
+use state::{Holder, LeaseOutcome, Proposed};
+use upstream::{Announcement, Protocol};
+use wire::{decode, encode};
+
+use crate::members::View;
+use crate::operators::Ask;
+use crate::placer::Placer;
+use crate::replica::{Part, Replica};
+
+/// How often rollouts and the lease are looked at.
+const TICK: Duration = Duration::from_millis(500);
+
+/// How long a grant of the lease lasts.
+const LEASE_SPAN: Duration = Duration::from_secs(6);
+
+/// How long one order may take to be answered.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Orders that are under way at once.
+const MAX_CALLS: usize = 8;
+
+/// An order that was sent and not answered yet.
+struct Sent {
+    attempt: Attempt,
+    rollout: usize,
+    upstream: Upstream,
+}
+
+/// Sends events of the calls' threads into the event loop.
+struct Events(Sender<dispatch::Event>);
+
+impl dispatch::Sink for Events {
+    fn deliver(&self, event: dispatch::Event) {
+        self.0.send(event);
+    }
+}
+
+/// Gives orders to engines.
+pub(crate) struct Orders {
+    settings: Rc<Settings>,
+    placer: Actor<Placer>,
+    replica: Actor<Replica>,
+    pool: Pool,
+    peers: Vec<Instance>,
+    holder: Holder,
+    rollouts: Vec<Progress>,
+    sent: Vec<Sent>,
+    fence: Option<u64>,
+}
+
+impl Orders {
+    pub(crate) fn init(
+        cx: CX![],
+        settings: Rc<Settings>,
+        placer: Actor<Placer>,
+        replica: Actor<Replica>,
+    ) -> Option<Self> {
+        let events = fwd_to!([cx], progress() as (dispatch::Event));
+        let pool = Pool::new(MAX_CALLS, Arc::new(Events(mailbox(cx, events))));
+        let resource = format!("orders/{}", settings.data_centre);
+        let holder = Holder::new(resource, settings.instance.clone(), LEASE_SPAN);
+        after!(TICK, [cx], tick());
+        Some(Self {
+            settings,
+            placer,
+            replica,
+            pool,
+            peers: Vec::new(),
+            holder,
+            rollouts: Vec::new(),
+            sent: Vec::new(),
+            fence: None,
+        })
+    }
+
+    /// Puts declarations in force; a rollout that did not change goes on where it was.
+    pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        let mut former = std::mem::take(&mut self.rollouts);
+        self.sent.clear();
+        for rollout in &declarations.rollouts {
+            let index = former.iter().position(|progress| progress.rollout() == rollout);
+            let kept = index.map(|index| former.swap_remove(index));
+            self.rollouts.push(kept.unwrap_or_else(|| Progress::new(rollout.clone())));
+        }
+    }
+
+    /// Learns which instances live.
+    pub(crate) fn set_view(&mut self, _: CX![], view: View) {
+        let local = view.members.iter().filter(|one| one.data_centre == self.settings.data_centre);
+        self.peers = local.map(|member| member.instance.clone()).collect();
+    }
+
+    /// Lists the rollouts as this instance sees them.
+    pub(crate) fn list(&mut self, cx: CX![], ask: Ask) {
+        let listed = ret_some_to!([cx], answer_list(ask) as (Vec<Announcement>));
+        call!([self.placer], announcements(listed));
+    }
+
+    fn answer_list(&mut self, cx: CX![], ask: Ask, announcements: Vec<Announcement>) {
+        let rollouts: Vec<_> = self
+            .rollouts
+            .iter()
+            .map(|progress| {
+                let engines = selected(progress.rollout(), &announcements);
+                let loaded = engines.iter().filter(|engine| engine.has_model).count();
+                let (standing, halted) = match progress.standing(&engines) {
+                    Standing::Done => ("done", None),
+                    Standing::Running => ("running", None),
+                    Standing::Halted(upstream) => ("halted", Some(upstream.to_string())),
+                };
+                json!({
+                    "model": progress.rollout().model,
+                    "engines": engines.len(),
+                    "loaded": loaded,
+                    "standing": standing,
+                    "halted_at": halted,
+                })
+            })
+            .collect();
+        let fence = self.holder.fence(cx.now()).map(|(fence, _)| fence);
+        ask.answer(Response::json(200, &json!({ "fence": fence, "rollouts": rollouts })));
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        if self.rollouts.is_empty() || !self.contends() {
+            return;
+        }
+        self.keep_lease(cx);
+        if self.holder.fence(Instant::now()).is_some() {
+            let listed = ret_some_to!([cx], advance() as (Vec<Announcement>));
+            call!([self.placer], announcements(listed));
+        }
+    }
+
+    /// Whether this instance is the one of its data centre that contends for the lease.
+    fn contends(&self) -> bool {
+        let me = &self.settings.instance;
+        let Ok(resource) = format!("orders/{}", self.settings.data_centre).parse() else {
+            return false;
+        };
+        let candidates = self.peers.iter().chain(std::iter::once(me));
+        self.settings.has_role(Role::Entry) && owner(&resource, candidates) == Some(me)
+    }
+
+    fn keep_lease(&mut self, cx: CX![]) {
+        let Some(command) = self.holder.next(Instant::now()) else {
+            return;
+        };
+        let Ok(command) = encode(&command) else {
+            return;
+        };
+        let proposed = ret_some_to!([cx], proposed() as (Proposed));
+        call!([self.replica], propose(Part::Lease, command, proposed));
+    }
+
+    fn proposed(&mut self, _: CX![], proposed: Proposed) {
+        let outcome: Option<LeaseOutcome> = match proposed {
+            Proposed::Applied { outcome, .. } => decode("lease outcome", &outcome).ok(),
+            Proposed::NotRun | Proposed::Unknown => None,
+        };
+        self.holder.learn(Instant::now(), outcome);
+        let fence = self.holder.fence(Instant::now()).map(|(fence, _)| fence);
+        if fence != self.fence {
+            log::info!("orders: fencing number {fence:?}");
+            self.fence = fence;
+        }
+    }
+
+    /// Gives the orders that are due, as the engines announce themselves now.
+    fn advance(&mut self, cx: CX![], announcements: Vec<Announcement>) {
+        for index in 0..self.rollouts.len() {
+            let engines = selected(self.rollouts[index].rollout(), &announcements);
+            let next = self.rollouts[index].next(cx.now(), &engines);
+            let chosen = next.and_then(|upstream| {
+                announcements.iter().find(|announced| announced.upstream == upstream)
+            });
+            if let Some(announcement) = chosen {
+                self.send(index, announcement);
+            }
+        }
+    }
+
+    /// Sends an order; its call ends before the lease does.
+    fn send(&mut self, rollout: usize, announcement: &Announcement) {
+        let upstream = announcement.upstream.clone();
+        let now = Instant::now();
+        let Some((fence, until)) = self.holder.fence(now) else {
+            self.rollouts[rollout].failed(&upstream);
+            return;
+        };
+        let model = self.rollouts[rollout].rollout().model.clone();
+        log::info!("order {fence}: upstream {upstream} loads model {model}");
+        let order = Order { fence, task: Task::Load(model) };
+        let attempt = Attempt(rand::rng().random());
+        let deadline = until.min(now + ORDER_TIMEOUT);
+        let call = Call {
+            attempt,
+            method: "POST".to_string(),
+            url: format!("http://{}/orders", announcement.address),
+            headers: vec![Field {
+                name: "content-type".to_string(),
+                value: "application/json".to_string(),
+            }],
+            body: serde_json::to_vec(&order).unwrap_or_default(),
+            connect_by: deadline,
+            deadline,
+            reuse: Reuse::Never,
+        };
+        match self.pool.start(call) {
+            Ok(_) => self.sent.push(Sent { attempt, rollout, upstream }),
+            Err(_) => self.rollouts[rollout].failed(&upstream),
+        }
+    }
+
+    /// Takes what became of an order. An order that was not carried out is given again later.
+    fn progress(&mut self, _: CX![], event: dispatch::Event) {
+        let index = self.sent.iter().position(|sent| sent.attempt == event.attempt);
+        let Some(index) = index else {
+            return;
+        };
+        let is_done = match event.progress {
+            dispatch::Progress::Head { status, .. } => (200..300).contains(&status),
+            dispatch::Progress::Failed { .. } => false,
+            _ => return,
+        };
+        let sent = self.sent.swap_remove(index);
+        if !is_done && let Some(progress) = self.rollouts.get_mut(sent.rollout) {
+            progress.failed(&sent.upstream);
+        }
+    }
+}
+
+/// The engines that a rollout selects, with what they announce.
+fn selected(rollout: &Rollout, announcements: &[Announcement]) -> Vec<Engine> {
+    let engines = announcements.iter().filter(|announced| {
+        announced.protocol == Protocol::ChatCompletions
+            && !announced.is_leaving
+            && rollout.upstreams.matches(&announced.labels)
+    });
+    engines
+        .map(|announced| Engine {
+            upstream: announced.upstream.clone(),
+            has_model: announced.models.contains(&rollout.model),
+        })
+        .collect()
+}
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -137,6 +137,12 @@
         ask.answer(Response::json(200, &upstreams));
     }
 
+    /// Gives the announcements of all known upstreams, in the order of their names.
+    pub(crate) fn announcements(&mut self, _: CX![], given: Ret<Vec<Announcement>>) {
+        let known = self.directory.registry().iter();
+        ret!([given], known.map(|entry| entry.announcement.clone()).collect());
+    }
+
     /// Passes the question for readiness on once this instance knows all upstreams of its data
     /// centre.
     pub(crate) fn ready(&mut self, cx: CX![], ask: Ask, next: Fwd<Ask>) {
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -20,6 +20,7 @@
 use crate::limits::Limits;
 use crate::members::{Members, View};
 use crate::operators::{Ask, Operators};
+use crate::orders::Orders;
 use crate::placer::Placer;
 use crate::replica::Replica;
 use crate::router::Router;
@@ -51,6 +52,7 @@
     config: ActorOwn<Config>,
     claims: ActorOwn<Claims>,
     members: ActorOwn<Members>,
+    orders: ActorOwn<Orders>,
     is_stopping: bool,
 }
 
@@ -141,7 +143,13 @@
             ),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let orders = actor!(
+            cx,
+            Orders::init(settings.clone(), placer.clone(), replica.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let in_force = vec![
+            fwd_to!([orders], set_declarations() as (Rc<Declarations>)),
             fwd_to!([router], set_declarations() as (Rc<Declarations>)),
             fwd_to!([placer], set_declarations() as (Rc<Declarations>)),
             fwd_to!([limits], set_declarations() as (Rc<Declarations>)),
@@ -189,6 +197,7 @@
             config,
             claims,
             members,
+            orders,
             is_stopping: false,
         })
     }
@@ -207,6 +216,7 @@
     fn set_view(&mut self, _: CX![], view: View) {
         call!([self.config], set_members(view.members.clone()));
         call!([self.limits], set_view(view.clone()));
+        call!([self.orders], set_view(view.clone()));
         call!([self.placer], set_view(view));
     }
 
@@ -257,6 +267,7 @@
             ("POST", "/cache-events") => call!([self.caches], take(ask)),
             ("POST", "/cache-snapshot") => call!([self.caches], reset(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
+            ("GET", "/rollouts") => call!([self.orders], list(ask)),
             ("GET", "/members") => call!([self.members], list(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
             ("GET", "/fleet") => call!([self.config], list_instances(ask)),
--- /dev/null
+++ b/crates/orders/src/progress.rs
@@ -0,0 +1,103 @@
+//! The progress of one rollout.
+
+use std::time::{Duration, Instant};
+
+use declare::Rollout;
+use names::Upstream;
+
+/// How long an engine may take from an order until it announces the model.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// An engine that a rollout selects.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Engine {
+    /// Its name.
+    pub upstream: Upstream,
+    /// Whether it announces the rollout's model.
+    pub has_model: bool,
+}
+
+/// Where a rollout stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Standing {
+    /// Every selected engine announces the model.
+    Done,
+    /// Engines are loading, or orders wait for their turn.
+    Running,
+    /// An engine that was ordered vanished or did not announce the model in time; no further
+    /// engine gets an order until the rollout's declaration changes.
+    Halted(Upstream),
+}
+
+struct Pending {
+    upstream: Upstream,
+    deadline: Instant,
+}
+
+/// Follows one rollout at the holder of the orders' lease.
+pub struct Progress {
+    rollout: Rollout,
+    pending: Vec<Pending>,
+    halted: Option<Upstream>,
+    next_order_at: Option<Instant>,
+}
+
+impl Progress {
+    /// A rollout of which nothing is known.
+    pub fn new(rollout: Rollout) -> Self {
+        Self { rollout, pending: Vec::new(), halted: None, next_order_at: None }
+    }
+
+    /// The rollout as declared.
+    pub fn rollout(&self) -> &Rollout {
+        &self.rollout
+    }
+
+    /// The engines that get an order at `now`, given the selected `engines` in the order of their
+    /// names. At most `at_once` load at a time, and orders keep the declared interval.
+    pub fn next(&mut self, now: Instant, engines: &[Engine]) -> Option<Upstream> {
+        self.settle(now, engines);
+        let may_order = self.halted.is_none()
+            && self.pending.len() < self.rollout.at_once as usize
+            && self.next_order_at.is_none_or(|at| now >= at);
+        if !may_order {
+            return None;
+        }
+        let chosen = engines.iter().find(|engine| self.needs_order(engine))?.upstream.clone();
+        self.pending.push(Pending { upstream: chosen.clone(), deadline: now + LOAD_TIMEOUT });
+        self.next_order_at = Some(now + self.rollout.interval.as_duration());
+        Some(chosen)
+    }
+
+    /// Takes note that the order to `upstream` was not carried out; it will be given again.
+    pub fn failed(&mut self, upstream: &Upstream) {
+        self.pending.retain(|pending| pending.upstream != *upstream);
+    }
+
+    /// Where the rollout stands, given the selected engines.
+    pub fn standing(&self, engines: &[Engine]) -> Standing {
+        match &self.halted {
+            Some(upstream) => Standing::Halted(upstream.clone()),
+            None if engines.iter().all(|engine| engine.has_model) => Standing::Done,
+            None => Standing::Running,
+        }
+    }
+
+    fn needs_order(&self, engine: &Engine) -> bool {
+        let is_pending = self.pending.iter().any(|pending| pending.upstream == engine.upstream);
+        !engine.has_model && !is_pending
+    }
+
+    /// Drops what is loaded, and halts when an ordered engine is gone or late.
+    fn settle(&mut self, now: Instant, engines: &[Engine]) {
+        let find = |upstream: &Upstream| engines.iter().find(|one| one.upstream == *upstream);
+        self.pending.retain(|pending| !find(&pending.upstream).is_some_and(|one| one.has_model));
+        let failed = self
+            .pending
+            .iter()
+            .find(|pending| find(&pending.upstream).is_none() || now >= pending.deadline);
+        if let Some(pending) = failed {
+            self.halted.get_or_insert(pending.upstream.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/orders/tests/progress.rs
@@ -0,0 +1,81 @@
+//! Rollouts go out in steps, keep their interval, and halt on a failure.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use declare::Rollout;
+use names::Upstream;
+use orders::{Engine, Progress, Standing};
+use units::Span;
+
+fn rollout(at_once: u32) -> Rollout {
+    Rollout {
+        model: "caption-2".parse().unwrap(),
+        upstreams: "app=captions".parse().unwrap(),
+        at_once,
+        interval: Span::from_seconds(2),
+    }
+}
+
+fn upstream(number: usize) -> Upstream {
+    format!("engine-{number}").parse().unwrap()
+}
+
+fn engines(loaded: &[bool]) -> Vec<Engine> {
+    let numbered = loaded.iter().enumerate();
+    numbered
+        .map(|(number, has_model)| Engine { upstream: upstream(number), has_model: *has_model })
+        .collect()
+}
+
+#[test]
+fn one_engine_after_the_other_loads_at_the_declared_interval() {
+    let now = Instant::now();
+    let mut progress = Progress::new(rollout(1));
+    assert_eq!(progress.next(now, &engines(&[false, false])), Some(upstream(0)));
+    let later = now + Duration::from_secs(3);
+    assert_eq!(progress.next(later, &engines(&[false, false])), None);
+    assert_eq!(progress.next(later, &engines(&[true, false])), Some(upstream(1)));
+    assert_eq!(progress.standing(&engines(&[true, true])), Standing::Done);
+}
+
+#[test]
+fn orders_keep_the_rate_of_the_weight_store() {
+    let now = Instant::now();
+    let mut progress = Progress::new(rollout(3));
+    let waiting = engines(&[false, false, false]);
+    assert_eq!(progress.next(now, &waiting), Some(upstream(0)));
+    assert_eq!(progress.next(now + Duration::from_millis(1999), &waiting), None);
+    assert_eq!(progress.next(now + Duration::from_secs(2), &waiting), Some(upstream(1)));
+}
+
+#[test]
+fn an_engine_that_vanishes_halts_the_rollout() {
+    let now = Instant::now();
+    let mut progress = Progress::new(rollout(1));
+    assert_eq!(progress.next(now, &engines(&[false, false])), Some(upstream(0)));
+    let left = engines(&[true, false])[1..].to_vec();
+    assert_eq!(progress.next(now + Duration::from_secs(3), &left), None);
+    assert_eq!(progress.standing(&left), Standing::Halted(upstream(0)));
+}
+
+#[test]
+fn an_engine_that_never_announces_the_model_halts_the_rollout() {
+    let now = Instant::now();
+    let mut progress = Progress::new(rollout(1));
+    let waiting = engines(&[false, false]);
+    assert_eq!(progress.next(now, &waiting), Some(upstream(0)));
+    assert_eq!(progress.next(now + Duration::from_secs(121), &waiting), None);
+    assert_eq!(progress.standing(&waiting), Standing::Halted(upstream(0)));
+}
+
+#[test]
+fn an_order_that_failed_is_given_again() {
+    let now = Instant::now();
+    let mut progress = Progress::new(rollout(1));
+    let waiting = engines(&[false]);
+    assert_eq!(progress.next(now, &waiting), Some(upstream(0)));
+    progress.failed(&upstream(0));
+    assert_eq!(progress.next(now + Duration::from_secs(2), &waiting), Some(upstream(0)));
+}
--- a/crates/standin/src/announcer.rs
+++ b/crates/standin/src/announcer.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use upstream::Announcement;
 use ureq::Agent;
 
 /// How long one announcement may take.
@@ -14,7 +15,7 @@
 pub(crate) struct Announcer {
     pub(crate) instances: Vec<SocketAddr>,
     pub(crate) token: Option<String>,
-    pub(crate) announcement: Arc<Mutex<String>>,
+    pub(crate) announcement: Arc<Mutex<Announcement>>,
     pub(crate) period: Duration,
     pub(crate) stopped: Arc<AtomicBool>,
 }
@@ -33,7 +34,8 @@
 
     /// Announces once, starting with the instance `first`; gives the one that took it.
     fn announce(&self, agent: &Agent, first: usize) -> usize {
-        let body = self.announcement.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let announcement = self.announcement.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let body = serde_json::to_string(&announcement).unwrap_or_default();
         for offset in 0..self.instances.len() {
             let index = (first + offset) % self.instances.len();
             let url = format!("http://{}/announce", self.instances[index]);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use entry::{Event, Header, Method, Problem, Reply, Request, Status};
@@ -9,12 +10,12 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use stakker::{CX, Fwd, after};
-use upstream::Load;
+use upstream::{Announcement, Load};
 
 use crate::prefix::Cache;
 use crate::reporter::Report;
 use crate::service::{attempt_echo, refusal, server_error, set_fault};
-use crate::{Context, Fault, Options, Order, Orders, Prompt, word};
+use crate::{Context, Fault, Options, Order, Orders, Prompt, Task, word};
 
 /// Priority of requests that name none; smaller is more urgent.
 const DEFAULT_PRIORITY: u32 = 100;
@@ -64,18 +65,26 @@
     waiting: VecDeque<Job>,
     stats: Stats,
     orders: Orders,
+    announced: Arc<Mutex<Announcement>>,
     reports: Sender<Report>,
 }
 
 impl Engine {
-    /// An engine without work, which sends its reports to `reports`.
-    pub(crate) fn init(cx: CX![], options: Options, reports: Sender<Report>) -> Option<Self> {
+    /// An engine without work, which sends its reports to `reports` and adds the models that it
+    /// loads to what is `announced`.
+    pub(crate) fn init(
+        cx: CX![],
+        options: Options,
+        announced: Arc<Mutex<Announcement>>,
+        reports: Sender<Report>,
+    ) -> Option<Self> {
         let cache = Cache::new(options.cache_blocks);
         if options.behaviour.report_every.as_millis() > 0 {
             after!(options.behaviour.report_every.as_duration(), [cx], report());
         }
         Some(Self {
             orders: Orders::new(options.behaviour.checks_fencing),
+            announced,
             reports,
             options,
             fault: Fault::None,
@@ -130,11 +139,26 @@
             return;
         }
         if let Some(order) = parse::<Order>("order", request, reply) {
-            let status = if self.orders.take(order) { Status::OK } else { Status::CONFLICT };
+            let task = order.task.clone();
+            let is_taken = self.orders.take(order);
+            if is_taken {
+                self.carry_out(task);
+            }
+            let status = if is_taken { Status::OK } else { Status::CONFLICT };
             reply.fwd(json_reply(status, &self.orders));
         }
     }
 
+    /// Announces the models that an order loads or drops, from the next renewal on.
+    fn carry_out(&self, task: Task) {
+        let mut announced = self.announced.lock().unwrap_or_else(PoisonError::into_inner);
+        match task {
+            Task::Load(model) if !announced.models.contains(&model) => announced.models.push(model),
+            Task::Unload(model) => announced.models.retain(|other| *other != model),
+            Task::Load(_) | Task::ChangeRole(_) => {}
+        }
+    }
+
     fn export(&self, request: &Request, reply: &Fwd<Reply>) {
         if let Some(prompt) = parse::<Prompt>("prompt", request, reply) {
             reply.fwd(json_reply(Status::OK, &self.cache.export(&prompt.text())));
--- a/crates/standin/src/orders.rs
+++ b/crates/standin/src/orders.rs
@@ -1,5 +1,6 @@
 //! Orders to a stand-in, with fencing checked or ignored by choice.
 
+use names::Model;
 use serde::{Deserialize, Serialize};
 
 /// What an order asks for.
@@ -7,9 +8,9 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Task {
     /// Load a model, adapter or version.
-    Load(String),
+    Load(Model),
     /// Drop it again.
-    Unload(String),
+    Unload(Model),
     /// Change the role.
     ChangeRole(String),
 }
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -64,7 +64,7 @@
 }
 
 impl Options {
-    fn announcement(&self, address: SocketAddr, is_leaving: bool) -> Announcement {
+    fn announcement(&self, address: SocketAddr) -> Announcement {
         let (protocol, models) = match &self.work {
             Work::Engine(model) => (Protocol::ChatCompletions, vec![model.clone()]),
             Work::Service => (Protocol::Plain, Vec::new()),
@@ -79,7 +79,7 @@
             slots: self.slots,
             labels: self.labels.clone(),
             expires_in: self.expires_in,
-            is_leaving,
+            is_leaving: false,
             checks_fencing: self.behaviour.checks_fencing,
         }
     }
@@ -99,8 +99,7 @@
 /// A running stand-in.
 pub struct Running {
     address: SocketAddr,
-    options: Options,
-    announcement: Arc<Mutex<String>>,
+    announcement: Arc<Mutex<Announcement>>,
     stopped: Arc<AtomicBool>,
     announcer: Option<JoinHandle<()>>,
     server: Option<JoinHandle<()>>,
@@ -115,8 +114,7 @@
 
     /// Announces that it wants no new work, at once and from then on.
     pub fn leave(&self) {
-        let leaving = self.options.announcement(self.address, true);
-        *self.announcement.lock().unwrap_or_else(PoisonError::into_inner) = to_json(&leaving);
+        self.announcement.lock().unwrap_or_else(PoisonError::into_inner).is_leaving = true;
         if let Some(announcer) = &self.announcer {
             announcer.thread().unpark();
         }
@@ -152,10 +150,6 @@
     }
 }
 
-fn to_json(announcement: &Announcement) -> String {
-    serde_json::to_string(announcement).unwrap_or_default()
-}
-
 /// Starts a stand-in.
 ///
 /// # Errors
@@ -168,14 +162,15 @@
     let address = listener.local_addr().map_err(listen)?;
     let (ready, started) = std::sync::mpsc::sync_channel(1);
     let work = options.clone();
+    let announcement = Arc::new(Mutex::new(options.announcement(address)));
+    let announced = announcement.clone();
     let server = std::thread::Builder::new()
         .name(format!("standin-{}", options.name))
-        .spawn(move || serve(work, listener, &ready))
+        .spawn(move || serve(work, announced, listener, &ready))
         .map_err(Error::Thread)?;
     let stop = started
         .recv()
         .map_err(|_| Error::Thread(std::io::Error::other("the event loop did not start")))?;
-    let announcement = Arc::new(Mutex::new(to_json(&options.announcement(address, false))));
     let stopped = Arc::new(AtomicBool::new(false));
     let announcer = Announcer {
         instances: options.instances.clone(),
@@ -190,7 +185,6 @@
         .map_err(Error::Thread)?;
     Ok(Running {
         address,
-        options,
         announcement,
         stopped,
         announcer: Some(announcer),
@@ -199,7 +193,12 @@
     })
 }
 
-fn serve(options: Options, listener: TcpListener, ready: &std::sync::mpsc::SyncSender<Sender<()>>) {
+fn serve(
+    options: Options,
+    announced: Arc<Mutex<Announcement>>,
+    listener: TcpListener,
+    ready: &std::sync::mpsc::SyncSender<Sender<()>>,
+) {
     let mut event_loop = match Loop::new() {
         Ok(event_loop) => event_loop,
         Err(error) => {
@@ -220,7 +219,8 @@
                 log::error!("{error}");
                 return;
             }
-            let engine = actor!(stakker, Engine::init(options, reports), ret_shutdown!(stakker));
+            let engine =
+                actor!(stakker, Engine::init(options, announced, reports), ret_shutdown!(stakker));
             handler = fwd_to!([engine], handle() as (entry::Event));
             _engine = engine;
         }
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,132 @@
+//! Orders to engines: step by step, under fencing numbers, through the loss of their holder.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{
+    AMAL, Fleet, chat, declarations, declared, declaring, get, operators, order, wait_for,
+};
+use test_case::test_case;
+
+/// Starts three instances, all voters, and two engines; one checks fencing numbers.
+fn fleet() -> Fleet {
+    let mut fleet =
+        Fleet::start_plan(declaring(&["giza", "giza", "giza"]).with_voters(3).with_proxies());
+    let flags = ["--model", "caption-small", "--label", "app=captions"];
+    fleet.add_upstream("engine-1", "giza", &[&flags[..], &["--checks-fencing"]].concat());
+    fleet.add_upstream("engine-2", "giza", &flags);
+    fleet
+}
+
+fn declare_rollout(fleet: &Fleet, base: u64, model: &str) {
+    let rollout = format!(
+        "rollouts:\n  - {{model: {model}, upstreams: \"app=captions\", interval: 100ms}}\n"
+    );
+    let path = format!("/declarations?base={base}&order=rollout-{base}");
+    let body = format!("{}{rollout}", declarations());
+    wait_for("order taken", || {
+        let reply = support::try_order(operators(fleet, 0), AMAL, &path, &body)?;
+        (reply.status == 200).then_some(())
+    });
+}
+
+/// The orders that an engine carried out, as fencing number and model.
+fn carried_out(fleet: &Fleet, index: usize) -> Vec<(u64, String)> {
+    let text = get(fleet.upstreams[index].address, "/orders").unwrap();
+    let orders: Value = serde_json::from_str(&text).unwrap();
+    let done = orders["done"].as_array().unwrap().iter();
+    done.map(|one| {
+        let model = one["task"]["load"].as_str().unwrap().to_string();
+        (one["fence"].as_u64().unwrap(), model)
+    })
+    .collect()
+}
+
+fn wait_loaded(fleet: &Fleet, node: usize, model: &str) {
+    wait_for(&format!("{model} announced by both engines"), || {
+        let listed = get(operators(fleet, node), "/upstreams").ok()?;
+        (listed.matches(&format!("\"{model}\"")).count() == 2).then_some(())
+    });
+}
+
+/// The instance that holds the lease, with its fencing number.
+fn holder(fleet: &Fleet, among: &[usize]) -> (usize, u64) {
+    wait_for("a holder of the orders' lease", || {
+        among.iter().find_map(|index| {
+            let reply = support::try_declared(operators(fleet, *index), "/rollouts")?;
+            Some((*index, reply.body["fence"].as_u64()?))
+        })
+    })
+}
+
+#[test]
+fn a_declared_model_is_loaded_by_every_selected_engine_once() {
+    let fleet = fleet();
+    declare_rollout(&fleet, 0, "caption-2");
+    wait_loaded(&fleet, 1, "caption-2");
+    for engine in 0..2 {
+        let done = carried_out(&fleet, engine);
+        assert_eq!(done.len(), 1, "{done:?}");
+        assert_eq!(done[0].1, "caption-2");
+    }
+    wait_for("rollout done", || {
+        let page = declared(operators(&fleet, 2), "/rollouts").body;
+        (page["rollouts"][0]["standing"] == json!("done")).then_some(())
+    });
+}
+
+#[test_case("KILL"; "killed")]
+#[test_case("STOP"; "frozen")]
+fn the_next_holder_has_a_greater_fencing_number(signal: &str) {
+    let mut fleet = fleet();
+    declare_rollout(&fleet, 0, "caption-2");
+    wait_loaded(&fleet, 0, "caption-2");
+    let (first, fence) = holder(&fleet, &[0, 1, 2]);
+    fleet.instances[first].process.signal(signal);
+    let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
+    let (_, next_fence) = holder(&fleet, &others);
+    assert!(next_fence > fence, "{next_fence} after {fence}");
+    if signal == "STOP" {
+        fleet.instances[first].process.signal("CONT");
+    } else {
+        fleet.restart(first);
+    }
+    fleet.wait_ready(first);
+    let (base, at) =
+        wait_for("revision", || Some((support::revision(&fleet, others[0])?, others[0])));
+    let body = format!(
+        "{}rollouts:\n  - {{model: caption-3, upstreams: \"app=captions\", interval: 100ms}}\n",
+        declarations()
+    );
+    let path = format!("/declarations?base={base}&order=second");
+    assert_eq!(order(operators(&fleet, at), AMAL, &path, &body).status, 200);
+    wait_loaded(&fleet, at, "caption-3");
+    for engine in 0..2 {
+        let done = carried_out(&fleet, engine);
+        let is_ordered = done.windows(2).all(|pair| pair[0].0 <= pair[1].0);
+        assert!(is_ordered, "an old fencing number came after a newer one: {done:?}");
+    }
+    let body = chat("served all along", 3, true);
+    let answer =
+        support::post(fleet.instances[at].addresses.callers, "/v1/chat/completions", &[], &body);
+    assert_eq!(answer.unwrap().status, 200);
+}
+
+#[test]
+fn an_instance_cut_off_from_the_quorum_gives_no_orders() {
+    let fleet = fleet();
+    declare_rollout(&fleet, 0, "caption-2");
+    wait_loaded(&fleet, 0, "caption-2");
+    let (first, fence) = holder(&fleet, &[0, 1, 2]);
+    fleet.set_cut(&[first], true);
+    wait_for("the lease to lapse at its holder", || {
+        let reply = support::try_declared(operators(&fleet, first), "/rollouts")?;
+        reply.body["fence"].is_null().then_some(())
+    });
+    let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
+    let (_, next_fence) = holder(&fleet, &others);
+    assert!(next_fence > fence);
+    fleet.set_cut(&[first], false);
+}
