--- a/crates/instance/src/replica/mod.rs
+++ b/crates/instance/src/replica/mod.rs
@@ -4,6 +4,7 @@
 mod leases;
 mod machines;
 mod message;
+mod operators;
 mod proposals;
 mod status;
 
@@ -14,26 +15,22 @@
 
 use eventloop::mailbox;
 use names::{Incarnation, Instance};
-use operator::Response;
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use settings::{Role, Settings};
 use stakker::{Actor, CX, FixedTimerKey, Fwd, Ret, at, call, fail, fwd_to, ret};
 use state::{
-    Core, DataFolder, Flow, Index, Input, Leases, Machine, Origin, Proposed, Recovered, Report,
-    Start, Storage, Timing, Voter,
+    Core, DataFolder, Flow, Index, Input, Leases, MAX_COMMAND_BYTES, Machine, Origin, Proposed,
+    Recovered, Report, Start, Storage, Timing, Voter,
 };
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Outgoing, Slice, Transport};
 
 use crate::Error;
-use crate::operators::Ask;
 use keeper::{Effect, Keeper};
-use leases::Asked;
 use machines::Machines;
 use message::Message;
 use proposals::{Proposals, Ready};
-use status::Status;
 
 /// Folder of the log within the data folder.
 const LOG_FOLDER: &str = "log";
@@ -162,6 +159,11 @@
     ) {
         let now = Instant::now();
         let bytes = machines::encode(part, command);
+        if bytes.len() > MAX_COMMAND_BYTES {
+            log::warn!("a command of {} bytes for part {part} is too large", bytes.len());
+            ret!([proposed], Proposed::NotRun);
+            return;
+        }
         match &self.keeper {
             Some(keeper) => match keeper.core().leader_instance(now).cloned() {
                 Some(leader) => self.send_proposal(cx, now, leader, bytes, proposed),
@@ -386,49 +388,4 @@
         self.step(cx, Instant::now(), Input::Retire);
         self.update(cx);
     }
-
-    /// Answers a request of the operators' port under `/state`.
-    pub(crate) fn answer(&mut self, cx: CX![], ask: Ask) {
-        match (ask.request.method.as_str(), ask.request.path.as_str()) {
-            ("GET", "/state") => ask.answer(Response::json(200, &self.status())),
-            ("GET", "/state/leases") => {
-                let response = Response::json(200, &*self.leases.borrow());
-                ask.answer(response);
-            }
-            ("POST", "/state/leases") => self.propose_lease(cx, ask),
-            (method, path) => {
-                let message = format!("{method} {path} does not exist");
-                ask.answer(Response::error(404, "unknown_path", message));
-            }
-        }
-    }
-
-    fn propose_lease(&mut self, cx: CX![], ask: Ask) {
-        let mut tokens = self.settings.operator_tokens.values();
-        let is_known = tokens.any(|token| Some(token) == ask.request.token.as_ref());
-        if !is_known {
-            ask.answer(Response::error(401, "unknown_token", "present an operator's token"));
-            return;
-        }
-        match leases::read(&ask.request.body) {
-            Asked::Propose(command) => {
-                let me = self.settings.instance.clone();
-                let proposed = Ret::new(move |proposed: Option<Proposed>| {
-                    ask.answer(leases::respond(&me, proposed));
-                });
-                self.propose(cx, Part::Lease, command, proposed);
-            }
-            Asked::Answer(response) => ask.answer(response),
-        }
-    }
-
-    fn status(&self) -> Status {
-        let now = Instant::now();
-        let me = self.settings.instance.clone();
-        match &self.keeper {
-            Some(keeper) => Status::of_core(now, me, keeper.core()),
-            None if self.storage.is_some() => Status::without_log(me, "opening", None),
-            None => Status::without_log(me, "none", self.proposals.found(now).cloned()),
-        }
-    }
 }
--- /dev/null
+++ b/crates/instance/src/replica/operators.rs
@@ -0,0 +1,59 @@
+//! The replicated log on the operators' port.
+
+use std::time::Instant;
+
+use operator::Response;
+use stakker::{CX, Ret};
+use state::Proposed;
+
+use super::leases::{self, Asked};
+use super::status::Status;
+use super::{Part, Replica};
+use crate::operators::Ask;
+
+impl Replica {
+    /// Answers a request of the operators' port under `/state`.
+    pub(crate) fn answer(&mut self, cx: CX![], ask: Ask) {
+        match (ask.request.method.as_str(), ask.request.path.as_str()) {
+            ("GET", "/state") => ask.answer(Response::json(200, &self.status())),
+            ("GET", "/state/leases") => {
+                let response = Response::json(200, &*self.leases.borrow());
+                ask.answer(response);
+            }
+            ("POST", "/state/leases") => self.propose_lease(cx, ask),
+            (method, path) => {
+                let message = format!("{method} {path} does not exist");
+                ask.answer(Response::error(404, "unknown_path", message));
+            }
+        }
+    }
+
+    fn propose_lease(&mut self, cx: CX![], ask: Ask) {
+        let mut tokens = self.settings.operator_tokens.values();
+        let is_known = tokens.any(|token| Some(token) == ask.request.token.as_ref());
+        if !is_known {
+            ask.answer(Response::error(401, "unknown_token", "present an operator's token"));
+            return;
+        }
+        match leases::read(&ask.request.body) {
+            Asked::Propose(command) => {
+                let me = self.settings.instance.clone();
+                let proposed = Ret::new(move |proposed: Option<Proposed>| {
+                    ask.answer(leases::respond(&me, proposed));
+                });
+                self.propose(cx, Part::Lease, command, proposed);
+            }
+            Asked::Answer(response) => ask.answer(response),
+        }
+    }
+
+    fn status(&self) -> Status {
+        let now = Instant::now();
+        let me = self.settings.instance.clone();
+        match &self.keeper {
+            Some(keeper) => Status::of_core(now, me, keeper.core()),
+            None if self.storage.is_some() => Status::without_log(me, "opening", None),
+            None => Status::without_log(me, "none", self.proposals.found(now).cloned()),
+        }
+    }
+}
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -21,8 +21,8 @@
 
 use crate::log::Log;
 use crate::{
-    Ballot, Entry, Envelope, Index, Members, Message, Origin, Payload, Position, Snapshot, Term,
-    Voter,
+    Ballot, Entry, Envelope, Index, MAX_COMMAND_BYTES, Members, Message, Origin, Payload, Position,
+    Snapshot, Term, Voter,
 };
 use founding::Founding;
 use install::Incoming;
@@ -368,7 +368,8 @@
     fn propose(&mut self, origin: Origin, bytes: Arc<[u8]>) {
         let is_full = self.log.bytes() > MAX_UNCOMMITTED_BYTES
             && self.log.last_index().0 > self.commit.0 + self.flow.trailing_entries;
-        if is_full || self.is_retired || !matches!(self.state, State::Leader(_)) {
+        let is_ready = matches!(self.state, State::Leader(_)) && !self.is_retired && !is_full;
+        if !is_ready || bytes.len() > MAX_COMMAND_BYTES {
             self.actions.push(Action::Refuse { origin });
             return;
         }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -22,7 +22,7 @@
 pub use error::Error;
 pub use id::{Ballot, Origin, Position, Term, Voter};
 pub use lease::{Grant, Holder, LeaseCommand, LeaseOutcome, Leases};
-pub use machine::{Index, Machine, Proposed};
+pub use machine::{Index, MAX_COMMAND_BYTES, Machine, Proposed};
 pub use members::{Change, Member, Members, Standing};
 pub use message::{Envelope, Message};
 pub use sessions::Sessions;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -16,6 +16,9 @@
     }
 }
 
+/// Largest command, in bytes; a larger one would not fit a frame between instances.
+pub const MAX_COMMAND_BYTES: usize = 1 << 20;
+
 /// State that is computed from committed commands alone, the same at every voter.
 pub trait Machine {
     /// Applies the command at `index` and gives its outcome. Neither clocks nor random numbers
@@ -39,7 +42,8 @@
         /// What the machine gave for it.
         outcome: Vec<u8>,
     },
-    /// It is not and will not be committed: there is no leader within reach.
+    /// It is not and will not be committed: there is no leader within reach, or the command is
+    /// larger than [`MAX_COMMAND_BYTES`].
     NotRun,
     /// It may or may not become committed.
     Unknown,
--- /dev/null
+++ b/crates/state/tests/common/checks.rs
@@ -0,0 +1,116 @@
+//! The promises that are checked in a world.
+
+use state::{Core, Index, Role};
+
+use super::world::{Node, World};
+
+impl World {
+    /// Checks that there is one leader a term, and that it has all entries ever applied.
+    pub(super) fn check_leader(&mut self, index: usize) {
+        let Some(core) = &self.nodes[index].core else {
+            return;
+        };
+        if core.role() != Role::Leader {
+            return;
+        }
+        let is_empty = |node: &&Node| {
+            let is_voting = node.voter.is_some_and(|voter| core.members().is_voting(voter));
+            node.has_lost_folder && !node.has_log && is_voting
+        };
+        let empty = self.nodes.iter().find(is_empty).map(|node| &node.instance);
+        assert_eq!(empty, None, "seed {}: votes with an empty log", self.seed);
+        let leader = *self.leaders.entry(core.term()).or_insert(core.voter());
+        assert_eq!(leader, core.voter(), "seed {}: two leaders of {}", self.seed, core.term());
+        for (at, entry) in self.applied.range(Index(core.snapshot().position.index.0 + 1)..) {
+            let term = core.term_at(*at);
+            if entry.term < core.term() {
+                assert_eq!(term, Some(entry.term), "seed {}: leader lacks {at}", self.seed);
+            }
+        }
+    }
+
+    /// Checks that one lease holds at most, also while a node is frozen.
+    pub(super) fn check_leases(&self) {
+        let leading = self
+            .nodes
+            .iter()
+            .filter(|node| node.core.as_ref().is_some_and(|core| core.is_leading(self.now)));
+        assert!(leading.count() <= 1, "seed {}: two leases at once", self.seed);
+    }
+
+    /// Checks that logs with an entry in common are the same up to it.
+    pub fn check_logs(&self) {
+        let cores: Vec<&Core> = self.nodes.iter().filter_map(|node| node.core.as_ref()).collect();
+        for (number, one) in cores.iter().enumerate() {
+            for other in &cores[number + 1..] {
+                self.check_pair(one, other);
+            }
+        }
+    }
+
+    fn check_pair(&self, one: &Core, other: &Core) {
+        let last = one.last().index.min(other.last().index);
+        let mut has_match = false;
+        let mut index = last;
+        while let (Some(mine), Some(theirs)) = (one.entry(index), other.entry(index)) {
+            has_match |= mine.term == theirs.term;
+            assert!(!has_match || mine == theirs, "seed {}: logs differ at {index}", self.seed);
+            index.0 -= 1;
+        }
+    }
+
+    /// Whether every instance votes with its present folder, and that is committed.
+    pub fn is_repaired(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let node = &self.nodes[leader];
+        let Some(core) = node.core.as_ref() else {
+            return false;
+        };
+        let members = core.members();
+        let votes =
+            |node: &Node| node.has_log && node.voter.is_some_and(|voter| members.is_voting(voter));
+        core.has_committed_members()
+            && members.voting().count() == self.nodes.len()
+            && members.list().len() == self.nodes.len()
+            && self.nodes.iter().all(votes)
+    }
+
+    /// The state of all nodes, for messages.
+    pub(super) fn show(&self) -> String {
+        let cores = self.nodes.iter().filter_map(|node| node.core.as_ref());
+        let line = |core: &Core| {
+            let members: Vec<String> = core
+                .members()
+                .list()
+                .iter()
+                .map(|one| format!("{}={}/{}", one.instance, one.voter, one.standing))
+                .collect();
+            format!(
+                "{} is {} in {} of {:?}, commit {}, snapshot {:?}, last {:?}, members {members:?}\n",
+                core.voter(),
+                core.role(),
+                core.term(),
+                core.leader(),
+                core.commit(),
+                core.snapshot().position,
+                core.last(),
+            )
+        };
+        cores.map(line).collect()
+    }
+
+    /// Checks that every node has applied all entries that were ever applied.
+    pub(super) fn check_end(&self) {
+        self.check_logs();
+        let all = self.expected(Index(u64::MAX));
+        for node in &self.nodes {
+            assert!(node.machine.len() >= all.len() - 1, "seed {}: {}", self.seed, node.instance);
+            let shared = node.machine.len().min(all.len());
+            assert_eq!(node.machine[..shared], all[..shared], "seed {}", self.seed);
+        }
+        let twice = all.iter().any(|number| self.refused.contains(number));
+        assert!(!twice, "seed {}: a refused command was applied", self.seed);
+    }
+}
--- a/crates/state/tests/common/mod.rs
+++ b/crates/state/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, clippy::unwrap_used, clippy::panic)]
 
+mod checks;
 pub mod world;
 
 use std::collections::BTreeMap;
--- a/crates/state/tests/core.rs
+++ b/crates/state/tests/core.rs
@@ -6,8 +6,8 @@
 
 use names::{Incarnation, Instance};
 use state::{
-    Action, Ballot, Core, Entry, Envelope, Flow, Index, Input, Members, Message, Origin, Payload,
-    Position, Recovered, Role, Snapshot, Start, Term, Timing, Voter,
+    Action, Ballot, Core, Entry, Envelope, Flow, Index, Input, MAX_COMMAND_BYTES, Members, Message,
+    Origin, Payload, Position, Recovered, Role, Snapshot, Start, Term, Timing, Voter,
 };
 
 const VOTERS: [Voter; 3] = [Voter(1), Voter(2), Voter(3)];
@@ -180,6 +180,19 @@
     assert!(actions.iter().any(|action| matches!(action, Action::Refuse { .. })));
 }
 
+#[test]
+fn a_command_that_fits_no_frame_is_refused() {
+    let (mut core, now) = leader(Instant::now(), &[2]);
+    for (length, is_refused) in [(MAX_COMMAND_BYTES, false), (MAX_COMMAND_BYTES + 1, true)] {
+        let origin =
+            Origin { instance: instance(VOTERS[1]), incarnation: Incarnation(1), sequence: 1 };
+        let proposal = Input::Propose { origin, bytes: vec![0; length].into() };
+        let actions = step(&mut core, now, proposal);
+        let refused = actions.iter().any(|action| matches!(action, Action::Refuse { .. }));
+        assert_eq!(refused, is_refused, "{length} bytes");
+    }
+}
+
 #[test]
 fn answers_of_a_quorum_extend_the_lease_from_the_time_of_sending() {
     let (mut core, now) = leader(Instant::now(), &[2]);
