--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dispatch::Verdict;
 use entry::{Problem, Status};
 use ledger::Refusal;
 
@@ -32,6 +33,12 @@
     Problem::not_run(Status::UNAVAILABLE, "stopping", message).with_retry_after(SOON)
 }
 
+/// The same problem of a request that may be a resend: what it says of this request alone would
+/// be taken for the earlier one too, which may have run.
+pub(crate) fn of_resend(problem: Problem) -> Problem {
+    Problem { verdict: Verdict::MayHaveRun, ..problem }
+}
+
 /// The ledger refuses a request.
 pub(crate) fn of_refusal(refusal: Refusal) -> Problem {
     match refusal {
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -24,7 +24,7 @@
 use crate::placer::{Placed, Placer, Wanted};
 use crate::problem;
 use active::{Active, Phase};
-use route::resolve;
+use route::{resolve, stopping};
 
 /// Sends events of the calls' threads into the event loop.
 struct Events(Sender<dispatch::Event>);
@@ -116,7 +116,7 @@
     fn arrive(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
         let id = request.id;
         let resolved = if self.is_draining {
-            Err(problem::stopping())
+            Err(stopping(&request))
         } else {
             resolve(&self.declarations, request, cx.now())
         };
@@ -245,8 +245,11 @@
         self.give_reply(index, problem);
     }
 
+    /// Gives the caller a problem, which says `not-run` only if no earlier request with the same
+    /// key can have run.
     fn give_reply(&mut self, index: usize, problem: Problem) {
         let active = &self.active[index];
+        let problem = if active.is_first { problem } else { problem::of_resend(problem) };
         let verdict = problem.verdict;
         if active.has_started {
             active.reply.fwd(Reply::Cut);
--- a/crates/instance/src/router/route.rs
+++ b/crates/instance/src/router/route.rs
@@ -11,12 +11,15 @@
 use units::Span;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::problem;
+
 const CHAT_PATH: &str = "/v1/chat/completions";
 const SERVICES_PATH: &str = "/services/";
 const KIND_HEADER: &str = "x-turmericrelay-kind";
 const DEADLINE_HEADER: &str = "x-turmericrelay-deadline";
 const CONVERSATION_HEADER: &str = "x-turmericrelay-conversation";
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+const RESEND_HEADER: &str = "x-turmericrelay-resend";
 const JSON: &str = "application/json";
 
 /// Messages whose text stands for a conversation without an id.
@@ -35,6 +38,8 @@
     pub(crate) is_idempotent: bool,
     /// What it claims, when it has an idempotency key.
     pub(crate) ticket: Option<Ticket>,
+    /// Whether the caller says that it has not sent the key before.
+    pub(crate) is_first: bool,
     pub(crate) adapter: &'static dyn Adapter,
     pub(crate) method: Method,
     pub(crate) path: String,
@@ -157,6 +162,7 @@
         streams: chat.stream,
         is_idempotent: true,
         ticket: None,
+        is_first: true,
         adapter: &ChatCompletions,
         content_type: JSON.to_string(),
         idempotency_key: None,
@@ -194,6 +200,7 @@
         Some(key) if !is_idempotent => Some(ticket(&account, service, key, &request, &path)?),
         _ => None,
     };
+    let is_first = is_first(&request);
     let content_type = request.header("content-type").unwrap_or(JSON).to_string();
     Ok(Route {
         account,
@@ -206,6 +213,7 @@
         streams: false,
         is_idempotent,
         ticket,
+        is_first,
         adapter: &Plain,
         content_type,
         idempotency_key,
@@ -215,6 +223,18 @@
     })
 }
 
+/// Whether the caller says that it has not sent the request before.
+fn is_first(request: &Request) -> bool {
+    request.header(RESEND_HEADER) == Some("false")
+}
+
+/// The refusal of `request` by an instance that is stopping.
+pub(crate) fn stopping(request: &Request) -> Problem {
+    let may_be_resend = request.header(IDEMPOTENCY_HEADER).is_some() && !is_first(request);
+    let problem = problem::stopping();
+    if may_be_resend { problem::of_resend(problem) } else { problem }
+}
+
 fn ticket(
     account: &ClientAccount,
     service: &Service,
