--- a/crates/state/src/sessions.rs
+++ b/crates/state/src/sessions.rs
@@ -5,8 +5,12 @@
 
 use crate::Origin;
 
-/// Most instances whose proposals are remembered.
-const MAX_SESSIONS: usize = 1024;
+/// Most runs of instances whose proposals are remembered.
+const MAX_SESSIONS: usize = 2048;
+
+/// Runs of one instance that are remembered. A run may have a smaller number than the one before,
+/// when the wall clock was set back.
+const MAX_RUNS: usize = 4;
 
 /// Sequence numbers below the greatest that are remembered one by one.
 const WINDOW: u64 = 1024;
@@ -33,50 +37,54 @@
     pub fn accept(&mut self, origin: &Origin) -> bool {
         self.used += 1;
         let used = self.used;
-        let found = self.list.binary_search_by(|session| session.instance.cmp(&origin.instance));
+        let run = (&origin.instance, origin.incarnation);
+        let found = self.list.binary_search_by(|session| session.run().cmp(&run));
         let index = match found {
             Ok(index) => index,
             Err(index) => {
-                self.list.insert(index, Session::new(origin, used));
+                self.list.insert(index, Session::new(origin));
                 index
             }
         };
-        let session = &mut self.list[index];
-        if origin.incarnation < session.incarnation {
-            return false;
-        }
-        if origin.incarnation > session.incarnation {
-            *session = Session::new(origin, used);
+        self.list[index].used = used;
+        let is_new = self.list[index].accept(origin.sequence);
+        if found.is_err() {
+            self.forget(&origin.instance);
         }
-        session.used = used;
-        let is_new = session.accept(origin.sequence);
-        self.forget();
         is_new
     }
 
-    /// Forgets the instance that has proposed nothing for the longest.
-    fn forget(&mut self) {
-        if self.list.len() <= MAX_SESSIONS {
+    /// Forgets the run that has proposed nothing for the longest, of `instance` if there are too
+    /// many of it, else of all.
+    fn forget(&mut self, instance: &Instance) {
+        let is_same = |session: &Session| session.instance == *instance;
+        let has_many_runs = self.list.iter().filter(|one| is_same(one)).count() > MAX_RUNS;
+        if !has_many_runs && self.list.len() <= MAX_SESSIONS {
             return;
         }
-        let oldest = self.list.iter().enumerate().min_by_key(|(_, session)| session.used);
-        if let Some((index, _)) = oldest {
+        let among = self.list.iter().enumerate();
+        let among = among.filter(|(_, session)| !has_many_runs || is_same(session));
+        if let Some((index, _)) = among.min_by_key(|(_, session)| session.used) {
             self.list.remove(index);
         }
     }
 }
 
 impl Session {
-    fn new(origin: &Origin, used: u64) -> Self {
+    fn new(origin: &Origin) -> Self {
         Self {
             instance: origin.instance.clone(),
             incarnation: origin.incarnation,
             greatest: 0,
             missing: Vec::new(),
-            used,
+            used: 0,
         }
     }
 
+    fn run(&self) -> (&Instance, Incarnation) {
+        (&self.instance, self.incarnation)
+    }
+
     fn accept(&mut self, sequence: u64) -> bool {
         if sequence > self.greatest {
             let lowest = sequence.saturating_sub(WINDOW).max(self.greatest + 1);
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -343,6 +343,19 @@
     (0..400).for_each(|number| wait_for_lease(&fleet, down, &format!("order-{number};")));
 }
 
+#[test]
+fn a_folder_that_cannot_be_used_stops_the_start_with_a_clear_error() {
+    let mut fleet = Fleet::start_plan(three());
+    fleet.kill(0);
+    let folder = fleet.data_folder(&fleet.instances[0].addresses.name);
+    std::fs::remove_dir_all(&folder).unwrap();
+    std::fs::write(&folder, "a file in place of the folder").unwrap();
+    fleet.restart(0);
+    assert_ne!(fleet.instances[0].process.wait(), Some(0));
+    let log = fleet.instances[0].process.log_text();
+    assert!(log.contains("help: check free space, permissions and the disk"), "{log}");
+}
+
 #[test]
 fn a_damaged_log_stops_the_start_with_a_named_error() {
     let mut fleet = Fleet::start_plan(three());
