Resume streams outside the retry budget while they get on

The health of upstreams is bounded to 4,096 entries, and a running attempt is found by binary search.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -19,6 +19,9 @@
 /// How long an upstream is avoided first; it doubles each time it is found unhealthy again.
 const FIRST_AVOIDANCE: Duration = Duration::from_secs(1);
 
+/// Most upstreams that are remembered, each once for every service that it answers.
+const MAX_ENTRIES: usize = 4096;
+
 /// Most doublings of the time for which an upstream is avoided.
 const MAX_DOUBLINGS: u32 = 5;
 
@@ -57,7 +60,7 @@
     }
 }
 
-/// What one instance has seen of the upstreams, sorted by upstream.
+/// What one instance has seen of the upstreams, sorted by service and upstream.
 #[derive(Debug, Default)]
 pub struct Health {
     entries: Vec<Entry>,
@@ -137,35 +140,41 @@
     }
 
     fn entry(&mut self, service: &Service, upstream: &Upstream) -> &mut Entry {
-        let key = (service, upstream);
-        let found =
-            self.entries.binary_search_by(|entry| (&entry.service, &entry.upstream).cmp(&key));
-        let index = match found {
+        let index = match self.find(service, upstream) {
             Ok(index) => index,
-            Err(index) => {
-                self.entries.insert(
-                    index,
-                    Entry {
-                        upstream: upstream.clone(),
-                        service: service.clone(),
-                        failures: 0,
-                        avoidances: 0,
-                        avoided_until: None,
-                        pace: Duration::ZERO,
-                        observations: 0,
-                    },
-                );
-                index
-            }
+            Err(_) => self.insert(service, upstream),
         };
         &mut self.entries[index]
     }
 
-    /// Forgets upstreams that are not known any more.
-    pub fn retain<F>(&mut self, is_known: F)
-    where
-        F: Fn(&Upstream) -> bool,
-    {
-        self.entries.retain(|entry| is_known(&entry.upstream));
+    fn find(&self, service: &Service, upstream: &Upstream) -> Result<usize, usize> {
+        let key = (service, upstream);
+        self.entries.binary_search_by(|entry| (&entry.service, &entry.upstream).cmp(&key))
+    }
+
+    fn insert(&mut self, service: &Service, upstream: &Upstream) -> usize {
+        self.make_room();
+        let index = self.find(service, upstream).unwrap_or_else(|index| index);
+        let entry = Entry {
+            upstream: upstream.clone(),
+            service: service.clone(),
+            failures: 0,
+            avoidances: 0,
+            avoided_until: None,
+            pace: Duration::ZERO,
+            observations: 0,
+        };
+        self.entries.insert(index, entry);
+        index
+    }
+
+    /// Forgets healthy upstreams when there are too many, which those that are gone are among.
+    fn make_room(&mut self) {
+        if self.entries.len() >= MAX_ENTRIES {
+            self.entries.retain(|entry| entry.avoided_until.is_some());
+        }
+        if self.entries.len() >= MAX_ENTRIES {
+            self.entries.clear();
+        }
     }
 }
--- a/crates/dispatch/src/step.rs
+++ b/crates/dispatch/src/step.rs
@@ -30,6 +30,8 @@
     pub attempts: usize,
     /// Whether the caller has received part of the answer.
     pub has_started: bool,
+    /// Whether the caller received something of this attempt.
+    pub has_progress: bool,
     /// Whether another attempt can go on where this one broke off.
     pub can_resume: bool,
     /// When the answer must be whole.
@@ -50,7 +52,8 @@
 }
 
 impl Failure {
-    /// Chooses the next step at `now`; another attempt is taken from the `budget`.
+    /// Chooses the next step at `now`. Another attempt is taken from the `budget`, unless this one
+    /// got the caller further: an engine that is lost must not cost all its callers their streams.
     pub fn next_step(&self, now: Instant, budget: &mut Budget) -> Step {
         let give_up = if self.has_started { Step::Cut } else { Step::Refuse };
         let go_on = match self.has_started {
@@ -61,7 +64,8 @@
         let is_harmless = self.verdict.allows_retry(self.is_idempotent);
         let limit = if self.has_started { MAX_STREAM_ATTEMPTS } else { MAX_ATTEMPTS };
         let has_time = self.attempts < limit && now < self.deadline;
-        if is_harmless && has_time && budget.take_retry(now) { go_on } else { give_up }
+        let is_affordable = |budget: &mut Budget| self.has_progress || budget.take_retry(now);
+        if is_harmless && has_time && is_affordable(budget) { go_on } else { give_up }
     }
 
     /// How long to wait before the next of so many `attempts`; the second one comes at once.
--- a/crates/dispatch/tests/retries.rs
+++ b/crates/dispatch/tests/retries.rs
@@ -9,7 +9,15 @@
 
 fn failure(verdict: Verdict, is_idempotent: bool, has_started: bool) -> Failure {
     let deadline = Instant::now() + Duration::from_secs(10);
-    Failure { verdict, is_idempotent, attempts: 1, has_started, can_resume: true, deadline }
+    Failure {
+        verdict,
+        is_idempotent,
+        attempts: 1,
+        has_started,
+        has_progress: false,
+        can_resume: true,
+        deadline,
+    }
 }
 
 #[test_case(Verdict::NotRun, false, false => Step::Retry; "not run")]
@@ -65,6 +73,16 @@
     assert!(bounded <= requests * 125 / 100, "{bounded} calls");
 }
 
+#[test]
+fn a_lost_engine_costs_no_caller_its_stream() {
+    let now = Instant::now();
+    let mut budget = Budget::new(Allowance::Share { percent: 0, per_second: 0 }, now);
+    let fruitless = failure(Verdict::MayHaveRun, true, true);
+    assert_eq!(fruitless.next_step(now, &mut budget), Step::Cut);
+    let broken = Failure { has_progress: true, ..fruitless };
+    assert_eq!(broken.next_step(now, &mut budget), Step::Resume);
+}
+
 #[test]
 fn quiet_traffic_may_retry_too() {
     let now = Instant::now();
--- a/crates/instance/src/router/active.rs
+++ b/crates/instance/src/router/active.rs
@@ -47,8 +47,9 @@
     pub(super) phase: Phase,
     pub(super) answer: Answer,
     pub(super) tried: Vec<Upstream>,
-    /// Attempts since the caller last received anything.
     pub(super) attempts: usize,
+    /// Attempts since the caller last received anything.
+    pub(super) fruitless: usize,
     /// Whether upstreams that fail or lag are left out.
     pub(super) avoids_unhealthy: bool,
     /// The attempt under which its idempotency key is claimed.
@@ -94,6 +95,7 @@
             answer,
             tried: Vec::new(),
             attempts: 0,
+            fruitless: 0,
             avoids_unhealthy: true,
             fence: None,
             has_started: false,
@@ -119,9 +121,4 @@
             _ => None,
         }
     }
-
-    /// Whether the running attempt is `attempt`.
-    pub(super) fn is_calling(&self, attempt: Attempt) -> bool {
-        matches!(&self.phase, Phase::Calling(calling) if calling.attempt == attempt)
-    }
 }
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -36,8 +36,13 @@
         match self.pool.start(call) {
             Ok(handle) => {
                 active.attempts += 1;
+                active.fruitless += 1;
                 active.tried.push(permit.upstream.clone());
                 active.phase = Phase::Calling(Calling::new(attempt, permit, handle, now));
+                let id = active.id;
+                if let Err(place) = self.calls.binary_search_by(|call| call.0.cmp(&attempt)) {
+                    self.calls.insert(place, (attempt, id));
+                }
                 if watches {
                     at!(silence, [cx], check_silence(attempt));
                 }
@@ -112,9 +117,8 @@
         if replies.is_empty() {
             return;
         }
-        if active.has_started {
-            active.attempts = 1;
-        } else {
+        active.fruitless = 0;
+        if !active.has_started {
             active.has_started = true;
             let elapsed = cx.now().saturating_duration_since(active.arrived);
             self.metrics.observe_first_byte(elapsed.as_secs_f64());
@@ -145,8 +149,9 @@
         let failure = Failure {
             verdict,
             is_idempotent: active.route.is_idempotent,
-            attempts: active.attempts,
+            attempts: active.fruitless,
             has_started: active.has_started,
+            has_progress: active.has_started && active.fruitless == 0,
             can_resume: active.answer.can_resume(),
             deadline: active.route.deadline,
         };
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -55,6 +55,8 @@
     budget: Budget,
     health: Health,
     active: Vec<Active>,
+    /// The running attempts, sorted, and their requests.
+    calls: Vec<(Attempt, names::Request)>,
     is_draining: bool,
 }
 
@@ -82,6 +84,7 @@
             budget,
             health: Health::default(),
             active: Vec::new(),
+            calls: Vec::new(),
             is_draining: false,
         })
     }
@@ -111,7 +114,8 @@
     }
 
     fn find_attempt(&self, attempt: Attempt) -> Option<usize> {
-        self.active.iter().position(|active| active.is_calling(attempt))
+        let index = self.calls.binary_search_by(|call| call.0.cmp(&attempt)).ok()?;
+        self.find(self.calls[index].1)
     }
 
     fn arrive(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
@@ -280,6 +284,7 @@
             std::mem::replace(&mut self.active[index].phase, Phase::Placing)
         {
             calling.handle.cancel();
+            self.calls.retain(|call| call.0 != calling.attempt);
             call!([self.placer], release(calling.permit));
         }
     }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -95,10 +95,14 @@
 
 #[test]
 fn streams_go_on_at_another_engine_when_theirs_is_killed() {
-    let mut fleet = fleet(2);
-    let callers = callers(&fleet, 12, 60, true);
+    let mut fleet = Fleet::start(&["giza", "giza"]);
+    for name in ["engine-1", "engine-2"] {
+        fleet.add_upstream(name, "giza", &["--model", "caption-small", "--slots", "64"]);
+    }
+    let callers = callers(&fleet, 60, 60, true);
     wait_running(&fleet, 0);
     wait_running(&fleet, 1);
+    std::thread::sleep(Duration::from_millis(500));
     fleet.upstreams[0].process.kill();
     for caller in callers {
         assert_eq!(caller.finish(), Outcome::Whole);
--- a/tests/bookings.rs
+++ b/tests/bookings.rs
@@ -34,6 +34,8 @@
     booked: usize,
     not_run: usize,
     unknown: usize,
+    /// Those of the unknown that did run.
+    unknown_ran: usize,
     /// Requests refused as not run, and the longest time that such a refusal took.
     refusals: usize,
     slowest_refusal: Duration,
@@ -45,6 +47,7 @@
         self.booked += other.booked;
         self.not_run += other.not_run;
         self.unknown += other.unknown;
+        self.unknown_ran += other.unknown_ran;
         self.refusals += other.refusals;
         self.slowest_refusal = self.slowest_refusal.max(other.slowest_refusal);
     }
@@ -66,7 +69,10 @@
             match self.book(&name) {
                 End::Booked => self.counts.booked += 1,
                 End::NotRun => refused.push(name),
-                End::Unknown => self.counts.unknown += 1,
+                End::Unknown => {
+                    self.counts.unknown += 1;
+                    self.counts.unknown_ran += runs(&self.journal, &name);
+                }
             }
         }
         for name in &refused {
