--- /dev/null
+++ b/crates/state/tests/simulation.rs
@@ -0,0 +1,157 @@
+//! Groups of cores under lost, reordered and duplicated messages, crashes, cuts and freezes.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod common;
+
+use std::time::Duration;
+
+use common::world::{Faults, World};
+use rand::RngExt;
+use test_case::test_case;
+
+/// Seeds of each run in CI.
+const SEEDS: u64 = 80;
+
+const STEPS: usize = 1500;
+
+const CALM: Faults = Faults {
+    loss: 0,
+    duplicates: 0,
+    max_delay: Duration::from_millis(5),
+    has_outages: false,
+    has_lost_folders: false,
+};
+
+const ROUGH: Faults = Faults {
+    loss: 5,
+    duplicates: 5,
+    max_delay: Duration::from_millis(60),
+    has_outages: true,
+    has_lost_folders: false,
+};
+
+const WORST: Faults = Faults { has_lost_folders: true, ..ROUGH };
+
+/// Lets one outage begin or end, at random.
+fn disturb(world: &mut World) {
+    let index = world.random.random_range(0..world.nodes.len());
+    let is_down = world.nodes[index].core.is_none();
+    match world.random.random_range(0..13) {
+        0 if !is_down => world.crash(index),
+        1 if !is_down => {
+            let count = world.random.random_range(0..8);
+            world.nodes[index].folder.fail_after(count);
+        }
+        2 if !is_down => world.nodes[index].is_frozen = true,
+        3 => world.nodes[index].is_cut = true,
+        7 if !is_down => world.retire(index),
+        4 if world.faults.has_lost_folders && world.is_repaired() => world.lose_folder(index),
+        5 | 6 => world.nodes.iter_mut().for_each(|node| node.is_cut = false),
+        _ if is_down => world.start(index),
+        _ => world.nodes[index].is_frozen = false,
+    }
+}
+
+fn run(seed: u64, size: usize, faults: Faults) -> World {
+    let mut world = World::new(seed, size, faults);
+    for step in 0..STEPS {
+        world.advance();
+        if world.random.random_range(0..3) == 0 {
+            world.propose();
+        }
+        if faults.has_outages && world.random.random_range(0..25) == 0 {
+            disturb(&mut world);
+        }
+        if world.random.random_range(0..100) == 0 {
+            let index = world.random.random_range(0..world.nodes.len());
+            world.compact(index);
+        }
+        if step % 100 == 0 {
+            world.check_logs();
+        }
+    }
+    world.heal();
+    world
+}
+
+fn seeds() -> u64 {
+    std::env::var("SIMULATION_SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS)
+}
+
+#[test_case(1)]
+#[test_case(3)]
+#[test_case(5)]
+fn a_calm_group_commits(size: usize) {
+    for seed in 0..5 {
+        let world = run(seed, size, CALM);
+        assert!(world.applied.len() > 300, "seed {seed}: {}", world.applied.len());
+    }
+}
+
+#[test]
+fn a_planned_stop_of_the_leader_hands_over_at_once() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, CALM);
+        let leader = settle(&mut world);
+        world.propose();
+        world.retire(leader);
+        (0..20).for_each(|_| world.advance());
+        let next = world.leader();
+        assert!(next.is_some() && next != Some(leader), "seed {seed}: {next:?} leads");
+        world.heal();
+    }
+}
+
+/// Waits until somebody leads a group that needs no repair; gives the leader.
+fn settle(world: &mut World) -> usize {
+    for _ in 0..10_000 {
+        world.advance();
+        if world.is_repaired() {
+            return world.leader().unwrap();
+        }
+    }
+    panic!("seed {}: nobody leads", world.seed);
+}
+
+#[test_case(false; "with the log")]
+#[test_case(true; "with a snapshot")]
+fn an_admission_that_is_lost_with_its_leader_is_made_again(has_snapshot: bool) {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 5, CALM);
+        let leader = settle(&mut world);
+        for _ in 0..20 {
+            world.propose();
+            world.advance();
+        }
+        if has_snapshot {
+            world.compact(leader);
+        }
+        let lost = (leader + 1) % 5;
+        world.lose_folder(lost);
+        for index in (0..5).filter(|index| *index != leader && *index != lost) {
+            world.nodes[index].is_cut = true;
+        }
+        world.start(lost);
+        let admitted = (0..85).any(|_| {
+            world.advance();
+            let core = world.nodes[lost].core.as_ref();
+            core.is_some_and(|core| core.members().find(core.voter()).is_some())
+        });
+        assert!(admitted || has_snapshot, "seed {seed}");
+        world.crash(leader);
+        world.nodes.iter_mut().for_each(|node| node.is_cut = false);
+        (0..500).for_each(|_| world.advance());
+        world.heal();
+    }
+}
+
+#[test_case(1, ROUGH; "one voter")]
+#[test_case(3, ROUGH; "three voters")]
+#[test_case(3, WORST; "three voters that lose folders")]
+#[test_case(5, WORST; "five voters that lose folders")]
+fn promises_hold_under_faults(size: usize, faults: Faults) {
+    for seed in 0..seeds() {
+        run(seed, size, faults);
+    }
+}
