Report only accounts for which their base share does not do

Cause: at the planned size each instance sees a request of up to 15 accounts a second; a report and a grant for each, in datagrams of their own, would come near the 5 KB/s that control may cost.

Two requests of an account pass at an instance in any case; only accounts that have used these up or hold a grant are reported, and only when they asked. The bursts in the tests grow by one request an instance, as the rule does; the rates' sum stays at the limit.

--- a/crates/admission/src/limit/limiter.rs
+++ b/crates/admission/src/limit/limiter.rs
@@ -11,8 +11,8 @@
 /// Time over which a share may gather unused requests.
 const BURST: Duration = Duration::from_secs(1);
 
-/// Requests that an account may always make at once.
-const MIN_BURST: f64 = 1.0;
+/// Requests that an account may always make at once at one instance.
+const MIN_BURST: f64 = 2.0;
 
 /// Weight of a period's arrivals in a falling demand.
 const DECAY: f64 = 0.75;
@@ -53,8 +53,9 @@
     arrivals: u32,
     demand: f64,
     lease: Option<Lease>,
-    reported_at: Instant,
+    measured_at: Instant,
     report_at: Instant,
+    has_reported: bool,
 }
 
 impl Bucket {
@@ -71,17 +72,22 @@
         self.filled_at = now;
     }
 
+    /// Whether the base share alone may not do for the account.
+    fn is_short(&self, now: Instant) -> bool {
+        self.tokens < 1.0 || self.lease.as_ref().is_some_and(|lease| now < lease.deadline)
+    }
+
     fn is_idle(&self, rate: f64) -> bool {
         self.arrivals == 0 && self.demand < IDLE && self.tokens >= capacity(rate)
     }
 
     /// Updates the demand: at once when it rises, by and by when it falls.
     fn measure(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.reported_at).max(REPORT_PERIOD);
+        let elapsed = now.saturating_duration_since(self.measured_at).max(REPORT_PERIOD);
         let newest = f64::from(self.arrivals) / elapsed.as_secs_f64();
         self.demand = newest.max(self.demand + DECAY * (newest - self.demand));
         self.arrivals = 0;
-        self.reported_at = now;
+        self.measured_at = now;
         self.report_at = now + REPORT_PERIOD;
     }
 }
@@ -93,7 +99,7 @@
 /// Passes or refuses the requests of limited accounts at one instance.
 ///
 /// Over any time the fleet passes at most the limit and a burst at each instance: what its share
-/// gathers in one second, or one request.
+/// gathers in one second, or two requests.
 #[derive(Debug)]
 pub struct Limiter {
     limits: Vec<Limit>,
@@ -153,8 +159,9 @@
                 arrivals: 0,
                 demand: 0.0,
                 lease: None,
-                reported_at: now,
-                report_at: now,
+                measured_at: now,
+                report_at: now + REPORT_PERIOD,
+                has_reported: false,
             };
             self.buckets.insert(index, bucket);
             index
@@ -162,8 +169,14 @@
         let bucket = &mut self.buckets[index];
         bucket.fill(now, base);
         bucket.arrivals = bucket.arrivals.saturating_add(1);
-        if bucket.tokens >= 1.0 {
+        let passes = bucket.tokens >= 1.0;
+        if passes {
             bucket.tokens -= 1.0;
+        }
+        if !bucket.has_reported && bucket.is_short(now) {
+            bucket.report_at = now;
+        }
+        if passes {
             return Passage::Pass;
         }
         let rate = bucket.rate(now, base);
@@ -180,7 +193,8 @@
         Some(bucket.map_or(base, |bucket| bucket.rate(now, base)))
     }
 
-    /// The demands that are due at `now`; forgets idle accounts. The caller sends each to the
+    /// The demands that are due at `now`: of accounts that asked since the last report and for
+    /// which the base share may not do. Forgets idle accounts. The caller sends each to the
     /// account's coordinator, in a [`Limiter::report`].
     pub fn due(&mut self, now: Instant) -> Vec<Demand> {
         let mut due = Vec::new();
@@ -191,12 +205,14 @@
             }
             let limit = find_limit(limits, bucket.account).unwrap_or_default();
             let base = limit * BASE_SHARE / instances;
-            bucket.measure(now);
             bucket.fill(now, base);
-            let rate = Hourly::from_per_second(bucket.demand);
-            if bucket.is_idle(bucket.rate(now, base)) {
-                return false;
+            let is_reported = bucket.arrivals > 0 && bucket.is_short(now);
+            bucket.measure(now);
+            if !is_reported {
+                return !bucket.is_idle(bucket.rate(now, base));
             }
+            bucket.has_reported = true;
+            let rate = Hourly::from_per_second(bucket.demand);
             let held = bucket.lease.as_ref().map_or(0, |lease| lease.sequence);
             due.push(Demand { account: bucket.account, rate, held });
             true
