--- a/crates/instance/src/claims.rs
+++ b/crates/instance/src/claims.rs
@@ -22,9 +22,6 @@
 /// How long a proposal may take before it counts as lost.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// When a caller should ask again while too many claims are being settled.
-const SOON: Duration = Duration::from_secs(1);
-
 /// What a keyed request has to do.
 pub(crate) enum Decision {
     /// Have an upstream run it.
@@ -81,7 +78,7 @@
     pub(crate) fn claim(&mut self, cx: CX![], keyed: Keyed) {
         let Keyed { ticket, fence, deadline, decided } = keyed;
         if self.entries.len() >= MAX_CLAIMANTS {
-            decided.fwd(Decision::Refuse(Refusal::Full { left: SOON }));
+            decided.fwd(Decision::Refuse(Refusal::NoQuorum));
             return;
         }
         let Err(index) = self.find(fence) else {
