--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -44,12 +44,14 @@
         data_centre: settings.data_centre.clone(),
         address: settings.listen.peers,
         incarnation,
+        is_draining: false,
     };
     let configured = settings.peers.iter().map(|peer| Member {
         instance: peer.instance.clone(),
         data_centre: peer.data_centre.clone(),
         address: peer.address,
         incarnation: Incarnation(0),
+        is_draining: false,
     });
     Detector::new(now, me, configured.collect(), rand::rng().random())
 }
@@ -85,6 +87,12 @@
         }
     }
 
+    /// Announces that this instance takes no new duties.
+    pub(crate) fn drain(&mut self, _: CX![]) {
+        let actions = self.detector.drain();
+        self.perform(actions);
+    }
+
     /// Announces the planned leave of this instance.
     pub(crate) fn leave(&mut self, _: CX![]) {
         let actions = self.detector.leave();
@@ -103,6 +111,7 @@
                     "address": belief.address,
                     "incarnation": belief.incarnation.to_string(),
                     "status": belief.status,
+                    "is_draining": belief.is_draining,
                     "is_set_aside": is_set_aside,
                 })
             })
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -5,52 +5,92 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use declare::{Declarations, Target};
+use admission::Tokens;
+use declare::{Declarations, Rank, Target};
 use membership::Member;
-use names::{Instance, Upstream};
+use names::{ClientAccount, Instance, Kind, Upstream};
 use operator::Response;
-use placement::{Candidate, Knowledge, Policy};
+use permit::{Context, Granted, Node, PermitId};
+use placement::Bound;
 use rand::RngExt;
+use serde::Serialize;
 use serde_json::json;
 use settings::Settings;
-use stakker::{Actor, CX, Fwd, Ret, after, call, ret};
+use stakker::{Actor, CX, Fwd, Ret, after, call, lazy, ret};
 use telemetry::Metrics;
-use upstream::{Action, Announcement, Change, Directory, Entry, Load, Message};
+use upstream::{Action, Announcement, Directory, Entry, Load, Message};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
 
 use crate::members::View;
 use crate::operators::Ask;
+use crate::router::Route;
 
 /// How often the directory does what is due.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
+
+/// A bound that no load reaches, in percent of the mean.
+const UNBOUNDED_PERCENT: u32 = 1_000_000;
 
 /// How long a new instance waits for others of its data centre before it serves alone.
 const ALONE_AFTER: Duration = Duration::from_secs(3);
 
+/// Time without a tick after which what this instance believes may be outdated.
+const STALL: Duration = Duration::from_secs(1);
+
+/// Bytes of a request for each token of its expected cost.
+const BYTES_PER_TOKEN: u64 = 4;
+
 /// A request for a permit.
 pub(crate) struct Wanted {
-    pub(crate) target: Target,
-    pub(crate) key: u64,
-    pub(crate) tried: Vec<Upstream>,
+    id: names::Request,
+    target: Target,
+    key: u64,
+    tried: Vec<Upstream>,
+    account: ClientAccount,
+    kind: Kind,
+    rank: Rank,
+    deadline: Instant,
+    cost: Tokens,
+}
+
+impl Wanted {
+    pub(crate) fn new(id: names::Request, route: &Route, tried: Vec<Upstream>) -> Self {
+        Self {
+            id,
+            target: route.target.clone(),
+            key: route.placement_key,
+            tried,
+            account: route.account.clone(),
+            kind: route.kind.clone(),
+            rank: route.rank,
+            deadline: route.deadline,
+            cost: Tokens(1 + route.body.len() as u64 / BYTES_PER_TOKEN),
+        }
+    }
 }
 
 /// Leave to call an upstream once.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Permit {
+    pub(crate) id: PermitId,
     pub(crate) upstream: Upstream,
     pub(crate) address: SocketAddr,
+    pub(crate) cost: Tokens,
 }
 
 /// Outcome of asking for a permit.
 pub(crate) enum Placed {
     Granted(Permit),
-    Full,
+    Full { retry_after: Duration },
     NoUpstream,
 }
 
-struct InFlight {
-    upstream: Upstream,
-    count: u32,
+/// A request that has no permit yet.
+struct Asking {
+    number: u64,
+    id: names::Request,
+    cost: Tokens,
+    placed: Ret<Placed>,
 }
 
 /// Knows the upstreams of the data centre.
@@ -62,8 +102,29 @@
     alone_at: Instant,
     has_members: bool,
     declarations: Rc<Declarations>,
-    policy: Box<dyn Policy>,
-    in_flight: Vec<InFlight>,
+    node: Node,
+    members: Vec<Member>,
+    /// The last known run of members before the present view.
+    known: Vec<Member>,
+    is_draining: bool,
+    asking: Vec<Asking>,
+    next_number: u64,
+    outgoing: Vec<(Instance, Slice, Vec<permit::Message>)>,
+    last_tick: Instant,
+}
+
+/// This instance's part in giving permits. Baselines of placement go without the load bound.
+fn node(now: Instant, settings: &Settings) -> Node {
+    let policies = &settings.policies;
+    let seed = rand::rng().random();
+    let policy = policies.placement.policy(policies.load_bound_percent, seed);
+    let bound = match policies.placement {
+        placement::Choice::Bounded => policies.load_bound_percent,
+        _ => Bound::try_from(UNBOUNDED_PERCENT).unwrap_or_default(),
+    };
+    let (admission, max_waiting) = (policies.admission, policies.max_waiting);
+    let desk = Box::new(move || admission.desk(0, max_waiting));
+    Node::new(now, settings.instance.clone(), bound, policy, desk, seed)
 }
 
 impl Placer {
@@ -78,9 +139,15 @@
         let is_configured = |peer: &settings::Peer| peer.data_centre == settings.data_centre;
         let is_alone = !settings.peers.iter().any(is_configured);
         let alone_at = if is_alone { cx.now() } else { cx.now() + ALONE_AFTER };
-        let policies = &settings.policies;
-        let policy = policies.placement.policy(policies.load_bound_percent, rand::rng().random());
         Some(Self {
+            node: node(cx.now(), &settings),
+            members: Vec::new(),
+            known: Vec::new(),
+            is_draining: false,
+            asking: Vec::new(),
+            next_number: 0,
+            outgoing: Vec::new(),
+            last_tick: cx.now(),
             directory,
             alone_at,
             has_members: false,
@@ -88,8 +155,6 @@
             hub,
             metrics,
             declarations: Rc::default(),
-            policy,
-            in_flight: Vec::new(),
         })
     }
 
@@ -111,7 +176,7 @@
             }
             Ok(announcement) => {
                 let (change, actions) = self.directory.announce(cx.now(), announcement);
-                self.perform(actions);
+                self.perform(cx, actions);
                 ask.answer(Response::json(200, &json!({ "change": change.to_string() })));
             }
             Err(error) => {
@@ -154,114 +219,239 @@
     /// Takes a change of the members.
     pub(crate) fn set_view(&mut self, cx: CX![], view: View) {
         let is_local = |member: &Member| member.data_centre == self.settings.data_centre;
-        let members = view.members.into_iter().filter(is_local);
-        let members: Vec<_> = members.map(|member| member.instance).collect();
-        self.has_members = !members.is_empty();
-        self.directory.set_members(cx.now(), members);
+        let members: Vec<_> = view.members.into_iter().filter(is_local).collect();
+        let former = std::mem::replace(&mut self.members, members);
+        self.known.retain(|one| !former.iter().any(|other| other.instance == one.instance));
+        self.known.extend(former);
+        self.has_members = !self.members.is_empty();
+        let instances = self.members.iter().filter(|member| !member.is_draining);
+        let instances = instances.map(|member| member.instance.clone()).collect();
+        self.directory.set_members(cx.now(), instances);
+        for ended in self.replaced() {
+            self.step(cx, |node, context| node.end_member(context, &ended));
+        }
+        self.update_node(cx);
+        if view.has_stalled {
+            self.step(cx, Node::awake);
+        }
+    }
+
+    /// Members of which an earlier run was known; that run has ended for certain.
+    fn replaced(&self) -> Vec<Instance> {
+        let is_replaced = |member: &&Member| {
+            let mut earlier = self.known.iter().filter(|one| one.instance == member.instance);
+            earlier.any(|one| one.incarnation < member.incarnation)
+        };
+        let replaced = self.members.iter().filter(is_replaced);
+        replaced.map(|member| member.instance.clone()).collect()
+    }
+
+    /// Hands the upstreams that this instance owns over to others.
+    pub(crate) fn drain(&mut self, cx: CX![]) {
+        self.is_draining = true;
+        self.update_node(cx);
+    }
+
+    fn update_node(&mut self, cx: CX![]) {
+        let instances = |members: &mut dyn Iterator<Item = &Member>| {
+            members.map(|member| member.instance.clone()).collect::<Vec<_>>()
+        };
+        let all = instances(&mut self.members.iter());
+        let mut draining = instances(&mut self.members.iter().filter(|one| one.is_draining));
+        if self.is_draining {
+            draining.push(self.settings.instance.clone());
+        }
+        self.step(cx, |node, context| node.set_members(context, all, &draining));
+    }
+
+    /// Takes note that the connection of a peer ended, which may mean its death.
+    pub(crate) fn lose(&mut self, cx: CX![], instance: Instance) {
+        self.step(cx, |node, context| node.doubt_member(context, &instance));
     }
 
     /// Takes a message of a peer.
     pub(crate) fn deliver(&mut self, cx: CX![], delivery: Delivery) {
-        match decode::<Message>("message about upstreams", &delivery.payload) {
-            Ok(message) => {
-                let actions = self.directory.receive(cx.now(), &delivery.sender, message);
-                self.perform(actions);
+        self.check_stall(cx);
+        let taken = match delivery.slice {
+            Slice::Upstream => {
+                let message = decode::<Message>("message about upstreams", &delivery.payload);
+                message.map(|message| {
+                    let actions = self.directory.receive(cx.now(), &delivery.sender, message);
+                    self.perform(cx, actions);
+                })
+            }
+            _ => {
+                let messages = decode("messages about permits", &delivery.payload);
+                messages.map(|messages: Vec<permit::Message>| {
+                    for message in messages {
+                        let sender = &delivery.sender;
+                        self.step(cx, |node, context| node.receive(context, sender, message));
+                    }
+                })
             }
-            Err(error) => log::warn!("instance {}: {error}", delivery.sender),
+        };
+        if let Err(error) = taken {
+            log::warn!("instance {}: {error}", delivery.sender);
+        }
+    }
+
+    /// After a time without ticks, nothing is given before all members reported anew.
+    fn check_stall(&mut self, cx: CX![]) {
+        if cx.now().saturating_duration_since(self.last_tick) > STALL {
+            self.last_tick = cx.now();
+            self.step(cx, Node::awake);
         }
     }
 
     /// Asks for a permit.
-    pub(crate) fn place(&mut self, _: CX![], wanted: Wanted, placed: Ret<Placed>) {
-        let mut candidates: Vec<_> = self
-            .directory
-            .registry()
-            .available(&wanted.target)
-            .filter(|entry| !wanted.tried.contains(&entry.announcement.upstream))
-            .filter(|entry| !self.declarations.is_drained(&entry.announcement.labels))
-            .map(|entry| Candidate {
-                upstream: entry.announcement.upstream.clone(),
-                slots: entry.announcement.slots,
-                in_flight: self.load(entry),
-            })
-            .collect();
-        if candidates.is_empty() {
+    pub(crate) fn place(&mut self, cx: CX![], wanted: Wanted, placed: Ret<Placed>) {
+        self.check_stall(cx);
+        if !self.is_ready(cx.now()) {
             ret!([placed], Placed::NoUpstream);
             return;
         }
-        self.policy.order(wanted.key, &mut candidates);
-        let chosen = candidates.iter().find(|candidate| candidate.in_flight < candidate.slots);
-        let permit = chosen.and_then(|candidate| self.grant(&candidate.upstream));
-        if let Some(permit) = &permit {
-            self.policy.placed(wanted.key, &permit.upstream);
+        self.next_number += 1;
+        let number = self.next_number;
+        self.asking.push(Asking { number, id: wanted.id, cost: wanted.cost, placed });
+        let wanted = self.enrich(wanted);
+        self.step(cx, |node, context| node.place(context, number, wanted));
+    }
+
+    /// Adds what the declarations say of the account and the kind of work.
+    fn enrich(&self, wanted: Wanted) -> permit::Wanted {
+        let Wanted { target, key, mut tried, account, kind, rank, deadline, cost, .. } = wanted;
+        let is_drained = |entry: &&Entry| self.declarations.is_drained(&entry.announcement.labels);
+        let drained = self.directory.registry().available(&target).filter(is_drained);
+        tried.extend(drained.map(|entry| entry.announcement.upstream.clone()));
+        let accounts = &self.declarations.client_accounts;
+        let weight = accounts.iter().find(|one| one.name == account).map_or(1, |one| one.weight);
+        let declared = self.declarations.kind(kind.as_str());
+        let least_share_percent = declared.map_or(0, |declared| declared.least_share_percent);
+        permit::Wanted {
+            target,
+            key,
+            tried,
+            account,
+            weight,
+            kind,
+            rank,
+            least_share_percent,
+            deadline,
+            cost,
         }
-        ret!([placed], permit.map_or(Placed::Full, Placed::Granted));
     }
 
-    /// Gives a permit back.
-    pub(crate) fn release(&mut self, _: CX![], permit: Permit) {
-        if let Ok(index) = self.find(&permit.upstream) {
-            self.in_flight[index].count -= 1;
-            if self.in_flight[index].count == 0 {
-                self.in_flight.remove(index);
-            }
+    /// Gives up a request that may still wait for a permit.
+    pub(crate) fn withdraw(&mut self, cx: CX![], id: names::Request) {
+        let asking: Vec<_> = self.asking.extract_if(.., |asking| asking.id == id).collect();
+        for Asking { number, .. } in asking {
+            self.step(cx, |node, context| node.withdraw(context, number));
         }
     }
 
-    fn find(&self, upstream: &Upstream) -> Result<usize, usize> {
-        self.in_flight.binary_search_by(|entry| entry.upstream.cmp(upstream))
+    /// Gives a permit back.
+    pub(crate) fn release(&mut self, cx: CX![], permit: Permit) {
+        self.step(cx, |node, context| node.release(context, permit.id, permit.cost));
     }
 
-    fn in_flight(&self, upstream: &Upstream) -> u32 {
-        self.find(upstream).map_or(0, |index| self.in_flight[index].count)
+    fn tick(&mut self, cx: CX![]) {
+        self.check_stall(cx);
+        self.last_tick = cx.now();
+        let actions = self.directory.tick(cx.now());
+        self.perform(cx, actions);
+        self.step(cx, Node::tick);
+        let (owned, permits) = self.node.owned();
+        self.metrics.membership.owned.set(i64::try_from(owned).unwrap_or(i64::MAX));
+        self.metrics.membership.permits.set(i64::from(permits));
+        after!(TICK, [cx], tick());
     }
 
-    /// The load of an upstream as the policy wants to know it.
-    fn load(&self, entry: &Entry) -> u32 {
-        match self.policy.knowledge() {
-            Knowledge::Newest => self.in_flight(&entry.announcement.upstream),
-            Knowledge::Reported => {
-                entry.load.as_ref().map_or(0, |load| load.running + load.waiting)
+    /// Takes a step of the node and does what follows from it.
+    fn step<F>(&mut self, cx: CX![], step: F)
+    where
+        F: FnOnce(&mut Node, Context<'_>) -> Vec<permit::Action>,
+    {
+        let context = Context { now: cx.now(), registry: self.directory.registry() };
+        for action in step(&mut self.node, context) {
+            match action {
+                permit::Action::Send(to, message) => self.queue(cx, to, message),
+                permit::Action::Placed(number, placed) => self.tell(cx, number, placed),
             }
         }
     }
 
-    fn grant(&mut self, upstream: &Upstream) -> Option<Permit> {
-        let address = self.directory.registry().get(upstream)?.announcement.address;
-        match self.find(upstream) {
-            Ok(index) => self.in_flight[index].count += 1,
-            Err(index) => {
-                self.in_flight.insert(index, InFlight { upstream: upstream.clone(), count: 1 });
+    fn tell(&mut self, cx: CX![], number: u64, placed: permit::Placed) {
+        let found = self.asking.iter().position(|asking| asking.number == number);
+        let asking = found.map(|index| self.asking.swap_remove(index));
+        match (asking, placed) {
+            (Some(Asking { cost, placed: teller, .. }), permit::Placed::Granted(granted)) => {
+                let Granted { id, upstream, address } = granted;
+                ret!([teller], Placed::Granted(Permit { id, upstream, address, cost }));
+            }
+            (Some(asking), permit::Placed::Refused { retry_after }) => {
+                ret!([asking.placed], Placed::Full { retry_after });
+            }
+            (Some(asking), permit::Placed::NoUpstream) => {
+                ret!([asking.placed], Placed::NoUpstream);
+            }
+            (None, permit::Placed::Granted(granted)) => {
+                self.step(cx, |node, context| node.release(context, granted.id, Tokens(0)));
             }
+            (None, _) => {}
         }
-        Some(Permit { upstream: upstream.clone(), address })
     }
 
-    fn tick(&mut self, cx: CX![]) {
-        let actions = self.directory.tick(cx.now());
-        self.perform(actions);
-        after!(TICK, [cx], tick());
+    /// Queues a message about permits; all to one instance of this turn travel as one frame.
+    fn queue(&mut self, cx: CX![], to: Instance, message: permit::Message) {
+        let slice = match message {
+            permit::Message::Part { .. } | permit::Message::Total { .. } => Slice::Load,
+            _ => Slice::Permit,
+        };
+        if self.outgoing.is_empty() {
+            lazy!([cx], flush());
+        }
+        match self.outgoing.iter_mut().find(|(other, of, _)| *other == to && *of == slice) {
+            Some((_, _, messages)) => messages.push(message),
+            None => self.outgoing.push((to, slice, vec![message])),
+        }
     }
 
-    fn perform(&mut self, actions: Vec<Action>) {
+    fn flush(&mut self, _: CX![]) {
+        for (to, slice, messages) in std::mem::take(&mut self.outgoing) {
+            self.send(to, slice, Transport::Tcp, &messages);
+        }
+    }
+
+    fn perform(&mut self, cx: CX![], actions: Vec<Action>) {
+        let mut has_changed = false;
         for action in actions {
             match action {
-                Action::Send(to, message) => self.send(to, Transport::Tcp, &message),
-                Action::SendQuickly(to, message) => self.send(to, Transport::Udp, &message),
-                Action::Changed(upstream, Change::Altered) => {
-                    log::debug!("upstream {upstream}: altered");
+                Action::Send(to, message) => {
+                    self.send(to, Slice::Upstream, Transport::Tcp, &message);
+                }
+                Action::SendQuickly(to, message) => {
+                    self.send(to, Slice::Upstream, Transport::Udp, &message);
+                }
+                Action::Changed(upstream, change) => {
+                    has_changed = true;
+                    log::info!("upstream {upstream}: {change}");
                 }
-                Action::Changed(upstream, change) => log::info!("upstream {upstream}: {change}"),
             }
         }
+        if has_changed {
+            self.step(cx, Node::refresh);
+        }
         let registry = self.directory.registry();
         let available = registry.iter().filter(|entry| entry.is_available()).count();
         self.metrics.upstreams.set(i64::try_from(available).unwrap_or(i64::MAX));
     }
 
-    fn send(&self, addressee: Instance, transport: Transport, message: &Message) {
+    fn send<M>(&self, addressee: Instance, slice: Slice, transport: Transport, message: &M)
+    where
+        M: Serialize,
+    {
         if let Ok(payload) = encode(message) {
-            let outgoing = Outgoing { addressee, slice: Slice::Upstream, transport, payload };
+            let outgoing = Outgoing { addressee, slice, transport, payload };
             call!([self.hub], send(outgoing));
         }
     }
--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -16,8 +16,13 @@
 
 /// Every upstream that could answer works on as much as it may.
 pub(crate) fn overloaded(service: &names::Service) -> Problem {
+    busy(service, SOON)
+}
+
+/// No upstream can answer in time before `retry_after`.
+pub(crate) fn busy(service: &names::Service, retry_after: Duration) -> Problem {
     let message = format!("all upstreams of service \"{service}\" are busy; ask again later");
-    Problem::not_run(Status::TOO_MANY_REQUESTS, "overloaded", message).with_retry_after(SOON)
+    Problem::not_run(Status::TOO_MANY_REQUESTS, "overloaded", message).with_retry_after(retry_after)
 }
 
 /// The client account has used up its share of its limit.
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -7,7 +7,7 @@
 use declare::Declarations;
 use entry::{Bounds, Server};
 use eventloop::mailbox;
-use names::Incarnation;
+use names::{Incarnation, Instance};
 use operator::Response;
 use settings::Settings;
 use stakker::{ActorOwn, CX, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop};
@@ -94,9 +94,10 @@
             traffic,
         });
         let deliver = fwd_to!([cx], deliver() as (Delivery));
+        let lost = fwd_to!([cx], lose() as (Instance));
         let hub = actor!(
             cx,
-            Hub::init(identity, bound.peers, deliver),
+            Hub::init(identity, bound.peers, deliver, lost),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         for peer in &settings.peers {
@@ -201,12 +202,17 @@
         call!([self.placer], set_view(view));
     }
 
+    /// Takes note that the connection of a peer ended.
+    fn lose(&mut self, _: CX![], instance: Instance) {
+        call!([self.placer], lose(instance));
+    }
+
     /// Hands a message of a peer to the slice that it belongs to.
     fn deliver(&mut self, _: CX![], delivery: Delivery) {
         match delivery.slice {
             Slice::Membership => call!([self.members], deliver(delivery)),
             Slice::Upstream | Slice::Permit | Slice::Load => {
-                call!([self.placer], deliver(delivery))
+                call!([self.placer], deliver(delivery));
             }
             Slice::Account => call!([self.limits], deliver(delivery)),
             Slice::State => call!([self.replica], deliver(delivery)),
@@ -267,6 +273,8 @@
         }
         log::info!("instance {} stops", self.settings.instance);
         self.is_stopping = true;
+        call!([self.members], drain());
+        call!([self.placer], drain());
         call!([self.router], drain());
         let drained = fwd_to!([cx], finish_stop() as (()));
         call!([self.server], drain(drained));
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -24,6 +24,7 @@
 use crate::placer::{Placed, Placer, Wanted};
 use crate::problem;
 use active::{Active, Phase};
+pub(crate) use route::Route;
 use route::resolve;
 
 /// Sends events of the calls' threads into the event loop.
@@ -177,8 +178,7 @@
             active.avoids_unhealthy = !avoided.is_empty();
             tried.extend(avoided);
         }
-        let wanted =
-            Wanted { target: active.route.target.clone(), key: active.route.placement_key, tried };
+        let wanted = Wanted::new(id, &active.route, tried);
         let placed = ret_some_to!([cx], placed(id) as (Placed));
         call!([self.placer], place(wanted, placed));
     }
@@ -193,8 +193,8 @@
         let service = &self.active[index].route.service;
         match placed {
             Placed::Granted(permit) => self.call(cx, index, permit),
-            Placed::Full => {
-                let problem = problem::overloaded(service);
+            Placed::Full { retry_after } => {
+                let problem = problem::busy(service, retry_after);
                 self.not_placed(cx, index, problem);
             }
             Placed::NoUpstream => {
@@ -283,6 +283,7 @@
     fn finish(&mut self, index: usize, verdict: Verdict) {
         self.release(index);
         let active = self.active.remove(index);
+        call!([self.placer], withdraw(active.id));
         self.metrics.active.dec();
         self.metrics.count_request(&RequestLabels {
             rank: active.route.rank.to_string(),
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -108,6 +108,7 @@
             incarnation: me.incarnation,
             refutations: 0,
             status: Status::Alive,
+            is_draining: false,
         };
         let mut rumours = Rumours::default();
         rumours.add(me.clone());
@@ -184,14 +185,26 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Announces that this instance takes no new duties, before a planned leave.
+    pub fn drain(&mut self) -> Vec<Action> {
+        self.me.is_draining = true;
+        self.me.refutations += 1;
+        self.announce()
+    }
+
     /// Announces the planned leave of this instance.
     pub fn leave(&mut self) -> Vec<Action> {
         self.me.status = Status::Left;
+        self.announce()
+    }
+
+    /// Tells all members what is true of this instance now.
+    fn announce(&mut self) -> Vec<Action> {
         self.rumours.add(self.me.clone());
         let up: Vec<_> = self.up().map(|record| record.belief.instance.clone()).collect();
-        let leave = Message::View { rumours: vec![self.me.clone()], wants_answer: false };
+        let news = Message::View { rumours: vec![self.me.clone()], wants_answer: false };
         for peer in up {
-            self.actions.push(Action::SendReliably(peer, leave.clone()));
+            self.actions.push(Action::SendReliably(peer, news.clone()));
         }
         std::mem::take(&mut self.actions)
     }
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -44,6 +44,8 @@
     pub refutations: u32,
     /// What is believed of it.
     pub status: Status,
+    /// Whether it finishes its work for a planned stop and takes no new duties.
+    pub is_draining: bool,
 }
 
 impl Rumour {
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -19,6 +19,8 @@
     pub address: SocketAddr,
     /// Its run; 0 while it was never heard of.
     pub incarnation: Incarnation,
+    /// Whether it finishes its work for a planned stop and takes no new duties.
+    pub is_draining: bool,
 }
 
 /// A belief with what the detector needs for it.
@@ -49,6 +51,7 @@
             incarnation: Incarnation(0),
             refutations: 0,
             status: Status::Dead,
+            is_draining: false,
         };
         Self::new(belief, true, now)
     }
@@ -63,6 +66,7 @@
             data_centre: self.belief.data_centre.clone(),
             address: self.belief.address,
             incarnation: self.belief.incarnation,
+            is_draining: self.belief.is_draining,
         }
     }
 }
--- a/crates/membership/tests/detector.rs
+++ b/crates/membership/tests/detector.rs
@@ -17,6 +17,7 @@
         data_centre: "giza".parse().unwrap(),
         address: format!("10.0.0.1:{}", 1000 + index).parse().unwrap(),
         incarnation: Incarnation(incarnation),
+        is_draining: false,
     }
 }
 
--- a/crates/permit/src/book.rs
+++ b/crates/permit/src/book.rs
@@ -5,7 +5,7 @@
 use admission::{Decision, Desk, Offer, Step, Ticket, Tokens};
 use names::{Instance, Upstream};
 
-use crate::{Ask, Outcome, PermitId, Pool, Sum};
+use crate::{Ask, Evidence, Load, Outcome, PermitId, Pool};
 
 /// Time between two claims of a newly owned upstream.
 const CLAIM_PERIOD: Duration = Duration::from_millis(200);
@@ -77,12 +77,29 @@
     }
 }
 
+/// Most requests in flight by the load bound.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// Without those of lost holders, at the mean without them.
+    pub(crate) certain: u32,
+    /// With those of lost holders, at the mean with them.
+    pub(crate) all: u32,
+}
+
+/// What an ask is decided by.
+pub(crate) struct Terms<'a> {
+    pub(crate) ids: &'a mut Ids,
+    pub(crate) limits: Limits,
+    pub(crate) slots: u32,
+    /// Holders that may have ended.
+    pub(crate) doubted: &'a [Instance],
+}
+
 /// What an owner knows of one upstream.
 pub(crate) struct Book {
     pub(crate) upstream: Upstream,
     desk: Box<dyn Desk>,
     given: Vec<Given>,
-    adopted: u32,
     waiting: Vec<Waiting>,
     phase: Phase,
     /// Members that did not report yet, or that see another owner.
@@ -102,7 +119,6 @@
             upstream,
             desk,
             given: Vec::new(),
-            adopted: 0,
             waiting: Vec::new(),
             phase: Phase::Settled,
             missing: Vec::new(),
@@ -124,10 +140,13 @@
         u32::try_from(self.given.len()).unwrap_or(u32::MAX)
     }
 
-    /// Requests in flight of members, for sums: those of lost holders may have ended.
-    pub(crate) fn certain(&self) -> u32 {
-        let certain = self.given.iter().filter(|given| given.ends_at.is_none());
-        u32::try_from(certain.count()).unwrap_or(u32::MAX)
+    /// Requests in flight; those of holders that were lost or are doubted are uncertain.
+    pub(crate) fn load(&self, doubted: &[Instance]) -> Load {
+        let is_certain =
+            |given: &&Given| given.ends_at.is_none() && !doubted.contains(&given.holder);
+        let certain = self.given.iter().filter(is_certain).count();
+        let certain = u32::try_from(certain).unwrap_or(u32::MAX);
+        Load { certain, uncertain: self.in_flight() - certain }
     }
 
     pub(crate) fn waiting(&self) -> u32 {
@@ -200,7 +219,6 @@
         for permit in permits {
             if !self.given.iter().any(|given| given.permit == *permit) {
                 self.give(now, *permit, holder.clone(), None);
-                self.adopted += 1;
             }
         }
         if agrees {
@@ -249,32 +267,37 @@
         }
     }
 
-    /// Sets what may run at once by the load bound.
-    pub(crate) fn set_limit(&mut self, now: Instant, limit: u32) {
-        let room = self.share(now, limit).saturating_sub(self.adopted);
-        self.desk.set_room(room);
+    /// How many more requests may run, whether lost holders live or not.
+    fn headroom(&self, now: Instant, limits: Limits, doubted: &[Instance]) -> u32 {
+        let load = self.load(doubted);
+        let certain = self.share(now, limits.certain).saturating_sub(load.certain);
+        let all = self.share(now, limits.all).saturating_sub(load.all());
+        certain.min(all)
     }
 
-    fn has_room(&self, now: Instant, limit: u32) -> bool {
-        self.in_flight() < self.share(now, limit) && self.desk.waiting() == 0
+    /// Sets what may run at once by the load bound.
+    pub(crate) fn set_limits(&mut self, now: Instant, limits: Limits, doubted: &[Instance]) -> u32 {
+        let headroom = self.headroom(now, limits, doubted);
+        self.desk.set_room(self.desk.running() + headroom);
+        headroom
     }
 
-    /// Decides on an ask within `limit`.
+    /// Decides on an ask.
     pub(crate) fn ask(
         &mut self,
         now: Instant,
         asker: &Instance,
         ask: Ask,
-        ids: &mut Ids,
-        limit: u32,
-        slots: u32,
+        terms: Terms<'_>,
     ) -> Outcome {
+        let Terms { ids, limits, slots, doubted } = terms;
         if matches!(self.phase, Phase::Taking { reduced_from } if now < reduced_from) {
             return Outcome::NotOwner;
         }
-        self.set_limit(now, limit);
-        if !ask.may_wait && !self.has_room(now, limit) {
-            let load = Sum { in_flight: self.certain(), slots };
+        let headroom = self.set_limits(now, limits, doubted);
+        let has_room = headroom > 0 && self.desk.waiting() == 0;
+        if !ask.may_wait && !has_room {
+            let load = Evidence { load: self.load(doubted), slots };
             return Outcome::Full { load, waiting: self.waiting() };
         }
         let Ask { number, pool, .. } = ask;
@@ -320,9 +343,8 @@
             return;
         };
         let given = self.given.swap_remove(index);
-        match given.asked {
-            Some((_, ticket)) => self.desk.finish(now, ticket, used),
-            None => self.adopted -= 1,
+        if let Some((_, ticket)) = given.asked {
+            self.desk.finish(now, ticket, used);
         }
     }
 
--- a/crates/permit/src/holder.rs
+++ b/crates/permit/src/holder.rs
@@ -4,9 +4,10 @@
 
 use admission::Tokens;
 use names::{Instance, Upstream};
-use placement::{Candidate, Policy, Rendezvous};
+use placement::{Candidate, Knowledge, Policy};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use upstream::Entry;
 
 use crate::node::{Context, Granted, Out, Placed, View, Wanted};
 use crate::walk::{Next, Pending, Walk};
@@ -44,17 +45,19 @@
     walks: Vec<Walk>,
     held: Vec<Held>,
     contacts: Vec<Contact>,
+    policy: Box<dyn Policy>,
     next_number: u64,
     next_reconcile: Instant,
 }
 
 impl Holder {
-    pub(crate) fn new(now: Instant, seed: u64) -> Self {
+    pub(crate) fn new(now: Instant, policy: Box<dyn Policy>, seed: u64) -> Self {
         let mut random = Pcg64Mcg::seed_from_u64(!seed);
         Self {
             walks: Vec::new(),
             held: Vec::new(),
             contacts: Vec::new(),
+            policy,
             next_number: u64::from(random.random::<u32>()) << 32,
             next_reconcile: now + RECONCILE_PERIOD,
         }
@@ -72,7 +75,7 @@
         wanted: Wanted,
         out: &mut Out,
     ) {
-        let order = order(context, &wanted);
+        let order = self.order(context, &wanted);
         if order.is_empty() {
             out.placed.push((request, Placed::NoUpstream));
             return;
@@ -81,6 +84,31 @@
         self.step(context, view, self.walks.len() - 1, out);
     }
 
+    /// The upstreams to ask, the first one first.
+    fn order(&mut self, context: Context<'_>, wanted: &Wanted) -> Vec<Upstream> {
+        let mut candidates: Vec<_> = context
+            .registry
+            .available(&wanted.target)
+            .filter(|entry| !wanted.tried.contains(&entry.announcement.upstream))
+            .map(|entry| Candidate {
+                upstream: entry.announcement.upstream.clone(),
+                slots: entry.announcement.slots,
+                in_flight: self.load(entry),
+            })
+            .collect();
+        self.policy.order(wanted.key, &mut candidates);
+        candidates.into_iter().map(|candidate| candidate.upstream).collect()
+    }
+
+    /// The load of an upstream as the policy wants to know it; the newest is its owner's to
+    /// check.
+    fn load(&self, entry: &Entry) -> u32 {
+        match (self.policy.knowledge(), &entry.load) {
+            (Knowledge::Reported, Some(load)) => load.running + load.waiting,
+            _ => 0,
+        }
+    }
+
     /// Takes the next step of a walk that has no ask on its way.
     fn step(&mut self, context: Context<'_>, view: &View, index: usize, out: &mut Out) {
         let walk = &mut self.walks[index];
@@ -174,6 +202,7 @@
             return;
         };
         let address = entry.announcement.address;
+        self.policy.placed(self.walks[index].wanted.key, &upstream);
         self.held.push(Held { permit, upstream: upstream.clone(), counted_by: vec![owner] });
         self.end(index, Placed::Granted(Granted { id: permit, upstream, address }), out);
     }
@@ -313,6 +342,7 @@
             let is_late = |pending: &mut Pending| pending.deadline <= context.now;
             if let Some(Pending { number, owner, upstream, .. }) = walk.asked.take_if(is_late) {
                 out.send(&owner, Message::Withdraw { number, upstream });
+                out.silent.push(owner);
                 self.step(context, view, index, out);
             }
         }
@@ -356,20 +386,6 @@
     }
 }
 
-fn order(context: Context<'_>, wanted: &Wanted) -> Vec<Upstream> {
-    let available = context.registry.available(&wanted.target);
-    let untried = available.filter(|entry| !wanted.tried.contains(&entry.announcement.upstream));
-    let mut candidates: Vec<_> = untried
-        .map(|entry| Candidate {
-            upstream: entry.announcement.upstream.clone(),
-            slots: entry.announcement.slots,
-            in_flight: 0,
-        })
-        .collect();
-    Rendezvous.order(wanted.key, &mut candidates);
-    candidates.into_iter().map(|candidate| candidate.upstream).collect()
-}
-
 fn give_up(walk: &Walk, out: &mut Out) {
     for pending in walk.asked.iter().chain(&walk.waiting) {
         let Pending { number, owner, upstream, .. } = pending.clone();
--- a/crates/permit/src/lib.rs
+++ b/crates/permit/src/lib.rs
@@ -7,14 +7,13 @@
 //! out.
 
 mod book;
-mod bound;
 mod holder;
 mod message;
 mod node;
 mod owner;
+mod routes;
 mod sums;
 mod walk;
 
-pub use bound::{Bound, Sum};
-pub use message::{Ask, Message, Outcome, PermitId, Pool, Report};
+pub use message::{Ask, Evidence, Load, Message, Outcome, PermitId, Pool, Report};
 pub use node::{Action, Context, Granted, Node, Placed, Wanted};
--- a/crates/permit/src/message.rs
+++ b/crates/permit/src/message.rs
@@ -4,11 +4,9 @@
 
 use admission::Tokens;
 use declare::{Rank, Selector, Target};
-use names::{ClientAccount, Kind, Model, Upstream};
+use names::{ClientAccount, Instance, Kind, Model, Upstream};
 use serde::{Deserialize, Serialize};
 
-use crate::Sum;
-
 /// Names a permit. Those of one run of an owner grow with each permit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PermitId(pub u64);
@@ -46,6 +44,41 @@
     }
 }
 
+/// Requests in flight.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Those of holders that are known to live.
+    pub certain: u32,
+    /// Those of holders that were lost from view and may still be calling.
+    pub uncertain: u32,
+}
+
+impl Load {
+    /// All, whether the lost holders live or not.
+    pub fn all(self) -> u32 {
+        self.certain + self.uncertain
+    }
+
+    pub(crate) fn combine<F>(self, other: Self, combine: F) -> Self
+    where
+        F: Fn(u32, u32) -> u32,
+    {
+        Self {
+            certain: combine(self.certain, other.certain),
+            uncertain: combine(self.uncertain, other.uncertain),
+        }
+    }
+}
+
+/// Load of upstreams that an asker saw on its walk.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Their requests in flight.
+    pub load: Load,
+    /// Requests that they work on at once.
+    pub slots: u32,
+}
+
 /// Asks the owner of an upstream for a permit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
@@ -70,7 +103,7 @@
     /// Its expected cost.
     pub cost: Tokens,
     /// What the asker just learned of the load of the whole pool.
-    pub evidence: Option<Sum>,
+    pub evidence: Option<Evidence>,
     /// Whether the request may wait at the upstream.
     pub may_wait: bool,
 }
@@ -83,7 +116,7 @@
     /// The upstream carries as much as it may.
     Full {
         /// Its load.
-        load: Sum,
+        load: Evidence,
         /// Requests that wait for it.
         waiting: u32,
     },
@@ -163,7 +196,7 @@
         /// The pool.
         pool: Pool,
         /// Requests in flight at the sender's upstreams.
-        in_flight: u32,
+        load: Load,
         /// Hash of the sender's view; sums of other views are not used.
         view: u32,
     },
@@ -172,8 +205,17 @@
         /// The pool.
         pool: Pool,
         /// Requests in flight at all its upstreams.
-        in_flight: u32,
+        load: Load,
         /// Hash of the sender's view; sums of other views are not used.
         view: u32,
     },
+    /// A message that a third instance passes on, where the direct link is cut.
+    Relayed {
+        /// Who sent it.
+        origin: Instance,
+        /// Whom it is for.
+        addressee: Instance,
+        /// The message.
+        message: Box<Message>,
+    },
 }
--- a/crates/permit/src/node.rs
+++ b/crates/permit/src/node.rs
@@ -7,12 +7,14 @@
 use admission::{Desk, Tokens};
 use declare::{Rank, Target};
 use names::{ClientAccount, Instance, Kind, Upstream};
+use placement::{Bound, Policy};
 use upstream::Registry;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::holder::Holder;
 use crate::owner::Owner;
-use crate::{Bound, Message, PermitId};
+use crate::routes::Routes;
+use crate::{Message, PermitId};
 
 /// What every decision is taken in.
 #[derive(Clone, Copy)]
@@ -123,6 +125,8 @@
 pub(crate) struct Out {
     pub(crate) messages: VecDeque<(Instance, Message)>,
     pub(crate) placed: Vec<(u64, Placed)>,
+    /// Owners that did not answer in time.
+    pub(crate) silent: Vec<Instance>,
 }
 
 impl Out {
@@ -136,16 +140,19 @@
     view: View,
     owner: Owner,
     holder: Holder,
+    routes: Routes,
     out: Out,
 }
 
 impl Node {
-    /// The part of the instance `me`, alone until it is told of members. `desk` opens the queue
+    /// The part of the instance `me`, alone until it is told of members. `policy` orders the upstreams
+    /// for a conversation, `desk` opens the queue
     /// of an upstream.
     pub fn new(
         now: Instant,
         me: Instance,
         bound: Bound,
+        policy: Box<dyn Policy>,
         desk: Box<dyn Fn() -> Box<dyn Desk>>,
         seed: u64,
     ) -> Self {
@@ -153,7 +160,8 @@
         Self {
             view,
             owner: Owner::new(now, bound, desk, seed),
-            holder: Holder::new(now, seed),
+            holder: Holder::new(now, policy, seed),
+            routes: Routes::default(),
             out: Out::default(),
         }
     }
@@ -178,6 +186,13 @@
         self.finish(context)
     }
 
+    /// Takes note that a member may have ended. Until it is heard again its permits count for
+    /// their upstreams, but not for the mean.
+    pub fn doubt_member(&mut self, context: Context<'_>, member: &Instance) -> Vec<Action> {
+        self.owner.doubt(context.now, member);
+        self.finish(context)
+    }
+
     /// Takes note that the registry changed.
     pub fn refresh(&mut self, context: Context<'_>) -> Vec<Action> {
         self.owner.update(context, &self.view, &mut self.out);
@@ -216,6 +231,7 @@
         sender: &Instance,
         message: Message,
     ) -> Vec<Action> {
+        self.owner.hear(sender);
         self.take(context, sender, message);
         self.finish(context)
     }
@@ -246,6 +262,11 @@
             Message::Claim { upstreams } => {
                 self.holder.report(view, sender, &upstreams, out);
             }
+            Message::Relayed { origin, addressee, message } if addressee == view.me => {
+                self.routes.avoid(context.now, &origin);
+                self.take(context, &origin, *message);
+            }
+            Message::Relayed { ref addressee, .. } => out.send(&addressee.clone(), message),
             message => self.owner.take(context, view, sender, message, out),
         }
     }
@@ -253,10 +274,14 @@
     /// Takes messages to this instance itself; gives the rest out.
     fn finish(&mut self, context: Context<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
+        for owner in std::mem::take(&mut self.out.silent) {
+            self.routes.avoid(context.now, &owner);
+        }
         while let Some((to, message)) = self.out.messages.pop_front() {
             if to == self.view.me {
                 self.take(context, &to, message);
             } else {
+                let (to, message) = self.routes.route(context.now, &self.view, to, message);
                 actions.push(Action::Send(to, message));
             }
         }
--- a/crates/permit/src/owner.rs
+++ b/crates/permit/src/owner.rs
@@ -5,13 +5,14 @@
 use admission::Desk;
 use declare::Target;
 use names::{Instance, Upstream};
+use placement::{Bound, Sum};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::book::{Answer, Book, Ids};
+use crate::book::{Answer, Book, Ids, Limits, Terms};
 use crate::node::{Context, Out, View};
 use crate::sums::{Aggregator, Pools, SUM_PERIOD};
-use crate::{Ask, Bound, Message, Outcome, PermitId, Pool, Sum};
+use crate::{Ask, Evidence, Load, Message, Outcome, PermitId, Pool};
 
 /// Permit ids of a run start at a random multiple of this number.
 const IDS_PER_RUN: u64 = 1 << 40;
@@ -28,6 +29,9 @@
     aggregator: Aggregator,
     ids: Ids,
     next_sum: Instant,
+    doubted: Vec<Instance>,
+    /// Digest of the view that the sums are of.
+    view: u32,
 }
 
 impl Owner {
@@ -47,6 +51,8 @@
             aggregator: Aggregator::default(),
             ids: Ids::new(first_id),
             next_sum: now,
+            doubted: Vec::new(),
+            view: 0,
         }
     }
 
@@ -84,7 +90,10 @@
         }
         self.claim(now, out);
         self.pools.known.iter_mut().for_each(|known| known.restart(now));
-        self.aggregator.retain_members(&view.owners);
+        if self.view != view.digest {
+            self.view = view.digest;
+            self.aggregator.clear();
+        }
         self.send_sums(context, view, out);
         self.run_waiting(context, out);
     }
@@ -101,6 +110,19 @@
         self.books.iter_mut().for_each(|book| book.end_holder(now, holder));
     }
 
+    /// Counts nothing of `member` for the mean until it is heard again.
+    pub(crate) fn doubt(&mut self, now: Instant, member: &Instance) {
+        self.hear(member);
+        self.doubted.push(member.clone());
+        self.aggregator.forget(member);
+        self.pools.known.iter_mut().for_each(|known| known.restart(now));
+    }
+
+    /// Ends the doubt about `member`.
+    pub(crate) fn hear(&mut self, member: &Instance) {
+        self.doubted.retain(|doubted| doubted != member);
+    }
+
     /// Takes note that another instance claims upstreams that this one owns.
     pub(crate) fn contest(&mut self, context: Context<'_>, upstreams: &[Upstream]) {
         for upstream in upstreams {
@@ -145,13 +167,13 @@
                 self.reconcile(context, sender, as_of, &reports);
                 self.run_waiting(context, out);
             }
-            Message::Part { pool, in_flight, view: digest } if digest == view.digest => {
-                self.aggregator.take(now, sender, pool, in_flight);
+            Message::Part { pool, load, view: digest } if digest == view.digest => {
+                self.aggregator.take(now, sender, pool, load);
             }
             Message::Part { .. } => self.aggregator.forget(sender),
-            Message::Total { pool, in_flight, view: digest } if digest == view.digest => {
+            Message::Total { pool, load, view: digest } if digest == view.digest => {
                 if let Some(known) = self.pools.find(&pool) {
-                    known.set_total(now, in_flight);
+                    known.set_total(now, load);
                     self.run_waiting(context, out);
                 }
             }
@@ -206,43 +228,38 @@
             return Outcome::Unavailable;
         };
         let slots = entry.announcement.slots;
-        let own = self.own_part(context, &ask.pool);
-        let known = self.pools.get(now, &ask.pool);
         if let Some(evidence) = ask.evidence {
-            known.set_evidence(now, scale(evidence, own.slots));
+            let seen = scale(evidence, pool_slots(context, &ask.pool));
+            self.pools.get(now, &ask.pool).set_evidence(now, seen);
         }
-        let limit = self.limit(context, &ask.pool, slots);
-        self.books[index].ask(now, asker, ask, &mut self.ids, limit, slots)
-    }
-
-    /// Load of the owned upstreams in `pool`, and the slots of the whole pool.
-    fn own_part(&self, context: Context<'_>, pool: &Pool) -> Sum {
-        let target = Target::from(pool.clone());
-        let mut sum = Sum::default();
-        for entry in context.registry.available(&target) {
-            sum.slots += entry.announcement.slots;
-            if let Ok(index) = self.find(&entry.announcement.upstream) {
-                sum.in_flight += self.books[index].in_flight();
-            }
-        }
-        sum
+        let limits = self.limits(context, &ask.pool, slots);
+        let Self { books, ids, doubted, .. } = self;
+        books[index].ask(now, asker, ask, Terms { ids, limits, slots, doubted })
     }
 
     /// Load of the upstreams in `pool` that no other instance may count.
-    fn settled_part(&self, context: Context<'_>, pool: &Pool) -> u32 {
+    fn settled_part(&self, context: Context<'_>, pool: &Pool) -> Load {
         let target = Target::from(pool.clone());
         let pool = context.registry.available(&target);
         let books = pool.filter_map(|entry| self.find(&entry.announcement.upstream).ok());
         let books = books.map(|index| &self.books[index]);
-        books.filter(|book| book.is_settled(context.now)).map(Book::certain).sum()
+        let settled = books.filter(|book| book.is_settled(context.now));
+        settled.fold(Load::default(), |sum, book| {
+            sum.combine(book.load(&self.doubted), |one, other| one + other)
+        })
     }
 
-    fn limit(&mut self, context: Context<'_>, pool: &Pool, slots: u32) -> u32 {
+    /// The limits of an upstream with `slots` at the mean load of `pool`.
+    fn limits(&mut self, context: Context<'_>, pool: &Pool, slots: u32) -> Limits {
         let own = self.settled_part(context, pool);
-        let mut sum = self.own_part(context, pool);
-        sum.in_flight = self.pools.get(context.now, pool).total(context.now, own);
-        sum.in_flight -= sum.in_flight / DISCOUNT_PARTS;
-        self.bound.limit(sum, slots)
+        let total = self.pools.get(context.now, pool).total(context.now, own);
+        let pool_slots = u64::from(pool_slots(context, pool));
+        let bound = self.bound;
+        let limit = |in_flight: u32| {
+            let counted = u64::from(in_flight - in_flight.div_ceil(DISCOUNT_PARTS));
+            bound.most(Sum { in_flight: counted, slots: pool_slots }, slots).min(slots)
+        };
+        Limits { certain: limit(total.certain), all: limit(total.all()) }
     }
 
     /// Lets waiting asks run where there is room now.
@@ -256,16 +273,15 @@
                 context.registry.get(&book.upstream).map_or(0, |entry| entry.announcement.slots);
             // Each permit raises the mean, so that the next one may be within the bound too.
             loop {
-                let limit = self.limit(context, &pool, slots);
-                let book = &mut self.books[index];
-                let is_within = book.in_flight() < limit;
-                book.set_limit(context.now, limit);
-                let answers = book.next(context.now, &mut self.ids);
-                if answers.is_empty() || !is_within {
-                    send(out, answers);
+                let limits = self.limits(context, &pool, slots);
+                let Self { books, ids, doubted, .. } = self;
+                let headroom = books[index].set_limits(context.now, limits, doubted);
+                let answers = books[index].next(context.now, ids);
+                let is_over = answers.is_empty() || headroom == 0;
+                send(out, answers);
+                if is_over {
                     break;
                 }
-                send(out, answers);
             }
         }
     }
@@ -300,8 +316,8 @@
     fn send_sums(&mut self, context: Context<'_>, view: &View, out: &mut Out) {
         self.next_sum = context.now + SUM_PERIOD;
         self.send_parts(context, view, out);
-        for (owner, pool, in_flight) in self.aggregator.due(context.now) {
-            out.send(&owner, Message::Total { pool, in_flight, view: view.digest });
+        for (owner, pool, load) in self.aggregator.due(context.now) {
+            out.send(&owner, Message::Total { pool, load, view: view.digest });
         }
     }
 
@@ -312,16 +328,25 @@
             if self.pools.known[index].is_due(context.now, part)
                 && let Some(aggregator) = aggregator(&pool, view)
             {
-                out.send(&aggregator, Message::Part { pool, in_flight: part, view: view.digest });
+                out.send(&aggregator, Message::Part { pool, load: part, view: view.digest });
             }
         }
     }
 }
 
+/// Requests that the available upstreams of `pool` work on at once.
+fn pool_slots(context: Context<'_>, pool: &Pool) -> u32 {
+    let target = Target::from(pool.clone());
+    context.registry.available(&target).map(|entry| entry.announcement.slots).sum()
+}
+
 /// The load that was seen, without that of upstreams that left the pool of `slots` since.
-fn scale(evidence: Sum, slots: u32) -> u32 {
-    let seen = u64::from(evidence.in_flight) * u64::from(slots.min(evidence.slots));
-    u32::try_from(seen / u64::from(evidence.slots.max(1))).unwrap_or(u32::MAX)
+fn scale(evidence: Evidence, slots: u32) -> Load {
+    let part = |requests: u32, _: u32| {
+        let seen = u64::from(requests) * u64::from(slots.min(evidence.slots));
+        u32::try_from(seen / u64::from(evidence.slots.max(1))).unwrap_or(u32::MAX)
+    };
+    evidence.load.combine(Load::default(), part)
 }
 
 /// The member that sums the load of `pool`.
--- a/crates/permit/src/sums.rs
+++ b/crates/permit/src/sums.rs
@@ -4,7 +4,7 @@
 
 use names::Instance;
 
-use crate::Pool;
+use crate::{Load, Pool};
 
 /// Time between two looks for sums that changed.
 pub(crate) const SUM_PERIOD: Duration = Duration::from_millis(100);
@@ -27,19 +27,20 @@
 /// How long a pool without asks is reported.
 const POOL_MEMORY: Duration = Duration::from_secs(10);
 
-fn has_drifted(old: u32, new: u32) -> bool {
-    old.abs_diff(new) * DRIFT_PARTS > old
+fn has_drifted(old: Load, new: Load) -> bool {
+    let is_far = |old: u32, new: u32| old.abs_diff(new) * DRIFT_PARTS > old;
+    is_far(old.certain, new.certain) || is_far(old.uncertain, new.uncertain)
 }
 
-/// A number that was sent, to decide when to send it again.
+/// A load that was sent, to decide when to send it again.
 #[derive(Debug, Clone, Copy)]
 struct Sent {
-    value: u32,
+    value: Load,
     refresh_at: Instant,
 }
 
 /// Whether `value` has to be sent now; takes note of it if so.
-fn is_due(sent: &mut Option<Sent>, now: Instant, value: u32) -> bool {
+fn is_due(sent: &mut Option<Sent>, now: Instant, value: Load) -> bool {
     let is_due = sent.is_none_or(|sent| has_drifted(sent.value, value) || sent.refresh_at <= now);
     if is_due {
         *sent = Some(Sent { value, refresh_at: now + REFRESH });
@@ -51,9 +52,9 @@
 #[derive(Debug)]
 pub(crate) struct Known {
     pub(crate) pool: Pool,
-    heard: u32,
+    heard: Load,
     heard_until: Instant,
-    evidence: u32,
+    evidence: Load,
     evidence_until: Instant,
     forget_at: Instant,
     sent: Option<Sent>,
@@ -64,9 +65,9 @@
         let forget_at = now + POOL_MEMORY;
         Self {
             pool,
-            heard: 0,
+            heard: Load::default(),
             heard_until: now,
-            evidence: 0,
+            evidence: Load::default(),
             evidence_until: now,
             forget_at,
             sent: None,
@@ -75,24 +76,24 @@
 
     /// The load of the pool, of which `own` is at this instance's upstreams; rather too low than
     /// too high.
-    pub(crate) fn total(&self, now: Instant, own: u32) -> u32 {
-        let heard = if now < self.heard_until { self.heard } else { 0 };
-        let evidence = if now < self.evidence_until { self.evidence } else { 0 };
-        heard.max(evidence).max(own)
+    pub(crate) fn total(&self, now: Instant, own: Load) -> Load {
+        let heard = if now < self.heard_until { self.heard } else { Load::default() };
+        let evidence = if now < self.evidence_until { self.evidence } else { Load::default() };
+        heard.combine(evidence, u32::max).combine(own, u32::max)
     }
 
-    pub(crate) fn set_total(&mut self, now: Instant, total: u32) {
+    pub(crate) fn set_total(&mut self, now: Instant, total: Load) {
         self.heard = total;
         self.heard_until = now + VALIDITY;
     }
 
-    pub(crate) fn set_evidence(&mut self, now: Instant, evidence: u32) {
+    pub(crate) fn set_evidence(&mut self, now: Instant, evidence: Load) {
         self.evidence = evidence;
         self.evidence_until = now + EVIDENCE_VALIDITY;
     }
 
     /// Whether the own part has to be sent to the aggregator.
-    pub(crate) fn is_due(&mut self, now: Instant, part: u32) -> bool {
+    pub(crate) fn is_due(&mut self, now: Instant, part: Load) -> bool {
         is_due(&mut self.sent, now, part)
     }
 
@@ -136,12 +137,12 @@
 struct Row {
     owner: Instance,
     /// The parts in force lately, and until when; the last one holds still.
-    parts: Vec<(u32, Instant)>,
+    parts: Vec<(Load, Instant)>,
     sent: Option<Sent>,
 }
 
 impl Row {
-    fn take(&mut self, now: Instant, part: u32) {
+    fn take(&mut self, now: Instant, part: Load) {
         if let Some(last) = self.parts.last_mut() {
             last.1 = now + WINDOW;
         }
@@ -150,9 +151,10 @@
 
     /// The least part in force within the window: a request that ends here and begins elsewhere
     /// is never counted twice, whichever part is heard first.
-    fn least(&mut self, now: Instant) -> u32 {
+    fn least(&mut self, now: Instant) -> Load {
         self.parts.retain(|(_, until)| *until > now);
-        self.parts.iter().map(|(part, _)| *part).min().unwrap_or(0)
+        let parts = self.parts.iter().map(|(part, _)| *part);
+        parts.reduce(|one, other| one.combine(other, u32::min)).unwrap_or_default()
     }
 }
 
@@ -169,11 +171,9 @@
 }
 
 impl Aggregator {
-    /// Forgets the parts of instances that own nothing any more.
-    pub(crate) fn retain_members(&mut self, owners: &[Instance]) {
-        for table in &mut self.tables {
-            table.rows.retain(|row| owners.contains(&row.owner));
-        }
+    /// Forgets all parts, since they may be of another view of the members.
+    pub(crate) fn clear(&mut self) {
+        self.tables.clear();
     }
 
     /// Forgets the parts of `owner`, whose view of the members differs.
@@ -184,7 +184,7 @@
     }
 
     /// Takes the part of `owner`.
-    pub(crate) fn take(&mut self, now: Instant, owner: &Instance, pool: Pool, part: u32) {
+    pub(crate) fn take(&mut self, now: Instant, owner: &Instance, pool: Pool, part: Load) {
         let index = match self.tables.iter().position(|table| table.pool == pool) {
             Some(index) => index,
             None => {
@@ -203,10 +203,12 @@
     }
 
     /// The totals that have to be sent: to whom, of which pool, and the load.
-    pub(crate) fn due(&mut self, now: Instant) -> Vec<(Instance, Pool, u32)> {
+    pub(crate) fn due(&mut self, now: Instant) -> Vec<(Instance, Pool, Load)> {
         let mut due = Vec::new();
         for Table { pool, rows } in &mut self.tables {
-            let total: u32 = rows.iter_mut().map(|row| row.least(now)).sum();
+            let total = rows.iter_mut().fold(Load::default(), |sum, row| {
+                sum.combine(row.least(now), |one, other| one + other)
+            });
             rows.retain(|row| !row.parts.is_empty());
             for row in rows {
                 if is_due(&mut row.sent, now, total) {
--- a/crates/permit/src/walk.rs
+++ b/crates/permit/src/walk.rs
@@ -4,7 +4,7 @@
 
 use names::{Instance, Upstream};
 
-use crate::{Ask, Pool, Sum, Wanted};
+use crate::{Ask, Evidence, Pool, Wanted};
 
 /// Time between two walks while the request waits at an upstream.
 const RETRY_PERIOD: Duration = Duration::from_millis(200);
@@ -24,7 +24,7 @@
 #[derive(Debug)]
 struct Seen {
     upstream: Upstream,
-    load: Sum,
+    load: Evidence,
     waiting: u32,
 }
 
@@ -32,7 +32,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Next {
     /// Asks the owner of this upstream.
-    Ask { upstream: Upstream, evidence: Option<Sum>, may_wait: bool },
+    Ask { upstream: Upstream, evidence: Option<Evidence>, may_wait: bool },
     /// Waits, until [`Walk::resume_at`] at most.
     Rest,
 }
@@ -69,7 +69,7 @@
     }
 
     /// Takes note that the owner of `upstream` answered full.
-    pub(crate) fn see(&mut self, upstream: Upstream, load: Sum, waiting: u32) {
+    pub(crate) fn see(&mut self, upstream: Upstream, load: Evidence, waiting: u32) {
         self.seen.retain(|seen| seen.upstream != upstream);
         self.seen.push(Seen { upstream, load, waiting });
     }
@@ -138,16 +138,16 @@
     /// The upstream with the fewest requests for its slots; the first on the walk among equals.
     fn least_loaded(&self) -> Option<Upstream> {
         let load = |seen: &&Seen| {
-            let requests = u64::from(seen.load.in_flight + seen.waiting);
+            let requests = u64::from(seen.load.load.all() + seen.waiting);
             requests * 1000 / u64::from(seen.load.slots.max(1))
         };
         self.seen.iter().min_by_key(load).map(|seen| seen.upstream.clone())
     }
 
     /// The load of the upstreams that were seen.
-    fn evidence(&self) -> Sum {
-        self.seen.iter().fold(Sum::default(), |sum, seen| Sum {
-            in_flight: sum.in_flight + seen.load.in_flight,
+    fn evidence(&self) -> Evidence {
+        self.seen.iter().fold(Evidence::default(), |sum, seen| Evidence {
+            load: sum.load.combine(seen.load.load, |one, other| one + other),
             slots: sum.slots + seen.load.slots,
         })
     }
@@ -158,7 +158,7 @@
         now: Instant,
         number: u64,
         upstream: Upstream,
-        evidence: Option<Sum>,
+        evidence: Option<Evidence>,
         may_wait: bool,
     ) -> Ask {
         let wanted = &self.wanted;
--- a/crates/permit/tests/bound.rs
+++ b/crates/permit/tests/bound.rs
@@ -7,7 +7,8 @@
 use admission::{Fifo, Tokens};
 use declare::{Labels, Rank, Target};
 use names::{Incarnation, Instance, Upstream};
-use permit::{Action, Bound, Context, Message, Node, Outcome, PermitId, Placed, Wanted};
+use permit::{Action, Context, Message, Node, Outcome, PermitId, Placed, Wanted};
+use placement::Bound;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use upstream::{Announcement, Protocol, Record, Registry};
@@ -166,8 +167,16 @@
 
     fn node(&self, index: usize, seed: u64) -> Node {
         let desk = || -> Box<dyn admission::Desk> { Box::new(Fifo::new(0)) };
-        let bound = Bound { percent: 125 };
-        Node::new(self.now, instance(index), bound, Box::new(desk), seed * 31 + index as u64)
+        let policy = Box::new(placement::Rendezvous);
+        let bound = Bound::default();
+        Node::new(
+            self.now,
+            instance(index),
+            bound,
+            policy,
+            Box::new(desk),
+            seed * 31 + index as u64,
+        )
     }
 
     fn with<F>(&mut self, index: usize, change: F)
--- a/crates/telemetry/src/membership.rs
+++ b/crates/telemetry/src/membership.rs
@@ -17,8 +17,6 @@
     pub owned: Gauge,
     /// Permits that this instance gave and that are not given back.
     pub permits: Gauge,
-    /// Asks that an owner answered with full.
-    pub full: Counter,
 }
 
 impl Membership {
@@ -31,7 +29,6 @@
         registry.register("members_ended", "Members that died or left", deaths);
         registry.register("owned_upstreams", "Upstreams owned", membership.owned.clone());
         registry.register("permits", "Permits in use at the owner", membership.permits.clone());
-        registry.register("permits_full", "Asks answered with full", membership.full.clone());
         membership
     }
 }
--- a/crates/wire/src/hub.rs
+++ b/crates/wire/src/hub.rs
@@ -110,6 +110,7 @@
     heard: Vec<Heard>,
     sequence: u64,
     deliver: Fwd<Delivery>,
+    lost: Fwd<Instance>,
 }
 
 impl Hub {
@@ -120,6 +121,7 @@
         identity: Arc<Identity>,
         sockets: Sockets,
         deliver: Fwd<Delivery>,
+        lost: Fwd<Instance>,
     ) -> Option<Self> {
         match Self::register(cx, sockets) {
             Ok((listener, socket)) => Some(Self {
@@ -131,6 +133,7 @@
                 heard: Vec::new(),
                 sequence: 0,
                 deliver,
+                lost,
             }),
             Err(error) => {
                 stakker::fail!(cx, error);
@@ -226,7 +229,7 @@
                     actor_in_slab!(
                         self.incoming,
                         cx,
-                        Incoming::init(identity, stream, self.deliver.clone()),
+                        Incoming::init(identity, stream, self.deliver.clone(), self.lost.clone()),
                         ret_nop!()
                     );
                 }
--- a/crates/wire/src/incoming.rs
+++ b/crates/wire/src/incoming.rs
@@ -32,6 +32,7 @@
     frames: Frames,
     sender: Option<Sender>,
     deliver: Fwd<Delivery>,
+    lost: Fwd<Instance>,
 }
 
 impl Incoming {
@@ -40,6 +41,7 @@
         identity: Arc<Identity>,
         stream: TcpStream,
         deliver: Fwd<Delivery>,
+        lost: Fwd<Instance>,
     ) -> Option<Self> {
         let ready = fwd_to!([cx], ready() as (Ready));
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -50,7 +52,14 @@
                 stream.set_nodelay(true);
                 stream.init(source);
                 after!(HANDSHAKE_TIMEOUT, [cx], check_handshake());
-                Some(Self { identity, stream, frames: Frames::default(), sender: None, deliver })
+                Some(Self {
+                    identity,
+                    stream,
+                    frames: Frames::default(),
+                    sender: None,
+                    deliver,
+                    lost,
+                })
             }
             Err(error) => {
                 fail!(cx, error);
@@ -89,6 +98,9 @@
                 }
                 ReadStatus::WouldBlock => return,
                 ReadStatus::EndOfStream | ReadStatus::Error(_) => {
+                    if let Some(sender) = &self.sender {
+                        self.lost.fwd(sender.instance.clone());
+                    }
                     stop!(cx);
                     return;
                 }
