--- a/crates/command/src/commands/mod.rs
+++ b/crates/command/src/commands/mod.rs
@@ -10,6 +10,7 @@
 mod get;
 mod hash_key;
 mod history;
+mod measure;
 mod rollback;
 mod serve;
 mod stand_in;
@@ -32,5 +33,6 @@
         drain::entry(),
         hash_key::entry(),
         stand_in::entry(),
+        measure::entry(),
     ]
 }
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -14,8 +14,9 @@
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Slice, Traffic};
 
+use crate::caches::Caches;
 use crate::claims::Claims;
-use crate::config::{Config, Surroundings};
+use crate::config::{Access, Config, Surroundings};
 use crate::limits::Limits;
 use crate::members::{Members, View};
 use crate::operators::{Ask, Operators};
@@ -40,6 +41,7 @@
 pub(crate) struct Root {
     settings: Rc<Settings>,
     _hub: ActorOwn<Hub>,
+    caches: ActorOwn<Caches>,
     limits: ActorOwn<Limits>,
     placer: ActorOwn<Placer>,
     router: ActorOwn<Router>,
@@ -109,6 +111,11 @@
             Placer::init(settings.clone(), hub.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let caches = actor!(
+            cx,
+            Caches::init(metrics.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let limits = actor!(
             cx,
             Limits::init(settings.clone(), hub.clone()),
@@ -138,6 +145,7 @@
         let in_force = vec![
             fwd_to!([router], set_declarations() as (Rc<Declarations>)),
             fwd_to!([placer], set_declarations() as (Rc<Declarations>)),
+            fwd_to!([limits], set_declarations() as (Rc<Declarations>)),
         ];
         let around = Surroundings {
             settings: settings.clone(),
@@ -161,7 +169,7 @@
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let asks = fwd_to!([cx], answer() as (Ask));
-        let operators = Operators::new(mailbox(cx, asks), metrics.clone());
+        let operators = Operators::new(mailbox(cx, asks), metrics.clone(), Access::new(&settings));
         let operators =
             operator::Server::start(bound.operators, Arc::new(operators)).map_err(|source| {
                 Error::Listen { what: "operators", address: settings.listen.operators, source }
@@ -172,6 +180,7 @@
         Ok(Self {
             settings,
             _hub: hub,
+            caches,
             limits,
             placer,
             router,
@@ -244,11 +253,15 @@
             return;
         }
         match (request.method.as_str(), request.path.as_str()) {
-            ("POST", "/announce" | "/load") if !self.is_upstream(request) => {
+            ("POST", "/announce" | "/load" | "/cache-events" | "/cache-snapshot")
+                if !self.is_upstream(request) =>
+            {
                 let message = "the request needs the fleet's upstream token";
                 ask.answer(Response::error(401, "unauthorised", message));
             }
             ("POST", "/announce") => call!([self.placer], announce(ask)),
+            ("POST", "/cache-events") => call!([self.caches], take(ask)),
+            ("POST", "/cache-snapshot") => call!([self.caches], reset(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
             ("GET", "/members") => call!([self.members], list(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
@@ -276,6 +289,7 @@
         call!([self.members], drain());
         call!([self.placer], drain());
         call!([self.router], drain());
+        call!([self.replica], retire());
         let drained = fwd_to!([cx], finish_stop() as (()));
         call!([self.server], drain(drained));
         let deadline = cx.now() + self.settings.timing.drain.as_duration();
--- a/crates/instance/src/router/active.rs
+++ b/crates/instance/src/router/active.rs
@@ -47,12 +47,15 @@
     pub(super) phase: Phase,
     pub(super) answer: Answer,
     pub(super) tried: Vec<Upstream>,
+    /// Attempts since the caller last received anything.
     pub(super) attempts: usize,
     /// Whether upstreams that fail or lag are left out.
     pub(super) avoids_unhealthy: bool,
     /// The attempt under which its idempotency key is claimed.
     pub(super) fence: Option<Attempt>,
     pub(super) has_started: bool,
+    /// Whether no earlier request with the same idempotency key can have run.
+    pub(super) is_first: bool,
 }
 
 impl Calling {
@@ -81,6 +84,7 @@
         reply: Fwd<Reply>,
     ) -> Self {
         let answer = Answer::new(route.streams, route.adapter);
+        let is_first = route.ticket.is_none() || route.is_first;
         Self {
             id,
             arrived,
@@ -93,6 +97,7 @@
             avoids_unhealthy: true,
             fence: None,
             has_started: false,
+            is_first,
         }
     }
 
--- a/crates/instance/src/router/keyed.rs
+++ b/crates/instance/src/router/keyed.rs
@@ -2,7 +2,7 @@
 
 use dispatch::Verdict;
 use entry::{Header, Problem, Reply, Status};
-use ledger::{Answer, End, Field};
+use ledger::{Answer, Bounds, End, Field, Refusal};
 use names::Attempt;
 use rand::RngExt;
 use stakker::{CX, call, fwd_to};
@@ -23,7 +23,8 @@
     let headers = headers.iter();
     let headers =
         headers.map(|header| Field { name: header.name.clone(), value: header.value.clone() });
-    Answer { status: status.0, headers: headers.collect(), body: Some(body.clone()) }
+    let answer = Answer { status: status.0, headers: headers.collect(), body: Some(body.clone()) };
+    answer.within(Bounds::default().answer_bytes)
 }
 
 /// The reply that a resend gets.
@@ -47,6 +48,7 @@
             return;
         };
         active.fence = Some(fence);
+        active.is_first |= self.settings.voters.is_empty();
         active.phase = Phase::Claiming;
         let id = active.id;
         let decided = fwd_to!([cx], decided(id) as (Decision));
@@ -58,10 +60,12 @@
         let Some(index) = self.find(id) else {
             return;
         };
+        let active = &mut self.active[index];
+        active.is_first |= !matches!(decision, Decision::Refuse(Refusal::NoQuorum));
         match decision {
             Decision::Run => {
                 self.active[index].phase = Phase::Placing;
-                self.place(cx, id);
+                self.check_limit(cx, id);
             }
             Decision::Replay(answer) => match from_record(answer) {
                 Ok(reply) => {
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -15,7 +15,7 @@
 use entry::{Event, Problem, Reply, Request, Status};
 use eventloop::{Sender, mailbox};
 use names::Attempt;
-use settings::{Retries, Settings};
+use settings::{Retries, RetryLimit, Settings};
 use stakker::{Actor, CX, Fwd, at, call, fwd_to, ret_some_to};
 use telemetry::{Metrics, RequestLabels};
 
@@ -25,7 +25,7 @@
 use crate::problem;
 use active::{Active, Phase};
 pub(crate) use route::Route;
-use route::resolve;
+use route::{resolve, stopping};
 
 /// Sends events of the calls' threads into the event loop.
 struct Events(Sender<dispatch::Event>);
@@ -37,9 +37,10 @@
 }
 
 fn allowance(retries: &Retries) -> Allowance {
-    match *retries {
-        Retries::Unbounded => Allowance::Unbounded,
-        Retries::Share { percent, per_second } => Allowance::Share { percent, per_second },
+    let Retries { limit, percent, per_second } = *retries;
+    match limit {
+        RetryLimit::Unbounded => Allowance::Unbounded,
+        RetryLimit::Share => Allowance::Share { percent, per_second },
     }
 }
 
@@ -88,7 +89,6 @@
 
     /// Puts declarations in force for requests that arrive from now on.
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
-        call!([self.limits], set_declarations(declarations.clone()));
         self.declarations = declarations;
     }
 
@@ -117,7 +117,7 @@
     fn arrive(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
         let id = request.id;
         let resolved = if self.is_draining {
-            Err(problem::stopping())
+            Err(stopping(&request))
         } else {
             resolve(&self.declarations, request, cx.now())
         };
@@ -130,6 +130,7 @@
             }
         };
         let deadline = route.deadline;
+        let is_keyed = route.ticket.is_some();
         let active = Active::new(id, cx.now(), route, reply);
         let index = match self.active.binary_search_by(|other| other.id.cmp(&id)) {
             Ok(_) => return,
@@ -139,7 +140,11 @@
         self.metrics.active.inc();
         self.budget.count_request();
         at!(deadline, [cx], expire(id));
-        self.check_limit(cx, id);
+        if is_keyed {
+            self.claim(cx, index);
+        } else {
+            self.check_limit(cx, id);
+        }
     }
 
     /// Asks whether the request passes the limit of its account.
@@ -157,7 +162,6 @@
             return;
         };
         match passage {
-            Passage::Pass if self.active[index].route.ticket.is_some() => self.claim(cx, index),
             Passage::Pass => self.place(cx, id),
             Passage::Refuse { retry_after } => {
                 let problem = problem::over_limit(&self.active[index].route.account, retry_after);
@@ -241,8 +245,11 @@
         self.give_reply(index, problem);
     }
 
+    /// Gives the caller a problem, which says `not-run` only if no earlier request with the same
+    /// key can have run.
     fn give_reply(&mut self, index: usize, problem: Problem) {
         let active = &self.active[index];
+        let problem = if active.is_first { problem } else { problem::of_resend(problem) };
         let verdict = problem.verdict;
         if active.has_started {
             active.reply.fwd(Reply::Cut);
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -111,12 +111,10 @@
     }
 
     fn claim(&mut self, claim: Claim) -> Reply {
-        if self.withdrawn.contains(claim.fence) {
-            return Reply::Withdrawn;
-        }
         let time = self.time;
         match self.records.get_mut(claim.ticket.key) {
             Some(record) => resend(record, &claim, time),
+            None if self.withdrawn.contains(claim.fence) => Reply::Withdrawn,
             None => self.grant(claim),
         }
     }
@@ -160,11 +158,8 @@
             (_, Stand::Answered(_)) | (Ending::Unknown, Stand::Unknown) => {}
             (Ending::Unknown, Stand::Running { .. }) => record.stand = Stand::Unknown,
             (Ending::NotRun, _) => self.release(key),
-            (Ending::Answered(mut answer), _) => {
-                if answer.size() > limit {
-                    answer.headers.clear();
-                    answer.body = None;
-                }
+            (Ending::Answered(answer), _) => {
+                let answer = answer.within(limit);
                 let size = answer.size();
                 record.stand = Stand::Answered(answer);
                 let account = record.account.clone();
--- a/crates/state/src/core/founding.rs
+++ b/crates/state/src/core/founding.rs
@@ -36,31 +36,49 @@
             return;
         }
         self.founding.announce_at = now + self.timing.heartbeat;
+        self.announce(Message::Blank);
+        self.try_found(now);
+    }
+
+    /// Tells all other instances that keep the log something about this folder.
+    pub(super) fn announce(&mut self, message: Message) {
         let mut others = self.founding.founders.clone();
         others.retain(|founder| *founder != self.instance);
         for founder in others {
-            self.send(None, founder, Message::Blank);
+            self.send(None, founder, message.clone());
         }
-        self.try_found();
     }
 
-    fn try_found(&mut self) {
+    fn try_found(&mut self, now: Instant) {
         if self.founding.founders.first() != Some(&self.instance) {
             return;
         }
         self.founding.note(self.me, self.instance.clone());
         if self.founding.is_complete() {
             let blanks = std::mem::take(&mut self.founding.blanks);
-            self.found(Members::founding(blanks));
+            let members = Members::founding(blanks);
+            self.found(now, members.clone());
+            self.announce_members(members);
+            self.election_at = now;
+        }
+    }
+
+    /// Tells the other founders that the group exists, so that the first election follows.
+    fn announce_members(&mut self, members: Members) {
+        let me = self.me;
+        for member in members.list().iter().filter(|member| member.voter != me) {
+            let message = Message::Found(members.clone());
+            self.send(Some(member.voter), member.instance.clone(), message);
         }
     }
 
-    fn found(&mut self, members: Members) {
+    fn found(&mut self, now: Instant, members: Members) {
         self.snapshot = Arc::new(Snapshot { position: FOUNDED, members, data: Arc::default() });
         self.log = Log::new(FOUNDED, self.snapshot.members.clone());
         self.commit = FOUNDED.index;
         self.applied = FOUNDED.index;
         self.ballot = Ballot { term: self.ballot.term.max(FOUNDED.term), ..self.ballot };
+        self.delay_election(now);
         self.persistence.set_ballot();
         self.persistence.set_snapshot(self.snapshot.clone());
     }
@@ -70,7 +88,7 @@
             let is_founder = self.founding.founders.contains(&instance);
             if is_founder {
                 self.founding.note(from, instance);
-                self.try_found();
+                self.try_found(now);
             }
             return;
         }
@@ -79,13 +97,13 @@
             let members = self.snapshot.members.clone();
             self.send(Some(from), instance, Message::Found(members));
         } else {
-            self.note_lost_folder(now, from, instance);
+            self.note_outsider(now, from, instance);
         }
     }
 
-    pub(super) fn on_found(&mut self, members: Members) {
+    pub(super) fn on_found(&mut self, now: Instant, members: Members) {
         if self.is_blank() && members.find(self.me).is_some() {
-            self.found(members);
+            self.found(now, members);
         }
     }
 }
--- a/tests/bookings.rs
+++ b/tests/bookings.rs
@@ -6,16 +6,14 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde_json::{Value, json};
-use support::{Fleet, Plan, post, set_fault, wait_for};
+use support::{Fleet, Plan, book, book_first, runs, set_fault};
 
-const BOOKINGS: &str = "/services/shop/bookings";
 const INSTANCES: usize = 4;
 const VOTERS: usize = 3;
 const CALLERS: usize = 6;
@@ -39,8 +37,6 @@
     /// Requests refused as not run, and the longest time that such a refusal took.
     refusals: usize,
     slowest_refusal: Duration,
-    /// Refusals as not run of resends whose first request had run, known to nobody reachable.
-    stale_refusals: usize,
 }
 
 impl Counts {
@@ -51,21 +47,9 @@
         self.unknown += other.unknown;
         self.refusals += other.refusals;
         self.slowest_refusal = self.slowest_refusal.max(other.slowest_refusal);
-        self.stale_refusals += other.stale_refusals;
     }
 }
 
-fn booking(name: &str) -> Value {
-    json!({ "family": name })
-}
-
-/// How often the booking `name` ran.
-fn runs(journal: &Path, name: &str) -> usize {
-    let journal = std::fs::read_to_string(journal).unwrap_or_default();
-    let body = Value::String(booking(name).to_string()).to_string();
-    journal.lines().filter(|line| line.contains(&body)).count()
-}
-
 /// One caller that makes its bookings one after the other.
 struct Caller {
     addresses: Vec<SocketAddr>,
@@ -76,14 +60,19 @@
 
 impl Caller {
     fn book_all(mut self, seed: u64, caller: usize) -> Counts {
+        let mut refused = Vec::new();
         for number in 0..BOOKINGS_PER_CALLER {
             let name = format!("seed {seed} caller {caller} booking {number}");
             match self.book(&name) {
                 End::Booked => self.counts.booked += 1,
-                End::NotRun => self.counts.not_run += 1,
+                End::NotRun => refused.push(name),
                 End::Unknown => self.counts.unknown += 1,
             }
         }
+        for name in &refused {
+            assert_eq!(runs(&self.journal, name), 0, "{name} ran after it was given up");
+        }
+        self.counts.not_run += refused.len();
         self.counts
     }
 
@@ -93,26 +82,27 @@
         let gives_up_early = self.random.random_range(0..10) == 0;
         let mut is_certain = true;
         let mut unknowns = 0;
-        for _ in 0..MAX_TRIES {
+        for number in 0..MAX_TRIES {
             self.counts.requests += 1;
             let address = self.addresses[self.random.random_range(0..self.addresses.len())];
             let started = Instant::now();
-            let headers = [("idempotency-key", key.as_str()), ("x-turmericrelay-deadline", "3s")];
-            match post(address, BOOKINGS, &headers, &booking(name)) {
+            let book = if number == 0 { book_first } else { book };
+            match book(address, &key, name) {
                 Ok(answer) if answer.status == 200 => {
                     assert_eq!(runs(&self.journal, name), 1, "{name} is answered");
                     return End::Booked;
                 }
                 Ok(answer) if answer.verdict.as_deref() == Some("not-run") => {
-                    self.refused(name, started.elapsed(), is_certain);
-                    if gives_up_early && is_certain {
+                    self.refused(name, started.elapsed());
+                    if gives_up_early {
                         return End::NotRun;
                     }
+                    is_certain = true;
                 }
                 Ok(answer) => {
                     assert_eq!(answer.verdict.as_deref(), Some("may-have-run"), "{answer:?}");
                     is_certain = false;
-                    unknowns += 1;
+                    unknowns += usize::from(answer.retry_after.is_none());
                 }
                 Err(_) => is_certain = false,
             }
@@ -124,31 +114,20 @@
         if is_certain { End::NotRun } else { End::Unknown }
     }
 
-    fn refused(&mut self, name: &str, elapsed: Duration, is_certain: bool) {
+    /// Checks that a booking refused as not run has not run, whichever request it was.
+    fn refused(&mut self, name: &str, elapsed: Duration) {
         self.counts.refusals += 1;
         self.counts.slowest_refusal = self.counts.slowest_refusal.max(elapsed);
-        let has_run = runs(&self.journal, name) > 0;
-        assert!(!(is_certain && has_run), "{name} ran and was refused as not run");
-        self.counts.stale_refusals += usize::from(has_run);
+        assert_eq!(runs(&self.journal, name), 0, "{name} ran and was refused as not run");
     }
 }
 
 fn fleet() -> Fleet {
     let plan = Plan::new(&["giza"; INSTANCES]).with_voters(VOTERS).with_proxies();
     let mut fleet = Fleet::start_plan(plan);
-    let journal = fleet.folder.path().join("journal").display().to_string();
-    for name in ["shop-1", "shop-2"] {
-        let flags = ["--label", "app=shop", "--word-interval", "30ms", "--journal", &journal];
-        fleet.add_upstream(name, "giza", &flags);
-    }
-    for instance in &fleet.instances {
-        let headers = [("idempotency-key", instance.addresses.name.as_str())];
-        wait_for("quorum", || {
-            let address = instance.addresses.callers;
-            let answer = post(address, BOOKINGS, &headers, &booking("nobody")).ok()?;
-            (answer.status == 200).then_some(())
-        });
-    }
+    fleet.add_shop("shop-1");
+    fleet.add_shop("shop-2");
+    fleet.wait_quorum();
     fleet
 }
 
@@ -189,7 +168,7 @@
 
 fn run_seed(seed: u64) -> Counts {
     let mut fleet = fleet();
-    let journal = fleet.folder.path().join("journal");
+    let journal = fleet.journal();
     let addresses: Vec<SocketAddr> =
         fleet.instances.iter().map(|instance| instance.addresses.callers).collect();
     let finished = AtomicBool::new(false);
