--- a/crates/command/src/commands/fleet.rs
+++ b/crates/command/src/commands/fleet.rs
@@ -48,9 +48,9 @@
         let columns = ["instance", "data_centre", "answers", "revision", "active_requests"];
         print_rows(&columns, &instances["instances"]);
         println!();
-        let columns = ["upstream", "data_centre", "address", "slots", "in_flight", "running"];
-        let flags = ["waiting", "is_leaving", "is_drained"];
-        print_rows(&[columns.as_slice(), &flags].concat(), &upstreams);
+        let columns = ["upstream", "data_centre", "owner", "address", "slots", "in_flight"];
+        let more = ["running", "waiting", "is_leaving", "is_drained"];
+        print_rows(&[columns.as_slice(), &more].concat(), &upstreams);
         Ok(Exit::Done)
     }
 }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -11,6 +11,7 @@
 mod listing;
 mod members;
 mod operators;
+mod orders;
 mod placer;
 mod problem;
 mod replica;
--- a/tests/support/declaring.rs
+++ b/tests/support/declaring.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{Value, json};
 
-use super::{Fleet, PATIENCE, Plan, declarations, wait_for};
+use super::{Fleet, Plan, declarations, wait_for};
 
 pub const AMAL: &str = "token-of-amal-for-tests";
 pub const BERT: &str = "token-of-bert-for-tests";
@@ -16,6 +16,9 @@
 /// Target through restarts and cuts that heal.
 pub const HEALED: Duration = Duration::from_secs(17);
 
+/// How long an operator waits for one instance before the order is sent to another.
+const CALL_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// A fleet with the operators amal and bert and one voter.
 pub fn declaring(data_centres: &[&str]) -> Plan {
     let tokens = json!({ "amal": AMAL, "bert": BERT });
@@ -33,7 +36,7 @@
     ureq::Agent::config_builder()
         .http_status_as_error(false)
         .proxy(None)
-        .timeout_global(Some(PATIENCE))
+        .timeout_global(Some(CALL_TIMEOUT))
         .build()
         .new_agent()
 }
