--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -201,7 +201,9 @@
         let entries = self.directory.registry().iter();
         let upstreams: Vec<Listed<'_>> = entries
             .map(|entry| {
-                let in_flight = self.in_flight(&entry.announcement.upstream);
+                let upstream = &entry.announcement.upstream;
+                let held = self.node.held().filter(|(_, held)| *held == upstream);
+                let in_flight = u32::try_from(held.count()).unwrap_or(u32::MAX);
                 Listed::new(entry, in_flight, &self.declarations)
             })
             .collect();
