Say may-have-run when an earlier attempt may have run; tell when to come back

Cause: a chat whose first attempt broke and that found no second upstream was refused as not run; and failures of work that may be repeated did not say when to come back.

--- a/crates/instance/src/router/active.rs
+++ b/crates/instance/src/router/active.rs
@@ -57,6 +57,8 @@
     pub(super) has_started: bool,
     /// Whether no earlier request with the same idempotency key can have run.
     pub(super) is_first: bool,
+    /// Whether an earlier attempt may have run.
+    pub(super) may_have_run: bool,
 }
 
 impl Calling {
@@ -100,6 +102,7 @@
             fence: None,
             has_started: false,
             is_first,
+            may_have_run: false,
         }
     }
 
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -159,6 +159,7 @@
     }
 
     fn take_step(&mut self, cx: CX![], index: usize, step: Step, verdict: Verdict, reason: &str) {
+        self.active[index].may_have_run |= verdict == Verdict::MayHaveRun;
         if let Some(calling) = self.active[index].calling() {
             log::debug!("upstream {}: {reason}", calling.permit.upstream);
         }
@@ -169,19 +170,21 @@
                 self.place_later(cx, index);
             }
             Step::Refuse | Step::Cut => {
-                let problem = self.upstream_failed(cx, verdict, reason);
+                let problem = self.upstream_failed(cx, index, verdict, reason);
                 self.refuse(index, problem);
             }
         }
     }
 
-    fn upstream_failed(&self, cx: CX![], verdict: Verdict, reason: &str) -> Problem {
+    /// The failure of the last attempt, with the time to come back where that can do no harm.
+    fn upstream_failed(&self, cx: CX![], index: usize, verdict: Verdict, reason: &str) -> Problem {
         let message = format!("the upstream failed: {reason}");
-        let (status, code) = (Status::BAD_GATEWAY, "upstream_failed");
-        match verdict {
-            Verdict::NotRun => Problem::not_run(status, code, message)
-                .with_retry_after(self.budget.next_retry(cx.now())),
-            _ => Problem::may_have_run(status, code, message),
+        let not_run = Problem::not_run(Status::BAD_GATEWAY, "upstream_failed", message);
+        let problem = Problem { verdict, ..not_run };
+        if verdict.allows_retry(self.active[index].route.is_idempotent) {
+            problem.with_retry_after(self.budget.next_retry(cx.now()))
+        } else {
+            problem
         }
     }
 
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -236,10 +236,8 @@
         let active = &self.active[index];
         match &active.phase {
             Phase::Claiming | Phase::Recording(_) => {}
-            Phase::Placing if active.attempts == 0 || !active.route.is_idempotent => {
-                self.refuse(index, Problem::not_run(status, code, message));
-            }
-            _ => self.refuse(index, Problem::may_have_run(status, code, message)),
+            Phase::Placing => self.refuse(index, Problem::not_run(status, code, message)),
+            Phase::Calling(_) => self.refuse(index, Problem::may_have_run(status, code, message)),
         }
     }
 
@@ -249,11 +247,12 @@
         self.give_reply(index, problem);
     }
 
-    /// Gives the caller a problem, which says `not-run` only if no earlier request with the same
-    /// key can have run.
+    /// Gives the caller a problem, which says `not-run` only if no earlier attempt and no earlier
+    /// request with the same key can have run.
     fn give_reply(&mut self, index: usize, problem: Problem) {
         let active = &self.active[index];
-        let problem = if active.is_first { problem } else { problem::of_resend(problem) };
+        let is_certain = active.is_first && !active.may_have_run;
+        let problem = if is_certain { problem } else { problem::of_resend(problem) };
         let verdict = problem.verdict;
         if active.has_started {
             active.reply.fwd(Reply::Cut);
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -203,6 +203,16 @@
     assert!(started.elapsed() < Duration::from_secs(5));
 }
 
+#[test]
+fn a_refusal_after_an_attempt_that_may_have_run_says_so() {
+    let fleet = fleet(1);
+    set_fault(fleet.upstreams[0].address, "cut:0");
+    let address = fleet.instances[0].addresses.callers;
+    let answer = post(address, CHAT, &[], &chat("once", 4, false)).unwrap();
+    assert_eq!(answer.verdict.as_deref(), Some("may-have-run"), "{answer:?}");
+    assert!(answer.retry_after.is_some(), "{answer:?}");
+}
+
 #[test_case(true; "before the first byte")]
 #[test_case(false; "in the middle of the stream")]
 fn a_caller_that_leaves_cancels_the_work(is_silent: bool) {
