Learn service times by kind of work instead of by token

Each kind keeps a line of service time by cost through moving averages, used from its fourth sample on; queues drain by the kind's mean rate. Ruled out: the mean time of a kind alone (long reports beside short ones).

--- a/crates/admission/src/ranked/lane.rs
+++ b/crates/admission/src/ranked/lane.rs
@@ -6,6 +6,7 @@
 use names::Kind;
 
 use super::accounts::AccountId;
+use super::pace::Pace;
 use crate::{Ticket, Tokens};
 
 /// Parts of a token in which credit is counted: one percent of it.
@@ -33,6 +34,7 @@
     pub(super) rank: Rank,
     pub(super) least_share_percent: u32,
     pub(super) running: u32,
+    pub(super) pace: Pace,
     waiting: usize,
     waiting_tokens: u64,
     credit: i64,
@@ -47,6 +49,7 @@
             rank,
             least_share_percent: 0,
             running: 0,
+            pace: Pace::default(),
             waiting: 0,
             waiting_tokens: 0,
             credit: 0,
--- a/crates/admission/src/ranked/mod.rs
+++ b/crates/admission/src/ranked/mod.rs
@@ -11,7 +11,7 @@
 use crate::{Decision, Desk, Offer, Step, Ticket, Tokens};
 use accounts::{AccountId, Accounts};
 use lane::Lane;
-use pace::Pace;
+use pace::{Pace, drain};
 use store::{Store, Waiting};
 
 /// Shortest time after which a refused caller is asked to come back.
@@ -80,7 +80,8 @@
     /// How long until the next running request ends.
     fn next_end(&self, now: Instant) -> Duration {
         let ends = self.running.iter().map(|running| {
-            let end = running.started + self.pace.service(running.cost.0);
+            let pace = &self.lanes[running.lane].pace;
+            let end = running.started + pace.service(running.cost);
             end.saturating_duration_since(now)
         });
         if self.has_room() { Duration::ZERO } else { ends.min().unwrap_or_default() }
@@ -96,28 +97,33 @@
         };
         let own = lane.tokens_before(account, deadline);
         let fair = own + (own + cost).saturating_mul(others) / weight;
-        let tokens_in = |rank| {
-            let same = self.lanes.iter().filter(move |other| other.rank == rank);
-            same.map(Lane::waiting_tokens).sum::<u64>()
-        };
+        let is_same = |other: &&Lane| other.rank == lane.rank;
+        let in_rank = self.lanes.iter().filter(is_same).map(Lane::waiting_tokens).sum();
         let above = self.lanes.iter().filter(|other| other.rank < lane.rank);
-        let ahead = above.map(Lane::waiting_tokens).sum::<u64>() + fair.min(tokens_in(lane.rank));
+        let ahead = above.map(|other| self.work(other, other.waiting_tokens())).sum::<Duration>();
+        let ahead = ahead + self.work(lane, fair.min(in_rank));
         let below = self.lanes.iter().filter(|other| other.rank > lane.rank && other.waiting() > 0);
         let kept: u32 = below.map(|other| other.least_share_percent).sum();
-        let ranked = self.pace.drain(ahead, self.room, 100_u32.saturating_sub(kept));
+        let ranked = drain(ahead, self.room, 100_u32.saturating_sub(kept));
         if lane.least_share_percent == 0 {
             return ranked;
         }
-        let share = fair.min(lane.waiting_tokens());
-        ranked.min(self.pace.drain(share, self.room, lane.least_share_percent))
+        let share = self.work(lane, fair.min(lane.waiting_tokens()));
+        ranked.min(drain(share, self.room, lane.least_share_percent))
+    }
+
+    /// How long one slot takes for `tokens` of `lane`.
+    fn work(&self, lane: &Lane, tokens: u64) -> Duration {
+        let pace = if lane.pace.is_known() { &lane.pace } else { &self.pace };
+        pace.work(tokens)
     }
 
     /// When a caller of `lane` should come back: when what waits before it is served.
     fn retry_after(&self, lane: usize) -> Duration {
         let rank = self.lanes[lane].rank;
         let ahead = self.lanes.iter().filter(|other| other.rank <= rank);
-        let tokens = ahead.map(Lane::waiting_tokens).sum();
-        clamp(self.pace.drain(tokens, self.room, 100))
+        let work = ahead.map(|other| self.work(other, other.waiting_tokens())).sum();
+        clamp(drain(work, self.room, 100))
     }
 
     fn start(&mut self, now: Instant, ticket: Ticket, lane: usize, account: AccountId, cost: u64) {
@@ -237,7 +243,7 @@
             self.start(now, ticket, lane, account, cost.0);
             return Decision::Run;
         }
-        let service = self.pace.service(cost.0);
+        let service = self.lanes[lane].pace.service(cost);
         let wait = self.next_end(now) + self.forecast(lane, account, deadline, cost.0);
         let ready = now + wait + service;
         if ready >= deadline {
@@ -257,8 +263,12 @@
             return;
         };
         let running = self.running.remove(index);
-        self.pace.observe(used, now.saturating_duration_since(running.started));
-        let Running { lane, account, cost, .. } = running;
+        let Running { lane, account, cost, started, .. } = running;
+        if used > Tokens(0) {
+            let elapsed = now.saturating_duration_since(started);
+            self.pace.observe(cost, elapsed);
+            self.lanes[lane].pace.observe(cost, elapsed);
+        }
         self.lanes[lane].running -= 1;
         let rank = self.lanes[lane].rank;
         let old = self.accounts.counter(account, rank);
--- a/crates/admission/tests/ranked.rs
+++ b/crates/admission/tests/ranked.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use admission::{Decision, Offer, Ranked};
+use admission::{Decision, Desk, Offer, Ranked, Ticket, Tokens};
 use declare::Rank;
 use proptest::prelude::*;
 use support::{MILLISECOND, Model, offer, tokens_of};
@@ -202,12 +202,16 @@
     }
 }
 
-/// A desk with one slot that knows its pace and has 1,000 tokens running and 500 waiting.
+/// A desk with one slot that knows its pace of a millisecond a token, and has 1,000 tokens running
+/// and 500 waiting.
 fn busy() -> Model {
     let mut model = model(1, 10);
     let deadline = model.now + FAR;
-    model.offer(offer(1, "first", Rank::Normal, 100, deadline));
-    model.finish_one();
+    for (ticket, rank) in [Rank::Normal, Rank::Urgent].into_iter().cycle().take(8).enumerate() {
+        let cost = 50 + 50 * ticket as u64 / 2;
+        model.offer(offer(100 + ticket as u64, "first", rank, cost, deadline));
+        model.finish_one();
+    }
     model.offer(offer(2, "first", Rank::Normal, 1000, deadline));
     model.offer(offer(3, "first", Rank::Normal, 500, deadline));
     model
@@ -259,3 +263,24 @@
     assert_eq!(decision, Decision::Wait);
     assert_eq!(model.waiting_of("deferrable"), 1);
 }
+
+/// Service times that hardly grow with the cost, as when prompts are cached, are learnt as such.
+#[test]
+fn a_long_prompt_is_not_taken_for_long_work() {
+    let room = 2;
+    let mut desk = Ranked::new(room, 10);
+    let mut now = std::time::Instant::now();
+    for ticket in 0..20 {
+        let deadline = now + FAR;
+        desk.offer(now, offer(ticket, "survey", Rank::Urgent, 100 + 80 * ticket, deadline));
+        now += MILLISECOND * 400;
+        desk.finish(now, Ticket(ticket), Tokens(1));
+    }
+    for ticket in [100, 101] {
+        let deadline = now + FAR;
+        desk.offer(now, offer(ticket, "survey", Rank::Urgent, 200, deadline));
+    }
+    let deadline = now + MILLISECOND * 1500;
+    let decision = desk.offer(now, offer(102, "survey", Rank::Urgent, 1600, deadline));
+    assert_eq!(decision, Decision::Wait);
+}
