--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -7,7 +7,7 @@
 use declare::Declarations;
 use entry::{Bounds, Server};
 use eventloop::mailbox;
-use names::Incarnation;
+use names::{Incarnation, Instance};
 use operator::Response;
 use settings::Settings;
 use stakker::{ActorOwn, CX, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop};
@@ -20,6 +20,7 @@
 use crate::limits::Limits;
 use crate::members::{Members, View};
 use crate::operators::{Ask, Operators};
+use crate::orders::Orders;
 use crate::placer::Placer;
 use crate::replica::Replica;
 use crate::router::Router;
@@ -51,6 +52,7 @@
     config: ActorOwn<Config>,
     claims: ActorOwn<Claims>,
     members: ActorOwn<Members>,
+    orders: ActorOwn<Orders>,
     is_stopping: bool,
 }
 
@@ -96,9 +98,10 @@
             traffic,
         });
         let deliver = fwd_to!([cx], deliver() as (Delivery));
+        let lost = fwd_to!([cx], lose() as (Instance));
         let hub = actor!(
             cx,
-            Hub::init(identity, bound.peers, deliver),
+            Hub::init(identity, bound.peers, deliver, lost),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         for peer in &settings.peers {
@@ -141,7 +144,13 @@
             ),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let orders = actor!(
+            cx,
+            Orders::init(settings.clone(), placer.clone(), replica.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let in_force = vec![
+            fwd_to!([orders], set_declarations() as (Rc<Declarations>)),
             fwd_to!([router], set_declarations() as (Rc<Declarations>)),
             fwd_to!([placer], set_declarations() as (Rc<Declarations>)),
             fwd_to!([limits], set_declarations() as (Rc<Declarations>)),
@@ -189,6 +198,7 @@
             config,
             claims,
             members,
+            orders,
             is_stopping: false,
         })
     }
@@ -207,15 +217,21 @@
     fn set_view(&mut self, _: CX![], view: View) {
         call!([self.config], set_members(view.members.clone()));
         call!([self.limits], set_view(view.clone()));
+        call!([self.orders], set_view(view.clone()));
         call!([self.placer], set_view(view));
     }
 
+    /// Takes note that the connection of a peer ended.
+    fn lose(&mut self, _: CX![], instance: Instance) {
+        call!([self.placer], lose(instance));
+    }
+
     /// Hands a message of a peer to the slice that it belongs to.
     fn deliver(&mut self, _: CX![], delivery: Delivery) {
         match delivery.slice {
             Slice::Membership => call!([self.members], deliver(delivery)),
             Slice::Upstream | Slice::Permit | Slice::Load => {
-                call!([self.placer], deliver(delivery))
+                call!([self.placer], deliver(delivery));
             }
             Slice::Account => call!([self.limits], deliver(delivery)),
             Slice::State => call!([self.replica], deliver(delivery)),
@@ -257,6 +273,7 @@
             ("POST", "/cache-events") => call!([self.caches], take(ask)),
             ("POST", "/cache-snapshot") => call!([self.caches], reset(ask)),
             ("POST", "/load") => call!([self.placer], report(ask)),
+            ("GET", "/rollouts") => call!([self.orders], list(ask)),
             ("GET", "/members") => call!([self.members], list(ask)),
             ("GET", "/upstreams") => call!([self.placer], list(ask)),
             ("GET", "/fleet") => call!([self.config], list_instances(ask)),
@@ -280,6 +297,8 @@
         }
         log::info!("instance {} stops", self.settings.instance);
         self.is_stopping = true;
+        call!([self.members], drain());
+        call!([self.placer], drain());
         call!([self.router], drain());
         call!([self.replica], retire());
         let drained = fwd_to!([cx], finish_stop() as (()));
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -24,6 +24,7 @@
 use crate::placer::{Placed, Placer, Wanted};
 use crate::problem;
 use active::{Active, Phase};
+pub(crate) use route::Route;
 use route::{resolve, stopping};
 
 /// Sends events of the calls' threads into the event loop.
@@ -55,6 +56,8 @@
     budget: Budget,
     health: Health,
     active: Vec<Active>,
+    /// The running attempts, sorted, and their requests.
+    calls: Vec<(Attempt, names::Request)>,
     is_draining: bool,
 }
 
@@ -82,6 +85,7 @@
             budget,
             health: Health::default(),
             active: Vec::new(),
+            calls: Vec::new(),
             is_draining: false,
         })
     }
@@ -110,7 +114,8 @@
     }
 
     fn find_attempt(&self, attempt: Attempt) -> Option<usize> {
-        self.active.iter().position(|active| active.is_calling(attempt))
+        let index = self.calls.binary_search_by(|call| call.0.cmp(&attempt)).ok()?;
+        self.find(self.calls[index].1)
     }
 
     fn arrive(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
@@ -181,8 +186,7 @@
             active.avoids_unhealthy = !avoided.is_empty();
             tried.extend(avoided);
         }
-        let wanted =
-            Wanted { target: active.route.target.clone(), key: active.route.placement_key, tried };
+        let wanted = Wanted::new(id, &active.route, tried);
         let placed = ret_some_to!([cx], placed(id) as (Placed));
         call!([self.placer], place(wanted, placed));
     }
@@ -197,8 +201,8 @@
         let service = &self.active[index].route.service;
         match placed {
             Placed::Granted(permit) => self.call(cx, index, permit),
-            Placed::Full => {
-                let problem = problem::overloaded(service);
+            Placed::Full { retry_after } => {
+                let problem = problem::busy(service, retry_after);
                 self.not_placed(cx, index, problem);
             }
             Placed::NoUpstream => {
@@ -283,6 +287,7 @@
             std::mem::replace(&mut self.active[index].phase, Phase::Placing)
         {
             calling.handle.cancel();
+            self.calls.retain(|call| call.0 != calling.attempt);
             call!([self.placer], release(calling.permit));
         }
     }
@@ -290,6 +295,7 @@
     fn finish(&mut self, index: usize, verdict: Verdict) {
         self.release(index);
         let active = self.active.remove(index);
+        call!([self.placer], withdraw(active.id));
         self.metrics.active.dec();
         self.metrics.count_request(&RequestLabels {
             rank: active.route.rank.to_string(),
