Count the answer into a request's cost, and bound the cost

Cause: the placer charged the prompt alone, so an account that asks long answers to short prompts was served more than its share; and an absurd max_tokens would have overflowed the credit of kinds.

The cost is the prompt's bytes by four and max_tokens, 256 where none is given; the desk charges at most 2^32 tokens for one request.

--- a/crates/admission/src/ranked/mod.rs
+++ b/crates/admission/src/ranked/mod.rs
@@ -20,6 +20,9 @@
 /// Longest time after which a refused caller is asked to come back.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
+/// Most tokens that one request is charged, whatever its caller asks for.
+const MAX_COST: Tokens = Tokens(1 << 32);
+
 #[derive(Debug)]
 struct Running {
     ticket: Ticket,
@@ -234,7 +237,8 @@
     fn offer(&mut self, now: Instant, offer: Offer) -> Decision {
         let lane = self.find_lane(&offer);
         let account = self.accounts.enter(&offer.account, offer.weight);
-        let Offer { ticket, deadline, cost, .. } = offer;
+        let Offer { ticket, deadline, .. } = offer;
+        let cost = offer.cost.min(MAX_COST);
         if deadline <= now {
             return Decision::Refuse { retry_after: self.retry_after(lane) };
         }
@@ -272,7 +276,7 @@
         self.lanes[lane].running -= 1;
         let rank = self.lanes[lane].rank;
         let old = self.accounts.counter(account, rank);
-        self.accounts.finish(account, rank, cost.0, used.0);
+        self.accounts.finish(account, rank, cost.0, used.min(MAX_COST).0);
         self.move_account(account, lane, old);
     }
 
--- a/crates/admission/tests/ranked.rs
+++ b/crates/admission/tests/ranked.rs
@@ -284,3 +284,16 @@
     let decision = desk.offer(now, offer(102, "survey", Rank::Urgent, 1600, deadline));
     assert_eq!(decision, Decision::Wait);
 }
+
+#[test]
+fn an_absurd_cost_is_bounded() {
+    let mut model = model(1, 10);
+    let deadline = model.now + FAR;
+    let absurd = offer(1, "greedy", Rank::Normal, u64::MAX, deadline);
+    let absurd = Offer { least_share_percent: 50, ..absurd };
+    let now = model.now;
+    assert_eq!(model.desk.offer(now, absurd.clone()), Decision::Run);
+    assert_eq!(model.desk.offer(now, Offer { ticket: Ticket(2), ..absurd }), Decision::Wait);
+    model.desk.finish(now, Ticket(1), Tokens(u64::MAX));
+    assert_eq!(model.desk.next(now), [admission::Step::Run(Ticket(2))]);
+}
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -54,6 +54,12 @@
     cost: Tokens,
 }
 
+/// Tokens of the prompt and, at most, of the answer.
+fn expected_cost(route: &Route) -> Tokens {
+    let prompt = 1 + route.body.len() as u64 / BYTES_PER_TOKEN;
+    Tokens(prompt.saturating_add(route.answer_tokens))
+}
+
 impl Wanted {
     pub(crate) fn new(id: names::Request, route: &Route, tried: Vec<Upstream>) -> Self {
         Self {
@@ -65,7 +71,7 @@
             kind: route.kind.clone(),
             rank: route.rank,
             deadline: route.deadline,
-            cost: Tokens(1 + route.body.len() as u64 / BYTES_PER_TOKEN),
+            cost: expected_cost(route),
         }
     }
 }
--- a/crates/instance/src/router/route.rs
+++ b/crates/instance/src/router/route.rs
@@ -35,6 +35,8 @@
     pub(crate) target: Target,
     pub(crate) placement_key: u64,
     pub(crate) streams: bool,
+    /// Most tokens of the answer, for its expected cost.
+    pub(crate) answer_tokens: u64,
     pub(crate) is_idempotent: bool,
     /// What it claims, when it has an idempotency key.
     pub(crate) ticket: Option<Ticket>,
@@ -63,12 +65,17 @@
     }
 }
 
+/// Tokens of an answer when the request does not say.
+const DEFAULT_ANSWER_TOKENS: u64 = 256;
+
 /// The part of a chat-completions request that routing uses.
 #[derive(Deserialize)]
 struct Chat {
     model: String,
     #[serde(default)]
     stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u64>,
     messages: Vec<serde_json::Value>,
 }
 
@@ -160,6 +167,7 @@
         target: service.target.clone(),
         placement_key,
         streams: chat.stream,
+        answer_tokens: chat.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
         is_idempotent: true,
         ticket: None,
         is_first: true,
@@ -211,6 +219,7 @@
         target: service.target.clone(),
         placement_key: request.id.0,
         streams: false,
+        answer_tokens: 0,
         is_idempotent,
         ticket,
         is_first,
