Count a holder's releases at owners that it lost from view

Releases go to all that count a permit, members or not. An owner that returns to view is told at once what is held, up to the newest permit that it gave. A run that has ended for certain is forgotten with its numbers.

--- a/crates/permit/src/holder.rs
+++ b/crates/permit/src/holder.rs
@@ -22,6 +22,9 @@
 /// How long an owner that was asked is told what is held.
 const CONTACT_MEMORY: Duration = Duration::from_secs(15);
 
+/// How long the newest permit of an owner is remembered, also while it is lost from view.
+const NEWEST_MEMORY: Duration = Duration::from_secs(120);
+
 /// When to ask again after no owner could be reached.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -29,7 +32,7 @@
 struct Held {
     permit: PermitId,
     upstream: Upstream,
-    /// Instances that count the permit.
+    /// Instances that count the permit, also those lost from view: they may live.
     counted_by: Vec<Instance>,
 }
 
@@ -38,6 +41,7 @@
     owner: Instance,
     newest: Option<PermitId>,
     until: Instant,
+    forget_at: Instant,
 }
 
 /// Requests that wait for a permit, and permits in use.
@@ -45,6 +49,7 @@
     walks: Vec<Walk>,
     held: Vec<Held>,
     contacts: Vec<Contact>,
+    members: Vec<Instance>,
     policy: Box<dyn Policy>,
     next_number: u64,
     next_reconcile: Instant,
@@ -57,6 +62,7 @@
             walks: Vec::new(),
             held: Vec::new(),
             contacts: Vec::new(),
+            members: Vec::new(),
             policy,
             next_number: u64::from(random.random::<u32>()) << 32,
             next_reconcile: now + RECONCILE_PERIOD,
@@ -128,12 +134,17 @@
 
     fn contact(&mut self, now: Instant, owner: &Instance, newest: Option<PermitId>) {
         let until = now + CONTACT_MEMORY;
+        let forget_at = now + NEWEST_MEMORY;
         match self.contacts.iter_mut().find(|contact| contact.owner == *owner) {
             Some(contact) => {
                 contact.until = until;
+                contact.forget_at = forget_at;
                 contact.newest = newest.max(contact.newest);
             }
-            None => self.contacts.push(Contact { owner: owner.clone(), newest, until }),
+            None => {
+                let owner = owner.clone();
+                self.contacts.push(Contact { owner, newest, until, forget_at });
+            }
         }
     }
 
@@ -268,10 +279,6 @@
     /// Takes a change of the members: tells new owners what is held, and asks anew where an
     /// owner is gone.
     pub(crate) fn update(&mut self, context: Context<'_>, view: &View, out: &mut Out) {
-        for held in &mut self.held {
-            held.counted_by.retain(|owner| view.members.contains(owner));
-        }
-        self.contacts.retain(|contact| view.members.contains(&contact.owner));
         let uncounted: Vec<_> = self
             .held
             .iter()
@@ -279,6 +286,7 @@
             .map(|held| held.upstream.clone())
             .collect();
         self.report_to_owners(view, uncounted, out);
+        self.greet_returned(view, out);
         let is_gone = |pending: &Option<Pending>| {
             pending.as_ref().is_some_and(|pending| view.owner(&pending.upstream) != pending.owner)
         };
@@ -368,20 +376,45 @@
         let held = &self.held;
         let is_counted =
             |one: &Contact| held.iter().any(|held| held.counted_by.contains(&one.owner));
-        self.contacts.retain(|contact| contact.until > now || is_counted(contact));
+        self.contacts.retain(|contact| contact.forget_at > now || is_counted(contact));
         for contact in &self.contacts {
-            let mut reports: Vec<Report> = Vec::new();
-            for held in held.iter().filter(|held| held.counted_by.contains(&contact.owner)) {
-                match reports.iter_mut().find(|report| report.upstream == held.upstream) {
-                    Some(report) => report.permits.push(held.permit),
-                    None => reports.push(Report {
-                        upstream: held.upstream.clone(),
-                        permits: vec![held.permit],
-                        agrees: false,
-                    }),
-                }
+            if contact.until > now || is_counted(contact) {
+                out.send(&contact.owner, self.holding(contact));
+            }
+        }
+    }
+
+    /// All that is held of an owner.
+    fn holding(&self, contact: &Contact) -> Message {
+        let mut reports: Vec<Report> = Vec::new();
+        for held in self.held.iter().filter(|held| held.counted_by.contains(&contact.owner)) {
+            match reports.iter_mut().find(|report| report.upstream == held.upstream) {
+                Some(report) => report.permits.push(held.permit),
+                None => reports.push(Report {
+                    upstream: held.upstream.clone(),
+                    permits: vec![held.permit],
+                    agrees: false,
+                }),
             }
-            out.send(&contact.owner, Message::Holding { as_of: contact.newest, reports });
+        }
+        Message::Holding { as_of: contact.newest, reports }
+    }
+
+    /// Tells owners that were lost from view what was given back meanwhile.
+    fn greet_returned(&mut self, view: &View, out: &mut Out) {
+        let known = std::mem::replace(&mut self.members, view.members.clone());
+        let is_back =
+            |one: &&Contact| view.members.contains(&one.owner) && !known.contains(&one.owner);
+        for contact in self.contacts.iter().filter(is_back) {
+            out.send(&contact.owner, self.holding(contact));
+        }
+    }
+
+    /// Forgets the permits that an owner's run gave, which has ended.
+    pub(crate) fn forget(&mut self, owner: &Instance) {
+        self.contacts.retain(|contact| contact.owner != *owner);
+        for held in &mut self.held {
+            held.counted_by.retain(|other| other != owner);
         }
     }
 }
--- a/crates/permit/src/node.rs
+++ b/crates/permit/src/node.rs
@@ -183,6 +183,7 @@
     /// Takes note that that run of a member has ended for certain, and its calls with it.
     pub fn end_member(&mut self, context: Context<'_>, member: &Instance) -> Vec<Action> {
         self.owner.end_holder(context.now, member);
+        self.holder.forget(member);
         self.finish(context)
     }
 
--- a/crates/permit/src/owner.rs
+++ b/crates/permit/src/owner.rs
@@ -199,7 +199,8 @@
     ) {
         let first = PermitId(self.ids.first);
         let is_known = |permit: PermitId| {
-            permit >= first && as_of.is_some_and(|as_of| as_of >= first && permit <= as_of)
+            let is_of_run = |id: PermitId| id >= first && id.0 - first.0 < IDS_PER_RUN;
+            as_of.is_some_and(|as_of| is_of_run(as_of) && is_of_run(permit) && permit <= as_of)
         };
         for book in &mut self.books {
             let report = reports.iter().find(|report| report.upstream == book.upstream);
