--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -21,6 +21,7 @@
 use upstream::{Action, Announcement, Directory, Entry, Load, Message};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
 
+use crate::listing::Listed;
 use crate::members::View;
 use crate::operators::Ask;
 use crate::router::Route;
@@ -197,11 +198,24 @@
 
     /// Lists the known upstreams.
     pub(crate) fn list(&mut self, _: CX![], ask: Ask) {
-        let upstreams: Vec<_> =
-            self.directory.registry().iter().map(|entry| &entry.announcement).collect();
+        let entries = self.directory.registry().iter();
+        let upstreams: Vec<Listed<'_>> = entries
+            .map(|entry| {
+                let upstream = &entry.announcement.upstream;
+                let held = self.node.held().filter(|(_, held)| *held == upstream);
+                let in_flight = u32::try_from(held.count()).unwrap_or(u32::MAX);
+                Listed::new(entry, in_flight, &self.declarations)
+            })
+            .collect();
         ask.answer(Response::json(200, &upstreams));
     }
 
+    /// Gives the announcements of all known upstreams, in the order of their names.
+    pub(crate) fn announcements(&mut self, _: CX![], given: Ret<Vec<Announcement>>) {
+        let known = self.directory.registry().iter();
+        ret!([given], known.map(|entry| entry.announcement.clone()).collect());
+    }
+
     /// Passes the question for readiness on once this instance knows all upstreams of its data
     /// centre.
     pub(crate) fn ready(&mut self, cx: CX![], ask: Ask, next: Fwd<Ask>) {
