Let one request a second try an upstream that was avoided

Cause: when the time of an avoided upstream was over, all requests that were waiting went to it at once. Ruled out: a longer first avoidance (an upstream that recovers would wait for nothing); easing the test.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -42,6 +42,8 @@
     /// Times that it was avoided since it was last found healthy.
     avoidances: u32,
     avoided_until: Option<Instant>,
+    /// Whether a request was let through to see if it has recovered.
+    is_on_trial: bool,
     pace: Duration,
     observations: u32,
 }
@@ -55,6 +57,7 @@
         let doublings = self.avoidances.min(MAX_DOUBLINGS);
         self.avoided_until = Some(now + FIRST_AVOIDANCE * (1 << doublings));
         self.avoidances += 1;
+        self.is_on_trial = false;
         self.observations = 0;
         Finding::Avoided
     }
@@ -71,7 +74,10 @@
     pub fn succeeded(&mut self, service: &Service, upstream: &Upstream) {
         let entry = self.entry(service, upstream);
         entry.failures = 0;
-        if entry.avoided_until.is_none() {
+        if entry.is_on_trial {
+            entry.avoided_until = None;
+            entry.is_on_trial = false;
+        } else if entry.avoided_until.is_none() {
             entry.avoidances = 0;
         }
     }
@@ -80,8 +86,9 @@
     pub fn failed(&mut self, service: &Service, upstream: &Upstream, now: Instant) -> Finding {
         let entry = self.entry(service, upstream);
         entry.failures += 1;
-        let is_on_trial = entry.avoided_until.is_some_and(|until| until <= now);
-        if !entry.is_avoided(now) && (is_on_trial || entry.failures >= MAX_FAILURES) {
+        let has_lapsed = entry.avoided_until.is_some_and(|until| until <= now);
+        let is_unproven = entry.is_on_trial || has_lapsed;
+        if is_unproven || (!entry.is_avoided(now) && entry.failures >= MAX_FAILURES) {
             return entry.avoid(now);
         }
         Finding::Unchanged
@@ -102,27 +109,34 @@
             1 => pace,
             _ => (entry.pace * (PACE_WEIGHT - 1) + pace) / PACE_WEIGHT,
         };
-        if entry.is_avoided(now) || entry.observations < MIN_OBSERVATIONS {
+        let is_judged = entry.is_avoided(now) && !entry.is_on_trial;
+        if is_judged || entry.observations < MIN_OBSERVATIONS {
             return Finding::Unchanged;
         }
         match median {
             Some(median) if entry.pace > median * MAX_SLOWNESS => entry.avoid(now),
             _ => {
                 entry.avoided_until = None;
+                entry.is_on_trial = false;
                 Finding::Unchanged
             }
         }
     }
 
-    /// The upstreams of `service` to avoid at `now`: none when that would be more than half.
-    pub fn avoided(&self, service: &Service, now: Instant) -> Vec<Upstream> {
+    /// The upstreams of `service` that a request has to avoid at `now`: none when that would be
+    /// more than half. Once the time of one is over, one request a second is let through until it
+    /// has proved healthy.
+    pub fn avoided(&mut self, service: &Service, now: Instant) -> Vec<Upstream> {
         let known = self.entries.iter().filter(|entry| entry.service == *service).count();
-        let avoided: Vec<Upstream> = self
-            .entries
-            .iter()
-            .filter(|entry| entry.service == *service && entry.is_avoided(now))
-            .map(|entry| entry.upstream.clone())
-            .collect();
+        let mut avoided = Vec::new();
+        for entry in self.entries.iter_mut().filter(|entry| entry.service == *service) {
+            if entry.is_avoided(now) {
+                avoided.push(entry.upstream.clone());
+            } else if entry.avoided_until.is_some() {
+                entry.avoided_until = Some(now + FIRST_AVOIDANCE);
+                entry.is_on_trial = true;
+            }
+        }
         if avoided.len() * 2 > known { Vec::new() } else { avoided }
     }
 
@@ -161,6 +175,7 @@
             failures: 0,
             avoidances: 0,
             avoided_until: None,
+            is_on_trial: false,
             pace: Duration::ZERO,
             observations: 0,
         };
