Wait for the unknown outcome of a killed owner's claim; show why an instance is not ready

The test now asks until the outcome is unknown, checks that every answer says may-have-run and that nothing ran twice.

--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -162,7 +162,10 @@
     fleet.kill(2);
     assert!(caller.join().unwrap().is_err());
     set_fault(fleet.upstreams[0].address, "none");
-    let again = book(fleet.instances[0].addresses.callers, "k1", "Hassan").unwrap();
-    assert_eq!((again.status, again.verdict.as_deref()), (409, Some("may-have-run")), "{again:?}");
-    assert_eq!(runs(&fleet, "Hassan"), 1);
+    wait_for("unknown outcome", || {
+        let again = book(fleet.instances[0].addresses.callers, "k1", "Hassan").unwrap();
+        assert_eq!(again.verdict.as_deref(), Some("may-have-run"), "{again:?}");
+        assert_eq!(runs(&fleet, "Hassan"), 1);
+        (again.status == 409).then_some(())
+    });
 }
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use super::{API_KEY, PROGRAM, Process, Proxy, book, free_address, get, wait_for};
+use super::{API_KEY, PATIENCE, PROGRAM, Process, Proxy, book, free_address, get, wait_for};
 
 pub const FLEET_SECRET: &str = "a fleet secret for tests only";
 
@@ -207,9 +208,19 @@
         Process::start(&arguments, self.folder.path().join(format!("{name}.log")))
     }
 
+    /// Waits until an instance is ready; what it answered last and its log tell why it was not.
     pub fn wait_ready(&self, index: usize) {
-        let address = self.instances[index].addresses.operators;
-        wait_for("readiness", || get(address, "/readyz").ok());
+        let instance = &self.instances[index];
+        let deadline = Instant::now() + PATIENCE;
+        let mut answer = get(instance.addresses.operators, "/readyz");
+        while answer.is_err() {
+            if Instant::now() >= deadline {
+                let log = instance.process.log_text();
+                panic!("instance {index} is not ready within {PATIENCE:?}: {answer:?}\n{log}");
+            }
+            std::thread::sleep(Duration::from_millis(10));
+            answer = get(instance.addresses.operators, "/readyz");
+        }
     }
 
     /// Kills an instance without a word.
