--- a/crates/instance/src/limits.rs
+++ b/crates/instance/src/limits.rs
@@ -143,7 +143,7 @@
 
     /// The instance that shares the limit of `account`.
     fn coordinator(&self, account: AccountKey) -> Option<&Instance> {
-        self.instances.iter().max_by_key(|name| placement::weight(account.0, name.as_str()))
+        placement::chosen(account.0, &self.instances)
     }
 
     fn send(&self, addressee: &Instance, message: &Message) {
--- a/crates/instance/src/orders.rs
+++ b/crates/instance/src/orders.rs
@@ -14,7 +14,7 @@
 use names::{Attempt, Instance, Upstream};
 use operator::Response;
 use orders::{Engine, Order, Progress, Standing, Task};
-use placement::owner;
+use placement::{chosen, key_of};
 use rand::RngExt;
 use serde_json::json;
 use settings::{Role, Settings};
@@ -78,8 +78,7 @@
     ) -> Option<Self> {
         let events = fwd_to!([cx], progress() as (dispatch::Event));
         let pool = Pool::new(MAX_CALLS, Arc::new(Events(mailbox(cx, events))));
-        let resource = format!("orders/{}", settings.data_centre);
-        let holder = Holder::new(resource, settings.instance.clone(), LEASE_SPAN);
+        let holder = Holder::new(resource(&settings), settings.instance.clone(), LEASE_SPAN);
         after!(TICK, [cx], tick());
         Some(Self {
             settings,
@@ -157,11 +156,9 @@
     /// Whether this instance is the one of its data centre that contends for the lease.
     fn contends(&self) -> bool {
         let me = &self.settings.instance;
-        let Ok(resource) = format!("orders/{}", self.settings.data_centre).parse() else {
-            return false;
-        };
+        let key = key_of(&resource(&self.settings));
         let candidates = self.peers.iter().chain(std::iter::once(me));
-        self.settings.has_role(Role::Entry) && owner(&resource, candidates) == Some(me)
+        self.settings.has_role(Role::Entry) && chosen(key, candidates) == Some(me)
     }
 
     fn keep_lease(&mut self, cx: CX![]) {
@@ -252,6 +249,11 @@
     }
 }
 
+/// The name of the lease for orders of the instance's data centre.
+fn resource(settings: &Settings) -> String {
+    format!("orders/{}", settings.data_centre)
+}
+
 /// The engines that a rollout selects, with what they announce.
 fn selected(rollout: &Rollout, announcements: &[Announcement]) -> Vec<Engine> {
     let engines = announcements.iter().filter(|announced| {
--- a/crates/permit/src/owner.rs
+++ b/crates/permit/src/owner.rs
@@ -356,9 +356,8 @@
         Pool::Model(model) => model.to_string(),
         Pool::Upstreams(selector) => selector.to_string(),
     };
-    let key = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
-    let weight = |member: &&Instance| placement::weight(key, member.as_str());
-    view.owners.iter().max_by_key(weight).cloned()
+    let key = placement::key_of(&name);
+    placement::chosen(key, &view.owners).cloned()
 }
 
 fn send(out: &mut Out, answers: Vec<Answer>) {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,7 +18,7 @@
 pub use bounded::Bounded;
 pub use choice::Choice;
 pub use error::Error;
-pub use ownership::owner;
+pub use ownership::{chosen, key_of, owner};
 pub use policy::{Candidate, Knowledge, Policy};
 pub use rendezvous::{Rendezvous, weight};
 pub use spills::Spills;
