Keep free test ports free while other tests start processes

A test binds a port, lets it go and writes it into the settings. A process that another test starts in that moment holds a copy of the listener between fork and exec, so the instance cannot bind.

Change: one lock is held while a test starts a process and while it looks for a free port. Hosts repeat after 62,500 addresses instead of 250.

--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -44,7 +44,7 @@
         for address in &self.instances {
             command.args(["--instance", &address.to_string()]);
         }
-        command.output().unwrap()
+        support::output(&mut command)
     }
 
     fn json(&self, arguments: &[&str]) -> Value {
@@ -145,7 +145,7 @@
     let (example, _) = rest.split_once("```").unwrap();
     let example = example.replace("<64 hexadecimal digits>", &"0".repeat(64));
     let file = console.file("documented.yaml", &example).display().to_string();
-    let checked = Command::new(PROGRAM).args(["check", &file]).output().unwrap();
+    let checked = support::output(Command::new(PROGRAM).args(["check", &file]));
     assert_eq!(checked.status.code(), Some(0), "{}", text(&checked));
     assert_eq!(console.run(&["apply", &file, "--base", "0"]).status.code(), Some(0));
     let printed = console.run(&["get"]);
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
-use support::PROGRAM;
+use support::{PROGRAM, output};
 use test_case::test_case;
 
 fn files(folder: &Path) -> Vec<PathBuf> {
@@ -24,7 +24,7 @@
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples").join(name);
     let files = files(&folder);
     assert_eq!(files.len(), 7, "declarations and six settings");
-    let output = Command::new(PROGRAM).arg("check").args(&files).output().unwrap();
+    let output = output(Command::new(PROGRAM).arg("check").args(&files));
     let text = String::from_utf8_lossy(&output.stderr).into_owned();
     assert_eq!(output.status.code(), Some(0), "{text}");
 }
@@ -34,7 +34,7 @@
     let folder = tempfile::TempDir::new().unwrap();
     let path = folder.path().join("declarations.yaml");
     std::fs::write(&path, "kinds:\n  - name: a\n    rank: soon\n    deadline: 1s\n").unwrap();
-    let output = Command::new(PROGRAM).arg("check").arg(&path).output().unwrap();
+    let output = output(Command::new(PROGRAM).arg("check").arg(&path));
     let text = String::from_utf8_lossy(&output.stderr).into_owned();
     assert_eq!(output.status.code(), Some(3), "{text}");
     assert!(text.contains("declarations.yaml"), "{text}");
--- a/tests/measure.rs
+++ b/tests/measure.rs
@@ -43,7 +43,7 @@
     for engine in &engines {
         command.arg("--stand-in").arg(engine.to_string());
     }
-    let output = command.output().unwrap();
+    let output = support::output(&mut command);
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     let report: Value = serde_json::from_slice(&output.stdout).unwrap();
     for group in report["ranks"].as_array().unwrap() {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use super::{API_KEY, PATIENCE, PROGRAM, Process, Proxy, book, free_address, get, wait_for};
+use super::{API_KEY, PATIENCE, PROGRAM, Process, Proxy, book, free_address, get, spawn, wait_for};
 
 pub const FLEET_SECRET: &str = "a fleet secret for tests only";
 
@@ -107,12 +107,8 @@
 }
 
 pub fn key_hash(key: &str) -> String {
-    let mut child = Command::new(PROGRAM)
-        .arg("hash-key")
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .spawn()
-        .unwrap();
+    let mut command = Command::new(PROGRAM);
+    let mut child = spawn(command.arg("hash-key").stdin(Stdio::piped()).stdout(Stdio::piped()));
     std::io::Write::write_all(child.stdin.as_mut().unwrap(), key.as_bytes()).unwrap();
     drop(child.stdin.take());
     let output = child.wait_with_output().unwrap();
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -4,8 +4,9 @@
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How long a test waits for something that must happen.
@@ -15,6 +16,10 @@
 
 static NEXT_HOST: AtomicU32 = AtomicU32::new(0);
 
+/// Held while a process is started and while a free port is looked for: between fork and exec a
+/// child holds copies of all sockets, and a port that such a copy listens on is not free.
+static SOCKET_COPIES: Mutex<()> = Mutex::new(());
+
 /// A loopback host that no other process of this test run uses.
 fn next_host() -> Ipv4Addr {
     let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
@@ -22,7 +27,7 @@
     Ipv4Addr::new(
         127,
         1 + (process % 250) as u8,
-        (process / 250 % 250) as u8,
+        (number / 250 % 250) as u8,
         1 + (number % 250) as u8,
     )
 }
@@ -41,6 +46,7 @@
 
 /// A loopback address that no other process of this test run uses, with a free port.
 pub fn free_address() -> SocketAddr {
+    let _guard = SOCKET_COPIES.lock().unwrap_or_else(PoisonError::into_inner);
     bind_pair().0.local_addr().unwrap()
 }
 
@@ -56,6 +62,18 @@
     panic!("{what} did not happen within {PATIENCE:?}");
 }
 
+/// Starts a process while no free port is being looked for; returns once it runs its program.
+pub fn spawn(command: &mut Command) -> Child {
+    let _guard = SOCKET_COPIES.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().unwrap()
+}
+
+/// Runs a process to its end and gives what it printed.
+pub fn output(command: &mut Command) -> Output {
+    let command = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    spawn(command).wait_with_output().unwrap()
+}
+
 /// A process that is killed when the test ends.
 pub struct Process {
     child: Child,
@@ -64,12 +82,12 @@
 
 impl Process {
     pub fn start(arguments: &[String], log: PathBuf) -> Self {
-        let child = Command::new(PROGRAM)
-            .args(arguments)
-            .stdout(Stdio::piped())
-            .stderr(File::create(&log).unwrap())
-            .spawn()
-            .unwrap();
+        let child = spawn(
+            Command::new(PROGRAM)
+                .args(arguments)
+                .stdout(Stdio::piped())
+                .stderr(File::create(&log).unwrap()),
+        );
         Self { child, log }
     }
 
@@ -84,9 +102,9 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let status =
-            Command::new("kill").args([&format!("-{name}"), &self.id().to_string()]).status();
-        assert!(status.unwrap().success());
+        let number = self.id().to_string();
+        let ended = output(Command::new("kill").args([&format!("-{name}"), &number]));
+        assert!(ended.status.success(), "kill -{name} {number}");
     }
 
     pub fn kill(&mut self) {
