--- a/tests/support/declaring.rs
+++ b/tests/support/declaring.rs
@@ -59,8 +59,12 @@
 }
 
 pub fn try_declared(address: SocketAddr, path: &str) -> Option<Reply> {
+    try_declared_as(AMAL, address, path)
+}
+
+fn try_declared_as(token: &str, address: SocketAddr, path: &str) -> Option<Reply> {
     let request = agent().get(format!("http://{address}{path}"));
-    read(request.header("authorization", format!("Bearer {AMAL}")).call())
+    read(request.header("authorization", format!("Bearer {token}")).call())
 }
 
 /// Reads a page as amal.
@@ -88,7 +92,12 @@
 }
 
 pub fn revision_at(address: SocketAddr) -> Option<u64> {
-    let reply = try_declared(address, "/declarations")?;
+    revision_with(AMAL, address)
+}
+
+/// The revision in force, read with an operator's token.
+pub fn revision_with(token: &str, address: SocketAddr) -> Option<u64> {
+    let reply = try_declared_as(token, address, "/declarations")?;
     reply.body["revision"].as_u64()
 }
 
