Say when to ask again on the operators' port too

Cause: refusals on the operators' port carried no Retry-After, so scripts and upstreams had to guess, while callers' refusals name a time.

Every 503 and 504 of the operators' port (no leader, no quorum, not ready, learning, no voter, behind, stopping, no answer in time) now gets Retry-After in the one place where responses are made, so a new refusal cannot forget it. A load report that comes before its announcement passes by itself as well and names a time with its 400. Conflicts, unknown revisions and missing tokens need another request; they name none.

--- a/crates/instance/src/config/order.rs
+++ b/crates/instance/src/config/order.rs
@@ -178,7 +178,12 @@
                     "this instance does not have revision {current} yet; nothing changed, resend \
                      the order"
                 );
-                self.problem(503, "behind", &message, json!({ "verdict": "not-run" }))
+                self.problem(
+                    503,
+                    "behind",
+                    &message,
+                    json!({ "verdict": "not-run", "retry_after_ms": SOON.as_millis() as u64 }),
+                )
             }
             Outcome::Malformed => {
                 let message = "the changes do not fit the base revision; nothing changed; help: \
--- a/crates/instance/src/config/reading.rs
+++ b/crates/instance/src/config/reading.rs
@@ -113,8 +113,7 @@
     pub(super) fn take_told(&mut self, told: Told) {
         if let Ok(index) = self.passed.binary_search_by(|passed| passed.id.cmp(&told.id)) {
             let passed = self.passed.remove(index);
-            let content_type = "application/json".to_string();
-            passed.ask.answer(Response { status: told.status, content_type, body: told.body });
+            passed.ask.answer(Response::encoded(told.status, told.body));
         }
     }
 }
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -198,6 +198,9 @@
             .and_then(|load| self.directory.registry_mut().report(load));
         match reported {
             Ok(()) => ask.answer(Response::json(200, &json!({}))),
+            Err(error @ upstream::Error::Unknown { .. }) => {
+                ask.answer(Response::error(400, "invalid_load", error.to_string()).passing());
+            }
             Err(error) => ask.answer(Response::error(400, "invalid_load", error.to_string())),
         }
     }
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -82,12 +82,16 @@
 }
 
 fn respond(request: tiny_http::Request, response: Response) {
+    let mut headers = vec![("content-type", response.content_type)];
+    if let Some(wait) = response.retry_after {
+        headers.push(("retry-after", wait.as_secs().max(1).to_string()));
+    }
     let mut answer =
         tiny_http::Response::from_data(response.body).with_status_code(response.status);
-    let content_type =
-        tiny_http::Header::from_bytes(&b"content-type"[..], response.content_type.as_bytes());
-    if let Ok(header) = content_type {
-        answer.add_header(header);
+    for (name, value) in headers {
+        if let Ok(header) = tiny_http::Header::from_bytes(name.as_bytes(), value.as_bytes()) {
+            answer.add_header(header);
+        }
     }
     if let Err(error) = request.respond(answer) {
         log::debug!("response was not delivered: {error}");
--- a/tests/support/declaring.rs
+++ b/tests/support/declaring.rs
@@ -29,6 +29,7 @@
 #[derive(Debug)]
 pub struct Reply {
     pub status: u16,
+    pub retry_after: Option<String>,
     pub body: Value,
 }
 
@@ -44,8 +45,11 @@
 fn read(response: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Option<Reply> {
     let mut response = response.ok()?;
     let status = response.status().as_u16();
+    let retry_after = response.headers().get("retry-after");
+    let retry_after = retry_after.and_then(|value| Some(value.to_str().ok()?.to_string()));
     let text = response.body_mut().read_to_string().ok()?;
-    Some(Reply { status, body: serde_json::from_str(&text).unwrap_or(Value::String(text)) })
+    let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
+    Some(Reply { status, retry_after, body })
 }
 
 /// Posts an order; none when the answer was lost.
