--- a/crates/command/src/commands/apply.rs
+++ b/crates/command/src/commands/apply.rs
@@ -10,11 +10,13 @@
 
 const HELP: &str = "Makes declarations from files or folders the next revision; safe to resend";
 const EXAMPLES: &str = "Example: turmericrelay apply declarations/ --base 41 \
-                        --instance 10.0.0.1:8081 --token-file token";
+                        --instance 10.0.0.1:8081 --token-file token
+Example: turmericrelay apply declarations.yaml --base 41 --order night-1 --json";
 
 struct Apply {
     base: Revision,
     order: Option<Order>,
+    json: bool,
     fleet: Fleet,
     files: Vec<PathBuf>,
 }
@@ -24,9 +26,10 @@
         .help("Revision that the files build on; 0 for the first")
         .argument::<Revision>("REV");
     let order = fleet::order_flag();
+    let json = fleet::json_flag();
     let fleet = fleet::flags();
     let files = positional("FILE").help("Files and folders of YAML").some("give at least one file");
-    construct!(Apply { base, order, fleet, files })
+    construct!(Apply { base, order, json, fleet, files })
         .map(|apply| -> Box<dyn Command> { Box::new(apply) })
         .to_options()
         .descr(HELP)
@@ -39,10 +42,10 @@
 impl Command for Apply {
     fn run(&self) -> Result<Exit, Error> {
         let body = files::read_declarations(&self.files)?.to_yaml()?;
-        let order = fleet::announce_order(self.order.as_ref())?;
+        let order = fleet::announce_order(self.order.as_ref(), self.json)?;
         let path = format!("/declarations?base={}&order={order}", self.base);
         let answer = self.fleet.order(&path, &body)?;
-        println!("revision {}", answer["revision"]);
+        fleet::print_answer(&answer, self.json);
         Ok(Exit::Done)
     }
 }
--- a/crates/command/src/commands/diff.rs
+++ b/crates/command/src/commands/diff.rs
@@ -12,7 +12,7 @@
 
 const HELP: &str = "Shows what files would change, or the difference between two revisions";
 const EXAMPLES: &str = "Example: turmericrelay diff declarations.yaml
-Example: turmericrelay diff --from 40 --to 41";
+Example: turmericrelay diff --from 40 --to 41 --json";
 
 struct Diff {
     from: Option<Revision>,
--- a/crates/command/src/commands/drain.rs
+++ b/crates/command/src/commands/drain.rs
@@ -8,12 +8,13 @@
 
 const HELP: &str = "Declares that upstreams chosen by their labels get no new work; or ends that";
 const EXAMPLES: &str = "Example: turmericrelay drain --select 'rack=7,role in (decode, prefill)'
-Example: turmericrelay drain --select rack=7 --undo";
+Example: turmericrelay drain --select rack=7 --undo --json";
 
 struct Drain {
     select: Selector,
     undo: bool,
     order: Option<Order>,
+    json: bool,
     fleet: Fleet,
 }
 
@@ -21,8 +22,9 @@
     let select = long("select").help("Labels of the upstreams").argument::<Selector>("SELECTOR");
     let undo = long("undo").help("End the drain").switch();
     let order = fleet::order_flag();
+    let json = fleet::json_flag();
     let fleet = fleet::flags();
-    construct!(Drain { select, undo, order, fleet })
+    construct!(Drain { select, undo, order, json, fleet })
         .map(|drain| -> Box<dyn Command> { Box::new(drain) })
         .to_options()
         .descr(HELP)
@@ -42,10 +44,10 @@
             declarations.drains.push(self.select.clone());
         }
         let body = declarations.checked()?.to_yaml()?;
-        let order = fleet::announce_order(self.order.as_ref())?;
+        let order = fleet::announce_order(self.order.as_ref(), self.json)?;
         let answer =
             self.fleet.order(&format!("/declarations?base={base}&order={order}"), &body)?;
-        println!("revision {}", answer["revision"]);
+        fleet::print_answer(&answer, self.json);
         Ok(Exit::Done)
     }
 }
--- a/crates/command/src/commands/get.rs
+++ b/crates/command/src/commands/get.rs
@@ -8,7 +8,8 @@
 use crate::{Command, Entry, Error, Exit};
 
 const HELP: &str = "Prints the declarations in force, or those of an earlier revision, as YAML";
-const EXAMPLES: &str = "Example: turmericrelay get --revision 40 --token-file token";
+const EXAMPLES: &str = "Example: turmericrelay get --revision 40 --token-file token
+Example: turmericrelay get --json";
 
 struct Get {
     revision: Option<Revision>,
--- a/crates/command/src/commands/rollback.rs
+++ b/crates/command/src/commands/rollback.rs
@@ -7,12 +7,14 @@
 use crate::{Command, Entry, Error, Exit};
 
 const HELP: &str = "Makes a new revision with the content of an earlier one; safe to resend";
-const EXAMPLES: &str = "Example: turmericrelay rollback --to 40 --token-file token";
+const EXAMPLES: &str = "Example: turmericrelay rollback --to 40 --token-file token
+Example: turmericrelay rollback --to 40 --base 41 --json";
 
 struct Rollback {
     to: Revision,
     base: Option<Revision>,
     order: Option<Order>,
+    json: bool,
     fleet: Fleet,
 }
 
@@ -23,8 +25,9 @@
         .argument::<Revision>("REV")
         .optional();
     let order = fleet::order_flag();
+    let json = fleet::json_flag();
     let fleet = fleet::flags();
-    construct!(Rollback { to, base, order, fleet })
+    construct!(Rollback { to, base, order, json, fleet })
         .map(|rollback| -> Box<dyn Command> { Box::new(rollback) })
         .to_options()
         .descr(HELP)
@@ -36,14 +39,14 @@
 
 impl Command for Rollback {
     fn run(&self) -> Result<Exit, Error> {
-        let order = fleet::announce_order(self.order.as_ref())?;
+        let order = fleet::announce_order(self.order.as_ref(), self.json)?;
         let base = match self.base {
             Some(base) => base,
             None => self.fleet.revision()?,
         };
         let path = format!("/declarations/rollback?to={}&base={base}&order={order}", self.to);
         let answer = self.fleet.order(&path, "")?;
-        println!("revision {}", answer["revision"]);
+        fleet::print_answer(&answer, self.json);
         Ok(Exit::Done)
     }
 }
--- a/crates/command/src/fleet.rs
+++ b/crates/command/src/fleet.rs
@@ -11,6 +11,7 @@
 use ureq::Agent;
 
 use crate::Error;
+use crate::table::print_json;
 
 /// How long one instance may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -62,16 +63,30 @@
     long("json").help("Print JSON").switch()
 }
 
-/// The id given, or a new one; printed first, so that the order can be resent.
-pub(crate) fn announce_order(given: Option<&Order>) -> Result<Order, Error> {
+/// The id given, or a new one; printed first, so that the order can be resent. With `json`, it goes
+/// to standard error, as standard output carries the answer alone.
+pub(crate) fn announce_order(given: Option<&Order>, json: bool) -> Result<Order, Error> {
     let order = match given {
         Some(order) => order.clone(),
         None => format!("{:016x}", rand::rng().random::<u64>()).parse()?,
     };
-    println!("order {order}");
+    if json {
+        eprintln!("order {order}");
+    } else {
+        println!("order {order}");
+    }
     Ok(order)
 }
 
+/// Prints the answer to an order: the revision that it made.
+pub(crate) fn print_answer(answer: &Value, json: bool) {
+    if json {
+        print_json(answer);
+    } else {
+        println!("revision {}", answer["revision"]);
+    }
+}
+
 /// What to do after an answer, or the lack of one.
 enum Next {
     Done(Value),
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -152,3 +152,56 @@
     let printed = console.file("printed.yaml", &text(&printed)).display().to_string();
     assert_eq!(text(&console.run(&["diff", &printed])), "");
 }
+
+#[test]
+fn every_command_that_prints_an_answer_prints_it_as_json() {
+    let console = Console::new(fleet(&["giza"]));
+    let file = console.file("all.yaml", &declarations()).display().to_string();
+    let bad = console.file("bad.yaml", "kinds: [{name: a}]").display().to_string();
+    let in_force = |revision: u64| {
+        wait_for("revision in force", || {
+            (console.json(&["get"])["revision"] == revision).then_some(())
+        });
+    };
+    let applied = console.json(&["apply", &file, "--base", "0", "--order", "mine"]);
+    assert_eq!(applied, json!({ "order": "mine", "revision": 1 }));
+    in_force(1);
+    let drained = console.json(&["drain", "--select", "app=shop", "--order", "drain"]);
+    assert_eq!(drained, json!({ "order": "drain", "revision": 2 }));
+    let difference = console.json(&["diff", "--from", "1", "--to", "2"]);
+    assert_eq!(difference["changes"].as_array().unwrap().len(), 1, "{difference}");
+    in_force(2);
+    let rolled_back = console.json(&["rollback", "--to", "1", "--order", "back"]);
+    assert_eq!(rolled_back, json!({ "order": "back", "revision": 3 }));
+    in_force(3);
+    let declared = console.json(&["get"])["declarations"].take();
+    assert_eq!(declared["services"][0]["name"], "caption-small");
+    assert_eq!(console.json(&["history"])["history"].as_array().unwrap().len(), 3);
+    assert_eq!(console.json(&["audit"])["audit"].as_array().unwrap().len(), 3);
+    assert_eq!(console.json(&["fleet"])["instances"][0]["revision"], 3);
+    let checked = support::output(Command::new(PROGRAM).args(["check", "--json", &file, &bad]));
+    assert_eq!(checked.status.code(), Some(3));
+    let checked: Value = serde_json::from_slice(&checked.stdout).unwrap();
+    assert_eq!(checked["files"][0], json!({ "file": file, "valid": "declarations" }));
+    assert!(checked["files"][1]["error"].as_str().unwrap().contains("rank"), "{checked}");
+}
+
+#[test]
+fn every_command_has_help_and_an_example() {
+    let help = |arguments: &[&str]| {
+        text(&support::output(Command::new(PROGRAM).args(arguments).arg("--help")))
+    };
+    let whole = help(&[]);
+    let (_, commands) = whole.split_once("Available commands:").unwrap();
+    let (commands, _) = commands.split_once("Exit codes").unwrap();
+    let names: Vec<&str> =
+        commands.lines().filter_map(|line| line.split_whitespace().next()).collect();
+    assert!(names.contains(&"fleet"), "{whole}");
+    let prints_no_answer = ["serve", "dev", "hash-key", "stand-in"];
+    for name in names {
+        let page = help(&[name]);
+        assert!(page.contains(&format!("Example: turmericrelay {name}")), "{page}");
+        let has_json = page.contains("--json");
+        assert_eq!(has_json, !prints_no_answer.contains(&name), "{page}");
+    }
+}
