Export what operators watch and name each alert in a runbook

Cause: /metrics lacked time to the first token and between tokens, the queue, in-flight per upstream with its bound, cache reuse and ledger outcomes, and labelled counters were missing until their first event, so an alert could not see the first increase. A lone instance exported 0 members.

New: first_token_seconds and between_tokens_seconds by rank; for each owned upstream in-flight, bound and waiting, renewed once a second; cached and computed prompt blocks, which engines may add to their load reports (optional fields, so older reports stay valid); ledger decisions by outcome. Requests of declared kinds, watched refusals, ledger and proposal outcomes are shown at zero from the start. members starts at 1.

docs/RUNBOOK.md takes over the table of OPERATING.md: for each alert an expression, what it means, what to do; and all metrics. tests/runbook.rs holds page and instance together: each metric and label on the page is exported before the first request, each exported metric is on the page.

--- a/crates/instance/src/claims.rs
+++ b/crates/instance/src/claims.rs
@@ -3,12 +3,14 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use ledger::{Answer, Claimant, Clock, Command, Digest, End, Ledger, Next, Refusal, Reply, Ticket};
 use names::Attempt;
 use stakker::{Actor, CX, Fwd, at, call, fwd_to, ret_some_to};
 use state::{Index, Proposed};
+use telemetry::{LedgerOutcome, Metrics};
 use wire::Delivery;
 
 use crate::replica::{Part, Replica};
@@ -34,6 +36,22 @@
     Deliver,
 }
 
+impl Decision {
+    fn outcome(&self) -> LedgerOutcome {
+        match self {
+            Self::Run => LedgerOutcome::Claimed,
+            Self::Replay(_) => LedgerOutcome::Replayed,
+            Self::Deliver => LedgerOutcome::Recorded,
+            Self::Refuse(Refusal::NoQuorum) => LedgerOutcome::NoQuorum,
+            Self::Refuse(Refusal::Full { .. }) => LedgerOutcome::Full,
+            Self::Refuse(Refusal::Conflict) => LedgerOutcome::Conflict,
+            Self::Refuse(Refusal::Unknown) => LedgerOutcome::Unknown,
+            Self::Refuse(Refusal::StillRunning) => LedgerOutcome::StillRunning,
+            Self::Refuse(Refusal::Withdrawn) => LedgerOutcome::Withdrawn,
+        }
+    }
+}
+
 /// A keyed request.
 pub(crate) struct Keyed {
     pub(crate) ticket: Ticket,
@@ -53,6 +71,7 @@
 /// Claims keys before non-idempotent requests run, and records their results.
 pub(crate) struct Claims {
     replica: Actor<Replica>,
+    metrics: Arc<Metrics>,
     ledger: Rc<RefCell<Ledger>>,
     clock: Clock,
     entries: Vec<Entry>,
@@ -61,12 +80,12 @@
 }
 
 impl Claims {
-    pub(crate) fn init(cx: CX![], replica: Actor<Replica>) -> Option<Self> {
+    pub(crate) fn init(cx: CX![], replica: Actor<Replica>, metrics: Arc<Metrics>) -> Option<Self> {
         let ledger = Rc::new(RefCell::new(Ledger::default()));
         let applied = fwd_to!([cx], applied() as (Index));
         call!([replica], attach(Part::Ledger, ledger.clone(), applied));
         let clock = Clock::default();
-        Some(Self { replica, ledger, clock, entries: Vec::new(), recent: VecDeque::new() })
+        Some(Self { replica, metrics, ledger, clock, entries: Vec::new(), recent: VecDeque::new() })
     }
 
     /// Takes a message of a peer.
@@ -78,6 +97,7 @@
     pub(crate) fn claim(&mut self, cx: CX![], keyed: Keyed) {
         let Keyed { ticket, fence, deadline, decided } = keyed;
         if self.entries.len() >= MAX_CLAIMANTS {
+            self.metrics.ledger.count(LedgerOutcome::NoQuorum);
             decided.fwd(Decision::Refuse(Refusal::NoQuorum));
             return;
         }
@@ -229,6 +249,7 @@
 
     fn decide(&self, fence: Attempt, decision: Decision) {
         if let Ok(index) = self.find(fence) {
+            self.metrics.ledger.count(decision.outcome());
             self.entries[index].decided.fwd(decision);
         }
     }
--- a/crates/instance/src/listing.rs
+++ b/crates/instance/src/listing.rs
@@ -1,9 +1,11 @@
 //! Upstreams as operators see them.
 
 use declare::Declarations;
-use names::Instance;
+use names::{Instance, Upstream};
+use permit::Usage;
 use serde::Serialize;
-use upstream::{Announcement, Entry};
+use telemetry::{Owned, UpstreamSample};
+use upstream::{Announcement, Entry, Registry};
 
 /// An upstream as one instance knows it.
 #[derive(Serialize)]
@@ -39,3 +41,23 @@
         Self { owner, ..self }
     }
 }
+
+/// What the metrics show of the upstreams that are not gone. `usage` is sorted by name.
+pub(crate) fn samples(registry: &Registry, usage: &[Usage<'_>]) -> Vec<UpstreamSample> {
+    let owned = |upstream: &Upstream| {
+        let index = usage.binary_search_by(|used| used.upstream.cmp(upstream)).ok()?;
+        let Usage { in_flight, bound, waiting, .. } = usage[index];
+        Some(Owned { in_flight, bound, waiting })
+    };
+    let entries = registry.iter().map(|entry| {
+        let upstream = &entry.announcement.upstream;
+        let load = entry.load.as_ref();
+        UpstreamSample {
+            upstream: upstream.to_string(),
+            cached_blocks: load.map_or(0, |load| load.cached_blocks),
+            computed_blocks: load.map_or(0, |load| load.computed_blocks),
+            owned: owned(upstream),
+        }
+    });
+    entries.collect()
+}
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -21,7 +21,7 @@
 use upstream::{Action, Announcement, Directory, Entry, Load, Message};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport, decode, encode};
 
-use crate::listing::Listed;
+use crate::listing::{Listed, samples};
 use crate::members::View;
 use crate::operators::Ask;
 use crate::router::Route;
@@ -29,6 +29,9 @@
 /// How often the directory does what is due.
 const TICK: Duration = Duration::from_millis(50);
 
+/// How often the metrics of single upstreams are renewed.
+const SAMPLE_PERIOD: Duration = Duration::from_secs(1);
+
 /// A bound that no load reaches, in percent of the mean.
 const UNBOUNDED_PERCENT: u32 = 1_000_000;
 
@@ -118,6 +121,7 @@
     next_number: u64,
     outgoing: Vec<(Instance, Slice, Vec<permit::Message>)>,
     last_tick: Instant,
+    next_sample: Instant,
 }
 
 /// This instance's part in giving permits. Baselines of placement go without the load bound.
@@ -155,6 +159,7 @@
             next_number: 0,
             outgoing: Vec::new(),
             last_tick: cx.now(),
+            next_sample: cx.now(),
             directory,
             alone_at,
             has_members: false,
@@ -391,9 +396,20 @@
         let (owned, permits) = self.node.owned();
         self.metrics.membership.owned.set(i64::try_from(owned).unwrap_or(i64::MAX));
         self.metrics.membership.permits.set(i64::from(permits));
+        self.sample(cx.now());
         after!(TICK, [cx], tick());
     }
 
+    /// Renews the metrics of single upstreams, when it is time.
+    fn sample(&mut self, now: Instant) {
+        if now < self.next_sample {
+            return;
+        }
+        self.next_sample = now + SAMPLE_PERIOD;
+        let usage: Vec<_> = self.node.usage().collect();
+        self.metrics.by_upstream.set(samples(self.directory.registry(), &usage));
+    }
+
     /// Takes a step of the node and does what follows from it.
     fn step<F>(&mut self, cx: CX![], step: F)
     where
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -130,7 +130,7 @@
         );
         let claims = actor!(
             cx,
-            Claims::init(replica.clone()),
+            Claims::init(replica.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let router = actor!(
--- a/crates/instance/src/router/active.rs
+++ b/crates/instance/src/router/active.rs
@@ -55,6 +55,8 @@
     /// The attempt under which its idempotency key is claimed.
     pub(super) fence: Option<Attempt>,
     pub(super) has_started: bool,
+    /// When the caller last got a part of a stream.
+    pub(super) last_part: Option<Instant>,
     /// Whether no earlier request with the same idempotency key can have run.
     pub(super) is_first: bool,
     /// Whether an earlier attempt may have run.
@@ -101,6 +103,7 @@
             avoids_unhealthy: true,
             fence: None,
             has_started: false,
+            last_part: None,
             is_first,
             may_have_run: false,
         }
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -112,6 +112,24 @@
         }
     }
 
+    /// Notes how fast the caller gets a stream.
+    fn observe_part(&mut self, cx: CX![], index: usize) {
+        let now = cx.now();
+        let active = &mut self.active[index];
+        let rank = active.route.rank.to_string();
+        let answers = &self.metrics.answers;
+        match active.last_part.replace(now) {
+            None => {
+                let elapsed = now.saturating_duration_since(active.arrived);
+                answers.observe_first_token(&rank, elapsed.as_secs_f64());
+            }
+            Some(last) => {
+                let elapsed = now.saturating_duration_since(last);
+                answers.observe_between_tokens(&rank, elapsed.as_secs_f64());
+            }
+        }
+    }
+
     fn pass_on(&mut self, cx: CX![], index: usize, replies: Vec<Reply>) {
         let active = &mut self.active[index];
         if replies.is_empty() {
@@ -123,7 +141,11 @@
             let elapsed = cx.now().saturating_duration_since(active.arrived);
             self.metrics.observe_first_byte(elapsed.as_secs_f64());
         }
+        let has_part = replies.iter().any(|reply| matches!(reply, Reply::Part(_)));
         replies.into_iter().for_each(|reply| active.reply.fwd(reply));
+        if has_part {
+            self.observe_part(cx, index);
+        }
     }
 
     /// Gives the caller the whole answer, recorded first where it has a key.
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -17,6 +17,7 @@
 use names::Attempt;
 use settings::{Retries, RetryLimit, Settings};
 use stakker::{Actor, CX, Fwd, at, call, fwd_to, ret_some_to};
+use strum::IntoEnumIterator;
 use telemetry::{Metrics, RequestLabels};
 
 use crate::claims::Claims;
@@ -92,6 +93,15 @@
 
     /// Puts declarations in force for requests that arrive from now on.
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        for kind in &declarations.kinds {
+            for verdict in Verdict::iter() {
+                self.metrics.show_request(&RequestLabels {
+                    rank: kind.rank.to_string(),
+                    kind: kind.name.to_string(),
+                    verdict: verdict.to_string(),
+                });
+            }
+        }
         self.declarations = declarations;
     }
 
--- a/crates/permit/src/book.rs
+++ b/crates/permit/src/book.rs
@@ -59,6 +59,19 @@
     pub(crate) outcome: Outcome,
 }
 
+/// How an owned upstream is used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage<'a> {
+    /// Its name.
+    pub upstream: &'a Upstream,
+    /// Permits in use.
+    pub in_flight: u32,
+    /// Most permits by the load bound, as it was computed for the last request.
+    pub bound: u32,
+    /// Requests that wait for a permit.
+    pub waiting: u32,
+}
+
 /// The ids of a run's permits, which grow in the order in which permits are given.
 #[derive(Debug)]
 pub(crate) struct Ids {
@@ -106,6 +119,8 @@
     missing: Vec<Instance>,
     next_claim: Instant,
     contested_until: Option<Instant>,
+    /// The share of the load bound, as it was computed last.
+    bound: u32,
 }
 
 impl Book {
@@ -124,6 +139,7 @@
             missing: Vec::new(),
             next_claim: now,
             contested_until: None,
+            bound: 0,
         };
         book.take_over(now, members);
         book
@@ -153,6 +169,12 @@
         self.desk.waiting()
     }
 
+    /// What operators see of the book.
+    pub(crate) fn usage(&self) -> Usage<'_> {
+        let (in_flight, waiting) = (self.in_flight(), self.waiting());
+        Usage { upstream: &self.upstream, in_flight, bound: self.bound, waiting }
+    }
+
     /// The pool of the request that waits longest.
     pub(crate) fn waiting_pool(&self) -> Option<&Pool> {
         self.waiting.first().map(|waiting| &waiting.pool)
@@ -278,6 +300,7 @@
     /// Sets what may run at once by the load bound.
     pub(crate) fn set_limits(&mut self, now: Instant, limits: Limits, doubted: &[Instance]) -> u32 {
         let headroom = self.headroom(now, limits, doubted);
+        self.bound = self.share(now, limits.certain);
         self.desk.set_room(self.desk.running() + headroom);
         headroom
     }
--- a/crates/permit/src/lib.rs
+++ b/crates/permit/src/lib.rs
@@ -15,5 +15,6 @@
 mod sums;
 mod walk;
 
+pub use book::Usage;
 pub use message::{Ask, Evidence, Load, Message, Outcome, PermitId, Pool, Report};
 pub use node::{Action, Context, Granted, Node, Placed, Wanted};
--- a/crates/permit/src/node.rs
+++ b/crates/permit/src/node.rs
@@ -11,6 +11,7 @@
 use upstream::Registry;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::book::Usage;
 use crate::holder::Holder;
 use crate::owner::Owner;
 use crate::routes::Routes;
@@ -249,6 +250,11 @@
         self.owner.counts()
     }
 
+    /// How the upstreams that this instance owns are used, in the order of their names.
+    pub fn usage(&self) -> impl Iterator<Item = Usage<'_>> {
+        self.owner.usage()
+    }
+
     /// Permits that this instance holds.
     pub fn held(&self) -> impl Iterator<Item = (PermitId, &Upstream)> {
         self.holder.held()
--- a/crates/permit/src/owner.rs
+++ b/crates/permit/src/owner.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::book::{Answer, Book, Ids, Limits, Terms};
+use crate::book::{Answer, Book, Ids, Limits, Terms, Usage};
 use crate::node::{Context, Out, View};
 use crate::sums::{Aggregator, Pools, SUM_PERIOD};
 use crate::{Ask, Evidence, Load, Message, Outcome, PermitId, Pool};
@@ -60,6 +60,11 @@
         (self.books.len(), self.books.iter().map(Book::in_flight).sum())
     }
 
+    /// How the owned upstreams are used, in the order of their names.
+    pub(crate) fn usage(&self) -> impl Iterator<Item = Usage<'_>> {
+        self.books.iter().map(Book::usage)
+    }
+
     fn find(&self, upstream: &Upstream) -> Result<usize, usize> {
         self.books.binary_search_by(|book| book.upstream.cmp(upstream))
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -111,6 +111,8 @@
             incarnation: self.options.incarnation,
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
+            cached_blocks: self.stats.cached_blocks as u64,
+            computed_blocks: self.stats.computed_blocks as u64,
         }
     }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -66,6 +66,8 @@
             incarnation: self.options.incarnation,
             running: self.running,
             waiting: 0,
+            cached_blocks: 0,
+            computed_blocks: 0,
         }
     }
 
--- a/crates/telemetry/src/membership.rs
+++ b/crates/telemetry/src/membership.rs
@@ -22,6 +22,8 @@
 impl Membership {
     pub(crate) fn register(registry: &mut Registry) -> Self {
         let membership = Self::default();
+        // An instance that knows no other is a member of its own fleet.
+        membership.members.set(1);
         registry.register("members", "Instances that are members", membership.members.clone());
         let suspicions = membership.suspicions.clone();
         registry.register("members_suspected", "Members that were suspected", suspicions);
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -5,11 +5,33 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::Membership;
-use crate::ReplicaMetrics;
+use crate::answers::seconds;
+use crate::{Answers, LedgerMetrics, Membership, ReplicaMetrics, UpstreamMetrics};
+
+/// Reasons that are shown at zero from the start, so that an alert sees their first increase.
+const SHOWN_REASONS: [&str; 18] = [
+    "caller_left",
+    "damaged_revision",
+    "deadline",
+    "diverged_revision",
+    "invalid_api_key",
+    "invalid_revision",
+    "ledger_full",
+    "no_quorum",
+    "no_upstream",
+    "operator",
+    "outcome_unknown",
+    "over_limit",
+    "overloaded",
+    "resume",
+    "retry",
+    "revision_not_stored",
+    "stopping",
+    "upstream_failed",
+];
 
 /// Labels of a finished request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -44,6 +66,12 @@
     pub upstreams: Gauge,
     /// Snapshots of caches asked for since events were missing.
     pub cache_resyncs: Counter,
+    /// How fast streamed answers are.
+    pub answers: Answers,
+    /// Decisions on idempotency keys.
+    pub ledger: LedgerMetrics,
+    /// Single upstreams.
+    pub by_upstream: UpstreamMetrics,
     /// Members and permits.
     pub membership: Membership,
 }
@@ -60,10 +88,17 @@
         let mut registry = Registry::with_prefix("turmericrelay");
         let requests = Family::default();
         registry.register("requests", "Finished requests", requests.clone());
-        let refused = Family::default();
+        let refused = Family::<ReasonLabels, Counter>::default();
+        for reason in SHOWN_REASONS {
+            drop(refused.get_or_create(&ReasonLabels { reason: reason.to_string() }));
+        }
         registry.register("refused", "Refused connections and requests", refused.clone());
-        let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 16));
-        registry.register("first_byte_seconds", "Time to the first byte", first_byte.clone());
+        let first_byte = seconds();
+        registry.register(
+            "first_byte_seconds",
+            "Time to the head of a streamed answer",
+            first_byte.clone(),
+        );
         let replica = ReplicaMetrics::new(&mut registry);
         let revision = Gauge::default();
         registry.register("revision", "Revision in force", revision.clone());
@@ -77,6 +112,10 @@
             "Caches whose events were missing",
             cache_resyncs.clone(),
         );
+        let answers = Answers::register(&mut registry);
+        let ledger = LedgerMetrics::register(&mut registry);
+        let by_upstream = UpstreamMetrics::default();
+        registry.register_collector(Box::new(by_upstream.clone()));
         let membership = Membership::register(&mut registry);
         Self {
             registry,
@@ -84,6 +123,9 @@
             refused,
             first_byte,
             replica,
+            answers,
+            ledger,
+            by_upstream,
             membership,
             revision,
             active,
@@ -92,6 +134,12 @@
         }
     }
 
+    /// Shows the counter at zero, so that an alert sees its first increase.
+    pub fn show_request(&self, labels: &RequestLabels) {
+        drop(self.requests.get_or_create(labels));
+        self.answers.show(&labels.rank);
+    }
+
     /// Counts a finished request.
     pub fn count_request(&self, labels: &RequestLabels) {
         self.requests.get_or_create(labels).inc();
--- a/crates/telemetry/src/replica.rs
+++ b/crates/telemetry/src/replica.rs
@@ -12,6 +12,9 @@
     outcome: String,
 }
 
+/// Outcomes that are shown at zero from the start.
+const SHOWN_OUTCOMES: [&str; 3] = ["applied", "not-run", "unknown"];
+
 /// Metrics of the replicated log at one instance.
 #[derive(Default)]
 pub struct ReplicaMetrics {
@@ -45,10 +48,17 @@
         registry.register("installs", "Snapshots received", metrics.installs.clone());
         let changes = metrics.leader_changes.clone();
         registry.register("leader_changes", "Changes of the known leader", changes);
+        for outcome in SHOWN_OUTCOMES {
+            metrics.show_proposal(outcome);
+        }
         registry.register("proposals", "Proposals by outcome", metrics.proposals.clone());
         metrics
     }
 
+    fn show_proposal(&self, outcome: &str) {
+        drop(self.proposals.get_or_create(&ProposalLabels { outcome: outcome.to_string() }));
+    }
+
     /// Counts a proposal that ended with `outcome`.
     pub fn count_proposal(&self, outcome: &str) {
         self.proposals.get_or_create(&ProposalLabels { outcome: outcome.to_string() }).inc();
--- a/crates/upstream/src/announcement.rs
+++ b/crates/upstream/src/announcement.rs
@@ -105,6 +105,12 @@
     pub running: u32,
     /// Requests that wait inside it.
     pub waiting: u32,
+    /// Prompt blocks found in its cache since its start.
+    #[serde(default)]
+    pub cached_blocks: u64,
+    /// Prompt blocks computed since its start.
+    #[serde(default)]
+    pub computed_blocks: u64,
 }
 
 impl TryFrom<&[u8]> for Load {
