Measure the added time to the first token under load in one run

Cause: the load tool compares relayed with direct calls only one after the other on an idle fleet; the target of 3 ms at p99 is for 150 requests a second through one instance.

Connections are kept by one agent for each side: with an agent for each thread, direct calls would connect anew far more often than relayed ones.

--- a/crates/measure/src/client.rs
+++ b/crates/measure/src/client.rs
@@ -47,6 +47,17 @@
     Agent::config_builder().http_status_as_error(false).proxy(None).build().new_agent()
 }
 
+/// An agent that threads share, with up to `connections` kept open to each address.
+pub(crate) fn shared_agent(connections: usize) -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .max_idle_connections(connections)
+        .max_idle_connections_per_host(connections)
+        .build()
+        .new_agent()
+}
+
 /// Sends a request and reads its answer to the end.
 pub(crate) fn send(agent: &Agent, call: &Call<'_>) -> Seen {
     let now = Instant::now();
--- a/crates/measure/src/plan.rs
+++ b/crates/measure/src/plan.rs
@@ -63,11 +63,15 @@
     (start, start + third)
 }
 
+/// The time to the next arrival of a Poisson process.
+pub(crate) fn gap(generator: &mut Pcg64Mcg, per_second: f64) -> Duration {
+    let uniform: f64 = generator.random_range(f64::MIN_POSITIVE..1.0);
+    Duration::from_secs_f64(-uniform.ln() / per_second)
+}
+
 impl Planner<'_> {
-    /// The time to the next arrival of a Poisson process.
     fn gap(&mut self, per_second: f64) -> Duration {
-        let uniform: f64 = self.generator.random_range(f64::MIN_POSITIVE..1.0);
-        Duration::from_secs_f64(-uniform.ln() / per_second)
+        gap(&mut self.generator, per_second)
     }
 
     fn base(&mut self, end: Duration) -> Vec<Request> {
--- a/tests/measure.rs
+++ b/tests/measure.rs
@@ -5,7 +5,9 @@
 mod support;
 
 use std::process::Command;
+use std::time::Duration;
 
+use measure::Comparison;
 use serde_json::{Value, json};
 use support::{API_KEY, Fleet, PROGRAM};
 
@@ -57,3 +59,32 @@
     let skew = std::fs::read_to_string(plots.join("skew.svg")).unwrap();
     assert!(skew.contains("<svg"));
 }
+
+#[test]
+fn direct_and_relayed_calls_are_compared_in_one_run() {
+    let mut fleet = Fleet::start(&["giza"]);
+    let flags = ["--model", "caption-small", "--word-interval", "2ms", "--slots", "64"];
+    let engine = fleet.add_upstream("engine-1", "giza", &flags);
+    let comparison = Comparison {
+        caller: fleet.instances[0].addresses.callers,
+        stand_ins: vec![engine],
+        key: API_KEY.to_string(),
+        service: "caption-small".to_string(),
+        kind: "caption".to_string(),
+        per_second: 40.0,
+        warm_up: Duration::from_millis(500),
+        duration: Duration::from_secs(2),
+        words: 4,
+        threads: 32,
+        seed: 3,
+    };
+    let difference = comparison.run().unwrap();
+    assert!(difference.is_whole(), "{difference:?}");
+    assert!(difference.direct.offered > 40 && difference.relayed.offered > 40, "{difference:?}");
+    assert!(difference.direct.p50 > 0.0 && difference.relayed.p50 > 0.0, "{difference:?}");
+    let added = difference.relayed.p99 - difference.direct.p99;
+    assert!((difference.added_p99 - added).abs() < 1e-9, "{difference:?}");
+    let stats: Value = serde_json::from_str(&support::get(engine, "/stats").unwrap()).unwrap();
+    let calls = stats["answered"].as_u64().unwrap() as usize;
+    assert!(calls >= difference.direct.offered + difference.relayed.offered, "{stats}");
+}
