--- a/crates/measure/src/plot.rs
+++ b/crates/measure/src/plot.rs
@@ -1,7 +1,11 @@
 //! Plots of a report as SVG.
 
+use std::ops::Range;
 use std::path::Path;
 
+use plotters::coord::Shift;
+use plotters::coord::types::RangedCoordf64;
+use plotters::drawing::DrawingAreaErrorKind;
 use plotters::prelude::*;
 
 use crate::Error;
@@ -10,6 +14,10 @@
 /// Size of a plot, in pixels.
 const SIZE: (u32, u32) = (720, 400);
 
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Chart<'a> = ChartContext<'a, SVGBackend<'a>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+type Failure<'a> = DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>;
+
 /// One bar.
 struct Bar {
     name: String,
@@ -54,17 +62,27 @@
     move |error: E| Error::Plot { path: path.clone(), problem: error.to_string() }
 }
 
-fn bars(path: &Path, title: &str, bars: Vec<Bar>) -> Result<(), Error> {
-    let highest = bars.iter().map(|bar| bar.value).fold(1.0, f64::max);
-    let area = SVGBackend::new(path, SIZE).into_drawing_area();
-    area.fill(&WHITE).map_err(failed(path))?;
-    let mut chart = ChartBuilder::on(&area)
+/// An empty chart with a title and both axes; the vertical one leaves room above `highest`.
+fn chart<'a>(
+    area: &Area<'a>,
+    title: &str,
+    horizontal: Range<f64>,
+    highest: f64,
+) -> Result<Chart<'a>, Failure<'a>> {
+    area.fill(&WHITE)?;
+    ChartBuilder::on(area)
         .caption(title, ("sans-serif", 18))
         .margin(10)
         .x_label_area_size(30)
         .y_label_area_size(60)
-        .build_cartesian_2d(0.0..bars.len().max(1) as f64, 0.0..highest * 1.1)
-        .map_err(failed(path))?;
+        .build_cartesian_2d(horizontal, 0.0..highest * 1.1)
+}
+
+fn bars(path: &Path, title: &str, bars: Vec<Bar>) -> Result<(), Error> {
+    let highest = bars.iter().map(|bar| bar.value).fold(1.0, f64::max);
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    let mut chart =
+        chart(&area, title, 0.0..bars.len().max(1) as f64, highest).map_err(failed(path))?;
     chart
         .configure_mesh()
         .disable_x_mesh()
@@ -90,13 +108,7 @@
     let highest = points.iter().map(|(_, ratio)| *ratio).fold(2.0, f64::max);
     let end = report.warm_up + report.measured;
     let area = SVGBackend::new(path, SIZE).into_drawing_area();
-    area.fill(&WHITE).map_err(failed(path))?;
-    let mut chart = ChartBuilder::on(&area)
-        .caption(title, ("sans-serif", 18))
-        .margin(10)
-        .x_label_area_size(30)
-        .y_label_area_size(60)
-        .build_cartesian_2d(report.warm_up..end.max(report.warm_up + 1.0), 0.0..highest * 1.1)
+    let mut chart = chart(&area, title, report.warm_up..end.max(report.warm_up + 1.0), highest)
         .map_err(failed(path))?;
     chart.configure_mesh().x_desc("seconds").draw().map_err(failed(path))?;
     chart.draw_series(LineSeries::new(points, &BLUE)).map_err(failed(path))?;
