--- a/tests/support/declaring.rs
+++ b/tests/support/declaring.rs
@@ -29,6 +29,7 @@
 #[derive(Debug)]
 pub struct Reply {
     pub status: u16,
+    pub retry_after: Option<String>,
     pub body: Value,
 }
 
@@ -44,8 +45,11 @@
 fn read(response: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Option<Reply> {
     let mut response = response.ok()?;
     let status = response.status().as_u16();
+    let retry_after = response.headers().get("retry-after");
+    let retry_after = retry_after.and_then(|value| Some(value.to_str().ok()?.to_string()));
     let text = response.body_mut().read_to_string().ok()?;
-    Some(Reply { status, body: serde_json::from_str(&text).unwrap_or(Value::String(text)) })
+    let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
+    Some(Reply { status, retry_after, body })
 }
 
 /// Posts an order; none when the answer was lost.
@@ -59,8 +63,12 @@
 }
 
 pub fn try_declared(address: SocketAddr, path: &str) -> Option<Reply> {
+    try_declared_as(AMAL, address, path)
+}
+
+fn try_declared_as(token: &str, address: SocketAddr, path: &str) -> Option<Reply> {
     let request = agent().get(format!("http://{address}{path}"));
-    read(request.header("authorization", format!("Bearer {AMAL}")).call())
+    read(request.header("authorization", format!("Bearer {token}")).call())
 }
 
 /// Reads a page as amal.
@@ -88,7 +96,12 @@
 }
 
 pub fn revision_at(address: SocketAddr) -> Option<u64> {
-    let reply = try_declared(address, "/declarations")?;
+    revision_with(AMAL, address)
+}
+
+/// The revision in force, read with an operator's token.
+pub fn revision_with(token: &str, address: SocketAddr) -> Option<u64> {
+    let reply = try_declared_as(token, address, "/declarations")?;
     reply.body["revision"].as_u64()
 }
 
