--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -87,8 +87,8 @@
 /// The request ran, but its answer was too large to keep.
 pub(crate) fn answer_not_kept(status: u16) -> Problem {
     let message = format!(
-        "an earlier request with this idempotency key was answered with status {status}; the \
-         answer was too large to keep"
+        "an earlier request with this idempotency key was answered with status {status}; it is \
+         not run again, and its answer is no longer kept"
     );
     Problem::may_have_run(Status::CONFLICT, "answer_not_kept", message)
 }
--- a/crates/instance/src/replica/keeper.rs
+++ b/crates/instance/src/replica/keeper.rs
@@ -12,6 +12,9 @@
 use super::machines::{Applied, Machines};
 use crate::Error;
 
+/// The log may grow to one of so many parts of the snapshot, if that is above its limit.
+const LOG_PART: usize = 8;
+
 /// What the actor has to do for the core.
 pub(super) enum Effect {
     /// Send a message to a peer's core.
@@ -61,7 +64,7 @@
         }
         if self.is_compaction_due() {
             let index = self.core.commit();
-            let input = Input::Compact { index, data: machines.snapshot().into() };
+            let input = Input::Compact { index, data: machines.snapshot() };
             self.applied_bytes = 0;
             self.metrics.replica.snapshots.inc();
             effects.extend(self.step(now, input, machines));
@@ -100,10 +103,10 @@
         }
     }
 
-    /// Whether the log has outgrown the snapshot that would replace it.
+    /// Whether the log has outgrown the part of the snapshot that it may take up.
     fn is_compaction_due(&self) -> bool {
         let snapshot_bytes = self.core.snapshot().data.len();
-        self.applied_bytes >= self.log_limit.max(snapshot_bytes)
+        self.applied_bytes >= self.log_limit.max(snapshot_bytes / LOG_PART)
     }
 
     /// Counts what changed, and logs a change of the leader.
@@ -128,7 +131,7 @@
 /// Restores the machines from a snapshot; an effect when they refuse it.
 pub(super) fn restore(snapshot: &Snapshot, machines: &mut Machines) -> Option<Effect> {
     let index = snapshot.position.index;
-    match machines.restore(index, &snapshot.data) {
+    match machines.restore(index, &snapshot.data.joined()) {
         true => None,
         false => Some(Effect::Fail(Error::Snapshot { index })),
     }
--- a/crates/instance/src/replica/machines.rs
+++ b/crates/instance/src/replica/machines.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use stakker::Fwd;
-use state::{Index, Origin, Sessions};
+use state::{Chunks, Index, Origin, Sessions};
 
 use super::{Part, SharedMachine};
 
@@ -20,7 +20,7 @@
 }
 
 /// The state of all machines.
-#[derive(Default, Serialize, Deserialize)]
+#[derive(Default, Deserialize)]
 struct Stored {
     sessions: Sessions,
     parts: Vec<(Part, Vec<u8>)>,
@@ -77,15 +77,21 @@
         Applied::Outcome(outcome)
     }
 
-    /// The state of all machines as bytes.
-    pub(super) fn snapshot(&self) -> Vec<u8> {
-        let mut parts = self.unattached.clone();
+    /// The state of all machines as bytes of the form of [`Stored`].
+    pub(super) fn snapshot(&self) -> Chunks {
+        let unattached = self.unattached.iter();
+        let mut parts: Vec<(Part, Chunks)> =
+            unattached.map(|(part, bytes)| (*part, Chunks::from(bytes.clone()))).collect();
         for attached in &self.attached {
-            parts.push((attached.part, attached.machine.borrow().snapshot()));
+            parts.push((attached.part, attached.machine.borrow().snapshot_chunks()));
         }
         parts.sort_by_key(|(part, _)| *part);
-        let stored = Stored { sessions: self.sessions.clone(), parts };
-        postcard::to_allocvec(&stored).unwrap_or_default()
+        let mut chunks = encode_chunk(&(&self.sessions, parts.len()));
+        for (part, bytes) in parts {
+            chunks.extend(encode_chunk(&(part, bytes.len())));
+            chunks.extend(bytes);
+        }
+        chunks
     }
 
     /// Replaces the state of all machines by that of a snapshot; false when it is none.
@@ -112,6 +118,13 @@
     }
 }
 
+fn encode_chunk<T>(content: &T) -> Chunks
+where
+    T: Serialize,
+{
+    Chunks::from(postcard::to_allocvec(content).unwrap_or_default())
+}
+
 fn restore(part: Part, machine: &SharedMachine, bytes: &[u8]) -> bool {
     let is_restored = machine.borrow_mut().restore(bytes);
     if !is_restored {
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -24,6 +24,7 @@
     /// Its headers.
     pub headers: Vec<Field>,
     /// Its body; none when it was too large to keep.
+    #[serde(with = "crate::body")]
     pub body: Option<Vec<u8>>,
 }
 
@@ -34,12 +35,17 @@
         headers.sum::<usize>() + self.body.as_ref().map_or(0, Vec::len)
     }
 
+    /// What is left of an answer of which only the status is kept.
+    pub fn of_status(status: u16) -> Self {
+        Self { status, headers: Vec::new(), body: None }
+    }
+
     /// The answer if it takes up `limit` bytes or fewer, else its status alone.
     pub fn within(self, limit: usize) -> Self {
         if self.size() <= limit {
             return self;
         }
-        Self { status: self.status, headers: Vec::new(), body: None }
+        Self::of_status(self.status)
     }
 }
 
--- a/crates/ledger/src/error.rs
+++ b/crates/ledger/src/error.rs
@@ -24,3 +24,28 @@
         character: char,
     },
 }
+
+/// Why a snapshot of the ledger cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Unreadable {
+    /// It has no bytes.
+    #[error("the snapshot of the ledger is empty")]
+    Empty,
+    /// A newer version wrote it.
+    #[error(
+        "the snapshot of the ledger is of format {format}; help: this version reads formats 1 to \
+         {known}, start the version that wrote it"
+    )]
+    Format {
+        /// Its format.
+        format: u8,
+        /// The newest format that can be read.
+        known: u8,
+    },
+    /// Its bytes do not have the form that its format says.
+    #[error("the snapshot of the ledger is not of the form of format {format}")]
+    Damaged {
+        /// Its format.
+        format: u8,
+    },
+}
--- a/crates/ledger/src/key.rs
+++ b/crates/ledger/src/key.rs
@@ -43,6 +43,10 @@
 pub struct Digest([u8; 32]);
 
 impl Digest {
+    pub(crate) fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+
     /// The hash of `parts`; the same bytes cut in other places give another hash.
     pub fn of(parts: &[&[u8]]) -> Self {
         let mut hasher = blake3::Hasher::new();
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -5,6 +5,9 @@
 //! upstream sees a byte and settles the claim afterwards. [`Clock`] estimates the ledger's time.
 
 mod accounts;
+mod archive;
+mod body;
+mod bounds;
 mod claimant;
 mod clock;
 mod command;
@@ -12,11 +15,14 @@
 mod key;
 mod machine;
 mod records;
+mod room;
+mod snapshot;
 mod withdrawn;
 
+pub use bounds::Bounds;
 pub use claimant::{Claimant, End, Next, Refusal};
 pub use clock::Clock;
 pub use command::{Answer, Claim, Command, Ending, Field, Outcome, Reply, Settlement};
-pub use error::Error;
+pub use error::{Error, Unreadable};
 pub use key::{Digest, Key, Ticket, Time};
-pub use machine::{Bounds, Ledger};
+pub use machine::Ledger;
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -2,52 +2,30 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use state::{Index, Machine};
+use names::{Attempt, ClientAccount};
 
-use crate::accounts::{Accounts, Usage};
-use crate::records::{Record, Records, Stand};
+use crate::accounts::Accounts;
+use crate::archive::{Archive, Remnant};
+use crate::records::{RECORD_BYTES, Record, Records, Stand};
 use crate::withdrawn::Withdrawn;
-use crate::{Claim, Command, Ending, Outcome, Reply, Settlement, Ticket, Time};
-
-/// Bounds of the ledger, the same at every voter.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Bounds {
-    /// Most records.
-    pub records: usize,
-    /// Most bytes of records and answers.
-    pub bytes: usize,
-    /// Most bytes of one answer that is kept.
-    pub answer_bytes: usize,
-    /// The part of the ledger that one account may hold: one of so many.
-    pub account_share: usize,
-    /// How long after its claim a key is remembered.
-    pub lifetime: Duration,
-    /// Longest time that an attempt may be running.
-    pub hold: Duration,
-}
+use crate::{
+    Answer, Bounds, Claim, Command, Digest, Ending, Outcome, Reply, Settlement, Ticket, Time,
+};
 
-impl Default for Bounds {
-    fn default() -> Self {
-        Self {
-            records: 64 << 10,
-            bytes: 24 << 20,
-            answer_bytes: 64 << 10,
-            account_share: 4,
-            lifetime: Duration::from_secs(60 * 60),
-            hold: Duration::from_secs(5 * 60),
-        }
-    }
-}
+/// How long a claim that finds no room for its record waits for others to end.
+const ROOM_PAUSE: Duration = Duration::from_secs(1);
 
 /// Claims of idempotency keys, and how they ended.
-#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Ledger {
-    bounds: Bounds,
-    time: Time,
-    records: Records,
-    accounts: Accounts,
-    withdrawn: Withdrawn,
+    pub(crate) bounds: Bounds,
+    pub(crate) time: Time,
+    /// Keys whose records are kept whole.
+    pub(crate) records: Records,
+    /// Older keys, of which only the outcome is kept.
+    pub(crate) archive: Archive,
+    pub(crate) accounts: Accounts,
+    pub(crate) withdrawn: Withdrawn,
 }
 
 impl Ledger {
@@ -61,8 +39,13 @@
         self.time
     }
 
-    /// Number of records.
+    /// Number of keys.
     pub fn len(&self) -> usize {
+        self.accounts.total().keys
+    }
+
+    /// Number of keys whose records are kept whole.
+    pub fn whole(&self) -> usize {
         self.accounts.total().records
     }
 
@@ -71,7 +54,7 @@
         self.len() == 0
     }
 
-    /// Bytes that all records are counted as.
+    /// Bytes that all whole records are counted as.
     pub fn size(&self) -> usize {
         self.accounts.total().bytes
     }
@@ -79,7 +62,9 @@
     /// What a resend of `ticket` would get, as far as this replica knows; none when the key is
     /// not claimed here. Answers are final, the rest may be out of date.
     pub fn look_up(&self, ticket: &Ticket) -> Option<Reply> {
-        let record = self.records.get(ticket.key)?;
+        let Some(record) = self.records.get(ticket.key) else {
+            return self.archived(ticket);
+        };
         if record.body != ticket.body {
             return Some(Reply::Conflict);
         }
@@ -108,22 +93,44 @@
         while let Some(record) = self.records.pop_expired(self.time) {
             self.accounts.remove(&record.account, record.size());
         }
+        while let Some(slots) = self.archive.pop_expired(self.time) {
+            slots.into_iter().for_each(|slot| self.accounts.forget(slot));
+        }
+    }
+
+    /// What is left of a claim of the same key.
+    fn archived(&self, ticket: &Ticket) -> Option<Reply> {
+        let reply = match self.archive.find(ticket.key, ticket.body)? {
+            Remnant::Conflict => Reply::Conflict,
+            Remnant::Unknown => Reply::Unknown,
+            Remnant::Answered(status) => Reply::Answered(Answer::of_status(status)),
+        };
+        Some(reply)
     }
 
     fn claim(&mut self, claim: Claim) -> Reply {
         let time = self.time;
-        match self.records.get_mut(claim.ticket.key) {
-            Some(record) => resend(record, &claim, time),
-            None if self.withdrawn.contains(claim.fence) => Reply::Withdrawn,
-            None => self.grant(claim),
+        if let Some(record) = self.records.get_mut(claim.ticket.key) {
+            return resend(record, &claim, time);
+        }
+        if let Some(reply) = self.archived(&claim.ticket) {
+            return reply;
+        }
+        match self.withdrawn.contains(claim.fence) {
+            true => Reply::Withdrawn,
+            false => self.grant(claim),
         }
     }
 
     fn grant(&mut self, claim: Claim) -> Reply {
-        if self.is_full_for(&claim) {
-            let next = self.records.next_expiry().unwrap_or(self.time);
+        if self.is_full_for(&claim.ticket.account) {
+            let expiries = self.records.next_expiry().into_iter().chain(self.archive.next_expiry());
+            let next = expiries.min().unwrap_or(self.time);
             return Reply::Full { left: next.left_at(self.time) };
         }
+        if !self.make_room(&claim.ticket.account, claim.fence, 1, RECORD_BYTES) {
+            return Reply::Full { left: ROOM_PAUSE };
+        }
         let record = Record {
             account: claim.ticket.account,
             body: claim.ticket.body,
@@ -136,12 +143,11 @@
         Reply::Granted
     }
 
-    fn is_full_for(&self, claim: &Claim) -> bool {
-        let Bounds { records, bytes, account_share, .. } = self.bounds;
-        let whole = Usage { records, bytes };
-        let share = Usage { records: records / account_share, bytes: bytes / account_share };
-        self.accounts.total().is_full(whole)
-            || self.accounts.usage(&claim.ticket.account).is_full(share)
+    fn is_full_for(&self, account: &ClientAccount) -> bool {
+        let Bounds { keys, account_share, .. } = self.bounds;
+        self.accounts.total().keys >= keys
+            || !self.accounts.has_slot_for(account)
+            || self.accounts.usage(account).keys >= keys / account_share
     }
 
     fn settle(&mut self, settlement: Settlement) -> Reply {
@@ -149,8 +155,6 @@
         if ending == Ending::NotRun {
             self.withdrawn.insert(fence);
         }
-        let room = self.bounds.bytes.saturating_sub(self.accounts.total().bytes);
-        let limit = self.bounds.answer_bytes.min(room);
         let Some(record) = self.records.get_mut(key).filter(|record| record.fence == fence) else {
             return Reply::NotClaimed;
         };
@@ -159,17 +163,25 @@
             (Ending::Unknown, Stand::Running { .. }) => record.stand = Stand::Unknown,
             (Ending::NotRun, _) => self.release(key),
             (Ending::Answered(answer), _) => {
-                let answer = answer.within(limit);
-                let size = answer.size();
-                record.stand = Stand::Answered(answer);
                 let account = record.account.clone();
-                self.accounts.grow(&account, size);
+                self.keep(key, fence, &account, answer);
             }
         }
         Reply::Settled
     }
 
-    fn release(&mut self, key: crate::Digest) {
+    /// Keeps an answer, or its status alone if there is no room for the rest.
+    fn keep(&mut self, key: Digest, fence: Attempt, account: &ClientAccount, answer: Answer) {
+        let answer = answer.within(self.bounds.answer_bytes);
+        let has_room = self.make_room(account, fence, 0, answer.size());
+        let answer = if has_room { answer } else { Answer::of_status(answer.status) };
+        self.accounts.grow(account, answer.size());
+        if let Some(record) = self.records.get_mut(key) {
+            record.stand = Stand::Answered(answer);
+        }
+    }
+
+    fn release(&mut self, key: Digest) {
         if let Some(record) = self.records.remove(key) {
             self.accounts.remove(&record.account, record.size());
         }
@@ -192,27 +204,3 @@
         Stand::Running { deadline } => Reply::Running { left: deadline.left_at(time) },
     }
 }
-
-impl Machine for Ledger {
-    fn apply(&mut self, _: Index, command: &[u8]) -> Vec<u8> {
-        let outcome = match postcard::from_bytes(command) {
-            Ok(command) => self.take(command),
-            Err(_) => Outcome { time: self.time, reply: Reply::Invalid },
-        };
-        postcard::to_allocvec(&outcome).unwrap_or_default()
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).unwrap_or_default()
-    }
-
-    fn restore(&mut self, snapshot: &[u8]) -> bool {
-        match postcard::from_bytes(snapshot) {
-            Ok(ledger) => {
-                *self = ledger;
-                true
-            }
-            Err(_) => false,
-        }
-    }
-}
--- a/crates/ledger/src/records.rs
+++ b/crates/ledger/src/records.rs
@@ -1,4 +1,4 @@
-//! The records of claimed keys, found by key and by expiry.
+//! The records of claimed keys that are kept whole, found by key and by age.
 
 use std::collections::VecDeque;
 
@@ -8,7 +8,7 @@
 use crate::{Answer, Digest, Time};
 
 /// Bytes that a record without an answer is counted as.
-const RECORD_BYTES: usize = 256;
+pub(crate) const RECORD_BYTES: usize = 256;
 
 /// How a claim stands.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,12 +39,31 @@
             _ => RECORD_BYTES,
         }
     }
+
+    /// Whether its attempt may be running at `now`.
+    pub(crate) fn is_running(&self, now: Time) -> bool {
+        matches!(self.stand, Stand::Running { deadline } if deadline > now)
+    }
+}
+
+/// A number of records, and bytes of them.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Amount {
+    pub(crate) records: usize,
+    pub(crate) bytes: usize,
+}
+
+impl Amount {
+    /// Whether so many `records` or `bytes` reach the amount.
+    pub(crate) fn is_within(self, records: usize, bytes: usize) -> bool {
+        records >= self.records || bytes >= self.bytes
+    }
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Entry {
-    key: Digest,
-    record: Box<Record>,
+pub(crate) struct Entry {
+    pub(crate) key: Digest,
+    pub(crate) record: Box<Record>,
 }
 
 /// Records sorted by key, and their keys in the order in which they expire.
@@ -69,6 +88,11 @@
         Some(&mut self.entries[index].record)
     }
 
+    /// All records, sorted by key.
+    pub(crate) fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
     /// Inserts a record that expires no earlier than all others; false when the key is taken.
     pub(crate) fn insert(&mut self, key: Digest, record: Record) -> bool {
         let Err(index) = self.find(key) else {
@@ -90,6 +114,29 @@
         Some(record)
     }
 
+    /// Removes the oldest records that `is_wanted` until they are `enough` in number or bytes;
+    /// gives them sorted by key.
+    pub(crate) fn extract_oldest<P>(&mut self, enough: Amount, is_wanted: P) -> Vec<Entry>
+    where
+        P: Fn(&Record) -> bool,
+    {
+        let mut keys = Vec::new();
+        let mut bytes = 0;
+        for (_, key) in &self.expiries {
+            if enough.is_within(keys.len(), bytes) {
+                break;
+            }
+            if let Some(record) = self.get(*key).filter(|record| is_wanted(record)) {
+                bytes += record.size();
+                keys.push(*key);
+            }
+        }
+        keys.sort_unstable();
+        let is_chosen = |key: &Digest| keys.binary_search(key).is_ok();
+        self.expiries.retain(|(_, key)| !is_chosen(key));
+        self.entries.extract_if(.., |entry| is_chosen(&entry.key)).collect()
+    }
+
     /// When the next record expires.
     pub(crate) fn next_expiry(&self) -> Option<Time> {
         self.expiries.front().map(|(expires, _)| *expires)
--- a/crates/state/src/core/action.rs
+++ b/crates/state/src/core/action.rs
@@ -5,7 +5,7 @@
 
 use names::Instance;
 
-use crate::{Ballot, Entry, Envelope, Index, Indexed, Origin, Snapshot, Voter};
+use crate::{Ballot, Chunks, Entry, Envelope, Index, Indexed, Origin, Snapshot, Voter};
 
 /// Spans of time of the protocol, the same at all voters.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -107,7 +107,7 @@
         /// The last entry applied.
         index: Index,
         /// The state.
-        data: Arc<[u8]>,
+        data: Chunks,
     },
 }
 
--- a/crates/state/src/core/founding.rs
+++ b/crates/state/src/core/founding.rs
@@ -73,7 +73,7 @@
     }
 
     fn found(&mut self, now: Instant, members: Members) {
-        self.snapshot = Arc::new(Snapshot { position: FOUNDED, members, data: Arc::default() });
+        self.snapshot = Arc::new(Snapshot { position: FOUNDED, members, data: Chunks::default() });
         self.log = Log::new(FOUNDED, self.snapshot.members.clone());
         self.commit = FOUNDED.index;
         self.applied = FOUNDED.index;
--- a/crates/state/src/core/leader.rs
+++ b/crates/state/src/core/leader.rs
@@ -317,7 +317,7 @@
             members: snapshot.members.clone(),
             offset,
             total: snapshot.data.len() as u64,
-            bytes: snapshot.data[start..end].to_vec(),
+            bytes: snapshot.data.slice(start, end),
             sent,
         };
         self.send(Some(voter), instance, message);
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -21,8 +21,8 @@
 
 use crate::log::Log;
 use crate::{
-    Ballot, Entry, Envelope, Index, MAX_COMMAND_BYTES, Members, Message, Origin, Payload, Position,
-    Snapshot, Term, Voter,
+    Ballot, Chunks, Entry, Envelope, Index, MAX_COMMAND_BYTES, Members, Message, Origin, Payload,
+    Position, Snapshot, Term, Voter,
 };
 use founding::Founding;
 use install::Incoming;
--- a/crates/state/src/core/persist.rs
+++ b/crates/state/src/core/persist.rs
@@ -142,7 +142,7 @@
     }
 
     /// Takes a snapshot of the machines in place of the entries that it covers.
-    pub(super) fn compact(&mut self, index: Index, data: Arc<[u8]>) {
+    pub(super) fn compact(&mut self, index: Index, data: Chunks) {
         if index <= self.snapshot.position.index || index > self.applied {
             return;
         }
--- a/crates/state/src/disk/journal.rs
+++ b/crates/state/src/disk/journal.rs
@@ -142,14 +142,13 @@
         self.begin_segment();
         let first_segment = self.segment;
         let name = format!("{SNAPSHOT_PREFIX}{:020}", snapshot.position.index.0);
-        let stored = Stored { first_segment, snapshot };
         if !std::mem::replace(&mut self.has_snapshot, true) {
             // Entries without any snapshot on disk would look like a lost snapshot.
-            self.replace(&name, &stored)?;
+            self.replace_snapshot(&name, first_segment, &snapshot)?;
             return self.write_entries(writes);
         }
         self.write_entries(writes)?;
-        self.replace(&name, &stored)?;
+        self.replace_snapshot(&name, first_segment, &snapshot)?;
         self.remove_old(&name, first_segment)
     }
 
@@ -171,11 +170,32 @@
     where
         T: Serialize,
     {
+        self.replace_by(name, &[&encode(name, content)?])
+    }
+
+    /// Writes a snapshot as [`Stored`], whose data comes last, without a copy of the data.
+    fn replace_snapshot(
+        &mut self,
+        name: &str,
+        first_segment: u64,
+        snapshot: &Snapshot,
+    ) -> Result<(), Error> {
+        let fields = (first_segment, snapshot.position, &snapshot.members, snapshot.data.len());
+        let start = encode(name, &fields)?;
+        let pieces: Vec<&[u8]> =
+            std::iter::once(&start[..]).chain(snapshot.data.pieces()).collect();
+        self.replace_by(name, &pieces)
+    }
+
+    /// Replaces a file by one record whose payload consists of `pieces`.
+    fn replace_by(&mut self, name: &str, pieces: &[&[u8]]) -> Result<(), Error> {
         let temporary = format!("{name}{TEMPORARY_SUFFIX}");
-        let mut bytes = Vec::new();
-        record::append(&encode(name, content)?, &mut bytes);
         self.discard(&temporary)?;
-        self.folder.append(&temporary, &bytes).map_err(self.failed("write", &temporary))?;
+        let first = pieces.first().copied().unwrap_or_default();
+        let start = [&record::header(pieces), first].concat();
+        for piece in std::iter::once(&start[..]).chain(pieces.iter().skip(1).copied()) {
+            self.folder.append(&temporary, piece).map_err(self.failed("write", &temporary))?;
+        }
         self.folder.sync(&temporary).map_err(self.failed("sync", &temporary))?;
         self.folder.rename(&temporary, name).map_err(self.failed("rename", &temporary))?;
         self.folder.sync_names().map_err(self.failed("sync the folder of", name))
--- a/crates/state/src/disk/record.rs
+++ b/crates/state/src/disk/record.rs
@@ -21,16 +21,23 @@
 
 /// Appends a record of `payload` to `out`.
 pub(super) fn append(payload: &[u8], out: &mut Vec<u8>) {
-    let length = u32::try_from(payload.len()).unwrap_or(u32::MAX).to_le_bytes();
-    let checksum = crc32fast::hash(payload).to_le_bytes();
-    let mut header = [0; 8];
-    header[..4].copy_from_slice(&length);
-    header[4..].copy_from_slice(&checksum);
-    out.extend_from_slice(&header);
-    out.extend_from_slice(&crc32fast::hash(&header).to_le_bytes());
+    out.extend_from_slice(&header(&[payload]));
     out.extend_from_slice(payload);
 }
 
+/// The header of a record whose payload consists of `pieces`.
+pub(super) fn header(pieces: &[&[u8]]) -> [u8; HEADER_BYTES] {
+    let mut hasher = crc32fast::Hasher::new();
+    pieces.iter().for_each(|piece| hasher.update(piece));
+    let length: usize = pieces.iter().map(|piece| piece.len()).sum();
+    let mut header = [0; HEADER_BYTES];
+    header[..4].copy_from_slice(&u32::try_from(length).unwrap_or(u32::MAX).to_le_bytes());
+    header[4..8].copy_from_slice(&hasher.finalize().to_le_bytes());
+    let checksum = crc32fast::hash(&header[..8]);
+    header[8..].copy_from_slice(&checksum.to_le_bytes());
+    header
+}
+
 fn number(bytes: &[u8]) -> u32 {
     let mut array = [0; 4];
     array.copy_from_slice(&bytes[..4]);
--- a/crates/state/src/entry.rs
+++ b/crates/state/src/entry.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Index, Members, Origin, Position, Term};
+use crate::{Chunks, Index, Members, Origin, Position, Term};
 
 /// What an entry holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,5 +63,5 @@
     /// The members at that entry.
     pub members: Members,
     /// The machines' state; empty for the state before all commands.
-    pub data: Arc<[u8]>,
+    pub data: Chunks,
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Core`] decides, without input or output of its own, what is committed; a [`Storage`] keeps
 //! what the core asks to persist.
 
+mod chunks;
 mod core;
 mod disk;
 mod entry;
@@ -16,6 +17,7 @@
 mod message;
 mod sessions;
 
+pub use crate::chunks::Chunks;
 pub use crate::core::{Action, Core, Flow, Input, Recovered, Role, Start, Timing, Write};
 pub use disk::{DataFolder, Folder, Journal, Report, Storage};
 pub use entry::{Entry, Indexed, Payload, Snapshot};
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::Chunks;
+
 /// Position of a command in the log, from 1.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -28,6 +30,11 @@
     /// The whole state as bytes.
     fn snapshot(&self) -> Vec<u8>;
 
+    /// The whole state as pieces, of which a large machine shares those that did not change.
+    fn snapshot_chunks(&self) -> Chunks {
+        Chunks::from(self.snapshot())
+    }
+
     /// Replaces the state by that of a snapshot; false when the bytes are no snapshot.
     fn restore(&mut self, snapshot: &[u8]) -> bool;
 }
