Remember spills of conversations whose answers come late

Cause: `Bounded::placed` compared with the first upstream of the newest order. Between the order and the permit an owner is asked over the network, and in that time other conversations are ordered, so the spill was forgotten and the conversation went back to the older copy of its context.

`placed` now gets all upstreams that could have the context and finds the home by its weight. It gives the upstream that had the freshest copy before; a permit carries it, for moves of the context.

tests: a_spilled_conversation_stays_while_its_copy_is_the_fresher orders 100 other conversations before the permit; it failed before.

--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -410,7 +410,7 @@
         let asking = found.map(|index| self.asking.swap_remove(index));
         match (asking, placed) {
             (Some(Asking { cost, placed: teller, .. }), permit::Placed::Granted(granted)) => {
-                let Granted { id, upstream, address } = granted;
+                let Granted { id, upstream, address, .. } = granted;
                 ret!([teller], Placed::Granted(Permit { id, upstream, address, cost }));
             }
             (Some(asking), permit::Placed::Refused { retry_after }) => {
--- a/crates/permit/src/holder.rs
+++ b/crates/permit/src/holder.rs
@@ -213,9 +213,30 @@
             return;
         };
         let address = entry.announcement.address;
-        self.policy.placed(self.walks[index].wanted.key, &upstream);
+        let context_at = self.note_placed(context, index, &upstream);
         self.held.push(Held { permit, upstream: upstream.clone(), counted_by: vec![owner] });
-        self.end(index, Placed::Granted(Granted { id: permit, upstream, address }), out);
+        self.end(
+            index,
+            Placed::Granted(Granted { id: permit, upstream, address, context_at }),
+            out,
+        );
+    }
+
+    /// Tells the policy where a request went; gives another upstream that has its context.
+    fn note_placed(
+        &mut self,
+        context: Context<'_>,
+        index: usize,
+        upstream: &Upstream,
+    ) -> Option<Upstream> {
+        let Wanted { target, key, .. } = &self.walks[index].wanted;
+        let known: Vec<_> = context
+            .registry
+            .iter()
+            .filter(|entry| entry.serves(target))
+            .map(|entry| &entry.announcement.upstream)
+            .collect();
+        self.policy.placed(*key, upstream, &known).filter(|holder| holder != upstream)
     }
 
     /// Ends a walk with its outcome and gives up what is still asked.
--- a/crates/permit/src/node.rs
+++ b/crates/permit/src/node.rs
@@ -59,6 +59,8 @@
     pub upstream: Upstream,
     /// Where it takes calls.
     pub address: SocketAddr,
+    /// The other upstream that should have the context of the conversation.
+    pub context_at: Option<Upstream>,
 }
 
 /// Outcome of asking for a permit.
--- a/crates/placement/benches/reuse.rs
+++ b/crates/placement/benches/reuse.rs
@@ -162,7 +162,9 @@
         let Some(chosen) = candidates.iter().find(has_room) else {
             return;
         };
-        policy.placed(conversation.wrapping_mul(0x9E37_79B9_7F4A_7C15), &chosen.upstream);
+        let known: Vec<_> = candidates.iter().map(|candidate| &candidate.upstream).collect();
+        let key = conversation.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        policy.placed(key, &chosen.upstream, &known);
         let engine = number(chosen);
         let found = self.engines[engine].take(now, conversation, turn);
         if now > END / 6.0 {
--- a/crates/placement/src/bounded.rs
+++ b/crates/placement/src/bounded.rs
@@ -2,7 +2,7 @@
 
 use names::Upstream;
 
-use crate::rendezvous::sort;
+use crate::rendezvous::{home, sort};
 use crate::{Bound, Candidate, Policy, Spills, Sum};
 
 /// Orders candidates by their weight for the conversation, those at the bound last.
@@ -13,20 +13,18 @@
 pub struct Bounded {
     bound: Bound,
     spills: Spills,
-    first: Option<(u64, Upstream)>,
 }
 
 impl Bounded {
     /// A policy with `bound` that remembers `spills` spilled conversations.
     pub fn new(bound: Bound, spills: usize) -> Self {
-        Self { bound, spills: Spills::new(spills), first: None }
+        Self { bound, spills: Spills::new(spills) }
     }
 }
 
 impl Policy for Bounded {
     fn order(&mut self, key: u64, candidates: &mut Vec<Candidate>) {
         sort(key, candidates);
-        self.first = candidates.first().map(|candidate| (key, candidate.upstream.clone()));
         if let Some(upstream) = self.spills.get(key)
             && let Some(index) = candidates.iter().position(|other| other.upstream == *upstream)
         {
@@ -37,13 +35,14 @@
         candidates.sort_by_key(|candidate| candidate.in_flight >= bound.most(sum, candidate.slots));
     }
 
-    fn placed(&mut self, key: u64, upstream: &Upstream) {
-        match &self.first {
-            Some((ordered, first)) if *ordered == key && first == upstream => {
-                self.spills.remove(key);
-            }
-            Some((ordered, _)) if *ordered == key => self.spills.insert(key, upstream),
-            _ => {}
+    fn placed(&mut self, key: u64, upstream: &Upstream, known: &[&Upstream]) -> Option<Upstream> {
+        let home = home(key, known);
+        let holder = self.spills.get(key).or(home).cloned();
+        if home == Some(upstream) {
+            self.spills.remove(key);
+        } else {
+            self.spills.insert(key, upstream);
         }
+        holder
     }
 }
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -28,8 +28,17 @@
     /// of one conversation. Candidates come in the order of their names.
     fn order(&mut self, key: u64, candidates: &mut Vec<Candidate>);
 
-    /// Takes note that a request with `key` went to `upstream`.
-    fn placed(&mut self, _key: u64, _upstream: &Upstream) {}
+    /// Takes note that a request with `key` went to `upstream`. Gives the upstream that has the
+    /// freshest copy of the conversation's context, where the policy can tell. `known` are all
+    /// upstreams that could have it, also those that take no new work.
+    fn placed(
+        &mut self,
+        _key: u64,
+        _upstream: &Upstream,
+        _known: &[&Upstream],
+    ) -> Option<Upstream> {
+        None
+    }
 
     /// Where the load of candidates comes from.
     fn knowledge(&self) -> Knowledge {
--- a/crates/placement/src/rendezvous.rs
+++ b/crates/placement/src/rendezvous.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 
+use names::Upstream;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{Candidate, Policy};
@@ -12,6 +13,11 @@
     xxh3_64_with_seed(name.as_bytes(), key)
 }
 
+/// The upstream of `known` with the greatest weight for `key`.
+pub(crate) fn home<'a>(key: u64, known: &[&'a Upstream]) -> Option<&'a Upstream> {
+    known.iter().copied().max_by_key(|upstream| weight(key, upstream.as_str()))
+}
+
 /// Sorts candidates by their weight for `key`.
 pub(crate) fn sort(key: u64, candidates: &mut [Candidate]) {
     candidates.sort_by_cached_key(|candidate| Reverse(weight(key, candidate.upstream.as_str())));
@@ -25,4 +31,8 @@
     fn order(&mut self, key: u64, candidates: &mut Vec<Candidate>) {
         sort(key, candidates);
     }
+
+    fn placed(&mut self, key: u64, _: &Upstream, known: &[&Upstream]) -> Option<Upstream> {
+        home(key, known).cloned()
+    }
 }
--- a/crates/placement/tests/movement.rs
+++ b/crates/placement/tests/movement.rs
@@ -30,6 +30,17 @@
     ordered[0].upstream.to_string()
 }
 
+fn placed(
+    policy: &mut dyn Policy,
+    key: u64,
+    upstream: &str,
+    known: &[Candidate],
+) -> Option<String> {
+    let known: Vec<_> = known.iter().map(|candidate| &candidate.upstream).collect();
+    let holder = policy.placed(key, &upstream.parse().unwrap(), &known);
+    holder.map(|holder| holder.to_string())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(CASES))]
 
@@ -88,7 +99,7 @@
                 all.iter_mut().find(|other| other.upstream.as_str() == chosen).unwrap();
             candidate.in_flight += 1;
             prop_assert!(candidate.in_flight <= bound.most(sum, candidate.slots));
-            policy.placed(key % 50, &candidate.upstream.clone());
+            placed(&mut policy, key % 50, &chosen, &all);
         }
     }
 
@@ -117,17 +128,33 @@
     all[at_home].in_flight = 8;
     let spilled = first(&mut policy, 7, &all);
     assert_ne!(spilled, home);
-    policy.placed(7, &spilled.parse().unwrap());
+    for other in 100..200 {
+        first(&mut policy, other, &all);
+    }
+    assert_eq!(placed(&mut policy, 7, &spilled, &all), Some(home.clone()));
     all[at_home].in_flight = 0;
     assert_eq!(first(&mut policy, 7, &all), spilled, "the copy at its home is the older");
     let at_spilled = all.iter().position(|other| other.upstream.as_str() == spilled).unwrap();
     all[at_spilled].in_flight = 8;
     assert_eq!(first(&mut policy, 7, &all), home);
-    policy.placed(7, &home.parse().unwrap());
+    assert_eq!(placed(&mut policy, 7, &home, &all), Some(spilled));
     all[at_spilled].in_flight = 0;
     assert_eq!(first(&mut policy, 7, &all), home, "the copy at its home is the fresher again");
 }
 
+#[test_case(Choice::Bounded, true; "bounded")]
+#[test_case(Choice::Rendezvous, true; "rendezvous")]
+#[test_case(Choice::RoundRobin, false; "round robin keeps no conversation where it was")]
+fn a_leaving_home_still_has_the_context(choice: Choice, is_known: bool) {
+    let mut policy = choice.policy(Bound::default(), 1);
+    let all = candidates(&[0, 1, 2, 3]);
+    let home = first(policy.as_mut(), 7, &all);
+    let others: Vec<_> =
+        all.iter().filter(|other| other.upstream.as_str() != home).cloned().collect();
+    let next = first(policy.as_mut(), 7, &others);
+    assert_eq!(placed(policy.as_mut(), 7, &next, &all), is_known.then_some(home));
+}
+
 #[test]
 fn spills_forget_the_least_recently_used() {
     let mut spills = Spills::new(100);
