Move cached context to the engine that gets the next request

A request that goes to another engine than the one with its context (spill at the load bound, leaving or drained home, return from a spill) had its whole prompt computed again. The instance that places it now decides by cost (tokens x recompute rate against bytes x transfer rate and two round trips) whether to move the context first: export, import, then the call. A move ends at the least of `context.limit`, the time to compute the context and a quarter of the time left; after a failure the request goes on without, and that engine gets no moves for 1 s, doubling to 64 s.

- crates/context: `Costs::decide`, `Moves`, the trait `Transfer`, without I/O; crates/instance/src/moves.rs makes the calls.
- Engines announce `moves_context`.
Bytes of a token are learnt from moves.
- Counters: context_moves_{tried,done,failed}_total, context_moved_bytes_total.
- Stand-ins echo the attempt id on export and import, report cached tokens and have the faults export-hang, export-cut, export-crossed.

--- /dev/null
+++ b/crates/context/tests/moves.rs
@@ -0,0 +1,116 @@
+//! Moves whose engines fail at any step.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use context::{Bounds, Costs, Flaw, KeyValueCache, Moves, Outcome, Reason, Step, Wanted};
+use dispatch::{Field, Progress, Verdict};
+use names::Attempt;
+use test_case::test_case;
+
+const ATTEMPT: Attempt = Attempt(7);
+const CONTEXT: &str = r#"{"blocks":[1,2,3]}"#;
+
+fn moves() -> Moves {
+    let costs = Costs::new(8000, 1 << 30, Duration::from_millis(1), 64);
+    let bounds = Bounds { moves: 1, limit: Duration::from_millis(300), bytes: 1 << 20 };
+    Moves::new(costs, bounds)
+}
+
+fn wanted(now: Instant) -> Wanted {
+    let engine = |name: &str| (name.parse().unwrap(), "127.0.0.1:1".parse().unwrap());
+    Wanted {
+        from: engine("engine-1"),
+        to: engine("engine-2"),
+        transfer: &KeyValueCache,
+        prompt: b"prompt".to_vec(),
+        tokens: 4000,
+        deadline: now + Duration::from_secs(30),
+    }
+}
+
+fn head(status: u16, attempt: u128) -> Progress {
+    let value = Attempt(attempt as _).to_string();
+    Progress::Head { status, headers: vec![Field { name: "x-attempt-id".to_string(), value }] }
+}
+
+fn part(text: &str) -> Progress {
+    Progress::Part(text.as_bytes().to_vec())
+}
+
+/// Feeds progress until the move ends; gives what it called and how it ended.
+fn run(moves: &mut Moves, now: Instant, progress: Vec<Progress>) -> (Vec<String>, Option<Outcome>) {
+    let mut calls = vec![moves.begin(now, ATTEMPT, wanted(now)).unwrap().url];
+    for progress in progress {
+        match moves.progress(now, ATTEMPT, progress) {
+            Step::Wait => {}
+            Step::Import(call) => {
+                assert_eq!(call.body, CONTEXT.as_bytes());
+                calls.push(call.url);
+            }
+            Step::End(outcome) => return (calls, Some(outcome)),
+        }
+    }
+    (calls, None)
+}
+
+#[test]
+fn a_move_is_an_export_and_an_import() {
+    let (now, mut moves) = (Instant::now(), moves());
+    let export = [head(200, 7), part(&CONTEXT[..5]), part(&CONTEXT[5..]), Progress::End];
+    let import = [head(200, 7), part("{}"), Progress::End];
+    let (calls, outcome) = run(&mut moves, now, [&export[..], &import].concat());
+    assert_eq!(calls, ["http://127.0.0.1:1/kv/export", "http://127.0.0.1:1/kv/import"]);
+    assert_eq!(outcome, Some(Outcome::Moved { bytes: CONTEXT.len() }));
+    assert!(moves.is_empty() && moves.begin(now, ATTEMPT, wanted(now)).is_ok());
+}
+
+#[test]
+fn nothing_cached_is_no_failure() {
+    let (now, mut moves) = (Instant::now(), moves());
+    let progress = vec![head(200, 7), part(r#"{"blocks":[]}"#), Progress::End];
+    assert_eq!(run(&mut moves, now, progress).1, Some(Outcome::Nothing));
+    assert!(moves.begin(now, ATTEMPT, wanted(now)).is_ok());
+}
+
+fn broken() -> Progress {
+    Progress::Failed { verdict: Verdict::MayHaveRun, reason: "cut".to_string() }
+}
+
+#[test_case(vec![head(404, 7), Progress::End], "engine-1"; "no export")]
+#[test_case(vec![head(200, 8), part(CONTEXT), Progress::End], "engine-1"; "context of another conversation")]
+#[test_case(vec![head(200, 7), part("{\"blocks\":[1,"), Progress::End], "engine-1"; "truncated")]
+#[test_case(vec![head(200, 7), part("{}"), Progress::End], "engine-1"; "without blocks")]
+#[test_case(vec![head(200, 7), part(CONTEXT), broken()], "engine-1"; "broken off")]
+#[test_case(vec![broken()], "engine-1"; "refused connection")]
+#[test_case(vec![head(200, 7), part(&" ".repeat(1 << 20)), part(CONTEXT)], "engine-1"; "endless")]
+#[test_case(vec![Progress::End], "engine-1"; "no head")]
+#[test_case(vec![head(200, 7), part(CONTEXT), Progress::End, head(500, 7), Progress::End], "engine-2"; "import fails")]
+#[test_case(vec![head(200, 7), part(CONTEXT), Progress::End, broken()], "engine-2"; "import breaks off")]
+fn a_failed_move_ends_and_its_engine_rests(progress: Vec<Progress>, failing: &str) {
+    let (now, mut moves) = (Instant::now(), moves());
+    let outcome = run(&mut moves, now, progress).1;
+    let failed = |outcome: &Outcome| match outcome {
+        Outcome::Failed { upstream, .. } => upstream.as_str() == failing,
+        _ => false,
+    };
+    assert!(outcome.as_ref().is_some_and(failed), "{outcome:?}");
+    assert_eq!(moves.begin(now, ATTEMPT, wanted(now)).unwrap_err(), Reason::Failing);
+    let later = now + Duration::from_secs(1);
+    assert!(moves.begin(later, ATTEMPT, wanted(later)).is_ok());
+}
+
+#[test]
+fn a_move_ends_at_its_limit_and_late_progress_is_dropped() {
+    let (now, mut moves) = (Instant::now(), moves());
+    let call = moves.begin(now, ATTEMPT, wanted(now)).unwrap();
+    assert!(call.deadline <= now + Duration::from_millis(300));
+    let refused = moves.begin(now, Attempt(8), wanted(now)).unwrap_err();
+    assert_eq!(refused, Reason::Busy);
+    let upstream = "engine-1".parse().unwrap();
+    let failed = Outcome::Failed { upstream, flaw: Flaw::TimedOut };
+    assert_eq!(moves.expire(now, ATTEMPT), Step::End(failed));
+    assert_eq!(moves.progress(now, ATTEMPT, head(200, 7)), Step::Wait);
+    assert!(moves.is_empty());
+}
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod listing;
 mod members;
+mod moves;
 mod operators;
 mod orders;
 mod placer;
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -39,7 +39,7 @@
 const STALL: Duration = Duration::from_secs(1);
 
 /// Bytes of a request for each token of its expected cost.
-const BYTES_PER_TOKEN: u64 = 4;
+pub(crate) const BYTES_PER_TOKEN: u64 = 4;
 
 /// A request for a permit.
 pub(crate) struct Wanted {
@@ -83,6 +83,8 @@
     pub(crate) upstream: Upstream,
     pub(crate) address: SocketAddr,
     pub(crate) cost: Tokens,
+    /// The engine with the context of the conversation, when both can move it.
+    pub(crate) context_at: Option<(Upstream, SocketAddr)>,
 }
 
 /// Outcome of asking for a permit.
@@ -410,8 +412,9 @@
         let asking = found.map(|index| self.asking.swap_remove(index));
         match (asking, placed) {
             (Some(Asking { cost, placed: teller, .. }), permit::Placed::Granted(granted)) => {
+                let context_at = self.find_context(&granted);
                 let Granted { id, upstream, address, .. } = granted;
-                ret!([teller], Placed::Granted(Permit { id, upstream, address, cost }));
+                ret!([teller], Placed::Granted(Permit { id, upstream, address, cost, context_at }));
             }
             (Some(asking), permit::Placed::Refused { retry_after }) => {
                 ret!([asking.placed], Placed::Full { retry_after });
@@ -426,6 +429,18 @@
         }
     }
 
+    /// Where the context of the conversation is, when it can be moved.
+    fn find_context(&self, granted: &Granted) -> Option<(Upstream, SocketAddr)> {
+        let registry = self.directory.registry();
+        let can_move = |upstream: &Upstream| {
+            let entry = registry.get(upstream)?;
+            entry.announcement.moves_context.then_some(entry.announcement.address)
+        };
+        let upstream = granted.context_at.as_ref()?;
+        can_move(&granted.upstream)?;
+        can_move(upstream).map(|address| (upstream.clone(), address))
+    }
+
     /// Queues a message about permits; all to one instance of this turn travel as one frame.
     fn queue(&mut self, cx: CX![], to: Instance, message: permit::Message) {
         let slice = match message {
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -19,6 +19,7 @@
 use crate::config::{Access, Config, Surroundings};
 use crate::limits::Limits;
 use crate::members::{Members, View};
+use crate::moves::Moves;
 use crate::operators::{Ask, Operators};
 use crate::orders::Orders;
 use crate::placer::Placer;
@@ -52,6 +53,7 @@
     config: ActorOwn<Config>,
     claims: ActorOwn<Claims>,
     members: ActorOwn<Members>,
+    _moves: ActorOwn<Moves>,
     orders: ActorOwn<Orders>,
     is_stopping: bool,
 }
@@ -133,6 +135,11 @@
             Claims::init(replica.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let moves = actor!(
+            cx,
+            Moves::init(settings.clone(), metrics.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let router = actor!(
             cx,
             Router::init(
@@ -140,6 +147,7 @@
                 limits.clone(),
                 placer.clone(),
                 claims.clone(),
+                moves.clone(),
                 metrics.clone(),
             ),
             ret_some_to!([cx], child_ended() as (StopCause))
@@ -198,6 +206,7 @@
             config,
             claims,
             members,
+            _moves: moves,
             orders,
             is_stopping: false,
         })
--- a/crates/instance/src/router/active.rs
+++ b/crates/instance/src/router/active.rs
@@ -32,6 +32,8 @@
     Claiming,
     /// Waits for a permit, or for the time of the next attempt.
     Placing,
+    /// Has a permit, and waits for the context of its conversation.
+    Preparing(Permit),
     /// An upstream has it.
     Calling(Calling),
     /// Has its answer, which waits until it is recorded.
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempt;
 mod keyed;
+mod prepare;
 mod route;
 
 use std::rc::Rc;
@@ -21,6 +22,7 @@
 
 use crate::claims::Claims;
 use crate::limits::Limits;
+use crate::moves::Moves;
 use crate::placer::{Placed, Placer, Wanted};
 use crate::problem;
 use active::{Active, Phase};
@@ -28,7 +30,13 @@
 use route::{resolve, stopping};
 
 /// Sends events of the calls' threads into the event loop.
-struct Events(Sender<dispatch::Event>);
+pub(crate) struct Events(Sender<dispatch::Event>);
+
+impl Events {
+    pub(crate) fn new(sender: Sender<dispatch::Event>) -> Self {
+        Self(sender)
+    }
+}
 
 impl dispatch::Sink for Events {
     fn deliver(&self, event: dispatch::Event) {
@@ -51,6 +59,7 @@
     limits: Actor<Limits>,
     placer: Actor<Placer>,
     claims: Actor<Claims>,
+    moves: Actor<Moves>,
     metrics: Arc<Metrics>,
     pool: Pool,
     budget: Budget,
@@ -68,6 +77,7 @@
         limits: Actor<Limits>,
         placer: Actor<Placer>,
         claims: Actor<Claims>,
+        moves: Actor<Moves>,
         metrics: Arc<Metrics>,
     ) -> Option<Self> {
         let events = fwd_to!([cx], progress() as (dispatch::Event));
@@ -80,6 +90,7 @@
             limits,
             placer,
             claims,
+            moves,
             metrics,
             pool,
             budget,
@@ -200,7 +211,7 @@
         };
         let service = &self.active[index].route.service;
         match placed {
-            Placed::Granted(permit) => self.call(cx, index, permit),
+            Placed::Granted(permit) => self.prepare(cx, index, permit),
             Placed::Full { retry_after } => {
                 let problem = problem::busy(service, retry_after);
                 self.not_placed(cx, index, problem);
@@ -236,7 +247,9 @@
         let active = &self.active[index];
         match &active.phase {
             Phase::Claiming | Phase::Recording(_) => {}
-            Phase::Placing => self.refuse(index, Problem::not_run(status, code, message)),
+            Phase::Placing | Phase::Preparing(_) => {
+                self.refuse(index, Problem::not_run(status, code, message))
+            }
             Phase::Calling(_) => self.refuse(index, Problem::may_have_run(status, code, message)),
         }
     }
@@ -282,12 +295,17 @@
 
     /// Ends the running attempt, if there is one.
     fn release(&mut self, index: usize) {
-        if let Phase::Calling(calling) =
-            std::mem::replace(&mut self.active[index].phase, Phase::Placing)
-        {
-            calling.handle.cancel();
-            self.calls.retain(|call| call.0 != calling.attempt);
-            call!([self.placer], release(calling.permit));
+        match std::mem::replace(&mut self.active[index].phase, Phase::Placing) {
+            Phase::Calling(calling) => {
+                calling.handle.cancel();
+                self.calls.retain(|call| call.0 != calling.attempt);
+                call!([self.placer], release(calling.permit));
+            }
+            Phase::Preparing(permit) => {
+                call!([self.moves], cancel(self.active[index].id));
+                call!([self.placer], release(permit));
+            }
+            Phase::Claiming | Phase::Placing | Phase::Recording(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/instance/src/router/prepare.rs
@@ -0,0 +1,51 @@
+//! Moving the context of a conversation before its request is called.
+
+use context::{Wanted, of_protocol};
+use stakker::{CX, call, ret_some_to};
+use upstream::Protocol;
+
+use super::Router;
+use super::active::{Active, Phase};
+use crate::placer::Permit;
+
+impl Active {
+    /// The move that would help the first attempt at the upstream of `permit`.
+    fn wanted_move(&self, permit: &Permit) -> Option<Wanted> {
+        let from = permit.context_at.clone()?;
+        let is_first_attempt = self.attempts == 0 && self.route.context_tokens > 0;
+        let transfer = of_protocol(Protocol::ChatCompletions).filter(|_| is_first_attempt)?;
+        Some(Wanted {
+            from,
+            to: (permit.upstream.clone(), permit.address),
+            transfer,
+            prompt: self.route.body.clone(),
+            tokens: self.route.context_tokens,
+            deadline: self.route.deadline,
+        })
+    }
+}
+
+impl Router {
+    /// Moves the context of the request at `index` where that may help, then calls its upstream.
+    pub(super) fn prepare(&mut self, cx: CX![], index: usize, permit: Permit) {
+        let Some(wanted) = self.active[index].wanted_move(&permit) else {
+            return self.call(cx, index, permit);
+        };
+        let active = &mut self.active[index];
+        active.phase = Phase::Preparing(permit);
+        let id = active.id;
+        let ended = ret_some_to!([cx], prepared(id) as (()));
+        call!([self.moves], begin(id, wanted, ended));
+    }
+
+    fn prepared(&mut self, cx: CX![], id: names::Request, _: ()) {
+        let Some(index) = self.find(id) else {
+            return;
+        };
+        let active = &mut self.active[index];
+        match std::mem::replace(&mut active.phase, Phase::Placing) {
+            Phase::Preparing(permit) => self.call(cx, index, permit),
+            other => active.phase = other,
+        }
+    }
+}
--- a/crates/instance/src/router/route.rs
+++ b/crates/instance/src/router/route.rs
@@ -11,6 +11,7 @@
 use units::Span;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::placer::BYTES_PER_TOKEN;
 use crate::problem;
 
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -35,6 +36,9 @@
     pub(crate) target: Target,
     pub(crate) placement_key: u64,
     pub(crate) streams: bool,
+    /// Expected tokens of the prompt that earlier requests of the conversation had; none when it
+    /// is new.
+    pub(crate) context_tokens: u64,
     /// Most tokens of the answer, for its expected cost.
     pub(crate) answer_tokens: u64,
     pub(crate) is_idempotent: bool,
@@ -167,6 +171,7 @@
         target: service.target.clone(),
         placement_key,
         streams: chat.stream,
+        context_tokens: context_tokens(&chat.messages, request.body.len()),
         answer_tokens: chat.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
         is_idempotent: true,
         ticket: None,
@@ -186,6 +191,18 @@
     xxh3_64(leading.collect::<String>().as_bytes())
 }
 
+/// Tokens of all but the last of `messages`, which make `bytes` together, once the engine has said
+/// anything.
+fn context_tokens(messages: &[serde_json::Value], bytes: usize) -> u64 {
+    let Some((last, earlier)) = messages.split_last() else {
+        return 0;
+    };
+    if !earlier.iter().any(|message| message["role"] == "assistant") {
+        return 0;
+    }
+    (bytes as u64).saturating_sub(last.to_string().len() as u64) / BYTES_PER_TOKEN
+}
+
 fn resolve_service(
     declarations: &Declarations,
     request: Request,
@@ -219,6 +236,7 @@
         target: service.target.clone(),
         placement_key: request.id.0,
         streams: false,
+        context_tokens: 0,
         answer_tokens: 0,
         is_idempotent,
         ticket,
--- a/crates/permit/tests/bound.rs
+++ b/crates/permit/tests/bound.rs
@@ -54,6 +54,7 @@
         expires_in: units::Span::from_seconds(60),
         is_leaving,
         checks_fencing: false,
+        moves_context: false,
     };
     Record { announcement, version, is_gone }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,10 +3,12 @@
 //! [`Settings`] is built with `TryFrom<String>` from the text of a settings file. Unknown fields
 //! are refused and every quantity carries its unit.
 
+mod context;
 mod error;
 mod model;
 mod policies;
 
+pub use context::Context;
 pub use error::Error;
 pub use model::{Limits, Listen, Peer, Retries, RetryLimit, Role, Settings, Timing};
 pub use policies::Policies;
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use units::{Size, Span};
 
-use crate::{Error, Policies};
+use crate::{Context, Error, Policies};
 
 /// Most voters that a control group may have.
 const MAX_VOTERS: usize = 7;
@@ -199,6 +199,9 @@
     /// How retries of failed attempts are limited.
     #[serde(default)]
     pub retries: Retries,
+    /// When cached context is moved between engines.
+    #[serde(default)]
+    pub context: Context,
     /// Policies that the instance decides by.
     #[serde(default)]
     pub policies: Policies,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -12,7 +12,7 @@
 use stakker::{CX, Fwd, after};
 use upstream::{Announcement, Load};
 
-use crate::prefix::Cache;
+use crate::prefix::{BLOCK_BYTES, Cache};
 use crate::reporter::Report;
 use crate::service::{attempt_echo, refusal, server_error, set_fault};
 use crate::{Context, Fault, Options, Order, Orders, Prompt, Task, word};
@@ -20,6 +20,9 @@
 /// Priority of requests that name none; smaller is more urgent.
 const DEFAULT_PRIORITY: u32 = 100;
 
+/// Bytes of a prompt that count as a token.
+const BYTES_PER_TOKEN: usize = 4;
+
 /// What an engine did so far.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stats {
@@ -49,6 +52,8 @@
     next_word: usize,
     /// Words that this request got, whichever word it started with.
     produced: usize,
+    /// Prompt blocks found in the cache.
+    cached_blocks: usize,
     is_started: bool,
     /// Headers that tell the caller which attempt is answered, from which word on.
     echo: Vec<Header>,
@@ -160,15 +165,23 @@
     }
 
     fn export(&self, request: &Request, reply: &Fwd<Reply>) {
-        if let Some(prompt) = parse::<Prompt>("prompt", request, reply) {
-            reply.fwd(json_reply(Status::OK, &self.cache.export(&prompt.text())));
+        let Some(prompt) = parse::<Prompt>("prompt", request, reply) else {
+            return;
+        };
+        let context = self.cache.export(&prompt.text());
+        let echo: Vec<Header> = attempt_echo(request, self.fault).into_iter().collect();
+        match self.fault {
+            Fault::ExportHang => {}
+            Fault::ExportCut => break_off(&context, echo, reply),
+            _ => reply.fwd(json_reply_with(&context, echo)),
         }
     }
 
     fn import(&mut self, request: &Request, reply: &Fwd<Reply>) {
         if let Some(context) = parse::<Context>("context", request, reply) {
             self.cache.import(&context);
-            reply.fwd(json_reply(Status::OK, &self.stats()));
+            let echo = attempt_echo(request, self.fault).into_iter().collect();
+            reply.fwd(json_reply_with(&self.stats(), echo));
         }
     }
 
@@ -201,7 +214,11 @@
         };
         let priority = request.header("x-priority").and_then(|value| value.parse().ok());
         let resumed = request.header("x-resume-offset").and_then(|value| value.parse().ok());
-        let mut echo: Vec<Header> = attempt_echo(&request, self.fault).into_iter().collect();
+        let fault = match self.fault {
+            Fault::ExportCrossed => Fault::None,
+            fault => fault,
+        };
+        let mut echo: Vec<Header> = attempt_echo(&request, fault).into_iter().collect();
         echo.extend(
             resumed.map(|offset: usize| Header::new("x-resume-offset", offset.to_string())),
         );
@@ -212,6 +229,7 @@
             priority: priority.unwrap_or(DEFAULT_PRIORITY),
             next_word: resumed.unwrap_or(0),
             produced: 0,
+            cached_blocks: 0,
             is_started: false,
             echo,
             fault: self.fault,
@@ -226,11 +244,12 @@
 
     fn fill_slots(&mut self, cx: CX![]) {
         while self.running.len() < self.options.slots as usize {
-            let Some(job) = self.waiting.pop_front() else {
+            let Some(mut job) = self.waiting.pop_front() else {
                 return;
             };
             let reuse = self.cache.use_prompt(&job.text);
             self.stats.cached_blocks += reuse.cached_blocks;
+            job.cached_blocks = reuse.cached_blocks;
             self.stats.computed_blocks += reuse.computed_blocks;
             let blocks = u32::try_from(reuse.computed_blocks).unwrap_or(u32::MAX);
             let prefill =
@@ -308,6 +327,26 @@
     Reply::Whole { status, headers, body: serde_json::to_vec(value).unwrap_or_default() }
 }
 
+fn json_reply_with<T>(value: &T, echo: Vec<Header>) -> Reply
+where
+    T: Serialize,
+{
+    let mut reply = json_reply(Status::OK, value);
+    if let Reply::Whole { headers, .. } = &mut reply {
+        headers.extend(echo);
+    }
+    reply
+}
+
+/// Sends the first half of a context.
+fn break_off(context: &Context, echo: Vec<Header>, reply: &Fwd<Reply>) {
+    let mut body = serde_json::to_vec(context).unwrap_or_default();
+    body.truncate(body.len() / 2);
+    reply.fwd(Reply::Start { status: Status::OK, headers: echo });
+    reply.fwd(Reply::Part(body));
+    reply.fwd(Reply::Cut);
+}
+
 /// Streams the next word, after the head of the stream.
 fn stream(job: &mut Job, words: usize) {
     if !job.is_started {
@@ -371,14 +410,13 @@
             "finish_reason": "stop",
         }],
         "usage": {
-            "prompt_tokens": job.text.len() / 4,
+            "prompt_tokens": job.text.len() / BYTES_PER_TOKEN,
+            "prompt_tokens_details": {
+                "cached_tokens": job.cached_blocks * BLOCK_BYTES / BYTES_PER_TOKEN,
+            },
             "completion_tokens": words,
-            "total_tokens": job.text.len() / 4 + words,
+            "total_tokens": job.text.len() / BYTES_PER_TOKEN + words,
         },
     });
-    let mut whole = json_reply(Status::OK, &answer);
-    if let Reply::Whole { headers, .. } = &mut whole {
-        headers.extend_from_slice(&job.echo);
-    }
-    job.reply.fwd(whole);
+    job.reply.fwd(json_reply_with(&answer, job.echo.clone()));
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -18,6 +18,12 @@
     Cut(usize),
     /// Answers carry the id of another attempt.
     Crossed,
+    /// Exports of context are never answered.
+    ExportHang,
+    /// Exports of context break off in the middle.
+    ExportCut,
+    /// Exports of context carry the id of another move.
+    ExportCrossed,
     /// Work takes so many times as long.
     Slow(u32),
 }
@@ -34,7 +40,10 @@
 
 /// The text is not the name of a fault.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("fault \"{0}\" is not none, error, refuse, hang, cut:WORDS, crossed or slow:FACTOR")]
+#[error(
+    "fault \"{0}\" is not none, error, refuse, hang, cut:WORDS, crossed, export-hang, export-cut, \
+         export-crossed or slow:FACTOR"
+)]
 pub struct UnknownFault(String);
 
 impl FromStr for Fault {
@@ -53,6 +62,9 @@
             "hang" => Ok(Self::Hang),
             "cut" => Ok(Self::Cut(number as usize)),
             "crossed" => Ok(Self::Crossed),
+            "export-hang" => Ok(Self::ExportHang),
+            "export-cut" => Ok(Self::ExportCut),
+            "export-crossed" => Ok(Self::ExportCrossed),
             "slow" => Ok(Self::Slow(number.max(1))),
             _ => Err(unknown()),
         }
--- a/crates/standin/src/prefix.rs
+++ b/crates/standin/src/prefix.rs
@@ -8,7 +8,7 @@
 use crate::kv::Context;
 
 /// Bytes of a prompt that make one block.
-const BLOCK_BYTES: usize = 64;
+pub(crate) const BLOCK_BYTES: usize = 64;
 
 /// Cached blocks, the most recently used last.
 #[derive(Debug, Default)]
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -81,6 +81,7 @@
             expires_in: self.expires_in,
             is_leaving: false,
             checks_fencing: self.behaviour.checks_fencing,
+            moves_context: matches!(self.work, Work::Engine(_)),
         }
     }
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -132,7 +132,8 @@
 /// The header that tells the caller which attempt the answer belongs to.
 pub(crate) fn attempt_echo(request: &Request, fault: Fault) -> Option<Header> {
     let attempt = request.header("x-attempt-id")?;
-    let attempt = if fault == Fault::Crossed { "0" } else { attempt };
+    let is_crossed = matches!(fault, Fault::Crossed | Fault::ExportCrossed);
+    let attempt = if is_crossed { "0" } else { attempt };
     Some(Header::new("x-attempt-id", attempt))
 }
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::ContextMetrics;
 use crate::Membership;
 use crate::ReplicaMetrics;
 
@@ -44,6 +45,8 @@
     pub upstreams: Gauge,
     /// Snapshots of caches asked for since events were missing.
     pub cache_resyncs: Counter,
+    /// Moves of cached context.
+    pub context: ContextMetrics,
     /// Members and permits.
     pub membership: Membership,
 }
@@ -77,6 +80,7 @@
             "Caches whose events were missing",
             cache_resyncs.clone(),
         );
+        let context = ContextMetrics::register(&mut registry);
         let membership = Membership::register(&mut registry);
         Self {
             registry,
@@ -84,6 +88,7 @@
             refused,
             first_byte,
             replica,
+            context,
             membership,
             revision,
             active,
--- a/crates/upstream/src/announcement.rs
+++ b/crates/upstream/src/announcement.rs
@@ -58,6 +58,9 @@
     /// Whether it refuses orders with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// Whether it exports and imports cached context.
+    #[serde(default)]
+    pub moves_context: bool,
 }
 
 impl Announcement {
--- a/crates/upstream/tests/directory.rs
+++ b/crates/upstream/tests/directory.rs
@@ -28,6 +28,7 @@
         expires_in: units::Span::from_seconds(3),
         is_leaving,
         checks_fencing: false,
+        moves_context: false,
     }
 }
 
