Wait for bookings and their records in a planned stop

Cause: the stop ended with the last caller's connection. A booking whose caller had left was killed with its call open, and a result that the ledger had not taken yet was dropped, so a resend heard may-have-run although the outcome was known. A connection that was open but had not sent its request was closed without an answer, and connections in the listener's backlog were reset.

Ruled out: waiting for settlements only, since the call of a caller that left belongs to no connection and has not begun to settle.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -21,6 +21,9 @@
 /// When to ask again after a refusal for want of memory.
 const CROWDED_RETRY: Duration = Duration::from_secs(1);
 
+/// How long a new connection may stay without a request once the server stops.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
+
 /// Header that carries the request's id.
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -41,6 +44,8 @@
     deadline: Instant,
     is_read_open: bool,
     is_draining: bool,
+    /// Whether no request came yet.
+    is_new: bool,
     bounds: Rc<Bounds>,
     share: Share,
     handler: Fwd<Event>,
@@ -77,6 +82,7 @@
             deadline,
             is_read_open: true,
             is_draining: false,
+            is_new: true,
             bounds,
             share,
             handler,
@@ -84,12 +90,16 @@
         })
     }
 
-    /// Closes the connection once it has no request.
+    /// Closes the connection once it has no request. The first request of a new connection is
+    /// waited for: its caller may have sent it already.
     pub(crate) fn drain(&mut self, cx: CX![]) {
         self.is_draining = true;
         let is_idle =
             matches!(self.phase, Phase::Receiving { body: None }) && self.received.is_empty();
-        if is_idle {
+        if is_idle && self.is_new {
+            let deadline = self.deadline.min(cx.now() + FIRST_REQUEST_TIME);
+            self.set_deadline(cx, deadline);
+        } else if is_idle {
             self.close(cx);
         }
     }
@@ -208,6 +218,7 @@
     }
 
     fn arrive(&mut self, cx: CX![], body: Vec<u8>) {
+        self.is_new = false;
         let id = names::Request(rand::rng().random());
         let phase = Phase::Answering { id, keeps_alive: !self.is_draining, is_streaming: false };
         let Phase::Receiving { body: Some((head, _)) } = std::mem::replace(&mut self.phase, phase)
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -77,9 +77,11 @@
         }
     }
 
-    /// Stops accepting; connections without a request close, the others after their answer.
-    /// `drained` is told when the last one has closed.
-    pub fn drain(&mut self, _: CX![], drained: Fwd<()>) {
+    /// Stops accepting, after those that are connected already. Connections close after their
+    /// answer, idle ones at once and new ones soon, unless a request comes. `drained` is told when
+    /// the last one has closed.
+    pub fn drain(&mut self, cx: CX![], drained: Fwd<()>) {
+        self.accept_waiting(cx);
         self.listener = None;
         self.drained = Some(drained);
         for connection in &self.connections {
@@ -102,6 +104,10 @@
     }
 
     fn accept(&mut self, cx: CX![], _: Ready) {
+        self.accept_waiting(cx);
+    }
+
+    fn accept_waiting(&mut self, cx: CX![]) {
         while let Some(listener) = &self.listener {
             match listener.accept() {
                 Ok((stream, _)) if self.open < self.bounds.connections => {
--- a/crates/instance/src/claims.rs
+++ b/crates/instance/src/claims.rs
@@ -58,6 +58,8 @@
     entries: Vec<Entry>,
     /// Keys that requests of this instance may have used, the latest last.
     recent: VecDeque<Digest>,
+    /// Who is told when nothing is left to settle.
+    settled: Option<Fwd<()>>,
 }
 
 impl Claims {
@@ -65,8 +67,28 @@
         let ledger = Rc::new(RefCell::new(Ledger::default()));
         let applied = fwd_to!([cx], applied() as (Index));
         call!([replica], attach(Part::Ledger, ledger.clone(), applied));
-        let clock = Clock::default();
-        Some(Self { replica, ledger, clock, entries: Vec::new(), recent: VecDeque::new() })
+        Some(Self {
+            replica,
+            ledger,
+            clock: Clock::default(),
+            entries: Vec::new(),
+            recent: VecDeque::new(),
+            settled: None,
+        })
+    }
+
+    /// Tells `settled` once every claim has its settlement in the ledger.
+    pub(crate) fn when_settled(&mut self, _: CX![], settled: Fwd<()>) {
+        self.settled = Some(settled);
+        self.check_settled();
+    }
+
+    fn check_settled(&mut self) {
+        if self.entries.is_empty()
+            && let Some(settled) = self.settled.take()
+        {
+            settled.fwd(());
+        }
     }
 
     /// Takes a message of a peer.
@@ -236,6 +258,7 @@
     fn remove(&mut self, fence: Attempt) {
         if let Ok(index) = self.find(fence) {
             self.entries.remove(index);
+            self.check_settled();
         }
     }
 }
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -301,12 +301,24 @@
         call!([self.placer], drain());
         call!([self.router], drain());
         call!([self.replica], retire());
-        let drained = fwd_to!([cx], finish_stop() as (()));
+        let drained = fwd_to!([cx], await_requests() as (()));
         call!([self.server], drain(drained));
         let deadline = cx.now() + self.settings.timing.drain.as_duration();
         at!(deadline, [cx], finish_stop(()));
     }
 
+    /// Goes on with the stop once the last request has ended; some go on without their caller.
+    fn await_requests(&mut self, cx: CX![], _: ()) {
+        let idle = fwd_to!([cx], await_settlements() as (()));
+        call!([self.router], when_idle(idle));
+    }
+
+    /// Goes on with the stop once the results of all bookings are recorded.
+    fn await_settlements(&mut self, cx: CX![], _: ()) {
+        let settled = fwd_to!([cx], finish_stop() as (()));
+        call!([self.claims], when_settled(settled));
+    }
+
     /// Announces the leave and gives it time to reach the peers.
     fn finish_stop(&mut self, cx: CX![], _: ()) {
         call!([self.members], leave());
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -59,6 +59,8 @@
     /// The running attempts, sorted, and their requests.
     calls: Vec<(Attempt, names::Request)>,
     is_draining: bool,
+    /// Who is told when no request is left.
+    idle: Option<Fwd<()>>,
 }
 
 impl Router {
@@ -87,6 +89,7 @@
             active: Vec::new(),
             calls: Vec::new(),
             is_draining: false,
+            idle: None,
         })
     }
 
@@ -100,6 +103,20 @@
         self.is_draining = true;
     }
 
+    /// Tells `idle` once no request is left, also of callers that went away.
+    pub(crate) fn when_idle(&mut self, _: CX![], idle: Fwd<()>) {
+        self.idle = Some(idle);
+        self.check_idle();
+    }
+
+    fn check_idle(&mut self) {
+        if self.active.is_empty()
+            && let Some(idle) = self.idle.take()
+        {
+            idle.fwd(());
+        }
+    }
+
     /// Takes one event of the callers' port.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
@@ -301,5 +318,6 @@
             kind: active.route.kind.to_string(),
             verdict: verdict.to_string(),
         });
+        self.check_idle();
     }
 }
