--- a/crates/ledger/tests/claims.rs
+++ b/crates/ledger/tests/claims.rs
@@ -1,8 +1,10 @@
 //! Resends through several instances that crash, and proposals that get lost, against a journal
-//! of what ran, in a ledger with room for all answers and in one that keeps hardly any. The seeds are 0..SEEDS; `LEDGER_SEED` runs a single one.
+//! of what ran, in a ledger with room for all answers and in one that keeps hardly any. The seeds
+//! are 0..SEEDS; `LEDGER_SEED` runs a single one.
 
 #![allow(clippy::unwrap_used)]
 
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use ledger::{Answer, Bounds, Claimant, Clock, Command, End, Key, Ledger, Next, Refusal, Ticket};
@@ -279,9 +281,12 @@
     hold: Duration::from_secs(60),
 };
 
-#[test_case(Bounds::default(), 0; "wide")]
-#[test_case(NARROW, 100; "narrow")]
-fn no_key_runs_twice_and_no_refusal_as_not_run_is_false(bounds: Bounds, least_without: u64) {
+#[test_case(Bounds::default(), 0..=0; "wide")]
+#[test_case(NARROW, 100..=u64::MAX; "narrow")]
+fn no_key_runs_twice_and_no_refusal_as_not_run_is_false(
+    bounds: Bounds,
+    without_answer: RangeInclusive<u64>,
+) {
     let only: Option<u64> = std::env::var("LEDGER_SEED").ok().and_then(|text| text.parse().ok());
     let seeds = only.map_or(0..SEEDS, |seed| seed..seed + 1);
     let mut total = Counts::default();
@@ -303,5 +308,5 @@
         total.answered, total.replayed, total.without_answer, total.not_run, total.unknown
     );
     assert!(only.is_some() || (total.replayed > 0 && total.unknown > 0 && total.not_run > 0));
-    assert!(only.is_some() || total.without_answer >= least_without);
+    assert!(only.is_some() || without_answer.contains(&total.without_answer));
 }
