--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -19,6 +19,7 @@
 use crate::config::{Access, Config, Surroundings};
 use crate::limits::Limits;
 use crate::members::{Members, View};
+use crate::moves::Moves;
 use crate::operators::{Ask, Operators};
 use crate::orders::Orders;
 use crate::placer::Placer;
@@ -52,6 +53,7 @@
     config: ActorOwn<Config>,
     claims: ActorOwn<Claims>,
     members: ActorOwn<Members>,
+    _moves: ActorOwn<Moves>,
     orders: ActorOwn<Orders>,
     is_stopping: bool,
 }
@@ -133,6 +135,11 @@
             Claims::init(replica.clone(), metrics.clone()),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
+        let moves = actor!(
+            cx,
+            Moves::init(settings.clone(), metrics.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let router = actor!(
             cx,
             Router::init(
@@ -140,6 +147,7 @@
                 limits.clone(),
                 placer.clone(),
                 claims.clone(),
+                moves.clone(),
                 metrics.clone(),
             ),
             ret_some_to!([cx], child_ended() as (StopCause))
@@ -198,6 +206,7 @@
             config,
             claims,
             members,
+            _moves: moves,
             orders,
             is_stopping: false,
         })
@@ -301,12 +310,24 @@
         call!([self.placer], drain());
         call!([self.router], drain());
         call!([self.replica], retire());
-        let drained = fwd_to!([cx], finish_stop() as (()));
+        let drained = fwd_to!([cx], await_requests() as (()));
         call!([self.server], drain(drained));
         let deadline = cx.now() + self.settings.timing.drain.as_duration();
         at!(deadline, [cx], finish_stop(()));
     }
 
+    /// Goes on with the stop once the last request has ended; some go on without their caller.
+    fn await_requests(&mut self, cx: CX![], _: ()) {
+        let idle = fwd_to!([cx], await_settlements() as (()));
+        call!([self.router], when_idle(idle));
+    }
+
+    /// Goes on with the stop once the results of all bookings are recorded.
+    fn await_settlements(&mut self, cx: CX![], _: ()) {
+        let settled = fwd_to!([cx], finish_stop() as (()));
+        call!([self.claims], when_settled(settled));
+    }
+
     /// Announces the leave and gives it time to reach the peers.
     fn finish_stop(&mut self, cx: CX![], _: ()) {
         call!([self.members], leave());
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempt;
 mod keyed;
+mod prepare;
 mod route;
 
 use std::rc::Rc;
@@ -22,6 +23,7 @@
 
 use crate::claims::Claims;
 use crate::limits::Limits;
+use crate::moves::Moves;
 use crate::placer::{Placed, Placer, Wanted};
 use crate::problem;
 use active::{Active, Phase};
@@ -29,7 +31,13 @@
 use route::{resolve, stopping};
 
 /// Sends events of the calls' threads into the event loop.
-struct Events(Sender<dispatch::Event>);
+pub(crate) struct Events(Sender<dispatch::Event>);
+
+impl Events {
+    pub(crate) fn new(sender: Sender<dispatch::Event>) -> Self {
+        Self(sender)
+    }
+}
 
 impl dispatch::Sink for Events {
     fn deliver(&self, event: dispatch::Event) {
@@ -52,6 +60,7 @@
     limits: Actor<Limits>,
     placer: Actor<Placer>,
     claims: Actor<Claims>,
+    moves: Actor<Moves>,
     metrics: Arc<Metrics>,
     pool: Pool,
     budget: Budget,
@@ -60,6 +69,8 @@
     /// The running attempts, sorted, and their requests.
     calls: Vec<(Attempt, names::Request)>,
     is_draining: bool,
+    /// Who is told when no request is left.
+    idle: Option<Fwd<()>>,
 }
 
 impl Router {
@@ -69,6 +80,7 @@
         limits: Actor<Limits>,
         placer: Actor<Placer>,
         claims: Actor<Claims>,
+        moves: Actor<Moves>,
         metrics: Arc<Metrics>,
     ) -> Option<Self> {
         let events = fwd_to!([cx], progress() as (dispatch::Event));
@@ -81,6 +93,7 @@
             limits,
             placer,
             claims,
+            moves,
             metrics,
             pool,
             budget,
@@ -88,6 +101,7 @@
             active: Vec::new(),
             calls: Vec::new(),
             is_draining: false,
+            idle: None,
         })
     }
 
@@ -110,6 +124,20 @@
         self.is_draining = true;
     }
 
+    /// Tells `idle` once no request is left, also of callers that went away.
+    pub(crate) fn when_idle(&mut self, _: CX![], idle: Fwd<()>) {
+        self.idle = Some(idle);
+        self.check_idle();
+    }
+
+    fn check_idle(&mut self) {
+        if self.active.is_empty()
+            && let Some(idle) = self.idle.take()
+        {
+            idle.fwd(());
+        }
+    }
+
     /// Takes one event of the callers' port.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
@@ -210,7 +238,7 @@
         };
         let service = &self.active[index].route.service;
         match placed {
-            Placed::Granted(permit) => self.call(cx, index, permit),
+            Placed::Granted(permit) => self.prepare(cx, index, permit),
             Placed::Full { retry_after } => {
                 let problem = problem::busy(service, retry_after);
                 self.not_placed(cx, index, problem);
@@ -246,7 +274,9 @@
         let active = &self.active[index];
         match &active.phase {
             Phase::Claiming | Phase::Recording(_) => {}
-            Phase::Placing => self.refuse(index, Problem::not_run(status, code, message)),
+            Phase::Placing | Phase::Preparing(_) => {
+                self.refuse(index, Problem::not_run(status, code, message))
+            }
             Phase::Calling(_) => self.refuse(index, Problem::may_have_run(status, code, message)),
         }
     }
@@ -292,12 +322,17 @@
 
     /// Ends the running attempt, if there is one.
     fn release(&mut self, index: usize) {
-        if let Phase::Calling(calling) =
-            std::mem::replace(&mut self.active[index].phase, Phase::Placing)
-        {
-            calling.handle.cancel();
-            self.calls.retain(|call| call.0 != calling.attempt);
-            call!([self.placer], release(calling.permit));
+        match std::mem::replace(&mut self.active[index].phase, Phase::Placing) {
+            Phase::Calling(calling) => {
+                calling.handle.cancel();
+                self.calls.retain(|call| call.0 != calling.attempt);
+                call!([self.placer], release(calling.permit));
+            }
+            Phase::Preparing(permit) => {
+                call!([self.moves], cancel(self.active[index].id));
+                call!([self.placer], release(permit));
+            }
+            Phase::Claiming | Phase::Placing | Phase::Recording(_) => {}
         }
     }
 
@@ -311,5 +346,6 @@
             kind: active.route.kind.to_string(),
             verdict: verdict.to_string(),
         });
+        self.check_idle();
     }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,6 +1,7 @@
 //! Counters, histograms and log set-up.
 
 mod answers;
+mod context;
 mod ledger;
 mod logs;
 mod membership;
@@ -9,6 +10,7 @@
 mod upstreams;
 
 pub use answers::Answers;
+pub use context::ContextMetrics;
 pub use ledger::{LedgerMetrics, LedgerOutcome};
 pub use logs::{Error, start_logs};
 pub use membership::Membership;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -9,7 +9,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::answers::seconds;
-use crate::{Answers, LedgerMetrics, Membership, ReplicaMetrics, UpstreamMetrics};
+use crate::{Answers, ContextMetrics, LedgerMetrics, Membership, ReplicaMetrics, UpstreamMetrics};
 
 /// Reasons that are shown at zero from the start, so that an alert sees their first increase.
 const SHOWN_REASONS: [&str; 18] = [
@@ -72,6 +72,8 @@
     pub ledger: LedgerMetrics,
     /// Single upstreams.
     pub by_upstream: UpstreamMetrics,
+    /// Moves of cached context.
+    pub context: ContextMetrics,
     /// Members and permits.
     pub membership: Membership,
 }
@@ -116,6 +118,7 @@
         let ledger = LedgerMetrics::register(&mut registry);
         let by_upstream = UpstreamMetrics::default();
         registry.register_collector(Box::new(by_upstream.clone()));
+        let context = ContextMetrics::register(&mut registry);
         let membership = Membership::register(&mut registry);
         Self {
             registry,
@@ -126,6 +129,7 @@
             answers,
             ledger,
             by_upstream,
+            context,
             membership,
             revision,
             active,
