Answer an order when its revision is in force where it was taken

Ruled out: building on the newest committed revision in the commands instead; only voters know it, and get would still show the former one.

--- a/crates/instance/src/config/mod.rs
+++ b/crates/instance/src/config/mod.rs
@@ -7,6 +7,7 @@
 
 mod access;
 mod gossip;
+mod held;
 mod keeper;
 mod order;
 mod packet;
@@ -34,6 +35,7 @@
 use crate::replica::{Part, Replica};
 pub(crate) use access::Access;
 use gossip::Peer;
+use held::Held;
 use keeper::{Keeper, Kept, Stored};
 use order::Draft;
 pub(crate) use order::document as read_document;
@@ -95,6 +97,7 @@
     is_ready: bool,
     peers: Vec<Peer>,
     waiting: Vec<Waiting>,
+    held: Vec<Held>,
     heard: Vec<Heard>,
     diverged: Vec<Instance>,
     passed: Vec<PassedAsk>,
@@ -163,6 +166,7 @@
             is_ready: false,
             peers: gossip::configured(&settings),
             waiting: Vec::new(),
+            held: Vec::new(),
             heard: Vec::new(),
             diverged: Vec::new(),
             passed: Vec::new(),
@@ -267,8 +271,13 @@
         }
     }
 
-    fn proposed(&mut self, _: CX![], ask: Ask, draft: Draft, proposed: Option<Proposed>) {
-        ask.answer(draft.answer(proposed));
+    fn proposed(&mut self, cx: CX![], ask: Ask, draft: Draft, proposed: Option<Proposed>) {
+        let accepted = order::accepted(proposed.as_ref());
+        let response = draft.answer(proposed);
+        match accepted {
+            Some(revision) if revision > self.in_force => self.hold(cx, ask, response, revision),
+            _ => ask.answer(response),
+        }
     }
 
     /// The replicated log has changed the revisions.
@@ -361,6 +370,7 @@
             in_force.fwd(self.declarations.clone());
         }
         log::info!("declarations: revision {revision} is in force");
+        self.answer_held();
     }
 
     /// Takes a message of a peer.
--- a/crates/instance/src/config/order.rs
+++ b/crates/instance/src/config/order.rs
@@ -51,6 +51,17 @@
     })
 }
 
+/// The revision that a proposed order made, if it made one.
+pub(crate) fn accepted(proposed: Option<&Proposed>) -> Option<Revision> {
+    let Some(Proposed::Applied { outcome, .. }) = proposed else {
+        return None;
+    };
+    match wire::decode("outcome", outcome) {
+        Ok(Outcome::Accepted { revision }) => Some(revision),
+        _ => None,
+    }
+}
+
 /// Reads the declarations in a request's body.
 pub(crate) fn document(request: &Request) -> Result<Document, Response> {
     let invalid = |problem: String| Response::error(400, "invalid_declarations", problem);
--- a/tests/declarations.rs
+++ b/tests/declarations.rs
@@ -192,3 +192,15 @@
     assert_eq!(ahead.status, 409, "{}", ahead.body);
     assert_eq!(ahead.body["error"]["more"]["current"], 0);
 }
+
+#[test]
+fn an_answered_order_is_in_force_at_the_instance_that_took_it() {
+    let fleet = Fleet::start_plan(declaring(&["giza", "cairo"]));
+    for base in 0..40 {
+        let index = base as usize % 2;
+        let reply = apply(&fleet, index, AMAL, base, &format!("order-{base}"), base + 2);
+        assert_eq!(reply.status, 200, "{reply:?}");
+        let seen = revision(&fleet, index);
+        assert_eq!(seen, Some(base + 1), "through instance {index}");
+    }
+}
