Send proposals in flight again to the next leader

Cause: a proposal at a leader that was lost ended as unknown after 5 s, although the next leader could take it: the log applies each number once.

Copies go out under the same number once another leader is known. Voters remember the last 256 outcomes for copies whose first was applied.

Ruled out: commands of the ledger; their claimants propose anew already, and a late claim whose withdrawal was forgotten would hold its key.

--- a/crates/instance/src/replica/machines.rs
+++ b/crates/instance/src/replica/machines.rs
@@ -1,11 +1,19 @@
 //! The attached machines, which apply commands and are snapshotted together.
 
+use std::collections::VecDeque;
+
 use serde::{Deserialize, Serialize};
 use stakker::Fwd;
 use state::{Chunks, Index, Origin, Sessions};
 
 use super::{Part, SharedMachine};
 
+/// Most outcomes that are remembered for proposals that were sent again.
+const MAX_OUTCOMES: usize = 256;
+
+/// Longest outcome that is remembered, in bytes.
+const MAX_OUTCOME_BYTES: usize = 16 << 10;
+
 struct Attached {
     part: Part,
     machine: SharedMachine,
@@ -30,7 +38,7 @@
 pub(super) enum Applied {
     /// The machine's outcome.
     Outcome(Vec<u8>),
-    /// It was applied before, or it is for a machine that is not attached.
+    /// It was applied before and its outcome is forgotten, or it is for a machine that is not attached.
     Nothing,
 }
 
@@ -39,6 +47,8 @@
 pub(super) struct Machines {
     attached: Vec<Attached>,
     sessions: Sessions,
+    /// Outcomes of the latest commands but those for the ledger, the newest last.
+    outcomes: VecDeque<(Origin, Vec<u8>)>,
     /// State of parts that have no machine here.
     unattached: Vec<(Part, Vec<u8>)>,
 }
@@ -61,7 +71,7 @@
     /// Applies a committed command.
     pub(super) fn apply(&mut self, index: Index, origin: &Origin, bytes: &[u8]) -> Applied {
         if !self.sessions.accept(origin) {
-            return Applied::Nothing;
+            return self.repeated(origin);
         }
         let Ok(command) = postcard::from_bytes::<Command>(bytes) else {
             log::warn!("entry {index} holds a command of an unknown form");
@@ -74,9 +84,28 @@
         };
         let outcome = attached.machine.borrow_mut().apply(index, &command.bytes);
         attached.applied.fwd(index);
+        if command.part != Part::Ledger {
+            self.remember(origin, &outcome);
+        }
         Applied::Outcome(outcome)
     }
 
+    /// What a command gets that was applied before, under the same number.
+    fn repeated(&self, origin: &Origin) -> Applied {
+        let found = self.outcomes.iter().find(|(applied, _)| applied == origin);
+        found.map_or(Applied::Nothing, |(_, outcome)| Applied::Outcome(outcome.clone()))
+    }
+
+    fn remember(&mut self, origin: &Origin, outcome: &[u8]) {
+        if outcome.len() > MAX_OUTCOME_BYTES {
+            return;
+        }
+        if self.outcomes.len() == MAX_OUTCOMES {
+            self.outcomes.pop_front();
+        }
+        self.outcomes.push_back((origin.clone(), outcome.to_vec()));
+    }
+
     /// The state of all machines as bytes of the form of [`Stored`].
     pub(super) fn snapshot(&self) -> Chunks {
         let unattached = self.unattached.iter();
--- a/crates/instance/src/replica/mod.rs
+++ b/crates/instance/src/replica/mod.rs
@@ -30,7 +30,7 @@
 use keeper::{Effect, Keeper};
 use machines::Machines;
 use message::Message;
-use proposals::{Proposals, Ready};
+use proposals::{Proposals, Ready, Repeat};
 
 /// Folder of the log within the data folder.
 const LOG_FOLDER: &str = "log";
@@ -164,32 +164,49 @@
             ret!([proposed], Proposed::NotRun);
             return;
         }
-        match &self.keeper {
-            Some(keeper) => match keeper.core().leader_instance(now).cloned() {
-                Some(leader) => self.send_proposal(cx, now, leader, bytes, proposed),
-                None => ret!([proposed], Proposed::NotRun),
-            },
-            None if self.storage.is_some() => ret!([proposed], Proposed::NotRun),
-            None => self.seek(cx, now, bytes, proposed),
+        // The ledger's claimants propose anew by themselves, and take care of what may be late.
+        let repeat = if part == Part::Ledger { Repeat::Never } else { Repeat::Allowed };
+        let is_alone = self.settings.voters.is_empty();
+        match self.leader(now) {
+            None if self.is_voter() || is_alone => ret!([proposed], Proposed::NotRun),
+            leader => {
+                self.proposals.seek(now, bytes, repeat, proposed);
+                leader.into_iter().for_each(|leader| self.send_waiting(cx, now, &leader));
+                self.search(cx, now);
+            }
         }
         self.update(cx);
     }
 
-    /// Sends a proposal to the leader, which may be this instance.
-    fn send_proposal(
-        &mut self,
-        cx: CX![],
-        now: Instant,
-        leader: Instance,
-        bytes: Vec<u8>,
-        proposed: Ret<Proposed>,
-    ) {
-        let sequence = self.proposals.sent(now, proposed);
-        if leader == self.settings.instance {
-            let input = Input::Propose { origin: self.origin(sequence), bytes: bytes.into() };
-            self.step(cx, now, input);
-        } else {
-            self.forward(cx, leader, Ready { sequence, bytes });
+    /// Whether this instance keeps the log.
+    fn is_voter(&self) -> bool {
+        self.keeper.is_some() || self.storage.is_some()
+    }
+
+    /// The leader as far as known.
+    fn leader(&self, now: Instant) -> Option<Instance> {
+        let found = match &self.keeper {
+            Some(keeper) => keeper.core().leader_instance(now),
+            None => self.proposals.found(now),
+        };
+        found.cloned()
+    }
+
+    /// Sends what waits for a leader, which may be this instance.
+    fn send_waiting(&mut self, cx: CX![], now: Instant, leader: &Instance) {
+        for ready in self.proposals.send_to(now, leader) {
+            self.forward(cx, leader.clone(), ready);
+        }
+    }
+
+    /// Sends proposals again that may have been lost with a leader.
+    fn resend(&mut self, cx: CX![], now: Instant) {
+        match self.leader(now) {
+            Some(leader) => self.send_waiting(cx, now, &leader),
+            None => {
+                self.search(cx, now);
+                self.proposals.put_off(now);
+            }
         }
     }
 
@@ -199,27 +216,18 @@
     }
 
     fn forward(&mut self, cx: CX![], leader: Instance, ready: Ready) {
-        let origin = self.origin(ready.sequence);
-        self.send(cx, leader, &Message::Forward { origin, bytes: ready.bytes });
-    }
-
-    /// Proposes at an instance that keeps no log: the leader has to be found first.
-    fn seek(&mut self, cx: CX![], now: Instant, bytes: Vec<u8>, proposed: Ret<Proposed>) {
-        if let Some(leader) = self.proposals.found(now).cloned() {
-            self.send_proposal(cx, now, leader, bytes, proposed);
-            return;
-        }
-        if self.settings.voters.is_empty() {
-            ret!([proposed], Proposed::NotRun);
-            return;
+        let Ready { sequence, bytes } = ready;
+        let origin = self.origin(sequence);
+        if leader == self.settings.instance {
+            self.step(cx, Instant::now(), Input::Propose { origin, bytes: bytes.into() });
+        } else {
+            self.send(cx, leader, &Message::Forward { origin, bytes });
         }
-        self.proposals.seek(now, bytes, proposed);
-        self.search(cx, now);
     }
 
-    /// Asks the voters who leads, if proposals wait for that.
+    /// Asks the voters who leads, if proposals wait for that at an instance without a log.
     fn search(&mut self, cx: CX![], now: Instant) {
-        if self.proposals.begins_search(now) {
+        if !self.is_voter() && self.proposals.begins_search(now) {
             for voter in self.settings.voters.clone() {
                 self.send(cx, voter, &Message::Seek);
             }
@@ -254,7 +262,7 @@
             }
             Message::Seek => self.answer_seek(cx, now, sender),
             Message::Found { is_leading: true, .. } => {
-                for ready in self.proposals.learn_leader(now, sender.clone()) {
+                for ready in self.proposals.learn_leader(now, &sender) {
                     self.forward(cx, sender.clone(), ready);
                 }
             }
@@ -284,6 +292,7 @@
             return;
         }
         self.forwarded.retain(|forwarded| now < forwarded.until);
+        self.forwarded.retain(|forwarded| forwarded.origin != origin);
         self.forwarded.push(Forwarded { origin: origin.clone(), until: now + FORWARDED_SPAN });
         self.step(cx, now, Input::Propose { origin, bytes: bytes.into() });
     }
@@ -378,8 +387,8 @@
     fn tick(&mut self, cx: CX![]) {
         let now = Instant::now();
         self.proposals.expire(now);
-        self.search(cx, now);
         self.step(cx, now, Input::Tick);
+        self.resend(cx, now);
         self.update(cx);
     }
 
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -4,15 +4,15 @@
 
 mod support;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use support::{Fleet, PATIENCE, Plan, get, wait_for};
-
-const TOKEN: &str = "a token of operators for tests";
+use support::log::{
+    Outcome, TOKEN, leader_of, leases, operators, status, take, take_surely, wait_for_lease,
+};
+use support::{Fleet, Plan, get, wait_for};
 
 fn plan(data_centres: &[&str], voters: usize) -> Plan {
     Plan::new(data_centres)
@@ -25,81 +25,6 @@
     plan(&["giza", "cairo", "delta"], 3)
 }
 
-/// What became of a command.
-#[derive(Debug, PartialEq)]
-enum Outcome {
-    Granted(u64),
-    NotRun,
-    MayHaveRun,
-}
-
-/// Takes the lease of `resource` through the instance at `address`.
-fn take(address: SocketAddr, resource: &str) -> Outcome {
-    let agent = ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .proxy(None)
-        .timeout_global(Some(PATIENCE))
-        .build()
-        .new_agent();
-    let command = json!({ "Take": {
-        "resource": resource, "holder": "tester", "span_millis": 1000, "lapsed": null,
-    } });
-    let answer = agent
-        .post(format!("http://{address}/state/leases"))
-        .header("authorization", format!("Bearer {TOKEN}"))
-        .send(command.to_string());
-    let Ok(mut answer) = answer else {
-        return Outcome::MayHaveRun;
-    };
-    let Ok(text) = answer.body_mut().read_to_string() else {
-        return Outcome::MayHaveRun;
-    };
-    let body: Value = serde_json::from_str(&text).unwrap();
-    match answer.status().as_u16() {
-        200 => Outcome::Granted(body["Granted"]["fence"].as_u64().unwrap()),
-        503 => Outcome::NotRun,
-        _ => Outcome::MayHaveRun,
-    }
-}
-
-fn operators(fleet: &Fleet, index: usize) -> SocketAddr {
-    fleet.instances[index].addresses.operators
-}
-
-fn status(fleet: &Fleet, index: usize) -> Option<Value> {
-    serde_json::from_str(&get(operators(fleet, index), "/state").ok()?).ok()
-}
-
-/// The index of the instance that leads, among `group`.
-fn leader_of(fleet: &Fleet, group: &[usize]) -> usize {
-    wait_for("election", || {
-        let leads = |index: &usize| {
-            status(fleet, *index).is_some_and(|status| {
-                let is_leader = status["role"] == "leader";
-                is_leader && status["leader"] == fleet.instances[*index].addresses.name.as_str()
-            })
-        };
-        group.iter().copied().find(leads)
-    })
-}
-
-/// Takes a lease through an instance, again and again until it is granted.
-fn take_surely(fleet: &Fleet, index: usize, resource: &str) -> u64 {
-    wait_for("grant", || match take(operators(fleet, index), resource) {
-        Outcome::Granted(fence) => Some(fence),
-        _ => None,
-    })
-}
-
-fn leases(fleet: &Fleet, index: usize) -> Option<String> {
-    get(operators(fleet, index), "/state/leases").ok()
-}
-
-fn wait_for_lease(fleet: &Fleet, index: usize, resource: &str) {
-    let quoted = format!("\"{resource}\"");
-    wait_for("lease at the voter", || leases(fleet, index)?.contains(&quoted).then_some(()));
-}
-
 fn others(leader: usize) -> Vec<usize> {
     (0..3).filter(|index| *index != leader).collect()
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod declaring;
 mod fleet;
+pub mod log;
 mod process;
 mod proxy;
 
