--- a/crates/instance/src/router/active.rs
+++ b/crates/instance/src/router/active.rs
@@ -32,6 +32,8 @@
     Claiming,
     /// Waits for a permit, or for the time of the next attempt.
     Placing,
+    /// Has a permit, and waits for the context of its conversation.
+    Preparing(Permit),
     /// An upstream has it.
     Calling(Calling),
     /// Has its answer, which waits until it is recorded.
@@ -55,6 +57,8 @@
     /// The attempt under which its idempotency key is claimed.
     pub(super) fence: Option<Attempt>,
     pub(super) has_started: bool,
+    /// When the caller last got a part of a stream.
+    pub(super) last_part: Option<Instant>,
     /// Whether no earlier request with the same idempotency key can have run.
     pub(super) is_first: bool,
     /// Whether an earlier attempt may have run.
@@ -101,6 +105,7 @@
             avoids_unhealthy: true,
             fence: None,
             has_started: false,
+            last_part: None,
             is_first,
             may_have_run: false,
         }
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempt;
 mod keyed;
+mod prepare;
 mod route;
 
 use std::rc::Rc;
@@ -17,10 +18,12 @@
 use names::Attempt;
 use settings::{Retries, RetryLimit, Settings};
 use stakker::{Actor, CX, Fwd, at, call, fwd_to, ret_some_to};
+use strum::IntoEnumIterator;
 use telemetry::{Metrics, RequestLabels};
 
 use crate::claims::Claims;
 use crate::limits::Limits;
+use crate::moves::Moves;
 use crate::placer::{Placed, Placer, Wanted};
 use crate::problem;
 use active::{Active, Phase};
@@ -28,7 +31,13 @@
 use route::{resolve, stopping};
 
 /// Sends events of the calls' threads into the event loop.
-struct Events(Sender<dispatch::Event>);
+pub(crate) struct Events(Sender<dispatch::Event>);
+
+impl Events {
+    pub(crate) fn new(sender: Sender<dispatch::Event>) -> Self {
+        Self(sender)
+    }
+}
 
 impl dispatch::Sink for Events {
     fn deliver(&self, event: dispatch::Event) {
@@ -51,6 +60,7 @@
     limits: Actor<Limits>,
     placer: Actor<Placer>,
     claims: Actor<Claims>,
+    moves: Actor<Moves>,
     metrics: Arc<Metrics>,
     pool: Pool,
     budget: Budget,
@@ -59,6 +69,8 @@
     /// The running attempts, sorted, and their requests.
     calls: Vec<(Attempt, names::Request)>,
     is_draining: bool,
+    /// Who is told when no request is left.
+    idle: Option<Fwd<()>>,
 }
 
 impl Router {
@@ -68,6 +80,7 @@
         limits: Actor<Limits>,
         placer: Actor<Placer>,
         claims: Actor<Claims>,
+        moves: Actor<Moves>,
         metrics: Arc<Metrics>,
     ) -> Option<Self> {
         let events = fwd_to!([cx], progress() as (dispatch::Event));
@@ -80,6 +93,7 @@
             limits,
             placer,
             claims,
+            moves,
             metrics,
             pool,
             budget,
@@ -87,11 +101,21 @@
             active: Vec::new(),
             calls: Vec::new(),
             is_draining: false,
+            idle: None,
         })
     }
 
     /// Puts declarations in force for requests that arrive from now on.
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        for kind in &declarations.kinds {
+            for verdict in Verdict::iter() {
+                self.metrics.show_request(&RequestLabels {
+                    rank: kind.rank.to_string(),
+                    kind: kind.name.to_string(),
+                    verdict: verdict.to_string(),
+                });
+            }
+        }
         self.declarations = declarations;
     }
 
@@ -100,6 +124,20 @@
         self.is_draining = true;
     }
 
+    /// Tells `idle` once no request is left, also of callers that went away.
+    pub(crate) fn when_idle(&mut self, _: CX![], idle: Fwd<()>) {
+        self.idle = Some(idle);
+        self.check_idle();
+    }
+
+    fn check_idle(&mut self) {
+        if self.active.is_empty()
+            && let Some(idle) = self.idle.take()
+        {
+            idle.fwd(());
+        }
+    }
+
     /// Takes one event of the callers' port.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
@@ -200,7 +238,7 @@
         };
         let service = &self.active[index].route.service;
         match placed {
-            Placed::Granted(permit) => self.call(cx, index, permit),
+            Placed::Granted(permit) => self.prepare(cx, index, permit),
             Placed::Full { retry_after } => {
                 let problem = problem::busy(service, retry_after);
                 self.not_placed(cx, index, problem);
@@ -236,7 +274,9 @@
         let active = &self.active[index];
         match &active.phase {
             Phase::Claiming | Phase::Recording(_) => {}
-            Phase::Placing => self.refuse(index, Problem::not_run(status, code, message)),
+            Phase::Placing | Phase::Preparing(_) => {
+                self.refuse(index, Problem::not_run(status, code, message))
+            }
             Phase::Calling(_) => self.refuse(index, Problem::may_have_run(status, code, message)),
         }
     }
@@ -282,12 +322,17 @@
 
     /// Ends the running attempt, if there is one.
     fn release(&mut self, index: usize) {
-        if let Phase::Calling(calling) =
-            std::mem::replace(&mut self.active[index].phase, Phase::Placing)
-        {
-            calling.handle.cancel();
-            self.calls.retain(|call| call.0 != calling.attempt);
-            call!([self.placer], release(calling.permit));
+        match std::mem::replace(&mut self.active[index].phase, Phase::Placing) {
+            Phase::Calling(calling) => {
+                calling.handle.cancel();
+                self.calls.retain(|call| call.0 != calling.attempt);
+                call!([self.placer], release(calling.permit));
+            }
+            Phase::Preparing(permit) => {
+                call!([self.moves], cancel(self.active[index].id));
+                call!([self.placer], release(permit));
+            }
+            Phase::Claiming | Phase::Placing | Phase::Recording(_) => {}
         }
     }
 
@@ -301,5 +346,6 @@
             kind: active.route.kind.to_string(),
             verdict: verdict.to_string(),
         });
+        self.check_idle();
     }
 }
--- a/crates/permit/src/node.rs
+++ b/crates/permit/src/node.rs
@@ -11,6 +11,7 @@
 use upstream::Registry;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::book::Usage;
 use crate::holder::Holder;
 use crate::owner::Owner;
 use crate::routes::Routes;
@@ -59,6 +60,8 @@
     pub upstream: Upstream,
     /// Where it takes calls.
     pub address: SocketAddr,
+    /// The other upstream that should have the context of the conversation.
+    pub context_at: Option<Upstream>,
 }
 
 /// Outcome of asking for a permit.
@@ -249,6 +252,11 @@
         self.owner.counts()
     }
 
+    /// How the upstreams that this instance owns are used, in the order of their names.
+    pub fn usage(&self) -> impl Iterator<Item = Usage<'_>> {
+        self.owner.usage()
+    }
+
     /// Permits that this instance holds.
     pub fn held(&self) -> impl Iterator<Item = (PermitId, &Upstream)> {
         self.holder.held()
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -66,6 +66,8 @@
             incarnation: self.options.incarnation,
             running: self.running,
             waiting: 0,
+            cached_blocks: 0,
+            computed_blocks: 0,
         }
     }
 
@@ -132,7 +134,8 @@
 /// The header that tells the caller which attempt the answer belongs to.
 pub(crate) fn attempt_echo(request: &Request, fault: Fault) -> Option<Header> {
     let attempt = request.header("x-attempt-id")?;
-    let attempt = if fault == Fault::Crossed { "0" } else { attempt };
+    let is_crossed = matches!(fault, Fault::Crossed | Fault::ExportCrossed);
+    let attempt = if is_crossed { "0" } else { attempt };
     Some(Header::new("x-attempt-id", attempt))
 }
 
--- a/crates/upstream/src/announcement.rs
+++ b/crates/upstream/src/announcement.rs
@@ -58,6 +58,9 @@
     /// Whether it refuses orders with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// Whether it exports and imports cached context.
+    #[serde(default)]
+    pub moves_context: bool,
 }
 
 impl Announcement {
@@ -105,6 +108,12 @@
     pub running: u32,
     /// Requests that wait inside it.
     pub waiting: u32,
+    /// Prompt blocks found in its cache since its start.
+    #[serde(default)]
+    pub cached_blocks: u64,
+    /// Prompt blocks computed since its start.
+    #[serde(default)]
+    pub computed_blocks: u64,
 }
 
 impl TryFrom<&[u8]> for Load {
