--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod declaring;
 mod fleet;
+mod load;
 pub mod log;
 mod process;
 mod proxy;
@@ -12,5 +13,6 @@
 pub use client::*;
 pub use declaring::*;
 pub use fleet::*;
+pub use load::*;
 pub use process::*;
 pub use proxy::*;
