Keep requests from waiting beside free slots

Cause, by a model of a small fleet with open-loop callers (3 instances, 5 upstreams of 4 slots): the known mean was far below the true one, since a part of three or four requests counted with its least value of 300 ms and was sent each 100 ms at most; a request that waited at one upstream heard of room elsewhere only by a walk each 200 ms; and a walk chose its queue by all waiting requests, also those that its rank passes.

Now parts and sums go out on the change, 20 ms apart at least, and count with their least value of 50 ms; an instance with waiting requests watches up to eight upstreams, whose owner tells one instance when there is room and nothing waits; a full owner tells how many requests the asker's rank does not pass.

--- a/crates/admission/src/desk.rs
+++ b/crates/admission/src/desk.rs
@@ -94,4 +94,7 @@
 
     /// Number of waiting requests.
     fn waiting(&self) -> u32;
+
+    /// Number of waiting requests that a newcomer of `rank` does not pass.
+    fn ahead(&self, rank: Rank) -> u32;
 }
--- a/crates/admission/src/fifo.rs
+++ b/crates/admission/src/fifo.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use declare::Rank;
+
 use crate::{Decision, Desk, Offer, Step, Ticket, Tokens};
 
 /// When to ask again after a refusal.
@@ -69,6 +71,10 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
+    fn ahead(&self, _: Rank) -> u32 {
+        self.waiting()
+    }
+
     fn waiting(&self) -> u32 {
         u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
     }
--- a/crates/admission/src/ranked/mod.rs
+++ b/crates/admission/src/ranked/mod.rs
@@ -8,6 +8,8 @@
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
+use declare::Rank;
+
 use crate::{Decision, Desk, Offer, Step, Ticket, Tokens};
 use accounts::{AccountId, Accounts};
 use lane::Lane;
@@ -306,6 +308,11 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
+    fn ahead(&self, rank: Rank) -> u32 {
+        let lanes = self.lanes.iter().filter(|lane| lane.rank <= rank);
+        u32::try_from(lanes.map(Lane::waiting).sum::<usize>()).unwrap_or(u32::MAX)
+    }
+
     fn waiting(&self) -> u32 {
         u32::try_from(self.store.len()).unwrap_or(u32::MAX)
     }
--- a/crates/permit/src/book.rs
+++ b/crates/permit/src/book.rs
@@ -5,6 +5,7 @@
 use admission::{Decision, Desk, Offer, Step, Ticket, Tokens};
 use names::{Instance, Upstream};
 
+use crate::watch::Watchers;
 use crate::{Ask, Evidence, Load, Outcome, PermitId, Pool};
 
 /// Time between two claims of a newly owned upstream.
@@ -101,6 +102,7 @@
     desk: Box<dyn Desk>,
     given: Vec<Given>,
     waiting: Vec<Waiting>,
+    pub(crate) watchers: Watchers,
     phase: Phase,
     /// Members that did not report yet, or that see another owner.
     missing: Vec<Instance>,
@@ -120,6 +122,7 @@
             desk,
             given: Vec::new(),
             waiting: Vec::new(),
+            watchers: Watchers::default(),
             phase: Phase::Settled,
             missing: Vec::new(),
             next_claim: now,
@@ -298,7 +301,7 @@
         let has_room = headroom > 0 && self.desk.waiting() == 0;
         if !ask.may_wait && !has_room {
             let load = Evidence { load: self.load(doubted), slots };
-            return Outcome::Full { load, waiting: self.waiting() };
+            return Outcome::Full { load, waiting: self.desk.ahead(ask.rank) };
         }
         let Ask { number, pool, .. } = ask;
         let ticket = Ticket(ids.next().0);
--- a/crates/permit/src/holder.rs
+++ b/crates/permit/src/holder.rs
@@ -11,7 +11,8 @@
 
 use crate::node::{Context, Granted, Out, Placed, View, Wanted};
 use crate::walk::{Next, Pending, Walk};
-use crate::{Message, Outcome, PermitId, Report};
+use crate::watch::Watches;
+use crate::{Message, Outcome, PermitId, Pool, Report};
 
 /// How long an owner may take to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -50,6 +51,7 @@
     held: Vec<Held>,
     contacts: Vec<Contact>,
     members: Vec<Instance>,
+    watches: Watches,
     policy: Box<dyn Policy>,
     next_number: u64,
     next_reconcile: Instant,
@@ -63,6 +65,7 @@
             held: Vec::new(),
             contacts: Vec::new(),
             members: Vec::new(),
+            watches: Watches::default(),
             policy,
             next_number: u64::from(random.random::<u32>()) << 32,
             next_reconcile: now + RECONCILE_PERIOD,
@@ -117,9 +120,14 @@
 
     /// Takes the next step of a walk that has no ask on its way.
     fn step(&mut self, context: Context<'_>, view: &View, index: usize, out: &mut Out) {
+        let next = self.walks[index].next(context.now);
+        self.ask(context, view, index, next, out);
+    }
+
+    fn ask(&mut self, context: Context<'_>, view: &View, index: usize, next: Next, out: &mut Out) {
         let walk = &mut self.walks[index];
         let now = context.now;
-        let Next::Ask { upstream, evidence, may_wait } = walk.next(now) else {
+        let Next::Ask { upstream, evidence, may_wait } = next else {
             return;
         };
         self.next_number += 1;
@@ -184,6 +192,7 @@
             }
             Outcome::Waiting => {
                 walk.rest_in_queue(context.now, pending);
+                self.watch(context.now, view, index, out);
             }
             Outcome::Refused { retry_after_millis } => {
                 let retry_after = Duration::from_millis(retry_after_millis);
@@ -367,10 +376,50 @@
         }
         let is_waiting = |walk: &Walk| walk.asked.is_none() && walk.waiting.is_some();
         if let Some(index) = self.walks.iter().position(is_waiting) {
+            self.watch(now, view, index, out);
             self.step(context, view, index, out);
         }
     }
 
+    /// Watches upstreams that a waiting request could go to instead.
+    fn watch(&mut self, now: Instant, view: &View, index: usize, out: &mut Out) {
+        let walk = &self.walks[index];
+        let Some(waiting) = &walk.waiting else {
+            return;
+        };
+        let pool = walk.pool();
+        for upstream in self.watches.begin(now, &walk.order, &waiting.upstream, &pool) {
+            let pool = pool.clone();
+            out.send(&view.owner(&upstream), Message::Watch { upstream, pool });
+        }
+    }
+
+    /// Asks for the room at `upstream` for the most urgent request that waits elsewhere, and goes
+    /// on watching while others wait.
+    pub(crate) fn use_room(
+        &mut self,
+        context: Context<'_>,
+        view: &View,
+        upstream: &Upstream,
+        pool: &Pool,
+        out: &mut Out,
+    ) {
+        self.watches.end(upstream, pool);
+        let could_go = |walk: &Walk| walk.could_go(upstream, pool);
+        let waiting = (0..self.walks.len()).filter(|index| could_go(&self.walks[*index]));
+        let urgency = |index: &usize| {
+            let wanted = &self.walks[*index].wanted;
+            (wanted.rank, wanted.deadline)
+        };
+        let Some(first) = waiting.min_by_key(urgency) else {
+            return;
+        };
+        self.ask(context, view, first, Next::asking(upstream.clone()), out);
+        if let Some(other) = self.walks.iter().position(could_go) {
+            self.watch(context.now, view, other, out);
+        }
+    }
+
     /// Tells each owner that was asked lately what is held of it.
     fn reconcile(&mut self, now: Instant, out: &mut Out) {
         let held = &self.held;
--- a/crates/permit/src/lib.rs
+++ b/crates/permit/src/lib.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod sums;
 mod walk;
+mod watch;
 
 pub use message::{Ask, Evidence, Load, Message, Outcome, PermitId, Pool, Report};
 pub use node::{Action, Context, Granted, Node, Placed, Wanted};
--- a/crates/permit/src/message.rs
+++ b/crates/permit/src/message.rs
@@ -117,7 +117,7 @@
     Full {
         /// Its load.
         load: Evidence,
-        /// Requests that wait for it.
+        /// Requests that wait for it and that the asker's rank does not pass.
         waiting: u32,
     },
     /// The request waits; a second answer follows.
@@ -163,6 +163,20 @@
         /// The upstream that was asked for.
         upstream: Upstream,
     },
+    /// Asks to be told once when the upstream has room and nothing waits for it.
+    Watch {
+        /// The upstream.
+        upstream: Upstream,
+        /// What the mean load is taken over.
+        pool: Pool,
+    },
+    /// Tells a watching instance that the upstream has room.
+    Room {
+        /// The upstream.
+        upstream: Upstream,
+        /// What the mean load is taken over.
+        pool: Pool,
+    },
     /// Gives a permit back.
     Release {
         /// The upstream.
--- a/crates/permit/src/node.rs
+++ b/crates/permit/src/node.rs
@@ -239,7 +239,7 @@
 
     /// Does what is due; to be called at least every 50 ms.
     pub fn tick(&mut self, context: Context<'_>) -> Vec<Action> {
-        self.owner.tick(context, &self.view, &mut self.out);
+        self.owner.tick(context, &mut self.out);
         self.holder.tick(context, &self.view, &mut self.out);
         self.finish(context)
     }
@@ -260,6 +260,9 @@
             Message::Answer { number, outcome } => {
                 self.holder.answer(context, view, sender, number, outcome, out);
             }
+            Message::Room { upstream, pool } => {
+                self.holder.use_room(context, view, &upstream, &pool, out);
+            }
             Message::Claim { upstreams } => {
                 self.holder.report(view, sender, &upstreams, out);
             }
@@ -278,6 +281,16 @@
         for owner in std::mem::take(&mut self.out.silent) {
             self.routes.avoid(context.now, &owner);
         }
+        self.pass_on(context, &mut actions);
+        self.owner.send_due_sums(context, &self.view, &mut self.out);
+        self.pass_on(context, &mut actions);
+        let placed = self.out.placed.drain(..);
+        actions.extend(placed.map(|(request, placed)| Action::Placed(request, placed)));
+        actions
+    }
+
+    /// Takes messages to this instance itself, and those that follow from them.
+    fn pass_on(&mut self, context: Context<'_>, actions: &mut Vec<Action>) {
         while let Some((to, message)) = self.out.messages.pop_front() {
             if to == self.view.me {
                 self.take(context, &to, message);
@@ -286,8 +299,5 @@
                 actions.push(Action::Send(to, message));
             }
         }
-        let placed = self.out.placed.drain(..);
-        actions.extend(placed.map(|(request, placed)| Action::Placed(request, placed)));
-        actions
     }
 }
--- a/crates/permit/src/owner.rs
+++ b/crates/permit/src/owner.rs
@@ -155,6 +155,10 @@
                 self.with_book(&upstream, |book| book.release(now, permit, used));
                 self.run_waiting(context, out);
             }
+            Message::Watch { upstream, pool } => {
+                self.with_book(&upstream, |book| book.watchers.add(now, sender, pool));
+                self.run_waiting(context, out);
+            }
             Message::Held(reports) if view.members.contains(sender) => {
                 for report in reports {
                     self.with_book(&report.upstream, |book| {
@@ -263,8 +267,39 @@
         Limits { certain: limit(total.certain), all: limit(total.all()) }
     }
 
-    /// Lets waiting asks run where there is room now.
+    /// Lets waiting asks run where there is room now, and tells watching instances of what is
+    /// left.
     fn run_waiting(&mut self, context: Context<'_>, out: &mut Out) {
+        self.run_queues(context, out);
+        for index in 0..self.books.len() {
+            self.tell_of_room(context, index, out);
+        }
+    }
+
+    /// Tells one watching instance when the upstream has room and nothing waits for it.
+    fn tell_of_room(&mut self, context: Context<'_>, index: usize, out: &mut Out) {
+        let book = &mut self.books[index];
+        if book.waiting() > 0 {
+            return;
+        }
+        let Some(pool) = book.watchers.first_pool(context.now) else {
+            return;
+        };
+        let entry = context.registry.get(&book.upstream).filter(|entry| entry.is_available());
+        let Some(slots) = entry.map(|entry| entry.announcement.slots) else {
+            return;
+        };
+        let limits = self.limits(context, &pool, slots);
+        let Self { books, doubted, .. } = self;
+        let book = &mut books[index];
+        if book.set_limits(context.now, limits, doubted) > 0
+            && let Some((instance, pool)) = book.watchers.take_first()
+        {
+            out.send(&instance, Message::Room { upstream: book.upstream.clone(), pool });
+        }
+    }
+
+    fn run_queues(&mut self, context: Context<'_>, out: &mut Out) {
         for index in 0..self.books.len() {
             let book = &self.books[index];
             let Some(pool) = book.waiting_pool().cloned() else {
@@ -302,16 +337,19 @@
         }
     }
 
-    pub(crate) fn tick(&mut self, context: Context<'_>, view: &View, out: &mut Out) {
+    pub(crate) fn tick(&mut self, context: Context<'_>, out: &mut Out) {
         let now = context.now;
         self.claim(now, out);
         self.books.iter_mut().for_each(|book| book.end_lost(now));
         self.run_waiting(context, out);
-        if now < self.next_sum {
-            return;
-        }
         self.pools.tidy(now);
-        self.send_sums(context, view, out);
+    }
+
+    /// Sends the sums that changed, unless some were sent a moment ago.
+    pub(crate) fn send_due_sums(&mut self, context: Context<'_>, view: &View, out: &mut Out) {
+        if context.now >= self.next_sum {
+            self.send_sums(context, view, out);
+        }
     }
 
     fn send_sums(&mut self, context: Context<'_>, view: &View, out: &mut Out) {
@@ -329,7 +367,12 @@
             if self.pools.known[index].is_due(context.now, part)
                 && let Some(aggregator) = aggregator(&pool, view)
             {
-                out.send(&aggregator, Message::Part { pool, load: part, view: view.digest });
+                let part = Message::Part { pool, load: part, view: view.digest };
+                // The former one learns of the other view, so that it counts the old part no more.
+                if let Some(former) = self.pools.known[index].set_aggregator(&aggregator) {
+                    out.send(&former, part.clone());
+                }
+                out.send(&aggregator, part);
             }
         }
     }
--- a/crates/permit/src/sums.rs
+++ b/crates/permit/src/sums.rs
@@ -7,7 +7,7 @@
 use crate::{Load, Pool};
 
 /// Time between two looks for sums that changed.
-pub(crate) const SUM_PERIOD: Duration = Duration::from_millis(100);
+pub(crate) const SUM_PERIOD: Duration = Duration::from_millis(20);
 
 /// A sum that changed by less than this part of it is not sent at once.
 const DRIFT_PARTS: u32 = 20;
@@ -19,7 +19,7 @@
 const VALIDITY: Duration = Duration::from_millis(800);
 
 /// A part counts with the least value that it had within this time.
-const WINDOW: Duration = Duration::from_millis(300);
+const WINDOW: Duration = Duration::from_millis(50);
 
 /// What an asker learned on its walk counts for this long.
 const EVIDENCE_VALIDITY: Duration = Duration::from_millis(10);
@@ -58,6 +58,8 @@
     evidence_until: Instant,
     forget_at: Instant,
     sent: Option<Sent>,
+    /// The aggregator that has the own part.
+    aggregator: Option<Instance>,
 }
 
 impl Known {
@@ -71,9 +73,16 @@
             evidence_until: now,
             forget_at,
             sent: None,
+            aggregator: None,
         }
     }
 
+    /// Takes note of who sums the pool now; gives the instance that did before, if another one.
+    pub(crate) fn set_aggregator(&mut self, aggregator: &Instance) -> Option<Instance> {
+        let former = self.aggregator.replace(aggregator.clone());
+        former.filter(|former| former != aggregator)
+    }
+
     /// The load of the pool, of which `own` is at this instance's upstreams; rather too low than
     /// too high.
     pub(crate) fn total(&self, now: Instant, own: Load) -> Load {
--- a/crates/permit/src/walk.rs
+++ b/crates/permit/src/walk.rs
@@ -37,12 +37,19 @@
     Rest,
 }
 
+impl Next {
+    /// Asks for the room at `upstream`.
+    pub(crate) fn asking(upstream: Upstream) -> Self {
+        Self::Ask { upstream, evidence: None, may_wait: false }
+    }
+}
+
 /// One request on its walk.
 #[derive(Debug)]
 pub(crate) struct Walk {
     pub(crate) request: u64,
     pub(crate) wanted: Wanted,
-    order: Vec<Upstream>,
+    pub(crate) order: Vec<Upstream>,
     position: usize,
     seen: Vec<Seen>,
     has_asked_to_wait: bool,
@@ -68,6 +75,17 @@
         }
     }
 
+    /// What the mean load is taken over.
+    pub(crate) fn pool(&self) -> Pool {
+        Pool::from(self.wanted.target.clone())
+    }
+
+    /// Whether the request waits elsewhere, asks nobody, and `upstream` could answer it.
+    pub(crate) fn could_go(&self, upstream: &Upstream, pool: &Pool) -> bool {
+        let waits = self.waiting.as_ref().is_some_and(|waiting| waiting.upstream != *upstream);
+        waits && self.asked.is_none() && self.order.contains(upstream) && self.pool() == *pool
+    }
+
     /// Takes note that the owner of `upstream` answered full.
     pub(crate) fn see(&mut self, upstream: Upstream, load: Evidence, waiting: u32) {
         self.seen.retain(|seen| seen.upstream != upstream);
@@ -81,7 +99,7 @@
         }
         if let Some(upstream) = self.order.get(self.position).cloned() {
             self.position += 1;
-            return Next::Ask { upstream, evidence: None, may_wait: false };
+            return Next::asking(upstream);
         }
         if !self.has_asked_to_wait
             && let Some(upstream) = self.least_loaded()
@@ -100,7 +118,7 @@
         }
         if let Some(upstream) = self.order.get(self.position).cloned() {
             self.position += 1;
-            return Next::Ask { upstream, evidence: None, may_wait: false };
+            return Next::asking(upstream);
         }
         self.position = 0;
         self.resume_at = now + RETRY_PERIOD;
@@ -166,7 +184,7 @@
         Ask {
             number,
             upstream,
-            pool: Pool::from(wanted.target.clone()),
+            pool: self.pool(),
             account: wanted.account.clone(),
             weight: wanted.weight,
             kind: wanted.kind.clone(),
--- /dev/null
+++ b/crates/permit/tests/world/records.rs
@@ -0,0 +1,62 @@
+//! Names, announcements and requests of the model.
+
+use std::time::{Duration, Instant};
+
+use admission::Tokens;
+use declare::{Labels, Rank, Target};
+use names::{Incarnation, Instance, Upstream};
+use permit::Wanted;
+use upstream::{Announcement, Protocol, Record};
+
+/// Slots of an upstream unless a test says otherwise.
+pub const SLOTS: u32 = 16;
+
+pub fn instance(index: usize) -> Instance {
+    format!("instance-{index}").parse().unwrap()
+}
+
+pub fn upstream_name(index: usize) -> Upstream {
+    format!("engine-{index}").parse().unwrap()
+}
+
+pub fn record(index: usize, version: u64, is_leaving: bool, is_gone: bool) -> Record {
+    record_with(index, SLOTS, version, is_leaving, is_gone)
+}
+
+pub fn record_with(
+    index: usize,
+    slots: u32,
+    version: u64,
+    is_leaving: bool,
+    is_gone: bool,
+) -> Record {
+    let announcement = Announcement {
+        upstream: upstream_name(index),
+        incarnation: Incarnation(1),
+        data_centre: "giza".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        protocol: Protocol::ChatCompletions,
+        models: vec!["caption-small".parse().unwrap()],
+        slots,
+        labels: Labels::default(),
+        expires_in: units::Span::from_seconds(60),
+        is_leaving,
+        checks_fencing: false,
+    };
+    Record { announcement, version, is_gone }
+}
+
+pub fn wanted(caller: usize, now: Instant) -> Wanted {
+    Wanted {
+        target: Target::Model("caption-small".parse().unwrap()),
+        key: caller as u64 * 7919,
+        tried: Vec::new(),
+        account: "nasr".parse().unwrap(),
+        weight: 1,
+        kind: "caption".parse().unwrap(),
+        rank: Rank::Normal,
+        least_share_percent: 0,
+        deadline: now + Duration::from_secs(20),
+        cost: Tokens(100),
+    }
+}
