--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -18,6 +18,7 @@
 use names::Attempt;
 use settings::{Retries, RetryLimit, Settings};
 use stakker::{Actor, CX, Fwd, at, call, fwd_to, ret_some_to};
+use strum::IntoEnumIterator;
 use telemetry::{Metrics, RequestLabels};
 
 use crate::claims::Claims;
@@ -68,6 +69,8 @@
     /// The running attempts, sorted, and their requests.
     calls: Vec<(Attempt, names::Request)>,
     is_draining: bool,
+    /// Who is told when no request is left.
+    idle: Option<Fwd<()>>,
 }
 
 impl Router {
@@ -98,11 +101,21 @@
             active: Vec::new(),
             calls: Vec::new(),
             is_draining: false,
+            idle: None,
         })
     }
 
     /// Puts declarations in force for requests that arrive from now on.
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
+        for kind in &declarations.kinds {
+            for verdict in Verdict::iter() {
+                self.metrics.show_request(&RequestLabels {
+                    rank: kind.rank.to_string(),
+                    kind: kind.name.to_string(),
+                    verdict: verdict.to_string(),
+                });
+            }
+        }
         self.declarations = declarations;
     }
 
@@ -111,6 +124,20 @@
         self.is_draining = true;
     }
 
+    /// Tells `idle` once no request is left, also of callers that went away.
+    pub(crate) fn when_idle(&mut self, _: CX![], idle: Fwd<()>) {
+        self.idle = Some(idle);
+        self.check_idle();
+    }
+
+    fn check_idle(&mut self) {
+        if self.active.is_empty()
+            && let Some(idle) = self.idle.take()
+        {
+            idle.fwd(());
+        }
+    }
+
     /// Takes one event of the callers' port.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
@@ -319,5 +346,6 @@
             kind: active.route.kind.to_string(),
             verdict: verdict.to_string(),
         });
+        self.check_idle();
     }
 }
