Tell other instances where a conversation was sent

Cause: a conversation returns through any entry instance, and only the one that spilled it knew where its context is.

The owner of a conversation's home, which is asked for a permit first in any case, remembers where the conversation was sent last: `Locate` goes with the first ask in one frame, `Located` comes back when it is known, `Sent` tells it.

Ruled out: reading the index of cache events (events reach one instance, late, in the engine's own block hashes); permits that say how much is cached (tells of the asked engine alone); telling all instances (grows with their number).

tests/context.rs: a conversation that spilled through another instance finds its context.

--- a/crates/permit/src/holder.rs
+++ b/crates/permit/src/holder.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use admission::Tokens;
+use declare::Target;
 use names::{Instance, Upstream};
 use placement::{Candidate, Knowledge, Policy};
 use rand::{RngExt, SeedableRng};
@@ -82,11 +83,14 @@
         out: &mut Out,
     ) {
         let order = self.order(context, &wanted);
-        if order.is_empty() {
+        let (false, Some(home)) = (order.is_empty(), home(context, &wanted)) else {
             out.placed.push((request, Placed::NoUpstream));
             return;
+        };
+        if self.shares_location(&wanted) {
+            out.send(&view.owner(&home), Message::Locate { key: wanted.key });
         }
-        self.walks.push(Walk::new(context.now, request, wanted, order));
+        self.walks.push(Walk::new(context.now, request, wanted, home, order));
         self.step(context, view, self.walks.len() - 1, out);
     }
 
@@ -213,7 +217,7 @@
             return;
         };
         let address = entry.announcement.address;
-        let context_at = self.note_placed(context, index, &upstream);
+        let context_at = self.note_placed(view, index, &upstream, out);
         self.held.push(Held { permit, upstream: upstream.clone(), counted_by: vec![owner] });
         self.end(
             index,
@@ -222,21 +226,35 @@
         );
     }
 
-    /// Tells the policy where a request went; gives another upstream that has its context.
+    /// Whether instances tell each other where the conversation was sent.
+    fn shares_location(&self, wanted: &Wanted) -> bool {
+        self.policy.is_sticky() && matches!(wanted.target, Target::Model(_))
+    }
+
+    /// Takes note that a conversation was sent to `upstream` last, before it is sent again.
+    pub(crate) fn learn(&mut self, key: u64, upstream: &Upstream) {
+        if self.walks.iter().any(|walk| walk.wanted.key == key) {
+            self.policy.learn(key, upstream);
+        }
+    }
+
+    /// Notes where a request went; gives another upstream that has its context.
     fn note_placed(
         &mut self,
-        context: Context<'_>,
+        view: &View,
         index: usize,
         upstream: &Upstream,
+        out: &mut Out,
     ) -> Option<Upstream> {
-        let Wanted { target, key, .. } = &self.walks[index].wanted;
-        let known: Vec<_> = context
-            .registry
-            .iter()
-            .filter(|entry| entry.serves(target))
-            .map(|entry| &entry.announcement.upstream)
-            .collect();
-        self.policy.placed(*key, upstream, &known).filter(|holder| holder != upstream)
+        let Walk { wanted, home, .. } = &self.walks[index];
+        let key = wanted.key;
+        let holder = self.policy.placed(key, upstream, home);
+        let other = holder.filter(|holder| holder != upstream)?;
+        if self.shares_location(wanted) {
+            let upstream = upstream.clone();
+            out.send(&view.owner(home), Message::Sent { key, upstream });
+        }
+        Some(other)
     }
 
     /// Ends a walk with its outcome and gives up what is still asked.
@@ -440,6 +458,13 @@
     }
 }
 
+/// The first by weight of all upstreams that could have the context of a conversation.
+fn home(context: Context<'_>, wanted: &Wanted) -> Option<Upstream> {
+    let serving = context.registry.iter().filter(|entry| entry.serves(&wanted.target));
+    let known = serving.map(|entry| &entry.announcement.upstream);
+    placement::home(wanted.key, known).cloned()
+}
+
 fn give_up(walk: &Walk, out: &mut Out) {
     for pending in walk.asked.iter().chain(&walk.waiting) {
         let Pending { number, owner, upstream, .. } = pending.clone();
--- a/crates/permit/src/lib.rs
+++ b/crates/permit/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod book;
 mod holder;
+mod locations;
 mod message;
 mod node;
 mod owner;
--- a/crates/permit/src/message.rs
+++ b/crates/permit/src/message.rs
@@ -209,6 +209,26 @@
         /// Hash of the sender's view; sums of other views are not used.
         view: u32,
     },
+    /// Asks the owner of a conversation's home where the conversation was sent last.
+    Locate {
+        /// The same for all requests of the conversation.
+        key: u64,
+    },
+    /// Answers [`Message::Locate`]; left out when the owner does not know.
+    Located {
+        /// The same for all requests of the conversation.
+        key: u64,
+        /// Where it was sent last.
+        upstream: Upstream,
+    },
+    /// Tells the owner of a conversation's home that the conversation was sent elsewhere than
+    /// before.
+    Sent {
+        /// The same for all requests of the conversation.
+        key: u64,
+        /// Where it was sent.
+        upstream: Upstream,
+    },
     /// A message that a third instance passes on, where the direct link is cut.
     Relayed {
         /// Who sent it.
--- a/crates/permit/src/node.rs
+++ b/crates/permit/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::book::Usage;
 use crate::holder::Holder;
+use crate::locations::Locations;
 use crate::owner::Owner;
 use crate::routes::Routes;
 use crate::{Message, PermitId};
@@ -143,6 +144,7 @@
     view: View,
     owner: Owner,
     holder: Holder,
+    locations: Locations,
     routes: Routes,
     out: Out,
 }
@@ -164,6 +166,7 @@
             view,
             owner: Owner::new(now, bound, desk, seed),
             holder: Holder::new(now, policy, seed),
+            locations: Locations::default(),
             routes: Routes::default(),
             out: Out::default(),
         }
@@ -271,6 +274,9 @@
             Message::Claim { upstreams } => {
                 self.holder.report(view, sender, &upstreams, out);
             }
+            Message::Locate { key } => self.locations.tell(sender, key, out),
+            Message::Located { key, upstream } => self.holder.learn(key, &upstream),
+            Message::Sent { key, upstream } => self.locations.learn(key, &upstream),
             Message::Relayed { origin, addressee, message } if addressee == view.me => {
                 self.routes.avoid(context.now, &origin);
                 self.take(context, &origin, *message);
--- a/crates/permit/src/walk.rs
+++ b/crates/permit/src/walk.rs
@@ -42,6 +42,8 @@
 pub(crate) struct Walk {
     pub(crate) request: u64,
     pub(crate) wanted: Wanted,
+    /// The first of all upstreams that could have the conversation's context.
+    pub(crate) home: Upstream,
     order: Vec<Upstream>,
     position: usize,
     seen: Vec<Seen>,
@@ -54,10 +56,17 @@
 }
 
 impl Walk {
-    pub(crate) fn new(now: Instant, request: u64, wanted: Wanted, order: Vec<Upstream>) -> Self {
+    pub(crate) fn new(
+        now: Instant,
+        request: u64,
+        wanted: Wanted,
+        home: Upstream,
+        order: Vec<Upstream>,
+    ) -> Self {
         Self {
             request,
             wanted,
+            home,
             order,
             position: 0,
             seen: Vec::new(),
--- a/crates/placement/benches/order.rs
+++ b/crates/placement/benches/order.rs
@@ -27,6 +27,18 @@
     divan::main();
 }
 
+/// Finds the home of one conversation.
+#[divan::bench(consts = UPSTREAMS)]
+fn home<const COUNT: usize>(bencher: Bencher<'_, '_>) {
+    let all = candidates(COUNT);
+    let mut key = 0_u64;
+    bencher.bench_local(|| {
+        key = key.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let known = all.iter().map(|candidate| &candidate.upstream);
+        black_box(placement::home(black_box(key), known)).is_some()
+    });
+}
+
 /// Orders the candidates of one request.
 #[divan::bench(args = POLICIES, consts = UPSTREAMS)]
 fn order<const COUNT: usize>(bencher: Bencher<'_, '_>, choice: Choice) {
--- a/crates/placement/benches/reuse.rs
+++ b/crates/placement/benches/reuse.rs
@@ -10,7 +10,8 @@
 
 use names::Upstream;
 use placement::{
-    Bound, Bounded, Candidate, Knowledge, LeastLoad, Policy, Random, Rendezvous, RoundRobin, Spills,
+    Bound, Bounded, Candidate, Knowledge, LeastLoad, Policy, Random, Rendezvous, RoundRobin,
+    Spills, home,
 };
 
 const SEEDS: u64 = 5;
@@ -193,9 +194,9 @@
         let Some(chosen) = candidates.iter().find(has_room) else {
             return;
         };
-        let known: Vec<_> = candidates.iter().map(|candidate| &candidate.upstream).collect();
         let key = conversation.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        let holder = policy.placed(key, &chosen.upstream, &known);
+        let home = home(key, candidates.iter().map(|candidate| &candidate.upstream)).unwrap();
+        let holder = policy.placed(key, &chosen.upstream, home);
         let engine = number(chosen);
         let holder = holder.map(|holder| holder.as_str()[7..].parse::<usize>().unwrap());
         if let Some(holder) = holder.filter(|holder| *holder != engine && turn > 0) {
@@ -281,14 +282,15 @@
         self.policies[self.current].order(key, candidates);
     }
 
-    fn placed(&mut self, key: u64, upstream: &Upstream, known: &[&Upstream]) -> Option<Upstream> {
-        let holder = self.policies[self.current].placed(key, upstream, known);
-        let Some(hints) = &mut self.hints else {
-            return holder;
-        };
-        let hint = hints.get(key).cloned();
-        hints.insert(key, upstream);
-        hint.or(holder)
+    fn placed(&mut self, key: u64, upstream: &Upstream, home: &Upstream) -> Option<Upstream> {
+        let policy = &mut self.policies[self.current];
+        if let Some(hints) = &mut self.hints {
+            if let Some(hint) = hints.get(key) {
+                policy.learn(key, hint);
+            }
+            hints.insert(key, upstream);
+        }
+        policy.placed(key, upstream, home)
     }
 }
 
--- a/crates/placement/src/bounded.rs
+++ b/crates/placement/src/bounded.rs
@@ -2,7 +2,7 @@
 
 use names::Upstream;
 
-use crate::rendezvous::{home, sort};
+use crate::rendezvous::sort;
 use crate::{Bound, Candidate, Policy, Spills, Sum};
 
 /// Orders candidates by their weight for the conversation, those at the bound last.
@@ -35,14 +35,21 @@
         candidates.sort_by_key(|candidate| candidate.in_flight >= bound.most(sum, candidate.slots));
     }
 
-    fn placed(&mut self, key: u64, upstream: &Upstream, known: &[&Upstream]) -> Option<Upstream> {
-        let home = home(key, known);
-        let holder = self.spills.get(key).or(home).cloned();
-        if home == Some(upstream) {
+    fn placed(&mut self, key: u64, upstream: &Upstream, home: &Upstream) -> Option<Upstream> {
+        let holder = self.spills.get(key).unwrap_or(home).clone();
+        if home == upstream {
             self.spills.remove(key);
         } else {
             self.spills.insert(key, upstream);
         }
-        holder
+        Some(holder)
+    }
+
+    fn learn(&mut self, key: u64, upstream: &Upstream) {
+        self.spills.insert(key, upstream);
+    }
+
+    fn is_sticky(&self) -> bool {
+        true
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -20,5 +20,5 @@
 pub use error::Error;
 pub use ownership::{chosen, key_of, owner};
 pub use policy::{Candidate, Knowledge, Policy};
-pub use rendezvous::{Rendezvous, weight};
+pub use rendezvous::{Rendezvous, home, weight};
 pub use spills::Spills;
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -29,17 +29,20 @@
     fn order(&mut self, key: u64, candidates: &mut Vec<Candidate>);
 
     /// Takes note that a request with `key` went to `upstream`. Gives the upstream that has the
-    /// freshest copy of the conversation's context, where the policy can tell. `known` are all
-    /// upstreams that could have it, also those that take no new work.
-    fn placed(
-        &mut self,
-        _key: u64,
-        _upstream: &Upstream,
-        _known: &[&Upstream],
-    ) -> Option<Upstream> {
+    /// freshest copy of the conversation's context, where the policy can tell. `home` is the first
+    /// by weight of all upstreams that could have it, also of those that take no new work.
+    fn placed(&mut self, _key: u64, _upstream: &Upstream, _home: &Upstream) -> Option<Upstream> {
         None
     }
 
+    /// Takes note that another instance sent the conversation to `upstream` last.
+    fn learn(&mut self, _key: u64, _upstream: &Upstream) {}
+
+    /// Whether conversations stay where they were sent last, so that instances tell each other.
+    fn is_sticky(&self) -> bool {
+        false
+    }
+
     /// Where the load of candidates comes from.
     fn knowledge(&self) -> Knowledge {
         Knowledge::Newest
--- a/crates/placement/src/rendezvous.rs
+++ b/crates/placement/src/rendezvous.rs
@@ -14,8 +14,11 @@
 }
 
 /// The upstream of `known` with the greatest weight for `key`.
-pub(crate) fn home<'a>(key: u64, known: &[&'a Upstream]) -> Option<&'a Upstream> {
-    known.iter().copied().max_by_key(|upstream| weight(key, upstream.as_str()))
+pub fn home<'a, I>(key: u64, known: I) -> Option<&'a Upstream>
+where
+    I: IntoIterator<Item = &'a Upstream>,
+{
+    known.into_iter().max_by_key(|upstream| weight(key, upstream.as_str()))
 }
 
 /// Sorts candidates by their weight for `key`.
@@ -32,7 +35,7 @@
         sort(key, candidates);
     }
 
-    fn placed(&mut self, key: u64, _: &Upstream, known: &[&Upstream]) -> Option<Upstream> {
-        home(key, known).cloned()
+    fn placed(&mut self, _: u64, _: &Upstream, home: &Upstream) -> Option<Upstream> {
+        Some(home.clone())
     }
 }
--- a/crates/placement/tests/movement.rs
+++ b/crates/placement/tests/movement.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use placement::{Bound, Bounded, Candidate, Choice, Policy, Spills, Sum};
+use placement::{Bound, Bounded, Candidate, Choice, Policy, Spills, Sum, home};
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -36,9 +36,8 @@
     upstream: &str,
     known: &[Candidate],
 ) -> Option<String> {
-    let known: Vec<_> = known.iter().map(|candidate| &candidate.upstream).collect();
-    let holder = policy.placed(key, &upstream.parse().unwrap(), &known);
-    holder.map(|holder| holder.to_string())
+    let home = home(key, known.iter().map(|candidate| &candidate.upstream)).unwrap();
+    policy.placed(key, &upstream.parse().unwrap(), home).map(|holder| holder.to_string())
 }
 
 proptest! {
--- a/tests/context.rs
+++ b/tests/context.rs
@@ -24,8 +24,13 @@
 
 /// Two engines that work on one request at a time, and one instance.
 fn fleet(limit: &str) -> Fleet {
+    fleet_in(&["giza"], limit)
+}
+
+fn fleet_in(data_centres: &[&str], limit: &str) -> Fleet {
     let context = json!({ "limit": limit, "recompute": "50/s" });
-    let mut fleet = Fleet::start_plan(Plan::new(&["giza"]).with_setting("context", context));
+    let plan = Plan::new(data_centres).with_setting("context", context);
+    let mut fleet = Fleet::start_plan(plan);
     for name in ["engine-1", "engine-2"] {
         let flags = ["--model", "caption-small", "--slots", "1", "--expires-in", "60s"];
         fleet.add_upstream(name, "giza", &flags);
@@ -49,15 +54,16 @@
     "a long flight log ".repeat(100)
 }
 
-fn send(fleet: &Fleet, body: &Value) -> Answer {
-    let answer = post(fleet.instances[0].addresses.callers, CHAT, &CONVERSATION, body).unwrap();
+fn send(fleet: &Fleet, instance: usize, body: &Value) -> Answer {
+    let address = fleet.instances[instance].addresses.callers;
+    let answer = post(address, CHAT, &CONVERSATION, body).unwrap();
     assert_eq!(answer.status, 200, "{answer:?}");
     answer
 }
 
 /// Sends the first turn; gives the engine that has its context then.
 fn first_turn(fleet: &Fleet) -> usize {
-    send(fleet, &chat(&first_text(), WORDS, false));
+    send(fleet, 0, &chat(&first_text(), WORDS, false));
     usize::from(stat(fleet, 1, "answered") == 1)
 }
 
@@ -71,18 +77,24 @@
     hold
 }
 
-/// Sends the second turn and checks its answer; gives the tokens that its engine had cached.
-fn second_turn(fleet: &Fleet) -> u64 {
-    let turns = [("user", first_text()), ("assistant", "noted".into()), ("user", "and?".into())];
+/// Sends a turn after others and checks its answer; gives the tokens that its engine had cached.
+fn later_turn(fleet: &Fleet, instance: usize, texts: &[String]) -> u64 {
+    let turns: Vec<(&str, &str)> =
+        texts.iter().flat_map(|text| [("assistant", "noted"), ("user", text.as_str())]).collect();
+    let turns = &turns[1..];
     let messages: Vec<Value> =
         turns.iter().map(|(role, content)| json!({ "role": role, "content": content })).collect();
     let body = json!({ "model": "caption-small", "messages": messages, "max_tokens": WORDS });
-    let answer: Value = serde_json::from_str(&send(fleet, &body).body).unwrap();
+    let answer: Value = serde_json::from_str(&send(fleet, instance, &body).body).unwrap();
     let prompt: String = turns.iter().map(|(role, text)| format!("{role}: {text}\n")).collect();
     assert_eq!(answer["choices"][0]["message"]["content"], standin::answer(&prompt, WORDS));
     answer["usage"]["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap()
 }
 
+fn second_turn(fleet: &Fleet) -> u64 {
+    later_turn(fleet, 0, &[first_text(), "and?".to_string()])
+}
+
 #[test]
 fn a_spilled_conversation_finds_its_context() {
     let fleet = fleet("5s");
@@ -96,6 +108,22 @@
     hold.join().unwrap();
 }
 
+#[test]
+fn a_conversation_that_spilled_through_another_instance_finds_its_context() {
+    let fleet = fleet_in(&["giza", "giza"], "5s");
+    let home = first_turn(&fleet);
+    let hold = occupy(&fleet, home);
+    let second_text = "a longer flight log ".repeat(100);
+    later_turn(&fleet, 0, &[first_text(), second_text.clone()]);
+    assert_eq!(stat(&fleet, 1 - home, "answered"), 1, "the turn did not spill");
+    hold.join().unwrap();
+    let whole = first_text().len() + second_text.len();
+    let texts = [first_text(), second_text, "and then?".to_string()];
+    let cached = later_turn(&fleet, 1, &texts);
+    assert_eq!(stat(&fleet, home, "answered"), 3, "the turn did not return home");
+    assert!(cached as usize > whole / 4 - 32, "{cached} of {}", whole / 4);
+}
+
 #[test]
 fn the_context_of_a_leaving_engine_is_fetched() {
     let fleet = fleet("5s");
