Let operators change the voters, one step at a time

Cause: the set of voters was fixed at the founding, so an instance that was gone for good could only be replaced under its own name.

The target is a machine of the log with its audit trail; the leader adds a learner, promotes it, then removes what is not wanted, itself last. A second change is refused by name with Retry-After, a resend gets the first answer. Removed voters hear so when they campaign.

Ruled out: joint consensus (two quorums an entry); the target in the members of the log (another format of entries).

--- a/crates/command/src/commands/mod.rs
+++ b/crates/command/src/commands/mod.rs
@@ -14,6 +14,7 @@
 mod rollback;
 mod serve;
 mod stand_in;
+mod voters;
 
 use crate::Entry;
 
@@ -31,6 +32,7 @@
         audit::entry(),
         fleet::entry(),
         drain::entry(),
+        voters::entry(),
         hash_key::entry(),
         stand_in::entry(),
         measure::entry(),
--- a/crates/instance/src/config/mod.rs
+++ b/crates/instance/src/config/mod.rs
@@ -23,7 +23,7 @@
 use eventloop::mailbox;
 use names::Instance;
 use operator::Response;
-use settings::{Role, Settings};
+use settings::Settings;
 use stakker::{Actor, CX, Fwd, after, call, fwd_to, ret_to};
 use state::{Index, Proposed};
 use telemetry::Metrics;
@@ -178,7 +178,7 @@
             self.put_in_force(&Candidate::from(&self.view));
         }
         let settings = &self.around.settings;
-        if settings.has_role(Role::Control) && settings.voters.contains(&settings.instance) {
+        if settings.may_vote() {
             let revisions = Rc::new(RefCell::new(Revisions::default()));
             self.revisions = Some(revisions.clone());
             let applied = fwd_to!([cx], applied() as (Index));
--- a/crates/instance/src/replica/mod.rs
+++ b/crates/instance/src/replica/mod.rs
@@ -6,7 +6,9 @@
 mod message;
 mod operators;
 mod proposals;
+mod proposing;
 mod status;
+mod voters;
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -17,11 +19,11 @@
 use names::{Incarnation, Instance};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use settings::{Role, Settings};
-use stakker::{Actor, CX, FixedTimerKey, Fwd, Ret, at, call, fail, fwd_to, ret};
+use settings::Settings;
+use stakker::{Actor, CX, FixedTimerKey, Fwd, at, call, fail, fwd_to};
 use state::{
-    Core, DataFolder, Flow, Index, Input, Leases, MAX_COMMAND_BYTES, Machine, Origin, Proposed,
-    Recovered, Report, Start, Storage, Timing, Voter,
+    Core, DataFolder, Flow, Index, Input, Leases, Machine, Origin, Proposed, Recovered, Report,
+    Start, Storage, Timing, Voter, Voters,
 };
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Outgoing, Slice, Transport};
@@ -30,7 +32,7 @@
 use keeper::{Effect, Keeper};
 use machines::Machines;
 use message::Message;
-use proposals::{Proposals, Ready, Repeat};
+use proposals::Proposals;
 
 /// Folder of the log within the data folder.
 const LOG_FOLDER: &str = "log";
@@ -59,6 +61,8 @@
     Ledger,
     /// Leases and fencing numbers.
     Lease,
+    /// Which instances shall vote.
+    Voters,
 }
 
 /// A machine that its slice reads while the log writes it.
@@ -77,6 +81,9 @@
     hub: Actor<Hub>,
     metrics: Arc<Metrics>,
     leases: Rc<RefCell<Leases>>,
+    voters: Rc<RefCell<Voters>>,
+    /// Until when the end of a change of the voters is not proposed again.
+    finish_again_at: Option<Instant>,
     machines: Machines,
     storage: Option<Storage>,
     keeper: Option<Keeper>,
@@ -105,12 +112,17 @@
         let leases = Rc::new(RefCell::new(Leases::default()));
         let mut machines = Machines::default();
         machines.attach(Part::Lease, leases.clone(), Fwd::new(|_: Index| {}));
+        let voters = Rc::new(RefCell::new(Voters::default()));
+        let retarget = fwd_to!([cx], retarget() as (Index));
+        machines.attach(Part::Voters, voters.clone(), retarget);
         Some(Self {
             settings,
             incarnation,
             hub,
             metrics,
             leases,
+            voters,
+            finish_again_at: None,
             machines,
             storage,
             keeper: None,
@@ -121,13 +133,10 @@
     }
 
     fn open(cx: CX![], settings: &Settings) -> Result<Option<Storage>, Error> {
-        let is_voter = settings.voters.contains(&settings.instance);
-        let Some(folder) = settings.data_folder.as_ref().filter(|_| is_voter) else {
+        let may_vote = settings.may_vote();
+        let Some(folder) = settings.data_folder.as_ref().filter(|_| may_vote) else {
             return Ok(None);
         };
-        if !settings.has_role(Role::Control) {
-            return Ok(None);
-        }
         let report = fwd_to!([cx], report() as (Report));
         let reports = mailbox(cx, report);
         let path = folder.join(LOG_FOLDER);
@@ -149,91 +158,6 @@
         self.machines.attach(part, machine, applied);
     }
 
-    /// Proposes a command, from any instance of the fleet.
-    pub(crate) fn propose(
-        &mut self,
-        cx: CX![],
-        part: Part,
-        command: Vec<u8>,
-        proposed: Ret<Proposed>,
-    ) {
-        let now = Instant::now();
-        let bytes = machines::encode(part, command);
-        if bytes.len() > MAX_COMMAND_BYTES {
-            log::warn!("a command of {} bytes for part {part} is too large", bytes.len());
-            ret!([proposed], Proposed::NotRun);
-            return;
-        }
-        // The ledger's claimants propose anew by themselves, and take care of what may be late.
-        let repeat = if part == Part::Ledger { Repeat::Never } else { Repeat::Allowed };
-        let is_alone = self.settings.voters.is_empty();
-        match self.leader(now) {
-            None if self.is_voter() || is_alone => ret!([proposed], Proposed::NotRun),
-            leader => {
-                self.proposals.seek(now, bytes, repeat, proposed);
-                leader.into_iter().for_each(|leader| self.send_waiting(cx, now, &leader));
-                self.search(cx, now);
-            }
-        }
-        self.update(cx);
-    }
-
-    /// Whether this instance keeps the log.
-    fn is_voter(&self) -> bool {
-        self.keeper.is_some() || self.storage.is_some()
-    }
-
-    /// The leader as far as known.
-    fn leader(&self, now: Instant) -> Option<Instance> {
-        let found = match &self.keeper {
-            Some(keeper) => keeper.core().leader_instance(now),
-            None => self.proposals.found(now),
-        };
-        found.cloned()
-    }
-
-    /// Sends what waits for a leader, which may be this instance.
-    fn send_waiting(&mut self, cx: CX![], now: Instant, leader: &Instance) {
-        for ready in self.proposals.send_to(now, leader) {
-            self.forward(cx, leader.clone(), ready);
-        }
-    }
-
-    /// Sends proposals again that may have been lost with a leader.
-    fn resend(&mut self, cx: CX![], now: Instant) {
-        match self.leader(now) {
-            Some(leader) => self.send_waiting(cx, now, &leader),
-            None => {
-                self.search(cx, now);
-                self.proposals.put_off(now);
-            }
-        }
-    }
-
-    fn origin(&self, sequence: u64) -> Origin {
-        let instance = self.settings.instance.clone();
-        Origin { instance, incarnation: self.incarnation, sequence }
-    }
-
-    fn forward(&mut self, cx: CX![], leader: Instance, ready: Ready) {
-        let Ready { sequence, bytes } = ready;
-        let origin = self.origin(sequence);
-        if leader == self.settings.instance {
-            self.step(cx, Instant::now(), Input::Propose { origin, bytes: bytes.into() });
-        } else {
-            self.send(cx, leader, &Message::Forward { origin, bytes });
-        }
-    }
-
-    /// Asks the voters who leads, if proposals wait for that at an instance without a log.
-    fn search(&mut self, cx: CX![], now: Instant) {
-        if !self.is_voter() && self.proposals.begins_search(now) {
-            for voter in self.settings.voters.clone() {
-                self.send(cx, voter, &Message::Seek);
-            }
-        }
-    }
-
     fn send(&mut self, _: CX![], addressee: Instance, message: &Message) {
         match wire::encode(message) {
             Ok(payload) => {
@@ -266,6 +190,9 @@
                     self.forward(cx, sender.clone(), ready);
                 }
             }
+            Message::Found { leader: Some(leader), .. } if self.is_newcomer(&leader) => {
+                self.send(cx, leader, &Message::Seek);
+            }
             Message::Found { .. } => {
                 self.proposals.learn_other(sender, self.settings.voters.len());
             }
@@ -279,6 +206,11 @@
         }
     }
 
+    /// Whether `leader` became a voter after the settings were written.
+    fn is_newcomer(&self, leader: &Instance) -> bool {
+        *leader != self.settings.instance && !self.settings.voters.contains(leader)
+    }
+
     fn answer_seek(&mut self, cx: CX![], now: Instant, sender: Instance) {
         let core = self.keeper.as_ref().map(Keeper::core);
         let is_leading = core.is_some_and(|core| core.is_leading(now));
@@ -389,6 +321,7 @@
         self.proposals.expire(now);
         self.step(cx, now, Input::Tick);
         self.resend(cx, now);
+        self.finish_change(cx, now);
         self.update(cx);
     }
 
--- a/crates/instance/src/replica/operators.rs
+++ b/crates/instance/src/replica/operators.rs
@@ -20,6 +20,8 @@
                 let response = Response::json(200, &*self.leases.borrow());
                 ask.answer(response);
             }
+            ("GET", "/state/voters") => self.show_voters(cx, ask),
+            ("POST", "/state/voters") => self.change_voters(cx, ask),
             ("POST", "/state/leases") => self.propose_lease(cx, ask),
             (method, path) => {
                 let message = format!("{method} {path} does not exist");
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -251,6 +251,11 @@
         Ok(())
     }
 
+    /// Whether this instance keeps the replicated log, or can be made to.
+    pub fn may_vote(&self) -> bool {
+        self.has_role(Role::Control) && self.data_folder.is_some() && !self.voters.is_empty()
+    }
+
     fn check_voters(&self) -> Result<(), Error> {
         if self.voters.len() > MAX_VOTERS {
             return Err(Error::Value {
--- a/crates/state/src/core/action.rs
+++ b/crates/state/src/core/action.rs
@@ -102,6 +102,8 @@
     },
     /// The process is about to stop: a leader hands over, and the voter campaigns no more.
     Retire,
+    /// The instances that shall vote, sorted; none for those that do.
+    Target(Vec<Instance>),
     /// The machines' state after the applied entry `index`; entries before it may go.
     Compact {
         /// The last entry applied.
--- a/crates/state/src/core/election.rs
+++ b/crates/state/src/core/election.rs
@@ -7,7 +7,7 @@
     /// nobody when it comes back.
     pub(super) fn campaign(&mut self, now: Instant) {
         self.delay_election(now);
-        if self.is_retired || !self.members().is_voting(self.me) {
+        if self.is_retired || !self.is_voter() {
             return;
         }
         self.leader = None;
@@ -44,6 +44,11 @@
         campaign: Term,
         last: Position,
     ) {
+        if self.dismisses(now, from) {
+            let set_at = self.log.members().0;
+            self.reply(from, instance, Message::Dismissed { set_at });
+            return;
+        }
         let is_granted = campaign > self.ballot.term
             && !self.is_blank()
             && !self.is_promised(now)
--- a/crates/state/src/core/follower.rs
+++ b/crates/state/src/core/follower.rs
@@ -10,6 +10,7 @@
             return false;
         }
         self.leader = Some(from);
+        self.is_dismissed = false;
         self.promise(now);
         self.become_follower(now);
         true
--- a/crates/state/src/core/leader.rs
+++ b/crates/state/src/core/leader.rs
@@ -102,15 +102,20 @@
         self.outsiders.push(Outsider { voter, instance, seen: now });
     }
 
-    /// Adds a learner for an instance of the group whose folder is no member.
+    /// Adds a learner for an instance that shall vote and whose folder is no member.
     pub(super) fn addition(
         &self,
         now: Instant,
         span: Duration,
         members: &Members,
+        target: &[Instance],
     ) -> Option<Change> {
         let is_due = |outsider: &&Outsider| {
-            let has_place = members.voting().any(|member| member.instance == outsider.instance);
+            let votes = |member: &crate::Member| member.instance == outsider.instance;
+            let has_place = match target {
+                [] => members.voting().any(votes),
+                target => target.contains(&outsider.instance),
+            };
             has_place && now < outsider.seen + span && members.find(outsider.voter).is_none()
         };
         let outsider = self.outsiders.iter().find(is_due)?;
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -61,6 +61,10 @@
     election_at: Instant,
     incoming: Option<Incoming>,
     founding: Founding,
+    /// The instances that shall vote, sorted; none for those that do.
+    target: Vec<Instance>,
+    /// Whether a later change of the members than those in force has removed this folder.
+    is_dismissed: bool,
     is_retired: bool,
     persistence: Persistence,
     actions: Vec<Action>,
@@ -101,6 +105,8 @@
             election_at: now,
             incoming: None,
             founding: Founding::new(now, start.founders),
+            target: Vec::new(),
+            is_dismissed: false,
             is_retired: false,
             persistence: Persistence::new(durable),
             actions: Vec::new(),
@@ -121,6 +127,7 @@
             Input::Synced { ticket } => self.synced(now, ticket),
             Input::Propose { origin, bytes } => self.propose(origin, bytes),
             Input::Retire => self.is_retired = true,
+            Input::Target(target) => self.target = target,
             Input::Compact { index, data } => self.compact(index, data),
         }
         self.check_timers(now);
@@ -133,7 +140,7 @@
             State::Leader(leader) => leader.heartbeat_at,
             _ => self.election_at,
         };
-        if self.members().is_voting(self.me) { duty } else { self.founding.announce_at }
+        if self.is_voter() { duty } else { self.founding.announce_at }
     }
 
     /// What the core does in its term.
@@ -141,7 +148,7 @@
         match &self.state {
             State::Leader(_) => Role::Leader,
             State::PreCandidate(_) | State::Candidate { .. } => Role::Candidate,
-            State::Follower if self.members().is_voting(self.me) => Role::Follower,
+            State::Follower if self.is_voter() => Role::Follower,
             State::Follower => Role::Learner,
         }
     }
@@ -255,6 +262,7 @@
                     self.on_vote(now, from, instance, term, last);
                 }
             }
+            Message::Dismissed { set_at } => self.on_dismissed(set_at),
             Message::Append { .. } | Message::Install { .. } if term < self.ballot.term => {
                 self.reply(from, instance, Message::Voted { is_granted: false });
             }
@@ -321,7 +329,7 @@
             return;
         }
         self.ask_admission(now);
-        if self.is_retired {
+        if self.is_retired || self.is_surplus() {
             self.hand_over(now);
         }
         if matches!(self.state, State::Leader(_)) {
@@ -368,7 +376,8 @@
     fn propose(&mut self, origin: Origin, bytes: Arc<[u8]>) {
         let is_full = self.log.bytes() > MAX_UNCOMMITTED_BYTES
             && self.log.last_index().0 > self.commit.0 + self.flow.trailing_entries;
-        let is_ready = matches!(self.state, State::Leader(_)) && !self.is_retired && !is_full;
+        let is_leaving = self.is_retired || self.is_surplus();
+        let is_ready = matches!(self.state, State::Leader(_)) && !is_leaving && !is_full;
         if !is_ready || bytes.len() > MAX_COMMAND_BYTES {
             self.actions.push(Action::Refuse { origin });
             return;
--- a/crates/state/src/core/repair.rs
+++ b/crates/state/src/core/repair.rs
@@ -10,7 +10,7 @@
     /// Asks for admission while no leader is heard and this folder does not vote: the change that
     /// admitted it may never have been committed.
     pub(super) fn ask_admission(&mut self, now: Instant) {
-        if now < self.founding.announce_at || self.members().is_voting(self.me) {
+        if now < self.founding.announce_at || self.is_voter() {
             return;
         }
         self.founding.announce_at = now + self.timing.heartbeat;
@@ -19,6 +19,33 @@
         }
     }
 
+    /// Whether this folder votes, as far as it knows.
+    pub fn is_voter(&self) -> bool {
+        self.is_member() && self.members().is_voting(self.me)
+    }
+
+    /// Whether this folder receives the log, as far as it knows.
+    pub fn is_member(&self) -> bool {
+        !self.is_dismissed && self.members().find(self.me).is_some()
+    }
+
+    /// Whether `voter` campaigns after it was removed: a leader is in contact, and the committed
+    /// members don't contain it.
+    pub(super) fn dismisses(&self, now: Instant, voter: Voter) -> bool {
+        self.is_promised(now)
+            && self.has_committed_members()
+            && self.members().find(voter).is_none()
+            && !self.is_blank()
+    }
+
+    /// Learns that a change of the members has removed this folder.
+    pub(super) fn on_dismissed(&mut self, set_at: Index) {
+        let is_leader = matches!(self.state, State::Leader(_));
+        if !is_leader && set_at > self.log.members().0 {
+            self.is_dismissed = true;
+        }
+    }
+
     /// Remembers at the leader that an instance of the group has a folder that is no member.
     pub(super) fn note_outsider(&mut self, now: Instant, voter: Voter, instance: Instance) {
         if let State::Leader(leader) = &mut self.state {
@@ -37,7 +64,8 @@
         }
         let change = removal(members, self.me)
             .or_else(|| self.promotion(now, leader, members))
-            .or_else(|| leader.addition(now, self.timing.election, members));
+            .or_else(|| leader.addition(now, self.timing.election, members, &self.target))
+            .or_else(|| self.dismissal(members));
         if let Some(change) = change {
             let members = members.changed(&change);
             self.append(Payload::Members(members));
@@ -48,6 +76,9 @@
     fn promotion(&self, now: Instant, leader: &Leader, members: &Members) -> Option<Change> {
         let learners = members.list().iter().filter(|one| one.standing == Standing::Learner);
         let is_ready = |member: &&Member| {
+            if !self.is_wanted(&member.instance) {
+                return false;
+            }
             let synced = leader.synced_of(member.voter, now, self.timing.election);
             synced.is_some_and(|synced| {
                 let is_near = synced.0 + MAX_LEARNER_LAG >= self.log.last_index().0;
@@ -58,6 +89,50 @@
     }
 }
 
+impl Core {
+    /// Whether `instance` may vote.
+    fn is_wanted(&self, instance: &Instance) -> bool {
+        self.target.is_empty() || self.target.contains(instance)
+    }
+
+    /// Whether every instance that shall vote does.
+    fn has_target_voters(&self, members: &Members) -> bool {
+        let votes = |instance: &Instance| members.voting().any(|one| one.instance == *instance);
+        self.target.iter().all(votes)
+    }
+
+    /// Removes a member that shall not vote, once all that shall do.
+    fn dismissal(&self, members: &Members) -> Option<Change> {
+        if !self.has_target_voters(members) {
+            return None;
+        }
+        let is_due = |one: &&Member| one.voter != self.me && !self.is_wanted(&one.instance);
+        members.list().iter().find(is_due).map(|member| Change::Remove(member.voter))
+    }
+
+    /// Whether this voter is the only one left that shall not vote; another leader removes it.
+    pub(super) fn is_surplus(&self) -> bool {
+        if self.target.is_empty() || self.is_wanted(&self.instance) {
+            return false;
+        }
+        let members = self.members();
+        let is_last = |one: &Member| one.voter == self.me || self.is_wanted(&one.instance);
+        self.has_committed_members()
+            && self.has_target_voters(members)
+            && members.list().iter().all(is_last)
+    }
+
+    /// Whether exactly the instances that shall vote do, by a committed entry.
+    pub fn has_target_members(&self) -> bool {
+        let members = self.members();
+        let is_right =
+            |one: &Member| one.standing == Standing::Voting && self.is_wanted(&one.instance);
+        self.has_committed_members()
+            && self.has_target_voters(members)
+            && members.list().iter().all(is_right)
+    }
+}
+
 /// Removes a voter in whose place a newer one of the same instance votes.
 fn removal(members: &Members, me: Voter) -> Option<Change> {
     let voting: Vec<&Member> = members.voting().collect();
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -16,6 +16,7 @@
 mod members;
 mod message;
 mod sessions;
+mod voters;
 
 pub use crate::chunks::Chunks;
 pub use crate::core::{Action, Core, Flow, Input, Recovered, Role, Start, Timing, Write};
@@ -28,3 +29,4 @@
 pub use members::{Change, Member, Members, Standing};
 pub use message::{Envelope, Message};
 pub use sessions::Sessions;
+pub use voters::{Amendment, Progress, Voters, VotersCommand, VotersOutcome};
--- a/crates/state/src/message.rs
+++ b/crates/state/src/message.rs
@@ -111,4 +111,9 @@
         /// `sent` of the message answered.
         sent: u64,
     },
+    /// Answers [`Message::PreVote`] of a folder that is no member any more.
+    Dismissed {
+        /// The committed entry with the members, of which the addressee is none.
+        set_at: Index,
+    },
 }
--- /dev/null
+++ b/crates/state/src/voters.rs
@@ -0,0 +1,182 @@
+//! Which instances shall vote, as operators say, and who said so.
+
+use names::{Instance, Operator};
+use serde::{Deserialize, Serialize};
+
+use crate::{Index, Machine};
+
+/// Most changes that are remembered.
+const MAX_CHANGES: usize = 100;
+
+/// How a change of the voters stands.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Progress {
+    /// Voters are being added and removed.
+    Running,
+    /// The voters are as asked for.
+    Done,
+    /// It was given up for the voters before it.
+    Cancelled,
+}
+
+/// A record of one change of the voters.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Amendment {
+    /// Its number, from 1.
+    pub number: u64,
+    /// Names it, so that it may be sent again.
+    pub order: String,
+    /// Who asked for it.
+    pub operator: Operator,
+    /// When it was asked for, in seconds of Unix time.
+    pub at: u64,
+    /// The voters before it, sorted.
+    pub from: Vec<Instance>,
+    /// The voters after it, sorted.
+    pub to: Vec<Instance>,
+    /// How it stands.
+    pub progress: Progress,
+}
+
+/// A command about the voters.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VotersCommand {
+    /// Asks for what is known.
+    Show,
+    /// Asks for other voters; `from` and `to` are sorted.
+    Amend {
+        /// Names the change.
+        order: String,
+        /// Who asks.
+        operator: Operator,
+        /// When, in seconds of Unix time.
+        at: u64,
+        /// The voters that the operator knows.
+        from: Vec<Instance>,
+        /// The voters that shall be.
+        to: Vec<Instance>,
+    },
+    /// The voters are as the change says.
+    Finish {
+        /// Number of the change.
+        number: u64,
+    },
+}
+
+/// The outcome of a [`VotersCommand`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VotersOutcome {
+    /// All that is known.
+    Known(Voters),
+    /// The change is accepted, or was before.
+    Accepted(Amendment),
+    /// This other change has to end first.
+    Busy(Amendment),
+    /// The voters are others than the operator knows.
+    Conflict(Vec<Instance>),
+    /// The order was used for another change.
+    Reused(Amendment),
+    /// The change was finished, or had ended before.
+    Finished,
+    /// The command is of an unknown form.
+    Malformed,
+}
+
+/// The voters that operators asked for, with the changes that led to them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Voters {
+    target: Vec<Instance>,
+    changes: Vec<Amendment>,
+}
+
+impl Voters {
+    /// The instances that shall vote, sorted; none while the founders do.
+    pub fn target(&self) -> &[Instance] {
+        &self.target
+    }
+
+    /// The remembered changes, oldest first.
+    pub fn changes(&self) -> &[Amendment] {
+        &self.changes
+    }
+
+    /// The change that has not ended.
+    pub fn running(&self) -> Option<&Amendment> {
+        self.changes.last().filter(|change| change.progress == Progress::Running)
+    }
+
+    fn run(&mut self, command: VotersCommand) -> VotersOutcome {
+        match command {
+            VotersCommand::Show => VotersOutcome::Known(self.clone()),
+            VotersCommand::Amend { order, operator, at, from, to } => {
+                let progress = Progress::Running;
+                self.amend(Amendment { number: 0, order, operator, at, from, to, progress })
+            }
+            VotersCommand::Finish { number } => self.finish(number),
+        }
+    }
+
+    fn amend(&mut self, asked: Amendment) -> VotersOutcome {
+        let same_order = |change: &&Amendment| change.order == asked.order;
+        if let Some(earlier) = self.changes.iter().find(same_order) {
+            return match earlier.to == asked.to {
+                true => VotersOutcome::Accepted(earlier.clone()),
+                false => VotersOutcome::Reused(earlier.clone()),
+            };
+        }
+        let is_cancelled = self.running().is_some_and(|running| running.from == asked.to);
+        if let Some(running) = self.running().filter(|_| !is_cancelled) {
+            return VotersOutcome::Busy(running.clone());
+        }
+        if !self.target.is_empty() && self.target != asked.from {
+            return VotersOutcome::Conflict(self.target.clone());
+        }
+        if let Some(running) = self.changes.last_mut().filter(|_| is_cancelled) {
+            running.progress = Progress::Cancelled;
+        }
+        let number = self.changes.last().map_or(1, |last| last.number + 1);
+        self.target = asked.to.clone();
+        let change = Amendment { number, ..asked };
+        if self.changes.len() == MAX_CHANGES {
+            self.changes.remove(0);
+        }
+        self.changes.push(change.clone());
+        VotersOutcome::Accepted(change)
+    }
+
+    fn finish(&mut self, number: u64) -> VotersOutcome {
+        let is_meant = |change: &&mut Amendment| {
+            change.number == number && change.progress == Progress::Running
+        };
+        if let Some(change) = self.changes.last_mut().filter(is_meant) {
+            change.progress = Progress::Done;
+        }
+        VotersOutcome::Finished
+    }
+}
+
+impl Machine for Voters {
+    fn apply(&mut self, _: Index, command: &[u8]) -> Vec<u8> {
+        let outcome = match postcard::from_bytes(command) {
+            Ok(command) => self.run(command),
+            Err(_) => VotersOutcome::Malformed,
+        };
+        postcard::to_allocvec(&outcome).unwrap_or_default()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).unwrap_or_default()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> bool {
+        let Ok(voters) = postcard::from_bytes(snapshot) else {
+            return false;
+        };
+        *self = voters;
+        true
+    }
+}
--- a/crates/state/tests/common/world.rs
+++ b/crates/state/tests/common/world.rs
@@ -24,6 +24,8 @@
     /// Crashes, freezes, cuts and lost folders.
     pub has_outages: bool,
     pub has_lost_folders: bool,
+    /// Whether operators change who shall vote.
+    pub has_amendments: bool,
 }
 
 pub struct Node {
@@ -239,6 +241,25 @@
         self.input(index, Input::Retire);
     }
 
+    /// Tells one node that three others or all shall vote; nodes need not agree.
+    pub fn amend(&mut self) {
+        let first = self.random.random_range(0..self.nodes.len());
+        let is_all = self.random.random_range(0..4) == 0;
+        let count = if is_all { self.nodes.len() } else { 3 };
+        let index = self.random.random_range(0..self.nodes.len());
+        self.target(index, first, count);
+    }
+
+    /// Tells a node that `count` nodes from `first` on shall vote.
+    fn target(&mut self, index: usize, first: usize, count: usize) {
+        let chosen = self.nodes.iter().cycle().skip(first).take(count);
+        let mut target: Vec<Instance> = chosen.map(|node| node.instance.clone()).collect();
+        target.sort();
+        if self.nodes[index].core.is_some() && !self.nodes[index].is_frozen {
+            self.input(index, Input::Target(target));
+        }
+    }
+
     pub fn compact(&mut self, index: usize) {
         let node = &self.nodes[index];
         if let Some(core) = &node.core {
@@ -330,6 +351,10 @@
             if let Some(index) = down {
                 self.start(index);
             }
+            if self.faults.has_amendments {
+                let all = self.nodes.len();
+                (0..all).for_each(|index| self.target(index, 0, all));
+            }
             if self.leader().is_some() && self.is_repaired() && last == 0 {
                 self.propose();
                 last = self.next_command;
--- a/crates/state/tests/simulation.rs
+++ b/crates/state/tests/simulation.rs
@@ -8,6 +8,7 @@
 
 use common::world::{Faults, World};
 use rand::RngExt;
+use state::{Entry, Payload};
 use test_case::test_case;
 
 /// Seeds of each run in CI.
@@ -21,6 +22,7 @@
     max_delay: Duration::from_millis(5),
     has_outages: false,
     has_lost_folders: false,
+    has_amendments: false,
 };
 
 const ROUGH: Faults = Faults {
@@ -29,10 +31,13 @@
     max_delay: Duration::from_millis(60),
     has_outages: true,
     has_lost_folders: false,
+    has_amendments: false,
 };
 
 const WORST: Faults = Faults { has_lost_folders: true, ..ROUGH };
 
+const AMENDED: Faults = Faults { has_amendments: true, ..WORST };
+
 /// Lets one outage begin or end, at random.
 fn disturb(world: &mut World) {
     let index = world.random.random_range(0..world.nodes.len());
@@ -67,6 +72,9 @@
         if faults.has_outages && world.random.random_range(0..25) == 0 {
             disturb(&mut world);
         }
+        if faults.has_amendments && world.random.random_range(0..15) == 0 {
+            world.amend();
+        }
         if world.random.random_range(0..100) == 0 {
             let index = world.random.random_range(0..world.nodes.len());
             world.compact(index);
@@ -159,3 +167,15 @@
         run(seed, size, faults);
     }
 }
+
+#[test]
+fn promises_hold_while_the_voters_are_changed_again_and_again() {
+    let mut changes = 0;
+    for seed in 0..seeds() {
+        let world = run(seed, 5, AMENDED);
+        let is_change = |entry: &&Entry| matches!(entry.payload, Payload::Members(_));
+        changes += world.applied.values().filter(is_change).count();
+    }
+    println!("{changes} changes of the members in {} seeds", seeds());
+    assert!(changes as u64 > 5 * seeds(), "{changes} changes");
+}
