Order engines to drop models, in steps and under the same lease

Cause: only loads could be declared, so a model stayed on every engine that once had it.

Rollouts take action: unload. A new holder of the lease gives no such order in its first 4 s, so that a late one of its predecessor has landed and is announced. An engine's only model is never dropped; the rollout halts there.

Ruled out: two rollouts of one model (they would undo each other).

--- a/crates/declare/src/lib.rs
+++ b/crates/declare/src/lib.rs
@@ -28,7 +28,7 @@
 pub use key::KeyHash;
 pub use label::{Label, Labels};
 pub use message::{Digest, Message, Part, Pull, Step, Wanted};
-pub use model::{ClientAccount, Declarations, Kind, Rank, Rollout, Service, Target};
+pub use model::{Action, ClientAccount, Declarations, Kind, Rank, Rollout, Service, Target};
 pub use number::{Moment, Order, Revision};
 pub use orders::REMEMBERED_ORDERS;
 pub use revisions::Revisions;
--- a/crates/declare/src/model.rs
+++ b/crates/declare/src/model.rs
@@ -140,15 +140,47 @@
     pub labels: Labels,
 }
 
-/// A model that engines are to load.
+/// What engines are to do with a model.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Action {
+    /// Load it.
+    #[default]
+    Load,
+    /// Drop it; an engine's only model is never dropped.
+    Unload,
+}
+
+impl Action {
+    fn is_load(&self) -> bool {
+        *self == Self::Load
+    }
+}
+
+/// A model that engines are to load or drop.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Rollout {
     /// The model, with its version where it has one.
     pub model: Model,
+    /// What to do with it.
+    #[serde(default, skip_serializing_if = "Action::is_load")]
+    pub action: Action,
     /// The engines, chosen by their labels.
     pub upstreams: Selector,
-    /// How many engines of a data centre load it at the same time.
+    /// How many engines of a data centre load or drop it at the same time.
     #[serde(default = "default_at_once")]
     pub at_once: u32,
     /// Least time between two orders in a data centre, which bounds the load of the weight store.
--- a/crates/instance/src/orders.rs
+++ b/crates/instance/src/orders.rs
@@ -2,13 +2,13 @@
 //!
 //! One entry instance of the data centre, chosen by rendezvous, contends for the lease. A call
 //! that carries an order ends with the lease at the latest, and what an engine announces is
-//! compared anew with what is declared, so an order that arrives late is repeated or harmless.
+//! compared anew with what is declared, so an order that arrives late is harmless or mended.
 
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use declare::{Declarations, Rollout};
+use declare::{Action, Declarations, Rollout};
 use dispatch::{Call, Field, Pool, Reuse};
 use eventloop::{Sender, mailbox};
 use names::{Attempt, Instance, Upstream};
@@ -37,6 +37,10 @@
 /// How long one order may take to be answered.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long after its first grant a holder gives no order that is not harmless when repeated, so
+/// that what its predecessor sent last has arrived and is announced.
+const TAKE_OVER_PAUSE: Duration = Duration::from_secs(4);
+
 /// Orders that are under way at once.
 const MAX_CALLS: usize = 8;
 
@@ -67,6 +71,8 @@
     rollouts: Vec<Progress>,
     sent: Vec<Sent>,
     fence: Option<u64>,
+    /// When orders to drop models may be given under the present fencing number.
+    unloads_from: Option<Instant>,
 }
 
 impl Orders {
@@ -90,6 +96,7 @@
             rollouts: Vec::new(),
             sent: Vec::new(),
             fence: None,
+            unloads_from: None,
         })
     }
 
@@ -122,7 +129,7 @@
             .iter()
             .map(|progress| {
                 let engines = selected(progress.rollout(), &announcements);
-                let loaded = engines.iter().filter(|engine| engine.has_model).count();
+                let done = engines.iter().filter(|engine| engine.is_done).count();
                 let (standing, halted) = match progress.standing(&engines) {
                     Standing::Done => ("done", None),
                     Standing::Running => ("running", None),
@@ -130,8 +137,9 @@
                 };
                 json!({
                     "model": progress.rollout().model,
+                    "action": progress.rollout().action,
                     "engines": engines.len(),
-                    "loaded": loaded,
+                    "done": done,
                     "standing": standing,
                     "halted_at": halted,
                 })
@@ -182,12 +190,16 @@
         if fence != self.fence {
             log::info!("orders: fencing number {fence:?}");
             self.fence = fence;
+            self.unloads_from = fence.map(|_| Instant::now() + TAKE_OVER_PAUSE);
         }
     }
 
     /// Gives the orders that are due, as the engines announce themselves now.
     fn advance(&mut self, cx: CX![], announcements: Vec<Announcement>) {
         for index in 0..self.rollouts.len() {
+            if !self.may_give(self.rollouts[index].rollout().action) {
+                continue;
+            }
             let engines = selected(self.rollouts[index].rollout(), &announcements);
             let next = self.rollouts[index].next(cx.now(), &engines);
             let chosen = next.and_then(|upstream| {
@@ -199,6 +211,14 @@
         }
     }
 
+    /// Whether orders for `action` may be given now.
+    fn may_give(&self, action: Action) -> bool {
+        match action {
+            Action::Load => true,
+            Action::Unload => self.unloads_from.is_some_and(|from| Instant::now() >= from),
+        }
+    }
+
     /// Sends an order; its call ends before the lease does.
     fn send(&mut self, rollout: usize, announcement: &Announcement) {
         let upstream = announcement.upstream.clone();
@@ -208,8 +228,13 @@
             return;
         };
         let model = self.rollouts[rollout].rollout().model.clone();
-        log::info!("order {fence}: upstream {upstream} loads model {model}");
-        let order = Order { fence, task: Task::Load(model) };
+        let action = self.rollouts[rollout].rollout().action;
+        log::info!("order {fence}: upstream {upstream} is to {action} model {model}");
+        let task = match action {
+            Action::Load => Task::Load(model),
+            Action::Unload => Task::Unload(model),
+        };
+        let order = Order { fence, task };
         let attempt = Attempt(rand::rng().random());
         let deadline = until.min(now + ORDER_TIMEOUT);
         let call = Call {
@@ -262,9 +287,14 @@
             && rollout.upstreams.matches(&announced.labels)
     });
     engines
-        .map(|announced| Engine {
-            upstream: announced.upstream.clone(),
-            has_model: announced.models.contains(&rollout.model),
+        .map(|announced| {
+            let has_model = announced.models.contains(&rollout.model);
+            let others = announced.models.iter().any(|model| *model != rollout.model);
+            let (is_done, is_able) = match rollout.action {
+                Action::Load => (has_model, true),
+                Action::Unload => (!has_model, others),
+            };
+            Engine { upstream: announced.upstream.clone(), is_done, is_able }
         })
         .collect()
 }
--- a/crates/orders/src/order.rs
+++ b/crates/orders/src/order.rs
@@ -9,6 +9,8 @@
 pub enum Task {
     /// Load a model.
     Load(Model),
+    /// Drop a model.
+    Unload(Model),
 }
 
 /// An order, as it is sent to an engine.
--- a/crates/orders/src/progress.rs
+++ b/crates/orders/src/progress.rs
@@ -5,27 +5,29 @@
 use declare::Rollout;
 use names::Upstream;
 
-/// How long an engine may take from an order until it announces the model.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(120);
+/// How long an engine may take from an order until it announces that it is carried out.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// An engine that a rollout selects.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Engine {
     /// Its name.
     pub upstream: Upstream,
-    /// Whether it announces the rollout's model.
-    pub has_model: bool,
+    /// Whether it announces what the rollout asks for.
+    pub is_done: bool,
+    /// Whether it can do that; it cannot drop its only model.
+    pub is_able: bool,
 }
 
 /// Where a rollout stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Standing {
-    /// Every selected engine announces the model.
+    /// Every selected engine announces what is asked for.
     Done,
-    /// Engines are loading, or orders wait for their turn.
+    /// Engines carry out orders, or orders wait for their turn.
     Running,
-    /// An engine that was ordered vanished or did not announce the model in time; no further
-    /// engine gets an order until the rollout's declaration changes.
+    /// An engine that was ordered vanished or was late, or one is not able; no further engine gets
+    /// an order until the rollout's declaration changes.
     Halted(Upstream),
 }
 
@@ -54,7 +56,7 @@
     }
 
     /// The engines that get an order at `now`, given the selected `engines` in the order of their
-    /// names. At most `at_once` load at a time, and orders keep the declared interval.
+    /// names. At most `at_once` change at a time, and orders keep the declared interval.
     pub fn next(&mut self, now: Instant, engines: &[Engine]) -> Option<Upstream> {
         self.settle(now, engines);
         let may_order = self.halted.is_none()
@@ -63,8 +65,13 @@
         if !may_order {
             return None;
         }
-        let chosen = engines.iter().find(|engine| self.needs_order(engine))?.upstream.clone();
-        self.pending.push(Pending { upstream: chosen.clone(), deadline: now + LOAD_TIMEOUT });
+        let engine = engines.iter().find(|engine| self.needs_order(engine))?;
+        let chosen = engine.upstream.clone();
+        if !engine.is_able {
+            self.halted = Some(chosen);
+            return None;
+        }
+        self.pending.push(Pending { upstream: chosen.clone(), deadline: now + CHANGE_TIMEOUT });
         self.next_order_at = Some(now + self.rollout.interval.as_duration());
         Some(chosen)
     }
@@ -78,20 +85,20 @@
     pub fn standing(&self, engines: &[Engine]) -> Standing {
         match &self.halted {
             Some(upstream) => Standing::Halted(upstream.clone()),
-            None if engines.iter().all(|engine| engine.has_model) => Standing::Done,
+            None if engines.iter().all(|engine| engine.is_done) => Standing::Done,
             None => Standing::Running,
         }
     }
 
     fn needs_order(&self, engine: &Engine) -> bool {
         let is_pending = self.pending.iter().any(|pending| pending.upstream == engine.upstream);
-        !engine.has_model && !is_pending
+        !engine.is_done && !is_pending
     }
 
-    /// Drops what is loaded, and halts when an ordered engine is gone or late.
+    /// Drops what is done, and halts when an ordered engine is gone or late.
     fn settle(&mut self, now: Instant, engines: &[Engine]) {
         let find = |upstream: &Upstream| engines.iter().find(|one| one.upstream == *upstream);
-        self.pending.retain(|pending| !find(&pending.upstream).is_some_and(|one| one.has_model));
+        self.pending.retain(|pending| !find(&pending.upstream).is_some_and(|one| one.is_done));
         let failed = self
             .pending
             .iter()
--- a/crates/orders/tests/progress.rs
+++ b/crates/orders/tests/progress.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use declare::Rollout;
+use declare::{Action, Rollout};
 use names::Upstream;
 use orders::{Engine, Progress, Standing};
 use units::Span;
@@ -12,6 +12,7 @@
 fn rollout(at_once: u32) -> Rollout {
     Rollout {
         model: "caption-2".parse().unwrap(),
+        action: Action::Load,
         upstreams: "app=captions".parse().unwrap(),
         at_once,
         interval: Span::from_seconds(2),
@@ -22,10 +23,14 @@
     format!("engine-{number}").parse().unwrap()
 }
 
-fn engines(loaded: &[bool]) -> Vec<Engine> {
-    let numbered = loaded.iter().enumerate();
+fn engines(done: &[bool]) -> Vec<Engine> {
+    let numbered = done.iter().enumerate();
     numbered
-        .map(|(number, has_model)| Engine { upstream: upstream(number), has_model: *has_model })
+        .map(|(number, is_done)| Engine {
+            upstream: upstream(number),
+            is_done: *is_done,
+            is_able: true,
+        })
         .collect()
 }
 
@@ -79,3 +84,13 @@
     progress.failed(&upstream(0));
     assert_eq!(progress.next(now + Duration::from_secs(2), &waiting), Some(upstream(0)));
 }
+
+#[test]
+fn an_engine_that_cannot_do_it_halts_the_rollout_without_an_order() {
+    let now = Instant::now();
+    let mut progress = Progress::new(Rollout { action: Action::Unload, ..rollout(1) });
+    let mut waiting = engines(&[true, false]);
+    waiting[1].is_able = false;
+    assert_eq!(progress.next(now, &waiting), None);
+    assert_eq!(progress.standing(&waiting), Standing::Halted(upstream(1)));
+}
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -21,9 +21,12 @@
 }
 
 fn declare_rollout(fleet: &Fleet, base: u64, model: &str) {
-    let rollout = format!(
-        "rollouts:\n  - {{model: {model}, upstreams: \"app=captions\", interval: 100ms}}\n"
-    );
+    declare_action(fleet, base, model, "load");
+}
+
+fn declare_action(fleet: &Fleet, base: u64, model: &str, action: &str) {
+    let fields = format!("model: {model}, action: {action}, interval: 100ms");
+    let rollout = format!("rollouts:\n  - {{{fields}, upstreams: \"app=captions\"}}\n");
     let path = format!("/declarations?base={base}&order=rollout-{base}");
     let body = format!("{}{rollout}", declarations());
     wait_for("order taken", || {
@@ -32,14 +35,19 @@
     });
 }
 
-/// The orders that an engine carried out, as fencing number and model.
+/// The orders to load that an engine carried out, as fencing number and model.
 fn carried_out(fleet: &Fleet, index: usize) -> Vec<(u64, String)> {
+    tasks(fleet, index, "load")
+}
+
+/// The orders of one kind that an engine carried out, as fencing number and model.
+fn tasks(fleet: &Fleet, index: usize, kind: &str) -> Vec<(u64, String)> {
     let text = get(fleet.upstreams[index].address, "/orders").unwrap();
     let orders: Value = serde_json::from_str(&text).unwrap();
     let done = orders["done"].as_array().unwrap().iter();
-    done.map(|one| {
-        let model = one["task"]["load"].as_str().unwrap().to_string();
-        (one["fence"].as_u64().unwrap(), model)
+    done.filter_map(|one| {
+        let model = one["task"][kind].as_str()?.to_string();
+        Some((one["fence"].as_u64().unwrap(), model))
     })
     .collect()
 }
@@ -130,3 +138,45 @@
     assert!(next_fence > fence);
     fleet.set_cut(&[first], false);
 }
+
+/// What the holder of the lease says of the only rollout.
+fn standing(fleet: &Fleet, index: usize) -> Option<Value> {
+    let reply = support::try_declared(operators(fleet, index), "/rollouts")?;
+    Some(reply.body["rollouts"][0].clone())
+}
+
+#[test]
+fn a_model_is_dropped_by_every_selected_engine_once_also_after_a_change_of_the_holder() {
+    let mut fleet = fleet();
+    declare_rollout(&fleet, 0, "caption-2");
+    wait_loaded(&fleet, 0, "caption-2");
+    let (first, fence) = holder(&fleet, &[0, 1, 2]);
+    declare_action(&fleet, 1, "caption-2", "unload");
+    wait_for("the first order to drop it", || {
+        (0..2).any(|engine| !tasks(&fleet, engine, "unload").is_empty()).then_some(())
+    });
+    fleet.kill(first);
+    let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
+    let (next, next_fence) = holder(&fleet, &others);
+    assert!(next_fence > fence);
+    wait_for("done", || (standing(&fleet, next)?["standing"] == "done").then_some(()));
+    for engine in 0..2 {
+        let dropped = tasks(&fleet, engine, "unload");
+        assert_eq!(dropped.len(), 1, "{dropped:?}");
+        assert_eq!(dropped[0].1, "caption-2");
+    }
+    let body = chat("served by the model that is left", 3, true);
+    let callers = fleet.instances[next].addresses.callers;
+    let answer = support::post(callers, "/v1/chat/completions", &[], &body);
+    assert_eq!(answer.unwrap().status, 200);
+}
+
+#[test]
+fn the_only_model_of_an_engine_is_never_dropped() {
+    let fleet = fleet();
+    declare_action(&fleet, 0, "caption-small", "unload");
+    let (first, _) = holder(&fleet, &[0, 1, 2]);
+    wait_for("halt", || (standing(&fleet, first)?["standing"] == "halted").then_some(()));
+    assert_eq!(standing(&fleet, first).unwrap()["halted_at"], "engine-1");
+    (0..2).for_each(|engine| assert_eq!(tasks(&fleet, engine, "unload"), []));
+}
