Order engines to change their role, in steps and under the same lease

Cause: roles were named in the users' orders and known to the stand-in, but could not be declared.

role_changes name a role, a selector, steps and interval; the engine announces the role as its label. It may not choose by that label. Of two roles for one engine the first counts and the other halts there.

Ruled out: a role as a field of rollouts (they are keyed by model).

--- a/crates/declare/src/document.rs
+++ b/crates/declare/src/document.rs
@@ -37,6 +37,9 @@
     /// Models that engines are to load.
     #[strum(serialize = "rollout")]
     Rollout,
+    /// Roles that engines are to have.
+    #[strum(serialize = "role change")]
+    RoleChange,
 }
 
 /// One declared thing.
@@ -190,12 +193,14 @@
         let accounts = declarations.client_accounts.iter();
         let drains = declarations.drains.iter();
         let rollouts = declarations.rollouts.iter();
+        let roles = declarations.role_changes.iter();
         let mut items = kinds
             .map(|kind| item(Section::Kind, kind.name.to_string(), kind))
             .chain(services.map(|one| item(Section::Service, one.name.to_string(), one)))
             .chain(accounts.map(|one| item(Section::ClientAccount, one.name.to_string(), one)))
             .chain(drains.map(|one| item(Section::Drain, one.to_string(), one)))
             .chain(rollouts.map(|one| item(Section::Rollout, one.model.to_string(), one)))
+            .chain(roles.map(|one| item(Section::RoleChange, one.role.clone(), one)))
             .collect::<Result<Vec<Item>, Error>>()?;
         items.sort();
         Ok(Self { items })
@@ -225,6 +230,7 @@
                 Section::ClientAccount => declarations.client_accounts.push(read(item)?),
                 Section::Drain => declarations.drains.push(read(item)?),
                 Section::Rollout => declarations.rollouts.push(read(item)?),
+                Section::RoleChange => declarations.role_changes.push(read(item)?),
             }
         }
         declarations.checked()
--- a/crates/declare/src/lib.rs
+++ b/crates/declare/src/lib.rs
@@ -17,6 +17,7 @@
 mod number;
 mod orders;
 mod revisions;
+mod rollout;
 mod selector;
 mod view;
 
@@ -28,9 +29,10 @@
 pub use key::KeyHash;
 pub use label::{Label, Labels};
 pub use message::{Digest, Message, Part, Pull, Step, Wanted};
-pub use model::{Action, ClientAccount, Declarations, Kind, Rank, Rollout, Service, Target};
+pub use model::{ClientAccount, Declarations, Kind, Rank, Service, Target};
 pub use number::{Moment, Order, Revision};
 pub use orders::REMEMBERED_ORDERS;
 pub use revisions::Revisions;
+pub use rollout::{Action, ROLE_LABEL, RoleChange, Rollout};
 pub use selector::Selector;
 pub use view::{CHUNK_BYTES, Reaction, View};
--- a/crates/declare/src/model.rs
+++ b/crates/declare/src/model.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use units::{Rate, Span};
 
-use crate::{Error, KeyHash, Labels, Selector};
+use crate::{Error, KeyHash, Labels, RoleChange, Rollout, Selector};
 
 /// Largest sum of the least shares of all kinds of work, in percent.
 const MAX_TOTAL_LEAST_SHARE_PERCENT: u32 = 90;
@@ -140,62 +140,6 @@
     pub labels: Labels,
 }
 
-/// What engines are to do with a model.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Serialize,
-    Deserialize,
-    strum::Display,
-    strum::EnumString,
-)]
-#[serde(rename_all = "kebab-case")]
-#[strum(serialize_all = "kebab-case")]
-pub enum Action {
-    /// Load it.
-    #[default]
-    Load,
-    /// Drop it; an engine's only model is never dropped.
-    Unload,
-}
-
-impl Action {
-    fn is_load(&self) -> bool {
-        *self == Self::Load
-    }
-}
-
-/// A model that engines are to load or drop.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Rollout {
-    /// The model, with its version where it has one.
-    pub model: Model,
-    /// What to do with it.
-    #[serde(default, skip_serializing_if = "Action::is_load")]
-    pub action: Action,
-    /// The engines, chosen by their labels.
-    pub upstreams: Selector,
-    /// How many engines of a data centre load or drop it at the same time.
-    #[serde(default = "default_at_once")]
-    pub at_once: u32,
-    /// Least time between two orders in a data centre, which bounds the load of the weight store.
-    #[serde(default = "default_interval")]
-    pub interval: Span,
-}
-
-fn default_at_once() -> u32 {
-    1
-}
-
-fn default_interval() -> Span {
-    Span::from_seconds(1)
-}
-
 /// All declarations of one revision, each list sorted by name.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -210,6 +154,8 @@
     pub drains: Vec<Selector>,
     /// Models that engines are to load.
     pub rollouts: Vec<Rollout>,
+    /// Roles that engines are to have.
+    pub role_changes: Vec<RoleChange>,
     /// Owners of API keys, sorted by hash; built when the declarations are checked.
     #[serde(skip)]
     owners: Vec<KeyOwner>,
@@ -274,6 +220,7 @@
         self.kinds.extend(other.kinds);
         self.drains.extend(other.drains);
         self.rollouts.extend(other.rollouts);
+        self.role_changes.extend(other.role_changes);
     }
 
     /// The declarations as YAML.
@@ -292,6 +239,7 @@
         self.drains.sort_by_key(Selector::to_string);
         self.drains.dedup();
         self.rollouts.sort_by(|left, right| left.model.cmp(&right.model));
+        self.role_changes.sort_by(|left, right| left.role.cmp(&right.role));
         self.owners = self.key_owners();
     }
 
@@ -314,7 +262,9 @@
         self.check_service_kinds()?;
         check_once("rollout", self.rollouts.iter().map(|item| item.model.as_str()))?;
         self.check_drains()?;
-        self.check_rollouts()?;
+        self.rollouts.iter().try_for_each(Rollout::check)?;
+        check_once("role change", self.role_changes.iter().map(|item| item.role.as_str()))?;
+        self.role_changes.iter().try_for_each(RoleChange::check)?;
         self.check_least_shares()
     }
 
@@ -341,17 +291,6 @@
         })
     }
 
-    fn check_rollouts(&self) -> Result<(), Error> {
-        match self.rollouts.iter().find(|rollout| rollout.at_once == 0) {
-            Some(rollout) => Err(Error::Value {
-                place: format!("rollout \"{}\"", rollout.model),
-                problem: "at_once is 0".to_string(),
-                help: "give at least 1",
-            }),
-            None => Ok(()),
-        }
-    }
-
     fn check_least_shares(&self) -> Result<(), Error> {
         let total: u32 = self.kinds.iter().map(|kind| kind.least_share_percent).sum();
         if total <= MAX_TOTAL_LEAST_SHARE_PERCENT {
--- a/crates/declare/src/selector.rs
+++ b/crates/declare/src/selector.rs
@@ -19,6 +19,12 @@
 }
 
 impl Term {
+    fn key(&self) -> &str {
+        match self {
+            Term::In { key, .. } | Term::NotIn { key, .. } | Term::Exists { key } => key,
+        }
+    }
+
     fn matches(&self, labels: &Labels) -> bool {
         match self {
             Term::In { key, values } => {
@@ -49,6 +55,11 @@
         self.terms.is_empty()
     }
 
+    /// Whether a condition is about the label `key`.
+    pub fn concerns(&self, key: &str) -> bool {
+        self.terms.iter().any(|term| term.key() == key)
+    }
+
     /// Whether every condition holds for `labels`.
     pub fn matches(&self, labels: &Labels) -> bool {
         self.terms.iter().all(|term| term.matches(labels))
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -19,6 +19,7 @@
 mod root;
 mod router;
 mod run;
+mod selection;
 mod stop;
 mod traffic;
 
--- a/crates/instance/src/orders.rs
+++ b/crates/instance/src/orders.rs
@@ -8,25 +8,26 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use declare::{Action, Declarations, Rollout};
+use declare::Declarations;
 use dispatch::{Call, Field, Pool, Reuse};
 use eventloop::{Sender, mailbox};
 use names::{Attempt, Instance, Upstream};
 use operator::Response;
-use orders::{Engine, Order, Progress, Standing, Task};
+use orders::{Engine, Order, Plan, Progress, Standing, Task};
 use placement::{chosen, key_of};
 use rand::RngExt;
 use serde_json::json;
 use settings::{Role, Settings};
 use stakker::{Actor, CX, after, call, fwd_to, ret_some_to};
 use state::{Holder, LeaseOutcome, Proposed};
-use upstream::{Announcement, Protocol};
+use upstream::Announcement;
 use wire::{decode, encode};
 
 use crate::members::View;
 use crate::operators::Ask;
 use crate::placer::Placer;
 use crate::replica::{Part, Replica};
+use crate::selection::Selection;
 
 /// How often rollouts and the lease are looked at.
 const TICK: Duration = Duration::from_millis(500);
@@ -71,8 +72,8 @@
     rollouts: Vec<Progress>,
     sent: Vec<Sent>,
     fence: Option<u64>,
-    /// When orders to drop models may be given under the present fencing number.
-    unloads_from: Option<Instant>,
+    /// When orders that do harm when late may be given under the present fencing number.
+    changes_from: Option<Instant>,
 }
 
 impl Orders {
@@ -96,7 +97,7 @@
             rollouts: Vec::new(),
             sent: Vec::new(),
             fence: None,
-            unloads_from: None,
+            changes_from: None,
         })
     }
 
@@ -104,10 +105,11 @@
     pub(crate) fn set_declarations(&mut self, _: CX![], declarations: Rc<Declarations>) {
         let mut former = std::mem::take(&mut self.rollouts);
         self.sent.clear();
-        for rollout in &declarations.rollouts {
-            let index = former.iter().position(|progress| progress.rollout() == rollout);
+        let rollouts = declarations.rollouts.iter().map(Plan::from);
+        for plan in rollouts.chain(declarations.role_changes.iter().map(Plan::from)) {
+            let index = former.iter().position(|progress| *progress.plan() == plan);
             let kept = index.map(|index| former.swap_remove(index));
-            self.rollouts.push(kept.unwrap_or_else(|| Progress::new(rollout.clone())));
+            self.rollouts.push(kept.unwrap_or_else(|| Progress::new(plan)));
         }
     }
 
@@ -124,11 +126,10 @@
     }
 
     fn answer_list(&mut self, cx: CX![], ask: Ask, announcements: Vec<Announcement>) {
-        let rollouts: Vec<_> = self
-            .rollouts
-            .iter()
-            .map(|progress| {
-                let engines = selected(progress.rollout(), &announcements);
+        let selection = Selection::new(&self.rollouts, &announcements);
+        let rollouts: Vec<_> = (self.rollouts.iter().enumerate())
+            .map(|(index, progress)| {
+                let engines = selection.engines(index);
                 let done = engines.iter().filter(|engine| engine.is_done).count();
                 let (standing, halted) = match progress.standing(&engines) {
                     Standing::Done => ("done", None),
@@ -136,8 +137,7 @@
                     Standing::Halted(upstream) => ("halted", Some(upstream.to_string())),
                 };
                 json!({
-                    "model": progress.rollout().model,
-                    "action": progress.rollout().action,
+                    "task": progress.plan().task,
                     "engines": engines.len(),
                     "done": done,
                     "standing": standing,
@@ -190,18 +190,20 @@
         if fence != self.fence {
             log::info!("orders: fencing number {fence:?}");
             self.fence = fence;
-            self.unloads_from = fence.map(|_| Instant::now() + TAKE_OVER_PAUSE);
+            self.changes_from = fence.map(|_| Instant::now() + TAKE_OVER_PAUSE);
         }
     }
 
     /// Gives the orders that are due, as the engines announce themselves now.
     fn advance(&mut self, cx: CX![], announcements: Vec<Announcement>) {
-        for index in 0..self.rollouts.len() {
-            if !self.may_give(self.rollouts[index].rollout().action) {
+        let selection = Selection::new(&self.rollouts, &announcements);
+        let all: Vec<Vec<Engine>> =
+            (0..self.rollouts.len()).map(|index| selection.engines(index)).collect();
+        for (index, engines) in all.iter().enumerate() {
+            if !self.may_give(&self.rollouts[index].plan().task) {
                 continue;
             }
-            let engines = selected(self.rollouts[index].rollout(), &announcements);
-            let next = self.rollouts[index].next(cx.now(), &engines);
+            let next = self.rollouts[index].next(cx.now(), engines);
             let chosen = next.and_then(|upstream| {
                 announcements.iter().find(|announced| announced.upstream == upstream)
             });
@@ -211,11 +213,13 @@
         }
     }
 
-    /// Whether orders for `action` may be given now.
-    fn may_give(&self, action: Action) -> bool {
-        match action {
-            Action::Load => true,
-            Action::Unload => self.unloads_from.is_some_and(|from| Instant::now() >= from),
+    /// Whether orders for `task` may be given now.
+    fn may_give(&self, task: &Task) -> bool {
+        match task {
+            Task::Load(_) => true,
+            Task::Unload(_) | Task::ChangeRole(_) => {
+                self.changes_from.is_some_and(|from| Instant::now() >= from)
+            }
         }
     }
 
@@ -227,13 +231,8 @@
             self.rollouts[rollout].failed(&upstream);
             return;
         };
-        let model = self.rollouts[rollout].rollout().model.clone();
-        let action = self.rollouts[rollout].rollout().action;
-        log::info!("order {fence}: upstream {upstream} is to {action} model {model}");
-        let task = match action {
-            Action::Load => Task::Load(model),
-            Action::Unload => Task::Unload(model),
-        };
+        let task = self.rollouts[rollout].plan().task.clone();
+        log::info!("order {fence}: upstream {upstream} is to {task}");
         let order = Order { fence, task };
         let attempt = Attempt(rand::rng().random());
         let deadline = until.min(now + ORDER_TIMEOUT);
@@ -278,23 +277,3 @@
 fn resource(settings: &Settings) -> String {
     format!("orders/{}", settings.data_centre)
 }
-
-/// The engines that a rollout selects, with what they announce.
-fn selected(rollout: &Rollout, announcements: &[Announcement]) -> Vec<Engine> {
-    let engines = announcements.iter().filter(|announced| {
-        announced.protocol == Protocol::ChatCompletions
-            && !announced.is_leaving
-            && rollout.upstreams.matches(&announced.labels)
-    });
-    engines
-        .map(|announced| {
-            let has_model = announced.models.contains(&rollout.model);
-            let others = announced.models.iter().any(|model| *model != rollout.model);
-            let (is_done, is_able) = match rollout.action {
-                Action::Load => (has_model, true),
-                Action::Unload => (!has_model, others),
-            };
-            Engine { upstream: announced.upstream.clone(), is_done, is_able }
-        })
-        .collect()
-}
--- /dev/null
+++ b/crates/instance/src/selection.rs
@@ -0,0 +1,52 @@
+//! The engines that each rollout or change of role is about.
+
+use declare::ROLE_LABEL;
+use orders::{Engine, Plan, Progress, Task};
+use upstream::{Announcement, Protocol};
+
+/// What engines announce, compared with what is declared.
+pub(crate) struct Selection<'all> {
+    plans: Vec<&'all Plan>,
+    announcements: &'all [Announcement],
+}
+
+impl<'all> Selection<'all> {
+    pub(crate) fn new(rollouts: &'all [Progress], announcements: &'all [Announcement]) -> Self {
+        Self { plans: rollouts.iter().map(Progress::plan).collect(), announcements }
+    }
+
+    /// The engines of the plan at `index`, and how they stand.
+    pub(crate) fn engines(&self, index: usize) -> Vec<Engine> {
+        let plan = self.plans[index];
+        let chosen = self.announcements.iter().filter(|announced| is_chosen(plan, announced));
+        chosen.map(|announced| self.engine(index, announced)).collect()
+    }
+
+    fn engine(&self, index: usize, announced: &Announcement) -> Engine {
+        let (is_done, is_able) = match &self.plans[index].task {
+            Task::Load(model) => (announced.models.contains(model), true),
+            Task::Unload(model) => {
+                let has_others = announced.models.iter().any(|other| other != model);
+                (!announced.models.contains(model), has_others)
+            }
+            Task::ChangeRole(role) => {
+                let is_done = announced.labels.get(ROLE_LABEL) == Some(role.as_str());
+                (is_done, !self.has_earlier_role(index, announced))
+            }
+        };
+        Engine { upstream: announced.upstream.clone(), is_done, is_able }
+    }
+
+    /// Whether a change of role that is declared before this one is about the same engine.
+    fn has_earlier_role(&self, index: usize, announced: &Announcement) -> bool {
+        let roles = self.plans[..index].iter();
+        let mut roles = roles.filter(|plan| matches!(plan.task, Task::ChangeRole(_)));
+        roles.any(|plan| is_chosen(plan, announced))
+    }
+}
+
+fn is_chosen(plan: &Plan, announced: &Announcement) -> bool {
+    announced.protocol == Protocol::ChatCompletions
+        && !announced.is_leaving
+        && plan.upstreams.matches(&announced.labels)
+}
--- a/crates/orders/src/order.rs
+++ b/crates/orders/src/order.rs
@@ -1,5 +1,7 @@
 //! What an engine is ordered to do.
 
+use std::fmt;
+
 use names::Model;
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +13,18 @@
     Load(Model),
     /// Drop a model.
     Unload(Model),
+    /// Take on a role.
+    ChangeRole(String),
+}
+
+impl fmt::Display for Task {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Load(model) => write!(formatter, "load model {model}"),
+            Self::Unload(model) => write!(formatter, "unload model {model}"),
+            Self::ChangeRole(role) => write!(formatter, "take on role {role}"),
+        }
+    }
 }
 
 /// An order, as it is sent to an engine.
--- a/crates/orders/src/progress.rs
+++ b/crates/orders/src/progress.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use declare::Rollout;
 use names::Upstream;
 
+use crate::Plan;
+
 /// How long an engine may take from an order until it announces that it is carried out.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(120);
 
@@ -38,7 +39,7 @@
 
 /// Follows one rollout at the holder of the orders' lease.
 pub struct Progress {
-    rollout: Rollout,
+    plan: Plan,
     pending: Vec<Pending>,
     halted: Option<Upstream>,
     next_order_at: Option<Instant>,
@@ -46,13 +47,13 @@
 
 impl Progress {
     /// A rollout of which nothing is known.
-    pub fn new(rollout: Rollout) -> Self {
-        Self { rollout, pending: Vec::new(), halted: None, next_order_at: None }
+    pub fn new(plan: Plan) -> Self {
+        Self { plan, pending: Vec::new(), halted: None, next_order_at: None }
     }
 
-    /// The rollout as declared.
-    pub fn rollout(&self) -> &Rollout {
-        &self.rollout
+    /// What is declared.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
     }
 
     /// The engines that get an order at `now`, given the selected `engines` in the order of their
@@ -60,7 +61,7 @@
     pub fn next(&mut self, now: Instant, engines: &[Engine]) -> Option<Upstream> {
         self.settle(now, engines);
         let may_order = self.halted.is_none()
-            && self.pending.len() < self.rollout.at_once as usize
+            && self.pending.len() < self.plan.at_once as usize
             && self.next_order_at.is_none_or(|at| now >= at);
         if !may_order {
             return None;
@@ -72,7 +73,7 @@
             return None;
         }
         self.pending.push(Pending { upstream: chosen.clone(), deadline: now + CHANGE_TIMEOUT });
-        self.next_order_at = Some(now + self.rollout.interval.as_duration());
+        self.next_order_at = Some(now + self.plan.interval.as_duration());
         Some(chosen)
     }
 
--- a/crates/orders/tests/progress.rs
+++ b/crates/orders/tests/progress.rs
@@ -6,7 +6,7 @@
 
 use declare::{Action, Rollout};
 use names::Upstream;
-use orders::{Engine, Progress, Standing};
+use orders::{Engine, Plan, Progress, Standing};
 use units::Span;
 
 fn rollout(at_once: u32) -> Rollout {
@@ -19,6 +19,10 @@
     }
 }
 
+fn plan(at_once: u32) -> Plan {
+    Plan::from(&rollout(at_once))
+}
+
 fn upstream(number: usize) -> Upstream {
     format!("engine-{number}").parse().unwrap()
 }
@@ -37,7 +41,7 @@
 #[test]
 fn one_engine_after_the_other_loads_at_the_declared_interval() {
     let now = Instant::now();
-    let mut progress = Progress::new(rollout(1));
+    let mut progress = Progress::new(plan(1));
     assert_eq!(progress.next(now, &engines(&[false, false])), Some(upstream(0)));
     let later = now + Duration::from_secs(3);
     assert_eq!(progress.next(later, &engines(&[false, false])), None);
@@ -48,7 +52,7 @@
 #[test]
 fn orders_keep_the_rate_of_the_weight_store() {
     let now = Instant::now();
-    let mut progress = Progress::new(rollout(3));
+    let mut progress = Progress::new(plan(3));
     let waiting = engines(&[false, false, false]);
     assert_eq!(progress.next(now, &waiting), Some(upstream(0)));
     assert_eq!(progress.next(now + Duration::from_millis(1999), &waiting), None);
@@ -58,7 +62,7 @@
 #[test]
 fn an_engine_that_vanishes_halts_the_rollout() {
     let now = Instant::now();
-    let mut progress = Progress::new(rollout(1));
+    let mut progress = Progress::new(plan(1));
     assert_eq!(progress.next(now, &engines(&[false, false])), Some(upstream(0)));
     let left = engines(&[true, false])[1..].to_vec();
     assert_eq!(progress.next(now + Duration::from_secs(3), &left), None);
@@ -68,7 +72,7 @@
 #[test]
 fn an_engine_that_never_announces_the_model_halts_the_rollout() {
     let now = Instant::now();
-    let mut progress = Progress::new(rollout(1));
+    let mut progress = Progress::new(plan(1));
     let waiting = engines(&[false, false]);
     assert_eq!(progress.next(now, &waiting), Some(upstream(0)));
     assert_eq!(progress.next(now + Duration::from_secs(121), &waiting), None);
@@ -78,7 +82,7 @@
 #[test]
 fn an_order_that_failed_is_given_again() {
     let now = Instant::now();
-    let mut progress = Progress::new(rollout(1));
+    let mut progress = Progress::new(plan(1));
     let waiting = engines(&[false]);
     assert_eq!(progress.next(now, &waiting), Some(upstream(0)));
     progress.failed(&upstream(0));
@@ -88,7 +92,7 @@
 #[test]
 fn an_engine_that_cannot_do_it_halts_the_rollout_without_an_order() {
     let now = Instant::now();
-    let mut progress = Progress::new(Rollout { action: Action::Unload, ..rollout(1) });
+    let mut progress = Progress::new(Plan::from(&Rollout { action: Action::Unload, ..rollout(1) }));
     let mut waiting = engines(&[true, false]);
     waiting[1].is_able = false;
     assert_eq!(progress.next(now, &waiting), None);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -156,13 +156,14 @@
         }
     }
 
-    /// Announces the models that an order loads or drops, from the next renewal on.
+    /// Announces the models that an order loads or drops, or the role that it gives, from the next renewal on.
     fn carry_out(&self, task: Task) {
         let mut announced = self.announced.lock().unwrap_or_else(PoisonError::into_inner);
         match task {
             Task::Load(model) if !announced.models.contains(&model) => announced.models.push(model),
             Task::Unload(model) => announced.models.retain(|other| *other != model),
-            Task::Load(_) | Task::ChangeRole(_) => {}
+            Task::ChangeRole(role) => announced.labels.set("role".to_string(), role),
+            Task::Load(_) => {}
         }
     }
 
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -35,6 +35,18 @@
     });
 }
 
+fn declare_roles(fleet: &Fleet, roles: &[&str]) {
+    let changes = roles.iter().map(|role| {
+        format!("  - {{role: {role}, upstreams: \"app=captions\", interval: 100ms}}\n")
+    });
+    let body = format!("{}role_changes:\n{}", declarations(), changes.collect::<String>());
+    wait_for("order taken", || {
+        let path = "/declarations?base=0&order=roles";
+        let reply = support::try_order(operators(fleet, 0), AMAL, path, &body)?;
+        (reply.status == 200).then_some(())
+    });
+}
+
 /// The orders to load that an engine carried out, as fencing number and model.
 fn carried_out(fleet: &Fleet, index: usize) -> Vec<(u64, String)> {
     tasks(fleet, index, "load")
@@ -180,3 +192,41 @@
     assert_eq!(standing(&fleet, first).unwrap()["halted_at"], "engine-1");
     (0..2).for_each(|engine| assert_eq!(tasks(&fleet, engine, "unload"), []));
 }
+
+#[test]
+fn a_role_is_taken_on_by_every_selected_engine_once() {
+    let mut fleet = fleet();
+    declare_roles(&fleet, &["decode"]);
+    let (first, fence) = holder(&fleet, &[0, 1, 2]);
+    wait_for("done", || (standing(&fleet, first)?["standing"] == "done").then_some(()));
+    fleet.kill(first);
+    let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
+    let (next, next_fence) = holder(&fleet, &others);
+    assert!(next_fence > fence);
+    wait_for("done", || (standing(&fleet, next)?["standing"] == "done").then_some(()));
+    for engine in 0..2 {
+        let changed = tasks(&fleet, engine, "change-role");
+        assert_eq!(changed.len(), 1, "{changed:?}");
+        assert_eq!(changed[0].1, "decode");
+    }
+    let listed = get(operators(&fleet, next), "/upstreams").unwrap();
+    assert_eq!(listed.matches("\"role\":\"decode\"").count(), 2, "{listed}");
+}
+
+#[test]
+fn an_engine_with_two_declared_roles_takes_on_the_first_and_halts_the_other() {
+    let fleet = fleet();
+    declare_roles(&fleet, &["prefill", "decode"]);
+    let (first, _) = holder(&fleet, &[0, 1, 2]);
+    wait_for("halt", || {
+        let reply = support::try_declared(operators(&fleet, first), "/rollouts")?;
+        let rollouts = &reply.body["rollouts"];
+        let is_done =
+            rollouts[0]["standing"] == "done" && rollouts[0]["task"]["change-role"] == "decode";
+        (is_done && rollouts[1]["halted_at"] == "engine-1").then_some(())
+    });
+    for engine in 0..2 {
+        let changed = tasks(&fleet, engine, "change-role");
+        assert_eq!(changed.len(), 1, "{changed:?}");
+    }
+}
