--- a/crates/orders/src/order.rs
+++ b/crates/orders/src/order.rs
@@ -1,5 +1,7 @@
 //! What an engine is ordered to do.
 
+use std::fmt;
+
 use names::Model;
 use serde::{Deserialize, Serialize};
 
@@ -9,6 +11,20 @@
 pub enum Task {
     /// Load a model.
     Load(Model),
+    /// Drop a model.
+    Unload(Model),
+    /// Take on a role.
+    ChangeRole(String),
+}
+
+impl fmt::Display for Task {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Load(model) => write!(formatter, "load model {model}"),
+            Self::Unload(model) => write!(formatter, "unload model {model}"),
+            Self::ChangeRole(role) => write!(formatter, "take on role {role}"),
+        }
+    }
 }
 
 /// An order, as it is sent to an engine.
--- a/crates/orders/tests/progress.rs
+++ b/crates/orders/tests/progress.rs
@@ -4,35 +4,44 @@
 
 use std::time::{Duration, Instant};
 
-use declare::Rollout;
+use declare::{Action, Rollout};
 use names::Upstream;
-use orders::{Engine, Progress, Standing};
+use orders::{Engine, Plan, Progress, Standing};
 use units::Span;
 
 fn rollout(at_once: u32) -> Rollout {
     Rollout {
         model: "caption-2".parse().unwrap(),
+        action: Action::Load,
         upstreams: "app=captions".parse().unwrap(),
         at_once,
         interval: Span::from_seconds(2),
     }
 }
 
+fn plan(at_once: u32) -> Plan {
+    Plan::from(&rollout(at_once))
+}
+
 fn upstream(number: usize) -> Upstream {
     format!("engine-{number}").parse().unwrap()
 }
 
-fn engines(loaded: &[bool]) -> Vec<Engine> {
-    let numbered = loaded.iter().enumerate();
+fn engines(done: &[bool]) -> Vec<Engine> {
+    let numbered = done.iter().enumerate();
     numbered
-        .map(|(number, has_model)| Engine { upstream: upstream(number), has_model: *has_model })
+        .map(|(number, is_done)| Engine {
+            upstream: upstream(number),
+            is_done: *is_done,
+            is_able: true,
+        })
         .collect()
 }
 
 #[test]
 fn one_engine_after_the_other_loads_at_the_declared_interval() {
     let now = Instant::now();
-    let mut progress = Progress::new(rollout(1));
+    let mut progress = Progress::new(plan(1));
     assert_eq!(progress.next(now, &engines(&[false, false])), Some(upstream(0)));
     let later = now + Duration::from_secs(3);
     assert_eq!(progress.next(later, &engines(&[false, false])), None);
@@ -43,7 +52,7 @@
 #[test]
 fn orders_keep_the_rate_of_the_weight_store() {
     let now = Instant::now();
-    let mut progress = Progress::new(rollout(3));
+    let mut progress = Progress::new(plan(3));
     let waiting = engines(&[false, false, false]);
     assert_eq!(progress.next(now, &waiting), Some(upstream(0)));
     assert_eq!(progress.next(now + Duration::from_millis(1999), &waiting), None);
@@ -53,7 +62,7 @@
 #[test]
 fn an_engine_that_vanishes_halts_the_rollout() {
     let now = Instant::now();
-    let mut progress = Progress::new(rollout(1));
+    let mut progress = Progress::new(plan(1));
     assert_eq!(progress.next(now, &engines(&[false, false])), Some(upstream(0)));
     let left = engines(&[true, false])[1..].to_vec();
     assert_eq!(progress.next(now + Duration::from_secs(3), &left), None);
@@ -63,7 +72,7 @@
 #[test]
 fn an_engine_that_never_announces_the_model_halts_the_rollout() {
     let now = Instant::now();
-    let mut progress = Progress::new(rollout(1));
+    let mut progress = Progress::new(plan(1));
     let waiting = engines(&[false, false]);
     assert_eq!(progress.next(now, &waiting), Some(upstream(0)));
     assert_eq!(progress.next(now + Duration::from_secs(121), &waiting), None);
@@ -73,9 +82,19 @@
 #[test]
 fn an_order_that_failed_is_given_again() {
     let now = Instant::now();
-    let mut progress = Progress::new(rollout(1));
+    let mut progress = Progress::new(plan(1));
     let waiting = engines(&[false]);
     assert_eq!(progress.next(now, &waiting), Some(upstream(0)));
     progress.failed(&upstream(0));
     assert_eq!(progress.next(now + Duration::from_secs(2), &waiting), Some(upstream(0)));
 }
+
+#[test]
+fn an_engine_that_cannot_do_it_halts_the_rollout_without_an_order() {
+    let now = Instant::now();
+    let mut progress = Progress::new(Plan::from(&Rollout { action: Action::Unload, ..rollout(1) }));
+    let mut waiting = engines(&[true, false]);
+    waiting[1].is_able = false;
+    assert_eq!(progress.next(now, &waiting), None);
+    assert_eq!(progress.standing(&waiting), Standing::Halted(upstream(1)));
+}
