Tell a new run of a flapping instance at once that it takes no duties

Cause: an instance stays set aside over its restarts, but only the moment at which it was set aside was told at once; a further run heard it with the next repetition, 1.4 s after it was met (logs of two runs). Until then it and the new owners gave permits for the same engines: 9 requests where 8 are allowed in 9 of 13 runs of the flapping owner.

Loads that a walk saw more than 50 ms ago are no evidence any more: a walk that waits for a silent owner added loads of different times.

--- a/crates/membership/src/detector/rest.rs
+++ b/crates/membership/src/detector/rest.rs
@@ -7,6 +7,7 @@
 
 use super::{Detector, MAX_ASIDE};
 use crate::Message;
+use crate::record::Record;
 
 /// How long an instance rests after it was told for the last time.
 const REST: Duration = Duration::from_secs(10);
@@ -15,7 +16,7 @@
 const TELL_ROUNDS: u64 = 4;
 
 impl Detector {
-    /// Sets aside what flaps, and tells it at once.
+    /// Sets aside what flaps, and tells it at once; a further run of it is told when it is met.
     pub(super) fn update_damping(&mut self, now: Instant) {
         let mut aside = self.records.iter().filter(|record| record.damping.is_aside()).count();
         let mut told = Vec::new();
@@ -24,7 +25,7 @@
             record.damping.update(now, aside < MAX_ASIDE);
             if record.damping.is_aside() && !was_aside {
                 aside += 1;
-                told.push((record.belief.instance.clone(), record.belief.incarnation));
+                told.push(record.told());
             }
         }
         self.tell(told);
@@ -36,12 +37,15 @@
             return;
         }
         let aside = self.up().filter(|record| record.damping.is_aside());
-        let aside = aside.map(|record| (record.belief.instance.clone(), record.belief.incarnation));
-        let aside = aside.collect();
+        let aside: Vec<_> = aside.map(Record::told).collect();
         self.tell(aside);
     }
 
-    fn tell(&mut self, aside: Vec<(Instance, Incarnation)>) {
+    /// Tells those runs of instances that they are set aside.
+    pub(super) fn tell<I>(&mut self, aside: I)
+    where
+        I: IntoIterator<Item = (Instance, Incarnation)>,
+    {
         for (instance, incarnation) in aside {
             self.send(&instance, Message::SetAside { incarnation });
         }
--- a/crates/membership/src/detector/views.rs
+++ b/crates/membership/src/detector/views.rs
@@ -116,10 +116,12 @@
             self.actions.push(Action::Down(member, status));
         }
         let record = &mut self.records[index];
+        let mut is_told = false;
         if record.is_up() && (!is_same_run || !old.status.is_up()) {
             if old.incarnation > Incarnation(0) {
                 record.damping.count_return(now);
             }
+            is_told = record.damping.is_aside();
             self.actions.push(Action::Up(record.member()));
         }
         let tenfolds = (members as f64).log10().max(1.0);
@@ -128,5 +130,7 @@
             Status::Suspect => Some(now + SUSPICION.mul_f64(tenfolds)),
             Status::Dead | Status::Left => Some(now + MEMORY),
         };
+        let told = is_told.then(|| record.told());
+        self.tell(told);
     }
 }
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -60,6 +60,11 @@
         self.belief.status.is_up()
     }
 
+    /// The run that is told when the instance is set aside.
+    pub(crate) fn told(&self) -> (Instance, Incarnation) {
+        (self.belief.instance.clone(), self.belief.incarnation)
+    }
+
     pub(crate) fn member(&self) -> Member {
         Member {
             instance: self.belief.instance.clone(),
--- a/crates/permit/src/holder.rs
+++ b/crates/permit/src/holder.rs
@@ -179,7 +179,7 @@
         match outcome {
             Outcome::Granted(permit) => self.grant(context, view, index, pending, permit, out),
             Outcome::Full { load, waiting } => {
-                walk.see(pending.upstream, load, waiting);
+                walk.see(context.now, pending.upstream, load, waiting);
                 self.step(context, view, index, out);
             }
             Outcome::Waiting => {
--- a/crates/permit/src/walk.rs
+++ b/crates/permit/src/walk.rs
@@ -12,6 +12,10 @@
 /// Pause before the walk starts anew after no owner gave a usable answer.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// How long the load that an owner told counts as evidence: what ran there may have ended since,
+/// and run elsewhere.
+const SEEN_VALIDITY: Duration = Duration::from_millis(50);
+
 /// An ask that has no final answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Pending {
@@ -26,6 +30,7 @@
     upstream: Upstream,
     load: Evidence,
     waiting: u32,
+    at: Instant,
 }
 
 /// What a walk does next.
@@ -69,9 +74,9 @@
     }
 
     /// Takes note that the owner of `upstream` answered full.
-    pub(crate) fn see(&mut self, upstream: Upstream, load: Evidence, waiting: u32) {
+    pub(crate) fn see(&mut self, at: Instant, upstream: Upstream, load: Evidence, waiting: u32) {
         self.seen.retain(|seen| seen.upstream != upstream);
-        self.seen.push(Seen { upstream, load, waiting });
+        self.seen.push(Seen { upstream, load, waiting, at });
     }
 
     /// The next step when no ask is on its way.
@@ -87,7 +92,7 @@
             && let Some(upstream) = self.least_loaded()
         {
             self.has_asked_to_wait = true;
-            return Next::Ask { upstream, evidence: Some(self.evidence()), may_wait: true };
+            return Next::Ask { upstream, evidence: Some(self.evidence(now)), may_wait: true };
         }
         self.restart(now)
     }
@@ -104,7 +109,7 @@
         }
         self.position = 0;
         self.resume_at = now + RETRY_PERIOD;
-        let evidence = self.evidence();
+        let evidence = self.evidence(now);
         let least = self.least_loaded();
         self.seen.clear();
         match least {
@@ -144,9 +149,11 @@
         self.seen.iter().min_by_key(load).map(|seen| seen.upstream.clone())
     }
 
-    /// The load of the upstreams that were seen.
-    fn evidence(&self) -> Evidence {
-        self.seen.iter().fold(Evidence::default(), |sum, seen| Evidence {
+    /// The load of the upstreams that were seen. A walk that waited for a silent owner on its way
+    /// saw loads of different times, which together may be more than there ever was at once.
+    fn evidence(&self, now: Instant) -> Evidence {
+        let is_recent = |seen: &&Seen| now.saturating_duration_since(seen.at) <= SEEN_VALIDITY;
+        self.seen.iter().filter(is_recent).fold(Evidence::default(), |sum, seen| Evidence {
             load: sum.load.combine(seen.load.load, |one, other| one + other),
             slots: sum.slots + seen.load.slots,
         })
--- a/tests/views.rs
+++ b/tests/views.rs
@@ -9,11 +9,17 @@
 use std::time::Duration;
 
 use serde_json::Value;
-use support::{COARSE, Callers, Fleet, Plan, Pool, add_engine, check_bound, check_bounds, get};
+use support::{
+    CHAT, COARSE, Callers, Fleet, Plan, Pool, add_engine, chat, check_bound, check_bounds,
+    expected_answer, get, owner, post, streamed_text,
+};
 use test_case::test_case;
 
 const ENGINES: usize = 4;
 
+/// Deadline of a chat that has nothing to wait for.
+const DEADLINE: (&str, &str) = ("x-turmericrelay-deadline", "5s");
+
 fn fleet() -> Fleet {
     let mut fleet = Fleet::start_plan(Plan::new(&["giza", "giza", "giza"]).with_proxies());
     for index in 0..ENGINES {
@@ -105,6 +111,35 @@
     assert_eq!(cut, 0, "streams of a dead engine are resumed");
 }
 
+#[test]
+fn the_bound_holds_while_an_instance_flaps() {
+    let mut fleet = fleet();
+    let engines = engines(&fleet);
+    let callers = Callers::start(&callers_addresses(&fleet), COARSE);
+    check_bound(&engines, ENGINES, Duration::from_secs(2));
+    let owner = owner(&fleet, "engine-0");
+    for flap in 0..6 {
+        fleet.kill(owner);
+        let down = check_bound(&engines, ENGINES, Duration::from_millis(900));
+        fleet.restart(owner);
+        let up = check_bound(&engines, ENGINES, Duration::from_millis(900));
+        println!("flap {flap}: down {down:?}, up {up:?}");
+    }
+    fleet.wait_ready(owner);
+    let after = check_bound(&engines, ENGINES, Duration::from_secs(5));
+    let address = fleet.instances[owner].addresses.callers;
+    let again = post(address, CHAT, &[DEADLINE], &chat("after the flaps", 4, true)).unwrap();
+    let (answered, cut) = callers.stop();
+    println!("after {after:?}; {answered} answered, {cut} cut, also by the instance that flaps");
+    assert!(answered > 100, "{answered}");
+    assert!(after.1 > 0, "no engine works");
+    assert_eq!(
+        streamed_text(&again.body),
+        Some(expected_answer("after the flaps", 4)),
+        "{again:?}"
+    );
+}
+
 #[test]
 fn the_bound_holds_on_both_sides_of_a_partition_between_data_centres() {
     let plan = Plan::new(&["giza", "giza", "maadi", "maadi"]).with_proxies();
