--- a/crates/membership/src/detector/probing.rs
+++ b/crates/membership/src/detector/probing.rs
@@ -83,6 +83,7 @@
                 self.ping(&down);
             }
         }
+        self.tell_aside();
         if self.round == 1 {
             self.greet();
         }
--- a/crates/permit/src/lib.rs
+++ b/crates/permit/src/lib.rs
@@ -15,6 +15,7 @@
 mod routes;
 mod sums;
 mod walk;
+mod watch;
 
 pub use book::Usage;
 pub use message::{Ask, Evidence, Load, Message, Outcome, PermitId, Pool, Report};
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,11 +5,14 @@
 mod client;
 mod declaring;
 mod fleet;
+mod load;
+pub mod log;
 mod process;
 mod proxy;
 
 pub use client::*;
 pub use declaring::*;
 pub use fleet::*;
+pub use load::*;
 pub use process::*;
 pub use proxy::*;
