--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -13,6 +13,7 @@
 use upstream::{Announcement, Load};
 
 use crate::prefix::{BLOCK_BYTES, Cache};
+use crate::replies::{break_off, json_reply, json_reply_with, server_sent_event, stream_start};
 use crate::reporter::Report;
 use crate::service::{attempt_echo, refusal, server_error, set_fault};
 use crate::{Context, Fault, Options, Order, Orders, Prompt, Task, word};
@@ -321,34 +322,6 @@
     }
 }
 
-fn json_reply<T>(status: Status, value: &T) -> Reply
-where
-    T: Serialize,
-{
-    let headers = vec![Header::new("content-type", "application/json")];
-    Reply::Whole { status, headers, body: serde_json::to_vec(value).unwrap_or_default() }
-}
-
-fn json_reply_with<T>(value: &T, echo: Vec<Header>) -> Reply
-where
-    T: Serialize,
-{
-    let mut reply = json_reply(Status::OK, value);
-    if let Reply::Whole { headers, .. } = &mut reply {
-        headers.extend(echo);
-    }
-    reply
-}
-
-/// Sends the first half of a context.
-fn break_off(context: &Context, echo: Vec<Header>, reply: &Fwd<Reply>) {
-    let mut body = serde_json::to_vec(context).unwrap_or_default();
-    body.truncate(body.len() / 2);
-    reply.fwd(Reply::Start { status: Status::OK, headers: echo });
-    reply.fwd(Reply::Part(body));
-    reply.fwd(Reply::Cut);
-}
-
 /// Streams the next word, after the head of the stream.
 fn stream(job: &mut Job, words: usize) {
     if !job.is_started {
@@ -360,19 +333,6 @@
     }
 }
 
-fn stream_start(echo: &[Header]) -> Reply {
-    let mut headers = vec![
-        Header::new("content-type", "text/event-stream"),
-        Header::new("cache-control", "no-cache"),
-    ];
-    headers.extend_from_slice(echo);
-    Reply::Start { status: Status::OK, headers }
-}
-
-fn server_sent_event(value: &serde_json::Value) -> Vec<u8> {
-    format!("data: {value}\n\n").into_bytes()
-}
-
 fn stream_word(job: &Job) -> Vec<u8> {
     server_sent_event(&json!({
         "id": format!("chatcmpl-{}", job.id),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod prefix;
 mod prompt;
+mod replies;
 mod reporter;
 mod run;
 mod service;
