--- a/crates/permit/src/holder.rs
+++ b/crates/permit/src/holder.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use admission::Tokens;
+use declare::Target;
 use names::{Instance, Upstream};
 use placement::{Candidate, Knowledge, Policy};
 use rand::{RngExt, SeedableRng};
@@ -11,7 +12,8 @@
 
 use crate::node::{Context, Granted, Out, Placed, View, Wanted};
 use crate::walk::{Next, Pending, Walk};
-use crate::{Message, Outcome, PermitId, Report};
+use crate::watch::Watches;
+use crate::{Message, Outcome, PermitId, Pool, Report};
 
 /// How long an owner may take to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -50,6 +52,7 @@
     held: Vec<Held>,
     contacts: Vec<Contact>,
     members: Vec<Instance>,
+    watches: Watches,
     policy: Box<dyn Policy>,
     next_number: u64,
     next_reconcile: Instant,
@@ -63,6 +66,7 @@
             held: Vec::new(),
             contacts: Vec::new(),
             members: Vec::new(),
+            watches: Watches::default(),
             policy,
             next_number: u64::from(random.random::<u32>()) << 32,
             next_reconcile: now + RECONCILE_PERIOD,
@@ -82,11 +86,14 @@
         out: &mut Out,
     ) {
         let order = self.order(context, &wanted);
-        if order.is_empty() {
+        let (false, Some(home)) = (order.is_empty(), home(context, &wanted)) else {
             out.placed.push((request, Placed::NoUpstream));
             return;
+        };
+        if self.shares_location(&wanted) {
+            out.send(&view.owner(&home), Message::Locate { key: wanted.key });
         }
-        self.walks.push(Walk::new(context.now, request, wanted, order));
+        self.walks.push(Walk::new(context.now, request, wanted, home, order));
         self.step(context, view, self.walks.len() - 1, out);
     }
 
@@ -117,9 +124,14 @@
 
     /// Takes the next step of a walk that has no ask on its way.
     fn step(&mut self, context: Context<'_>, view: &View, index: usize, out: &mut Out) {
+        let next = self.walks[index].next(context.now);
+        self.ask(context, view, index, next, out);
+    }
+
+    fn ask(&mut self, context: Context<'_>, view: &View, index: usize, next: Next, out: &mut Out) {
         let walk = &mut self.walks[index];
         let now = context.now;
-        let Next::Ask { upstream, evidence, may_wait } = walk.next(now) else {
+        let Next::Ask { upstream, evidence, may_wait } = next else {
             return;
         };
         self.next_number += 1;
@@ -179,11 +191,12 @@
         match outcome {
             Outcome::Granted(permit) => self.grant(context, view, index, pending, permit, out),
             Outcome::Full { load, waiting } => {
-                walk.see(pending.upstream, load, waiting);
+                walk.see(context.now, pending.upstream, load, waiting);
                 self.step(context, view, index, out);
             }
             Outcome::Waiting => {
                 walk.rest_in_queue(context.now, pending);
+                self.watch(context.now, view, index, out);
             }
             Outcome::Refused { retry_after_millis } => {
                 let retry_after = Duration::from_millis(retry_after_millis);
@@ -213,7 +226,7 @@
             return;
         };
         let address = entry.announcement.address;
-        let context_at = self.note_placed(context, index, &upstream);
+        let context_at = self.note_placed(view, index, &upstream, out);
         self.held.push(Held { permit, upstream: upstream.clone(), counted_by: vec![owner] });
         self.end(
             index,
@@ -222,21 +235,35 @@
         );
     }
 
-    /// Tells the policy where a request went; gives another upstream that has its context.
+    /// Whether instances tell each other where the conversation was sent.
+    fn shares_location(&self, wanted: &Wanted) -> bool {
+        self.policy.is_sticky() && matches!(wanted.target, Target::Model(_))
+    }
+
+    /// Takes note that a conversation was sent to `upstream` last, before it is sent again.
+    pub(crate) fn learn(&mut self, key: u64, upstream: &Upstream) {
+        if self.walks.iter().any(|walk| walk.wanted.key == key) {
+            self.policy.learn(key, upstream);
+        }
+    }
+
+    /// Notes where a request went; gives another upstream that has its context.
     fn note_placed(
         &mut self,
-        context: Context<'_>,
+        view: &View,
         index: usize,
         upstream: &Upstream,
+        out: &mut Out,
     ) -> Option<Upstream> {
-        let Wanted { target, key, .. } = &self.walks[index].wanted;
-        let known: Vec<_> = context
-            .registry
-            .iter()
-            .filter(|entry| entry.serves(target))
-            .map(|entry| &entry.announcement.upstream)
-            .collect();
-        self.policy.placed(*key, upstream, &known).filter(|holder| holder != upstream)
+        let Walk { wanted, home, .. } = &self.walks[index];
+        let key = wanted.key;
+        let holder = self.policy.placed(key, upstream, home);
+        let other = holder.filter(|holder| holder != upstream)?;
+        if self.shares_location(wanted) {
+            let upstream = upstream.clone();
+            out.send(&view.owner(home), Message::Sent { key, upstream });
+        }
+        Some(other)
     }
 
     /// Ends a walk with its outcome and gives up what is still asked.
@@ -388,10 +415,50 @@
         }
         let is_waiting = |walk: &Walk| walk.asked.is_none() && walk.waiting.is_some();
         if let Some(index) = self.walks.iter().position(is_waiting) {
+            self.watch(now, view, index, out);
             self.step(context, view, index, out);
         }
     }
 
+    /// Watches upstreams that a waiting request could go to instead.
+    fn watch(&mut self, now: Instant, view: &View, index: usize, out: &mut Out) {
+        let walk = &self.walks[index];
+        let Some(waiting) = &walk.waiting else {
+            return;
+        };
+        let pool = walk.pool();
+        for upstream in self.watches.begin(now, &walk.order, &waiting.upstream, &pool) {
+            let pool = pool.clone();
+            out.send(&view.owner(&upstream), Message::Watch { upstream, pool });
+        }
+    }
+
+    /// Asks for the room at `upstream` for the most urgent request that waits elsewhere, and goes
+    /// on watching while others wait.
+    pub(crate) fn use_room(
+        &mut self,
+        context: Context<'_>,
+        view: &View,
+        upstream: &Upstream,
+        pool: &Pool,
+        out: &mut Out,
+    ) {
+        self.watches.end(upstream, pool);
+        let could_go = |walk: &Walk| walk.could_go(upstream, pool);
+        let waiting = (0..self.walks.len()).filter(|index| could_go(&self.walks[*index]));
+        let urgency = |index: &usize| {
+            let wanted = &self.walks[*index].wanted;
+            (wanted.rank, wanted.deadline)
+        };
+        let Some(first) = waiting.min_by_key(urgency) else {
+            return;
+        };
+        self.ask(context, view, first, Next::asking(upstream.clone()), out);
+        if let Some(other) = self.walks.iter().position(could_go) {
+            self.watch(context.now, view, other, out);
+        }
+    }
+
     /// Tells each owner that was asked lately what is held of it.
     fn reconcile(&mut self, now: Instant, out: &mut Out) {
         let held = &self.held;
@@ -440,6 +507,13 @@
     }
 }
 
+/// The first by weight of all upstreams that could have the context of a conversation.
+fn home(context: Context<'_>, wanted: &Wanted) -> Option<Upstream> {
+    let serving = context.registry.iter().filter(|entry| entry.serves(&wanted.target));
+    let known = serving.map(|entry| &entry.announcement.upstream);
+    placement::home(wanted.key, known).cloned()
+}
+
 fn give_up(walk: &Walk, out: &mut Out) {
     for pending in walk.asked.iter().chain(&walk.waiting) {
         let Pending { number, owner, upstream, .. } = pending.clone();
--- a/crates/permit/src/lib.rs
+++ b/crates/permit/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod book;
 mod holder;
+mod locations;
 mod message;
 mod node;
 mod owner;
 mod routes;
 mod sums;
 mod walk;
+mod watch;
 
 pub use book::Usage;
 pub use message::{Ask, Evidence, Load, Message, Outcome, PermitId, Pool, Report};
--- a/crates/permit/src/message.rs
+++ b/crates/permit/src/message.rs
@@ -117,7 +117,7 @@
     Full {
         /// Its load.
         load: Evidence,
-        /// Requests that wait for it.
+        /// Requests that wait for it and that the asker's rank does not pass.
         waiting: u32,
     },
     /// The request waits; a second answer follows.
@@ -163,6 +163,20 @@
         /// The upstream that was asked for.
         upstream: Upstream,
     },
+    /// Asks to be told once when the upstream has room and nothing waits for it.
+    Watch {
+        /// The upstream.
+        upstream: Upstream,
+        /// What the mean load is taken over.
+        pool: Pool,
+    },
+    /// Tells a watching instance that the upstream has room.
+    Room {
+        /// The upstream.
+        upstream: Upstream,
+        /// What the mean load is taken over.
+        pool: Pool,
+    },
     /// Gives a permit back.
     Release {
         /// The upstream.
@@ -209,6 +223,26 @@
         /// Hash of the sender's view; sums of other views are not used.
         view: u32,
     },
+    /// Asks the owner of a conversation's home where the conversation was sent last.
+    Locate {
+        /// The same for all requests of the conversation.
+        key: u64,
+    },
+    /// Answers [`Message::Locate`]; left out when the owner does not know.
+    Located {
+        /// The same for all requests of the conversation.
+        key: u64,
+        /// Where it was sent last.
+        upstream: Upstream,
+    },
+    /// Tells the owner of a conversation's home that the conversation was sent elsewhere than
+    /// before.
+    Sent {
+        /// The same for all requests of the conversation.
+        key: u64,
+        /// Where it was sent.
+        upstream: Upstream,
+    },
     /// A message that a third instance passes on, where the direct link is cut.
     Relayed {
         /// Who sent it.
--- a/crates/permit/src/node.rs
+++ b/crates/permit/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::book::Usage;
 use crate::holder::Holder;
+use crate::locations::Locations;
 use crate::owner::Owner;
 use crate::routes::Routes;
 use crate::{Message, PermitId};
@@ -93,7 +94,7 @@
     pub(crate) me: Instance,
     /// All, with this instance, sorted.
     pub(crate) members: Vec<Instance>,
-    /// Those that may own upstreams, sorted.
+    /// Those that may own upstreams, sorted; all members when every one drains.
     pub(crate) owners: Vec<Instance>,
     /// The same for equal views.
     pub(crate) digest: u32,
@@ -107,6 +108,9 @@
         members.dedup();
         let mut owners = members.clone();
         owners.retain(|member| !draining.contains(member));
+        if owners.is_empty() {
+            owners.clone_from(&members);
+        }
         let names =
             |list: &[Instance]| list.iter().map(|member| format!("{member} ")).collect::<String>();
         let text = format!("{}/{}", names(&members), names(&owners));
@@ -143,6 +147,7 @@
     view: View,
     owner: Owner,
     holder: Holder,
+    locations: Locations,
     routes: Routes,
     out: Out,
 }
@@ -164,6 +169,7 @@
             view,
             owner: Owner::new(now, bound, desk, seed),
             holder: Holder::new(now, policy, seed),
+            locations: Locations::default(),
             routes: Routes::default(),
             out: Out::default(),
         }
@@ -242,7 +248,7 @@
 
     /// Does what is due; to be called at least every 50 ms.
     pub fn tick(&mut self, context: Context<'_>) -> Vec<Action> {
-        self.owner.tick(context, &self.view, &mut self.out);
+        self.owner.tick(context, &mut self.out);
         self.holder.tick(context, &self.view, &mut self.out);
         self.finish(context)
     }
@@ -268,9 +274,15 @@
             Message::Answer { number, outcome } => {
                 self.holder.answer(context, view, sender, number, outcome, out);
             }
+            Message::Room { upstream, pool } => {
+                self.holder.use_room(context, view, &upstream, &pool, out);
+            }
             Message::Claim { upstreams } => {
                 self.holder.report(view, sender, &upstreams, out);
             }
+            Message::Locate { key } => self.locations.tell(sender, key, out),
+            Message::Located { key, upstream } => self.holder.learn(key, &upstream),
+            Message::Sent { key, upstream } => self.locations.learn(key, &upstream),
             Message::Relayed { origin, addressee, message } if addressee == view.me => {
                 self.routes.avoid(context.now, &origin);
                 self.take(context, &origin, *message);
@@ -286,6 +298,16 @@
         for owner in std::mem::take(&mut self.out.silent) {
             self.routes.avoid(context.now, &owner);
         }
+        self.pass_on(context, &mut actions);
+        self.owner.send_due_sums(context, &self.view, &mut self.out);
+        self.pass_on(context, &mut actions);
+        let placed = self.out.placed.drain(..);
+        actions.extend(placed.map(|(request, placed)| Action::Placed(request, placed)));
+        actions
+    }
+
+    /// Takes messages to this instance itself, and those that follow from them.
+    fn pass_on(&mut self, context: Context<'_>, actions: &mut Vec<Action>) {
         while let Some((to, message)) = self.out.messages.pop_front() {
             if to == self.view.me {
                 self.take(context, &to, message);
@@ -294,8 +316,5 @@
                 actions.push(Action::Send(to, message));
             }
         }
-        let placed = self.out.placed.drain(..);
-        actions.extend(placed.map(|(request, placed)| Action::Placed(request, placed)));
-        actions
     }
 }
--- a/crates/permit/src/walk.rs
+++ b/crates/permit/src/walk.rs
@@ -12,6 +12,10 @@
 /// Pause before the walk starts anew after no owner gave a usable answer.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// How long the load that an owner told counts as evidence: what ran there may have ended since,
+/// and run elsewhere.
+const SEEN_VALIDITY: Duration = Duration::from_millis(50);
+
 /// An ask that has no final answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Pending {
@@ -26,6 +30,7 @@
     upstream: Upstream,
     load: Evidence,
     waiting: u32,
+    at: Instant,
 }
 
 /// What a walk does next.
@@ -37,12 +42,21 @@
     Rest,
 }
 
+impl Next {
+    /// Asks for the room at `upstream`.
+    pub(crate) fn asking(upstream: Upstream) -> Self {
+        Self::Ask { upstream, evidence: None, may_wait: false }
+    }
+}
+
 /// One request on its walk.
 #[derive(Debug)]
 pub(crate) struct Walk {
     pub(crate) request: u64,
     pub(crate) wanted: Wanted,
-    order: Vec<Upstream>,
+    /// The first of all upstreams that could have the conversation's context.
+    pub(crate) home: Upstream,
+    pub(crate) order: Vec<Upstream>,
     position: usize,
     seen: Vec<Seen>,
     has_asked_to_wait: bool,
@@ -54,10 +68,17 @@
 }
 
 impl Walk {
-    pub(crate) fn new(now: Instant, request: u64, wanted: Wanted, order: Vec<Upstream>) -> Self {
+    pub(crate) fn new(
+        now: Instant,
+        request: u64,
+        wanted: Wanted,
+        home: Upstream,
+        order: Vec<Upstream>,
+    ) -> Self {
         Self {
             request,
             wanted,
+            home,
             order,
             position: 0,
             seen: Vec::new(),
@@ -68,10 +89,21 @@
         }
     }
 
+    /// What the mean load is taken over.
+    pub(crate) fn pool(&self) -> Pool {
+        Pool::from(self.wanted.target.clone())
+    }
+
+    /// Whether the request waits elsewhere, asks nobody, and `upstream` could answer it.
+    pub(crate) fn could_go(&self, upstream: &Upstream, pool: &Pool) -> bool {
+        let waits = self.waiting.as_ref().is_some_and(|waiting| waiting.upstream != *upstream);
+        waits && self.asked.is_none() && self.order.contains(upstream) && self.pool() == *pool
+    }
+
     /// Takes note that the owner of `upstream` answered full.
-    pub(crate) fn see(&mut self, upstream: Upstream, load: Evidence, waiting: u32) {
+    pub(crate) fn see(&mut self, at: Instant, upstream: Upstream, load: Evidence, waiting: u32) {
         self.seen.retain(|seen| seen.upstream != upstream);
-        self.seen.push(Seen { upstream, load, waiting });
+        self.seen.push(Seen { upstream, load, waiting, at });
     }
 
     /// The next step when no ask is on its way.
@@ -81,13 +113,13 @@
         }
         if let Some(upstream) = self.order.get(self.position).cloned() {
             self.position += 1;
-            return Next::Ask { upstream, evidence: None, may_wait: false };
+            return Next::asking(upstream);
         }
         if !self.has_asked_to_wait
             && let Some(upstream) = self.least_loaded()
         {
             self.has_asked_to_wait = true;
-            return Next::Ask { upstream, evidence: Some(self.evidence()), may_wait: true };
+            return Next::Ask { upstream, evidence: Some(self.evidence(now)), may_wait: true };
         }
         self.restart(now)
     }
@@ -100,11 +132,11 @@
         }
         if let Some(upstream) = self.order.get(self.position).cloned() {
             self.position += 1;
-            return Next::Ask { upstream, evidence: None, may_wait: false };
+            return Next::asking(upstream);
         }
         self.position = 0;
         self.resume_at = now + RETRY_PERIOD;
-        let evidence = self.evidence();
+        let evidence = self.evidence(now);
         let least = self.least_loaded();
         self.seen.clear();
         match least {
@@ -144,9 +176,11 @@
         self.seen.iter().min_by_key(load).map(|seen| seen.upstream.clone())
     }
 
-    /// The load of the upstreams that were seen.
-    fn evidence(&self) -> Evidence {
-        self.seen.iter().fold(Evidence::default(), |sum, seen| Evidence {
+    /// The load of the upstreams that were seen. A walk that waited for a silent owner on its way
+    /// saw loads of different times, which together may be more than there ever was at once.
+    fn evidence(&self, now: Instant) -> Evidence {
+        let is_recent = |seen: &&Seen| now.saturating_duration_since(seen.at) <= SEEN_VALIDITY;
+        self.seen.iter().filter(is_recent).fold(Evidence::default(), |sum, seen| Evidence {
             load: sum.load.combine(seen.load.load, |one, other| one + other),
             slots: sum.slots + seen.load.slots,
         })
@@ -166,7 +200,7 @@
         Ask {
             number,
             upstream,
-            pool: Pool::from(wanted.target.clone()),
+            pool: self.pool(),
             account: wanted.account.clone(),
             weight: wanted.weight,
             kind: wanted.kind.clone(),
