--- a/crates/permit/src/held.rs
+++ b/crates/permit/src/held.rs
@@ -82,10 +82,9 @@
         let Some(index) = self.held.iter().position(|held| held.permit == permit) else {
             return;
         };
-        let Held { upstream, counted_by, .. } = self.held.swap_remove(index);
+        let Held { counted_by, .. } = self.held.swap_remove(index);
         for owner in counted_by {
-            let upstream = upstream.clone();
-            out.send(&owner, Message::Release { upstream, permit, used });
+            out.send(&owner, Message::Release { permit, used });
         }
     }
 
--- a/crates/permit/src/holder.rs
+++ b/crates/permit/src/holder.rs
@@ -44,7 +44,7 @@
             gates: Gates::default(),
             memory: Memory::default(),
             policy,
-            next_number: u64::from(random.random::<u32>()) << 32,
+            next_number: u64::from(random.random::<u32>()),
         }
     }
 
@@ -206,7 +206,7 @@
         let Pending { owner, upstream, .. } = pending;
         let entry = context.registry.get(&upstream).filter(|entry| entry.is_available());
         let Some(entry) = entry.filter(|_| view.owner(&upstream) == owner) else {
-            out.send(&owner, Message::Release { upstream, permit, used: Tokens(0) });
+            out.send(&owner, Message::Release { permit, used: Tokens(0) });
             if self.walks[index].asked.is_none() {
                 self.step(context, view, index, out);
             }
@@ -278,8 +278,8 @@
         for index in 0..self.walks.len() {
             let walk = &mut self.walks[index];
             let is_late = |pending: &mut Pending| pending.deadline <= context.now;
-            if let Some(Pending { number, owner, upstream, .. }) = walk.asked.take_if(is_late) {
-                out.send(&owner, Message::Withdraw { number, upstream });
+            if let Some(Pending { number, owner, .. }) = walk.asked.take_if(is_late) {
+                out.send(&owner, Message::Withdraw { number });
                 out.silent.push(owner);
                 self.step(context, view, index, out);
             }
@@ -344,7 +344,7 @@
 
 fn give_up(walk: &Walk, out: &mut Out) {
     for pending in walk.asked.iter().chain(&walk.waiting) {
-        let Pending { number, owner, upstream, .. } = pending.clone();
-        out.send(&owner, Message::Withdraw { number, upstream });
+        let Pending { number, owner, .. } = pending.clone();
+        out.send(&owner, Message::Withdraw { number });
     }
 }
--- a/crates/permit/src/message.rs
+++ b/crates/permit/src/message.rs
@@ -160,8 +160,6 @@
     Withdraw {
         /// Number of the ask.
         number: u64,
-        /// The upstream that was asked for.
-        upstream: Upstream,
     },
     /// Asks to be told once when the upstream has room and nothing waits for it.
     Watch {
@@ -179,8 +177,6 @@
     },
     /// Gives a permit back.
     Release {
-        /// The upstream.
-        upstream: Upstream,
         /// The permit.
         permit: PermitId,
         /// What the call cost.
--- a/crates/permit/src/owner.rs
+++ b/crates/permit/src/owner.rs
@@ -149,12 +149,12 @@
             }
             Message::Ask(ask) => self.ask(context, sender, ask, out),
             Message::Contest { upstreams } => self.contest(context, &upstreams),
-            Message::Withdraw { number, upstream } => {
-                self.with_book(&upstream, |book| book.withdraw(now, sender, number));
+            Message::Withdraw { number } => {
+                self.books.iter_mut().for_each(|book| book.withdraw(now, sender, number));
                 self.run_waiting(context, out);
             }
-            Message::Release { upstream, permit, used } => {
-                self.with_book(&upstream, |book| book.release(now, permit, used));
+            Message::Release { permit, used } => {
+                self.books.iter_mut().for_each(|book| book.release(now, permit, used));
                 self.run_waiting(context, out);
             }
             Message::Watch { upstream, pool } => {
