--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -14,6 +14,7 @@
 mod operators;
 mod orders;
 mod placer;
+mod placing;
 mod problem;
 mod replica;
 mod root;
--- a/crates/permit/src/walk.rs
+++ b/crates/permit/src/walk.rs
@@ -4,7 +4,8 @@
 
 use names::{Instance, Upstream};
 
-use crate::{Ask, Evidence, Pool, Wanted};
+use crate::seen::Seen;
+use crate::{Ask, Context, Evidence, Load, Pool, Wanted};
 
 /// Time between two walks while the request waits at an upstream.
 const RETRY_PERIOD: Duration = Duration::from_millis(200);
@@ -25,14 +26,6 @@
     pub(crate) deadline: Instant,
 }
 
-#[derive(Debug)]
-struct Seen {
-    upstream: Upstream,
-    load: Evidence,
-    waiting: u32,
-    at: Instant,
-}
-
 /// What a walk does next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Next {
@@ -59,6 +52,8 @@
     pub(crate) order: Vec<Upstream>,
     position: usize,
     seen: Vec<Seen>,
+    /// Time that the request had when it began.
+    pub(crate) allowance: Duration,
     has_asked_to_wait: bool,
     /// The ask that is on its way.
     pub(crate) asked: Option<Pending>,
@@ -75,6 +70,7 @@
         home: Upstream,
         order: Vec<Upstream>,
     ) -> Self {
+        let allowance = wanted.deadline.saturating_duration_since(now);
         Self {
             request,
             wanted,
@@ -82,6 +78,7 @@
             order,
             position: 0,
             seen: Vec::new(),
+            allowance,
             has_asked_to_wait: false,
             asked: None,
             waiting: None,
@@ -100,16 +97,27 @@
         waits && self.asked.is_none() && self.order.contains(upstream) && self.pool() == *pool
     }
 
-    /// Takes note that the owner of `upstream` answered full.
-    pub(crate) fn see(&mut self, at: Instant, upstream: Upstream, load: Evidence, waiting: u32) {
-        self.seen.retain(|seen| seen.upstream != upstream);
-        self.seen.push(Seen { upstream, load, waiting, at });
+    /// Takes note that the owner of an upstream answered full.
+    pub(crate) fn see(&mut self, seen: Seen) {
+        self.seen.retain(|other| other.upstream != seen.upstream);
+        self.seen.push(seen);
+    }
+
+    /// Asks at once to wait at the least loaded of `seen`, which are all upstreams. What was seen
+    /// is too old for the mean.
+    pub(crate) fn skip(&mut self, seen: Vec<Seen>) -> Next {
+        self.position = self.order.len();
+        self.seen = seen;
+        let least = self.least_loaded();
+        self.seen.clear();
+        self.has_asked_to_wait = true;
+        least.map_or(Next::Rest, |upstream| Next::Ask { upstream, evidence: None, may_wait: true })
     }
 
     /// The next step when no ask is on its way.
-    pub(crate) fn next(&mut self, now: Instant) -> Next {
+    pub(crate) fn next(&mut self, context: Context<'_>) -> Next {
         if self.waiting.is_some() {
-            return self.try_another(now);
+            return self.try_another(context);
         }
         if let Some(upstream) = self.order.get(self.position).cloned() {
             self.position += 1;
@@ -119,14 +127,16 @@
             && let Some(upstream) = self.least_loaded()
         {
             self.has_asked_to_wait = true;
-            return Next::Ask { upstream, evidence: Some(self.evidence(now)), may_wait: true };
+            let evidence = Some(self.evidence(context));
+            return Next::Ask { upstream, evidence, may_wait: true };
         }
-        self.restart(now)
+        self.restart(context.now)
     }
 
     /// While the request waits, looks for room elsewhere from time to time, and brings the least
     /// loaded owner the sum of what it saw.
-    fn try_another(&mut self, now: Instant) -> Next {
+    fn try_another(&mut self, context: Context<'_>) -> Next {
+        let now = context.now;
         if now < self.resume_at {
             return Next::Rest;
         }
@@ -136,7 +146,7 @@
         }
         self.position = 0;
         self.resume_at = now + RETRY_PERIOD;
-        let evidence = self.evidence(now);
+        let evidence = self.evidence(context);
         let least = self.least_loaded();
         self.seen.clear();
         match least {
@@ -176,16 +186,30 @@
         self.seen.iter().min_by_key(load).map(|seen| seen.upstream.clone())
     }
 
-    /// The load of the upstreams that were seen. A walk that waited for a silent owner on its way
-    /// saw loads of different times, which together may be more than there ever was at once.
-    fn evidence(&self, now: Instant) -> Evidence {
-        let is_recent = |seen: &&Seen| now.saturating_duration_since(seen.at) <= SEEN_VALIDITY;
-        self.seen.iter().filter(is_recent).fold(Evidence::default(), |sum, seen| Evidence {
-            load: sum.load.combine(seen.load.load, |one, other| one + other),
-            slots: sum.slots + seen.load.slots,
+    /// The load of the upstreams that can take the request, as far as it was seen lately. Those
+    /// that failed it or are drained have no part in its mean. A walk that waited for a silent
+    /// owner on its way saw loads of different times, which together may be more than there ever
+    /// was at once.
+    fn evidence(&self, context: Context<'_>) -> Evidence {
+        let available = context.registry.available(&self.wanted.target);
+        let usable =
+            available.filter(|entry| !self.wanted.tried.contains(&entry.announcement.upstream));
+        usable.fold(Evidence::default(), |sum, entry| {
+            let load = self.load_seen(context.now, &entry.announcement.upstream);
+            Evidence {
+                load: sum.load.combine(load, |one, other| one + other),
+                slots: sum.slots + entry.announcement.slots,
+            }
         })
     }
 
+    /// The load of `upstream`; none when it was not seen lately.
+    fn load_seen(&self, now: Instant, upstream: &Upstream) -> Load {
+        let is_recent = |seen: &&Seen| now.saturating_duration_since(seen.at) <= SEEN_VALIDITY;
+        let seen = self.seen.iter().find(|seen| seen.upstream == *upstream).filter(is_recent);
+        seen.map_or(Load::default(), |seen| seen.load.load)
+    }
+
     /// The ask for `next`.
     pub(crate) fn ask(
         &self,
