Let a dismissed voter stand down as a learner

Cause: a removed voter that had begun to campaign stayed a candidate in /state after it was told of its removal; its proposals went on.

--- a/crates/state/src/core/repair.rs
+++ b/crates/state/src/core/repair.rs
@@ -39,10 +39,11 @@
     }
 
     /// Learns that a change of the members has removed this folder.
-    pub(super) fn on_dismissed(&mut self, set_at: Index) {
+    pub(super) fn on_dismissed(&mut self, now: Instant, set_at: Index) {
         let is_leader = matches!(self.state, State::Leader(_));
         if !is_leader && set_at > self.log.members().0 {
             self.is_dismissed = true;
+            self.become_follower(now);
         }
     }
 
--- a/tests/voters.rs
+++ b/tests/voters.rs
@@ -72,6 +72,9 @@
     let record = &page["audit"][0];
     assert_eq!(record["operator"], "tester");
     assert_eq!(record["from"], json!(["instance-1", "instance-2", "instance-3"]));
+    // The removed instance hears that it votes no more, and goes on without a vote.
+    wait_for("dismissal", || (status(&fleet, 0)?["role"] == "learner").then_some(()));
+    take_surely(&fleet, 0, "through the removed one");
     fleet.kill(0);
     std::fs::remove_dir_all(fleet.data_folder("instance-1")).unwrap();
     let leader = leader_of(&fleet, &[1, 2, 3]);
