Grant no claim that comes to the ledger after its time

Cause: the claim was held back on the cut link and committed after the heal, when its instance had given up withdrawing it (deadline and 1 s). It was granted with a new hold, nobody ran it, and after the hold its outcome counted as unknown.

Mended: a claim carries its time and hold already; one that is applied after both is not granted. An instance whose clock is behind (a fresh start) proposes it again with the time that the answer carries.

Ruled out: withdrawing for longer, since a cut may last longer than any time; remembering more withdrawn attempts, since this withdrawal never got through.

--- a/crates/ledger/src/claimant.rs
+++ b/crates/ledger/src/claimant.rs
@@ -255,6 +255,8 @@
             Reply::Conflict => self.refuse(Refusal::Conflict),
             Reply::Full { left } => self.refuse(Refusal::Full { left }),
             Reply::Withdrawn => self.refuse(Refusal::Withdrawn),
+            Reply::Late if now >= self.deadline => self.refuse(Refusal::NoQuorum),
+            Reply::Late => Next::Propose(self.claim(now, clock)),
             Reply::Settled | Reply::NotClaimed | Reply::Invalid => self.refuse(Refusal::NoQuorum),
         }
     }
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -118,6 +118,8 @@
     NotClaimed,
     /// The command is not valid.
     Invalid,
+    /// The claim came after the time for which it was made; it is not granted and never will be.
+    Late,
 }
 
 /// The outcome of a command.
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -115,6 +115,7 @@
         match self.records.get_mut(claim.ticket.key) {
             Some(record) => resend(record, &claim, time),
             None if self.withdrawn.contains(claim.fence) => Reply::Withdrawn,
+            None if claim.now.after(claim.hold) <= time => Reply::Late,
             None => self.grant(claim),
         }
     }
--- a/crates/ledger/tests/machine.rs
+++ b/crates/ledger/tests/machine.rs
@@ -78,6 +78,16 @@
     assert!(matches!(claim(&mut ledger, &ticket, 3, 5), Reply::Running { .. }));
 }
 
+#[test]
+fn a_claim_that_comes_after_its_time_is_not_granted() {
+    let mut ledger = Ledger::default();
+    let (first, other) = (ticket("nasr", "k1", "book"), ticket("nasr", "k2", "book"));
+    assert_eq!(claim(&mut ledger, &other, 1, 20_000), Reply::Granted);
+    assert_eq!(claim(&mut ledger, &first, 2, 10_000), Reply::Late);
+    assert_eq!(claim(&mut ledger, &first, 2, 10_001), Reply::Granted);
+    assert!(matches!(claim(&mut ledger, &first, 3, 5_000), Reply::Running { .. }));
+}
+
 #[test]
 fn keys_expire_and_free_their_bytes() {
     let bounds = Bounds { lifetime: Duration::from_secs(60), ..Bounds::default() };
--- a/tests/faults/bookings.rs
+++ b/tests/faults/bookings.rs
@@ -1,15 +1,13 @@
 //! Callers that book under idempotency keys, resend, and keep what they were told.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::json;
 
+use crate::callers::Caller;
 use crate::support::{Fleet, post};
 
 /// How often one booking is sent before its caller gives up.
@@ -41,42 +39,17 @@
     bookings: Vec<Booking>,
 }
 
-/// Running callers.
-pub struct Bookings {
-    callers: Vec<JoinHandle<Vec<Booking>>>,
-}
-
-impl Bookings {
-    pub fn start(
-        addresses: &[SocketAddr],
-        count: usize,
-        seed: u64,
-        stopped: &Arc<AtomicBool>,
-    ) -> Self {
-        let callers = (0..count)
-            .map(|caller| {
-                let (addresses, stopped) = (addresses.to_vec(), stopped.clone());
-                std::thread::spawn(move || book(&addresses, caller, seed, &stopped))
-            })
-            .collect();
-        Self { callers }
-    }
-
-    pub fn join(self) -> Record {
-        let bookings = self.callers.into_iter().flat_map(|caller| caller.join().unwrap());
-        Record { bookings: bookings.collect() }
-    }
-}
-
-fn book(addresses: &[SocketAddr], caller: usize, seed: u64, stopped: &AtomicBool) -> Vec<Booking> {
-    let mut random = Pcg64Mcg::seed_from_u64(seed * 7000 + caller as u64);
+/// Books until the caller is stopped.
+pub fn book(caller: &Caller) -> Record {
+    let Caller { number, seed, addresses, .. } = caller;
+    let mut random = Pcg64Mcg::seed_from_u64(seed * 7000 + *number as u64);
     let mut bookings = Vec::new();
-    while !stopped.load(Ordering::Relaxed) {
-        let reference = format!("seed-{seed}-caller-{caller}-booking-{}", bookings.len());
+    while !caller.is_stopped() {
+        let reference = format!("seed-{seed}-caller-{number}-booking-{}", bookings.len());
         let told = send(addresses, &reference, &mut random);
         bookings.push(Booking { reference, told });
     }
-    bookings
+    Record { bookings }
 }
 
 /// Sends one booking until its outcome is known or the caller gives up. A resend carries the same
@@ -105,6 +78,11 @@
 }
 
 impl Record {
+    /// The bookings of all `records`.
+    pub fn of(records: Vec<Self>) -> Self {
+        Self { bookings: records.into_iter().flat_map(|record| record.bookings).collect() }
+    }
+
     /// How many bookings ended as answered, not run, may have run, and unknown.
     pub fn counts(&self) -> [(&'static str, usize); 4] {
         let count = |told| self.bookings.iter().filter(|booking| booking.told == told).count();
--- a/tests/faults/chats.rs
+++ b/tests/faults/chats.rs
@@ -1,13 +1,9 @@
 //! Callers that chat all the time and compare every answer.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
-
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::callers::Caller;
 use crate::support::{chat, expected_answer, post, streamed_text};
 
 const MAX_WORDS: usize = 40;
@@ -25,50 +21,29 @@
     pub wrong: u64,
 }
 
-/// Running callers.
-pub struct Chats {
-    callers: Vec<JoinHandle<Counts>>,
-}
-
-impl Chats {
-    pub fn start(
-        addresses: &[SocketAddr],
-        count: usize,
-        seed: u64,
-        stopped: &Arc<AtomicBool>,
-    ) -> Self {
-        let callers = (0..count)
-            .map(|caller| {
-                let (addresses, stopped) = (addresses.to_vec(), stopped.clone());
-                std::thread::spawn(move || call(&addresses, caller, seed, &stopped))
-            })
-            .collect();
-        Self { callers }
-    }
-
-    /// Waits for the callers; gives their counts together.
-    pub fn join(self) -> Counts {
-        let mut total = Counts::default();
-        for caller in self.callers {
-            let counts = caller.join().unwrap();
-            total.whole += counts.whole;
-            total.refused += counts.refused;
-            total.cut += counts.cut;
-            total.wrong += counts.wrong;
-        }
-        total
+impl Counts {
+    /// The counts of all callers together.
+    pub fn sum(all: Vec<Self>) -> Self {
+        all.into_iter().fold(Self::default(), |sum, one| Self {
+            whole: sum.whole + one.whole,
+            refused: sum.refused + one.refused,
+            cut: sum.cut + one.cut,
+            wrong: sum.wrong + one.wrong,
+        })
     }
 }
 
-fn call(addresses: &[SocketAddr], caller: usize, seed: u64, stopped: &AtomicBool) -> Counts {
-    let mut random = Pcg64Mcg::seed_from_u64(seed * 1000 + caller as u64);
+/// Chats until the caller is stopped.
+pub fn chat_on(caller: &Caller) -> Counts {
+    let Caller { number, seed, addresses, .. } = caller;
+    let mut random = Pcg64Mcg::seed_from_u64(seed * 1000 + *number as u64);
     let mut counts = Counts::default();
     let mut turn = 0;
-    while !stopped.load(Ordering::Relaxed) {
+    while !caller.is_stopped() {
         turn += 1;
         let address = addresses[random.random_range(0..addresses.len())];
         let words = random.random_range(1..MAX_WORDS);
-        let text = format!("seed {seed} caller {caller} turn {turn}");
+        let text = format!("seed {seed} caller {number} turn {turn}");
         let answer = post(address, "/v1/chat/completions", &[], &chat(&text, words, true));
         match answer {
             Err(_) => counts.cut += 1,
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -6,6 +6,7 @@
 #![allow(clippy::unwrap_used, clippy::panic)]
 
 mod bookings;
+mod callers;
 mod chats;
 mod injector;
 mod operators;
@@ -18,8 +19,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bookings::Bookings;
-use chats::Chats;
+use bookings::{Record, book};
+use callers::Callers;
+use chats::{Counts, chat_on};
 use injector::Injector;
 use operators::Operators;
 use support::{Fleet, chat, declaring, expected_answer, post, streamed_text, wait_for};
@@ -71,13 +73,13 @@
     let mut fleet = fleet();
     let addresses = callers_addresses(&fleet);
     let stopped = Arc::new(AtomicBool::new(false));
-    let chats = Chats::start(&addresses, CHAT_CALLERS, seed, &stopped);
-    let bookings = Bookings::start(&addresses, BOOKING_CALLERS, seed, &stopped);
+    let chats = Callers::start(&addresses, CHAT_CALLERS, seed, &stopped, chat_on);
+    let bookings = Callers::start(&addresses, BOOKING_CALLERS, seed, &stopped, book);
     let operators = Operators::start(&operators_addresses(&fleet), seed, &stopped);
     Injector::new(seed, &mut fleet).run(duration());
     stopped.store(true, Ordering::Relaxed);
-    let chats = chats.join();
-    let bookings = bookings.join();
+    let chats = Counts::sum(chats.join());
+    let bookings = Record::of(bookings.join());
     let revisions = operators.join_and_check(seed);
     println!("revisions {revisions}");
     println!("chats {chats:?}");
