Use upstreams that flap while no steady one can do their work

Cause: damping set upstreams aside without looking at what was left.

Mended: an upstream that flaps is set aside only while a steady one shares work with it (a model; the same labels for a plain service).

Ruled out: bounding how many may be set aside, since the last steady one may leave afterwards.

--- a/crates/upstream/src/registry.rs
+++ b/crates/upstream/src/registry.rs
@@ -44,6 +44,7 @@
     hash: u64,
     gone_until: Option<Instant>,
     damping: Damping,
+    is_set_aside: bool,
 }
 
 impl Entry {
@@ -56,6 +57,7 @@
             version: record.version,
             gone_until: record.is_gone.then(|| now + MEMORY),
             damping: Damping::new(now),
+            is_set_aside: false,
         }
     }
 
@@ -66,7 +68,24 @@
 
     /// Whether the upstream came and went so often that it is set aside.
     pub fn is_set_aside(&self) -> bool {
-        self.damping.is_aside()
+        self.is_set_aside
+    }
+
+    /// Whether the upstream wants new work and did not come and go often.
+    fn is_steady(&self) -> bool {
+        !self.is_gone() && !self.announcement.is_leaving && !self.damping.is_aside()
+    }
+
+    /// Whether some requests can be answered by both upstreams.
+    fn shares_work_with(&self, other: &Self) -> bool {
+        let (mine, theirs) = (&self.announcement, &other.announcement);
+        mine.protocol == theirs.protocol
+            && match mine.protocol {
+                Protocol::ChatCompletions => {
+                    mine.models.iter().any(|model| theirs.models.contains(model))
+                }
+                Protocol::Plain => mine.labels == theirs.labels,
+            }
     }
 
     /// Whether the upstream may receive new work.
@@ -162,7 +181,8 @@
                 }
                 let change = change_between(&old, &record);
                 let (damping, load) = (entry.damping.clone(), entry.load.take());
-                *entry = Entry { damping, ..Entry::new(now, record) };
+                let is_set_aside = entry.is_set_aside;
+                *entry = Entry { damping, is_set_aside, ..Entry::new(now, record) };
                 if change == Change::Joined {
                     entry.damping.count_return(now);
                 } else {
@@ -201,12 +221,20 @@
         Ok(())
     }
 
-    /// Forgets upstreams that are gone for long, and sets flapping ones aside.
+    /// Forgets upstreams that are gone for long, and sets flapping ones aside while a steady one
+    /// can do their work.
     pub fn tidy(&mut self, now: Instant) {
         self.entries.retain(|entry| entry.gone_until.is_none_or(|until| until > now));
         for entry in &mut self.entries {
             entry.damping.update(now, true);
         }
+        for index in 0..self.entries.len() {
+            let entry = &self.entries[index];
+            let mut steady = self.entries.iter().filter(|other| other.is_steady());
+            let is_set_aside =
+                entry.damping.is_aside() && steady.any(|other| entry.shares_work_with(other));
+            self.entries[index].is_set_aside = is_set_aside;
+        }
     }
 
     /// The upstream called `upstream`, also when it is gone and only remembered.
--- a/crates/upstream/tests/directory.rs
+++ b/crates/upstream/tests/directory.rs
@@ -203,16 +203,32 @@
     let mut network = Network::new(3, 0, 1);
     for run in 1..7 {
         network.announce(0, announcement(0, run, false));
+        network.announce(0, announcement(1, 1, false));
         network.run(Duration::from_secs(1));
     }
     assert!((0..3).all(|node| !network.is_available(node, 0)));
     for _ in 0..100 {
         network.announce(0, announcement(0, 6, false));
+        network.announce(0, announcement(1, 1, false));
         network.run(Duration::from_secs(1));
     }
     assert!((0..3).all(|node| network.is_available(node, 0)));
 }
 
+#[test]
+fn flapping_upstreams_are_used_while_no_steady_one_can_do_their_work() {
+    let mut network = Network::new(3, 0, 1);
+    for run in 1..7 {
+        network.announce(0, announcement(0, run, false));
+        network.announce(0, announcement(1, run, false));
+        network.run(Duration::from_secs(1));
+    }
+    assert!((0..3).all(|node| network.is_available(node, 0) && network.is_available(node, 1)));
+    network.announce(0, announcement(2, 1, false));
+    network.run(Duration::from_secs(1));
+    assert!((0..3).all(|node| !network.is_available(node, 0) && network.is_available(node, 2)));
+}
+
 #[test]
 fn renewals_cost_a_node_the_same_in_a_larger_data_centre() {
     let cost = |size: usize, upstreams: usize| {
