--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -116,8 +116,11 @@
         if let Some(reply) = self.archived(&claim.ticket) {
             return reply;
         }
-        match self.withdrawn.contains(claim.fence) {
-            true => Reply::Withdrawn,
+        if self.withdrawn.contains(claim.fence) {
+            return Reply::Withdrawn;
+        }
+        match claim.now.after(claim.hold) <= time {
+            true => Reply::Late,
             false => self.grant(claim),
         }
     }
