Split permit terms, the placer's requests and the aside state by duty

No behaviour changes: an upstream's part of the load bound is `terms::Share`, what operators see of a book is in terms, the placer answers HTTP requests in placer/requests.rs, detector/rest.rs is detector/aside.rs.

--- /dev/null
+++ b/crates/instance/src/placer/requests.rs
@@ -0,0 +1,60 @@
+//! Requests of upstreams and operators that the placer answers over HTTP.
+
+use operator::Response;
+use serde_json::json;
+use stakker::CX;
+use upstream::{Announcement, Load};
+
+use super::Placer;
+use crate::listing::Listed;
+use crate::operators::Ask;
+
+impl Placer {
+    /// Takes an announcement that an upstream made to this instance.
+    pub(crate) fn announce(&mut self, cx: CX![], ask: Ask) {
+        match Announcement::try_from(ask.request.body.as_slice()) {
+            Ok(announcement) if announcement.data_centre != self.settings.data_centre => {
+                let message = format!(
+                    "upstream \"{}\" is in data centre \"{}\", this instance in \"{}\"; announce \
+                     it to an instance of its own data centre",
+                    announcement.upstream, announcement.data_centre, self.settings.data_centre
+                );
+                ask.answer(Response::error(400, "other_data_centre", message));
+            }
+            Ok(announcement) => {
+                let (change, actions) = self.directory.announce(cx.now(), announcement);
+                self.perform(cx, actions);
+                ask.answer(Response::json(200, &json!({ "change": change.to_string() })));
+            }
+            Err(error) => {
+                ask.answer(Response::error(400, "invalid_announcement", error.to_string()));
+            }
+        }
+    }
+
+    /// Takes an upstream's load report.
+    pub(crate) fn report(&mut self, _: CX![], ask: Ask) {
+        let reported = Load::try_from(ask.request.body.as_slice())
+            .and_then(|load| self.directory.registry_mut().report(load));
+        match reported {
+            Ok(()) => ask.answer(Response::json(200, &json!({}))),
+            Err(error @ upstream::Error::Unknown { .. }) => {
+                ask.answer(Response::error(400, "invalid_load", error.to_string()).passing());
+            }
+            Err(error) => ask.answer(Response::error(400, "invalid_load", error.to_string())),
+        }
+    }
+
+    /// Lists the known upstreams.
+    pub(crate) fn list(&mut self, _: CX![], ask: Ask) {
+        let entries = self.directory.registry().iter();
+        let upstreams: Vec<Listed<'_>> = entries
+            .map(|entry| {
+                let upstream = &entry.announcement.upstream;
+                let in_flight = self.node.held().filter(|(_, held)| *held == upstream).count();
+                Listed::new(entry, in_flight, &self.declarations).with_owner(self.owner(upstream))
+            })
+            .collect();
+        ask.answer(Response::json(200, &upstreams));
+    }
+}
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -1,7 +1,7 @@
 //! The failure detector.
 
+mod aside;
 mod probing;
-mod rest;
 mod views;
 
 use std::time::{Duration, Instant};
@@ -67,7 +67,7 @@
     differences: u32,
     is_stopping: bool,
     /// Until when this instance takes no duties, since others set it aside.
-    rest_until: Option<Instant>,
+    aside_until: Option<Instant>,
     random: Pcg64Mcg,
     actions: Vec<Action>,
 }
@@ -104,7 +104,7 @@
             next_view: now,
             differences: 0,
             is_stopping: false,
-            rest_until: None,
+            aside_until: None,
             random: Pcg64Mcg::seed_from_u64(seed),
             actions: Vec::new(),
         }
@@ -132,7 +132,7 @@
         self.check_probes(now);
         self.check_deadlines(now);
         self.update_damping(now);
-        self.check_rest(now);
+        self.check_aside(now);
         if now >= self.next_round {
             self.next_round = now + PERIOD;
             self.begin_round(now);
@@ -161,7 +161,7 @@
                     self.send_view(sender, false);
                 }
             }
-            Message::SetAside { incarnation } => self.rest(now, incarnation),
+            Message::SetAside { incarnation } => self.set_aside(now, incarnation),
         }
         std::mem::take(&mut self.actions)
     }
--- a/crates/membership/src/detector/rest.rs
+++ b/crates/membership/src/detector/aside.rs
@@ -9,8 +9,8 @@
 use crate::Message;
 use crate::record::Record;
 
-/// How long an instance rests after it was told for the last time.
-const REST: Duration = Duration::from_secs(10);
+/// How long an instance takes no duties after it was told for the last time.
+const ASIDE_TIME: Duration = Duration::from_secs(10);
 
 /// Rounds between two times that an instance is told.
 const TELL_ROUNDS: u64 = 4;
@@ -52,18 +52,18 @@
     }
 
     /// Takes note that a member set that run of this instance aside.
-    pub(super) fn rest(&mut self, now: Instant, incarnation: Incarnation) {
+    pub(super) fn set_aside(&mut self, now: Instant, incarnation: Incarnation) {
         if incarnation != self.me.incarnation || self.is_stopping {
             return;
         }
-        if self.rest_until.replace(now + REST).is_none() {
+        if self.aside_until.replace(now + ASIDE_TIME).is_none() {
             self.declare_draining(true);
         }
     }
 
     /// Takes duties again once no member has set this instance aside for long.
-    pub(super) fn check_rest(&mut self, now: Instant) {
-        let is_over = self.rest_until.take_if(|until| *until <= now).is_some();
+    pub(super) fn check_aside(&mut self, now: Instant) {
+        let is_over = self.aside_until.take_if(|until| *until <= now).is_some();
         if is_over && !self.is_stopping {
             self.declare_draining(false);
         }
--- a/crates/permit/src/book.rs
+++ b/crates/permit/src/book.rs
@@ -5,7 +5,7 @@
 use admission::{Decision, Desk, Offer, Step, Ticket, Tokens};
 use names::{Instance, Upstream};
 
-use crate::terms::{Answer, Ids, Limits, Terms};
+use crate::terms::{Answer, Ids, Limits, Terms, Usage};
 use crate::watch::Watchers;
 use crate::{Ask, Evidence, Load, Outcome, PermitId, Pool};
 
@@ -57,19 +57,6 @@
     Settled,
 }
 
-/// How an owned upstream is used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Usage<'a> {
-    /// Its name.
-    pub upstream: &'a Upstream,
-    /// Permits in use.
-    pub in_flight: u32,
-    /// Most permits by the load bound, as it was computed for the last request.
-    pub bound: u32,
-    /// Requests that wait for a permit.
-    pub waiting: u32,
-}
-
 /// What an owner knows of one upstream.
 pub(crate) struct Book {
     pub(crate) upstream: Upstream,
--- a/crates/permit/src/lib.rs
+++ b/crates/permit/src/lib.rs
@@ -22,6 +22,6 @@
 mod walk;
 mod watch;
 
-pub use book::Usage;
 pub use message::{Ask, Evidence, Load, Message, Outcome, PermitId, Pool, Report};
 pub use node::{Action, Context, Granted, Node, Placed, Wanted};
+pub use terms::Usage;
--- a/crates/permit/src/node.rs
+++ b/crates/permit/src/node.rs
@@ -11,11 +11,11 @@
 use upstream::Registry;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::book::Usage;
 use crate::holder::Holder;
 use crate::locations::Locations;
 use crate::owner::Owner;
 use crate::routes::Routes;
+use crate::terms::Usage;
 use crate::{Message, PermitId};
 
 /// What every decision is taken in.
--- a/crates/permit/src/owner.rs
+++ b/crates/permit/src/owner.rs
@@ -5,23 +5,20 @@
 use admission::Desk;
 use declare::Target;
 use names::{Instance, Upstream};
-use placement::{Bound, Sum};
+use placement::Bound;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::book::{Book, Usage};
+use crate::book::Book;
 use crate::node::{Context, Out, View};
 use crate::pool::{aggregator, pool_slots, scale};
 use crate::sums::{Aggregator, Pools, SUM_PERIOD};
-use crate::terms::{Answer, Ids, Limits, Terms};
+use crate::terms::{Answer, Ids, Limits, Share, Terms, Usage};
 use crate::{Ask, Load, Message, Outcome, PermitId, Pool};
 
 /// Permit ids of a run start at a random multiple of this number.
 const IDS_PER_RUN: u64 = 1 << 40;
 
-/// The part of the known load that is not counted, since it may have ended meanwhile.
-const DISCOUNT_PARTS: u32 = 10;
-
 /// Books of the owned upstreams, sorted by name, and sums of the pools.
 pub(crate) struct Owner {
     bound: Bound,
@@ -267,24 +264,17 @@
         })
     }
 
-    /// The limits of the book `index`, of an upstream with `slots`, at the mean load of `pool`. Two
-    /// owners that cannot know of each other must not both round up.
+    /// The limits of the book `index`, of an upstream with `slots`, at the mean load of `pool`.
     fn limits(&mut self, context: Context<'_>, pool: &Pool, index: usize, slots: u32) -> Limits {
         let own = self.settled_part(context, pool);
         let total = self.pools.get(context.now, pool).total(context.now, own);
-        let pool_slots = u64::from(pool_slots(context, pool));
-        let bound = self.bound;
-        let is_inherited = self.books[index].is_inherited(context.now);
-        let limit = |in_flight: u32| {
-            let counted = u64::from(in_flight - in_flight.div_ceil(DISCOUNT_PARTS));
-            let sum = Sum { in_flight: counted, slots: pool_slots };
-            let most = match is_inherited {
-                true => bound.most_rounded_down(sum, slots),
-                false => bound.most(sum, slots),
-            };
-            most.min(slots)
+        let share = Share {
+            bound: self.bound,
+            slots,
+            pool_slots: pool_slots(context, pool),
+            is_inherited: self.books[index].is_inherited(context.now),
         };
-        Limits { certain: limit(total.certain), all: limit(total.all()) }
+        share.limits(total)
     }
 
     /// Lets waiting asks run where there is room now, and tells watching instances of what is
