--- a/crates/ledger/tests/archive.rs
+++ b/crates/ledger/tests/archive.rs
@@ -2,37 +2,16 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::time::Duration;
+mod common;
 
-use ledger::{
-    Answer, Bounds, Claim, Command, Ending, Key, Ledger, Reply, Settlement, Ticket, Time,
-    Unreadable,
-};
-use names::Attempt;
+use common::{claim, settle, ticket};
+use ledger::{Answer, Bounds, Ending, Ledger, Reply, Ticket, Time, Unreadable};
 use state::Machine;
 use test_case::test_case;
 
-const HOLD: Duration = Duration::from_secs(10);
-
 /// A snapshot with the keys `answered`, `unknown` and `running`, as the first format had it.
 const FIRST_FORMAT: &str = include_str!("data/first-format.hex");
 
-fn ticket(account: &str, key: &str, body: &str) -> Ticket {
-    let key = Key::try_from(key.to_string()).unwrap();
-    let service = "shop".parse().unwrap();
-    Ticket::new(&account.parse().unwrap(), &service, &key, &[body.as_bytes()])
-}
-
-fn claim(ledger: &mut Ledger, ticket: &Ticket, fence: u64, now: u64) -> Reply {
-    let (ticket, fence, now) = (ticket.clone(), Attempt(fence), Time(now));
-    ledger.take(Command::Claim(Claim { ticket, fence, now, hold: HOLD })).reply
-}
-
-fn settle(ledger: &mut Ledger, ticket: &Ticket, fence: u64, now: u64, ending: Ending) -> Reply {
-    let (fence, now) = (Attempt(fence), Time(now));
-    ledger.take(Command::Settle(Settlement { key: ticket.key, fence, now, ending })).reply
-}
-
 fn answer(bytes: usize) -> Answer {
     Answer { status: 201, headers: Vec::new(), body: Some(vec![b'x'; bytes]) }
 }
--- a/crates/ledger/tests/machine.rs
+++ b/crates/ledger/tests/machine.rs
@@ -2,33 +2,15 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod common;
+
 use std::time::Duration;
 
-use ledger::{
-    Answer, Bounds, Claim, Command, Digest, Ending, Key, Ledger, Reply, Settlement, Ticket, Time,
-};
-use names::Attempt;
+use common::{claim, settle, ticket};
+use ledger::{Answer, Bounds, Digest, Ending, Key, Ledger, Reply, Time};
 use state::Machine;
 use test_case::test_case;
 
-const HOLD: Duration = Duration::from_secs(10);
-
-fn ticket(account: &str, key: &str, body: &str) -> Ticket {
-    let key = Key::try_from(key.to_string()).unwrap();
-    let service = "shop".parse().unwrap();
-    Ticket::new(&account.parse().unwrap(), &service, &key, &[body.as_bytes()])
-}
-
-fn claim(ledger: &mut Ledger, ticket: &Ticket, fence: u64, now: u64) -> Reply {
-    let (ticket, fence, now) = (ticket.clone(), Attempt(fence), Time(now));
-    ledger.take(Command::Claim(Claim { ticket, fence, now, hold: HOLD })).reply
-}
-
-fn settle(ledger: &mut Ledger, ticket: &Ticket, fence: u64, now: u64, ending: Ending) -> Reply {
-    let (fence, now) = (Attempt(fence), Time(now));
-    ledger.take(Command::Settle(Settlement { key: ticket.key, fence, now, ending })).reply
-}
-
 fn answer(text: &str) -> Answer {
     Answer { status: 200, headers: Vec::new(), body: Some(text.as_bytes().to_vec()) }
 }
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -97,6 +97,14 @@
     });
 }
 
+/// Waits for another holder of the lease than `first`, with a greater fencing number than `fence`.
+fn next_holder(fleet: &Fleet, first: usize, fence: u64) -> usize {
+    let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
+    let (next, next_fence) = holder(fleet, &others);
+    assert!(next_fence > fence, "{next_fence} after {fence}");
+    next
+}
+
 #[test_case("KILL"; "killed")]
 #[test_case("STOP"; "frozen")]
 fn the_next_holder_has_a_greater_fencing_number(signal: &str) {
@@ -105,17 +113,14 @@
     wait_loaded(&fleet, 0, "caption-2");
     let (first, fence) = holder(&fleet, &[0, 1, 2]);
     fleet.instances[first].process.signal(signal);
-    let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
-    let (_, next_fence) = holder(&fleet, &others);
-    assert!(next_fence > fence, "{next_fence} after {fence}");
+    let next = next_holder(&fleet, first, fence);
     if signal == "STOP" {
         fleet.instances[first].process.signal("CONT");
     } else {
         fleet.restart(first);
     }
     fleet.wait_ready(first);
-    let (base, at) =
-        wait_for("revision", || Some((support::revision(&fleet, others[0])?, others[0])));
+    let (base, at) = wait_for("revision", || Some((support::revision(&fleet, next)?, next)));
     let body = format!(
         "{}rollouts:\n  - {{model: caption-3, upstreams: \"app=captions\", interval: 100ms}}\n",
         declarations()
@@ -145,9 +150,7 @@
         let reply = support::try_declared(operators(&fleet, first), "/rollouts")?;
         reply.body["fence"].is_null().then_some(())
     });
-    let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
-    let (_, next_fence) = holder(&fleet, &others);
-    assert!(next_fence > fence);
+    next_holder(&fleet, first, fence);
     fleet.set_cut(&[first], false);
 }
 
@@ -168,9 +171,7 @@
         (0..2).any(|engine| !tasks(&fleet, engine, "unload").is_empty()).then_some(())
     });
     fleet.kill(first);
-    let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
-    let (next, next_fence) = holder(&fleet, &others);
-    assert!(next_fence > fence);
+    let next = next_holder(&fleet, first, fence);
     wait_for("done", || (standing(&fleet, next)?["standing"] == "done").then_some(()));
     for engine in 0..2 {
         let dropped = tasks(&fleet, engine, "unload");
@@ -200,9 +201,7 @@
     let (first, fence) = holder(&fleet, &[0, 1, 2]);
     wait_for("done", || (standing(&fleet, first)?["standing"] == "done").then_some(()));
     fleet.kill(first);
-    let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
-    let (next, next_fence) = holder(&fleet, &others);
-    assert!(next_fence > fence);
+    let next = next_holder(&fleet, first, fence);
     wait_for("done", || (standing(&fleet, next)?["standing"] == "done").then_some(()));
     for engine in 0..2 {
         let changed = tasks(&fleet, engine, "change-role");
