--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -24,9 +24,9 @@
 /// a bound that says nothing yet.
 const FREE_LOAD: f64 = 2.0;
 
-/// Keeps requests that share context together within the data centre, as long as their upstream
+/// Keeps requests that share context together, in whatever data centre, as long as their upstream
 /// is not loaded far above the mean; answers loads in which a few contexts are asked for much
-/// more often than others.
+/// more often than others. Reading a long context again costs more than carrying it further.
 #[derive(Debug, Clone, Copy)]
 pub struct Affinity {
     /// Load at most, as a multiple of the mean.
@@ -62,21 +62,13 @@
         let mean = mean_utilisation(candidates);
         let key = wish.key.unwrap_or(wish.lot);
         let usable: Vec<usize> = preferred(candidates);
-        let least = |near: bool| {
-            let among = usable.iter().map(|index| &candidates[*index]);
-            let among = among.filter(|candidate| candidate.is_near || !near);
-            among.map(|candidate| candidate.backlog).fold(f64::INFINITY, f64::min)
-        };
-        for near in [true, false] {
-            let floor = least(near);
-            let mut order: Vec<usize> = usable.clone();
-            order.retain(|index| candidates[*index].is_near || !near);
-            order.sort_by_key(|index| std::cmp::Reverse(weight(&candidates[*index], key)));
-            let found =
-                order.iter().find(|index| self.is_within(&candidates[**index], mean, floor));
-            if let Some(index) = found {
-                return Some(*index);
-            }
+        let backlogs = usable.iter().map(|index| candidates[*index].backlog);
+        let least_backlog = backlogs.fold(f64::INFINITY, f64::min);
+        let mut order = usable.clone();
+        order.sort_by_key(|index| std::cmp::Reverse(weight(&candidates[*index], key)));
+        let is_within = |index: &&usize| self.is_within(&candidates[**index], mean, least_backlog);
+        if let Some(index) = order.iter().find(is_within) {
+            return Some(*index);
         }
         let open = usable.into_iter().filter(|index| candidates[*index].utilisation() < self.fill);
         least_loaded(candidates, open, wish.lot)
