--- a/crates/command/src/commands/platform.rs
+++ b/crates/command/src/commands/platform.rs
@@ -3,6 +3,7 @@
 use bpaf::Parser;
 use instance::Stop;
 use relay::Bound;
+use telemetry::Ceiling;
 
 use crate::{Command, Entry, Error, Exit, signals};
 
@@ -25,13 +26,17 @@
 impl Command for Platform {
     fn run(&self) -> Result<Exit, Error> {
         let (settings, source) = platform::boot()?;
-        telemetry::start_logs(settings.json_logs)?;
+        let ceiling =
+            Ceiling { lines: settings.logs.lines, bytes: settings.logs.bytes.as_bytes() as u64 };
+        telemetry::start_trail(settings.instance.as_str(), ceiling)?;
         let bound = Bound::new(&settings)?;
         let stop = Stop::default();
         let asked = stop.clone();
         signals::outlive_hang_ups()?;
         signals::on_stop(move || asked.ask())?;
-        relay::run(settings, platform::interface(), source, bound, &stop)?;
+        let ran = relay::run(settings, platform::interface(), source, bound, &stop);
+        log::logger().flush();
+        ran?;
         Ok(Exit::Done)
     }
 }
--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -1,7 +1,7 @@
 //! The actor of one connection to an upstream.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use names::Attempt;
 use socket2::{SockRef, TcpKeepalive};
@@ -48,6 +48,7 @@
     keeping: Keeping,
     events: Fwd<Event>,
     stream: TcpStreamBuf,
+    dialled: Instant,
     is_connected: bool,
     /// Whether it has served a request.
     is_kept: bool,
@@ -101,6 +102,7 @@
             keeping,
             events,
             stream,
+            dialled: cx.now(),
             is_connected: false,
             is_kept: false,
             is_broken: false,
@@ -154,6 +156,10 @@
         if !self.is_connected && (ready.is_writable() || ready.is_error()) {
             self.is_connected = true;
             cx.timer_del(self.timer);
+            if !ready.is_error() {
+                let time = cx.now().saturating_duration_since(self.dialled);
+                call!([self.client], note_connected(time));
+            }
         }
         if ready.is_writable() && self.job.is_some() && !self.flush(cx) {
             return;
--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -83,11 +83,18 @@
     busy: Vec<Busy>,
     dialled: u64,
     events: Fwd<Event>,
+    connected: Fwd<Duration>,
 }
 
 impl Client {
-    /// A client whose `events` get the progress of all calls.
-    pub fn init(cx: CX![], keeping: Keeping, events: Fwd<Event>) -> Option<Self> {
+    /// A client whose `events` get the progress of all calls; `connected` gets the time that each
+    /// connection took.
+    pub fn init(
+        cx: CX![],
+        keeping: Keeping,
+        events: Fwd<Event>,
+        connected: Fwd<Duration>,
+    ) -> Option<Self> {
         after!(SWEEP_PERIOD, [cx], sweep());
         Some(Self {
             keeping,
@@ -96,6 +103,7 @@
             busy: Vec::new(),
             dialled: 0,
             events,
+            connected,
         })
     }
 
@@ -190,6 +198,11 @@
         Some(self.busy.remove(index).connection)
     }
 
+    /// Takes note that a connection stands.
+    fn note_connected(&mut self, _: CX![], time: Duration) {
+        self.connected.fwd(time);
+    }
+
     /// Takes note that a call has ended, before its connection is kept or closed.
     fn finish(&mut self, _: CX![], attempt: Attempt) {
         self.forget(attempt);
--- a/crates/instance/src/replica/keeper.rs
+++ b/crates/instance/src/replica/keeper.rs
@@ -1,5 +1,6 @@
 //! The core of a voter with its storage and the machines that it feeds.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -34,6 +35,14 @@
     /// Bytes of entries applied since the last snapshot.
     applied_bytes: usize,
     leader: Option<Instance>,
+    /// Writes that are not synced yet.
+    writes: VecDeque<Writing>,
+}
+
+/// A write that is not synced yet.
+struct Writing {
+    ticket: u64,
+    since: Instant,
 }
 
 impl Keeper {
@@ -43,7 +52,15 @@
         metrics: Arc<Metrics>,
         log_limit: usize,
     ) -> Self {
-        Self { core, storage, metrics, log_limit, applied_bytes: 0, leader: None }
+        Self {
+            core,
+            storage,
+            metrics,
+            log_limit,
+            applied_bytes: 0,
+            leader: None,
+            writes: VecDeque::new(),
+        }
     }
 
     pub(super) fn core(&self) -> &Core {
@@ -57,10 +74,13 @@
         input: Input,
         machines: &mut Machines,
     ) -> Vec<Effect> {
+        if let Input::Synced { ticket } = input {
+            self.observe_sync(now, ticket);
+        }
         let actions = self.core.step(now, input);
         let mut effects = Vec::new();
         for action in actions {
-            self.perform(action, machines, &mut effects);
+            self.perform(now, action, machines, &mut effects);
         }
         if self.is_compaction_due() {
             let index = self.core.commit();
@@ -73,10 +93,26 @@
         effects
     }
 
-    fn perform(&mut self, action: Action, machines: &mut Machines, effects: &mut Vec<Effect>) {
+    fn observe_sync(&mut self, now: Instant, ticket: u64) {
+        while let Some(writing) = self.writes.pop_front_if(|writing| writing.ticket <= ticket) {
+            let time = now.saturating_duration_since(writing.since);
+            self.metrics.replica.sync.observe(time.as_secs_f64());
+        }
+    }
+
+    fn perform(
+        &mut self,
+        now: Instant,
+        action: Action,
+        machines: &mut Machines,
+        effects: &mut Vec<Effect>,
+    ) {
         match action {
             Action::Send { addressee, envelope } => effects.push(Effect::Send(addressee, envelope)),
-            Action::Persist(write) => self.storage.write(write),
+            Action::Persist(write) => {
+                self.writes.push_back(Writing { ticket: write.ticket, since: now });
+                self.storage.write(write);
+            }
             Action::Apply { index, entry } => self.apply(index, entry, machines, effects),
             Action::Restore(snapshot) => {
                 self.metrics.replica.installs.inc();
@@ -115,6 +151,7 @@
         metrics.term.set(i64::try_from(self.core.term().0).unwrap_or(i64::MAX));
         metrics.commit.set(i64::try_from(self.core.commit().0).unwrap_or(i64::MAX));
         metrics.log_bytes.set(i64::try_from(self.core.log_bytes()).unwrap_or(i64::MAX));
+        metrics.is_voting.set(i64::from(self.core.is_voter()));
         metrics.is_leader.set(i64::from(self.core.is_leading(now)));
         let leader = self.core.leader_instance(now);
         if self.leader.as_ref() != leader {
--- a/crates/instance/src/replica/mod.rs
+++ b/crates/instance/src/replica/mod.rs
@@ -319,6 +319,8 @@
     /// What was acknowledged is at a quorum; this instance votes no more until then.
     fn lose_disk(&mut self, cx: CX![], error: &state::Error) {
         log::error!("the replicated log is closed for {} ms: {error}", REOPEN_PAUSE.as_millis());
+        self.metrics.replica.is_voting.set(0);
+        self.metrics.replica.is_leader.set(0);
         self.keeper = None;
         self.storage = None;
         after!(REOPEN_PAUSE, [cx], reopen());
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use catalogue::{Catalogue, Command, Document, Newest, Number, Outcome};
@@ -9,6 +10,7 @@
 use instance::{Part, Replica};
 use stakker::{Actor, CX, Fwd, after, call, ret_to};
 use state::Proposed;
+use telemetry::{Event as LogEvent, Metrics};
 
 use crate::feed::Feed;
 use crate::interface::{Interface, Order};
@@ -35,6 +37,9 @@
     replica: Actor<Replica>,
     feed: Actor<Feed>,
     newest: Rc<RefCell<Newest>>,
+    metrics: Arc<Metrics>,
+    /// Since when no quorum answers.
+    lost_since: Option<Instant>,
 }
 
 impl Control {
@@ -44,8 +49,9 @@
         replica: Actor<Replica>,
         feed: Actor<Feed>,
         newest: Rc<RefCell<Newest>>,
+        metrics: Arc<Metrics>,
     ) -> Option<Self> {
-        Some(Self { interface, replica, feed, newest })
+        Some(Self { interface, replica, feed, newest, metrics, lost_since: None })
     }
 
     /// Takes what happens on a connection.
@@ -85,41 +91,68 @@
         let number = match checked {
             Ok(catalogue) => catalogue.number(),
             Err(problem) => {
-                log::info!("a catalogue was refused: {problem}");
+                self.tell_offer(Number::default(), "invalid", &problem);
                 let problem = Problem::not_run(Status::BAD_REQUEST, "invalid_catalogue", problem);
                 reply.fwd(self.interface.control.refusal(problem));
                 return;
             }
         };
         if number <= self.newest.borrow().document().number {
-            log::info!("catalogue {number} changes nothing: a newer one is committed");
+            self.tell_offer(number, "outdated", "");
             reply.fwd(self.interface.control.acknowledgement());
             return;
         }
         let command = Command::Offer(Document::pack(number, text));
-        self.propose(cx, &command, (number, reply));
+        let bytes = postcard::to_allocvec(&command).unwrap_or_default();
+        let since = cx.now();
+        let proposed = ret_to!([cx], finish_offer(number, since, reply) as (Proposed));
+        call!([self.replica], propose(Part::Catalogue, bytes, proposed));
     }
 
-    fn propose(&mut self, cx: CX![], command: &Command, (number, reply): (Number, Fwd<Reply>)) {
-        let bytes = postcard::to_allocvec(command).unwrap_or_default();
-        let proposed = ret_to!([cx], finish_offer(number, reply) as (Proposed));
-        call!([self.replica], propose(Part::Catalogue, bytes, proposed));
+    fn tell_offer(&self, number: Number, outcome: &'static str, reason: &str) {
+        let (number, committed) = (number.0, self.newest.borrow().document().number.0);
+        let reason = reason.to_string();
+        LogEvent::Offered { number, committed, outcome, reason }.tell();
+    }
+
+    /// Notes whether a quorum answers.
+    fn note_quorum(&mut self, now: Instant, is_there: bool) {
+        let dependency = "quorum";
+        match (is_there, self.lost_since) {
+            (false, None) => {
+                self.lost_since = Some(now);
+                let reason = "no leader committed a proposal in time".to_string();
+                LogEvent::Lost { dependency, reason }.tell();
+            }
+            (true, Some(since)) => {
+                self.lost_since = None;
+                let after = now.saturating_duration_since(since).as_millis();
+                let after_ms = u64::try_from(after).unwrap_or(u64::MAX);
+                LogEvent::Regained { dependency, after_ms }.tell();
+            }
+            _ => {}
+        }
     }
 
     fn finish_offer(
         &mut self,
-        _: CX![],
+        cx: CX![],
         number: Number,
+        since: Instant,
         reply: Fwd<Reply>,
         proposed: Option<Proposed>,
     ) {
-        let answer = match held(proposed) {
-            Some(held) => {
-                log::info!("catalogue {number} is acknowledged; {held} is committed");
+        let now = cx.now();
+        let held = held(proposed);
+        self.note_quorum(now, held.is_some());
+        let answer = match held {
+            Some(_) => {
+                self.metrics.relay.commit.observe((now - since).as_secs_f64());
+                self.tell_offer(number, "acknowledged", "");
                 self.interface.control.acknowledgement()
             }
             None => {
-                log::warn!("catalogue {number} is not acknowledged: no quorum answered");
+                self.tell_offer(number, "no-quorum", "");
                 self.interface.control.refusal(no_quorum())
             }
         };
@@ -136,7 +169,9 @@
     }
 
     fn finish_read(&mut self, cx: CX![], reading: Reading, proposed: Option<Proposed>) {
-        match held(proposed) {
+        let held = held(proposed);
+        self.note_quorum(cx.now(), held.is_some());
+        match held {
             Some(number) => self.send_document(cx, reading, number),
             None => reading.reply.fwd(self.interface.control.refusal(no_quorum())),
         }
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -1,9 +1,12 @@
 //! The actor that knows the newest catalogue and the upstreams, and spreads them.
 
 mod message;
+mod shelf;
 
 use std::cell::RefCell;
+use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use catalogue::{Catalogue, Document, Newest, Number};
@@ -12,11 +15,13 @@
 use roster::{Announcement, Record, Roster, Taken};
 use stakker::{Actor, CX, Fwd, after, call};
 use state::Index;
+use telemetry::{Event, Metrics};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport};
 
 use crate::interface::Documents;
 use instance::View;
 use message::Message;
+use shelf::{Kept, Shelf};
 
 /// How often an instance tells those that it follows what it has. News are pushed; this finds
 /// what was lost, well within the time in which a change has to be in force.
@@ -78,22 +83,28 @@
     heard: Vec<Upstream>,
     fetched_at: Option<Instant>,
     listeners: Listeners,
+    shelf: Option<Shelf>,
+    metrics: Arc<Metrics>,
 }
 
 impl Feed {
     pub(crate) fn init(
         cx: CX![],
-        is_control: bool,
+        data_folder: Option<PathBuf>,
         hub: Actor<Hub>,
         documents: Rc<dyn Documents>,
         newest: Rc<RefCell<Newest>>,
         listeners: Listeners,
+        metrics: Arc<Metrics>,
     ) -> Option<Self> {
+        let is_control = data_folder.is_some();
         after!(FOLLOW_PERIOD, [cx], follow());
         if is_control {
             after!(HEARD_PERIOD, [cx], tell_heard());
         }
-        Some(Self {
+        let opened = data_folder.and_then(|folder| Shelf::open(&folder));
+        let (shelf, kept) = opened.map_or((None, Kept::default()), |(one, kept)| (Some(one), kept));
+        let mut feed = Self {
             hub,
             documents,
             newest,
@@ -106,13 +117,30 @@
             heard: Vec::new(),
             fetched_at: None,
             listeners,
-        })
+            shelf,
+            metrics,
+        };
+        feed.take_kept(cx.now(), kept);
+        Some(feed)
+    }
+
+    /// Starts with what the last run knew.
+    fn take_kept(&mut self, now: Instant, kept: Kept) {
+        for record in kept.records {
+            self.roster.take(now, record);
+        }
+        if let Some(document) = kept.document {
+            self.newest.borrow_mut().adopt(document);
+            self.take_newest("disk");
+        }
+        self.list();
     }
 
     /// Follows all control instances that live.
     pub(crate) fn set_view(&mut self, _: CX![], view: View) {
         let controls = view.members.into_iter().filter(|member| member.is_control);
         let sources: Vec<Instance> = controls.map(|member| member.instance).collect();
+        self.metrics.relay.sources.set(i64::try_from(sources.len()).unwrap_or(i64::MAX));
         let added: Vec<Instance> =
             sources.iter().filter(|source| !self.sources.contains(source)).cloned().collect();
         self.sources = sources;
@@ -155,17 +183,20 @@
 
     /// Tells followers of the committed document, after the log has changed it.
     pub(crate) fn note_applied(&mut self, _: CX![], _: Index) {
-        if self.take_newest() {
+        if self.take_newest("log") {
             self.tell_followers(Transport::Udp, &Message::Standing(self.number()));
         }
     }
 
     /// Puts the newest document in force; false when it is in force already.
-    fn take_newest(&mut self) -> bool {
+    fn take_newest(&mut self, source: &str) -> bool {
         let number = self.number();
         if number <= self.in_force {
             return false;
         }
+        if let Some(shelf) = &self.shelf {
+            shelf.keep_document(self.newest.borrow().document().clone());
+        }
         let text = self.newest.borrow().document().text();
         let read = text.ok_or_else(|| "it cannot be unpacked".to_string());
         let read = read.and_then(|text| self.documents.read(&text));
@@ -173,7 +204,10 @@
             read.and_then(|draft| Catalogue::try_from(draft).map_err(|error| error.to_string()));
         match read {
             Ok(catalogue) => {
-                log::info!("catalogue {number} is in force, after {}", self.in_force);
+                let (number, before) = (number.0, self.in_force.0);
+                let source = source.to_string();
+                Event::Catalogue { number, before, source }.tell();
+                let number = Number(number);
                 self.in_force = number;
                 self.listeners.catalogue.fwd(Rc::new(catalogue));
             }
@@ -200,8 +234,8 @@
                 let document = self.newest.borrow().document().clone();
                 self.send(sender, Transport::Tcp, &Message::Document(document));
             }
-            Message::Document(document) => self.adopt(document),
-            Message::Records(records) => self.learn(now, records),
+            Message::Document(document) => self.adopt(&sender, document),
+            Message::Records(records) => self.learn(now, &sender, records),
             Message::Heard(upstreams) => {
                 upstreams.iter().for_each(|upstream| self.roster.hear(now, upstream));
                 self.told = Some(now);
@@ -234,10 +268,10 @@
         }
     }
 
-    fn adopt(&mut self, document: Document) {
+    fn adopt(&mut self, sender: &Instance, document: Document) {
         self.fetched_at = None;
         if self.newest.borrow_mut().adopt(document) {
-            self.take_newest();
+            self.take_newest(sender.as_str());
             if self.is_control {
                 self.tell_followers(Transport::Udp, &Message::Standing(self.number()));
             }
@@ -245,11 +279,11 @@
     }
 
     /// Learns records of another instance, and passes on what is new.
-    fn learn(&mut self, now: Instant, records: Vec<Record>) {
+    fn learn(&mut self, now: Instant, sender: &Instance, records: Vec<Record>) {
         let mut news = Vec::new();
         for record in records {
             if self.roster.take(now, record.clone()) == Taken::News {
-                note(&record.announcement);
+                note(&record.announcement, sender.as_str());
                 news.push(record);
             }
         }
@@ -263,6 +297,9 @@
         if self.is_control {
             self.tell_followers(Transport::Tcp, &Message::Records(news));
         }
+        if let Some(shelf) = &self.shelf {
+            shelf.keep_records(self.roster.records());
+        }
         self.list();
     }
 
@@ -288,7 +325,7 @@
         let record = Record { announcement };
         match self.roster.take(cx.now(), record.clone()) {
             Taken::News => {
-                note(&record.announcement);
+                note(&record.announcement, "itself");
                 self.heard(upstream);
                 self.spread(vec![record]);
             }
@@ -310,7 +347,7 @@
         if self.roster.withdraw(cx.now(), &upstream, born) == Taken::News
             && let Some(record) = self.roster.get(&upstream).cloned()
         {
-            note(&record.announcement);
+            note(&record.announcement, "itself");
             self.spread(vec![record]);
         }
         reply.fwd(acknowledgement);
@@ -335,14 +372,15 @@
     }
 }
 
-fn note(announcement: &Announcement) {
-    log::info!(
-        "upstream {} of service {} at {}: {} (run {}, announcement {})",
-        announcement.upstream,
-        announcement.service,
-        announcement.address,
-        announcement.standing,
-        announcement.born,
-        announcement.sequence
-    );
+fn note(announcement: &Announcement, source: &str) {
+    Event::Upstream {
+        upstream: announcement.upstream.to_string(),
+        service: announcement.service.to_string(),
+        address: announcement.address.to_string(),
+        standing: announcement.standing.to_string(),
+        born: announcement.born,
+        sequence: announcement.sequence,
+        source: source.to_string(),
+    }
+    .tell();
 }
--- a/crates/relay/src/forwarder/active.rs
+++ b/crates/relay/src/forwarder/active.rs
@@ -20,6 +20,8 @@
     /// Prompt tokens that the upstream probably has to read.
     pub(super) tokens: f64,
     pub(super) has_head: bool,
+    /// HTTP status of its answer, 0 while there is none.
+    pub(super) status: u16,
     /// When its first byte came, and how many parts did.
     pub(super) first: Option<Instant>,
     pub(super) parts: u32,
@@ -49,6 +51,10 @@
     /// Whether the caller has the head of the answer.
     pub(super) is_started: bool,
     pub(super) tail: Option<Tail>,
+    /// Upstreams that could be chosen when it was last placed, and those among them that were
+    /// avoided.
+    pub(super) candidates: usize,
+    pub(super) unusable: usize,
     pub(super) timer: FixedTimerKey,
 }
 
--- a/crates/relay/src/forwarder/answering.rs
+++ b/crates/relay/src/forwarder/answering.rs
@@ -1,13 +1,19 @@
 //! Passes answers on, and decides what follows a failed attempt.
 
+use std::time::{Duration, Instant};
+
 use dispatch::{Event as CallEvent, Field, Progress, Verdict};
 use entry::{Reply, Status};
 use forward::Next;
 use names::Attempt;
-use stakker::{CX, call};
+use stakker::{CX, after, call};
+use telemetry::Event;
+
+use super::active::{Active, Running};
+use super::{Forwarder, millis, problems};
 
-use super::active::Running;
-use super::{Forwarder, problems};
+/// How often stalled streams are looked for.
+pub(super) const STALL_PERIOD: Duration = Duration::from_millis(200);
 
 impl Forwarder {
     /// Takes the progress of an attempt.
@@ -17,6 +23,11 @@
             return;
         };
         let id = self.links[index].request;
+        let is_heard = !matches!(progress, Progress::Failed { .. });
+        let running = self.active(id).and_then(|active| active.running.as_ref());
+        if let Some(upstream) = running.map(|one| one.upstream.clone()).filter(|_| is_heard) {
+            self.table.hear(cx.now(), &upstream);
+        }
         match progress {
             Progress::Head { status, headers } => self.take_head(cx, id, status, headers),
             Progress::Part(part) => self.take_part(cx, id, part),
@@ -41,11 +52,50 @@
     }
 
     /// Breaks off the attempt of a request, if one runs.
-    pub(super) fn stop_attempt(&mut self, cx: CX![], id: names::Request) {
-        if let Some(running) = self.end_attempt(cx, id) {
-            let attempt = running.attempt;
-            call!([self.client], cancel(attempt));
+    pub(super) fn stop_attempt(&mut self, cx: CX![], id: names::Request) -> Option<Running> {
+        let running = self.end_attempt(cx, id)?;
+        let attempt = running.attempt;
+        call!([self.client], cancel(attempt));
+        Some(running)
+    }
+
+    fn tell_failed(
+        &mut self,
+        now: Instant,
+        id: names::Request,
+        running: &Running,
+        verdict: Verdict,
+        reason: &str,
+        next: Next,
+    ) {
+        if let Some(active) = self.active(id) {
+            Event::Failed {
+                request: active.ask.id.clone(),
+                attempt: running.attempt.to_string(),
+                upstream: running.upstream.to_string(),
+                verdict: verdict.to_string(),
+                reason: reason.to_string(),
+                after_ms: millis(now.saturating_duration_since(running.since)),
+                next: next.to_string(),
+            }
+            .tell();
+        }
+    }
+
+    /// Has streams go on elsewhere whose upstream has stalled.
+    pub(super) fn check_stalls(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let is_stuck = |active: &&Active| {
+            let running = active.running.as_ref().filter(|one| one.has_head);
+            active.tail.is_some()
+                && running.is_some_and(|one| self.table.is_stalled(now, &one.upstream))
+        };
+        let stuck: Vec<_> = self.actives.iter().filter(is_stuck).map(Active::id).collect();
+        for id in stuck {
+            let running = self.stop_attempt(cx, id);
+            self.go_on(cx, id, running, Verdict::MayHaveRun, "the upstream sent nothing");
         }
+        after!(STALL_PERIOD, [cx], check_stalls());
     }
 
     /// Gives up an attempt that did not answer, for another one.
@@ -66,11 +116,10 @@
         if after.next(|| window.take(now, allowance, entries)) != Next::Again {
             return;
         }
-        if let Some(running) = self.end_attempt(cx, id) {
-            log::info!("upstream {} did not answer; another one is asked", running.upstream);
+        if let Some(running) = self.stop_attempt(cx, id) {
             self.table.failed(now, &service, &running.upstream, false);
-            let attempt = running.attempt;
-            call!([self.client], cancel(attempt));
+            let (verdict, reason) = (Verdict::MayHaveRun, "no answer in the time of an attempt");
+            self.tell_failed(now, id, &running, verdict, reason, Next::Again);
         }
         if let Some(active) = self.active(id) {
             active.runs += 1;
@@ -89,6 +138,7 @@
             return;
         };
         running.has_head = true;
+        running.status = status;
         let (upstream, tokens) = (running.upstream.clone(), running.tokens);
         self.table.read(&upstream, tokens);
         if let Some(report) = answer.load {
@@ -98,15 +148,18 @@
             self.table.replaced(&upstream);
         }
         if answer.is_other || answer.has_not_run {
-            log::info!("upstream {upstream} did not run a request ({status})");
-            self.discard(cx, id);
-            self.go_on(cx, id, Verdict::NotRun);
+            let running = self.discard(cx, id);
+            let reason = format!("the upstream answered {status} and did not run the request");
+            self.go_on(cx, id, running, Verdict::NotRun, &reason);
             return;
         }
         if status >= 500 {
             self.table.failed(now, &service, &upstream, false);
             if self.is_worth_another(cx, id) {
-                self.discard(cx, id);
+                if let Some(running) = self.discard(cx, id) {
+                    let reason = format!("the upstream answered {status}");
+                    self.tell_failed(now, id, &running, Verdict::Answered, &reason, Next::Again);
+                }
                 if let Some(active) = self.active(id) {
                     active.runs += 1;
                 }
@@ -132,11 +185,11 @@
     }
 
     /// Lets an attempt go whose answer is not for the caller.
-    fn discard(&mut self, cx: CX![], id: names::Request) {
-        if let Some(running) = self.end_attempt(cx, id) {
-            let attempt = running.attempt;
-            call!([self.client], discard(attempt));
-        }
+    fn discard(&mut self, cx: CX![], id: names::Request) -> Option<Running> {
+        let running = self.end_attempt(cx, id)?;
+        let attempt = running.attempt;
+        call!([self.client], discard(attempt));
+        Some(running)
     }
 
     /// Passes the head of an answer on.
@@ -146,9 +199,9 @@
         };
         if self.actives[index].is_started {
             if status != Status::OK.0 {
-                log::warn!("a stream could not go on: the upstream answered {status}");
-                self.stop_attempt(cx, id);
-                self.go_on(cx, id, Verdict::MayHaveRun);
+                let running = self.stop_attempt(cx, id);
+                let reason = format!("the upstream answered {status} in place of going on");
+                self.go_on(cx, id, running, Verdict::MayHaveRun, &reason);
             }
             return;
         }
@@ -189,9 +242,8 @@
             active.reply.fwd(Reply::Part(whole));
         }
         if let Err(flaw) = taken {
-            log::warn!("a stream cannot be followed: {flaw}");
-            self.stop_attempt(cx, id);
-            self.go_on(cx, id, Verdict::MayHaveRun);
+            let running = self.stop_attempt(cx, id);
+            self.go_on(cx, id, running, Verdict::MayHaveRun, &flaw.to_string());
         }
     }
 
@@ -208,6 +260,7 @@
         active.reply.fwd(Reply::End);
         let service = active.service.clone();
         if let Some(running) = self.end_attempt(cx, id) {
+            self.note_answered(now, id, &running);
             self.table.succeeded(&service, &running.upstream);
             let pace = match (running.first, running.parts) {
                 (Some(first), 2..) => {
@@ -225,19 +278,48 @@
         let Some(active) = self.active(id) else {
             return;
         };
-        let (service, request) = (active.service.clone(), active.ask.id.clone());
-        if let Some(running) = self.end_attempt(cx, id) {
+        let service = active.service.clone();
+        let running = self.stop_attempt(cx, id);
+        if let Some(running) = &running {
             let upstream = &running.upstream;
-            log::info!("request {request} failed at upstream {upstream} ({verdict}): {reason}");
             self.table.failed(now, &service, upstream, verdict == Verdict::NotRun);
-            let attempt = running.attempt;
-            call!([self.client], cancel(attempt));
+            for address in self.table.cut_with(now, upstream) {
+                call!([self.client], close_idle(address));
+            }
         }
-        self.go_on(cx, id, verdict);
+        self.go_on(cx, id, running, verdict, reason);
+    }
+
+    /// Logs and counts a request that has its answer.
+    fn note_answered(&mut self, now: Instant, id: names::Request, running: &Running) {
+        let Some(active) = self.active(id) else {
+            return;
+        };
+        let total = now.saturating_duration_since(active.arrived);
+        let first = running.first.map_or(total, |at| at.saturating_duration_since(active.arrived));
+        let kind = active.route.repeat.to_string();
+        Event::Answered {
+            request: active.ask.id.clone(),
+            upstream: running.upstream.to_string(),
+            status: running.status,
+            first_ms: millis(first),
+            total_ms: millis(total),
+            attempts: active.tried.len(),
+        }
+        .tell();
+        self.metrics.relay.observe_answer(&kind, first, total, running.parts);
+        self.count_end(kind, "answered", "none");
     }
 
     /// Decides what follows an attempt that ended with `verdict`.
-    fn go_on(&mut self, cx: CX![], id: names::Request, verdict: Verdict) {
+    fn go_on(
+        &mut self,
+        cx: CX![],
+        id: names::Request,
+        running: Option<Running>,
+        verdict: Verdict,
+        reason: &str,
+    ) {
         let now = cx.now();
         let Some(active) = self.active(id) else {
             return;
@@ -251,6 +333,9 @@
         let (entries, allowance) = (self.entries, self.allowance);
         let window = &mut self.flow(&service).window;
         let next = setback.next(|| window.take(now, allowance, entries));
+        if let Some(running) = running {
+            self.tell_failed(now, id, &running, verdict, reason, next);
+        }
         match next {
             Next::Again => {
                 self.place(cx, id);
@@ -263,9 +348,9 @@
                 self.place(cx, id);
                 return;
             }
-            Next::Refuse => self.refuse(id, problems::refused(now, deadline)),
-            Next::Fail => self.refuse(id, problems::failed()),
-            Next::Cut => self.reply(id, Reply::Cut),
+            Next::Refuse => self.refuse(now, id, problems::refused(now, deadline)),
+            Next::Fail => self.refuse(now, id, problems::failed()),
+            Next::Cut => self.cut(now, id, "upstream_failed"),
         }
         self.finish(cx, id);
     }
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -17,13 +17,16 @@
 use instance::View;
 use names::{Attempt, Service};
 use settings::Settings;
-use stakker::{Actor, ActorOwn, CX, FixedTimerKey, Fwd, StopCause, actor, at, call, fail, fwd_to};
-use telemetry::Metrics;
+use stakker::{
+    Actor, ActorOwn, CX, FixedTimerKey, Fwd, StopCause, actor, after, at, call, fail, fwd_to,
+};
+use telemetry::{self as events, EndLabels, Metrics};
 
 use crate::feed::Listing;
-use crate::interface::Interface;
+use crate::interface::{Ask, Interface};
 use crate::pages::Readiness;
 use active::Active;
+use answering::STALL_PERIOD;
 use upstreams::Table;
 
 /// How long an idle connection to an upstream is kept, if the upstream does not say.
@@ -70,6 +73,7 @@
     entries: usize,
     near_entries: usize,
     line_timer: FixedTimerKey,
+    is_ready: bool,
 }
 
 impl Forwarder {
@@ -81,19 +85,26 @@
         readiness: Actor<Readiness>,
     ) -> Option<Self> {
         let events = fwd_to!([cx], take() as (CallEvent));
+        let shared = metrics.clone();
+        let connected = Fwd::new(move |time| shared.relay.observe_connect(time));
         let keeping = Keeping { idle: IDLE_SPAN, margin: IDLE_MARGIN, silence: SILENT_SPAN };
         let client = actor!(
             cx,
-            Client::init(keeping, events),
+            Client::init(keeping, events, connected),
             stakker::ret_some_to!([cx], client_ended() as (StopCause))
         );
+        after!(STALL_PERIOD, [cx], check_stalls());
         let direct = &settings.direct;
         let allowance = Allowance {
             ratio: direct.repeat_ratio,
             extra: direct.repeat_extra,
             span: direct.repeat_window.as_duration(),
         };
-        let table = Table::new(settings.data_centre.clone(), direct.announce_period.as_duration());
+        let table = Table::new(
+            settings.data_centre.clone(),
+            direct.announce_period.as_duration(),
+            metrics.clone(),
+        );
         Some(Self {
             settings,
             interface,
@@ -110,6 +121,7 @@
             entries: 1,
             near_entries: 1,
             line_timer: FixedTimerKey::default(),
+            is_ready: false,
         })
     }
 
@@ -149,8 +161,19 @@
         self.serve_lines(cx);
     }
 
-    fn check_ready(&self) {
-        let is_ready = self.catalogue.is_some() && self.table.ready() > 0;
+    /// The number of the catalogue in force, 0 for none.
+    fn number(&self) -> u64 {
+        self.catalogue.as_ref().map_or(0, |catalogue| catalogue.number().0)
+    }
+
+    fn check_ready(&mut self) {
+        let upstreams = self.table.ready();
+        let is_ready = self.catalogue.is_some() && upstreams > 0;
+        if is_ready != self.is_ready {
+            self.is_ready = is_ready;
+            let catalogue = self.number();
+            events::Event::Ready { is_ready, upstreams, catalogue }.tell();
+        }
         call!([self.readiness], set_ready(is_ready));
     }
 
@@ -172,7 +195,10 @@
     }
 
     fn arrive(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
-        match self.admit(cx.now(), request, &reply) {
+        let ask = self.interface.callers.read(&request);
+        let name = ask.as_ref().map_or(String::new(), |ask| ask.id.clone());
+        let admitted = ask.and_then(|ask| self.admit(cx.now(), request, ask, &reply));
+        match admitted.map_err(|problem| (name, problem)) {
             Ok(active) => {
                 let (id, deadline) = (active.id(), active.deadline);
                 self.flow(&active.service).count_request(cx.now());
@@ -181,9 +207,24 @@
                 self.actives[place].timer = at!(deadline, [cx], expire(id));
                 self.place(cx, id);
             }
-            Err(problem) => {
+            Err((request, problem)) => {
                 self.metrics.count_refused(&problem.code);
-                log::info!("request refused: {}", problem.message);
+                events::Event::Refused {
+                    request,
+                    service: String::new(),
+                    status: problem.status.0,
+                    reason: problem.code.clone(),
+                    verdict: problem.verdict.to_string(),
+                    retry_after_ms: problem.retry_after.map(millis),
+                    after_ms: 0,
+                    left_ms: 0,
+                    runs: 0,
+                    refusals: 0,
+                    candidates: 0,
+                    unusable: 0,
+                    catalogue: self.number(),
+                }
+                .tell();
                 reply.fwd(self.interface.callers.refusal(problem));
             }
         }
@@ -194,10 +235,10 @@
         &self,
         now: Instant,
         mut request: Request,
+        ask: Ask,
         reply: &Fwd<Reply>,
     ) -> Result<Active, Problem> {
         let catalogue = self.catalogue.as_ref().ok_or_else(problems::not_ready)?;
-        let ask = self.interface.callers.read(&request)?;
         let path = request.path.split(['?', '#']).next().unwrap_or_default();
         let route = catalogue
             .route(&ask.host, path)
@@ -231,6 +272,8 @@
             running: None,
             is_started: false,
             tail,
+            candidates: 0,
+            unusable: 0,
             timer: FixedTimerKey::default(),
         })
     }
@@ -262,6 +305,18 @@
 
     /// Ends a request whose caller went away; its upstream is told by the closed connection.
     fn leave(&mut self, cx: CX![], id: names::Request) {
+        let now = cx.now();
+        if let Some(active) = self.active(id) {
+            events::Event::Left {
+                request: active.ask.id.clone(),
+                after_ms: millis(now.saturating_duration_since(active.arrived)),
+                was_sent: !active.tried.is_empty(),
+            }
+            .tell();
+            let verdict = if active.tried.is_empty() { "not-run" } else { "may-have-run" };
+            let kind = active.route.repeat.to_string();
+            self.count_end(kind, verdict, "caller_left");
+        }
         self.stop_attempt(cx, id);
         self.finish(cx, id);
     }
@@ -276,31 +331,62 @@
         let (now, deadline) = (cx.now(), active.deadline);
         self.stop_attempt(cx, id);
         match (is_started, may_have_run) {
-            (true, _) => self.reply(id, Reply::Cut),
-            (false, true) => self.refuse(id, problems::timed_out()),
-            (false, false) => self.refuse(id, problems::full(now, deadline)),
+            (true, _) => self.cut(now, id, "deadline"),
+            (false, true) => self.refuse(now, id, problems::timed_out()),
+            (false, false) => self.refuse(now, id, problems::full(now, deadline)),
         }
         self.finish(cx, id);
     }
 
+    fn count_end(&self, kind: String, verdict: &str, reason: &str) {
+        let (verdict, reason) = (verdict.to_string(), reason.to_string());
+        self.metrics.relay.count_end(&EndLabels { kind, verdict, reason });
+    }
+
+    /// Cuts an answer so that its caller can tell that it is not whole.
+    fn cut(&mut self, now: Instant, id: names::Request, reason: &str) {
+        let Some(active) = self.active(id) else {
+            return;
+        };
+        events::Event::Cut {
+            request: active.ask.id.clone(),
+            reason: reason.to_string(),
+            after_ms: millis(now.saturating_duration_since(active.arrived)),
+        }
+        .tell();
+        active.reply.fwd(Reply::Cut);
+        let kind = active.route.repeat.to_string();
+        self.count_end(kind, "may-have-run", reason);
+    }
+
     fn reply(&mut self, id: names::Request, reply: Reply) {
         if let Some(active) = self.active(id) {
             active.reply.fwd(reply);
         }
     }
 
-    fn refuse(&mut self, id: names::Request, problem: Problem) {
+    fn refuse(&mut self, now: Instant, id: names::Request, problem: Problem) {
         self.metrics.count_refused(&problem.code);
+        let catalogue = self.number();
         if let Some(active) = self.active(id) {
-            log::info!(
-                "request {} of service {} ends with {} ({}) after {} runs and {} refusals",
-                active.ask.id,
-                active.service,
-                problem.status,
-                problem.code,
-                active.runs,
-                active.refusals
-            );
+            events::Event::Refused {
+                request: active.ask.id.clone(),
+                service: active.service.to_string(),
+                status: problem.status.0,
+                reason: problem.code.clone(),
+                verdict: problem.verdict.to_string(),
+                retry_after_ms: problem.retry_after.map(millis),
+                after_ms: millis(now.saturating_duration_since(active.arrived)),
+                left_ms: millis(active.deadline.saturating_duration_since(now)),
+                runs: active.runs,
+                refusals: active.refusals,
+                candidates: active.candidates,
+                unusable: active.unusable,
+                catalogue,
+            }
+            .tell();
+            let kind = active.route.repeat.to_string();
+            self.count_end(kind, &problem.verdict.to_string(), &problem.code);
         }
         let refusal = self.interface.callers.refusal(problem);
         self.reply(id, refusal);
@@ -318,6 +404,11 @@
     }
 }
 
+/// Whole milliseconds.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl Flow {
     fn count_request(&mut self, now: Instant) {
         // Requests are counted over a longer span than any setting asks for.
--- a/crates/relay/src/forwarder/placing.rs
+++ b/crates/relay/src/forwarder/placing.rs
@@ -8,9 +8,10 @@
 use names::Attempt;
 use rand::RngExt;
 use stakker::{CX, FixedTimerKey, at, call};
+use telemetry::{Cause, Event};
 
 use super::active::Running;
-use super::{Forwarder, Link, problems};
+use super::{Forwarder, Link, millis, problems};
 
 /// How long connecting to an upstream may take: many round trips between data centres, and one
 /// lost packet at the start.
@@ -65,14 +66,17 @@
         let catalogue = self.catalogue.as_ref();
         let service = catalogue.and_then(|one| one.service(&active.service)).cloned();
         let chosen = self.choose(&candidates, service.as_ref(), active.wish());
+        let active = &mut self.actives[index];
+        active.candidates = candidates.len();
+        active.unusable = candidates.iter().filter(|one| one.is_avoided).count();
         let Some(candidate) = chosen.map(|place| &candidates[place]) else {
             return false;
         };
-        let tokens = active.own_tokens();
-        let Some(place) = self.table.begin(&candidate.upstream, tokens) else {
+        let (tokens, load) = (active.own_tokens(), candidate.load);
+        let Some(place) = self.table.begin(now, &candidate.upstream, tokens) else {
             return false;
         };
-        let connections = self.connections(service.as_ref());
+        let (connections, number) = (self.connections(service.as_ref()), self.number());
         let attempt = Attempt(rand::rng().random());
         let active = &mut self.actives[index];
         let leg = active.leg(now, place.upstream.clone());
@@ -90,6 +94,29 @@
             idle_at_most: if is_once { YOUNG_IDLE } else { Duration::MAX / 4 },
             connections,
         };
+        let cause = match (active.is_started, active.tried.is_empty()) {
+            (true, _) => Cause::Resumed,
+            (false, true) => Cause::First,
+            (false, false) => Cause::Again,
+        };
+        Event::Sent {
+            request: active.ask.id.clone(),
+            service: active.service.to_string(),
+            attempt: attempt.to_string(),
+            cause,
+            upstream: place.upstream.to_string(),
+            load,
+            heard_ms: millis(now.saturating_duration_since(place.heard)),
+            candidates: candidates.len(),
+            left_ms: millis(active.deadline.saturating_duration_since(now)),
+            catalogue: number,
+        }
+        .tell();
+        self.metrics.relay.count_attempt(&cause.to_string());
+        if cause == Cause::First {
+            let waited = now.saturating_duration_since(active.arrived);
+            self.metrics.relay.observe_queueing(&active.route.repeat.to_string(), waited);
+        }
         active.tried.push(place.upstream.clone());
         let timer = match give_up_at(active, now) {
             Some(at) => at!(at, [cx], give_up(id, attempt)),
@@ -101,6 +128,7 @@
             since: now,
             tokens,
             has_head: false,
+            status: 0,
             first: None,
             parts: 0,
             timer,
@@ -148,7 +176,12 @@
             self.give_back(cx, id);
             return;
         }
-        self.flow(&service).line.push(rank, until, id);
+        let (request, candidates) = (active.ask.id.clone(), active.candidates);
+        let patience_ms = millis(until.saturating_duration_since(cx.now()));
+        let line = &mut self.flow(&service).line;
+        line.push(rank, until, id);
+        let (waiting, service) = (line.len() - 1, service.to_string());
+        Event::Queued { request, service, rank, candidates, waiting, patience_ms }.tell();
         self.watch_lines(cx);
     }
 
@@ -159,9 +192,9 @@
         };
         let (now, deadline) = (cx.now(), active.deadline);
         match (active.is_started, active.runs > 0) {
-            (true, _) => self.reply(id, entry::Reply::Cut),
-            (false, true) => self.refuse(id, problems::failed()),
-            (false, false) => self.refuse(id, problems::full(now, deadline)),
+            (true, _) => self.cut(now, id, "no_upstream"),
+            (false, true) => self.refuse(now, id, problems::failed()),
+            (false, false) => self.refuse(now, id, problems::full(now, deadline)),
         }
         self.finish(cx, id);
     }
@@ -169,6 +202,8 @@
     /// Sets the timer for those who wait.
     fn watch_lines(&mut self, cx: CX![]) {
         let next = self.flows.iter().filter_map(|flow| flow.line.next_expiry()).min();
+        let waiting: usize = self.flows.iter().map(|flow| flow.line.len()).sum();
+        self.metrics.relay.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
         cx.timer_del(self.line_timer);
         if let Some(next) = next {
             self.line_timer = at!(next, [cx], expire_lines());
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -11,6 +11,9 @@
 /// still on time is shorter than that.
 const LONGEST_RETURN: Duration = Duration::from_millis(800);
 
+/// How long an instance may need to learn the catalogue after its start.
+const START_SPAN: Duration = Duration::from_millis(1000);
+
 /// Callers use a hint that is at most this part of their time left.
 const RETURN_PART: u32 = 3;
 
@@ -22,7 +25,7 @@
 
 pub(super) fn not_ready() -> Problem {
     let message = "this instance knows no catalogue yet; ask again in a moment";
-    Problem::not_run(Status::UNAVAILABLE, "not_ready", message).with_retry_after(SHORTEST_RETURN)
+    Problem::not_run(Status::UNAVAILABLE, "not_ready", message).with_retry_after(START_SPAN)
 }
 
 pub(super) fn unknown_key() -> Problem {
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -1,12 +1,14 @@
 //! The upstreams as the forwarder sees them: what they hold, and which fail.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use dispatch::Health;
 use forward::{Candidate, Gauge, Report};
 use names::{DataCentre, Service, Upstream};
 use roster::{Announcement, Standing};
+use telemetry::Metrics;
 
 use crate::feed::{Known, Listing};
 
@@ -19,12 +21,37 @@
 /// How recent the last word of a control instance must be for silence to mean something.
 const TOLD_SPAN: Duration = Duration::from_millis(2500);
 
+/// How long an upstream with requests may send nothing at all before others are preferred: engines
+/// send events of other requests meanwhile, and plain services answer most requests sooner.
+const STALL: Duration = Duration::from_millis(700);
+
+/// For how long a data centre is avoided after one of its upstreams was lost while none of them
+/// sent anything.
+const CUT_SPAN: Duration = Duration::from_millis(1000);
+
+/// What is known of the way to a data centre.
+struct Way {
+    data_centre: DataCentre,
+    heard: Option<Instant>,
+    lost: Option<Instant>,
+}
+
+impl Way {
+    /// Whether the data centre seems to be out of reach.
+    fn is_cut(&self, now: Instant) -> bool {
+        let is_recent = self.lost.is_some_and(|lost| now < lost + CUT_SPAN);
+        is_recent && self.heard < self.lost
+    }
+}
+
 struct Entry {
     announcement: Announcement,
     heard: Instant,
     gauge: Gauge,
     /// Another upstream answered at its address.
     is_replaced: bool,
+    /// Since when it has requests and has sent nothing.
+    quiet_since: Option<Instant>,
 }
 
 /// All upstreams, sorted by name.
@@ -35,19 +62,28 @@
     entries: Vec<Entry>,
     told: Option<Instant>,
     health: Health,
+    ways: Vec<Way>,
+    metrics: Arc<Metrics>,
 }
 
 /// Where an upstream is called.
 pub(super) struct Place {
     pub(super) upstream: Upstream,
     pub(super) address: SocketAddr,
+    /// When the upstream was heard last.
+    pub(super) heard: Instant,
 }
 
 impl Table {
-    pub(super) fn new(data_centre: DataCentre, announce_period: Duration) -> Self {
+    pub(super) fn new(
+        data_centre: DataCentre,
+        announce_period: Duration,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         let silence = announce_period * MISSED_ANNOUNCEMENTS + ANNOUNCEMENT_DELAY;
         let health = Health::default();
-        Self { data_centre, silence, entries: Vec::new(), told: None, health }
+        let (entries, ways) = (Vec::new(), Vec::new());
+        Self { data_centre, silence, entries, told: None, health, ways, metrics }
     }
 
     /// Takes the upstreams that did not leave; gives the addresses that nobody is at any more.
@@ -74,6 +110,7 @@
                     heard: *heard,
                     gauge: Gauge::default(),
                     is_replaced: false,
+                    quiet_since: None,
                 },
             };
             self.entries.push(entry);
@@ -105,13 +142,17 @@
         let all = ready.map(|entry| {
             let announcement = &entry.announcement;
             let is_silent = is_told && now > entry.heard + self.silence;
+            let is_cut = self.is_cut(now, &announcement.data_centre);
             Candidate {
                 upstream: announcement.upstream.clone(),
                 is_near: announcement.data_centre == self.data_centre,
                 load: entry.gauge.load(now, sharers),
                 slots: announcement.slots,
                 backlog: entry.gauge.backlog(),
-                is_avoided: is_silent || avoided.contains(&announcement.upstream),
+                is_avoided: is_silent
+                    || is_cut
+                    || entry.is_stalled(now)
+                    || avoided.contains(&announcement.upstream),
             }
         });
         let all: Vec<Candidate> = all.collect();
@@ -124,11 +165,63 @@
         self.entries.iter_mut().find(|one| one.announcement.upstream == *upstream)
     }
 
+    fn is_cut(&self, now: Instant, data_centre: &DataCentre) -> bool {
+        self.ways.iter().any(|way| way.data_centre == *data_centre && way.is_cut(now))
+    }
+
+    fn way(&mut self, data_centre: &DataCentre) -> &mut Way {
+        let found = self.ways.iter().position(|way| way.data_centre == *data_centre);
+        let index = found.unwrap_or_else(|| {
+            self.ways.push(Way { data_centre: data_centre.clone(), heard: None, lost: None });
+            self.ways.len() - 1
+        });
+        &mut self.ways[index]
+    }
+
+    /// Notes that bytes came from `upstream`.
+    pub(super) fn hear(&mut self, now: Instant, upstream: &Upstream) {
+        let Some(entry) = self.entry(upstream) else {
+            return;
+        };
+        entry.quiet_since = Some(now);
+        let data_centre = entry.announcement.data_centre.clone();
+        self.way(&data_centre).heard = Some(now);
+    }
+
+    /// Whether `upstream` has requests and has sent nothing for a while.
+    pub(super) fn is_stalled(&self, now: Instant, upstream: &Upstream) -> bool {
+        let found = self.entries.iter().find(|one| one.announcement.upstream == *upstream);
+        found.is_some_and(|entry| entry.is_stalled(now))
+    }
+
+    /// The addresses of other upstreams that seem to be cut off together with `upstream`.
+    pub(super) fn cut_with(&self, now: Instant, upstream: &Upstream) -> Vec<SocketAddr> {
+        let found = self.entries.iter().find(|one| one.announcement.upstream == *upstream);
+        let Some(data_centre) = found.map(|entry| &entry.announcement.data_centre) else {
+            return Vec::new();
+        };
+        if !self.is_cut(now, data_centre) {
+            return Vec::new();
+        }
+        let of_centre = self.entries.iter().map(|entry| &entry.announcement);
+        let of_centre = of_centre.filter(|one| one.data_centre == *data_centre);
+        of_centre.map(|one| one.address).collect()
+    }
+
     /// Notes a request that is sent with `tokens` to be read; gives where to.
-    pub(super) fn begin(&mut self, upstream: &Upstream, tokens: f64) -> Option<Place> {
+    pub(super) fn begin(
+        &mut self,
+        now: Instant,
+        upstream: &Upstream,
+        tokens: f64,
+    ) -> Option<Place> {
         let entry = self.entry(upstream)?;
+        if entry.gauge.own() == 0 {
+            entry.quiet_since = Some(now);
+        }
         entry.gauge.begin(tokens);
-        Some(Place { upstream: upstream.clone(), address: entry.announcement.address })
+        let (address, heard) = (entry.announcement.address, entry.heard);
+        Some(Place { upstream: upstream.clone(), address, heard })
     }
 
     /// Notes that `tokens` of a request were read or are no more needed.
@@ -142,6 +235,9 @@
     pub(super) fn end(&mut self, upstream: &Upstream) {
         if let Some(entry) = self.entry(upstream) {
             entry.gauge.end();
+            if entry.gauge.own() == 0 {
+                entry.quiet_since = None;
+            }
         }
     }
 
@@ -154,9 +250,10 @@
 
     /// Notes that another upstream answered in place of this one.
     pub(super) fn replaced(&mut self, upstream: &Upstream) {
-        log::info!("upstream {upstream}: another one answered at its address");
         if let Some(entry) = self.entry(upstream) {
             entry.is_replaced = true;
+            let service = entry.announcement.service.clone();
+            self.tell_avoided(&service, upstream, "replaced");
         }
     }
 
@@ -173,12 +270,17 @@
         upstream: &Upstream,
         is_lost: bool,
     ) {
+        let data_centre = self.entry(upstream).map(|one| one.announcement.data_centre.clone());
+        if let Some(data_centre) = data_centre.filter(|_| is_lost) {
+            self.way(&data_centre).lost = Some(now);
+        }
         let finding = match is_lost {
             true => self.health.lost(service, upstream, now),
             false => self.health.failed(service, upstream, now),
         };
         if finding == dispatch::Finding::Avoided {
-            log::info!("upstream {upstream} of service {service} is avoided for a while");
+            let reason = if is_lost { "unreachable" } else { "failures" };
+            self.tell_avoided(service, upstream, reason);
         }
     }
 
@@ -191,13 +293,23 @@
         pace: Duration,
     ) {
         if self.health.paced(service, upstream, pace, now) == dispatch::Finding::Avoided {
-            let millis = pace.as_millis();
-            log::info!("upstream {upstream} of service {service} is slow ({millis} ms), avoided");
+            self.tell_avoided(service, upstream, "slow");
         }
     }
+
+    fn tell_avoided(&mut self, service: &Service, upstream: &Upstream, reason: &'static str) {
+        let own = self.entry(upstream).map_or(0, |entry| entry.gauge.own());
+        let (upstream, service) = (upstream.to_string(), service.to_string());
+        telemetry::Event::Avoided { upstream, service, reason, own }.tell();
+        self.metrics.relay.count_avoided(reason);
+    }
 }
 
 impl Entry {
+    fn is_stalled(&self, now: Instant) -> bool {
+        self.quiet_since.is_some_and(|since| now > since + STALL)
+    }
+
     fn is_ready(&self) -> bool {
         self.announcement.standing == Standing::Ready && !self.is_replaced
     }
--- a/crates/relay/src/pages.rs
+++ b/crates/relay/src/pages.rs
@@ -18,9 +18,6 @@
     }
 
     pub(crate) fn set_ready(&mut self, _: CX![], is_ready: bool) {
-        if is_ready != self.is_ready {
-            log::info!("ready: {is_ready}");
-        }
         self.is_ready = is_ready;
     }
 
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -15,7 +15,7 @@
     ActorOwn, CX, Fwd, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop,
 };
 use state::Index;
-use telemetry::Metrics;
+use telemetry::{Event as LogEvent, Metrics};
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Run, Slice, Traffic};
 
 use crate::Error;
@@ -136,6 +136,9 @@
             let peer = Peer { instance: peer.instance.clone(), address: peer.address };
             call!([hub], set_peer(peer));
         }
+        let run = identity.run.get().to_string();
+        let roles: Vec<String> = settings.roles.iter().map(ToString::to_string).collect();
+        let roles = roles.join(",");
         let newest = Rc::new(RefCell::new(Newest::default()));
         let entry = bound.callers.map(|callers| {
             Self::build_entry(cx, &settings, &interface, &metrics, callers, bound.ready)
@@ -144,11 +147,12 @@
         let feed = actor!(
             cx,
             Feed::init(
-                settings.has_role(Role::Control),
+                settings.data_folder.clone().filter(|_| settings.has_role(Role::Control)),
                 hub.clone(),
                 interface.documents.clone(),
                 newest.clone(),
                 listeners,
+                metrics.clone(),
             ),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
@@ -164,7 +168,13 @@
             call!([replica], attach(Part::Catalogue, machine, applied));
             let control = actor!(
                 cx,
-                Control::init(interface.clone(), replica.clone(), feed.clone(), newest.clone(),),
+                Control::init(
+                    interface.clone(),
+                    replica.clone(),
+                    feed.clone(),
+                    newest.clone(),
+                    metrics.clone(),
+                ),
                 ret_some_to!([cx], child_ended() as (StopCause))
             );
             let handler = fwd_to!([control], handle() as (Event));
@@ -200,11 +210,7 @@
         let stops = fwd_to!([cx], begin_stop() as (()));
         stop.connect(mailbox(cx, stops));
         after!(RELOAD_PERIOD, [cx], reload());
-        log::info!(
-            "instance {} in data centre {}: started",
-            settings.instance,
-            settings.data_centre
-        );
+        LogEvent::Started { data_centre: settings.data_centre.to_string(), roles, run }.tell();
         Some(Self {
             settings,
             source,
@@ -308,7 +314,8 @@
     fn reload(&mut self, cx: CX![]) {
         match self.source.changed() {
             Ok(Some(settings)) => {
-                log::info!("settings changed: the seeds are {:?}", settings.seeds);
+                let seeds: Vec<String> = settings.seeds.iter().map(ToString::to_string).collect();
+                LogEvent::Reloaded { seeds: seeds.join(",") }.tell();
                 call!([self.members], add_peers(settings.peers));
             }
             Ok(None) => {}
@@ -321,7 +328,7 @@
         if self.stopping_since.is_some() {
             return;
         }
-        log::info!("instance {} stops", self.settings.instance);
+        LogEvent::Stopping { is_entry: self.entry.is_some() }.tell();
         let now = cx.now();
         self.stopping_since = Some(now);
         call!([self.members], drain());
@@ -356,7 +363,7 @@
     }
 
     fn end(&mut self, cx: CX![]) {
-        log::info!("instance {} stopped", self.settings.instance);
+        LogEvent::Stopped.tell();
         stop!(cx);
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -12,5 +12,5 @@
 pub use context::Context;
 pub use direct::Direct;
 pub use error::Error;
-pub use model::{Limits, Listen, Peer, Retries, RetryLimit, Role, Settings, Timing};
+pub use model::{Limits, Listen, Logs, Peer, Retries, RetryLimit, Role, Settings, Timing};
 pub use policies::Policies;
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -130,6 +130,22 @@
     }
 }
 
+/// How much is logged at most, where logs go to standard output.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Logs {
+    /// Lines a second.
+    pub lines: u64,
+    /// Bytes a second.
+    pub bytes: Size,
+}
+
+impl Default for Logs {
+    fn default() -> Self {
+        Self { lines: 400, bytes: Size::from_kibibytes(96) }
+    }
+}
+
 /// What limits the retries of failed attempts.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
@@ -233,6 +249,9 @@
     /// Writes log lines as JSON.
     #[serde(default)]
     pub json_logs: bool,
+    /// How much is logged at most.
+    #[serde(default)]
+    pub logs: Logs,
 }
 
 impl Settings {
--- a/crates/state/src/disk/opening.rs
+++ b/crates/state/src/disk/opening.rs
@@ -68,6 +68,15 @@
         Error::Damaged { folder: self.folder.label(), file: file.to_string(), offset, problem }
     }
 
+    /// Reads a file; none when it does not exist.
+    pub(super) fn read_file<T>(&self, name: &str) -> Result<Option<T>, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let names = self.folder.names().map_err(self.failed("list", ""))?;
+        self.read_if_there(&names, name)
+    }
+
     fn read_if_there<T>(&self, names: &[String], name: &str) -> Result<Option<T>, Error>
     where
         T: DeserializeOwned,
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use crate::chunks::Chunks;
 pub use crate::core::{Action, Core, Flow, Input, Recovered, Role, Start, Timing, Write};
-pub use disk::{DataFolder, Folder, Journal, Report, Storage};
+pub use disk::{DataFolder, Folder, Journal, Report, Sheets, Storage};
 pub use entry::{Entry, Indexed, Payload, Snapshot};
 pub use error::Error;
 pub use id::{Ballot, Origin, Position, Term, Voter};
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -18,6 +18,12 @@
     /// Logs were started before.
     #[error("logs were started before: {0}")]
     Started(#[from] log::SetLoggerError),
+    /// The system gives no thread.
+    #[error("logs have no thread: {source}")]
+    Thread {
+        /// The system's error.
+        source: std::io::Error,
+    },
 }
 
 /// Starts logs on standard error; as JSON lines when `as_json` holds.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -9,7 +9,10 @@
 use prometheus_client::registry::Registry;
 
 use crate::answers::seconds;
-use crate::{Answers, ContextMetrics, LedgerMetrics, Membership, ReplicaMetrics, UpstreamMetrics};
+use crate::{
+    Answers, ContextMetrics, LedgerMetrics, Membership, RelayMetrics, ReplicaMetrics,
+    UpstreamMetrics,
+};
 
 /// Reasons that are shown at zero from the start, so that an alert sees their first increase.
 const SHOWN_REASONS: [&str; 18] = [
@@ -76,6 +79,8 @@
     pub context: ContextMetrics,
     /// Members and permits.
     pub membership: Membership,
+    /// Requests that are forwarded without owners of upstreams.
+    pub relay: RelayMetrics,
 }
 
 impl Default for Metrics {
@@ -120,6 +125,7 @@
         registry.register_collector(Box::new(by_upstream.clone()));
         let context = ContextMetrics::register(&mut registry);
         let membership = Membership::register(&mut registry);
+        let relay = RelayMetrics::register(&mut registry);
         Self {
             registry,
             requests,
@@ -131,6 +137,7 @@
             by_upstream,
             context,
             membership,
+            relay,
             revision,
             active,
             upstreams,
--- a/crates/telemetry/src/replica.rs
+++ b/crates/telemetry/src/replica.rs
@@ -4,8 +4,11 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::answers::seconds;
+
 /// Labels of a proposal that has ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ProposalLabels {
@@ -16,12 +19,15 @@
 const SHOWN_OUTCOMES: [&str; 3] = ["applied", "not-run", "unknown"];
 
 /// Metrics of the replicated log at one instance.
-#[derive(Default)]
 pub struct ReplicaMetrics {
     /// The newest term seen.
     pub term: Gauge,
     /// 1 while this instance leads.
     pub is_leader: Gauge,
+    /// 1 while this instance votes.
+    pub is_voting: Gauge,
+    /// Time from a write to its sync.
+    pub sync: Histogram,
     /// Last committed entry that is known.
     pub commit: Gauge,
     /// Bytes of entries held in memory.
@@ -38,10 +44,23 @@
 impl ReplicaMetrics {
     /// All metrics at zero, registered under `replica`.
     pub(crate) fn new(registry: &mut Registry) -> Self {
-        let metrics = Self::default();
+        let metrics = Self {
+            term: Gauge::default(),
+            is_leader: Gauge::default(),
+            is_voting: Gauge::default(),
+            sync: seconds(),
+            commit: Gauge::default(),
+            log_bytes: Gauge::default(),
+            snapshots: Counter::default(),
+            installs: Counter::default(),
+            leader_changes: Counter::default(),
+            proposals: Family::default(),
+        };
         let registry = registry.sub_registry_with_prefix("replica");
         registry.register("term", "Newest term seen", metrics.term.clone());
         registry.register("is_leader", "1 while this instance leads", metrics.is_leader.clone());
+        registry.register("is_voting", "1 while this instance votes", metrics.is_voting.clone());
+        registry.register("sync_seconds", "Time from a write to its sync", metrics.sync.clone());
         registry.register("commit_index", "Last committed entry", metrics.commit.clone());
         registry.register("log_bytes", "Bytes of entries in memory", metrics.log_bytes.clone());
         registry.register("snapshots", "Snapshots taken", metrics.snapshots.clone());
--- /dev/null
+++ b/tests/support/machines.rs
@@ -0,0 +1,244 @@
+//! Fleets that are found from seeds alone, as on the users' platform: every process has an IP
+//! number of its own, and all use the same ports.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use super::process::{Process, wait_for};
+use super::worker::{Exchange, exchange, exchange_within};
+
+const CALLERS_PORT: u16 = 8227;
+const READY_PORT: u16 = 8220;
+const CONTROL_PORT: u16 = 8229;
+const PEERS_PORT: u16 = 7340;
+const METRICS_PORT: u16 = 9464;
+
+/// Instances with the control role have numbers below this one.
+const FIRST_ENTRY: u8 = 100;
+
+pub const KEY: &str = "key-of-the-family";
+
+static NEXT_NETWORK: AtomicU8 = AtomicU8::new(1);
+
+/// A process, running or not.
+pub struct Machine {
+    pub ip: Ipv4Addr,
+    is_control: bool,
+    folder: PathBuf,
+    pub process: Option<Process>,
+}
+
+impl Machine {
+    fn address(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip.into(), port)
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        self.address(CALLERS_PORT)
+    }
+
+    pub fn control(&self) -> SocketAddr {
+        self.address(CONTROL_PORT)
+    }
+
+    pub fn metrics(&self) -> SocketAddr {
+        self.address(METRICS_PORT)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        exchange(self.address(READY_PORT), "GET", "/v1/readiness", &[], "")
+            .is_ok_and(|answer| answer.status == 200)
+    }
+
+    pub fn settings(&self) -> PathBuf {
+        self.folder.join("settings.yaml")
+    }
+
+    pub fn log(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(self.log()).unwrap_or_default()
+    }
+
+    /// Lines of the log that report `event`.
+    pub fn events(&self, event: &str) -> Vec<Value> {
+        let lines = self.log_text();
+        let lines = lines.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        lines.filter(|line| line["event"] == event).collect()
+    }
+
+    pub fn process(&mut self) -> &mut Process {
+        self.process.as_mut().unwrap()
+    }
+
+    pub fn kill(&mut self) {
+        self.process = None;
+    }
+
+    pub fn wipe(&self) {
+        std::fs::remove_dir_all(self.folder.join("data")).unwrap();
+    }
+
+    pub fn start(&mut self) {
+        let variable = ("TURMERICRELAY_BOOT", self.settings());
+        let variable = (variable.0, variable.1.as_path());
+        self.process = Some(Process::start_with(&["platform"], variable, self.log()));
+    }
+
+    pub fn start_unread(&mut self) {
+        let path = self.settings();
+        let variable = ("TURMERICRELAY_BOOT", path.as_path());
+        self.process = Some(Process::start_unread(&["platform"], variable, self.log()));
+    }
+
+    /// Writes the settings file as the platform would render it.
+    pub fn write_settings(&self, seeds: &[SocketAddr], is_first_start: bool) {
+        let role = if self.is_control { "control" } else { "entry" };
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let ip = self.ip;
+        let folder = match self.is_control {
+            true => format!("data_folder: \"{}\"\n", self.folder.join("data").display()),
+            false => String::new(),
+        };
+        let text = format!(
+            "instance: \"{ip}\"\ndata_centre: giza\nroles: [{role}]\n\
+             listen:\n  callers: \"{ip}:{CALLERS_PORT}\"\n  operators: \"{ip}:{CONTROL_PORT}\"\n  \
+             peers: \"{ip}:{PEERS_PORT}\"\n  ready: \"{ip}:{READY_PORT}\"\n  \
+             metrics: \"{ip}:{METRICS_PORT}\"\n{folder}seeds: [{}]\n\
+             first_start: {is_first_start}\nlosses_borne: 1\n\
+             fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
+             direct:\n  announce_period: 300ms\n",
+            seeds.join(", ")
+        );
+        std::fs::write(self.settings(), text).unwrap();
+    }
+}
+
+/// Control and entry instances on loopback.
+pub struct Machines {
+    network: (u8, u8),
+    _folder: TempDir,
+    root: PathBuf,
+    pub controls: Vec<Machine>,
+    pub entries: Vec<Machine>,
+}
+
+impl Machines {
+    /// Starts a new fleet.
+    pub fn start(controls: u8, entries: u8) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let process = std::process::id();
+        let network =
+            (1 + (process % 250) as u8, 100 + NEXT_NETWORK.fetch_add(1, Ordering::Relaxed) % 150);
+        let root = folder.path().to_path_buf();
+        let mut fleet =
+            Self { network, _folder: folder, root, controls: Vec::new(), entries: Vec::new() };
+        for number in 1..=controls {
+            let machine = fleet.machine(number);
+            fleet.controls.push(machine);
+        }
+        for number in 0..entries {
+            let machine = fleet.machine(FIRST_ENTRY + number);
+            fleet.entries.push(machine);
+        }
+        let seeds = fleet.seeds();
+        for machine in fleet.controls.iter_mut().chain(&mut fleet.entries) {
+            machine.write_settings(&seeds, true);
+            machine.start();
+        }
+        fleet
+    }
+
+    /// A machine that was never started.
+    pub fn machine(&self, number: u8) -> Machine {
+        let ip = Ipv4Addr::new(127, self.network.0, self.network.1, number);
+        let folder = self.root.join(number.to_string());
+        std::fs::create_dir_all(&folder).unwrap();
+        Machine { ip, is_control: number < FIRST_ENTRY, folder, process: None }
+    }
+
+    /// The control addresses of the first three control instances.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.controls.iter().take(3).map(Machine::control).collect()
+    }
+
+    /// Sends a document until an instance acknowledges it.
+    pub fn declare(&self, document: &Value) {
+        let text = document.to_string();
+        wait_for("acknowledgement of a document", || {
+            self.controls.iter().find_map(|machine| {
+                let answer = put_document(machine.control(), &text).ok()?;
+                (answer.status == 200).then_some(())
+            })
+        });
+    }
+
+    /// Waits until every entry instance has the document `number` in force.
+    pub fn await_ready_without_upstreams(&self, number: u64) {
+        for machine in &self.entries {
+            wait_for("a document in force", || {
+                let lines = machine.events("catalogue");
+                lines.iter().any(|line| line["number"] == number).then_some(())
+            });
+        }
+    }
+
+    /// Waits until every entry instance is ready with the document `number` in force.
+    pub fn await_ready(&self, number: u64) {
+        for machine in &self.entries {
+            wait_for("a ready instance", || {
+                let has_it =
+                    machine.events("catalogue").iter().any(|line| line["number"] == number);
+                (has_it && machine.is_ready()).then_some(())
+            });
+        }
+    }
+}
+
+pub fn put_document(address: SocketAddr, text: &str) -> std::io::Result<Exchange> {
+    let headers = [("content-type", "application/json")];
+    exchange_within(address, "PUT", "/v1/configuration", &headers, text, 5)
+}
+
+/// The number of the document that `address` says is the newest; none if it cannot say.
+pub fn newest_number(address: SocketAddr) -> Option<u64> {
+    let answer = exchange_within(address, "GET", "/v1/configuration", &[], "", 2).ok()?;
+    let document: Value = serde_json::from_slice(&answer.body).ok()?;
+    document["version"].as_u64().filter(|_| answer.status == 200)
+}
+
+fn route(name: &str, kind: &str, service: &str, resumes: bool) -> Value {
+    json!({
+        "name": name, "host": "api.example", "path-prefix": format!("/{name}/"), "kind": kind,
+        "timeout-ms": 6000, "objective-ms": 500, "priority": 1, "service": service,
+        "attempts": 2, "anonymous-access": false, "session-affinity": kind == "streaming",
+        "resume-streams": resumes, "gap-target-ms": 250,
+    })
+}
+
+/// A document with one route of each kind.
+pub fn document(number: u64) -> Value {
+    json!({
+        "version": number,
+        "routes": [
+            route("captions", "streaming", "engines", true),
+            route("reports", "streaming", "engines", false),
+            route("bookings", "unsafe", "shop", false),
+            route("albums", "safe", "shop", false),
+        ],
+        "services": [
+            { "name": "engines", "connection-limit": 64,
+              "engine": { "slots": 8, "cache-capacity-tokens": 100_000 } },
+            { "name": "shop", "connection-limit": 64 },
+        ],
+        "limits": { "header-bytes": 8192, "body-bytes": 65536, "header-timeout-ms": 3000,
+                    "idle-timeout-ms": 15000 },
+        "tenants": [{ "name": "family", "api-keys": [KEY] }],
+    })
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,8 +7,10 @@
 mod fleet;
 mod load;
 pub mod log;
+pub mod machines;
 mod process;
 mod proxy;
+pub mod worker;
 
 pub use client::*;
 pub use declaring::*;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -91,6 +91,22 @@
         Self { child, log }
     }
 
+    /// Starts a process with one variable set, that logs to standard output.
+    pub fn start_with(arguments: &[&str], (name, value): (&str, &Path), log: PathBuf) -> Self {
+        let output = File::options().create(true).append(true).open(&log).unwrap();
+        let errors = output.try_clone().unwrap();
+        let mut command = Command::new(PROGRAM);
+        command.args(arguments).env(name, value).stdout(output).stderr(errors);
+        Self { child: spawn(&mut command), log }
+    }
+
+    /// Starts a process whose standard output nobody reads.
+    pub fn start_unread(arguments: &[&str], (name, value): (&str, &Path), log: PathBuf) -> Self {
+        let mut command = Command::new(PROGRAM);
+        command.args(arguments).env(name, value).stdout(Stdio::piped()).stderr(Stdio::null());
+        Self { child: spawn(&mut command), log }
+    }
+
     pub fn id(&self) -> u32 {
         self.child.id()
     }
