--- a/crates/forward/src/gauge.rs
+++ b/crates/forward/src/gauge.rs
@@ -5,6 +5,9 @@
 /// How long a report of an upstream counts in full. Requests last about as long.
 const REPORT_SPAN: Duration = Duration::from_secs(2);
 
+/// How old what another instance passes on is at most.
+const HEARSAY_AGE: Duration = Duration::from_millis(500);
+
 /// What an upstream said of its load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Report {
@@ -64,6 +67,15 @@
         });
     }
 
+    /// Takes what another instance heard of the upstream a little earlier, unless this one heard
+    /// something itself since.
+    pub fn hear(&mut self, now: Instant, held: u32) {
+        let is_fresh = self.reported.is_some_and(|last| now < last.at + HEARSAY_AGE);
+        if !is_fresh {
+            self.report(now, Report { running: held, waiting: 0, slots: 0 });
+        }
+    }
+
     /// Prompt tokens of this instance that the upstream has probably not read yet.
     pub fn backlog(&self) -> f64 {
         self.backlog
--- a/crates/forward/tests/decisions.rs
+++ b/crates/forward/tests/decisions.rs
@@ -105,6 +105,10 @@
     gauge.end();
     assert_eq!(gauge.load(now, 3), 9.0);
     assert_eq!(gauge.load(now + Duration::from_secs(5), 3), 3.0);
+    gauge.hear(now + Duration::from_millis(100), 40);
+    assert_eq!(gauge.load(now, 3), 9.0, "its own word is newer");
+    gauge.hear(now + Duration::from_millis(900), 40);
+    assert_eq!(gauge.load(now + Duration::from_millis(900), 3), 40.0);
 }
 
 #[test]
--- a/crates/relay/src/feed/message.rs
+++ b/crates/relay/src/feed/message.rs
@@ -2,7 +2,7 @@
 
 use catalogue::{Document, Number};
 use names::Upstream;
-use roster::Record;
+use roster::{BUCKETS, Record};
 use serde::{Deserialize, Serialize};
 
 /// What travels in [`wire::Slice::Feed`].
@@ -17,6 +17,10 @@
     },
     /// The sender has the document with this number.
     Standing(Number),
+    /// Digests of the parts of the sender's roster, which differs from the receiver's.
+    Digests([u64; BUCKETS]),
+    /// Asks for the records of parts of the roster, whose bits are set.
+    Want(u16),
     /// Asks for the newest document.
     Fetch,
     /// A committed document.
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -4,19 +4,21 @@
 mod shelf;
 
 use std::cell::RefCell;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use catalogue::{Catalogue, Document, Newest, Number};
 use entry::Reply;
-use names::{Instance, Upstream};
+use membership::Member;
+use names::{DataCentre, Instance, Upstream};
 use roster::{Announcement, Record, Roster, Taken};
+use settings::{Role, Settings};
 use stakker::{Actor, CX, Fwd, after, call};
 use state::Index;
 use telemetry::{Event, Metrics};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::interface::Documents;
 use instance::View;
@@ -39,6 +41,13 @@
 /// How long an answer to a request for the document may take before another instance is asked.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Entry instances of a data centre that ask control instances for a new document.
+const OPENERS: usize = 2;
+
+/// How long the others wait for these, a small part of the time in which a document has to be in
+/// force everywhere.
+const OPENER_TIME: Duration = Duration::from_millis(500);
+
 /// An upstream that did not leave.
 #[derive(Debug, Clone)]
 pub(crate) struct Known {
@@ -68,6 +77,8 @@
 
 /// Keeps and spreads the newest catalogue and the roster of upstreams.
 pub(crate) struct Feed {
+    me: Instance,
+    data_centre: DataCentre,
     hub: Actor<Hub>,
     documents: Rc<dyn Documents>,
     newest: Rc<RefCell<Newest>>,
@@ -78,6 +89,8 @@
     is_control: bool,
     /// Control instances that are followed.
     sources: Vec<Instance>,
+    /// Other entry instances of the data centre.
+    neighbours: Vec<Instance>,
     followers: Vec<Follower>,
     /// Upstreams that announced themselves here since followers were told.
     heard: Vec<Upstream>,
@@ -90,14 +103,15 @@
 impl Feed {
     pub(crate) fn init(
         cx: CX![],
-        data_folder: Option<PathBuf>,
+        settings: Rc<Settings>,
         hub: Actor<Hub>,
         documents: Rc<dyn Documents>,
         newest: Rc<RefCell<Newest>>,
         listeners: Listeners,
         metrics: Arc<Metrics>,
     ) -> Option<Self> {
-        let is_control = data_folder.is_some();
+        let is_control = settings.has_role(Role::Control);
+        let data_folder = settings.data_folder.clone().filter(|_| is_control);
         after!(FOLLOW_PERIOD, [cx], follow());
         if is_control {
             after!(HEARD_PERIOD, [cx], tell_heard());
@@ -105,6 +119,8 @@
         let opened = data_folder.and_then(|folder| Shelf::open(&folder));
         let (shelf, kept) = opened.map_or((None, Kept::default()), |(one, kept)| (Some(one), kept));
         let mut feed = Self {
+            me: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
             hub,
             documents,
             newest,
@@ -113,6 +129,7 @@
             told: None,
             is_control,
             sources: Vec::new(),
+            neighbours: Vec::new(),
             followers: Vec::new(),
             heard: Vec::new(),
             fetched_at: None,
@@ -138,6 +155,9 @@
 
     /// Follows all control instances that live.
     pub(crate) fn set_view(&mut self, _: CX![], view: View) {
+        let is_near = |one: &&Member| !one.is_control && one.data_centre == self.data_centre;
+        let neighbours = view.members.iter().filter(is_near);
+        self.neighbours = neighbours.map(|member| member.instance.clone()).collect();
         let controls = view.members.into_iter().filter(|member| member.is_control);
         let sources: Vec<Instance> = controls.map(|member| member.instance).collect();
         self.metrics.relay.sources.set(i64::try_from(sources.len()).unwrap_or(i64::MAX));
@@ -229,7 +249,17 @@
         let now = cx.now();
         match message {
             Message::Follow { number, roster } => self.answer(now, sender, number, roster),
-            Message::Standing(number) => self.compare(now, sender, number),
+            Message::Standing(number) => self.hear_standing(cx, sender, number),
+            Message::Digests(digests) => {
+                let want = self.roster.differing(&digests);
+                if want != 0 {
+                    self.send(sender, Transport::Udp, &Message::Want(want));
+                }
+            }
+            Message::Want(buckets) => {
+                let records = Message::Records(self.roster.records_in(buckets));
+                self.send(sender, Transport::Tcp, &records);
+            }
             Message::Fetch => {
                 let document = self.newest.borrow().document().clone();
                 self.send(sender, Transport::Tcp, &Message::Document(document));
@@ -250,7 +280,8 @@
         self.followers.retain(|one| now < one.until && one.instance != sender);
         self.followers.push(Follower { instance: sender.clone(), until });
         if roster != self.roster.digest() {
-            self.send(sender.clone(), Transport::Tcp, &Message::Records(self.roster.records()));
+            let digests = Message::Digests(self.roster.digests());
+            self.send(sender.clone(), Transport::Udp, &digests);
         }
         if number < self.number() {
             let standing = Message::Standing(self.number());
@@ -259,6 +290,32 @@
         self.compare(now, sender, number);
     }
 
+    /// Hears that an instance has a document. Of the entry instances of a data centre a few ask a
+    /// control instance for it, whose link is narrow; the others wait for these.
+    fn hear_standing(&mut self, cx: CX![], sender: Instance, number: Number) {
+        if number <= self.number() {
+            return;
+        }
+        if self.is_control || self.neighbours.contains(&sender) || self.is_opener(number) {
+            self.compare(cx.now(), sender, number);
+        } else {
+            after!(OPENER_TIME, [cx], hear_late(sender, number));
+        }
+    }
+
+    /// Asks for a document that no neighbour brought in time.
+    fn hear_late(&mut self, cx: CX![], sender: Instance, number: Number) {
+        self.compare(cx.now(), sender, number);
+    }
+
+    /// Whether this instance is among those of its data centre that ask control instances first
+    /// for the document `number`.
+    fn is_opener(&self, number: Number) -> bool {
+        let weight = |one: &Instance| xxh3_64_with_seed(one.as_str().as_bytes(), number.0);
+        let own = weight(&self.me);
+        self.neighbours.iter().filter(|one| weight(one) > own).count() < OPENERS
+    }
+
     /// Asks for the document of an instance that has a newer one.
     fn compare(&mut self, now: Instant, sender: Instance, number: Number) {
         let is_asked = self.fetched_at.is_some_and(|at| now < at + FETCH_TIMEOUT);
@@ -272,8 +329,13 @@
         self.fetched_at = None;
         if self.newest.borrow_mut().adopt(document) {
             self.take_newest(sender.as_str());
+            let standing = Message::Standing(self.number());
             if self.is_control {
-                self.tell_followers(Transport::Udp, &Message::Standing(self.number()));
+                self.tell_followers(Transport::Udp, &standing);
+            } else if !self.neighbours.contains(sender) {
+                for neighbour in self.neighbours.clone() {
+                    self.send(neighbour, Transport::Udp, &standing);
+                }
             }
         }
     }
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -2,6 +2,7 @@
 
 mod active;
 mod answering;
+mod loads;
 mod placing;
 mod problems;
 mod upstreams;
@@ -15,18 +16,20 @@
 use entry::{Event, Problem, Reply, Request, Server};
 use forward::{Allowance, Line, Tail, Window};
 use instance::View;
-use names::{Attempt, Service};
+use names::{Attempt, Instance, Service};
 use settings::Settings;
 use stakker::{
     Actor, ActorOwn, CX, FixedTimerKey, Fwd, StopCause, actor, after, at, call, fail, fwd_to,
 };
 use telemetry::{self as events, EndLabels, Metrics};
+use wire::Hub;
 
 use crate::feed::Listing;
 use crate::interface::{Ask, Interface};
 use crate::pages::Readiness;
 use active::Active;
 use answering::STALL_PERIOD;
+use loads::PASS_PERIOD;
 use upstreams::Table;
 
 /// How long an idle connection to an upstream is kept, if the upstream does not say.
@@ -58,6 +61,7 @@
     settings: Rc<Settings>,
     interface: Interface,
     metrics: Arc<Metrics>,
+    hub: Actor<Hub>,
     client: ActorOwn<Client>,
     readiness: Actor<Readiness>,
     server: Option<Actor<Server>>,
@@ -72,6 +76,8 @@
     /// Entry instances in the fleet, and those in this data centre, with this one.
     entries: usize,
     near_entries: usize,
+    /// The other entry instances.
+    others: Vec<Instance>,
     line_timer: FixedTimerKey,
     is_ready: bool,
 }
@@ -82,6 +88,7 @@
         settings: Rc<Settings>,
         interface: Interface,
         metrics: Arc<Metrics>,
+        hub: Actor<Hub>,
         readiness: Actor<Readiness>,
     ) -> Option<Self> {
         let events = fwd_to!([cx], take() as (CallEvent));
@@ -94,6 +101,7 @@
             stakker::ret_some_to!([cx], client_ended() as (StopCause))
         );
         after!(STALL_PERIOD, [cx], check_stalls());
+        after!(PASS_PERIOD, [cx], pass_loads());
         let direct = &settings.direct;
         let allowance = Allowance {
             ratio: direct.repeat_ratio,
@@ -109,6 +117,7 @@
             settings,
             interface,
             metrics,
+            hub,
             client,
             readiness,
             server: None,
@@ -120,6 +129,7 @@
             allowance,
             entries: 1,
             near_entries: 1,
+            others: Vec::new(),
             line_timer: FixedTimerKey::default(),
             is_ready: false,
         })
@@ -182,7 +192,8 @@
         let entries = view.members.iter().filter(|member| !member.is_control);
         let near = entries.clone().filter(|one| one.data_centre == self.settings.data_centre);
         self.near_entries = near.count() + 1;
-        self.entries = entries.count() + 1;
+        self.others = entries.map(|member| member.instance.clone()).collect();
+        self.entries = self.others.len() + 1;
     }
 
     /// Takes what happens on a caller's connection.
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -11,8 +11,9 @@
 /// still on time is shorter than that.
 const LONGEST_RETURN: Duration = Duration::from_millis(800);
 
-/// How long an instance may need to learn the catalogue after its start.
-const START_SPAN: Duration = Duration::from_millis(1000);
+/// How long an instance needs to learn the catalogue when all start together: half a second in
+/// docs/incidents/nasr-sky.md.
+const START_SPAN: Duration = Duration::from_millis(500);
 
 /// Callers use a hint that is at most this part of their time left.
 const RETURN_PART: u32 = 3;
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -10,6 +10,7 @@
 use roster::{Announcement, Standing};
 use telemetry::Metrics;
 
+use super::loads::{Load, short_name};
 use crate::feed::{Known, Listing};
 
 /// Announcements that an upstream may miss before requests avoid it.
@@ -64,6 +65,8 @@
     health: Health,
     ways: Vec<Way>,
     metrics: Arc<Metrics>,
+    /// Loads reported since they were passed on.
+    observed: Vec<Load>,
 }
 
 /// Where an upstream is called.
@@ -83,7 +86,16 @@
         let silence = announce_period * MISSED_ANNOUNCEMENTS + ANNOUNCEMENT_DELAY;
         let health = Health::default();
         let (entries, ways) = (Vec::new(), Vec::new());
-        Self { data_centre, silence, entries, told: None, health, ways, metrics }
+        Self {
+            data_centre,
+            silence,
+            entries,
+            told: None,
+            health,
+            ways,
+            metrics,
+            observed: Vec::new(),
+        }
     }
 
     /// Takes the upstreams that did not leave; gives the addresses that nobody is at any more.
@@ -246,6 +258,23 @@
         if let Some(entry) = self.entry(upstream) {
             entry.gauge.report(now, report);
         }
+        let held = u16::try_from(report.running + report.waiting).unwrap_or(u16::MAX);
+        let load = Load { upstream: short_name(upstream), held };
+        self.observed.retain(|one| one.upstream != load.upstream);
+        self.observed.push(load);
+    }
+
+    /// What upstreams said of their load since this was last asked.
+    pub(super) fn take_observed(&mut self) -> Vec<Load> {
+        std::mem::take(&mut self.observed)
+    }
+
+    /// Takes the load of an upstream that another instance heard of.
+    pub(super) fn hear_load(&mut self, now: Instant, load: Load) {
+        let is_it = |entry: &&mut Entry| short_name(&entry.announcement.upstream) == load.upstream;
+        if let Some(entry) = self.entries.iter_mut().find(is_it) {
+            entry.gauge.hear(now, u32::from(load.held));
+        }
     }
 
     /// Notes that another upstream answered in place of this one.
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -1,6 +1,7 @@
 //! The actor that creates all others and leads the planned stop.
 
 use std::cell::RefCell;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,9 +11,9 @@
 use eventloop::mailbox;
 use instance::{Members, Part, Replica, Stop, View};
 use names::{Incarnation, Instance};
-use settings::{Role, Settings};
+use settings::Settings;
 use stakker::{
-    ActorOwn, CX, Fwd, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop,
+    Actor, ActorOwn, CX, Fwd, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop,
 };
 use state::Index;
 use telemetry::{Event as LogEvent, Metrics};
@@ -141,13 +142,14 @@
         let roles = roles.join(",");
         let newest = Rc::new(RefCell::new(Newest::default()));
         let entry = bound.callers.map(|callers| {
-            Self::build_entry(cx, &settings, &interface, &metrics, callers, bound.ready)
+            let hub = hub.clone();
+            Self::build_entry(cx, &settings, &interface, &metrics, hub, (callers, bound.ready))
         });
         let listeners = Self::listeners(entry.as_ref());
         let feed = actor!(
             cx,
             Feed::init(
-                settings.data_folder.clone().filter(|_| settings.has_role(Role::Control)),
+                settings.clone(),
                 hub.clone(),
                 interface.documents.clone(),
                 newest.clone(),
@@ -229,8 +231,8 @@
         settings: &Rc<Settings>,
         interface: &Interface,
         metrics: &Arc<Metrics>,
-        callers: std::net::TcpListener,
-        ready: Option<std::net::TcpListener>,
+        hub: Actor<Hub>,
+        (callers, ready): (TcpListener, Option<TcpListener>),
     ) -> Entry {
         let readiness =
             actor!(cx, Readiness::init(), ret_some_to!([cx], child_ended() as (StopCause)));
@@ -240,6 +242,7 @@
                 settings.clone(),
                 interface.clone(),
                 metrics.clone(),
+                hub,
                 readiness.clone(),
             ),
             ret_some_to!([cx], child_ended() as (StopCause))
@@ -306,6 +309,11 @@
             (Slice::Membership, _) => call!([self.members], deliver(delivery)),
             (Slice::Feed, _) => call!([self.feed], deliver(delivery)),
             (Slice::State, Some(control)) => call!([control.replica], deliver(delivery)),
+            (Slice::Load, _) => {
+                if let Some(entry) = &self.entry {
+                    call!([entry.forwarder], take_loads(delivery));
+                }
+            }
             (slice, _) => log::debug!("instance {}: no {slice} is kept here", delivery.sender),
         }
     }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -8,4 +8,4 @@
 mod roster;
 
 pub use record::{Announcement, Record, Standing};
-pub use roster::{Roster, Taken};
+pub use roster::{BUCKETS, Roster, Taken};
--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use names::Upstream;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Announcement, Record, Standing};
 
@@ -10,6 +11,15 @@
 /// does not bring it back. Announcements are late by some seconds.
 const MEMORY: Duration = Duration::from_secs(60);
 
+/// Parts of a roster that are compared one by one, so that rosters that differ a little exchange
+/// little.
+pub const BUCKETS: usize = 16;
+
+/// The bucket of an upstream.
+fn bucket(upstream: &Upstream) -> usize {
+    (xxh3_64(upstream.as_str().as_bytes()) % BUCKETS as u64) as usize
+}
+
 /// What became of an announcement or record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Taken {
@@ -112,13 +122,39 @@
         self.entries.iter().map(|entry| entry.record.clone()).collect()
     }
 
-    /// The same for rosters that say the same; upstreams that left do not count, since instances
-    /// forget them at different times.
-    pub fn digest(&self) -> u64 {
+    /// The records, also of those that left, in the buckets whose bits are set.
+    pub fn records_in(&self, buckets: u16) -> Vec<Record> {
         let records = self.entries.iter().map(|entry| &entry.record);
-        records
-            .filter(|record| record.announcement.standing != Standing::Gone)
-            .fold(0, |sum, record| sum ^ record.hash())
+        let wanted = records.filter(|record| {
+            let bucket = bucket(&record.announcement.upstream);
+            buckets & (1 << bucket) != 0
+        });
+        wanted.cloned().collect()
+    }
+
+    /// A digest of each bucket, the same for rosters that say the same. Upstreams that left do not
+    /// count, since instances forget them at different times.
+    pub fn digests(&self) -> [u64; BUCKETS] {
+        let mut digests = [0; BUCKETS];
+        for entry in &self.entries {
+            let announcement = &entry.record.announcement;
+            if announcement.standing != Standing::Gone {
+                digests[bucket(&announcement.upstream)] ^= entry.record.hash();
+            }
+        }
+        digests
+    }
+
+    /// The buckets in which this roster differs from `digests`, as bits.
+    pub fn differing(&self, digests: &[u64; BUCKETS]) -> u16 {
+        let own = self.digests();
+        let differ = (0..BUCKETS).filter(|bucket| own[*bucket] != digests[*bucket]);
+        differ.fold(0, |bits, bucket| bits | 1 << bucket)
+    }
+
+    /// One digest of the whole roster.
+    pub fn digest(&self) -> u64 {
+        self.digests().iter().fold(0, |sum, digest| sum ^ digest)
     }
 
     fn find(&self, upstream: &Upstream) -> Result<usize, usize> {
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -85,6 +85,34 @@
     assert_eq!(present(&one), present(&other));
 }
 
+#[test]
+fn rosters_that_differ_exchange_the_buckets_that_differ() {
+    let now = Instant::now();
+    let mut one = Roster::default();
+    for number in 0..64 {
+        let mut record = record(&format!("u{number}"), 1, 1, Standing::Ready);
+        record.announcement.address = format!("10.0.0.{number}:80").parse().unwrap();
+        one.take(now, record);
+    }
+    let mut other = Roster::default();
+    one.records().into_iter().for_each(|record| {
+        other.take(now, record);
+    });
+    assert_eq!(other.differing(&one.digests()), 0);
+    let mut changed = one.get(&"u7".parse().unwrap()).unwrap().clone();
+    changed.announcement.standing = Standing::Draining;
+    changed.announcement.sequence = 2;
+    one.take(now, changed);
+    let differing = other.differing(&one.digests());
+    assert_eq!(differing.count_ones(), 1);
+    let records = one.records_in(differing);
+    assert!(records.len() < 20);
+    for record in records {
+        other.take(now, record);
+    }
+    assert_eq!(one.digest(), other.digest());
+}
+
 #[test]
 fn what_is_silent_for_long_is_forgotten() {
     let now = Instant::now();
