--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -165,7 +165,8 @@
             return;
         }
         if ready.is_readable() || ready.is_error() {
-            self.read(cx);
+            let is_ending = ready.is_read_closed() || ready.is_error();
+            self.read(cx, is_ending);
         }
     }
 
@@ -190,8 +191,11 @@
         }
     }
 
-    fn read(&mut self, cx: CX![]) {
+    /// Reads what is there. A read that does not fill its buffer has taken all, and more bytes, or
+    /// an end that is not known yet, wake the loop again.
+    fn read(&mut self, cx: CX![], is_ending: bool) {
         loop {
+            let before = self.stream.wr - self.stream.rd;
             match self.stream.read(READ_BYTES) {
                 ReadStatus::NewData => {
                     let Some(job) = &mut self.job else {
@@ -199,9 +203,10 @@
                         self.retire(cx);
                         return;
                     };
+                    let taken = self.stream.wr - self.stream.rd - before;
                     job.reader.push(&self.stream.inp[self.stream.rd..self.stream.wr]);
                     self.stream.rd = self.stream.wr;
-                    if !self.take_pieces(cx) {
+                    if !self.take_pieces(cx) || (taken < READ_BYTES && !is_ending) {
                         return;
                     }
                 }
