--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -43,6 +43,10 @@
 /// lost packets take to be sent again, shorter than callers wait for the next event of a stream.
 const SILENT_SPAN: Duration = Duration::from_millis(2000);
 
+/// For how long instances that are out of sight count as sending still: what all may send
+/// together must not grow when the fleet is parted.
+const ENTRIES_MEMORY: Duration = Duration::from_secs(30);
+
 /// Requests of one service and what repeats they had.
 struct Flow {
     service: Service,
@@ -73,8 +77,11 @@
     links: Vec<Link>,
     flows: Vec<Flow>,
     allowance: Allowance,
-    /// Entry instances in the fleet, and those in this data centre, with this one.
+    /// Entry instances in the fleet, also those lost of sight lately, with this one.
     entries: usize,
+    /// When there were last so many.
+    entries_at: Instant,
+    /// Entry instances in this data centre, with this one.
     near_entries: usize,
     /// The other entry instances.
     others: Vec<Instance>,
@@ -128,6 +135,7 @@
             flows: Vec::new(),
             allowance,
             entries: 1,
+            entries_at: cx.now(),
             near_entries: 1,
             others: Vec::new(),
             line_timer: FixedTimerKey::default(),
@@ -188,12 +196,17 @@
     }
 
     /// Learns how many entry instances there are.
-    pub(crate) fn set_view(&mut self, _: CX![], view: View) {
+    pub(crate) fn set_view(&mut self, cx: CX![], view: View) {
         let entries = view.members.iter().filter(|member| !member.is_control);
         let near = entries.clone().filter(|one| one.data_centre == self.settings.data_centre);
         self.near_entries = near.count() + 1;
         self.others = entries.map(|member| member.instance.clone()).collect();
-        self.entries = self.others.len() + 1;
+        let now = cx.now();
+        let count = self.others.len() + 1;
+        if count >= self.entries || now > self.entries_at + ENTRIES_MEMORY {
+            self.entries = count;
+            self.entries_at = now;
+        }
     }
 
     /// Takes what happens on a caller's connection.
