--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -37,6 +37,12 @@
 /// other's requests only from what engines report, up to seconds late.
 const ESTIMATE_SHARE: f64 = 0.75;
 
+/// The same with many instances, each of which hears of a small part of the requests.
+const WIDE_ESTIMATE_SHARE: f64 = 0.6;
+
+/// Instances from which on they are many.
+const MANY_INSTANCES: usize = 16;
+
 /// Requests held for each slot of an engine at most; an engine queues a few by rank itself.
 const ENGINE_FILL: f64 = 1.1;
 
@@ -56,9 +62,12 @@
 }
 
 impl Affinity {
-    /// A policy that keeps every upstream's load at `bound` times the mean or less.
-    pub fn new(bound: f64) -> Self {
-        Self { bound: bound * ESTIMATE_SHARE }
+    /// A policy that keeps every upstream's load at `bound` times the mean or less, at each of so
+    /// many `instances`.
+    pub fn new(bound: f64, instances: usize) -> Self {
+        let is_wide = instances >= MANY_INSTANCES;
+        let share = if is_wide { WIDE_ESTIMATE_SHARE } else { ESTIMATE_SHARE };
+        Self { bound: bound * share }
     }
 
     fn is_within(&self, candidate: &Candidate, mean: f64, least_backlog: f64) -> bool {
--- a/crates/forward/tests/bound.rs
+++ b/crates/forward/tests/bound.rs
@@ -130,7 +130,7 @@
 #[test_case(4)]
 #[test_case(5)]
 fn few_requests_reach_an_engine_that_holds_twice_the_mean(seed: u64) {
-    let policy = Affinity::new(2.0);
+    let policy = Affinity::new(2.0, SHARES.len());
     let mut play = Play::new(seed);
     let mut over = Vec::new();
     for step in 0..2000 {
--- a/crates/forward/tests/policy.rs
+++ b/crates/forward/tests/policy.rs
@@ -34,9 +34,9 @@
 fn a_shared_context_stays_at_one_engine_while_loads_are_even() {
     let candidates = fleet(9);
     for key in 0..40 {
-        let first = Affinity::new(2.0).choose(&candidates, wish(key, 0)).unwrap();
+        let first = Affinity::new(2.0, 6).choose(&candidates, wish(key, 0)).unwrap();
         let same = (1..50)
-            .all(|lot| Affinity::new(2.0).choose(&candidates, wish(key, lot)) == Some(first));
+            .all(|lot| Affinity::new(2.0, 6).choose(&candidates, wish(key, lot)) == Some(first));
         assert!(same, "context {key} moved");
     }
 }
@@ -47,7 +47,7 @@
     let mut candidates = fleet(9);
     for index in 0..360 {
         let key = if index % 2 == 0 { 7 } else { lot(index) % 40 };
-        let chosen = Affinity::new(2.0).choose(&candidates, wish(key, lot(index))).unwrap();
+        let chosen = Affinity::new(2.0, 6).choose(&candidates, wish(key, lot(index))).unwrap();
         candidates[chosen].load += 1.0;
         let mean = (index + 1) as f64 / 9.0;
         assert!(candidates[chosen].load <= 2.0 * mean + 3.0, "request {index}");
@@ -60,14 +60,14 @@
 #[test]
 fn an_engine_that_reads_long_prompts_is_passed_over() {
     let mut candidates = fleet(9);
-    let first = Affinity::new(2.0).choose(&candidates, wish(3, 0)).unwrap();
+    let first = Affinity::new(2.0, 6).choose(&candidates, wish(3, 0)).unwrap();
     candidates[first].backlog = 30_000.0;
-    let second = Affinity::new(2.0).choose(&candidates, wish(3, 0)).unwrap();
+    let second = Affinity::new(2.0, 6).choose(&candidates, wish(3, 0)).unwrap();
     assert_ne!(first, second);
     for other in &mut candidates {
         other.backlog = 30_000.0;
     }
-    assert_eq!(Affinity::new(2.0).choose(&candidates, wish(3, 0)), Some(first));
+    assert_eq!(Affinity::new(2.0, 6).choose(&candidates, wish(3, 0)), Some(first));
 }
 
 #[test]
@@ -76,8 +76,8 @@
     let mut fewer = all.clone();
     let gone = fewer.remove(4).upstream;
     for key in 0..200 {
-        let before = &all[Affinity::new(2.0).choose(&all, wish(key, 0)).unwrap()].upstream;
-        let after = &fewer[Affinity::new(2.0).choose(&fewer, wish(key, 0)).unwrap()].upstream;
+        let before = &all[Affinity::new(2.0, 6).choose(&all, wish(key, 0)).unwrap()].upstream;
+        let after = &fewer[Affinity::new(2.0, 6).choose(&fewer, wish(key, 0)).unwrap()].upstream;
         assert!(before == after || *before == gone, "context {key} moved without need");
     }
 }
@@ -88,7 +88,7 @@
     candidates[0].is_avoided = true;
     candidates[1].is_avoided = true;
     let choose =
-        |candidates: &[Candidate], key| Affinity::new(2.0).choose(candidates, wish(key, 0));
+        |candidates: &[Candidate], key| Affinity::new(2.0, 6).choose(candidates, wish(key, 0));
     assert!((0..50).all(|key| choose(&candidates, key) == Some(2)));
     candidates[2].is_avoided = true;
     let used: Vec<usize> = (0..50).filter_map(|key| choose(&candidates, key)).collect();
@@ -99,8 +99,8 @@
 #[test]
 fn a_full_fleet_takes_nothing_more() {
     let candidates: Vec<Candidate> = (0..9).map(|index| candidate(index, 71.0)).collect();
-    assert_eq!(Affinity::new(2.0).choose(&candidates, wish(1, 1)), None);
-    assert_eq!(Affinity::new(2.0).choose(&[], wish(1, 1)), None);
+    assert_eq!(Affinity::new(2.0, 6).choose(&candidates, wish(1, 1)), None);
+    assert_eq!(Affinity::new(2.0, 6).choose(&[], wish(1, 1)), None);
     assert!(LEAST_LOAD.choose(&candidates, wish(1, 1)).is_some());
 }
 
--- a/crates/relay/src/forwarder/placing.rs
+++ b/crates/relay/src/forwarder/placing.rs
@@ -142,7 +142,7 @@
 
     fn choose(&self, candidates: &[Candidate], has_engine: bool, wish: Wish) -> Option<usize> {
         let policy: &dyn Policy = match has_engine {
-            true => &Affinity::new(self.settings.direct.load_bound),
+            true => &Affinity::new(self.settings.direct.load_bound, self.entries),
             false => &LeastLoad { fill: PLAIN_FILL, distance: DISTANCE },
         };
         policy.choose(candidates, wish)
