--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,7 +13,7 @@
 mod tail;
 mod window;
 
-pub use candidate::Candidate;
+pub use candidate::{Candidate, warmth};
 pub use gauge::{Gauge, Report};
 pub use line::Line;
 pub use policy::{Affinity, LeastLoad, Policy, Wish};
--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -55,6 +55,11 @@
     xxh3_64_with_seed(candidate.upstream.as_str().as_bytes(), key)
 }
 
+/// Whether a request with this `lot` is among those that a new upstream gets already.
+fn is_due(candidate: &Candidate, lot: u64) -> bool {
+    candidate.warmth >= 1.0 || (weight(candidate, lot) as f64) < candidate.warmth * u64::MAX as f64
+}
+
 fn mean_utilisation(candidates: &[Candidate]) -> f64 {
     let load: f64 = candidates.iter().map(|candidate| candidate.load).sum();
     let slots: f64 = candidates.iter().map(|candidate| f64::from(candidate.slots.max(1))).sum();
@@ -87,7 +92,14 @@
         let least_backlog = backlogs.fold(f64::INFINITY, f64::min);
         let mut order = usable.clone();
         order.sort_by_key(|index| std::cmp::Reverse(weight(&candidates[*index], key)));
-        let is_within = |index: &&usize| self.is_within(&candidates[**index], mean, least_backlog);
+        // Where most are new, there is nobody to go to meanwhile.
+        let old = usable.iter().filter(|index| candidates[**index].warmth >= 1.0).count();
+        let has_old = old * 2 > usable.len();
+        let is_within = |index: &&usize| {
+            let candidate = &candidates[**index];
+            (!has_old || is_due(candidate, wish.lot))
+                && self.is_within(candidate, mean, least_backlog)
+        };
         if let Some(index) = order.iter().find(is_within) {
             return Some(*index);
         }
--- a/crates/forward/tests/bound.rs
+++ b/crates/forward/tests/bound.rs
@@ -102,6 +102,7 @@
                     load: gauge.load(self.now, sharers),
                     slots: 128,
                     backlog: gauge.backlog(),
+                    warmth: 1.0,
                     is_avoided: false,
                 }
             })
--- a/crates/forward/tests/policy.rs
+++ b/crates/forward/tests/policy.rs
@@ -13,6 +13,7 @@
         load,
         slots: 64,
         backlog: 0.0,
+        warmth: 1.0,
         is_avoided: false,
     }
 }
@@ -115,3 +116,26 @@
     candidates[0].load = 3.0;
     assert_ne!(LEAST_LOAD.choose(&candidates, plain), Some(0));
 }
+
+/// An engine joins a loaded fleet; answers releases and additions of engines.
+#[test]
+fn a_new_engine_gets_its_contexts_bit_by_bit() {
+    let mut candidates = fleet(9);
+    let own = |candidates: &[Candidate]| {
+        let requests = (0..4000).map(|number| wish(number % 200, lot(number)));
+        let chosen = requests.map(|wish| Affinity::new(2.0, 6).choose(candidates, wish).unwrap());
+        chosen.filter(|index| *index == 4).count()
+    };
+    let whole = own(&candidates);
+    candidates[4].warmth = forward::warmth(std::time::Duration::ZERO);
+    let first = own(&candidates);
+    assert!(first * 3 < whole && first > 0, "{first} of {whole}");
+    candidates[4].warmth = forward::warmth(std::time::Duration::from_secs(3));
+    let later = own(&candidates);
+    assert!(later > first && later < whole, "{later} of {whole}");
+    candidates[4].warmth = forward::warmth(std::time::Duration::from_secs(6));
+    assert_eq!(own(&candidates), whole);
+    // Where all are new, none is held back.
+    candidates.iter_mut().for_each(|one| one.warmth = 0.15);
+    assert_eq!(own(&candidates), whole);
+}
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -171,7 +171,7 @@
 
     /// Takes the upstreams that the feed knows.
     pub(crate) fn set_upstreams(&mut self, cx: CX![], listing: Rc<Listing>) {
-        for address in self.table.update(&listing) {
+        for address in self.table.update(cx.now(), &listing) {
             call!([self.client], close_idle(address));
         }
         self.metrics.upstreams.set(i64::try_from(self.table.ready()).unwrap_or(i64::MAX));
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -48,6 +48,8 @@
 struct Entry {
     announcement: Announcement,
     heard: Instant,
+    /// Since when this run is known here.
+    known: Instant,
     gauge: Gauge,
     /// Another upstream answered at its address.
     is_replaced: bool,
@@ -99,7 +101,7 @@
     }
 
     /// Takes the upstreams that did not leave; gives the addresses that nobody is at any more.
-    pub(super) fn update(&mut self, listing: &Listing) -> Vec<SocketAddr> {
+    pub(super) fn update(&mut self, now: Instant, listing: &Listing) -> Vec<SocketAddr> {
         self.told = listing.told;
         let mut old = std::mem::take(&mut self.entries);
         for Known { announcement, heard } in &listing.upstreams {
@@ -120,6 +122,7 @@
                 None => Entry {
                     announcement: announcement.clone(),
                     heard: *heard,
+                    known: now,
                     gauge: Gauge::default(),
                     is_replaced: false,
                     quiet_since: None,
@@ -161,6 +164,7 @@
                 load: entry.gauge.load(now, sharers),
                 slots: announcement.slots,
                 backlog: entry.gauge.backlog(),
+                warmth: forward::warmth(now.saturating_duration_since(entry.known)),
                 is_avoided: is_silent
                     || is_cut
                     || entry.is_stalled(now)
