--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -12,8 +12,9 @@
 
 use crate::body::{Body, Taken};
 use crate::budget::Share;
+use crate::framing::{Framing, append};
 use crate::head::{Head, Header, Parsed};
-use crate::reply::{append_end, append_part, append_start, append_whole};
+use crate::reply::{append_end, append_start, append_whole};
 use crate::server::{Bounds, SOCKET_PRIORITY};
 use crate::{Event, Form, Problem, Reply, Request, Status};
 
@@ -25,14 +26,6 @@
 /// How long a new connection may stay without a request once the server stops.
 const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 
-/// How the parts of an answer are told apart from what follows.
-#[derive(Clone, Copy)]
-enum Framing {
-    Chunks,
-    /// So many bytes are to come.
-    Length(u64),
-}
-
 enum Phase {
     /// Waits for a request or reads one.
     Receiving { body: Option<(Head, Body)> },
@@ -378,19 +371,6 @@
     Problem::not_run(Status::UNAVAILABLE, "crowded", message).with_retry_after(CROWDED_RETRY)
 }
 
-/// Appends a part of an answer, of which no more bytes are sent than were promised.
-fn append(framing: &mut Framing, part: &[u8], out: &mut Vec<u8>) {
-    match framing {
-        Framing::Chunks => append_part(part, out),
-        Framing::Length(left) => {
-            let most = usize::try_from(*left).unwrap_or(usize::MAX);
-            let taken = part.len().min(most);
-            out.extend_from_slice(&part[..taken]);
-            *left -= taken as u64;
-        }
-    }
-}
-
 /// Adds the headers that every answer carries.
 fn complete(
     mut headers: Vec<Header>,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod event;
 mod form;
+mod framing;
 mod head;
 mod problem;
 mod reply;
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -1,5 +1,7 @@
 //! The actor that knows the newest catalogue and the upstreams, and spreads them.
 
+mod announcing;
+mod documents;
 mod message;
 mod shelf;
 
@@ -8,17 +10,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use catalogue::{Catalogue, Document, Newest, Number};
-use entry::Reply;
+use catalogue::{Catalogue, Newest, Number};
 use membership::Member;
 use names::{DataCentre, Instance, Upstream};
-use roster::{Announcement, Record, Roster, Taken};
+use roster::{Announcement, Roster};
 use settings::{Role, Settings};
 use stakker::{Actor, CX, Fwd, after, call};
-use state::Index;
-use telemetry::{Event, Metrics};
+use telemetry::Metrics;
 use wire::{Delivery, Hub, Outgoing, Slice, Transport};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::interface::Documents;
 use instance::View;
@@ -35,19 +34,6 @@
 /// How often followers are told who announced itself.
 const HEARD_PERIOD: Duration = Duration::from_secs(1);
 
-/// Names in one message about announcements, so that it fits a datagram.
-const HEARD_NAMES: usize = 40;
-
-/// How long an answer to a request for the document may take before another instance is asked.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Entry instances of a data centre that ask control instances for a new document.
-const OPENERS: usize = 2;
-
-/// How long the others wait for these, a small part of the time in which a document has to be in
-/// force everywhere.
-const OPENER_TIME: Duration = Duration::from_millis(500);
-
 /// An upstream that did not leave.
 #[derive(Debug, Clone)]
 pub(crate) struct Known {
@@ -201,41 +187,6 @@
         }
     }
 
-    /// Tells followers of the committed document, after the log has changed it.
-    pub(crate) fn note_applied(&mut self, _: CX![], _: Index) {
-        if self.take_newest("log") {
-            self.tell_followers(Transport::Udp, &Message::Standing(self.number()));
-        }
-    }
-
-    /// Puts the newest document in force; false when it is in force already.
-    fn take_newest(&mut self, source: &str) -> bool {
-        let number = self.number();
-        if number <= self.in_force {
-            return false;
-        }
-        if let Some(shelf) = &self.shelf {
-            shelf.keep_document(self.newest.borrow().document().clone());
-        }
-        let text = self.newest.borrow().document().text();
-        let read = text.ok_or_else(|| "it cannot be unpacked".to_string());
-        let read = read.and_then(|text| self.documents.read(&text));
-        let read =
-            read.and_then(|draft| Catalogue::try_from(draft).map_err(|error| error.to_string()));
-        match read {
-            Ok(catalogue) => {
-                let (number, before) = (number.0, self.in_force.0);
-                let source = source.to_string();
-                Event::Catalogue { number, before, source }.tell();
-                let number = Number(number);
-                self.in_force = number;
-                self.listeners.catalogue.fwd(Rc::new(catalogue));
-            }
-            Err(problem) => log::error!("catalogue {number} cannot be used: {problem}"),
-        }
-        true
-    }
-
     /// Takes a message of another instance.
     pub(crate) fn deliver(&mut self, cx: CX![], delivery: Delivery) {
         let sender = delivery.sender;
@@ -290,81 +241,6 @@
         self.compare(now, sender, number);
     }
 
-    /// Hears that an instance has a document. Of the entry instances of a data centre a few ask a
-    /// control instance for it, whose link is narrow; the others wait for these.
-    fn hear_standing(&mut self, cx: CX![], sender: Instance, number: Number) {
-        if number <= self.number() {
-            return;
-        }
-        if self.is_control || self.neighbours.contains(&sender) || self.is_opener(number) {
-            self.compare(cx.now(), sender, number);
-        } else {
-            after!(OPENER_TIME, [cx], hear_late(sender, number));
-        }
-    }
-
-    /// Asks for a document that no neighbour brought in time.
-    fn hear_late(&mut self, cx: CX![], sender: Instance, number: Number) {
-        self.compare(cx.now(), sender, number);
-    }
-
-    /// Whether this instance is among those of its data centre that ask control instances first
-    /// for the document `number`.
-    fn is_opener(&self, number: Number) -> bool {
-        let weight = |one: &Instance| xxh3_64_with_seed(one.as_str().as_bytes(), number.0);
-        let own = weight(&self.me);
-        self.neighbours.iter().filter(|one| weight(one) > own).count() < OPENERS
-    }
-
-    /// Asks for the document of an instance that has a newer one.
-    fn compare(&mut self, now: Instant, sender: Instance, number: Number) {
-        let is_asked = self.fetched_at.is_some_and(|at| now < at + FETCH_TIMEOUT);
-        if number > self.number() && !is_asked {
-            self.fetched_at = Some(now);
-            self.send(sender, Transport::Tcp, &Message::Fetch);
-        }
-    }
-
-    fn adopt(&mut self, sender: &Instance, document: Document) {
-        self.fetched_at = None;
-        if self.newest.borrow_mut().adopt(document) {
-            self.take_newest(sender.as_str());
-            let standing = Message::Standing(self.number());
-            if self.is_control {
-                self.tell_followers(Transport::Udp, &standing);
-            } else if !self.neighbours.contains(sender) {
-                for neighbour in self.neighbours.clone() {
-                    self.send(neighbour, Transport::Udp, &standing);
-                }
-            }
-        }
-    }
-
-    /// Learns records of another instance, and passes on what is new.
-    fn learn(&mut self, now: Instant, sender: &Instance, records: Vec<Record>) {
-        let mut news = Vec::new();
-        for record in records {
-            if self.roster.take(now, record.clone()) == Taken::News {
-                note(&record.announcement, sender.as_str());
-                news.push(record);
-            }
-        }
-        self.spread(news);
-    }
-
-    fn spread(&mut self, news: Vec<Record>) {
-        if news.is_empty() {
-            return;
-        }
-        if self.is_control {
-            self.tell_followers(Transport::Tcp, &Message::Records(news));
-        }
-        if let Some(shelf) = &self.shelf {
-            shelf.keep_records(self.roster.records());
-        }
-        self.list();
-    }
-
     fn list(&self) {
         let known = self
             .roster
@@ -373,76 +249,4 @@
         let listing = Listing { upstreams: known.collect(), told: self.told };
         self.listeners.upstreams.fwd(Rc::new(listing));
     }
-
-    /// Takes the announcement of an upstream, and acknowledges it once it is on its way to all
-    /// followers.
-    pub(crate) fn announce(
-        &mut self,
-        cx: CX![],
-        announcement: Announcement,
-        acknowledgement: Reply,
-        reply: Fwd<Reply>,
-    ) {
-        let upstream = announcement.upstream.clone();
-        let record = Record { announcement };
-        match self.roster.take(cx.now(), record.clone()) {
-            Taken::News => {
-                note(&record.announcement, "itself");
-                self.heard(upstream);
-                self.spread(vec![record]);
-            }
-            Taken::Repeated => self.heard(upstream),
-            Taken::Stale => log::debug!("upstream {upstream}: a late announcement changes nothing"),
-        }
-        reply.fwd(acknowledgement);
-    }
-
-    /// Takes the word of an upstream that it leaves.
-    pub(crate) fn withdraw(
-        &mut self,
-        cx: CX![],
-        upstream: Upstream,
-        born: Option<u64>,
-        acknowledgement: Reply,
-        reply: Fwd<Reply>,
-    ) {
-        if self.roster.withdraw(cx.now(), &upstream, born) == Taken::News
-            && let Some(record) = self.roster.get(&upstream).cloned()
-        {
-            note(&record.announcement, "itself");
-            self.spread(vec![record]);
-        }
-        reply.fwd(acknowledgement);
-    }
-
-    fn heard(&mut self, upstream: Upstream) {
-        if let Err(index) = self.heard.binary_search(&upstream) {
-            self.heard.insert(index, upstream);
-        }
-    }
-
-    fn tell_heard(&mut self, cx: CX![]) {
-        let heard = std::mem::take(&mut self.heard);
-        if heard.is_empty() {
-            // Followers have to know that this instance would say if it heard someone.
-            self.tell_followers(Transport::Udp, &Message::Heard(Vec::new()));
-        }
-        for names in heard.chunks(HEARD_NAMES) {
-            self.tell_followers(Transport::Udp, &Message::Heard(names.to_vec()));
-        }
-        after!(HEARD_PERIOD, [cx], tell_heard());
-    }
-}
-
-fn note(announcement: &Announcement, source: &str) {
-    Event::Upstream {
-        upstream: announcement.upstream.to_string(),
-        service: announcement.service.to_string(),
-        address: announcement.address.to_string(),
-        standing: announcement.standing.to_string(),
-        born: announcement.born,
-        sequence: announcement.sequence,
-        source: source.to_string(),
-    }
-    .tell();
 }
--- /dev/null
+++ b/crates/relay/src/forwarder/admitting.rs
@@ -0,0 +1,99 @@
+//! Finds out what a request is and whether it may be answered.
+
+use std::time::Instant;
+
+use catalogue::{Caller, Repeat};
+use entry::{Problem, Reply, Request};
+use forward::Tail;
+use stakker::{CX, FixedTimerKey, Fwd, at};
+use telemetry::Event;
+
+use super::active::Active;
+use super::{Forwarder, millis, problems};
+use crate::interface::Ask;
+
+impl Forwarder {
+    pub(super) fn arrive(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
+        let ask = self.interface.callers.read(&request);
+        let name = ask.as_ref().map_or(String::new(), |ask| ask.id.clone());
+        let admitted = ask.and_then(|ask| self.admit(cx.now(), request, ask, &reply));
+        match admitted.map_err(|problem| (name, problem)) {
+            Ok(active) => {
+                let (id, deadline) = (active.id(), active.deadline);
+                self.flow(&active.service).count_request(cx.now());
+                let place = self.find(id).unwrap_or_else(|place| place);
+                self.actives.insert(place, active);
+                self.actives[place].timer = at!(deadline, [cx], expire(id));
+                self.place(cx, id);
+            }
+            Err((request, problem)) => {
+                self.metrics.count_refused(&problem.code);
+                Event::Refused {
+                    request,
+                    service: String::new(),
+                    status: problem.status.0,
+                    reason: problem.code.clone(),
+                    verdict: problem.verdict.to_string(),
+                    retry_after_ms: problem.retry_after.map(millis),
+                    after_ms: 0,
+                    left_ms: 0,
+                    runs: 0,
+                    refusals: 0,
+                    candidates: 0,
+                    unusable: 0,
+                    catalogue: self.number(),
+                }
+                .tell();
+                reply.fwd(self.interface.callers.refusal(problem));
+            }
+        }
+    }
+
+    /// Finds out what a request is and whether it may be answered.
+    pub(super) fn admit(
+        &self,
+        now: Instant,
+        mut request: Request,
+        ask: Ask,
+        reply: &Fwd<Reply>,
+    ) -> Result<Active, Problem> {
+        let catalogue = self.catalogue.as_ref().ok_or_else(problems::not_ready)?;
+        let path = request.path.split(['?', '#']).next().unwrap_or_default();
+        let route = catalogue
+            .route(&ask.host, path)
+            .ok_or_else(|| problems::unknown_route(&ask.host, path))?
+            .clone();
+        let caller = match catalogue.caller(ask.key.as_deref()) {
+            Caller::Unknown if !route.is_anonymous => return Err(problems::unknown_key()),
+            Caller::Known(account) => Some(account),
+            Caller::Unknown | Caller::Anyone => None,
+        };
+        let service = route.service(request.id.0).cloned().ok_or_else(problems::not_ready)?;
+        let time_left = ask.time_left.unwrap_or(route.timeout).min(route.timeout);
+        if time_left.is_zero() {
+            return Err(problems::too_late());
+        }
+        let tail = (route.repeat == Repeat::Resumed).then(|| Tail::new(ask.after.clone()));
+        Ok(Active {
+            body: std::mem::take(&mut request.body).into(),
+            request,
+            reply: reply.clone(),
+            ask,
+            service,
+            account: caller.map(|account| account.name.clone()),
+            rank: caller.and_then(|account| account.rank).unwrap_or(route.rank),
+            route,
+            arrived: now,
+            deadline: now + time_left,
+            tried: Vec::new(),
+            runs: 0,
+            refusals: 0,
+            running: None,
+            is_started: false,
+            tail,
+            candidates: 0,
+            unusable: 0,
+            timer: FixedTimerKey::default(),
+        })
+    }
+}
--- a/crates/state/src/core/leader.rs
+++ b/crates/state/src/core/leader.rs
@@ -1,7 +1,10 @@
 //! Leaders: replication with flow control, commitment, contact with a quorum.
 
+mod outsiders;
+
 use super::*;
 use crate::{Change, Standing};
+use outsiders::Outsider;
 
 enum Mode {
     /// Finds the last entry that matches, one message at a time.
@@ -25,12 +28,6 @@
     told_commit: Index,
 }
 
-struct Outsider {
-    voter: Voter,
-    instance: Instance,
-    seen: Instant,
-}
-
 /// What a leader knows.
 pub(super) struct Leader {
     epoch: Instant,
@@ -97,37 +94,6 @@
         Some((successor.voter, successor.instance.clone()))
     }
 
-    /// An instance that asked for admission within `span` and is none of `voting`.
-    pub(super) fn spare(
-        &self,
-        now: Instant,
-        span: Duration,
-        voting: &[Instance],
-    ) -> Option<Instance> {
-        let is_spare = |outsider: &&Outsider| {
-            now < outsider.seen + span && !voting.contains(&outsider.instance)
-        };
-        let spares = self.outsiders.iter().filter(is_spare);
-        spares.map(|outsider| outsider.instance.clone()).min()
-    }
-
-    /// Whether `instance` asked for admission within `span`.
-    pub(super) fn is_outside(&self, instance: &Instance, now: Instant, span: Duration) -> bool {
-        let is_it = |one: &Outsider| one.instance == *instance && now < one.seen + span;
-        self.outsiders.iter().any(is_it)
-    }
-
-    /// Whether a member of `instance` answered something that was sent within `span`.
-    pub(super) fn is_heard(&self, instance: &Instance, now: Instant, span: Duration) -> bool {
-        let mut members = self.progress.iter().filter(|one| one.instance == *instance);
-        members.any(|one| now < one.contact + span || now < self.since + span)
-    }
-
-    pub(super) fn note_outsider(&mut self, now: Instant, voter: Voter, instance: Instance) {
-        self.outsiders.retain(|outsider| outsider.instance != instance);
-        self.outsiders.push(Outsider { voter, instance, seen: now });
-    }
-
     /// Adds a learner for an instance that shall vote and whose folder is no member.
     pub(super) fn addition(
         &self,
