--- a/crates/command/src/commands/explain.rs
+++ b/crates/command/src/commands/explain.rs
@@ -4,13 +4,15 @@
 
 use bpaf::{Parser, positional};
 
+use crate::fleet::json_flag;
 use crate::story::Logs;
+use crate::table::print_json;
 use crate::{Command, Entry, Error, Exit};
 
 const HELP: &str = "Tells the story of one request out of the logs of several instances";
 const EXAMPLES: &str = "Lines marked with * are the request's own; the others are what its \
                         instances came to believe of its upstreams before.\n\
-                        Example: turmericrelay explain 9c41d07be2a35f68 logs/*.jsonl";
+                        Example: turmericrelay explain 9c41d07be2a35f68 logs/*.jsonl --json";
 
 /// Most unreadable lines that are named one by one.
 const SHOWN_PROBLEMS: usize = 5;
@@ -18,13 +20,15 @@
 struct Explain {
     request: String,
     logs: Vec<PathBuf>,
+    json: bool,
 }
 
 pub(crate) fn entry() -> Entry {
     let request = positional::<String>("REQUEST-ID").help("The caller's id of the request");
     let logs = positional::<PathBuf>("LOG").help("Logs of instances").some("name a log");
-    bpaf::construct!(request, logs)
-        .map(|(request, logs)| -> Box<dyn Command> { Box::new(Explain { request, logs }) })
+    let json = json_flag();
+    bpaf::construct!(Explain { json, request, logs })
+        .map(|explain| -> Box<dyn Command> { Box::new(explain) })
         .to_options()
         .descr(HELP)
         .footer(EXAMPLES)
@@ -52,6 +56,10 @@
             eprintln!("{} more lines cannot be read", unreadable.len() - SHOWN_PROBLEMS);
         }
         match logs.story(&self.request) {
+            Some(story) if self.json => {
+                print_json(&story.to_json());
+                Ok(Exit::Done)
+            }
             Some(story) => {
                 print!("{story}");
                 Ok(Exit::Done)
--- a/tests/explaining.rs
+++ b/tests/explaining.rs
@@ -136,6 +136,10 @@
     let errors = String::from_utf8(found.stderr).unwrap();
     assert!(errors.contains("log:2: it holds no JSON object"), "{errors}");
     assert!(errors.contains("log:3: field \"line\" is missing"), "{errors}");
+    let arguments = ["explain", "--json", "r1"];
+    let json = output(Command::new(PROGRAM).args(arguments).arg(&log));
+    let lines: Value = serde_json::from_slice(&json.stdout).unwrap();
+    assert_eq!(lines[0]["reason"], "full");
     let unknown = explain("r2");
     assert_eq!(unknown.status.code(), Some(3));
     assert!(String::from_utf8(unknown.stderr).unwrap().contains("names request \"r2\""));
