--- a/crates/wire/tests/hub.rs
+++ b/crates/wire/tests/hub.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::cell::RefCell;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,15 +18,26 @@
 /// How long frames may take on loopback.
 const PATIENCE: Duration = Duration::from_millis(500);
 
+/// The same on each host.
+const PORT: u16 = 20_011;
+
 struct Side {
     hub: ActorOwn<Hub>,
     address: SocketAddr,
     received: Rc<RefCell<Vec<Delivery>>>,
 }
 
+/// Sockets on a loopback host that nobody else uses: a port that is free for UDP on the common one
+/// may be taken for TCP.
+fn sockets() -> (SocketAddr, Sockets) {
+    let process = (std::process::id() % 250) as u8;
+    let hosts = (1..=250).map(|host| SocketAddr::from(([127, 251, process, host], PORT)));
+    let mut bound = hosts.filter_map(|address| Some((address, Sockets::bind(address).ok()?)));
+    bound.next().unwrap()
+}
+
 fn side(stakker: &mut Stakker, name: &str) -> Side {
-    let address = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let sockets = Sockets::bind(address).unwrap();
+    let (address, sockets) = sockets();
     let identity = Arc::new(Identity {
         me: name.parse().unwrap(),
         run: Run::new(Incarnation(1)),
