Spread documents in turn, within what a control link carries

Traced with the bytes of each slice a second: after a restart of all control instances, the feed sent up to 1.18 MB in a second over links of 3 Mbit/s. Documents of 30 KB were asked for by all entry instances at once, 500 ms after the first ones, which took longer on the full links; answers that were late were asked for again from others. Heartbeats and the log waited behind them: leaders at 35.0, 38.8 and 42.5 s, and one that was only slow was replaced as a voter.

Ruled out: the log itself (120 KB/s at most) and announcements (2 to 15 KB/s of membership, 60 to 250 KB/s of feed while 36 engines joined).

Change: the entry instances of a data centre ask control instances two by two, 500 ms apart; a control instance sends documents with half of its link; a neighbour that has a document is kept for when another one does not answer.

--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Catalogue`] holds routes, services, client accounts and limits; it is built from a
 //! [`Draft`] by `TryFrom`, which checks it. The replicated [`Newest`] keeps the document with the
-//! highest number: an older or repeated one is acknowledged and changes nothing.
+//! highest number: an older or repeated one is acknowledged and changes nothing. [`turn`], [`Lack`]
+//! and [`Outflow`] say who asks whom for it, and when.
 
 mod account;
 mod draft;
@@ -11,6 +12,7 @@
 mod number;
 mod route;
 mod service;
+mod spread;
 
 pub use account::{Account, Caller};
 pub use draft::{Catalogue, Draft};
@@ -19,3 +21,4 @@
 pub use number::Number;
 pub use route::{Repeat, Route, Target};
 pub use service::{Engine, Limits, Service};
+pub use spread::{Lack, Outflow, turn};
--- a/crates/catalogue/src/newest.rs
+++ b/crates/catalogue/src/newest.rs
@@ -25,6 +25,11 @@
         Self { number, packed: lz4_flex::compress_prepend_size(text).into() }
     }
 
+    /// Bytes that it takes on a link.
+    pub fn size(&self) -> usize {
+        self.packed.len()
+    }
+
     /// The text; none when the packed bytes are damaged.
     pub fn text(&self) -> Option<Vec<u8>> {
         let (size, _) = lz4_flex::block::uncompressed_size(&self.packed).ok()?;
--- a/crates/relay/src/feed/documents.rs
+++ b/crates/relay/src/feed/documents.rs
@@ -3,13 +3,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use catalogue::{Catalogue, Document, Number};
+use catalogue::{Catalogue, Document, Number, turn};
 use names::Instance;
-use stakker::{CX, after};
+use stakker::{CX, at};
 use state::Index;
 use telemetry::Event;
 use wire::Transport;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Feed;
 use super::message::Message;
@@ -17,13 +16,6 @@
 /// How long an answer to a request for the document may take before another instance is asked.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Entry instances of a data centre that ask control instances for a new document.
-const OPENERS: usize = 2;
-
-/// How long the others wait for these, a small part of the time in which a document has to be in
-/// force everywhere.
-const OPENER_TIME: Duration = Duration::from_millis(500);
-
 impl Feed {
     /// Tells followers of the committed document, after the log has changed it.
     pub(crate) fn note_applied(&mut self, _: CX![], _: Index) {
@@ -60,43 +52,60 @@
         true
     }
 
-    /// Hears that an instance has a document. Of the entry instances of a data centre a few ask a
-    /// control instance for it, whose link is narrow; the others wait for these.
+    /// Hears that an instance has a document. The entry instances of a data centre ask control
+    /// instances, whose links are narrow, in turn, and each other at once.
     pub(super) fn hear_standing(&mut self, cx: CX![], sender: Instance, number: Number) {
         if number <= self.number() {
             return;
         }
-        if self.is_control || self.neighbours.contains(&sender) || self.is_opener(number) {
-            self.compare(cx.now(), sender, number);
-        } else {
-            after!(OPENER_TIME, [cx], hear_late(sender, number));
+        let now = cx.now();
+        let is_first = !self.lack.is_known();
+        let due = self.lack.note(now) + turn(&self.me, &self.neighbours, number);
+        if self.is_control || self.neighbours.contains(&sender) || due <= now {
+            self.compare(cx, sender, number);
+        } else if is_first {
+            at!(due, [cx], hear_late(sender, number));
         }
     }
 
     /// Asks for a document that no neighbour brought in time.
     pub(super) fn hear_late(&mut self, cx: CX![], sender: Instance, number: Number) {
-        self.compare(cx.now(), sender, number);
+        self.compare(cx, sender, number);
     }
 
-    /// Whether this instance is among those of its data centre that ask control instances first
-    /// for the document `number`.
-    pub(super) fn is_opener(&self, number: Number) -> bool {
-        let weight = |one: &Instance| xxh3_64_with_seed(one.as_str().as_bytes(), number.0);
-        let own = weight(&self.me);
-        self.neighbours.iter().filter(|one| weight(one) > own).count() < OPENERS
+    /// Sends an instance the newest document. A control instance sends no more than its link
+    /// carries beside the log.
+    pub(super) fn give(&mut self, now: Instant, sender: Instance) {
+        let document = self.newest.borrow().document().clone();
+        if self.is_control && !self.outflow.admit(now, document.size()) {
+            log::debug!("instance {sender} has to ask for document {} again", document.number);
+            return;
+        }
+        self.send(sender, Transport::Tcp, &Message::Document(document));
     }
 
-    /// Asks for the document of an instance that has a newer one.
-    pub(super) fn compare(&mut self, now: Instant, sender: Instance, number: Number) {
-        let is_asked = self.fetched_at.is_some_and(|at| now < at + FETCH_TIMEOUT);
-        if number > self.number() && !is_asked {
-            self.fetched_at = Some(now);
-            self.send(sender, Transport::Tcp, &Message::Fetch);
+    /// Asks for the document of an instance that has a newer one. While another one is asked, a
+    /// neighbour is kept for later, since it says only once what it has.
+    pub(super) fn compare(&mut self, cx: CX![], sender: Instance, number: Number) {
+        if number <= self.number() {
+            return;
+        }
+        let asked_until = self.fetched_at.map(|at| at + FETCH_TIMEOUT);
+        match asked_until.filter(|until| cx.now() < *until) {
+            Some(until) if self.neighbours.contains(&sender) => {
+                at!(until, [cx], hear_late(sender, number));
+            }
+            Some(_) => {}
+            None => {
+                self.fetched_at = Some(cx.now());
+                self.send(sender, Transport::Tcp, &Message::Fetch);
+            }
         }
     }
 
     pub(super) fn adopt(&mut self, sender: &Instance, document: Document) {
         self.fetched_at = None;
+        self.lack.end();
         if self.newest.borrow_mut().adopt(document) {
             self.take_newest(sender.as_str());
             let standing = Message::Standing(self.number());
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use catalogue::{Catalogue, Newest, Number};
+use catalogue::{Catalogue, Lack, Newest, Number, Outflow};
 use membership::Member;
 use names::{DataCentre, Instance, Upstream};
 use roster::{Announcement, Roster};
@@ -81,6 +81,9 @@
     /// Upstreams that announced themselves here since followers were told.
     heard: Vec<Upstream>,
     fetched_at: Option<Instant>,
+    lack: Lack,
+    /// Documents sent lately.
+    outflow: Outflow,
     listeners: Listeners,
     shelf: Option<Shelf>,
     metrics: Arc<Metrics>,
@@ -119,6 +122,8 @@
             followers: Vec::new(),
             heard: Vec::new(),
             fetched_at: None,
+            lack: Lack::default(),
+            outflow: Outflow::default(),
             listeners,
             shelf,
             metrics,
@@ -199,7 +204,7 @@
     fn receive(&mut self, cx: CX![], sender: Instance, message: Message) {
         let now = cx.now();
         match message {
-            Message::Follow { number, roster } => self.answer(now, sender, number, roster),
+            Message::Follow { number, roster } => self.answer(cx, sender, number, roster),
             Message::Standing(number) => self.hear_standing(cx, sender, number),
             Message::Digests(digests) => {
                 let want = self.roster.differing(&digests);
@@ -211,10 +216,7 @@
                 let records = Message::Records(self.roster.records_in(buckets));
                 self.send(sender, Transport::Tcp, &records);
             }
-            Message::Fetch => {
-                let document = self.newest.borrow().document().clone();
-                self.send(sender, Transport::Tcp, &Message::Document(document));
-            }
+            Message::Fetch => self.give(now, sender),
             Message::Document(document) => self.adopt(&sender, document),
             Message::Records(records) => self.learn(now, &sender, records),
             Message::Heard(upstreams) => {
@@ -226,7 +228,8 @@
     }
 
     /// Sends a follower what it lacks.
-    fn answer(&mut self, now: Instant, sender: Instance, number: Number, roster: u64) {
+    fn answer(&mut self, cx: CX![], sender: Instance, number: Number, roster: u64) {
+        let now = cx.now();
         let until = now + FOLLOWER_SPAN;
         self.followers.retain(|one| now < one.until && one.instance != sender);
         self.followers.push(Follower { instance: sender.clone(), until });
@@ -238,7 +241,7 @@
             let standing = Message::Standing(self.number());
             self.send(sender.clone(), Transport::Udp, &standing);
         }
-        self.compare(now, sender, number);
+        self.compare(cx, sender, number);
     }
 
     fn list(&self) {
