Pass over engines that are behind in a large fleet

An instance whose own request waits there without a word knows, and sent more all the same: of 36 requests in a second, five instances sent three or more each.

Change: from 16 instances on, an engine that has had a request of this instance for 150 ms and sent nothing goes after those that answer.

Small fleets keep their order.

--- a/crates/forward/src/candidate.rs
+++ b/crates/forward/src/candidate.rs
@@ -20,6 +20,9 @@
     /// Share of the requests that prefer it which it gets, from 0 to 1: a new upstream has read no
     /// context yet, and nobody has heard of its load.
     pub warmth: f64,
+    /// Whether it has requests of this instance and has sent nothing for longer than reading a usual
+    /// prompt takes, so that it is behind and has told nobody.
+    pub is_behind: bool,
     /// Whether it failed lately, so that others go first.
     pub is_avoided: bool,
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -25,4 +25,4 @@
 pub use window::{Allowance, Window};
 
 /// Instances from which on each one hears of a small part of the requests.
-const MANY_INSTANCES: usize = 16;
+pub const MANY_INSTANCES: usize = 16;
--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -105,7 +105,10 @@
                 && self.is_within(candidate, mean, least_backlog)
         };
         let has_room = |index: &&usize| candidates[**index].utilisation() < ENGINE_FILL;
-        order.iter().filter(is_within).take(SEARCHED).find(has_room).copied()
+        let is_prompt = |index: &&usize| !candidates[**index].is_behind;
+        let prompt = order.iter().filter(is_within).filter(is_prompt).take(SEARCHED);
+        let within = order.iter().filter(is_within).take(SEARCHED);
+        prompt.chain(within).find(has_room).copied()
     }
 }
 
--- a/crates/forward/tests/bound.rs
+++ b/crates/forward/tests/bound.rs
@@ -104,6 +104,7 @@
                     slots: 128,
                     backlog: gauge.backlog(),
                     warmth: 1.0,
+                    is_behind: false,
                     is_avoided: false,
                 }
             })
--- a/crates/forward/tests/policy.rs
+++ b/crates/forward/tests/policy.rs
@@ -14,6 +14,7 @@
         slots: 64,
         backlog: 0.0,
         warmth: 1.0,
+        is_behind: false,
         is_avoided: false,
     }
 }
@@ -71,6 +72,21 @@
     assert_eq!(Affinity::new(2.0, 6).choose(&candidates, wish(3, 0)), Some(first));
 }
 
+/// An engine of a large fleet reads what others sent and answers nothing meanwhile; answers days on
+/// which some contexts are much longer than most.
+#[test]
+fn an_engine_that_is_behind_is_passed_over_while_another_is_not() {
+    let mut candidates = fleet(30);
+    let first = Affinity::new(2.0, 71).choose(&candidates, wish(3, 0)).unwrap();
+    candidates[first].is_behind = true;
+    let second = Affinity::new(2.0, 71).choose(&candidates, wish(3, 0)).unwrap();
+    assert_ne!(first, second);
+    for other in &mut candidates {
+        other.is_behind = true;
+    }
+    assert_eq!(Affinity::new(2.0, 71).choose(&candidates, wish(3, 0)), Some(first));
+}
+
 #[test]
 fn only_the_contexts_of_an_engine_that_leaves_move() {
     let all = fleet(9);
--- a/crates/forward/tests/wide.rs
+++ b/crates/forward/tests/wide.rs
@@ -211,6 +211,7 @@
             slots: SLOTS,
             backlog: gauges[engine].backlog(),
             warmth: forward::warmth(self.now - self.joined(engine).unwrap()),
+            is_behind: false,
             is_avoided: false,
         };
         joined.into_iter().map(|engine| (engine, candidate(engine))).collect()
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -26,6 +26,10 @@
 /// send events of other requests meanwhile, and plain services answer most requests sooner.
 const STALL: Duration = Duration::from_millis(700);
 
+/// The same, after which an engine seems to read a long prompt: twice the time to the first event
+/// of a request whose context is there.
+const BEHIND: Duration = Duration::from_millis(150);
+
 /// For how long a data centre is avoided after one of its upstreams was lost while none of them
 /// sent anything.
 const CUT_SPAN: Duration = Duration::from_millis(1000);
@@ -157,6 +161,7 @@
         let of_service = |entry: &&Entry| entry.announcement.service == *service;
         let ready = self.entries.iter().filter(of_service).filter(|entry| entry.is_ready());
         let prior = forward::prior(ready.clone().map(|entry| &entry.gauge), now);
+        let is_wide = sharers as usize >= forward::MANY_INSTANCES;
         let all = ready.map(|entry| {
             let announcement = &entry.announcement;
             let is_silent = is_told && now > entry.heard + self.silence;
@@ -167,6 +172,7 @@
                 load: entry.gauge.load(now, sharers, prior),
                 slots: announcement.slots,
                 backlog: entry.gauge.backlog(),
+                is_behind: is_wide && entry.is_quiet(now, BEHIND),
                 warmth: forward::warmth(now.saturating_duration_since(entry.known)),
                 is_avoided: is_silent
                     || is_cut
@@ -343,7 +349,12 @@
 
 impl Entry {
     fn is_stalled(&self, now: Instant) -> bool {
-        self.quiet_since.is_some_and(|since| now > since + STALL)
+        self.is_quiet(now, STALL)
+    }
+
+    /// Whether it has requests and has sent nothing for `span`.
+    fn is_quiet(&self, now: Instant, span: Duration) -> bool {
+        self.quiet_since.is_some_and(|since| now > since + span)
     }
 
     fn is_ready(&self) -> bool {
