Find an engine while new ones lower the bound

The least loaded engine with room takes it again, as before. The test fails without this (request 1 found no engine).

--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -106,9 +106,13 @@
         };
         let has_room = |index: &&usize| candidates[**index].utilisation() < ENGINE_FILL;
         let is_prompt = |index: &&usize| !candidates[**index].is_behind;
-        let prompt = order.iter().filter(is_within).filter(is_prompt).take(SEARCHED);
-        let within = order.iter().filter(is_within).take(SEARCHED);
-        prompt.chain(within).find(has_room).copied()
+        let within: Vec<usize> = order.iter().filter(is_within).copied().collect();
+        if within.is_empty() {
+            // The old ones are above the bound, and the request is not among those of the new ones.
+            return least_loaded(candidates, order.iter().filter(has_room).copied(), wish.lot);
+        }
+        let prompt = within.iter().filter(is_prompt).take(SEARCHED);
+        prompt.chain(within.iter().take(SEARCHED)).find(has_room).copied()
     }
 }
 
--- a/crates/forward/tests/policy.rs
+++ b/crates/forward/tests/policy.rs
@@ -87,6 +87,21 @@
     assert_eq!(Affinity::new(2.0, 71).choose(&candidates, wish(3, 0)), Some(first));
 }
 
+/// Half of the engines were added empty and are asked little yet, and the others are above the bound
+/// that these lower; answers days on which many engines are added.
+#[test]
+fn requests_find_an_engine_while_the_new_ones_lower_the_bound() {
+    let mut candidates = fleet(9);
+    for (index, candidate) in candidates.iter_mut().enumerate() {
+        candidate.warmth = if index < 4 { 0.15 } else { 1.0 };
+        candidate.load = if index < 4 { 0.0 } else { 40.0 };
+    }
+    for index in 0..200 {
+        let chosen = Affinity::new(2.0, 6).choose(&candidates, wish(lot(index), lot(index + 1)));
+        assert!(chosen.is_some(), "request {index} found no engine");
+    }
+}
+
 #[test]
 fn only_the_contexts_of_an_engine_that_leaves_move() {
     let all = fleet(9);
