Refuse late at a stopping instance what would be cut at its end

Now: after 2.9 s, when balancers have seen twice that it is not ready, it takes only what must be over before its end; the rest is refused as not run, to come back at once. Ruled out: a shorter time for all, which would refuse short requests that end in time.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -3,10 +3,12 @@
 //! Nothing here knows of sockets or clocks. [`Affinity`] and [`LeastLoad`] choose an upstream among
 //! [`Candidate`]s, whose load a [`Gauge`] estimates, also from [`Hearsay`] of
 //! other instances; a [`Line`] orders what has to wait;
-//! [`Window`] bounds what is sent again; [`Setback`] says what follows a failed attempt; and a
-//! [`Tail`] follows a stream so that it can go on elsewhere.
+//! [`Window`] bounds what is sent again; [`Setback`] says what follows a failed attempt; a
+//! [`Tail`] follows a stream so that it can go on elsewhere; and a [`Departure`] says what an
+//! instance still takes that is about to stop.
 
 mod candidate;
+mod departure;
 mod gauge;
 mod hearsay;
 mod line;
@@ -16,6 +18,7 @@
 mod window;
 
 pub use candidate::{Candidate, warmth};
+pub use departure::Departure;
 pub use gauge::{Gauge, Report, prior};
 pub use hearsay::{Hearsay, Load, Pace};
 pub use line::Line;
--- a/crates/relay/src/forwarder/admitting.rs
+++ b/crates/relay/src/forwarder/admitting.rs
@@ -73,6 +73,10 @@
         if time_left.is_zero() {
             return Err(problems::too_late());
         }
+        let deadline = now + time_left;
+        if self.departure.is_some_and(|departure| !departure.takes(now, deadline)) {
+            return Err(problems::stopping());
+        }
         let tail = (route.repeat == Repeat::Resumed).then(|| Tail::new(ask.after.clone()));
         Ok(Active {
             body: std::mem::take(&mut request.body).into(),
@@ -84,7 +88,7 @@
             rank: caller.and_then(|account| account.rank).unwrap_or(route.rank),
             route,
             arrived: now,
-            deadline: now + time_left,
+            deadline,
             tried: Vec::new(),
             runs: 0,
             refusals: 0,
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -15,7 +15,7 @@
 use catalogue::Catalogue;
 use dispatch::{Client, Event as CallEvent, Keeping};
 use entry::{Event, Problem, Reply, Server};
-use forward::{Allowance, Line, Window};
+use forward::{Allowance, Departure, Line, Window};
 use instance::View;
 use names::{Attempt, Instance, Service};
 use settings::Settings;
@@ -87,6 +87,8 @@
     others: Vec<Instance>,
     line_timer: FixedTimerKey,
     is_ready: bool,
+    /// The planned stop of this instance, once it began.
+    departure: Option<Departure>,
 }
 
 impl Forwarder {
@@ -140,6 +142,7 @@
             others: Vec::new(),
             line_timer: FixedTimerKey::default(),
             is_ready: false,
+            departure: None,
         })
     }
 
@@ -153,6 +156,11 @@
         self.server = Some(server);
     }
 
+    /// Takes only what is over before `end`, soon: the instance stops then.
+    pub(crate) fn wind_down(&mut self, cx: CX![], end: Instant) {
+        self.departure = Some(Departure::new(cx.now(), end));
+    }
+
     /// Puts a catalogue in force.
     pub(crate) fn set_catalogue(&mut self, _: CX![], catalogue: Rc<Catalogue>) {
         if let Some(server) = &self.server {
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -49,6 +49,11 @@
         .with_retry_after(come_back(now, deadline))
 }
 
+pub(super) fn stopping() -> Problem {
+    let message = "this instance stops before the request would be over; another one takes it";
+    Problem::not_run(Status::UNAVAILABLE, "stopping", message).with_retry_after(SHORTEST_RETURN)
+}
+
 pub(super) fn refused(now: Instant, deadline: Instant) -> Problem {
     let message = "no upstream took the request; ask again later";
     Problem::not_run(Status::UNAVAILABLE, "refused", message)
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -343,9 +343,11 @@
         let end = match &self.entry {
             Some(entry) => {
                 call!([entry.readiness], stop());
+                let end = now + self.settings.timing.drain.as_duration().mul_f64(DRAIN_PART);
                 call!([entry.server], wind_down());
+                call!([entry.forwarder], wind_down(end));
                 after!(WIND_DOWN, [cx], drain_callers());
-                now + self.settings.timing.drain.as_duration().mul_f64(DRAIN_PART)
+                end
             }
             None => now + HAND_OVER,
         };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -25,11 +25,13 @@
     let mut headers = vec![
         ("Request-Id", id),
         ("Authorization", key.as_str()),
-        ("Deadline-Remaining", "5000"),
         ("Prompt-Prefix", "aa:100,bb:200,cc:10"),
         ("Token-Counts", "310,40"),
     ];
     headers.extend_from_slice(more);
+    if !more.iter().any(|(name, _)| *name == "Deadline-Remaining") {
+        headers.push(("Deadline-Remaining", "5000"));
+    }
     exchange(address, "POST", path, &headers, "the body").unwrap()
 }
 
@@ -268,6 +270,32 @@
     read_answer(&mut BufReader::new(stream))
 }
 
+/// Found by a hunt on the users' bench: a stream that came late was cut at the end of the stop.
+#[test]
+fn a_stopping_instance_takes_late_only_what_is_over_in_time() {
+    let mut stage = stage();
+    let address = stage.machines.entries[0].callers();
+    stage.machines.entries[0].process().signal("TERM");
+    let asked = Instant::now();
+    let call = |path: &str, id: &str, left: &str| {
+        let headers = [("Deadline-Remaining", left)];
+        call_with(address, path, id, &headers)
+    };
+    assert_eq!(call("/reports/1", "early", "5500").status, 200);
+    std::thread::sleep(Duration::from_millis(3200).saturating_sub(asked.elapsed()));
+    let late = call("/reports/1", "late", "5500");
+    assert_eq!((late.status, late.headers["connection"].as_str()), (503, "close"));
+    let wait: f64 = late.headers["retry-after"].parse().unwrap();
+    assert!(wait > 0.0 && wait <= 1.0, "come back after {wait} s");
+    assert_eq!(runs(&stage.engines, "late"), 0);
+    assert_eq!(call("/albums/1", "short", "1500").status, 200);
+    let refused = wait_for("the word of the refusal", || {
+        stage.machines.entries[0].events("refused").pop()
+    });
+    assert_eq!((&refused["request"], &refused["reason"]), (&"late".into(), &"stopping".into()));
+    assert_eq!(stage.machines.entries[0].process().wait(), Some(0));
+}
+
 #[test]
 fn a_planned_stop_cuts_no_request_and_moves_callers_elsewhere() {
     let mut stage = stage();
