Give up connections between instances whose bytes stay unacknowledged

Ruled out: datagrams (the heartbeats of upstreams came at once), the narrow links (all four control instances were late by the same time), the turns of the spread.

Now: connections between instances end after a second without an acknowledgement, as those to upstreams do after two; the options are set in one place, eventloop.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use names::Attempt;
-use socket2::{SockRef, TcpKeepalive};
 use stakker::{Actor, CX, FixedTimerKey, Fwd, at, call, fwd_to, stop};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
@@ -73,12 +72,7 @@
 
 fn connect(address: SocketAddr, silence: Duration) -> std::io::Result<TcpStream> {
     let stream = TcpStream::connect(address)?;
-    let socket = SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(silence))?;
-    let interval = (silence / (PROBES + 1)).max(Duration::from_secs(1));
-    let keepalive =
-        TcpKeepalive::new().with_time(interval).with_interval(interval).with_retries(PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
+    eventloop::watch_silence(&stream, silence)?;
     Ok(stream)
 }
 
--- a/crates/eventloop/src/lib.rs
+++ b/crates/eventloop/src/lib.rs
@@ -1,7 +1,10 @@
-//! The event loop that runs actors, and mailboxes from other threads into it.
+//! The event loop that runs actors, mailboxes from other threads into it, and connections that
+//! end when their peer falls silent.
 
 mod mailbox;
 mod run;
+mod silence;
 
 pub use mailbox::{Sender, mailbox};
 pub use run::{Error, Loop};
+pub use silence::watch_silence;
--- a/crates/wire/src/hub.rs
+++ b/crates/wire/src/hub.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use names::{Incarnation, Instance};
 use stakker::ret_nop;
@@ -19,6 +20,11 @@
 /// Priority of the peers' sockets in the event loop.
 pub(crate) const SOCKET_PRIORITY: u32 = 8;
 
+/// How long a connection between peers may carry bytes without an acknowledgement: longer than two
+/// lost packets in a row take to be sent again, and short enough that news flow again well within
+/// the three seconds after which an instance counts as back from a cut.
+pub(crate) const PEER_SILENCE: Duration = Duration::from_millis(1000);
+
 /// A message that arrived from a peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Delivery {
--- a/crates/wire/src/incoming.rs
+++ b/crates/wire/src/incoming.rs
@@ -10,7 +10,7 @@
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
 
-use crate::hub::{Delivery, Identity, SOCKET_PRIORITY};
+use crate::hub::{Delivery, Identity, PEER_SILENCE, SOCKET_PRIORITY};
 use crate::{Error, Frames, Listener, Session};
 
 /// How long a dialler may take to prove the fleet secret.
@@ -45,7 +45,9 @@
     ) -> Option<Self> {
         let ready = fwd_to!([cx], ready() as (Ready));
         let interest = Interest::READABLE | Interest::WRITABLE;
-        let added = cx.anymap_get::<MioPoll>().add(stream, interest, SOCKET_PRIORITY, ready);
+        let added = eventloop::watch_silence(&stream, PEER_SILENCE).and_then(|()| {
+            cx.anymap_get::<MioPoll>().add(stream, interest, SOCKET_PRIORITY, ready)
+        });
         match added {
             Ok(source) => {
                 let mut stream = TcpStreamBuf::new();
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -9,7 +9,7 @@
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
 
-use crate::hub::{Identity, Peer, SOCKET_PRIORITY};
+use crate::hub::{Identity, PEER_SILENCE, Peer, SOCKET_PRIORITY};
 use crate::{Dialler, Error, Frames, Session, Slice};
 
 /// Most bytes that wait for a peer; frames beyond are dropped.
@@ -81,6 +81,7 @@
         let socket_error =
             |source| Error::Socket { address: self.peer.address.to_string(), source };
         let stream = TcpStream::connect(self.peer.address).map_err(socket_error)?;
+        eventloop::watch_silence(&stream, PEER_SILENCE).map_err(socket_error)?;
         self.dialled += 1;
         let dialled = self.dialled;
         let ready: Fwd<Ready> = fwd_to!([cx], ready(dialled) as (Ready));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -289,9 +289,8 @@
     assert!(wait > 0.0 && wait <= 1.0, "come back after {wait} s");
     assert_eq!(runs(&stage.engines, "late"), 0);
     assert_eq!(call("/albums/1", "short", "1500").status, 200);
-    let refused = wait_for("the word of the refusal", || {
-        stage.machines.entries[0].events("refused").pop()
-    });
+    let refused =
+        wait_for("the word of the refusal", || stage.machines.entries[0].events("refused").pop());
     assert_eq!((&refused["request"], &refused["reason"]), (&"late".into(), &"stopping".into()));
     assert_eq!(stage.machines.entries[0].process().wait(), Some(0));
 }
