--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -19,9 +19,6 @@
 /// Largest read at once.
 const READ_BYTES: usize = 4096;
 
-/// Unanswered keep-alive probes after which a connection is broken.
-const PROBES: u32 = 2;
-
 /// A call as a connection works on it.
 pub(super) struct Job {
     outbound: Outbound,
--- a/crates/eventloop/src/silence.rs
+++ b/crates/eventloop/src/silence.rs
@@ -7,7 +7,7 @@
 use stakker_mio::mio::net::TcpStream;
 
 /// Unanswered probes after which an idle connection ends.
-const PROBES: u32 = 3;
+const PROBES: u32 = 2;
 
 /// Shortest time between two probes, the least that the system takes.
 const LEAST_INTERVAL: Duration = Duration::from_secs(1);
