Handle signals before anything else

Handlers were set only after settings, logs and sockets.

Ruled out: the stop itself; the process had written no line of it.

Test that failed first: tests/platform_control.rs holds a process at its settings file and sends both signals there.

--- a/crates/command/src/commands/platform.rs
+++ b/crates/command/src/commands/platform.rs
@@ -25,15 +25,16 @@
 
 impl Command for Platform {
     fn run(&self) -> Result<Exit, Error> {
+        // Before all else: until then a signal would end the process by itself.
+        let stop = Stop::default();
+        let asked = stop.clone();
+        signals::outlive_hang_ups()?;
+        signals::on_stop(move || asked.ask())?;
         let (settings, source) = platform::boot()?;
         let ceiling =
             Ceiling { lines: settings.logs.lines, bytes: settings.logs.bytes.as_bytes() as u64 };
         telemetry::start_trail(settings.instance.as_str(), ceiling)?;
         let bound = Bound::new(&settings)?;
-        let stop = Stop::default();
-        let asked = stop.clone();
-        signals::outlive_hang_ups()?;
-        signals::on_stop(move || asked.ask())?;
         let ran = relay::run(settings, platform::interface(), source, bound, &stop);
         log::logger().flush();
         ran?;
--- a/crates/command/src/commands/serve.rs
+++ b/crates/command/src/commands/serve.rs
@@ -29,12 +29,13 @@
 
 impl Command for Serve {
     fn run(&self) -> Result<Exit, Error> {
-        let settings = Settings::read(&self.settings)?;
-        telemetry::start_logs(settings.json_logs)?;
-        let bound = Bound::new(&settings)?;
+        // Before all else: until then a signal would end the process by itself.
         let stop = Stop::default();
         let asked = stop.clone();
         signals::on_stop(move || asked.ask())?;
+        let settings = Settings::read(&self.settings)?;
+        telemetry::start_logs(settings.json_logs)?;
+        let bound = Bound::new(&settings)?;
         instance::run(settings, bound, &stop)?;
         Ok(Exit::Done)
     }
--- a/tests/platform_control.rs
+++ b/tests/platform_control.rs
@@ -5,11 +5,14 @@
 
 mod support;
 
+use std::fs::File;
+use std::io::Write;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use support::machines::{KEY, Machine, Machines, document, newest_number, put_document};
-use support::wait_for;
 use support::worker::{Worker, exchange};
+use support::{output, wait_for};
 
 /// How long a fleet may take to serve again after all its instances were killed.
 const RECOVERY: Duration = Duration::from_secs(12);
@@ -161,6 +164,29 @@
     assert_eq!(lost["dependency"], "quorum");
 }
 
+/// Found by the soak, seed 19: a process that was told to stop just after it was started was ended by
+/// the signal itself.
+#[test]
+fn signals_that_come_at_the_very_start_end_nothing_by_themselves() {
+    let mut machines = Machines::start(1, 0);
+    let machine = &mut machines.controls[0];
+    machine.kill();
+    let path = machine.settings();
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert!(output(Command::new("mkfifo").arg(&path)).status.success());
+    machine.start();
+    // Opened once the process reads it, and so waits for its settings.
+    let mut pipe = File::options().write(true).open(&path).unwrap();
+    machine.process().signal("HUP");
+    machine.process().signal("TERM");
+    std::fs::remove_file(&path).unwrap();
+    std::fs::write(&path, &text).unwrap();
+    pipe.write_all(text.as_bytes()).unwrap();
+    drop(pipe);
+    assert_eq!(machine.process().wait(), Some(0));
+}
+
 /// All control instances lose what they know of members at once, while entry instances live on.
 /// Found by a hunt on the users' bench: an entry instance was fed nothing for over three seconds.
 #[test]
