Soak the whole path behind proxies, with faults that overlap

Instances can be told the address at which others reach them (listen.advertised), so that a proxy can stand between instances that are found from seeds.

--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -46,7 +46,7 @@
     let me = Member {
         instance: settings.instance.clone(),
         data_centre: settings.data_centre.clone(),
-        address: settings.listen.peers,
+        address: settings.listen.advertised.unwrap_or(settings.listen.peers),
         is_control: settings.has_role(Role::Control),
         incarnation,
         is_draining: false,
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -48,6 +48,9 @@
     pub operators: SocketAddr,
     /// Frames of other instances, over TCP and UDP.
     pub peers: SocketAddr,
+    /// Where other instances reach `peers`, if it is not that address itself.
+    #[serde(default)]
+    pub advertised: Option<SocketAddr>,
     /// Answers whether the instance is ready, apart from the operators' port.
     #[serde(default)]
     pub ready: Option<SocketAddr>,
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -1,6 +1,8 @@
 //! Fleets that are found from seeds alone, as on the users' platform: every process has an IP
 //! number of its own, and all use the same ports.
 
+use std::fs::File;
+use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -9,6 +11,7 @@
 use tempfile::TempDir;
 
 use super::process::{Process, wait_for};
+use super::proxy::Proxy;
 use super::worker::{Exchange, exchange, exchange_within};
 
 const CALLERS_PORT: u16 = 8227;
@@ -17,6 +20,9 @@
 const PEERS_PORT: u16 = 7340;
 const METRICS_PORT: u16 = 9464;
 
+/// How far the numbers that only proxies know lie from those that all know.
+const HIDDEN: u8 = 50;
+
 /// Instances with the control role have numbers below this one.
 const FIRST_ENTRY: u8 = 100;
 
@@ -26,7 +32,10 @@
 
 /// A process, running or not.
 pub struct Machine {
+    /// Names it; others reach it there.
     pub ip: Ipv4Addr,
+    /// Where it listens: the same, or a number that only its proxies know.
+    own: Ipv4Addr,
     is_control: bool,
     folder: PathBuf,
     pub process: Option<Process>,
@@ -37,6 +46,18 @@
         SocketAddr::new(self.ip.into(), port)
     }
 
+    fn own_address(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.own.into(), port)
+    }
+
+    /// Has it listen behind proxies at its addresses for callers, control and peers.
+    pub fn hide(&mut self) -> Vec<Proxy> {
+        let [a, b, c, number] = self.ip.octets();
+        self.own = Ipv4Addr::new(a, b, c, number + HIDDEN);
+        let ports = [CALLERS_PORT, CONTROL_PORT, PEERS_PORT].into_iter();
+        ports.map(|port| Proxy::start_at(self.address(port), self.own_address(port))).collect()
+    }
+
     pub fn callers(&self) -> SocketAddr {
         self.address(CALLERS_PORT)
     }
@@ -46,11 +67,11 @@
     }
 
     pub fn metrics(&self) -> SocketAddr {
-        self.address(METRICS_PORT)
+        self.own_address(METRICS_PORT)
     }
 
     pub fn is_ready(&self) -> bool {
-        exchange(self.address(READY_PORT), "GET", "/v1/readiness", &[], "")
+        exchange(self.own_address(READY_PORT), "GET", "/v1/readiness", &[], "")
             .is_ok_and(|answer| answer.status == 200)
     }
 
@@ -85,6 +106,17 @@
         std::fs::remove_dir_all(self.folder.join("data")).unwrap();
     }
 
+    /// Appends `torn` to the newest part of the log, as a write that was not synced may leave it.
+    pub fn tear_log(&self, torn: &[u8]) {
+        let files = std::fs::read_dir(self.folder.join("data")).unwrap();
+        let paths = files.map(|file| file.unwrap().path());
+        let parts =
+            paths.filter(|path| path.file_name().unwrap().to_string_lossy().starts_with("log-"));
+        if let Some(newest) = parts.max() {
+            File::options().append(true).open(newest).unwrap().write_all(torn).unwrap();
+        }
+    }
+
     pub fn start(&mut self) {
         let variable = ("TURMERICRELAY_BOOT", self.settings());
         let variable = (variable.0, variable.1.as_path());
@@ -101,16 +133,16 @@
     pub fn write_settings(&self, seeds: &[SocketAddr], is_first_start: bool) {
         let role = if self.is_control { "control" } else { "entry" };
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-        let ip = self.ip;
+        let (ip, own) = (self.ip, self.own);
         let folder = match self.is_control {
             true => format!("data_folder: \"{}\"\n", self.folder.join("data").display()),
             false => String::new(),
         };
         let text = format!(
             "instance: \"{ip}\"\ndata_centre: giza\nroles: [{role}]\n\
-             listen:\n  callers: \"{ip}:{CALLERS_PORT}\"\n  operators: \"{ip}:{CONTROL_PORT}\"\n  \
-             peers: \"{ip}:{PEERS_PORT}\"\n  ready: \"{ip}:{READY_PORT}\"\n  \
-             metrics: \"{ip}:{METRICS_PORT}\"\n{folder}seeds: [{}]\n\
+             listen:\n  callers: \"{own}:{CALLERS_PORT}\"\n  operators: \"{own}:{CONTROL_PORT}\"\n  \
+             peers: \"{own}:{PEERS_PORT}\"\n  advertised: \"{ip}:{PEERS_PORT}\"\n  \
+             ready: \"{own}:{READY_PORT}\"\n  metrics: \"{own}:{METRICS_PORT}\"\n{folder}seeds: [{}]\n\
              first_start: {is_first_start}\nlosses_borne: 1\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
              direct:\n  announce_period: 300ms\n",
@@ -132,6 +164,14 @@
 impl Machines {
     /// Starts a new fleet.
     pub fn start(controls: u8, entries: u8) -> Self {
+        Self::start_prepared(controls, entries, |_| {})
+    }
+
+    /// Starts a new fleet after `prepare` has seen each instance.
+    pub fn start_prepared<F>(controls: u8, entries: u8, mut prepare: F) -> Self
+    where
+        F: FnMut(&mut Machine),
+    {
         let folder = tempfile::tempdir().unwrap();
         let process = std::process::id();
         let network =
@@ -149,6 +189,7 @@
         }
         let seeds = fleet.seeds();
         for machine in fleet.controls.iter_mut().chain(&mut fleet.entries) {
+            prepare(machine);
             machine.write_settings(&seeds, true);
             machine.start();
         }
@@ -160,7 +201,7 @@
         let ip = Ipv4Addr::new(127, self.network.0, self.network.1, number);
         let folder = self.root.join(number.to_string());
         std::fs::create_dir_all(&folder).unwrap();
-        Machine { ip, is_control: number < FIRST_ENTRY, folder, process: None }
+        Machine { ip, own: ip, is_control: number < FIRST_ENTRY, folder, process: None }
     }
 
     /// The control addresses of the first three control instances.
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -128,6 +128,11 @@
         let _ = self.child.wait();
     }
 
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     /// Waits for the process to end by itself; gives its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         wait_for("end of process", || self.child.try_wait().unwrap()).code()
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -60,7 +60,16 @@
 impl Proxy {
     /// Starts a proxy towards `target` without faults.
     pub fn start(target: SocketAddr) -> Self {
-        let (listener, socket) = bind_pair();
+        Self::start_on(bind_pair(), target)
+    }
+
+    /// Starts a proxy at `address` towards `target` without faults.
+    pub fn start_at(address: SocketAddr, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
+        Self::start_on((listener, UdpSocket::bind(address).unwrap()), target)
+    }
+
+    fn start_on((listener, socket): (TcpListener, UdpSocket), target: SocketAddr) -> Self {
         let address = listener.local_addr().unwrap();
         let shared = Arc::new(Shared {
             target,
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -114,6 +114,11 @@
         self.shared.runs.lock().unwrap().clone()
     }
 
+    /// Falls silent at once, with its connections left as they are.
+    pub fn crash(&self) {
+        self.shared.is_stopped.store(true, Ordering::Relaxed);
+    }
+
     /// Says that it drains; true once a control instance has acknowledged it.
     pub fn drain(&self) -> bool {
         *self.shared.state.lock().unwrap() = "draining";
