--- a/crates/eventloop/src/lib.rs
+++ b/crates/eventloop/src/lib.rs
@@ -1,10 +1,12 @@
 //! The event loop that runs actors, mailboxes from other threads into it, and connections that
 //! end when their peer falls silent.
 
+mod child;
 mod mailbox;
 mod run;
 mod silence;
 
+pub use child::end_like_child;
 pub use mailbox::{Sender, mailbox};
 pub use run::{Error, Loop};
 pub use silence::watch_silence;
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -206,13 +206,7 @@
     }
 
     fn child_ended(&mut self, cx: CX![], cause: StopCause) {
-        match cause {
-            StopCause::Failed(error) => {
-                let reason = error.to_string();
-                fail!(cx, Error::Failed { reason });
-            }
-            _ => stop!(cx),
-        }
+        eventloop::end_like_child(cx, cause);
     }
 
     /// Hands the members to the slices that use them.
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -13,13 +13,12 @@
 use names::{Incarnation, Instance};
 use settings::Settings;
 use stakker::{
-    Actor, ActorOwn, CX, Fwd, StopCause, actor, after, at, call, fail, fwd_to, ret_some_to, stop,
+    Actor, ActorOwn, CX, Fwd, StopCause, actor, after, at, call, fwd_to, ret_some_to, stop,
 };
 use state::Index;
 use telemetry::{Event as LogEvent, Metrics};
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Run, Slice, Traffic};
 
-use crate::Error;
 use crate::control::Control;
 use crate::feed::{Feed, Listeners, Listing};
 use crate::forwarder::Forwarder;
@@ -283,13 +282,7 @@
     }
 
     fn child_ended(&mut self, cx: CX![], cause: StopCause) {
-        match cause {
-            StopCause::Failed(error) => {
-                let reason = error.to_string();
-                fail!(cx, Error::Failed { reason });
-            }
-            _ => stop!(cx),
-        }
+        eventloop::end_like_child(cx, cause);
     }
 
     /// Hands the members to the slices that use them.
