Tell others which engines are behind

Now: an instance of a large fleet that finds an engine behind says so with the loads that it passes on, to the same four others; the word counts for two periods, or until the engine is heard.

--- a/crates/forward/src/hearsay.rs
+++ b/crates/forward/src/hearsay.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::MANY_INSTANCES;
+use crate::is_wide;
 
 /// How an instance passes loads on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,13 +25,17 @@
 impl Pace {
     /// The pace among so many `instances`.
     pub fn new(instances: usize) -> Self {
-        if instances >= MANY_INSTANCES { WIDE_PACE } else { SMALL_PACE }
+        if is_wide(instances) { WIDE_PACE } else { SMALL_PACE }
     }
 }
 
 /// For how long a load is kept, so that older words that arrive later are told apart.
 const MEMORY: Duration = Duration::from_secs(10);
 
+/// How long the word of another instance that an engine is behind counts: two periods in which it
+/// is said again.
+const BEHIND_SPAN: Duration = Duration::from_millis(250);
+
 /// The load that an upstream had a while ago.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -52,6 +56,13 @@
     is_news: bool,
 }
 
+/// An engine that is behind, as another instance said at `at`.
+#[derive(Debug, Clone, Copy)]
+struct Behind {
+    upstream: u32,
+    at: Instant,
+}
+
 /// The newest loads that this instance knows.
 ///
 /// Each load is told by the one instance that heard it to a few others, and not passed on by them:
@@ -61,6 +72,8 @@
 pub struct Hearsay {
     /// Sorted by upstream.
     known: Vec<Known>,
+    /// Sorted by upstream.
+    behind: Vec<Behind>,
 }
 
 impl Hearsay {
@@ -75,9 +88,37 @@
     pub fn hear(&mut self, now: Instant, load: Load) -> Option<Instant> {
         let at = now.checked_sub(Duration::from_millis(u64::from(load.age)))?;
         let Load { upstream, held, .. } = load;
+        if self.behind(upstream).is_some_and(|one| one.at < at) {
+            self.forget_behind(upstream);
+        }
         self.put(Known { upstream, held, at, is_news: false }).then_some(at)
     }
 
+    /// Takes the word of another instance that an engine is behind: it has requests of that
+    /// instance and has sent it nothing for long, so that nobody can hear of its load.
+    pub fn hear_behind(&mut self, now: Instant, upstream: u32) {
+        let told = Behind { upstream, at: now };
+        match self.behind.binary_search_by_key(&upstream, |one| one.upstream) {
+            Ok(index) => self.behind[index] = told,
+            Err(index) => self.behind.insert(index, told),
+        }
+    }
+
+    /// Forgets that an engine is behind, since it has sent something.
+    pub fn forget_behind(&mut self, upstream: u32) {
+        self.behind.retain(|one| one.upstream != upstream);
+    }
+
+    /// Whether another instance said lately that an engine is behind.
+    pub fn is_behind(&self, now: Instant, upstream: u32) -> bool {
+        self.behind(upstream).is_some_and(|one| now < one.at + BEHIND_SPAN)
+    }
+
+    fn behind(&self, upstream: u32) -> Option<Behind> {
+        let found = self.behind.binary_search_by_key(&upstream, |one| one.upstream);
+        found.ok().map(|index| self.behind[index])
+    }
+
     fn put(&mut self, known: Known) -> bool {
         match self.known.binary_search_by_key(&known.upstream, |one| one.upstream) {
             Ok(index) if self.known[index].at >= known.at => false,
@@ -99,6 +140,7 @@
         let chosen = news.map(|one| one.load(now)).collect();
         self.known.iter_mut().for_each(|one| one.is_news = false);
         self.known.retain(|one| now < one.at + MEMORY);
+        self.behind.retain(|one| now < one.at + BEHIND_SPAN);
         chosen
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -28,4 +28,9 @@
 pub use window::{Allowance, Window};
 
 /// Instances from which on each one hears of a small part of the requests.
-pub const MANY_INSTANCES: usize = 16;
+const MANY_INSTANCES: usize = 16;
+
+/// Whether a fleet of so many `instances` is one in which each hears of a small part.
+pub fn is_wide(instances: usize) -> bool {
+    instances >= MANY_INSTANCES
+}
--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -2,7 +2,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{Candidate, MANY_INSTANCES};
+use crate::{Candidate, is_wide};
 
 /// What a request wants of its upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,8 +74,7 @@
     /// A policy that keeps every upstream's load at `bound` times the mean or less, at each of so
     /// many `instances`.
     pub fn new(bound: f64, instances: usize) -> Self {
-        let is_wide = instances >= MANY_INSTANCES;
-        let share = if is_wide { WIDE_ESTIMATE_SHARE } else { ESTIMATE_SHARE };
+        let share = if is_wide(instances) { WIDE_ESTIMATE_SHARE } else { ESTIMATE_SHARE };
         Self { bound: bound * share }
     }
 
--- a/crates/relay/src/forwarder/loads.rs
+++ b/crates/relay/src/forwarder/loads.rs
@@ -20,10 +20,22 @@
 /// Most loads in a message, so that it fits a datagram.
 const MAX_LOADS: usize = 100;
 
+/// Most engines that are behind in a message.
+const MAX_BEHIND: usize = 40;
+
 /// What travels in [`Slice::Load`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct Message {
     loads: Vec<Load>,
+    /// Short names of engines that are behind: they have requests of the sender, and have sent it
+    /// nothing for longer than reading a usual prompt takes.
+    behind: Vec<u32>,
+}
+
+impl Message {
+    fn is_empty(&self) -> bool {
+        self.loads.is_empty() && self.behind.is_empty()
+    }
 }
 
 /// The short name of an upstream. Two may have the same, which costs a wrong estimate.
@@ -32,24 +44,33 @@
 }
 
 impl Forwarder {
-    /// Tells a few instances what upstreams reported lately.
+    /// Tells a few instances what upstreams reported lately, and which engines are behind.
     pub(super) fn pass_loads(&mut self, cx: CX![]) {
         let Pace { period, fanout } = Pace::new(self.entries);
         let loads = self.table.pass_on(cx.now(), MAX_LOADS);
-        if !loads.is_empty() {
+        let behind = match forward::is_wide(self.entries) {
+            true => self.table.find_behind(cx.now(), MAX_BEHIND),
+            false => Vec::new(),
+        };
+        let message = Message { loads, behind };
+        if !message.is_empty() {
             let chosen: Vec<Instance> =
                 self.others.sample(&mut rand::rng(), fanout).cloned().collect();
-            match wire::encode(&Message { loads }) {
-                Ok(payload) => self.send_loads(chosen, &payload),
-                Err(error) => log::error!("loads cannot be passed on: {error}"),
-            }
+            self.send_loads(chosen, &message);
         }
         after!(period, [cx], pass_loads());
     }
 
-    fn send_loads(&self, chosen: Vec<Instance>, payload: &[u8]) {
-        for addressee in chosen {
-            let (slice, transport, payload) = (Slice::Load, Transport::Udp, payload.to_vec());
+    fn send_loads(&self, addressees: Vec<Instance>, message: &Message) {
+        let payload = match wire::encode(message) {
+            Ok(payload) => payload,
+            Err(error) => {
+                log::error!("loads cannot be passed on: {error}");
+                return;
+            }
+        };
+        for addressee in addressees {
+            let (slice, transport, payload) = (Slice::Load, Transport::Udp, payload.clone());
             let outgoing = Outgoing { addressee, slice, transport, payload };
             call!([self.hub], send(outgoing));
         }
@@ -59,7 +80,10 @@
     pub(crate) fn take_loads(&mut self, cx: CX![], delivery: Delivery) {
         let now: Instant = cx.now();
         match wire::decode::<Message>("loads of upstreams", &delivery.payload) {
-            Ok(message) => message.loads.iter().for_each(|load| self.table.hear_load(now, *load)),
+            Ok(message) => {
+                message.loads.iter().for_each(|load| self.table.hear_load(now, *load));
+                message.behind.iter().for_each(|short| self.table.hear_behind(now, *short));
+            }
             Err(error) => log::warn!("instance {}: {error}", delivery.sender),
         }
     }
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -161,7 +161,7 @@
         let of_service = |entry: &&Entry| entry.announcement.service == *service;
         let ready = self.entries.iter().filter(of_service).filter(|entry| entry.is_ready());
         let prior = forward::prior(ready.clone().map(|entry| &entry.gauge), now);
-        let is_wide = sharers as usize >= forward::MANY_INSTANCES;
+        let is_wide = forward::is_wide(sharers as usize);
         let all = ready.map(|entry| {
             let announcement = &entry.announcement;
             let is_silent = is_told && now > entry.heard + self.silence;
@@ -172,7 +172,7 @@
                 load: entry.gauge.load(now, sharers, prior),
                 slots: announcement.slots,
                 backlog: entry.gauge.backlog(),
-                is_behind: is_wide && entry.is_quiet(now, BEHIND),
+                is_behind: is_wide && self.is_behind(now, entry),
                 warmth: forward::warmth(now.saturating_duration_since(entry.known)),
                 is_avoided: is_silent
                     || is_cut
@@ -209,7 +209,8 @@
             return;
         };
         entry.quiet_since = Some(now);
-        let data_centre = entry.announcement.data_centre.clone();
+        let (short, data_centre) = (entry.short, entry.announcement.data_centre.clone());
+        self.hearsay.forget_behind(short);
         self.way(&data_centre).heard = Some(now);
     }
 
@@ -290,6 +291,22 @@
         }
     }
 
+    /// Short names of engines that this instance itself finds behind, `limit` at most.
+    pub(super) fn find_behind(&self, now: Instant, limit: usize) -> Vec<u32> {
+        let behind = self.entries.iter().filter(|entry| entry.is_quiet(now, BEHIND));
+        behind.map(|entry| entry.short).take(limit).collect()
+    }
+
+    /// Takes the word of another instance that an upstream is behind.
+    pub(super) fn hear_behind(&mut self, now: Instant, short: u32) {
+        self.hearsay.hear_behind(now, short);
+    }
+
+    /// Whether an engine seems to read a long prompt, from here or by what another instance said.
+    fn is_behind(&self, now: Instant, entry: &Entry) -> bool {
+        entry.is_quiet(now, BEHIND) || self.hearsay.is_behind(now, entry.short)
+    }
+
     /// Notes that another upstream answered in place of this one.
     pub(super) fn replaced(&mut self, upstream: &Upstream) {
         if let Some(entry) = self.entry(upstream) {
