--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -156,7 +156,7 @@
         self.server = Some(server);
     }
 
-    /// Takes only what is over before `end`, soon: the instance stops then.
+    /// Begins the planned stop, which ends at `end`: what could not be over by then is refused soon.
     pub(crate) fn wind_down(&mut self, cx: CX![], end: Instant) {
         self.departure = Some(Departure::new(cx.now(), end));
     }
