Keep the load that the mend of engines behind does not answer, as a known failure

 set its test to 18 requests in the second after 36, the number that the trace showed, had failed with the mend in it.

--- a/crates/forward/tests/behind.rs
+++ b/crates/forward/tests/behind.rs
@@ -1,9 +1,9 @@
 //! An engine that reads a long prompt in a large fleet.
 //!
 //! The load: an engine that holds seven requests of as many instances, a usual number, begins to
-//! read for a second; its contexts are asked for 18 times in that second, from 71 instances. It
+//! read for a second; its contexts are asked for 18 or 36 times in that second, from 71 instances. It
 //! sends no answers meanwhile, and so no word of its load. Found on the users' bench, day scale-1
-//! of nasr-sky-grown, where once it was twice as many, which is more than this answers.
+//! of nasr-sky-grown, where it was 36 times. That is more than is answered yet: KNOWN-RED.txt.
 
 #![allow(clippy::unwrap_used)]
 
@@ -25,7 +25,6 @@
 /// The engine that reads.
 const READER: usize = 0;
 const READING: Duration = Duration::from_secs(1);
-const REQUESTS: u32 = 18;
 
 /// How long an engine with requests of an instance may send it nothing before it counts as behind.
 const BEHIND: Duration = Duration::from_millis(150);
@@ -90,12 +89,17 @@
     (0..5000).filter(|key| is_first(key) == Some(READER)).collect()
 }
 
-#[test_case(1)]
-#[test_case(2)]
-#[test_case(3)]
-#[test_case(4)]
-#[test_case(5)]
-fn an_engine_that_reads_for_a_second_is_kept_below_the_bound(seed: u64) {
+#[test_case(1, 18)]
+#[test_case(2, 18)]
+#[test_case(3, 18)]
+#[test_case(4, 18)]
+#[test_case(5, 18)]
+#[test_case(1, 36)]
+#[test_case(2, 36)]
+#[test_case(3, 36)]
+#[test_case(4, 36)]
+#[test_case(5, 36)]
+fn an_engine_that_reads_for_a_second_is_kept_below_the_bound(seed: u64, requests: u32) {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let begin = Instant::now();
     let mut fleet = instances(&mut random, begin);
@@ -120,7 +124,7 @@
             }
         }
         if now >= next {
-            next += READING / REQUESTS;
+            next += READING / requests;
             let sender = &mut fleet[random.random_range(0..INSTANCES)];
             let candidates: Vec<Candidate> =
                 (0..ENGINES).map(|engine| sender.candidate(now, engine)).collect();
