Name an engine that has read the context as the source of a fetch

Cause: engines can fetch from each other what they have read, and nobody told them where. A request that went past the first engine of its context read the context again, as did the first engine after others were added or it had forgotten.

Each request to an engine now names another engine as the source: the first in the order of its context that did not fail lately, other than its own. The plain version: it knows nothing of who holds what, and a wrong source costs a plain read.

Ruled out: nothing else changed.

Left: engines that leave as sources, who really holds a context, and the load.

--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -20,5 +20,5 @@
 pub use newest::{Command, Document, Newest, Outcome};
 pub use number::Number;
 pub use route::{Repeat, Route, Target};
-pub use service::{Engine, Limits, Service};
+pub use service::{Engine, Limits, Service, Transfer};
 pub use spread::{Giving, Lack, Outflow, turn};
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing here knows of sockets or clocks. [`Affinity`] and [`LeastLoad`] choose an upstream among
 //! [`Candidate`]s, whose load a [`Gauge`] estimates, also from [`Hearsay`] of
-//! other instances; a [`Line`] orders what has to wait;
+//! other instances; [`source`] names an engine that has read the context; a [`Line`] orders what has to wait;
 //! [`Window`] bounds what is sent again; [`Setback`] says what follows a failed attempt; a
 //! [`Tail`] follows a stream so that it can go on elsewhere; and a [`Departure`] says what an
 //! instance still takes that is about to stop.
@@ -14,6 +14,7 @@
 mod line;
 mod policy;
 mod setback;
+mod source;
 mod tail;
 mod window;
 
@@ -24,6 +25,7 @@
 pub use line::Line;
 pub use policy::{Affinity, LeastLoad, Policy, Wish};
 pub use setback::{Next, Setback};
+pub use source::source;
 pub use tail::Tail;
 pub use window::{Allowance, Window};
 
--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -55,7 +55,7 @@
 const BACKLOG: f64 = 20_000.0;
 
 /// The place of an upstream in the order of `key`; the greatest goes first.
-fn weight(candidate: &Candidate, key: u64) -> u64 {
+pub(crate) fn weight(candidate: &Candidate, key: u64) -> u64 {
     xxh3_64_with_seed(candidate.upstream.as_str().as_bytes(), key)
 }
 
--- a/crates/relay/src/forwarder/active.rs
+++ b/crates/relay/src/forwarder/active.rs
@@ -1,5 +1,6 @@
 //! One request that is not answered yet.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -64,13 +65,14 @@
     }
 
     /// What the next upstream has to know.
-    pub(super) fn leg(&self, now: Instant, upstream: Upstream) -> Leg {
+    pub(super) fn leg(&self, now: Instant, upstream: Upstream, source: Option<SocketAddr>) -> Leg {
         let after = self.tail.as_ref().and_then(Tail::last).map(str::to_string);
         Leg {
             upstream,
             time_left: Some(self.deadline.saturating_duration_since(now)),
             account: self.account.clone(),
             rank: self.rank,
+            source,
             after: after.or_else(|| self.ask.after.clone()),
             body_bytes: self.body.len(),
         }
--- a/crates/relay/src/forwarder/placing.rs
+++ b/crates/relay/src/forwarder/placing.rs
@@ -1,5 +1,6 @@
 //! Sends requests to upstreams, or has them wait.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use catalogue::{Repeat, Service};
@@ -65,17 +66,19 @@
         let active = &mut self.actives[index];
         active.candidates = candidates.len();
         active.unusable = candidates.iter().filter(|one| one.is_avoided).count();
-        let Some(candidate) = chosen.map(|place| &candidates[place]) else {
+        let Some(chosen) = chosen else {
             return false;
         };
-        let (tokens, load) = (active.own_tokens(), candidate.load);
+        let candidate = &candidates[chosen];
+        let (tokens, load, wish) = (active.own_tokens(), candidate.load, active.wish());
+        let source = self.source(wish, service.as_ref(), &candidates, chosen);
         let Some(place) = self.table.begin(now, &candidate.upstream, tokens) else {
             return false;
         };
         let (connections, number) = (self.connections(service.as_ref()), self.number());
         let attempt = Attempt(rand::rng().random());
         let active = &mut self.actives[index];
-        let leg = active.leg(now, place.upstream.clone());
+        let leg = active.leg(now, place.upstream.clone(), source);
         let head = self.interface.upstreams.head(&active.request, &leg);
         let echo = self.interface.upstreams.echo(&active.request);
         let is_once = active.route.repeat == Repeat::Never;
@@ -149,6 +152,19 @@
         policy.choose(candidates, wish)
     }
 
+    /// Where the engine chosen may fetch context of the request.
+    fn source(
+        &self,
+        wish: Wish,
+        service: Option<&Service>,
+        candidates: &[Candidate],
+        chosen: usize,
+    ) -> Option<SocketAddr> {
+        service?.engine.as_ref()?.transfer?;
+        let place = forward::source(candidates, chosen, wish.key?)?;
+        self.table.address(&candidates[place].upstream)
+    }
+
     /// Most connections that this instance may open to one upstream.
     fn connections(&self, service: Option<&Service>) -> usize {
         let all = service.map_or(LEAST_CONNECTIONS, |service| service.connections);
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -190,6 +190,12 @@
         self.entries.iter_mut().find(|one| one.announcement.upstream == *upstream)
     }
 
+    /// Where `upstream` is called.
+    pub(super) fn address(&self, upstream: &Upstream) -> Option<SocketAddr> {
+        let found = self.entries.iter().find(|one| one.announcement.upstream == *upstream);
+        found.map(|entry| entry.announcement.address)
+    }
+
     fn is_cut(&self, now: Instant, data_centre: &DataCentre) -> bool {
         self.ways.iter().any(|way| way.data_centre == *data_centre && way.is_cut(now))
     }
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -1,5 +1,6 @@
 //! The interfaces that callers, upstreams and operators speak.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -56,6 +57,8 @@
     pub account: Option<ClientAccount>,
     /// Its rank; 0 goes first.
     pub rank: u8,
+    /// Where the upstream may fetch context of the prompt that it has not read.
+    pub source: Option<SocketAddr>,
     /// The last event of the stream that the caller has.
     pub after: Option<String>,
     /// Bytes of the body.
