Ask keepers what upstreams hold, in a large fleet

Cause: each of many entry instances guessed the load of an upstream from what it had heard, and an engine that reads says nothing.

In a fleet of 16 entry instances or more, each upstream has a keeper now, an entry instance of its data centre chosen by rendezvous. A request asks the keepers of its upstreams before it is sent: engines one after the other in the order of its context, the first within 1.5 times the mean; plain upstreams two at a time, the less loaded one. Instances tell keepers whole numbers, not changes, with each question, at each end and once a second, so that nothing leaks and a new keeper knows all within a second. Keepers grant nothing: one that is silent for 30 ms is not waited for, and half of the requests for its upstream look further first. The mean comes with the answers.

Small fleets choose as before.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Nothing here knows of sockets or clocks. [`Affinity`] and [`LeastLoad`] choose an upstream among
 //! [`Candidate`]s, whose load a [`Gauge`] estimates, also from [`Hearsay`] of
-//! other instances; [`source`] names an engine that has read the context; a [`Line`] orders what has to wait;
+//! other instances. In a large fleet a [`Walk`] asks the instances that keep a [`Tally`] of what
+//! upstreams hold. [`source`] names an engine that has read the context; a [`Line`] orders what has to wait;
 //! [`Window`] bounds what is sent again; [`Setback`] says what follows a failed attempt; a
 //! [`Tail`] follows a stream so that it can go on elsewhere; and a [`Departure`] says what an
 //! instance still takes that is about to stop.
@@ -16,6 +17,8 @@
 mod setback;
 mod source;
 mod tail;
+mod tally;
+mod walk;
 mod window;
 
 pub use candidate::{Candidate, warmth};
@@ -23,10 +26,12 @@
 pub use gauge::{Gauge, Report, prior};
 pub use hearsay::{Hearsay, Load, Pace};
 pub use line::Line;
-pub use policy::{Affinity, LeastLoad, Policy, Wish};
+pub use policy::{Affinity, LeastLoad, Policy, Wish, scattered};
 pub use setback::{Next, Setback};
 pub use source::source;
 pub use tail::Tail;
+pub use tally::{Level, TELL_PERIOD, Tally};
+pub use walk::{Choice, Search, Step, Walk};
 pub use window::{Allowance, Window};
 
 /// Instances from which on each one hears of a small part of the requests.
--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -64,6 +64,17 @@
     candidate.warmth >= 1.0 || (weight(candidate, lot) as f64) < candidate.warmth * u64::MAX as f64
 }
 
+fn least_backlog(candidates: &[Candidate], usable: &[usize]) -> f64 {
+    let backlogs = usable.iter().map(|index| candidates[*index].backlog);
+    backlogs.fold(f64::INFINITY, f64::min)
+}
+
+/// Whether most are not new; otherwise there is nobody to go to meanwhile.
+fn has_old(candidates: &[Candidate], usable: &[usize]) -> bool {
+    let old = usable.iter().filter(|index| candidates[**index].warmth >= 1.0).count();
+    old * 2 > usable.len()
+}
+
 fn mean_utilisation(candidates: &[Candidate]) -> f64 {
     let load: f64 = candidates.iter().map(|candidate| candidate.load).sum();
     let slots: f64 = candidates.iter().map(|candidate| f64::from(candidate.slots.max(1))).sum();
@@ -86,18 +97,34 @@
     }
 }
 
+impl Affinity {
+    /// The usable candidates in the order in which a request should try them, without those that
+    /// have much to read for this instance and new ones whose turn it is not yet.
+    pub fn order(&self, candidates: &[Candidate], wish: Wish) -> Vec<usize> {
+        let usable = preferred(candidates);
+        let key = wish.key.unwrap_or(wish.lot);
+        let least_backlog = least_backlog(candidates, &usable);
+        let has_old = has_old(candidates, &usable);
+        let is_open = |index: &usize| {
+            let candidate = &candidates[*index];
+            let is_reading = candidate.backlog > least_backlog + BACKLOG;
+            (!has_old || is_due(candidate, wish.lot)) && !is_reading
+        };
+        let mut order: Vec<usize> = usable.iter().copied().filter(is_open).collect();
+        order.sort_by_cached_key(|index| std::cmp::Reverse(weight(&candidates[*index], key)));
+        order
+    }
+}
+
 impl Policy for Affinity {
     fn choose(&self, candidates: &[Candidate], wish: Wish) -> Option<usize> {
         let mean = mean_utilisation(candidates);
         let key = wish.key.unwrap_or(wish.lot);
         let usable: Vec<usize> = preferred(candidates);
-        let backlogs = usable.iter().map(|index| candidates[*index].backlog);
-        let least_backlog = backlogs.fold(f64::INFINITY, f64::min);
+        let least_backlog = least_backlog(candidates, &usable);
         let mut order = usable.clone();
         order.sort_by_key(|index| std::cmp::Reverse(weight(&candidates[*index], key)));
-        // Where most are new, there is nobody to go to meanwhile.
-        let old = usable.iter().filter(|index| candidates[**index].warmth >= 1.0).count();
-        let has_old = old * 2 > usable.len();
+        let has_old = has_old(candidates, &usable);
         let is_within = |index: &&usize| {
             let candidate = &candidates[**index];
             (!has_old || is_due(candidate, wish.lot))
@@ -115,6 +142,17 @@
     }
 }
 
+/// The candidates of a plain service in the order in which a request should try them: those of the
+/// data centre first, in an order of the request's own.
+pub fn scattered(candidates: &[Candidate], lot: u64) -> Vec<usize> {
+    let mut order = preferred(candidates);
+    order.sort_by_cached_key(|index| {
+        let candidate = &candidates[*index];
+        (!candidate.is_near, weight(candidate, lot))
+    });
+    order
+}
+
 /// Takes the upstream with the least load in the data centre, and one elsewhere only if it has
 /// clearly less; answers loads of requests that share nothing.
 #[derive(Debug, Clone, Copy)]
--- a/crates/relay/src/forwarder/active.rs
+++ b/crates/relay/src/forwarder/active.rs
@@ -11,6 +11,7 @@
 use stakker::{FixedTimerKey, Fwd};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::asking::Walking;
 use crate::interface::{Ask, Leg};
 
 /// An attempt that runs.
@@ -49,6 +50,8 @@
     /// Attempts that did not run.
     pub(super) refusals: usize,
     pub(super) running: Option<Running>,
+    /// The search for its next upstream, while keepers are asked.
+    pub(super) walking: Option<Walking>,
     /// Whether the caller has the head of the answer.
     pub(super) is_started: bool,
     pub(super) tail: Option<Tail>,
--- a/crates/relay/src/forwarder/admitting.rs
+++ b/crates/relay/src/forwarder/admitting.rs
@@ -93,6 +93,7 @@
             runs: 0,
             refusals: 0,
             running: None,
+            walking: None,
             is_started: false,
             tail,
             candidates: 0,
--- a/crates/relay/src/forwarder/answering.rs
+++ b/crates/relay/src/forwarder/answering.rs
@@ -51,6 +51,7 @@
             self.table.read(&running.upstream, running.tokens);
         }
         self.table.end(&running.upstream);
+        self.tell_count(cx.now(), &running.upstream);
         Some(running)
     }
 
--- a/crates/relay/src/forwarder/loads.rs
+++ b/crates/relay/src/forwarder/loads.rs
@@ -25,17 +25,33 @@
 
 /// What travels in [`Slice::Load`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct Message {
-    loads: Vec<Load>,
-    /// Short names of engines that are behind: they have requests of the sender, and have sent it
-    /// nothing for longer than reading a usual prompt takes.
-    behind: Vec<u32>,
+pub(super) enum Message {
+    /// What the sender heard from upstreams.
+    Heard {
+        loads: Vec<Load>,
+        /// Short names of engines that are behind: they have requests of the sender, and have sent
+        /// it nothing for longer than reading a usual prompt takes.
+        behind: Vec<u32>,
+    },
+    /// Asks the keeper of an upstream how much it holds.
+    Ask(Count),
+    /// The answer: what all instances have there.
+    Answer(Count),
+    /// Tells a keeper what the sender has at upstreams.
+    Tell { number: u64, held: Vec<(u32, u32)> },
 }
 
-impl Message {
-    fn is_empty(&self) -> bool {
-        self.loads.is_empty() && self.behind.is_empty()
-    }
+/// Requests at an upstream.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct Count {
+    /// Grows with each message of its kind; an answer has that of its question.
+    pub(super) number: u64,
+    /// Short name of the upstream.
+    pub(super) upstream: u32,
+    /// Requests there, with the one that is asked for.
+    pub(super) held: u32,
+    /// Requests of the upstream's service that the sender has anywhere.
+    pub(super) in_flight: u32,
 }
 
 /// The short name of an upstream. Two may have the same, which costs a wrong estimate.
@@ -52,16 +68,16 @@
             true => self.table.find_behind(cx.now(), MAX_BEHIND),
             false => Vec::new(),
         };
-        let message = Message { loads, behind };
-        if !message.is_empty() {
-            let chosen: Vec<Instance> =
-                self.others.sample(&mut rand::rng(), fanout).cloned().collect();
+        if !loads.is_empty() || !behind.is_empty() {
+            let message = Message::Heard { loads, behind };
+            let chosen = self.others.sample(&mut rand::rng(), fanout);
+            let chosen: Vec<Instance> = chosen.map(|one| one.instance.clone()).collect();
             self.send_loads(chosen, &message);
         }
         after!(period, [cx], pass_loads());
     }
 
-    fn send_loads(&self, addressees: Vec<Instance>, message: &Message) {
+    pub(super) fn send_loads(&self, addressees: Vec<Instance>, message: &Message) {
         let payload = match wire::encode(message) {
             Ok(payload) => payload,
             Err(error) => {
@@ -80,9 +96,16 @@
     pub(crate) fn take_loads(&mut self, cx: CX![], delivery: Delivery) {
         let now: Instant = cx.now();
         match wire::decode::<Message>("loads of upstreams", &delivery.payload) {
-            Ok(message) => {
-                message.loads.iter().for_each(|load| self.table.hear_load(now, *load));
-                message.behind.iter().for_each(|short| self.table.hear_behind(now, *short));
+            Ok(Message::Heard { loads, behind }) => {
+                loads.iter().for_each(|load| self.table.hear_load(now, *load));
+                behind.iter().for_each(|short| self.table.hear_behind(now, *short));
+            }
+            Ok(Message::Ask(count)) => self.answer_count(now, delivery.sender, count),
+            Ok(Message::Answer(count)) => self.take_count(cx, &delivery.sender, count),
+            Ok(Message::Tell { number, held }) => {
+                for (upstream, held) in held {
+                    self.tally.tell(now, &delivery.sender, number, upstream, held);
+                }
             }
             Err(error) => log::warn!("instance {}: {error}", delivery.sender),
         }
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -3,9 +3,11 @@
 mod active;
 mod admitting;
 mod answering;
+mod asking;
 mod loads;
 mod placing;
 mod problems;
+mod sending;
 mod upstreams;
 
 use std::rc::Rc;
@@ -15,9 +17,9 @@
 use catalogue::Catalogue;
 use dispatch::{Client, Event as CallEvent, Keeping};
 use entry::{Event, Problem, Reply, Server};
-use forward::{Allowance, Departure, Line, Window};
+use forward::{Allowance, Departure, Level, Line, Tally, Window};
 use instance::View;
-use names::{Attempt, Instance, Service};
+use names::{Attempt, Service};
 use settings::Settings;
 use stakker::{
     Actor, ActorOwn, CX, FixedTimerKey, Fwd, StopCause, actor, after, call, fail, fwd_to,
@@ -30,6 +32,7 @@
 use crate::pages::Readiness;
 use active::Active;
 use answering::STALL_PERIOD;
+use asking::{Other, Question, Silent, first_number};
 use upstreams::Table;
 
 /// How long an idle connection to an upstream is kept, if the upstream does not say.
@@ -52,6 +55,8 @@
     service: Service,
     line: Line<names::Request>,
     window: Window,
+    /// Requests of this service that an instance has.
+    level: Level,
 }
 
 /// Where an attempt belongs.
@@ -84,7 +89,15 @@
     /// Entry instances in this data centre, with this one.
     near_entries: usize,
     /// The other entry instances.
-    others: Vec<Instance>,
+    others: Vec<Other>,
+    /// What this instance keeps of the loads of upstreams.
+    tally: Tally,
+    /// Number of the last message to a keeper.
+    number: u64,
+    /// Questions to keepers that wait for an answer.
+    questions: Vec<Question>,
+    /// Keepers that did not answer lately.
+    silent: Vec<Silent>,
     line_timer: FixedTimerKey,
     is_ready: bool,
     /// The planned stop of this instance, once it began.
@@ -111,6 +124,7 @@
         );
         after!(STALL_PERIOD, [cx], check_stalls());
         after!(forward::Pace::new(1).period, [cx], pass_loads());
+        after!(forward::TELL_PERIOD, [cx], repeat_counts());
         let direct = &settings.direct;
         let allowance = Allowance {
             ratio: direct.repeat_ratio,
@@ -140,6 +154,10 @@
             entries_at: cx.now(),
             near_entries: 1,
             others: Vec::new(),
+            tally: Tally::default(),
+            number: first_number(),
+            questions: Vec::new(),
+            silent: Vec::new(),
             line_timer: FixedTimerKey::default(),
             is_ready: false,
             departure: None,
@@ -208,7 +226,11 @@
         let entries = view.members.iter().filter(|member| !member.is_control);
         let near = entries.clone().filter(|one| one.data_centre == self.settings.data_centre);
         self.near_entries = near.count() + 1;
-        self.others = entries.map(|member| member.instance.clone()).collect();
+        let other = |member: &membership::Member| Other {
+            instance: member.instance.clone(),
+            data_centre: member.data_centre.clone(),
+        };
+        self.others = entries.map(other).collect();
         let now = cx.now();
         let count = self.others.len() + 1;
         if count >= self.entries || now > self.entries_at + ENTRIES_MEMORY {
@@ -234,6 +256,7 @@
                     service: service.clone(),
                     line: Line::default(),
                     window: Window::default(),
+                    level: Level::default(),
                 };
                 self.flows.insert(index, flow);
                 index
@@ -345,8 +368,11 @@
         let Ok(index) = self.find(id) else {
             return;
         };
-        let active = self.actives.remove(index);
+        let mut active = self.actives.remove(index);
         cx.timer_del(active.timer);
+        if let Some(walking) = active.walking.take() {
+            self.abandon(cx, id, &walking);
+        }
         self.flow(&active.service).line.remove(&id);
         self.serve_line(cx, &active.service);
     }
--- a/crates/relay/src/forwarder/placing.rs
+++ b/crates/relay/src/forwarder/placing.rs
@@ -1,32 +1,12 @@
-//! Sends requests to upstreams, or has them wait.
+//! Chooses upstreams for requests, or has these wait.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use catalogue::{Repeat, Service};
-use dispatch::Outbound;
 use forward::{Affinity, Candidate, LeastLoad, Policy, Wish};
-use names::Attempt;
-use rand::RngExt;
-use stakker::{CX, FixedTimerKey, at, call};
-use telemetry::{Cause, Event};
+use stakker::{CX, at};
+use telemetry::Event;
 
-use super::active::Running;
-use super::{Forwarder, Link, millis, problems};
-
-/// How long connecting to an upstream may take: many round trips between data centres, and one
-/// lost packet at the start.
-const CONNECT_SPAN: Duration = Duration::from_millis(400);
-
-/// How long a connection may have been idle for a request that must not run twice.
-const YOUNG_IDLE: Duration = Duration::from_millis(1000);
-
-/// Fewest connections to one upstream that an instance may open.
-const LEAST_CONNECTIONS: usize = 4;
-
-/// Share of an upstream's connections that all instances use together, so that views that differ
-/// do not overrun it.
-const CONNECTION_SHARE: f64 = 0.9;
+use super::{Forwarder, millis, problems};
 
 /// Requests held for each slot of a plain service at most.
 const PLAIN_FILL: f64 = 1.5;
@@ -41,105 +21,60 @@
 /// Shortest such wait.
 const LEAST_PATIENCE: Duration = Duration::from_millis(30);
 
+/// What became of a request that looked for an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Placed {
+    /// It was sent, or has ended.
+    Sent,
+    /// Keepers of upstreams are asked for it.
+    Asking,
+    /// No upstream has room.
+    Full,
+}
+
 impl Forwarder {
     /// Sends a request to an upstream, or has it wait for one.
     pub(super) fn place(&mut self, cx: CX![], id: names::Request) {
-        if !self.try_send(cx, id) {
+        if self.try_send(cx, id) == Placed::Full {
             self.wait(cx, id);
         }
     }
 
-    fn try_send(&mut self, cx: CX![], id: names::Request) -> bool {
+    fn try_send(&mut self, cx: CX![], id: names::Request) -> Placed {
         let Ok(index) = self.find(id) else {
-            return true;
+            return Placed::Sent;
         };
         let now = cx.now();
         let active = &self.actives[index];
+        let (wish, tokens) = (active.wish(), active.own_tokens());
         let has_engine = self.has_engine(&active.service);
-        // Engines are chosen from all data centres, others mostly from this one.
-        let sharers = if has_engine { self.entries } else { self.near_entries };
-        let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
-        let candidates = self.table.candidates(now, &active.service, &active.tried, sharers);
-        let catalogue = self.catalogue.as_ref();
-        let service = catalogue.and_then(|one| one.service(&active.service)).cloned();
-        let chosen = self.choose(&candidates, has_engine, active.wish());
+        let candidates = self.candidates(now, index);
         let active = &mut self.actives[index];
         active.candidates = candidates.len();
         active.unusable = candidates.iter().filter(|one| one.is_avoided).count();
-        let Some(chosen) = chosen else {
-            return false;
-        };
-        let candidate = &candidates[chosen];
-        let (tokens, load, wish) = (active.own_tokens(), candidate.load, active.wish());
-        let source = self.source(wish, service.as_ref(), &candidates, chosen);
-        let Some(place) = self.table.begin(now, &candidate.upstream, tokens) else {
-            return false;
-        };
-        let (connections, number) = (self.connections(service.as_ref()), self.number());
-        let attempt = Attempt(rand::rng().random());
-        let active = &mut self.actives[index];
-        let leg = active.leg(now, place.upstream.clone(), source);
-        let head = self.interface.upstreams.head(&active.request, &leg);
-        let echo = self.interface.upstreams.echo(&active.request);
-        let is_once = active.route.repeat == Repeat::Never;
-        let outbound = Outbound {
-            attempt,
-            address: place.address,
-            head,
-            body: active.body.clone(),
-            has_no_body: active.request.method == entry::Method::Head,
-            echo,
-            connect_by: now + CONNECT_SPAN,
-            deadline: None,
-            idle_at_most: if is_once { YOUNG_IDLE } else { Duration::MAX / 4 },
-            connections,
-        };
-        let cause = match (active.is_started, active.tried.is_empty()) {
-            (true, _) => Cause::Resumed,
-            (false, true) => Cause::First,
-            (false, false) => Cause::Again,
-        };
-        Event::Sent {
-            request: active.ask.id.clone(),
-            service: active.service.to_string(),
-            attempt: attempt.to_string(),
-            cause,
-            upstream: place.upstream.to_string(),
-            load,
-            heard_ms: millis(now.saturating_duration_since(place.heard)),
-            candidates: candidates.len(),
-            left_ms: millis(active.deadline.saturating_duration_since(now)),
-            catalogue: number,
-        }
-        .tell();
-        self.metrics.relay.count_attempt(&cause.to_string());
-        if cause == Cause::First {
-            let waited = now.saturating_duration_since(active.arrived);
-            self.metrics.relay.observe_queueing(&active.route.repeat.to_string(), waited);
+        if forward::is_wide(self.entries) {
+            return self.walk(cx, id, &candidates, has_engine);
         }
-        active.tried.push(place.upstream.clone());
-        let timer = match give_up_at(active, now) {
-            Some(at) => at!(at, [cx], give_up(id, attempt)),
-            None => FixedTimerKey::default(),
+        let Some(chosen) = self.choose(&candidates, has_engine, wish) else {
+            return Placed::Full;
         };
-        active.running = Some(Running {
-            attempt,
-            upstream: place.upstream,
-            since: now,
-            tokens,
-            has_head: false,
-            status: 0,
-            first: None,
-            parts: 0,
-            timer,
-        });
-        let link = self.links.partition_point(|link| link.attempt < attempt);
-        self.links.insert(link, Link { attempt, request: id });
-        call!([self.client], call(outbound));
-        true
+        let Candidate { upstream, load, .. } = &candidates[chosen];
+        self.table.begin(now, upstream, tokens);
+        self.send(cx, id, upstream, *load);
+        Placed::Sent
     }
 
-    fn has_engine(&self, service: &names::Service) -> bool {
+    /// The upstreams that the request at `index` could be sent to.
+    pub(super) fn candidates(&mut self, now: Instant, index: usize) -> Vec<Candidate> {
+        let active = &self.actives[index];
+        // Engines are chosen from all data centres, others mostly from this one.
+        let has_engine = self.has_engine(&active.service);
+        let sharers = if has_engine { self.entries } else { self.near_entries };
+        let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
+        self.table.candidates(now, &active.service, &active.tried, sharers)
+    }
+
+    pub(super) fn has_engine(&self, service: &names::Service) -> bool {
         let found = self.catalogue.as_ref().and_then(|catalogue| catalogue.service(service));
         found.is_some_and(|service| service.engine.is_some())
     }
@@ -152,28 +87,8 @@
         policy.choose(candidates, wish)
     }
 
-    /// Where the engine chosen may fetch context of the request.
-    fn source(
-        &self,
-        wish: Wish,
-        service: Option<&Service>,
-        candidates: &[Candidate],
-        chosen: usize,
-    ) -> Option<SocketAddr> {
-        service?.engine.as_ref()?.transfer?;
-        let place = forward::source(candidates, chosen, wish.key?)?;
-        self.table.address(&candidates[place].upstream)
-    }
-
-    /// Most connections that this instance may open to one upstream.
-    fn connections(&self, service: Option<&Service>) -> usize {
-        let all = service.map_or(LEAST_CONNECTIONS, |service| service.connections);
-        let share = all as f64 * CONNECTION_SHARE / self.entries.max(1) as f64;
-        (share as usize).max(LEAST_CONNECTIONS)
-    }
-
     /// Has a request wait until an upstream has room, or refuses it.
-    fn wait(&mut self, cx: CX![], id: names::Request) {
+    pub(super) fn wait(&mut self, cx: CX![], id: names::Request) {
         let Some(active) = self.active(id) else {
             return;
         };
@@ -223,7 +138,7 @@
         let lines = self.flows.iter_mut().flat_map(|flow| flow.line.expire(now));
         let expired: Vec<names::Request> = lines.collect();
         for id in expired {
-            if !self.try_send(cx, id) {
+            if self.try_send(cx, id) == Placed::Full {
                 self.give_back(cx, id);
             }
         }
@@ -239,22 +154,16 @@
     /// Sends what waits for upstreams of `service`, the first first.
     pub(super) fn serve_line(&mut self, cx: CX![], service: &names::Service) {
         for id in self.flow(service).line.items() {
-            if !self.try_send(cx, id) {
+            if forward::is_wide(self.entries) {
+                // Those behind it go on when it has found room.
+                self.flow(service).line.remove(&id);
+                self.place(cx, id);
+                return;
+            }
+            if self.try_send(cx, id) == Placed::Full {
                 return;
             }
             self.flow(service).line.remove(&id);
         }
     }
 }
-
-/// When an attempt without an answer is given up for another one; none if it is waited for.
-fn give_up_at(active: &super::active::Active, now: Instant) -> Option<Instant> {
-    let is_last = active.runs + 1 >= active.route.attempts.max(1);
-    let span = match active.route.repeat {
-        _ if is_last || active.is_started => return None,
-        Repeat::Never => return None,
-        Repeat::Whole => active.route.objective,
-        Repeat::Resumed => active.route.objective * 4,
-    };
-    Some(now + span).filter(|at| *at < active.deadline)
-}
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -78,12 +78,21 @@
 
 /// Where an upstream is called.
 pub(super) struct Place {
-    pub(super) upstream: Upstream,
     pub(super) address: SocketAddr,
     /// When the upstream was heard last.
     pub(super) heard: Instant,
 }
 
+/// How many requests of this instance an upstream has.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Counted<'a> {
+    pub(super) upstream: &'a Upstream,
+    pub(super) service: &'a Service,
+    pub(super) data_centre: &'a DataCentre,
+    pub(super) short: u32,
+    pub(super) own: u32,
+}
+
 impl Table {
     pub(super) fn new(
         data_centre: DataCentre,
@@ -191,9 +200,9 @@
     }
 
     /// Where `upstream` is called.
-    pub(super) fn address(&self, upstream: &Upstream) -> Option<SocketAddr> {
+    pub(super) fn place(&self, upstream: &Upstream) -> Option<Place> {
         let found = self.entries.iter().find(|one| one.announcement.upstream == *upstream);
-        found.map(|entry| entry.announcement.address)
+        found.map(|entry| Place { address: entry.announcement.address, heard: entry.heard })
     }
 
     fn is_cut(&self, now: Instant, data_centre: &DataCentre) -> bool {
@@ -240,20 +249,44 @@
         of_centre.map(|one| one.address).collect()
     }
 
-    /// Notes a request that is sent with `tokens` to be read; gives where to.
-    pub(super) fn begin(
-        &mut self,
-        now: Instant,
-        upstream: &Upstream,
-        tokens: f64,
-    ) -> Option<Place> {
-        let entry = self.entry(upstream)?;
+    /// Notes a request that gets a place at `upstream`, with `tokens` to be read.
+    pub(super) fn begin(&mut self, now: Instant, upstream: &Upstream, tokens: f64) {
+        let Some(entry) = self.entry(upstream) else {
+            return;
+        };
         if entry.gauge.own() == 0 {
             entry.quiet_since = Some(now);
         }
         entry.gauge.begin(tokens);
-        let (address, heard) = (entry.announcement.address, entry.heard);
-        Some(Place { upstream: upstream.clone(), address, heard })
+    }
+
+    /// Short name and service of `upstream`, the data centre that it runs in, and how many requests
+    /// this instance has there.
+    pub(super) fn count(&self, upstream: &Upstream) -> Option<Counted<'_>> {
+        let found = self.entries.iter().find(|one| one.announcement.upstream == *upstream);
+        found.map(Entry::counted)
+    }
+
+    /// The same of the upstream with this short name.
+    pub(super) fn count_of(&self, short: u32) -> Option<Counted<'_>> {
+        self.entries.iter().find(|one| one.short == short).map(Entry::counted)
+    }
+
+    /// The same of all upstreams that have requests of this instance.
+    pub(super) fn counts(&self) -> impl Iterator<Item = Counted<'_>> {
+        self.entries.iter().filter(|one| one.gauge.own() > 0).map(Entry::counted)
+    }
+
+    /// Requests of this instance at upstreams of `service`.
+    pub(super) fn in_flight(&self, service: &Service) -> u32 {
+        let of_service = self.entries.iter().filter(|one| one.announcement.service == *service);
+        of_service.map(|entry| entry.gauge.own()).sum()
+    }
+
+    /// Requests that the ready upstreams of `service` work on at once.
+    pub(super) fn slots(&self, service: &Service) -> u32 {
+        let of_service = self.entries.iter().filter(|one| one.announcement.service == *service);
+        of_service.filter(|one| one.is_ready()).map(|one| one.announcement.slots.max(1)).sum()
     }
 
     /// Notes that `tokens` of a request were read or are no more needed.
@@ -371,6 +404,11 @@
 }
 
 impl Entry {
+    fn counted(&self) -> Counted<'_> {
+        let Announcement { upstream, service, data_centre, .. } = &self.announcement;
+        Counted { upstream, service, data_centre, short: self.short, own: self.gauge.own() }
+    }
+
     fn is_stalled(&self, now: Instant) -> bool {
         self.is_quiet(now, STALL)
     }
