Feed a large fleet through relays, and tell it who is there in samples

Four entry instances of each data centre, the most senior by hash, follow the control instances now; the others follow three of these, and control instances themselves while their relays are silent (roster::Tree). Relays pass on records and who was heard. A document goes down a tree of two heirs each. Control instances give whole views to each other and to seniors, and samples of one datagram to others, which get whole views from near instances. Changes of members are told once a tick, logged in one line where they are many, and only when there are some.

--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -21,4 +21,4 @@
 pub use number::Number;
 pub use route::{Repeat, Route, Target};
 pub use service::{Engine, Limits, Service, Transfer};
-pub use spread::{Giving, Lack, Outflow, turn};
+pub use spread::{Giving, Lack, Outflow, heirs, turn};
--- a/crates/catalogue/src/spread.rs
+++ b/crates/catalogue/src/spread.rs
@@ -30,6 +30,28 @@
     OPENER_TIME * u32::try_from(before / OPENERS).unwrap_or(u32::MAX)
 }
 
+/// To how many others an instance of a large fleet hands a document.
+const HEIRS: usize = 2;
+
+/// The instances to which `me` hands the document `number` in a large fleet, of its `neighbours`, the
+/// other instances of its data centre: two each, in an order that is the same for all. A document
+/// that came from another data centre, as it `is_from_outside`, goes to the first of that order too.
+pub fn heirs(
+    me: &Instance,
+    neighbours: &[Instance],
+    number: Number,
+    is_from_outside: bool,
+) -> Vec<Instance> {
+    let place = |one: &Instance| xxh3_64_with_seed(one.as_str().as_bytes(), number.0);
+    let mut order: Vec<&Instance> = neighbours.iter().chain([me]).collect();
+    order.sort_by_key(|one| (place(one), *one));
+    let own = order.iter().position(|one| *one == me).unwrap_or_default();
+    let heirs = order.iter().skip(own * HEIRS + 1).take(HEIRS);
+    let root = order.first().filter(|_| is_from_outside);
+    let chosen = root.into_iter().chain(heirs).filter(|one| **one != me);
+    chosen.map(|one| (*one).clone()).collect()
+}
+
 /// What an instance lacks, and since when it knows.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Lack {
--- a/crates/instance/src/members.rs
+++ b/crates/instance/src/members.rs
@@ -19,6 +19,9 @@
 /// How often the detector does what is due.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Instances that a line about many of them names.
+const NAMES_LOGGED: usize = 5;
+
 /// The members as others see them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct View {
@@ -38,8 +41,13 @@
     metrics: Arc<Metrics>,
     detector: Detector,
     changed: Fwd<View>,
+    /// The changes of the detector that others were told of.
+    told_changes: u64,
     members: Vec<Member>,
     is_draining: bool,
+    /// Instances that came and went since the last line about them.
+    met: Vec<String>,
+    lost: Vec<String>,
 }
 
 fn detector(settings: &Settings, incarnation: Incarnation, now: Instant) -> Detector {
@@ -55,6 +63,19 @@
     Detector::new(now, me, configured.collect(), rand::rng().random())
 }
 
+/// Logs a change of some instances in one line, which names a few of them.
+fn log_names(change: &str, names: &mut Vec<String>) {
+    let names = std::mem::take(names);
+    match names.len() {
+        0 => {}
+        count if count > NAMES_LOGGED => {
+            let first = names[..NAMES_LOGGED].join(", ");
+            log::info!("{count} instances are {change}, among them {first}");
+        }
+        _ => names.iter().for_each(|name| log::info!("instance {name} is {change}")),
+    }
+}
+
 /// A peer of the settings that was not heard of yet.
 fn unheard(peer: &settings::Peer) -> Member {
     Member {
@@ -86,14 +107,20 @@
             metrics,
             detector,
             changed,
+            told_changes: 0,
             members: Vec::new(),
             is_draining: false,
+            met: Vec::new(),
+            lost: Vec::new(),
         })
     }
 
     fn tick(&mut self, cx: CX![]) {
         let actions = self.detector.tick(cx.now());
         self.perform(actions);
+        self.tell(false);
+        log_names("alive", &mut self.met);
+        log_names("gone", &mut self.lost);
         after!(TICK, [cx], tick());
     }
 
@@ -157,7 +184,7 @@
                 Action::SendReliably(to, message) => self.send(to, Transport::Tcp, &message),
                 Action::Up(member) => self.meet(member),
                 Action::Down(member, status) => {
-                    log::info!("instance {}: {status}", member.instance);
+                    self.lost.push(format!("{} ({status})", member.instance));
                     self.metrics.membership.deaths.inc();
                 }
                 Action::Suspected(instance) => {
@@ -174,12 +201,20 @@
                 }
             }
         }
-        self.tell(has_stalled);
+        if has_stalled {
+            self.tell(has_stalled);
+        }
     }
 
+    /// Tells the other slices who is there, if that has changed.
     fn tell(&mut self, has_stalled: bool) {
-        let members: Vec<_> = self.detector.members().collect();
         let is_draining = self.detector.me().is_draining;
+        let is_unchanged = self.detector.changes() == self.told_changes;
+        if is_unchanged && is_draining == self.is_draining && !has_stalled {
+            return;
+        }
+        self.told_changes = self.detector.changes();
+        let members: Vec<_> = self.detector.members().collect();
         if members == self.members && is_draining == self.is_draining && !has_stalled {
             return;
         }
@@ -194,7 +229,7 @@
 
     /// Lets the hub reach a member; addresses of the settings win.
     fn meet(&mut self, member: Member) {
-        log::info!("instance {}: alive in run {}", member.instance, member.incarnation);
+        self.met.push(format!("{} (run {})", member.instance, member.incarnation));
         let is_configured = self.settings.peers.iter().any(|peer| peer.instance == member.instance);
         if !is_configured {
             let peer = Peer { instance: member.instance, address: member.address };
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -2,8 +2,11 @@
 
 mod aside;
 mod probing;
+mod samples;
 mod views;
 
+pub use samples::seniority;
+
 use std::time::{Duration, Instant};
 
 use names::{Incarnation, Instance};
@@ -30,6 +33,13 @@
 /// Differing digests in a row that begin an exchange of whole views.
 const DIFFERENCES: u32 = 6;
 
+/// The same two for an entry instance in its first rounds, in which others start too.
+const YOUNG_VIEW_PAUSE: Duration = Duration::from_millis(1500);
+const YOUNG_DIFFERENCES: u32 = 2;
+
+/// Rounds for which an instance counts as young: some ten seconds.
+const YOUNG_ROUNDS: u64 = 20;
+
 /// Most instances that are set aside at once.
 const MAX_ASIDE: usize = 7;
 
@@ -73,6 +83,10 @@
     aside_until: Option<Instant>,
     random: Pcg64Mcg,
     actions: Vec<Action>,
+    /// Grows with every change of what is believed.
+    changes: u64,
+    /// Whole views given to others in this round.
+    views_given: usize,
 }
 
 impl Detector {
@@ -111,9 +125,16 @@
             aside_until: None,
             random: Pcg64Mcg::seed_from_u64(seed),
             actions: Vec::new(),
+            changes: 0,
+            views_given: 0,
         }
     }
 
+    /// Grows with every change of the members.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Learns peers from changed settings; those known already stay as they are.
     pub fn add_configured(&mut self, now: Instant, configured: Vec<Member>) {
         for peer in configured {
@@ -175,9 +196,10 @@
             Message::View { rumours, wants_answer } => {
                 self.learn_view(now, sender, rumours);
                 if wants_answer {
-                    self.send_view(sender, false);
+                    self.answer_view(sender);
                 }
             }
+            Message::Sample { rumours } => self.take_sample(now, sender, rumours),
             Message::SetAside { incarnation } => self.set_aside(now, incarnation),
         }
         std::mem::take(&mut self.actions)
@@ -257,6 +279,7 @@
                 record.belief.status = Status::Dead;
                 record.deadline = Some(now + MEMORY);
                 record.has_answered = false;
+                self.changes += 1;
                 self.rumours.add(record.belief.clone());
                 self.actions.push(Action::Down(record.member(), Status::Dead));
             }
--- a/crates/membership/src/detector/aside.rs
+++ b/crates/membership/src/detector/aside.rs
@@ -23,6 +23,7 @@
         for record in &mut self.records {
             let was_aside = record.damping.is_aside();
             record.damping.update(now, aside < MAX_ASIDE);
+            self.changes += u64::from(record.damping.is_aside() != was_aside);
             if record.damping.is_aside() && !was_aside {
                 aside += 1;
                 told.push(record.told());
--- a/crates/membership/src/detector/probing.rs
+++ b/crates/membership/src/detector/probing.rs
@@ -16,6 +16,10 @@
 /// Peers that are asked to probe a silent one.
 const RELAYS: usize = 3;
 
+/// Configured peers that a new entry instance pings at first, beside the one that it pings while it is
+/// alone.
+const GREETED: usize = 1;
+
 /// Rounds between two probes of an instance that is down.
 const DOWN_ROUNDS: u64 = 2;
 
@@ -69,6 +73,7 @@
 
     pub(super) fn begin_round(&mut self, now: Instant) {
         self.round += 1;
+        self.views_given = 0;
         if let Some(target) = self.next_target() {
             self.probe(now, &target);
         }
@@ -89,14 +94,15 @@
         }
     }
 
-    /// Pings all configured peers, so that a new instance is known within one round trip.
+    /// Pings configured peers, so that a new instance is known within one round trip. Entry
+    /// instances ping fewer, since many of them may start at once.
     fn greet(&mut self) {
-        let all: Vec<_> = self
-            .records
-            .iter()
-            .map(|record| record.belief.instance.clone())
-            .take(RELAYS * 4)
-            .collect();
+        let records = self.records.iter().map(|record| record.belief.instance.clone());
+        let mut all: Vec<_> = records.take(RELAYS * 4).collect();
+        if !self.me.is_control {
+            all.shuffle(&mut self.random);
+            all.truncate(GREETED);
+        }
         for peer in all {
             self.ping(&peer);
         }
--- a/crates/membership/src/detector/views.rs
+++ b/crates/membership/src/detector/views.rs
@@ -5,7 +5,10 @@
 use names::{Incarnation, Instance};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{Action, DIFFERENCES, Detector, MEMORY, SUSPICION, VIEW_PAUSE};
+use super::{
+    Action, DIFFERENCES, Detector, MEMORY, SUSPICION, VIEW_PAUSE, YOUNG_DIFFERENCES,
+    YOUNG_VIEW_PAUSE,
+};
 use crate::record::Record;
 use crate::{Message, Rumour, Status};
 
@@ -16,10 +19,17 @@
             self.differences = 0;
             return;
         }
+        if !self.may_compare(peer) {
+            return;
+        }
         self.differences += 1;
-        if self.differences >= DIFFERENCES && now >= self.next_view {
+        let (differences, pause) = match self.is_young() {
+            true => (YOUNG_DIFFERENCES, YOUNG_VIEW_PAUSE),
+            false => (DIFFERENCES, VIEW_PAUSE),
+        };
+        if self.differences >= differences && now >= self.next_view {
             self.differences = 0;
-            self.next_view = now + VIEW_PAUSE;
+            self.next_view = now + pause;
             self.send_view(peer, true);
         }
     }
@@ -112,6 +122,7 @@
 
     /// Tells what changed from the belief `old` and sets the deadline that the new one needs.
     pub(super) fn adopt(&mut self, now: Instant, index: usize, old: Rumour) {
+        self.changes += 1;
         let members = self.up().count() + 1;
         let record = &mut self.records[index];
         let is_same_run = record.belief.incarnation == old.incarnation;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,6 +10,6 @@
 mod record;
 mod rumours;
 
-pub use detector::{Action, Detector};
+pub use detector::{Action, Detector, seniority};
 pub use message::{Message, Rumour, Status};
 pub use record::Member;
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -96,6 +96,12 @@
         /// Whether the receiver's view is wanted in return.
         wants_answer: bool,
     },
+    /// Some of the sender's beliefs, in place of a whole view: those that the receiver needs to find
+    /// the others.
+    Sample {
+        /// These beliefs.
+        rumours: Vec<Rumour>,
+    },
     /// The receiver came and went too often and is to take no duties for a while.
     SetAside {
         /// The run that is meant.
--- a/crates/relay/src/feed/documents.rs
+++ b/crates/relay/src/feed/documents.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catalogue::{Catalogue, Document, Giving, Number, turn};
+use catalogue::{Catalogue, Document, Giving, Number, heirs, turn};
 use names::Instance;
 use stakker::{CX, at};
 use state::Index;
@@ -53,14 +53,17 @@
     }
 
     /// Hears that an instance has a document. The entry instances of a data centre ask control
-    /// instances, whose links are narrow, in turn, and each other at once.
+    /// instances, whose links are narrow, in turn, and each other at once. In a large fleet few of
+    /// them hear of it from control instances.
     pub(super) fn hear_standing(&mut self, cx: CX![], sender: Instance, number: Number) {
         if number <= self.number() {
             return;
         }
         let now = cx.now();
         let is_first = !self.lack.is_known();
-        let due = self.lack.note(now) + turn(&self.me, &self.neighbours, number);
+        let openers = self.tree.openers();
+        let openers = openers.as_deref().unwrap_or(&self.neighbours);
+        let due = self.lack.note(now) + turn(&self.me, openers, number);
         if self.is_control || self.neighbours.contains(&sender) || due <= now {
             self.compare(cx, sender, number);
         } else if is_first {
@@ -124,10 +127,16 @@
             let standing = Message::Standing(self.number());
             if self.is_control {
                 self.tell_followers(Transport::Udp, &standing);
-            } else if !self.neighbours.contains(sender) {
-                for neighbour in self.neighbours.clone() {
-                    self.send(neighbour, Transport::Udp, &standing);
-                }
+                return;
+            }
+            let is_from_outside = !self.neighbours.contains(sender);
+            let told = match (self.is_wide, is_from_outside) {
+                (true, _) => heirs(&self.me, &self.neighbours, self.number(), is_from_outside),
+                (false, true) => self.neighbours.clone(),
+                (false, false) => Vec::new(),
+            };
+            for neighbour in told {
+                self.send(neighbour, Transport::Udp, &standing);
             }
         }
     }
--- a/crates/relay/src/feed/message.rs
+++ b/crates/relay/src/feed/message.rs
@@ -1,7 +1,6 @@
 //! Messages between control instances and those that follow them.
 
 use catalogue::{Document, Number};
-use names::Upstream;
 use roster::{BUCKETS, Record};
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +26,7 @@
     Document(Document),
     /// Records of upstreams.
     Records(Vec<Record>),
-    /// Upstreams that announced themselves to the sender lately.
-    Heard(Vec<Upstream>),
+    /// Short names, sorted, of upstreams that announced themselves lately, to the sender or to
+    /// those that it follows.
+    Heard(Vec<u32>),
 }
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -12,8 +12,8 @@
 
 use catalogue::{Catalogue, Lack, Newest, Number, Outflow};
 use membership::Member;
-use names::{DataCentre, Instance, Upstream};
-use roster::{Announcement, Roster};
+use names::{DataCentre, Instance};
+use roster::{Announcement, Roster, Tree};
 use settings::{Role, Settings};
 use stakker::{Actor, CX, FixedTimerKey, Fwd, after, call};
 use telemetry::Metrics;
@@ -34,6 +34,13 @@
 /// How often followers are told who announced itself.
 const HEARD_PERIOD: Duration = Duration::from_secs(1);
 
+/// How long news of upstreams are gathered before the forwarder gets the new list: a small part of
+/// the time in which a leave has to be known.
+const LIST_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long records are gathered before they are written to disk.
+const KEEP_PAUSE: Duration = Duration::from_millis(100);
+
 /// An upstream that did not leave.
 #[derive(Debug, Clone)]
 pub(crate) struct Known {
@@ -73,13 +80,20 @@
     roster: Roster,
     told: Option<Instant>,
     is_control: bool,
-    /// Control instances that are followed.
-    sources: Vec<Instance>,
+    /// Who is followed.
+    tree: Tree,
+    /// Those that were followed last.
+    followed: Vec<Instance>,
+    is_wide: bool,
     /// Other entry instances of the data centre.
     neighbours: Vec<Instance>,
     followers: Vec<Follower>,
-    /// Upstreams that announced themselves here since followers were told.
-    heard: Vec<Upstream>,
+    /// Short names of upstreams that were heard since followers were told, sorted.
+    heard: Vec<u32>,
+    /// Whether the forwarder will get a new list soon.
+    is_listing: bool,
+    /// Whether records will be written soon.
+    is_keeping: bool,
     fetched_at: Option<Instant>,
     lack: Lack,
     outflow: Outflow,
@@ -102,9 +116,7 @@
         let is_control = settings.has_role(Role::Control);
         let data_folder = settings.data_folder.clone().filter(|_| is_control);
         after!(FOLLOW_PERIOD, [cx], follow());
-        if is_control {
-            after!(HEARD_PERIOD, [cx], tell_heard());
-        }
+        after!(HEARD_PERIOD, [cx], tell_heard());
         let opened = data_folder.and_then(|folder| Shelf::open(&folder));
         let (shelf, kept) = opened.map_or((None, Kept::default()), |(one, kept)| (Some(one), kept));
         let mut feed = Self {
@@ -117,10 +129,14 @@
             roster: Roster::default(),
             told: None,
             is_control,
-            sources: Vec::new(),
+            tree: Tree::new(settings.instance.clone(), is_control),
+            followed: Vec::new(),
+            is_wide: false,
             neighbours: Vec::new(),
             followers: Vec::new(),
             heard: Vec::new(),
+            is_listing: false,
+            is_keeping: false,
             fetched_at: None,
             lack: Lack::default(),
             outflow: Outflow::new(settings.direct.link_megabits),
@@ -129,38 +145,44 @@
             shelf,
             metrics,
         };
-        feed.take_kept(cx.now(), kept);
+        feed.take_kept(cx, kept);
         Some(feed)
     }
 
     /// Starts with what the last run knew.
-    fn take_kept(&mut self, now: Instant, kept: Kept) {
+    fn take_kept(&mut self, cx: CX![], kept: Kept) {
         for record in kept.records {
-            self.roster.take(now, record);
+            self.roster.take(cx.now(), record);
         }
         if let Some(document) = kept.document {
             self.newest.borrow_mut().adopt(document);
             self.take_newest("disk");
         }
-        self.list();
+        self.list_soon(cx);
     }
 
-    /// Follows all control instances that live.
-    pub(crate) fn set_view(&mut self, _: CX![], view: View) {
-        let is_near = |one: &&Member| !one.is_control && one.data_centre == self.data_centre;
-        let neighbours = view.members.iter().filter(is_near);
-        self.neighbours = neighbours.map(|member| member.instance.clone()).collect();
-        let controls = view.members.into_iter().filter(|member| member.is_control);
-        let sources: Vec<Instance> = controls.map(|member| member.instance).collect();
-        self.metrics.relay.sources.set(i64::try_from(sources.len()).unwrap_or(i64::MAX));
-        let added: Vec<Instance> =
-            sources.iter().filter(|source| !self.sources.contains(source)).cloned().collect();
-        self.sources = sources;
+    /// Follows those that the members leave to be followed.
+    pub(crate) fn set_view(&mut self, cx: CX![], view: View) {
+        let (controls, entries): (Vec<Member>, Vec<Member>) =
+            view.members.into_iter().partition(|member| member.is_control);
+        let controls: Vec<Instance> = controls.into_iter().map(|one| one.instance).collect();
+        self.metrics.relay.sources.set(i64::try_from(controls.len()).unwrap_or(i64::MAX));
+        self.is_wide = forward::is_wide(entries.len() + usize::from(!self.is_control));
+        let near = entries.into_iter().filter(|one| one.data_centre == self.data_centre);
+        self.neighbours = near.map(|member| member.instance).collect();
+        self.tree.set_members(cx.now(), controls, &self.neighbours, self.is_wide);
+        let added = self.update_followed(cx.now());
         for source in added {
             self.send(source, Transport::Udp, &self.standing());
         }
     }
 
+    /// Chooses anew whom to follow; gives those that were not followed before.
+    fn update_followed(&mut self, now: Instant) -> Vec<Instance> {
+        let former = std::mem::replace(&mut self.followed, self.tree.followed(now));
+        self.followed.iter().filter(|one| !former.contains(one)).cloned().collect()
+    }
+
     fn standing(&self) -> Message {
         Message::Follow { number: self.number(), roster: self.roster.digest() }
     }
@@ -171,8 +193,9 @@
     }
 
     fn follow(&mut self, cx: CX![]) {
-        for source in self.sources.clone() {
-            self.send(source, Transport::Udp, &self.standing());
+        self.update_followed(cx.now());
+        for source in &self.followed {
+            self.send(source.clone(), Transport::Udp, &self.standing());
         }
         after!(FOLLOW_PERIOD, [cx], follow());
     }
@@ -204,6 +227,7 @@
 
     fn receive(&mut self, cx: CX![], sender: Instance, message: Message) {
         let now = cx.now();
+        self.tree.hear(now, &sender);
         match message {
             Message::Follow { number, roster } => self.answer(cx, sender, number, roster),
             Message::Standing(number) => self.hear_standing(cx, sender, number),
@@ -219,12 +243,8 @@
             }
             Message::Fetch => self.give(cx, sender),
             Message::Document(document) => self.adopt(&sender, document),
-            Message::Records(records) => self.learn(now, &sender, records),
-            Message::Heard(upstreams) => {
-                upstreams.iter().for_each(|upstream| self.roster.hear(now, upstream));
-                self.told = Some(now);
-                self.list();
-            }
+            Message::Records(records) => self.learn(cx, &sender, records),
+            Message::Heard(heard) => self.take_heard(cx, &sender, &heard),
         }
     }
 
@@ -245,7 +265,16 @@
         self.compare(cx, sender, number);
     }
 
-    fn list(&self) {
+    /// Gives the forwarder a new list soon.
+    fn list_soon(&mut self, cx: CX![]) {
+        if !self.is_control && !self.is_listing {
+            self.is_listing = true;
+            after!(LIST_PAUSE, [cx], list());
+        }
+    }
+
+    fn list(&mut self, _: CX![]) {
+        self.is_listing = false;
         let known = self
             .roster
             .present()
--- a/crates/relay/src/forwarder/loads.rs
+++ b/crates/relay/src/forwarder/loads.rs
@@ -8,12 +8,11 @@
 use std::time::{Duration, Instant};
 
 use forward::{Load, Pace};
-use names::{Instance, Upstream};
+use names::Instance;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use stakker::{CX, after, call};
 use wire::{Delivery, Outgoing, Slice, Transport};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::Forwarder;
 
@@ -54,11 +53,6 @@
     pub(super) in_flight: u32,
 }
 
-/// The short name of an upstream. Two may have the same, which costs a wrong estimate.
-pub(super) fn short_name(upstream: &Upstream) -> u32 {
-    xxh3_64(upstream.as_str().as_bytes()) as u32
-}
-
 impl Forwarder {
     /// Tells a few instances what upstreams reported lately, and which engines are behind.
     pub(super) fn pass_loads(&mut self, cx: CX![]) {
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -7,10 +7,9 @@
 use dispatch::Health;
 use forward::{Candidate, Gauge, Hearsay, Load, Report};
 use names::{DataCentre, Service, Upstream};
-use roster::{Announcement, Standing};
+use roster::{Announcement, Standing, short_name};
 use telemetry::Metrics;
 
-use super::loads::short_name;
 use crate::feed::{Known, Listing};
 
 /// Announcements that an upstream may miss before requests avoid it.
--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -20,6 +20,11 @@
     (xxh3_64(upstream.as_str().as_bytes()) % BUCKETS as u64) as usize
 }
 
+/// Names an upstream in few bytes. Two may have the same, which costs a wrong estimate.
+pub fn short_name(upstream: &Upstream) -> u32 {
+    xxh3_64(upstream.as_str().as_bytes()) as u32
+}
+
 /// What became of an announcement or record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Taken {
@@ -33,6 +38,7 @@
 
 struct Entry {
     record: Record,
+    short: u32,
     /// Sequence number of the newest announcement of the run, also of repeated ones.
     sequence: u64,
     /// When it was heard last.
@@ -54,7 +60,8 @@
             Err(_) if self.is_superseded(&record) => Taken::Stale,
             Err(index) => {
                 let sequence = record.announcement.sequence;
-                self.entries.insert(index, Entry { record, sequence, heard: now });
+                let short = short_name(&record.announcement.upstream);
+                self.entries.insert(index, Entry { record, short, sequence, heard: now });
                 self.displace(index);
                 Taken::News
             }
@@ -97,10 +104,13 @@
         self.take(now, Record { announcement })
     }
 
-    /// Notes that `upstream` was heard by an instance that vouches for it.
-    pub fn hear(&mut self, now: Instant, upstream: &Upstream) {
-        if let Ok(index) = self.find(upstream) {
-            self.entries[index].heard = now;
+    /// Notes that the upstreams with these short names, which are sorted, were heard by an instance
+    /// that vouches for them.
+    pub fn hear(&mut self, now: Instant, heard: &[u32]) {
+        for entry in &mut self.entries {
+            if heard.binary_search(&entry.short).is_ok() {
+                entry.heard = now;
+            }
         }
     }
 
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use roster::{Announcement, Record, Roster, Standing, Taken};
+use roster::{Announcement, Record, Roster, Standing, Taken, short_name};
 
 fn record(upstream: &str, born: u64, sequence: u64, standing: Standing) -> Record {
     let announcement = Announcement {
@@ -118,7 +118,7 @@
     let now = Instant::now();
     let mut roster = Roster::default();
     roster.take(now, record("a", 1, 1, Standing::Ready));
-    roster.hear(now + Duration::from_secs(30), &"a".parse().unwrap());
+    roster.hear(now + Duration::from_secs(30), &[short_name(&"a".parse().unwrap())]);
     let mut other = record("b", 1, 1, Standing::Ready);
     other.announcement.address = "10.0.0.8:80".parse().unwrap();
     roster.take(now + Duration::from_secs(61), other.clone());
--- /dev/null
+++ b/crates/roster/tests/tree.rs
@@ -0,0 +1,105 @@
+//! Who follows whom in a large fleet.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use names::Instance;
+use roster::Tree;
+
+const ENTRIES: usize = 59;
+const CONTROLS: usize = 5;
+
+/// Longer than a source may be silent.
+const SILENCE: Duration = Duration::from_millis(1400);
+
+fn entry(number: usize) -> Instance {
+    format!("entry-{number}").parse().unwrap()
+}
+
+fn controls() -> Vec<Instance> {
+    (0..CONTROLS).map(|number| format!("control-{number}").parse().unwrap()).collect()
+}
+
+/// The tree as each entry instance of a data centre sees it.
+fn trees(now: Instant, is_wide: bool) -> Vec<Tree> {
+    let tree = |number: usize| {
+        let others = (0..ENTRIES).filter(|other| *other != number);
+        let neighbours: Vec<Instance> = others.map(entry).collect();
+        let mut tree = Tree::new(entry(number), false);
+        tree.set_members(now, controls(), &neighbours, is_wide);
+        tree
+    };
+    (0..ENTRIES).map(tree).collect()
+}
+
+#[test]
+fn few_instances_of_a_data_centre_follow_control_instances_and_the_others_follow_these() {
+    let now = Instant::now();
+    let trees = trees(now, true);
+    let relays: Vec<usize> = (0..ENTRIES).filter(|one| trees[*one].is_relay()).collect();
+    assert_eq!(relays.len(), 4);
+    for (number, tree) in trees.iter().enumerate() {
+        let followed = tree.followed(now);
+        if relays.contains(&number) {
+            assert_eq!(followed, controls());
+        } else {
+            assert_eq!(followed.len(), 3);
+            assert!(followed.iter().all(|one| relays.iter().any(|relay| entry(*relay) == *one)));
+        }
+    }
+}
+
+#[test]
+fn all_follow_control_instances_in_a_small_fleet() {
+    let now = Instant::now();
+    assert!(trees(now, false).iter().all(|tree| tree.followed(now) == controls()));
+    assert!(trees(now, false).iter().all(|tree| !tree.passes_on()));
+}
+
+#[test]
+fn one_whose_relays_are_silent_follows_control_instances_until_they_are_back() {
+    let begin = Instant::now();
+    let mut trees = trees(begin, true);
+    let leaf = trees.iter_mut().find(|tree| !tree.is_relay()).unwrap();
+    let relays = leaf.followed(begin);
+    let later = begin + SILENCE;
+    let followed = leaf.followed(later);
+    assert_eq!(followed.iter().filter(|one| controls().contains(one)).count(), 3);
+    assert!(relays.iter().all(|one| followed.contains(one)), "relays are told, too");
+    for relay in &relays {
+        leaf.hear(later, relay);
+    }
+    let followed = leaf.followed(later);
+    assert!(!followed.iter().any(|one| controls().contains(one)));
+    assert!(relays.iter().all(|one| followed.contains(one)));
+}
+
+#[test]
+fn a_relay_that_leaves_is_replaced_by_one_that_knows_of_it() {
+    let now = Instant::now();
+    let mut trees = trees(now, true);
+    let relays: Vec<usize> = (0..ENTRIES).filter(|one| trees[*one].is_relay()).collect();
+    let gone = relays[0];
+    for (number, tree) in trees.iter_mut().enumerate() {
+        let others = (0..ENTRIES).filter(|other| *other != number && *other != gone);
+        let neighbours: Vec<Instance> = others.map(entry).collect();
+        tree.set_members(now, controls(), &neighbours, true);
+    }
+    let new: Vec<usize> =
+        (0..ENTRIES).filter(|one| *one != gone && trees[*one].is_relay()).collect();
+    assert_eq!(new.len(), 4);
+    assert!(relays[1..].iter().all(|one| new.contains(one)), "the others stay");
+}
+
+#[test]
+fn control_instances_tell_their_followers_only_what_they_heard_themselves() {
+    let now = Instant::now();
+    let me: Instance = "control-0".parse().unwrap();
+    let mut tree = Tree::new(me, true);
+    let others: Vec<Instance> = controls()[1..].to_vec();
+    tree.set_members(now, others, &[entry(1), entry(2)], true);
+    assert!(!tree.spreads(&controls()[1]));
+    assert!(tree.spreads(&entry(1)));
+    assert!(!tree.is_relay() && tree.passes_on());
+}
