Share each context between two engines where this instance chooses alone

An instance whose keepers are all silent chooses by what it has heard, as a small fleet does, and then each context goes to its first two engines by turns.

--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -1,5 +1,6 @@
 //! Policies that choose an upstream.
 
+use names::Upstream;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{Candidate, is_wide};
@@ -32,6 +33,9 @@
 pub struct Affinity {
     /// Estimated load at most, as a multiple of the mean.
     bound: f64,
+    /// Whether each context is shared by two engines: in a large fleet nobody knows how many requests
+    /// one of them gets while it reads and is silent.
+    spreads: bool,
 }
 
 /// Share of the bound on the true load that the estimate is held to: instances learn of each
@@ -55,8 +59,12 @@
 const BACKLOG: f64 = 20_000.0;
 
 /// The place of an upstream in the order of `key`; the greatest goes first.
-pub(crate) fn weight(candidate: &Candidate, key: u64) -> u64 {
-    xxh3_64_with_seed(candidate.upstream.as_str().as_bytes(), key)
+pub(crate) fn weight_of(upstream: &Upstream, key: u64) -> u64 {
+    xxh3_64_with_seed(upstream.as_str().as_bytes(), key)
+}
+
+fn weight(candidate: &Candidate, key: u64) -> u64 {
+    weight_of(&candidate.upstream, key)
 }
 
 /// Whether a request with this `lot` is among those that a new upstream gets already.
@@ -85,8 +93,9 @@
     /// A policy that keeps every upstream's load at `bound` times the mean or less, at each of so
     /// many `instances`.
     pub fn new(bound: f64, instances: usize) -> Self {
-        let share = if is_wide(instances) { WIDE_ESTIMATE_SHARE } else { ESTIMATE_SHARE };
-        Self { bound: bound * share }
+        let spreads = is_wide(instances);
+        let share = if spreads { WIDE_ESTIMATE_SHARE } else { ESTIMATE_SHARE };
+        Self { bound: bound * share, spreads }
     }
 
     fn is_within(&self, candidate: &Candidate, mean: f64, least_backlog: f64) -> bool {
@@ -138,7 +147,13 @@
             return least_loaded(candidates, order.iter().filter(has_room).copied(), wish.lot);
         }
         let prompt = within.iter().filter(is_prompt).take(SEARCHED);
-        prompt.chain(within.iter().take(SEARCHED)).find(has_room).copied()
+        let mut open: Vec<usize> =
+            prompt.chain(within.iter().take(SEARCHED)).filter(has_room).copied().collect();
+        if self.spreads && wish.lot % 2 == 1 {
+            // The context is at both, since the second one fetches it from the first.
+            open = open.split_off(1.min(open.len().saturating_sub(1)));
+        }
+        open.first().copied()
     }
 }
 
--- a/crates/relay/src/forwarder/asking.rs
+++ b/crates/relay/src/forwarder/asking.rs
@@ -76,21 +76,47 @@
 }
 
 impl Forwarder {
-    /// Begins to look for an upstream among `candidates`.
+    /// How to look for an upstream among `candidates`; none if no keeper would answer, so that this
+    /// instance chooses by what it has heard.
+    pub(super) fn search(
+        &self,
+        now: Instant,
+        candidates: &[Candidate],
+        has_engine: bool,
+        wish: Wish,
+    ) -> Option<(Search, Vec<Choice>)> {
+        if !forward::is_wide(self.entries) {
+            return None;
+        }
+        let mut choices = choices(candidates, has_engine, wish);
+        let mut search = if has_engine { ENGINES } else { PLAIN };
+        search.bound *= self.settings.direct.load_bound;
+        choices.truncate(search.most);
+        let is_heard = |choice: &Choice| {
+            let counted = self.table.count(&choice.upstream);
+            let keeper = counted.and_then(|one| self.keeper(&choice.upstream, one.data_centre));
+            keeper.is_none_or(|keeper| !self.is_silent(now, &keeper))
+        };
+        let is_asked = choices.is_empty() || choices.iter().any(is_heard);
+        is_asked.then_some((search, choices))
+    }
+
+    fn is_silent(&self, now: Instant, keeper: &Instance) -> bool {
+        self.silent.iter().any(|one| one.keeper == *keeper && now < one.until)
+    }
+
+    /// Begins to look for an upstream.
     pub(super) fn walk(
         &mut self,
         cx: CX![],
         id: names::Request,
-        candidates: &[Candidate],
-        has_engine: bool,
+        search: Search,
+        choices: Vec<Choice>,
     ) -> Placed {
         let Some(active) = self.active(id) else {
             return Placed::Sent;
         };
         let (wish, tokens) = (active.wish(), active.own_tokens());
-        let choices = choices(candidates, has_engine, wish);
-        let mut search = if has_engine { ENGINES } else { PLAIN };
-        search.bound *= self.settings.direct.load_bound;
         let mut walk = Walk::new(search, choices, wish.lot);
         let step = walk.begin();
         if step == Step::Full {
@@ -178,7 +204,7 @@
         };
         let count = Count { number, upstream, held, in_flight };
         self.send_loads(vec![keeper.clone()], &Message::Ask(count));
-        if self.silent.iter().any(|one| one.keeper == keeper && now < one.until) {
+        if self.is_silent(now, &keeper) {
             return Word::Silent;
         }
         let upstream = choice.upstream.clone();
--- a/crates/relay/src/forwarder/placing.rs
+++ b/crates/relay/src/forwarder/placing.rs
@@ -52,8 +52,8 @@
         let active = &mut self.actives[index];
         active.candidates = candidates.len();
         active.unusable = candidates.iter().filter(|one| one.is_avoided).count();
-        if forward::is_wide(self.entries) {
-            return self.walk(cx, id, &candidates, has_engine);
+        if let Some((search, choices)) = self.search(now, &candidates, has_engine, wish) {
+            return self.walk(cx, id, search, choices);
         }
         let Some(chosen) = self.choose(&candidates, has_engine, wish) else {
             return Placed::Full;
