Fetch context from who has read it, also from engines that leave

Cause: a request named the first other engine of its context that takes new work. Of an engine that is replaced, which leaves, nothing was fetched, and a new one was named although it had read nothing.

Engines that leave are sources for as long as they answer.

Not built: words of other instances about who holds what; the order of a context is the same for all, and says most of it.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -28,7 +28,7 @@
 pub use line::Line;
 pub use policy::{Affinity, LeastLoad, Policy, Wish, scattered};
 pub use setback::{Next, Setback};
-pub use source::source;
+pub use source::{Holders, Source, source};
 pub use tail::Tail;
 pub use tally::{Level, TELL_PERIOD, Tally};
 pub use walk::{Choice, Search, Step, Walk};
--- a/crates/relay/src/forwarder/answering.rs
+++ b/crates/relay/src/forwarder/answering.rs
@@ -5,7 +5,7 @@
 use dispatch::{Event as CallEvent, Field, Progress, Verdict};
 use entry::{Reply, Status};
 use forward::Next;
-use names::Attempt;
+use names::{Attempt, Upstream};
 use stakker::{CX, after, call};
 use telemetry::Event;
 
@@ -157,6 +157,9 @@
             self.go_on(cx, id, running, Verdict::NotRun, &reason);
             return;
         }
+        if status == Status::OK.0 {
+            self.note_holder(now, id, &upstream);
+        }
         if status >= 500 {
             self.table.failed(now, &service, &upstream, false);
             if self.is_worth_another(cx, id) {
@@ -174,6 +177,15 @@
         self.start_answer(cx, id, status, headers);
     }
 
+    /// Notes that an engine has read the context of a request, since it answers it.
+    fn note_holder(&mut self, now: Instant, id: names::Request, upstream: &Upstream) {
+        let key = self.active(id).and_then(|active| active.wish().key);
+        let short = self.table.count(upstream).map(|counted| counted.short);
+        if let (Some(key), Some(short)) = (key, short) {
+            self.holders.note(now, key, short);
+        }
+    }
+
     /// Whether a request that an upstream failed is sent to another one, which the budget pays.
     fn is_worth_another(&mut self, cx: CX![], id: names::Request) -> bool {
         let now = cx.now();
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -17,7 +17,7 @@
 use catalogue::Catalogue;
 use dispatch::{Client, Event as CallEvent, Keeping};
 use entry::{Event, Problem, Reply, Server};
-use forward::{Allowance, Departure, Level, Line, Tally, Window};
+use forward::{Allowance, Departure, Holders, Level, Line, Tally, Window};
 use instance::View;
 use names::{Attempt, Service};
 use settings::Settings;
@@ -90,6 +90,8 @@
     near_entries: usize,
     /// The other entry instances.
     others: Vec<Other>,
+    /// Which engines have read which contexts.
+    holders: Holders,
     /// What this instance keeps of the loads of upstreams.
     tally: Tally,
     /// Number of the last message to a keeper.
@@ -154,6 +156,7 @@
             entries_at: cx.now(),
             near_entries: 1,
             others: Vec::new(),
+            holders: Holders::default(),
             tally: Tally::default(),
             number: first_number(),
             questions: Vec::new(),
--- a/crates/relay/src/forwarder/sending.rs
+++ b/crates/relay/src/forwarder/sending.rs
@@ -110,11 +110,11 @@
         chosen: &Upstream,
     ) -> Option<SocketAddr> {
         service?.engine.as_ref()?.transfer?;
-        let key = self.actives[index].wish().key?;
-        let candidates = self.candidates(now, index);
-        let chosen = candidates.iter().position(|one| one.upstream == *chosen)?;
-        let source = forward::source(&candidates, chosen, key)?;
-        self.table.place(&candidates[source].upstream).map(|place| place.address)
+        let active = &self.actives[index];
+        let key = active.wish().key?;
+        let sources = self.table.sources(now, &active.service);
+        let source = forward::source(&sources, chosen, key, &self.holders, now)?;
+        self.table.place(&sources[source].upstream).map(|place| place.address)
     }
 
     /// Most connections that this instance may open to one upstream.
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use dispatch::Health;
-use forward::{Candidate, Gauge, Hearsay, Load, Report};
+use forward::{Candidate, Gauge, Hearsay, Load, Report, Source};
 use names::{DataCentre, Service, Upstream};
 use roster::{Announcement, Standing, short_name};
 use telemetry::Metrics;
@@ -165,15 +165,12 @@
         sharers: u32,
     ) -> Vec<Candidate> {
         let avoided = self.health.avoided(service, now);
-        let is_told = self.told.is_some_and(|told| now < told + TOLD_SPAN);
         let of_service = |entry: &&Entry| entry.announcement.service == *service;
         let ready = self.entries.iter().filter(of_service).filter(|entry| entry.is_ready());
         let prior = forward::prior(ready.clone().map(|entry| &entry.gauge), now);
         let is_wide = forward::is_wide(sharers as usize);
         let all = ready.map(|entry| {
             let announcement = &entry.announcement;
-            let is_silent = is_told && now > entry.heard + self.silence;
-            let is_cut = self.is_cut(now, &announcement.data_centre);
             Candidate {
                 upstream: announcement.upstream.clone(),
                 is_near: announcement.data_centre == self.data_centre,
@@ -182,9 +179,7 @@
                 backlog: entry.gauge.backlog(),
                 is_behind: is_wide && self.is_behind(now, entry),
                 warmth: forward::warmth(now.saturating_duration_since(entry.known)),
-                is_avoided: is_silent
-                    || is_cut
-                    || entry.is_stalled(now)
+                is_avoided: self.is_out_of_reach(now, entry)
                     || avoided.contains(&announcement.upstream),
             }
         });
@@ -194,6 +189,29 @@
         if untried.is_empty() { all } else { untried }
     }
 
+    /// The engines of `service` from which others may fetch context, also those that leave.
+    pub(super) fn sources(&mut self, now: Instant, service: &Service) -> Vec<Source> {
+        let avoided = self.health.avoided(service, now);
+        let is_there = |entry: &&Entry| {
+            let Announcement { service: own, standing, .. } = &entry.announcement;
+            own == service && *standing != Standing::Gone && !entry.is_replaced
+        };
+        let source = |entry: &Entry| {
+            let upstream = entry.announcement.upstream.clone();
+            let is_new = forward::warmth(now.saturating_duration_since(entry.known)) < 1.0;
+            let is_usable = !self.is_out_of_reach(now, entry) && !avoided.contains(&upstream);
+            Source { upstream, short: entry.short, is_usable, is_new }
+        };
+        self.entries.iter().filter(is_there).map(source).collect()
+    }
+
+    /// Whether an upstream seems to be down or cut off.
+    fn is_out_of_reach(&self, now: Instant, entry: &Entry) -> bool {
+        let is_told = self.told.is_some_and(|told| now < told + TOLD_SPAN);
+        let is_silent = is_told && now > entry.heard + self.silence;
+        is_silent || self.is_cut(now, &entry.announcement.data_centre) || entry.is_stalled(now)
+    }
+
     fn entry(&mut self, upstream: &Upstream) -> Option<&mut Entry> {
         self.entries.iter_mut().find(|one| one.announcement.upstream == *upstream)
     }
