Give up answers that never end, and streams of bytes that are none

Cause, each shown by a test that failed first (dispatch/tests/endless.rs): interim heads, trailer lines and late copies of other answers were read without a bound, as long as the upstream went on; bytes behind an answer were kept while its request was still being sent; an answer that nobody wants any more was read to its end, whenever that came. A head that comes byte by byte was parsed anew for 64 KiB.

Bounds now: 8 interim heads, 64 KiB of trailers, 4 MiB of other answers, nothing behind the end, 256 KiB or a second of an answer that is not wanted, 16 KiB of a head. Chunk headers, extensions, status lines and events were bounded already, which the test shows too.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -19,6 +19,11 @@
 /// Largest read at once.
 const READ_BYTES: usize = 4096;
 
+/// Most bytes that are read of an answer that nobody wants, and how long it may take, before a new
+/// connection costs less than keeping this one.
+const MAX_DISCARDED_BYTES: usize = 256 << 10;
+const DISCARD_SPAN: Duration = Duration::from_secs(1);
+
 /// A call as a connection works on it.
 pub(super) struct Job {
     outbound: Outbound,
@@ -55,6 +60,8 @@
     sent: usize,
     /// Whether the owner of the call wants no more events.
     is_discarded: bool,
+    /// Bytes that were read since.
+    discarded_bytes: usize,
     /// Whether the answer has ended while the request is still being sent.
     has_answer: bool,
     /// Bytes of the answer that the owner of the call has not taken yet.
@@ -107,6 +114,7 @@
             job: None,
             sent: 0,
             is_discarded: false,
+            discarded_bytes: 0,
             has_answer: false,
             waiting_bytes: 0,
             is_paused: false,
@@ -125,6 +133,7 @@
         }
         self.sent = 0;
         self.is_discarded = false;
+        self.discarded_bytes = 0;
         self.has_answer = false;
         self.waiting_bytes = 0;
         self.stream.out.extend_from_slice(&job.outbound.head);
@@ -150,6 +159,10 @@
     /// Reads the answer to its end without telling anyone.
     pub(super) fn discard(&mut self, cx: CX![]) {
         self.is_discarded = true;
+        if self.job.is_some() {
+            cx.timer_del(self.answering);
+            self.answering = at!(cx.now() + DISCARD_SPAN, [cx], give_up());
+        }
         self.took(cx, usize::MAX);
     }
 
@@ -279,10 +292,17 @@
             }
         }
         self.tell_part(&mut part);
+        if self.discarded_bytes > MAX_DISCARDED_BYTES {
+            self.fail(cx, "the rest of an answer that nobody wants is too long");
+            return false;
+        }
         true
     }
 
     fn tell_part(&mut self, part: &mut Vec<u8>) {
+        if self.is_discarded {
+            self.discarded_bytes += std::mem::take(part).len();
+        }
         if !part.is_empty() && !self.is_discarded {
             self.waiting_bytes += part.len();
             self.tell(Progress::Part(std::mem::take(part)));
--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -3,7 +3,7 @@
 use crate::Field;
 
 /// Most bytes of the head of an answer.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+const MAX_HEAD_BYTES: usize = 16 << 10;
 
 /// Most headers of an answer.
 const MAX_HEADERS: usize = 64;
@@ -11,6 +11,15 @@
 /// Longest line that announces a chunk, and longest trailer line.
 const MAX_LINE_BYTES: usize = 4096;
 
+/// Most bytes of all trailer lines.
+const MAX_TRAILER_BYTES: usize = 64 << 10;
+
+/// Most heads before the final one; an upstream in order sends one at most.
+const MAX_INTERIM_HEADS: usize = 8;
+
+/// Most bytes of answers to other requests that are passed over: a few late copies.
+const MAX_FOREIGN_BYTES: usize = 4 << 20;
+
 /// A header that the upstream sends back, by which an answer to another request is told apart.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Echo {
@@ -67,6 +76,11 @@
     echo: Option<Echo>,
     /// Whether the answer being read belongs to another request.
     is_foreign: bool,
+    /// Whether bytes came after the end of the answer.
+    has_surplus: bool,
+    interim_heads: usize,
+    trailer_bytes: usize,
+    foreign_bytes: usize,
     keeps_alive: bool,
     /// For how many seconds the upstream keeps an idle connection, if it says.
     keep_seconds: Option<u64>,
@@ -82,19 +96,34 @@
             has_no_body,
             echo,
             is_foreign: false,
+            has_surplus: false,
+            interim_heads: 0,
+            trailer_bytes: 0,
+            foreign_bytes: 0,
             keeps_alive: true,
             keep_seconds: None,
         }
     }
 
-    /// Takes the next bytes of the connection.
+    /// Takes the next bytes of the connection. Those after the end of the answer belong to no
+    /// request and are not kept.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        if self.state == State::Done {
+            self.has_surplus |= !bytes.is_empty();
+        } else {
+            self.buffer.extend_from_slice(bytes);
+        }
+    }
+
+    /// Bytes that were taken and are not part of a piece yet.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.len()
     }
 
     /// Whether the connection can be used for another request now that the answer has ended.
     pub fn is_reusable(&self) -> bool {
-        self.state == State::Done && self.keeps_alive && self.buffer.is_empty()
+        let is_clean = self.buffer.is_empty() && !self.has_surplus;
+        self.state == State::Done && self.keeps_alive && is_clean
     }
 
     /// For how many seconds the upstream keeps the idle connection, if it said so.
@@ -122,8 +151,8 @@
             match piece {
                 Step::Wait => return Ok(None),
                 Step::Again => {}
-                Step::Give(Piece::End) if self.is_foreign => self.begin_next(),
-                Step::Give(_) if self.is_foreign => {}
+                Step::Give(Piece::End) if self.is_foreign => self.begin_next()?,
+                Step::Give(piece) if self.is_foreign => self.pass_over(&piece)?,
                 Step::Give(piece) => return Ok(Some(piece)),
             }
         }
@@ -144,9 +173,23 @@
         Ok(())
     }
 
-    fn begin_next(&mut self) {
+    fn begin_next(&mut self) -> Result<(), Flaw> {
         self.state = State::Head;
         self.is_foreign = false;
+        self.count_foreign(MAX_HEAD_BYTES)
+    }
+
+    fn pass_over(&mut self, piece: &Piece) -> Result<(), Flaw> {
+        match piece {
+            Piece::Part(part) => self.count_foreign(part.len()),
+            Piece::Head { .. } | Piece::End => Ok(()),
+        }
+    }
+
+    /// Counts bytes of answers to other requests, a head as the most that it may have.
+    fn count_foreign(&mut self, bytes: usize) -> Result<(), Flaw> {
+        self.foreign_bytes += bytes;
+        if self.foreign_bytes > MAX_FOREIGN_BYTES { Err(Flaw::Malformed) } else { Ok(()) }
     }
 
     fn read_head(&mut self) -> Result<Step, Flaw> {
@@ -164,7 +207,9 @@
         let headers = fields(response.headers)?;
         self.buffer.drain(..length);
         if (100..200).contains(&status) {
-            return Ok(Step::Again);
+            self.interim_heads += 1;
+            let is_endless = self.interim_heads > MAX_INTERIM_HEADS;
+            return if is_endless { Err(Flaw::Malformed) } else { Ok(Step::Again) };
         }
         self.note_connection(is_modern, &headers);
         let is_other = |echo: &Echo| {
@@ -249,6 +294,10 @@
             return if is_too_long { Err(Flaw::Malformed) } else { Ok(Step::Wait) };
         };
         self.buffer.drain(..end + 2);
+        self.trailer_bytes += end + 2;
+        if self.trailer_bytes > MAX_TRAILER_BYTES {
+            return Err(Flaw::Malformed);
+        }
         if end > 0 {
             return Ok(Step::Again);
         }
