Go on elsewhere when a stream brings bytes and no event

Cause: a stalled stream was known by the silence of its upstream on all connections, so one that sent a byte or a comment now and then held its caller until the deadline; callers leave after two seconds.

Each stream has a time by which its next event is due: half of what callers wait, by the route's objective and pause. Comments and parts of events do not count. A stream that takes 350 ms for each event is kept, as the same test shows. Streams that must not run twice are left to their deadline.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -29,7 +29,7 @@
 pub use policy::{Affinity, LeastLoad, Policy, Wish, scattered};
 pub use setback::{Next, Setback};
 pub use source::{Holders, Source, source};
-pub use tail::Tail;
+pub use tail::{Tail, stall_span};
 pub use tally::{Level, TELL_PERIOD, Tally};
 pub use walk::{Choice, Search, Step, Walk};
 pub use window::{Allowance, Window};
--- a/crates/relay/src/forwarder/active.rs
+++ b/crates/relay/src/forwarder/active.rs
@@ -28,6 +28,8 @@
     pub(super) first: Option<Instant>,
     pub(super) parts: u32,
     pub(super) timer: FixedTimerKey,
+    /// When its next event is due, once the head of its answer is there.
+    pub(super) event_by: Option<Instant>,
 }
 
 /// A request on its way.
--- a/crates/relay/src/forwarder/answering.rs
+++ b/crates/relay/src/forwarder/answering.rs
@@ -4,7 +4,7 @@
 
 use dispatch::{Event as CallEvent, Field, Progress, Verdict};
 use entry::{Reply, Status};
-use forward::Next;
+use forward::{Next, stall_span};
 use names::{Attempt, Upstream};
 use stakker::{CX, after, call};
 use telemetry::Event;
@@ -86,19 +86,33 @@
         }
     }
 
-    /// Has streams go on elsewhere whose upstream has stalled.
+    /// Has streams go on elsewhere whose upstream has stalled: it sends nothing at all, or bytes now
+    /// and then that make no event.
     pub(super) fn check_stalls(&mut self, cx: CX![]) {
         let now = cx.now();
-        let is_stuck = |active: &&Active| {
+        let is_silent = |active: &&Active| {
             let running = active.running.as_ref().filter(|one| one.has_head);
             active.tail.is_some()
                 && running.is_some_and(|one| self.table.is_stalled(now, &one.upstream))
         };
-        let stuck: Vec<_> = self.actives.iter().filter(is_stuck).map(Active::id).collect();
-        for id in stuck {
+        let is_overdue = |active: &&Active| {
+            let event_by = active.running.as_ref().and_then(|one| one.event_by);
+            active.tail.is_some() && event_by.is_some_and(|event_by| now > event_by)
+        };
+        let silent: Vec<_> = self.actives.iter().filter(is_silent).map(Active::id).collect();
+        for id in silent {
             let running = self.stop_attempt(cx, id);
             self.go_on(cx, id, running, Verdict::MayHaveRun, "the upstream sent nothing");
         }
+        let overdue: Vec<_> = self.actives.iter().filter(is_overdue).map(Active::id).collect();
+        for id in overdue {
+            let service = self.active(id).map(|active| active.service.clone());
+            let running = self.stop_attempt(cx, id);
+            if let (Some(service), Some(running)) = (service, &running) {
+                self.table.failed(now, &service, &running.upstream, false);
+            }
+            self.go_on(cx, id, running, Verdict::MayHaveRun, "the upstream sent no event");
+        }
         after!(STALL_PERIOD, [cx], check_stalls());
     }
 
@@ -138,10 +152,12 @@
             return;
         };
         let service = active.service.clone();
+        let span = stall_span(active.route.objective, active.route.pause);
         let Some(running) = &mut active.running else {
             return;
         };
         running.has_head = true;
+        running.event_by = Some(now + span);
         running.status = status;
         let (upstream, tokens) = (running.upstream.clone(), running.tokens);
         self.table.read(&upstream, tokens);
@@ -253,7 +269,14 @@
             return;
         };
         let mut whole = Vec::new();
+        let before = tail.events();
         let taken = tail.take(&part, &mut whole);
+        if tail.events() > before
+            && let Some(running) = &mut active.running
+        {
+            let span = stall_span(active.route.objective, active.route.pause);
+            running.event_by = Some(now + span);
+        }
         if !whole.is_empty() {
             active.reply.fwd(Reply::Part(whole));
         }
--- a/crates/relay/src/forwarder/sending.rs
+++ b/crates/relay/src/forwarder/sending.rs
@@ -95,6 +95,7 @@
             first: None,
             parts: 0,
             timer,
+            event_by: None,
         });
         let link = self.links.partition_point(|link| link.attempt < attempt);
         self.links.insert(link, Link { attempt, request: id });
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -175,6 +175,29 @@
     assert_eq!(whole.text(), whole_stream(id));
 }
 
+#[test]
+fn a_stream_of_bytes_that_make_no_event_goes_on_elsewhere_and_a_slow_one_is_kept() {
+    let stage = stage();
+    let address = stage.machines.entries[0].callers();
+    let key = call(address, "/captions/1", "first");
+    assert!(key.is_whole);
+    let used = stage.engines.iter().position(|engine| !engine.runs().is_empty()).unwrap();
+    stage.engines[used].behave(Behaviour::Drip(3));
+    let begun = Instant::now();
+    let whole = call(address, "/captions/1", "dripped");
+    assert!(whole.is_whole, "{}", whole.text());
+    assert_eq!(whole.text(), whole_stream("dripped"));
+    assert_eq!(runs(&stage.engines, "dripped"), 2);
+    // Callers wait for two seconds for the next event.
+    assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+    for engine in &stage.engines {
+        engine.behave(Behaviour::Unhurried);
+    }
+    let slow = call_with(address, "/captions/1", "slow", &[("Deadline-Remaining", "12000")]);
+    assert!(slow.is_whole && slow.text() == whole_stream("slow"));
+    assert_eq!(runs(&stage.engines, "slow"), 1, "a slow stream was sent again");
+}
+
 #[test]
 fn a_booking_that_may_have_run_is_never_sent_again() {
     let stage = stage();
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -20,6 +20,10 @@
 /// Between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(15);
 
+/// The same of an upstream that is slow but sound, and between two bytes of one that has stalled.
+const LONG_PAUSE: Duration = Duration::from_millis(350);
+const DRIP_PAUSE: Duration = Duration::from_millis(100);
+
 /// What an upstream does with requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behaviour {
@@ -27,6 +31,10 @@
     Answer,
     /// Breaks the connection off within an event, after so many events of one run.
     BreakAfter(usize),
+    /// After so many events of one run, sends a byte of a comment now and then, without end.
+    Drip(usize),
+    /// Takes long for each event, but sends all.
+    Unhurried,
     /// Runs them, then breaks the connection off without an answer.
     LoseAnswer,
     /// Says that it did not run them.
@@ -297,12 +305,24 @@
             write!(out, "{:x}\r\n{torn}\r\n", torn.len())?;
             return Err(ErrorKind::ConnectionAborted.into());
         }
+        if behaviour == Behaviour::Drip(number - after - 1) {
+            drip(out)?;
+        }
         write!(out, "{:x}\r\n{text}\r\n", text.len())?;
-        std::thread::sleep(EVENT_PAUSE);
+        let is_unhurried = behaviour == Behaviour::Unhurried;
+        std::thread::sleep(if is_unhurried { LONG_PAUSE } else { EVENT_PAUSE });
     }
     write!(out, "0\r\n\r\n")
 }
 
+/// Sends a comment line that has no end, byte by byte.
+fn drip(out: &mut TcpStream) -> std::io::Result<()> {
+    loop {
+        write!(out, "1\r\n:\r\n")?;
+        std::thread::sleep(DRIP_PAUSE);
+    }
+}
+
 /// What a caller got.
 #[derive(Debug, Clone)]
 pub struct Exchange {
