--- a/crates/relay/src/forwarder/answering.rs
+++ b/crates/relay/src/forwarder/answering.rs
@@ -281,7 +281,11 @@
             active.reply.fwd(Reply::Part(whole));
         }
         if let Err(flaw) = taken {
+            let service = active.service.clone();
             let running = self.stop_attempt(cx, id);
+            if let Some(running) = &running {
+                self.table.failed(now, &service, &running.upstream, false);
+            }
             self.go_on(cx, id, running, Verdict::MayHaveRun, &flaw.to_string());
         }
     }
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -8,7 +8,10 @@
 use std::net::{SocketAddr, TcpStream};
 
 use serde_json::json;
-use support::{API_KEY, Fleet, PATIENCE, Plan, chat, expected_answer, get, post, streamed_text};
+use support::{
+    API_KEY, Fleet, PATIENCE, Plan, chat, expected_answer, get, memory_kibibytes, post,
+    streamed_text,
+};
 use test_case::test_case;
 
 const CHAT: &str = "/v1/chat/completions";
@@ -37,12 +40,6 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
-fn memory_kibibytes(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse().unwrap()
-}
-
 fn assert_serves(fleet: &Fleet) {
     let address = fleet.instances[0].addresses.callers;
     let answer = post(address, CHAT, &[], &chat("still there", 5, true)).unwrap();
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -148,3 +148,10 @@
         self.kill();
     }
 }
+
+/// Memory that a process has in use, in KiB.
+pub fn memory_kibibytes(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -35,6 +35,8 @@
     Drip(usize),
     /// Takes long for each event, but sends all.
     Unhurried,
+    /// Sends the first text and then the second one again and again, until the caller closes.
+    Endless(&'static str, &'static str),
     /// Runs them, then breaks the connection off without an answer.
     LoseAnswer,
     /// Says that it did not run them.
@@ -248,6 +250,7 @@
         std::thread::sleep(Duration::from_millis(500));
     }
     match behaviour {
+        Behaviour::Endless(begin, more) => send_endlessly(out, &request, begin, more),
         Behaviour::LoseAnswer => Err(ErrorKind::ConnectionAborted.into()),
         Behaviour::Silent => {
             std::thread::sleep(Duration::from_secs(30));
@@ -315,6 +318,20 @@
     write!(out, "0\r\n\r\n")
 }
 
+/// Sends `begin`, in which `ID` stands for the id of the request, and then `more` without end.
+fn send_endlessly(
+    out: &mut TcpStream,
+    request: &str,
+    begin: &str,
+    more: &str,
+) -> std::io::Result<()> {
+    out.write_all(begin.replace("ID", request).as_bytes())?;
+    let block = more.repeat(4096 / more.len() + 1);
+    loop {
+        out.write_all(block.as_bytes())?;
+    }
+}
+
 /// Sends a comment line that has no end, byte by byte.
 fn drip(out: &mut TcpStream) -> std::io::Result<()> {
     loop {
