Give upstreams that are slower than their kin less

Cause: an instance of a large fleet sees too few answers of an upstream to tell that it has turned slow, and an upstream that is slow says that it is sound.

Instances tell the keeper of an upstream how long it took for an event, after six of a stream, or for a plain answer; the keeper answers with the mean. Where that is twice the median of its kin or more, a request there counts for up to four, so that it gets less rather than nothing; for whether there is room, requests count once. Beside it: a request whose upstream left while its keeper was asked looks again, in place of waiting for its deadline; and looking for sources takes no trial of an upstream that is avoided.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -147,6 +147,11 @@
         if avoided.len() * 2 > known { Vec::new() } else { avoided }
     }
 
+    /// Whether an upstream is avoided at `now`; asking lets no request through.
+    pub fn is_avoided(&self, service: &Service, upstream: &Upstream, now: Instant) -> bool {
+        self.find(service, upstream).is_ok_and(|index| self.entries[index].is_avoided(now))
+    }
+
     fn median_of_peers(&self, service: &Service, upstream: &Upstream) -> Option<Duration> {
         let is_peer = |entry: &&Entry| entry.service == *service && entry.upstream != *upstream;
         let mut paces: Vec<Duration> = self
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -3,7 +3,7 @@
 //! Nothing here knows of sockets or clocks. [`Affinity`] and [`LeastLoad`] choose an upstream among
 //! [`Candidate`]s, whose load a [`Gauge`] estimates, also from [`Hearsay`] of
 //! other instances. In a large fleet a [`Walk`] asks the instances that keep a [`Tally`] of what
-//! upstreams hold. [`source`] names an engine that has read the context; a [`Line`] orders what has to wait;
+//! upstreams hold and their [`Paces`]. [`source`] names an engine that has read the context; a [`Line`] orders what has to wait;
 //! [`Window`] bounds what is sent again; [`Setback`] says what follows a failed attempt; a
 //! [`Tail`] follows a stream so that it can go on elsewhere; and a [`Departure`] says what an
 //! instance still takes that is about to stop.
@@ -13,6 +13,7 @@
 mod gauge;
 mod hearsay;
 mod line;
+mod pace;
 mod policy;
 mod setback;
 mod source;
@@ -26,6 +27,7 @@
 pub use gauge::{Gauge, Report, prior};
 pub use hearsay::{Hearsay, Load, Pace};
 pub use line::Line;
+pub use pace::{PACE_EVENTS, Paces};
 pub use policy::{Affinity, LeastLoad, Policy, Wish, scattered};
 pub use setback::{Next, Setback};
 pub use source::{Holders, Source, source};
--- a/crates/forward/src/walk.rs
+++ b/crates/forward/src/walk.rs
@@ -45,6 +45,8 @@
     choice: Choice,
     /// Requests that it has with this one.
     held: Option<f64>,
+    /// How much each of them counts: more where the upstream is slow.
+    weight: f64,
     /// Its keeper did not say so.
     is_guess: bool,
 }
@@ -100,11 +102,12 @@
     }
 
     /// Takes the number of requests that `upstream` has, with this one, while the mean of its
-    /// service is `mean` for each slot.
-    pub fn answer(&mut self, upstream: &Upstream, held: u32, mean: f64) -> Step {
+    /// service is `mean` for each slot. At a slow one each of them counts with a `weight` above 1, but
+    /// not for whether it has room: a slow answer is better than none.
+    pub fn answer(&mut self, upstream: &Upstream, held: u32, weight: f64, mean: f64) -> Step {
         let waits = |one: &&mut Asked| one.held.is_none() && one.choice.upstream == *upstream;
         match self.asked.iter_mut().find(waits) {
-            Some(asked) => asked.held = Some(f64::from(held)),
+            Some(asked) => (asked.held, asked.weight) = (Some(f64::from(held)), weight),
             None => return Step::Wait,
         }
         self.decide(mean)
@@ -150,8 +153,12 @@
         if next.is_empty() {
             return Step::Full;
         }
-        let asked =
-            next.iter().map(|choice| Asked { choice: choice.clone(), held: None, is_guess: false });
+        let asked = next.iter().map(|choice| Asked {
+            choice: choice.clone(),
+            held: None,
+            weight: 1.0,
+            is_guess: false,
+        });
         self.asked.extend(asked);
         Step::Ask(next)
     }
@@ -165,7 +172,8 @@
         let slots = f64::from(asked.choice.slots.max(1));
         let most = self.search.bound * mean * slots + FREE_LOAD + 1.0;
         let is_known = !asked.is_guess || self.trusts_guesses;
-        is_known && self.has_room(asked) && asked.held.is_some_and(|held| held <= most)
+        let is_bounded = asked.held.is_some_and(|held| held * asked.weight <= most);
+        is_known && self.has_room(asked) && is_bounded
     }
 }
 
@@ -174,7 +182,9 @@
 where
     I: Iterator<Item = &'a Asked>,
 {
-    let load = |one: &Asked| one.held.unwrap_or_default() / f64::from(one.choice.slots.max(1));
+    let load = |one: &Asked| {
+        one.held.unwrap_or_default() * one.weight / f64::from(one.choice.slots.max(1))
+    };
     let best = asked.min_by(|one, other| load(one).total_cmp(&load(other)));
     best.map(|one| one.choice.upstream.clone())
 }
--- a/crates/forward/tests/keepers.rs
+++ b/crates/forward/tests/keepers.rs
@@ -296,7 +296,7 @@
             Event::Answer { to, request, engine, held, in_flight } => {
                 self.nodes[to].level.sample(in_flight);
                 let mean = self.mean(to);
-                let step = self.jobs[request].walk.answer(&upstream(engine), held, mean);
+                let step = self.jobs[request].walk.answer(&upstream(engine), held, 1.0, mean);
                 self.follow(request, step);
             }
             Event::Tell { from, to, engine, number, held } => {
--- a/crates/forward/tests/tally.rs
+++ b/crates/forward/tests/tally.rs
@@ -73,15 +73,15 @@
     let mut walk = Walk::new(ONE_BY_ONE, choices(5), 0);
     assert_eq!(asked(walk.begin()), [upstream(0)]);
     // Three for each of 16 slots of the mean load: 0.3 x 16 x 1.5, and two.
-    assert_eq!(walk.answer(&upstream(0), 9, 0.3), Step::Take(upstream(0)));
+    assert_eq!(walk.answer(&upstream(0), 9, 1.0, 0.3), Step::Take(upstream(0)));
 }
 
 #[test]
 fn an_engine_above_the_bound_is_passed_over() {
     let mut walk = Walk::new(ONE_BY_ONE, choices(5), 0);
     walk.begin();
-    assert_eq!(asked(walk.answer(&upstream(0), 11, 0.3)), [upstream(1)]);
-    assert_eq!(walk.answer(&upstream(1), 2, 0.3), Step::Take(upstream(1)));
+    assert_eq!(asked(walk.answer(&upstream(0), 11, 1.0, 0.3)), [upstream(1)]);
+    assert_eq!(walk.answer(&upstream(1), 2, 1.0, 0.3), Step::Take(upstream(1)));
     assert_eq!(walk.load(&upstream(0)), 11.0);
 }
 
@@ -89,18 +89,34 @@
 fn the_least_loaded_with_room_is_taken_where_all_are_above_the_bound() {
     let mut walk = Walk::new(ONE_BY_ONE, choices(5), 0);
     walk.begin();
-    walk.answer(&upstream(0), 16, 0.3);
-    walk.answer(&upstream(1), 14, 0.3);
-    assert_eq!(walk.answer(&upstream(2), 15, 0.3), Step::Take(upstream(1)));
+    walk.answer(&upstream(0), 16, 1.0, 0.3);
+    walk.answer(&upstream(1), 14, 1.0, 0.3);
+    assert_eq!(walk.answer(&upstream(2), 15, 1.0, 0.3), Step::Take(upstream(1)));
+}
+
+#[test]
+fn a_slow_engine_gets_less_and_is_taken_where_no_other_has_room() {
+    let mut walk = Walk::new(ONE_BY_ONE, choices(5), 0);
+    walk.begin();
+    assert_eq!(asked(walk.answer(&upstream(0), 5, 4.0, 0.3)), [upstream(1)]);
+    assert_eq!(walk.answer(&upstream(1), 7, 1.0, 0.3), Step::Take(upstream(1)));
+    let mut walk = Walk::new(ONE_BY_ONE, choices(5), 0);
+    walk.begin();
+    assert_eq!(walk.answer(&upstream(0), 2, 4.0, 0.3), Step::Take(upstream(0)));
+    let mut walk = Walk::new(ONE_BY_ONE, choices(5), 0);
+    walk.begin();
+    walk.answer(&upstream(0), 17, 4.0, 1.0);
+    walk.answer(&upstream(1), 18, 1.0, 1.0);
+    assert_eq!(walk.answer(&upstream(2), 19, 1.0, 1.0), Step::Take(upstream(0)));
 }
 
 #[test]
 fn a_request_is_not_sent_where_no_slot_comes_free() {
     let mut walk = Walk::new(ONE_BY_ONE, choices(5), 0);
     walk.begin();
-    walk.answer(&upstream(0), 18, 1.0);
-    walk.answer(&upstream(1), 19, 1.0);
-    assert_eq!(walk.answer(&upstream(2), 30, 1.0), Step::Full);
+    walk.answer(&upstream(0), 18, 1.0, 1.0);
+    walk.answer(&upstream(1), 19, 1.0, 1.0);
+    assert_eq!(walk.answer(&upstream(2), 30, 1.0, 1.0), Step::Full);
     assert_eq!(Walk::new(ONE_BY_ONE, Vec::new(), 0).begin(), Step::Full);
 }
 
@@ -109,7 +125,7 @@
     let mut walk = Walk::new(ONE_BY_ONE, choices(5), 0);
     walk.begin();
     assert_eq!(walk.give_up_waiting(0.3), Step::Take(upstream(0)));
-    assert_eq!(walk.answer(&upstream(0), 40, 0.3), Step::Wait, "the answer came late");
+    assert_eq!(walk.answer(&upstream(0), 40, 1.0, 0.3), Step::Wait, "the answer came late");
 }
 
 #[test]
@@ -117,7 +133,7 @@
     let mut walk = Walk::new(ONE_BY_ONE, choices(5), 1);
     walk.begin();
     assert_eq!(asked(walk.give_up_waiting(0.3)), [upstream(1)]);
-    assert_eq!(walk.answer(&upstream(1), 3, 0.3), Step::Take(upstream(1)));
+    assert_eq!(walk.answer(&upstream(1), 3, 1.0, 0.3), Step::Take(upstream(1)));
     let mut walk = Walk::new(ONE_BY_ONE, choices(1), 1);
     walk.begin();
     assert_eq!(walk.guess(&upstream(0), 0.3), Step::Take(upstream(0)), "there is no other one");
@@ -127,11 +143,11 @@
 fn the_less_loaded_of_two_plain_upstreams_is_taken() {
     let mut walk = Walk::new(IN_PAIRS, choices(6), 0);
     assert_eq!(asked(walk.begin()), [upstream(0), upstream(1)]);
-    assert_eq!(walk.answer(&upstream(1), 3, 0.3), Step::Wait);
-    assert_eq!(walk.answer(&upstream(0), 5, 0.3), Step::Take(upstream(1)));
+    assert_eq!(walk.answer(&upstream(1), 3, 1.0, 0.3), Step::Wait);
+    assert_eq!(walk.answer(&upstream(0), 5, 1.0, 0.3), Step::Take(upstream(1)));
     let mut walk = Walk::new(IN_PAIRS, choices(6), 0);
     walk.begin();
-    walk.answer(&upstream(0), 30, 0.3);
-    assert_eq!(asked(walk.answer(&upstream(1), 25, 0.3)), [upstream(2), upstream(3)]);
+    walk.answer(&upstream(0), 30, 1.0, 0.3);
+    assert_eq!(asked(walk.answer(&upstream(1), 25, 1.0, 0.3)), [upstream(2), upstream(3)]);
     assert_eq!(walk.asked().count(), 4);
 }
--- a/crates/relay/src/forwarder/answering.rs
+++ b/crates/relay/src/forwarder/answering.rs
@@ -4,7 +4,7 @@
 
 use dispatch::{Event as CallEvent, Field, Progress, Verdict};
 use entry::{Reply, Status};
-use forward::{Next, stall_span};
+use forward::{Next, PACE_EVENTS, stall_span};
 use names::{Attempt, Upstream};
 use stakker::{CX, after, call};
 use telemetry::Event;
@@ -260,10 +260,21 @@
         let Some(active) = self.active(id) else {
             return;
         };
+        let mut seen = None;
         if let Some(running) = &mut active.running {
-            running.first.get_or_insert(now);
+            let first = *running.first.get_or_insert(now);
             running.parts += 1;
+            if running.parts == PACE_EVENTS && active.route.is_streaming {
+                let pace = now.saturating_duration_since(first) / (PACE_EVENTS - 1);
+                seen = Some((running.upstream.clone(), pace));
+            }
+        }
+        if let Some((upstream, pace)) = seen {
+            self.tell_pace(now, &upstream, pace);
         }
+        let Some(active) = self.active(id) else {
+            return;
+        };
         let Some(tail) = &mut active.tail else {
             active.reply.fwd(Reply::Part(part));
             return;
@@ -301,8 +312,12 @@
             return;
         }
         active.reply.fwd(Reply::End);
-        let service = active.service.clone();
+        let (service, is_streaming) = (active.service.clone(), active.route.is_streaming);
         if let Some(running) = self.end_attempt(cx, id) {
+            if !is_streaming {
+                let whole = now.saturating_duration_since(running.since);
+                self.tell_pace(now, &running.upstream, whole);
+            }
             self.note_answered(now, id, &running);
             self.table.succeeded(&service, &running.upstream);
             let pace = match (running.first, running.parts) {
--- a/crates/relay/src/forwarder/asking.rs
+++ b/crates/relay/src/forwarder/asking.rs
@@ -10,7 +10,7 @@
 use stakker::{CX, FixedTimerKey, at};
 
 use super::Forwarder;
-use super::loads::{Count, Message};
+use super::loads::{Count, Message, Pace};
 use super::placing::Placed;
 
 /// How long an answer of a keeper is waited for: several round trips between data centres on a busy
@@ -52,8 +52,8 @@
 
 /// What is known of an upstream once its keeper was asked.
 enum Word {
-    /// Requests there, since this instance is its keeper.
-    Held(u32),
+    /// Requests there and how much each counts, since this instance is its keeper.
+    Held(u32, f64),
     /// The keeper is not waited for.
     Silent,
     /// The keeper will answer.
@@ -178,7 +178,7 @@
         let mut step = Step::Wait;
         for (upstream, word) in known {
             step = match word {
-                Word::Held(held) => walking.walk.answer(&upstream, held, mean),
+                Word::Held(held, weight) => walking.walk.answer(&upstream, held, weight, mean),
                 Word::Silent => walking.walk.guess(&upstream, mean),
                 Word::Asked => Step::Wait,
             };
@@ -200,9 +200,10 @@
         let Some(keeper) = keeper else {
             let me = self.settings.instance.clone();
             self.tally.tell(now, &me, number, upstream, held);
-            return Word::Held(self.tally.held(now, upstream));
+            let weight = self.weight(now, upstream);
+            return Word::Held(self.tally.held(now, upstream), weight);
         };
-        let count = Count { number, upstream, held, in_flight };
+        let count = Count { number, upstream, held, in_flight, micros: 0 };
         self.send_loads(vec![keeper.clone()], &Message::Ask(count));
         if self.is_silent(now, &keeper) {
             return Word::Silent;
@@ -225,6 +226,13 @@
         keeper.filter(|keeper| **keeper != self.settings.instance).cloned()
     }
 
+    /// How much a request at an upstream counts: more if it is slow.
+    fn weight(&self, now: Instant, upstream: u32) -> f64 {
+        let service = self.table.count_of(upstream).map(|counted| counted.service);
+        let kin = service.into_iter().flat_map(|service| self.table.kin(service));
+        self.paces.slowness(now, upstream, kin)
+    }
+
     /// The mean load for each slot of `service`.
     fn mean(&mut self, service: &Service) -> f64 {
         let slots = f64::from(self.table.slots(service).max(1));
@@ -236,12 +244,13 @@
 
     /// Answers, as the keeper of an upstream, how much it holds.
     pub(super) fn answer_count(&mut self, now: Instant, sender: Instance, count: Count) {
-        let Count { number, upstream, held, in_flight } = count;
+        let Count { number, upstream, held, in_flight, .. } = count;
         self.tally.tell(now, &sender, number, upstream, held);
         let held = self.tally.held(now, upstream);
         let service = self.table.count_of(upstream).map(|counted| counted.service.clone());
         let in_flight = service.map_or(in_flight, |service| self.table.in_flight(&service));
-        let count = Count { number, upstream, held, in_flight };
+        let micros = self.paces.of(now, upstream).unwrap_or_default();
+        let count = Count { number, upstream, held, in_flight, micros };
         self.send_loads(vec![sender], &Message::Answer(count));
     }
 
@@ -255,12 +264,16 @@
         let Some(active) = self.active(question.request) else {
             return;
         };
-        let service = active.service.clone();
+        let (service, now) = (active.service.clone(), cx.now());
         self.flow(&service).level.sample(count.in_flight);
+        if count.micros > 0 {
+            self.paces.hear(now, count.upstream, count.micros);
+        }
+        let weight = self.weight(now, count.upstream);
         let mean = self.mean(&service);
         let walking = self.active(question.request).and_then(|active| active.walking.as_mut());
         if let Some(walking) = walking {
-            let step = walking.walk.answer(&question.upstream, count.held, mean);
+            let step = walking.walk.answer(&question.upstream, count.held, weight, mean);
             self.follow(cx, question.request, step);
         }
     }
@@ -312,8 +325,18 @@
         self.tell_count(now, upstream);
     }
 
+    /// Tells the keeper of an upstream how fast it was with an event or a plain answer.
+    pub(super) fn tell_pace(&mut self, now: Instant, upstream: &Upstream, pace: Duration) {
+        let micros = u32::try_from(pace.as_micros()).unwrap_or(u32::MAX);
+        self.tell_upstream(now, upstream, Some(micros));
+    }
+
     /// Tells the keeper of an upstream what this instance has there.
     pub(super) fn tell_count(&mut self, now: Instant, upstream: &Upstream) {
+        self.tell_upstream(now, upstream, None);
+    }
+
+    fn tell_upstream(&mut self, now: Instant, upstream: &Upstream, micros: Option<u32>) {
         if !forward::is_wide(self.entries) {
             return;
         }
@@ -322,15 +345,25 @@
         };
         let (short, own) = (counted.short, counted.own);
         let keeper = self.keeper(upstream, counted.data_centre);
-        self.tell(now, keeper, vec![(short, own)]);
+        let pace = micros.map(|micros| Pace { upstream: short, micros });
+        self.tell(now, keeper, vec![(short, own)], pace);
     }
 
-    fn tell(&mut self, now: Instant, keeper: Option<Instance>, held: Vec<(u32, u32)>) {
+    fn tell(
+        &mut self,
+        now: Instant,
+        keeper: Option<Instance>,
+        held: Vec<(u32, u32)>,
+        pace: Option<Pace>,
+    ) {
         self.number += 1;
         let number = self.number;
         match keeper {
-            Some(keeper) => self.send_loads(vec![keeper], &Message::Tell { number, held }),
+            Some(keeper) => self.send_loads(vec![keeper], &Message::Tell { number, held, pace }),
             None => {
+                if let Some(Pace { upstream, micros }) = pace {
+                    self.paces.observe(now, upstream, micros);
+                }
                 let me = self.settings.instance.clone();
                 for (upstream, held) in held {
                     self.tally.tell(now, &me, number, upstream, held);
@@ -343,6 +376,7 @@
     pub(super) fn repeat_counts(&mut self, cx: CX![]) {
         let now = cx.now();
         self.tally.forget(now);
+        self.paces.forget(now);
         if forward::is_wide(self.entries) {
             let kept = self.table.counts().map(|counted| {
                 let keeper = self.keeper(counted.upstream, counted.data_centre);
@@ -352,7 +386,7 @@
             kept.sort();
             for of_keeper in kept.chunk_by(|one, other| one.0 == other.0) {
                 let held = of_keeper.iter().map(|one| one.1).collect();
-                self.tell(now, of_keeper[0].0.clone(), held);
+                self.tell(now, of_keeper[0].0.clone(), held, None);
             }
         }
         stakker::after!(forward::TELL_PERIOD, [cx], repeat_counts());
--- a/crates/relay/src/forwarder/loads.rs
+++ b/crates/relay/src/forwarder/loads.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use forward::{Load, Pace};
+use forward::Load;
 use names::Instance;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -36,8 +36,8 @@
     Ask(Count),
     /// The answer: what all instances have there.
     Answer(Count),
-    /// Tells a keeper what the sender has at upstreams.
-    Tell { number: u64, held: Vec<(u32, u32)> },
+    /// Tells a keeper what the sender has at upstreams, and the pace of one of them.
+    Tell { number: u64, held: Vec<(u32, u32)>, pace: Option<Pace> },
 }
 
 /// Requests at an upstream.
@@ -51,12 +51,23 @@
     pub(super) held: u32,
     /// Requests of the upstream's service that the sender has anywhere.
     pub(super) in_flight: u32,
+    /// Microseconds that the upstream takes for an event or a plain answer, 0 if that is not known.
+    pub(super) micros: u32,
+}
+
+/// How fast an upstream was.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct Pace {
+    /// Short name of the upstream.
+    pub(super) upstream: u32,
+    /// Microseconds for an event or a plain answer.
+    pub(super) micros: u32,
 }
 
 impl Forwarder {
     /// Tells a few instances what upstreams reported lately, and which engines are behind.
     pub(super) fn pass_loads(&mut self, cx: CX![]) {
-        let Pace { period, fanout } = Pace::new(self.entries);
+        let forward::Pace { period, fanout } = forward::Pace::new(self.entries);
         let loads = self.table.pass_on(cx.now(), MAX_LOADS);
         let behind = match forward::is_wide(self.entries) {
             true => self.table.find_behind(cx.now(), MAX_BEHIND),
@@ -96,10 +107,13 @@
             }
             Ok(Message::Ask(count)) => self.answer_count(now, delivery.sender, count),
             Ok(Message::Answer(count)) => self.take_count(cx, &delivery.sender, count),
-            Ok(Message::Tell { number, held }) => {
+            Ok(Message::Tell { number, held, pace }) => {
                 for (upstream, held) in held {
                     self.tally.tell(now, &delivery.sender, number, upstream, held);
                 }
+                if let Some(Pace { upstream, micros }) = pace {
+                    self.paces.observe(now, upstream, micros);
+                }
             }
             Err(error) => log::warn!("instance {}: {error}", delivery.sender),
         }
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -17,7 +17,7 @@
 use catalogue::Catalogue;
 use dispatch::{Client, Event as CallEvent, Keeping};
 use entry::{Event, Problem, Reply, Server};
-use forward::{Allowance, Departure, Holders, Level, Line, Tally, Window};
+use forward::{Allowance, Departure, Holders, Level, Line, Paces, Tally, Window};
 use instance::View;
 use names::{Attempt, Service};
 use settings::Settings;
@@ -94,6 +94,8 @@
     holders: Holders,
     /// What this instance keeps of the loads of upstreams.
     tally: Tally,
+    /// How fast upstreams are.
+    paces: Paces,
     /// Number of the last message to a keeper.
     number: u64,
     /// Questions to keepers that wait for an answer.
@@ -158,6 +160,7 @@
             others: Vec::new(),
             holders: Holders::default(),
             tally: Tally::default(),
+            paces: Paces::default(),
             number: first_number(),
             questions: Vec::new(),
             silent: Vec::new(),
--- a/crates/relay/src/forwarder/sending.rs
+++ b/crates/relay/src/forwarder/sending.rs
@@ -35,6 +35,8 @@
         };
         let now = cx.now();
         let Some(place) = self.table.place(upstream) else {
+            // It has left since it was chosen.
+            self.place(cx, id);
             return;
         };
         let catalogue = self.catalogue.as_ref();
@@ -104,7 +106,7 @@
 
     /// Where the engine chosen may fetch context of the request at `index`.
     fn source(
-        &mut self,
+        &self,
         now: Instant,
         index: usize,
         service: Option<&Service>,
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -190,8 +190,7 @@
     }
 
     /// The engines of `service` from which others may fetch context, also those that leave.
-    pub(super) fn sources(&mut self, now: Instant, service: &Service) -> Vec<Source> {
-        let avoided = self.health.avoided(service, now);
+    pub(super) fn sources(&self, now: Instant, service: &Service) -> Vec<Source> {
         let is_there = |entry: &&Entry| {
             let Announcement { service: own, standing, .. } = &entry.announcement;
             own == service && *standing != Standing::Gone && !entry.is_replaced
@@ -199,7 +198,8 @@
         let source = |entry: &Entry| {
             let upstream = entry.announcement.upstream.clone();
             let is_new = forward::warmth(now.saturating_duration_since(entry.known)) < 1.0;
-            let is_usable = !self.is_out_of_reach(now, entry) && !avoided.contains(&upstream);
+            let is_avoided = self.health.is_avoided(service, &upstream, now);
+            let is_usable = !is_avoided && !self.is_out_of_reach(now, entry);
             Source { upstream, short: entry.short, is_usable, is_new }
         };
         self.entries.iter().filter(is_there).map(source).collect()
@@ -289,6 +289,12 @@
         self.entries.iter().find(|one| one.short == short).map(Entry::counted)
     }
 
+    /// Short names of all upstreams of `service`.
+    pub(super) fn kin(&self, service: &Service) -> impl Iterator<Item = u32> {
+        let of_service = self.entries.iter().filter(|one| one.announcement.service == *service);
+        of_service.map(|entry| entry.short)
+    }
+
     /// The same of all upstreams that have requests of this instance.
     pub(super) fn counts(&self) -> impl Iterator<Item = Counted<'_>> {
         self.entries.iter().filter(|one| one.gauge.own() > 0).map(Entry::counted)
