--- a/crates/relay/src/forwarder/asking.rs
+++ b/crates/relay/src/forwarder/asking.rs
@@ -130,8 +130,7 @@
     }
 
     /// Does what a walk asks for.
-    fn follow(&mut self, cx: CX![], id: names::Request, step: Step) {
-        let mut step = step;
+    fn follow(&mut self, cx: CX![], id: names::Request, mut step: Step) {
         loop {
             step = match step {
                 Step::Ask(choices) => self.ask(cx, id, &choices),
@@ -162,21 +161,20 @@
         };
         let service = active.service.clone();
         let tokens = active.walking.as_ref().map_or(0.0, |walking| walking.tokens);
-        let mut known = Vec::new();
+        let mut words = Vec::new();
         for choice in choices {
             self.table.begin(now, &choice.upstream, tokens);
             let word = self.ask_keeper(now, id, choice);
-            known.push((choice.upstream.clone(), word));
+            words.push((choice.upstream.clone(), word));
         }
-        let until = now + KEEPER_SPAN;
-        let timer = at!(until, [cx], stop_asking(id));
+        let timer = at!(now + KEEPER_SPAN, [cx], stop_asking(id));
         let mean = self.mean(&service);
         let Some(walking) = self.active(id).and_then(|active| active.walking.as_mut()) else {
             return Step::Wait;
         };
         let former = std::mem::replace(&mut walking.timer, timer);
         let mut step = Step::Wait;
-        for (upstream, word) in known {
+        for (upstream, word) in words {
             step = match word {
                 Word::Held(held, weight) => walking.walk.answer(&upstream, held, weight, mean),
                 Word::Silent => walking.walk.guess(&upstream, mean),
--- a/crates/relay/src/forwarder/placing.rs
+++ b/crates/relay/src/forwarder/placing.rs
@@ -26,7 +26,7 @@
 pub(super) enum Placed {
     /// It was sent, or has ended.
     Sent,
-    /// Keepers of upstreams are asked for it.
+    /// Keepers of upstreams are asked for it; it has gone on already if all were known here.
     Asking,
     /// No upstream has room.
     Full,
