--- a/crates/relay/src/forwarder/answering.rs
+++ b/crates/relay/src/forwarder/answering.rs
@@ -1,20 +1,17 @@
 //! Passes answers on, and decides what follows a failed attempt.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use dispatch::{Event as CallEvent, Field, Progress, Verdict};
 use entry::{Reply, Status};
 use forward::{Next, PACE_EVENTS, stall_span};
-use names::{Attempt, Upstream};
-use stakker::{CX, after, call};
+use names::Upstream;
+use stakker::{CX, call};
 use telemetry::Event;
 
-use super::active::{Active, Running};
+use super::active::Running;
 use super::{Forwarder, millis, problems};
 
-/// How often stalled streams are looked for.
-pub(super) const STALL_PERIOD: Duration = Duration::from_millis(200);
-
 impl Forwarder {
     /// Takes the progress of an attempt.
     pub(super) fn take(&mut self, cx: CX![], event: CallEvent) {
@@ -63,7 +60,7 @@
         Some(running)
     }
 
-    fn tell_failed(
+    pub(super) fn tell_failed(
         &mut self,
         now: Instant,
         id: names::Request,
@@ -86,65 +83,6 @@
         }
     }
 
-    /// Has streams go on elsewhere whose upstream has stalled: it sends nothing at all, or bytes now
-    /// and then that make no event.
-    pub(super) fn check_stalls(&mut self, cx: CX![]) {
-        let now = cx.now();
-        let is_silent = |active: &&Active| {
-            let running = active.running.as_ref().filter(|one| one.has_head);
-            active.tail.is_some()
-                && running.is_some_and(|one| self.table.is_stalled(now, &one.upstream))
-        };
-        let is_overdue = |active: &&Active| {
-            let event_by = active.running.as_ref().and_then(|one| one.event_by);
-            active.tail.is_some() && event_by.is_some_and(|event_by| now > event_by)
-        };
-        let silent: Vec<_> = self.actives.iter().filter(is_silent).map(Active::id).collect();
-        for id in silent {
-            let running = self.stop_attempt(cx, id);
-            self.go_on(cx, id, running, Verdict::MayHaveRun, "the upstream sent nothing");
-        }
-        let overdue: Vec<_> = self.actives.iter().filter(is_overdue).map(Active::id).collect();
-        for id in overdue {
-            let service = self.active(id).map(|active| active.service.clone());
-            let running = self.stop_attempt(cx, id);
-            if let (Some(service), Some(running)) = (service, &running) {
-                self.table.failed(now, &service, &running.upstream, false);
-            }
-            self.go_on(cx, id, running, Verdict::MayHaveRun, "the upstream sent no event");
-        }
-        after!(STALL_PERIOD, [cx], check_stalls());
-    }
-
-    /// Gives up an attempt that did not answer, for another one.
-    pub(super) fn give_up(&mut self, cx: CX![], id: names::Request, attempt: Attempt) {
-        let Some(active) = self.active(id) else {
-            return;
-        };
-        let is_silent =
-            active.running.as_ref().is_some_and(|one| one.attempt == attempt && !one.has_head);
-        if !is_silent {
-            return;
-        }
-        let (now, service) = (cx.now(), active.service.clone());
-        let mut after = active.setback(now, Verdict::MayHaveRun);
-        after.runs += 1;
-        let (entries, allowance) = (self.entries, self.allowance);
-        let window = &mut self.flow(&service).window;
-        if after.next(|| window.take(now, allowance, entries)) != Next::Again {
-            return;
-        }
-        if let Some(running) = self.stop_attempt(cx, id) {
-            self.table.failed(now, &service, &running.upstream, false);
-            let (verdict, reason) = (Verdict::MayHaveRun, "no answer in the time of an attempt");
-            self.tell_failed(now, id, &running, verdict, reason, Next::Again);
-        }
-        if let Some(active) = self.active(id) {
-            active.runs += 1;
-        }
-        self.place(cx, id);
-    }
-
     fn take_head(&mut self, cx: CX![], id: names::Request, status: u16, headers: Vec<Field>) {
         let now = cx.now();
         let answer = self.interface.upstreams.read(status, &headers);
@@ -370,7 +308,7 @@
     }
 
     /// Decides what follows an attempt that ended with `verdict`.
-    fn go_on(
+    pub(super) fn go_on(
         &mut self,
         cx: CX![],
         id: names::Request,
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -4,10 +4,12 @@
 mod admitting;
 mod answering;
 mod asking;
+mod keeping;
 mod loads;
 mod placing;
 mod problems;
 mod sending;
+mod stalls;
 mod upstreams;
 
 use std::rc::Rc;
@@ -31,8 +33,8 @@
 use crate::interface::Interface;
 use crate::pages::Readiness;
 use active::Active;
-use answering::STALL_PERIOD;
 use asking::{Other, Question, Silent, first_number};
+use stalls::STALL_PERIOD;
 use upstreams::Table;
 
 /// How long an idle connection to an upstream is kept, if the upstream does not say.
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -1,5 +1,7 @@
 //! The upstreams as the forwarder sees them: what they hold, and which fail.
 
+mod counts;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -82,16 +84,6 @@
     pub(super) heard: Instant,
 }
 
-/// How many requests of this instance an upstream has.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Counted<'a> {
-    pub(super) upstream: &'a Upstream,
-    pub(super) service: &'a Service,
-    pub(super) data_centre: &'a DataCentre,
-    pub(super) short: u32,
-    pub(super) own: u32,
-}
-
 impl Table {
     pub(super) fn new(
         data_centre: DataCentre,
@@ -277,41 +269,6 @@
         entry.gauge.begin(tokens);
     }
 
-    /// Short name and service of `upstream`, the data centre that it runs in, and how many requests
-    /// this instance has there.
-    pub(super) fn count(&self, upstream: &Upstream) -> Option<Counted<'_>> {
-        let found = self.entries.iter().find(|one| one.announcement.upstream == *upstream);
-        found.map(Entry::counted)
-    }
-
-    /// The same of the upstream with this short name.
-    pub(super) fn count_of(&self, short: u32) -> Option<Counted<'_>> {
-        self.entries.iter().find(|one| one.short == short).map(Entry::counted)
-    }
-
-    /// Short names of all upstreams of `service`.
-    pub(super) fn kin(&self, service: &Service) -> impl Iterator<Item = u32> {
-        let of_service = self.entries.iter().filter(|one| one.announcement.service == *service);
-        of_service.map(|entry| entry.short)
-    }
-
-    /// The same of all upstreams that have requests of this instance.
-    pub(super) fn counts(&self) -> impl Iterator<Item = Counted<'_>> {
-        self.entries.iter().filter(|one| one.gauge.own() > 0).map(Entry::counted)
-    }
-
-    /// Requests of this instance at upstreams of `service`.
-    pub(super) fn in_flight(&self, service: &Service) -> u32 {
-        let of_service = self.entries.iter().filter(|one| one.announcement.service == *service);
-        of_service.map(|entry| entry.gauge.own()).sum()
-    }
-
-    /// Requests that the ready upstreams of `service` work on at once.
-    pub(super) fn slots(&self, service: &Service) -> u32 {
-        let of_service = self.entries.iter().filter(|one| one.announcement.service == *service);
-        of_service.filter(|one| one.is_ready()).map(|one| one.announcement.slots.max(1)).sum()
-    }
-
     /// Notes that `tokens` of a request were read or are no more needed.
     pub(super) fn read(&mut self, upstream: &Upstream, tokens: f64) {
         if let Some(entry) = self.entry(upstream) {
@@ -427,11 +384,6 @@
 }
 
 impl Entry {
-    fn counted(&self) -> Counted<'_> {
-        let Announcement { upstream, service, data_centre, .. } = &self.announcement;
-        Counted { upstream, service, data_centre, short: self.short, own: self.gauge.own() }
-    }
-
     fn is_stalled(&self, now: Instant) -> bool {
         self.is_quiet(now, STALL)
     }
