--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -28,9 +28,20 @@
 /// A read of the newest document.
 struct Reading {
     reply: Fwd<Reply>,
+    since: Instant,
     until: Instant,
 }
 
+impl Reading {
+    /// Notes how it ended: what the log holds, what is here, and the bytes given.
+    fn tell(&self, now: Instant, outcome: &'static str, numbers: (Number, Number), bytes: usize) {
+        let (committed, here) = (numbers.0.0, numbers.1.0);
+        let after = now.saturating_duration_since(self.since).as_millis();
+        let after_ms = u64::try_from(after).unwrap_or(u64::MAX);
+        LogEvent::Read { committed, here, outcome, bytes, after_ms }.tell();
+    }
+}
+
 /// Answers upstreams and operators.
 pub(crate) struct Control {
     interface: Interface,
@@ -161,8 +172,8 @@
 
     /// Asks the log for the number of the newest document, then answers with it.
     fn read(&mut self, cx: CX![], reply: Fwd<Reply>) {
-        let until = cx.now() + READ_TIMEOUT;
-        let reading = Reading { reply, until };
+        let since = cx.now();
+        let reading = Reading { reply, since, until: since + READ_TIMEOUT };
         let bytes = postcard::to_allocvec(&Command::Read).unwrap_or_default();
         let proposed = ret_to!([cx], finish_read(reading) as (Proposed));
         call!([self.replica], propose(Part::Catalogue, bytes, proposed));
@@ -173,7 +184,11 @@
         self.note_quorum(cx.now(), held.is_some());
         match held {
             Some(number) => self.send_document(cx, reading, number),
-            None => reading.reply.fwd(self.interface.control.refusal(no_quorum())),
+            None => {
+                let here = self.newest.borrow().document().number;
+                reading.tell(cx.now(), "no-quorum", (Number::default(), here), 0);
+                reading.reply.fwd(self.interface.control.refusal(no_quorum()));
+            }
         }
     }
 
@@ -185,19 +200,21 @@
             return;
         }
         let text = newest.text().filter(|_| newest.number >= number && newest.number.0 > 0);
-        let answer = match text {
-            Some(text) => self.interface.control.document(text),
+        let bytes = text.as_ref().map_or(0, Vec::len);
+        let (outcome, answer) = match text {
+            Some(text) => ("given", self.interface.control.document(text)),
             None if number.0 == 0 => {
                 let message = "no catalogue was committed yet";
                 let problem = Problem::not_run(Status::UNAVAILABLE, "no_catalogue", message);
-                self.interface.control.refusal(problem)
+                ("none", self.interface.control.refusal(problem))
             }
             None => {
                 let message = format!("catalogue {number} has not arrived here yet");
                 let problem = Problem::not_run(Status::UNAVAILABLE, "not_current", message);
-                self.interface.control.refusal(problem)
+                ("not-current", self.interface.control.refusal(problem))
             }
         };
+        reading.tell(cx.now(), outcome, (number, newest.number), bytes);
         reading.reply.fwd(answer);
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -90,6 +90,19 @@
         /// Why it is invalid.
         reason: String,
     },
+    /// An operator's question for the newest document was answered.
+    Read {
+        /// The number that the log holds; 0 if the log did not answer.
+        committed: u64,
+        /// The number that this instance has.
+        here: u64,
+        /// `given`, `none`, `not-current` or `no-quorum`.
+        outcome: &'static str,
+        /// Bytes of the document given.
+        bytes: usize,
+        /// How long it took until the answer was handed to the connection.
+        after_ms: u64,
+    },
     /// An upstream said something new of itself.
     Upstream {
         /// The upstream.
