Give operators a large document one after the other, as fast as the link carries it

Cause: the document of 1,400 routes has 293 KB, which a control instance's link of 3 Mbit/s carries in 0.78 s. Every question was answered at once; two answers side by side took twice as long, heartbeats and commits of the log waited behind them (reads waited 200 to 480 ms for the log), and operators turn away after a second. Ruled out: no leader or a lost document. A trial of HTTP headers: operators take no packed answer. Change: catalogue::Lane gives answers one after the other in slices of 20 ms at nine tenths of the link; a question that would be late goes to another control instance (307, twice at most), else it is refused with the time to come back. Answers that nobody waits for are given up. A stopping control instance sends questions elsewhere and takes 1 s (0.7 before).

--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -8,6 +8,7 @@
 mod account;
 mod draft;
 mod error;
+mod lane;
 mod newest;
 mod number;
 mod route;
@@ -17,6 +18,7 @@
 pub use account::{Account, Caller};
 pub use draft::{Catalogue, Draft};
 pub use error::Error;
+pub use lane::{Lane, Slice, Turn};
 pub use newest::{Command, Document, Newest, Outcome};
 pub use number::Number;
 pub use route::{Repeat, Route, Target};
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -11,6 +11,8 @@
 impl Status {
     /// The request was answered.
     pub const OK: Self = Self(200);
+    /// Another instance is to be asked with the same request.
+    pub const TEMPORARY_REDIRECT: Self = Self(307);
     /// The request is malformed.
     pub const BAD_REQUEST: Self = Self(400);
     /// The API key is missing or unknown.
@@ -41,6 +43,7 @@
             200 => "OK",
             201 => "Created",
             204 => "No Content",
+            307 => "Temporary Redirect",
             400 => "Bad Request",
             401 => "Unauthorized",
             404 => "Not Found",
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control/mod.rs
@@ -1,5 +1,7 @@
 //! The actor that answers upstreams and operators at a control instance.
 
+mod reading;
+
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,40 +10,18 @@
 use catalogue::{Catalogue, Command, Document, Newest, Number, Outcome};
 use entry::{Event, Problem, Reply, Request, Status};
 use instance::{Part, Replica};
-use stakker::{Actor, CX, Fwd, after, call, ret_to};
+use settings::Settings;
+use stakker::{Actor, CX, Fwd, call, ret_to};
 use state::Proposed;
 use telemetry::{Event as LogEvent, Metrics};
 
 use crate::feed::Feed;
 use crate::interface::{Interface, Order};
-
-/// How long a read waits for a document that is committed but not here yet. Whoever asks turns
-/// to another instance after a second.
-const READ_TIMEOUT: Duration = Duration::from_millis(900);
-
-/// Pause between two looks for that document.
-const READ_PAUSE: Duration = Duration::from_millis(20);
+use reading::{Reading, Reads};
 
 /// When to ask again while no quorum is within reach.
 const NO_QUORUM_RETRY: Duration = Duration::from_millis(300);
 
-/// A read of the newest document.
-struct Reading {
-    reply: Fwd<Reply>,
-    since: Instant,
-    until: Instant,
-}
-
-impl Reading {
-    /// Notes how it ended: what the log holds, what is here, and the bytes given.
-    fn tell(&self, now: Instant, outcome: &'static str, numbers: (Number, Number), bytes: usize) {
-        let (committed, here) = (numbers.0.0, numbers.1.0);
-        let after = now.saturating_duration_since(self.since).as_millis();
-        let after_ms = u64::try_from(after).unwrap_or(u64::MAX);
-        LogEvent::Read { committed, here, outcome, bytes, after_ms }.tell();
-    }
-}
-
 /// Answers upstreams and operators.
 pub(crate) struct Control {
     interface: Interface,
@@ -51,6 +31,8 @@
     metrics: Arc<Metrics>,
     /// Since when no quorum answers.
     lost_since: Option<Instant>,
+    /// Questions for the document.
+    reads: Reads,
 }
 
 impl Control {
@@ -61,21 +43,24 @@
         feed: Actor<Feed>,
         newest: Rc<RefCell<Newest>>,
         metrics: Arc<Metrics>,
+        settings: Rc<Settings>,
     ) -> Option<Self> {
-        Some(Self { interface, replica, feed, newest, metrics, lost_since: None })
+        let reads = Reads::new(&settings);
+        Some(Self { interface, replica, feed, newest, metrics, lost_since: None, reads })
     }
 
     /// Takes what happens on a connection.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
             Event::Arrived { request, reply } => self.answer(cx, request, reply),
-            Event::Left { .. } => {}
+            Event::Left { request } => self.leave(cx, request),
             Event::Refused { reason } => log::info!("a control connection was closed: {reason}"),
         }
     }
 
     fn answer(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
         let control = &self.interface.control;
+        let id = request.id;
         match control.read(request) {
             Ok(Order::Announce(announcement)) => {
                 let acknowledgement = control.acknowledgement();
@@ -86,7 +71,7 @@
                 call!([self.feed], withdraw(upstream, born, acknowledgement, reply));
             }
             Ok(Order::Offer(text)) => self.offer(cx, &text, reply),
-            Ok(Order::Read) => self.read(cx, reply),
+            Ok(Order::Read { hops }) => self.read(cx, Reading::new(cx.now(), id, hops, reply)),
             Err(problem) => {
                 log::info!("a control request was refused: {}", problem.message);
                 reply.fwd(control.refusal(problem));
@@ -169,54 +154,6 @@
         };
         reply.fwd(answer);
     }
-
-    /// Asks the log for the number of the newest document, then answers with it.
-    fn read(&mut self, cx: CX![], reply: Fwd<Reply>) {
-        let since = cx.now();
-        let reading = Reading { reply, since, until: since + READ_TIMEOUT };
-        let bytes = postcard::to_allocvec(&Command::Read).unwrap_or_default();
-        let proposed = ret_to!([cx], finish_read(reading) as (Proposed));
-        call!([self.replica], propose(Part::Catalogue, bytes, proposed));
-    }
-
-    fn finish_read(&mut self, cx: CX![], reading: Reading, proposed: Option<Proposed>) {
-        let held = held(proposed);
-        self.note_quorum(cx.now(), held.is_some());
-        match held {
-            Some(number) => self.send_document(cx, reading, number),
-            None => {
-                let here = self.newest.borrow().document().number;
-                reading.tell(cx.now(), "no-quorum", (Number::default(), here), 0);
-                reading.reply.fwd(self.interface.control.refusal(no_quorum()));
-            }
-        }
-    }
-
-    /// Answers with the newest document once it has at least `number`.
-    fn send_document(&mut self, cx: CX![], reading: Reading, number: Number) {
-        let newest = self.newest.borrow().document().clone();
-        if newest.number < number && cx.now() < reading.until {
-            after!(READ_PAUSE, [cx], send_document(reading, number));
-            return;
-        }
-        let text = newest.text().filter(|_| newest.number >= number && newest.number.0 > 0);
-        let bytes = text.as_ref().map_or(0, Vec::len);
-        let (outcome, answer) = match text {
-            Some(text) => ("given", self.interface.control.document(text)),
-            None if number.0 == 0 => {
-                let message = "no catalogue was committed yet";
-                let problem = Problem::not_run(Status::UNAVAILABLE, "no_catalogue", message);
-                ("none", self.interface.control.refusal(problem))
-            }
-            None => {
-                let message = format!("catalogue {number} has not arrived here yet");
-                let problem = Problem::not_run(Status::UNAVAILABLE, "not_current", message);
-                ("not-current", self.interface.control.refusal(problem))
-            }
-        };
-        reading.tell(cx.now(), outcome, (number, newest.number), bytes);
-        reading.reply.fwd(answer);
-    }
 }
 
 /// The number of the newest document, if the log answered.
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -6,7 +6,7 @@
 
 use catalogue::Draft;
 use dispatch::{Echo, Field};
-use entry::{Form, Header, Problem, Reply, Request};
+use entry::{Form, Header, Problem, Reply, Request, Status};
 use forward::Report;
 use names::{ClientAccount, Upstream};
 use roster::Announcement;
@@ -118,7 +118,10 @@
     /// An operator offers a document.
     Offer(Vec<u8>),
     /// An operator asks for the newest document.
-    Read,
+    Read {
+        /// How often instances have sent this question on.
+        hops: u32,
+    },
 }
 
 /// How upstreams announce themselves and operators send documents.
@@ -133,8 +136,12 @@
     /// The acknowledgement of an announcement, a leave or an offer.
     fn acknowledgement(&self) -> Reply;
 
-    /// The answer that carries a document.
-    fn document(&self, text: Vec<u8>) -> Reply;
+    /// Status and headers of the answer that carries a document.
+    fn document(&self) -> (Status, Vec<Header>);
+
+    /// The answer that sends a question for the document on to the control instance at `address`,
+    /// which has been sent on `hops` times with it.
+    fn elsewhere(&self, address: SocketAddr, hops: u32) -> Reply;
 }
 
 /// How documents are written.
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -36,8 +36,9 @@
 /// every second have seen twice that it is not ready.
 const WIND_DOWN: Duration = Duration::from_millis(3500);
 
-/// How long a stopping control instance goes on, so that the lead is handed over meanwhile.
-const HAND_OVER: Duration = Duration::from_millis(700);
+/// How long a stopping control instance goes on, so that the lead is handed over meanwhile and
+/// answers to operators end.
+const HAND_OVER: Duration = Duration::from_secs(1);
 
 /// Part of the time for a stop after which requests that still run are cut.
 const DRAIN_PART: f64 = 0.9;
@@ -73,7 +74,7 @@
 /// The actors of the control role.
 struct ControlSide {
     replica: ActorOwn<Replica>,
-    _control: ActorOwn<Control>,
+    control: ActorOwn<Control>,
     _server: ActorOwn<Server>,
 }
 
@@ -175,6 +176,7 @@
                     feed.clone(),
                     newest.clone(),
                     metrics.clone(),
+                    settings.clone(),
                 ),
                 ret_some_to!([cx], child_ended() as (StopCause))
             );
@@ -185,7 +187,7 @@
                 Server::init(listener, control_bounds(&settings), form, handler),
                 ret_some_to!([cx], child_ended() as (StopCause))
             );
-            ControlSide { replica, _control: control, _server: server }
+            ControlSide { replica, control, _server: server }
         });
         let views = fwd_to!([cx], set_view() as (View));
         let members = actor!(
@@ -289,6 +291,8 @@
     fn set_view(&mut self, _: CX![], view: View) {
         if let Some(control) = &self.control {
             call!([control.replica], set_view(view.clone()));
+            let known = view.clone();
+            call!([control.control], set_view(known));
         }
         if let Some(entry) = &self.entry {
             call!([entry.forwarder], set_view(view.clone()));
@@ -346,6 +350,7 @@
         };
         if let Some(control) = &self.control {
             call!([control.replica], retire());
+            call!([control.control], stop_reading());
         }
         at!(end, [cx], finish_stop(()));
     }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -96,11 +96,12 @@
         committed: u64,
         /// The number that this instance has.
         here: u64,
-        /// `given`, `none`, `not-current` or `no-quorum`.
+        /// `given`, `left` by whoever asked, `elsewhere`, `later`, `none`, `not-current` or
+        /// `no-quorum`.
         outcome: &'static str,
-        /// Bytes of the document given.
+        /// Bytes of the document that were handed to the connection.
         bytes: usize,
-        /// How long it took until the answer was handed to the connection.
+        /// How long it took until the last byte was handed to the connection.
         after_ms: u64,
     },
     /// An upstream said something new of itself.
