Test that answers nobody wants are given up when they do not end

Shown: with both bounds taken out, both new cases went on for 10 s, the test's patience; with them they end within 3 s, and a short rest still leaves the connection to the next request.

--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -23,6 +23,7 @@
     Start(Call),
     Cancel(Attempt),
     Took(Attempt, usize),
+    Discard(Attempt),
     Stop,
 }
 
@@ -37,6 +38,10 @@
         self.asks.send(Ask::Start(call));
     }
 
+    fn discard(&self, attempt: u64) {
+        self.asks.send(Ask::Discard(Attempt(attempt)));
+    }
+
     fn cancel(&self, attempt: u64) {
         self.asks.send(Ask::Cancel(Attempt(attempt)));
     }
@@ -65,6 +70,7 @@
         }
         Ask::Cancel(attempt) => call!([client], cancel(attempt)),
         Ask::Took(attempt, bytes) => call!([client], took(attempt, bytes)),
+        Ask::Discard(attempt) => call!([client], discard(attempt)),
         Ask::Stop => deferrer.defer(|stakker| stakker.shutdown(StopCause::Stopped)),
     });
     ready.send(mailbox(stakker, take)).unwrap();
@@ -321,3 +327,64 @@
     let unfit = Call { path, ..call(1, address, Reuse::Never) };
     assert!(matches!(Outbound::try_from(unfit), Err(Unfit::Line { .. })));
 }
+
+/// How long bytes that nobody wants may come in before their connection is closed.
+const DISCARD_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Writes `part` each `pause` until the other side closes; gives how long that took.
+fn write_on(mut stream: TcpStream, part: &[u8], pause: Duration) -> Duration {
+    stream.set_write_timeout(Some(PATIENCE)).unwrap();
+    let begin = Instant::now();
+    while begin.elapsed() < PATIENCE && stream.write_all(part).is_ok() {
+        std::thread::sleep(pause);
+    }
+    begin.elapsed()
+}
+
+#[test_case(&[b'x'; 65536], 0; "as fast as it is read")]
+#[test_case(b"x", 20; "a byte now and then")]
+fn an_answer_that_nobody_wants_and_that_never_ends_is_given_up(part: &'static [u8], pause: u64) {
+    let (address, upstream) = upstream(move |mut stream| {
+        write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 999999999999\r\n\r\n.").unwrap();
+        write_on(stream, part, Duration::from_millis(pause))
+    });
+    let (calls, events) = calls();
+    calls.start(call(1, address, Reuse::Allowed));
+    assert!(matches!(events.recv_timeout(PATIENCE).unwrap().progress, Progress::Head { .. }));
+    calls.discard(1);
+    let lasted = upstream.join().unwrap();
+    assert!(lasted < DISCARD_PATIENCE, "{lasted:?}");
+    let told = events.try_iter().map(|event| event.progress).collect::<Vec<_>>();
+    let is_part = |progress: &Progress| matches!(progress, Progress::Part(_));
+    assert!(told.iter().all(is_part), "nobody hears how it ended: {told:?}");
+}
+
+#[test]
+fn the_connection_of_a_short_answer_that_nobody_wants_serves_the_next_request() {
+    let (address, upstream) = upstream(|mut stream| {
+        write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nun").unwrap();
+        std::thread::sleep(Duration::from_millis(200));
+        write!(stream, "wanted\n").unwrap();
+        let is_next = read_request(&stream);
+        write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nwanted").unwrap();
+        is_next
+    });
+    let (calls, events) = calls();
+    calls.start(call(1, address, Reuse::Allowed));
+    assert!(matches!(events.recv_timeout(PATIENCE).unwrap().progress, Progress::Head { .. }));
+    calls.discard(1);
+    std::thread::sleep(Duration::from_millis(500));
+    calls.start(call(2, address, Reuse::Allowed));
+    let mut body = Vec::new();
+    loop {
+        let Event { attempt, progress } = events.recv_timeout(PATIENCE).unwrap();
+        match progress {
+            Progress::Part(part) if attempt == Attempt(2) => body.extend(part),
+            Progress::End => break,
+            Progress::Failed { reason, .. } => panic!("{reason}"),
+            _ => {}
+        }
+    }
+    assert_eq!(String::from_utf8_lossy(&body), "wanted");
+    assert!(upstream.join().unwrap(), "the next request came on the same connection");
+}
