Answer requests that cross the close of a kept connection at a planned stop

Cause: 3.5 s into a planned stop, an idle kept connection was closed without looking whether a request had come in that the loop had not read yet; its caller got a reset and no answer. Ruled out: new connections in the accept queue; they were accepted before the listener closed already.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -97,10 +97,14 @@
         self.is_draining = true;
     }
 
-    /// Closes the connection once it has no request. The first request of a new connection is
-    /// waited for: its caller may have sent it already.
+    /// Closes the connection once it has no request. One that the system has taken in is answered,
+    /// and the first request of a new connection is waited for: its caller may have sent it already.
     pub(crate) fn drain(&mut self, cx: CX![]) {
         self.is_draining = true;
+        self.read(cx);
+        if !self.is_read_open {
+            return;
+        }
         let is_idle =
             matches!(self.phase, Phase::Receiving { body: None }) && self.received.is_empty();
         if is_idle && self.is_new {
