--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -362,9 +362,9 @@
 #[test]
 fn the_connection_of_a_short_answer_that_nobody_wants_serves_the_next_request() {
     let (address, upstream) = upstream(|mut stream| {
-        write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nun").unwrap();
+        write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nun").unwrap();
         std::thread::sleep(Duration::from_millis(200));
-        write!(stream, "wanted\n").unwrap();
+        write!(stream, "wanted").unwrap();
         let is_next = read_request(&stream);
         write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nwanted").unwrap();
         is_next
