Do not answer operators that left while the log was asked

Cause: a question whose asker left before the log had answered still took the link for its whole answer, up to 0.9 s of a document of 293 KB; and a stopping instance could send a question on a third time, which operators do not follow.

--- a/crates/relay/src/control/reading.rs
+++ b/crates/relay/src/control/reading.rs
@@ -56,6 +56,8 @@
 /// The questions for the document, and the link that the answers share.
 pub(super) struct Reads {
     lane: Lane,
+    /// Questions that the log has not answered yet, and whose askers are still there.
+    asked: Vec<Request>,
     giving: Vec<Giving>,
     timer: FixedTimerKey,
     /// The other control instances, those behind this one by name first.
@@ -71,6 +73,7 @@
     pub(super) fn new(settings: &Settings) -> Self {
         Self {
             lane: Lane::new(settings.direct.link_megabits),
+            asked: Vec::new(),
             giving: Vec::new(),
             timer: FixedTimerKey::default(),
             others: Vec::new(),
@@ -83,7 +86,8 @@
 
     /// What becomes of a question for a document of `bytes`.
     fn decide(&mut self, now: Instant, reading: &Reading, bytes: usize) -> Turn {
-        match self.others.first().filter(|_| self.is_stopping) {
+        let is_sent_on = self.is_stopping && reading.hops == 0;
+        match self.others.first().filter(|_| is_sent_on) {
             Some(other) => Turn::Elsewhere(other.clone()),
             None => self.lane.decide((now, reading.since), bytes, reading.hops, &self.others),
         }
@@ -113,6 +117,7 @@
     pub(super) fn read(&mut self, cx: CX![], reading: Reading) {
         match self.reads.decide(cx.now(), &reading, 0) {
             Turn::Here => {
+                self.reads.asked.push(reading.request);
                 let bytes = postcard::to_allocvec(&Command::Read).unwrap_or_default();
                 let proposed = ret_to!([cx], finish_read(reading) as (Proposed));
                 call!([self.replica], propose(Part::Catalogue, bytes, proposed));
@@ -127,6 +132,7 @@
         match held {
             Some(number) => self.send_document(cx, reading, number),
             None => {
+                self.reads.asked.retain(|request| *request != reading.request);
                 let here = self.newest.borrow().document().number;
                 reading.tell(cx.now(), "no-quorum", (Number::default(), here), 0);
                 reading.reply.fwd(self.interface.control.refusal(no_quorum()));
@@ -137,10 +143,15 @@
     /// Answers with the newest document once it has at least `number`.
     fn send_document(&mut self, cx: CX![], reading: Reading, number: Number) {
         let newest = self.newest.borrow().document().clone();
+        if !self.reads.asked.contains(&reading.request) {
+            reading.tell(cx.now(), "left", (number, newest.number), 0);
+            return;
+        }
         if newest.number < number && cx.now() < reading.until {
             after!(READ_PAUSE, [cx], send_document(reading, number));
             return;
         }
+        self.reads.asked.retain(|request| *request != reading.request);
         let text = newest.text().filter(|_| newest.number >= number && newest.number.0 > 0);
         let Some(text) = text else {
             let (outcome, code, message) = match number.0 {
@@ -223,8 +234,9 @@
         }
     }
 
-    /// Gives up the answer to whoever left.
+    /// Gives up the question of whoever left, and the answer to it.
     pub(super) fn leave(&mut self, cx: CX![], request: Request) {
+        self.reads.asked.retain(|asked| *asked != request);
         self.reads.lane.remove(request);
         let is_meant = |one: &mut Giving| one.reading.request == request;
         for Giving { reading, number, sent, .. } in self.reads.giving.extract_if(.., is_meant) {
