Call what becomes of a question its course, and keep the other control instances once

Read as a newcomer: Turn beside the function turn of the same crate said two things; names and addresses of the other control instances stood twice. No behaviour changed; catalogue/tests/lane.rs, platform_reading and platform_control pass.

--- a/crates/catalogue/src/lane.rs
+++ b/crates/catalogue/src/lane.rs
@@ -22,7 +22,7 @@
 
 /// What becomes of a question for the document.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Turn {
+pub enum Course {
     /// It is answered here.
     Here,
     /// That instance is asked instead.
@@ -86,19 +86,19 @@
         bytes: usize,
         hops: u32,
         others: &[Instance],
-    ) -> Turn {
+    ) -> Course {
         let busy = self.busy_for(now);
         let span = self.span_of(bytes);
         let is_idle = busy <= SLICE_SPAN;
         if is_idle || now + busy + span <= since + PATIENCE {
-            return Turn::Here;
+            return Course::Here;
         }
         match self.least_named(now, others).filter(|_| hops < MAX_HOPS) {
             Some(instance) => {
                 self.named.push((instance.clone(), now + span.max(SLICE_SPAN)));
-                Turn::Elsewhere(instance)
+                Course::Elsewhere(instance)
             }
-            None => Turn::Later(busy),
+            None => Course::Later(busy),
         }
     }
 
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -18,7 +18,7 @@
 pub use account::{Account, Caller};
 pub use draft::{Catalogue, Draft};
 pub use error::Error;
-pub use lane::{Lane, Slice, Turn};
+pub use lane::{Course, Lane, Slice};
 pub use newest::{Command, Document, Newest, Outcome};
 pub use number::Number;
 pub use route::{Repeat, Route, Target};
--- a/crates/catalogue/tests/lane.rs
+++ b/crates/catalogue/tests/lane.rs
@@ -9,7 +9,7 @@
 
 use std::time::{Duration, Instant};
 
-use catalogue::{Lane, Turn};
+use catalogue::{Course, Lane};
 use names::{Instance, Request};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -117,16 +117,16 @@
         let times = (self.now, question.asked.max(self.now - LOG_TIME));
         let node = &mut self.nodes[index];
         match node.lane.decide(times, DOCUMENT, question.hops, &node.others) {
-            Turn::Here => {
+            Course::Here => {
                 node.lane.push(Request(question.id), DOCUMENT);
                 node.giving.push(question);
             }
-            Turn::Elsewhere(other) => {
+            Course::Elsewhere(other) => {
                 let hops = question.hops + 1;
                 let other = (0..CONTROLS).find(|index| instance(*index) == other).unwrap();
                 self.ask(other, Question { hops, ..question });
             }
-            Turn::Later(span) => assert!(span > Duration::ZERO),
+            Course::Later(span) => assert!(span > Duration::ZERO),
         }
     }
 
@@ -196,11 +196,11 @@
     let now = Instant::now();
     let mut lane = Lane::new(LINK_MEGABITS);
     let others = [instance(1)];
-    assert_eq!(lane.decide((now, now), DOCUMENT, 0, &others), Turn::Here);
+    assert_eq!(lane.decide((now, now), DOCUMENT, 0, &others), Course::Here);
     lane.push(Request(1), DOCUMENT);
-    assert_eq!(lane.decide((now, now), 0, 2, &others), Turn::Here, "it may be a small one");
-    assert_eq!(lane.decide((now, now), DOCUMENT, 0, &others), Turn::Elsewhere(instance(1)));
-    let Turn::Later(span) = lane.decide((now, now), DOCUMENT, 2, &others) else {
+    assert_eq!(lane.decide((now, now), 0, 2, &others), Course::Here, "it may be a small one");
+    assert_eq!(lane.decide((now, now), DOCUMENT, 0, &others), Course::Elsewhere(instance(1)));
+    let Course::Later(span) = lane.decide((now, now), DOCUMENT, 2, &others) else {
         unreachable!("the link is busy");
     };
     assert!(span > Duration::from_millis(800) && span < Duration::from_secs(1), "{span:?}");
@@ -224,8 +224,8 @@
     let now = Instant::now();
     let mut lane = Lane::new(LINK_MEGABITS);
     for request in 0..5 {
-        assert_eq!(lane.decide((now, now), 51_000, 0, &[instance(1)]), Turn::Here);
+        assert_eq!(lane.decide((now, now), 51_000, 0, &[instance(1)]), Course::Here);
         lane.push(Request(request), 51_000);
     }
-    assert_eq!(lane.decide((now, now), 102_000, 0, &[instance(1)]), Turn::Elsewhere(instance(1)));
+    assert_eq!(lane.decide((now, now), 102_000, 0, &[instance(1)]), Course::Elsewhere(instance(1)));
 }
--- a/crates/relay/src/control/reading.rs
+++ b/crates/relay/src/control/reading.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use catalogue::{Command, Lane, Number, Turn};
+use catalogue::{Command, Course, Lane, Number};
 use entry::{Problem, Reply, Status};
 use instance::{Part, View};
 use names::{Instance, Request};
@@ -60,10 +60,9 @@
     asked: Vec<Request>,
     giving: Vec<Giving>,
     timer: FixedTimerKey,
-    /// The other control instances, those behind this one by name first.
-    others: Vec<Instance>,
-    /// Where other control instances answer operators.
-    addresses: Vec<(Instance, SocketAddr)>,
+    /// The other control instances and where they answer operators, those behind this one by name
+    /// first.
+    others: Vec<(Instance, SocketAddr)>,
     port: u16,
     me: Instance,
     is_stopping: bool,
@@ -77,7 +76,6 @@
             giving: Vec::new(),
             timer: FixedTimerKey::default(),
             others: Vec::new(),
-            addresses: Vec::new(),
             port: settings.listen.operators.port(),
             me: settings.instance.clone(),
             is_stopping: false,
@@ -85,11 +83,12 @@
     }
 
     /// What becomes of a question for a document of `bytes`.
-    fn decide(&mut self, now: Instant, reading: &Reading, bytes: usize) -> Turn {
+    fn decide(&mut self, now: Instant, reading: &Reading, bytes: usize) -> Course {
         let is_sent_on = self.is_stopping && reading.hops == 0;
-        match self.others.first().filter(|_| is_sent_on) {
-            Some(other) => Turn::Elsewhere(other.clone()),
-            None => self.lane.decide((now, reading.since), bytes, reading.hops, &self.others),
+        let others: Vec<Instance> = self.others.iter().map(|(one, _)| one.clone()).collect();
+        match others.first().filter(|_| is_sent_on) {
+            Some(other) => Course::Elsewhere(other.clone()),
+            None => self.lane.decide((now, reading.since), bytes, reading.hops, &others),
         }
     }
 }
@@ -97,15 +96,13 @@
 impl Control {
     /// Learns of the other control instances.
     pub(crate) fn set_view(&mut self, _: CX![], view: View) {
-        let Reads { others, addresses, port, me, .. } = &mut self.reads;
-        let controls = view.members.iter().filter(|one| one.is_control && !one.is_draining);
-        *addresses = controls
-            .map(|one| (one.instance.clone(), SocketAddr::new(one.address.ip(), *port)))
-            .collect();
-        let names = addresses.iter().map(|(instance, _)| instance);
-        let (behind, before): (Vec<Instance>, Vec<Instance>) =
-            names.cloned().partition(|instance| *instance > *me);
-        *others = behind.into_iter().chain(before).collect();
+        let Reads { others, port, me, .. } = &mut self.reads;
+        let controls = view.members.into_iter().filter(|one| one.is_control && !one.is_draining);
+        let address = |ip| SocketAddr::new(ip, *port);
+        let known = controls.map(|one| (one.instance, address(one.address.ip())));
+        let (mut behind, before): (Vec<_>, Vec<_>) = known.partition(|(one, _)| *one > *me);
+        behind.extend(before);
+        *others = behind;
     }
 
     /// Sends questions elsewhere from now on, as this instance stops.
@@ -116,13 +113,13 @@
     /// Asks the log for the number of the newest document, then answers with it.
     pub(super) fn read(&mut self, cx: CX![], reading: Reading) {
         match self.reads.decide(cx.now(), &reading, 0) {
-            Turn::Here => {
+            Course::Here => {
                 self.reads.asked.push(reading.request);
                 let bytes = postcard::to_allocvec(&Command::Read).unwrap_or_default();
                 let proposed = ret_to!([cx], finish_read(reading) as (Proposed));
                 call!([self.replica], propose(Part::Catalogue, bytes, proposed));
             }
-            turn => self.turn_away(cx, &reading, turn),
+            course => self.turn_away(cx, &reading, course),
         }
     }
 
@@ -167,31 +164,31 @@
             return;
         };
         match self.reads.decide(cx.now(), &reading, text.len()) {
-            Turn::Here => self.begin_giving(cx, Giving { reading, number, text, sent: 0 }),
-            turn => self.turn_away(cx, &reading, turn),
+            Course::Here => self.begin_giving(cx, Giving { reading, number, text, sent: 0 }),
+            course => self.turn_away(cx, &reading, course),
         }
     }
 
     /// Sends a question on to another instance, or refuses it.
-    fn turn_away(&mut self, cx: CX![], reading: &Reading, turn: Turn) {
+    fn turn_away(&mut self, cx: CX![], reading: &Reading, course: Course) {
         let control = &self.interface.control;
         let here = self.newest.borrow().document().number;
         let address = |instance: &Instance| {
-            let found = self.reads.addresses.iter().find(|(other, _)| other == instance);
+            let found = self.reads.others.iter().find(|(other, _)| other == instance);
             found.map(|(_, address)| *address)
         };
-        let target = match &turn {
-            Turn::Elsewhere(instance) => address(instance),
-            Turn::Here | Turn::Later(_) => None,
+        let target = match &course {
+            Course::Elsewhere(instance) => address(instance),
+            Course::Here | Course::Later(_) => None,
         };
-        let (outcome, reply) = match (target, turn) {
+        let (outcome, reply) = match (target, course) {
             (Some(address), _) => ("elsewhere", control.elsewhere(address, reading.hops + 1)),
-            (None, turn) => {
+            (None, course) => {
                 let message = "the link is busy with answers to operators; ask again later";
                 let problem = Problem::not_run(Status::UNAVAILABLE, "link_busy", message);
-                let problem = match turn {
-                    Turn::Later(span) => problem.with_retry_after(span),
-                    Turn::Here | Turn::Elsewhere(_) => problem,
+                let problem = match course {
+                    Course::Later(span) => problem.with_retry_after(span),
+                    Course::Here | Course::Elsewhere(_) => problem,
                 };
                 ("later", control.refusal(problem))
             }
