Ask seeds with each round again: asking sooner weighed on the log of a large fleet

Conclusion: reverted. Next: ask sooner only as far as the seeds' cores allow, or learn of the fleet's size first.

--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -21,11 +21,6 @@
 /// Time between two probes.
 const PERIOD: Duration = Duration::from_millis(500);
 
-/// Time between two questions of an instance that knows nobody yet, and for how long it asks as
-/// often: when all start together, those that it asks may come some hundred milliseconds later.
-const KNOCK_PERIOD: Duration = Duration::from_millis(150);
-const KNOCK_SPAN: Duration = Duration::from_secs(2);
-
 /// How long a suspected instance may take to refute, per tenfold of the fleet's size.
 const SUSPICION: Duration = Duration::from_secs(3);
 
@@ -80,9 +75,6 @@
     sequence: u64,
     round: u64,
     next_round: Instant,
-    /// When an instance that knows nobody asks again, and until when it does so between rounds.
-    knock_at: Instant,
-    knock_until: Instant,
     last_tick: Instant,
     next_view: Instant,
     differences: u32,
@@ -126,8 +118,6 @@
             sequence: 0,
             round: 0,
             next_round: now,
-            knock_at: now + KNOCK_PERIOD,
-            knock_until: now + KNOCK_SPAN,
             last_tick: now,
             next_view: now,
             differences: 0,
@@ -184,8 +174,6 @@
         if now >= self.next_round {
             self.next_round = now + PERIOD;
             self.begin_round(now);
-        } else if now >= self.knock_at && now < self.knock_until {
-            self.knock(now);
         }
         std::mem::take(&mut self.actions)
     }
--- a/crates/membership/src/detector/probing.rs
+++ b/crates/membership/src/detector/probing.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
-use super::{Detector, KNOCK_PERIOD, PERIOD, VIEW_PAUSE};
+use super::{Detector, PERIOD, VIEW_PAUSE};
 use crate::record::Record;
 use crate::{Message, Status};
 
@@ -94,17 +94,6 @@
         }
     }
 
-    /// Pings a configured peer while this instance knows nobody.
-    pub(super) fn knock(&mut self, now: Instant) {
-        self.knock_at = now + KNOCK_PERIOD;
-        if self.up().next().is_some() {
-            return;
-        }
-        if let Some(peer) = self.pick(|_| true) {
-            self.ping(&peer);
-        }
-    }
-
     /// Pings configured peers, so that a new instance is known within one round trip. Entry
     /// instances ping fewer, since many of them may start at once.
     fn greet(&mut self) {
