Log attempts whose upstream is silent

The log did not tell apart an attempt that ended because its upstream was silent and one that is silent and goes on, and no line about a silence named the document in force, so that the hypotheses about requests lost beside a change of the document (docs/incidents/silent-upstreams.md) could not be told apart from the log. The line `stalled` is written when an upstream has been silent for a while, with the document number. No decision changes.

--- a/crates/relay/src/forwarder/stalls.rs
+++ b/crates/relay/src/forwarder/stalls.rs
@@ -1,14 +1,15 @@
 //! Detects attempts whose upstream does not respond or has stopped sending.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dispatch::Verdict;
 use forward::RetryDecision;
 use names::Attempt;
 use stakker::{CX, after};
+use telemetry::Event;
 
-use super::Forwarder;
 use super::active_request::ActiveRequest;
+use super::{Forwarder, millis};
 
 /// Interval between two checks for stalled streams.
 pub(super) const STALL_PERIOD: Duration = Duration::from_millis(200);
@@ -30,12 +31,14 @@
         let silent: Vec<_> =
             self.requests.iter().filter(is_silent).map(ActiveRequest::id).collect();
         for id in silent {
+            self.log_stalled(now, id, "the upstream sent nothing");
             let running = self.stop_attempt(cx, id);
             self.retry_or_finish(cx, id, running, Verdict::MayHaveRun, "the upstream sent nothing");
         }
         let overdue: Vec<_> =
             self.requests.iter().filter(is_overdue).map(ActiveRequest::id).collect();
         for id in overdue {
+            self.log_stalled(now, id, "the upstream sent no event");
             let service = self.active(id).map(|active| active.service.clone());
             let running = self.stop_attempt(cx, id);
             if let (Some(service), Some(running)) = (service, &running) {
@@ -52,6 +55,26 @@
         after!(STALL_PERIOD, [cx], check_stalls());
     }
 
+    /// Logs that the upstream of a request is silent.
+    fn log_stalled(&mut self, now: Instant, id: names::Request, reason: &str) {
+        let catalogue = self.catalogue_number();
+        let Some(active) = self.active(id) else {
+            return;
+        };
+        let Some(running) = &active.running else {
+            return;
+        };
+        Event::Stalled {
+            request: active.metadata.id.clone(),
+            attempt: running.attempt.to_string(),
+            upstream: running.upstream.to_string(),
+            reason: reason.to_string(),
+            after_ms: millis(now.saturating_duration_since(running.started_at)),
+            catalogue,
+        }
+        .write();
+    }
+
     /// Abandons an attempt that did not respond in favour of another one.
     pub(super) fn abandon_attempt(&mut self, cx: CX![], id: names::Request, attempt: Attempt) {
         let Some(active) = self.active(id) else {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -220,6 +220,22 @@
         /// Action that follows the failure, such as a retry.
         next: String,
     },
+    /// An upstream has been silent for a while during an attempt. The attempt goes on unless a line
+    /// `failed` follows.
+    Stalled {
+        /// Identifier of the request.
+        request: String,
+        /// Identifier of the attempt.
+        attempt: String,
+        /// Name of the upstream.
+        upstream: String,
+        /// Description of what the upstream has not sent.
+        reason: String,
+        /// Time since the attempt started.
+        after_ms: u64,
+        /// Number of the active catalogue.
+        catalogue: u64,
+    },
     /// An answer was aborted in such a way that the caller can detect that it is incomplete.
     Cut {
         /// Identifier of the request.
@@ -264,6 +280,7 @@
             | Self::Avoided { .. }
             | Self::Refused { .. }
             | Self::Failed { .. }
+            | Self::Stalled { .. }
             | Self::Cut { .. } => Level::Warn,
             Self::Queued { .. } | Self::Sent { .. } | Self::Left { .. } | Self::Answered { .. } => {
                 Level::Debug
