Keep requests at a silent upstream until another one takes them

Callers on services without engines got 502.

Cause: silence was treated as a failure. check_stalls ended the attempt of a stream 700 ms after the last byte of its upstream, and only then asked whether the request could go on elsewhere. With no attempt or retry left (next=cut), or no upstream with room (reason=no_upstream), the stream was cut. Requests without a response were abandoned in the same way and answered 502 when no other upstream had room.

Now a silence only starts a search for another upstream. The attempt goes on until capacity is reserved at an upstream that is not avoided; then the retry is taken from the budget, if the upstream is still silent, and the request moves. Otherwise it waits and the search is repeated every 200 ms. So a silence alone no longer ends an answer: a move, the deadline, the caller, or a failure of the connection does.

Evidence, with the former code: tests/platform_pauses.rs, 7 of 8 failed: streams on a route with one attempt, without and beside changes of the idle timeout, the route's timeout and the route itself: (200, incomplete); one engine alone: resumed at itself, then cut; 60 streams beyond the retry budget: cut with reason=no_upstream; a request of a service without engines: 502. tests/large_fleet.rs: cut after the pause of the second engine. All pass now. Ruled out as the cause: the changed document itself. The streams broke in the same way without a change.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -10,7 +10,8 @@
 //!   in [`Latencies`].
 //! - [`find_context_source()`] names an engine that has a context in its cache.
 //! - A [`WaitQueue`] is the queue of requests that wait for an upstream.
-//! - [`FailedAttempt`] decides what follows a failed attempt, and [`RetryWindow`] limits retries.
+//! - [`FailedAttempt`] decides what follows a failed or silent attempt, and [`RetryWindow`] limits
+//!   retries.
 //! - A [`StreamTracker`] tracks a stream of events so that another upstream can resume the stream.
 //! - A [`Shutdown`] decides which requests an instance accepts while it shuts down.
 
@@ -35,7 +36,7 @@
 pub use load_estimate::{LoadEstimate, Report, mean_load};
 pub use load_gossip::{GossipConfig, Load, LoadGossip};
 pub use policy::{Affinity, LeastLoad, Policy, RoutingKey, shuffled_order};
-pub use retry::{FailedAttempt, RetryDecision};
+pub use retry::{FailedAttempt, RetryDecision, SilenceDecision};
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use search::{SearchCandidate, SearchConfig, SearchStep, TrackerSearch};
 pub use shutdown::Shutdown;
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -43,7 +43,30 @@
     Cut,
 }
 
+/// What to do with an attempt whose upstream is silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilenceDecision {
+    /// Wait for the upstream, which may be sound and go on.
+    Wait,
+    /// Move the request to another upstream if one can take it.
+    Move,
+}
+
 impl FailedAttempt {
+    /// Returns what to do with an attempt that is not known to have failed, but whose upstream is
+    /// silent. `may_repeat` returns whether a retry is left in the budget.
+    pub fn on_silence<B>(&self, may_repeat: B) -> SilenceDecision
+    where
+        B: FnOnce() -> bool,
+    {
+        match self.next(may_repeat) {
+            RetryDecision::Again | RetryDecision::Resume => SilenceDecision::Move,
+            RetryDecision::Refuse | RetryDecision::Fail | RetryDecision::Cut => {
+                SilenceDecision::Wait
+            }
+        }
+    }
+
     /// Returns the next step. `may_repeat` takes one retry from the budget and returns false when
     /// none is left.
     pub fn next<B>(&self, may_repeat: B) -> RetryDecision
--- a/crates/forward/src/retry_window.rs
+++ b/crates/forward/src/retry_window.rs
@@ -41,14 +41,19 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry at `now`. Returns false when the share of this instance, one of `instances`,
-    /// is used up.
-    pub fn take(&mut self, now: Instant, allowance: RetryAllowance, instances: usize) -> bool {
+    /// Returns whether a retry is left at `now` in the share of this instance, one of `instances`.
+    pub fn has_retry(&mut self, now: Instant, allowance: RetryAllowance, instances: usize) -> bool {
         drop_expired(&mut self.requests, now, allowance.span);
         drop_expired(&mut self.retries, now, allowance.span);
         let share = allowance.extra / instances.max(1) as f64;
         let max_retries = (self.requests.len() as f64 * allowance.ratio + share) * USED_SHARE;
-        let is_allowed = ((self.retries.len() + 1) as f64) <= max_retries;
+        ((self.retries.len() + 1) as f64) <= max_retries
+    }
+
+    /// Takes one retry at `now`. Returns false when the share of this instance, one of `instances`,
+    /// is used up.
+    pub fn take(&mut self, now: Instant, allowance: RetryAllowance, instances: usize) -> bool {
+        let is_allowed = self.has_retry(now, allowance, instances);
         if is_allowed {
             self.retries.push_back(now);
         }
--- a/crates/forward/tests/decisions.rs
+++ b/crates/forward/tests/decisions.rs
@@ -6,8 +6,8 @@
 
 use dispatch::Verdict;
 use forward::{
-    FailedAttempt, LoadEstimate, Report, RetryAllowance, RetryDecision, RetryWindow, StreamTracker,
-    WaitQueue,
+    FailedAttempt, LoadEstimate, Report, RetryAllowance, RetryDecision, RetryWindow,
+    SilenceDecision, StreamTracker, WaitQueue,
 };
 use test_case::test_case;
 
@@ -59,6 +59,28 @@
     assert_eq!(attempt.next(|| true), expected);
 }
 
+#[test_case(failed_attempt(), true, SilenceDecision::Move; "an idempotent request")]
+#[test_case(failed_attempt(), false, SilenceDecision::Wait; "no retry is left in the budget")]
+#[test_case(
+    FailedAttempt { has_started: true, can_resume: true, ..failed_attempt() },
+    true, SilenceDecision::Move; "a stream that can be resumed")]
+#[test_case(
+    FailedAttempt { has_started: true, ..failed_attempt() },
+    true, SilenceDecision::Wait; "a response that has begun")]
+#[test_case(
+    FailedAttempt { runs: 2, ..failed_attempt() },
+    true, SilenceDecision::Wait; "no attempts are left")]
+#[test_case(
+    FailedAttempt { is_idempotent: false, ..failed_attempt() },
+    true, SilenceDecision::Wait; "a request that is not idempotent")]
+fn a_silence_never_ends_a_request(
+    attempt: FailedAttempt,
+    has_retry: bool,
+    expected: SilenceDecision,
+) {
+    assert_eq!(attempt.on_silence(|| has_retry), expected);
+}
+
 #[test]
 fn no_request_is_retried_without_budget() {
     assert_eq!(failed_attempt().next(|| false), RetryDecision::Fail);
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -14,6 +14,20 @@
 use super::tracker_queries::UpstreamSearch;
 use crate::interface::{AttemptMetadata, RequestMetadata};
 
+/// What an upstream has not sent for so long that the request may move to another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+pub(super) enum Silence {
+    /// The upstream has sent nothing at all, for any request.
+    #[strum(to_string = "the upstream sent nothing")]
+    Upstream,
+    /// The upstream has sent no complete event of the stream.
+    #[strum(to_string = "the upstream sent no event")]
+    Stream,
+    /// The upstream has not begun its response.
+    #[strum(to_string = "the upstream did not respond within the time for an attempt")]
+    Response,
+}
+
 /// An attempt in progress.
 pub(super) struct RunningAttempt {
     pub(super) attempt: Attempt,
@@ -31,6 +45,11 @@
     pub(super) timer: FixedTimerKey,
     /// Time at which the next event is due, once the head of the response has arrived.
     pub(super) event_due: Option<Instant>,
+    /// Time from which the request may move because the response has not begun. `None` if it never
+    /// does.
+    pub(super) response_due: Option<Instant>,
+    /// Whether the log already says that the upstream is silent.
+    pub(super) is_stall_logged: bool,
 }
 
 /// A request in progress.
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -29,7 +29,7 @@
 
 impl Forwarder {
     /// Sends a request to `upstream`, which has `load` requests. Capacity for the request is
-    /// already reserved there.
+    /// already reserved there. An attempt in progress, whose upstream is silent, ends.
     pub(super) fn send(&mut self, cx: CX![], id: names::Request, upstream: &Upstream, load: f64) {
         let Ok(index) = self.find(id) else {
             return;
@@ -37,9 +37,15 @@
         let now = cx.now();
         let Some(endpoint) = self.table.endpoint(upstream) else {
             // The upstream has left since it was chosen.
-            self.place(cx, id);
+            if self.requests[index].running.is_none() {
+                self.place(cx, id);
+            }
             return;
         };
+        if self.requests[index].running.is_some() && !self.leave_silent_upstream(cx, id) {
+            self.release(now, upstream, self.requests[index].own_tokens());
+            return;
+        }
         let catalogue = self.catalogue.as_ref();
         let service = catalogue
             .and_then(|catalogue| catalogue.service(&self.requests[index].service))
@@ -91,8 +97,9 @@
             self.metrics.relay.observe_queueing(&active.route.repeat.to_string(), waited);
         }
         active.tried.push(upstream.clone());
-        let timer = match abandon_at(active, now) {
-            Some(at) => at!(at, [cx], abandon_attempt(id, attempt)),
+        let response_due = response_due(active, now);
+        let timer = match response_due {
+            Some(due) => at!(due, [cx], check_silence(id)),
             None => FixedTimerKey::default(),
         };
         active.running = Some(RunningAttempt {
@@ -106,6 +113,8 @@
             parts: 0,
             timer,
             event_due: None,
+            response_due,
+            is_stall_logged: false,
         });
         let position = self.attempt_owners.partition_point(|owner| owner.attempt < attempt);
         self.attempt_owners.insert(position, AttemptOwner { attempt, request: id });
@@ -137,9 +146,9 @@
     }
 }
 
-/// Returns the time at which an attempt without a response is abandoned in favour of another one,
-/// or `None` if it is never abandoned.
-fn abandon_at(active: &ActiveRequest, now: Instant) -> Option<Instant> {
+/// Returns the time from which an attempt without a response may end in favour of another one, or
+/// `None` if it never does.
+fn response_due(active: &ActiveRequest, now: Instant) -> Option<Instant> {
     let is_last = active.runs + 1 >= active.route.attempts.max(1);
     let timeout = match active.route.repeat {
         _ if is_last || active.is_started => return None,
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -39,9 +39,14 @@
         }
     }
 
-    /// Removes an attempt that has ended from all counts.
+    /// Removes an attempt that has ended from all counts, and ends the search for an upstream to
+    /// which its request could have moved.
     fn end_attempt(&mut self, cx: CX![], id: names::Request) -> Option<RunningAttempt> {
-        let running = self.active(id)?.running.take()?;
+        let active = self.active(id)?;
+        let running = active.running.take()?;
+        if let Some(search) = active.search.take() {
+            self.abandon_search(cx, id, &search);
+        }
         cx.timer_del(running.timer);
         let attempt = running.attempt;
         if let Ok(index) = self.attempt_owners.binary_search_by_key(&attempt, |owner| owner.attempt)
--- a/crates/relay/src/forwarder/stalls.rs
+++ b/crates/relay/src/forwarder/stalls.rs
@@ -1,113 +1,129 @@
-//! Detects attempts whose upstream does not respond or has stopped sending.
+//! Detects attempts whose upstream is silent, and moves their requests to other upstreams.
+//!
+//! A silent upstream may be sound and go on. An attempt therefore ends only once capacity for the
+//! request is reserved at another upstream.
 
 use std::time::{Duration, Instant};
 
 use dispatch::Verdict;
-use forward::RetryDecision;
-use names::Attempt;
+use forward::{RetryDecision, SilenceDecision};
 use stakker::{CX, after};
 use telemetry::Event;
 
-use super::active_request::ActiveRequest;
+use super::active_request::{ActiveRequest, Silence};
 use super::{Forwarder, millis};
 
-/// Interval between two checks for stalled streams.
+/// Interval between two checks for silent upstreams.
 pub(super) const STALL_PERIOD: Duration = Duration::from_millis(200);
 
 impl Forwarder {
-    /// Continues streams at another upstream if their upstream has stalled. A stalled upstream
-    /// sends nothing at all, or occasional bytes that complete no event.
+    /// Looks for requests whose upstream has not responded, or has stalled. A stalled upstream sends
+    /// nothing at all, or occasional bytes that complete no event.
     pub(super) fn check_stalls(&mut self, cx: CX![]) {
         let now = cx.now();
-        let is_silent = |active: &&ActiveRequest| {
-            let running = active.running.as_ref().filter(|running| running.has_head);
-            active.stream_tracker.is_some()
-                && running.is_some_and(|running| self.table.is_stalled(now, &running.upstream))
-        };
-        let is_overdue = |active: &&ActiveRequest| {
-            let event_due = active.running.as_ref().and_then(|running| running.event_due);
-            active.stream_tracker.is_some() && event_due.is_some_and(|event_due| now > event_due)
-        };
+        let is_silent = |active: &&ActiveRequest| self.silence(now, active).is_some();
         let silent: Vec<_> =
             self.requests.iter().filter(is_silent).map(ActiveRequest::id).collect();
-        for id in silent {
-            self.log_stalled(now, id, "the upstream sent nothing");
-            let running = self.stop_attempt(cx, id);
-            self.retry_or_finish(cx, id, running, Verdict::MayHaveRun, "the upstream sent nothing");
+        silent.into_iter().for_each(|id| self.check_silence(cx, id));
+        after!(STALL_PERIOD, [cx], check_stalls());
+    }
+
+    /// Returns what the upstream of a request has not sent in time, if anything.
+    fn silence(&self, now: Instant, active: &ActiveRequest) -> Option<Silence> {
+        let running = active.running.as_ref()?;
+        let is_past = |due: &Instant| now >= *due;
+        if !running.has_head {
+            return running.response_due.filter(is_past).map(|_| Silence::Response);
         }
-        let overdue: Vec<_> =
-            self.requests.iter().filter(is_overdue).map(ActiveRequest::id).collect();
-        for id in overdue {
-            self.log_stalled(now, id, "the upstream sent no event");
-            let service = self.active(id).map(|active| active.service.clone());
-            let running = self.stop_attempt(cx, id);
-            if let (Some(service), Some(running)) = (service, &running) {
-                self.table.record_failure(now, &service, &running.upstream, false);
-            }
-            self.retry_or_finish(
-                cx,
-                id,
-                running,
-                Verdict::MayHaveRun,
-                "the upstream sent no event",
-            );
+        active.stream_tracker.as_ref()?;
+        if self.table.is_stalled(now, &running.upstream) {
+            return Some(Silence::Upstream);
         }
-        after!(STALL_PERIOD, [cx], check_stalls());
+        running.event_due.filter(is_past).map(|_| Silence::Stream)
     }
 
-    /// Logs that the upstream of a request is silent.
-    fn log_stalled(&mut self, now: Instant, id: names::Request, reason: &str) {
-        let catalogue = self.catalogue_number();
-        let Some(active) = self.active(id) else {
+    /// Moves a request whose upstream is silent to another upstream if one can take it. Otherwise
+    /// the attempt goes on.
+    pub(super) fn check_silence(&mut self, cx: CX![], id: names::Request) {
+        let now = cx.now();
+        let Ok(index) = self.find(id) else {
             return;
         };
-        let Some(running) = &active.running else {
+        let Some(silence) = self.silence(now, &self.requests[index]) else {
             return;
         };
-        Event::Stalled {
-            request: active.metadata.id.clone(),
-            attempt: running.attempt.to_string(),
-            upstream: running.upstream.to_string(),
-            reason: reason.to_string(),
-            after_ms: millis(now.saturating_duration_since(running.started_at)),
-            catalogue,
+        self.log_stalled(now, id, silence);
+        if self.decide_on_silence(now, id) == SilenceDecision::Move {
+            self.place(cx, id);
         }
-        .write();
     }
 
-    /// Abandons an attempt that did not respond in favour of another one.
-    pub(super) fn abandon_attempt(&mut self, cx: CX![], id: names::Request, attempt: Attempt) {
-        let Some(active) = self.active(id) else {
-            return;
+    fn decide_on_silence(&mut self, now: Instant, id: names::Request) -> SilenceDecision {
+        // A search for another upstream may already be in progress.
+        let Some(active) = self.active(id).filter(|active| active.search.is_none()) else {
+            return SilenceDecision::Wait;
         };
-        let is_silent = active
-            .running
-            .as_ref()
-            .is_some_and(|running| running.attempt == attempt && !running.has_head);
-        if !is_silent {
-            return;
-        }
-        let (now, service) = (cx.now(), active.service.clone());
+        let service = active.service.clone();
         let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun);
         failed_attempt.runs += 1;
         let (entry_count, allowance) = (self.entry_count, self.allowance);
         let retry_window = &mut self.traffic(&service).retry_window;
-        if failed_attempt.next(|| retry_window.take(now, allowance, entry_count))
-            != RetryDecision::Again
-        {
-            return;
-        }
-        if let Some(running) = self.stop_attempt(cx, id) {
+        failed_attempt.on_silence(|| retry_window.has_retry(now, allowance, entry_count))
+    }
+
+    /// Ends the attempt at a silent upstream, because another upstream can take the request.
+    /// Returns false if the attempt goes on.
+    pub(super) fn leave_silent_upstream(&mut self, cx: CX![], id: names::Request) -> bool {
+        let now = cx.now();
+        let silence = self.find(id).ok().and_then(|index| self.silence(now, &self.requests[index]));
+        let decision = self.decide_on_silence(now, id);
+        let (Some(silence), SilenceDecision::Move, Some(active)) =
+            (silence, decision, self.active(id))
+        else {
+            return false;
+        };
+        active.runs += 1;
+        let service = active.service.clone();
+        let next = match &mut active.stream_tracker {
+            Some(stream_tracker) if active.is_started => {
+                stream_tracker.restart();
+                RetryDecision::Resume
+            }
+            _ => RetryDecision::Again,
+        };
+        let (entry_count, allowance) = (self.entry_count, self.allowance);
+        self.traffic(&service).retry_window.take(now, allowance, entry_count);
+        let Some(running) = self.stop_attempt(cx, id) else {
+            return false;
+        };
+        if silence != Silence::Upstream {
             self.table.record_failure(now, &service, &running.upstream, false);
-            let (verdict, reason) = (
-                Verdict::MayHaveRun,
-                "the upstream did not respond within the time for an attempt",
-            );
-            self.log_failed_attempt(now, id, &running, verdict, reason, RetryDecision::Again);
         }
-        if let Some(active) = self.active(id) {
-            active.runs += 1;
+        let (verdict, reason) = (Verdict::MayHaveRun, silence.to_string());
+        self.log_failed_attempt(now, id, &running, verdict, &reason, next);
+        true
+    }
+
+    /// Logs that the upstream of a request is silent, once for each attempt.
+    fn log_stalled(&mut self, now: Instant, id: names::Request, silence: Silence) {
+        let catalogue = self.catalogue_number();
+        let Some(active) = self.active(id) else {
+            return;
+        };
+        let Some(running) = &mut active.running else {
+            return;
+        };
+        if std::mem::replace(&mut running.is_stall_logged, true) {
+            return;
+        }
+        Event::Stalled {
+            request: active.metadata.id.clone(),
+            attempt: running.attempt.to_string(),
+            upstream: running.upstream.to_string(),
+            reason: silence.to_string(),
+            after_ms: millis(now.saturating_duration_since(running.started_at)),
+            catalogue,
         }
-        self.place(cx, id);
+        .write();
     }
 }
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -35,7 +35,8 @@
 }
 
 impl Forwarder {
-    /// Sends a request to an upstream, or queues it.
+    /// Sends a request to an upstream, or queues it. A request whose upstream is silent moves to
+    /// another upstream if one has capacity.
     pub(super) fn place(&mut self, cx: CX![], id: names::Request) {
         if self.try_send(cx, id) == Placement::Full {
             self.enqueue(cx, id);
@@ -67,14 +68,20 @@
         Placement::Sent
     }
 
-    /// Returns the upstreams that the request at `index` can be sent to.
+    /// Returns the upstreams that the request at `index` can be sent to. A request in progress can
+    /// only be sent to an upstream that seems better than its own.
     pub(super) fn candidates(&mut self, now: Instant, index: usize) -> Vec<Candidate> {
         let active = &self.requests[index];
         // Engines are chosen from all data centres, other upstreams mostly from this one.
         let has_engine = self.has_engine(&active.service);
         let instances = if has_engine { self.entry_count } else { self.local_entry_count };
         let instances = u32::try_from(instances).unwrap_or(u32::MAX);
-        self.table.candidates(now, &active.service, &active.tried, instances)
+        let candidates = self.table.candidates(now, &active.service, &active.tried, instances);
+        let Some(running) = &active.running else {
+            return candidates;
+        };
+        let is_better = |other: &Candidate| !other.is_avoided && other.upstream != running.upstream;
+        candidates.into_iter().filter(is_better).collect()
     }
 
     pub(super) fn has_engine(&self, service: &names::Service) -> bool {
@@ -99,9 +106,9 @@
     }
 
     /// Queues a request until an upstream has capacity, or refuses it if its maximum time in the
-    /// queue has passed.
+    /// queue has passed. A request in progress is not queued.
     pub(super) fn enqueue(&mut self, cx: CX![], id: names::Request) {
-        let Some(active) = self.active(id) else {
+        let Some(active) = self.active(id).filter(|active| active.running.is_none()) else {
             return;
         };
         let max_queue_time = (active.route.objective / QUEUE_TIME_DIVISOR).max(MIN_QUEUE_TIME);
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 use support::machines::{KEY, Machines, document};
 use support::wait_for;
-use support::worker::{HttpResponse, Worker, complete_stream, send_request};
+use support::worker::{Behaviour, HttpResponse, Worker, complete_stream, send_request};
 
 /// Number of entry instances. It exceeds the number up to which each instance of a fleet selects
 /// upstreams without load trackers.
@@ -93,6 +93,17 @@
     }
 }
 
+#[test]
+fn a_pause_of_each_engine_does_not_cut_a_stream_in_a_large_fleet() {
+    let fleet = start_fleet();
+    fleet.engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::Pause(3)));
+    let streamed = call(fleet.machines.entries[0].callers(), "/captions/1", "paused").unwrap();
+    assert_eq!((streamed.status, streamed.text()), (200, complete_stream("paused")));
+    assert!(streamed.is_complete);
+    let runs: usize = fleet.engines.iter().map(|engine| engine.executed_requests().len()).sum();
+    assert_eq!(runs, 2);
+}
+
 #[test]
 fn changes_reach_every_instance_while_relays_and_load_trackers_are_killed_or_frozen() {
     let mut fleet = start_fleet();
--- /dev/null
+++ b/tests/platform_pauses.rs
@@ -0,0 +1,174 @@
+//! Tests of upstreams that send nothing for a while and then go on, beside changes of the document.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::net::SocketAddr;
+use std::thread::JoinHandle;
+
+use serde_json::Value;
+use support::machines::{KEY, Machine, Machines, document, put_document};
+use support::wait_for;
+use support::worker::{Behaviour, HttpResponse, Worker, complete_stream, send_request};
+use test_case::test_case;
+
+/// Number of requests that fill an upstream of a service without engines: one and a half times its
+/// slots.
+const REQUESTS_OF_FULL_UPSTREAM: usize = 12;
+
+/// Number of streams whose upstream pauses at the same time: more than the retry budget of one
+/// instance allows to move.
+const PAUSED_STREAMS: usize = 60;
+
+fn call(address: SocketAddr, path: &str, id: &str) -> HttpResponse {
+    let key = format!("Token {KEY}");
+    let headers = [
+        ("Request-Id", id),
+        ("Authorization", key.as_str()),
+        ("Prompt-Prefix", "aa:100,bb:200,cc:10"),
+        ("Token-Counts", "310,40"),
+        ("Deadline-Remaining", "5000"),
+    ];
+    send_request(address, "POST", path, &headers, "the body").unwrap()
+}
+
+fn call_in_background(address: SocketAddr, path: &str, id: &str) -> JoinHandle<HttpResponse> {
+    let (path, id) = (path.to_string(), id.to_string());
+    std::thread::spawn(move || call(address, &path, &id))
+}
+
+/// Returns the document `number`, in which streams of the first route may run `attempts` times.
+fn document_with_attempts(number: u64, attempts: usize) -> Value {
+    let mut document = document(number);
+    document["routes"][0]["attempts"] = attempts.into();
+    document
+}
+
+/// Starts three control instances and one entry instance with `document`.
+fn start_machines(document: &Value) -> Machines {
+    let machines = Machines::start(3, 1);
+    machines.put_document_until_acknowledged(document);
+    machines.wait_document_in_force(document["version"].as_u64().unwrap());
+    machines
+}
+
+fn start_upstream(machines: &Machines, name: &str, service: &str, behaviour: Behaviour) -> Worker {
+    let worker = Worker::start(name, service, machines.seeds());
+    worker.set_behaviour(behaviour);
+    wait_for("arrival of an upstream at the entry instance", || {
+        let known = machines.entries[0].events("upstream");
+        known.iter().any(|line| line["upstream"] == name).then_some(())
+    });
+    worker
+}
+
+/// Waits until `instance` has logged `count` lines that report `event`.
+fn wait_events(instance: &Machine, event: &str, count: usize) {
+    wait_for("lines of the log", || (instance.events(event).len() >= count).then_some(()));
+}
+
+fn assert_whole(answer: &HttpResponse, id: &str, instance: &Machine) {
+    let context = || format!("{id}: {:?} {:?}", instance.events("failed"), instance.events("cut"));
+    assert_eq!((answer.status, answer.is_complete), (200, true), "{}", context());
+    assert_eq!(answer.text(), complete_stream(id));
+}
+
+#[test_case(None; "without a change of the document")]
+#[test_case(Some(("/limits/idle-timeout-ms", 500)); "beside a change of the idle timeout")]
+#[test_case(Some(("/routes/0/timeout-ms", 4000)); "beside a change of the timeout of its route")]
+#[test_case(Some(("/routes/0", 0)); "beside the removal of its route")]
+fn a_pause_does_not_cut_a_stream_without_further_attempts(change: Option<(&str, u64)>) {
+    let document = document_with_attempts(7, 1);
+    let machines = start_machines(&document);
+    let _engines = ["i-engine-1", "i-engine-2"]
+        .map(|name| start_upstream(&machines, name, "engines", Behaviour::Pause(3)));
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let stream = call_in_background(instance.callers(), "/captions/1", "paused");
+    wait_events(instance, "sent", 1);
+    if let Some((path, value)) = change {
+        let mut changed = document.clone();
+        changed["version"] = 8.into();
+        match path {
+            "/routes/0" => drop(changed["routes"].as_array_mut().unwrap().remove(0)),
+            path => *changed.pointer_mut(path).unwrap() = value.into(),
+        }
+        let answer = put_document(machines.controls[0].control(), &changed.to_string()).unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        machines.wait_document_in_force(8);
+    }
+    assert_whole(&stream.join().unwrap(), "paused", instance);
+}
+
+#[test]
+fn a_pause_does_not_move_a_stream_that_no_other_upstream_can_take() {
+    let machines = start_machines(&document(7));
+    let engine = start_upstream(&machines, "i-engine-1", "engines", Behaviour::Pause(3));
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    assert_whole(&call(instance.callers(), "/captions/1", "alone"), "alone", instance);
+    assert_eq!(engine.executed_requests().len(), 1);
+}
+
+#[test]
+fn a_pause_does_not_cut_the_streams_that_the_retry_budget_cannot_move() {
+    let mut document = document(7);
+    document["services"][0]["engine"]["slots"] = 64.into();
+    document["services"][0]["connection-limit"] = 400.into();
+    let machines = start_machines(&document);
+    let _engines = ["i-engine-1", "i-engine-2"]
+        .map(|name| start_upstream(&machines, name, "engines", Behaviour::Pause(3)));
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let streams: Vec<_> = (0..PAUSED_STREAMS)
+        .map(|number| {
+            let id = format!("stream-{number}");
+            (call_in_background(instance.callers(), "/captions/1", &id), id)
+        })
+        .collect();
+    for (stream, id) in streams {
+        let answer = stream.join().unwrap();
+        // A stream that was refused at once because the engines are full was not lost.
+        if answer.status != 503 {
+            assert_whole(&answer, &id, instance);
+        }
+    }
+    assert!(instance.events("cut").is_empty());
+}
+
+#[test]
+fn a_pause_does_not_fail_a_request_that_no_other_upstream_can_take() {
+    let machines = start_machines(&document(7));
+    let full = start_upstream(&machines, "i-shop-full", "shop", Behaviour::Silent);
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let _bookings: Vec<_> = (0..REQUESTS_OF_FULL_UPSTREAM)
+        .map(|number| {
+            call_in_background(instance.callers(), "/bookings/1", &format!("booking-{number}"))
+        })
+        .collect();
+    wait_events(instance, "sent", REQUESTS_OF_FULL_UPSTREAM);
+    let _paused = start_upstream(&machines, "i-shop-paused", "shop", Behaviour::Pause(0));
+    let answer = call(instance.callers(), "/albums/1", "album");
+    let context = || format!("{:?} {:?}", instance.events("failed"), instance.events("refused"));
+    assert_eq!((answer.status, answer.is_complete), (200, true), "{}", context());
+    assert_eq!(full.executed_requests().len(), REQUESTS_OF_FULL_UPSTREAM);
+}
+
+#[test]
+fn a_paused_stream_resumes_at_an_upstream_that_can_take_it() {
+    let machines = start_machines(&document(7));
+    let engines = ["i-engine-1", "i-engine-2"]
+        .map(|name| start_upstream(&machines, name, "engines", Behaviour::Pause(3)));
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let stream = call_in_background(instance.callers(), "/captions/1", "moved");
+    wait_events(instance, "sent", 1);
+    engines.iter().filter(|engine| engine.executed_requests().is_empty()).for_each(|engine| {
+        engine.set_behaviour(Behaviour::Answer);
+    });
+    assert_whole(&stream.join().unwrap(), "moved", instance);
+    let runs: usize = engines.iter().map(|engine| engine.executed_requests().len()).sum();
+    assert_eq!(runs, 2);
+}
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -24,6 +24,9 @@
 /// Interval between events of an upstream that is slow but works.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(350);
 
+/// Time for which an upstream pauses that is sound and goes on.
+const PAUSE: Duration = Duration::from_millis(1500);
+
 /// Interval between bytes of an upstream whose stream has stalled.
 const STALL_BYTE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -38,6 +41,9 @@
     Stall(usize),
     /// Sends all events, with a long interval between them.
     SlowEvents,
+    /// Sends nothing for a while after this many events of one response, or before the answer of a
+    /// service without engines, and then goes on.
+    Pause(usize),
     /// Sends the first text and then repeats the second text until the client closes the
     /// connection.
     Endless(&'static str, &'static str),
@@ -269,6 +275,9 @@
     if behaviour == Behaviour::Slow {
         std::thread::sleep(Duration::from_millis(500));
     }
+    if matches!(behaviour, Behaviour::Pause(_)) && shared.service != "engines" {
+        std::thread::sleep(PAUSE);
+    }
     match behaviour {
         Behaviour::Endless(prefix, unit) => send_endless(writer, &id, prefix, unit),
         Behaviour::LoseAnswer => Err(ErrorKind::ConnectionAborted.into()),
@@ -332,6 +341,9 @@
         if behaviour == Behaviour::Stall(number - last_event - 1) {
             send_endless_comment(writer)?;
         }
+        if behaviour == Behaviour::Pause(number - last_event - 1) {
+            std::thread::sleep(PAUSE);
+        }
         write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
         let is_slow = behaviour == Behaviour::SlowEvents;
         std::thread::sleep(if is_slow { SLOW_EVENT_INTERVAL } else { EVENT_INTERVAL });
