Give a request its whole receive time when the connection was idle before

Seen: on a kept connection a caller whose request began shortly before the idle timeout and arrived in two pieces got 408, although all of it arrived within the time for a request.

Cause: the deadline of the request was the earlier one of the idle deadline, set when the previous answer ended, and the receive deadline. So the idle timeout, also one from before a change of the document, ended a request that was arriving. The timer was not set anew either: a request that never became whole was refused at the idle deadline instead of its own.

Now the first bytes of a request set its deadline and the timer. The first request of a connection counts from the opening of the connection, as before.

Evidence: tests/platform_pauses.rs, a request sent in two pieces 0.8 and 1.4 s after the previous answer, with an idle timeout of 1 s: 408 before, 200 now.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -109,16 +109,29 @@
         if !self.is_read_open {
             return;
         }
-        let is_idle =
-            matches!(self.phase, Phase::Receiving { body: None }) && self.received.is_empty();
-        if is_idle && self.is_new {
+        if self.is_idle() && self.is_new {
             let deadline = self.deadline.min(cx.now() + FIRST_REQUEST_TIMEOUT);
             self.set_deadline(cx, deadline);
-        } else if is_idle {
+        } else if self.is_idle() {
             self.close(cx);
         }
     }
 
+    /// Returns whether no byte of the next request has arrived.
+    fn is_idle(&self) -> bool {
+        matches!(self.phase, Phase::Receiving { body: None }) && self.received.is_empty()
+    }
+
+    /// Sets the deadline of a request whose first bytes arrive. The idle timeout of the connection
+    /// does not apply to it. The time of the first request counts from the opening of the
+    /// connection.
+    fn begin_request(&mut self, cx: CX![]) {
+        let receive_deadline = cx.now() + self.bounds.get().receive;
+        let deadline =
+            if self.is_new { self.deadline.min(receive_deadline) } else { receive_deadline };
+        self.set_deadline(cx, deadline);
+    }
+
     fn set_deadline(&mut self, cx: CX![], deadline: Instant) {
         self.deadline = deadline;
         cx.timer_del(self.timer);
@@ -130,7 +143,7 @@
             return;
         }
         match self.phase {
-            Phase::Receiving { body: None } if self.received.is_empty() => self.close(cx),
+            Phase::Receiving { .. } if self.is_idle() => self.close(cx),
             Phase::Receiving { .. } => {
                 let message = "the request did not arrive in time; send it whole at once";
                 self.refuse(
@@ -156,10 +169,10 @@
         while self.is_read_open && self.can_read() {
             match self.stream.read(READ_BYTES) {
                 ReadStatus::NewData => {
-                    let bytes = &self.stream.inp[self.stream.rd..self.stream.wr];
-                    if self.received.is_empty() && matches!(self.phase, Phase::Receiving { .. }) {
-                        self.deadline = self.deadline.min(cx.now() + self.bounds.get().receive);
+                    if self.is_idle() {
+                        self.begin_request(cx);
                     }
+                    let bytes = &self.stream.inp[self.stream.rd..self.stream.wr];
                     self.received.extend_from_slice(bytes);
                     self.stream.rd = self.stream.wr;
                     if self.reservation.resize(self.received.len()) {
@@ -333,9 +346,11 @@
             return;
         }
         self.phase = Phase::Receiving { body: None };
-        let deadline = cx.now() + self.bounds.get().idle;
-        self.set_deadline(cx, deadline);
-        if !self.received.is_empty() {
+        if self.received.is_empty() {
+            let deadline = cx.now() + self.bounds.get().idle;
+            self.set_deadline(cx, deadline);
+        } else {
+            self.begin_request(cx);
             self.receive(cx);
         }
         self.read(cx);
--- a/tests/platform_pauses.rs
+++ b/tests/platform_pauses.rs
@@ -4,13 +4,17 @@
 
 mod support;
 
-use std::net::SocketAddr;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use serde_json::Value;
 use support::machines::{KEY, Machine, Machines, document, put_document};
 use support::wait_for;
-use support::worker::{Behaviour, HttpResponse, Worker, complete_stream, send_request};
+use support::worker::{
+    Behaviour, HttpResponse, Worker, complete_stream, read_response, send_request,
+};
 use test_case::test_case;
 
 /// Number of requests that fill an upstream of a service without engines: one and a half times its
@@ -172,3 +176,29 @@
     let runs: usize = engines.iter().map(|engine| engine.executed_requests().len()).sum();
     assert_eq!(runs, 2);
 }
+
+#[test]
+fn a_request_that_begins_before_the_idle_timeout_has_the_time_of_a_new_request() {
+    let mut document = document(7);
+    document["limits"]["idle-timeout-ms"] = 1000.into();
+    let machines = start_machines(&document);
+    let _shop = start_upstream(&machines, "i-shop-1", "shop", Behaviour::Answer);
+    machines.wait_ready(7);
+    let mut stream = TcpStream::connect(machines.entries[0].callers()).unwrap();
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let request = |id: &str| {
+        format!(
+            "GET /albums/1 HTTP/1.1\r\nhost: api.example\r\nauthorization: Token {KEY}\r\n\
+             request-id: {id}\r\n\r\n"
+        )
+    };
+    stream.write_all(request("first").as_bytes()).unwrap();
+    assert_eq!(read_response(&mut reader).unwrap().status, 200);
+    std::thread::sleep(Duration::from_millis(800));
+    let second = request("second");
+    let (beginning, rest) = second.as_bytes().split_at(20);
+    stream.write_all(beginning).unwrap();
+    std::thread::sleep(Duration::from_millis(600));
+    stream.write_all(rest).unwrap();
+    assert_eq!(read_response(&mut reader).unwrap().status, 200);
+}
