Do not take an instance's own connection limit for a lost upstream

Seen: with as many connections to an upstream as the document allows, further requests were refused and the upstream was avoided as `unreachable`. By the code its data centre then counted as unreachable too for a moment, so that idle connections to its upstreams were closed. A document that lowers the limit, or more entry instances that share it, are enough.

Cause: the client reported its own limit in the same way as a refused connection, as a failure that did not run, and the forwarder takes such a failure for a lost upstream.

Now the client reports NotSent, which is retried or refused as before and changes nothing about the health of the upstream or its data centre.

Evidence: tests/platform_changes.rs, eight bookings for an upstream with four connections: one line `avoided` with reason unreachable before, none now. Found by looking for the cause of lost requests elsewhere: a guess about an unreachable data centre.

--- a/crates/context/src/moves.rs
+++ b/crates/context/src/moves.rs
@@ -157,7 +157,9 @@
                 Ok(MoveStep::Wait)
             }
             Progress::End => self.finish_phase(),
-            Progress::Failed { reason, .. } => Err(TransferError::Call { reason }),
+            Progress::NotSent { reason } | Progress::Failed { reason, .. } => {
+                Err(TransferError::Call { reason })
+            }
         }
     }
 }
--- a/crates/dispatch/benches/client.rs
+++ b/crates/dispatch/benches/client.rs
@@ -136,7 +136,7 @@
                 deferrer.defer(|stakker| stakker.shutdown(StopCause::Stopped));
             }
         }
-        Progress::Failed { reason, .. } => panic!("{reason}"),
+        Progress::NotSent { reason } | Progress::Failed { reason, .. } => panic!("{reason}"),
         Progress::Head { .. } | Progress::Body(_) => {}
     });
     let peer_timeout = Duration::from_secs(5);
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -64,6 +64,12 @@
     Body(Vec<u8>),
     /// The response is complete.
     End,
+    /// Nothing was sent because this instance already has as many connections to the upstream as it
+    /// may open. This says nothing about the health of the upstream.
+    NotSent {
+        /// Description of the limit.
+        reason: String,
+    },
     /// The call failed.
     Failed {
         /// Whether the request may have run.
--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -119,7 +119,9 @@
     pub fn call(&mut self, cx: CX![], outbound: Outbound) {
         let now = cx.now();
         if outbound.deadline.is_some_and(|deadline| deadline <= now) {
-            self.fail(outbound.attempt, "the deadline passed before the call".to_string());
+            let reason = "the deadline passed before the call".to_string();
+            let progress = Progress::Failed { verdict: Verdict::NotRun, reason };
+            self.events.fwd(CallEvent { attempt: outbound.attempt, progress });
             return;
         }
         let pool = self.pool(outbound.address);
@@ -189,7 +191,7 @@
             call!([oldest.connection], close());
         } else if pool.open_count >= limit {
             let reason = format!("{limit} connections to {address} are open");
-            self.fail(attempt, reason);
+            self.events.fwd(CallEvent { attempt, progress: Progress::NotSent { reason } });
             return;
         }
         pool.open_count += 1;
@@ -214,11 +216,6 @@
         call!([connection], start(job));
     }
 
-    fn fail(&self, attempt: Attempt, reason: String) {
-        let progress = Progress::Failed { verdict: Verdict::NotRun, reason };
-        self.events.fwd(CallEvent { attempt, progress });
-    }
-
     fn remove_active(&mut self, attempt: Attempt) -> Option<Actor<Connection>> {
         let index =
             self.active_calls.binary_search_by_key(&attempt, |active| active.attempt).ok()?;
--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -255,7 +255,7 @@
         consumed += part_length(&event);
         match event.progress {
             Progress::End => break,
-            Progress::Failed { reason, .. } => panic!("{reason}"),
+            Progress::NotSent { reason } | Progress::Failed { reason, .. } => panic!("{reason}"),
             Progress::Head { .. } | Progress::Body(_) => {}
         }
     }
@@ -392,7 +392,7 @@
         match progress {
             Progress::Body(part) if attempt == Attempt(2) => body.extend(part),
             Progress::End => break,
-            Progress::Failed { reason, .. } => panic!("{reason}"),
+            Progress::NotSent { reason } | Progress::Failed { reason, .. } => panic!("{reason}"),
             _ => {}
         }
     }
--- a/crates/instance/src/orders.rs
+++ b/crates/instance/src/orders.rs
@@ -277,7 +277,7 @@
         };
         let is_done = match event.progress {
             dispatch::Progress::Head { status, .. } => (200..300).contains(&status),
-            dispatch::Progress::Failed { .. } => false,
+            dispatch::Progress::NotSent { .. } | dispatch::Progress::Failed { .. } => false,
             _ => return,
         };
         let pending = self.pending_orders.swap_remove(index);
--- a/crates/instance/src/router/response.rs
+++ b/crates/instance/src/router/response.rs
@@ -98,6 +98,7 @@
             Progress::Body(part) => self.add(&part, limit),
             Progress::End => self.end(),
             Progress::Failed { .. } if self.is_complete_stream() => self.end(),
+            Progress::NotSent { reason } => attempt_failed(Verdict::NotRun, reason),
             Progress::Failed { verdict, reason } => attempt_failed(verdict, reason),
         }
     }
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -21,7 +21,8 @@
             return;
         };
         let id = self.attempt_owners[index].request;
-        let has_bytes = !matches!(progress, Progress::Failed { .. });
+        let has_bytes =
+            matches!(progress, Progress::Head { .. } | Progress::Body(_) | Progress::End);
         let running = self.active(id).and_then(|active| active.running.as_ref());
         if let Some(upstream) =
             running.map(|running| running.upstream.clone()).filter(|_| has_bytes)
@@ -35,6 +36,10 @@
                 self.receive_part(cx, id, part);
             }
             Progress::End => self.receive_end(cx, id),
+            Progress::NotSent { reason } => {
+                let running = self.stop_attempt(cx, id);
+                self.retry_or_finish(cx, id, running, Verdict::NotRun, &reason);
+            }
             Progress::Failed { verdict, reason } => self.receive_failure(cx, id, verdict, &reason),
         }
     }
--- a/tests/platform_changes.rs
+++ b/tests/platform_changes.rs
@@ -8,9 +8,9 @@
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
-use support::machines::{Machine, Machines, document, newest_number, put_document};
+use support::machines::{KEY, Machine, Machines, document, newest_number, put_document};
 use support::wait_for;
-use support::worker::send_request_with_timeout;
+use support::worker::{Behaviour, Worker, send_request, send_request_with_timeout};
 
 /// Number of routes in a large document: about 260 KB with names that hardly compress.
 const ROUTE_COUNT: u64 = 1000;
@@ -104,3 +104,35 @@
         assert_eq!(document, large_document(42, 1042));
     }
 }
+
+#[test]
+fn a_lowered_connection_limit_does_not_make_an_upstream_unreachable() {
+    let machines = Machines::start(3, 1);
+    let mut document = document(7);
+    document["services"][1]["connection-limit"] = 4.into();
+    machines.put_document_until_acknowledged(&document);
+    let shop = Worker::start("i-shop-1", "shop", machines.seeds());
+    shop.set_behaviour(Behaviour::Slow);
+    let instance = &machines.entries[0];
+    wait_for("arrival of the upstream at the entry instance", || {
+        (!instance.events("upstream").is_empty()).then_some(())
+    });
+    machines.wait_ready(7);
+    let key = format!("Token {KEY}");
+    let book = |number: usize| {
+        let (address, key, id) = (instance.callers(), key.clone(), format!("booking-{number}"));
+        std::thread::spawn(move || {
+            let headers = [("Request-Id", id.as_str()), ("Authorization", key.as_str())];
+            send_request(address, "POST", "/bookings/1", &headers, "").unwrap()
+        })
+    };
+    let bookings: Vec<_> = (0..8).map(book).collect();
+    let answers: Vec<_> = bookings.into_iter().map(|booking| booking.join().unwrap()).collect();
+    let answered = answers.iter().filter(|answer| answer.status == 200).count();
+    assert!(answered >= 4, "{answered} answered");
+    for refused in answers.iter().filter(|answer| answer.status != 200) {
+        assert_eq!(refused.status, 503, "{}", refused.text());
+        assert!(refused.headers.contains_key("retry-after"));
+    }
+    assert_eq!(instance.events("avoided"), Vec::<Value>::new());
+}
