--- a/tests/platform_pauses.rs
+++ b/tests/platform_pauses.rs
@@ -202,3 +202,30 @@
     stream.write_all(rest).unwrap();
     assert_eq!(read_response(&mut reader).unwrap().status, 200);
 }
+
+#[test]
+fn a_waiting_request_is_sent_although_its_route_and_service_were_removed() {
+    let mut document = document(7);
+    document["routes"][3]["objective-ms"] = 24_000.into();
+    let machines = start_machines(&document);
+    let _full = start_upstream(&machines, "i-shop-full", "shop", Behaviour::Silent);
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let _bookings: Vec<_> = (0..REQUESTS_OF_FULL_UPSTREAM)
+        .map(|number| {
+            call_in_background(instance.callers(), "/bookings/1", &format!("booking-{number}"))
+        })
+        .collect();
+    wait_events(instance, "sent", REQUESTS_OF_FULL_UPSTREAM);
+    let waiting = call_in_background(instance.callers(), "/albums/1", "waiting");
+    wait_events(instance, "queued", 1);
+    let mut changed = document.clone();
+    changed["version"] = 8.into();
+    changed["routes"].as_array_mut().unwrap().truncate(2);
+    changed["services"].as_array_mut().unwrap().truncate(1);
+    machines.put_document_until_acknowledged(&changed);
+    machines.wait_document_in_force(8);
+    let _free = start_upstream(&machines, "i-shop-free", "shop", Behaviour::Answer);
+    let answer = waiting.join().unwrap();
+    assert_eq!((answer.status, answer.is_complete), (200, true), "{}", answer.text());
+}
