Let a request whose attempt ended wait for an upstream with capacity

Seen: a stream that broke off at its upstream was cut at once (reason=no_upstream) when the other upstreams had no capacity at that moment, although one had room half a second later and the caller waited for the next event. Requests without a response to the caller got 502 in the same case.

Cause: the time in the wait queue counted from the arrival of the request, an eighth of its objective. After an attempt this time is over, so that a request could be placed again only if there was capacity in the same moment.

Now each attempt that ends gives the request a new deadline in the queue: an eighth of the objective, and for a stream that has begun half of the time for which its caller waits for the next event, as for a stall.

Evidence: tests/platform_pauses.rs, a stream that breaks off while the only other engine has nine streams for eight slots, which end within a second: (200, incomplete) before, whole now.

--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -6,7 +6,7 @@
 
 use catalogue::{Repeat, Route};
 use entry::{Reply, Request};
-use forward::{FailedAttempt, RoutingKey, StreamTracker};
+use forward::{FailedAttempt, RoutingKey, StreamTracker, stall_timeout};
 use names::{Attempt, ClientAccount, Service, Upstream};
 use stakker::{FixedTimerKey, Fwd};
 use xxhash_rust::xxh3::xxh3_64;
@@ -65,6 +65,8 @@
     pub(super) arrived_at: Instant,
     /// Time by which the response must be complete.
     pub(super) deadline: Instant,
+    /// Time until which the request may wait for an upstream with capacity.
+    pub(super) queue_until: Instant,
     /// Upstreams that the request was sent to.
     pub(super) tried: Vec<Upstream>,
     /// Number of attempts that may have run.
@@ -89,6 +91,15 @@
         self.request.id
     }
 
+    /// Prepares a stream whose attempt has ended for its resumption. The stream may wait for an
+    /// upstream while its caller waits for the next event.
+    pub(super) fn resume_later(&mut self, now: Instant) {
+        if let Some(stream_tracker) = &mut self.stream_tracker {
+            stream_tracker.restart();
+        }
+        self.queue_until = now + stall_timeout(self.route.objective, self.route.pause);
+    }
+
     /// Returns the metadata of the next attempt, which is sent to `upstream`.
     pub(super) fn attempt_metadata(
         &self,
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -9,6 +9,7 @@
 use telemetry::Event;
 
 use super::active_request::ActiveRequest;
+use super::upstream_selection::max_queue_time;
 use super::{Forwarder, millis, problems};
 use crate::interface::RequestMetadata;
 
@@ -83,6 +84,7 @@
         if self.shutdown.is_some_and(|shutdown| !shutdown.accepts(now, deadline)) {
             return Err(problems::stopping());
         }
+        let queue_until = now + max_queue_time(route.objective);
         let stream_tracker = (route.repeat == Repeat::Resumed)
             .then(|| StreamTracker::new(metadata.last_event_id.clone()));
         Ok(ActiveRequest {
@@ -96,6 +98,7 @@
             route,
             arrived_at: now,
             deadline,
+            queue_until,
             tried: Vec::new(),
             runs: 0,
             refusals: 0,
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -10,6 +10,7 @@
 use telemetry::Event;
 
 use super::active_request::RunningAttempt;
+use super::upstream_selection::max_queue_time;
 use super::{Forwarder, millis, problems};
 
 impl Forwarder {
@@ -144,6 +145,7 @@
                 }
                 if let Some(active) = self.active(id) {
                     active.runs += 1;
+                    active.queue_until = now + max_queue_time(active.route.objective);
                 }
                 self.place(cx, id);
                 return;
@@ -366,14 +368,15 @@
         }
         match next {
             RetryDecision::Again => {
+                if let Some(active) = self.active(id) {
+                    active.queue_until = now + max_queue_time(active.route.objective);
+                }
                 self.place(cx, id);
                 return;
             }
             RetryDecision::Resume => {
-                if let Some(stream_tracker) =
-                    self.active(id).and_then(|active| active.stream_tracker.as_mut())
-                {
-                    stream_tracker.restart();
+                if let Some(active) = self.active(id) {
+                    active.resume_later(now);
                 }
                 self.place(cx, id);
                 return;
--- a/crates/relay/src/forwarder/stalls.rs
+++ b/crates/relay/src/forwarder/stalls.rs
@@ -84,12 +84,12 @@
         };
         active.runs += 1;
         let service = active.service.clone();
-        let next = match &mut active.stream_tracker {
-            Some(stream_tracker) if active.is_started => {
-                stream_tracker.restart();
+        let next = match active.is_started {
+            true => {
+                active.resume_later(now);
                 RetryDecision::Resume
             }
-            _ => RetryDecision::Again,
+            false => RetryDecision::Again,
         };
         let (entry_count, allowance) = (self.entry_count, self.allowance);
         self.traffic(&service).retry_window.take(now, allowance, entry_count);
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -22,6 +22,12 @@
 /// Lower limit of the maximum time in the queue.
 const MIN_QUEUE_TIME: Duration = Duration::from_millis(30);
 
+/// Returns the time that a request with the latency objective `objective` may wait for an upstream
+/// with capacity.
+pub(super) fn max_queue_time(objective: Duration) -> Duration {
+    (objective / QUEUE_TIME_DIVISOR).max(MIN_QUEUE_TIME)
+}
+
 /// Result of the placement of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Placement {
@@ -111,8 +117,7 @@
         let Some(active) = self.active(id).filter(|active| active.running.is_none()) else {
             return;
         };
-        let max_queue_time = (active.route.objective / QUEUE_TIME_DIVISOR).max(MIN_QUEUE_TIME);
-        let until = (active.arrived_at + max_queue_time).min(active.deadline);
+        let until = active.queue_until.min(active.deadline);
         let (rank, service) = (active.rank, active.service.clone());
         if until <= cx.now() {
             self.refuse_unplaced(cx, id);
--- a/tests/platform_pauses.rs
+++ b/tests/platform_pauses.rs
@@ -21,6 +21,9 @@
 /// slots.
 const REQUESTS_OF_FULL_UPSTREAM: usize = 12;
 
+/// Number of streams that fill an engine with eight slots.
+const STREAMS_OF_FULL_ENGINE: usize = 9;
+
 /// Number of streams whose upstream pauses at the same time: more than the retry budget of one
 /// instance allows to move.
 const PAUSED_STREAMS: usize = 60;
@@ -229,3 +232,22 @@
     let answer = waiting.join().unwrap();
     assert_eq!((answer.status, answer.is_complete), (200, true), "{}", answer.text());
 }
+
+#[test]
+fn a_broken_stream_waits_for_an_upstream_with_capacity() {
+    let machines = start_machines(&document(7));
+    let full = start_upstream(&machines, "i-engine-full", "engines", Behaviour::SlowEvents);
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let fill: Vec<_> = (0..STREAMS_OF_FULL_ENGINE)
+        .map(|number| {
+            call_in_background(instance.callers(), "/reports/1", &format!("report-{number}"))
+        })
+        .collect();
+    wait_events(instance, "sent", STREAMS_OF_FULL_ENGINE);
+    std::thread::sleep(Duration::from_millis(3500));
+    let _breaks = start_upstream(&machines, "i-engine-1", "engines", Behaviour::BreakAfter(3));
+    full.set_behaviour(Behaviour::Answer);
+    assert_whole(&call(instance.callers(), "/captions/1", "broken"), "broken", instance);
+    fill.into_iter().for_each(|report| assert!(report.join().unwrap().is_complete));
+}
