Refuse text that is no event in a stream of chat completions

A stream had begun and broke off; the next engine answered 200 with an event stream whose body was the text of an error, up to a whole response head, or only `data: [DONE]`. Callers got the text in the middle of their stream, or the stream ended as if it were complete. Cause: the joiner passed every block without data lines on as if it were a comment, and took `[DONE]` of a resumed stream as its end although no event had carried a finish reason. Evidence, on the code before: text_of_an_error_is_not_joined_to_a_broken_stream failed in all three cases ("cut after 0 bytes, pieces of 1": the output ended with "HTTP/1.1 500 Internal Server Error ..."), a_resumption_that_only_says_done_does_not_complete_a_broken_stream failed with Ok(()). Why the fix works: a block without data passes only if each of its lines is a comment or a known field, and fails the attempt otherwise, so that another engine resumes or the stream is cut; a resumed stream needs a finish reason before `[DONE]`. Ruled out: the half event is dropped, error statuses and other content types are refused, an answer without the echoed offset is refused.

--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -34,6 +34,17 @@
         let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
         Some(id.strip_prefix(' ').unwrap_or(id).to_string())
     }
+
+    /// Returns whether receivers ignore the event: it has no data, and each of its lines is a
+    /// comment or a field of an event.
+    pub fn is_ignored(&self) -> bool {
+        let text = String::from_utf8_lossy(&self.raw);
+        let is_known = |line: &str| {
+            let (name, _) = line.split_once(':').unwrap_or((line, ""));
+            matches!(name, "" | "data" | "event" | "id" | "retry")
+        };
+        self.data.is_empty() && text.lines().all(is_known)
+    }
 }
 
 impl EventSplitter {
@@ -42,6 +53,11 @@
         self.buffer.is_empty()
     }
 
+    /// Returns the bytes of the incomplete event.
+    pub fn into_partial_event(self) -> Vec<u8> {
+        self.buffer
+    }
+
     /// Appends the next bytes of the stream to the buffer.
     pub fn push(&mut self, part: &[u8]) {
         self.buffer.extend_from_slice(part);
--- a/crates/dispatch/src/stream_joiner.rs
+++ b/crates/dispatch/src/stream_joiner.rs
@@ -28,6 +28,15 @@
     /// An event carries the id of another response.
     #[error("an event carries the id of another answer")]
     IdMismatch,
+    /// The stream ends within an event.
+    #[error("the stream ended within an event")]
+    Incomplete,
+    /// The response does not resume the stream.
+    #[error("the upstream did not resume the stream: {reason}")]
+    NotResumed {
+        /// What the upstream sent instead.
+        reason: String,
+    },
 }
 
 /// Filters a stream of chat-completions chunks.
@@ -105,10 +114,18 @@
 
     fn process_event(&mut self, event: &Event, out: &mut Vec<u8>) -> Result<(), StreamError> {
         match event.data.as_str() {
+            "" if !event.is_ignored() => {
+                let reason = "a line is not a field of an event".to_string();
+                Err(StreamError::Malformed { reason })
+            }
             "" => {
                 out.extend_from_slice(&event.raw);
                 Ok(())
             }
+            "[DONE]" if self.is_resumed && !self.has_finish_reason => {
+                let reason = "it ended the stream without a finish reason".to_string();
+                Err(StreamError::NotResumed { reason })
+            }
             "[DONE]" => {
                 self.is_complete = true;
                 out.extend_from_slice(&event.raw);
--- a/crates/dispatch/tests/stream_joiner.rs
+++ b/crates/dispatch/tests/stream_joiner.rs
@@ -130,3 +130,40 @@
     let error = joiner.push(&vec![b'x'; 300 << 10], &mut Vec::new()).unwrap_err();
     assert!(matches!(error, StreamError::EventTooLarge { .. }));
 }
+
+const HEAD_TEXT: &str =
+    "HTTP/1.1 500 Internal Server Error\r\ncontent-type: application/json\r\n\r\n";
+
+#[test_case(HEAD_TEXT; "head of a response")]
+#[test_case("{\n  \"error\": { \"message\": \"full\" }\n}\n\n"; "json over several lines")]
+#[test_case("upstream failed\n\n"; "text")]
+fn text_of_an_error_is_not_joined_to_a_broken_stream(text: &str) {
+    let first = event("one", &json!({ "content": "a" }), None);
+    for cut in 0..first.len() {
+        for size in 1..=text.len() {
+            let mut joiner = StreamJoiner::default();
+            let mut out = Vec::new();
+            joiner.push(first.as_bytes(), &mut out).unwrap();
+            joiner.push(&first.as_bytes()[..cut], &mut out).unwrap();
+            joiner.resume();
+            let mut pieces = text.as_bytes().chunks(size);
+            let error = pieces.find_map(|piece| joiner.push(piece, &mut out).err());
+            assert_eq!(out, first.as_bytes(), "cut after {cut} bytes, pieces of {size}");
+            assert!(matches!(error, Some(StreamError::Malformed { .. })), "{error:?}");
+        }
+    }
+}
+
+#[test]
+fn a_resumption_that_only_says_done_does_not_complete_a_broken_stream() {
+    let first = event("one", &json!({ "content": "a" }), None);
+    for start in ["", ": wait\n\n", "data: {\"detail\":\"restarting\"}\n\n"] {
+        let mut joiner = StreamJoiner::default();
+        let mut out = Vec::new();
+        joiner.push(first.as_bytes(), &mut out).unwrap();
+        joiner.resume();
+        let result = joiner.push(format!("{start}data: [DONE]\n\n").as_bytes(), &mut out);
+        assert!(matches!(result, Err(StreamError::NotResumed { .. })), "{result:?}");
+        assert!(!joiner.is_complete() && !String::from_utf8(out).unwrap().contains("DONE"));
+    }
+}
