Check that the answer to a resumption continues the stream

What callers saw: report of another operator, shown here by a test with processes. A stream of events had begun and broke off; the next upstream answered the resumption with an error under status 200. Callers found its text, up to a whole response head, in the middle of their stream, or got events twice or with a gap, and the answer then ended as if it were complete. It also ended so when the resumption brought no event at all although an event had broken off in its middle. Cause: after status 200 the relay joined whatever ended with an empty line. The tracker of the stream checked neither the content type nor that the ids go on, and any end between two blocks counted as the end of the stream. Why the fix works: a resumption must have status 200 and, where it names a type, that of event streams; each of its blocks must be a comment or an event whose id follows the last one (by one where the ids counted so, else greater). Anything else fails the attempt before it is forwarded, so that a further upstream resumes or the answer is cut. Without an event, a resumption completes the stream only if type and framing show that it is whole and no event had begun. Ruled out: other statuses, refusals, 421, interim answers, 204, 206 and 304 were refused before, and a half event was never joined. Left: a resumption that wrongly says in proper form that nothing is left, after a break between two events, cannot be told apart from a stream of which only the end was lost.

--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dispatch::{EventSplitter, StreamError};
+use dispatch::{EventSplitter, Head, StreamError};
 
 /// Minimum time for which callers wait for the next event of a stream. Callers wait for the longest
 /// of three times: this minimum, a multiple of the latency objective, and a multiple of the longest
@@ -36,32 +36,68 @@
     last_event_id: Option<String>,
     /// Number of forwarded events that have an id.
     event_count: u64,
+    /// Whether each id was the previous one plus one. `None` before two ids were compared.
+    counts_by_one: Option<bool>,
+    /// Whether the current response resumes an interrupted one.
+    is_resumed: bool,
+    /// Whether the current response shows that it is a whole stream, even if it has no event.
+    shows_its_end: bool,
+    /// Whether an interrupted response has begun an event that was not forwarded.
+    has_missing_event: bool,
 }
 
 impl StreamTracker {
     /// Creates a tracker for a stream that continues after the event with the id `last_event_id`,
     /// which the caller already has.
     pub fn new(last_event_id: Option<String>) -> Self {
-        Self { splitter: EventSplitter::default(), last_event_id, event_count: 0 }
+        Self { last_event_id, shows_its_end: true, ..Self::default() }
     }
 
-    /// Takes the next bytes of the stream and appends the complete events to `out`.
+    /// Takes the next bytes of the stream and appends the complete events to `out`. A response that
+    /// resumes the stream must continue with the next event.
     ///
     /// # Errors
     ///
-    /// [`StreamError::EventTooLarge`] when an event is too large to be buffered.
+    /// [`StreamError`] when an event is too large to be buffered or does not continue the stream.
+    /// The events that were appended to `out` before the error remain valid.
     pub fn forward(&mut self, part: &[u8], out: &mut Vec<u8>) -> Result<(), StreamError> {
         self.splitter.push(part);
         while let Some(event) = self.splitter.next_event()? {
-            if let Some(id) = event.id() {
-                self.last_event_id = Some(id);
-                self.event_count += 1;
+            match event.id() {
+                Some(id) => self.record(id)?,
+                None if event.is_ignored() => {}
+                None if self.is_resumed => return Err(not_resumed("it sent an event without id")),
+                None => {}
             }
             out.extend_from_slice(event.raw());
         }
         Ok(())
     }
 
+    /// Records the id of the next event to be forwarded.
+    fn record(&mut self, id: String) -> Result<(), StreamError> {
+        if let Some(last) = &self.last_event_id {
+            let step = match (last.parse::<u64>(), id.parse::<u64>()) {
+                (Ok(last), Ok(next)) => next.checked_sub(last),
+                _ => (*last != id).then_some(1),
+            };
+            let is_next = match step {
+                None | Some(0) => false,
+                Some(step) => step == 1 || self.counts_by_one != Some(true),
+            };
+            if self.is_resumed && !is_next {
+                let reason = format!("it sent the event {id} after the event {last}");
+                return Err(not_resumed(reason));
+            }
+            self.counts_by_one = Some(step == Some(1) && self.counts_by_one != Some(false));
+        }
+        self.last_event_id = Some(id);
+        self.event_count += 1;
+        self.has_missing_event = false;
+        self.shows_its_end = true;
+        Ok(())
+    }
+
     /// Returns the id of the last forwarded event.
     pub fn last_event_id(&self) -> Option<&str> {
         self.last_event_id.as_deref()
@@ -80,6 +116,60 @@
 
     /// Discards a partial event because another upstream resumes the stream.
     pub fn restart(&mut self) {
-        self.splitter = EventSplitter::default();
+        let splitter = std::mem::take(&mut self.splitter);
+        self.has_missing_event |= is_begun_event(&splitter.into_partial_event());
     }
+
+    /// Starts the response of another upstream, which resumes the stream.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamError::NotResumed`] when the response is no stream of events.
+    pub fn resume(&mut self, head: &Head) -> Result<(), StreamError> {
+        self.restart();
+        self.is_resumed = true;
+        let is_event_stream = is_event_stream(head);
+        self.shows_its_end = is_event_stream == Some(true) && head.has_delimited_body();
+        match (head.status, is_event_stream) {
+            (200, Some(true) | None) => Ok(()),
+            (200, Some(false)) => Err(not_resumed("it sent content of another type")),
+            (status, _) => Err(not_resumed(format!("it answered {status}"))),
+        }
+    }
+
+    /// Checks that the stream is complete when the response ends.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamError`] when the response ends within an event, or resumes the stream without an
+    /// event although the stream may have another one.
+    pub fn check_end(&self) -> Result<(), StreamError> {
+        if !self.is_between_events() {
+            return Err(StreamError::Incomplete);
+        }
+        if self.is_resumed && (self.has_missing_event || !self.shows_its_end) {
+            return Err(not_resumed("it ended without the next event"));
+        }
+        Ok(())
+    }
+}
+
+/// Returns whether a response says that it is a stream of events, or `None` if it names no type.
+fn is_event_stream(head: &Head) -> Option<bool> {
+    let content_type = head.header("content-type")?;
+    let media_type = content_type.split(';').next().unwrap_or_default();
+    Some(media_type.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
+/// Returns whether the bytes begin more than a comment.
+fn is_begun_event(partial: &[u8]) -> bool {
+    let mut lines = partial.split(|byte| *byte == b'\n');
+    lines.any(|line| !line.trim_ascii().is_empty() && !line.starts_with(b":"))
+}
+
+fn not_resumed<R>(reason: R) -> StreamError
+where
+    R: Into<String>,
+{
+    StreamError::NotResumed { reason: reason.into() }
 }
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -2,9 +2,9 @@
 
 use std::time::Instant;
 
-use dispatch::{CallEvent, Field, Progress, Verdict};
+use dispatch::{CallEvent, Field, Head, Progress, StreamError, Verdict};
 use entry::{Reply, Status};
-use forward::{LATENCY_SAMPLE_EVENTS, RetryDecision, stall_timeout};
+use forward::{LATENCY_SAMPLE_EVENTS, RetryDecision, StreamTracker, stall_timeout};
 use names::Upstream;
 use stakker::{CX, call};
 use telemetry::Event;
@@ -182,15 +182,12 @@
         let Ok(index) = self.find(id) else {
             return;
         };
+        let head = Head { status, headers };
         if self.requests[index].is_started {
-            if status != Status::OK.0 {
-                let running = self.stop_attempt(cx, id);
-                let reason =
-                    format!("the upstream answered {status} instead of resuming the stream");
-                self.retry_or_finish(cx, id, running, Verdict::MayHaveRun, &reason);
-            }
+            self.resume_response(cx, id, &head);
             return;
         }
+        let headers = head.headers;
         let is_streaming = self.requests[index].route.is_streaming;
         let has_no_body = matches!(status, 204 | 304);
         let length = match is_streaming && status == Status::OK.0 {
@@ -209,6 +206,28 @@
         active.reply.fwd(Reply::Start { status, headers, length });
     }
 
+    /// Starts the response of an upstream that resumes a stream, unless the response does something
+    /// else.
+    fn resume_response(&mut self, cx: CX![], id: names::Request, head: &Head) {
+        let Some(active) = self.active(id) else {
+            return;
+        };
+        let resumed = match &mut active.stream_tracker {
+            Some(stream_tracker) => stream_tracker.resume(head),
+            None => Err(StreamError::NotResumed { reason: "it cannot be resumed".to_string() }),
+        };
+        match resumed {
+            Ok(()) => {}
+            Err(error) if head.status == Status::OK.0 => {
+                self.receive_failure(cx, id, Verdict::MayHaveRun, &error.to_string())
+            }
+            Err(error) => {
+                let running = self.stop_attempt(cx, id);
+                self.retry_or_finish(cx, id, running, Verdict::MayHaveRun, &error.to_string());
+            }
+        }
+    }
+
     fn receive_part(&mut self, cx: CX![], id: names::Request, part: Vec<u8>) {
         let now = cx.now();
         let Some(active) = self.active(id) else {
@@ -246,12 +265,7 @@
             active.reply.fwd(Reply::Part(complete_events));
         }
         if let Err(error) = result {
-            let service = active.service.clone();
-            let running = self.stop_attempt(cx, id);
-            if let Some(running) = &running {
-                self.table.record_failure(now, &service, &running.upstream, false);
-            }
-            self.retry_or_finish(cx, id, running, Verdict::MayHaveRun, &error.to_string());
+            self.receive_failure(cx, id, Verdict::MayHaveRun, &error.to_string());
         }
     }
 
@@ -260,12 +274,9 @@
         let Some(active) = self.active(id) else {
             return;
         };
-        let ends_within_event = active
-            .stream_tracker
-            .as_ref()
-            .is_some_and(|stream_tracker| !stream_tracker.is_between_events());
-        if ends_within_event {
-            self.receive_failure(cx, id, Verdict::MayHaveRun, "the stream ended within an event");
+        let end = active.stream_tracker.as_ref().map(StreamTracker::check_end);
+        if let Some(Err(error)) = end {
+            self.receive_failure(cx, id, Verdict::MayHaveRun, &error.to_string());
             return;
         }
         active.reply.fwd(Reply::End);
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -41,6 +41,9 @@
     /// Sends the first text and then repeats the second text until the client closes the
     /// connection.
     Endless(&'static str, &'static str),
+    /// Sends the first text, or the second text if the request resumes a stream, and closes the
+    /// connection.
+    Raw(&'static str, &'static str),
     /// Executes the request, then closes the connection without an answer.
     LoseAnswer,
     /// Refuses the request and states that it was not executed.
@@ -271,6 +274,12 @@
     }
     match behaviour {
         Behaviour::Endless(prefix, unit) => send_endless(writer, &id, prefix, unit),
+        Behaviour::Raw(first, resumed) => {
+            let is_resumed = request.headers.contains_key("last-event-id");
+            let text = if is_resumed { resumed } else { first };
+            writer.write_all(text.replace("ID", &id).as_bytes())?;
+            Err(ErrorKind::ConnectionAborted.into())
+        }
         Behaviour::LoseAnswer => Err(ErrorKind::ConnectionAborted.into()),
         Behaviour::Silent => {
             std::thread::sleep(Duration::from_secs(30));
