Resume only streams whose position an event id names

On a route whose streams may be resumed, a stream whose events carry no ids came again from its start after it had broken off, and ended as if it were complete. A JSON answer with status 200 never arrived whole: it counted as a stream that ended within an event, and was asked for again. Cause: the relay tracked every answer with status 200 on such a route, and resumed it after the last id even if events without an id had followed, or no id had come at all. Why the fix works: an answer that names another content type, and a first answer that brings an event with data and without an id, are no longer tracked. Their bytes pass unchanged as on a route that may not be resumed, and a break is a visible cut. Comments and fields without data do not count, and an answer that names no type is still tracked. Ruled out: an answer with another status was not tracked before.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -39,7 +39,7 @@
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use search::{SearchCandidate, SearchConfig, SearchStep, TrackerSearch};
 pub use shutdown::Shutdown;
-pub use stream::{StreamTracker, stall_timeout};
+pub use stream::{StreamTracker, is_event_stream, stall_timeout};
 pub use wait_queue::WaitQueue;
 
 /// Minimum number of instances of a large fleet, in which each instance sees only a small part of
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -38,6 +38,8 @@
     event_count: u64,
     /// Whether each id was the previous one plus one. `None` before two ids were compared.
     counts_by_one: Option<bool>,
+    /// Whether an event without an id was forwarded, so that no id names the end of the stream.
+    has_lost_position: bool,
     /// Whether the current response resumes an interrupted one.
     is_resumed: bool,
     /// Whether the current response shows that it is a whole stream, even if it has no event.
@@ -67,7 +69,7 @@
                 Some(id) => self.record(id)?,
                 None if event.is_ignored() => {}
                 None if self.is_resumed => return Err(not_resumed("it sent an event without id")),
-                None => {}
+                None => self.has_lost_position = true,
             }
             out.extend_from_slice(event.raw());
         }
@@ -114,6 +116,16 @@
         self.splitter.is_empty()
     }
 
+    /// Returns whether the last event id names the end of what was forwarded.
+    pub fn has_position(&self) -> bool {
+        !self.has_lost_position
+    }
+
+    /// Ends the tracking and returns the bytes of the partial event.
+    pub fn into_partial_event(self) -> Vec<u8> {
+        self.splitter.into_partial_event()
+    }
+
     /// Discards a partial event because another upstream resumes the stream.
     pub fn restart(&mut self) {
         let splitter = std::mem::take(&mut self.splitter);
@@ -155,7 +167,7 @@
 }
 
 /// Returns whether a response says that it is a stream of events, or `None` if it names no type.
-fn is_event_stream(head: &Head) -> Option<bool> {
+pub fn is_event_stream(head: &Head) -> Option<bool> {
     let content_type = head.header("content-type")?;
     let media_type = content_type.split(';').next().unwrap_or_default();
     Some(media_type.trim().eq_ignore_ascii_case("text/event-stream"))
--- a/crates/forward/tests/resumed_streams.rs
+++ b/crates/forward/tests/resumed_streams.rs
@@ -137,3 +137,14 @@
         }
     }
 }
+
+#[test]
+fn a_stream_whose_events_have_no_ids_is_not_resumed_from_its_start() {
+    let mut tracker = StreamTracker::new(None);
+    let mut out = Vec::new();
+    tracker.forward(b"retry: 100\n\n: wait\n\nid: 1\ndata: a\n\n", &mut out).unwrap();
+    assert!(tracker.has_position());
+    tracker.forward(b"data: b\n\ndata: c", &mut out).unwrap();
+    assert!(!tracker.has_position());
+    assert_eq!(tracker.into_partial_event(), b"data: c");
+}
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -187,6 +187,7 @@
             self.resume_response(cx, id, &head);
             return;
         }
+        let is_other_content = forward::is_event_stream(&head) == Some(false);
         let headers = head.headers;
         let is_streaming = self.requests[index].route.is_streaming;
         let has_no_body = matches!(status, 204 | 304);
@@ -198,7 +199,7 @@
         let status = Status(status);
         let active = &mut self.requests[index];
         active.is_started = true;
-        if status != Status::OK {
+        if status != Status::OK || is_other_content {
             // Only a stream of events is tracked.
             active.stream_tracker = None;
         }
@@ -261,6 +262,12 @@
             let timeout = stall_timeout(active.route.objective, active.route.pause);
             running.event_due = Some(now + timeout);
         }
+        if result.is_ok() && !stream_tracker.has_position() {
+            // No other upstream could resume the stream, so that its bytes pass unchanged.
+            let stream_tracker = active.stream_tracker.take();
+            let partial_event = stream_tracker.map(StreamTracker::into_partial_event);
+            complete_events.extend(partial_event.unwrap_or_default());
+        }
         if !complete_events.is_empty() {
             active.reply.fwd(Reply::Part(complete_events));
         }
--- a/tests/platform_streams.rs
+++ b/tests/platform_streams.rs
@@ -246,3 +246,28 @@
         }
     }
 }
+
+/// Guards against a repeated stream: no id says where another upstream would have to continue.
+#[test]
+fn a_stream_without_ids_passes_unchanged_and_is_not_resumed_from_its_start() {
+    let deployment = Deployment::start(2);
+    let text = "data: part 1\n\ndata: part 2\n\nid: 3\ndata: part 3\n\ndata: unfin";
+    let restarted = leak(stream("data: part 1\n\ndata: part 2\n\n"));
+    for (name, first, is_complete) in
+        [("cut", open_stream(text), false), ("end", stream(text), true)]
+    {
+        deployment.set_behaviour(Behaviour::Raw(leak(first), restarted));
+        let answer = deployment.call_until_runs("/captions/1", name, 1);
+        assert_eq!((answer.text().as_str(), answer.is_complete), (text, is_complete), "{name}");
+    }
+}
+
+#[test]
+fn an_answer_that_is_no_stream_passes_whole_on_a_route_whose_streams_may_be_resumed() {
+    let deployment = Deployment::start(2);
+    let whole = response("200 OK", "content-type: application/json\r\n", "{\"text\":\n\n\"a\"}");
+    deployment.set_behaviour(Behaviour::Raw(leak(whole), "must not be sent"));
+    let answer = deployment.call_until_runs("/captions/1", "json", 1);
+    assert_eq!(answer.text(), "{\"text\":\n\n\"a\"}");
+    assert!(answer.is_complete);
+}
