Take one retry from the allowance for an error to a resumption

What callers saw: found while looking into the report about resumed streams, shown by a test with processes. Streams were cut although the route allowed a further attempt, because errors to resumptions used up the retries of the instance twice as fast as they were sent. Cause: after a status from 500 on, the relay asked for a retry from the start. For a started stream the answer is "resume", which took one retry and was dropped; the resumption then took a second one. Evidence: a_resumption_that_is_answered_with_an_error_takes_one_retry_from_the_allowance failed before at stream 14 of 18 with one run instead of three (42 retries allowed, two to be taken for each stream, three taken). Why the fix works: a started answer is not asked about again from the start; the resumption alone takes the retry. Ruled out: a first answer with such a status takes one retry, as before.

--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -102,6 +102,7 @@
         running.event_due = Some(now + timeout);
         running.status = status;
         let (upstream, tokens) = (running.upstream.clone(), running.tokens);
+        let is_started = active.is_started;
         self.table.remove_tokens(&upstream, tokens);
         if let Some(report) = response.load {
             self.table.report(now, &upstream, report);
@@ -120,7 +121,7 @@
         }
         if status >= 500 {
             self.table.record_failure(now, &service, &upstream, false);
-            if self.take_retry(cx, id) {
+            if !is_started && self.take_retry(cx, id) {
                 if let Some(running) = self.discard(cx, id) {
                     let reason = format!("the upstream answered {status}");
                     self.log_failed_attempt(
--- a/tests/platform_streams.rs
+++ b/tests/platform_streams.rs
@@ -271,3 +271,21 @@
     assert_eq!(answer.text(), "{\"text\":\n\n\"a\"}");
     assert!(answer.is_complete);
 }
+
+/// Guards against resumptions that an error uses up: each one took two retries from the allowance.
+#[test]
+fn a_resumption_that_is_answered_with_an_error_takes_one_retry_from_the_allowance() {
+    let deployment = Deployment::start(3);
+    let mut changed = document(8);
+    changed["routes"][0]["attempts"] = 3.into();
+    deployment.machines.put_document_until_acknowledged(&changed);
+    deployment.machines.wait_document_in_force(8);
+    let error = leak(response("500 Error", "", "oops"));
+    deployment.set_behaviour(Behaviour::Raw(leak(open_stream(&events(1, 2))), error));
+    // The allowance of one entry instance is 40 retries and 0.16 for each request in 10 s.
+    for number in 0..18 {
+        let id = format!("three-runs-{number}");
+        assert!(!call(deployment.machines.entries[0].callers(), "/captions/1", &id).is_complete);
+        assert_eq!(deployment.runs(&id), 3, "{id}");
+    }
+}
