Treat a reset seen while sending as a break of the answer

An upstream answered a long request before it had read it, without a length, and reset the connection. The part of the answer that had arrived ended as if complete. Cause: the write that failed took the error of the socket. The next read then saw only the end of the stream, which completes an answer without a length. Evidence, before: a_response_without_length_that_is_reset_while_the_request_is_sent_is_a_failure failed in both cases ("the response was accepted as complete although it was reset"). Why the fix works: the connection remembers an error of the write, and the end of the stream then completes no answer. Ruled out: an answer with a length or in chunks is complete only with its last byte; a reset seen by a read was a failure before.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -1,5 +1,6 @@
 //! Actor for one connection to an upstream.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -73,6 +74,8 @@
     is_paused: bool,
     /// Whether the upstream has closed its side of the connection.
     is_read_closed: bool,
+    /// Whether a reset was seen while sending. Later reads see only an end of the stream.
+    is_reset: bool,
     connect_timer: FixedTimerKey,
     response_timer: FixedTimerKey,
 }
@@ -124,6 +127,7 @@
             unconsumed_bytes: 0,
             is_paused: false,
             is_read_closed: false,
+            is_reset: false,
             connect_timer: FixedTimerKey::default(),
             response_timer: FixedTimerKey::default(),
         })
@@ -216,7 +220,11 @@
         self.sent += unsent_before - self.stream.out.len();
         match flushed {
             // The upstream may have sent a response before it closed the connection.
-            Err(_) if self.sent > 0 => true,
+            Err(error) if self.sent > 0 => {
+                // A broken pipe is a reset after the upstream has closed its side properly.
+                self.is_reset |= error.kind() != ErrorKind::BrokenPipe;
+                true
+            }
             Err(error) => {
                 self.fail(cx, &format!("the request could not be sent: {error}"));
                 false
@@ -330,7 +338,7 @@
             self.mark_broken(cx);
             return;
         };
-        let is_complete = !self.has_response && job.reader.close().is_ok();
+        let is_complete = !self.has_response && !self.is_reset && job.reader.close().is_ok();
         if is_complete {
             self.report(Progress::End);
             self.finish(cx);
--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -155,6 +155,43 @@
     assert_eq!(verdict, Verdict::MayHaveRun);
 }
 
+#[test_case(0; "at once")]
+#[test_case(100; "later")]
+fn a_response_without_length_that_is_reset_while_the_request_is_sent_is_a_failure(pause: u64) {
+    for _ in 0..20 {
+        // The unread rest of the request resets the connection when the upstream closes it.
+        let (address, _upstream) = upstream(move |mut stream| {
+            write!(stream, "HTTP/1.1 200 OK\r\n\r\nten bytes.").unwrap();
+            std::thread::sleep(Duration::from_millis(pause));
+        });
+        let (client, events) = start_client();
+        let body = vec![b'x'; 16 << 20];
+        client.start(Call { body, ..call(1, address, ConnectionReuse::Never) });
+        let Progress::Failed { verdict, .. } = last_progress(&events) else {
+            panic!("the response was accepted as complete although it was reset");
+        };
+        assert_eq!(verdict, Verdict::MayHaveRun);
+    }
+}
+
+#[test_case(0; "at once")]
+#[test_case(100; "later")]
+fn a_response_that_ends_with_the_connection_is_complete_although_the_request_is_not_read(
+    pause: u64,
+) {
+    for _ in 0..20 {
+        let (address, _upstream) = upstream(move |mut stream| {
+            write!(stream, "HTTP/1.1 200 OK\r\n\r\nten bytes.").unwrap();
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+            std::thread::sleep(Duration::from_millis(pause));
+        });
+        let (client, events) = start_client();
+        let body = vec![b'x'; 16 << 20];
+        client.start(Call { body, ..call(1, address, ConnectionReuse::Never) });
+        assert_eq!(last_progress(&events), Progress::End);
+    }
+}
+
 #[test]
 fn a_refused_connection_did_not_run() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
