Test that a stream broken several times stays whole

Three upstreams on a route of eight attempts: two break off after four events of each run, the third answers each run wrongly (closes the first, answers resumptions with JSON under status 200). Five streams arrive whole, with every event once.

--- a/tests/platform_streams.rs
+++ b/tests/platform_streams.rs
@@ -9,7 +9,7 @@
 
 use support::machines::{KEY, Machines, document};
 use support::wait_for;
-use support::worker::{Behaviour, HttpResponse, Worker, send_request};
+use support::worker::{Behaviour, HttpResponse, Worker, complete_stream, send_request};
 
 /// Head of a stream of events.
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: s\r\n\
@@ -289,3 +289,24 @@
         assert_eq!(deployment.runs(&id), 3, "{id}");
     }
 }
+
+#[test]
+fn a_stream_that_breaks_off_again_and_again_stays_whole_beside_an_upstream_that_sends_errors() {
+    let deployment = Deployment::start(3);
+    let mut changed = document(8);
+    changed["routes"][0]["attempts"] = 8.into();
+    deployment.machines.put_document_until_acknowledged(&changed);
+    deployment.machines.wait_document_in_force(8);
+    deployment.set_behaviour(Behaviour::BreakAfter(4));
+    let json = response("200 OK", "content-type: application/json\r\n", "{}\n\n");
+    deployment.engines[0].set_behaviour(Behaviour::Raw("", leak(json)));
+    for number in 0..5 {
+        let id = format!("whole-{number}");
+        let answer = call(deployment.machines.entries[0].callers(), "/captions/1", &id);
+        assert_eq!(answer.text(), complete_stream(&id));
+        assert!(answer.is_complete);
+    }
+    let requests = deployment.engines[0].executed_requests();
+    let resumptions = requests.iter().filter(|run| run.headers.contains_key("last-event-id"));
+    assert!(resumptions.count() > 0, "no resumption was answered with an error");
+}
