Send no body in an answer to a request for the head

What callers saw: found by reading the framing towards callers, shown by a test with processes. After HEAD on a kept connection, the last chunk or the body of a refusal followed the head, and the caller took these bytes for its next answer; with a length, the connection was closed after the head. Cause: the entry framed the answer as if the body followed: a last chunk at its end, all of a refusal's body, and a cut since the announced bytes never came. Evidence, before: an_answer_to_a_request_for_the_head_has_no_body failed in all five cases: with a length "UnexpectedEof", else status 0 for the next answer. Why the fix works: the framing of such an answer is its head alone; headers stay as they are for a GET, no byte of a body is written. Ruled out: the client of upstreams expects no body after HEAD already; 204 and 304 are sent with the length 0.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -16,7 +16,7 @@
 use crate::head::{Head, Header, ParseOutcome};
 use crate::reply::{append_last_chunk, append_start, append_whole};
 use crate::server::{Bounds, SOCKET_PRIORITY};
-use crate::{Event, Form, Problem, Reply, Request, Status};
+use crate::{Event, Form, Method, Problem, Reply, Request, Status};
 
 /// Bytes per read from the socket.
 const READ_BYTES: usize = 4096;
@@ -245,8 +245,11 @@
         else {
             return;
         };
-        if let Phase::Answering { keeps_alive, .. } = &mut self.phase {
+        if let Phase::Answering { keeps_alive, framing, .. } = &mut self.phase {
             *keeps_alive &= head.keeps_alive;
+            if head.method == Method::Head {
+                *framing = Framing::HeadOnly;
+            }
         }
         cx.timer_del(self.timer);
         let request =
@@ -275,10 +278,15 @@
                     &body,
                     out,
                 );
+                if matches!(framing, Framing::HeadOnly) {
+                    out.truncate(out.len() - body.len());
+                }
                 true
             }
             Reply::Start { status, headers, length } => {
-                *framing = length.map_or(Framing::Chunks, Framing::Length);
+                if !matches!(framing, Framing::HeadOnly) {
+                    *framing = length.map_or(Framing::Chunks, Framing::Length);
+                }
                 let headers = add_connection_headers(headers, id, id_header, *keeps_alive);
                 append_start(status, &headers, length, out);
                 false
--- a/crates/entry/src/framing.rs
+++ b/crates/entry/src/framing.rs
@@ -1,4 +1,4 @@
-//! Framing of a streamed answer: chunked encoding or a content-length.
+//! Framing of an answer: chunked encoding, a content-length, or no body at all.
 
 use crate::reply::append_chunk;
 
@@ -9,6 +9,8 @@
     Chunks,
     /// Content-length, with the number of bytes that are still to be sent.
     Length(u64),
+    /// Only the head is sent, because the caller has requested no more.
+    HeadOnly,
 }
 
 /// Appends a part of an answer to `out`. Bytes beyond the announced content-length are dropped.
@@ -21,5 +23,6 @@
             out.extend_from_slice(&part[..length]);
             *remaining -= length as u64;
         }
+        Framing::HeadOnly => {}
     }
 }
