Send a request again only over a connection that has not carried it

What callers saw: a booking ran twice, or was answered 503 although it had run, when an upstream wrote an earlier refusal once more on a kept connection.

Cause: when all upstreams of a service have refused a request, or there is only one, the request goes back to an upstream that it was sent to before, under the same id. The client took the connection that had been used last, which is the one that had carried the first copy. A second copy of the refusal, read after the request had been written again, has the id that is waited for, so it counted as the refusal of the attempt that the upstream had begun to run. The verdict was not-run, and the request was sent a third time or refused.

The fix: the forwarder records when a request was first sent to an address, and the client does not reuse a connection there that was in use since then. No copy of a response to the earlier attempt can then arrive on the connection of the later one. Connections that have been idle since before still serve it, so that a new connection is opened only when there are none; requests that are sent to an address for the first time, also after a refusal elsewhere, choose connections as before. The rule goes by the address, so it also holds for an upstream that follows another one at its address after a 421.

Ruled out: a copy with the id of another request is skipped by the reader; a copy, or a part of one, that arrives while the connection is idle or together with the first refusal ends the connection. In the product's own interface each attempt has its own id, and a request that may not run twice always takes a new connection.

--- a/crates/dispatch/benches/client.rs
+++ b/crates/dispatch/benches/client.rs
@@ -120,6 +120,7 @@
         connect_deadline: Instant::now() + TIMEOUT,
         deadline: None,
         max_connection_idle: TIMEOUT,
+        first_sent_at: None,
         max_connections: CONCURRENT_STREAMS,
     }
 }
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -127,6 +127,7 @@
                 ConnectionReuse::Allowed => Duration::MAX / 4,
                 ConnectionReuse::Never => Duration::ZERO,
             },
+            first_sent_at: None,
             max_connections: usize::MAX,
         })
     }
--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -58,6 +58,10 @@
     /// Longest idle time of a reused connection. If an upstream closes an idle connection while a
     /// request is in transit, it is unknown whether the request ran.
     pub max_connection_idle: Duration,
+    /// Time at which the same request was first sent to the address, if it was. A connection that
+    /// was in use since then is not reused, because a late copy of the response to the earlier
+    /// attempt would be taken for the response to this one.
+    pub first_sent_at: Option<Instant>,
     /// Largest number of simultaneous connections to the address.
     pub max_connections: usize,
 }
@@ -69,6 +73,14 @@
     idle_until: Instant,
 }
 
+impl IdleConnection {
+    /// Returns whether the connection may carry the request.
+    fn is_usable(&self, now: Instant, outbound: &Outbound) -> bool {
+        let has_not_carried = outbound.first_sent_at.is_none_or(|at| self.idle_since < at);
+        has_not_carried && now < self.idle_since + outbound.max_connection_idle
+    }
+}
+
 struct Pool {
     address: SocketAddr,
     open_count: usize,
@@ -126,8 +138,8 @@
         for idle in pool.idle.extract_if(.., |idle| idle.idle_until <= now) {
             call!([idle.connection], close());
         }
-        let is_fresh = |idle: &IdleConnection| now < idle.idle_since + outbound.max_connection_idle;
-        match pool.idle.pop_if(|idle| is_fresh(idle)) {
+        let usable = pool.idle.iter().rposition(|idle| idle.is_usable(now, &outbound));
+        match usable.map(|index| pool.idle.remove(index)) {
             Some(idle) => self.start(cx, idle.connection, Job::new(outbound)),
             None => self.open_connection(cx, outbound),
         }
@@ -184,7 +196,7 @@
             (outbound.address, outbound.attempt, outbound.max_connections);
         let pool = self.pool(address);
         if pool.open_count >= limit && !pool.idle.is_empty() {
-            // All idle connections are too old for this request. The oldest one is replaced.
+            // No idle connection is usable for this request. The oldest one is replaced.
             let oldest = pool.idle.remove(0);
             call!([oldest.connection], close());
         } else if pool.open_count >= limit {
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -33,6 +33,13 @@
     pub(super) event_due: Option<Instant>,
 }
 
+/// Address that a request was sent to.
+pub(super) struct SentTo {
+    address: SocketAddr,
+    /// Time of the first attempt there.
+    first_at: Instant,
+}
+
 /// A request in progress.
 pub(super) struct ActiveRequest {
     pub(super) request: Request,
@@ -48,6 +55,8 @@
     pub(super) deadline: Instant,
     /// Upstreams that the request was sent to.
     pub(super) tried: Vec<Upstream>,
+    /// Sorted by address.
+    pub(super) sent_to: Vec<SentTo>,
     /// Number of attempts that may have run.
     pub(super) runs: usize,
     /// Number of attempts that did not run.
@@ -70,6 +79,18 @@
         self.request.id
     }
 
+    /// Records that the request is sent to `address`. Returns the time at which it was first sent
+    /// there, if it was sent there before.
+    pub(super) fn record_sent(&mut self, now: Instant, address: SocketAddr) -> Option<Instant> {
+        match self.sent_to.binary_search_by_key(&address, |sent_to| sent_to.address) {
+            Ok(index) => Some(self.sent_to[index].first_at),
+            Err(index) => {
+                self.sent_to.insert(index, SentTo { address, first_at: now });
+                None
+            }
+        }
+    }
+
     /// Returns the metadata of the next attempt, which is sent to `upstream`.
     pub(super) fn attempt_metadata(
         &self,
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -97,6 +97,7 @@
             arrived_at: now,
             deadline,
             tried: Vec::new(),
+            sent_to: Vec::new(),
             runs: 0,
             refusals: 0,
             running: None,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -50,6 +50,7 @@
         let attempt = Attempt(rand::rng().random());
         let active = &mut self.requests[index];
         let metadata = active.attempt_metadata(now, upstream.clone(), source);
+        let first_sent_at = active.record_sent(now, endpoint.address);
         let is_never_retried = active.route.repeat == Repeat::Never;
         let outbound = Outbound {
             attempt,
@@ -65,6 +66,7 @@
             } else {
                 Duration::MAX / 4
             },
+            first_sent_at,
             max_connections: connections,
         };
         let cause = match (active.is_started, active.tried.is_empty()) {
