Let a refusal without the id of the request prove nothing

What callers saw: a booking that had run was answered 503, or ran twice, when an upstream wrote an earlier refusal once more on a kept connection and left out the id.

Cause: the reader skips a response that names another request and accepts one without an id, since the field may be missing. The forwarder then took the verdict of such a refusal, or its word that another upstream is at the address, for that of the attempt under way. The same happened to a request that has no id itself: nothing to compare, so any late copy counted.

The fix: a refusal proves that the request did not run only if it carries the id that the request had. Without the id the attempt may have run: a request that may not run twice fails with 502, others are sent elsewhere. Such a refusal does not mark the upstream as replaced either. A request that may not run twice and has no id takes a new connection, on which no earlier response can arrive.

Ruled out: to skip a refusal without an id and to wait for the answer. A refusal that is meant would then hold the request until its deadline.

--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -31,6 +31,13 @@
     pub value: String,
 }
 
+impl CorrelationHeader {
+    /// Returns whether `headers` name the request that this header belongs to.
+    pub fn is_in(&self, headers: &[Field]) -> bool {
+        find_header(headers, &self.name) == Some(&self.value)
+    }
+}
+
 /// Part of a response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ResponsePart {
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use dispatch::{CorrelationHeader, ResponseError, ResponsePart, ResponseReader};
+use dispatch::{CorrelationHeader, Field, ResponseError, ResponsePart, ResponseReader};
 use test_case::test_case;
 
 #[derive(Debug, Default, PartialEq)]
@@ -87,6 +87,14 @@
     assert!(parsed.has_ended && parsed.is_reusable);
 }
 
+#[test_case("x-id", " mine " => true; "same id")]
+#[test_case("x-id", "other" => false; "other id")]
+#[test_case("x-other", "mine" => false; "no id")]
+fn only_headers_with_the_id_of_the_request_name_it(name: &str, value: &str) -> bool {
+    let header = Field { name: name.to_string(), value: value.to_string() };
+    echo().unwrap().is_in(&[header])
+}
+
 #[test]
 fn a_connection_with_bytes_after_the_response_is_not_reused() {
     let parsed = parse(&format!("{FIXED_LENGTH}HTTP/1.1 200 OK\r\n"), 512, false, false);
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -51,6 +51,7 @@
         let active = &mut self.requests[index];
         let metadata = active.attempt_metadata(now, upstream.clone(), source);
         let first_sent_at = active.record_sent(now, endpoint.address);
+        let echo = self.interface.upstreams.expected_echo(&active.request);
         let is_never_retried = active.route.repeat == Repeat::Never;
         let outbound = Outbound {
             attempt,
@@ -58,14 +59,15 @@
             head: self.interface.upstreams.request_head(&active.request, &metadata),
             body: active.body.clone(),
             has_no_body: active.request.method == entry::Method::Head,
-            echo: self.interface.upstreams.expected_echo(&active.request),
             connect_deadline: now + CONNECT_TIMEOUT,
             deadline: None,
-            max_connection_idle: if is_never_retried {
-                MAX_IDLE_WITHOUT_RETRY
-            } else {
-                Duration::MAX / 4
+            max_connection_idle: match (is_never_retried, &echo) {
+                (false, _) => Duration::MAX / 4,
+                (true, Some(_)) => MAX_IDLE_WITHOUT_RETRY,
+                // Nothing tells its response from a late copy of another one.
+                (true, None) => Duration::ZERO,
             },
+            echo,
             first_sent_at,
             max_connections: connections,
         };
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -89,10 +89,14 @@
 
     fn receive_head(&mut self, cx: CX![], id: names::Request, status: u16, headers: Vec<Field>) {
         let now = cx.now();
-        let response = self.interface.upstreams.parse_response_head(status, &headers);
+        let upstreams = self.interface.upstreams.clone();
+        let response = upstreams.parse_response_head(status, &headers);
         let Some(active) = self.active(id) else {
             return;
         };
+        let is_refusal = response.is_wrong_upstream || response.has_not_run;
+        let echo = is_refusal.then(|| upstreams.expected_echo(&active.request)).flatten();
+        let names_request = echo.is_none_or(|echo| echo.is_in(&headers));
         let service = active.service.clone();
         let timeout = stall_timeout(active.route.objective, active.route.pause);
         let Some(running) = &mut active.running else {
@@ -106,10 +110,16 @@
         if let Some(report) = response.load {
             self.table.report(now, &upstream, report);
         }
+        if is_refusal && !names_request {
+            // The refusal may be a late copy of that of another request.
+            let reason = format!("the upstream answered {status} without the id of the request");
+            self.receive_failure(cx, id, Verdict::MayHaveRun, &reason);
+            return;
+        }
         if response.is_wrong_upstream {
             self.table.record_replaced(&upstream);
         }
-        if response.is_wrong_upstream || response.has_not_run {
+        if is_refusal {
             let running = self.discard(cx, id);
             let reason = format!("the upstream answered {status} and did not run the request");
             self.retry_or_finish(cx, id, running, Verdict::NotRun, &reason);
