Answer 502 to a booking whose refusal is not proved

What callers saw: a request that may not run twice was answered 503, 429 or 408, which promise that it did not run, although the upstream had run it.

Cause: a response of an upstream with one of these statuses and without the word that the request was not run went on to the caller unchanged. The upstream promises nothing by it, but the caller takes it for a promise and sends the request again.

The fix: the protocol of upstreams says which statuses callers take for a promise. If the refusal is not proved and the request may not run twice, the attempt counts as one that may have run: the caller gets 502 from the instance, without the mark of the upstream. Requests that may be repeated get the upstream's answer as before.

Not covered: in the product's own interface the verdict in a header tells callers whether a request ran, and a status of a service stands for itself.

--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -97,6 +97,7 @@
         let is_refusal = response.is_wrong_upstream || response.has_not_run;
         let echo = is_refusal.then(|| upstreams.expected_echo(&active.request)).flatten();
         let names_request = echo.is_none_or(|echo| echo.is_in(&headers));
+        let is_unproven_promise = response.promises_not_run && !active.route.repeat.is_idempotent();
         let service = active.service.clone();
         let timeout = stall_timeout(active.route.objective, active.route.pause);
         let Some(running) = &mut active.running else {
@@ -125,6 +126,12 @@
             self.retry_or_finish(cx, id, running, Verdict::NotRun, &reason);
             return;
         }
+        if is_unproven_promise {
+            // Callers would send the request again, and nothing proves that it did not run.
+            let reason = format!("the upstream answered {status}, which proves nothing");
+            self.receive_failure(cx, id, Verdict::MayHaveRun, &reason);
+            return;
+        }
         if status == Status::OK.0 {
             self.record_context_holder(now, id, &upstream);
         }
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -70,6 +70,8 @@
 pub struct ResponseMetadata {
     /// Whether the upstream reports that it did not run the request.
     pub has_not_run: bool,
+    /// Whether callers take the status for the promise that the request did not run.
+    pub promises_not_run: bool,
     /// Whether another upstream answered at the address.
     pub is_wrong_upstream: bool,
     /// Whether the upstream will close the connection, because it leaves or for another reason.
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -1,4 +1,5 @@
-//! Bookings at an upstream that sends an earlier refusal once more on a kept connection.
+//! Bookings at an upstream that sends an earlier refusal once more on a kept connection, or a
+//! status that callers take for a refusal after it has run the booking.
 
 #![allow(clippy::unwrap_used)]
 
@@ -37,6 +38,8 @@
     /// Refuses each booking once, and sends the refusal once more before the next answer on the
     /// connection.
     Repeat { status: u16, keeps_id: bool, delivery: Delivery },
+    /// Runs each booking and answers with a status that callers take for a refusal.
+    Unproven(u16),
 }
 
 struct State {
@@ -101,6 +104,10 @@
         let id = read_request(&mut reader)?;
         let mode = *state.mode.lock().unwrap();
         match (mode, earlier.take()) {
+            (Mode::Unproven(status), _) => {
+                state.runs.lock().unwrap().push(id.clone());
+                stream.write_all(answer(status, &id).as_bytes()).ok()?;
+            }
             (Mode::Repeat { delivery, .. }, Some(earlier)) => {
                 state.runs.lock().unwrap().push(id.clone());
                 let pieces = match delivery {
@@ -146,8 +153,7 @@
     fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let mode =
-            Mutex::new(Mode::Repeat { status: 503, keeps_id: true, delivery: Delivery::Whole });
+        let mode = Mutex::new(Mode::Unproven(200));
         let state = Arc::new(State { mode, refused: Mutex::default(), runs: Mutex::default() });
         let accepting = state.clone();
         std::thread::spawn(move || {
@@ -220,3 +226,15 @@
     assert_eq!(deployment.check_booking("other"), 200);
     assert_eq!(deployment.check_booking(""), 200);
 }
+
+/// Guards against a booking that ran and is answered as if it had not.
+#[test]
+fn a_status_without_proof_does_not_refuse_a_booking_that_ran() {
+    let deployment = Deployment::start();
+    for status in [503, 429, 408] {
+        *deployment.state.mode.lock().unwrap() = Mode::Unproven(status);
+        let id = format!("unproven-{status}");
+        assert_eq!(deployment.check_booking(&id), 502, "{id}");
+        assert_eq!(deployment.state.runs_of(&id), 1, "{id}");
+    }
+}
