Report not-run in the own interface only with the id of the attempt

What callers saw: the verdict not-run for a request that may be repeated and that the upstream had run, when the upstream wrote an earlier refusal once more on a kept connection and left out the attempt id.

Cause: a response without an attempt id counts for the attempt under way, since upstreams need not return the id, and a refusal among them gave the verdict not-run. Requests that may be repeated share kept connections, so such a refusal can be a late copy of that of another request.

The fix: where an attempt may use a connection that has carried other requests, a refusal without the id of the attempt counts as may-have-run.

--- a/crates/dispatch/src/adapter/mod.rs
+++ b/crates/dispatch/src/adapter/mod.rs
@@ -44,6 +44,11 @@
             || self.header("transfer-encoding").is_some_and(|value| value.contains("chunked"))
     }
 
+    /// Returns whether the response carries the id of `attempt`.
+    pub fn names_attempt(&self, attempt: Attempt) -> bool {
+        self.header(ATTEMPT_HEADER) == Some(&attempt.to_string())
+    }
+
     fn matches_attempt(&self, attempt: Attempt) -> bool {
         self.header(ATTEMPT_HEADER).is_none_or(|value| value == attempt.to_string())
     }
--- a/crates/instance/src/router/active_request.rs
+++ b/crates/instance/src/router/active_request.rs
@@ -90,7 +90,7 @@
         route: Route,
         reply: Fwd<Reply>,
     ) -> Self {
-        let response = UpstreamResponse::new(route.streams, route.adapter);
+        let response = UpstreamResponse::new(route.streams, route.is_idempotent, route.adapter);
         let is_first = route.claim_identity.is_none() || route.is_first;
         Self {
             id,
--- a/crates/instance/src/router/response.rs
+++ b/crates/instance/src/router/response.rs
@@ -28,6 +28,8 @@
 /// Converts the progress of successive attempts into one sequence of replies.
 pub(super) struct UpstreamResponse {
     streams: bool,
+    /// Whether an attempt may use a connection that has carried other requests.
+    reuses_connections: bool,
     adapter: &'static dyn Adapter,
     attempt: Attempt,
     phase: Phase,
@@ -62,10 +64,16 @@
 }
 
 impl UpstreamResponse {
-    /// Creates an empty response. `streams` tells whether the caller has requested a stream.
-    pub(super) fn new(streams: bool, adapter: &'static dyn Adapter) -> Self {
+    /// Creates an empty response. `streams` tells whether the caller has requested a stream,
+    /// `reuses_connections` whether attempts use connections that have carried other requests.
+    pub(super) fn new(
+        streams: bool,
+        reuses_connections: bool,
+        adapter: &'static dyn Adapter,
+    ) -> Self {
         Self {
             streams,
+            reuses_connections,
             adapter,
             attempt: Attempt(0),
             phase: Phase::Waiting,
@@ -110,6 +118,12 @@
         let offset = self.joiner.delivered();
         match self.adapter.check_head(self.attempt, offset, &head) {
             HeadOutcome::Accepted => self.accept(head),
+            HeadOutcome::Failed(Verdict::NotRun)
+                if self.reuses_connections && !head.names_attempt(self.attempt) =>
+            {
+                // The refusal may be a late copy of that of another request.
+                may_have_run(format!("it answered with status {} without attempt id", head.status))
+            }
             HeadOutcome::Failed(verdict) => {
                 attempt_failed(verdict, format!("it answered with status {}", head.status))
             }
