Pass on no response without the id of its request

What callers saw: the answer to another request, when an upstream sent an answer once more without its id on a kept connection, before the answer to the next request.

Cause: a response without an id counted for the request under way.

Evidence, before the change (tests/repeated_refusals.rs, a copy of an earlier answer of status 200 and of 404): assertion `left == right` failed; left: 200, right: 502 assertion `left == right` failed; left: 404, right: 502

The fix: where the request has an id, every response must carry it. Otherwise the attempt may have run: a request that may not run twice fails with 502, others are sent elsewhere. The protocol of upstreams asks that every response carries the id, so that nothing changes at upstreams that keep to it.

If one of its upstreams leaves the id out of a response of its own, that response is now replaced by 502; the event `failed` says 'without the id of the request'.

--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -95,7 +95,7 @@
             return;
         };
         let is_refusal = response.is_wrong_upstream || response.has_not_run;
-        let echo = is_refusal.then(|| upstreams.expected_echo(&active.request)).flatten();
+        let echo = upstreams.expected_echo(&active.request);
         let names_request = echo.is_none_or(|echo| echo.is_in(&headers));
         let is_unproven_promise = response.promises_not_run && !active.route.repeat.is_idempotent();
         let service = active.service.clone();
@@ -111,8 +111,8 @@
         if let Some(report) = response.load {
             self.table.report(now, &upstream, report);
         }
-        if is_refusal && !names_request {
-            // The refusal may be a late copy of that of another request.
+        if !names_request {
+            // The response may be a late copy of that to another request.
             let reason = format!("the upstream answered {status} without the id of the request");
             self.receive_failure(cx, id, Verdict::MayHaveRun, &reason);
             return;
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -40,6 +40,9 @@
     Repeat { status: u16, keeps_id: bool, delivery: Delivery },
     /// Runs each booking and answers with a status that callers take for a refusal.
     Unproven(u16),
+    /// Runs each booking, and sends the previous answer on the connection once more before the next
+    /// one, without an id.
+    Copy(u16),
 }
 
 struct State {
@@ -108,6 +111,12 @@
                 state.runs.lock().unwrap().push(id.clone());
                 stream.write_all(answer(status, &id).as_bytes()).ok()?;
             }
+            (Mode::Copy(status), copy) => {
+                state.runs.lock().unwrap().push(id.clone());
+                let own = answer(status, &id);
+                stream.write_all((copy.unwrap_or_default() + &own).as_bytes()).ok()?;
+                earlier = Some(own.replace(&format!("request-id: {id}\r\n"), ""));
+            }
             (Mode::Repeat { delivery, .. }, Some(earlier)) => {
                 state.runs.lock().unwrap().push(id.clone());
                 let pieces = match delivery {
@@ -238,3 +247,13 @@
         assert_eq!(deployment.state.runs_of(&id), 1, "{id}");
     }
 }
+
+/// Guards against an answer to another booking that reaches a caller.
+#[test_case(200; "success")]
+#[test_case(404; "failure")]
+fn a_late_answer_without_an_id_reaches_no_other_caller(status: u16) {
+    let deployment = Deployment::start();
+    *deployment.state.mode.lock().unwrap() = Mode::Copy(status);
+    assert_eq!(deployment.check_booking("first"), status);
+    assert_eq!(deployment.check_booking("second"), 502);
+}
