--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -100,6 +100,7 @@
             deadline,
             queue_until,
             tried: Vec::new(),
+            sent_to: Vec::new(),
             runs: 0,
             refusals: 0,
             running: None,
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -100,10 +100,15 @@
 
     fn receive_head(&mut self, cx: CX![], id: names::Request, status: u16, headers: Vec<Field>) {
         let now = cx.now();
-        let response = self.interface.upstreams.parse_response_head(status, &headers);
+        let upstreams = self.interface.upstreams.clone();
+        let response = upstreams.parse_response_head(status, &headers);
         let Some(active) = self.active(id) else {
             return;
         };
+        let is_refusal = response.is_wrong_upstream || response.has_not_run;
+        let echo = upstreams.expected_echo(&active.request);
+        let names_request = echo.is_none_or(|echo| echo.is_in(&headers));
+        let is_unproven_promise = response.promises_not_run && !active.route.repeat.is_idempotent();
         let service = active.service.clone();
         let timeout = stall_timeout(active.route.objective, active.route.pause);
         let Some(running) = &mut active.running else {
@@ -118,15 +123,27 @@
         if let Some(report) = response.load {
             self.table.report(now, &upstream, report);
         }
+        if !names_request {
+            // The response may be a late copy of that to another request.
+            let reason = format!("the upstream answered {status} without the id of the request");
+            self.receive_failure(cx, id, Verdict::MayHaveRun, &reason);
+            return;
+        }
         if response.is_wrong_upstream {
             self.table.record_replaced(&upstream);
         }
-        if response.is_wrong_upstream || response.has_not_run {
+        if is_refusal {
             let running = self.discard(cx, id);
             let reason = format!("the upstream answered {status} and did not run the request");
             self.retry_or_finish(cx, id, running, Verdict::NotRun, &reason);
             return;
         }
+        if is_unproven_promise {
+            // Callers would send the request again, and nothing proves that it did not run.
+            let reason = format!("the upstream answered {status}, which proves nothing");
+            self.receive_failure(cx, id, Verdict::MayHaveRun, &reason);
+            return;
+        }
         if status == Status::OK.0 {
             self.record_context_holder(now, id, &upstream);
         }
