Keep a silent attempt until another upstream has a permit

Callers of an idempotent request whose sound upstream paused for longer than a third of the time that was left got 503 no_upstream, 504 deadline or a cut stream, though the upstream would have gone on.

Cause: check_silence ended the running attempt as soon as the retry budget allowed another one, and only then asked for a permit. With no other upstream, or only a full one, the request was refused, waited at the full upstream until its deadline, or resumed at the same upstream from one pause to the next. The retry was taken from the budget for a try that came to nothing.

Change: the attempt goes on while a permit is sought, with the upstreams that were tried or are avoided left out. A permit moves the request only if the attempt is still silent then; the retry is taken at that moment. After progress the search is withdrawn or the permit returned. Without a permit the silence is checked again after another such time. Only a move, the deadline, the caller's leaving or a failure ends the attempt. The choice is dispatch::SilentAttempt::next_step. As before, the move counts as a failure of the upstream that was left, a started stream that got further moves on an exhausted budget, and a request that is not idempotent is not touched.

Evidence, on the former router, tests/silence.rs: 4 of the 7 cases failed: only upstream, "503 ... no_upstream" for 200, and the stream "Peer disconnected"; beside a full upstream, "504 ... deadline" for 200, and the stream cut. The three cases that move to an upstream with room passed before and pass now. The stand-in has a fault "pause:MILLIS" for this. With the change 7 of 7 pass.

Ruled out: a longer silence would only move the guess. To let both attempts run until the new one answers takes two slots and two states of one stream.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -49,15 +49,20 @@
 
     /// Takes one retry from the budget at `now`. Returns false if the budget is exhausted.
     pub fn take_retry(&mut self, now: Instant) -> bool {
+        let has_retry = self.has_retry(now);
+        if has_retry && self.allowance != RetryAllowance::Unbounded {
+            self.saved_units -= UNITS_PER_RETRY;
+        }
+        has_retry
+    }
+
+    /// Returns whether the budget allows a retry at `now`, without taking it.
+    pub fn has_retry(&mut self, now: Instant) -> bool {
         let RetryAllowance::Ratio { per_second, .. } = self.allowance else {
             return true;
         };
         self.refill(now, per_second);
-        if self.saved_units < UNITS_PER_RETRY {
-            return false;
-        }
-        self.saved_units -= UNITS_PER_RETRY;
-        true
+        self.saved_units >= UNITS_PER_RETRY
     }
 
     /// Returns the time from `now` until the budget allows a retry without new requests.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Client`] makes calls on the event loop and reports their [`Progress`]. A [`Call`] is converted
 //! to the [`Outbound`] request that the client sends. [`Verdict`] says whether a request may have
 //! run. [`FailedAttempt`] chooses the next action after a failed attempt within the
-//! [`RetryBudget`]. An [`Adapter`] implements one protocol of upstreams. A [`StreamJoiner`] joins
+//! [`RetryBudget`], and [`SilentAttempt`] the one for a silent attempt. An [`Adapter`] implements one protocol of upstreams. A [`StreamJoiner`] joins
 //! the streams of several attempts into one complete stream. [`OutlierDetector`] detects the
 //! upstreams to avoid.
 
@@ -13,6 +13,7 @@
 mod client;
 mod events;
 mod health;
+mod silence;
 mod step;
 mod stream_joiner;
 mod verdict;
@@ -25,6 +26,7 @@
 };
 pub use events::{Event as StreamEvent, EventSplitter};
 pub use health::{HealthChange, OutlierDetector};
+pub use silence::{SilenceAction, SilentAttempt};
 pub use step::{FailedAttempt, FailureAction};
 pub use stream_joiner::{StreamError, StreamJoiner};
 pub use verdict::Verdict;
--- a/crates/dispatch/src/step.rs
+++ b/crates/dispatch/src/step.rs
@@ -13,7 +13,7 @@
 /// Delay before the third attempt. The delay doubles with each further attempt.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 
-/// Shortest time without progress after which an attempt is abandoned.
+/// Shortest time without progress after which an attempt is silent.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Longest delay before an attempt.
@@ -56,18 +56,20 @@
     /// failed attempt delivered data to the caller. Otherwise the loss of one engine could exhaust
     /// the budget and abort the streams of all its callers.
     pub fn next_step(&self, now: Instant, budget: &mut RetryBudget) -> FailureAction {
-        let abandon =
-            if self.has_started { FailureAction::Truncate } else { FailureAction::Refuse };
-        let proceed = match self.has_started {
-            true if self.can_resume => FailureAction::Resume,
-            true => return FailureAction::Truncate,
-            false => FailureAction::Retry,
+        let (proceed, abandon) = match self.has_started {
+            true => (FailureAction::Resume, FailureAction::Truncate),
+            false => (FailureAction::Retry, FailureAction::Refuse),
         };
+        let is_affordable = |budget: &mut RetryBudget| self.has_progress || budget.take_retry(now);
+        if self.allows_another(now) && is_affordable(budget) { proceed } else { abandon }
+    }
+
+    /// Returns whether another attempt may follow at `now` if the budget allows it.
+    pub(crate) fn allows_another(&self, now: Instant) -> bool {
+        let can_continue = !self.has_started || self.can_resume;
         let is_safe = self.verdict.allows_retry(self.is_idempotent);
         let limit = if self.has_started { MAX_STREAM_ATTEMPTS } else { MAX_ATTEMPTS };
-        let is_within_limits = self.attempts < limit && now < self.deadline;
-        let is_affordable = |budget: &mut RetryBudget| self.has_progress || budget.take_retry(now);
-        if is_safe && is_within_limits && is_affordable(budget) { proceed } else { abandon }
+        can_continue && is_safe && self.attempts < limit && now < self.deadline
     }
 
     /// Returns the delay before the next attempt after `attempts` attempts. The second attempt
@@ -80,8 +82,8 @@
         }
     }
 
-    /// Returns the time at which an attempt without progress since `now` is abandoned for another
-    /// one: after a third of the time until `deadline`, but after at least one second.
+    /// Returns the time from which an attempt without progress since `now` is silent: after a third
+    /// of the time until `deadline`, but after at least one second.
     pub fn silence_deadline(now: Instant, deadline: Instant) -> Instant {
         let remaining = deadline.saturating_duration_since(now);
         now + (remaining / 3).max(MIN_SILENCE_TIMEOUT)
--- a/crates/instance/src/router/active_request.rs
+++ b/crates/instance/src/router/active_request.rs
@@ -24,6 +24,8 @@
     pub(super) parts: u32,
     /// Time at which the first part arrived.
     pub(super) first_part: Instant,
+    /// Whether a permit at another upstream is sought because the upstream is silent.
+    pub(super) is_seeking: bool,
 }
 
 /// Processing phase of a request.
@@ -68,7 +70,7 @@
 
 impl RunningAttempt {
     pub(super) fn new(attempt: Attempt, permit: Permit, now: Instant) -> Self {
-        Self { attempt, permit, last_progress: now, parts: 0, first_part: now }
+        Self { attempt, permit, last_progress: now, parts: 0, first_part: now, is_seeking: false }
     }
 
     /// Records the arrival of `progress`.
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -84,6 +84,8 @@
         if let Some(running) = active.running_attempt() {
             running.record_progress(&event.progress, now);
         }
+        self.end_search(cx, index);
+        let active = &mut self.active[index];
         let limit = self.settings.limits.body.as_bytes();
         match active.response.process(event.progress, limit) {
             ResponseStep::Nothing => {}
@@ -104,7 +106,7 @@
     }
 
     /// Records the outcome of an attempt in the health of its upstream.
-    fn record_outcome(&mut self, cx: CX![], index: usize, is_success: bool) {
+    pub(super) fn record_outcome(&mut self, cx: CX![], index: usize, is_success: bool) {
         let active = &self.active[index];
         let Phase::Calling(running) = &active.phase else {
             return;
@@ -188,8 +190,13 @@
     }
 
     fn next_step(&mut self, cx: CX![], index: usize, verdict: Verdict) -> FailureAction {
+        self.failed_attempt(index, verdict).next_step(cx.now(), &mut self.budget)
+    }
+
+    /// Returns the state of the request if its attempt has failed with `verdict`.
+    pub(super) fn failed_attempt(&self, index: usize, verdict: Verdict) -> FailedAttempt {
         let active = &self.active[index];
-        let failure = FailedAttempt {
+        FailedAttempt {
             verdict,
             is_idempotent: active.route.is_idempotent,
             attempts: active.attempts_without_progress,
@@ -197,8 +204,7 @@
             has_progress: active.has_started && active.attempts_without_progress == 0,
             can_resume: active.response.can_resume(),
             deadline: active.route.deadline,
-        };
-        failure.next_step(cx.now(), &mut self.budget)
+        }
     }
 
     fn perform_step(
@@ -250,28 +256,4 @@
         let (id, attempts) = (active.id, active.attempts);
         at!(cx.now() + FailedAttempt::backoff(attempts), [cx], place(id));
     }
-
-    /// Abandons an attempt without recent progress if another attempt is allowed.
-    fn check_silence(&mut self, cx: CX![], attempt: Attempt) {
-        let Some(index) = self.find_attempt(attempt) else {
-            return;
-        };
-        let deadline = self.active[index].route.deadline;
-        let Some(running) = self.active[index].running_attempt() else {
-            return;
-        };
-        let silence_deadline = FailedAttempt::silence_deadline(running.last_progress, deadline);
-        if cx.now() < silence_deadline {
-            at!(silence_deadline, [cx], check_silence(attempt));
-            return;
-        }
-        let verdict = Verdict::MayHaveRun;
-        match self.next_step(cx, index, verdict) {
-            FailureAction::Refuse | FailureAction::Truncate => {}
-            step => {
-                self.record_outcome(cx, index, false);
-                self.perform_step(cx, index, step, verdict, "it was silent for too long");
-            }
-        }
-    }
 }
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod idempotency;
 mod response;
 mod route;
+mod silence;
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -23,6 +23,9 @@
 /// Priority of requests without one; smaller values are more urgent.
 const DEFAULT_PRIORITY: u32 = 100;
 
+/// Number of words after which a response with [`Fault::Pause`] pauses.
+const WORDS_BEFORE_PAUSE: usize = 3;
+
 /// Number of bytes of a prompt that count as one token.
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -59,6 +62,7 @@
     /// Number of prompt blocks found in the cache.
     cached_blocks: usize,
     is_stream_started: bool,
+    has_paused: bool,
     /// Headers that tell the caller to which attempt the response belongs and at which word it
     /// starts.
     echoed_headers: Vec<Header>,
@@ -244,6 +248,7 @@
             produced_words: 0,
             cached_blocks: 0,
             is_stream_started: false,
+            has_paused: false,
             echoed_headers,
             fault: self.fault,
             reply,
@@ -290,6 +295,11 @@
                 self.fill_slots(cx);
                 return;
             }
+            Fault::Pause(millis) if job.produced_words == WORDS_BEFORE_PAUSE && !job.has_paused => {
+                job.has_paused = true;
+                after!(Duration::from_millis(u64::from(millis)), [cx], produce_word(id));
+                return;
+            }
             _ => {}
         }
         if job.prompt.stream {
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -27,6 +27,8 @@
     ExportCrossed,
     /// Processing takes this many times as long.
     Slow(u32),
+    /// Each response pauses once for this many milliseconds after its third word.
+    Pause(u32),
 }
 
 impl Fault {
@@ -43,7 +45,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error(
     "fault \"{0}\" is not none, error, refuse, hang, cut:WORDS, crossed, export-hang, export-cut, \
-         export-crossed or slow:FACTOR"
+         export-crossed, slow:FACTOR or pause:MILLIS"
 )]
 pub struct UnknownFault(String);
 
@@ -67,6 +69,7 @@
             "export-cut" => Ok(Self::ExportCut),
             "export-crossed" => Ok(Self::ExportCrossed),
             "slow" => Ok(Self::Slow(number.max(1))),
+            "pause" => Ok(Self::Pause(number)),
             _ => Err(unknown()),
         }
     }
