Let a request that left a silent upstream return to it

Callers whose request moved from an upstream that was only silent to another one got 503 no_upstream when that one refused the request, and a cut stream when it did not resume, though the upstream that was left would have answered.

Cause: the upstream that was left counted as tried, as after a failure, so no upstream remained; and one upstream that did not resume a stream ended all further attempts.

Change: a request remembers the upstreams that it left only because they were silent. When no other upstream can take it, these may be chosen again, once for each time it left, and while there is one, a stream that was not resumed goes on. Attempts and budget are counted as after any failure, so the return is bounded as before. A stream is resumed only by adapters that can resume.

The stand-in has a fault "restart" (streams from the beginning) for this.

Not changed: a return on an exhausted budget, and to an upstream that has filled up meanwhile, is refused as after a failure.

--- a/crates/instance/src/router/active_request.rs
+++ b/crates/instance/src/router/active_request.rs
@@ -51,6 +51,8 @@
     pub(super) phase: Phase,
     pub(super) response: UpstreamResponse,
     pub(super) tried: Vec<Upstream>,
+    /// Upstreams that the request left only because they were silent.
+    pub(super) left: Vec<Upstream>,
     pub(super) attempts: usize,
     /// Number of attempts since the caller last received data.
     pub(super) attempts_without_progress: usize,
@@ -102,6 +104,7 @@
             phase: Phase::Placing,
             response,
             tried: Vec::new(),
+            left: Vec::new(),
             attempts: 0,
             attempts_without_progress: 0,
             avoids_unhealthy: true,
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -202,7 +202,7 @@
             attempts: active.attempts_without_progress,
             has_started: active.has_started,
             has_progress: active.has_started && active.attempts_without_progress == 0,
-            can_resume: active.response.can_resume(),
+            can_resume: active.response.can_resume(!active.left.is_empty()),
             deadline: active.route.deadline,
         }
     }
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -241,13 +241,18 @@
     }
 
     /// Handles a request that no upstream can take: first retries with unhealthy upstreams
-    /// included. After that, a started stream waits for an upstream and any other request is
-    /// refused.
+    /// included, then with those that it left because they were silent. After that, a started
+    /// stream waits for an upstream and any other request is refused.
     fn handle_not_placed(&mut self, cx: CX![], index: usize, problem: Problem) {
         let active = &mut self.active[index];
         if std::mem::replace(&mut active.avoids_unhealthy, false) {
             let id = active.id;
             self.place(cx, id);
+        } else if !active.left.is_empty() {
+            let left = std::mem::take(&mut active.left);
+            active.tried.retain(|upstream| !left.contains(upstream));
+            let id = active.id;
+            self.place(cx, id);
         } else if active.has_started {
             active.tried.clear();
             active.attempts += 1;
--- a/crates/instance/src/router/response.rs
+++ b/crates/instance/src/router/response.rs
@@ -34,7 +34,8 @@
     joiner: StreamJoiner,
     /// Whether the caller has received the head of the stream.
     has_started: bool,
-    can_resume: bool,
+    /// Whether every upstream so far has resumed the stream.
+    is_resumed: bool,
 }
 
 fn forwarded_headers(fields: Vec<Field>) -> Vec<Header> {
@@ -71,7 +72,7 @@
             phase: Phase::Waiting,
             joiner: StreamJoiner::default(),
             has_started: false,
-            can_resume: adapter.can_resume(),
+            is_resumed: true,
         }
     }
 
@@ -85,9 +86,10 @@
         self.joiner.delivered()
     }
 
-    /// Returns whether another attempt can resume the stream where this attempt stopped.
-    pub(super) fn can_resume(&self) -> bool {
-        self.can_resume
+    /// Returns whether another attempt can resume the stream where this attempt stopped. After an
+    /// upstream that did not resume it, only one that the request left before can.
+    pub(super) fn can_resume(&self, can_return: bool) -> bool {
+        self.adapter.can_resume() && (self.is_resumed || can_return)
     }
 
     /// Processes the next progress of the attempt. A body that is not streamed may have at most
@@ -115,7 +117,7 @@
             }
             HeadOutcome::WrongAttempt => may_have_run("it sent the answer to another attempt"),
             HeadOutcome::NotResumed => {
-                self.can_resume = false;
+                self.is_resumed = false;
                 may_have_run("it did not resume the stream")
             }
         }
--- a/crates/instance/src/router/silence.rs
+++ b/crates/instance/src/router/silence.rs
@@ -105,6 +105,7 @@
         if let Phase::Calling(running) = &active.phase {
             let (from, to) = (&running.permit.upstream, &permit.upstream);
             log::debug!("request {}: upstream {from} is silent; moving to {to}", active.id);
+            active.left.push(from.clone());
         }
         self.metrics.count_refused(if has_started { "resume" } else { "retry" });
         call!([self.placer], withdraw(active.id));
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -231,6 +231,7 @@
         };
         let priority = request.header("x-priority").and_then(|value| value.parse().ok());
         let resume_offset = request.header("x-resume-offset").and_then(|value| value.parse().ok());
+        let resume_offset = resume_offset.filter(|_| self.fault != Fault::Restart);
         let fault = match self.fault {
             Fault::ExportCrossed => Fault::None,
             fault => fault,
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -29,6 +29,8 @@
     Slow(u32),
     /// Each response pauses once for this many milliseconds after its third word.
     Pause(u32),
+    /// Streams start from the beginning, whatever the requested offset is.
+    Restart,
 }
 
 impl Fault {
@@ -45,7 +47,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error(
     "fault \"{0}\" is not none, error, refuse, hang, cut:WORDS, crossed, export-hang, export-cut, \
-         export-crossed, slow:FACTOR or pause:MILLIS"
+         export-crossed, slow:FACTOR, pause:MILLIS or restart"
 )]
 pub struct UnknownFault(String);
 
@@ -69,6 +71,7 @@
             "export-cut" => Ok(Self::ExportCut),
             "export-crossed" => Ok(Self::ExportCrossed),
             "slow" => Ok(Self::Slow(number.max(1))),
+            "restart" => Ok(Self::Restart),
             "pause" => Ok(Self::Pause(number)),
             _ => Err(unknown()),
         }
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -142,3 +142,17 @@
     wait_for("cancellation", || (statistic(pausing, "cancelled") == 1).then_some(()));
     wait_until_no_permit_is_in_use(&fleet);
 }
+
+#[test_case("refuse", false; "refuses the request")]
+#[test_case("restart", true; "does not resume the stream")]
+fn a_request_that_moved_returns_when_the_other_upstream_fails(fault: &str, streams: bool) {
+    let mut fleet = start_fleet();
+    let pausing = add_engine(&mut fleet, "engine-1", "8");
+    set_fault(pausing, PAUSE);
+    let request = send(&fleet, "returns", streams);
+    wait_for_running_request(pausing);
+    let failing = add_engine(&mut fleet, "engine-2", "8");
+    set_fault(failing, fault);
+    check_is_whole(&request.join().unwrap(), "returns", streams);
+    assert_eq!(statistic(failing, "taken"), 1);
+}
