Repeat a refusal only to requests that may use no other upstreams

Callers could get 429 overloaded for up to a second, without any owner being asked, while an upstream that could take their request had room.

Cause: an instance keeps the refusal of an owner and repeats it to similar requests of the same account, kind of work and pool. The refusal of a request that leaves upstreams out, since it was tried there, they are avoided, or it still runs there and only seeks another one, was repeated to requests that may use these. It says nothing about them.

Change: the kept refusal names the upstreams that the refused request left out. It is repeated only to requests that leave out at least these.

Evidence: crates/permit/tests/refusals.rs, before: "assertion left == right failed: upstream 1 may serve it, left: 2, right: 3", the owner was not asked. One request as a probe and the lifetime of a second are as before.

Suspected only, not seen in a run of the fleet.

--- a/crates/permit/src/refusals.rs
+++ b/crates/permit/src/refusals.rs
@@ -1,14 +1,14 @@
 //! Cache of refusals, which lets an instance refuse similar requests without asking an owner.
 //!
 //! An owner that refuses a request says when to retry. Until then, the instance itself refuses
-//! requests of the same account, kind of work and pool that cost at least as much and have no
-//! more time left. One request is let through as a probe, to find out whether the owners still
-//! refuse.
+//! requests of the same account, kind of work and pool that cost at least as much, have no more
+//! time left, and may use no other upstreams of the pool. One request is let through as a probe, to
+//! find out whether the owners still refuse.
 
 use std::time::{Duration, Instant};
 
 use admission::Tokens;
-use names::{ClientAccount, Kind};
+use names::{ClientAccount, Kind, Upstream};
 
 use crate::{PlacementRequest, Pool};
 
@@ -20,6 +20,8 @@
     pool: Pool,
     account: ClientAccount,
     kind: Kind,
+    /// Upstreams that the refused requests left out.
+    excluded: Vec<Upstream>,
     /// Lowest cost that was refused.
     cost: Tokens,
     /// Longest time to its deadline that a refused request had.
@@ -34,6 +36,19 @@
             && self.kind == placement_request.kind
             && self.pool == Pool::from(placement_request.target.clone())
     }
+
+    /// Returns whether the owners are expected to refuse `placement_request`, too.
+    fn covers(&self, now: Instant, placement_request: &PlacementRequest) -> bool {
+        let time_budget = placement_request.deadline.saturating_duration_since(now);
+        self.matches(placement_request)
+            && is_subset(&self.excluded, &placement_request.excluded)
+            && placement_request.cost >= self.cost
+            && time_budget <= self.time_budget
+    }
+}
+
+fn is_subset(part: &[Upstream], all: &[Upstream]) -> bool {
+    part.iter().all(|upstream| all.contains(upstream))
 }
 
 /// Refusals that have not expired.
@@ -53,11 +68,7 @@
     ) -> Option<Duration> {
         self.refusals.retain(|refusal| refusal.expires_at > now);
         let refusal =
-            self.refusals.iter_mut().find(|refusal| refusal.matches(placement_request))?;
-        let time_budget = placement_request.deadline.saturating_duration_since(now);
-        if placement_request.cost < refusal.cost || time_budget > refusal.time_budget {
-            return None;
-        }
+            self.refusals.iter_mut().find(|refusal| refusal.covers(now, placement_request))?;
         let is_probe = !std::mem::replace(&mut refusal.is_probed, true);
         (!is_probe).then(|| refusal.expires_at - now)
     }
@@ -72,7 +83,13 @@
         retry_after: Duration,
     ) {
         let expires_at = now + retry_after.min(MAX_REFUSAL_AGE);
-        match self.refusals.iter_mut().find(|refusal| refusal.matches(placement_request)) {
+        let excluded = &placement_request.excluded;
+        let is_same = |refusal: &&mut CachedRefusal| {
+            refusal.matches(placement_request)
+                && is_subset(&refusal.excluded, excluded)
+                && is_subset(excluded, &refusal.excluded)
+        };
+        match self.refusals.iter_mut().find(is_same) {
             Some(refusal) => {
                 refusal.cost = refusal.cost.min(placement_request.cost);
                 refusal.time_budget = refusal.time_budget.max(time_budget);
@@ -82,6 +99,7 @@
                 pool: Pool::from(placement_request.target.clone()),
                 account: placement_request.account.clone(),
                 kind: placement_request.kind.clone(),
+                excluded: excluded.clone(),
                 cost: placement_request.cost,
                 time_budget,
                 expires_at,
--- a/crates/permit/tests/refusals.rs
+++ b/crates/permit/tests/refusals.rs
@@ -12,7 +12,7 @@
 use declare::Rank;
 use permit::{Action, Context, Node, PlacementOutcome, PlacementRequest};
 use placement::{LoadBound, Rendezvous};
-use simulation::records::{instance, placement_request, record};
+use simulation::records::{instance, placement_request, record, upstream_name};
 use upstream::Registry;
 
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -49,7 +49,7 @@
     }
 }
 
-/// A single instance that owns one upstream.
+/// A single instance that owns all upstreams.
 struct SingleNode {
     node: Node,
     registry: Registry,
@@ -60,6 +60,10 @@
 
 impl SingleNode {
     fn new() -> Self {
+        Self::with_upstreams(1)
+    }
+
+    fn with_upstreams(count: usize) -> Self {
         let start = Instant::now();
         let submissions = Rc::new(Cell::new(0));
         let counter = submissions.clone();
@@ -68,7 +72,9 @@
         let policy = Box::new(Rendezvous);
         let mut node = Node::new(start, instance(0), LoadBound::default(), policy, create_queue, 1);
         let mut registry = Registry::default();
-        registry.merge(start, record(0, 1, false, false));
+        for number in 0..count {
+            registry.merge(start, record(number, 1, false, false));
+        }
         node.refresh(Context { now: start, registry: &registry });
         Self { node, registry, submissions, start, requests: 0 }
     }
@@ -121,3 +127,18 @@
     single.place(8, |request| request.deadline += Duration::from_secs(1));
     assert_eq!(single.submissions.get(), submissions + 4);
 }
+
+#[test]
+fn a_refusal_counts_only_for_requests_that_exclude_the_same_upstreams() {
+    let mut single = SingleNode::with_upstreams(3);
+    for millis in 0..4 {
+        single.place(millis, |request| request.excluded = vec![upstream_name(1)]);
+    }
+    let submissions = single.submissions.get();
+    single.place(5, |request| request.excluded = vec![upstream_name(0), upstream_name(1)]);
+    assert_eq!(single.submissions.get(), submissions, "no further upstream may serve it");
+    single.place(6, |request| request.excluded = vec![upstream_name(2)]);
+    assert_eq!(single.submissions.get(), submissions + 1, "upstream 1 may serve it");
+    single.place(7, |_| ());
+    assert_eq!(single.submissions.get(), submissions + 2, "upstream 1 may serve it");
+}
