Test that permits that come too late for a move are returned

Forty streams pause for about as long as a silence, so that their upstream goes on at about the moment at which another one grants a permit. All are whole, and no permit stays in use.

--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -156,3 +156,22 @@
     check_is_whole(&request.join().unwrap(), "returns", streams);
     assert_eq!(statistic(failing, "taken"), 1);
 }
+
+#[test]
+fn permits_that_come_as_the_upstream_goes_on_are_returned() {
+    let mut fleet = start_fleet();
+    let pausing = add_engine(&mut fleet, "engine-1", "64");
+    let start = |number: u64| {
+        set_fault(pausing, &format!("pause:{}", 1960 + number));
+        let text = format!("goes on {number}");
+        (send(&fleet, &text, true), text)
+    };
+    let requests: Vec<_> = (0..40).map(start).collect();
+    add_engine(&mut fleet, "engine-2", "64");
+    for (request, text) in requests {
+        check_is_whole(&request.join().unwrap(), &text, true);
+    }
+    let moved = statistic(pausing, "cancelled");
+    println!("{moved} of 40 requests moved");
+    wait_until_no_permit_is_in_use(&fleet);
+}
