--- a/crates/instance/src/router/active_request.rs
+++ b/crates/instance/src/router/active_request.rs
@@ -24,6 +24,8 @@
     pub(super) parts: u32,
     /// Time at which the first part arrived.
     pub(super) first_part: Instant,
+    /// Whether a permit at another upstream is sought because the upstream is silent.
+    pub(super) is_seeking: bool,
 }
 
 /// Processing phase of a request.
@@ -49,6 +51,8 @@
     pub(super) phase: Phase,
     pub(super) response: UpstreamResponse,
     pub(super) tried: Vec<Upstream>,
+    /// Upstreams that the request left only because they were silent.
+    pub(super) left: Vec<Upstream>,
     pub(super) attempts: usize,
     /// Number of attempts since the caller last received data.
     pub(super) attempts_without_progress: usize,
@@ -68,7 +72,7 @@
 
 impl RunningAttempt {
     pub(super) fn new(attempt: Attempt, permit: Permit, now: Instant) -> Self {
-        Self { attempt, permit, last_progress: now, parts: 0, first_part: now }
+        Self { attempt, permit, last_progress: now, parts: 0, first_part: now, is_seeking: false }
     }
 
     /// Records the arrival of `progress`.
@@ -100,6 +104,7 @@
             phase: Phase::Placing,
             response,
             tried: Vec::new(),
+            left: Vec::new(),
             attempts: 0,
             attempts_without_progress: 0,
             avoids_unhealthy: true,
