Send nothing new to an upstream whose answer says that it leaves

Callers saw requests that were sent to a leaving upstream for as long as the control instances had no announcement of its leave: some were refused there and repeated, and others were broken off when the process ended.

Cause: an upstream that leaves says so in all its answers with the header `Server-Leaving: 1`, and the instance did not read it. It knew of a leave only from announcements, which may be seconds late or never come.

Fix: the head of every answer is read for the header, also where the answer is a refusal that is not forwarded. `forward::Cordons` remembers the run of the upstream (name and `born`), not the entry of the table, so that a late announcement or a list without the upstream does not lift the cordon, and a new run is not affected. Such an upstream is no candidate, so that no fallback to tried or avoided upstreams can choose it, and it does not count as ready. A request whose load tracker answered after the cordon was put up gives its reservation back and is placed anew.

A cordon must not break what runs: an attempt without an answer is given up, and a failure repeated, only if an upstream takes new requests. Without this, the caller of a request at the last upstream got 502 of the instance for the upstream's own 500 (test a_request_at_the_last_upstream).

An answer with status 421 comes from another upstream at the address, so its header is not taken as that of the addressee. Other instances are not told: each learns it from its own answers or from the announcement.

Ruled out: to mark the entry of the table as `is_replaced` does. The mark is dropped with the next announcement and when the list changes.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,7 @@
 //! - In a large fleet a [`TrackerSearch`] asks the load trackers of upstreams. A load tracker is an
 //!   instance that counts the requests at an upstream in a [`LoadCounter`] and averages its latency
 //!   in [`Latencies`].
+//! - [`Cordons`] remember the upstreams that want no new requests.
 //! - [`find_context_source()`] names an engine that has a context in its cache.
 //! - A [`WaitQueue`] is the queue of requests that wait for an upstream.
 //! - [`FailedAttempt`] decides what follows a failed attempt, and [`RetryWindow`] limits retries.
@@ -16,6 +17,7 @@
 
 mod candidate;
 mod context_source;
+mod cordon;
 mod latency;
 mod load_counter;
 mod load_estimate;
@@ -30,6 +32,7 @@
 
 pub use candidate::{Candidate, slow_start_share};
 pub use context_source::{ContextHolders, ContextSource, find_context_source};
+pub use cordon::Cordons;
 pub use latency::{LATENCY_SAMPLE_EVENTS, Latencies};
 pub use load_counter::{COUNT_REPORT_INTERVAL, LoadCounter, MeanInFlight};
 pub use load_estimate::{LoadEstimate, Report, mean_load};
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -18,6 +18,8 @@
 pub(super) struct RunningAttempt {
     pub(super) attempt: Attempt,
     pub(super) upstream: Upstream,
+    /// Start of the run of the upstream.
+    pub(super) born: u64,
     pub(super) started_at: Instant,
     /// Number of prompt tokens that the upstream probably has to process.
     pub(super) tokens: f64,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -40,6 +40,13 @@
             self.place(cx, id);
             return;
         };
+        if self.table.is_cordoned(upstream) {
+            // The upstream has asked for no new requests since it was chosen.
+            let tokens = self.requests[index].own_tokens();
+            self.release(now, upstream, tokens);
+            self.place(cx, id);
+            return;
+        }
         let catalogue = self.catalogue.as_ref();
         let service = catalogue
             .and_then(|catalogue| catalogue.service(&self.requests[index].service))
@@ -98,6 +105,7 @@
         active.running = Some(RunningAttempt {
             attempt,
             upstream: upstream.clone(),
+            born: endpoint.born,
             started_at: now,
             tokens: active.own_tokens(),
             has_head: false,
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -220,7 +220,6 @@
         for address in self.table.update(cx.now(), &list) {
             call!([self.client], close_idle(address));
         }
-        self.metrics.available_upstreams.set(i64::try_from(self.table.ready()).unwrap_or(i64::MAX));
         self.check_ready();
         self.serve_queues(cx);
     }
@@ -232,6 +231,7 @@
 
     fn check_ready(&mut self) {
         let upstreams = self.table.ready();
+        self.metrics.available_upstreams.set(i64::try_from(upstreams).unwrap_or(i64::MAX));
         let is_ready = self.catalogue.is_some() && upstreams > 0;
         if is_ready != self.is_ready {
             self.is_ready = is_ready;
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -101,13 +101,15 @@
         running.has_head = true;
         running.event_due = Some(now + timeout);
         running.status = status;
-        let (upstream, tokens) = (running.upstream.clone(), running.tokens);
+        let (upstream, born, tokens) = (running.upstream.clone(), running.born, running.tokens);
         self.table.remove_tokens(&upstream, tokens);
         if let Some(report) = response.load {
             self.table.report(now, &upstream, report);
         }
         if response.is_wrong_upstream {
             self.table.record_replaced(&upstream);
+        } else if response.is_leaving && self.table.record_leaving(now, &upstream, born) {
+            self.check_ready();
         }
         if response.is_wrong_upstream || response.has_not_run {
             let running = self.discard(cx, id);
@@ -120,7 +122,7 @@
         }
         if status >= 500 {
             self.table.record_failure(now, &service, &upstream, false);
-            if self.take_retry(cx, id) {
+            if self.table.has_ready(&service) && self.take_retry(cx, id) {
                 if let Some(running) = self.discard(cx, id) {
                     let reason = format!("the upstream answered {status}");
                     self.log_failed_attempt(
--- a/crates/relay/src/forwarder/stalls.rs
+++ b/crates/relay/src/forwarder/stalls.rs
@@ -67,6 +67,9 @@
         let (now, service) = (cx.now(), active.service.clone());
         let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun);
         failed_attempt.runs += 1;
+        if !self.table.has_ready(&service) {
+            return;
+        }
         let (entry_count, allowance) = (self.entry_count, self.allowance);
         let retry_window = &mut self.traffic(&service).retry_window;
         if failed_attempt.next(|| retry_window.take(now, allowance, entry_count))
--- a/crates/relay/src/forwarder/tracker_queries.rs
+++ b/crates/relay/src/forwarder/tracker_queries.rs
@@ -361,7 +361,7 @@
         }
     }
 
-    fn release(&mut self, now: Instant, upstream: &Upstream, tokens: f64) {
+    pub(super) fn release(&mut self, now: Instant, upstream: &Upstream, tokens: f64) {
         self.table.remove_tokens(upstream, tokens);
         self.table.end_request(upstream);
         self.report_count(now, upstream);
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -1,5 +1,6 @@
 //! Table of the upstreams that the forwarder knows, with their loads and failures.
 
+mod cordons;
 mod request_counts;
 
 use std::net::SocketAddr;
@@ -7,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use dispatch::OutlierDetector;
-use forward::{Candidate, ContextSource, Load, LoadEstimate, LoadGossip, Report};
+use forward::{Candidate, ContextSource, Cordons, Load, LoadEstimate, LoadGossip, Report};
 use names::{DataCentre, Service, Upstream};
 use roster::{Announcement, Status, short_hash};
 use telemetry::Metrics;
@@ -76,11 +77,15 @@
     links: Vec<DataCentreLink>,
     metrics: Arc<Metrics>,
     gossip: LoadGossip,
+    /// Upstreams that want no new requests.
+    cordons: Cordons,
 }
 
 /// Address of an upstream, and time of its last announcement.
 pub(super) struct Endpoint {
     pub(super) address: SocketAddr,
+    /// Start of the run of the upstream.
+    pub(super) born: u64,
     /// Time of the last announcement.
     pub(super) last_heard: Instant,
 }
@@ -103,6 +108,7 @@
             links,
             metrics,
             gossip: LoadGossip::default(),
+            cordons: Cordons::default(),
         }
     }
 
@@ -138,6 +144,11 @@
             };
             self.entries.push(entry);
         }
+        let entries = &self.entries;
+        self.cordons.forget_unlisted(now, |upstream, born| {
+            let mut listed = entries.iter().map(|entry| &entry.announcement);
+            listed.any(|listed| listed.upstream == *upstream && listed.born == born)
+        });
         let is_used = |address: &SocketAddr| {
             self.entries.iter().any(|entry| entry.announcement.address == *address)
         };
@@ -150,7 +161,7 @@
 
     /// Returns the number of upstreams that may get new requests.
     pub(super) fn ready(&self) -> usize {
-        self.entries.iter().filter(|entry| entry.is_ready()).count()
+        self.entries.iter().filter(|entry| self.is_ready(entry)).count()
     }
 
     /// Returns the upstreams of `service` that may get new requests. Those in `tried` are omitted
@@ -164,7 +175,7 @@
     ) -> Vec<Candidate> {
         let avoided = self.health.avoided_upstreams(service, now);
         let of_service = |entry: &&TableEntry| entry.announcement.service == *service;
-        let ready = self.entries.iter().filter(of_service).filter(|entry| entry.is_ready());
+        let ready = self.entries.iter().filter(of_service).filter(|entry| self.is_ready(entry));
         let prior = forward::mean_load(ready.clone().map(|entry| &entry.estimate), now);
         let is_large_fleet = forward::is_large_fleet(instances as usize);
         let candidates = ready.map(|entry| {
@@ -228,6 +239,7 @@
         let found = self.entries.iter().find(|entry| entry.announcement.upstream == *upstream);
         found.map(|entry| Endpoint {
             address: entry.announcement.address,
+            born: entry.announcement.born,
             last_heard: entry.last_heard,
         })
     }
@@ -427,8 +439,4 @@
     fn is_quiet(&self, now: Instant, duration: Duration) -> bool {
         self.quiet_since.is_some_and(|since| now > since + duration)
     }
-
-    fn is_ready(&self) -> bool {
-        self.announcement.standing == Status::Ready && !self.is_replaced
-    }
 }
--- a/crates/relay/src/forwarder/upstreams/request_counts.rs
+++ b/crates/relay/src/forwarder/upstreams/request_counts.rs
@@ -63,7 +63,7 @@
         let service_entries =
             self.entries.iter().filter(|entry| entry.announcement.service == *service);
         service_entries
-            .filter(|entry| entry.is_ready())
+            .filter(|entry| self.is_ready(entry))
             .map(|entry| entry.announcement.slots.max(1))
             .sum()
     }
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -74,6 +74,8 @@
     pub is_wrong_upstream: bool,
     /// Whether the upstream will close the connection, because it leaves or for another reason.
     pub closes_connection: bool,
+    /// Whether the upstream leaves, and wants no new requests.
+    pub is_leaving: bool,
     /// Load that the upstream reports.
     pub load: Option<Report>,
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -131,7 +131,7 @@
         upstream: String,
         /// Service that the upstream provides.
         service: String,
-        /// Reason: `failures`, `unreachable`, `slow` or `replaced`.
+        /// Reason: `failures`, `unreachable`, `slow`, `replaced` or `leaving`.
         reason: &'static str,
         /// Number of requests of this instance in flight at the upstream.
         own: u32,
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
@@ -71,6 +71,10 @@
     service: String,
     address: SocketAddr,
     behaviour: Mutex<Behaviour>,
+    /// Header lines that are added to every answer.
+    extra_headers: Mutex<String>,
+    /// Times at which requests arrived, including those that were refused.
+    arrivals: Mutex<Vec<Instant>>,
     announced_state: Mutex<&'static str>,
     executed_requests: Mutex<Vec<ExecutedRequest>>,
     sequence: AtomicU64,
@@ -109,6 +113,8 @@
             service: service.to_string(),
             address,
             behaviour: Mutex::new(Behaviour::Answer),
+            extra_headers: Mutex::default(),
+            arrivals: Mutex::default(),
             announced_state: Mutex::new("ready"),
             executed_requests: Mutex::default(),
             sequence: AtomicU64::new(0),
@@ -133,6 +139,17 @@
         *self.shared.behaviour.lock().unwrap() = behaviour;
     }
 
+    /// Sets the headers that the upstream adds to every answer from now on.
+    pub fn set_extra_headers(&self, headers: &[(&str, &str)]) {
+        let lines = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+        *self.shared.extra_headers.lock().unwrap() = lines.collect();
+    }
+
+    /// Returns the times at which requests arrived, including those that were refused.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.shared.arrivals.lock().unwrap().clone()
+    }
+
     /// Returns all requests that the upstream has executed.
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
         self.shared.executed_requests.lock().unwrap().clone()
@@ -244,20 +261,22 @@
 fn respond(shared: &WorkerState, request: &Request, writer: &mut TcpStream) -> std::io::Result<()> {
     let id = request.headers.get("request-id").cloned().unwrap_or_default();
     let behaviour = *shared.behaviour.lock().unwrap();
+    let extra_headers = shared.extra_headers.lock().unwrap().clone();
+    shared.arrivals.lock().unwrap().push(Instant::now());
     let is_addressee =
         request.headers.get("expect-instance").is_none_or(|name| *name == shared.name);
     if behaviour == Behaviour::Misdirect || !is_addressee {
         return write!(
             writer,
             "HTTP/1.1 421 Misdirected Request\r\nrequest-id: {id}\r\n\
-             instance-id: i-other\r\ncontent-length: 0\r\n\r\n"
+             instance-id: i-other\r\n{extra_headers}content-length: 0\r\n\r\n"
         );
     }
     if behaviour == Behaviour::Refuse {
         return write!(
             writer,
             "HTTP/1.1 503 Service Unavailable\r\nrequest-id: {id}\r\nnot-executed: 1\r\n\
-             content-length: 0\r\n\r\n"
+             {extra_headers}content-length: 0\r\n\r\n"
         );
     }
     shared.executed_requests.lock().unwrap().push(ExecutedRequest {
@@ -279,16 +298,18 @@
         Behaviour::Fail => write!(
             writer,
             "HTTP/1.1 500 Internal Server Error\r\nrequest-id: {id}\r\n\
-             server-stamp: {}\r\ncontent-length: 4\r\n\r\noops",
+             server-stamp: {}\r\n{extra_headers}content-length: 4\r\n\r\noops",
             shared.name
         ),
-        _ if shared.service == "engines" => send_events(shared, request, &id, behaviour, writer),
+        _ if shared.service == "engines" => {
+            send_events(shared, request, &extra_headers, behaviour, writer)
+        }
         _ => {
             let body = format!("{} ran {}", shared.name, request.path);
             write!(
                 writer,
                 "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-stamp: {}\r\n\
-                 server-load: 1,0,8\r\ncontent-length: {}\r\n\r\n{body}",
+                 server-load: 1,0,8\r\n{extra_headers}content-length: {}\r\n\r\n{body}",
                 shared.name,
                 body.len()
             )
@@ -310,14 +331,15 @@
 fn send_events(
     shared: &WorkerState,
     request: &Request,
-    request_id: &str,
+    extra_headers: &str,
     behaviour: Behaviour,
     writer: &mut TcpStream,
 ) -> std::io::Result<()> {
+    let request_id = request.headers.get("request-id").map_or("", String::as_str);
     write!(
         writer,
         "HTTP/1.1 200 OK\r\nrequest-id: {request_id}\r\nserver-stamp: {}\r\n\
-         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+         content-type: text/event-stream\r\n{extra_headers}transfer-encoding: chunked\r\n\r\n",
         shared.name
     )?;
     let last_event: usize =
