Send nothing to an upstream that asked to wait until that time is over

Callers saw requests that were sent again and again to an upstream that had refused with 503 and `Retry-After`, until the attempts of the request or the budget for retries were used up: bookings that another upstream would have run at once were refused. Where the upstream was the only one, the upstream got several attempts of each request, and callers were not told when it would take requests again.

Cause: the instance did not read `Retry-After` in responses.

Fix: a 503 with a valid `Retry-After` puts up a cordon with a deadline on the run of the upstream. An upstream is no candidate before its deadline, so that no first attempt, retry, resumption or fallback reaches it. A success or a shorter time does not end the pause sooner. An attempt without an answer is not given up, and a failure not repeated, while no upstream is open.

While all upstreams of a service pause, a request that can wait until the first pause ends is queued and then served; any other one, also a queued one, is refused at once with the code `asked_to_wait` and the time until that end, or a third of its time left, which is as long as callers wait. The instance stays ready during a pause.

Ruled out: `is_avoided` of a candidate, which the policies ignore if all candidates are avoided.

--- a/crates/forward/src/cordon.rs
+++ b/crates/forward/src/cordon.rs
@@ -8,11 +8,20 @@
 /// may list it again, some seconds after it has left.
 const RETENTION: Duration = Duration::from_secs(600);
 
+/// Why an upstream wants no new requests, and until when that is remembered.
+#[derive(Debug, Clone, Copy)]
+enum Cordon {
+    /// The upstream leaves. The deadline is put off while the upstream is listed.
+    Leaving { forget_at: Instant },
+    /// The upstream asked for no requests for a time.
+    Paused { until: Instant },
+}
+
 #[derive(Debug, Clone)]
 struct Entry {
     upstream: Upstream,
     born: u64,
-    forget_at: Instant,
+    cordon: Cordon,
 }
 
 /// The upstreams that want no new requests of this instance. A cordon applies to one run of an
@@ -27,30 +36,71 @@
     /// Records that the run of `upstream` that started at `born` leaves, for good. Returns whether
     /// that is news.
     pub fn record_leaving(&mut self, now: Instant, upstream: &Upstream, born: u64) -> bool {
-        let found = self.find(upstream, born);
-        if let Err(index) = found {
-            let entry = Entry { upstream: upstream.clone(), born, forget_at: now + RETENTION };
-            self.entries.insert(index, entry);
+        let is_news = !self.is_leaving(upstream, born);
+        self.set(upstream, born, Cordon::Leaving { forget_at: now + RETENTION });
+        is_news
+    }
+
+    /// Records that the run of `upstream` that started at `born` wants no requests before `until`.
+    /// An earlier pause that lasts longer remains. Returns whether a pause begins.
+    pub fn record_pause(
+        &mut self,
+        now: Instant,
+        upstream: &Upstream,
+        born: u64,
+        until: Instant,
+    ) -> bool {
+        if self.is_leaving(upstream, born) || until <= now {
+            return false;
         }
-        found.is_err()
+        let previous = self.paused_until(now, upstream, born);
+        let until = previous.map_or(until, |previous| previous.max(until));
+        self.set(upstream, born, Cordon::Paused { until });
+        previous.is_none()
     }
 
     /// Returns whether the run of `upstream` that started at `born` leaves.
     pub fn is_leaving(&self, upstream: &Upstream, born: u64) -> bool {
-        self.find(upstream, born).is_ok()
+        matches!(self.cordon(upstream, born), Some(Cordon::Leaving { .. }))
+    }
+
+    /// Returns the time before which the run of `upstream` that started at `born` wants no
+    /// requests, or `None` if it has not asked to wait.
+    pub fn paused_until(&self, now: Instant, upstream: &Upstream, born: u64) -> Option<Instant> {
+        match self.cordon(upstream, born) {
+            Some(Cordon::Paused { until }) if now < until => Some(until),
+            _ => None,
+        }
     }
 
-    /// Forgets the upstreams that are no longer listed, after a while.
-    pub fn forget_unlisted<L>(&mut self, now: Instant, is_listed: L)
+    /// Forgets the pauses that are over and, after a while, the leaving upstreams that are no
+    /// longer listed.
+    pub fn expire<L>(&mut self, now: Instant, is_listed: L)
     where
         L: Fn(&Upstream, u64) -> bool,
     {
-        for entry in &mut self.entries {
-            if is_listed(&entry.upstream, entry.born) {
-                entry.forget_at = now + RETENTION;
+        self.entries.retain_mut(|entry| match &mut entry.cordon {
+            Cordon::Leaving { forget_at } if is_listed(&entry.upstream, entry.born) => {
+                *forget_at = now + RETENTION;
+                true
+            }
+            Cordon::Leaving { forget_at } => now < *forget_at,
+            Cordon::Paused { until } => now < *until,
+        });
+    }
+
+    fn set(&mut self, upstream: &Upstream, born: u64, cordon: Cordon) {
+        match self.find(upstream, born) {
+            Ok(index) => self.entries[index].cordon = cordon,
+            Err(index) => {
+                let upstream = upstream.clone();
+                self.entries.insert(index, Entry { upstream, born, cordon });
             }
         }
-        self.entries.retain(|entry| now < entry.forget_at);
+    }
+
+    fn cordon(&self, upstream: &Upstream, born: u64) -> Option<Cordon> {
+        self.find(upstream, born).ok().map(|index| self.entries[index].cordon)
     }
 
     fn find(&self, upstream: &Upstream, born: u64) -> Result<usize, usize> {
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -40,7 +40,7 @@
             self.place(cx, id);
             return;
         };
-        if self.table.is_cordoned(upstream) {
+        if self.table.is_cordoned(now, upstream) {
             // The upstream has asked for no new requests since it was chosen.
             let tokens = self.requests[index].own_tokens();
             self.release(now, upstream, tokens);
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -112,6 +112,8 @@
     /// Load trackers that did not answer recently.
     unresponsive: Vec<UnresponsiveTracker>,
     queue_timer: FixedTimerKey,
+    /// Timer for the end of the first pause of upstreams that queued requests wait for.
+    pause_timer: FixedTimerKey,
     is_ready: bool,
     /// The graceful shutdown of this instance, once it has begun.
     shutdown: Option<Shutdown>,
@@ -178,6 +180,7 @@
             pending_queries: Vec::new(),
             unresponsive: Vec::new(),
             queue_timer: FixedTimerKey::default(),
+            pause_timer: FixedTimerKey::default(),
             is_ready: false,
             shutdown: None,
         })
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -52,6 +52,14 @@
         .with_retry_after(retry_after(now, deadline))
 }
 
+/// All upstreams asked to wait, the first of them until `end`.
+pub(super) fn asked_to_wait(now: Instant, deadline: Instant, end: Instant) -> Problem {
+    let message = "all upstreams asked for no requests for a time; ask again later";
+    let max = deadline.saturating_duration_since(now) / RETRY_AFTER_DIVISOR;
+    let wait = end.saturating_duration_since(now).max(MIN_RETRY_AFTER).min(max);
+    Problem::not_run(Status::UNAVAILABLE, "asked_to_wait", message).with_retry_after(wait)
+}
+
 pub(super) fn stopping() -> Problem {
     let message = "this instance stops before the request would be over; another one takes it";
     Problem::not_run(Status::UNAVAILABLE, "stopping", message).with_retry_after(MIN_RETRY_AFTER)
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -111,6 +111,10 @@
         } else if response.is_leaving && self.table.record_leaving(now, &upstream, born) {
             self.check_ready();
         }
+        if let Some(wait) = response.retry_after {
+            self.table.record_pause(now, &upstream, born, wait);
+            self.serve_queue(cx, &service);
+        }
         if response.is_wrong_upstream || response.has_not_run {
             let running = self.discard(cx, id);
             let reason = format!("the upstream answered {status} and did not run the request");
@@ -122,7 +126,7 @@
         }
         if status >= 500 {
             self.table.record_failure(now, &service, &upstream, false);
-            if self.table.has_ready(&service) && self.take_retry(cx, id) {
+            if self.table.has_open(now, &service) && self.take_retry(cx, id) {
                 if let Some(running) = self.discard(cx, id) {
                     let reason = format!("the upstream answered {status}");
                     self.log_failed_attempt(
@@ -370,7 +374,13 @@
                 self.place(cx, id);
                 return;
             }
-            RetryDecision::Refuse => self.refuse(now, id, problems::refused(now, deadline)),
+            RetryDecision::Refuse => {
+                let problem = match self.table.pause_end(now, &service) {
+                    Some(end) => problems::asked_to_wait(now, deadline, end),
+                    None => problems::refused(now, deadline),
+                };
+                self.refuse(now, id, problem);
+            }
             RetryDecision::Fail => self.refuse(now, id, problems::failed()),
             RetryDecision::Cut => self.abort_response(now, id, "upstream_failed"),
         }
--- a/crates/relay/src/forwarder/stalls.rs
+++ b/crates/relay/src/forwarder/stalls.rs
@@ -67,7 +67,7 @@
         let (now, service) = (cx.now(), active.service.clone());
         let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun);
         failed_attempt.runs += 1;
-        if !self.table.has_ready(&service) {
+        if !self.table.has_open(now, &service) {
             return;
         }
         let (entry_count, allowance) = (self.entry_count, self.allowance);
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -107,11 +107,12 @@
         let max_queue_time = (active.route.objective / QUEUE_TIME_DIVISOR).max(MIN_QUEUE_TIME);
         let until = (active.arrived_at + max_queue_time).min(active.deadline);
         let (rank, service) = (active.rank, active.service.clone());
-        if until <= cx.now() {
+        let (request, candidates) = (active.metadata.id.clone(), active.candidates);
+        let pause_end = self.table.pause_end(cx.now(), &service);
+        if until <= cx.now() || pause_end.is_some_and(|end| until <= end) {
             self.refuse_unplaced(cx, id);
             return;
         }
-        let (request, candidates) = (active.metadata.id.clone(), active.candidates);
         let patience_ms = millis(until.saturating_duration_since(cx.now()));
         let queue = &mut self.traffic(&service).queue;
         queue.push(rank, until, id);
@@ -126,15 +127,29 @@
         let Some(active) = self.active(id) else {
             return;
         };
-        let (now, deadline) = (cx.now(), active.deadline);
-        match (active.is_started, active.runs > 0) {
+        let (now, deadline, service) = (cx.now(), active.deadline, active.service.clone());
+        let (is_started, has_run) = (active.is_started, active.runs > 0);
+        let pause_end = self.table.pause_end(now, &service);
+        match (is_started, has_run) {
             (true, _) => self.abort_response(now, id, "no_upstream"),
             (false, true) => self.refuse(now, id, problems::failed()),
-            (false, false) => self.refuse(now, id, problems::full(now, deadline)),
+            (false, false) => match pause_end {
+                Some(end) => self.refuse(now, id, problems::asked_to_wait(now, deadline, end)),
+                None => self.refuse(now, id, problems::full(now, deadline)),
+            },
         }
         self.finish(cx, id);
     }
 
+    /// Refuses the queued requests of `service` that would wait in vain, since all upstreams asked
+    /// to wait until `pause_end` or longer.
+    fn refuse_waiting(&mut self, cx: CX![], service: &names::Service, pause_end: Instant) {
+        for id in self.traffic(service).queue.expire(pause_end) {
+            self.refuse_unplaced(cx, id);
+        }
+        self.update_queue_timer(cx);
+    }
+
     /// Sets the timer for the next request in a queue that expires.
     fn update_queue_timer(&mut self, cx: CX![]) {
         let next =
@@ -145,6 +160,13 @@
         if let Some(next) = next {
             self.queue_timer = at!(next, [cx], expire_queued());
         }
+        let waiting = self.service_traffic.iter().filter(|traffic| !traffic.queue.is_empty());
+        let pause_end =
+            waiting.filter_map(|traffic| self.table.pause_end(cx.now(), &traffic.service)).min();
+        cx.timer_del(self.pause_timer);
+        if let Some(pause_end) = pause_end {
+            self.pause_timer = at!(pause_end, [cx], serve_queues());
+        }
     }
 
     fn expire_queued(&mut self, cx: CX![]) {
@@ -169,6 +191,10 @@
 
     /// Sends queued requests of `service` in the order of the queue.
     pub(super) fn serve_queue(&mut self, cx: CX![], service: &names::Service) {
+        if let Some(pause_end) = self.table.pause_end(cx.now(), service) {
+            self.refuse_waiting(cx, service, pause_end);
+            return;
+        }
         for id in self.traffic(service).queue.items() {
             if forward::is_large_fleet(self.entry_count) {
                 // The next requests in the queue are placed as soon as this one was sent.
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -145,7 +145,7 @@
             self.entries.push(entry);
         }
         let entries = &self.entries;
-        self.cordons.forget_unlisted(now, |upstream, born| {
+        self.cordons.expire(now, |upstream, born| {
             let mut listed = entries.iter().map(|entry| &entry.announcement);
             listed.any(|listed| listed.upstream == *upstream && listed.born == born)
         });
@@ -175,7 +175,7 @@
     ) -> Vec<Candidate> {
         let avoided = self.health.avoided_upstreams(service, now);
         let of_service = |entry: &&TableEntry| entry.announcement.service == *service;
-        let ready = self.entries.iter().filter(of_service).filter(|entry| self.is_ready(entry));
+        let ready = self.entries.iter().filter(of_service).filter(|entry| self.is_open(now, entry));
         let prior = forward::mean_load(ready.clone().map(|entry| &entry.estimate), now);
         let is_large_fleet = forward::is_large_fleet(instances as usize);
         let candidates = ready.map(|entry| {
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -76,6 +76,8 @@
     pub closes_connection: bool,
     /// Whether the upstream leaves, and wants no new requests.
     pub is_leaving: bool,
+    /// Time for which the upstream wants no requests, if it refuses a request for that reason.
+    pub retry_after: Option<Duration>,
     /// Load that the upstream reports.
     pub load: Option<Report>,
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -131,7 +131,7 @@
         upstream: String,
         /// Service that the upstream provides.
         service: String,
-        /// Reason: `failures`, `unreachable`, `slow`, `replaced` or `leaving`.
+        /// Reason: `failures`, `unreachable`, `slow`, `replaced`, `leaving` or `asked-to-wait`.
         reason: &'static str,
         /// Number of requests of this instance in flight at the upstream.
         own: u32,
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -55,7 +55,8 @@
 const ATTEMPT_CAUSES: [&str; 3] = ["first", "again", "resumed"];
 
 /// Reasons for avoiding an upstream, which are the values of the label `reason`.
-const AVOIDANCE_REASONS: [&str; 5] = ["failures", "unreachable", "slow", "replaced", "leaving"];
+const AVOIDANCE_REASONS: [&str; 6] =
+    ["failures", "unreachable", "slow", "replaced", "leaving", "asked-to-wait"];
 
 type HistogramByKind = Family<KindLabels, Histogram, fn() -> Histogram>;
 
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -45,6 +45,8 @@
     LoseAnswer,
     /// Refuses the request and states that it was not executed.
     Refuse,
+    /// Refuses the request as `Refuse` does, after 600 ms.
+    RefuseLate,
     /// Executes the request and answers with status 500.
     Fail,
     /// Executes the request and sends no answer; the connection closes after 30 s.
@@ -272,7 +274,10 @@
              instance-id: i-other\r\n{extra_headers}content-length: 0\r\n\r\n"
         );
     }
-    if behaviour == Behaviour::Refuse {
+    if behaviour == Behaviour::RefuseLate {
+        std::thread::sleep(Duration::from_millis(600));
+    }
+    if matches!(behaviour, Behaviour::Refuse | Behaviour::RefuseLate) {
         return write!(
             writer,
             "HTTP/1.1 503 Service Unavailable\r\nrequest-id: {id}\r\nnot-executed: 1\r\n\
