Keep a stalled stream if no upstream takes new requests

Callers of a resumable stream at the last engine of its service, which leaves or asked to wait, got a stream that was cut when the engine had sent nothing for 0.7 s, for example during the prefill of another prompt.

Cause: a stream whose upstream stalls was ended there and then resumed at another upstream, also if none takes new requests.

Evidence: the new test of tests/upstream_signals.rs on the code before: the engine pauses for 1.2 s after four of twelve events, and the stream was not complete after these four (left: false, right: true).

Fix: a stalled stream is ended only if an upstream of its service takes new requests. Otherwise it goes on where it is until the upstream sends again, the caller disconnects or its deadline passes.

--- a/crates/relay/src/forwarder/stalls.rs
+++ b/crates/relay/src/forwarder/stalls.rs
@@ -1,6 +1,6 @@
 //! Detects attempts whose upstream does not respond or has stopped sending.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dispatch::Verdict;
 use forward::RetryDecision;
@@ -15,17 +15,14 @@
 
 impl Forwarder {
     /// Continues streams at another upstream if their upstream has stalled. A stalled upstream
-    /// sends nothing at all, or occasional bytes that complete no event.
+    /// sends nothing at all, or occasional bytes that complete no event. If no upstream takes new
+    /// requests, the stream may still go on where it is.
     pub(super) fn check_stalls(&mut self, cx: CX![]) {
         let now = cx.now();
         let is_silent = |active: &&ActiveRequest| {
             let running = active.running.as_ref().filter(|running| running.has_head);
-            active.stream_tracker.is_some()
-                && running.is_some_and(|running| self.table.is_stalled(now, &running.upstream))
-        };
-        let is_overdue = |active: &&ActiveRequest| {
-            let event_due = active.running.as_ref().and_then(|running| running.event_due);
-            active.stream_tracker.is_some() && event_due.is_some_and(|event_due| now > event_due)
+            running.is_some_and(|running| self.table.is_stalled(now, &running.upstream))
+                && self.may_move(now, active)
         };
         let silent: Vec<_> =
             self.requests.iter().filter(is_silent).map(ActiveRequest::id).collect();
@@ -33,6 +30,10 @@
             let running = self.stop_attempt(cx, id);
             self.retry_or_finish(cx, id, running, Verdict::MayHaveRun, "the upstream sent nothing");
         }
+        let is_overdue = |active: &&ActiveRequest| {
+            let event_due = active.running.as_ref().and_then(|running| running.event_due);
+            event_due.is_some_and(|event_due| now > event_due) && self.may_move(now, active)
+        };
         let overdue: Vec<_> =
             self.requests.iter().filter(is_overdue).map(ActiveRequest::id).collect();
         for id in overdue {
@@ -52,6 +53,11 @@
         after!(STALL_PERIOD, [cx], check_stalls());
     }
 
+    /// Returns whether a stream can be resumed by an upstream that takes new requests.
+    fn may_move(&self, now: Instant, active: &ActiveRequest) -> bool {
+        active.stream_tracker.is_some() && self.table.has_open(now, &active.service)
+    }
+
     /// Abandons an attempt that did not respond in favour of another one.
     pub(super) fn abandon_attempt(&mut self, cx: CX![], id: names::Request, attempt: Attempt) {
         let Some(active) = self.active(id) else {
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -36,6 +36,8 @@
     BreakAfter(usize),
     /// Stalls after this many events of one response: sends an endless comment, one byte at a time.
     Stall(usize),
+    /// Sends all events, with a pause of 1.2 s after this many events.
+    Hesitate(usize),
     /// Sends all events, with a long interval between them.
     SlowEvents,
     /// Sends the first text and then repeats the second text until the client closes the
@@ -359,6 +361,9 @@
         if behaviour == Behaviour::Stall(number - last_event - 1) {
             send_endless_comment(writer)?;
         }
+        if behaviour == Behaviour::Hesitate(number - last_event - 1) {
+            std::thread::sleep(Duration::from_millis(1200));
+        }
         write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
         let is_slow = behaviour == Behaviour::SlowEvents;
         std::thread::sleep(if is_slow { SLOW_EVENT_INTERVAL } else { EVENT_INTERVAL });
--- a/tests/upstream_signals.rs
+++ b/tests/upstream_signals.rs
@@ -213,6 +213,18 @@
     assert_eq!(deployment.arrived(0), 2);
 }
 
+/// Guards against a stream that is cut because its engine sends nothing for a time, although no
+/// other engine can resume it.
+#[test]
+fn a_stream_that_stops_for_a_time_at_the_last_engine_that_leaves_is_not_cut() {
+    let deployment = start_deployment(1, "engines", &["i-engine-1"], &document(7));
+    deployment.upstreams[0].set_extra_headers(&LEAVING);
+    deployment.upstreams[0].set_behaviour(Behaviour::Hesitate(4));
+    let answer = call(deployment.callers(), "/captions/1", "hesitant");
+    assert_eq!((answer.is_complete, answer.text()), (true, complete_stream("hesitant")));
+    assert_eq!(deployment.arrived(0), 1);
+}
+
 /// Guards against new requests at a leaving engine in a large fleet, in which load trackers are
 /// asked before a request is sent.
 #[test]
