--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -42,8 +42,16 @@
             }
             return;
         };
-        if self.requests[index].running.is_some() && !self.leave_silent_upstream(cx, id) {
-            self.release(now, upstream, self.requests[index].own_tokens());
+        let is_in_progress = self.requests[index].running.is_some();
+        if self.table.is_cordoned(now, upstream)
+            || (is_in_progress && !self.leave_silent_upstream(cx, id))
+        {
+            // The upstream has asked for no new requests since it was chosen, or the request stays.
+            let tokens = self.requests[index].own_tokens();
+            self.release(now, upstream, tokens);
+            if !is_in_progress {
+                self.place(cx, id);
+            }
             return;
         }
         let catalogue = self.catalogue.as_ref();
@@ -109,6 +117,7 @@
         active.running = Some(RunningAttempt {
             attempt,
             upstream: upstream.clone(),
+            born: endpoint.born,
             started_at: now,
             tokens: active.own_tokens(),
             has_head: false,
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -112,6 +112,8 @@
     /// Load trackers that did not answer recently.
     unresponsive: Vec<UnresponsiveTracker>,
     queue_timer: FixedTimerKey,
+    /// Timer for the end of the first pause of upstreams that queued requests wait for.
+    pause_timer: FixedTimerKey,
     is_ready: bool,
     /// The graceful shutdown of this instance, once it has begun.
     shutdown: Option<Shutdown>,
@@ -178,6 +180,7 @@
             pending_queries: Vec::new(),
             unresponsive: Vec::new(),
             queue_timer: FixedTimerKey::default(),
+            pause_timer: FixedTimerKey::default(),
             is_ready: false,
             shutdown: None,
         })
@@ -220,7 +223,6 @@
         for address in self.table.update(cx.now(), &list) {
             call!([self.client], close_idle(address));
         }
-        self.metrics.available_upstreams.set(i64::try_from(self.table.ready()).unwrap_or(i64::MAX));
         self.check_ready();
         self.serve_queues(cx);
     }
@@ -232,6 +234,7 @@
 
     fn check_ready(&mut self) {
         let upstreams = self.table.ready();
+        self.metrics.available_upstreams.set(i64::try_from(upstreams).unwrap_or(i64::MAX));
         let is_ready = self.catalogue.is_some() && upstreams > 0;
         if is_ready != self.is_ready {
             self.is_ready = is_ready;
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -117,7 +117,7 @@
         running.has_head = true;
         running.event_due = Some(now + timeout);
         running.status = status;
-        let (upstream, tokens) = (running.upstream.clone(), running.tokens);
+        let (upstream, born, tokens) = (running.upstream.clone(), running.born, running.tokens);
         let is_started = active.is_started;
         self.table.remove_tokens(&upstream, tokens);
         if let Some(report) = response.load {
@@ -131,6 +131,12 @@
         }
         if response.is_wrong_upstream {
             self.table.record_replaced(&upstream);
+        } else if response.is_leaving && self.table.record_leaving(now, &upstream, born) {
+            self.check_ready();
+        }
+        if let Some(wait) = response.retry_after {
+            self.table.record_pause(now, &upstream, born, wait);
+            self.serve_queue(cx, &service);
         }
         if is_refusal {
             let running = self.discard(cx, id);
@@ -149,7 +155,7 @@
         }
         if status >= 500 {
             self.table.record_failure(now, &service, &upstream, false);
-            if !is_started && self.take_retry(cx, id) {
+            if !is_started && self.table.has_open(now, &service) && self.take_retry(cx, id) {
                 if let Some(running) = self.discard(cx, id) {
                     let reason = format!("the upstream answered {status}");
                     self.log_failed_attempt(
@@ -417,7 +423,13 @@
                 self.place(cx, id);
                 return;
             }
-            RetryDecision::Refuse => self.refuse(now, id, problems::refused(now, deadline)),
+            RetryDecision::Refuse => {
+                let problem = match self.table.pause_end(now, &service) {
+                    Some(end) => problems::asked_to_wait(now, deadline, end),
+                    None => problems::refused(now, deadline),
+                };
+                self.refuse(now, id, problem);
+            }
             RetryDecision::Fail => self.refuse(now, id, problems::failed()),
             RetryDecision::Cut => self.abort_response(now, id, "upstream_failed"),
         }
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -76,6 +76,10 @@
     pub is_wrong_upstream: bool,
     /// Whether the upstream will close the connection, because it leaves or for another reason.
     pub closes_connection: bool,
+    /// Whether the upstream leaves, and wants no new requests.
+    pub is_leaving: bool,
+    /// Time for which the upstream wants no requests, if it refuses a request for that reason.
+    pub retry_after: Option<Duration>,
     /// Load that the upstream reports.
     pub load: Option<Report>,
 }
