--- a/crates/catalogue/src/service.rs
+++ b/crates/catalogue/src/service.rs
@@ -17,7 +17,8 @@
     /// Returns the time that the transfer of `tokens` tokens of context takes.
     pub fn time(&self, tokens: u64) -> Duration {
         let bytes = tokens.saturating_mul(self.token_bytes);
-        Duration::from_secs_f64(bytes as f64 / self.bytes_per_second.max(1) as f64)
+        let seconds = bytes as f64 / self.bytes_per_second.max(1) as f64;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 }
 
