Cut the error texts that cite an endless value

What callers saw: the refusal of an announcement or document cited the whole odd value. A `state` of 1 MiB gave an answer of 1 MiB, although answers to announcements are to be at most 4 KiB, and a log line of that size for each try. The same holds for the product's own announcements and for declarations.

Cause: the error texts of the parsers were passed on as they were.

Why the fix works: `names::shorten` cuts a text above 512 bytes in the middle, so that the start with the field and the end with the place and the help stay.

--- a/crates/declare/src/error.rs
+++ b/crates/declare/src/error.rs
@@ -4,7 +4,10 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The text is not YAML, or does not match the schema of the declarations.
-    #[error("declarations are not valid: {source}; help: see docs/OPERATING.md for the form")]
+    #[error(
+        "declarations are not valid: {}; help: see docs/OPERATING.md for the form",
+        names::shorten(.source.to_string())
+    )]
     InvalidYaml {
         /// Error of the parser, with the line and the column if they are known.
         #[from]
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -6,7 +6,9 @@
 mod error;
 mod identifier;
 mod name;
+mod odd;
 
 pub use error::Error;
 pub use identifier::{Attempt, Incarnation, Request};
 pub use name::{ClientAccount, DataCentre, Instance, Kind, Model, Operator, Service, Upstream};
+pub use odd::shorten;
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -96,6 +96,7 @@
         let number = match catalogue {
             Ok(catalogue) => catalogue.number(),
             Err(problem) => {
+                let problem = names::shorten(problem);
                 self.log_submission(Number::default(), "invalid", &problem);
                 let problem = Problem::not_run(Status::BAD_REQUEST, "invalid_catalogue", problem);
                 reply.fwd(self.interface.control.refusal(problem));
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -4,7 +4,10 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The body is not valid JSON of the documented format.
-    #[error("{what} is not valid: {source}; help: see docs/UPSTREAMS.md for the form")]
+    #[error(
+        "{what} is not valid: {}; help: see docs/UPSTREAMS.md for the form",
+        names::shorten(.source.to_string())
+    )]
     InvalidFormat {
         /// Name of the expected body.
         what: &'static str,
