Refuse announcements that displace the genuine upstream

What callers saw: an entry under the name of a live upstream with a `born` far in the future displaced the upstream: requests for its service were refused with 503 while the genuine upstream announced itself. A leave with such a `born` does the same. The record stays for 60 s after the last odd entry, and every announcement of the genuine upstream is outdated for that time. A sequence number of 2^64 - 1 within the same run works alike. Entries with port 0, the unspecified address, a group address or the broadcast address, and with 2^32 - 1 slots, were taken as candidates for requests.

Cause: a control instance accepted every announcement that could be read, and the roster lets the later run, and within a run the greater sequence number, take precedence.

Why the fix works: `roster::Announcement::check` refuses such values with 400 and a text that names the value, before the entry reaches the roster, so nothing changes for any upstream. Sequence numbers end at 2^53, above which writers of JSON do not agree on whole numbers. The product's own announcements get the same checks of address and slots.

Ruled out: none of these entries ended a process or stopped an instance from following, neither before nor after; port 0 and the other addresses only made attempts fail that were repeated elsewhere. What stays possible: an entry with the name, the run and a plausible greater sequence number of a genuine upstream cannot be told from the upstream, and holds for 60 s.

--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -11,4 +11,4 @@
 pub use error::Error;
 pub use identifier::{Attempt, Incarnation, Request};
 pub use name::{ClientAccount, DataCentre, Instance, Kind, Model, Operator, Service, Upstream};
-pub use odd::shorten;
+pub use odd::{is_connectable, shorten};
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -5,7 +5,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use catalogue::{Catalogue, Command, Document, Newest, Number, Outcome};
 use entry::{Event, Problem, Reply, Request, Status};
@@ -69,13 +69,21 @@
         let control = &self.interface.control;
         let id = request.id;
         match control.parse_request(request) {
-            Ok(ControlRequest::Announce(announcement)) => {
-                let acknowledgement = control.acknowledgement();
-                call!([self.feed], announce(announcement, acknowledgement, reply));
-            }
+            Ok(ControlRequest::Announce(announcement)) => match announcement.check(unix_millis()) {
+                Ok(()) => {
+                    let acknowledgement = control.acknowledgement();
+                    call!([self.feed], announce(announcement, acknowledgement, reply));
+                }
+                Err(error) => self.refuse_announcement(&error, &reply),
+            },
             Ok(ControlRequest::Leave { upstream, born }) => {
-                let acknowledgement = control.acknowledgement();
-                call!([self.feed], withdraw(upstream, born, acknowledgement, reply));
+                match roster::check_born(&upstream, born.unwrap_or_default(), unix_millis()) {
+                    Ok(()) => {
+                        let acknowledgement = control.acknowledgement();
+                        call!([self.feed], withdraw(upstream, born, acknowledgement, reply));
+                    }
+                    Err(error) => self.refuse_announcement(&error, &reply),
+                }
             }
             Ok(ControlRequest::SubmitDocument(text)) => self.submit_document(cx, &text, reply),
             Ok(ControlRequest::ReadDocument { hops }) => {
@@ -88,6 +96,13 @@
         }
     }
 
+    fn refuse_announcement(&self, error: &roster::Error, reply: &Fwd<Reply>) {
+        log::info!("refused an announcement: {error}");
+        let message = error.to_string();
+        let problem = Problem::not_run(Status::BAD_REQUEST, "malformed_announcement", message);
+        reply.fwd(self.interface.control.refusal(problem));
+    }
+
     /// Validates a document and proposes it to the log.
     fn submit_document(&mut self, cx: CX![], text: &[u8], reply: Fwd<Reply>) {
         let draft = self.interface.documents.parse(text);
@@ -234,6 +249,12 @@
     }
 }
 
+/// Returns the time of the clock in milliseconds of Unix time.
+fn unix_millis() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn no_quorum() -> Problem {
     let message = "no quorum of control instances is within reach; send the request again";
     Problem::may_have_run(Status::UNAVAILABLE, "no_quorum", message)
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -7,10 +7,12 @@
 //! otherwise the later announcement takes precedence. A [`Tree`] determines which instances an
 //! instance follows to receive updates.
 
+mod check;
 mod distribution;
 mod record;
 mod registry;
 
+pub use check::{Error, check_born};
 pub use distribution::Tree;
 pub use record::{Announcement, Record, Status};
 pub use registry::{BUCKETS, MergeResult, Roster, short_hash};
--- a/crates/upstream/src/announcement.rs
+++ b/crates/upstream/src/announcement.rs
@@ -15,6 +15,9 @@
 /// Shortest time for which an announcement may be valid.
 const MIN_EXPIRY: Span = Span::from_millis(500);
 
+/// Maximum number of slots of an upstream.
+const MAX_SLOTS: u32 = 1_000_000;
+
 /// Protocol of an upstream.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
@@ -74,6 +77,14 @@
         if self.slots == 0 {
             return Err(value_error("slots is 0".to_string(), "give at least 1"));
         }
+        if self.slots > MAX_SLOTS {
+            let problem = format!("slots is {}", self.slots);
+            return Err(value_error(problem, "give at most 1000000"));
+        }
+        if !names::is_connectable(self.address) {
+            let problem = format!("address {} cannot be connected to", self.address);
+            return Err(value_error(problem, "give the IP address and the port of the upstream"));
+        }
         if self.expires_in < MIN_EXPIRY || self.expires_in > MAX_EXPIRY {
             let problem = format!("expires_in {} is out of range", self.expires_in);
             return Err(value_error(problem, "give 500ms to 5m"));
--- a/tests/odd_announcements.rs
+++ b/tests/odd_announcements.rs
@@ -1,15 +1,23 @@
-//! Odd documents and announcements beside sound ones. All processes stay up, and all requests are
-//! served.
+//! Odd entries that another writer leaves beside sound ones: deeply nested, with numbers too large,
+//! or with a port out of range. All processes stay up and follow, and all requests are served.
 
 #![allow(clippy::unwrap_used)]
 
 mod support;
 
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
 use serde_json::json;
 use support::machines::{KEY, Machine, Machines, document, put_document};
 use support::wait_for;
 use support::worker::{HttpResponse, Worker, send_request};
 
+/// Largest response to an odd entry.
+const MAX_ANSWER_BYTES: usize = 4096;
+
+/// How long odd entries arrive again and again.
+const ODD_ENTRIES_DURATION: Duration = Duration::from_secs(4);
+
 fn ask(machine: &Machine, path: &str) -> std::io::Result<HttpResponse> {
     let key = format!("Token {KEY}");
     let headers = [("Authorization", key.as_str()), ("Request-Id", "odd")];
@@ -33,6 +41,102 @@
     }
 }
 
+fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Returns an announcement at an address where nothing listens, with `field` changed to `value`.
+fn announcement(field: &str, value: &str) -> String {
+    let whole = json!({
+        "service": "shop", "address": "127.0.0.1:9", "zone": "giza", "version": "v1", "slots": 8,
+        "state": "ready", "cold-remaining-ms": 0, "seq": 1, "born": 1000,
+    });
+    let (mut odd, place) = (whole, "VALUE");
+    odd[field] = json!(place);
+    odd.to_string().replace(&format!("\"{place}\""), value)
+}
+
+/// Returns the odd entries, each with the reason why it is refused.
+fn odd_entries() -> Vec<(&'static str, String)> {
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let born = "starts later than the clock";
+    vec![
+        ("announcement", nested.clone()),
+        ("announcement", "{\"odd\":".repeat(100_000)),
+        ("announcement", announcement("service", &nested)),
+        ("announcement", announcement("service", &format!("\"{}\"", "s".repeat(200_000)))),
+        ("announcement", announcement("state", &format!("\"{}\"", "r".repeat(200_000)))),
+        ("address", announcement("address", "\"127.0.0.1:65536\"")),
+        ("address", announcement("address", "\"127.0.0.1:0\"")),
+        ("address", announcement("address", "\"0.0.0.0:9\"")),
+        ("address", announcement("address", "\"255.255.255.255:9\"")),
+        ("address", announcement("address", "\"224.0.0.1:9\"")),
+        ("address", announcement("address", "\"[::]:9\"")),
+        ("announcement", announcement("slots", "4294967296")),
+        ("slots", announcement("slots", "4294967295")),
+        ("announcement", announcement("seq", "18446744073709551616")),
+        ("sequence", announcement("seq", "18446744073709551615")),
+        ("announcement", announcement("born", "1e30")),
+        (born, announcement("born", "18446744073709551615")),
+        (born, announcement("born", &(unix_millis() * 1000).to_string())),
+    ]
+}
+
+#[test]
+fn odd_entries_beside_sound_ones_end_no_process_and_replace_no_upstream() {
+    let mut machines = Machines::start(3, 2);
+    let shop = Worker::start("i-shop", "shop", machines.seeds());
+    machines.put_document_until_acknowledged(&document(5));
+    machines.wait_ready(5);
+    for machine in &machines.entries {
+        wait_for("the upstream at an entry instance", || {
+            ask(machine, "/albums/1").ok().filter(|answer| answer.status == 200)
+        });
+    }
+    let end = Instant::now() + ODD_ENTRIES_DURATION;
+    let mut rounds = 0;
+    while Instant::now() < end || rounds == 0 {
+        for (reason, body) in odd_entries() {
+            let shown: String = body.chars().take(200).collect();
+            for (control, name) in machines.controls.iter().zip(["i-shop", "i-odd", "i-shop"]) {
+                let path = format!("/v1/workers/{name}");
+                let answer = send_request(control.control(), "PUT", &path, &[], &body).unwrap();
+                assert_eq!(answer.status, 400, "{shown}: {}", answer.text());
+                assert!(answer.text().contains(reason), "{shown}: {}", answer.text());
+                assert!(answer.body.len() <= MAX_ANSWER_BYTES, "{shown}");
+            }
+            assert_served(&machines, "/albums/1", &shown);
+        }
+        let mut endless = document(6);
+        endless["routes"][0]["kind"] = json!("k".repeat(60_000));
+        endless["routes"][1]["path-prefix"] = json!("p".repeat(60_000));
+        for control in &machines.controls {
+            let answer = put_document(control.control(), &endless.to_string()).unwrap();
+            assert_eq!(answer.status, 400);
+            assert!(answer.body.len() <= MAX_ANSWER_BYTES, "{} bytes", answer.body.len());
+            endless["routes"][0]["kind"] = json!("safe");
+        }
+        let leave = json!({ "born": u64::MAX }).to_string();
+        for control in &machines.controls {
+            let path = "/v1/workers/i-shop";
+            let answer = send_request(control.control(), "DELETE", path, &[], &leave).unwrap();
+            assert_eq!(answer.status, 400, "{}", answer.text());
+        }
+        assert_served(&machines, "/albums/1", "leave");
+        assert_all_run(&mut machines, "odd entries");
+        rounds += 1;
+    }
+    drop(shop);
+    let late = Worker::start("i-late", "shop", machines.seeds());
+    machines.put_document_until_acknowledged(&document(6));
+    machines.wait_document_in_force(6);
+    wait_for("a request at the upstream that came later", || {
+        machines.entries.iter().for_each(|machine| drop(ask(machine, "/albums/2")));
+        (!late.executed_requests().is_empty()).then_some(())
+    });
+    assert_all_run(&mut machines, "a later upstream");
+}
+
 #[test]
 fn a_document_with_spans_that_no_clock_holds_ends_no_entry_instance() {
     let mut machines = Machines::start(3, 2);
