Add up slots and reported loads without overflow

What callers saw: nothing yet. An upstream that reports more requests than 32 bits count, or a few upstreams that announce 2^32 - 1 slots each, ended the process in builds that check arithmetic; in others the sum wrapped, so that an overloaded upstream looked idle and the load bound was wrong.

Cause: sums in 32 bits of numbers that upstreams choose.

Evidence: `permit/src/pool.rs`, `attempt to add with overflow` in permit/tests/odd_slots.rs, with four upstreams of 2^32 - 1 slots; the same in forward/tests/odd_reports.rs at load_estimate.rs:113. With sums that stop at 2^32 - 1 the first test still failed ("6 at engine-3 above 5, mean 3.5"), since the mean over all slots was wrong.

Why the fix works: the slots of a pool are summed in 64 bits. The encoding of `ObservedLoad` stays the same for numbers that fit into 32 bits. The sum over a service of a large fleet was found by reading and has no test of its own.

--- a/crates/forward/src/load_estimate.rs
+++ b/crates/forward/src/load_estimate.rs
@@ -24,6 +24,13 @@
     pub slots: u32,
 }
 
+impl Report {
+    /// Returns the number of all requests at the upstream.
+    pub fn requests(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Reported {
     /// Requests of all instances at the upstream.
@@ -110,7 +117,7 @@
     /// Records a load report of the upstream.
     pub fn report(&mut self, now: Instant, report: Report) {
         self.reported = Some(Reported {
-            requests: f64::from(report.running + report.waiting),
+            requests: f64::from(report.requests()),
             own: f64::from(self.own),
             at: now,
         });
--- a/crates/permit/src/full_upstreams.rs
+++ b/crates/permit/src/full_upstreams.rs
@@ -39,7 +39,7 @@
     pub(crate) fn record(&mut self, now: Instant, rank: Rank, full: &FullUpstream) {
         let is_other = |entry: &Entry| entry.full.upstream != full.upstream || entry.rank != rank;
         self.entries.retain(|entry| entry.expires_at > now && is_other(entry));
-        if full.load.load.certain >= full.load.slots {
+        if u64::from(full.load.load.certain) >= full.load.slots {
             let full = full.clone();
             self.entries.push(Entry { full, rank, expires_at: now + ENTRY_LIFETIME });
         }
--- a/crates/permit/src/holder.rs
+++ b/crates/permit/src/holder.rs
@@ -124,7 +124,7 @@
     /// zero, since the owner checks the current load itself.
     fn load(&self, entry: &Entry) -> u32 {
         match (self.policy.load_source(), &entry.load) {
-            (LoadSource::Reported, Some(load)) => load.running + load.waiting,
+            (LoadSource::Reported, Some(load)) => load.running.saturating_add(load.waiting),
             _ => 0,
         }
     }
--- a/crates/permit/src/limits.rs
+++ b/crates/permit/src/limits.rs
@@ -50,7 +50,7 @@
     /// Slots of the upstream.
     pub(crate) slots: u32,
     /// Slots of the whole pool.
-    pub(crate) pool_slots: u32,
+    pub(crate) pool_slots: u64,
     /// Whether a former owner that left the membership may still grant permits. Two owners that
     /// cannot know of each other must not both round up, so this one rounds down.
     pub(crate) is_inherited: bool,
@@ -64,7 +64,7 @@
 
     fn limit(self, in_flight: u32) -> u32 {
         let counted = u64::from(in_flight - in_flight.div_ceil(DISCOUNT_DIVISOR));
-        let total = TotalLoad { in_flight: counted, slots: u64::from(self.pool_slots) };
+        let total = TotalLoad { in_flight: counted, slots: self.pool_slots };
         let limit = match self.is_inherited {
             true => self.bound.max_in_flight_rounded_down(total, self.slots),
             false => self.bound.max_in_flight(total, self.slots),
--- a/crates/permit/src/message.rs
+++ b/crates/permit/src/message.rs
@@ -76,7 +76,7 @@
     /// Requests in flight at the upstreams.
     pub load: InFlight,
     /// Number of requests that the upstreams can process at once.
-    pub slots: u32,
+    pub slots: u64,
 }
 
 /// Request to the owner of an upstream for a permit.
--- a/crates/permit/src/owned_upstream.rs
+++ b/crates/permit/src/owned_upstream.rs
@@ -301,7 +301,7 @@
         let headroom = self.set_limits(now, limits, suspected);
         let has_capacity = headroom > 0 && self.queue.waiting() == 0;
         if !request.may_wait && !has_capacity {
-            let load = ObservedLoad { load: self.load(suspected), slots };
+            let load = ObservedLoad { load: self.load(suspected), slots: slots.into() };
             return Outcome::Full { load, waiting: self.queue.waiting_ahead(request.rank) };
         }
         let PermitRequest { number, pool, .. } = request;
--- a/crates/permit/src/search.rs
+++ b/crates/permit/src/search.rs
@@ -194,7 +194,7 @@
     fn least_loaded(&self) -> Option<Upstream> {
         let load = |full: &&FullUpstream| {
             let requests = u64::from(full.load.load.all() + full.waiting);
-            requests * 1000 / u64::from(full.load.slots.max(1))
+            requests * 1000 / full.load.slots.max(1)
         };
         self.full.iter().min_by_key(load).map(|full| full.upstream.clone())
     }
@@ -212,7 +212,7 @@
             let load = self.recent_load(context.now, &entry.announcement.upstream);
             ObservedLoad {
                 load: total.load.combine(load, |left, right| left + right),
-                slots: total.slots + entry.announcement.slots,
+                slots: total.slots + u64::from(entry.announcement.slots),
             }
         })
     }
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -319,7 +319,7 @@
         if let Some(entry) = self.entry(upstream) {
             entry.estimate.report(now, report);
         }
-        self.gossip.observe(now, short_hash(upstream), report.running + report.waiting);
+        self.gossip.observe(now, short_hash(upstream), report.requests());
     }
 
     /// Returns at most `limit` loads to forward to other instances.
--- a/crates/relay/src/forwarder/upstreams/request_counts.rs
+++ b/crates/relay/src/forwarder/upstreams/request_counts.rs
@@ -65,7 +65,7 @@
         service_entries
             .filter(|entry| entry.is_ready())
             .map(|entry| entry.announcement.slots.max(1))
-            .sum()
+            .fold(0, u32::saturating_add)
     }
 }
 
