Keep the count of cache changes from overflowing

What callers saw: nothing yet.

Cause: the number of the next change is set by the reporting upstream and was incremented without a check.

Evidence: upstream/tests/cache.rs failed with `cache.rs:116:9: attempt to add with overflow`.

Why the fix works: the count stops at 2^64 - 1, where all later changes of the run count as repeated. The next run of the upstream starts at 0 again.

--- a/crates/upstream/src/cache.rs
+++ b/crates/upstream/src/cache.rs
@@ -113,7 +113,7 @@
                 }
             }
         }
-        self.next += 1;
+        self.next = self.next.saturating_add(1);
     }
 
     /// Discards the content after a gap.
--- a/crates/upstream/tests/cache.rs
+++ b/crates/upstream/tests/cache.rs
@@ -118,3 +118,15 @@
     assert_eq!(index.take(events(0, 0, vec![stored(9)])), Outcome::Repeated);
     assert_eq!(index.take(events(2, 5, vec![stored(9)])), Outcome::Resync);
 }
+
+#[test]
+fn changes_at_the_end_of_the_numbers_do_not_overflow_the_count() {
+    let (upstream, incarnation) = (name(), Incarnation(1));
+    let mut index = Index::default();
+    index.reset(Snapshot { upstream, incarnation, next: u64::MAX - 1, blocks: Vec::new() });
+    let changes = vec![Change::Stored(Block(1)), Change::Stored(Block(2))];
+    index.take(events(1, u64::MAX - 1, changes.clone()));
+    index.take(events(1, u64::MAX, changes.clone()));
+    assert_eq!(index.take(events(2, 0, changes)), Outcome::Applied);
+    assert_eq!(index.len(&name()), Some(2));
+}
