Add up least shares without overflow

What callers saw: nothing yet. In builds that check arithmetic, declarations in which two kinds of work have a `least_share_percent` of 2^31 panicked while they were validated, which ends the thread of the operators' server that handles them. In others their sum wrapped to 0, so that the declarations were accepted although the sum may be at most 90.

Cause: the shares, which an operator chooses, were summed in 32 bits.

Evidence: `least_shares_whose_sum_no_number_holds_are_refused` failed with `attempt to add with overflow`. What this does to a running instance follows from the code and was not run.

Why the fix works: the sum has 64 bits, which no number of kinds that fits into a request exceeds.

--- a/crates/declare/src/declarations.rs
+++ b/crates/declare/src/declarations.rs
@@ -7,7 +7,7 @@
 use crate::{Error, KeyHash, Labels, RoleChange, Rollout, Selector};
 
 /// Maximum sum of the minimum shares of all kinds of work, in percent.
-const MAX_TOTAL_MIN_SHARE_PERCENT: u32 = 90;
+const MAX_TOTAL_MIN_SHARE_PERCENT: u64 = 90;
 
 /// Priority of a kind of work. Lower values are served first.
 #[derive(
@@ -294,7 +294,7 @@
     }
 
     fn check_min_shares(&self) -> Result<(), Error> {
-        let total: u32 = self.kinds.iter().map(|kind| kind.least_share_percent).sum();
+        let total: u64 = self.kinds.iter().map(|kind| u64::from(kind.least_share_percent)).sum();
         if total <= MAX_TOTAL_MIN_SHARE_PERCENT {
             return Ok(());
         }
