Refuse declarations that nest too deeply before they are parsed

What callers saw: nothing yet. An operator's text of 100,000 open brackets (100 KB; up to 16 MiB are accepted) took minutes of a debug build, and kept one of the few threads of the operators' server busy, which also take the announcements of upstreams.

Cause: for each token the YAML parser visits all open brackets, and it refuses the text only at the end, so the time grows with the square of the depth.

Why the fix works: a text with more than 64 brackets open at a time is refused before it is parsed, with a text that names the reason. Declarations need fewer than ten. Brackets in comments and quoted texts count too, so the check bounds accidents; a text made to deceive it, with closing brackets in quotes, can still take long, and needs the access of an operator.

Ruled out: nested blocks, references that multiply, a reference to itself, and a deadline too large were refused at once before. The cases "nested items", "nested keys" and "names of references and types" were added later and not run on the former code.

--- a/crates/declare/src/declarations.rs
+++ b/crates/declare/src/declarations.rs
@@ -9,6 +9,9 @@
 /// Maximum sum of the minimum shares of all kinds of work, in percent.
 const MAX_TOTAL_MIN_SHARE_PERCENT: u64 = 90;
 
+/// Maximum number of brackets that are open at a time. Declarations need fewer than ten.
+const MAX_OPEN_BRACKETS: usize = 64;
+
 /// Priority of a kind of work. Lower values are served first.
 #[derive(
     Debug,
@@ -210,8 +213,10 @@
     ///
     /// # Errors
     ///
-    /// [`Error::InvalidYaml`] if the text is not YAML or does not match the schema.
+    /// [`Error::TooDeep`] if too many brackets are open at a time, [`Error::InvalidYaml`] if the
+    /// text is not YAML or does not match the schema.
     pub fn parse(text: &str) -> Result<Self, Error> {
+        check_depth(text)?;
         Ok(serde_norway::from_str(text)?)
     }
 
@@ -306,6 +311,23 @@
     }
 }
 
+/// Fails if too many brackets of `text` are open at a time. The YAML parser takes a time that grows
+/// with the depth for each token, and refuses the text only at the end.
+fn check_depth(text: &str) -> Result<(), Error> {
+    let mut open: usize = 0;
+    for byte in text.bytes() {
+        match byte {
+            b'[' | b'{' => open += 1,
+            b']' | b'}' => open = open.saturating_sub(1),
+            _ => {}
+        }
+        if open > MAX_OPEN_BRACKETS {
+            return Err(Error::TooDeep { limit: MAX_OPEN_BRACKETS });
+        }
+    }
+    Ok(())
+}
+
 fn check_unique<'a, I>(what: &'static str, sorted: I) -> Result<(), Error>
 where
     I: Iterator<Item = &'a str>,
--- a/crates/declare/src/error.rs
+++ b/crates/declare/src/error.rs
@@ -13,6 +13,14 @@
         #[from]
         source: serde_norway::Error,
     },
+    /// Too many brackets are open at a time.
+    #[error(
+        "declarations nest more than {limit} brackets; help: see docs/OPERATING.md for the form"
+    )]
+    TooDeep {
+        /// Maximum number of open brackets.
+        limit: usize,
+    },
     /// A name is declared twice in one section.
     #[error("{what} \"{name}\" is declared twice; help: remove or rename one of them")]
     Duplicate {
--- a/crates/declare/tests/odd_declarations.rs
+++ b/crates/declare/tests/odd_declarations.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use declare::Declarations;
+use test_case::test_case;
 
 fn parse(text: String) -> Result<Declarations, declare::Error> {
     Declarations::try_from(text)
@@ -25,3 +26,21 @@
         assert!(parse(kinds(percent)).is_err(), "{percent}");
     }
 }
+
+#[test_case(format!("services: {}{}", "[".repeat(100_000), "]".repeat(100_000)); "nested lists")]
+#[test_case(format!("services: {}", "{a: ".repeat(100_000)); "nested maps")]
+#[test_case(format!("services: {}", "\n- ".repeat(1000) + &"- ".repeat(100_000)); "nested items")]
+#[test_case("? ".repeat(100_000); "nested keys")]
+#[test_case("&a ".repeat(100_000) + &"!b ".repeat(100_000); "names of references and types")]
+#[test_case((0..2000).map(|depth| " ".repeat(depth) + "a:\n").collect::<String>(); "nested blocks")]
+#[test_case("services: [{name: x, odd: ".to_string() + &"[".repeat(100_000); "nested unknown field")]
+#[test_case(
+    (0..60).fold("l0: &l0 [x]\n".to_string(), |text, level| {
+        text + &format!("l{0}: &l{0} [*l{level}, *l{level}, *l{level}]\n", level + 1)
+    }); "references that multiply"
+)]
+#[test_case("kinds: [{name: a, rank: normal, deadline: 18446744073709551615d}]".to_string(); "deadline too large")]
+#[test_case("kinds: &k [{name: a, rank: normal, deadline: 1s, labels: {x: *k}}]".to_string(); "reference to itself")]
+fn an_odd_document_is_refused(text: String) {
+    assert!(parse(text).is_err());
+}
