Test that damaged caches on disk end no control instance

The test damages the cached document and the cached upstreams of all control instances in five ways (empty, cut in half, changed, overwritten, one bit), restarts all instances, and asks until the upstream answers. Each control instance logs that it cannot read either file and goes on without them.

Not covered: a file with a valid checksum whose content another version wrote. It is decoded as a whole, so one record that cannot be decoded loses the others until their next announcements.

--- a/tests/odd_announcements.rs
+++ b/tests/odd_announcements.rs
@@ -18,6 +18,9 @@
 /// How long odd entries arrive again and again.
 const ODD_ENTRIES_DURATION: Duration = Duration::from_secs(4);
 
+/// Time after the damage of a data folder within which all is served again.
+const MAX_RECOVERY_TIME: Duration = Duration::from_secs(12);
+
 fn ask(machine: &Machine, path: &str) -> std::io::Result<HttpResponse> {
     let key = format!("Token {KEY}");
     let headers = [("Authorization", key.as_str()), ("Request-Id", "odd")];
@@ -170,3 +173,61 @@
         assert_all_run(&mut machines, millis);
     }
 }
+
+#[test]
+fn a_damaged_cache_on_disk_ends_no_control_instance() {
+    let mut machines = Machines::start(3, 1);
+    let shop = Worker::start("i-shop", "shop", machines.seeds());
+    machines.put_document_until_acknowledged(&document(5));
+    machines.wait_ready(5);
+    let damages: [fn(Vec<u8>) -> Vec<u8>; 5] = [
+        |_| Vec::new(),
+        |bytes| bytes[..bytes.len() / 2].to_vec(),
+        |bytes| bytes.iter().map(|byte| byte ^ 0x40).collect(),
+        |bytes| vec![0xff; bytes.len()],
+        |mut bytes| {
+            let middle = bytes.len() / 2;
+            bytes[middle] ^= 1;
+            bytes
+        },
+    ];
+    let mut rounds = 0;
+    for damage in damages {
+        for control in &mut machines.controls {
+            let folder = control.settings().with_file_name("data").join("feed");
+            wait_for("the cache on disk", || {
+                ["document", "upstreams"]
+                    .iter()
+                    .all(|file| folder.join(file).exists())
+                    .then_some(())
+            });
+            control.kill();
+            for file in ["document", "upstreams"] {
+                let bytes = std::fs::read(folder.join(file)).unwrap();
+                std::fs::write(folder.join(file), damage(bytes)).unwrap();
+            }
+        }
+        let (seeds, started) = (machines.seeds(), Instant::now());
+        for control in &mut machines.controls {
+            control.write_settings(&seeds, false);
+            control.start();
+        }
+        machines.entries[0].kill();
+        machines.entries[0].start();
+        let served = shop.executed_requests().len();
+        wait_for("an answer after the damage", || {
+            assert_all_run(&mut machines, "a damaged cache");
+            let answer = ask(&machines.entries[0], "/albums/1").ok()?;
+            (answer.status == 200).then_some(())
+        });
+        assert!(started.elapsed() < MAX_RECOVERY_TIME, "{:?}", started.elapsed());
+        assert!(shop.executed_requests().len() > served);
+        rounds += 1;
+        for control in &machines.controls {
+            for cached in ["cannot read the cached document", "cannot read the cached upstreams"] {
+                let count = control.log_text().matches(cached).count();
+                assert_eq!(count, rounds, "{}: {cached}", control.ip);
+            }
+        }
+    }
+}
