Refuse an incarnation that no restart can supersede

What callers saw: one announcement on the operators' port under the name of a live upstream, with the incarnation 2^64 - 1 and an address where nothing listens, displaced the upstream. Requests for its model got 503 until the odd announcement and its tombstone had expired, and no incarnation of the genuine upstream could take precedence.

Cause: every incarnation that can be read was accepted.

Evidence: the case "incarnation that none supersedes" of upstream/tests/odd_announcements.rs failed; the process test in tests/bad_input.rs got `HTTP/1.1 200 OK {"change":"joined"}`.

Why the fix works: incarnations above 2^63 - 1 are refused with 400, so the entry reaches no registry. The limit leaves room for clocks in nanoseconds; the unit of incarnations is the upstream's choice, so they are not compared with the clock. A smaller odd incarnation therefore still displaces the genuine upstream until it expires, 300 s at most, and its tombstone 60 s later, or until the upstream announces a greater one.

--- a/crates/upstream/src/announcement.rs
+++ b/crates/upstream/src/announcement.rs
@@ -18,6 +18,10 @@
 /// Maximum number of slots of an upstream.
 const MAX_SLOTS: u32 = 1_000_000;
 
+/// Maximum incarnation, which leaves room for clocks in nanoseconds. Nothing could supersede the
+/// greatest number.
+const MAX_INCARNATION: Incarnation = Incarnation(i64::MAX as u64);
+
 /// Protocol of an upstream.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
@@ -81,6 +85,10 @@
             let problem = format!("slots is {}", self.slots);
             return Err(value_error(problem, "give at most 1000000"));
         }
+        if self.incarnation > MAX_INCARNATION {
+            let problem = format!("incarnation is {}", self.incarnation.0);
+            return Err(value_error(problem, "give at most 9223372036854775807"));
+        }
         if !names::is_connectable(self.address) {
             let problem = format!("address {} cannot be connected to", self.address);
             return Err(value_error(problem, "give the IP address and the port of the upstream"));
--- a/crates/upstream/tests/odd_announcements.rs
+++ b/crates/upstream/tests/odd_announcements.rs
@@ -17,6 +17,8 @@
 #[test]
 fn a_sound_announcement_is_accepted() {
     assert!(Announcement::try_from(SOUND.as_bytes()).is_ok());
+    let nanoseconds = SOUND.replace("1796352469049873", "1796352469049873000");
+    assert!(Announcement::try_from(nanoseconds.as_bytes()).is_ok());
 }
 
 #[test_case(SOUND.replace(":8000", ":65536"); "port out of range")]
@@ -28,6 +30,7 @@
 #[test_case(SOUND.replace("16", "4294967296"); "slots too large")]
 #[test_case(SOUND.replace("16", "0"); "no slots")]
 #[test_case(SOUND.replace("1796352469049873", "18446744073709551616"); "incarnation too large")]
+#[test_case(SOUND.replace("1796352469049873", "18446744073709551615"); "incarnation that none supersedes")]
 #[test_case(SOUND.replace("3s", "18446744073709551615d"); "span too large")]
 #[test_case(SOUND.replace("\"2\"", &nested()); "nested label")]
 #[test_case(nested(); "nested arrays")]
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -148,6 +148,47 @@
     });
 }
 
+#[test]
+fn odd_announcements_on_the_operators_port_get_400_and_displace_no_upstream() {
+    let fleet = start_fleet();
+    assert_still_serves(&fleet);
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let announcement = |field: &str, value: &str| {
+        let mut announcement = json!({
+            "upstream": "engine-1", "incarnation": i64::MAX, "data_centre": "giza",
+            "address": "127.0.0.1:9", "protocol": "chat-completions", "models": ["caption-small"],
+            "slots": 16, "expires_in": "3s",
+        });
+        announcement[field] = json!("VALUE");
+        announcement.to_string().replace("\"VALUE\"", value)
+    };
+    let odd = [
+        nested.clone(),
+        "{\"odd\":".repeat(100_000),
+        announcement("labels", &nested),
+        announcement("address", "\"127.0.0.1:65536\""),
+        announcement("address", "\"127.0.0.1:0\""),
+        announcement("address", "\"0.0.0.0:9\""),
+        announcement("slots", "4294967295"),
+        announcement("slots", "1e400"),
+        announcement("incarnation", "18446744073709551616"),
+        announcement("incarnation", "18446744073709551615"),
+        announcement("expires_in", "\"18446744073709551615d\""),
+        announcement("protocol", &format!("\"{}\"", "p".repeat(1 << 20))),
+    ];
+    for body in odd.iter().cycle().take(3 * odd.len()) {
+        let shown: String = body.chars().take(200).collect();
+        let request = format!(
+            "POST /announce HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let answer = send_raw(fleet.instances[0].addresses.operators, request.as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 400 "), "{shown}: {answer}");
+        assert!(answer.contains("invalid_announcement") && answer.len() < 2048, "{answer}");
+        assert_still_serves(&fleet);
+    }
+}
+
 #[test]
 fn startup_names_the_port_that_is_in_use() {
     let mut fleet = start_fleet();
