--- a/crates/declare/src/declarations.rs
+++ b/crates/declare/src/declarations.rs
@@ -7,7 +7,10 @@
 use crate::{Error, KeyHash, Labels, RoleChange, Rollout, Selector};
 
 /// Maximum sum of the minimum shares of all kinds of work, in percent.
-const MAX_TOTAL_MIN_SHARE_PERCENT: u32 = 90;
+const MAX_TOTAL_MIN_SHARE_PERCENT: u64 = 90;
+
+/// Maximum number of brackets that are open at a time. Declarations need fewer than ten.
+const MAX_OPEN_BRACKETS: usize = 64;
 
 /// Priority of a kind of work. Lower values are served first.
 #[derive(
@@ -210,8 +213,10 @@
     ///
     /// # Errors
     ///
-    /// [`Error::InvalidYaml`] if the text is not YAML or does not match the schema.
+    /// [`Error::TooDeep`] if too many brackets are open at a time, [`Error::InvalidYaml`] if the
+    /// text is not YAML or does not match the schema.
     pub fn parse(text: &str) -> Result<Self, Error> {
+        check_depth(text)?;
         Ok(serde_norway::from_str(text)?)
     }
 
@@ -294,7 +299,7 @@
     }
 
     fn check_min_shares(&self) -> Result<(), Error> {
-        let total: u32 = self.kinds.iter().map(|kind| kind.least_share_percent).sum();
+        let total: u64 = self.kinds.iter().map(|kind| u64::from(kind.least_share_percent)).sum();
         if total <= MAX_TOTAL_MIN_SHARE_PERCENT {
             return Ok(());
         }
@@ -306,6 +311,23 @@
     }
 }
 
+/// Fails if too many brackets of `text` are open at a time. The YAML parser takes a time that grows
+/// with the depth for each token, and refuses the text only at the end.
+fn check_depth(text: &str) -> Result<(), Error> {
+    let mut open: usize = 0;
+    for byte in text.bytes() {
+        match byte {
+            b'[' | b'{' => open += 1,
+            b']' | b'}' => open = open.saturating_sub(1),
+            _ => {}
+        }
+        if open > MAX_OPEN_BRACKETS {
+            return Err(Error::TooDeep { limit: MAX_OPEN_BRACKETS });
+        }
+    }
+    Ok(())
+}
+
 fn check_unique<'a, I>(what: &'static str, sorted: I) -> Result<(), Error>
 where
     I: Iterator<Item = &'a str>,
--- a/crates/declare/src/error.rs
+++ b/crates/declare/src/error.rs
@@ -4,12 +4,23 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The text is not YAML, or does not match the schema of the declarations.
-    #[error("declarations are not valid: {source}; help: see docs/OPERATING.md for the form")]
+    #[error(
+        "declarations are not valid: {}; help: see docs/OPERATING.md for the form",
+        names::shorten(.source.to_string())
+    )]
     InvalidYaml {
         /// Error of the parser, with the line and the column if they are known.
         #[from]
         source: serde_norway::Error,
     },
+    /// Too many brackets are open at a time.
+    #[error(
+        "declarations nest more than {limit} brackets; help: see docs/OPERATING.md for the form"
+    )]
+    TooDeep {
+        /// Maximum number of open brackets.
+        limit: usize,
+    },
     /// A name is declared twice in one section.
     #[error("{what} \"{name}\" is declared twice; help: remove or rename one of them")]
     Duplicate {
