Treat an upstream whose connections are all in use as full

What callers saw: a stream was cut while its upstream was sound and only silent for 1.5 s, because another upstream seemed to have room. A stream that broke off was cut although an upstream became free within a second.

Cause: placement counted slots only. The limit of connections was noticed after the request had left its upstream: the client reported NotSent, the request was placed again in the same moment at the same upstream, and after four of these it was cut (reason=upstream_failed). Each of them also took a retry from the budget although nothing was sent.

Evidence: tests/platform_capacity.rs with a limit of four connections.

Why the fix works: an upstream at which this instance has as many requests as it may open connections is no candidate. A silent attempt goes on, and a request without an attempt waits in the queue. NotSent remains for connections that are still busy with a discarded response.

--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -139,7 +139,7 @@
     }
 
     /// Returns the maximum number of connections that this instance may open to one upstream.
-    fn connection_limit(&self, service: Option<&Service>) -> usize {
+    pub(super) fn connection_limit(&self, service: Option<&Service>) -> usize {
         let total = service.map_or(MIN_CONNECTIONS, |service| service.connections);
         let share = total as f64 * CONNECTION_FRACTION / self.entry_count.max(1) as f64;
         (share as usize).max(MIN_CONNECTIONS)
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -82,12 +82,18 @@
         let has_engine = self.has_engine(&active.service);
         let instances = if has_engine { self.entry_count } else { self.local_entry_count };
         let instances = u32::try_from(instances).unwrap_or(u32::MAX);
-        let candidates = self.table.candidates(now, &active.service, &active.tried, instances);
-        let Some(running) = &active.running else {
-            return candidates;
-        };
-        let is_better = |other: &Candidate| !other.is_avoided && other.upstream != running.upstream;
-        candidates.into_iter().filter(is_better).collect()
+        let mut candidates = self.table.candidates(now, &active.service, &active.tried, instances);
+        let catalogue = self.catalogue.as_ref();
+        let service = catalogue.and_then(|catalogue| catalogue.service(&active.service));
+        let connections = self.connection_limit(service);
+        candidates.retain(|other| {
+            let count = self.table.request_count(&other.upstream);
+            count.is_none_or(|count| (count.requests as usize) < connections)
+        });
+        if let Some(running) = &active.running {
+            candidates.retain(|other| !other.is_avoided && other.upstream != running.upstream);
+        }
+        candidates
     }
 
     pub(super) fn has_engine(&self, service: &names::Service) -> bool {
--- a/tests/platform_capacity.rs
+++ b/tests/platform_capacity.rs
@@ -5,14 +5,35 @@
 mod support;
 
 use std::io::{BufReader, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use support::machines::{KEY, Machines, document};
 use support::wait_for;
-use support::worker::{Behaviour, Worker, read_response};
+use support::worker::{
+    Behaviour, HttpResponse, Worker, complete_stream, read_response, send_request,
+};
 use test_case::test_case;
 
+/// Number of connections that one instance may open to an upstream at least.
+const CONNECTIONS: usize = 4;
+
+fn call_in_background(address: SocketAddr, path: &str, id: &str) -> JoinHandle<HttpResponse> {
+    let (path, id) = (path.to_string(), id.to_string());
+    std::thread::spawn(move || {
+        let key = format!("Token {KEY}");
+        let headers = [
+            ("Request-Id", id.as_str()),
+            ("Authorization", key.as_str()),
+            ("Prompt-Prefix", "aa:100,bb:200,cc:10"),
+            ("Token-Counts", "310,40"),
+            ("Deadline-Remaining", "5000"),
+        ];
+        send_request(address, "POST", &path, &headers, "the body").unwrap()
+    })
+}
+
 fn start_upstream(machines: &Machines, name: &str, service: &str, behaviour: Behaviour) -> Worker {
     let worker = Worker::start(name, service, machines.seeds());
     worker.set_behaviour(behaviour);
@@ -23,6 +44,66 @@
     worker
 }
 
+#[test]
+fn a_pause_does_not_move_streams_to_an_upstream_whose_connections_are_all_in_use() {
+    let mut document = document(7);
+    document["services"][0]["connection-limit"] = CONNECTIONS.into();
+    let machines = Machines::start(3, 1);
+    machines.put_document_until_acknowledged(&document);
+    let _busy = start_upstream(&machines, "i-engine-busy", "engines", Behaviour::SlowEvents);
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let reports: Vec<_> = (0..CONNECTIONS)
+        .map(|number| {
+            call_in_background(instance.callers(), "/reports/1", &format!("report-{number}"))
+        })
+        .collect();
+    wait_for("the reports to be sent", || {
+        (instance.events("sent").len() >= CONNECTIONS).then_some(())
+    });
+    let _paused = start_upstream(&machines, "i-engine-paused", "engines", Behaviour::Pause(3));
+    // A stream that may not be resumed keeps the paused upstream silent while the others move.
+    let kept = call_in_background(instance.callers(), "/reports/1", "kept");
+    let streams = ["first", "second"]
+        .map(|id| (id, call_in_background(instance.callers(), "/captions/1", id)));
+    for (id, stream) in streams {
+        let answer = stream.join().unwrap();
+        let context =
+            || format!("{id}: {:?} {:?}", instance.events("failed"), instance.events("cut"));
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{}", context());
+        assert_eq!(answer.text(), complete_stream(id));
+    }
+    assert!(kept.join().unwrap().is_complete);
+    reports.into_iter().for_each(|report| assert!(report.join().unwrap().is_complete));
+}
+
+#[test]
+fn a_broken_stream_waits_for_an_upstream_whose_connections_are_all_in_use() {
+    let mut document = document(7);
+    document["services"][0]["connection-limit"] = CONNECTIONS.into();
+    let machines = Machines::start(3, 1);
+    machines.put_document_until_acknowledged(&document);
+    let busy = start_upstream(&machines, "i-engine-busy", "engines", Behaviour::SlowEvents);
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let reports: Vec<_> = (0..CONNECTIONS)
+        .map(|number| {
+            call_in_background(instance.callers(), "/reports/1", &format!("report-{number}"))
+        })
+        .collect();
+    wait_for("the reports to be sent", || {
+        (instance.events("sent").len() >= CONNECTIONS).then_some(())
+    });
+    std::thread::sleep(Duration::from_millis(3500));
+    let _breaks = start_upstream(&machines, "i-engine-1", "engines", Behaviour::BreakAfter(3));
+    busy.set_behaviour(Behaviour::Answer);
+    let answer = call_in_background(instance.callers(), "/captions/1", "broken").join().unwrap();
+    let context = || format!("{:?} {:?}", instance.events("failed"), instance.events("cut"));
+    assert_eq!((answer.status, answer.is_complete), (200, true), "{}", context());
+    assert_eq!(answer.text(), complete_stream("broken"));
+    reports.into_iter().for_each(|report| assert!(report.join().unwrap().is_complete));
+}
+
 #[test_case("/limits/idle-timeout-ms", 0; "all of it, after the idle timeout")]
 #[test_case("/limits/header-timeout-ms", 20; "its end, after the time for a request")]
 fn a_request_that_arrives_in_time_is_answered_although_the_instance_reads_it_late(
