Keep the connection limit of a service that a new document removes

What callers saw: beside a document that removes a route and its service, a stream at a stalled upstream was cut, although another upstream had room and connections.

Cause: the limit of connections is looked up in the document in force at each attempt. Without the service it fell to four connections to an upstream, so that the request could no longer go on where more were in use. The request keeps its route, but it did not keep the limit of its service.

Why the fix works: a request remembers the limit with which it was accepted. The limit of the document in force still applies while it names the service.

--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -60,6 +60,9 @@
     pub(super) metadata: RequestMetadata,
     pub(super) route: Route,
     pub(super) service: Service,
+    /// Maximum number of connections to one upstream when the request was accepted. It applies once
+    /// the service is no longer in the catalogue.
+    pub(super) connections: Option<usize>,
     pub(super) account: Option<ClientAccount>,
     pub(super) rank: u8,
     pub(super) arrived_at: Instant,
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -76,6 +76,7 @@
             Caller::Unknown | Caller::Anyone => None,
         };
         let service = route.service(request.id.0).cloned().ok_or_else(problems::not_ready)?;
+        let connections = catalogue.service(&service).map(|service| service.connections);
         let time_left = metadata.time_left.unwrap_or(route.timeout).min(route.timeout);
         if time_left.is_zero() {
             return Err(problems::too_late());
@@ -93,6 +94,7 @@
             reply: reply.clone(),
             metadata,
             service,
+            connections,
             account: caller.map(|account| account.name.clone()),
             rank: caller.and_then(|account| account.rank).unwrap_or(route.rank),
             route,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -52,7 +52,7 @@
             .cloned();
         let source = self.context_source(now, index, service.as_ref(), upstream);
         let (connections, catalogue_number) =
-            (self.connection_limit(service.as_ref()), self.catalogue_number());
+            (self.connection_limit(&self.requests[index]), self.catalogue_number());
         let attempt = Attempt(rand::rng().random());
         let active = &mut self.requests[index];
         let metadata = active.attempt_metadata(now, upstream.clone(), source);
@@ -138,9 +138,13 @@
         self.table.endpoint(&sources[source].upstream).map(|endpoint| endpoint.address)
     }
 
-    /// Returns the maximum number of connections that this instance may open to one upstream.
-    pub(super) fn connection_limit(&self, service: Option<&Service>) -> usize {
-        let total = service.map_or(MIN_CONNECTIONS, |service| service.connections);
+    /// Returns the maximum number of connections that this instance may open to one upstream for a
+    /// request.
+    pub(super) fn connection_limit(&self, active: &ActiveRequest) -> usize {
+        let catalogue = self.catalogue.as_ref();
+        let service = catalogue.and_then(|catalogue| catalogue.service(&active.service));
+        let connections = service.map(|service| service.connections).or(active.connections);
+        let total = connections.unwrap_or(MIN_CONNECTIONS);
         let share = total as f64 * CONNECTION_FRACTION / self.entry_count.max(1) as f64;
         (share as usize).max(MIN_CONNECTIONS)
     }
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -83,9 +83,7 @@
         let instances = if has_engine { self.entry_count } else { self.local_entry_count };
         let instances = u32::try_from(instances).unwrap_or(u32::MAX);
         let mut candidates = self.table.candidates(now, &active.service, &active.tried, instances);
-        let catalogue = self.catalogue.as_ref();
-        let service = catalogue.and_then(|catalogue| catalogue.service(&active.service));
-        let connections = self.connection_limit(service);
+        let connections = self.connection_limit(active);
         candidates.retain(|other| {
             let count = self.table.request_count(&other.upstream);
             count.is_none_or(|count| (count.requests as usize) < connections)
--- a/tests/platform_capacity.rs
+++ b/tests/platform_capacity.rs
@@ -104,6 +104,40 @@
     reports.into_iter().for_each(|report| assert!(report.join().unwrap().is_complete));
 }
 
+#[test]
+fn a_stalled_stream_keeps_the_connection_limit_of_a_service_that_was_removed() {
+    let mut document = document(7);
+    document["routes"][0]["timeout-ms"] = 3000.into();
+    let machines = Machines::start(3, 1);
+    machines.put_document_until_acknowledged(&document);
+    let busy = start_upstream(&machines, "i-engine-busy", "engines", Behaviour::SlowEvents);
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let reports: Vec<_> = (0..CONNECTIONS)
+        .map(|number| {
+            call_in_background(instance.callers(), "/reports/1", &format!("report-{number}"))
+        })
+        .collect();
+    wait_for("the reports to be sent", || {
+        (instance.events("sent").len() >= CONNECTIONS).then_some(())
+    });
+    // Only the reports are slow, so that the stream can end in time once it has moved.
+    busy.set_behaviour(Behaviour::Answer);
+    let stalled = start_upstream(&machines, "i-engine-stalled", "engines", Behaviour::Stall(3));
+    let stream = call_in_background(instance.callers(), "/captions/1", "stalled");
+    wait_for("the stream to be sent", || (!stalled.executed_requests().is_empty()).then_some(()));
+    let mut changed = document.clone();
+    changed["version"] = 8.into();
+    changed["routes"].as_array_mut().unwrap().drain(..2);
+    changed["services"].as_array_mut().unwrap().remove(0);
+    machines.put_document_until_acknowledged(&changed);
+    machines.wait_document_in_force(8);
+    let answer = stream.join().unwrap();
+    let context = || format!("{:?} {:?}", instance.events("failed"), instance.events("cut"));
+    assert_eq!((answer.status, answer.is_complete), (200, true), "{}", context());
+    reports.into_iter().for_each(|report| assert!(report.join().unwrap().is_complete));
+}
+
 #[test_case("/limits/idle-timeout-ms", 0; "all of it, after the idle timeout")]
 #[test_case("/limits/header-timeout-ms", 20; "its end, after the time for a request")]
 fn a_request_that_arrives_in_time_is_answered_although_the_instance_reads_it_late(
