Keep the answer in progress when the next request exceeds the buffer budget

What callers saw: a caller that sent its next request on the same connection early had its answer broken off, if the buffer budget of incomplete requests was used up at that moment.

Cause: Connection::read refused the bytes without regard to the phase. While an answer was in progress, a 503 that says "not run" was written into the middle of that answer and the connection closed. The handler was not told either, so that the request went on at its upstream.

Evidence: tests/platform_capacity.rs, a budget of 1 KiB and 2 KB behind a stream in progress: `(200, incomplete)` after the first event before, whole now.

Why the fix works: during an answer the bytes are dropped, and the connection closes after the answer; a request that was not read may be sent again. Outside an answer the refusal is as before. The callers of the platform send one request at a time, so that this is not the cause of the report.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -185,6 +185,8 @@
                     if self.reservation.resize(self.received.len()) {
                         self.receive(cx);
                         self.reservation.resize(self.received.len());
+                    } else if matches!(self.phase, Phase::Answering { .. }) {
+                        self.drop_next_request();
                     } else {
                         self.refuse(cx, overloaded());
                     }
@@ -198,6 +200,14 @@
         }
     }
 
+    /// Drops the bytes after the current request. The connection closes after the answer in
+    /// progress, so that the caller knows that the next request was not read.
+    fn drop_next_request(&mut self) {
+        self.received.clear();
+        self.reservation.resize(0);
+        self.is_draining = true;
+    }
+
     /// Returns whether more bytes may be read. This limits how much a caller can send before it has
     /// received the answer to its current request.
     fn can_read(&self) -> bool {
--- a/tests/platform_capacity.rs
+++ b/tests/platform_capacity.rs
@@ -138,6 +138,33 @@
     reports.into_iter().for_each(|report| assert!(report.join().unwrap().is_complete));
 }
 
+#[test]
+fn bytes_beyond_the_buffer_budget_do_not_end_the_answer_in_progress() {
+    let mut machines = Machines::start(3, 1);
+    machines.put_document_until_acknowledged(&document(7));
+    let entry = &mut machines.entries[0];
+    entry.kill();
+    let settings = std::fs::read_to_string(entry.settings()).unwrap();
+    std::fs::write(entry.settings(), settings + "limits:\n  incoming: 1KiB\n").unwrap();
+    entry.start();
+    let _engine = start_upstream(&machines, "i-engine-1", "engines", Behaviour::SlowEvents);
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let mut stream = TcpStream::connect(instance.callers()).unwrap();
+    let request = |id: &str, padding: &str| {
+        format!(
+            "GET /captions/1 HTTP/1.1\r\nhost: api.example\r\nauthorization: Token {KEY}\r\n\
+             request-id: {id}\r\nx-padding: {padding}\r\n\r\n"
+        )
+    };
+    stream.write_all(request("first", "").as_bytes()).unwrap();
+    wait_for("the stream to be sent", || (!instance.events("sent").is_empty()).then_some(()));
+    stream.write_all(request("second", &"x".repeat(2000)).as_bytes()).unwrap();
+    let answer = read_response(&mut BufReader::new(stream)).unwrap();
+    assert_eq!((answer.status, answer.is_complete), (200, true), "{}", answer.text());
+    assert_eq!(answer.text(), complete_stream("first"));
+}
+
 #[test_case("/limits/idle-timeout-ms", 0; "all of it, after the idle timeout")]
 #[test_case("/limits/header-timeout-ms", 20; "its end, after the time for a request")]
 fn a_request_that_arrives_in_time_is_answered_although_the_instance_reads_it_late(
