Do not ask the upstream again that has just refused a request

What callers saw: a stream was cut while its upstream was sound and only silent for 1.5 s, because it moved to an upstream that refused it.

Cause: once all upstreams were tried, the next attempt went to the preferred one again. The silent upstream is avoided while its other requests get nothing, so that all four attempts went to the upstream that had just refused, and the stream was cut (reason=upstream_failed).

Evidence: tests/platform_capacity.rs.

Why the fix works: the last upstream that was tried is omitted if there is another one. The stream resumes at the silent upstream, which goes on.

What remains: a move ends the first attempt before the other upstream has taken the request. If the retry budget or the attempts are used up by then, a refusal or a failure of the second upstream still cuts the stream.

--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -154,7 +154,7 @@
     }
 
     /// Returns the upstreams of `service` that may get new requests. Those in `tried` are omitted
-    /// unless there are no others.
+    /// unless there are no others, and the last of them unless it is the only one.
     pub(super) fn candidates(
         &mut self,
         now: Instant,
@@ -187,7 +187,12 @@
         let untried =
             candidates.iter().filter(|candidate| !tried.contains(&candidate.upstream)).cloned();
         let untried: Vec<Candidate> = untried.collect();
-        if untried.is_empty() { candidates } else { untried }
+        if !untried.is_empty() {
+            return untried;
+        }
+        let is_other = |candidate: &&Candidate| tried.last() != Some(&candidate.upstream);
+        let others: Vec<Candidate> = candidates.iter().filter(is_other).cloned().collect();
+        if others.is_empty() { candidates } else { others }
     }
 
     /// Returns the engines of `service` from which others may fetch context, including those that
--- a/tests/platform_capacity.rs
+++ b/tests/platform_capacity.rs
@@ -77,6 +77,23 @@
     reports.into_iter().for_each(|report| assert!(report.join().unwrap().is_complete));
 }
 
+#[test]
+fn a_paused_stream_is_not_cut_because_the_other_upstream_refuses_it() {
+    let machines = Machines::start(3, 1);
+    machines.put_document_until_acknowledged(&document(7));
+    let _paused = start_upstream(&machines, "i-engine-paused", "engines", Behaviour::Pause(3));
+    machines.wait_ready(7);
+    let instance = &machines.entries[0];
+    let _refuses = start_upstream(&machines, "i-engine-refuses", "engines", Behaviour::Refuse);
+    // A stream that may not be resumed keeps the paused upstream silent while the other one moves.
+    let kept = call_in_background(instance.callers(), "/reports/1", "kept");
+    let answer = call_in_background(instance.callers(), "/captions/1", "moved").join().unwrap();
+    let context = || format!("{:?} {:?}", instance.events("failed"), instance.events("cut"));
+    assert_eq!((answer.status, answer.is_complete), (200, true), "{}", context());
+    assert_eq!(answer.text(), complete_stream("moved"));
+    assert!(kept.join().unwrap().is_complete);
+}
+
 #[test]
 fn a_broken_stream_waits_for_an_upstream_whose_connections_are_all_in_use() {
     let mut document = document(7);
