--- a/tests/platform_pauses.rs
+++ b/tests/platform_pauses.rs
@@ -24,8 +24,11 @@
 /// Number of streams that fill an engine with eight slots.
 const STREAMS_OF_FULL_ENGINE: usize = 9;
 
-/// Number of streams whose upstream pauses at the same time: more than the retry budget of one
-/// instance allows to move.
+/// Number of engines with room for all streams of a test, also if each of them moves.
+const ENGINES: usize = 16;
+
+/// Number of streams whose upstream pauses at the same time. The retry budget of one instance allows
+/// 40 retries and 0.16 for each request, so that it cannot move all of them.
 const PAUSED_STREAMS: usize = 60;
 
 fn call(address: SocketAddr, path: &str, id: &str) -> HttpResponse {
@@ -120,12 +123,11 @@
 
 #[test]
 fn a_pause_does_not_cut_the_streams_that_the_retry_budget_cannot_move() {
-    let mut document = document(7);
-    document["services"][0]["engine"]["slots"] = 64.into();
-    document["services"][0]["connection-limit"] = 400.into();
-    let machines = start_machines(&document);
-    let _engines = ["i-engine-1", "i-engine-2"]
-        .map(|name| start_upstream(&machines, name, "engines", Behaviour::Pause(3)));
+    let machines = start_machines(&document(7));
+    let _engines: Vec<Worker> = (0..ENGINES)
+        .map(|number| format!("i-engine-{number}"))
+        .map(|name| start_upstream(&machines, &name, "engines", Behaviour::Pause(3)))
+        .collect();
     machines.wait_ready(7);
     let instance = &machines.entries[0];
     let streams: Vec<_> = (0..PAUSED_STREAMS)
@@ -135,13 +137,10 @@
         })
         .collect();
     for (stream, id) in streams {
-        let answer = stream.join().unwrap();
-        // A stream that was refused at once because the engines are full was not lost.
-        if answer.status != 503 {
-            assert_whole(&answer, &id, instance);
-        }
+        assert_whole(&stream.join().unwrap(), &id, instance);
     }
-    assert!(instance.events("cut").is_empty());
+    let moved = instance.events("failed").len();
+    assert!(moved < PAUSED_STREAMS, "the budget allowed {moved} moves");
 }
 
 #[test]
