Use up no probe of an unhealthy upstream for a silent request

Seen by reading, in the review: a look at the candidates lets one probe request a second through to an upstream whose avoidance is over. Requests at a silent upstream look every 200 ms and mostly send nothing, so that an upstream that had recovered stayed avoided while there were silent requests.

Now the upstreams that a silent request can move to are listed without letting a probe through, and without those that were not found healthy since their last failure: a request that may still be answered is not the one to try them.

Evidence: dispatch/tests/health.rs, a look uses up no probe. The effect on a fleet was not measured.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -161,6 +161,14 @@
         if avoided.len() * 2 > known_count { Vec::new() } else { avoided }
     }
 
+    /// Returns the upstreams of `service` that were found unhealthy and not healthy since, without
+    /// letting a probe request through.
+    pub fn unproven_upstreams(&self, service: &Service) -> Vec<Upstream> {
+        let of_service = self.entries.iter().filter(|entry| entry.service == *service);
+        let unproven = of_service.filter(|entry| entry.avoided_until.is_some());
+        unproven.map(|entry| entry.upstream.clone()).collect()
+    }
+
     /// Returns whether an upstream is avoided at `now`, without letting a probe request through.
     pub fn is_avoided(&self, service: &Service, upstream: &Upstream, now: Instant) -> bool {
         self.find(service, upstream).is_ok_and(|index| self.entries[index].is_avoided(now))
--- a/crates/dispatch/tests/health.rs
+++ b/crates/dispatch/tests/health.rs
@@ -85,3 +85,16 @@
     }
     assert!(health.avoided_upstreams(&service(), now).is_empty());
 }
+
+#[test]
+fn a_look_at_unproven_upstreams_uses_up_no_probe_request() {
+    let (mut health, now) = (OutlierDetector::default(), Instant::now());
+    register_engines(&mut health);
+    let first = &engines()[0];
+    record_failures(&mut health, first, 3, now);
+    let after_avoidance = now + Duration::from_secs(2);
+    assert_eq!(health.unproven_upstreams(&service()), std::slice::from_ref(first));
+    assert!(health.avoided_upstreams(&service(), after_avoidance).is_empty());
+    health.record_success(&service(), first);
+    assert!(health.unproven_upstreams(&service()).is_empty());
+}
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -74,23 +74,26 @@
         Placement::Sent
     }
 
-    /// Returns the upstreams that the request at `index` can be sent to. A request in progress can
-    /// only be sent to an upstream that seems better than its own.
+    /// Returns the upstreams that the request at `index` can be sent to, or can move to if it is in
+    /// progress.
     pub(super) fn candidates(&mut self, now: Instant, index: usize) -> Vec<Candidate> {
         let active = &self.requests[index];
         // Engines are chosen from all data centres, other upstreams mostly from this one.
         let has_engine = self.has_engine(&active.service);
         let instances = if has_engine { self.entry_count } else { self.local_entry_count };
         let instances = u32::try_from(instances).unwrap_or(u32::MAX);
-        let mut candidates = self.table.candidates(now, &active.service, &active.tried, instances);
+        let (service, tried) = (&active.service, &active.tried);
+        let mut candidates = match &active.running {
+            Some(running) => {
+                self.table.move_targets(now, service, &running.upstream, tried, instances)
+            }
+            None => self.table.candidates(now, service, tried, instances),
+        };
         let connections = self.connection_limit(active);
         candidates.retain(|other| {
             let count = self.table.request_count(&other.upstream);
             count.is_none_or(|count| (count.requests as usize) < connections)
         });
-        if let Some(running) = &active.running {
-            candidates.retain(|other| !other.is_avoided && other.upstream != running.upstream);
-        }
         candidates
     }
 
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -174,6 +174,33 @@
         instances: u32,
     ) -> Vec<Candidate> {
         let avoided = self.health.avoided_upstreams(service, now);
+        self.list_candidates(now, service, tried, instances, &avoided)
+    }
+
+    /// Returns the upstreams of `service` that a request in progress at `running`, which is silent,
+    /// can move to. None of them failed recently.
+    pub(super) fn move_targets(
+        &self,
+        now: Instant,
+        service: &Service,
+        running: &Upstream,
+        tried: &[Upstream],
+        instances: u32,
+    ) -> Vec<Candidate> {
+        let unproven = self.health.unproven_upstreams(service);
+        let mut targets = self.list_candidates(now, service, tried, instances, &unproven);
+        targets.retain(|target| !target.is_avoided && target.upstream != *running);
+        targets
+    }
+
+    fn list_candidates(
+        &self,
+        now: Instant,
+        service: &Service,
+        tried: &[Upstream],
+        instances: u32,
+        avoided: &[Upstream],
+    ) -> Vec<Candidate> {
         let of_service = |entry: &&TableEntry| entry.announcement.service == *service;
         let ready = self.entries.iter().filter(of_service).filter(|entry| self.is_open(now, entry));
         let prior = forward::mean_load(ready.clone().map(|entry| &entry.estimate), now);
