--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -139,6 +139,13 @@
     }
 
     fn check_deadline(&mut self, cx: CX![]) {
+        if cx.now() >= self.deadline && matches!(self.phase, Phase::Receiving { .. }) {
+            // The operating system may have received bytes that were not read yet.
+            self.read(cx);
+            if !self.is_read_open || !matches!(self.phase, Phase::Receiving { .. }) {
+                return;
+            }
+        }
         if cx.now() < self.deadline {
             return;
         }
@@ -178,6 +185,8 @@
                     if self.reservation.resize(self.received.len()) {
                         self.receive(cx);
                         self.reservation.resize(self.received.len());
+                    } else if matches!(self.phase, Phase::Answering { .. }) {
+                        self.drop_next_request();
                     } else {
                         self.refuse(cx, overloaded());
                     }
@@ -191,6 +200,14 @@
         }
     }
 
+    /// Drops the bytes after the current request. The connection closes after the answer in
+    /// progress, so that the caller knows that the next request was not read.
+    fn drop_next_request(&mut self) {
+        self.received.clear();
+        self.reservation.resize(0);
+        self.is_draining = true;
+    }
+
     /// Returns whether more bytes may be read. This limits how much a caller can send before it has
     /// received the answer to its current request.
     fn can_read(&self) -> bool {
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -165,7 +165,7 @@
     }
 
     /// Returns the upstreams of `service` that may get new requests. Those in `tried` are omitted
-    /// unless there are no others.
+    /// unless there are no others, and the last of them unless it is the only one.
     pub(super) fn candidates(
         &mut self,
         now: Instant,
@@ -174,6 +174,33 @@
         instances: u32,
     ) -> Vec<Candidate> {
         let avoided = self.health.avoided_upstreams(service, now);
+        self.list_candidates(now, service, tried, instances, &avoided)
+    }
+
+    /// Returns the upstreams of `service` that a request in progress at `running`, which is silent,
+    /// can move to. None of them failed recently.
+    pub(super) fn move_targets(
+        &self,
+        now: Instant,
+        service: &Service,
+        running: &Upstream,
+        tried: &[Upstream],
+        instances: u32,
+    ) -> Vec<Candidate> {
+        let unproven = self.health.unproven_upstreams(service);
+        let mut targets = self.list_candidates(now, service, tried, instances, &unproven);
+        targets.retain(|target| !target.is_avoided && target.upstream != *running);
+        targets
+    }
+
+    fn list_candidates(
+        &self,
+        now: Instant,
+        service: &Service,
+        tried: &[Upstream],
+        instances: u32,
+        avoided: &[Upstream],
+    ) -> Vec<Candidate> {
         let of_service = |entry: &&TableEntry| entry.announcement.service == *service;
         let ready = self.entries.iter().filter(of_service).filter(|entry| self.is_open(now, entry));
         let prior = forward::mean_load(ready.clone().map(|entry| &entry.estimate), now);
@@ -198,7 +225,12 @@
         let untried =
             candidates.iter().filter(|candidate| !tried.contains(&candidate.upstream)).cloned();
         let untried: Vec<Candidate> = untried.collect();
-        if untried.is_empty() { candidates } else { untried }
+        if !untried.is_empty() {
+            return untried;
+        }
+        let is_other = |candidate: &&Candidate| tried.last() != Some(&candidate.upstream);
+        let others: Vec<Candidate> = candidates.iter().filter(is_other).cloned().collect();
+        if others.is_empty() { candidates } else { others }
     }
 
     /// Returns the engines of `service` from which others may fetch context, including those that
