--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -97,7 +97,10 @@
             }
             Ok(answer) if answer.verdict.as_deref() == Some("not-run") => {}
             Err(error) if error.contains("refused") => {}
-            _ => cut_calls += 1,
+            interrupted => {
+                println!("interrupted at {address}: {interrupted:?}");
+                cut_calls += 1;
+            }
         }
     }
     cut_calls
