Share the requests and upstreams of the platform's new tests

Four test files of this change sent the same requests and waited for upstreams with the same code. It moves to tests/support/platform_calls.rs; the checks are the same.

--- a/tests/platform_capacity.rs
+++ b/tests/platform_capacity.rs
@@ -5,45 +5,18 @@
 mod support;
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::thread::JoinHandle;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use support::machines::{KEY, Machines, document};
+use support::platform_calls::{call_in_background, start_upstream, wait_events};
 use support::wait_for;
-use support::worker::{
-    Behaviour, HttpResponse, Worker, complete_stream, read_response, send_request,
-};
+use support::worker::{Behaviour, complete_stream, read_response};
 use test_case::test_case;
 
 /// Number of connections that one instance may open to an upstream at least.
 const CONNECTIONS: usize = 4;
 
-fn call_in_background(address: SocketAddr, path: &str, id: &str) -> JoinHandle<HttpResponse> {
-    let (path, id) = (path.to_string(), id.to_string());
-    std::thread::spawn(move || {
-        let key = format!("Token {KEY}");
-        let headers = [
-            ("Request-Id", id.as_str()),
-            ("Authorization", key.as_str()),
-            ("Prompt-Prefix", "aa:100,bb:200,cc:10"),
-            ("Token-Counts", "310,40"),
-            ("Deadline-Remaining", "5000"),
-        ];
-        send_request(address, "POST", &path, &headers, "the body").unwrap()
-    })
-}
-
-fn start_upstream(machines: &Machines, name: &str, service: &str, behaviour: Behaviour) -> Worker {
-    let worker = Worker::start(name, service, machines.seeds());
-    worker.set_behaviour(behaviour);
-    wait_for("arrival of an upstream at the entry instance", || {
-        let known = machines.entries[0].events("upstream");
-        known.iter().any(|line| line["upstream"] == name).then_some(())
-    });
-    worker
-}
-
 #[test]
 fn a_pause_does_not_move_streams_to_an_upstream_whose_connections_are_all_in_use() {
     let mut document = document(7);
@@ -58,9 +31,7 @@
             call_in_background(instance.callers(), "/reports/1", &format!("report-{number}"))
         })
         .collect();
-    wait_for("the reports to be sent", || {
-        (instance.events("sent").len() >= CONNECTIONS).then_some(())
-    });
+    wait_events(instance, "sent", CONNECTIONS);
     let _paused = start_upstream(&machines, "i-engine-paused", "engines", Behaviour::Pause(3));
     // A stream that may not be resumed keeps the paused upstream silent while the others move.
     let kept = call_in_background(instance.callers(), "/reports/1", "kept");
@@ -108,9 +79,7 @@
             call_in_background(instance.callers(), "/reports/1", &format!("report-{number}"))
         })
         .collect();
-    wait_for("the reports to be sent", || {
-        (instance.events("sent").len() >= CONNECTIONS).then_some(())
-    });
+    wait_events(instance, "sent", CONNECTIONS);
     std::thread::sleep(Duration::from_millis(3500));
     let _breaks = start_upstream(&machines, "i-engine-1", "engines", Behaviour::BreakAfter(3));
     busy.set_behaviour(Behaviour::Answer);
@@ -135,9 +104,7 @@
             call_in_background(instance.callers(), "/reports/1", &format!("report-{number}"))
         })
         .collect();
-    wait_for("the reports to be sent", || {
-        (instance.events("sent").len() >= CONNECTIONS).then_some(())
-    });
+    wait_events(instance, "sent", CONNECTIONS);
     // Only the reports are slow, so that the stream can end in time once it has moved.
     busy.set_behaviour(Behaviour::Answer);
     let stalled = start_upstream(&machines, "i-engine-stalled", "engines", Behaviour::Stall(3));
@@ -175,7 +142,7 @@
         )
     };
     stream.write_all(request("first", "").as_bytes()).unwrap();
-    wait_for("the stream to be sent", || (!instance.events("sent").is_empty()).then_some(()));
+    wait_events(instance, "sent", 1);
     stream.write_all(request("second", &"x".repeat(2000)).as_bytes()).unwrap();
     let answer = read_response(&mut BufReader::new(stream)).unwrap();
     assert_eq!((answer.status, answer.is_complete), (200, true), "{}", answer.text());
--- a/tests/platform_pauses.rs
+++ b/tests/platform_pauses.rs
@@ -5,16 +5,13 @@
 mod support;
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::thread::JoinHandle;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use serde_json::Value;
 use support::machines::{KEY, Machine, Machines, document, put_document};
-use support::wait_for;
-use support::worker::{
-    Behaviour, HttpResponse, Worker, complete_stream, read_response, send_request,
-};
+use support::platform_calls::{call, call_in_background, start_upstream, wait_events};
+use support::worker::{Behaviour, HttpResponse, Worker, complete_stream, read_response};
 use test_case::test_case;
 
 /// Number of requests that fill an upstream of a service without engines: one and a half times its
@@ -31,23 +28,6 @@
 /// 40 retries and 0.16 for each request, so that it cannot move all of them.
 const PAUSED_STREAMS: usize = 60;
 
-fn call(address: SocketAddr, path: &str, id: &str) -> HttpResponse {
-    let key = format!("Token {KEY}");
-    let headers = [
-        ("Request-Id", id),
-        ("Authorization", key.as_str()),
-        ("Prompt-Prefix", "aa:100,bb:200,cc:10"),
-        ("Token-Counts", "310,40"),
-        ("Deadline-Remaining", "5000"),
-    ];
-    send_request(address, "POST", path, &headers, "the body").unwrap()
-}
-
-fn call_in_background(address: SocketAddr, path: &str, id: &str) -> JoinHandle<HttpResponse> {
-    let (path, id) = (path.to_string(), id.to_string());
-    std::thread::spawn(move || call(address, &path, &id))
-}
-
 /// Returns the document `number`, in which streams of the first route may run `attempts` times.
 fn document_with_attempts(number: u64, attempts: usize) -> Value {
     let mut document = document(number);
@@ -63,21 +43,6 @@
     machines
 }
 
-fn start_upstream(machines: &Machines, name: &str, service: &str, behaviour: Behaviour) -> Worker {
-    let worker = Worker::start(name, service, machines.seeds());
-    worker.set_behaviour(behaviour);
-    wait_for("arrival of an upstream at the entry instance", || {
-        let known = machines.entries[0].events("upstream");
-        known.iter().any(|line| line["upstream"] == name).then_some(())
-    });
-    worker
-}
-
-/// Waits until `instance` has logged `count` lines that report `event`.
-fn wait_events(instance: &Machine, event: &str, count: usize) {
-    wait_for("lines of the log", || (instance.events(event).len() >= count).then_some(()));
-}
-
 fn assert_whole(answer: &HttpResponse, id: &str, instance: &Machine) {
     let context = || format!("{id}: {:?} {:?}", instance.events("failed"), instance.events("cut"));
     assert_eq!((answer.status, answer.is_complete), (200, true), "{}", context());
--- a/tests/platform_streams.rs
+++ b/tests/platform_streams.rs
@@ -7,9 +7,10 @@
 
 use std::net::SocketAddr;
 
-use support::machines::{KEY, Machines, document};
+use support::machines::{Machines, document};
+use support::platform_calls::call_within;
 use support::wait_for;
-use support::worker::{Behaviour, HttpResponse, Worker, complete_stream, send_request};
+use support::worker::{Behaviour, HttpResponse, Worker, complete_stream};
 
 /// Head of a stream of events.
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: s\r\n\
@@ -76,15 +77,7 @@
 }
 
 fn call(address: SocketAddr, path: &str, id: &str) -> HttpResponse {
-    let key = format!("Token {KEY}");
-    let headers = [
-        ("Request-Id", id),
-        ("Authorization", key.as_str()),
-        ("Prompt-Prefix", "aa:100,bb:200,cc:10"),
-        ("Token-Counts", "310,40"),
-        ("Deadline-Remaining", "3000"),
-    ];
-    send_request(address, "POST", path, &headers, "the body").unwrap()
+    call_within(address, path, id, "3000")
 }
 
 struct Deployment {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,7 @@
 mod load;
 pub mod machines;
 mod operator_client;
+pub mod platform_calls;
 mod process;
 mod proxy;
 pub mod replicated_log;
--- a/tests/upstream_signals.rs
+++ b/tests/upstream_signals.rs
@@ -10,7 +10,8 @@
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
-use support::machines::{KEY, Machine, Machines, document};
+use support::machines::{Machine, Machines, document};
+use support::platform_calls::{call, call_within};
 use support::wait_for;
 use support::worker::{Behaviour, HttpResponse, Worker, complete_stream, event, send_request};
 
@@ -23,23 +24,6 @@
 /// Longest time from a request to its refusal if the instance refuses it at once.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(700);
 
-fn call(address: SocketAddr, path: &str, id: &str) -> HttpResponse {
-    call_within(address, path, id, "5000")
-}
-
-/// Sends a request whose caller waits for `millis` milliseconds.
-fn call_within(address: SocketAddr, path: &str, id: &str, millis: &str) -> HttpResponse {
-    let key = format!("Token {KEY}");
-    let headers = [
-        ("Request-Id", id),
-        ("Authorization", key.as_str()),
-        ("Prompt-Prefix", "aa:100,bb:200,cc:10"),
-        ("Token-Counts", "310,40"),
-        ("Deadline-Remaining", millis),
-    ];
-    send_request(address, "POST", path, &headers, "the body").unwrap()
-}
-
 struct Deployment {
     machines: Machines,
     upstreams: Vec<Worker>,
