Log when the answer of a failed attempt had begun, and the parts of its prompt

The log could not tell the request that ended an engine from the others that were at it, so the first two hypotheses of docs/incidents/crashing-parts.md could not be told apart. No decision is changed.

--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -14,6 +14,9 @@
 use super::tracker_queries::UpstreamSearch;
 use crate::interface::{AttemptMetadata, RequestMetadata};
 
+/// Largest number of parts of a prompt that are logged.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// What an upstream has not sent for so long that the request may move to another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 pub(super) enum Silence {
@@ -37,7 +40,8 @@
     pub(super) started_at: Instant,
     /// Number of prompt tokens that the upstream probably has to process.
     pub(super) tokens: f64,
-    pub(super) has_head: bool,
+    /// Time of the head of the response.
+    pub(super) head_at: Option<Instant>,
     /// HTTP status of the response, or 0 before the response starts.
     pub(super) status: u16,
     /// Time of the first byte of the body.
@@ -105,6 +109,13 @@
         self.request.id
     }
 
+    /// Returns the parts of the prompt for the log.
+    pub(super) fn prompt_text(&self) -> String {
+        let parts = self.metadata.prompt.iter().flat_map(|prompt| &prompt.parts);
+        let parts = parts.take(MAX_LOGGED_PARTS).map(|part| format!("{:016x}", part.id));
+        parts.collect::<Vec<_>>().join(",")
+    }
+
     /// Prepares a stream whose attempt has ended for its resumption. The stream may wait for an
     /// upstream while its caller waits for the next event.
     pub(super) fn resume_later(&mut self, now: Instant) {
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -120,7 +120,7 @@
             born: endpoint.born,
             started_at: now,
             tokens: active.own_tokens(),
-            has_head: false,
+            head_at: None,
             status: 0,
             first_byte_at: None,
             parts: 0,
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -59,7 +59,7 @@
         {
             self.attempt_owners.remove(index);
         }
-        if !running.has_head {
+        if running.head_at.is_none() {
             self.table.remove_tokens(&running.upstream, running.tokens);
         }
         self.table.end_request(&running.upstream);
@@ -92,6 +92,8 @@
                 verdict: verdict.to_string(),
                 reason: reason.to_string(),
                 after_ms: millis(now.saturating_duration_since(running.started_at)),
+                begun_ms: running.head_at.map(|at| millis(now.saturating_duration_since(at))),
+                prompt: active.prompt_text(),
                 next: next.to_string(),
             }
             .write();
@@ -114,7 +116,7 @@
         let Some(running) = &mut active.running else {
             return;
         };
-        running.has_head = true;
+        running.head_at = Some(now);
         running.event_due = Some(now + timeout);
         running.status = status;
         let (upstream, born, tokens) = (running.upstream.clone(), running.born, running.tokens);
--- a/crates/relay/src/forwarder/stalls.rs
+++ b/crates/relay/src/forwarder/stalls.rs
@@ -32,7 +32,7 @@
     fn silence(&self, now: Instant, active: &ActiveRequest) -> Option<Silence> {
         let running = active.running.as_ref()?;
         let is_past = |due: &Instant| now >= *due;
-        if !running.has_head {
+        if running.head_at.is_none() {
             return running.response_due.filter(is_past).map(|_| Silence::Response);
         }
         active.stream_tracker.as_ref()?;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -217,6 +217,10 @@
         reason: String,
         /// Time since the attempt started.
         after_ms: u64,
+        /// Time since the first byte of the answer arrived, or none if none did.
+        begun_ms: Option<u64>,
+        /// Parts of the prompt, the last of which is specific to the request or its session.
+        prompt: String,
         /// Action that follows the failure, such as a retry.
         next: String,
     },
