--- /dev/null
+++ b/tests/platform_crashing_parts.rs
@@ -0,0 +1,401 @@
+//! End-to-end tests of parts of prompts that crash upstreams: the fleet stops sending requests with
+//! such a part, and goes on with all others.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use support::machines::{KEY, Machine, Machines, document};
+use support::worker::{Behaviour, HttpResponse, Worker, send_request};
+use support::{Proxy, wait_for};
+use test_case::test_case;
+
+/// Part that crashes upstreams.
+const BAD: &str = "bad0bad0";
+
+/// Another part that crashes upstreams.
+const OTHER_BAD: &str = "bad1bad1";
+
+/// Number of crashes after which the fleet has to know the cause.
+const CRASHES: usize = 5;
+
+/// Time within which the fleet has to know the cause after the last of [`CRASHES`] crashes.
+const CONTACT: Duration = Duration::from_millis(3000);
+
+/// Number of requests with the part that may reach upstreams after that time.
+const MAX_LATER_REQUESTS: usize = 3;
+
+/// Time after a crash at which the upstream is back.
+const RESTART_DELAY: Duration = Duration::from_millis(1500);
+
+/// Time that the requests go on after the cause has to be known.
+const AFTERMATH: Duration = Duration::from_millis(6000);
+
+const ENTRIES: u8 = 6;
+const ENGINES: usize = 8;
+const SOUND_CALLERS: usize = 8;
+
+/// Interval between two requests that crash upstreams.
+const BAD_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Answer to a sound request.
+struct Sample {
+    sent_at: Instant,
+    is_served: bool,
+}
+
+/// Engines that return under another name some time after they have crashed.
+struct Engines {
+    workers: Arc<Mutex<Vec<Worker>>>,
+    is_stopped: Arc<AtomicBool>,
+    supervisor: Option<JoinHandle<()>>,
+}
+
+impl Engines {
+    fn start(seeds: &[SocketAddr], behaviour: Behaviour) -> Self {
+        let start = |number| {
+            let worker = Worker::start(&format!("i-engine-{number}"), "engines", seeds.to_vec());
+            worker.set_behaviour(behaviour);
+            worker
+        };
+        let workers = Arc::new(Mutex::new((1..=ENGINES).map(start).collect::<Vec<_>>()));
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let (all, is_ended, seeds) = (workers.clone(), is_stopped.clone(), seeds.to_vec());
+        let supervisor = std::thread::spawn(move || {
+            let mut restarted = 0;
+            let mut ended: Vec<(Instant, SocketAddr)> = Vec::new();
+            while !is_ended.load(Ordering::Relaxed) {
+                for worker in all.lock().unwrap().iter() {
+                    let crash = worker.crashed_at().map(|at| (at, worker.address()));
+                    ended.extend(crash.filter(|crash| !ended.contains(crash)));
+                }
+                while ended.get(restarted).is_some_and(|(at, _)| at.elapsed() > RESTART_DELAY) {
+                    let name = format!("i-engine-{}", ENGINES + 1 + restarted);
+                    let worker =
+                        Worker::start_at(&name, "engines", seeds.clone(), ended[restarted].1);
+                    worker.set_behaviour(behaviour);
+                    all.lock().unwrap().push(worker);
+                    restarted += 1;
+                }
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        });
+        Self { workers, is_stopped, supervisor: Some(supervisor) }
+    }
+
+    /// Returns the times of the crashes, in order.
+    fn crashes(&self) -> Vec<Instant> {
+        let workers = self.workers.lock().unwrap();
+        let mut times: Vec<Instant> = workers.iter().filter_map(Worker::crashed_at).collect();
+        times.sort();
+        times
+    }
+
+    /// Returns the times at which requests with `part` arrived, in order.
+    fn arrivals(&self, part: &str) -> Vec<Instant> {
+        let workers = self.workers.lock().unwrap();
+        let requests = workers.iter().flat_map(Worker::executed_requests);
+        let with_part = requests.filter(|run| {
+            run.headers.get("prompt-prefix").is_some_and(|prompt| prompt.contains(part))
+        });
+        let mut times: Vec<Instant> = with_part.map(|run| run.at).collect();
+        times.sort();
+        times
+    }
+}
+
+impl Drop for Engines {
+    fn drop(&mut self) {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        if let Some(supervisor) = self.supervisor.take() {
+            let _ = supervisor.join();
+        }
+    }
+}
+
+/// Sends a request with the prompt `prompt`.
+fn call(address: SocketAddr, path: &str, id: &str, prompt: &str) -> Option<HttpResponse> {
+    let key = format!("Token {KEY}");
+    let headers = [
+        ("Request-Id", id),
+        ("Authorization", key.as_str()),
+        ("Prompt-Prefix", prompt),
+        ("Token-Counts", "160,40"),
+        ("Deadline-Remaining", "5000"),
+    ];
+    send_request(address, "POST", path, &headers, "the body").ok()
+}
+
+/// Requests in progress, which go on until this is dropped.
+struct Traffic {
+    is_stopped: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    samples: Arc<Mutex<Vec<Sample>>>,
+    /// Number of requests that crash upstreams which were refused as not run.
+    refused: Arc<AtomicUsize>,
+}
+
+impl Traffic {
+    /// Starts sound callers, and callers whose prompts are in turn those of `bad_prompts`. `LAST`
+    /// stands for a part of the request itself.
+    fn start(entries: &[SocketAddr], bad_prompts: &[&'static str]) -> Self {
+        let mut traffic = Self {
+            is_stopped: Arc::default(),
+            threads: Vec::new(),
+            samples: Arc::default(),
+            refused: Arc::default(),
+        };
+        for caller in 0..SOUND_CALLERS {
+            let (entries, is_stopped) = (entries.to_vec(), traffic.is_stopped.clone());
+            let samples = traffic.samples.clone();
+            traffic.threads.push(std::thread::spawn(move || {
+                for number in 0.. {
+                    if is_stopped.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let id = format!("sound-{caller}-{number}");
+                    let prompt = format!("aa:100,50{}:50,e{caller}e{number}:10", number % 5);
+                    let path = if number % 2 == 0 { "/captions/1" } else { "/reports/1" };
+                    let sent_at = Instant::now();
+                    let entry = entries[(caller + number) % entries.len()];
+                    let answer = call(entry, path, &id, &prompt);
+                    let is_served = answer
+                        .is_some_and(|answer| answer.status == 200 && !answer.body.is_empty());
+                    samples.lock().unwrap().push(Sample { sent_at, is_served });
+                }
+            }));
+        }
+        let (entries, is_stopped) = (entries.to_vec(), traffic.is_stopped.clone());
+        let (bad_prompts, refused) = (bad_prompts.to_vec(), traffic.refused.clone());
+        if bad_prompts.is_empty() {
+            return traffic;
+        }
+        traffic.threads.push(std::thread::spawn(move || {
+            for number in 0.. {
+                if is_stopped.load(Ordering::Relaxed) {
+                    return;
+                }
+                let prompt = bad_prompts[number % bad_prompts.len()];
+                let prompt = prompt.replace("LAST", &format!("f{number}"));
+                let (entry, refused) = (entries[number % entries.len()], refused.clone());
+                let path = if number % 3 == 0 { "/captions/1" } else { "/reports/1" };
+                std::thread::spawn(move || {
+                    let answer = call(entry, path, &format!("bad-{number}"), &prompt);
+                    if answer.is_some_and(|answer| answer.status == 503) {
+                        refused.fetch_add(1, Ordering::Relaxed);
+                    }
+                });
+                std::thread::sleep(BAD_INTERVAL);
+            }
+        }));
+        traffic
+    }
+
+    /// Returns the share of sound requests sent from `start` to `end` that were served, and their
+    /// number.
+    fn served(&self, start: Instant, end: Instant) -> (f64, usize) {
+        let samples = self.samples.lock().unwrap();
+        let chosen: Vec<&Sample> =
+            samples.iter().filter(|sample| (start..end).contains(&sample.sent_at)).collect();
+        let served = chosen.iter().filter(|sample| sample.is_served).count();
+        (served as f64 / chosen.len().max(1) as f64, chosen.len())
+    }
+}
+
+impl Drop for Traffic {
+    fn drop(&mut self) {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts three control instances and six entry instances in three data centres.
+fn start_machines<F>(mut setup: F) -> Machines
+where
+    F: FnMut(&mut Machine),
+{
+    let mut number = 0;
+    let machines = Machines::start_with_setup(3, ENTRIES, |machine| {
+        machine.data_centre = ["giza", "cairo", "delta"][number % 3].to_string();
+        number += 1;
+        setup(machine);
+    });
+    machines.put_document_until_acknowledged(&document(7));
+    machines
+}
+
+fn wait_until_served(machines: &Machines) {
+    machines.wait_ready(7);
+    for entry in &machines.entries {
+        wait_for("arrival of the upstreams at an entry instance", || {
+            (entry.events("upstream").len() >= ENGINES).then_some(())
+        });
+    }
+}
+
+fn callers(machines: &Machines) -> Vec<SocketAddr> {
+    machines.entries.iter().map(Machine::callers).collect()
+}
+
+/// Asserts that requests with `part` no longer reach upstreams once the fleet has to know the cause.
+fn assert_contained(engines: &Engines, part: &str, since: Option<Instant>) {
+    let arrivals = engines.arrivals(part);
+    let crashes = engines.crashes();
+    if let Some(fifth) = crashes.get(CRASHES - 1) {
+        let known = since.map_or(*fifth, |since| since.max(*fifth)) + CONTACT;
+        let later = arrivals.iter().filter(|at| **at > known).count();
+        assert!(
+            later <= MAX_LATER_REQUESTS,
+            "{later} requests with the part {part} reached upstreams later than {CONTACT:?} after \
+             the fifth crash; {} did so in all, {} upstreams crashed",
+            arrivals.len(),
+            crashes.len()
+        );
+    }
+}
+
+/// Waits for the first crash, and then until the requests have gone on for long enough.
+fn wait_for_aftermath(engines: &Engines) -> Instant {
+    let first = wait_for("the first crash", || engines.crashes().first().copied());
+    let deadline = first + Duration::from_secs(30);
+    let known = loop {
+        let crashes = engines.crashes();
+        let last = crashes.iter().take(CRASHES).last().copied().unwrap_or(first);
+        if crashes.len() >= CRASHES || last.elapsed() > CONTACT || Instant::now() > deadline {
+            break last + 2 * CONTACT;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    std::thread::sleep((known + AFTERMATH).saturating_duration_since(Instant::now()));
+    known
+}
+
+fn assert_sound_requests_are_served(traffic: &Traffic, calm: (f64, usize), known: Instant) {
+    let (share, count) = traffic.served(known, Instant::now() - Duration::from_secs(1));
+    assert!(calm.1 >= 20 && count >= 20, "{calm:?} {count}");
+    assert!(
+        share >= calm.0 / 2.0,
+        "{share:.2} of {count} sound requests were served, {:.2} before the first crash",
+        calm.0
+    );
+}
+
+/// Returns the share of the sound requests that are served without any other requests.
+fn measure_calm(callers: &[SocketAddr]) -> (f64, usize) {
+    let traffic = Traffic::start(callers, &[]);
+    let start = Instant::now();
+    std::thread::sleep(Duration::from_millis(1500));
+    traffic.served(start, start + Duration::from_secs(1))
+}
+
+#[test_case(&["aa:100,bad0bad0:50,LAST:10"], &[BAD]; "between other parts")]
+#[test_case(&["bad0bad0:100,500:50,LAST:10"], &[BAD]; "as the first part")]
+#[test_case(&["aa:100,bad0bad0:50,LAST:10", "aa:100,501:9,bad1bad1:50,LAST:10"], &[BAD, OTHER_BAD]; "two parts")]
+fn a_part_that_crashes_upstreams_is_not_sent_to_further_ones(
+    prompts: &[&'static str],
+    parts: &[&str],
+) {
+    let machines = start_machines(|_| {});
+    // Both parts begin with the same letters, so that each engine has one behaviour for them.
+    let engines = Engines::start(&machines.seeds(), Behaviour::CrashOn("bad"));
+    wait_until_served(&machines);
+    let callers = callers(&machines);
+    let calm = measure_calm(&callers);
+    let traffic = Traffic::start(&callers, prompts);
+    let known = wait_for_aftermath(&engines);
+    for part in parts {
+        assert_contained(&engines, part, None);
+    }
+    assert_sound_requests_are_served(&traffic, calm, known);
+    assert!(traffic.refused.load(Ordering::Relaxed) > 0, "no request was refused as not run");
+}
+
+#[test]
+fn a_part_that_crashes_upstreams_stays_known_when_an_entry_instance_restarts_between_crashes() {
+    let mut machines = start_machines(|_| {});
+    let engines = Engines::start(&machines.seeds(), Behaviour::CrashOn("bad"));
+    wait_until_served(&machines);
+    let callers = callers(&machines);
+    let calm = measure_calm(&callers);
+    let traffic = Traffic::start(&callers, &["aa:100,bad0bad0:50,LAST:10"]);
+    wait_for("the third crash", || (engines.crashes().len() >= 3).then_some(()));
+    machines.entries[2].kill();
+    std::thread::sleep(Duration::from_millis(300));
+    machines.entries[2].start();
+    let known = wait_for_aftermath(&engines);
+    assert_contained(&engines, BAD, None);
+    assert_sound_requests_are_served(&traffic, calm, known);
+    assert!(engines.arrivals(BAD).len() > 2);
+}
+
+#[test]
+fn a_data_centre_that_was_cut_off_learns_of_a_part_that_crashes_upstreams_when_it_returns() {
+    let mut proxies: Vec<Proxy> = Vec::new();
+    let mut number = 0;
+    let machines = start_machines(|machine| {
+        // The last two entry instances are in the same data centre as the third one.
+        if number == 5 || number == 8 {
+            proxies.extend(machine.listen_behind_proxies());
+        }
+        number += 1;
+    });
+    let engines = Engines::start(&machines.seeds(), Behaviour::CrashOn("bad"));
+    wait_until_served(&machines);
+    let all = callers(&machines);
+    let calm = measure_calm(&all);
+    let cut_off = [all[2], all[5]];
+    let others: Vec<SocketAddr> =
+        all.iter().copied().filter(|address| !cut_off.contains(address)).collect();
+    let peers = |cut: bool| {
+        // The third proxy of each instance is that of its peers' port.
+        for proxy in proxies.iter().skip(2).step_by(3) {
+            proxy.change(|faults| faults.is_cut = cut);
+        }
+    };
+    peers(true);
+    let traffic = Traffic::start(&others, &["aa:100,bad0bad0:50,LAST:10"]);
+    wait_for_aftermath(&engines);
+    drop(traffic);
+    peers(false);
+    let returned_at = Instant::now();
+    std::thread::sleep(CONTACT);
+    let traffic = Traffic::start(&all, &["aa:100,bad0bad0:50,LAST:10"]);
+    std::thread::sleep(AFTERMATH);
+    assert_contained(&engines, BAD, Some(returned_at));
+    assert_sound_requests_are_served(&traffic, calm, returned_at + CONTACT);
+}
+
+#[test]
+fn crashes_of_many_upstreams_at_once_let_no_request_be_refused_for_its_parts() {
+    let machines = start_machines(|_| {});
+    let engines = Engines::start(&machines.seeds(), Behaviour::Answer);
+    wait_until_served(&machines);
+    let callers = callers(&machines);
+    let calm = measure_calm(&callers);
+    let traffic = Traffic::start(&callers, &[]);
+    for _ in 0..2 {
+        std::thread::sleep(Duration::from_millis(1000));
+        // Two fifths of the engines.
+        let ended = engines.crashes().len();
+        let workers = engines.workers.lock().unwrap();
+        let running = workers.iter().filter(|worker| worker.crashed_at().is_none());
+        running.take(ENGINES * 2 / 5).for_each(Worker::end);
+        drop(workers);
+        assert!(engines.crashes().len() > ended);
+        std::thread::sleep(RESTART_DELAY * 2);
+    }
+    std::thread::sleep(Duration::from_millis(2000));
+    assert_sound_requests_are_served(&traffic, calm, Instant::now() - Duration::from_secs(2));
+    for entry in &machines.entries {
+        let refusals = entry.events("refused");
+        assert!(refusals.iter().all(|line| line["reason"] != "quarantined"), "{refusals:?}");
+    }
+}
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -39,6 +39,7 @@
     /// Address at which the process listens: `ip`, or an address that only its proxies use.
     listen_ip: Ipv4Addr,
     is_control: bool,
+    pub data_centre: String,
     folder: PathBuf,
     pub process: Option<Process>,
 }
@@ -146,7 +147,7 @@
             false => String::new(),
         };
         let text = format!(
-            "instance: \"{ip}\"\ndata_centre: giza\nroles: [{role}]\n\
+            "instance: \"{ip}\"\ndata_centre: {}\nroles: [{role}]\n\
              listen:\n  callers: \"{listen}:{CALLERS_PORT}\"\n  \
              operators: \"{listen}:{CONTROL_PORT}\"\n  \
              peers: \"{listen}:{PEERS_PORT}\"\n  advertised: \"{ip}:{PEERS_PORT}\"\n  \
@@ -155,6 +156,7 @@
              first_start: {is_first_start}\nlosses_borne: 1\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
              direct:\n  announce_period: 300ms\n",
+            self.data_centre,
             seeds.join(", ")
         );
         std::fs::write(self.settings(), text).unwrap();
@@ -214,6 +216,7 @@
             ip,
             listen_ip: ip,
             is_control: number < FIRST_ENTRY_NUMBER,
+            data_centre: "giza".to_string(),
             folder,
             process: None,
         }
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -3,9 +3,9 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -64,6 +64,9 @@
     Slow,
     /// Answers as an upstream other than the addressee of the request.
     Misdirect,
+    /// Ends the upstream as it begins the answer to a request with a part in its prompt that begins
+    /// with this text, unless it is the last part.
+    CrashOn(&'static str),
 }
 
 /// A request that an upstream executed.
@@ -74,6 +77,7 @@
     pub headers: BTreeMap<String, String>,
     pub path: String,
     pub body: Vec<u8>,
+    pub at: Instant,
 }
 
 /// State that the threads of an upstream share.
@@ -91,6 +95,9 @@
     sequence: AtomicU64,
     started_at_millis: u64,
     is_stopped: AtomicBool,
+    /// Time at which the upstream ended by itself.
+    crashed_at: Mutex<Option<Instant>>,
+    connections: Mutex<Vec<Weak<TcpStream>>>,
     control_addresses: Vec<SocketAddr>,
 }
 
@@ -118,6 +125,27 @@
     {
         let (listener, _) = bind_tcp_and_udp();
         let address = advertise(listener.local_addr().unwrap());
+        Self::start_with_listener(name, service, control_addresses, address, listener)
+    }
+
+    /// Starts an upstream at the address of one that has ended.
+    pub fn start_at(
+        name: &str,
+        service: &str,
+        control_addresses: Vec<SocketAddr>,
+        address: SocketAddr,
+    ) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
+        Self::start_with_listener(name, service, control_addresses, address, listener)
+    }
+
+    fn start_with_listener(
+        name: &str,
+        service: &str,
+        control_addresses: Vec<SocketAddr>,
+        address: SocketAddr,
+        listener: TcpListener,
+    ) -> Self {
         let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
         let shared = Arc::new(WorkerState {
             name: name.to_string(),
@@ -131,6 +159,8 @@
             sequence: AtomicU64::new(0),
             started_at_millis: now.as_millis() as u64,
             is_stopped: AtomicBool::new(false),
+            crashed_at: Mutex::default(),
+            connections: Mutex::default(),
             control_addresses,
         });
         let accept_state = shared.clone();
@@ -166,6 +196,20 @@
         self.shared.executed_requests.lock().unwrap().clone()
     }
 
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// Returns the time at which the upstream ended by itself, if it did.
+    pub fn crashed_at(&self) -> Option<Instant> {
+        *self.shared.crashed_at.lock().unwrap()
+    }
+
+    /// Ends the upstream: closes all connections, stops announcements, and refuses connections.
+    pub fn end(&self) {
+        end(&self.shared);
+    }
+
     /// Stops announcements and accepts no new connections, as after a crash; open connections stay
     /// open.
     pub fn crash(&self) {
@@ -185,6 +229,24 @@
     }
 }
 
+/// Ends an upstream as a crash of its process does.
+fn end(shared: &WorkerState) {
+    shared.crashed_at.lock().unwrap().get_or_insert(Instant::now());
+    shared.is_stopped.store(true, Ordering::Relaxed);
+    let connections = shared.connections.lock().unwrap();
+    for connection in connections.iter().filter_map(Weak::upgrade) {
+        let _ = connection.shutdown(Shutdown::Both);
+    }
+}
+
+/// Returns whether a part of the prompt of a request that is not the last one begins with `beginning`.
+fn has_part(request: &Request, beginning: &str) -> bool {
+    let prompt = request.headers.get("prompt-prefix").map_or("", String::as_str);
+    let parts: Vec<&str> =
+        prompt.split(',').map(|part| part.split(':').next().unwrap_or_default()).collect();
+    parts.iter().rev().skip(1).any(|part| part.starts_with(beginning))
+}
+
 /// Announces the upstream to the control instances in turn until one of them acknowledges; returns
 /// whether one did.
 fn announce(shared: &WorkerState) -> bool {
@@ -212,8 +274,13 @@
         match listener.accept() {
             Ok((stream, _)) => {
                 stream.set_nonblocking(false).unwrap();
+                let held = Arc::new(stream.try_clone().unwrap());
+                shared.connections.lock().unwrap().push(Arc::downgrade(&held));
                 let shared = shared.clone();
-                std::thread::spawn(move || serve_connection(&shared, stream));
+                std::thread::spawn(move || {
+                    serve_connection(&shared, stream);
+                    drop(held);
+                });
             }
             Err(_) => std::thread::sleep(Duration::from_millis(2)),
         }
@@ -298,6 +365,7 @@
         headers: request.headers.clone(),
         path: request.path.clone(),
         body: request.body.clone(),
+        at: Instant::now(),
     });
     if behaviour == Behaviour::Slow {
         std::thread::sleep(Duration::from_millis(500));
@@ -365,6 +433,10 @@
          content-type: text/event-stream\r\n{extra_headers}transfer-encoding: chunked\r\n\r\n",
         shared.name
     )?;
+    if matches!(behaviour, Behaviour::CrashOn(part) if has_part(request, part)) {
+        end(shared);
+        return Err(ErrorKind::ConnectionAborted.into());
+    }
     let last_event: usize =
         request.headers.get("last-event-id").map_or(0, |last| last.parse().unwrap());
     for number in last_event + 1..=EVENTS_PER_STREAM {
