Quarantine parts of prompts that crash upstreams

Cause: the forwarder reads the parts of a prompt for placement only. Nothing connected the end of an engine with the requests that it had begun to answer, so a request with the part was sent on after thirty ends as before the first, and failed attempts were sent to a second engine. An entry instance sees only some of the ends, so a count in each would not do.

Now instances exchange which runs crashed under which parts (crate quarantine). A crash needs an answer that broke off at its beginning and an address that refuses connections afterwards; an answer past its beginning clears its parts.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -15,7 +15,7 @@
 use crate::{CallEvent, Progress, Verdict};
 
 /// Event loop priority of sockets to upstreams.
-const SOCKET_PRIORITY: u32 = 6;
+pub(super) const SOCKET_PRIORITY: u32 = 6;
 
 /// Largest number of bytes in one read.
 const READ_BYTES: usize = 4096;
--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP client for upstreams on the event loop, with a connection pool per address.
 
 mod connection;
+mod listen_check;
 mod reader;
 
 use std::net::SocketAddr;
@@ -8,12 +9,16 @@
 use std::time::{Duration, Instant};
 
 use names::Attempt;
-use stakker::{Actor, ActorOwnSlab, CX, Fwd, StopCause, actor_in_slab, after, call, ret_some_to};
+use stakker::{
+    Actor, ActorOwnSlab, CX, Fwd, Ret, StopCause, actor_in_slab, after, call, ret_nop, ret_some_to,
+};
 
+pub use listen_check::Listening;
 pub use reader::{CorrelationHeader, ResponseError, ResponsePart, ResponseReader};
 
 use crate::{CallEvent, Progress, Verdict};
 use connection::{Connection, Job};
+use listen_check::ListenCheck;
 
 /// Bytes of a response body that may be delivered to the consumer but not yet consumed. Reading
 /// pauses at this limit, so that a slow consumer applies backpressure to the upstream and memory
@@ -97,6 +102,7 @@
 pub struct Client {
     keep_alive: KeepAlive,
     connections: ActorOwnSlab<Connection>,
+    listen_checks: ActorOwnSlab<ListenCheck>,
     /// Sorted by address.
     pools: Vec<Pool>,
     /// Sorted by attempt.
@@ -119,6 +125,7 @@
         Some(Self {
             keep_alive,
             connections: ActorOwnSlab::new(),
+            listen_checks: ActorOwnSlab::new(),
             pools: Vec::new(),
             active_calls: Vec::new(),
             last_connection_number: 0,
@@ -184,6 +191,22 @@
         }
     }
 
+    /// Checks whether a process listens at `address`. No answer by `deadline` leaves that unknown.
+    pub fn check_listening(
+        &mut self,
+        cx: CX![],
+        address: SocketAddr,
+        deadline: Instant,
+        result: Ret<Listening>,
+    ) {
+        actor_in_slab!(
+            self.listen_checks,
+            cx,
+            ListenCheck::init(address, deadline, result),
+            ret_nop!()
+        );
+    }
+
     fn pool(&mut self, address: SocketAddr) -> &mut Pool {
         let found = self.pools.binary_search_by_key(&address, |pool| pool.address);
         let index = found.unwrap_or_else(|index| {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,7 +22,8 @@
 pub use budget::{RetryAllowance, RetryBudget};
 pub use call::{Call, CallEvent, ConnectionReuse, Field, InvalidCall, Progress};
 pub use client::{
-    Client, CorrelationHeader, KeepAlive, Outbound, ResponseError, ResponsePart, ResponseReader,
+    Client, CorrelationHeader, KeepAlive, Listening, Outbound, ResponseError, ResponsePart,
+    ResponseReader,
 };
 pub use events::{Event as StreamEvent, EventSplitter};
 pub use health::{HealthChange, OutlierDetector};
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -25,6 +25,8 @@
     pub attempts: usize,
     /// Whether the deadline leaves time for another attempt.
     pub has_time: bool,
+    /// Whether another attempt could crash another upstream.
+    pub is_dangerous: bool,
 }
 
 /// The next step after a failed attempt.
@@ -81,7 +83,7 @@
         };
         let is_retryable = self.verdict.allows_retry(self.is_idempotent);
         let has_attempts = self.runs < self.attempts && self.refusals <= MAX_REFUSALS;
-        if !is_retryable || !has_attempts || !self.has_time {
+        if !is_retryable || !has_attempts || !self.has_time || self.is_dangerous {
             return give_up;
         }
         if self.has_started && !self.can_resume {
--- a/crates/forward/tests/decisions.rs
+++ b/crates/forward/tests/decisions.rs
@@ -21,6 +21,7 @@
         refusals: 0,
         attempts: 2,
         has_time: true,
+        is_dangerous: false,
     }
 }
 
@@ -46,6 +47,12 @@
 #[test_case(
     FailedAttempt { has_time: false, verdict: Verdict::NotRun, runs: 0, ..failed_attempt() },
     RetryDecision::Refuse; "no time is left and nothing ran")]
+#[test_case(
+    FailedAttempt { is_dangerous: true, ..failed_attempt() },
+    RetryDecision::Fail; "another attempt could crash another upstream")]
+#[test_case(
+    FailedAttempt { is_dangerous: true, has_started: true, can_resume: true, ..failed_attempt() },
+    RetryDecision::Cut; "another resumption could crash another upstream")]
 #[test_case(
     FailedAttempt { has_started: true, ..failed_attempt() },
     RetryDecision::Cut; "a response that has begun")]
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -238,7 +238,7 @@
             Slice::State => call!([self.replica], deliver(delivery)),
             Slice::Ledger => call!([self.claims], deliver(delivery)),
             Slice::Declare => call!([self.config], deliver(delivery)),
-            Slice::Feed => log::debug!(
+            Slice::Feed | Slice::Quarantine => log::debug!(
                 "instance {} sent a feed message to an instance without a feed; message dropped",
                 delivery.sender
             ),
--- /dev/null
+++ b/crates/quarantine/src/lib.rs
@@ -0,0 +1,30 @@
+//! Finds the parts of prompts that crash upstreams, and keeps requests with such parts from
+//! further upstreams.
+//!
+//! A part of a prompt that makes an upstream crash as soon as it begins an answer is found by its
+//! record: upstreams crashed while they began answers to requests with the part, and no answer to
+//! such a request has got past its beginning since. Parts that sound requests share are cleared by
+//! the answers to these. An instance sees only some of the crashes and of the answers, so instances
+//! exchange [`Record`]s. Merging records is commutative and idempotent: a record may arrive late,
+//! twice, or by way of another instance.
+
+mod error;
+mod part;
+mod record;
+mod suspects;
+mod suspicions;
+
+pub use error::Error;
+pub use part::{Part, Run};
+pub use record::{CrashRecord, Record};
+pub use suspects::{Admission, Change, Suspects};
+pub use suspicions::{Check, Suspicions};
+
+use std::time::Duration;
+
+/// Duration of the beginning of an answer. An upstream that a part crashes does so within this time
+/// after the first byte of the answer; an answer that goes on for longer clears its parts.
+pub const BEGINNING: Duration = Duration::from_millis(500);
+
+/// Largest number of parts of one prompt that are looked at.
+pub const MAX_PROMPT_PARTS: usize = 64;
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -17,6 +17,10 @@
 /// Largest number of parts of a prompt that are logged.
 const MAX_LOGGED_PARTS: usize = 8;
 
+/// Number of attempts that may break off at the beginning of the response. A request that upstreams
+/// crash under is not sent to a third one.
+const MAX_BROKEN_BEGINNINGS: usize = 2;
+
 /// What an upstream has not sent for so long that the request may move to another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 pub(super) enum Silence {
@@ -49,6 +53,10 @@
     /// Number of body parts received.
     pub(super) parts: u32,
     pub(super) timer: FixedTimerKey,
+    /// Whether the response has got past its beginning.
+    pub(super) is_sound: bool,
+    /// Whether the response has a length or chunks, so that its end is recognized.
+    pub(super) is_delimited: bool,
     /// Time at which the next event is due, once the head of the response has arrived.
     pub(super) event_due: Option<Instant>,
     /// Time from which the request may move because the response has not begun. `None` if it never
@@ -91,6 +99,10 @@
     pub(super) runs: usize,
     /// Number of attempts that did not run.
     pub(super) refusals: usize,
+    /// Number of attempts whose response broke off at its beginning.
+    pub(super) broken_beginnings: usize,
+    /// Whether the request is the trial of a quarantined part.
+    pub(super) is_trial: bool,
     pub(super) running: Option<RunningAttempt>,
     /// Search for the next upstream while load trackers are asked.
     pub(super) search: Option<UpstreamSearch>,
@@ -178,7 +190,13 @@
     }
 
     /// Returns the state of the request after an attempt failed with `verdict`.
-    pub(super) fn failed_attempt(&self, now: Instant, verdict: dispatch::Verdict) -> FailedAttempt {
+    /// `is_quarantined` says whether a part of the prompt is quarantined.
+    pub(super) fn failed_attempt(
+        &self,
+        now: Instant,
+        verdict: dispatch::Verdict,
+        is_quarantined: bool,
+    ) -> FailedAttempt {
         FailedAttempt {
             verdict,
             is_idempotent: self.route.repeat.is_idempotent(),
@@ -188,6 +206,7 @@
             refusals: self.refusals,
             attempts: self.route.attempts.max(1),
             has_time: now < self.deadline,
+            is_dangerous: is_quarantined || self.broken_beginnings >= MAX_BROKEN_BEGINNINGS,
         }
     }
 }
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -9,6 +9,7 @@
 use telemetry::Event;
 
 use super::active_request::ActiveRequest;
+use super::quarantine::shared_parts;
 use super::upstream_selection::max_queue_time;
 use super::{Forwarder, millis, problems};
 use crate::interface::RequestMetadata;
@@ -27,6 +28,10 @@
                 let index = self.find(id).unwrap_or_else(|index| index);
                 self.requests.insert(index, active);
                 self.requests[index].timer = at!(deadline, [cx], expire(id));
+                if self.requests[index].is_trial {
+                    let parts = shared_parts(self.requests[index].metadata.prompt.as_ref());
+                    self.begin_trial(cx, &parts);
+                }
                 self.place(cx, id);
             }
             Err((request, problem)) => {
@@ -85,6 +90,7 @@
         if self.shutdown.is_some_and(|shutdown| !shutdown.accepts(now, deadline)) {
             return Err(problems::stopping());
         }
+        let is_trial = self.admit_parts(now, &shared_parts(metadata.prompt.as_ref()))?;
         let queue_until = now + max_queue_time(route.objective);
         let stream_tracker = (route.repeat == Repeat::Resumed)
             .then(|| StreamTracker::new(metadata.last_event_id.clone()));
@@ -105,6 +111,8 @@
             sent_to: Vec::new(),
             runs: 0,
             refusals: 0,
+            broken_beginnings: 0,
+            is_trial,
             running: None,
             search: None,
             is_started: false,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -35,6 +35,12 @@
             return;
         };
         let now = cx.now();
+        if !self.may_send_parts(now, index) {
+            let tokens = self.requests[index].own_tokens();
+            self.release(now, upstream, tokens);
+            self.refuse_quarantined(cx, id);
+            return;
+        }
         let Some(endpoint) = self.table.endpoint(upstream) else {
             // The upstream has left since it was chosen.
             if self.requests[index].running.is_none() {
@@ -124,6 +130,8 @@
             status: 0,
             first_byte_at: None,
             parts: 0,
+            is_sound: false,
+            is_delimited: false,
             timer,
             event_due: None,
             response_due,
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod load_messages;
 mod problems;
+mod quarantine;
 mod responses;
 mod stalls;
 mod tracker_queries;
@@ -32,6 +33,7 @@
 use telemetry::{self as events, Metrics, OutcomeLabels};
 use wire::Hub;
 
+use self::quarantine::Quarantine;
 use crate::endpoints::ReadinessEndpoint;
 use crate::feed::UpstreamList;
 use crate::interface::Interface;
@@ -105,6 +107,7 @@
     load_counter: LoadCounter,
     /// Latencies of upstreams.
     latencies: Latencies,
+    quarantine: Quarantine,
     /// Number of the last message to a load tracker.
     last_message_number: u64,
     /// Queries to load trackers that wait for an answer.
@@ -144,6 +147,7 @@
         after!(STALL_PERIOD, [cx], check_stalls());
         after!(forward::GossipConfig::new(1).period, [cx], gossip_loads());
         after!(forward::COUNT_REPORT_INTERVAL, [cx], repeat_reports());
+        after!(STALL_PERIOD, [cx], compare_quarantines());
         let direct = &settings.direct;
         let allowance = RetryAllowance {
             ratio: direct.repeat_ratio,
@@ -176,6 +180,7 @@
             holders: ContextHolders::default(),
             load_counter: LoadCounter::default(),
             latencies: Latencies::default(),
+            quarantine: Quarantine::default(),
             last_message_number: first_message_number(),
             pending_queries: Vec::new(),
             unresponsive: Vec::new(),
@@ -256,6 +261,7 @@
             data_centre: member.data_centre.clone(),
         };
         self.peers = entry_instances.map(peer).collect();
+        self.ask_for_quarantine();
         let now = cx.now();
         let count = self.peers.len() + 1;
         if count >= self.entry_count || now > self.entry_count_at + ENTRY_COUNT_RETENTION {
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -60,6 +60,13 @@
     Problem::not_run(Status::UNAVAILABLE, "asked_to_wait", message).with_retry_after(wait)
 }
 
+/// Upstreams crashed under a part of the prompt, which is not tried before `until`.
+pub(super) fn quarantined(now: Instant, until: Instant) -> Problem {
+    let message = "upstreams crashed under a part of this prompt; send the request without it";
+    let wait = until.saturating_duration_since(now).max(MIN_RETRY_AFTER);
+    Problem::not_run(Status::UNAVAILABLE, "quarantined", message).with_retry_after(wait)
+}
+
 pub(super) fn stopping() -> Problem {
     let message = "this instance stops before the request would be over; another one takes it";
     Problem::not_run(Status::UNAVAILABLE, "stopping", message).with_retry_after(MIN_RETRY_AFTER)
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -41,7 +41,10 @@
                 let running = self.stop_attempt(cx, id);
                 self.retry_or_finish(cx, id, running, Verdict::NotRun, &reason);
             }
-            Progress::Failed { verdict, reason } => self.receive_failure(cx, id, verdict, &reason),
+            Progress::Failed { verdict, reason } => {
+                self.suspect_crash(cx, id);
+                self.receive_failure(cx, id, verdict, &reason);
+            }
         }
     }
 
@@ -104,6 +107,7 @@
         let now = cx.now();
         let upstreams = self.interface.upstreams.clone();
         let response = upstreams.parse_response_head(status, &headers);
+        let is_delimited = has_delimited_body(&headers);
         let Some(active) = self.active(id) else {
             return;
         };
@@ -119,6 +123,7 @@
         running.head_at = Some(now);
         running.event_due = Some(now + timeout);
         running.status = status;
+        running.is_delimited = is_delimited;
         let (upstream, born, tokens) = (running.upstream.clone(), running.born, running.tokens);
         let is_started = active.is_started;
         self.table.remove_tokens(&upstream, tokens);
@@ -195,11 +200,12 @@
     /// retry from the budget.
     fn take_retry(&mut self, cx: CX![], id: names::Request) -> bool {
         let now = cx.now();
+        let is_quarantined = self.is_quarantined(now, id);
         let Some(active) = self.active(id) else {
             return false;
         };
         let service = active.service.clone();
-        let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun);
+        let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun, is_quarantined);
         failed_attempt.runs += 1;
         let (entry_count, allowance) = (self.entry_count, self.allowance);
         let retry_window = &mut self.traffic(&service).retry_window;
@@ -284,6 +290,7 @@
         if let Some((upstream, latency)) = sample {
             self.report_latency(now, &upstream, latency);
         }
+        self.record_sound(cx, id, false);
         let Some(active) = self.active(id) else {
             return;
         };
@@ -321,9 +328,18 @@
         };
         let end = active.stream_tracker.as_ref().map(StreamTracker::check_end);
         if let Some(Err(error)) = end {
+            self.suspect_crash(cx, id);
             self.receive_failure(cx, id, Verdict::MayHaveRun, &error.to_string());
             return;
         }
+        match active.running.as_ref().is_some_and(|running| running.is_delimited) {
+            true => self.record_sound(cx, id, true),
+            // An upstream that crashes may have ended the response.
+            false => self.suspect_crash(cx, id),
+        }
+        let Some(active) = self.active(id) else {
+            return;
+        };
         active.reply.fwd(Reply::End);
         let (service, is_streaming) = (active.service.clone(), active.route.is_streaming);
         if let Some(running) = self.end_attempt(cx, id) {
@@ -394,6 +410,7 @@
         reason: &str,
     ) {
         let now = cx.now();
+        let is_quarantined = self.is_quarantined(now, id);
         let Some(active) = self.active(id) else {
             return;
         };
@@ -402,7 +419,7 @@
             Verdict::MayHaveRun | Verdict::Answered => active.runs += 1,
         }
         let (failed_attempt, service) =
-            (active.failed_attempt(now, verdict), active.service.clone());
+            (active.failed_attempt(now, verdict, is_quarantined), active.service.clone());
         let deadline = active.deadline;
         let (entry_count, allowance) = (self.entry_count, self.allowance);
         let retry_window = &mut self.traffic(&service).retry_window;
@@ -439,6 +456,12 @@
     }
 }
 
+fn has_delimited_body(headers: &[Field]) -> bool {
+    let delimits =
+        |field: &Field| matches!(field.name.as_str(), "content-length" | "transfer-encoding");
+    headers.iter().any(delimits)
+}
+
 fn content_length(headers: &[Field]) -> Option<u64> {
     let field = headers.iter().find(|field| field.name == "content-length")?;
     field.value.trim().parse().ok()
--- a/crates/relay/src/forwarder/stalls.rs
+++ b/crates/relay/src/forwarder/stalls.rs
@@ -59,12 +59,13 @@
     }
 
     fn decide_on_silence(&mut self, now: Instant, id: names::Request) -> SilenceDecision {
+        let is_quarantined = self.is_quarantined(now, id);
         // A search for another upstream may already be in progress.
         let Some(active) = self.active(id).filter(|active| active.search.is_none()) else {
             return SilenceDecision::Wait;
         };
         let service = active.service.clone();
-        let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun);
+        let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun, is_quarantined);
         failed_attempt.runs += 1;
         let (entry_count, allowance) = (self.entry_count, self.allowance);
         let retry_window = &mut self.traffic(&service).retry_window;
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -276,6 +276,16 @@
         })
     }
 
+    /// Returns the address of the run of `upstream` that started at `born`, unless the run is
+    /// leaving or has left.
+    pub(super) fn expected_address(&self, upstream: &Upstream, born: u64) -> Option<SocketAddr> {
+        let is_run = |entry: &&TableEntry| {
+            entry.announcement.upstream == *upstream && entry.announcement.born == born
+        };
+        let entry = self.entries.iter().filter(|entry| self.is_ready(entry)).find(is_run);
+        entry.map(|entry| entry.announcement.address)
+    }
+
     fn is_unreachable(&self, now: Instant, data_centre: &DataCentre) -> bool {
         self.links.iter().any(|link| link.data_centre == *data_centre && link.is_unreachable(now))
     }
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -314,6 +314,11 @@
                     call!([entry.forwarder], receive_load_message(delivery));
                 }
             }
+            (Slice::Quarantine, _) => {
+                if let Some(entry) = &self.entry {
+                    call!([entry.forwarder], receive_quarantine(delivery));
+                }
+            }
             (slice, _) => log::debug!(
                 "ignored a message from instance {}: this instance does not serve slice {slice}",
                 delivery.sender
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -224,6 +224,28 @@
         /// Action that follows the failure, such as a retry.
         next: String,
     },
+    /// Answers of an upstream broke off at their beginning, and it was checked whether the upstream
+    /// has ended.
+    BrokenOff {
+        /// Name of the upstream.
+        upstream: String,
+        /// Incarnation of the upstream.
+        born: u64,
+        /// Whether a process listens at its address: `accepts`, `refuses` or `unknown`. The
+        /// upstream has ended if its address refuses connections.
+        listening: String,
+        /// Parts of the prompts of the requests, without the last part of each.
+        parts: String,
+    },
+    /// A part of prompts is quarantined, or is not any more.
+    Quarantined {
+        /// Identifier of the part.
+        part: String,
+        /// Whether the quarantine begins.
+        is_begun: bool,
+        /// Source of the last evidence: `itself` or the name of another instance.
+        source: String,
+    },
     /// An upstream has been silent for a while during an attempt. The attempt goes on unless a line
     /// `failed` follows.
     Stalled {
@@ -284,6 +306,8 @@
             | Self::Avoided { .. }
             | Self::Refused { .. }
             | Self::Failed { .. }
+            | Self::BrokenOff { .. }
+            | Self::Quarantined { .. }
             | Self::Stalled { .. }
             | Self::Cut { .. } => Level::Warn,
             Self::Queued { .. } | Self::Sent { .. } | Self::Left { .. } | Self::Answered { .. } => {
--- a/crates/wire/src/slice.rs
+++ b/crates/wire/src/slice.rs
@@ -38,6 +38,8 @@
     Account,
     /// Updates from control instances to entry instances: the routes in force and the upstreams.
     Feed,
+    /// Parts of prompts that crash upstreams.
+    Quarantine,
 }
 
 /// Transport protocol of a message.
--- a/tests/platform_crashing_parts.rs
+++ b/tests/platform_crashing_parts.rs
@@ -268,7 +268,7 @@
     let deadline = first + Duration::from_secs(30);
     let known = loop {
         let crashes = engines.crashes();
-        let last = crashes.iter().take(CRASHES).last().copied().unwrap_or(first);
+        let last = crashes.iter().take(CRASHES).next_back().copied().unwrap_or(first);
         if crashes.len() >= CRASHES || last.elapsed() > CONTACT || Instant::now() > deadline {
             break last + 2 * CONTACT;
         }
