Let stand-in engines crash on a part of the messages

The fault crash:PERMILLE ends an engine as it begins the answer to a request with one of these messages before its last one: all connections and the listener close, and the engine returns after two seconds under a greater incarnation.

--- a/crates/standin/src/announcer.rs
+++ b/crates/standin/src/announcer.rs
@@ -21,6 +21,8 @@
     pub(crate) announcement: Arc<Mutex<Announcement>>,
     pub(crate) period: Duration,
     pub(crate) is_stopped: Arc<AtomicBool>,
+    /// Whether the stand-in has crashed and has not returned yet.
+    pub(crate) is_down: Arc<AtomicBool>,
 }
 
 impl Announcer {
@@ -29,7 +31,9 @@
         let agent = instance_agent();
         let mut first_index = 0;
         while !self.is_stopped.load(Ordering::Relaxed) {
-            self.announce(&agent, first_index);
+            if !self.is_down.load(Ordering::Relaxed) {
+                self.announce(&agent, first_index);
+            }
             first_index += 1;
             std::thread::park_timeout(self.period);
         }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -44,6 +44,8 @@
     pub answered: u64,
     /// Number of requests cancelled because the caller disconnected.
     pub cancelled: u64,
+    /// Number of crashes.
+    pub crashes: u64,
     /// Number of prompt blocks found in the cache.
     pub cached_blocks: usize,
     /// Number of prompt blocks computed.
@@ -70,6 +72,15 @@
     reply: Fwd<Reply>,
 }
 
+impl Job {
+    /// Returns whether the engine crashes as it begins the answer.
+    fn crashes(&self) -> bool {
+        let messages = self.prompt.messages.split_last().map_or(&[][..], |(_, shared)| shared);
+        self.produced_words == 0
+            && messages.iter().any(|message| self.fault.is_crash(&message.content))
+    }
+}
+
 /// Model engine that responds with deterministic words at a fixed rate.
 pub struct Engine {
     options: Options,
@@ -81,6 +92,8 @@
     orders: Orders,
     announcement: Arc<Mutex<Announcement>>,
     report_sender: Sender<Report>,
+    /// Called when the engine crashes.
+    crash: Fwd<()>,
 }
 
 impl Engine {
@@ -93,6 +106,7 @@
         options: Options,
         announcement: Arc<Mutex<Announcement>>,
         report_sender: Sender<Report>,
+        crash: Fwd<()>,
     ) -> Option<Self> {
         let cache = Cache::new(options.cache_blocks);
         if options.behaviour.report_every.as_millis() > 0 {
@@ -102,6 +116,7 @@
             orders: Orders::new(options.behaviour.checks_fencing),
             announcement,
             report_sender,
+            crash,
             options,
             fault: Fault::None,
             cache,
@@ -306,6 +321,10 @@
         if job.prompt.stream {
             send_word(job, words);
         }
+        if job.crashes() {
+            self.crash();
+            return;
+        }
         job.next_word += 1;
         job.produced_words += 1;
         if job.next_word < words {
@@ -319,6 +338,17 @@
         self.fill_slots(cx);
     }
 
+    /// Ends as a crash of the process does: all requests and cached blocks are lost.
+    fn crash(&mut self) {
+        self.stats.crashes += 1;
+        self.running.clear();
+        self.waiting.clear();
+        self.cache = Cache::new(self.options.cache_blocks);
+        self.options.incarnation.0 += 1;
+        let _ = self.report_sender.send(Report::Restarted(self.options.incarnation));
+        self.crash.fwd(());
+    }
+
     /// Removes a request whose caller has disconnected.
     fn cancel(&mut self, cx: CX![], id: names::Request) {
         let before = self.running.len() + self.waiting.len();
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -2,6 +2,8 @@
 
 use std::str::FromStr;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 /// Fault that applies to all requests from the time it is set.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -31,9 +33,21 @@
     Pause(u32),
     /// Streams start from the beginning, whatever the requested offset is.
     Restart,
+    /// The engine ends as it begins an answer, if one of the messages before the last one is among
+    /// this share of all messages, in thousandths. It returns after two seconds.
+    Crash(u32),
 }
 
 impl Fault {
+    /// Returns whether an engine with this fault ends when it begins an answer to a request with the
+    /// message `text` before its last one.
+    pub fn is_crash(self, text: &str) -> bool {
+        match self {
+            Self::Crash(permille) => xxh3_64(text.as_bytes()) % 1000 < u64::from(permille),
+            _ => false,
+        }
+    }
+
     /// Returns the ratio of processing times with and without the fault, at least 1.
     pub fn slowdown_factor(self) -> u32 {
         match self {
@@ -47,7 +61,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error(
     "fault \"{0}\" is not none, error, refuse, hang, cut:WORDS, crossed, export-hang, export-cut, \
-         export-crossed, slow:FACTOR, pause:MILLIS or restart"
+         export-crossed, slow:FACTOR, pause:MILLIS, restart or crash:PERMILLE"
 )]
 pub struct UnknownFault(String);
 
@@ -72,6 +86,7 @@
             "export-crossed" => Ok(Self::ExportCrossed),
             "slow" => Ok(Self::Slow(number.max(1))),
             "restart" => Ok(Self::Restart),
+            "crash" => Ok(Self::Crash(number)),
             "pause" => Ok(Self::Pause(number)),
             _ => Err(unknown()),
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod error;
 mod fault;
+mod host;
 mod kv;
 mod orders;
 mod prefix;
--- a/crates/standin/src/reporter.rs
+++ b/crates/standin/src/reporter.rs
@@ -23,6 +23,8 @@
 pub(crate) enum Report {
     Load(Load),
     Changes(Vec<Change>),
+    /// The engine has restarted with an empty cache.
+    Restarted(Incarnation),
 }
 
 /// Response of an instance to a report.
@@ -90,6 +92,11 @@
             match self.delayed_reports.pop_front().map(|delayed| delayed.report) {
                 Some(Report::Load(load)) => self.send_load(&load),
                 Some(Report::Changes(changes)) => self.send_changes(changes),
+                Some(Report::Restarted(incarnation)) => {
+                    self.incarnation = incarnation;
+                    self.next_sequence = 0;
+                    self.blocks.clear();
+                }
                 None => return,
             }
         }
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -2,21 +2,19 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
-use std::time::Duration;
 
 use declare::Labels;
-use entry::{Bounds, ChatForm, Server};
 use eventloop::{Loop, Sender, mailbox};
 use names::{DataCentre, Incarnation, Model, Upstream};
-use stakker::{Fwd, actor, fwd_to, ret_shutdown};
+use stakker::{Fwd, actor, call, fwd_to, ret_shutdown};
 use units::Span;
 use upstream::{Announcement, Protocol};
 
 use crate::announcer::Announcer;
+use crate::host::Host;
 use crate::reporter::Reporter;
 use crate::{Behaviour, Engine, Error, Service};
 
@@ -88,18 +86,6 @@
     }
 }
 
-/// Limits of the HTTP server.
-const SERVER_BOUNDS: Bounds = Bounds {
-    head_bytes: 16 << 10,
-    body_bytes: 16 << 20,
-    incoming_bytes: 256 << 20,
-    unread_bytes: 1 << 20,
-    connections: 8192,
-    receive: Duration::from_secs(30),
-    idle: Duration::from_secs(300),
-    unread: Duration::from_secs(30),
-};
-
 /// Running stand-in, which stops when it is dropped.
 pub struct Running {
     address: SocketAddr,
@@ -169,9 +155,13 @@
     let server_options = options.clone();
     let announcement = Arc::new(Mutex::new(options.announcement(address)));
     let shared_announcement = announcement.clone();
+    let is_down = Arc::new(AtomicBool::new(false));
+    let host_is_down = is_down.clone();
     let server = std::thread::Builder::new()
         .name(format!("standin-{}", options.name))
-        .spawn(move || serve(server_options, shared_announcement, listener, &stop_sender))
+        .spawn(move || {
+            serve(server_options, shared_announcement, host_is_down, listener, &stop_sender)
+        })
         .map_err(Error::Thread)?;
     let stop = stop_receiver
         .recv()
@@ -183,6 +173,7 @@
         announcement: announcement.clone(),
         period: options.expires_in.as_duration() / 3,
         is_stopped: is_stopped.clone(),
+        is_down,
     };
     let announcer = std::thread::Builder::new()
         .name(format!("announcer-{}", options.name))
@@ -204,6 +195,7 @@
 fn serve(
     options: Options,
     shared_announcement: Arc<Mutex<Announcement>>,
+    is_down: Arc<AtomicBool>,
     listener: TcpListener,
     stop_sender: &std::sync::mpsc::SyncSender<Sender<()>>,
 ) {
@@ -215,6 +207,8 @@
         }
     };
     let stakker = event_loop.stakker();
+    let host =
+        actor!(stakker, Host::init(shared_announcement.clone(), is_down), ret_shutdown!(stakker));
     let handler: Fwd<entry::Event>;
     let _engine;
     let _service;
@@ -229,9 +223,10 @@
                 );
                 return;
             }
+            let crash = fwd_to!([host], crash() as (()));
             let engine = actor!(
                 stakker,
-                Engine::init(options, shared_announcement, report_sender),
+                Engine::init(options, shared_announcement, report_sender, crash),
                 ret_shutdown!(stakker)
             );
             handler = fwd_to!([engine], handle() as (entry::Event));
@@ -243,11 +238,7 @@
             _service = service;
         }
     }
-    let _server = actor!(
-        stakker,
-        Server::init(listener, SERVER_BOUNDS, Rc::new(ChatForm), handler),
-        ret_shutdown!(stakker)
-    );
+    call!([host], listen(listener, handler));
     let deferrer = stakker.deferrer();
     let stop =
         Fwd::new(move |()| deferrer.defer(|stakker| stakker.shutdown(stakker::StopCause::Stopped)));
