Quarantine messages that crash engines on the product's own interface

Callers of the chat-completions port saw the same fault there: a request whose message ends engines was retried at up to four of them, and every later request with that message ended one more.

Cause: as in the forwarder, nothing connected the end of an engine with the requests that it had begun to answer. The messages of a conversation but the last now count as its parts. The exchange of records becomes an actor of its own, which router and forwarder share; what it decides is unchanged.

--- a/crates/dispatch/src/step.rs
+++ b/crates/dispatch/src/step.rs
@@ -36,6 +36,8 @@
     pub can_resume: bool,
     /// Deadline for the complete response.
     pub deadline: Instant,
+    /// Whether another attempt could crash another upstream.
+    pub is_dangerous: bool,
 }
 
 /// Next action after a failed attempt.
@@ -69,7 +71,8 @@
         let can_continue = !self.has_started || self.can_resume;
         let is_safe = self.verdict.allows_retry(self.is_idempotent);
         let limit = if self.has_started { MAX_STREAM_ATTEMPTS } else { MAX_ATTEMPTS };
-        can_continue && is_safe && self.attempts < limit && now < self.deadline
+        let is_allowed = can_continue && is_safe && !self.is_dangerous;
+        is_allowed && self.attempts < limit && now < self.deadline
     }
 
     /// Returns the delay before the next attempt after `attempts` attempts. The second attempt
--- a/crates/dispatch/tests/retries.rs
+++ b/crates/dispatch/tests/retries.rs
@@ -15,6 +15,7 @@
         attempts: 1,
         has_started,
         has_progress: false,
+        is_dangerous: false,
         can_resume: true,
         deadline,
     }
--- a/crates/dispatch/tests/silence.rs
+++ b/crates/dispatch/tests/silence.rs
@@ -16,6 +16,7 @@
         attempts: 1,
         has_started: false,
         has_progress: false,
+        is_dangerous: false,
         can_resume: true,
         deadline: start + Duration::from_secs(9),
     };
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -16,6 +16,7 @@
 mod permit_request;
 mod placer;
 mod problem;
+mod quarantine;
 mod replica;
 mod root;
 mod router;
@@ -27,6 +28,7 @@
 
 pub use error::Error;
 pub use members::{Members, View};
+pub use quarantine::{Quarantine, QuarantineExchange};
 pub use replica::{Part, Replica, SharedMachine};
 pub use run::{Bound, run};
 pub use stop::Stop;
--- a/crates/instance/src/permit_request.rs
+++ b/crates/instance/src/permit_request.rs
@@ -63,6 +63,8 @@
 pub(crate) struct Permit {
     pub(crate) id: PermitId,
     pub(crate) upstream: Upstream,
+    /// Run of the upstream, or 0 if the upstream has left since the permit was granted.
+    pub(crate) incarnation: u64,
     pub(crate) address: SocketAddr,
     pub(crate) cost: Tokens,
     /// Engine that has the context of the conversation, if that engine and the upstream can both
--- a/crates/instance/src/placer.rs
+++ b/crates/instance/src/placer.rs
@@ -329,11 +329,14 @@
             ) => {
                 let context_source = self.find_context_source(&granted);
                 let GrantedPermit { id, upstream, address, .. } = granted;
+                let known = self.directory.registry().get(&upstream);
+                let incarnation = known.map_or(0, |entry| entry.announcement.incarnation.0);
                 ret!(
                     [reply],
                     PlacementOutcome::Granted(Permit {
                         id,
                         upstream,
+                        incarnation,
                         address,
                         cost,
                         context_source
--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -32,6 +32,13 @@
     Problem::not_run(Status::TOO_MANY_REQUESTS, "over_limit", message).with_retry_after(retry_after)
 }
 
+/// Returns the problem for a request with a part of its prompt under which upstreams crashed, and
+/// which is not tried again within `retry_after`.
+pub(crate) fn quarantined(retry_after: Duration) -> Problem {
+    let message = "upstreams crashed under a message of this conversation; send it without it";
+    Problem::not_run(Status::UNAVAILABLE, "quarantined", message).with_retry_after(retry_after)
+}
+
 /// Returns the problem for a request that arrives during a graceful shutdown.
 pub(crate) fn stopping() -> Problem {
     let message = "the instance is stopping; ask again at another one";
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -23,8 +23,9 @@
 use crate::operators::{OperatorHandler, PendingRequest};
 use crate::orders::Orders;
 use crate::placer::Placer;
+use crate::quarantine::{Quarantine, QuarantineExchange};
 use crate::replica::Replica;
-use crate::router::Router;
+use crate::router::{Router, RouterParts};
 use crate::{Bound, Error, Stop};
 
 /// Delay between the announcement that this instance leaves and the end of the process, so that the
@@ -55,6 +56,7 @@
     claims: ActorOwn<Claims>,
     members: ActorOwn<Members>,
     _context_mover: ActorOwn<ContextMover>,
+    exchange: ActorOwn<QuarantineExchange>,
     orders: ActorOwn<Orders>,
     is_shutting_down: bool,
 }
@@ -134,16 +136,24 @@
             ContextMover::init(settings.clone(), metrics.clone()),
             ret_some_to!([cx], on_child_stopped() as (StopCause))
         );
+        let quarantine = Quarantine::new(settings.instance.clone(), metrics.clone());
+        let exchange = actor!(
+            cx,
+            QuarantineExchange::init(quarantine.clone(), hub.clone()),
+            ret_some_to!([cx], on_child_stopped() as (StopCause))
+        );
+        let router_parts = RouterParts {
+            settings: settings.clone(),
+            limits: limits.clone(),
+            placer: placer.clone(),
+            claims: claims.clone(),
+            context_mover: context_mover.clone(),
+            quarantine,
+            metrics: metrics.clone(),
+        };
         let router = actor!(
             cx,
-            Router::init(
-                settings.clone(),
-                limits.clone(),
-                placer.clone(),
-                claims.clone(),
-                context_mover.clone(),
-                metrics.clone(),
-            ),
+            Router::init(router_parts),
             ret_some_to!([cx], on_child_stopped() as (StopCause))
         );
         let orders = actor!(
@@ -205,6 +215,7 @@
             claims,
             members,
             _context_mover: context_mover,
+            exchange,
             orders,
             is_shutting_down: false,
         })
@@ -217,6 +228,8 @@
     /// Distributes a new membership view to the actors that use it.
     fn set_view(&mut self, _: CX![], view: View) {
         call!([self.config], set_members(view.members.clone()));
+        let peers = view.members.iter().map(|member| member.instance.clone()).collect();
+        call!([self.exchange], set_peers(peers));
         call!([self.limits], set_view(view.clone()));
         call!([self.orders], set_view(view.clone()));
         call!([self.placer], set_view(view));
@@ -238,7 +251,8 @@
             Slice::State => call!([self.replica], deliver(delivery)),
             Slice::Ledger => call!([self.claims], deliver(delivery)),
             Slice::Declare => call!([self.config], deliver(delivery)),
-            Slice::Feed | Slice::Quarantine => log::debug!(
+            Slice::Quarantine => call!([self.exchange], deliver(delivery)),
+            Slice::Feed => log::debug!(
                 "instance {} sent a feed message to an instance without a feed; message dropped",
                 delivery.sender
             ),
--- a/crates/instance/src/router/active_request.rs
+++ b/crates/instance/src/router/active_request.rs
@@ -24,6 +24,10 @@
     pub(super) parts: u32,
     /// Time at which the first part arrived.
     pub(super) first_part: Instant,
+    /// Time at which the head of the response arrived.
+    pub(super) head_at: Option<Instant>,
+    /// Whether the response has got past its beginning.
+    pub(super) is_sound: bool,
     /// Whether a permit at another upstream is sought because the upstream is silent.
     pub(super) is_seeking: bool,
 }
@@ -68,16 +72,32 @@
     pub(super) is_first: bool,
     /// Whether an earlier attempt may have run.
     pub(super) may_have_run: bool,
+    /// Number of attempts whose response broke off at its beginning.
+    pub(super) broken_beginnings: usize,
+    /// Whether the request is the trial of a quarantined part.
+    pub(super) is_trial: bool,
 }
 
 impl RunningAttempt {
     pub(super) fn new(attempt: Attempt, permit: Permit, now: Instant) -> Self {
-        Self { attempt, permit, last_progress: now, parts: 0, first_part: now, is_seeking: false }
+        Self {
+            attempt,
+            permit,
+            last_progress: now,
+            parts: 0,
+            first_part: now,
+            head_at: None,
+            is_sound: false,
+            is_seeking: false,
+        }
     }
 
     /// Records the arrival of `progress`.
     pub(super) fn record_progress(&mut self, progress: &Progress, now: Instant) {
         self.last_progress = now;
+        if matches!(progress, Progress::Head { .. }) {
+            self.head_at = Some(now);
+        }
         if matches!(progress, Progress::Body(_)) {
             if self.parts == 0 {
                 self.first_part = now;
@@ -93,6 +113,7 @@
         arrived: Instant,
         route: Route,
         reply: Fwd<Reply>,
+        is_trial: bool,
     ) -> Self {
         let response = UpstreamResponse::new(route.streams, route.is_idempotent, route.adapter);
         let is_first = route.claim_identity.is_none() || route.is_first;
@@ -113,6 +134,8 @@
             last_part: None,
             is_first,
             may_have_run: false,
+            broken_beginnings: 0,
+            is_trial,
         }
     }
 
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -1,5 +1,7 @@
 //! Attempts: the call to an upstream, its progress, and retries after a failure.
 
+use std::time::Instant;
+
 use dispatch::{
     Call, ConnectionReuse, FailedAttempt, FailureAction, HealthChange, Outbound, Progress, Verdict,
 };
@@ -18,6 +20,11 @@
     /// Starts an attempt at the upstream of `permit`.
     pub(super) fn call_upstream(&mut self, cx: CX![], index: usize, permit: Permit) {
         let now = cx.now();
+        if !self.may_send_parts(now, index) {
+            call!([self.placer], release(permit));
+            self.refuse_quarantined(now, index);
+            return;
+        }
         let connect_deadline = now + self.settings.timing.connect.as_duration();
         let attempt = Attempt(rand::rng().random());
         let active = &mut self.active[index];
@@ -84,6 +91,10 @@
         if let Some(running) = active.running_attempt() {
             running.record_progress(&event.progress, now);
         }
+        if matches!(event.progress, Progress::Failed { .. }) {
+            self.suspect_crash(cx, index);
+        }
+        self.record_sound(now, index, false);
         self.end_search(cx, index);
         let active = &mut self.active[index];
         let limit = self.settings.limits.body.as_bytes();
@@ -95,6 +106,7 @@
             }
             ResponseStep::Finished(replies) => {
                 self.record_outcome(cx, index, true);
+                self.record_sound(now, index, true);
                 self.complete(index, replies);
             }
             ResponseStep::Failed { replies, verdict, reason } => {
@@ -190,11 +202,17 @@
     }
 
     fn next_step(&mut self, cx: CX![], index: usize, verdict: Verdict) -> FailureAction {
-        self.failed_attempt(index, verdict).next_step(cx.now(), &mut self.budget)
+        let now = cx.now();
+        self.failed_attempt(now, index, verdict).next_step(now, &mut self.budget)
     }
 
     /// Returns the state of the request if its attempt has failed with `verdict`.
-    pub(super) fn failed_attempt(&self, index: usize, verdict: Verdict) -> FailedAttempt {
+    pub(super) fn failed_attempt(
+        &self,
+        now: Instant,
+        index: usize,
+        verdict: Verdict,
+    ) -> FailedAttempt {
         let active = &self.active[index];
         FailedAttempt {
             verdict,
@@ -204,6 +222,7 @@
             has_progress: active.has_started && active.attempts_without_progress == 0,
             can_resume: active.response.can_resume(!active.left.is_empty()),
             deadline: active.route.deadline,
+            is_dangerous: self.is_dangerous(now, active),
         }
     }
 
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod context_transfer;
 mod idempotency;
+mod quarantine;
 mod response;
 mod route;
 mod silence;
@@ -26,6 +27,7 @@
 use crate::limits::Limits;
 use crate::placer::{PermitRequest, PlacementOutcome, Placer};
 use crate::problem;
+use crate::quarantine::Quarantine;
 use crate::upstream_client;
 use active_request::{ActiveRequest, Phase};
 pub(crate) use route::Route;
@@ -39,6 +41,17 @@
     }
 }
 
+/// What a router is created from.
+pub(crate) struct RouterParts {
+    pub(crate) settings: Rc<Settings>,
+    pub(crate) limits: Actor<Limits>,
+    pub(crate) placer: Actor<Placer>,
+    pub(crate) claims: Actor<Claims>,
+    pub(crate) context_mover: Actor<ContextMover>,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
 /// Owns the requests that have no final response yet.
 pub(crate) struct Router {
     settings: Rc<Settings>,
@@ -47,6 +60,7 @@
     placer: Actor<Placer>,
     claims: Actor<Claims>,
     context_mover: Actor<ContextMover>,
+    quarantine: Quarantine,
     metrics: Arc<Metrics>,
     client: ActorOwn<Client>,
     budget: RetryBudget,
@@ -60,15 +74,9 @@
 }
 
 impl Router {
-    pub(crate) fn init(
-        cx: CX![],
-        settings: Rc<Settings>,
-        limits: Actor<Limits>,
-        placer: Actor<Placer>,
-        claims: Actor<Claims>,
-        context_mover: Actor<ContextMover>,
-        metrics: Arc<Metrics>,
-    ) -> Option<Self> {
+    pub(crate) fn init(cx: CX![], parts: RouterParts) -> Option<Self> {
+        let RouterParts { settings, limits, placer, claims, context_mover, quarantine, metrics } =
+            parts;
         let events = fwd_to!([cx], on_progress() as (dispatch::CallEvent));
         let stopped = ret_some_to!([cx], on_client_stopped() as (StopCause));
         let client = upstream_client::start(cx, events, stopped);
@@ -80,6 +88,7 @@
             placer,
             claims,
             context_mover,
+            quarantine,
             metrics,
             client,
             budget,
@@ -153,8 +162,9 @@
         } else {
             resolve(&self.declarations, request, cx.now())
         };
-        let route = match resolved {
-            Ok(route) => route,
+        let admitted = resolved.and_then(|route| Ok((self.admit_parts(cx.now(), &route)?, route)));
+        let (is_trial, route) = match admitted {
+            Ok(admitted) => admitted,
             Err(problem) => {
                 self.metrics.count_refused(&problem.code);
                 reply.fwd(problem.into_reply());
@@ -163,7 +173,10 @@
         };
         let deadline = route.deadline;
         let is_keyed = route.claim_identity.is_some();
-        let active = ActiveRequest::new(id, cx.now(), route, reply);
+        if is_trial {
+            self.quarantine.record_trial(cx.now(), &route.parts);
+        }
+        let active = ActiveRequest::new(id, cx.now(), route, reply, is_trial);
         let index = match self.active.binary_search_by(|other| other.id.cmp(&id)) {
             Ok(_) => return,
             Err(index) => index,
--- a/crates/instance/src/router/route.rs
+++ b/crates/instance/src/router/route.rs
@@ -7,6 +7,7 @@
 use entry::{Method, Problem, Request, Status};
 use ledger::{Key, RequestIdentity};
 use names::{Attempt, ClientAccount};
+use quarantine::{MAX_PROMPT_PARTS, Part};
 use serde::Deserialize;
 use units::Span;
 use xxhash_rust::xxh3::xxh3_64;
@@ -35,6 +36,8 @@
     pub(crate) deadline: Instant,
     pub(crate) target: Target,
     pub(crate) placement_key: u64,
+    /// Parts of the prompt that other prompts may share: all messages but the last.
+    pub(crate) parts: Vec<Part>,
     pub(crate) streams: bool,
     /// Estimated number of prompt tokens that earlier requests of the conversation had; 0 for a new
     /// conversation.
@@ -171,6 +174,7 @@
         deadline: request_deadline(&request, kind, now)?,
         target: service.target.clone(),
         placement_key,
+        parts: shared_parts(&chat.messages),
         streams: chat.stream,
         context_tokens: context_tokens(&chat.messages, request.body.len()),
         answer_tokens: chat.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
@@ -192,6 +196,14 @@
     xxh3_64(first_messages.collect::<String>().as_bytes())
 }
 
+/// Returns the parts of a prompt that may crash an upstream: a hash of each message but the last,
+/// which is specific to the request.
+fn shared_parts(messages: &[serde_json::Value]) -> Vec<Part> {
+    let shared = messages.split_last().map_or(&[][..], |(_, shared)| shared);
+    let part = |message: &serde_json::Value| Part(xxh3_64(message.to_string().as_bytes()));
+    shared.iter().take(MAX_PROMPT_PARTS).map(part).collect()
+}
+
 /// Returns the estimated number of tokens in all but the last of `messages`, which have `bytes`
 /// bytes in total. Returns 0 if the messages contain no answer of the engine yet.
 fn context_tokens(messages: &[serde_json::Value], bytes: usize) -> u64 {
@@ -236,6 +248,7 @@
         deadline: request_deadline(&request, kind, now)?,
         target: service.target.clone(),
         placement_key: request.id.0,
+        parts: Vec::new(),
         streams: false,
         context_tokens: 0,
         answer_tokens: 0,
--- a/crates/instance/src/router/silence.rs
+++ b/crates/instance/src/router/silence.rs
@@ -1,6 +1,8 @@
 //! Attempts whose upstream is silent: they go on until another upstream has a permit for the
 //! request.
 
+use std::time::Instant;
+
 use admission::Tokens;
 use dispatch::{SilenceAction, SilentAttempt, Verdict};
 use names::Attempt;
@@ -16,7 +18,7 @@
         let Some(index) = self.find_attempt(attempt) else {
             return;
         };
-        let Some(silent) = self.silent_attempt(index, false) else {
+        let Some(silent) = self.silent_attempt(cx.now(), index, false) else {
             return;
         };
         match silent.next_step(cx.now(), &mut self.budget) {
@@ -26,11 +28,16 @@
     }
 
     /// Returns the state of the running attempt for a check of its silence.
-    fn silent_attempt(&self, index: usize, has_permit: bool) -> Option<SilentAttempt> {
+    fn silent_attempt(
+        &self,
+        now: Instant,
+        index: usize,
+        has_permit: bool,
+    ) -> Option<SilentAttempt> {
         let Phase::Calling(running) = &self.active[index].phase else {
             return None;
         };
-        let failure = self.failed_attempt(index, Verdict::MayHaveRun);
+        let failure = self.failed_attempt(now, index, Verdict::MayHaveRun);
         Some(SilentAttempt { failure, last_progress: running.last_progress, has_permit })
     }
 
@@ -48,7 +55,7 @@
 
     /// Keeps the running attempt and schedules the next check of its silence.
     fn keep_attempt(&mut self, cx: CX![], index: usize) {
-        let Some(silent) = self.silent_attempt(index, false) else {
+        let Some(silent) = self.silent_attempt(cx.now(), index, false) else {
             return;
         };
         if let Some(running) = self.active[index].running_attempt() {
@@ -82,7 +89,7 @@
 
     /// Moves the request to the upstream of `permit`, or returns the permit.
     fn use_permit(&mut self, cx: CX![], index: usize, permit: Permit) {
-        let silent = self.silent_attempt(index, true);
+        let silent = self.silent_attempt(cx.now(), index, true);
         match silent.map(|silent| silent.next_step(cx.now(), &mut self.budget)) {
             Some(SilenceAction::Move) => self.move_request(cx, index, permit),
             _ => {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -26,5 +26,9 @@
 /// after the first byte of the answer; an answer that goes on for longer clears its parts.
 pub const BEGINNING: Duration = Duration::from_millis(500);
 
+/// Number of pieces of an answer that must have arrived by the end of its beginning. Fewer may have
+/// been sent before a crash and have arrived late.
+pub const MIN_SOUND_PIECES: u32 = 3;
+
 /// Largest number of parts of one prompt that are looked at.
 pub const MAX_PROMPT_PARTS: usize = 64;
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -49,10 +49,8 @@
     Accept,
     /// The request is the trial of its quarantined parts.
     Try,
-    /// The part is quarantined, and no request with it is tried before `until`.
+    /// A part is quarantined, and no request with it is tried before `until`.
     Refuse {
-        /// The quarantined part.
-        part: Part,
         /// Time of the next trial, or of the end of the quarantine.
         until: Instant,
     },
@@ -276,7 +274,7 @@
             return Admission::Try;
         }
         let until = quarantined.iter().filter_map(|suspect| suspect.next_trial()).max();
-        Admission::Refuse { part: first.part, until: until.unwrap_or(now) }
+        Admission::Refuse { until: until.unwrap_or(now) }
     }
 
     /// Records that a request with `parts` is sent as the trial of its quarantined parts.
@@ -334,11 +332,6 @@
         taken.collect()
     }
 
-    /// Returns whether there are records to send.
-    pub fn has_updates(&self) -> bool {
-        self.entries.iter().any(|suspect| suspect.unsent_rounds > 0)
-    }
-
     /// Returns all records, for an instance that knows something else.
     pub fn records(&self, now: Instant) -> Vec<Record> {
         self.entries.iter().map(|suspect| suspect.record(now)).collect()
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -30,7 +30,7 @@
                 self.requests[index].timer = at!(deadline, [cx], expire(id));
                 if self.requests[index].is_trial {
                     let parts = shared_parts(self.requests[index].metadata.prompt.as_ref());
-                    self.begin_trial(cx, &parts);
+                    self.quarantine.record_trial(cx.now(), &parts);
                 }
                 self.place(cx, id);
             }
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -24,7 +24,7 @@
     ContextHolders, Latencies, LoadCounter, MeanInFlight, RetryAllowance, RetryWindow, Shutdown,
     WaitQueue,
 };
-use instance::View;
+use instance::{Quarantine, View};
 use names::{Attempt, Service};
 use settings::Settings;
 use stakker::{
@@ -33,7 +33,6 @@
 use telemetry::{self as events, Metrics, OutcomeLabels};
 use wire::Hub;
 
-use self::quarantine::Quarantine;
 use crate::endpoints::ReadinessEndpoint;
 use crate::feed::UpstreamList;
 use crate::interface::Interface;
@@ -130,6 +129,7 @@
         metrics: Arc<Metrics>,
         hub: Actor<Hub>,
         readiness: Actor<ReadinessEndpoint>,
+        quarantine: Quarantine,
     ) -> Option<Self> {
         let events = fwd_to!([cx], handle_progress() as (CallEvent));
         let connect_metrics = metrics.clone();
@@ -147,7 +147,6 @@
         after!(STALL_PERIOD, [cx], check_stalls());
         after!(forward::GossipConfig::new(1).period, [cx], gossip_loads());
         after!(forward::COUNT_REPORT_INTERVAL, [cx], repeat_reports());
-        after!(STALL_PERIOD, [cx], compare_quarantines());
         let direct = &settings.direct;
         let allowance = RetryAllowance {
             ratio: direct.repeat_ratio,
@@ -180,7 +179,7 @@
             holders: ContextHolders::default(),
             load_counter: LoadCounter::default(),
             latencies: Latencies::default(),
-            quarantine: Quarantine::default(),
+            quarantine,
             last_message_number: first_message_number(),
             pending_queries: Vec::new(),
             unresponsive: Vec::new(),
@@ -261,7 +260,6 @@
             data_centre: member.data_centre.clone(),
         };
         self.peers = entry_instances.map(peer).collect();
-        self.ask_for_quarantine();
         let now = cx.now();
         let count = self.peers.len() + 1;
         if count >= self.entry_count || now > self.entry_count_at + ENTRY_COUNT_RETENTION {
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -290,7 +290,7 @@
         if let Some((upstream, latency)) = sample {
             self.report_latency(now, &upstream, latency);
         }
-        self.record_sound(cx, id, false);
+        self.record_sound(now, id, false);
         let Some(active) = self.active(id) else {
             return;
         };
@@ -333,7 +333,7 @@
             return;
         }
         match active.running.as_ref().is_some_and(|running| running.is_delimited) {
-            true => self.record_sound(cx, id, true),
+            true => self.record_sound(now, id, true),
             // An upstream that crashes may have ended the response.
             false => self.suspect_crash(cx, id),
         }
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -9,7 +9,7 @@
 use catalogue::{Catalogue, Newest};
 use entry::{Bounds, ChatForm, Event, Form, Server};
 use eventloop::mailbox;
-use instance::{Members, Part, Replica, Stop, View};
+use instance::{Members, Part, Quarantine, QuarantineExchange, Replica, Stop, View};
 use names::{Incarnation, Instance};
 use settings::Settings;
 use stakker::{
@@ -68,6 +68,7 @@
 /// Actors of the entry role.
 struct EntryRole {
     forwarder: ActorOwn<Forwarder>,
+    exchange: ActorOwn<QuarantineExchange>,
     readiness: ActorOwn<ReadinessEndpoint>,
     server: ActorOwn<Server>,
     _ready_server: Option<ActorOwn<Server>>,
@@ -239,6 +240,12 @@
     ) -> EntryRole {
         let readiness =
             actor!(cx, ReadinessEndpoint::init(), ret_some_to!([cx], child_ended() as (StopCause)));
+        let quarantine = Quarantine::new(settings.instance.clone(), metrics.clone());
+        let exchange = actor!(
+            cx,
+            QuarantineExchange::init(quarantine.clone(), hub.clone()),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let forwarder = actor!(
             cx,
             Forwarder::init(
@@ -247,6 +254,7 @@
                 metrics.clone(),
                 hub,
                 readiness.clone(),
+                quarantine,
             ),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
@@ -268,7 +276,7 @@
                 ret_some_to!([cx], child_ended() as (StopCause))
             )
         });
-        EntryRole { forwarder, readiness, server, _ready_server: ready_server }
+        EntryRole { forwarder, exchange, readiness, server, _ready_server: ready_server }
     }
 
     /// Returns the receivers of feed updates: the forwarder, or receivers that ignore all updates
@@ -299,6 +307,9 @@
         }
         if let Some(entry) = &self.entry {
             call!([entry.forwarder], set_view(view.clone()));
+            let entry_instances = view.members.iter().filter(|member| !member.is_control);
+            let peers = entry_instances.map(|member| member.instance.clone()).collect();
+            call!([entry.exchange], set_peers(peers));
         }
         call!([self.feed], set_view(view));
     }
@@ -316,7 +327,7 @@
             }
             (Slice::Quarantine, _) => {
                 if let Some(entry) = &self.entry {
-                    call!([entry.forwarder], receive_quarantine(delivery));
+                    call!([entry.exchange], deliver(delivery));
                 }
             }
             (slice, _) => log::debug!(
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -80,6 +80,8 @@
     pub context: ContextMetrics,
     /// Metrics of members and permits.
     pub membership: MembershipMetrics,
+    /// Number of parts of prompts that are quarantined.
+    pub quarantined: Gauge,
     /// Metrics of requests that entry instances forward without permits of owners.
     pub relay: RelayMetrics,
 }
@@ -124,6 +126,9 @@
             "Caches whose events were missing",
             cache_resyncs.clone(),
         );
+        let quarantined = Gauge::default();
+        let help = "Parts of prompts that are quarantined";
+        registry.register("quarantined", help, quarantined.clone());
         let answers = AnswerMetrics::register(&mut registry);
         let ledger = LedgerMetrics::register(&mut registry);
         let by_upstream = UpstreamMetrics::default();
@@ -147,6 +152,7 @@
             active_requests,
             available_upstreams,
             cache_resyncs,
+            quarantined,
         }
     }
 
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -79,8 +79,6 @@
     pub commit: Histogram,
     /// Number of requests that wait for an upstream with free capacity.
     pub waiting: Gauge,
-    /// Number of parts of prompts that are quarantined.
-    pub quarantined: Gauge,
     /// Number of control instances among the live members.
     pub sources: Gauge,
 }
@@ -98,7 +96,6 @@
             connect: latency_histogram(),
             commit: latency_histogram(),
             waiting: Gauge::default(),
-            quarantined: Gauge::default(),
             sources: Gauge::default(),
         };
         metrics.initialize();
@@ -119,8 +116,6 @@
         let help = "Time until a document was committed";
         registry.register("commit_seconds", help, metrics.commit.clone());
         registry.register("waiting", "Requests that wait for room", metrics.waiting.clone());
-        let help = "Parts of prompts that are quarantined";
-        registry.register("quarantined", help, metrics.quarantined.clone());
         let help = "Control instances that are followed";
         registry.register("followed", help, metrics.sources.clone());
         metrics
