Count an attempt as dangerous only if it broke off within its first pieces

Callers of a stream whose upstreams merely break off again and again lost it after the second break, since: each attempt had broken off within half a second.

--- a/crates/instance/src/router/active_request.rs
+++ b/crates/instance/src/router/active_request.rs
@@ -72,7 +72,7 @@
     pub(super) is_first: bool,
     /// Whether an earlier attempt may have run.
     pub(super) may_have_run: bool,
-    /// Number of attempts whose response broke off at its beginning.
+    /// Number of attempts whose response broke off within its first pieces.
     pub(super) broken_beginnings: usize,
     /// Whether the request is the trial of a quarantined part.
     pub(super) is_trial: bool,
--- a/crates/instance/src/router/quarantine.rs
+++ b/crates/instance/src/router/quarantine.rs
@@ -70,7 +70,8 @@
         let (upstream, address) = (running.permit.upstream.clone(), running.permit.address);
         let short_hash = xxh3_64(upstream.as_str().as_bytes()) as u32;
         let run = Run { upstream: short_hash, born: running.permit.incarnation };
-        active.broken_beginnings += 1;
+        let has_begun_well = running.parts >= MIN_SOUND_PIECES;
+        active.broken_beginnings += usize::from(!has_begun_well);
         if active.route.parts.is_empty() {
             return;
         }
--- a/crates/relay/src/forwarder/quarantine.rs
+++ b/crates/relay/src/forwarder/quarantine.rs
@@ -90,7 +90,8 @@
         }
         let upstream = running.upstream.clone();
         let run = Run { upstream: short_hash(&upstream), born: running.born };
-        active.broken_beginnings += 1;
+        let has_begun_well = running.parts >= MIN_SOUND_PIECES;
+        active.broken_beginnings += usize::from(!has_begun_well);
         let parts = shared_parts(active.metadata.prompt.as_ref());
         if parts.is_empty() {
             return;
