Cut a stream of events that ends within an event

Callers could take a broken stream for a whole one: an answer without a length and without chunks ends with its connection, so a stream that broke off within an event looked complete on routes whose streams cannot be resumed, and on others once an event without an id had passed. A chunked stream with a proper last chunk did too.

Cause: only resumable streams were followed event by event. Now the bytes of every stream of events show whether it ends within an event; such an end is a failure, and the caller sees a cut.

The case "end" of a_stream_without_ids_passes_unchanged_and_is_not_resumed_from_its_start expected that a stream that ends within an event is complete, which contradicts the protocol as it is now; it expects a cut, and a case of a whole stream was added.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -43,7 +43,9 @@
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use search::{SearchCandidate, SearchConfig, SearchStep, TrackerSearch};
 pub use shutdown::Shutdown;
-pub use stream::{StreamTracker, is_event_stream, stall_timeout};
+pub use stream::{
+    EventBoundary, StreamTracker, begins_like_events, is_event_stream, stall_timeout,
+};
 pub use wait_queue::WaitQueue;
 
 /// Minimum number of instances of a large fleet, in which each instance sees only a small part of
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -166,6 +166,52 @@
     }
 }
 
+/// Number of bytes before the end of a stream in which an empty line may begin.
+const BOUNDARY_BYTES: usize = 3;
+
+/// Finds out whether a stream of events whose bytes pass unchanged ends within an event.
+#[derive(Debug, Default)]
+pub struct EventBoundary {
+    /// Last bytes of the stream.
+    tail: Vec<u8>,
+    is_within_event: bool,
+}
+
+impl EventBoundary {
+    /// Takes the next bytes of the stream.
+    pub fn push(&mut self, part: &[u8]) {
+        let mut recent = std::mem::take(&mut self.tail);
+        recent.extend_from_slice(part);
+        let is_blank = |bytes: &[u8]| bytes.trim_ascii().is_empty();
+        self.is_within_event = match last_event_end(&recent) {
+            Some(end) => !is_blank(&recent[end..]),
+            None => self.is_within_event || !is_blank(part),
+        };
+        self.tail = recent.split_off(recent.len().saturating_sub(BOUNDARY_BYTES));
+    }
+
+    /// Returns whether the stream has begun an event and not ended it.
+    pub fn is_within_event(&self) -> bool {
+        self.is_within_event
+    }
+}
+
+/// Returns the index behind the last empty line.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let ends = |end: &usize| {
+        let before = &bytes[..*end];
+        before.ends_with(b"\n\n") || before.ends_with(b"\r\n\r\n")
+    };
+    (2..=bytes.len()).rev().find(ends)
+}
+
+/// Returns whether bytes begin like a stream of events: with a field of an event or a comment.
+pub fn begins_like_events(bytes: &[u8]) -> bool {
+    const FIELDS: [&[u8]; 5] = [b"id:", b"data:", b"event:", b"retry:", b":"];
+    let start = bytes.trim_ascii_start();
+    FIELDS.iter().any(|field| start.starts_with(field))
+}
+
 /// Returns whether a response says that it is a stream of events, or `None` if it names no type.
 pub fn is_event_stream(head: &Head) -> Option<bool> {
     let content_type = head.header("content-type")?;
--- a/crates/forward/tests/resumed_streams.rs
+++ b/crates/forward/tests/resumed_streams.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use dispatch::{Field, Head, StreamError};
-use forward::StreamTracker;
+use forward::{EventBoundary, StreamTracker};
 use test_case::test_case;
 
 const HEAD_TEXT: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\n";
@@ -148,3 +148,20 @@
     assert!(!tracker.has_position());
     assert_eq!(tracker.into_partial_event(), b"data: c");
 }
+
+#[test_case(&["id: 1\ndata: x\n\n"], false; "after an event")]
+#[test_case(&["id: 1\ndata: x\n", "\n"], false; "an empty line in a part of its own")]
+#[test_case(&["id: 1\r\ndata: x\r\n", "\r", "\n"], false; "an empty line that is split")]
+#[test_case(&["id: 1\ndata: x\n\n", "id: 2"], true; "within the next event")]
+#[test_case(&["id: 1\ndata: x\n"], true; "without the empty line")]
+#[test_case(&["i", "d", ":", " 1"], true; "byte by byte")]
+#[test_case(&["id: 1\n\nid: 2\n", "\n", "\n"], false; "more empty lines")]
+#[test_case(&[], false; "empty")]
+fn a_stream_whose_bytes_pass_unchanged_shows_whether_it_ends_within_an_event(
+    parts: &[&str],
+    expected: bool,
+) {
+    let mut boundary = EventBoundary::default();
+    parts.iter().for_each(|part| boundary.push(part.as_bytes()));
+    assert_eq!(boundary.is_within_event(), expected);
+}
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -6,7 +6,7 @@
 
 use catalogue::{Repeat, Route};
 use entry::{Reply, Request};
-use forward::{FailedAttempt, RoutingKey, StreamTracker, stall_timeout};
+use forward::{EventBoundary, FailedAttempt, RoutingKey, StreamTracker, stall_timeout};
 use names::{Attempt, ClientAccount, Service, Upstream};
 use stakker::{FixedTimerKey, Fwd};
 use xxhash_rust::xxh3::xxh3_64;
@@ -57,6 +57,10 @@
     pub(super) is_sound: bool,
     /// Whether the response has a length or chunks, so that its end is recognized.
     pub(super) is_delimited: bool,
+    /// Position in the stream of events, if the response is one.
+    pub(super) boundary: Option<EventBoundary>,
+    /// Whether the response says that it is a stream of events; `None` if it names no type.
+    pub(super) is_event_stream: Option<bool>,
     /// Time at which the next event is due, once the head of the response has arrived.
     pub(super) event_due: Option<Instant>,
     /// Time from which the request may move because the response has not begun. `None` if it never
@@ -99,7 +103,7 @@
     pub(super) runs: usize,
     /// Number of attempts that did not run.
     pub(super) refusals: usize,
-    /// Number of attempts whose response broke off at its beginning.
+    /// Number of attempts whose response broke off within its first pieces.
     pub(super) broken_beginnings: usize,
     /// Whether the request is the trial of a quarantined part.
     pub(super) is_trial: bool,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -132,6 +132,8 @@
             parts: 0,
             is_sound: false,
             is_delimited: false,
+            boundary: None,
+            is_event_stream: Some(false),
             timer,
             event_due: None,
             response_due,
--- a/tests/platform_streams.rs
+++ b/tests/platform_streams.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use support::machines::{Machines, document};
-use support::platform_calls::call_within;
+use support::platform_calls::{call_within, start_upstream};
 use support::wait_for;
 use support::worker::{Behaviour, HttpResponse, Worker, complete_stream};
 
@@ -246,9 +246,12 @@
     let deployment = Deployment::start(2);
     let text = "data: part 1\n\ndata: part 2\n\nid: 3\ndata: part 3\n\ndata: unfin";
     let restarted = leak(stream("data: part 1\n\ndata: part 2\n\n"));
-    for (name, first, is_complete) in
-        [("cut", open_stream(text), false), ("end", stream(text), true)]
-    {
+    let whole = "data: part 1\n\ndata: part 2\n\nid: 3\ndata: part 3\n\n";
+    for (name, text, first, is_complete) in [
+        ("cut", text, open_stream(text), false),
+        ("end-within-event", text, stream(text), false),
+        ("end", whole, stream(whole), true),
+    ] {
         deployment.set_behaviour(Behaviour::Raw(leak(first), restarted));
         let answer = deployment.call_until_runs("/captions/1", name, 1);
         assert_eq!((answer.text().as_str(), answer.is_complete), (text, is_complete), "{name}");
@@ -303,3 +306,55 @@
     let resumptions = requests.iter().filter(|run| run.headers.contains_key("last-event-id"));
     assert!(resumptions.count() > 0, "no resumption was answered with an error");
 }
+
+/// Returns an answer without a length and without chunks, which ends with its connection.
+fn until_close(headers: &str, text: &str) -> &'static str {
+    leak(format!("HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: s\r\n{headers}\r\n{text}"))
+}
+
+/// Guards against an answer that ends with its connection and is taken for an interrupted one.
+#[test]
+fn a_whole_answer_that_ends_with_its_connection_is_complete() {
+    let deployment = Deployment::start(2);
+    let shop = start_upstream(&deployment.machines, "i-shop-1", "shop", Behaviour::Answer);
+    let typed = "content-type: text/event-stream\r\n";
+    for (path, headers, text) in [
+        ("/captions/1", typed, events(1, 4)),
+        ("/captions/2", "", events(1, 4)),
+        ("/reports/1", typed, events(1, 4)),
+        ("/reports/2", typed, "data: no id\n\n".to_string()),
+        ("/reports/3", "content-type: application/json\r\n", "{\"a\": 1}".to_string()),
+        ("/reports/4", "", "text".to_string()),
+    ] {
+        deployment.set_behaviour(Behaviour::Raw(until_close(headers, &text), "not resumed"));
+        let answer = deployment.call_until_runs(path, &path.replace('/', "-"), 1);
+        assert_eq!((answer.status, answer.text()), (200, text), "{path}");
+        assert!(answer.is_complete, "{path}");
+    }
+    for path in ["/albums/1", "/bookings/1"] {
+        shop.set_behaviour(Behaviour::Raw(until_close("", "the album"), ""));
+        let answer = call(deployment.machines.entries[0].callers(), path, &path.replace('/', "-"));
+        assert_eq!((answer.status, answer.text().as_str()), (200, "the album"), "{path}");
+        assert!(answer.is_complete, "{path}");
+    }
+}
+
+/// Guards against a stream that broke off and looks complete, since its connection was closed.
+#[test]
+fn a_stream_that_ends_within_an_event_is_interrupted() {
+    let deployment = Deployment::start(2);
+    let partial = events(1, 3) + "id: 4\ndata: pa";
+    let typed = "content-type: text/event-stream\r\n";
+    for (name, headers) in [("typed", typed), ("untyped", "")] {
+        let broken = until_close(headers, &partial);
+        deployment.set_behaviour(Behaviour::Raw(broken, until_close(headers, &events(4, 6))));
+        let answer = deployment.call_until_runs("/captions/1", &format!("resumed-{name}"), 2);
+        assert_eq!((answer.text(), answer.is_complete), (events(1, 6), true), "{name}");
+        let answer = deployment.call_until_runs("/reports/1", &format!("cut-{name}"), 1);
+        assert_eq!((answer.status, answer.is_complete), (200, false), "{name}");
+        assert!(partial.starts_with(&answer.text()), "{name}: {}", answer.text());
+    }
+    deployment.set_behaviour(Behaviour::Raw(leak(stream(&partial)), ""));
+    let answer = deployment.call_until_runs("/reports/1", "chunked", 1);
+    assert!(!answer.is_complete, "{}", answer.text());
+}
