Test that a response head that breaks off is no answer

Reported by another operator: clients got 200 with an empty or short body. It does not happen here: the tests pass on the code as it was, for plain answers, streams and requests that must not be repeated.

--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -55,6 +55,7 @@
 const FIXED_LENGTH: &str = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 5\r\n\r\nhello";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nx-id: mine\r\nTransfer-Encoding: chunked\r\n\r\n\
                       2\r\nhe\r\n3\r\nllo\r\n0\r\nx-trailer: 1\r\n\r\n";
+const HEAD_UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\n";
 const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nhello";
 
 #[test_case(FIXED_LENGTH, true; "known length")]
@@ -71,6 +72,7 @@
 
 #[test_case(FIXED_LENGTH; "known length")]
 #[test_case(CHUNKED; "chunks")]
+#[test_case(HEAD_UNTIL_CLOSE; "head of a response that ends with its connection")]
 fn a_response_that_is_truncated_anywhere_is_incomplete(bytes: &str) {
     for length in 0..bytes.len() {
         let parsed = parse(&bytes[..length], 7, true, false);
--- a/tests/platform_heads.rs
+++ b/tests/platform_heads.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use support::machines::{KEY, Machines, document};
+use support::platform_calls::call;
 use support::wait_for;
 use support::worker::{Behaviour, HttpResponse, Worker, read_response};
 use test_case::test_case;
@@ -73,3 +74,26 @@
     let HttpResponse { status, is_complete, .. } = read_response(&mut reader).unwrap();
     assert_eq!((status, is_complete), (200, true));
 }
+
+/// Guards against a success with an empty or short body, made of a head that broke off.
+#[test_case("HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-st"; "within a header")]
+#[test_case("HTTP/1.1 200 OK\r\nrequest-id: ID\r\ncontent-length: 5\r\n"; "after a length")]
+#[test_case("HTTP/1.1 200 OK\r\nrequest-id: ID\r\ncontent-length: 5\r\n\r"; "within the empty line")]
+#[test_case("HTTP/1.1 200 OK\r\nrequest-id: ID\r\ncontent-type: text/event-stream\r\n"; "of a stream")]
+#[test_case("HTTP/1.1 200 O"; "within the status line")]
+fn a_head_that_breaks_off_is_no_answer(head: &'static str) {
+    let machines = Machines::start(3, 1);
+    let start = |name: &str, service: &str| Worker::start(name, service, machines.seeds());
+    let workers = [start("i-shop-1", "shop"), start("i-engine-1", "engines")];
+    machines.put_document_until_acknowledged(&document(7));
+    machines.wait_ready(7);
+    wait_for("arrival of the upstreams at the entry instance", || {
+        (machines.entries[0].events("upstream").len() >= 2).then_some(())
+    });
+    workers.iter().for_each(|worker| worker.set_behaviour(Behaviour::Raw(head, head)));
+    for path in ["/albums/1", "/bookings/1", "/captions/1", "/reports/1"] {
+        let id = path.replace('/', "-");
+        let answer = call(machines.entries[0].callers(), path, &id);
+        assert_eq!((answer.status, answer.is_complete), (502, true), "{path}: {}", answer.text());
+    }
+}
