--- a/crates/state/tests/common/mod.rs
+++ b/crates/state/tests/common/mod.rs
@@ -34,6 +34,8 @@
     operations: usize,
     /// Number of operations after which all further ones fail.
     fails_at: Option<usize>,
+    /// Number of writes until the disk is full, or `None` if it is not about to be.
+    free_writes: Option<usize>,
     has_failed: bool,
 }
 
@@ -60,6 +62,19 @@
         files.fails_at = Some(files.operations + count);
     }
 
+    /// Makes all writes fail once `count` more of them have succeeded, as on a full disk. Other
+    /// operations succeed.
+    pub fn fill_after(&self, count: usize) {
+        self.files().free_writes = Some(count);
+    }
+
+    /// Makes room on the disk. Returns whether a write has failed since it was full.
+    pub fn make_room(&self) -> bool {
+        let mut files = self.files();
+        files.free_writes = None;
+        std::mem::take(&mut files.has_failed)
+    }
+
     pub fn operations(&self) -> usize {
         self.files().operations
     }
@@ -120,6 +135,20 @@
         Ok(())
     }
 
+    fn use_space(&mut self) -> io::Result<()> {
+        match &mut self.free_writes {
+            None => Ok(()),
+            Some(0) => {
+                self.has_failed = true;
+                Err(io::Error::new(io::ErrorKind::StorageFull, "the fake disk is full"))
+            }
+            Some(count) => {
+                *count -= 1;
+                Ok(())
+            }
+        }
+    }
+
     fn find(&self, name: &str) -> io::Result<usize> {
         self.names.get(name).copied().ok_or_else(|| io::ErrorKind::NotFound.into())
     }
@@ -156,6 +185,7 @@
         }
         let number = files.find(name)?;
         // A failed write may have written a part of the bytes.
+        let counted = counted.and_then(|()| files.use_space());
         let length = if counted.is_ok() { bytes.len() } else { bytes.len() / 2 };
         files.files[number].bytes.extend_from_slice(&bytes[..length]);
         counted
--- a/crates/state/tests/disk.rs
+++ b/crates/state/tests/disk.rs
@@ -154,6 +154,45 @@
     }
 }
 
+/// Guards against a log that stays unusable after the disk has room again.
+#[test_case(voter_writes(); "voter")]
+#[test_case(first_snapshot_writes(); "first snapshot of a learner")]
+#[test_case(installed_snapshot_writes(); "snapshot of a leader")]
+fn a_disk_that_was_full_for_a_while_takes_writes_again_and_has_lost_none(writes: Vec<Write>) {
+    for free_writes in 0.. {
+        let folder = MemoryFolder::default();
+        folder.fill_after(free_writes);
+        let mut synced = 0;
+        // The log is opened and written again and again while the disk is full.
+        for _ in 0..4 {
+            let Ok((mut journal, _, recovered)) = Journal::open(folder.clone(), ME) else {
+                continue;
+            };
+            let next = &writes[..(synced + 1).min(writes.len())];
+            check_recovered(&writes[..synced], next, &recovered);
+            for write in &writes[synced..] {
+                if journal.write(std::slice::from_ref(write)).is_err() {
+                    break;
+                }
+                synced += 1;
+            }
+        }
+        if !folder.make_room() {
+            return;
+        }
+        let (mut journal, voter, recovered) = Journal::open(folder.clone(), VoterId(8))
+            .unwrap_or_else(|error| panic!("{free_writes} free writes: {error}"));
+        assert!(synced == 0 || voter == ME);
+        check_recovered(&writes[..synced], &writes[..(synced + 1).min(writes.len())], &recovered);
+        for write in &writes[synced..] {
+            journal.write(std::slice::from_ref(write)).unwrap();
+        }
+        drop(journal);
+        let (_, _, recovered) = Journal::open(folder, ME).unwrap();
+        assert_eq!(recovered_state(&recovered), expected_state(&writes), "{free_writes}");
+    }
+}
+
 /// Returns a group of writes in which a snapshot covers entries of the same group.
 fn grouped_writes() -> Vec<Write> {
     vec![
