Answer the requests that still run at the end of a graceful shutdown

Callers saw their connection closed without an answer: a request that a stopping instance had taken in the first seconds and that still ran at the end of the shutdown was dropped with the process.

Cause: the end of the shutdown ended the process and its connections, and nobody told the callers. Now all requests are ended first: with 503 if they have not run, with 502 if they may have, or with a visible cut if the answer has begun. The new test failed before (three connections closed without an answer) and passes.

--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -209,6 +209,31 @@
         self.shutdown = Some(Shutdown::new(cx.now(), end));
     }
 
+    /// Ends all requests in progress at the end of the graceful shutdown. A caller whose response
+    /// has not begun is told so.
+    pub(crate) fn end_requests(&mut self, cx: CX![]) {
+        let now = cx.now();
+        // Requests that wait come first, so that none of them is sent once another one has ended.
+        let (running, waiting): (Vec<&ActiveRequest>, Vec<&ActiveRequest>) =
+            self.requests.iter().partition(|active| active.running.is_some());
+        let ids: Vec<names::Request> =
+            waiting.into_iter().chain(running).map(ActiveRequest::id).collect();
+        for id in ids {
+            let Some(active) = self.active(id) else {
+                continue;
+            };
+            let (is_started, may_have_run) =
+                (active.is_started, active.running.is_some() || active.runs > 0);
+            self.stop_attempt(cx, id);
+            match (is_started, may_have_run) {
+                (true, _) => self.abort_response(now, id, "stopping"),
+                (false, true) => self.refuse(now, id, problems::stopped()),
+                (false, false) => self.refuse(now, id, problems::stopping()),
+            }
+            self.finish(cx, id);
+        }
+    }
+
     /// Activates a catalogue.
     pub(crate) fn set_catalogue(&mut self, _: CX![], catalogue: Rc<Catalogue>) {
         if let Some(server) = &self.server {
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -72,6 +72,11 @@
     Problem::not_run(Status::UNAVAILABLE, "stopping", message).with_retry_after(MIN_RETRY_AFTER)
 }
 
+pub(super) fn stopped() -> Problem {
+    let message = "this instance stopped while the request was at an upstream; it may have run";
+    Problem::may_have_run(Status::BAD_GATEWAY, "stopping", message)
+}
+
 pub(super) fn refused(now: Instant, deadline: Instant) -> Problem {
     let message = "no upstream took the request; ask again later";
     Problem::not_run(Status::UNAVAILABLE, "refused", message)
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -388,8 +388,12 @@
         call!([entry.server], drain(drained));
     }
 
-    /// Announces the leave and waits so that the announcement can reach the peers.
+    /// Ends the requests that still run, announces the leave, and waits so that the answers and the
+    /// announcement can be sent.
     fn finish_stop(&mut self, cx: CX![], _: ()) {
+        if let Some(entry) = &self.entry {
+            call!([entry.forwarder], end_requests());
+        }
         call!([self.members], leave());
         after!(LEAVE_DELAY, [cx], end());
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -350,6 +350,28 @@
     assert_eq!(deployment.machines.entries[0].process().wait(), Some(0));
 }
 
+/// Guards against requests that a stopping instance has taken and whose callers get no answer.
+#[test]
+fn requests_that_still_run_at_the_end_of_a_graceful_shutdown_are_answered() {
+    let mut deployment = start_deployment();
+    let upstreams = deployment.shops.iter().chain(&deployment.engines);
+    upstreams.for_each(|upstream| upstream.set_behaviour(Behaviour::Silent));
+    let address = deployment.machines.entries[0].callers();
+    deployment.machines.entries[0].process().signal("TERM");
+    std::thread::sleep(Duration::from_millis(2500));
+    let paths = ["/bookings/1", "/reports/1", "/captions/1"];
+    let calls = paths.map(|path| {
+        let id = path.replace('/', "-");
+        let headers = [("Deadline-Remaining", "6000")];
+        std::thread::spawn(move || call_with(address, path, &id, &headers))
+    });
+    for (path, call) in paths.into_iter().zip(calls) {
+        let answer = call.join().unwrap();
+        assert_eq!((answer.status, answer.is_complete), (502, true), "{path}");
+    }
+    assert_eq!(deployment.machines.entries[0].process().wait(), Some(0));
+}
+
 #[test]
 fn a_graceful_shutdown_cuts_no_request_and_closes_connections() {
     let mut deployment = start_deployment();
