Let stand-in engines send unframed streams and name a rate limit

The fault unframed ends streams with their connection, without a length or chunks; limit:THOUSANDTHS names a rate in every answer.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -14,7 +14,7 @@
 use crate::budget::Reservation;
 use crate::framing::{Framing, append_framed};
 use crate::head::{Head, Header, ParseOutcome};
-use crate::reply::{append_last_chunk, append_start, append_whole};
+use crate::reply::{append_last_chunk, append_start, append_start_unframed, append_whole};
 use crate::server::{Bounds, SOCKET_PRIORITY};
 use crate::{Event, Form, Method, Problem, Reply, Request, Status};
 
@@ -321,6 +321,15 @@
                 append_start(status, &headers, length, out);
                 false
             }
+            Reply::StartUnframed { status, headers } => {
+                *keeps_alive = false;
+                if !matches!(framing, Framing::HeadOnly) {
+                    *framing = Framing::UntilClose;
+                }
+                let headers = add_connection_headers(headers, id, id_header, *keeps_alive);
+                append_start_unframed(status, &headers, out);
+                false
+            }
             Reply::Part(part) => {
                 append_framed(framing, &part, out);
                 false
--- a/crates/entry/src/framing.rs
+++ b/crates/entry/src/framing.rs
@@ -9,6 +9,8 @@
     Chunks,
     /// Content-length, with the number of bytes that are still to be sent.
     Length(u64),
+    /// No framing: the answer ends with its connection.
+    UntilClose,
     /// Only the head is sent, because the caller has requested no more.
     HeadOnly,
 }
@@ -23,6 +25,7 @@
             out.extend_from_slice(&part[..length]);
             *remaining -= length as u64;
         }
+        Framing::UntilClose => out.extend_from_slice(part),
         Framing::HeadOnly => {}
     }
 }
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -89,6 +89,14 @@
         /// encoding.
         length: Option<u64>,
     },
+    /// The start of a streamed answer that has neither a length nor chunks, and ends with its
+    /// connection.
+    StartUnframed {
+        /// HTTP status.
+        status: Status,
+        /// Headers, without those of the framing.
+        headers: Vec<Header>,
+    },
     /// The next bytes of the body of a streamed answer.
     Part(Vec<u8>),
     /// The end of a complete streamed answer.
@@ -128,6 +136,12 @@
     }
 }
 
+/// Appends the head of an answer that ends with its connection to `out`.
+pub(crate) fn append_start_unframed(status: Status, headers: &[Header], out: &mut Vec<u8>) {
+    append_head(status, headers, out);
+    out.extend_from_slice(b"\r\n");
+}
+
 /// Appends one chunk of a streamed answer to `out`. Empty parts are skipped, because an empty chunk
 /// would end the answer.
 pub(crate) fn append_chunk(part: &[u8], out: &mut Vec<u8>) {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -23,6 +23,9 @@
 /// Priority of requests without one; smaller values are more urgent.
 const DEFAULT_PRIORITY: u32 = 100;
 
+/// Header that names the number of requests per second which the engine takes from all instances.
+const RATE_LIMIT_HEADER: &str = "x-turmericrelay-rate-limit";
+
 /// Number of words after which a response with [`Fault::Pause`] pauses.
 const WORDS_BEFORE_PAUSE: usize = 3;
 
@@ -255,6 +258,10 @@
         echoed_headers.extend(
             resume_offset.map(|offset: usize| Header::new("x-resume-offset", offset.to_string())),
         );
+        if let Fault::Limit(millis) = self.fault {
+            let per_second = f64::from(millis) / 1000.0;
+            echoed_headers.push(Header::new(RATE_LIMIT_HEADER, per_second.to_string()));
+        }
         let job = Job {
             id: request.id,
             prompt_text: prompt.text(),
@@ -380,7 +387,8 @@
 fn send_word(job: &mut Job, words: usize) {
     if !job.is_stream_started {
         job.is_stream_started = true;
-        job.reply.fwd(stream_start(&job.echoed_headers));
+        let is_framed = job.fault != Fault::Unframed;
+        job.reply.fwd(stream_start(&job.echoed_headers, is_framed));
     }
     if job.next_word < words {
         job.reply.fwd(Reply::Part(word_event(job)));
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -33,6 +33,11 @@
     Pause(u32),
     /// Streams start from the beginning, whatever the requested offset is.
     Restart,
+    /// Streams have neither a length nor chunks, and end with their connection.
+    Unframed,
+    /// Responses name this rate of requests, in thousandths of a request per second, which the
+    /// engine takes from all instances together.
+    Limit(u32),
     /// The engine ends as it begins an answer, if one of the messages before the last one is among
     /// this share of all messages, in thousandths. It returns after two seconds.
     Crash(u32),
@@ -61,7 +66,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error(
     "fault \"{0}\" is not none, error, refuse, hang, cut:WORDS, crossed, export-hang, export-cut, \
-         export-crossed, slow:FACTOR, pause:MILLIS, restart or crash:PERMILLE"
+         export-crossed, slow:FACTOR, pause:MILLIS, restart, unframed, limit:THOUSANDTHS or crash:PERMILLE"
 )]
 pub struct UnknownFault(String);
 
@@ -86,6 +91,8 @@
             "export-crossed" => Ok(Self::ExportCrossed),
             "slow" => Ok(Self::Slow(number.max(1))),
             "restart" => Ok(Self::Restart),
+            "unframed" => Ok(Self::Unframed),
+            "limit" => Ok(Self::Limit(number)),
             "crash" => Ok(Self::Crash(number)),
             "pause" => Ok(Self::Pause(number)),
             _ => Err(unknown()),
--- a/crates/standin/src/replies.rs
+++ b/crates/standin/src/replies.rs
@@ -36,14 +36,17 @@
     reply.fwd(Reply::Cut);
 }
 
-/// Returns the head of a streamed response.
-pub(crate) fn stream_start(extra_headers: &[Header]) -> Reply {
+/// Returns the head of a streamed response, with or without chunks.
+pub(crate) fn stream_start(extra_headers: &[Header], is_framed: bool) -> Reply {
     let mut headers = vec![
         Header::new("content-type", "text/event-stream"),
         Header::new("cache-control", "no-cache"),
     ];
     headers.extend_from_slice(extra_headers);
-    Reply::Start { status: Status::OK, headers, length: None }
+    match is_framed {
+        true => Reply::Start { status: Status::OK, headers, length: None },
+        false => Reply::StartUnframed { status: Status::OK, headers },
+    }
 }
 
 /// Returns an event of a streamed response.
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -30,6 +30,18 @@
     fleet
 }
 
+/// Guards against a whole stream that ends with its connection and is taken for an interrupted one.
+#[test]
+fn a_stream_that_ends_with_its_connection_is_complete() {
+    let fleet = start_fleet(1);
+    set_fault(fleet.upstreams[0].address, "unframed");
+    let address = fleet.instances[0].addresses.callers;
+    for number in 0..3 {
+        let caller = Caller::start(address, format!("unframed {number}"), 5, true);
+        assert_eq!(caller.check_answer(), Outcome::Complete);
+    }
+}
+
 /// A request that is sent from a thread of its own.
 struct Caller {
     text: String,
