--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -11,13 +11,15 @@
 mod error;
 mod part;
 mod record;
+mod suspect;
 mod suspects;
 mod suspicions;
 
 pub use error::Error;
 pub use part::{Part, Run};
 pub use record::{CrashRecord, Record};
-pub use suspects::{Admission, Change, Suspects};
+pub use suspect::Change;
+pub use suspects::{Admission, Suspects};
 pub use suspicions::{Check, Suspicions};
 
 use std::time::Duration;
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -4,34 +4,12 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::{CrashRecord, MAX_PROMPT_PARTS, Part, Record, Run};
-
-/// Number of upstreams that must have crashed under a part before it is quarantined. Requests that
-/// merely were at a crashed upstream rarely share a part with those at two others, without a sound
-/// answer in between.
-const QUARANTINE_CRASHES: usize = 3;
-
-/// Largest number of crashes that are kept for a part.
-const MAX_CRASHES: usize = 5;
-
-/// Times after the last crash, or the last trial, at which one request with a quarantined part may
-/// be tried. There are no further trials, because each may cost the answers at an upstream.
-const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(120), Duration::from_secs(3600)];
-
-/// How long a part is remembered after its last crash or trial.
-const SUSPECT_TTL: Duration = Duration::from_secs(24 * 3600);
-
-/// How long a part is remembered that was cleared. Records of its crashes that arrive later are
-/// recognized as outdated.
-const CLEARED_TTL: Duration = Duration::from_secs(120);
+use crate::suspect::{Crash, Suspect, Trial};
+use crate::{Change, MAX_PROMPT_PARTS, Part, Record, Run};
 
 /// Largest number of parts that are remembered.
 const MAX_SUSPECTS: usize = 512;
 
-/// Time by which two instances may differ about when a part was cleared. A smaller difference is no
-/// news.
-const CLEARED_TOLERANCE: Duration = Duration::from_millis(200);
-
 /// How long an answer that got past its beginning is remembered, to clear parts whose crash is
 /// reported later.
 const SOUND_TTL: Duration = Duration::from_secs(10);
@@ -56,37 +34,6 @@
     },
 }
 
-/// Change of what is known about a part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Change {
-    /// The part is quarantined from now on.
-    Quarantined(Part),
-    /// The part was quarantined and is not any more.
-    Released(Part),
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Crash {
-    run: Run,
-    at: Instant,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Trial {
-    count: u8,
-    at: Instant,
-}
-
-#[derive(Debug, Clone)]
-struct Suspect {
-    part: Part,
-    /// Sorted by run. None is older than `cleared_at`.
-    crashes: Vec<Crash>,
-    cleared_at: Option<Instant>,
-    trial: Option<Trial>,
-    unsent_rounds: u8,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct SoundPart {
     part: Part,
@@ -102,117 +49,6 @@
     sound: Vec<SoundPart>,
 }
 
-fn age_ms(now: Instant, at: Instant) -> u32 {
-    u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX)
-}
-
-/// Returns the time that lies `age_ms` milliseconds before `now`. An age beyond the life of this
-/// machine counts as its beginning.
-fn time_before(now: Instant, age_ms: u32) -> Instant {
-    let age = Duration::from_millis(u64::from(age_ms));
-    now.checked_sub(age).or_else(|| now.checked_sub(SOUND_TTL)).unwrap_or(now)
-}
-
-impl Suspect {
-    fn new(part: Part) -> Self {
-        Self { part, crashes: Vec::new(), cleared_at: None, trial: None, unsent_rounds: 0 }
-    }
-
-    fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= QUARANTINE_CRASHES
-    }
-
-    /// Returns the time of the last crash or trial.
-    fn last_incident(&self) -> Option<Instant> {
-        let crashes = self.crashes.iter().map(|crash| crash.at);
-        crashes.chain(self.trial.map(|trial| trial.at)).max()
-    }
-
-    fn forget_at(&self) -> Option<Instant> {
-        let by_crash = self.last_incident().map(|at| at + SUSPECT_TTL);
-        by_crash.max(self.cleared_at.map(|at| at + CLEARED_TTL))
-    }
-
-    /// Returns the time of the next trial, or of the end of the quarantine.
-    fn next_trial(&self) -> Option<Instant> {
-        let trials = self.trial.map_or(0, |trial| usize::from(trial.count));
-        let delay = TRIAL_DELAYS.get(trials).copied().unwrap_or(SUSPECT_TTL);
-        self.last_incident().map(|at| at + delay)
-    }
-
-    fn may_be_tried(&self, now: Instant) -> bool {
-        let trials = self.trial.map_or(0, |trial| usize::from(trial.count));
-        trials < TRIAL_DELAYS.len() && self.next_trial().is_some_and(|at| at <= now)
-    }
-
-    /// Adds a crash. Returns whether it is news.
-    fn add_crash(&mut self, crash: Crash) -> bool {
-        if self.cleared_at.is_some_and(|cleared_at| crash.at <= cleared_at) {
-            return false;
-        }
-        match self.crashes.binary_search_by_key(&crash.run, |known| known.run) {
-            Ok(index) => {
-                let known = &mut self.crashes[index];
-                known.at = known.at.min(crash.at);
-                false
-            }
-            // All instances keep the same crashes: those of the first runs.
-            Err(index) if index >= MAX_CRASHES => false,
-            Err(index) => {
-                self.crashes.insert(index, crash);
-                self.crashes.truncate(MAX_CRASHES);
-                true
-            }
-        }
-    }
-
-    /// Drops the crashes up to `at`, at which an answer had got past its beginning. Returns whether
-    /// that changed anything.
-    fn clear(&mut self, at: Instant) -> bool {
-        let has_crash = self.crashes.iter().any(|crash| crash.at <= at);
-        let is_newer = self.cleared_at.is_none_or(|cleared_at| cleared_at < at);
-        if is_newer {
-            self.cleared_at = Some(at);
-            self.crashes.retain(|crash| crash.at > at);
-            self.trial = self.trial.filter(|trial| trial.at > at);
-        }
-        has_crash && is_newer
-    }
-
-    /// Returns whether another instance's time of clearing matters here. Times that messages carry
-    /// grow by the delay of each message, so small differences are ignored.
-    fn is_news_of_clearing(&self, at: Instant) -> bool {
-        let is_later = self.cleared_at.is_none_or(|known| at > known + CLEARED_TOLERANCE);
-        is_later || self.crashes.iter().any(|crash| crash.at <= at)
-    }
-
-    fn record(&self, now: Instant) -> Record {
-        let crash = |crash: &Crash| CrashRecord { run: crash.run, age_ms: age_ms(now, crash.at) };
-        Record {
-            part: self.part,
-            crashes: self.crashes.iter().map(crash).collect(),
-            cleared_age_ms: self.cleared_at.map(|at| age_ms(now, at)),
-            trials: self.trial.map_or(0, |trial| trial.count),
-            trial_age_ms: self.trial.map_or(0, |trial| age_ms(now, trial.at)),
-        }
-    }
-
-    /// Returns the change between `was_quarantined` and now.
-    fn change_since(&self, was_quarantined: bool) -> Option<Change> {
-        match (was_quarantined, self.is_quarantined()) {
-            (false, true) => Some(Change::Quarantined(self.part)),
-            (true, false) => Some(Change::Released(self.part)),
-            _ => None,
-        }
-    }
-
-    /// Rank by which parts are kept when there are too many: those with most crashes first, the
-    /// latest first among these.
-    fn retention_rank(&self) -> (usize, Option<Instant>) {
-        (self.crashes.len(), self.last_incident().max(self.cleared_at))
-    }
-}
-
 impl Suspects {
     /// Records that `run` crashed at `at`, as it began answers to requests with `parts`.
     pub fn record_crash(
@@ -297,25 +133,10 @@
         let sound_since = self.sound_since(record.part);
         let suspect = self.entry(now, record.part);
         let was_quarantined = suspect.is_quarantined();
-        let mut is_news = false;
-        let cleared_at = record.cleared_age_ms.map(|age_ms| time_before(now, age_ms));
-        if let Some(at) = cleared_at.filter(|at| suspect.is_news_of_clearing(*at)) {
-            suspect.clear(at);
-            is_news = true;
-        }
-        for CrashRecord { run, age_ms } in record.crashes.iter().take(MAX_CRASHES) {
-            is_news |= suspect.add_crash(Crash { run: *run, at: time_before(now, *age_ms) });
-        }
+        let mut is_news = suspect.merge(now, record);
         if let Some(at) = sound_since {
             is_news |= suspect.clear(at);
         }
-        let trials = suspect.trial.map_or(0, |trial| trial.count);
-        let trial_at = time_before(now, record.trial_age_ms);
-        let is_current = suspect.cleared_at.is_none_or(|cleared_at| trial_at > cleared_at);
-        if record.trials > trials && is_current {
-            suspect.trial = Some(Trial { count: record.trials, at: trial_at });
-            is_news = true;
-        }
         if is_news {
             suspect.unsent_rounds = SEND_ROUNDS;
         }
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use catalogue::{Repeat, Route};
+use dispatch::StreamError;
 use entry::{Reply, Request};
 use forward::{EventBoundary, FailedAttempt, RoutingKey, StreamTracker, stall_timeout};
 use names::{Attempt, ClientAccount, Service, Upstream};
@@ -70,6 +71,32 @@
     pub(super) is_stall_logged: bool,
 }
 
+impl RunningAttempt {
+    /// Follows the stream of events whose bytes pass unchanged. A response that names no type is one
+    /// if it begins like one.
+    pub(super) fn track_boundary(&mut self, part: &[u8]) {
+        let is_first = self.parts == 1;
+        let begins_stream = match self.is_event_stream {
+            Some(is_event_stream) => is_event_stream,
+            None => forward::begins_like_events(part),
+        };
+        if is_first && begins_stream {
+            self.boundary = Some(EventBoundary::default());
+        }
+        if let Some(boundary) = &mut self.boundary {
+            boundary.push(part);
+        }
+    }
+
+    /// Checks that a stream of events whose bytes passed unchanged does not end within an event.
+    pub(super) fn check_boundary(&self) -> Result<(), StreamError> {
+        match &self.boundary {
+            Some(boundary) if boundary.is_within_event() => Err(StreamError::Incomplete),
+            _ => Ok(()),
+        }
+    }
+}
+
 /// Address that a request was sent to.
 pub(super) struct SentTo {
     address: SocketAddr,
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -4,7 +4,7 @@
 
 use dispatch::{CallEvent, Field, Head, Progress, StreamError, Verdict};
 use entry::{Reply, Status};
-use forward::{EventBoundary, LATENCY_SAMPLE_EVENTS, RetryDecision, StreamTracker, stall_timeout};
+use forward::{LATENCY_SAMPLE_EVENTS, RetryDecision, StreamTracker, stall_timeout};
 use names::Upstream;
 use stakker::{CX, call};
 use telemetry::Event;
@@ -293,7 +293,7 @@
         if let Some(running) = &mut active.running {
             let first = *running.first_byte_at.get_or_insert(now);
             running.parts += 1;
-            track_boundary(running, &part);
+            running.track_boundary(&part);
             if running.parts == LATENCY_SAMPLE_EVENTS && active.route.is_streaming {
                 let latency = now.saturating_duration_since(first) / (LATENCY_SAMPLE_EVENTS - 1);
                 sample = Some((running.upstream.clone(), latency));
@@ -340,7 +340,7 @@
         };
         let end = match (&active.stream_tracker, &active.running) {
             (Some(stream_tracker), _) => stream_tracker.check_end(),
-            (None, Some(running)) => check_boundary(running),
+            (None, Some(running)) => running.check_boundary(),
             (None, None) => Ok(()),
         };
         if let Err(error) = end {
@@ -472,30 +472,6 @@
     }
 }
 
-/// Follows the stream of events whose bytes pass unchanged. A response that names no type is one if
-/// it begins like one.
-fn track_boundary(running: &mut RunningAttempt, part: &[u8]) {
-    let is_first = running.parts == 1;
-    let begins_stream = match running.is_event_stream {
-        Some(is_event_stream) => is_event_stream,
-        None => forward::begins_like_events(part),
-    };
-    if is_first && begins_stream {
-        running.boundary = Some(EventBoundary::default());
-    }
-    if let Some(boundary) = &mut running.boundary {
-        boundary.push(part);
-    }
-}
-
-/// Checks that a stream of events whose bytes passed unchanged does not end within an event.
-fn check_boundary(running: &RunningAttempt) -> Result<(), StreamError> {
-    match &running.boundary {
-        Some(boundary) if boundary.is_within_event() => Err(StreamError::Incomplete),
-        _ => Ok(()),
-    }
-}
-
 fn has_delimited_body(headers: &[Field]) -> bool {
     let delimits =
         |field: &Field| matches!(field.name.as_str(), "content-length" | "transfer-encoding");
--- a/tests/platform_crashing_parts.rs
+++ b/tests/platform_crashing_parts.rs
@@ -11,8 +11,9 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use support::machines::{KEY, Machine, Machines, document};
-use support::worker::{Behaviour, HttpResponse, Worker, send_request};
+use support::machines::{Machine, Machines, document};
+use support::platform_calls::call_with_prompt;
+use support::worker::{Behaviour, Worker};
 use support::{Proxy, wait_for};
 use test_case::test_case;
 
@@ -119,19 +120,6 @@
     }
 }
 
-/// Sends a request with the prompt `prompt`.
-fn call(address: SocketAddr, path: &str, id: &str, prompt: &str) -> Option<HttpResponse> {
-    let key = format!("Token {KEY}");
-    let headers = [
-        ("Request-Id", id),
-        ("Authorization", key.as_str()),
-        ("Prompt-Prefix", prompt),
-        ("Token-Counts", "160,40"),
-        ("Deadline-Remaining", "5000"),
-    ];
-    send_request(address, "POST", path, &headers, "the body").ok()
-}
-
 /// Requests in progress, which go on until this is dropped.
 struct Traffic {
     is_stopped: Arc<AtomicBool>,
@@ -164,9 +152,9 @@
                     let path = if number % 2 == 0 { "/captions/1" } else { "/reports/1" };
                     let sent_at = Instant::now();
                     let entry = entries[(caller + number) % entries.len()];
-                    let answer = call(entry, path, &id, &prompt);
-                    let is_served = answer
-                        .is_some_and(|answer| answer.status == 200 && !answer.body.is_empty());
+                    let answer = call_with_prompt(entry, path, &id, &prompt);
+                    let is_served =
+                        answer.is_ok_and(|answer| answer.status == 200 && !answer.body.is_empty());
                     samples.lock().unwrap().push(Sample { sent_at, is_served });
                 }
             }));
@@ -186,8 +174,8 @@
                 let (entry, refused) = (entries[number % entries.len()], refused.clone());
                 let path = if number % 3 == 0 { "/captions/1" } else { "/reports/1" };
                 std::thread::spawn(move || {
-                    let answer = call(entry, path, &format!("bad-{number}"), &prompt);
-                    if answer.is_some_and(|answer| answer.status == 503) {
+                    let answer = call_with_prompt(entry, path, &format!("bad-{number}"), &prompt);
+                    if answer.is_ok_and(|answer| answer.status == 503) {
                         refused.fetch_add(1, Ordering::Relaxed);
                     }
                 });
--- a/tests/platform_rate_limit.rs
+++ b/tests/platform_rate_limit.rs
@@ -11,10 +11,10 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use support::machines::{KEY, Machine, Machines, document};
-use support::platform_calls::call_within;
+use support::machines::{Machine, Machines, document};
+use support::platform_calls::{call_with_prompt, call_within};
 use support::wait_for;
-use support::worker::{HttpResponse, Worker, send_request};
+use support::worker::Worker;
 
 /// Time after the first answer that names a limit from which the limit has to hold.
 const CONTACT: Duration = Duration::from_millis(3000);
@@ -74,19 +74,6 @@
     }
 }
 
-/// Sends a request with the prompt `prompt`.
-fn call(address: SocketAddr, path: &str, id: &str, prompt: &str) -> HttpResponse {
-    let key = format!("Token {KEY}");
-    let headers = [
-        ("Request-Id", id),
-        ("Authorization", key.as_str()),
-        ("Prompt-Prefix", prompt),
-        ("Token-Counts", "160,40"),
-        ("Deadline-Remaining", "5000"),
-    ];
-    send_request(address, "POST", path, &headers, "the body").unwrap()
-}
-
 /// An answer to a caller.
 struct Sample {
     is_served: bool,
@@ -119,7 +106,7 @@
                     // Each engine is preferred by some of the prompts.
                     let prompt = format!("aa:100,50{}:50,cc:10", (caller * 31 + number) % 97);
                     let entry = entries[(caller + number) % entries.len()];
-                    let answer = call(entry, path, &id, &prompt);
+                    let answer = call_with_prompt(entry, path, &id, &prompt).unwrap();
                     let is_served = answer.status == 200 && answer.is_complete;
                     let took = started_at.elapsed();
                     samples.lock().unwrap().push(Sample { is_served, status: answer.status, took });
--- a/tests/support/platform_calls.rs
+++ b/tests/support/platform_calls.rs
@@ -25,6 +25,24 @@
     send_request(address, "POST", path, &headers, "the body").unwrap()
 }
 
+/// Sends a request with the prompt `prompt` whose caller waits for five seconds.
+pub fn call_with_prompt(
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    prompt: &str,
+) -> std::io::Result<HttpResponse> {
+    let key = format!("Token {KEY}");
+    let headers = [
+        ("Request-Id", id),
+        ("Authorization", key.as_str()),
+        ("Prompt-Prefix", prompt),
+        ("Token-Counts", "160,40"),
+        ("Deadline-Remaining", "5000"),
+    ];
+    send_request(address, "POST", path, &headers, "the body")
+}
+
 pub fn call_in_background(address: SocketAddr, path: &str, id: &str) -> JoinHandle<HttpResponse> {
     let (path, id) = (path.to_string(), id.to_string());
     std::thread::spawn(move || call(address, &path, &id))
