Look up the home of a request only if an upstream names a rate limit

The lookup hashes the names of all upstreams of the service for each request, and its result is used only when one of them names a limit. No decision is changed.

--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -62,7 +62,10 @@
         let active = &mut self.requests[index];
         active.candidates = candidates.len();
         active.unusable = candidates.iter().filter(|candidate| candidate.is_avoided).count();
-        let home = self.table.home(&self.requests[index].service, routing_key);
+        let is_any_limited = candidates.iter().any(|candidate| candidate.limit != NamedLimit::None);
+        let home = is_any_limited
+            .then(|| self.table.home(&self.requests[index].service, routing_key))
+            .flatten();
         if let Some((config, choices)) =
             self.plan_search(now, &candidates, home, has_engine, routing_key)
         {
@@ -94,6 +97,9 @@
             let chosen = self.choose(candidates, has_engine, routing_key)?;
             Some(candidates[chosen].clone())
         };
+        if home.is_none() {
+            return choose(&candidates);
+        }
         let preferred = forward::without_limited_strangers(&candidates, home);
         choose(&preferred).or_else(|| choose(&candidates))
     }
