Answer the requests that still run when an instance's drain time is over

They now get 502 with the verdict may-have-run, or 503 if the request has not run. The new test in tests/stopping.rs failed before (connection closed without an answer) and passes.

--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -45,6 +45,12 @@
     Problem::not_run(Status::UNAVAILABLE, "stopping", message).with_retry_after(RETRY_DELAY)
 }
 
+/// Returns the problem for a request that is at an upstream when the graceful shutdown ends.
+pub(crate) fn stopped() -> Problem {
+    let message = "the instance stopped before the upstream had answered; the request may have run";
+    Problem::may_have_run(Status::BAD_GATEWAY, "stopping", message)
+}
+
 /// Changes the verdict of `problem` for a request that may be a resend.
 ///
 /// The caller would apply a "not run" verdict to the earlier request as well, which may have run.
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -341,8 +341,10 @@
         call!([self.claims], when_settled(settled));
     }
 
-    /// Announces that this instance leaves, and waits for the announcement to reach the peers.
+    /// Ends the requests that still run, announces that this instance leaves, and waits so that the
+    /// answers and the announcement can be sent.
     fn announce_leave(&mut self, cx: CX![], _: ()) {
+        call!([self.router], end_requests());
         call!([self.members], leave());
         after!(LEAVE_ANNOUNCEMENT_DELAY, [cx], finish_shutdown());
     }
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -123,6 +123,18 @@
         self.is_draining = true;
     }
 
+    /// Ends the requests that still run when the drain time is over, and tells their callers. A
+    /// claim or a result that is being recorded is left to the ledger.
+    pub(crate) fn end_requests(&mut self, _: CX![]) {
+        for index in (0..self.active.len()).rev() {
+            match &self.active[index].phase {
+                Phase::Claiming | Phase::Recording(_) => {}
+                Phase::Placing | Phase::Preparing(_) => self.refuse(index, problem::stopping()),
+                Phase::Calling(_) => self.refuse(index, problem::stopped()),
+            }
+        }
+    }
+
     /// Notifies `idle` once no request is left, including requests whose callers have disconnected.
     pub(crate) fn when_idle(&mut self, _: CX![], idle: Fwd<()>) {
         self.idle_listener = Some(idle);
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::{
     API_KEY, BOOKINGS, CHAT, Fleet, Plan, booking, chat, count_executions, expected_answer, get,
     owner, post, post_booking, set_fault, streamed_text, wait_for,
@@ -194,3 +194,19 @@
     );
     assert_eq!(fleet.instances[0].process.wait(), Some(0));
 }
+
+/// Guards against callers whose connection is closed without an answer when the drain time is over.
+#[test]
+fn requests_that_still_run_when_the_drain_time_is_over_are_answered() {
+    let timing = json!({ "drain": "2s" });
+    let mut fleet = Fleet::start_plan(Plan::new(&["giza"]).with_setting("timing", timing));
+    let engine = fleet.add_upstream("engine-0", "giza", &["--model", "caption-small"]);
+    set_fault(engine, "hang");
+    let address = fleet.instances[0].addresses.callers;
+    let caller =
+        std::thread::spawn(move || post(address, CHAT, &[DEADLINE], &chat("hello", 5, true)));
+    wait_for("the request to run", || (stats(engine)["running"] == 1).then_some(()));
+    fleet.instances[0].process.signal("TERM");
+    let answer = caller.join().unwrap().unwrap();
+    assert_eq!((answer.status, answer.verdict.as_deref()), (502, Some("may-have-run")));
+}
