--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -143,7 +143,7 @@
         suspect.change_since(was_quarantined)
     }
 
-    /// Returns at most `limit` records to send to other instances: those that changed lately.
+    /// Returns at most `limit` records to send to other instances: those that changed recently.
     pub fn take_updates(&mut self, now: Instant, limit: usize) -> Vec<Record> {
         let unsent = self.entries.iter_mut().filter(|suspect| suspect.unsent_rounds > 0);
         let taken = unsent.take(limit).map(|suspect| {
