Test rate limits in a large fleet of processes, and answers that are only broken off

Engines that break off every answer at its beginning and go on listening let no part be quarantined.

--- a/tests/platform_crashing_parts.rs
+++ b/tests/platform_crashing_parts.rs
@@ -387,3 +387,23 @@
         assert!(refusals.iter().all(|line| line["reason"] != "quarantined"), "{refusals:?}");
     }
 }
+
+/// Guards against upstreams that break off their answers and are taken for crashed ones.
+#[test]
+fn answers_that_upstreams_only_break_off_let_no_request_be_refused_for_its_parts() {
+    let machines = start_machines(|_| {});
+    let engines = Engines::start(&machines.seeds(), Behaviour::BreakAfter(0));
+    wait_until_served(&machines);
+    let traffic = Traffic::start(&callers(&machines), &["aa:100,bad0bad0:50,LAST:10"]);
+    std::thread::sleep(Duration::from_secs(4));
+    drop(traffic);
+    assert!(engines.crashes().is_empty());
+    let checks: Vec<_> =
+        machines.entries.iter().flat_map(|entry| entry.events("broken-off")).collect();
+    assert!(checks.len() >= 3, "{checks:?}");
+    assert!(checks.iter().all(|line| line["listening"] == "accepts"), "{checks:?}");
+    for entry in &machines.entries {
+        let refusals = entry.events("refused");
+        assert!(refusals.iter().all(|line| line["reason"] != "quarantined"), "{refusals:?}");
+    }
+}
--- a/tests/platform_rate_limit.rs
+++ b/tests/platform_rate_limit.rs
@@ -15,6 +15,7 @@
 use support::platform_calls::{call_with_prompt, call_within};
 use support::wait_for;
 use support::worker::Worker;
+use test_case::test_case;
 
 /// Time after the first answer that names a limit from which the limit has to hold.
 const CONTACT: Duration = Duration::from_millis(3000);
@@ -45,10 +46,10 @@
 }
 
 impl Deployment {
-    /// Starts three control instances and six entry instances in three data centres.
-    fn start(engines: usize) -> Self {
+    /// Starts three control instances, and entry instances in three data centres.
+    fn start(entries: u8, engines: usize) -> Self {
         let mut number = 0;
-        let machines = Machines::start_with_setup(3, 6, |machine| {
+        let machines = Machines::start_with_setup(3, entries, |machine| {
             machine.data_centre = ["giza", "cairo", "delta"][number % 3].to_string();
             number += 1;
         });
@@ -131,9 +132,10 @@
 }
 
 /// Guards against instances that each keep a limit for themselves, and together exceed it.
-#[test]
-fn an_upstream_gets_no_more_requests_from_all_instances_than_it_says_that_it_takes() {
-    let deployment = Deployment::start(3);
+#[test_case(6; "shares in a small fleet")]
+#[test_case(18; "grants in a large fleet")]
+fn an_upstream_gets_no_more_requests_from_all_instances_than_it_says_that_it_takes(entries: u8) {
+    let deployment = Deployment::start(entries, 3);
     let limits = [4.0, 0.4];
     for (engine, limit) in limits.iter().enumerate() {
         deployment.name_limit(engine, &limit.to_string());
@@ -173,7 +175,7 @@
 /// Guards against an instance that restarts and sends as if there were no limit.
 #[test]
 fn a_limit_holds_while_an_entry_instance_restarts() {
-    let mut deployment = Deployment::start(2);
+    let mut deployment = Deployment::start(6, 2);
     deployment.name_limit(0, "3");
     let _traffic = Traffic::start(&deployment.callers()[1..]);
     let named_at = Instant::now();
@@ -189,7 +191,7 @@
 
 #[test]
 fn requests_beyond_the_limits_of_all_upstreams_are_refused_at_once_and_told_when_to_return() {
-    let deployment = Deployment::start(1);
+    let deployment = Deployment::start(6, 1);
     deployment.name_limit(0, "5");
     let traffic = Traffic::start(&deployment.callers());
     std::thread::sleep(CONTACT);
@@ -213,7 +215,7 @@
 
 #[test]
 fn a_limit_that_is_no_number_is_logged_once_and_ignored() {
-    let deployment = Deployment::start(1);
+    let deployment = Deployment::start(6, 1);
     for odd in ["many", "-3", "1e99", "NaN", ""] {
         deployment.name_limit(0, odd);
         for (number, entry) in deployment.callers().into_iter().enumerate() {
