--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -410,6 +410,7 @@
             first_ms: millis(first),
             total_ms: millis(total),
             attempts: active.tried.len(),
+            end: if running.is_delimited { "proven" } else { "closed" }.to_string(),
         }
         .write();
         self.metrics.relay.observe_answer(&kind, first, total, running.parts);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -305,6 +305,9 @@
         total_ms: u64,
         /// Number of attempts.
         attempts: usize,
+        /// What showed the end of the answer: `proven` by a length or chunks, or only the `closed`
+        /// connection of an upstream that sent neither.
+        end: String,
     },
 }
 
