--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,6 +12,7 @@
 mod process;
 mod proxy;
 pub mod replicated_log;
+pub mod script;
 pub mod worker;
 
 pub use client::*;
--- /dev/null
+++ b/tests/support/script.rs
@@ -0,0 +1,53 @@
+//! Scripted answers of an upstream: any bytes, followed by any end of the connection.
+
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// Pause within an answer, in which the first bytes arrive on their own.
+pub const PAUSE: Duration = Duration::from_millis(50);
+
+/// A request to be answered by a script.
+pub struct ScriptedRequest<'a> {
+    /// Value of the header `request-id`.
+    pub id: &'a str,
+    pub path: &'a str,
+    /// Value of the header `last-event-id`, if the request resumes a stream.
+    pub last_event_id: Option<&'a str>,
+}
+
+/// What happens to the connection after the bytes of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The upstream closes the connection and goes on.
+    Close,
+    /// The upstream resets the connection and goes on.
+    Reset,
+    /// The upstream ends as a crash of its process does: it refuses connections from then on, and
+    /// all of its connections are closed.
+    Crash,
+}
+
+/// Answer to one request.
+#[derive(Debug, Clone)]
+pub struct Script {
+    /// Raw bytes of the answer, head included. `ID` in the head stands for the id of the request.
+    pub bytes: Vec<u8>,
+    /// Index in `bytes` before which the upstream pauses for [`PAUSE`], if it does.
+    pub pause_at: Option<usize>,
+    pub end: End,
+}
+
+impl Script {
+    /// Creates an answer that is sent at once.
+    pub fn new<T>(text: T, end: End) -> Self
+    where
+        T: Into<String>,
+    {
+        Self { bytes: text.into().into_bytes(), pause_at: None, end }
+    }
+}
+
+/// Makes the connection send a reset when it is closed.
+pub fn reset_on_close(stream: &TcpStream) {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 use super::bind_tcp_and_udp;
+use super::script::{self, End, Script, ScriptedRequest, reset_on_close};
 
 /// Interval between announcements of an upstream.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(300);
@@ -80,12 +81,16 @@
     pub at: Instant,
 }
 
+/// Function that answers requests, or leaves them to the behaviour of the upstream.
+type Answers = dyn Fn(&ScriptedRequest<'_>) -> Option<Script> + Send + Sync;
+
 /// State that the threads of an upstream share.
 struct WorkerState {
     name: String,
     service: String,
     address: SocketAddr,
     behaviour: Mutex<Behaviour>,
+    script: Mutex<Option<Arc<Answers>>>,
     /// Header lines that are added to every answer.
     extra_headers: Mutex<String>,
     /// Times at which requests arrived, including those that were refused.
@@ -95,6 +100,8 @@
     sequence: AtomicU64,
     started_at_millis: u64,
     is_stopped: AtomicBool,
+    /// Whether new connections are refused.
+    is_listener_closed: AtomicBool,
     /// Time at which the upstream ended by itself.
     crashed_at: Mutex<Option<Instant>>,
     connections: Mutex<Vec<Weak<TcpStream>>>,
@@ -152,6 +159,7 @@
             service: service.to_string(),
             address,
             behaviour: Mutex::new(Behaviour::Answer),
+            script: Mutex::default(),
             extra_headers: Mutex::default(),
             arrivals: Mutex::default(),
             announced_state: Mutex::new("ready"),
@@ -159,12 +167,17 @@
             sequence: AtomicU64::new(0),
             started_at_millis: now.as_millis() as u64,
             is_stopped: AtomicBool::new(false),
+            is_listener_closed: AtomicBool::new(false),
             crashed_at: Mutex::default(),
             connections: Mutex::default(),
             control_addresses,
         });
         let accept_state = shared.clone();
-        std::thread::spawn(move || accept_connections(&accept_state, &listener));
+        std::thread::spawn(move || {
+            accept_connections(&accept_state, &listener);
+            drop(listener);
+            accept_state.is_listener_closed.store(true, Ordering::Relaxed);
+        });
         let announce_state = shared.clone();
         std::thread::spawn(move || {
             while !announce_state.is_stopped.load(Ordering::Relaxed) {
@@ -180,6 +193,14 @@
         *self.shared.behaviour.lock().unwrap() = behaviour;
     }
 
+    /// Answers requests with `answers` from now on, as far as it returns an answer.
+    pub fn set_script<F>(&self, answers: F)
+    where
+        F: Fn(&ScriptedRequest<'_>) -> Option<Script> + Send + Sync + 'static,
+    {
+        *self.shared.script.lock().unwrap() = Some(Arc::new(answers));
+    }
+
     /// Sets the headers that the upstream adds to every answer from now on.
     pub fn set_extra_headers(&self, headers: &[(&str, &str)]) {
         let lines = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
@@ -367,6 +388,15 @@
         body: request.body.clone(),
         at: Instant::now(),
     });
+    let answers = shared.script.lock().unwrap().clone();
+    let scripted = ScriptedRequest {
+        id: &id,
+        path: &request.path,
+        last_event_id: request.headers.get("last-event-id").map(String::as_str),
+    };
+    if let Some(script) = answers.and_then(|answers| answers(&scripted)) {
+        return perform(shared, &id, &script, writer);
+    }
     if behaviour == Behaviour::Slow {
         std::thread::sleep(Duration::from_millis(500));
     }
@@ -408,6 +438,34 @@
     }
 }
 
+/// Sends a scripted answer and ends the connection.
+fn perform(
+    shared: &WorkerState,
+    id: &str,
+    script: &Script,
+    writer: &mut TcpStream,
+) -> std::io::Result<()> {
+    let (first, rest) = script.bytes.split_at(script.pause_at.unwrap_or(script.bytes.len()));
+    let first = String::from_utf8_lossy(first).replace("ID", id);
+    writer.write_all(first.as_bytes())?;
+    if !rest.is_empty() {
+        std::thread::sleep(script::PAUSE);
+        writer.write_all(rest)?;
+    }
+    match script.end {
+        End::Close => {}
+        End::Reset => reset_on_close(writer),
+        End::Crash => {
+            shared.is_stopped.store(true, Ordering::Relaxed);
+            while !shared.is_listener_closed.load(Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            end(shared);
+        }
+    }
+    Err(ErrorKind::ConnectionAborted.into())
+}
+
 /// Returns the event `number` of the stream that answers the request `request_id`.
 pub fn event(request_id: &str, number: usize) -> String {
     format!("id: {number}\ndata: {request_id} part {number}\n\n")
