Find the ends of events with any line end

Callers saw whole streams cut as if broken off: streams whose lines end with a carriage return, or whose empty line ends otherwise than the line before it (`\n\r\n`), and, where streams may be resumed, streams with one more empty line or a comment behind the last event.

Cause: both trackers searched for two fixed texts, `\n\n` and `\r\n\r\n`, each in its own way. One took any byte behind the last event for the beginning of another one, the other did not.

Both now use one scanner that knows lines. A comment or an empty line belongs to no event; any other line, or half a line, does. A last carriage return counts as an empty line only if the line before ended with one alone, since it may be half of a line end. Comments behind the last event are forwarded, so that the body arrives whole.

--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -1,6 +1,6 @@
 //! Parser for server-sent events (`text/event-stream`).
 
-use crate::StreamError;
+use crate::{EventScanner, StreamError};
 
 /// Largest size of one event in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
@@ -18,7 +18,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: Vec<u8>,
-    /// Length of the buffer's prefix that is known to contain no end of an event.
+    scanner: EventScanner,
+    /// Length of the buffer's prefix that the scanner has processed.
     scanned_bytes: usize,
 }
 
@@ -31,7 +32,7 @@
     /// Returns the value of the event's `id` line, if there is one.
     pub fn id(&self) -> Option<String> {
         let text = String::from_utf8_lossy(&self.raw);
-        let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
+        let id = lines(&text).find_map(|line| line.strip_prefix("id:"))?;
         Some(id.strip_prefix(' ').unwrap_or(id).to_string())
     }
 
@@ -43,14 +44,14 @@
             let (name, _) = line.split_once(':').unwrap_or((line, ""));
             matches!(name, "" | "data" | "event" | "id" | "retry")
         };
-        self.data.is_empty() && text.lines().all(is_known)
+        self.data.is_empty() && lines(&text).all(is_known)
     }
 }
 
 impl EventSplitter {
-    /// Returns whether no incomplete event is buffered.
-    pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+    /// Returns whether the stream has begun an event and not ended it.
+    pub fn is_within_event(&self) -> bool {
+        self.scanner.is_within_event()
     }
 
     /// Returns the bytes of the incomplete event.
@@ -69,7 +70,8 @@
     ///
     /// Returns [`StreamError::EventTooLarge`] if the event is larger than 256 KiB.
     pub fn next_event(&mut self) -> Result<Option<Event>, StreamError> {
-        match find_event_end(&self.buffer, self.scanned_bytes) {
+        let end = self.scanner.next_end(&self.buffer[self.scanned_bytes..]);
+        match end.map(|end| self.scanned_bytes + end) {
             Some(end) if end > MAX_EVENT_BYTES => {
                 Err(StreamError::EventTooLarge { limit: MAX_EVENT_BYTES })
             }
@@ -82,29 +84,22 @@
                 Err(StreamError::EventTooLarge { limit: MAX_EVENT_BYTES })
             }
             None => {
-                self.scanned_bytes = self.buffer.len().saturating_sub(3);
+                self.scanned_bytes = self.buffer.len();
                 Ok(None)
             }
         }
     }
 }
 
-/// Returns the index behind the first empty line at or after `start`.
-fn find_event_end(buffer: &[u8], start: usize) -> Option<usize> {
-    (start..buffer.len()).find_map(|index| {
-        let rest = &buffer[index..];
-        if rest.starts_with(b"\n\n") {
-            Some(index + 2)
-        } else if rest.starts_with(b"\r\n\r\n") {
-            Some(index + 4)
-        } else {
-            None
-        }
-    })
+/// Returns the lines of an event, without a byte order mark.
+fn lines(text: &str) -> impl Iterator<Item = &str> {
+    let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+    // A line feed after a carriage return adds an empty line, which has no meaning in an event.
+    text.split(['\n', '\r'])
 }
 
 fn parse_data(raw: &[u8]) -> String {
     let text = String::from_utf8_lossy(raw);
-    let lines = text.lines().filter_map(|line| line.strip_prefix("data:"));
-    lines.map(|line| line.strip_prefix(' ').unwrap_or(line)).collect::<Vec<_>>().join("\n")
+    let values = lines(&text).filter_map(|line| line.strip_prefix("data:"));
+    values.map(|line| line.strip_prefix(' ').unwrap_or(line)).collect::<Vec<_>>().join("\n")
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod budget;
 mod call;
 mod client;
+mod event_scanner;
 mod events;
 mod health;
 mod silence;
@@ -25,6 +26,7 @@
     Client, CorrelationHeader, KeepAlive, Listening, Outbound, ResponseError, ResponsePart,
     ResponseReader,
 };
+pub use event_scanner::EventScanner;
 pub use events::{Event as StreamEvent, EventSplitter};
 pub use health::{HealthChange, OutlierDetector};
 pub use silence::{SilenceAction, SilentAttempt};
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dispatch::{EventSplitter, Head, StreamError};
+use dispatch::{EventScanner, EventSplitter, Head, StreamError};
 
 /// Minimum time for which callers wait for the next event of a stream. Callers wait for the longest
 /// of three times: this minimum, a multiple of the latency objective, and a multiple of the longest
@@ -113,7 +113,7 @@
 
     /// Returns whether the stream ends between two events.
     pub fn is_between_events(&self) -> bool {
-        self.splitter.is_empty()
+        !self.splitter.is_within_event()
     }
 
     /// Returns whether the last event id names the end of what was forwarded.
@@ -121,7 +121,8 @@
         !self.has_lost_position
     }
 
-    /// Ends the tracking and returns the bytes of the partial event.
+    /// Ends the tracking and returns the bytes that were not forwarded: those of a partial event, or
+    /// comments behind the last event.
     pub fn into_partial_event(self) -> Vec<u8> {
         self.splitter.into_partial_event()
     }
@@ -166,45 +167,27 @@
     }
 }
 
-/// Number of bytes before the end of a stream in which an empty line may begin.
-const BOUNDARY_BYTES: usize = 3;
-
 /// Finds out whether a stream of events whose bytes pass unchanged ends within an event.
 #[derive(Debug, Default)]
 pub struct EventBoundary {
-    /// Last bytes of the stream.
-    tail: Vec<u8>,
-    is_within_event: bool,
+    scanner: EventScanner,
 }
 
 impl EventBoundary {
     /// Takes the next bytes of the stream.
     pub fn push(&mut self, part: &[u8]) {
-        let mut recent = std::mem::take(&mut self.tail);
-        recent.extend_from_slice(part);
-        let is_blank = |bytes: &[u8]| bytes.trim_ascii().is_empty();
-        self.is_within_event = match last_event_end(&recent) {
-            Some(end) => !is_blank(&recent[end..]),
-            None => self.is_within_event || !is_blank(part),
-        };
-        self.tail = recent.split_off(recent.len().saturating_sub(BOUNDARY_BYTES));
+        let mut rest = part;
+        while let Some(end) = self.scanner.next_end(rest) {
+            rest = &rest[end..];
+        }
     }
 
     /// Returns whether the stream has begun an event and not ended it.
     pub fn is_within_event(&self) -> bool {
-        self.is_within_event
+        self.scanner.is_within_event()
     }
 }
 
-/// Returns the index behind the last empty line.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let ends = |end: &usize| {
-        let before = &bytes[..*end];
-        before.ends_with(b"\n\n") || before.ends_with(b"\r\n\r\n")
-    };
-    (2..=bytes.len()).rev().find(ends)
-}
-
 /// Returns whether bytes begin like a stream of events: with a field of an event or a comment.
 pub fn begins_like_events(bytes: &[u8]) -> bool {
     const FIELDS: [&[u8]; 5] = [b"id:", b"data:", b"event:", b"retry:", b":"];
@@ -221,7 +204,7 @@
 
 /// Returns whether the bytes begin more than a comment.
 fn is_begun_event(partial: &[u8]) -> bool {
-    let mut lines = partial.split(|byte| *byte == b'\n');
+    let mut lines = partial.split(|byte| matches!(byte, b'\n' | b'\r'));
     lines.any(|line| !line.trim_ascii().is_empty() && !line.starts_with(b":"))
 }
 
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -356,6 +356,10 @@
         let Some(active) = self.active(id) else {
             return;
         };
+        let rest = active.stream_tracker.take().map(StreamTracker::into_partial_event);
+        if let Some(rest) = rest.filter(|rest| !rest.is_empty()) {
+            active.reply.fwd(Reply::Part(rest));
+        }
         active.reply.fwd(Reply::End);
         let (service, is_streaming) = (active.service.clone(), active.route.is_streaming);
         if let Some(running) = self.end_attempt(cx, id) {
