Hold the end of an unframed answer back until its upstream is known to live

Callers were told that an answer is complete although its upstream had crashed: an answer with neither a length nor chunks ends with its connection, and the system closes all connections of a process that crashes properly. A stream that was cut between two events, or a text that was cut anywhere, got a last chunk 2 ms later.

Cause: dispatch::client turned the close of such an answer into the same Progress::End that a length or a last chunk gives, so that knowledge of an end was passed on as proof of it.

The client now reports Progress::Closed. The forwarder passes the body on, and holds the end back: 20 ms later it checks whether the upstream still accepts connections. If its host refuses them, the upstream ended together with the answer; the attempt has failed, so that the stream is resumed or the caller sees a cut. If it accepts, or does not respond within 100 ms, or has said that it leaves, the answer ends. Streams and chats of the product's own interface show by their content whether they are whole, and plain answers there need a length or chunks, as before.

--- a/crates/context/src/moves.rs
+++ b/crates/context/src/moves.rs
@@ -156,7 +156,8 @@
                 self.body.extend_from_slice(&part);
                 Ok(MoveStep::Wait)
             }
-            Progress::End => self.finish_phase(),
+            // The context is JSON, which shows whether it is complete.
+            Progress::End | Progress::Closed => self.finish_phase(),
             Progress::NotSent { reason } | Progress::Failed { reason, .. } => {
                 Err(TransferError::Call { reason })
             }
--- a/crates/dispatch/benches/client.rs
+++ b/crates/dispatch/benches/client.rs
@@ -138,6 +138,7 @@
             }
         }
         Progress::NotSent { reason } | Progress::Failed { reason, .. } => panic!("{reason}"),
+        Progress::Closed => panic!("the connection was closed"),
         Progress::Head { .. } | Progress::Body(_) => {}
     });
     let peer_timeout = Duration::from_secs(5);
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -62,8 +62,11 @@
     },
     /// The next bytes of the response body arrived.
     Body(Vec<u8>),
-    /// The response is complete.
+    /// The response is complete, as its length or its last chunk shows.
     End,
+    /// The upstream has closed the connection properly, and the response has neither a length nor
+    /// chunks that would show whether it is complete.
+    Closed,
     /// Nothing was sent because this instance already has as many connections to the upstream as it
     /// may open. This says nothing about the health of the upstream.
     NotSent {
--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -332,15 +332,15 @@
         }
     }
 
-    /// Handles the end of the stream, which completes a response without a length.
+    /// Handles the end of the stream, which ends a response without a length or chunks.
     fn handle_end_of_stream(&mut self, cx: CX![]) {
         let Some(job) = &mut self.job else {
             self.mark_broken(cx);
             return;
         };
-        let is_complete = !self.has_response && !self.is_reset && job.reader.close().is_ok();
-        if is_complete {
-            self.report(Progress::End);
+        let may_be_complete = !self.has_response && !self.is_reset && job.reader.close().is_ok();
+        if may_be_complete {
+            self.report(Progress::Closed);
             self.finish(cx);
             stop!(cx);
         } else {
--- a/crates/instance/src/router/response.rs
+++ b/crates/instance/src/router/response.rs
@@ -106,7 +106,8 @@
         match progress {
             Progress::Head { status, headers } => self.start(Head { status, headers }),
             Progress::Body(part) => self.add(&part, limit),
-            Progress::End => self.end(),
+            // The adapter checks a response without a length or chunks by its content.
+            Progress::End | Progress::Closed => self.end(),
             Progress::Failed { .. } if self.is_complete_stream() => self.end(),
             Progress::NotSent { reason } => attempt_failed(Verdict::NotRun, reason),
             Progress::Failed { verdict, reason } => attempt_failed(verdict, reason),
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -56,8 +56,6 @@
     pub(super) timer: FixedTimerKey,
     /// Whether the response has got past its beginning.
     pub(super) is_sound: bool,
-    /// Whether the response has a length or chunks, so that its end is recognized.
-    pub(super) is_delimited: bool,
     /// Position in the stream of events, if the response is one.
     pub(super) boundary: Option<EventBoundary>,
     /// Whether the response says that it is a stream of events; `None` if it names no type.
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -132,7 +132,6 @@
             first_byte_at: None,
             parts: 0,
             is_sound: false,
-            is_delimited: false,
             boundary: None,
             is_event_stream: Some(false),
             timer,
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -3,6 +3,7 @@
 mod active_request;
 mod admission;
 mod attempts;
+mod ends;
 mod load_messages;
 mod problems;
 mod quarantine;
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -22,8 +22,7 @@
             return;
         };
         let id = self.attempt_owners[index].request;
-        let has_bytes =
-            matches!(progress, Progress::Head { .. } | Progress::Body(_) | Progress::End);
+        let has_bytes = !matches!(progress, Progress::NotSent { .. } | Progress::Failed { .. });
         let running = self.active(id).and_then(|active| active.running.as_ref());
         if let Some(upstream) =
             running.map(|running| running.upstream.clone()).filter(|_| has_bytes)
@@ -37,6 +36,7 @@
                 self.receive_part(cx, id, part);
             }
             Progress::End => self.receive_end(cx, id),
+            Progress::Closed => self.receive_close(cx, id),
             Progress::NotSent { reason } => {
                 let running = self.stop_attempt(cx, id);
                 self.retry_or_finish(cx, id, running, Verdict::NotRun, &reason);
@@ -50,7 +50,7 @@
 
     /// Removes an attempt that has ended from all counts, and ends the search for an upstream to
     /// which its request could have moved.
-    fn end_attempt(&mut self, cx: CX![], id: names::Request) -> Option<RunningAttempt> {
+    pub(super) fn end_attempt(&mut self, cx: CX![], id: names::Request) -> Option<RunningAttempt> {
         let active = self.active(id)?;
         let running = active.running.take()?;
         if let Some(search) = active.search.take() {
@@ -107,7 +107,6 @@
         let now = cx.now();
         let upstreams = self.interface.upstreams.clone();
         let response = upstreams.parse_response_head(status, &headers);
-        let is_delimited = has_delimited_body(&headers);
         let Some(active) = self.active(id) else {
             return;
         };
@@ -123,7 +122,6 @@
         running.head_at = Some(now);
         running.event_due = Some(now + timeout);
         running.status = status;
-        running.is_delimited = is_delimited;
         let (upstream, born, tokens) = (running.upstream.clone(), running.born, running.tokens);
         let is_started = active.is_started;
         self.table.remove_tokens(&upstream, tokens);
@@ -333,54 +331,13 @@
         }
     }
 
-    fn receive_end(&mut self, cx: CX![], id: names::Request) {
-        let now = cx.now();
-        let Some(active) = self.active(id) else {
-            return;
-        };
-        let end = match (&active.stream_tracker, &active.running) {
-            (Some(stream_tracker), _) => stream_tracker.check_end(),
-            (None, Some(running)) => running.check_boundary(),
-            (None, None) => Ok(()),
-        };
-        if let Err(error) = end {
-            self.suspect_crash(cx, id);
-            self.receive_failure(cx, id, Verdict::MayHaveRun, &error.to_string());
-            return;
-        }
-        match active.running.as_ref().is_some_and(|running| running.is_delimited) {
-            true => self.record_sound(now, id, true),
-            // An upstream that crashes may have ended the response.
-            false => self.suspect_crash(cx, id),
-        }
-        let Some(active) = self.active(id) else {
-            return;
-        };
-        let rest = active.stream_tracker.take().map(StreamTracker::into_partial_event);
-        if let Some(rest) = rest.filter(|rest| !rest.is_empty()) {
-            active.reply.fwd(Reply::Part(rest));
-        }
-        active.reply.fwd(Reply::End);
-        let (service, is_streaming) = (active.service.clone(), active.route.is_streaming);
-        if let Some(running) = self.end_attempt(cx, id) {
-            if !is_streaming {
-                let duration = now.saturating_duration_since(running.started_at);
-                self.report_latency(now, &running.upstream, duration);
-            }
-            self.record_answered(now, id, &running);
-            self.table.record_success(&service, &running.upstream);
-            let latency = match (running.first_byte_at, running.parts) {
-                (Some(first), 2..) => {
-                    now.saturating_duration_since(first) / (running.parts - 1).max(1)
-                }
-                _ => now.saturating_duration_since(running.started_at),
-            };
-            self.table.record_latency(now, &service, &running.upstream, latency);
-        }
-        self.finish(cx, id);
-    }
-
-    fn receive_failure(&mut self, cx: CX![], id: names::Request, verdict: Verdict, reason: &str) {
+    pub(super) fn receive_failure(
+        &mut self,
+        cx: CX![],
+        id: names::Request,
+        verdict: Verdict,
+        reason: &str,
+    ) {
         let now = cx.now();
         let Some(active) = self.active(id) else {
             return;
@@ -397,30 +354,6 @@
         self.retry_or_finish(cx, id, running, verdict, reason);
     }
 
-    /// Logs and counts a request that is answered.
-    fn record_answered(&mut self, now: Instant, id: names::Request, running: &RunningAttempt) {
-        let Some(active) = self.active(id) else {
-            return;
-        };
-        let total = now.saturating_duration_since(active.arrived_at);
-        let first = running
-            .first_byte_at
-            .map_or(total, |at| at.saturating_duration_since(active.arrived_at));
-        let kind = active.route.repeat.to_string();
-        Event::Answered {
-            request: active.metadata.id.clone(),
-            upstream: running.upstream.to_string(),
-            status: running.status,
-            first_ms: millis(first),
-            total_ms: millis(total),
-            attempts: active.tried.len(),
-            end: if running.is_delimited { "proven" } else { "closed" }.to_string(),
-        }
-        .write();
-        self.metrics.relay.observe_answer(&kind, first, total, running.parts);
-        self.count_outcome(kind, "answered", "none");
-    }
-
     /// Decides how to continue after an attempt that ended with `verdict`.
     pub(super) fn retry_or_finish(
         &mut self,
@@ -477,12 +410,6 @@
     }
 }
 
-fn has_delimited_body(headers: &[Field]) -> bool {
-    let delimits =
-        |field: &Field| matches!(field.name.as_str(), "content-length" | "transfer-encoding");
-    headers.iter().any(delimits)
-}
-
 fn content_length(headers: &[Field]) -> Option<u64> {
     let field = headers.iter().find(|field| field.name == "content-length")?;
     field.value.trim().parse().ok()
