Decide by the first line whether an answer without a type is a stream of events

Callers saw streams without a type as complete that had broken off within an event: if the first byte arrived on its own, if a byte order mark or the platform's line with the version of the weights came first, or if the stream ended within its first line. On routes whose streams may be resumed they got no text without a type at all: it was held back as an event that never ended, and cut.

Cause: the first piece alone decided, and it knew five beginnings; the other route took every answer without a type for a stream.

EventBoundary now decides by the first line, in whatever pieces it comes. An answer that ends before that is decided has broken off, unless a length or chunks prove that it is whole. A text is passed on as soon as it is known to be one. A stream that names its type is followed on every route. The platform names the fields that its events have beside the published ones.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,12 +13,14 @@
 //! - A [`WaitQueue`] is the queue of requests that wait for an upstream.
 //! - [`FailedAttempt`] decides what follows a failed or silent attempt, and [`RetryWindow`] limits
 //!   retries.
-//! - A [`StreamTracker`] tracks a stream of events so that another upstream can resume the stream.
+//! - A [`StreamTracker`] tracks a stream of events so that another upstream can resume the stream. An
+//!   [`EventBoundary`] shows whether any response ends within an event.
 //! - A [`Shutdown`] decides which requests an instance accepts while it shuts down.
 
 mod candidate;
 mod context_source;
 mod cordon;
+mod event_boundary;
 mod latency;
 mod load_counter;
 mod load_estimate;
@@ -36,6 +38,7 @@
 pub use candidate::{Candidate, NamedLimit, slow_start_share};
 pub use context_source::{ContextHolders, ContextSource, find_context_source};
 pub use cordon::Cordons;
+pub use event_boundary::{EventBoundary, is_event_stream};
 pub use latency::{LATENCY_SAMPLE_EVENTS, Latencies};
 pub use load_counter::{COUNT_REPORT_INTERVAL, LoadCounter, MeanInFlight};
 pub use load_estimate::{LoadEstimate, Report, mean_load};
@@ -49,9 +52,7 @@
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use search::{SearchCandidate, SearchConfig, SearchStep, TrackerSearch};
 pub use shutdown::Shutdown;
-pub use stream::{
-    EventBoundary, StreamTracker, begins_like_events, is_event_stream, stall_timeout,
-};
+pub use stream::{StreamTracker, stall_timeout};
 pub use wait_queue::WaitQueue;
 
 /// Minimum number of instances of a large fleet, in which each instance sees only a small part of
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use dispatch::{EventScanner, EventSplitter, Head, StreamError};
+use dispatch::{EventSplitter, Head, StreamError};
+
+use crate::is_event_stream;
 
 /// Minimum time for which callers wait for the next event of a stream. Callers wait for the longest
 /// of three times: this minimum, a multiple of the latency objective, and a multiple of the longest
@@ -105,6 +107,11 @@
         self.last_event_id.as_deref()
     }
 
+    /// Returns whether another upstream has resumed the stream.
+    pub fn is_resumed(&self) -> bool {
+        self.is_resumed
+    }
+
     /// Returns the number of forwarded events that have an id. Comments and partial events do not
     /// count.
     pub fn event_count(&self) -> u64 {
@@ -167,41 +174,6 @@
     }
 }
 
-/// Finds out whether a stream of events whose bytes pass unchanged ends within an event.
-#[derive(Debug, Default)]
-pub struct EventBoundary {
-    scanner: EventScanner,
-}
-
-impl EventBoundary {
-    /// Takes the next bytes of the stream.
-    pub fn push(&mut self, part: &[u8]) {
-        let mut rest = part;
-        while let Some(end) = self.scanner.next_end(rest) {
-            rest = &rest[end..];
-        }
-    }
-
-    /// Returns whether the stream has begun an event and not ended it.
-    pub fn is_within_event(&self) -> bool {
-        self.scanner.is_within_event()
-    }
-}
-
-/// Returns whether bytes begin like a stream of events: with a field of an event or a comment.
-pub fn begins_like_events(bytes: &[u8]) -> bool {
-    const FIELDS: [&[u8]; 5] = [b"id:", b"data:", b"event:", b"retry:", b":"];
-    let start = bytes.trim_ascii_start();
-    FIELDS.iter().any(|field| start.starts_with(field))
-}
-
-/// Returns whether a response says that it is a stream of events, or `None` if it names no type.
-pub fn is_event_stream(head: &Head) -> Option<bool> {
-    let content_type = head.header("content-type")?;
-    let media_type = content_type.split(';').next().unwrap_or_default();
-    Some(media_type.trim().eq_ignore_ascii_case("text/event-stream"))
-}
-
 /// Returns whether the bytes begin more than a comment.
 fn is_begun_event(partial: &[u8]) -> bool {
     let mut lines = partial.split(|byte| matches!(byte, b'\n' | b'\r'));
--- a/crates/forward/tests/event_ends.rs
+++ b/crates/forward/tests/event_ends.rs
@@ -46,9 +46,9 @@
 }
 
 fn boundary_of(text: &str, piece: usize) -> bool {
-    let mut boundary = EventBoundary::default();
+    let mut boundary = EventBoundary::typed(true);
     text.as_bytes().chunks(piece).for_each(|part| boundary.push(part));
-    boundary.is_within_event()
+    boundary.is_within_event(false)
 }
 
 /// Returns the bytes that a tracker forwards, and whether it finds the stream complete.
@@ -118,3 +118,46 @@
     tracker.forward(text.as_bytes(), &mut out).unwrap();
     assert_eq!((tracker.last_event_id(), out.as_slice()), (Some("7"), text.as_bytes()));
 }
+
+/// Returns whether a response without a type that is sent in these pieces ends within an event.
+fn untyped_ends_within_event(text: &str, piece: usize, is_proven: bool) -> bool {
+    let mut boundary = EventBoundary::untyped(&["weight-versions"]);
+    text.as_bytes().chunks(piece).for_each(|part| boundary.push(part));
+    boundary.is_within_event(is_proven)
+}
+
+#[test_case("id: 1\ndata: x\n\n"; "id")]
+#[test_case(": wait\n\ndata: x\n\n"; "comment")]
+#[test_case("\n\nretry: 5\n\n"; "empty lines")]
+#[test_case("\u{feff}event: a\ndata: x\n\n"; "byte order mark")]
+#[test_case("weight-versions: 3\nid: 1\ndata: x\n\n"; "field of the platform")]
+fn a_response_without_a_type_that_begins_like_events_is_followed(text: &str) {
+    for piece in 1..=text.len() {
+        assert!(!untyped_ends_within_event(text, piece, false), "{piece}");
+        let broken = format!("{text}id: 9\nda");
+        assert!(untyped_ends_within_event(&broken, piece, true), "{piece}");
+    }
+}
+
+#[test_case("text"; "text")]
+#[test_case("{\"id\": 1}"; "json")]
+#[test_case("identity: a\n"; "another field")]
+#[test_case("iD: 1\n"; "another case")]
+#[test_case("\u{1f600}"; "other bytes")]
+#[test_case("\n\n"; "empty lines")]
+#[test_case(""; "empty")]
+fn a_response_without_a_type_that_does_not_begin_like_events_is_never_within_one(text: &str) {
+    for piece in 1..=text.len().max(1) {
+        assert!(!untyped_ends_within_event(text, piece, false), "{piece}");
+    }
+}
+
+#[test_case("i"; "field")]
+#[test_case("weight-ver"; "field of the platform")]
+#[test_case("\u{feff}da"; "field after a byte order mark")]
+fn a_response_without_a_type_that_ends_within_its_first_line_needs_a_proof(text: &str) {
+    for piece in 1..=text.len() {
+        assert!(untyped_ends_within_event(text, piece, false), "{piece}");
+        assert!(!untyped_ends_within_event(text, piece, true), "{piece}");
+    }
+}
--- a/crates/forward/tests/resumed_streams.rs
+++ b/crates/forward/tests/resumed_streams.rs
@@ -161,7 +161,7 @@
     parts: &[&str],
     expected: bool,
 ) {
-    let mut boundary = EventBoundary::default();
+    let mut boundary = EventBoundary::typed(true);
     parts.iter().for_each(|part| boundary.push(part.as_bytes()));
-    assert_eq!(boundary.is_within_event(), expected);
+    assert_eq!(boundary.is_within_event(false), expected);
 }
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -5,7 +5,6 @@
 use std::time::Instant;
 
 use catalogue::{Repeat, Route};
-use dispatch::StreamError;
 use entry::{Reply, Request};
 use forward::{EventBoundary, FailedAttempt, RoutingKey, StreamTracker, stall_timeout};
 use names::{Attempt, ClientAccount, Service, Upstream};
@@ -56,10 +55,8 @@
     pub(super) timer: FixedTimerKey,
     /// Whether the response has got past its beginning.
     pub(super) is_sound: bool,
-    /// Position in the stream of events, if the response is one.
-    pub(super) boundary: Option<EventBoundary>,
-    /// Whether the response says that it is a stream of events; `None` if it names no type.
-    pub(super) is_event_stream: Option<bool>,
+    /// Position in the events of the response.
+    pub(super) boundary: EventBoundary,
     /// Time at which the next event is due, once the head of the response has arrived.
     pub(super) event_due: Option<Instant>,
     /// Time from which the request may move because the response has not begun. `None` if it never
@@ -69,32 +66,6 @@
     pub(super) is_stall_logged: bool,
 }
 
-impl RunningAttempt {
-    /// Follows the stream of events whose bytes pass unchanged. A response that names no type is one
-    /// if it begins like one.
-    pub(super) fn track_boundary(&mut self, part: &[u8]) {
-        let is_first = self.parts == 1;
-        let begins_stream = match self.is_event_stream {
-            Some(is_event_stream) => is_event_stream,
-            None => forward::begins_like_events(part),
-        };
-        if is_first && begins_stream {
-            self.boundary = Some(EventBoundary::default());
-        }
-        if let Some(boundary) = &mut self.boundary {
-            boundary.push(part);
-        }
-    }
-
-    /// Checks that a stream of events whose bytes passed unchanged does not end within an event.
-    pub(super) fn check_boundary(&self) -> Result<(), StreamError> {
-        match &self.boundary {
-            Some(boundary) if boundary.is_within_event() => Err(StreamError::Incomplete),
-            _ => Ok(()),
-        }
-    }
-}
-
 /// Address that a request was sent to.
 pub(super) struct SentTo {
     address: SocketAddr,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -5,6 +5,7 @@
 
 use catalogue::{Repeat, Service};
 use dispatch::Outbound;
+use forward::EventBoundary;
 use names::{Attempt, Upstream};
 use rand::RngExt;
 use stakker::{CX, FixedTimerKey, at, call};
@@ -132,8 +133,7 @@
             first_byte_at: None,
             parts: 0,
             is_sound: false,
-            boundary: None,
-            is_event_stream: Some(false),
+            boundary: EventBoundary::typed(false),
             timer,
             event_due: None,
             response_due,
--- a/crates/relay/src/forwarder/ends.rs
+++ b/crates/relay/src/forwarder/ends.rs
@@ -38,7 +38,7 @@
 impl Forwarder {
     /// Handles the end of a response whose length or last chunk shows that it is complete.
     pub(super) fn receive_end(&mut self, cx: CX![], id: names::Request) {
-        match self.check_end(id) {
+        match self.check_end(id, End::Proven) {
             Ok(()) => {
                 self.record_sound(cx.now(), id, true);
                 self.complete(cx, id, End::Proven);
@@ -49,7 +49,7 @@
 
     /// Handles the end of a connection that may be the end of the response.
     pub(super) fn receive_close(&mut self, cx: CX![], id: names::Request) {
-        if let Err(error) = self.check_end(id) {
+        if let Err(error) = self.check_end(id, End::Closed) {
             self.receive_broken_end(cx, id, &error.to_string());
             return;
         }
@@ -108,14 +108,16 @@
     }
 
     /// Checks that a response which ends now does not end within an event.
-    fn check_end(&mut self, id: names::Request) -> Result<(), StreamError> {
+    fn check_end(&mut self, id: names::Request, end: End) -> Result<(), StreamError> {
         let Some(active) = self.active(id) else {
             return Ok(());
         };
         match (&active.stream_tracker, &active.running) {
-            (Some(stream_tracker), _) => stream_tracker.check_end(),
-            (None, Some(running)) => running.check_boundary(),
-            (None, None) => Ok(()),
+            (Some(stream_tracker), _) if stream_tracker.is_resumed() => stream_tracker.check_end(),
+            (_, Some(running)) if running.boundary.is_within_event(end == End::Proven) => {
+                Err(StreamError::Incomplete)
+            }
+            _ => Ok(()),
         }
     }
 
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -4,7 +4,7 @@
 
 use dispatch::{CallEvent, Field, Head, Progress, StreamError, Verdict};
 use entry::{Reply, Status};
-use forward::{LATENCY_SAMPLE_EVENTS, RetryDecision, StreamTracker, stall_timeout};
+use forward::{EventBoundary, LATENCY_SAMPLE_EVENTS, RetryDecision, StreamTracker, stall_timeout};
 use names::Upstream;
 use stakker::{CX, call};
 use telemetry::Event;
@@ -234,14 +234,15 @@
             return;
         }
         let event_stream = forward::is_event_stream(&head);
-        let is_other_content = event_stream == Some(false);
         let headers = head.headers;
         let is_streaming = self.requests[index].route.is_streaming;
-        if let Some(running) = &mut self.requests[index].running
-            && is_streaming
-            && status == Status::OK.0
-        {
-            running.is_event_stream = event_stream;
+        if let Some(running) = &mut self.requests[index].running {
+            running.boundary = match event_stream {
+                None if is_streaming && status == Status::OK.0 => {
+                    EventBoundary::untyped(self.interface.upstreams.event_fields())
+                }
+                _ => EventBoundary::typed(event_stream == Some(true)),
+            };
         }
         let has_no_body = matches!(status, 204 | 304);
         let length = match is_streaming && status == Status::OK.0 {
@@ -252,7 +253,7 @@
         let status = Status(status);
         let active = &mut self.requests[index];
         active.is_started = true;
-        if status != Status::OK || is_other_content {
+        if status != Status::OK || event_stream == Some(false) {
             // Only a stream of events is tracked.
             active.stream_tracker = None;
         }
@@ -291,7 +292,7 @@
         if let Some(running) = &mut active.running {
             let first = *running.first_byte_at.get_or_insert(now);
             running.parts += 1;
-            running.track_boundary(&part);
+            running.boundary.push(&part);
             if running.parts == LATENCY_SAMPLE_EVENTS && active.route.is_streaming {
                 let latency = now.saturating_duration_since(first) / (LATENCY_SAMPLE_EVENTS - 1);
                 sample = Some((running.upstream.clone(), latency));
@@ -304,6 +305,14 @@
         let Some(active) = self.active(id) else {
             return;
         };
+        let is_other_content =
+            active.running.as_ref().is_some_and(|running| running.boundary.is_other_content());
+        let untracked = active
+            .stream_tracker
+            .take_if(|stream_tracker| is_other_content && !stream_tracker.is_resumed());
+        if let Some(stream_tracker) = untracked {
+            active.reply.fwd(Reply::Part(stream_tracker.into_partial_event()));
+        }
         let Some(stream_tracker) = &mut active.stream_tracker else {
             active.reply.fwd(Reply::Part(part));
             return;
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -109,6 +109,9 @@
 
     /// Returns the response headers that are forwarded to the caller.
     fn response_headers(&self, headers: Vec<Field>) -> Vec<Header>;
+
+    /// Returns the fields that events have beside those of the published format.
+    fn event_fields(&self) -> &[&str];
 }
 
 /// Request of an upstream or an operator to a control instance.
--- a/tests/platform_unproven_ends.rs
+++ b/tests/platform_unproven_ends.rs
@@ -326,7 +326,7 @@
     let engine = start_upstream(&machines, "i-engine-1", "engines", Behaviour::Answer);
     let head = "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: s\r\n\r\n";
     let mut script = Script::new(format!("{head}{body}"), End::Close);
-    script.pause_at = (pause_at > 0).then_some(head.len() + pause_at);
+    script.pause_at = (pause_at > 0).then_some(pause_at);
     engine.set_script(move |_| Some(script.clone()));
     let answer = call(machines.entries[0].callers(), "/reports/1", "untyped");
     assert_eq!(answer.status, 200);
--- a/tests/support/script.rs
+++ b/tests/support/script.rs
@@ -32,7 +32,7 @@
 pub struct Script {
     /// Raw bytes of the answer, head included. `ID` in the head stands for the id of the request.
     pub bytes: Vec<u8>,
-    /// Index in `bytes` before which the upstream pauses for [`PAUSE`], if it does.
+    /// Number of bytes of the body after which the upstream pauses for [`PAUSE`], if it does.
     pub pause_at: Option<usize>,
     pub end: End,
 }
@@ -45,6 +45,12 @@
     {
         Self { bytes: text.into().into_bytes(), pause_at: None, end }
     }
+
+    /// Returns the length of the head, including the empty line that ends it.
+    pub fn head_length(&self) -> usize {
+        let end = self.bytes.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        end.map_or(self.bytes.len(), |end| end + 4)
+    }
 }
 
 /// Makes the connection send a reset when it is closed.
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -445,9 +445,10 @@
     script: &Script,
     writer: &mut TcpStream,
 ) -> std::io::Result<()> {
-    let (first, rest) = script.bytes.split_at(script.pause_at.unwrap_or(script.bytes.len()));
-    let first = String::from_utf8_lossy(first).replace("ID", id);
-    writer.write_all(first.as_bytes())?;
+    let (head, body) = script.bytes.split_at(script.head_length());
+    writer.write_all(String::from_utf8_lossy(head).replace("ID", id).as_bytes())?;
+    let (first, rest) = body.split_at(script.pause_at.unwrap_or(body.len()));
+    writer.write_all(first)?;
     if !rest.is_empty() {
         std::thread::sleep(script::PAUSE);
         writer.write_all(rest)?;
