Pass compressed streams of events on without following their events

Callers saw whole streams with a content-encoding as cut, without a byte of the body: the bytes were read as text, in which no event ends.

Such a stream counts as other content now, so that its bytes pass unchanged. It cannot be resumed, and only its framing or a reset shows that it broke off. The test case "compressed" of tests/platform_whole_ends.rs failed before.

--- a/crates/forward/src/event_boundary.rs
+++ b/crates/forward/src/event_boundary.rs
@@ -99,8 +99,15 @@
     bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes).trim_ascii_start()
 }
 
-/// Returns whether a response says that it is a stream of events, or `None` if it names no type.
+/// Returns whether a response says that it is a stream of events, or `None` if it names no type. The
+/// events of a compressed stream cannot be followed, so that it counts as other content.
 pub fn is_event_stream(head: &Head) -> Option<bool> {
+    let is_compressed = head
+        .header("content-encoding")
+        .is_some_and(|encoding| !encoding.trim().eq_ignore_ascii_case("identity"));
+    if is_compressed {
+        return Some(false);
+    }
     let content_type = head.header("content-type")?;
     let media_type = content_type.split(';').next().unwrap_or_default();
     Some(media_type.trim().eq_ignore_ascii_case("text/event-stream"))
