Send answers with a length to callers that cannot read chunks

A caller of HTTP/1.0 got streamed answers in chunks, whose sizes it took for text. It could not tell a cut answer from a whole one either: both end with the connection.

Cause: the version of the request decided only whether the connection stays open.

Such an answer is now collected, up to the limit for unread bytes, and sent with its length. An answer that breaks off is not sent at all, and one that is too large gets 502 with the remedy. A reset would show a cut as well, but it can take bytes away that had arrived.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use dispatch::Verdict;
 use rand::RngExt;
 use stakker::{CX, FixedTimerKey, Fwd, at, fail, fwd_to, stop};
 use stakker_mio::mio::Interest;
@@ -12,6 +13,7 @@
 
 use crate::body::{Body, BodyOutcome};
 use crate::budget::Reservation;
+use crate::collector::{Collection, Collector};
 use crate::framing::{Framing, append_framed};
 use crate::head::{Head, Header, ParseOutcome};
 use crate::reply::{append_last_chunk, append_start, append_start_unframed, append_whole};
@@ -32,7 +34,13 @@
     /// Waiting for a request or receiving one.
     Receiving { body: Option<(Head, Body)> },
     /// Waiting for the handler's answer or sending it.
-    Answering { id: names::Request, keeps_alive: bool, framing: Framing },
+    Answering {
+        id: names::Request,
+        keeps_alive: bool,
+        framing: Framing,
+        /// Collects the answer for a caller that cannot read chunks.
+        collector: Option<Collector>,
+    },
     /// Sending the remaining output before closing.
     Closing,
 }
@@ -270,13 +278,16 @@
         self.is_new = false;
         let id = names::Request(rand::rng().random());
         let keeps_alive = !self.is_draining;
-        let phase = Phase::Answering { id, keeps_alive, framing: Framing::Chunks };
+        let phase = Phase::Answering { id, keeps_alive, framing: Framing::Chunks, collector: None };
         let Phase::Receiving { body: Some((head, _)) } = std::mem::replace(&mut self.phase, phase)
         else {
             return;
         };
-        if let Phase::Answering { keeps_alive, framing, .. } = &mut self.phase {
+        if let Phase::Answering { keeps_alive, framing, collector, .. } = &mut self.phase {
             *keeps_alive &= head.keeps_alive;
+            if !head.reads_chunks && head.method != Method::Head {
+                *collector = Some(Collector::new(self.bounds.get().unread_bytes));
+            }
             if head.method == Method::Head {
                 *framing = Framing::HeadOnly;
             }
@@ -288,14 +299,33 @@
         self.handler.fwd(Event::Arrived { request, reply });
     }
 
-    /// Writes part of the answer to the request `id`. Parts for any other request are dropped.
+    /// Handles part of the answer to the request `id`. Parts for any other request are dropped.
     fn answer(&mut self, cx: CX![], id: names::Request, reply: Reply) {
-        let Phase::Answering { id: current, keeps_alive, framing } = &mut self.phase else {
+        let Phase::Answering { id: current, collector, .. } = &mut self.phase else {
             return;
         };
         if *current != id {
             return;
         }
+        let collection = match collector {
+            Some(collector) => collector.take(reply),
+            None => Collection::Send(reply),
+        };
+        match collection {
+            Collection::Send(reply) => self.send(cx, id, reply),
+            Collection::Wait => {}
+            Collection::TooLarge => {
+                self.handler.fwd(Event::Left { request: id });
+                self.refuse(cx, too_large_to_collect());
+            }
+        }
+    }
+
+    /// Writes part of the answer in progress, which is that to the request `id`.
+    fn send(&mut self, cx: CX![], id: names::Request, reply: Reply) {
+        let Phase::Answering { keeps_alive, framing, .. } = &mut self.phase else {
+            return;
+        };
         *keeps_alive &= !self.is_draining;
         let id_header = self.form.request_id_header();
         let out = &mut self.stream.out;
@@ -439,6 +469,13 @@
     Problem::not_run(Status::UNAVAILABLE, "crowded", message).with_retry_after(OVERLOAD_RETRY_AFTER)
 }
 
+/// Refusal of an answer that is too large to be collected.
+fn too_large_to_collect() -> Problem {
+    let message = "the answer is too large for a caller that reads no chunks; use HTTP/1.1";
+    let problem = Problem::not_run(Status::BAD_GATEWAY, "answer_too_large", message);
+    Problem { verdict: Verdict::MayHaveRun, ..problem }
+}
+
 /// Adds the connection-level headers: the request id, and `connection: close` where it applies.
 fn add_connection_headers(
     mut headers: Vec<Header>,
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -49,6 +49,8 @@
     pub headers: Vec<Header>,
     /// Whether the caller wants the connection to stay open after the reply.
     pub keeps_alive: bool,
+    /// Whether the caller can read an answer in chunks, which came with HTTP/1.1.
+    pub reads_chunks: bool,
     /// Whether the caller waits for a `100 Continue` response before it sends the body.
     pub expects_continue: bool,
     /// Length of the head in bytes.
@@ -148,6 +150,7 @@
             path: request.path.unwrap_or_default().to_string(),
             headers,
             keeps_alive,
+            reads_chunks: is_http_1_1,
             expects_continue,
             length,
             body,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod budget;
+mod collector;
 mod connection;
 mod event;
 mod form;
