Accept an unframed error of an engine only if it is whole JSON

On the product's own interface a caller could get a part of an engine's error as a whole answer with a length: an answer with another status than 200 counted as complete at the close of its connection, at whatever byte that came.

Without a length or chunks it now has to be JSON, as answers with 200 had to before. crates/dispatch/tests/unframed.rs: the cases "error" and "server error" failed before.

--- a/crates/dispatch/src/adapter/chat_completions.rs
+++ b/crates/dispatch/src/adapter/chat_completions.rs
@@ -35,7 +35,8 @@
     }
 
     fn is_complete(&self, head: &Head, body: &[u8]) -> bool {
-        head.status != 200 || serde_json::from_slice::<IgnoredAny>(body).is_ok()
+        let is_proven = head.status != 200 && head.has_delimited_body();
+        is_proven || serde_json::from_slice::<IgnoredAny>(body).is_ok()
     }
 
     fn can_resume(&self) -> bool {
