Complete an answer whose end is held back when its deadline or the shutdown ends first

A caller whose deadline passed, or whose instance ended its shutdown, within the 120 ms in which the end of an unframed answer is held back saw a cut, although the whole body had arrived.

Nothing speaks against such an answer yet, so that it ends as complete. A new test covers the same verdict for an upstream that accepts no connections for now: its answer is complete after the check has timed out.

--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -57,6 +57,8 @@
     pub(super) is_sound: bool,
     /// Position in the events of the response.
     pub(super) boundary: EventBoundary,
+    /// Whether the upstream has closed the connection, and the end of the response is held back.
+    pub(super) is_closed: bool,
     /// Time at which the next event is due, once the head of the response has arrived.
     pub(super) event_due: Option<Instant>,
     /// Time from which the request may move because the response has not begun. `None` if it never
@@ -117,6 +119,11 @@
 }
 
 impl ActiveRequest {
+    /// Returns whether only the end of the response is held back.
+    pub(super) fn is_closed(&self) -> bool {
+        self.running.as_ref().is_some_and(|running| running.is_closed)
+    }
+
     pub(super) fn id(&self) -> names::Request {
         self.request.id
     }
--- a/crates/relay/src/forwarder/ends.rs
+++ b/crates/relay/src/forwarder/ends.rs
@@ -58,6 +58,7 @@
             return;
         };
         running.event_due = None;
+        running.is_closed = true;
         let attempt = running.attempt;
         match self.running_address(id, attempt) {
             Some(_) => {
@@ -127,7 +128,7 @@
     }
 
     /// Ends a request whose response is complete.
-    fn complete(&mut self, cx: CX![], id: names::Request, end: End) {
+    pub(super) fn complete(&mut self, cx: CX![], id: names::Request, end: End) {
         let now = cx.now();
         let Some(active) = self.active(id) else {
             return;
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -38,6 +38,7 @@
 use crate::feed::UpstreamList;
 use crate::interface::Interface;
 use active_request::ActiveRequest;
+use ends::End;
 use load_messages::LIMIT_REPORT_PERIOD;
 use stalls::STALL_PERIOD;
 use tracker_queries::{EntryPeer, PendingQuery, UnresponsiveTracker, first_message_number};
@@ -223,6 +224,10 @@
             let Some(active) = self.active(id) else {
                 continue;
             };
+            if active.is_closed() {
+                self.complete(cx, id, End::Closed);
+                continue;
+            }
             let (is_started, may_have_run) =
                 (active.is_started, active.running.is_some() || active.runs > 0);
             self.stop_attempt(cx, id);
@@ -359,6 +364,10 @@
         let Some(active) = self.active(id) else {
             return;
         };
+        if active.is_closed() {
+            self.complete(cx, id, End::Closed);
+            return;
+        }
         let is_started = active.is_started;
         let may_have_run = active.running.is_some() || active.runs > 0;
         let (now, deadline) = (cx.now(), active.deadline);
--- a/tests/platform_unproven_ends.rs
+++ b/tests/platform_unproven_ends.rs
@@ -127,9 +127,9 @@
             (Framing::Length | Framing::Chunks, _) if is_whole => Expected::Whole,
             (Framing::Length | Framing::Chunks, _) => Expected::NotAsComplete,
             (Framing::None, End::Reset | End::Crash) => Expected::NotAsComplete,
-            (Framing::None, End::Close) if is_whole => Expected::Whole,
-            (Framing::None, End::Close) if self.is_within_event() => Expected::NotAsComplete,
-            (Framing::None, End::Close) => Expected::Prefix,
+            (Framing::None, _) if is_whole => Expected::Whole,
+            (Framing::None, _) if self.is_within_event() => Expected::NotAsComplete,
+            (Framing::None, _) => Expected::Prefix,
         }
     }
 
--- a/tests/platform_whole_ends.rs
+++ b/tests/platform_whole_ends.rs
@@ -92,6 +92,16 @@
     assert!(answer.is_complete);
 }
 
+#[test]
+fn a_whole_answer_of_an_upstream_that_accepts_no_connections_for_now_stays_whole() {
+    let machines = start_machines();
+    let engine = start_upstream(&machines, "i-engine-1", "engines", Behaviour::Answer);
+    let script = unframed(TYPED, EVENTS, End::CloseAndHang);
+    engine.set_script(move |_| Some(script.clone()));
+    let answer = call(machines.entries[0].callers(), "/reports/1", "last");
+    assert_eq!((answer.text().as_str(), answer.is_complete), (EVENTS, true));
+}
+
 #[test]
 fn a_whole_answer_stays_whole_beside_a_graceful_shutdown_of_the_instance() {
     let mut machines = start_machines();
--- a/tests/support/script.rs
+++ b/tests/support/script.rs
@@ -1,6 +1,6 @@
 //! Scripted answers of an upstream: any bytes, followed by any end of the connection.
 
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 /// Pause within an answer, in which the first bytes arrive on their own.
@@ -22,6 +22,8 @@
     Close,
     /// The upstream resets the connection and goes on.
     Reset,
+    /// The upstream closes the connection, and its host responds to no new ones from then on.
+    CloseAndHang,
     /// The upstream ends as a crash of its process does: it refuses connections from then on, and
     /// all of its connections are closed.
     Crash,
@@ -53,6 +55,13 @@
     }
 }
 
+/// Opens connections to `address` until its queue of connections that were not accepted is full.
+/// The host drops further ones while the returned connections are open.
+pub fn fill_queue(address: SocketAddr) -> Vec<TcpStream> {
+    let connect = || TcpStream::connect_timeout(&address, PAUSE).ok();
+    std::iter::from_fn(connect).collect()
+}
+
 /// Makes the connection send a reset when it is closed.
 pub fn reset_on_close(stream: &TcpStream) {
     socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -102,6 +102,10 @@
     is_stopped: AtomicBool,
     /// Whether new connections are refused.
     is_listener_closed: AtomicBool,
+    /// Whether new connections are not accepted.
+    is_hanging: AtomicBool,
+    /// Connections that fill the queue of the listener.
+    waiting_connections: Mutex<Vec<TcpStream>>,
     /// Time at which the upstream ended by itself.
     crashed_at: Mutex<Option<Instant>>,
     connections: Mutex<Vec<Weak<TcpStream>>>,
@@ -168,6 +172,8 @@
             started_at_millis: now.as_millis() as u64,
             is_stopped: AtomicBool::new(false),
             is_listener_closed: AtomicBool::new(false),
+            is_hanging: AtomicBool::new(false),
+            waiting_connections: Mutex::default(),
             crashed_at: Mutex::default(),
             connections: Mutex::default(),
             control_addresses,
@@ -292,6 +298,10 @@
 fn accept_connections(shared: &Arc<WorkerState>, listener: &TcpListener) {
     listener.set_nonblocking(true).unwrap();
     while !shared.is_stopped.load(Ordering::Relaxed) {
+        if shared.is_hanging.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(2));
+            continue;
+        }
         match listener.accept() {
             Ok((stream, _)) => {
                 stream.set_nonblocking(false).unwrap();
@@ -445,6 +455,10 @@
     script: &Script,
     writer: &mut TcpStream,
 ) -> std::io::Result<()> {
+    if script.end == End::CloseAndHang {
+        shared.is_hanging.store(true, Ordering::Relaxed);
+        *shared.waiting_connections.lock().unwrap() = script::fill_queue(shared.address);
+    }
     let (head, body) = script.bytes.split_at(script.head_length());
     writer.write_all(String::from_utf8_lossy(head).replace("ID", id).as_bytes())?;
     let (first, rest) = body.split_at(script.pause_at.unwrap_or(body.len()));
@@ -454,7 +468,7 @@
         writer.write_all(rest)?;
     }
     match script.end {
-        End::Close => {}
+        End::Close | End::CloseAndHang => {}
         End::Reset => reset_on_close(writer),
         End::Crash => {
             shared.is_stopped.store(true, Ordering::Relaxed);
