Let stand-in engines break unframed answers off at a given place

The fault unframed-cut:BYTES closes the connection properly after that number of bytes of the body, and unframed now holds for answers that are not streamed too. The job of an engine moves to a file of its own.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -8,17 +8,15 @@
 use entry::{Event, Header, Method, Problem, Reply, Request, Status};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use serde_json::json;
 use stakker::{CX, Fwd, after};
 use upstream::{Announcement, Load};
 
-use crate::prefix::{BLOCK_BYTES, Cache};
-use crate::replies::{
-    json_reply, json_reply_with, send_truncated, server_sent_event, stream_start,
-};
+use crate::job::{Job, Sending};
+use crate::prefix::Cache;
+use crate::replies::{json_reply, json_reply_with, send_truncated};
 use crate::reporter::Report;
 use crate::service::{attempt_echo, refusal, server_error, set_fault};
-use crate::{Context, Fault, Options, Order, Orders, Prompt, Task, word};
+use crate::{Context, Fault, Options, Order, Orders, Prompt, Task};
 
 /// Priority of requests without one; smaller values are more urgent.
 const DEFAULT_PRIORITY: u32 = 100;
@@ -29,9 +27,6 @@
 /// Number of words after which a response with [`Fault::Pause`] pauses.
 const WORDS_BEFORE_PAUSE: usize = 3;
 
-/// Number of bytes of a prompt that count as one token.
-const BYTES_PER_TOKEN: usize = 4;
-
 /// Counters of an engine since its start, and its current load.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stats {
@@ -55,35 +50,6 @@
     pub computed_blocks: usize,
 }
 
-/// Request that runs or waits for a slot.
-struct Job {
-    id: names::Request,
-    prompt: Prompt,
-    prompt_text: String,
-    priority: u32,
-    next_word: usize,
-    /// Number of words produced for this request, regardless of its resume offset.
-    produced_words: usize,
-    /// Number of prompt blocks found in the cache.
-    cached_blocks: usize,
-    is_stream_started: bool,
-    has_paused: bool,
-    /// Headers that tell the caller to which attempt the response belongs and at which word it
-    /// starts.
-    echoed_headers: Vec<Header>,
-    fault: Fault,
-    reply: Fwd<Reply>,
-}
-
-impl Job {
-    /// Returns whether the engine crashes as it begins the answer.
-    fn crashes(&self) -> bool {
-        let messages = self.prompt.messages.split_last().map_or(&[][..], |(_, shared)| shared);
-        self.produced_words == 0
-            && messages.iter().any(|message| self.fault.is_crash(&message.content))
-    }
-}
-
 /// Model engine that responds with deterministic words at a fixed rate.
 pub struct Engine {
     options: Options,
@@ -271,6 +237,7 @@
             produced_words: 0,
             cached_blocks: 0,
             is_stream_started: false,
+            sent_bytes: 0,
             has_paused: false,
             echoed_headers,
             fault: self.fault,
@@ -325,8 +292,10 @@
             }
             _ => {}
         }
-        if job.prompt.stream {
-            send_word(job, words);
+        if job.prompt.stream && job.send_word(words) == Sending::BrokenOff {
+            self.running.swap_remove(index);
+            self.fill_slots(cx);
+            return;
         }
         if job.crashes() {
             self.crash();
@@ -339,9 +308,10 @@
             after!(interval, [cx], produce_word(id));
             return;
         }
-        let job = self.running.swap_remove(index);
-        send_end(&job, words);
-        self.stats.answered += 1;
+        let mut job = self.running.swap_remove(index);
+        if job.send_end(words) == Sending::Continues {
+            self.stats.answered += 1;
+        }
         self.fill_slots(cx);
     }
 
@@ -382,66 +352,3 @@
         }
     }
 }
-
-/// Sends the next word of a streamed response, preceded by the head of the stream for the first.
-fn send_word(job: &mut Job, words: usize) {
-    if !job.is_stream_started {
-        job.is_stream_started = true;
-        let is_framed = job.fault != Fault::Unframed;
-        job.reply.fwd(stream_start(&job.echoed_headers, is_framed));
-    }
-    if job.next_word < words {
-        job.reply.fwd(Reply::Part(word_event(job)));
-    }
-}
-
-fn word_event(job: &Job) -> Vec<u8> {
-    server_sent_event(&json!({
-        "id": format!("chatcmpl-{}", job.id),
-        "object": "chat.completion.chunk",
-        "created": 0,
-        "model": job.prompt.model,
-        "choices": [{
-            "index": 0,
-            "delta": { "role": "assistant", "content": word(&job.prompt_text, job.next_word) },
-            "finish_reason": null,
-        }],
-    }))
-}
-
-/// Sends the end of a streamed response, or the complete response if it is not streamed.
-fn send_end(job: &Job, words: usize) {
-    if job.prompt.stream {
-        let last_event = json!({
-            "id": format!("chatcmpl-{}", job.id),
-            "object": "chat.completion.chunk",
-            "created": 0,
-            "model": job.prompt.model,
-            "choices": [{ "index": 0, "delta": {}, "finish_reason": "stop" }],
-        });
-        job.reply.fwd(Reply::Part(server_sent_event(&last_event)));
-        job.reply.fwd(Reply::Part(b"data: [DONE]\n\n".to_vec()));
-        job.reply.fwd(Reply::End);
-        return;
-    }
-    let completion = json!({
-        "id": format!("chatcmpl-{}", job.id),
-        "object": "chat.completion",
-        "created": 0,
-        "model": job.prompt.model,
-        "choices": [{
-            "index": 0,
-            "message": { "role": "assistant", "content": crate::answer(&job.prompt_text, words) },
-            "finish_reason": "stop",
-        }],
-        "usage": {
-            "prompt_tokens": job.prompt_text.len() / BYTES_PER_TOKEN,
-            "prompt_tokens_details": {
-                "cached_tokens": job.cached_blocks * BLOCK_BYTES / BYTES_PER_TOKEN,
-            },
-            "completion_tokens": words,
-            "total_tokens": job.prompt_text.len() / BYTES_PER_TOKEN + words,
-        },
-    });
-    job.reply.fwd(json_reply_with(&completion, job.echoed_headers.clone()));
-}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -33,8 +33,11 @@
     Pause(u32),
     /// Streams start from the beginning, whatever the requested offset is.
     Restart,
-    /// Streams have neither a length nor chunks, and end with their connection.
+    /// Responses have neither a length nor chunks, and end with their connection.
     Unframed,
+    /// Responses are unframed, and the connection is closed properly after this number of bytes of
+    /// the body.
+    UnframedCut(usize),
     /// Responses name this rate of requests, in thousandths of a request per second, which the
     /// engine takes from all instances together.
     Limit(u32),
@@ -53,6 +56,11 @@
         }
     }
 
+    /// Returns whether responses have neither a length nor chunks.
+    pub fn is_unframed(self) -> bool {
+        matches!(self, Self::Unframed | Self::UnframedCut(_))
+    }
+
     /// Returns the ratio of processing times with and without the fault, at least 1.
     pub fn slowdown_factor(self) -> u32 {
         match self {
@@ -66,7 +74,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error(
     "fault \"{0}\" is not none, error, refuse, hang, cut:WORDS, crossed, export-hang, export-cut, \
-         export-crossed, slow:FACTOR, pause:MILLIS, restart, unframed, limit:THOUSANDTHS or crash:PERMILLE"
+         export-crossed, slow:FACTOR, pause:MILLIS, restart, unframed, unframed-cut:BYTES, \
+         limit:THOUSANDTHS or crash:PERMILLE"
 )]
 pub struct UnknownFault(String);
 
@@ -92,6 +101,7 @@
             "slow" => Ok(Self::Slow(number.max(1))),
             "restart" => Ok(Self::Restart),
             "unframed" => Ok(Self::Unframed),
+            "unframed-cut" => Ok(Self::UnframedCut(number as usize)),
             "limit" => Ok(Self::Limit(number)),
             "crash" => Ok(Self::Crash(number)),
             "pause" => Ok(Self::Pause(number)),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod fault;
 mod host;
+mod job;
 mod kv;
 mod orders;
 mod prefix;
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -42,6 +42,30 @@
     }
 }
 
+/// Guards against an answer that its engine breaks off in order, at any place, and that looks complete.
+#[test_case(true; "stream")]
+#[test_case(false; "chat")]
+fn an_unframed_answer_that_its_engine_breaks_off_is_never_taken_for_a_whole_one(is_streamed: bool) {
+    let fleet = start_fleet(1);
+    let address = fleet.instances[0].addresses.callers;
+    let engine = fleet.upstreams[0].address;
+    let start = |bytes: usize| {
+        set_fault(engine, &format!("unframed-cut:{bytes}"));
+        let taken = statistic(engine, "taken");
+        let caller = Caller::start(address, format!("broken {bytes}"), 5, is_streamed);
+        wait_for("the request", || (statistic(engine, "taken") > taken).then_some(()));
+        caller
+    };
+    // Requests stay in progress at the next place, where further attempts break off.
+    let callers: Vec<Caller> = (0..1200).step_by(97).map(start).collect();
+    callers.into_iter().for_each(|caller| {
+        caller.check_answer();
+    });
+    set_fault(fleet.upstreams[0].address, "unframed");
+    let caller = Caller::start(address, "whole".to_string(), 5, is_streamed);
+    assert_eq!(caller.check_answer(), Outcome::Complete);
+}
+
 /// A request that is sent from a thread of its own.
 struct Caller {
     text: String,
