--- a/crates/dispatch/src/event_scanner.rs
+++ b/crates/dispatch/src/event_scanner.rs
@@ -25,8 +25,8 @@
 
 /// Finds the empty lines that end events. A line ends with a line feed, a carriage return, or both.
 ///
-/// A carriage return that follows a line feed may be the first half of a line end, so that an empty line is
-/// known to have ended only at the next byte.
+/// Unless the line before ended with a carriage return alone, a carriage return that ends an empty
+/// line may be the first half of a line end: the event ends at the next byte.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EventScanner {
     position: Position,
@@ -47,8 +47,8 @@
         })
     }
 
-    /// Returns whether the stream has begun an event, or any line, and not ended it. Comments and
-    /// empty lines belong to no event.
+    /// Returns whether the stream has begun an event, or any line, and not ended it. Whole comments
+    /// and empty lines belong to no event.
     pub fn is_within_event(&self) -> bool {
         self.has_field || self.position == Position::Line
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod fleet;
+mod http;
 mod load;
 pub mod machines;
 mod operator_client;
