--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -13,6 +13,7 @@
 use crate::http::{self, Answer, Channel, End, Pace};
 use crate::proxy::Proxy;
 use crate::record::Record;
+use crate::worker;
 
 /// Time after a start from which a machine is in touch, `contact-ms` of the sheets and a little more.
 const CONTACT: Duration = Duration::from_millis(4000);
@@ -24,6 +25,8 @@
         "cut-stream" => cut_stream(&record, is_troubled),
         "uploads" => uploads(&record, is_troubled),
         "reborn" => reborn(&record, is_troubled),
+        "other-version" => other_version(&record, is_troubled),
+        "other-writer" => other_writer(&record, is_troubled),
         "slow-reader" => slow_reader(&record, is_troubled),
         _ => Err(format!("no case {case}")),
     }?;
@@ -294,6 +297,142 @@
     text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
 }
 
+/// Sends a stream request of the prompt `number`.
+fn send_stream(
+    record: &Record,
+    address: SocketAddr,
+    number: usize,
+    version: Option<&str>,
+) -> std::io::Result<Answer> {
+    let id = request_id(number);
+    let mut headers = headers(&id, 2500);
+    headers.push(("Model", "m".to_string()));
+    headers.push(("Token-Counts", "1460,20".to_string()));
+    let prompt = format!("5c1e07a2:800,{:x}:410,{:x}:250", 100 + number, 1000 + number);
+    headers.push(("Prompt-Prefix", prompt));
+    if let Some(version) = version {
+        headers.push(("Expect-Version", version.to_string()));
+    }
+    let answer = http::call(address, "POST", "/reports/1", &headers, b"x", Duration::from_secs(3));
+    let version = version.map_or(String::new(), |version| format!(" for version {version}"));
+    record.line(format!("{id}{version} to {address}: {}", describe(&answer)));
+    answer
+}
+
+/// Requests of each kind, one every 250 ms, that show which kinds are served.
+const TRIALS: usize = 60;
+
+/// Starts engines with short streams, and plain workers, behind two fronts.
+fn start_both_kinds() -> Result<(Fleet, Vec<Worker>), String> {
+    let fleet = Fleet::start(&repository(), 2)?;
+    let routes = [
+        fleet::route("reports", "streaming", "huvo11a", 2500, true),
+        fleet::route("bookings", "unsafe", "wuno96b", 3000, false),
+    ];
+    fleet.put(&fleet::document(7, &routes))?;
+    let mut workers = Vec::new();
+    let mut options = engine_options();
+    options.retain(|(key, _)| !["framing", "pieces", "gap_ms"].contains(key));
+    options.push(("framing", "chunked".to_string()));
+    options.push(("pieces", "4".to_string()));
+    options.push(("gap_ms", "20".to_string()));
+    for number in 0..ENGINES {
+        workers.push(Worker::start(&fleet, 201 + number, 8080, &options)?);
+    }
+    let plain = [
+        ("service", "wuno96b".to_string()),
+        ("slots", "6".to_string()),
+        ("mode", "plain".to_string()),
+        ("framing", "length".to_string()),
+        ("size", "800".to_string()),
+        ("work_ms", "60".to_string()),
+    ];
+    for number in 208..=210 {
+        workers.push(Worker::start(&fleet, number, 8080, &plain)?);
+    }
+    fleet.wait_ready()?;
+    std::thread::sleep(CONTACT);
+    Ok((fleet, workers))
+}
+
+/// Sends requests of both kinds by turns. Returns whether one kind is served less than a quarter as
+/// often as all requests.
+fn is_one_kind_starved(record: &Record, fleet: &Fleet) -> bool {
+    let (mut streams, mut bookings) = (0, 0);
+    for number in 0..TRIALS {
+        let address = fleet.fronts[number % fleet.fronts.len()].front();
+        let answer = send_stream(record, address, 100 + number, None);
+        let is_served =
+            |answer: &Answer| answer.status == 200 && event_numbers(&answer.body) == [1, 2, 3, 4];
+        streams += usize::from(answer.is_ok_and(|answer| is_served(&answer)));
+        let id = request_id(1000 + number);
+        let timeout = Duration::from_secs(4);
+        let answer =
+            http::call(address, "POST", "/bookings/1", &headers(&id, 3000), b"x", timeout);
+        record.line(format!("{id} to {address}: {}", describe(&answer)));
+        bookings += usize::from(answer.is_ok_and(|answer| answer.status == 200));
+        std::thread::sleep(Duration::from_millis(250));
+    }
+    record.line(format!("served: {streams} of {TRIALS} streams, {bookings} of {TRIALS} bookings"));
+    let share = |served: usize, sent: usize| served as f64 / sent as f64;
+    let all = share(streams + bookings, 2 * TRIALS);
+    share(streams, TRIALS) < all / 4.0 || share(bookings, TRIALS) < all / 4.0
+}
+
+/// One client asks for a version of the weights that no engine has yet. Each engine that gets the
+/// request answers 421, as it has to. All engines are sound.
+fn other_version(record: &Record, is_troubled: bool) -> Result<bool, String> {
+    /// Requests of that client to each front.
+    const ASKED: usize = 3;
+    let (fleet, workers) = start_both_kinds()?;
+    for number in 0..ASKED * fleet.fronts.len() {
+        let address = fleet.fronts[number % fleet.fronts.len()].front();
+        let _ = send_stream(record, address, number, is_troubled.then_some("2"));
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    let is_starved = is_one_kind_starved(record, &fleet);
+    workers.iter().for_each(|worker| worker.copy_log(record));
+    Ok(is_starved)
+}
+
+/// Another writer announces something at the addresses of the engines, as a service that no desired
+/// state names. All engines are sound and announce themselves all the while.
+fn other_writer(record: &Record, is_troubled: bool) -> Result<bool, String> {
+    let (fleet, workers) = start_both_kinds()?;
+    let addresses: Vec<SocketAddr> = (0..ENGINES)
+        .filter(|_| is_troubled)
+        .map(|number| SocketAddr::new(fleet.ip(201 + number).into(), 8080))
+        .collect();
+    let (controls, writer) = (fleet.controls(), record.clone());
+    let born = worker::unix_millis();
+    std::thread::spawn(move || {
+        for sequence in 1.. {
+            for (number, address) in addresses.iter().enumerate() {
+                let body = format!(
+                    "{{\"service\":\"node-metrics\",\"address\":\"{address}\",\"zone\":\
+                     \"obb-rosenheim\",\"version\":\"v1\",\"slots\":1,\"state\":\"ready\",\
+                     \"cold-remaining-ms\":0,\"seq\":{sequence},\"born\":{born}}}"
+                );
+                let path = format!("/v1/workers/metrics-{number}");
+                let control = controls[number % controls.len()];
+                let fields = [("Content-Type", "application/json".to_string())];
+                let timeout = Duration::from_secs(1);
+                let answer = http::call(control, "PUT", &path, &fields, body.as_bytes(), timeout);
+                if sequence == 1 {
+                    let answer = describe(&answer);
+                    writer.line(format!("another writer sends PUT {path} {body}: {answer}"));
+                }
+            }
+            std::thread::sleep(Duration::from_millis(1200));
+        }
+    });
+    std::thread::sleep(Duration::from_secs(4));
+    let is_starved = is_one_kind_starved(record, &fleet);
+    workers.iter().for_each(|worker| worker.copy_log(record));
+    Ok(is_starved)
+}
+
 /// Memory of a front machine in the sheets, 260 MB, read as 2^20 bytes each, in 10^6 bytes.
 const MEMORY_MB: f64 = 260.0 * 1.048_576;
 
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -17,6 +17,9 @@
 
 use crate::http;
 
+/// Version of the weights of all engines.
+const WEIGHT_VERSION: &str = "1";
+
 struct Worker {
     options: BTreeMap<String, String>,
     controls: Vec<SocketAddr>,
@@ -28,7 +31,7 @@
     is_quiet: AtomicBool,
 }
 
-fn unix_millis() -> u64 {
+pub fn unix_millis() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
@@ -157,7 +160,10 @@
             };
             format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n{leaving}")
         };
-        if header(head, "expect-instance").is_some_and(|name| name != self.text("id")) {
+        let is_other = header(head, "expect-instance").is_some_and(|name| name != self.text("id"));
+        let wanted_version = header(head, "expect-version");
+        if is_other || wanted_version.is_some_and(|version| version != WEIGHT_VERSION) {
+            say(&format!("answers {id} with 421, version {wanted_version:?} is wanted"));
             let text = common("421 Misdirected Request") + "Content-Length: 0\r\n\r\n";
             stream.write_all(text.as_bytes())?;
             return Ok(true);
@@ -171,7 +177,10 @@
         } else {
             let stamp = format!("{}.{:x}.{id}", self.text("id"), self.born);
             let load = format!("{},{},{slots}", running.min(slots), running.saturating_sub(slots));
-            let fields = format!("Server-Stamp: {stamp}\r\nServer-Load: {load}\r\n");
+            let fields = format!(
+                "Server-Stamp: {stamp}\r\nServer-Load: {load}\r\nWeight-Versions: \
+                 {WEIGHT_VERSION}\r\n"
+            );
             say(&format!("runs {id}"));
             let result = match self.text("mode") {
                 "stream" => self.stream(stream, head, id, &(common("200 OK") + &fields)),
