--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -444,7 +444,7 @@
 const BURST_LENGTH: Duration = Duration::from_millis(5400);
 
 /// Starts of the bursts after the start of traffic, in seconds.
-const BURSTS_AT: [u64; 3] = [10, 30, 50];
+const BURSTS_AT: [u64; 5] = [6, 20, 34, 48, 62];
 
 /// Counts of one client: answered, refused with 503, answered otherwise, not answered.
 type Counts = [usize; 4];
@@ -519,7 +519,7 @@
     std::thread::sleep(CONTACT);
     let body: Arc<Vec<u8>> = Arc::new(vec![b'x'; 4_194_304]);
     let start = Instant::now();
-    let end = start + Duration::from_secs(60);
+    let end = start + Duration::from_secs(72);
     let mut clients = Vec::new();
     let mut spawn = |front: usize, share: f64, begin: Instant, until: Instant| {
         let (number, body, record) = (clients.len(), body.clone(), record.clone());
