--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,4 +2,4 @@
 # Plays the case once: 1 the rule was broken, 0 it held, 2 it could not run. Writes record.txt.
 cd "$(dirname "$0")"
 [ -x ../bin/harness ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec ../bin/harness reborn "$PWD"
+exec ../bin/harness lost-leave "$PWD"
--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -9,7 +9,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use crate::fleet::{self, Fleet, KEY};
+use crate::fleet::{self, Fleet, KEY, Machine};
 use crate::http::{self, Answer, Channel, End, Pace};
 use crate::proxy::Proxy;
 use crate::record::Record;
@@ -27,6 +27,7 @@
         "reborn" => reborn(&record, is_troubled),
         "other-version" => other_version(&record, is_troubled),
         "other-writer" => other_writer(&record, is_troubled),
+        "lost-leave" => lost_leave(&record, is_troubled),
         "slow-reader" => slow_reader(&record, is_troubled),
         _ => Err(format!("no case {case}")),
     }?;
@@ -107,6 +108,13 @@
         text.lines().filter(|line| line.contains(" runs ")).count()
     }
 
+    /// The start of the worker, as it announces it.
+    fn born(&self) -> u64 {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let born = text.lines().find_map(|line| line.split_once(" born ")?.1.parse().ok());
+        born.unwrap_or_default()
+    }
+
     /// The highest number of an event of `request` that the worker sent.
     fn last_event(&self, request: &str) -> u64 {
         let text = std::fs::read_to_string(&self.log).unwrap_or_default();
@@ -433,6 +441,62 @@
     Ok(is_starved)
 }
 
+/// All processes are killed right after a worker's leave was acknowledged, and are back 2 s later.
+/// The worker goes on serving for some seconds and says in its answers that it leaves.
+fn lost_leave(record: &Record, is_troubled: bool) -> Result<bool, String> {
+    const DOWN: Duration = Duration::from_secs(2);
+    /// Time after the return of all processes from which they are in touch, `contact-ms`.
+    const IN_TOUCH: Duration = Duration::from_millis(3100);
+    const REQUESTS: usize = 24;
+    let (mut fleet, mut workers) = start_both_kinds()?;
+    let leaving = workers.len() - 1;
+    workers[leaving].tell("leaving");
+    std::thread::sleep(Duration::from_millis(200));
+    let path = format!("/v1/workers/{}", workers[leaving].id);
+    let fields = [("Content-Type", "application/json".to_string())];
+    let body = format!("{{\"born\":{}}}", workers[leaving].born());
+    let control = fleet.cores[0].control();
+    let timeout = Duration::from_secs(1);
+    let answer = http::call(control, "DELETE", &path, &fields, body.as_bytes(), timeout);
+    let acknowledged_at = Instant::now();
+    if is_troubled {
+        let machines = fleet.cores.iter_mut().chain(&mut fleet.fronts);
+        machines.for_each(Machine::kill);
+    }
+    record.line(format!("DELETE {path} {body}: {}", describe(&answer)));
+    record.line(format!("all processes are killed: {is_troubled}"));
+    if !answer.is_ok_and(|answer| answer.status == 200) {
+        return Err("the leave was not acknowledged".into());
+    }
+    std::thread::sleep(DOWN);
+    if is_troubled {
+        fleet.cores.iter_mut().chain(&mut fleet.fronts).for_each(Machine::start);
+        record.line("all processes are started again");
+    }
+    std::thread::sleep(IN_TOUCH);
+    let run_before = workers[leaving].run_count();
+    let clients: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            let (address, record) = (fleet.fronts[number % 2].front(), record.clone());
+            std::thread::spawn(move || {
+                let id = request_id(number);
+                let (headers, timeout) = (headers(&id, 3000), Duration::from_secs(4));
+                let answer = http::call(address, "POST", "/bookings/1", &headers, b"x", timeout);
+                record.line(format!("{id} to {address}: {}", describe(&answer)));
+            })
+        })
+        .collect();
+    record.line(format!(
+        "{REQUESTS} requests are sent {:.1} s after the acknowledgement",
+        acknowledged_at.elapsed().as_secs_f64()
+    ));
+    clients.into_iter().for_each(|client| drop(client.join()));
+    let run = workers[leaving].run_count() - run_before;
+    workers.iter().for_each(|worker| worker.copy_log(record));
+    record.line(format!("{run} of {REQUESTS} requests reached the worker that had left"));
+    Ok(run > 0)
+}
+
 /// Memory of a front machine in the sheets, 260 MB, read as 2^20 bytes each, in 10^6 bytes.
 const MEMORY_MB: f64 = 260.0 * 1.048_576;
 
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -6,7 +6,8 @@
 //!   pieces, gap_ms, work_ms, size, large_size, quiet_ms (before it announces itself)
 //!
 //! Lines on standard input: `drain` announces that the worker leaves, and all answers say so from
-//! then on; `leave` sends the DELETE; `quiet` ends the announcements. Lines on standard output: what the worker did.
+//! then on; `leaving` ends the announcements too, for a DELETE that the harness sends; `quiet` ends only
+//! the announcements. Lines on standard output: what the worker did.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, Read, Write};
@@ -58,6 +59,7 @@
         is_leaving: AtomicBool::new(false),
         is_quiet: AtomicBool::new(false),
     });
+    say(&format!("is born {}", worker.born));
     let announcer = worker.clone();
     std::thread::spawn(move || {
         std::thread::sleep(Duration::from_millis(announcer.number("quiet_ms")));
@@ -75,7 +77,10 @@
                     let status = commands.announce();
                     say(&format!("says that it is draining: {status:?}"));
                 }
-                "leave" => commands.leave(),
+                "leaving" => {
+                    commands.is_quiet.store(true, Ordering::SeqCst);
+                    commands.is_leaving.store(true, Ordering::SeqCst);
+                }
                 "quiet" => commands.is_quiet.store(true, Ordering::SeqCst),
                 _ => {}
             }
@@ -114,20 +119,15 @@
             self.number("slots"),
             self.born
         );
-        self.tell("PUT", &body)
-    }
-
-    fn leave(&self) {
-        let status = self.tell("DELETE", &format!("{{\"born\":{}}}", self.born));
-        say(&format!("says that it is gone: {status:?}"));
+        self.tell(&body)
     }
 
-    fn tell(&self, method: &str, body: &str) -> Option<u16> {
+    fn tell(&self, body: &str) -> Option<u16> {
         let path = format!("/v1/workers/{}", self.text("id"));
         let headers = [("Content-Type", "application/json".to_string())];
         self.controls.iter().find_map(|control| {
             let timeout = Duration::from_secs(1);
-            let answer = http::call(*control, method, &path, &headers, body.as_bytes(), timeout);
+            let answer = http::call(*control, "PUT", &path, &headers, body.as_bytes(), timeout);
             answer.ok().map(|answer| answer.status).filter(|status| *status / 100 == 2)
         })
     }
