--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -375,8 +375,7 @@
         streams += usize::from(answer.is_ok_and(|answer| is_served(&answer)));
         let id = request_id(1000 + number);
         let timeout = Duration::from_secs(4);
-        let answer =
-            http::call(address, "POST", "/bookings/1", &headers(&id, 3000), b"x", timeout);
+        let answer = http::call(address, "POST", "/bookings/1", &headers(&id, 3000), b"x", timeout);
         record.line(format!("{id} to {address}: {}", describe(&answer)));
         bookings += usize::from(answer.is_ok_and(|answer| answer.status == 200));
         std::thread::sleep(Duration::from_millis(250));
@@ -639,7 +638,8 @@
          {run} requests",
         totals[0], totals[1], totals[2], totals[3]
     ));
-    record.line(format!("most memory {peaks:.0?} MB of {MEMORY_MB}; processes ended {ends:?} times"));
+    record
+        .line(format!("most memory {peaks:.0?} MB of {MEMORY_MB}; processes ended {ends:?} times"));
     Ok(ends.iter().filter(|ends| **ends >= MAX_ENDS).count() >= 2)
 }
 
@@ -680,8 +680,7 @@
                     record.line(format!("client sends {id} {path} to {address}"));
                     let pace = (is_troubled && count == 1).then_some(pace);
                     let sent = channel.send(&request);
-                    let answer =
-                        sent.and_then(|()| channel.answer(Duration::from_secs(20), pace));
+                    let answer = sent.and_then(|()| channel.answer(Duration::from_secs(20), pace));
                     record.line(format!("client has of {id}: {}", describe(&answer)));
                     is_cut = !answer.is_ok_and(|answer| answer.end == End::Whole);
                 }
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -171,8 +171,8 @@
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
         let slots = self.number("slots");
         let result = if running > slots + 8 {
-            let text = common("503 Service Unavailable")
-                + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            let text =
+                common("503 Service Unavailable") + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             stream.write_all(text.as_bytes()).map(|()| true)
         } else {
             let stamp = format!("{}.{:x}.{id}", self.text("id"), self.born);
