--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -380,6 +380,8 @@
         bookings += usize::from(answer.is_ok_and(|answer| answer.status == 200));
         std::thread::sleep(Duration::from_millis(250));
     }
+    let ready = fleet.fronts.iter().filter(|front| front.is_ready()).count();
+    record.line(format!("{ready} of {} fronts say that they are ready", fleet.fronts.len()));
     record.line(format!("served: {streams} of {TRIALS} streams, {bookings} of {TRIALS} bookings"));
     let share = |served: usize, sent: usize| served as f64 / sent as f64;
     let all = share(streams + bookings, 2 * TRIALS);
