Acknowledge leaves only once enough disks hold them

Cause: relay::feed sent the acknowledgement once the record was in the roster and queued for followers. The write was scheduled 100 ms later, and its end was reported to nobody, so that only memory held the leave at all control instances. Reports of draining, repeated leaves, leaves at an instance that does not know the upstream, and leaves beside full disks were acknowledged in the same way.

Change: a leave and a report of draining are acknowledged once losses_borne + 1 control instances have the record on disk, in two data centres if there are several (roster::durability, a pure core; relay::feed::leaves). The write begins at once, leaves that arrive meanwhile share the next one, and they have a file of their own. Without enough copies within 700 ms the answer is 503; the leave is in force all the same. Other announcements are acknowledged as before.

Why it works: no acknowledgement is sent before the confirmations of writes that include the record, so that a copy survives a kill of all processes with losses_borne lost disks or absent instances.

--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -15,13 +15,16 @@
 use state::ProposalOutcome;
 use telemetry::{Event as LogEvent, Metrics};
 
-use crate::feed::Feed;
+use crate::feed::{Acknowledgement, Feed};
 use crate::interface::{ControlRequest, Interface};
 use document_reads::{DocumentRead, DocumentReads};
 
 /// Time after which a client retries while no quorum is reachable.
 const NO_QUORUM_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time after which an upstream repeats a leave that was not durable in time.
+const NOT_DURABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Maximum time during which a change that did not apply is submitted again, equal to the time that
 /// a proposal waits for its outcome.
 const SUBMISSION_TIMEOUT: Duration = Duration::from_secs(5);
@@ -71,16 +74,16 @@
         match control.parse_request(request) {
             Ok(ControlRequest::Announce(announcement)) => match announcement.check(unix_millis()) {
                 Ok(()) => {
-                    let acknowledgement = control.acknowledgement();
-                    call!([self.feed], announce(announcement, acknowledgement, reply));
+                    let acknowledgement = self.acknowledgement(reply);
+                    call!([self.feed], announce(announcement, acknowledgement));
                 }
                 Err(error) => self.refuse_announcement(&error, &reply),
             },
             Ok(ControlRequest::Leave { upstream, born }) => {
                 match roster::check_born(&upstream, born.unwrap_or_default(), unix_millis()) {
                     Ok(()) => {
-                        let acknowledgement = control.acknowledgement();
-                        call!([self.feed], withdraw(upstream, born, acknowledgement, reply));
+                        let acknowledgement = self.acknowledgement(reply);
+                        call!([self.feed], withdraw(upstream, born, acknowledgement));
                     }
                     Err(error) => self.refuse_announcement(&error, &reply),
                 }
@@ -96,6 +99,12 @@
         }
     }
 
+    fn acknowledgement(&self, reply: Fwd<Reply>) -> Acknowledgement {
+        let control = &self.interface.control;
+        let (accepted, not_durable) = (control.acknowledgement(), control.refusal(not_durable()));
+        Acknowledgement { accepted, not_durable, reply }
+    }
+
     fn refuse_announcement(&self, error: &roster::Error, reply: &Fwd<Reply>) {
         log::info!("refused an announcement: {error}");
         let message = error.to_string();
@@ -255,6 +264,13 @@
     u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
 
+fn not_durable() -> Problem {
+    let message = "the upstream gets no new requests, but too few control instances have stored that \
+                   yet; send the request again, to another control instance";
+    Problem::may_have_run(Status::UNAVAILABLE, "not_durable", message)
+        .with_retry_after(NOT_DURABLE_RETRY_AFTER)
+}
+
 fn no_quorum() -> Problem {
     let message = "no quorum of control instances is within reach; send the request again";
     Problem::may_have_run(Status::UNAVAILABLE, "no_quorum", message)
--- a/crates/relay/src/feed/announcements.rs
+++ b/crates/relay/src/feed/announcements.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use entry::Reply;
 use names::{Instance, Upstream};
-use roster::{Announcement, MergeResult, Record, short_hash};
-use stakker::{CX, Fwd, after};
+use roster::{Announcement, MergeResult, Record, Status, short_hash};
+use stakker::{CX, after};
 use telemetry::Event;
 use wire::Transport;
 
+use super::leaves::Acknowledgement;
 use super::message::Message;
 use super::{CACHE_WRITE_DELAY, Feed, HEARD_REPORT_PERIOD};
 
@@ -18,15 +18,16 @@
 
 impl Feed {
     /// Handles the announcement of an upstream. The announcement is acknowledged once it was sent
-    /// to all followers.
+    /// to all followers, a report of draining once it is durable as well.
     pub(crate) fn announce(
         &mut self,
         cx: CX![],
         announcement: Announcement,
-        acknowledgement: Reply,
-        reply: Fwd<Reply>,
+        acknowledgement: Acknowledgement,
     ) {
-        let short_hash = short_hash(&announcement.upstream);
+        let (upstream, born) = (announcement.upstream.clone(), announcement.born);
+        let is_leave = announcement.standing != Status::Ready;
+        let short_hash = short_hash(&upstream);
         let record = Record { announcement };
         match self.roster.merge(cx.now(), record.clone()) {
             MergeResult::Changed => {
@@ -36,29 +37,25 @@
             }
             MergeResult::Unchanged => self.record_heard(short_hash),
             MergeResult::Stale => {
-                let upstream = &record.announcement.upstream;
                 log::debug!("ignored an outdated announcement of upstream {upstream}");
             }
         }
-        reply.fwd(acknowledgement);
+        match is_leave {
+            true => self.acknowledge_leave(cx, upstream, Some(born), acknowledgement),
+            false => acknowledgement.accept(),
+        }
     }
 
-    /// Handles the leave of an upstream.
+    /// Handles the leave of an upstream. The leave is acknowledged once it is durable.
     pub(crate) fn withdraw(
         &mut self,
         cx: CX![],
         upstream: Upstream,
         born: Option<u64>,
-        acknowledgement: Reply,
-        reply: Fwd<Reply>,
+        acknowledgement: Acknowledgement,
     ) {
-        if self.roster.withdraw(cx.now(), &upstream, born) == MergeResult::Changed
-            && let Some(record) = self.roster.get(&upstream).cloned()
-        {
-            log_upstream(&record.announcement, "itself");
-            self.publish(cx, vec![record], true);
-        }
-        reply.fwd(acknowledgement);
+        self.apply_leave(cx, &upstream, born);
+        self.acknowledge_leave(cx, upstream, born, acknowledgement);
     }
 
     fn record_heard(&mut self, upstream: u32) {
@@ -114,10 +111,13 @@
     /// Schedules new records for the forwarder and the disk cache, and sends them to followers if
     /// `is_forwarded` is set. The flag is not set if followers get the records from other
     /// instances.
-    fn publish(&mut self, cx: CX![], new_records: Vec<Record>, is_forwarded: bool) {
+    pub(super) fn publish(&mut self, cx: CX![], new_records: Vec<Record>, is_forwarded: bool) {
         if new_records.is_empty() {
             return;
         }
+        if new_records.iter().any(|record| record.announcement.standing != Status::Ready) {
+            self.store_leaves(cx);
+        }
         if is_forwarded {
             self.send_to_followers(Transport::Tcp, &Message::Records(new_records));
         }
@@ -136,7 +136,7 @@
     }
 }
 
-fn log_upstream(announcement: &Announcement, source: &str) {
+pub(super) fn log_upstream(announcement: &Announcement, source: &str) {
     Event::Upstream {
         upstream: announcement.upstream.to_string(),
         service: announcement.service.to_string(),
--- a/crates/relay/src/feed/disk_cache.rs
+++ b/crates/relay/src/feed/disk_cache.rs
@@ -7,7 +7,10 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 
 use catalogue::Document;
+use eventloop::Sender as MailboxSender;
 use roster::Record;
+use roster::durability::WriteResult;
+use serde::Serialize;
 use state::{AtomicFiles, DataFolder};
 
 /// Name of the folder within the data folder.
@@ -19,16 +22,22 @@
 /// Name of the file with the announced upstreams.
 const RECORDS_FILE: &str = "upstreams";
 
+/// Name of the file with the upstreams that drain or left. It is small and written at once, because
+/// upstreams wait for the write.
+const LEAVES_FILE: &str = "leaves";
+
 /// A write to the cache.
 enum WriteJob {
     Document(Document),
     Records(Vec<Record>),
+    Leaves(Vec<Record>),
 }
 
 /// The state that was read from the cache.
 #[derive(Default)]
 pub(super) struct CachedState {
     pub(super) document: Option<Document>,
+    /// Records of upstreams; an upstream may have two.
     pub(super) records: Vec<Record>,
 }
 
@@ -39,8 +48,11 @@
 
 impl DiskCache {
     /// Reads the cache in `data_folder` and starts the thread, or returns `None` if the folder
-    /// cannot be used.
-    pub(super) fn open(data_folder: &Path) -> Option<(Self, CachedState)> {
+    /// cannot be used. The end of each write of leaves is sent to `write_ended`.
+    pub(super) fn open(
+        data_folder: &Path,
+        write_ended: MailboxSender<WriteResult>,
+    ) -> Option<(Self, CachedState)> {
         let opened = DataFolder::open(&data_folder.join(FOLDER));
         let folder = opened
             .map_err(|error| {
@@ -51,7 +63,7 @@
         let cached = read_cached(&files);
         let (jobs, receiver) = channel();
         let thread = std::thread::Builder::new().name("shelf".to_string());
-        match thread.spawn(move || write_jobs(files, &receiver)) {
+        match thread.spawn(move || write_jobs(files, &receiver, &write_ended)) {
             Ok(_) => Some((Self { jobs }, cached)),
             Err(error) => {
                 log::error!(
@@ -72,6 +84,11 @@
         self.send(WriteJob::Records(records));
     }
 
+    /// Writes the records of upstreams that drain or left, and reports the end of the write.
+    pub(super) fn write_leaves(&self, leaves: Vec<Record>) {
+        self.send(WriteJob::Leaves(leaves));
+    }
+
     fn send(&self, job: WriteJob) {
         if self.jobs.send(job).is_err() {
             log::debug!("cannot write the feed cache: the thread has ended");
@@ -84,29 +101,56 @@
         log::warn!("cannot read the cached document: {error}; continuing without it");
         None
     });
-    let records = files.read(RECORDS_FILE).unwrap_or_else(|error| {
+    let records =
+        [RECORDS_FILE, LEAVES_FILE].into_iter().flat_map(|file| read_records(files, file));
+    CachedState { document, records: records.collect() }
+}
+
+fn read_records(files: &AtomicFiles<DataFolder>, file: &str) -> Vec<Record> {
+    let records = files.read(file).unwrap_or_else(|error| {
         log::warn!("cannot read the cached upstreams: {error}; continuing without them");
         None
     });
-    CachedState { document, records: records.unwrap_or_default() }
+    records.unwrap_or_default()
 }
 
-/// Writes the newest document and the newest records, and skips those that were superseded in the
-/// meantime.
-fn write_jobs(mut files: AtomicFiles<DataFolder>, receiver: &Receiver<WriteJob>) {
+/// Writes the newest state of each file, and skips what was superseded in the meantime. Leaves are
+/// written first.
+fn write_jobs(
+    mut files: AtomicFiles<DataFolder>,
+    receiver: &Receiver<WriteJob>,
+    write_ended: &MailboxSender<WriteResult>,
+) {
     while let Ok(first) = receiver.recv() {
-        let (mut document, mut records) = (None, None);
+        let (mut document, mut records, mut leaves) = (None, None, None);
         for job in std::iter::once(first).chain(receiver.try_iter()) {
             match job {
                 WriteJob::Document(newest) => document = Some(newest),
                 WriteJob::Records(newest) => records = Some(newest),
+                WriteJob::Leaves(newest) => leaves = Some(newest),
             }
         }
-        let result = document.map_or(Ok(()), |document| files.replace(DOCUMENT_FILE, &document));
-        let result =
-            result.and(records.map_or(Ok(()), |records| files.replace(RECORDS_FILE, &records)));
-        if let Err(error) = result {
+        if let Some(leaves) = leaves {
+            write_ended.send(replace(&mut files, LEAVES_FILE, &leaves));
+        }
+        if let Some(document) = document {
+            replace(&mut files, DOCUMENT_FILE, &document);
+        }
+        if let Some(records) = records {
+            replace(&mut files, RECORDS_FILE, &records);
+        }
+    }
+}
+
+fn replace<T>(files: &mut AtomicFiles<DataFolder>, file: &str, content: &T) -> WriteResult
+where
+    T: Serialize,
+{
+    match files.replace(file, content) {
+        Ok(()) => WriteResult::Stored,
+        Err(error) => {
             log::warn!("cannot write the feed cache: {error}; a restart may find outdated state");
+            WriteResult::Failed
         }
     }
 }
--- /dev/null
+++ b/crates/relay/src/feed/leaves.rs
@@ -0,0 +1,213 @@
+//! Makes the leaves of upstreams durable before they are acknowledged.
+
+use std::time::{Duration, Instant};
+
+use entry::Reply;
+use names::{Instance, Upstream};
+use roster::durability::{Holder, Leave, Requirement, Step, Ticket, WriteResult};
+use roster::{MergeResult, Status};
+use stakker::{CX, Fwd, after, at};
+use wire::Transport;
+
+use super::Feed;
+use super::message::Message;
+
+/// Time in which a leave has to be durable. The upstream tries another instance after a second.
+const DURABILITY_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Interval at which unconfirmed leaves are sent again to control instances.
+const RESEND_PERIOD: Duration = Duration::from_millis(200);
+
+/// Acknowledgement of an announcement or a leave.
+pub(crate) struct Acknowledgement {
+    /// Response if what the upstream said is in force, and durable if it has to be.
+    pub(crate) accepted: Reply,
+    /// Response if a leave is in force, but not durable in time.
+    pub(crate) not_durable: Reply,
+    pub(crate) reply: Fwd<Reply>,
+}
+
+impl Acknowledgement {
+    pub(super) fn accept(self) {
+        self.reply.fwd(self.accepted);
+    }
+
+    fn refuse(self) {
+        self.reply.fwd(self.not_durable);
+    }
+}
+
+/// An acknowledgement that waits for copies on disk.
+pub(super) struct WaitingAcknowledgement {
+    acknowledgement: Acknowledgement,
+    arrived_at: Instant,
+}
+
+impl Feed {
+    /// Sends the acknowledgement once the leave of `upstream`, which the roster includes, is
+    /// durable. A leave that is repeated waits as well, since the first one may not be durable yet.
+    pub(super) fn acknowledge_leave(
+        &mut self,
+        cx: CX![],
+        upstream: Upstream,
+        born: Option<u64>,
+        acknowledgement: Acknowledgement,
+    ) {
+        let leave = match self.roster.get(&upstream) {
+            // A later announcement of the upstream takes precedence.
+            Some(record) if record.announcement.standing == Status::Ready => None,
+            Some(_) if self.roster.is_durable(&upstream) => None,
+            Some(record) => Some(Leave::Record(record.clone())),
+            None => Some(Leave::Unknown { upstream, born }),
+        };
+        let Some(leave) = leave else {
+            acknowledgement.accept();
+            return;
+        };
+        let arrived_at = cx.now();
+        let (revision, expires_at) = (self.writer.newest(), arrived_at + DURABILITY_TIMEOUT);
+        let waiting = WaitingAcknowledgement { acknowledgement, arrived_at };
+        let ticket = self.rounds.begin(leave.clone(), revision, expires_at, waiting);
+        for control in self.other_controls() {
+            self.send(control, Transport::Tcp, &Message::StoreLeave(ticket, leave.clone()));
+        }
+        self.end_durable_rounds(cx);
+        if !self.is_resend_scheduled && !self.rounds.is_empty() {
+            self.is_resend_scheduled = true;
+            after!(RESEND_PERIOD, [cx], resend_leaves());
+        }
+    }
+
+    fn other_controls(&self) -> Vec<Instance> {
+        let others = self.live_controls.iter().map(|holder| holder.instance.clone());
+        others.filter(|instance| *instance != self.me).collect()
+    }
+
+    /// Records that leaves have changed in the roster, and writes them to disk. The write begins at
+    /// once unless another one runs.
+    pub(super) fn store_leaves(&mut self, cx: CX![]) {
+        if self.is_control {
+            self.writer.add();
+            self.continue_writing(cx);
+        }
+    }
+
+    fn continue_writing(&mut self, cx: CX![]) {
+        match (self.writer.next_step(cx.now()), &self.disk_cache) {
+            (Step::Write(_), Some(disk_cache)) => disk_cache.write_leaves(self.roster.leaves()),
+            // Without a data folder, memory is the only place for a copy.
+            (Step::Write(_), None) if !self.has_data_folder => {
+                self.finish_write(cx, WriteResult::Stored);
+            }
+            (Step::Retry(until), _) => {
+                cx.timer_del(self.write_timer);
+                self.write_timer = at!(until, [cx], retry_write());
+            }
+            // A data folder that cannot be used never holds a copy.
+            (Step::Write(_), None) | (Step::Wait, _) => {}
+        }
+    }
+
+    fn retry_write(&mut self, cx: CX![]) {
+        self.continue_writing(cx);
+    }
+
+    /// Handles the end of a write of leaves.
+    pub(super) fn finish_write(&mut self, cx: CX![], result: WriteResult) {
+        let now = cx.now();
+        self.writer.finish(now, result);
+        self.confirm_stored(now);
+        self.end_durable_rounds(cx);
+        self.continue_writing(cx);
+    }
+
+    /// Applies a leave of another control instance, which is confirmed once it is on disk here.
+    pub(super) fn receive_leave(
+        &mut self,
+        cx: CX![],
+        sender: Instance,
+        ticket: Ticket,
+        leave: Leave,
+    ) {
+        let now = cx.now();
+        match leave {
+            Leave::Record(record) => self.receive_records(cx, &sender, vec![record]),
+            Leave::Unknown { upstream, born } => self.apply_leave(cx, &upstream, born),
+        }
+        let expires_at = now + DURABILITY_TIMEOUT;
+        self.pledges.add(sender, ticket, self.writer.newest(), expires_at);
+        self.confirm_stored(now);
+    }
+
+    /// Applies the leave of an upstream, and publishes it if it is new.
+    pub(super) fn apply_leave(&mut self, cx: CX![], upstream: &Upstream, born: Option<u64>) {
+        if self.roster.withdraw(cx.now(), upstream, born) == MergeResult::Changed
+            && let Some(record) = self.roster.get(upstream).cloned()
+        {
+            super::announcements::log_upstream(&record.announcement, "itself");
+            self.publish(cx, vec![record], true);
+        }
+    }
+
+    fn confirm_stored(&mut self, now: Instant) {
+        for (instance, ticket) in self.pledges.take_stored(now, self.writer.stored()) {
+            self.send(instance, Transport::Tcp, &Message::LeaveStored(ticket));
+        }
+    }
+
+    /// Handles the confirmation that `sender` has the leave of a round on disk.
+    pub(super) fn record_copy(&mut self, cx: CX![], sender: &Instance, ticket: Ticket) {
+        let holder = self.live_controls.iter().find(|holder| holder.instance == *sender);
+        if let Some(holder) = holder {
+            self.rounds.record_copy(ticket, holder);
+            self.end_durable_rounds(cx);
+        }
+    }
+
+    /// Acknowledges the leaves that have become durable.
+    fn end_durable_rounds(&mut self, cx: CX![]) {
+        self.rounds.record_own(self.writer.stored());
+        let requirement = Requirement::new(self.losses_borne, &self.live_controls, self.seed_count);
+        for (leave, waiting) in self.rounds.take_durable(requirement) {
+            if let Leave::Record(record) = &leave {
+                self.roster.mark_durable(record);
+            }
+            let time = cx.now().saturating_duration_since(waiting.arrived_at);
+            self.metrics.relay.leave_durable.observe(time.as_secs_f64());
+            waiting.acknowledgement.accept();
+        }
+    }
+
+    /// Refuses the acknowledgements that waited too long, and sends the leaves again to the control
+    /// instances that have not confirmed them.
+    pub(super) fn resend_leaves(&mut self, cx: CX![]) {
+        self.is_resend_scheduled = false;
+        for waiting in self.rounds.take_expired(cx.now()) {
+            self.metrics.relay.leaves_not_durable.inc();
+            waiting.acknowledgement.refuse();
+        }
+        for control in self.other_controls() {
+            for (ticket, leave) in self.rounds.missing(&control) {
+                let message = Message::StoreLeave(ticket, leave.clone());
+                self.send(control.clone(), Transport::Tcp, &message);
+            }
+        }
+        if !self.rounds.is_empty() {
+            self.is_resend_scheduled = true;
+            after!(RESEND_PERIOD, [cx], resend_leaves());
+        }
+    }
+
+    /// Updates the live control instances among the other members.
+    pub(super) fn set_live_controls(&mut self, others: &[membership::Member]) {
+        let holder = |member: &membership::Member| Holder {
+            instance: member.instance.clone(),
+            data_centre: member.data_centre.clone(),
+        };
+        self.live_controls = others.iter().map(holder).collect();
+        if self.is_control {
+            let (instance, data_centre) = (self.me.clone(), self.data_centre.clone());
+            self.live_controls.push(Holder { instance, data_centre });
+        }
+    }
+}
--- a/crates/relay/src/feed/message.rs
+++ b/crates/relay/src/feed/message.rs
@@ -1,6 +1,7 @@
 //! Messages between control instances and their followers.
 
 use catalogue::{Change, Document, Number};
+use roster::durability::{Leave, Ticket};
 use roster::{BUCKETS, Record};
 use serde::{Deserialize, Serialize};
 
@@ -32,4 +33,9 @@
     /// Sorted short hashes of the names of upstreams that recently announced themselves to the
     /// sender or to the instances that the sender follows.
     HeardUpstreams(Vec<u32>),
+    /// Requests that the receiver, a control instance, stores a leave and confirms it with the
+    /// ticket.
+    StoreLeave(Ticket, Leave),
+    /// The sender has the leave with the ticket on disk.
+    LeaveStored(Ticket),
 }
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod disk_cache;
 mod documents;
+mod leaves;
 mod message;
 
 use std::cell::RefCell;
@@ -13,15 +14,20 @@
 use catalogue::{Catalogue, Lack, Newest, Number, Outflow};
 use membership::Member;
 use names::{DataCentre, Instance};
+use rand::RngExt;
+use roster::durability::{Holder, Pledges, Rounds, WriteResult, Writer};
 use roster::{Announcement, Roster, Tree};
 use settings::{Role, Settings};
-use stakker::{Actor, CX, FixedTimerKey, Fwd, after, call};
+use stakker::{Actor, CX, FixedTimerKey, Fwd, after, call, fwd_to};
 use telemetry::Metrics;
 use wire::{Delivery, Hub, Outgoing, Slice, Transport};
 
 use crate::interface::DocumentFormat;
 use disk_cache::{CachedState, DiskCache};
+use eventloop::mailbox;
 use instance::View;
+pub(crate) use leaves::Acknowledgement;
+use leaves::WaitingAcknowledgement;
 use message::Message;
 
 /// Interval at which an instance sends its state to the instances that it follows. Updates are
@@ -102,6 +108,17 @@
     send_timer: FixedTimerKey,
     listeners: Listeners,
     disk_cache: Option<DiskCache>,
+    /// Whether the settings name a data folder, which may not be usable.
+    has_data_folder: bool,
+    losses_borne: usize,
+    seed_count: usize,
+    /// Live control instances, including this one if it is one.
+    live_controls: Vec<Holder>,
+    writer: Writer,
+    rounds: Rounds<WaitingAcknowledgement>,
+    pledges: Pledges,
+    is_resend_scheduled: bool,
+    write_timer: FixedTimerKey,
     metrics: Arc<Metrics>,
 }
 
@@ -119,11 +136,18 @@
         let data_folder = settings.data_folder.clone().filter(|_| is_control);
         after!(FOLLOW_PERIOD, [cx], follow());
         after!(HEARD_REPORT_PERIOD, [cx], report_heard());
-        let opened = data_folder.and_then(|folder| DiskCache::open(&folder));
+        let has_data_folder = data_folder.is_some();
+        let write_ended = fwd_to!([cx], finish_write() as (WriteResult));
+        let write_ended = mailbox(cx, write_ended);
+        let opened = data_folder.and_then(|folder| DiskCache::open(&folder, write_ended));
         let (disk_cache, cached) = opened
             .map_or((None, CachedState::default()), |(disk_cache, cached)| {
                 (Some(disk_cache), cached)
             });
+        let holder = Holder {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+        };
         let mut feed = Self {
             me: settings.instance.clone(),
             data_centre: settings.data_centre.clone(),
@@ -148,8 +172,18 @@
             send_timer: FixedTimerKey::default(),
             listeners,
             disk_cache,
+            has_data_folder,
+            losses_borne: settings.losses_borne,
+            seed_count: settings.seeds.len(),
+            live_controls: Vec::new(),
+            writer: Writer::default(),
+            rounds: Rounds::new(holder, rand::rng().random()),
+            pledges: Pledges::default(),
+            is_resend_scheduled: false,
+            write_timer: FixedTimerKey::default(),
             metrics,
         };
+        feed.set_live_controls(&[]);
         feed.restore_cached(cx, cached);
         Some(feed)
     }
@@ -159,6 +193,10 @@
         for record in cached.records {
             self.roster.merge(cx.now(), record);
         }
+        if !self.roster.leaves().is_empty() {
+            // A crashed process may have replaced the file without syncing the directory.
+            self.store_leaves(cx);
+        }
         if let Some(document) = cached.document {
             self.newest.borrow_mut().adopt(document);
             self.activate_newest("disk");
@@ -170,6 +208,7 @@
     pub(crate) fn set_view(&mut self, cx: CX![], view: View) {
         let (controls, entries): (Vec<Member>, Vec<Member>) =
             view.members.into_iter().partition(|member| member.is_control);
+        self.set_live_controls(&controls);
         let controls: Vec<Instance> = controls.into_iter().map(|member| member.instance).collect();
         self.metrics.relay.sources.set(i64::try_from(controls.len()).unwrap_or(i64::MAX));
         self.is_large_fleet =
@@ -256,6 +295,8 @@
             Message::Changes(changes) => self.apply_changes(cx, &sender, &changes),
             Message::Records(records) => self.receive_records(cx, &sender, records),
             Message::HeardUpstreams(heard) => self.receive_heard(cx, &sender, &heard),
+            Message::StoreLeave(ticket, leave) => self.receive_leave(cx, sender, ticket, leave),
+            Message::LeaveStored(ticket) => self.record_copy(cx, &sender, ticket),
         }
     }
 
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod check;
 mod distribution;
+pub mod durability;
 mod record;
 mod registry;
 
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -44,6 +44,8 @@
     sequence: u64,
     /// When the upstream was last heard of.
     last_heard: Instant,
+    /// Whether enough control instances have the record on disk.
+    is_durable: bool,
 }
 
 /// The upstreams that an instance knows, by name.
@@ -62,7 +64,9 @@
             Err(index) => {
                 let sequence = record.announcement.sequence;
                 let short_hash = short_hash(&record.announcement.upstream);
-                self.entries.insert(index, Entry { record, short_hash, sequence, last_heard: now });
+                let (last_heard, is_durable) = (now, false);
+                let entry = Entry { record, short_hash, sequence, last_heard, is_durable };
+                self.entries.insert(index, entry);
                 self.mark_replaced(index);
                 MergeResult::Changed
             }
@@ -84,6 +88,7 @@
             return MergeResult::Unchanged;
         }
         entry.record = record;
+        entry.is_durable = false;
         self.mark_replaced(index);
         MergeResult::Changed
     }
@@ -133,6 +138,26 @@
         self.find(upstream).ok().map(|index| &self.entries[index].record)
     }
 
+    /// Returns the records of upstreams that drain or left.
+    pub fn leaves(&self) -> Vec<Record> {
+        let records = self.entries.iter().map(|entry| &entry.record);
+        let leaves = records.filter(|record| record.announcement.standing != Status::Ready);
+        leaves.cloned().collect()
+    }
+
+    /// Marks a record as durable, unless a newer one is known.
+    pub fn mark_durable(&mut self, record: &Record) {
+        if let Ok(index) = self.find(&record.announcement.upstream) {
+            let entry = &mut self.entries[index];
+            entry.is_durable |= entry.record == *record;
+        }
+    }
+
+    /// Returns whether the record of `upstream` is marked as durable.
+    pub fn is_durable(&self, upstream: &Upstream) -> bool {
+        self.find(upstream).is_ok_and(|index| self.entries[index].is_durable)
+    }
+
     /// Returns all records, including those of upstreams that left.
     pub fn records(&self) -> Vec<Record> {
         self.entries.iter().map(|entry| entry.record.clone()).collect()
@@ -196,8 +221,9 @@
         for entry in &mut self.entries {
             let known = &mut entry.record.announcement;
             let is_other = known.upstream != new.upstream && known.address == new.address;
-            if is_other && known.born < new.born {
+            if is_other && known.born < new.born && known.standing != Status::Gone {
                 known.standing = Status::Gone;
+                entry.is_durable = false;
             }
         }
     }
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -77,6 +77,10 @@
     connect: Histogram,
     /// Time until a quorum has committed a document of an operator, in seconds.
     pub commit: Histogram,
+    /// Time until enough control instances have stored a leave of an upstream, in seconds.
+    pub leave_durable: Histogram,
+    /// Number of leaves that too few control instances stored in time.
+    pub leaves_not_durable: Counter,
     /// Number of requests that wait for an upstream with free capacity.
     pub waiting: Gauge,
     /// Number of control instances among the live members.
@@ -95,6 +99,8 @@
             queueing: histogram_by_kind(),
             connect: latency_histogram(),
             commit: latency_histogram(),
+            leave_durable: latency_histogram(),
+            leaves_not_durable: Counter::default(),
             waiting: Gauge::default(),
             sources: Gauge::default(),
         };
@@ -115,6 +121,10 @@
         registry.register("connect_seconds", help, metrics.connect.clone());
         let help = "Time until a document was committed";
         registry.register("commit_seconds", help, metrics.commit.clone());
+        let help = "Time until a leave of an upstream was durable";
+        registry.register("leave_durable_seconds", help, metrics.leave_durable.clone());
+        let help = "Leaves that were not durable in time";
+        registry.register("leaves_not_durable", help, metrics.leaves_not_durable.clone());
         registry.register("waiting", "Requests that wait for room", metrics.waiting.clone());
         let help = "Control instances that are followed";
         registry.register("followed", help, metrics.sources.clone());
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -24,6 +24,9 @@
 /// its advertised address.
 const LISTEN_IP_OFFSET: u8 = 50;
 
+/// Interval at which the upstreams of the tests announce themselves, in milliseconds.
+const ANNOUNCE_PERIOD_MILLIS: u64 = 300;
+
 /// Lowest number of an entry instance; instances with the control role have lower numbers.
 const FIRST_ENTRY_NUMBER: u8 = 100;
 
@@ -40,6 +43,8 @@
     listen_ip: Ipv4Addr,
     is_control: bool,
     pub data_centre: String,
+    /// Interval in milliseconds at which the instance expects announcements of upstreams.
+    pub announce_period_millis: u64,
     folder: PathBuf,
     pub process: Option<Process>,
 }
@@ -107,9 +112,13 @@
         self.process = None;
     }
 
+    pub fn data_folder(&self) -> PathBuf {
+        self.folder.join("data")
+    }
+
     /// Deletes the data folder, as a lost disk does.
     pub fn delete_data(&self) {
-        std::fs::remove_dir_all(self.folder.join("data")).unwrap();
+        std::fs::remove_dir_all(self.data_folder()).unwrap();
     }
 
     /// Appends `torn_write` to the newest segment of the replicated log, as an unsynced write may
@@ -155,9 +164,10 @@
              {folder}seeds: [{}]\n\
              first_start: {is_first_start}\nlosses_borne: 1\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
-             direct:\n  announce_period: 300ms\n",
+             direct:\n  announce_period: {}ms\n",
             self.data_centre,
-            seeds.join(", ")
+            seeds.join(", "),
+            self.announce_period_millis
         );
         std::fs::write(self.settings(), text).unwrap();
     }
@@ -217,6 +227,7 @@
             listen_ip: ip,
             is_control: number < FIRST_ENTRY_NUMBER,
             data_centre: "giza".to_string(),
+            announce_period_millis: ANNOUNCE_PERIOD_MILLIS,
             folder,
             process: None,
         }
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -101,6 +101,8 @@
     sequence: AtomicU64,
     started_at_millis: u64,
     is_stopped: AtomicBool,
+    /// Whether the upstream serves requests but no longer announces itself.
+    is_unannounced: AtomicBool,
     /// Whether new connections are refused.
     is_listener_closed: AtomicBool,
     /// Whether new connections are not accepted.
@@ -172,6 +174,7 @@
             sequence: AtomicU64::new(0),
             started_at_millis: now.as_millis() as u64,
             is_stopped: AtomicBool::new(false),
+            is_unannounced: AtomicBool::new(false),
             is_listener_closed: AtomicBool::new(false),
             is_hanging: AtomicBool::new(false),
             waiting_connections: Mutex::default(),
@@ -188,7 +191,9 @@
         let announce_state = shared.clone();
         std::thread::spawn(move || {
             while !announce_state.is_stopped.load(Ordering::Relaxed) {
-                announce(&announce_state);
+                if !announce_state.is_unannounced.load(Ordering::Relaxed) {
+                    announce(&announce_state);
+                }
                 std::thread::sleep(ANNOUNCEMENT_INTERVAL);
             }
         });
@@ -244,6 +249,16 @@
         self.shared.is_stopped.store(true, Ordering::Relaxed);
     }
 
+    /// Stops announcements. The upstream continues to serve requests.
+    pub fn stop_announcing(&self) {
+        self.shared.is_unannounced.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the body of an announcement in `state` that takes precedence over all earlier ones.
+    pub fn announcement(&self, state: &str) -> String {
+        announcement(&self.shared, state).1
+    }
+
     /// Announces that the upstream drains; returns whether a control instance acknowledged it.
     pub fn drain(&self) -> bool {
         *self.shared.announced_state.lock().unwrap() = "draining";
@@ -275,23 +290,29 @@
     parts.iter().rev().skip(1).any(|part| part.starts_with(beginning))
 }
 
-/// Announces the upstream to the control instances in turn until one of them acknowledges; returns
-/// whether one did.
-fn announce(shared: &WorkerState) -> bool {
+/// Returns the sequence number and the body of the next announcement.
+fn announcement(shared: &WorkerState, state: &str) -> (u64, String) {
     let sequence = shared.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-    let state = *shared.announced_state.lock().unwrap();
     let body = json!({
         "service": shared.service, "address": shared.address.to_string(), "zone": "giza",
         "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0, "seq": sequence,
         "born": shared.started_at_millis,
     });
+    (sequence, body.to_string())
+}
+
+/// Announces the upstream to the control instances in turn until one of them acknowledges; returns
+/// whether one did.
+fn announce(shared: &WorkerState) -> bool {
+    let state = *shared.announced_state.lock().unwrap();
+    let (sequence, body) = announcement(shared, state);
     let path = format!("/v1/workers/{}", shared.name);
     // A control instance that is down or frozen is skipped, as upstreams of the platform do.
     let mut control_addresses = shared.control_addresses.clone();
     let first = (sequence % control_addresses.len() as u64) as usize;
     control_addresses.rotate_left(first);
     control_addresses.into_iter().any(|control| {
-        let answer = send_request_with_timeout(control, "PUT", &path, &[], &body.to_string(), 1);
+        let answer = send_request_with_timeout(control, "PUT", &path, &[], &body, 1);
         answer.is_ok_and(|answer| answer.status == 200)
     })
 }
