Limit the answers that wait for all callers together

Callers would see: upstreams send answers without end, many callers read nothing or speak HTTP/1.0, and the entry instance runs out of memory; the requests of all its other callers end with it.

Cause: limits.unread allows 256 KiB of waiting output for each caller, also for answers that are collected, and nothing limited all of them together. An output buffer also kept its memory for the next answer.

Change: limits.unread_total, 32 MiB. Above it an incomplete answer of which more than 16 KiB wait is cut, and a collected one is refused with 502. An empty buffer of more than 64 KiB is released.

Why it works: each connection reserves its waiting output from one budget, so that their sum is at most the budget and 16 KiB for each connection.

--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -1,4 +1,5 @@
-//! Limit on the bytes of incomplete requests that all connections together may buffer.
+//! Limits on the bytes that all connections together may buffer: of incomplete requests, and of
+//! answers that callers have not read.
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/entry/src/collector.rs
+++ b/crates/entry/src/collector.rs
@@ -26,6 +26,11 @@
         Self { limit, started: None, body: Vec::new() }
     }
 
+    /// Returns the number of bytes that are held.
+    pub(crate) fn collected_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// Takes the next reply.
     pub(crate) fn take(&mut self, reply: Reply) -> Collection {
         match (reply, self.started.take()) {
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -29,6 +29,21 @@
 /// Time that a new connection has for its first request after the server started to drain.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Size of unsent output, in bytes, that a connection may have although the output of all
+/// connections together has reached its limit. Callers that read their answers have less.
+const MIN_OUTPUT_BYTES: usize = 16 << 10;
+
+/// Size, in bytes, up to which an empty output buffer keeps its memory for the next answer.
+const KEPT_OUTPUT_BYTES: usize = 64 << 10;
+
+/// Parts of the budgets that a connection has reserved.
+pub(crate) struct Reservations {
+    /// Bytes of the request that is being received.
+    pub(crate) input: Reservation,
+    /// Bytes of the answer that the caller has not read.
+    pub(crate) output: Reservation,
+}
+
 /// State of the connection.
 enum Phase {
     /// Waiting for a request or receiving one.
@@ -58,7 +73,7 @@
     is_new: bool,
     bounds: Rc<Cell<Bounds>>,
     form: Rc<dyn Form>,
-    reservation: Reservation,
+    reservations: Reservations,
     handler: Fwd<Event>,
     timer: FixedTimerKey,
 }
@@ -69,7 +84,7 @@
         stream: TcpStream,
         bounds: Rc<Cell<Bounds>>,
         form: Rc<dyn Form>,
-        reservation: Reservation,
+        reservations: Reservations,
         handler: Fwd<Event>,
     ) -> Option<Self> {
         let ready = fwd_to!([cx], ready() as (Ready));
@@ -97,7 +112,7 @@
             is_new: true,
             bounds,
             form,
-            reservation,
+            reservations,
             handler,
             timer,
         })
@@ -190,9 +205,9 @@
                     let bytes = &self.stream.inp[self.stream.rd..self.stream.wr];
                     self.received.extend_from_slice(bytes);
                     self.stream.rd = self.stream.wr;
-                    if self.reservation.resize(self.received.len()) {
+                    if self.reservations.input.resize(self.received.len()) {
                         self.receive(cx);
-                        self.reservation.resize(self.received.len());
+                        self.reservations.input.resize(self.received.len());
                     } else if matches!(self.phase, Phase::Answering { .. }) {
                         self.drop_next_request();
                     } else {
@@ -212,7 +227,7 @@
     /// progress, so that the caller knows that the next request was not read.
     fn drop_next_request(&mut self) {
         self.received.clear();
-        self.reservation.resize(0);
+        self.reservations.input.resize(0);
         self.is_draining = true;
     }
 
@@ -313,7 +328,11 @@
         };
         match collection {
             Collection::Send(reply) => self.send(cx, id, reply),
-            Collection::Wait => {}
+            Collection::Wait if self.reserve_collected() => {}
+            Collection::Wait => {
+                self.handler.fwd(Event::Left { request: id });
+                self.refuse(cx, too_many_unread());
+            }
             Collection::TooLarge => {
                 self.handler.fwd(Event::Left { request: id });
                 self.refuse(cx, too_large_to_collect());
@@ -321,6 +340,19 @@
         }
     }
 
+    /// Reserves the bytes of an answer that is being collected. Returns false if the answers of all
+    /// connections together exceed the limit.
+    fn reserve_collected(&mut self) -> bool {
+        let Phase::Answering { collector: Some(collector), .. } = &self.phase else {
+            return true;
+        };
+        self.reserve_output(collector.collected_bytes())
+    }
+
+    fn reserve_output(&mut self, bytes: usize) -> bool {
+        self.reservations.output.resize(bytes) || bytes <= MIN_OUTPUT_BYTES
+    }
+
     /// Writes part of the answer in progress, which is that to the request `id`.
     fn send(&mut self, cx: CX![], id: names::Request, reply: Reply) {
         let Phase::Answering { keeps_alive, framing, .. } = &mut self.phase else {
@@ -390,7 +422,10 @@
         if finished {
             self.finish(cx);
         }
-        self.flush(cx);
+        let is_open = self.flush(cx);
+        if is_open && !finished && !self.reserve_output(self.stream.out.len()) {
+            self.abort(cx, "unread-total");
+        }
     }
 
     /// Closes the connection without the end of the answer, so that the caller can tell that the
@@ -446,13 +481,20 @@
         self.disconnect(cx);
     }
 
-    fn flush(&mut self, cx: CX![]) {
+    /// Sends the buffered output. Returns false if the connection has failed.
+    fn flush(&mut self, cx: CX![]) -> bool {
         let length_before = self.stream.out.len();
         if self.stream.flush().is_err() {
             self.disconnect(cx);
-            return;
+            return false;
         }
         let length_after = self.stream.out.len();
+        if length_after < length_before {
+            self.reservations.output.resize(length_after);
+        }
+        if length_after == 0 && self.stream.out.capacity() > KEPT_OUTPUT_BYTES {
+            self.stream.out = Vec::new();
+        }
         if length_after > 0 && length_after < length_before {
             let deadline = cx.now() + self.bounds.get().unread;
             self.set_deadline(cx, deadline);
@@ -460,6 +502,7 @@
         if length_after == 0 && matches!(self.phase, Phase::Closing) {
             stop!(cx);
         }
+        true
     }
 }
 
@@ -469,6 +512,13 @@
     Problem::not_run(Status::UNAVAILABLE, "crowded", message).with_retry_after(OVERLOAD_RETRY_AFTER)
 }
 
+/// Refusal of an answer that cannot be collected because other callers do not read theirs.
+fn too_many_unread() -> Problem {
+    let message = "too many answers wait for their callers to read them; use HTTP/1.1";
+    let problem = Problem::not_run(Status::BAD_GATEWAY, "too_many_unread", message);
+    Problem { verdict: Verdict::MayHaveRun, ..problem }
+}
+
 /// Refusal of an answer that is too large to be collected.
 fn too_large_to_collect() -> Problem {
     let message = "the answer is too large for a caller that reads no chunks; use HTTP/1.1";
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,7 +11,7 @@
 use stakker_mio::{MioPoll, MioSource, Ready};
 
 use crate::budget::Budget;
-use crate::connection::Connection;
+use crate::connection::{Connection, Reservations};
 use crate::{Event, Form};
 
 /// Priority of callers' sockets in the event loop.
@@ -28,6 +28,9 @@
     pub incoming_bytes: usize,
     /// Maximum size of the unsent output of a streamed answer, in bytes.
     pub unread_bytes: usize,
+    /// Maximum size of the unsent output of the streamed answers of all connections together, in
+    /// bytes.
+    pub unread_total_bytes: usize,
     /// Maximum number of open connections.
     pub connections: usize,
     /// Time within which a request must arrive completely.
@@ -47,6 +50,7 @@
     form: Rc<dyn Form>,
     is_winding_down: bool,
     budget: Budget,
+    output_budget: Budget,
     handler: Fwd<Event>,
     /// Called when the last connection has closed; set once the server drains.
     drained: Option<Fwd<()>>,
@@ -74,6 +78,7 @@
                 form,
                 is_winding_down: false,
                 budget: Budget::new(bounds.incoming_bytes),
+                output_budget: Budget::new(bounds.unread_total_bytes),
                 handler,
                 drained: None,
             }),
@@ -134,12 +139,15 @@
                 Ok((stream, _)) if self.open_connections < self.bounds.get().connections => {
                     self.open_connections += 1;
                     let (bounds, form) = (self.bounds.clone(), self.form.clone());
-                    let reservation = self.budget.reservation();
+                    let reservations = Reservations {
+                        input: self.budget.reservation(),
+                        output: self.output_budget.reservation(),
+                    };
                     let handler = self.handler.clone();
                     let connection = actor_in_slab!(
                         self.connections,
                         cx,
-                        Connection::init(stream, bounds, form, reservation, handler),
+                        Connection::init(stream, bounds, form, reservations, handler),
                         ret_some_to!([cx], connection_closed() as (StopCause))
                     );
                     if self.is_winding_down {
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -101,6 +101,7 @@
         body_bytes: settings.limits.body.as_bytes(),
         incoming_bytes: settings.limits.incoming.as_bytes(),
         unread_bytes: settings.limits.unread.as_bytes(),
+        unread_total_bytes: settings.limits.unread_total.as_bytes(),
         connections: settings.limits.connections,
         receive: settings.timing.receive.as_duration(),
         idle: settings.timing.idle.as_duration(),
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -83,6 +83,8 @@
     pub incoming: Size,
     /// Maximum size of the unsent output that is buffered for a caller that reads slowly.
     pub unread: Size,
+    /// Maximum size of the unsent output that is buffered for all callers together.
+    pub unread_total: Size,
     /// Maximum number of open connections of callers.
     pub connections: usize,
     /// Maximum number of concurrent calls to upstreams.
@@ -98,6 +100,7 @@
             body: Size::from_kibibytes(4096),
             incoming: Size::from_kibibytes(32 * 1024),
             unread: Size::from_kibibytes(256),
+            unread_total: Size::from_kibibytes(32 * 1024),
             connections: 4096,
             calls: 512,
             log: Size::from_kibibytes(1024),
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -16,6 +16,7 @@
     body_bytes: 16 << 20,
     incoming_bytes: 256 << 20,
     unread_bytes: 1 << 20,
+    unread_total_bytes: 256 << 20,
     connections: 8192,
     receive: Duration::from_secs(30),
     idle: Duration::from_secs(300),
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -29,6 +29,9 @@
 /// Time for which an upstream pauses that is sound and goes on.
 const PAUSE: Duration = Duration::from_millis(1500);
 
+/// Interval between bytes of an endless answer after its beginning.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Interval between bytes of an upstream whose stream has stalled.
 const STALL_BYTE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -49,6 +52,9 @@
     /// Sends the first text and then repeats the second text until the client closes the
     /// connection.
     Endless(&'static str, &'static str),
+    /// Sends the text and then as many bytes, and after that a byte now and then until the client
+    /// closes the connection.
+    Trickle(&'static str, usize),
     /// Sends the first text, or the second text if the request resumes a stream, and closes the
     /// connection.
     Raw(&'static str, &'static str),
@@ -415,6 +421,7 @@
     }
     match behaviour {
         Behaviour::Endless(prefix, unit) => send_endless(writer, &id, prefix, unit),
+        Behaviour::Trickle(prefix, bytes) => send_trickle(writer, &id, prefix, bytes),
         Behaviour::Raw(first, resumed) => {
             let is_resumed = request.headers.contains_key("last-event-id");
             let text = if is_resumed { resumed } else { first };
@@ -547,6 +554,22 @@
     }
 }
 
+/// Sends `prefix`, with `ID` replaced by the id of the request, `bytes` bytes, and then one byte at
+/// a time without end.
+fn send_trickle(
+    writer: &mut TcpStream,
+    request_id: &str,
+    prefix: &str,
+    bytes: usize,
+) -> std::io::Result<()> {
+    writer.write_all(prefix.replace("ID", request_id).as_bytes())?;
+    writer.write_all(&vec![b'x'; bytes])?;
+    loop {
+        std::thread::sleep(TRICKLE_INTERVAL);
+        writer.write_all(b"x")?;
+    }
+}
+
 /// Sends an endless comment line of the event stream, one byte at a time.
 fn send_endless_comment(writer: &mut TcpStream) -> std::io::Result<()> {
     loop {
