Limit the answers that the product's own interface collects for all callers

Callers would see: an upstream sends plain answers without end, the instance collects up to limits.body of each for up to limits.calls calls, runs out of memory, and the requests of its other callers end with it.

Cause: limits.body is the only bound on a collected answer; nothing limited all of them together.

Change: limits.collected, 64 MiB, limits the collected answers of all requests. An attempt whose answer exceeds what is left fails like one that is too large.

--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -96,8 +96,8 @@
         }
         self.record_sound(now, index, false);
         self.end_search(cx, index);
+        let limit = self.collection_limit(index);
         let active = &mut self.active[index];
-        let limit = self.settings.limits.body.as_bytes();
         match active.response.process(event.progress, limit) {
             ResponseStep::Nothing => {}
             ResponseStep::Replies(replies) => {
@@ -117,6 +117,15 @@
         }
     }
 
+    /// Returns how many bytes of the response of a request may be collected. The responses of all
+    /// requests together have a limit as well.
+    fn collection_limit(&self, index: usize) -> usize {
+        let limits = &self.settings.limits;
+        let others = self.active.iter().enumerate().filter(|(other, _)| *other != index);
+        let collected: usize = others.map(|(_, active)| active.response.collected_bytes()).sum();
+        limits.body.as_bytes().min(limits.collected.as_bytes().saturating_sub(collected))
+    }
+
     /// Records the outcome of an attempt in the health of its upstream.
     pub(super) fn record_outcome(&mut self, cx: CX![], index: usize, is_success: bool) {
         let active = &self.active[index];
--- a/crates/instance/src/router/response.rs
+++ b/crates/instance/src/router/response.rs
@@ -100,6 +100,14 @@
         self.adapter.can_resume() && (self.is_resumed || can_return)
     }
 
+    /// Returns the number of bytes that are held until the response is complete.
+    pub(super) fn collected_bytes(&self) -> usize {
+        match &self.phase {
+            Phase::Collecting { body, .. } => body.len(),
+            Phase::Waiting | Phase::Streaming => 0,
+        }
+    }
+
     /// Processes the next progress of the attempt. A body that is not streamed may have at most
     /// `limit` bytes.
     pub(super) fn process(&mut self, progress: Progress, limit: usize) -> ResponseStep {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -85,6 +85,9 @@
     pub unread: Size,
     /// Maximum size of the unsent output that is buffered for all callers together.
     pub unread_total: Size,
+    /// Maximum size of the responses of upstreams that are collected before they are sent, for all
+    /// callers together.
+    pub collected: Size,
     /// Maximum number of open connections of callers.
     pub connections: usize,
     /// Maximum number of concurrent calls to upstreams.
@@ -101,6 +104,7 @@
             incoming: Size::from_kibibytes(32 * 1024),
             unread: Size::from_kibibytes(256),
             unread_total: Size::from_kibibytes(32 * 1024),
+            collected: Size::from_kibibytes(64 * 1024),
             connections: 4096,
             calls: 512,
             log: Size::from_kibibytes(1024),
