Log when the leave of an upstream is durable

The line has the time since the leave arrived and the number of writes so far, so that the cost of durable leaves can be measured on a fleet.

--- a/crates/relay/src/feed/leaves.rs
+++ b/crates/relay/src/feed/leaves.rs
@@ -7,6 +7,7 @@
 use roster::durability::{Holder, Leave, Requirement, Step, Ticket, WriteResult};
 use roster::{MergeResult, Status};
 use stakker::{CX, Fwd, after, at};
+use telemetry::Event;
 use wire::Transport;
 
 use super::Feed;
@@ -174,6 +175,12 @@
             }
             let time = cx.now().saturating_duration_since(waiting.arrived_at);
             self.metrics.relay.leave_durable.observe(time.as_secs_f64());
+            Event::LeaveDurable {
+                upstream: leave.upstream().to_string(),
+                after_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+                writes: self.writer.writes(),
+            }
+            .write();
             waiting.acknowledgement.accept();
         }
     }
--- a/crates/roster/src/durability.rs
+++ b/crates/roster/src/durability.rs
@@ -48,6 +48,7 @@
     stored: Revision,
     running: Option<Revision>,
     retry_at: Option<Instant>,
+    writes: u64,
 }
 
 impl Writer {
@@ -66,6 +67,11 @@
         self.stored
     }
 
+    /// Returns the number of writes that have begun.
+    pub fn writes(&self) -> u64 {
+        self.writes
+    }
+
     /// Returns what to do at `now`. A write that is returned counts as running until
     /// [`finish`](Self::finish) is called.
     pub fn next_step(&mut self, now: Instant) -> Step {
@@ -76,6 +82,7 @@
             return Step::Retry(at);
         }
         self.running = Some(self.newest);
+        self.writes += 1;
         Step::Write(self.newest)
     }
 
@@ -145,6 +152,16 @@
     },
 }
 
+impl Leave {
+    /// Returns the name of the upstream that leaves.
+    pub fn upstream(&self) -> &Upstream {
+        match self {
+            Self::Record(record) => &record.announcement.upstream,
+            Self::Unknown { upstream, .. } => upstream,
+        }
+    }
+}
+
 /// Identifies a round among those of one process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Ticket(pub u64);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -37,6 +37,15 @@
         /// Incarnation of the instance.
         run: String,
     },
+    /// A leave of an upstream is durable and acknowledged.
+    LeaveDurable {
+        /// Name of the upstream.
+        upstream: String,
+        /// Time since the leave arrived.
+        after_ms: u64,
+        /// Number of writes of leaves since the start of the instance.
+        writes: u64,
+    },
     /// A graceful shutdown has started.
     Stopping {
         /// Whether the instance has the entry role, so that callers have to move to other instances
