--- a/crates/relay/src/feed/leaves.rs
+++ b/crates/relay/src/feed/leaves.rs
@@ -11,6 +11,7 @@
 use wire::Transport;
 
 use super::Feed;
+use super::announcements::log_upstream;
 use super::message::Message;
 
 /// Time in which a leave has to be durable. The upstream tries another instance after a second.
@@ -39,7 +40,7 @@
 }
 
 /// An acknowledgement that waits for copies on disk.
-pub(super) struct WaitingAcknowledgement {
+pub(super) struct Waiting {
     acknowledgement: Acknowledgement,
     arrived_at: Instant,
 }
@@ -67,7 +68,7 @@
         };
         let arrived_at = cx.now();
         let (revision, expires_at) = (self.writer.newest(), arrived_at + DURABILITY_TIMEOUT);
-        let waiting = WaitingAcknowledgement { acknowledgement, arrived_at };
+        let waiting = Waiting { acknowledgement, arrived_at };
         let ticket = self.rounds.begin(leave.clone(), revision, expires_at, waiting);
         for control in self.other_controls() {
             self.send(control, Transport::Tcp, &Message::StoreLeave(ticket, leave.clone()));
@@ -94,23 +95,24 @@
     }
 
     fn continue_writing(&mut self, cx: CX![]) {
-        match (self.writer.next_step(cx.now()), &self.disk_cache) {
-            (Step::Write(_), Some(disk_cache)) => disk_cache.write_leaves(self.roster.leaves()),
-            // Without a data folder, memory is the only place for a copy.
-            (Step::Write(_), None) if !self.has_data_folder => {
-                self.finish_write(cx, WriteResult::Stored);
-            }
-            (Step::Retry(until), _) => {
+        match self.writer.next_step(cx.now()) {
+            Step::Write(_) => self.begin_write(cx),
+            Step::Retry(until) => {
                 cx.timer_del(self.write_timer);
-                self.write_timer = at!(until, [cx], retry_write());
+                self.write_timer = at!(until, [cx], continue_writing());
             }
-            // A data folder that cannot be used never holds a copy.
-            (Step::Write(_), None) | (Step::Wait, _) => {}
+            Step::Wait => {}
         }
     }
 
-    fn retry_write(&mut self, cx: CX![]) {
-        self.continue_writing(cx);
+    fn begin_write(&mut self, cx: CX![]) {
+        match &self.disk_cache {
+            Some(disk_cache) => disk_cache.write_leaves(self.roster.leaves()),
+            // The write never ends, because a data folder that cannot be used holds no copy.
+            None if self.has_data_folder => {}
+            // Without a data folder, memory is the only place for a copy.
+            None => self.finish_write(cx, WriteResult::Stored),
+        }
     }
 
     /// Handles the end of a write of leaves.
@@ -135,6 +137,9 @@
             Leave::Record(record) => self.receive_records(cx, &sender, vec![record]),
             Leave::Unknown { upstream, born } => self.apply_leave(cx, &upstream, born),
         }
+        if !self.is_control {
+            return;
+        }
         let expires_at = now + DURABILITY_TIMEOUT;
         self.pledges.add(sender, ticket, self.writer.newest(), expires_at);
         self.confirm_stored(now);
@@ -145,7 +150,7 @@
         if self.roster.withdraw(cx.now(), upstream, born) == MergeResult::Changed
             && let Some(record) = self.roster.get(upstream).cloned()
         {
-            super::announcements::log_upstream(&record.announcement, "itself");
+            log_upstream(&record.announcement, "itself");
             self.publish(cx, vec![record], true);
         }
     }
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -27,7 +27,7 @@
 use eventloop::mailbox;
 use instance::View;
 pub(crate) use leaves::Acknowledgement;
-use leaves::WaitingAcknowledgement;
+use leaves::Waiting;
 use message::Message;
 
 /// Interval at which an instance sends its state to the instances that it follows. Updates are
@@ -111,11 +111,15 @@
     /// Whether the settings name a data folder, which may not be usable.
     has_data_folder: bool,
     losses_borne: usize,
+    /// Number of control instances that the settings name.
     seed_count: usize,
     /// Live control instances, including this one if it is one.
     live_controls: Vec<Holder>,
+    /// Writes of leaves to the disk of this instance.
     writer: Writer,
-    rounds: Rounds<WaitingAcknowledgement>,
+    /// Acknowledgements that wait until leaves are durable.
+    rounds: Rounds<Waiting>,
+    /// Confirmations that other control instances wait for.
     pledges: Pledges,
     is_resend_scheduled: bool,
     write_timer: FixedTimerKey,
--- a/crates/roster/src/durability.rs
+++ b/crates/roster/src/durability.rs
@@ -5,7 +5,6 @@
 //! acknowledgements may be sent, and [`Pledges`] which other instances have to be told that a write
 //! has ended. All of them perform no I/O.
 
-use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use names::{DataCentre, Instance, Upstream};
@@ -135,7 +134,11 @@
 }
 
 fn count_data_centres(holders: &[Holder]) -> usize {
-    holders.iter().map(|holder| &holder.data_centre).collect::<BTreeSet<_>>().len()
+    let mut data_centres: Vec<&DataCentre> =
+        holders.iter().map(|holder| &holder.data_centre).collect();
+    data_centres.sort();
+    data_centres.dedup();
+    data_centres.len()
 }
 
 /// A leave in a message between control instances.
@@ -166,7 +169,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Ticket(pub u64);
 
-/// The collection of copies of one leave, for one acknowledgement.
+/// Collects the copies of one leave for one acknowledgement.
 #[derive(Debug, Clone)]
 struct Round<T> {
     ticket: Ticket,
@@ -245,7 +248,7 @@
         self.rounds.iter().filter(is_missing).map(|round| (round.ticket, &round.leave))
     }
 
-    /// Returns whether no acknowledgement waits.
+    /// Returns whether no acknowledgement is waiting.
     pub fn is_empty(&self) -> bool {
         self.rounds.is_empty()
     }
