Quarantine a request that crashes upstreams by its last part as well

Cause: one request was sent again and again, with the same last part. The quarantine looked at all parts but the last. Sound requests share the others and cleared them between two crashes, so that no part had three crashes without a sound answer.

Change: the last part, or the last message of a conversation, is a suspect as well, and the first that is looked at. Only requests with the same last part are refused, and their sound answers clear it.

The stand-in of the own interface got the fault crash-last.

--- a/crates/instance/src/router/route.rs
+++ b/crates/instance/src/router/route.rs
@@ -36,7 +36,7 @@
     pub(crate) deadline: Instant,
     pub(crate) target: Target,
     pub(crate) placement_key: u64,
-    /// Parts of the prompt that other prompts may share: all messages but the last.
+    /// Parts of the prompt that may crash an upstream: all messages, the last one first.
     pub(crate) parts: Vec<Part>,
     pub(crate) streams: bool,
     /// Estimated number of prompt tokens that earlier requests of the conversation had; 0 for a new
@@ -174,7 +174,7 @@
         deadline: request_deadline(&request, kind, now)?,
         target: service.target.clone(),
         placement_key,
-        parts: shared_parts(&chat.messages),
+        parts: crash_parts(&chat.messages),
         streams: chat.stream,
         context_tokens: context_tokens(&chat.messages, request.body.len()),
         answer_tokens: chat.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
@@ -196,12 +196,13 @@
     xxh3_64(first_messages.collect::<String>().as_bytes())
 }
 
-/// Returns the parts of a prompt that may crash an upstream: a hash of each message but the last,
-/// which is specific to the request.
-fn shared_parts(messages: &[serde_json::Value]) -> Vec<Part> {
-    let shared = messages.split_last().map_or(&[][..], |(_, shared)| shared);
+/// Returns the parts of a prompt that may crash an upstream: a hash of each message, the last one
+/// first, because only a limited number of parts is looked at.
+fn crash_parts(messages: &[serde_json::Value]) -> Vec<Part> {
+    let (last, shared) =
+        messages.split_last().map_or((None, &[][..]), |(last, rest)| (Some(last), rest));
     let part = |message: &serde_json::Value| Part(xxh3_64(message.to_string().as_bytes()));
-    shared.iter().take(MAX_PROMPT_PARTS).map(part).collect()
+    last.into_iter().chain(shared).take(MAX_PROMPT_PARTS).map(part).collect()
 }
 
 /// Returns the estimated number of tokens in all but the last of `messages`, which have `bytes`
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -9,7 +9,7 @@
 use telemetry::Event;
 
 use super::active_request::ActiveRequest;
-use super::quarantine::shared_parts;
+use super::quarantine::crash_parts;
 use super::upstream_selection::max_queue_time;
 use super::{Forwarder, millis, problems};
 use crate::interface::RequestMetadata;
@@ -29,7 +29,7 @@
                 self.requests.insert(index, active);
                 self.requests[index].timer = at!(deadline, [cx], expire(id));
                 if self.requests[index].is_trial {
-                    let parts = shared_parts(self.requests[index].metadata.prompt.as_ref());
+                    let parts = crash_parts(self.requests[index].metadata.prompt.as_ref());
                     self.quarantine.record_trial(cx.now(), &parts);
                 }
                 self.place(cx, id);
@@ -90,7 +90,7 @@
         if self.shutdown.is_some_and(|shutdown| !shutdown.accepts(now, deadline)) {
             return Err(problems::stopping());
         }
-        let is_trial = self.admit_parts(now, &shared_parts(metadata.prompt.as_ref()))?;
+        let is_trial = self.admit_parts(now, &crash_parts(metadata.prompt.as_ref()))?;
         let queue_until = now + max_queue_time(route.objective);
         let stream_tracker = (route.repeat == Repeat::Resumed)
             .then(|| StreamTracker::new(metadata.last_event_id.clone()));
--- a/crates/relay/src/forwarder/quarantine.rs
+++ b/crates/relay/src/forwarder/quarantine.rs
@@ -16,12 +16,14 @@
 /// Time that a check whether an upstream listens may take.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Returns the parts of a prompt that may crash an upstream. The last part is specific to the
-/// request or its session, and is none of them.
-pub(super) fn shared_parts(prompt: Option<&Prompt>) -> Vec<Part> {
+/// Returns the parts of a prompt that may crash an upstream. The last part comes first, because
+/// only a limited number of parts is looked at: a request that is sent again and again crashes
+/// upstreams although sound requests share all of its other parts.
+pub(super) fn crash_parts(prompt: Option<&Prompt>) -> Vec<Part> {
     let parts = prompt.map_or(&[][..], |prompt| prompt.parts.as_slice());
-    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    shared.iter().map(|part| Part(part.id)).collect()
+    let (last, shared) =
+        parts.split_last().map_or((None, &[][..]), |(last, rest)| (Some(last), rest));
+    last.into_iter().chain(shared).map(|part| Part(part.id)).collect()
 }
 
 impl Forwarder {
@@ -43,7 +45,7 @@
         let Ok(index) = self.find(id) else {
             return false;
         };
-        let parts = shared_parts(self.requests[index].metadata.prompt.as_ref());
+        let parts = crash_parts(self.requests[index].metadata.prompt.as_ref());
         self.quarantine.check(now, &parts) != Admission::Accept
     }
 
@@ -52,7 +54,7 @@
     pub(super) fn may_send_parts(&self, now: Instant, index: usize) -> bool {
         let active = &self.requests[index];
         let is_trial = active.is_trial && active.tried.is_empty();
-        let parts = shared_parts(active.metadata.prompt.as_ref());
+        let parts = crash_parts(active.metadata.prompt.as_ref());
         is_trial || self.quarantine.check(now, &parts) == Admission::Accept
     }
 
@@ -63,7 +65,7 @@
         let Some(active) = self.active(id).filter(|active| active.running.is_none()) else {
             return;
         };
-        let parts = shared_parts(active.metadata.prompt.as_ref());
+        let parts = crash_parts(active.metadata.prompt.as_ref());
         let (is_started, has_run) = (active.is_started, active.runs > 0);
         match (is_started, has_run, self.quarantine.check(now, &parts)) {
             (true, _, _) => self.abort_response(now, id, "quarantined"),
@@ -92,7 +94,7 @@
         let run = Run { upstream: short_hash(&upstream), born: running.born };
         let has_begun_well = running.parts >= MIN_SOUND_PIECES;
         active.broken_beginnings += usize::from(!has_begun_well);
-        let parts = shared_parts(active.metadata.prompt.as_ref());
+        let parts = crash_parts(active.metadata.prompt.as_ref());
         if parts.is_empty() {
             return;
         }
@@ -134,7 +136,7 @@
             return;
         }
         running.is_sound = true;
-        let parts = shared_parts(active.metadata.prompt.as_ref());
+        let parts = crash_parts(active.metadata.prompt.as_ref());
         self.quarantine.record_sound(now, &parts);
     }
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -44,14 +44,18 @@
     /// The engine ends as it begins an answer, if one of the messages before the last one is among
     /// this share of all messages, in thousandths. It returns after two seconds.
     Crash(u32),
+    /// As `Crash`, for the last message.
+    CrashLast(u32),
 }
 
 impl Fault {
     /// Returns whether an engine with this fault ends when it begins an answer to a request with the
-    /// message `text` before its last one.
+    /// message `text`, in the place that the fault is about.
     pub fn is_crash(self, text: &str) -> bool {
         match self {
-            Self::Crash(permille) => xxh3_64(text.as_bytes()) % 1000 < u64::from(permille),
+            Self::Crash(permille) | Self::CrashLast(permille) => {
+                xxh3_64(text.as_bytes()) % 1000 < u64::from(permille)
+            }
             _ => false,
         }
     }
@@ -75,7 +79,7 @@
 #[error(
     "fault \"{0}\" is not none, error, refuse, hang, cut:WORDS, crossed, export-hang, export-cut, \
          export-crossed, slow:FACTOR, pause:MILLIS, restart, unframed, unframed-cut:BYTES, \
-         limit:THOUSANDTHS or crash:PERMILLE"
+         limit:THOUSANDTHS, crash:PERMILLE or crash-last:PERMILLE"
 )]
 pub struct UnknownFault(String);
 
@@ -104,6 +108,7 @@
             "unframed-cut" => Ok(Self::UnframedCut(number as usize)),
             "limit" => Ok(Self::Limit(number)),
             "crash" => Ok(Self::Crash(number)),
+            "crash-last" => Ok(Self::CrashLast(number)),
             "pause" => Ok(Self::Pause(number)),
             _ => Err(unknown()),
         }
--- a/crates/standin/src/job.rs
+++ b/crates/standin/src/job.rs
@@ -47,7 +47,12 @@
 impl Job {
     /// Returns whether the engine crashes as it begins the answer.
     pub(crate) fn crashes(&self) -> bool {
-        let messages = self.prompt.messages.split_last().map_or(&[][..], |(_, shared)| shared);
+        let messages = &self.prompt.messages;
+        let shared_count = messages.len().saturating_sub(1);
+        let messages = match self.fault {
+            Fault::CrashLast(_) => &messages[shared_count..],
+            _ => &messages[..shared_count],
+        };
         self.produced_words == 0
             && messages.iter().any(|message| self.fault.is_crash(&message.content))
     }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -254,7 +254,7 @@
         /// Whether a process listens at its address: `accepts`, `refuses` or `unknown`. The
         /// upstream has ended if its address refuses connections.
         listening: String,
-        /// Parts of the prompts of the requests, without the last part of each.
+        /// Parts of the prompts of the requests.
         parts: String,
     },
     /// A part of prompts is quarantined, or is not any more.
--- a/tests/crashing_messages.rs
+++ b/tests/crashing_messages.rs
@@ -12,13 +12,19 @@
 use serde_json::{Value, json};
 use standin::Fault;
 use support::{Fleet, get, post, wait_for};
+use test_case::test_case;
 
 const CHAT: &str = "/v1/chat/completions";
 
 const ENGINES: usize = 6;
 
-/// Fault of engines that crash on one message in fifty.
-const FAULT: &str = "crash:20";
+/// Fault of engines that crash on one message in fifty before the last one, or on one last message
+/// in fifty.
+const SHARED_FAULT: &str = "crash:20";
+const LAST_FAULT: &str = "crash-last:20";
+
+/// Message before the last one that all conversations share.
+const SHARED_MESSAGE: &str = "the flight log";
 
 /// Number of crashes after which the fleet has to know the cause.
 const CRASHES: u64 = 5;
@@ -27,13 +33,23 @@
 const CONTACT: Duration = Duration::from_secs(3);
 const MAX_LATER_CRASHES: u64 = 3;
 
-/// Returns a message that crashes engines, or one that does not.
-fn message(is_crash: bool) -> String {
-    let fault: Fault = FAULT.parse().unwrap();
-    let mut texts = (0..).map(|number| format!("flight log {number}"));
+/// Returns a message that begins with `start` and crashes engines, or one that does not.
+fn message(start: &str, is_crash: bool) -> String {
+    let fault: Fault = SHARED_FAULT.parse().unwrap();
+    let mut texts = (0..).map(|number| format!("{start} {number}"));
     texts.find(|text| fault.is_crash(text) == is_crash).unwrap()
 }
 
+/// Returns the request `number` of `caller`, which crashes engines with `fault` if `is_bad` is set.
+fn request(fault: &str, is_bad: bool, caller: usize, number: usize) -> Value {
+    let question = format!("question {caller} {number}");
+    match (fault, is_bad) {
+        (LAST_FAULT, true) => conversation(SHARED_MESSAGE, &message("question", true)),
+        (LAST_FAULT, false) => conversation(SHARED_MESSAGE, &message(&question, false)),
+        _ => conversation(&message("flight log", is_bad), &question),
+    }
+}
+
 fn conversation(shared: &str, question: &str) -> Value {
     json!({
         "model": "caption-small",
@@ -80,14 +96,15 @@
 }
 
 /// Guards against a request that is sent to one engine after the other while each of them crashes.
-#[test]
-fn a_message_that_crashes_engines_is_not_sent_to_further_ones() {
+#[test_case(SHARED_FAULT; "before the last message")]
+#[test_case(LAST_FAULT; "last message")]
+fn a_message_that_crashes_engines_is_not_sent_to_further_ones(fault: &'static str) {
     let mut fleet = Fleet::start(&["giza", "giza", "giza"]);
     let flags = ["--model", "caption-small"];
     let start = |number| fleet.add_upstream(&format!("engine-{number}"), "giza", &flags);
     let engines: Vec<SocketAddr> = (1..=ENGINES).map(start).collect();
     for engine in &engines {
-        ureq::post(format!("http://{engine}/fault")).send(FAULT).unwrap();
+        ureq::post(format!("http://{engine}/fault")).send(fault).unwrap();
     }
     let callers: Vec<SocketAddr> =
         fleet.instances.iter().map(|instance| instance.addresses.callers).collect();
@@ -103,7 +120,7 @@
                     return;
                 }
                 let is_bad = caller == 0;
-                let body = conversation(&message(is_bad), &format!("question {caller} {number}"));
+                let body = request(fault, is_bad, caller, number);
                 let answer = post(callers[number % callers.len()], CHAT, &[], &body);
                 if is_bad {
                     std::thread::sleep(Duration::from_millis(100));
--- a/tests/platform_crashing_parts.rs
+++ b/tests/platform_crashing_parts.rs
@@ -306,6 +306,25 @@
     assert!(traffic.refused.load(Ordering::Relaxed) > 0, "no request was refused as not run");
 }
 
+/// Guards against a request that is sent again and again: it crashed each of its upstreams, because
+/// sound requests that shared all parts of its prompt but the last cleared these.
+#[test]
+fn a_request_that_crashes_upstreams_is_not_sent_to_further_ones() {
+    let machines = start_machines(|_| {});
+    let engines = Engines::start(&machines.seeds(), Behaviour::CrashOnLast("bad"));
+    wait_until_served(&machines);
+    let callers = callers(&machines);
+    let calm = measure_calm(&callers);
+    // Sound requests clear the shared part between two crashes.
+    let mut prompts = ["aa:100,LAST:10"; 6];
+    prompts[0] = "aa:100,bad0bad0:10";
+    let traffic = Traffic::start(&callers, &prompts);
+    let known = wait_for_aftermath(&engines);
+    assert_contained(&engines, BAD, None);
+    assert_sound_requests_are_served(&traffic, calm, known);
+    assert!(traffic.refused.load(Ordering::Relaxed) > 0, "no request was refused as not run");
+}
+
 #[test]
 fn a_part_that_crashes_upstreams_stays_known_when_an_entry_instance_restarts_between_crashes() {
     let mut machines = start_machines(|_| {});
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -75,6 +75,8 @@
     /// Ends the upstream as it begins the answer to a request with a part in its prompt that begins
     /// with this text, unless it is the last part.
     CrashOn(&'static str),
+    /// As `CrashOn`, if the last part of the prompt begins with this text.
+    CrashOnLast(&'static str),
 }
 
 /// A request that an upstream executed.
@@ -296,6 +298,12 @@
     parts.iter().rev().skip(1).any(|part| part.starts_with(beginning))
 }
 
+/// Returns whether the last part of the prompt of a request begins with `beginning`.
+fn has_last_part(request: &Request, beginning: &str) -> bool {
+    let prompt = request.headers.get("prompt-prefix").map_or("", String::as_str);
+    prompt.rsplit(',').next().is_some_and(|part| part.starts_with(beginning))
+}
+
 /// Returns the sequence number and the body of the next announcement.
 fn announcement(shared: &WorkerState, state: &str) -> (u64, String) {
     let sequence = shared.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -513,7 +521,12 @@
          content-type: text/event-stream\r\n{extra_headers}transfer-encoding: chunked\r\n\r\n",
         shared.name
     )?;
-    if matches!(behaviour, Behaviour::CrashOn(part) if has_part(request, part)) {
+    let is_crash = match behaviour {
+        Behaviour::CrashOn(part) => has_part(request, part),
+        Behaviour::CrashOnLast(part) => has_last_part(request, part),
+        _ => false,
+    };
+    if is_crash {
         end(shared);
         return Err(ErrorKind::ConnectionAborted.into());
     }
