--- a/tests/endless_collected.rs
+++ b/tests/endless_collected.rs
@@ -5,12 +5,12 @@
 
 mod support;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use support::worker::send_request_with_timeout;
+use support::worker::{read_attempt, send_request_with_timeout};
 use support::{API_KEY, Fleet, memory_kibibytes, post, wait_for};
 
 /// Number of concurrent calls.
@@ -27,30 +27,11 @@
 /// Path whose answers end.
 const SOUND_PATH: &str = "/sound";
 
-/// Reads a request and returns its path and its attempt id.
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<(String, String)> {
-    let (mut line, mut id, mut length) = (String::new(), String::new(), 0);
-    reader.read_line(&mut line).ok()?;
-    let path = line.split(' ').nth(1)?.to_string();
-    loop {
-        line.clear();
-        reader.read_line(&mut line).ok()?;
-        match line.trim_end().split_once(": ") {
-            Some(("x-attempt-id", value)) => id = value.to_string(),
-            Some(("content-length", value)) => length = value.parse().ok()?,
-            _ if line == "\r\n" => break,
-            _ => {}
-        }
-    }
-    reader.read_exact(&mut vec![0; length]).ok()?;
-    Some((path, id))
-}
-
 /// Answers requests without end, except those for [`SOUND_PATH`].
 fn serve(mut stream: TcpStream) -> Option<()> {
     let mut reader = BufReader::new(stream.try_clone().ok()?);
     loop {
-        let (path, id) = read_request(&mut reader)?;
+        let (path, id) = read_attempt(&mut reader)?;
         let head = format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\n");
         if path.ends_with(SOUND_PATH) {
             write!(stream, "{head}content-length: 2\r\n\r\n{{}}").ok()?;
--- a/tests/repeated_verdicts.rs
+++ b/tests/repeated_verdicts.rs
@@ -5,13 +5,13 @@
 
 mod support;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde_json::json;
-use support::worker::{HttpResponse, send_request};
+use support::worker::{HttpResponse, read_attempt, send_request};
 use support::{API_KEY, Fleet, post, wait_for};
 
 /// Time between the repeated refusal and the answer.
@@ -24,25 +24,6 @@
     runs: Vec<String>,
 }
 
-/// Reads a request and returns its path and its attempt id.
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<(String, String)> {
-    let (mut line, mut id, mut length) = (String::new(), String::new(), 0);
-    reader.read_line(&mut line).ok()?;
-    let path = line.split(' ').nth(1)?.to_string();
-    loop {
-        line.clear();
-        reader.read_line(&mut line).ok()?;
-        match line.trim_end().split_once(": ") {
-            Some(("x-attempt-id", value)) => id = value.to_string(),
-            Some(("content-length", value)) => length = value.parse().ok()?,
-            _ if line == "\r\n" => break,
-            _ => {}
-        }
-    }
-    reader.read_exact(&mut vec![0; length]).ok()?;
-    Some((path, id))
-}
-
 /// Refuses the first request of all. The next request on the same connection runs, and the refusal
 /// is sent once more before its answer. Other requests run and are answered.
 fn serve(record: &Mutex<Record>, mut stream: TcpStream) -> Option<()> {
@@ -55,7 +36,7 @@
         )
     };
     loop {
-        let (path, id) = read_request(&mut reader)?;
+        let (path, id) = read_attempt(&mut reader)?;
         let id_line = format!("x-attempt-id: {id}\r\n");
         if !std::mem::replace(&mut record.lock().unwrap().has_refused, true) {
             repeats_refusal = true;
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -22,6 +22,25 @@
     }
 }
 
+/// Reads a request of the product's own interface; returns its path and its attempt id.
+pub fn read_attempt(reader: &mut BufReader<TcpStream>) -> Option<(String, String)> {
+    let (mut line, mut id, mut length) = (String::new(), String::new(), 0);
+    reader.read_line(&mut line).ok()?;
+    let path = line.split(' ').nth(1)?.to_string();
+    loop {
+        line.clear();
+        reader.read_line(&mut line).ok()?;
+        match line.trim_end().split_once(": ") {
+            Some(("x-attempt-id", value)) => id = value.to_string(),
+            Some(("content-length", value)) => length = value.parse().ok()?,
+            _ if line == "\r\n" => break,
+            _ => {}
+        }
+    }
+    reader.read_exact(&mut vec![0; length]).ok()?;
+    Some((path, id))
+}
+
 /// Sends one request on a new connection, with timeouts of 20 s.
 pub fn send_request(
     address: SocketAddr,
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -11,7 +11,9 @@
 
 use super::bind_tcp_and_udp;
 use super::http::read_head;
-pub use super::http::{HttpResponse, read_response, send_request, send_request_with_timeout};
+pub use super::http::{
+    HttpResponse, read_attempt, read_response, send_request, send_request_with_timeout,
+};
 use super::script::{self, End, Script, ScriptedRequest, reset_on_close};
 
 /// Interval between announcements of an upstream.
