End the largest collected answer, not the next one, when their limit is used up

Callers saw: on the product's own interface, 21 endless answers that only trickle after 3 MiB, and every sound answer of 2 MiB on that instance is refused with 503 until the deadlines of the endless ones pass.

Cause: limits.collected failed the attempt that next needed room. Endless answers keep what they have, so these are the sound ones, and each such failure counted against the sound upstream as well.

Change: the attempt with the largest collected answer is ended, unless that is the one that needs the room. The limit applies to allocated memory, of which an ended attempt keeps nothing, and an answer grows by a quarter instead of twofold.

Why it works: an answer without end becomes the largest one.

Only instance::router changes, which entry instances of the platform do not run.

--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -16,6 +16,16 @@
 use crate::placer::Permit;
 use crate::problem;
 
+/// What makes room for a part of a collected response.
+enum Room {
+    /// The part fits.
+    Available,
+    /// The attempt of the request at this index has to end first.
+    Displacing(usize),
+    /// No response is larger than this one with the part.
+    Exhausted,
+}
+
 impl Router {
     /// Starts an attempt at the upstream of `permit`.
     pub(super) fn call_upstream(&mut self, cx: CX![], index: usize, permit: Permit) {
@@ -79,6 +89,10 @@
 
     /// Handles progress of a call. Progress of a canceled call is dropped.
     pub(super) fn on_progress(&mut self, cx: CX![], event: dispatch::CallEvent) {
+        let has_room = match &event.progress {
+            Progress::Body(part) => self.make_room(cx, event.attempt, part.len()),
+            _ => true,
+        };
         let Some(index) = self.find_attempt(event.attempt) else {
             self.metrics.count_refused("late_event");
             return;
@@ -96,9 +110,11 @@
         }
         self.record_sound(now, index, false);
         self.end_search(cx, index);
-        let limit = self.collection_limit(index);
-        let active = &mut self.active[index];
-        match active.response.process(event.progress, limit) {
+        if !has_room {
+            return self.displace(cx, index);
+        }
+        let limit = self.settings.limits.body.as_bytes();
+        match self.active[index].response.process(event.progress, limit) {
             ResponseStep::Nothing => {}
             ResponseStep::Replies(replies) => {
                 self.record_pace(cx, index);
@@ -117,13 +133,48 @@
         }
     }
 
-    /// Returns how many bytes of the response of a request may be collected. The responses of all
-    /// requests together have a limit as well.
-    fn collection_limit(&self, index: usize) -> usize {
-        let limits = &self.settings.limits;
-        let others = self.active.iter().enumerate().filter(|(other, _)| *other != index);
-        let collected: usize = others.map(|(_, active)| active.response.collected_bytes()).sum();
-        limits.body.as_bytes().min(limits.collected.as_bytes().saturating_sub(collected))
+    /// Ends attempts with larger collected responses until a part of the response of `attempt` fits
+    /// into the limit on those of all requests together. Returns whether it fits.
+    fn make_room(&mut self, cx: CX![], attempt: Attempt, part_bytes: usize) -> bool {
+        loop {
+            match self.find_room(attempt, part_bytes) {
+                Room::Available => return true,
+                Room::Displacing(index) => self.displace(cx, index),
+                Room::Exhausted => return false,
+            }
+        }
+    }
+
+    /// Determines what makes room for a part of the response of `attempt`. The largest collected
+    /// response is displaced: one without end becomes the largest, whereas most sound ones do not.
+    fn find_room(&self, attempt: Attempt, part_bytes: usize) -> Room {
+        let Some(index) = self.find_attempt(attempt) else {
+            return Room::Available;
+        };
+        let response = &self.active[index].response;
+        let growth = response.growth(part_bytes);
+        if growth == 0 {
+            return Room::Available;
+        }
+        let sizes = || self.active.iter().map(|active| active.response.collected_bytes());
+        if sizes().sum::<usize>() + growth <= self.settings.limits.collected.as_bytes() {
+            return Room::Available;
+        }
+        match sizes().enumerate().max_by_key(|(_, bytes)| *bytes) {
+            Some((largest, bytes)) if bytes > response.collected_bytes() + growth => {
+                Room::Displacing(largest)
+            }
+            _ => Room::Exhausted,
+        }
+    }
+
+    /// Ends the attempt of a request because the collected responses exceed their limit.
+    fn displace(&mut self, cx: CX![], index: usize) {
+        let bytes = self.active[index].response.collected_bytes();
+        let reason =
+            format!("the answer had no end after {bytes} bytes, and limits.collected is used up");
+        self.record_outcome(cx, index, false);
+        self.fail(cx, index, Verdict::MayHaveRun, &reason);
     }
 
     /// Records the outcome of an attempt in the health of its upstream.
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -346,6 +346,7 @@
     fn release(&mut self, index: usize) {
         match std::mem::replace(&mut self.active[index].phase, Phase::Placing) {
             Phase::Calling(running) => {
+                self.active[index].response.discard();
                 call!([self.client], cancel(running.attempt));
                 self.calls.retain(|call| call.0 != running.attempt);
                 call!([self.placer], release(running.permit));
--- a/crates/instance/src/router/response.rs
+++ b/crates/instance/src/router/response.rs
@@ -7,6 +7,9 @@
 /// Response headers of upstreams that are forwarded to callers.
 const FORWARDED_HEADERS: [&str; 4] = ["cache-control", "content-type", "etag", "location"];
 
+/// Part of its size by which a collected body grows, so that little of its memory is unused.
+const COLLECTED_GROWTH_DIVISOR: usize = 4;
+
 /// Action that follows a piece of the response.
 pub(super) enum ResponseStep {
     /// Wait for the next piece.
@@ -100,14 +103,29 @@
         self.adapter.can_resume() && (self.is_resumed || can_return)
     }
 
-    /// Returns the number of bytes that are held until the response is complete.
+    /// Drops what the ended attempt has left.
+    pub(super) fn discard(&mut self) {
+        self.phase = Phase::Waiting;
+    }
+
+    /// Returns the size of the memory that holds the response until it is complete.
     pub(super) fn collected_bytes(&self) -> usize {
         match &self.phase {
-            Phase::Collecting { body, .. } => body.len(),
+            Phase::Collecting { body, .. } => body.capacity(),
             Phase::Waiting | Phase::Streaming => 0,
         }
     }
 
+    /// Returns by how much a part of the response enlarges the memory that holds it.
+    pub(super) fn growth(&self, part_bytes: usize) -> usize {
+        match &self.phase {
+            Phase::Collecting { body, .. } if body.capacity() - body.len() < part_bytes => {
+                part_bytes.max(body.len() / COLLECTED_GROWTH_DIVISOR)
+            }
+            Phase::Collecting { .. } | Phase::Waiting | Phase::Streaming => 0,
+        }
+    }
+
     /// Processes the next progress of the attempt. A body that is not streamed may have at most
     /// `limit` bytes.
     pub(super) fn process(&mut self, progress: Progress, limit: usize) -> ResponseStep {
@@ -165,6 +183,7 @@
     }
 
     fn add(&mut self, part: &[u8], limit: usize) -> ResponseStep {
+        let growth = self.growth(part.len());
         match &mut self.phase {
             Phase::Waiting => may_have_run("the answer has no head"),
             Phase::Streaming => self.add_events(part),
@@ -172,6 +191,7 @@
                 may_have_run(format!("the answer is larger than {limit} bytes"))
             }
             Phase::Collecting { body, .. } => {
+                body.reserve_exact(growth);
                 body.extend_from_slice(part);
                 ResponseStep::Nothing
             }
