Cut the answer of which most is unread, not the next one, when their limit is used up

Callers saw: 900 callers read nothing of answers without end, and answers of 200 KiB to callers that read them as fast as a receive buffer of 4 KiB allows are cut after 51,469 bytes. A collected answer for HTTP/1.0 would have been refused.

Cause: limits.unread_total (8803736) ended the answer that next needed room, if more than 16 KiB of it waited. Answers that nobody reads keep what they have, so these are often the ones that are read.

Change: the incomplete answer of which most waits is ended, unless that is the one that needs the room. Complete answers are not ended, as before. The output budget has a type of its own, since only it ends others.

Why it works: what nobody reads becomes the largest answer, whereas a caller that reads soon has less waiting.

Test: endless_answers_that_nobody_reads_cut_no_answer_that_is_read.

--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -1,5 +1,4 @@
-//! Limits on the bytes that all connections together may buffer: of incomplete requests, and of
-//! answers that callers have not read.
+//! Limit on the bytes of incomplete requests that all connections together may buffer.
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -12,10 +12,11 @@
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
 
 use crate::body::{Body, BodyOutcome};
-use crate::budget::Reservation;
+use crate::budget::{Budget, Reservation};
 use crate::collector::{Collection, Collector};
 use crate::framing::{Framing, append_framed};
 use crate::head::{Head, Header, ParseOutcome};
+use crate::output_budget::{OutputBudget, OutputReservation};
 use crate::reply::{append_last_chunk, append_start, append_start_unframed, append_whole};
 use crate::server::{Bounds, SOCKET_PRIORITY};
 use crate::{Event, Form, Method, Problem, Reply, Request, Status};
@@ -29,19 +30,16 @@
 /// Time that a new connection has for its first request after the server started to drain.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Size of unsent output, in bytes, that a connection may have although the output of all
-/// connections together has reached its limit. Callers that read their answers have less.
-const MIN_OUTPUT_BYTES: usize = 16 << 10;
-
 /// Size, in bytes, up to which an empty output buffer keeps its memory for the next answer.
 const KEPT_OUTPUT_BYTES: usize = 64 << 10;
 
-/// Parts of the budgets that a connection has reserved.
-pub(crate) struct Reservations {
-    /// Bytes of the request that is being received.
-    pub(crate) input: Reservation,
-    /// Bytes of the answer that the caller has not read.
-    pub(crate) output: Reservation,
+/// Budgets of the server, of which each connection reserves a part.
+#[derive(Clone)]
+pub(crate) struct Budgets {
+    /// Limits incomplete requests.
+    pub(crate) input: Budget,
+    /// Limits the answers that callers have not read.
+    pub(crate) output: OutputBudget,
 }
 
 /// State of the connection.
@@ -73,7 +71,10 @@
     is_new: bool,
     bounds: Rc<Cell<Bounds>>,
     form: Rc<dyn Form>,
-    reservations: Reservations,
+    /// Bytes of the request that is being received.
+    input: Reservation,
+    /// Bytes of the answer that the caller has not read.
+    output: OutputReservation,
     handler: Fwd<Event>,
     timer: FixedTimerKey,
 }
@@ -84,9 +85,10 @@
         stream: TcpStream,
         bounds: Rc<Cell<Bounds>>,
         form: Rc<dyn Form>,
-        reservations: Reservations,
+        budgets: Budgets,
         handler: Fwd<Event>,
     ) -> Option<Self> {
+        let displaced = fwd_to!([cx], displaced() as (()));
         let ready = fwd_to!([cx], ready() as (Ready));
         let interest = Interest::READABLE | Interest::WRITABLE;
         let source = match cx.anymap_get::<MioPoll>().add(stream, interest, SOCKET_PRIORITY, ready)
@@ -112,7 +114,8 @@
             is_new: true,
             bounds,
             form,
-            reservations,
+            input: budgets.input.reservation(),
+            output: budgets.output.reservation(displaced),
             handler,
             timer,
         })
@@ -205,9 +208,9 @@
                     let bytes = &self.stream.inp[self.stream.rd..self.stream.wr];
                     self.received.extend_from_slice(bytes);
                     self.stream.rd = self.stream.wr;
-                    if self.reservations.input.resize(self.received.len()) {
+                    if self.input.resize(self.received.len()) {
                         self.receive(cx);
-                        self.reservations.input.resize(self.received.len());
+                        self.input.resize(self.received.len());
                     } else if matches!(self.phase, Phase::Answering { .. }) {
                         self.drop_next_request();
                     } else {
@@ -227,7 +230,7 @@
     /// progress, so that the caller knows that the next request was not read.
     fn drop_next_request(&mut self) {
         self.received.clear();
-        self.reservations.input.resize(0);
+        self.input.resize(0);
         self.is_draining = true;
     }
 
@@ -329,10 +332,7 @@
         match collection {
             Collection::Send(reply) => self.send(cx, id, reply),
             Collection::Wait if self.reserve_collected() => {}
-            Collection::Wait => {
-                self.handler.fwd(Event::Left { request: id });
-                self.refuse(cx, too_many_unread());
-            }
+            Collection::Wait => self.end_unread(cx),
             Collection::TooLarge => {
                 self.handler.fwd(Event::Left { request: id });
                 self.refuse(cx, too_large_to_collect());
@@ -346,11 +346,27 @@
         let Phase::Answering { collector: Some(collector), .. } = &self.phase else {
             return true;
         };
-        self.reserve_output(collector.collected_bytes())
+        self.output.grow(collector.collected_bytes())
     }
 
-    fn reserve_output(&mut self, bytes: usize) -> bool {
-        self.reservations.output.resize(bytes) || bytes <= MIN_OUTPUT_BYTES
+    /// Ends the answer in progress if it is the one that another connection has displaced.
+    fn displaced(&mut self, cx: CX![], (): ()) {
+        if self.output.is_displaced() {
+            self.end_unread(cx);
+        }
+    }
+
+    /// Ends the answer in progress, of which more is unread than of others, because the limit of all
+    /// connections together is reached.
+    fn end_unread(&mut self, cx: CX![]) {
+        match self.phase {
+            Phase::Answering { id, collector: Some(_), .. } => {
+                self.handler.fwd(Event::Left { request: id });
+                self.refuse(cx, too_many_unread());
+            }
+            Phase::Answering { .. } => self.abort(cx, "unread-total"),
+            _ => {}
+        }
     }
 
     /// Writes part of the answer in progress, which is that to the request `id`.
@@ -423,8 +439,8 @@
             self.finish(cx);
         }
         let is_open = self.flush(cx);
-        if is_open && !finished && !self.reserve_output(self.stream.out.len()) {
-            self.abort(cx, "unread-total");
+        if is_open && !finished && !self.output.grow(self.stream.out.len()) {
+            self.end_unread(cx);
         }
     }
 
@@ -438,6 +454,7 @@
 
     /// Prepares for the next request after a complete answer, or starts to close the connection.
     fn finish(&mut self, cx: CX![]) {
+        self.output.settle();
         let keeps_alive = matches!(self.phase, Phase::Answering { keeps_alive: true, .. });
         if !keeps_alive || self.is_draining {
             self.phase = Phase::Closing;
@@ -490,7 +507,7 @@
         }
         let length_after = self.stream.out.len();
         if length_after < length_before {
-            self.reservations.output.resize(length_after);
+            self.output.shrink(length_after);
         }
         if length_after == 0 && self.stream.out.capacity() > KEPT_OUTPUT_BYTES {
             self.stream.out = Vec::new();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod form;
 mod framing;
 mod head;
+mod output_budget;
 mod problem;
 mod reply;
 mod server;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,7 +11,8 @@
 use stakker_mio::{MioPoll, MioSource, Ready};
 
 use crate::budget::Budget;
-use crate::connection::{Connection, Reservations};
+use crate::connection::{Budgets, Connection};
+use crate::output_budget::OutputBudget;
 use crate::{Event, Form};
 
 /// Priority of callers' sockets in the event loop.
@@ -49,8 +50,7 @@
     bounds: Rc<Cell<Bounds>>,
     form: Rc<dyn Form>,
     is_winding_down: bool,
-    budget: Budget,
-    output_budget: Budget,
+    budgets: Budgets,
     handler: Fwd<Event>,
     /// Called when the last connection has closed; set once the server drains.
     drained: Option<Fwd<()>>,
@@ -77,8 +77,10 @@
                 bounds: Rc::new(Cell::new(bounds)),
                 form,
                 is_winding_down: false,
-                budget: Budget::new(bounds.incoming_bytes),
-                output_budget: Budget::new(bounds.unread_total_bytes),
+                budgets: Budgets {
+                    input: Budget::new(bounds.incoming_bytes),
+                    output: OutputBudget::new(bounds.unread_total_bytes),
+                },
                 handler,
                 drained: None,
             }),
@@ -139,15 +141,11 @@
                 Ok((stream, _)) if self.open_connections < self.bounds.get().connections => {
                     self.open_connections += 1;
                     let (bounds, form) = (self.bounds.clone(), self.form.clone());
-                    let reservations = Reservations {
-                        input: self.budget.reservation(),
-                        output: self.output_budget.reservation(),
-                    };
-                    let handler = self.handler.clone();
+                    let (budgets, handler) = (self.budgets.clone(), self.handler.clone());
                     let connection = actor_in_slab!(
                         self.connections,
                         cx,
-                        Connection::init(stream, bounds, form, reservations, handler),
+                        Connection::init(stream, bounds, form, budgets, handler),
                         ret_some_to!([cx], connection_closed() as (StopCause))
                     );
                     if self.is_winding_down {
--- a/tests/endless_bodies.rs
+++ b/tests/endless_bodies.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -37,6 +37,9 @@
 /// Size of an answer that is collected, below `limits.unread`.
 const COLLECTED_BYTES: usize = 240 << 10;
 
+/// Size of an answer of the sound upstream, below `limits.unread`.
+const SOUND_BYTES: usize = 200 << 10;
+
 /// Memory of the smallest machine of an entry instance in the users' deployments, 160 MB.
 const MAX_MEMORY_KIBIBYTES: u64 = 160 * 1000 * 1000 / 1024;
 
@@ -50,14 +53,18 @@
                      transfer-encoding: chunked\r\n\r\nFFFFFFFF\r\n";
 const FAILURE: &str = "HTTP/1.1 500 Broken\r\nrequest-id: ID\r\nserver-stamp: i-bad\r\n\r\n";
 
-/// Sends a request on a connection with a small receive buffer and small segments, for which the
-/// operating system keeps a small send buffer, so that unread bytes stay in the instance.
-fn send_and_read_nothing(address: SocketAddr, version: &str, id: &str) -> TcpStream {
+/// Opens a connection with a small receive buffer and small segments, for which the operating
+/// system keeps a small send buffer, so that unread bytes stay in the instance.
+fn connect_narrowly(address: SocketAddr) -> TcpStream {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.set_recv_buffer_size(4096).unwrap();
     socket.set_tcp_mss(1000).unwrap();
     socket.connect(&address.into()).unwrap();
-    let mut stream = TcpStream::from(socket);
+    TcpStream::from(socket)
+}
+
+fn send_and_read_nothing(address: SocketAddr, version: &str, id: &str) -> TcpStream {
+    let mut stream = connect_narrowly(address);
     let request = format!(
         "GET /albums/1 {version}\r\nHost: api.example\r\nAuthorization: Token {KEY}\r\n\
          Request-Id: {id}\r\nDeadline-Remaining: {CALL_TIMEOUT}\r\n\r\n"
@@ -66,6 +73,29 @@
     stream
 }
 
+/// Sends the next calls, up to [`CALLS`].
+fn send_batch(calls: &mut Vec<TcpStream>, address: SocketAddr, version: &str) {
+    let first = calls.len();
+    for number in first..CALLS.min(first + BATCH) {
+        calls.push(send_and_read_nothing(address, version, &format!("e{number}")));
+    }
+}
+
+/// Starts one entry instance with [`UPSTREAMS`] upstreams of the service `shop` and one of the
+/// service `engines`.
+fn start_machines() -> (Machines, Vec<Worker>, Worker) {
+    let machines = Machines::start(1, 1);
+    let upstreams: Vec<Worker> = (0..UPSTREAMS)
+        .map(|number| Worker::start(&format!("i-bad-{number}"), "shop", machines.seeds()))
+        .collect();
+    let engine = Worker::start("i-engine", "engines", machines.seeds());
+    machines.put_document_until_acknowledged(&document(7));
+    machines.wait_ready(7);
+    let entry = &machines.entries[0];
+    wait_for("all upstreams", || (entry.events("upstream").len() > UPSTREAMS).then_some(()));
+    (machines, upstreams, engine)
+}
+
 /// Asserts that a caller whose upstream is sound gets its whole answer.
 fn assert_served(address: SocketAddr, number: usize) {
     let (key, id) = (format!("Token {KEY}"), format!("a{number}"));
@@ -82,6 +112,21 @@
     assert!(answer.is_complete, "request {id}");
 }
 
+/// Returns the whole answer to a caller that reads it as fast as its small receive buffer allows.
+fn read_sound_answer(address: SocketAddr, number: usize) -> String {
+    let mut stream = connect_narrowly(address);
+    let request = format!(
+        "POST /reports/1 HTTP/1.1\r\nHost: api.example\r\nAuthorization: Token {KEY}\r\n\
+         Request-Id: s{number}\r\nPrompt-Prefix: aa:100,cc:10\r\nToken-Counts: 110,40\r\n\
+         Connection: close\r\nContent-Length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).unwrap();
+    String::from_utf8(answer).unwrap()
+}
+
 /// Guards against memory that grows with the number of callers that read nothing: each may have
 /// `limits.unread` waiting, and nothing limited all of them together.
 #[test_case(PLAIN, "HTTP/1.1"; "body without a length")]
@@ -91,15 +136,8 @@
 #[test_case(PLAIN, "HTTP/1.0"; "body that is collected for a caller without chunks")]
 fn endless_answers_that_nobody_reads_fill_no_memory(start: &'static str, version: &str) {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
-    let machines = Machines::start(1, 1);
-    let upstreams: Vec<Worker> = (0..UPSTREAMS)
-        .map(|number| Worker::start(&format!("i-bad-{number}"), "shop", machines.seeds()))
-        .collect();
-    let _engine = Worker::start("i-engine", "engines", machines.seeds());
-    machines.put_document_until_acknowledged(&document(7));
-    machines.wait_ready(7);
+    let (machines, upstreams, _engine) = start_machines();
     let entry = &machines.entries[0];
-    wait_for("all upstreams", || (entry.events("upstream").len() > UPSTREAMS).then_some(()));
     let process = entry.process.as_ref().unwrap().id();
     let bytes = if version == "HTTP/1.0" { COLLECTED_BYTES } else { ANSWER_BYTES };
     for upstream in &upstreams {
@@ -110,10 +148,7 @@
     let mut number = 0;
     let until = Instant::now() + Duration::from_secs(4);
     while calls.len() < CALLS || Instant::now() < until {
-        let first = calls.len();
-        for number in first..CALLS.min(first + BATCH) {
-            calls.push(send_and_read_nothing(entry.callers(), version, &format!("e{number}")));
-        }
+        send_batch(&mut calls, entry.callers(), version);
         number += 1;
         assert_served(entry.callers(), number);
         most = memory_kibibytes(process).max(most);
@@ -124,3 +159,34 @@
     assert!(most < MAX_MEMORY_KIBIBYTES, "{most} KiB");
     drop(calls);
 }
+
+/// Guards against endless answers that use up `limits.unread_total`, so that the sound answers of
+/// callers that read them are cut.
+#[test]
+fn endless_answers_that_nobody_reads_cut_no_answer_that_is_read() {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let (machines, upstreams, engine) = start_machines();
+    let body = "y".repeat(SOUND_BYTES);
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: i-engine\r\n\
+         content-type: text/plain\r\ncontent-length: {SOUND_BYTES}\r\n\r\n{body}"
+    );
+    engine.set_behaviour(Behaviour::Raw(answer.leak(), ""));
+    for upstream in &upstreams {
+        upstream.set_behaviour(Behaviour::Trickle(PLAIN, ANSWER_BYTES));
+    }
+    let callers = machines.entries[0].callers();
+    let mut calls = Vec::new();
+    let mut lengths = Vec::new();
+    let until = Instant::now() + Duration::from_secs(4);
+    while calls.len() < CALLS || Instant::now() < until {
+        send_batch(&mut calls, callers, "HTTP/1.1");
+        let answer = read_sound_answer(callers, lengths.len());
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{:.200}", answer);
+        let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+        lengths.push(body.len());
+    }
+    let cut = lengths.iter().filter(|length| **length < SOUND_BYTES).count();
+    println!("{cut} of {} answers cut", lengths.len());
+    assert_eq!(cut, 0, "{lengths:?}");
+}
