Acknowledge documents only once enough control instances have them on disk

Cause: a quorum of the log holds an acknowledged document, but a restarted instance does not know that an entry is committed until there is a leader. Until then control instances distribute the copy in their feed cache, which was written after the acknowledgement, without anyone waiting for it.

Change: a control instance tells the others which document its cache has on disk. A document is acknowledged once losses_borne + 1 of them have it, by the requirement that leaves use, or refused with 503 not_durable after 2 s. A document that is sent again waits in the same way.

--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -15,14 +15,14 @@
 use state::ProposalOutcome;
 use telemetry::{Event as LogEvent, Metrics};
 
-use crate::feed::{Acknowledgement, Feed};
+use crate::feed::{Acknowledgement, Feed, Storage};
 use crate::interface::{ControlRequest, Interface};
 use document_reads::{DocumentRead, DocumentReads};
 
 /// Time after which a client retries while no quorum is reachable.
 const NO_QUORUM_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Time after which an upstream repeats a leave that was not durable in time.
+/// Time after which a client repeats a leave or a document that was not stored in time.
 const NOT_DURABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Maximum time during which a change that did not apply is submitted again, equal to the time that
@@ -101,7 +101,8 @@
 
     fn acknowledgement(&self, reply: Fwd<Reply>) -> Acknowledgement {
         let control = &self.interface.control;
-        let (accepted, not_durable) = (control.acknowledgement(), control.refusal(not_durable()));
+        let (accepted, not_durable) =
+            (control.acknowledgement(), control.refusal(leave_not_durable()));
         Acknowledgement { accepted, not_durable, reply }
     }
 
@@ -128,8 +129,7 @@
             }
         };
         if number <= self.newest.borrow().document().number {
-            self.log_submission(number, "outdated", "");
-            reply.fwd(self.interface.control.acknowledgement());
+            self.acknowledge_when_stored(cx, number, "outdated", reply);
             return;
         }
         let (text, submitted_at) = (text.into(), cx.now());
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Acknowledges a document that is committed. If the change did not apply, the document is
+    /// Acknowledges a document that is committed and stored. If the change did not apply, the document is
     /// submitted again as soon as the base document has arrived.
     fn finish_submission(
         &mut self,
@@ -187,23 +187,56 @@
         let outcome = outcome(proposal_outcome);
         self.record_quorum(now, outcome.is_some());
         let number = submission.number;
-        let response = match outcome {
+        match outcome {
             Some(Outcome::Missed(newest)) if now < submission.submitted_at + SUBMISSION_TIMEOUT => {
                 self.log_submission(number, "missed", "");
                 self.retry_submission(cx, submission, newest);
-                return;
             }
             Some(Outcome::Held(_)) => {
                 self.metrics.relay.commit.observe((now - submission.submitted_at).as_secs_f64());
-                self.log_submission(number, "acknowledged", "");
-                self.interface.control.acknowledgement()
+                self.acknowledge_when_stored(cx, number, "acknowledged", submission.reply);
             }
-            _ => {
-                self.log_submission(number, "no-quorum", "");
-                self.interface.control.refusal(no_quorum())
+            _ => self.refuse_without_quorum(number, &submission.reply),
+        }
+    }
+
+    fn refuse_without_quorum(&self, number: Number, reply: &Fwd<Reply>) {
+        self.log_submission(number, "no-quorum", "");
+        reply.fwd(self.interface.control.refusal(no_quorum()));
+    }
+
+    /// Acknowledges the committed document `number` once enough control instances have it on disk.
+    fn acknowledge_when_stored(
+        &mut self,
+        cx: CX![],
+        number: Number,
+        outcome: &'static str,
+        reply: Fwd<Reply>,
+    ) {
+        let on_stored = ret_to!([cx], acknowledge(number, outcome, reply) as (Storage));
+        call!([self.feed], await_document_copies(number, on_stored));
+    }
+
+    fn acknowledge(
+        &mut self,
+        _: CX![],
+        number: Number,
+        outcome: &'static str,
+        reply: Fwd<Reply>,
+        storage: Option<Storage>,
+    ) {
+        match storage {
+            Some(Storage::Stored) => {
+                self.log_submission(number, outcome, "");
+                reply.fwd(self.interface.control.acknowledgement());
             }
-        };
-        submission.reply.fwd(response);
+            Some(Storage::TooFewCopies) => {
+                self.log_submission(number, "not-stored", "");
+                reply.fwd(self.interface.control.refusal(document_not_stored()));
+            }
+            // The instance is stopping.
+            None => self.refuse_without_quorum(number, &reply),
+        }
     }
 
     /// Submits a document again after its change did not apply, because the newest committed
@@ -264,13 +297,20 @@
     u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn not_durable() -> Problem {
+fn leave_not_durable() -> Problem {
     let message = "the upstream gets no new requests, but too few control instances have stored that \
                    yet; send the request again, to another control instance";
     Problem::may_have_run(Status::UNAVAILABLE, "not_durable", message)
         .with_retry_after(NOT_DURABLE_RETRY_AFTER)
 }
 
+fn document_not_stored() -> Problem {
+    let message = "the document is committed, but too few control instances have stored it yet; \
+                   send it again";
+    Problem::may_have_run(Status::UNAVAILABLE, "not_durable", message)
+        .with_retry_after(NOT_DURABLE_RETRY_AFTER)
+}
+
 fn no_quorum() -> Problem {
     let message = "no quorum of control instances is within reach; send the request again";
     Problem::may_have_run(Status::UNAVAILABLE, "no_quorum", message)
--- a/crates/relay/src/feed/disk_cache.rs
+++ b/crates/relay/src/feed/disk_cache.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 use std::sync::mpsc::{Receiver, Sender, channel};
 
-use catalogue::Document;
+use catalogue::{Document, Number};
 use eventloop::Sender as MailboxSender;
 use roster::Record;
 use roster::durability::WriteResult;
@@ -33,6 +33,12 @@
     Leaves(Vec<Record>),
 }
 
+/// The end of a write that acknowledgements wait for.
+pub(super) enum WriteEnd {
+    Document(Number, WriteResult),
+    Leaves(WriteResult),
+}
+
 /// The state that was read from the cache.
 #[derive(Default)]
 pub(super) struct CachedState {
@@ -48,10 +54,10 @@
 
 impl DiskCache {
     /// Reads the cache in `data_folder` and starts the thread, or returns `None` if the folder
-    /// cannot be used. The end of each write of leaves is sent to `write_ended`.
+    /// cannot be used. The end of each write of a document or of leaves is sent to `write_ended`.
     pub(super) fn open(
         data_folder: &Path,
-        write_ended: MailboxSender<WriteResult>,
+        write_ended: MailboxSender<WriteEnd>,
     ) -> Option<(Self, CachedState)> {
         let opened = DataFolder::open(&data_folder.join(FOLDER));
         let folder = opened
@@ -74,7 +80,7 @@
         }
     }
 
-    /// Writes a committed document.
+    /// Writes a committed document, and reports the end of the write.
     pub(super) fn write_document(&self, document: Document) {
         self.send(WriteJob::Document(document));
     }
@@ -119,7 +125,7 @@
 fn write_jobs(
     mut files: AtomicFiles<DataFolder>,
     receiver: &Receiver<WriteJob>,
-    write_ended: &MailboxSender<WriteResult>,
+    write_ended: &MailboxSender<WriteEnd>,
 ) {
     while let Ok(first) = receiver.recv() {
         let (mut document, mut records, mut leaves) = (None, None, None);
@@ -131,10 +137,12 @@
             }
         }
         if let Some(leaves) = leaves {
-            write_ended.send(replace(&mut files, LEAVES_FILE, &leaves));
+            let result = replace(&mut files, LEAVES_FILE, &leaves);
+            write_ended.send(WriteEnd::Leaves(result));
         }
         if let Some(document) = document {
-            replace(&mut files, DOCUMENT_FILE, &document);
+            let result = replace(&mut files, DOCUMENT_FILE, &document);
+            write_ended.send(WriteEnd::Document(document.number, result));
         }
         if let Some(records) = records {
             replace(&mut files, RECORDS_FILE, &records);
--- a/crates/relay/src/feed/documents.rs
+++ b/crates/relay/src/feed/documents.rs
@@ -18,21 +18,19 @@
 
 impl Feed {
     /// Announces the committed document to followers after the log has changed it.
-    pub(crate) fn handle_applied(&mut self, _: CX![], _: Index) {
-        if self.activate_newest("log") {
+    pub(crate) fn handle_applied(&mut self, cx: CX![], _: Index) {
+        if self.activate_newest(cx, "log") {
             self.send_to_followers(Transport::Udp, &Message::HasDocument(self.document_number()));
         }
     }
 
     /// Activates the newest document. Returns false if it is active already.
-    pub(super) fn activate_newest(&mut self, source: &str) -> bool {
+    pub(super) fn activate_newest(&mut self, cx: CX![], source: &str) -> bool {
         let number = self.document_number();
         if number <= self.active_number {
             return false;
         }
-        if let Some(disk_cache) = &self.disk_cache {
-            disk_cache.write_document(self.newest.borrow().document().clone());
-        }
+        self.store_document(cx);
         let text = self.newest.borrow().document().text();
         let parsed = text.ok_or_else(|| "the document cannot be decompressed".to_string());
         let parsed = parsed.and_then(|text| self.documents.parse(&text));
@@ -133,9 +131,9 @@
         }
     }
 
-    pub(super) fn receive_document(&mut self, sender: &Instance, document: Document) {
+    pub(super) fn receive_document(&mut self, cx: CX![], sender: &Instance, document: Document) {
         if self.newest.borrow_mut().adopt(document) {
-            self.activate_and_forward(sender);
+            self.activate_and_forward(cx, sender);
         }
         self.end_fetch();
     }
@@ -157,7 +155,7 @@
             }
         }
         if self.document_number() > before {
-            self.activate_and_forward(sender);
+            self.activate_and_forward(cx, sender);
         }
         if changes.last().is_some_and(|last| last.number <= self.document_number()) {
             self.end_fetch();
@@ -171,8 +169,8 @@
 
     /// Activates the document that came from `sender`, and announces it to the instances that
     /// receive it from this one.
-    fn activate_and_forward(&mut self, sender: &Instance) {
-        self.activate_newest(sender.as_str());
+    fn activate_and_forward(&mut self, cx: CX![], sender: &Instance) {
+        self.activate_newest(cx, sender.as_str());
         let notice = Message::HasDocument(self.document_number());
         if self.is_control {
             self.send_to_followers(Transport::Udp, &notice);
--- a/crates/relay/src/feed/leaves.rs
+++ b/crates/relay/src/feed/leaves.rs
@@ -80,7 +80,7 @@
         }
     }
 
-    fn other_controls(&self) -> Vec<Instance> {
+    pub(super) fn other_controls(&self) -> Vec<Instance> {
         let others = self.live_controls.iter().map(|holder| holder.instance.clone());
         others.filter(|instance| *instance != self.me).collect()
     }
@@ -111,12 +111,12 @@
             // The write never ends, because a data folder that cannot be used holds no copy.
             None if self.has_data_folder => {}
             // Without a data folder, memory is the only place for a copy.
-            None => self.finish_write(cx, WriteResult::Stored),
+            None => self.finish_leaves_write(cx, WriteResult::Stored),
         }
     }
 
     /// Handles the end of a write of leaves.
-    pub(super) fn finish_write(&mut self, cx: CX![], result: WriteResult) {
+    pub(super) fn finish_leaves_write(&mut self, cx: CX![], result: WriteResult) {
         let now = cx.now();
         self.writer.finish(now, result);
         self.confirm_stored(now);
@@ -173,8 +173,7 @@
     /// Acknowledges the leaves that have become durable.
     fn end_durable_rounds(&mut self, cx: CX![]) {
         self.rounds.record_own(self.writer.stored());
-        let requirement = Requirement::new(self.losses_borne, &self.live_controls, self.seed_count);
-        for (leave, waiting) in self.rounds.take_durable(requirement) {
+        for (leave, waiting) in self.rounds.take_durable(self.requirement()) {
             if let Leave::Record(record) = &leave {
                 self.roster.mark_durable(record);
             }
@@ -190,6 +189,11 @@
         }
     }
 
+    /// Returns the copies that an acknowledgement waits for.
+    pub(super) fn requirement(&self) -> Requirement {
+        Requirement::new(self.losses_borne, &self.live_controls, self.seed_count)
+    }
+
     /// Refuses the acknowledgements that waited too long, and sends the leaves again to the control
     /// instances that have not confirmed them.
     pub(super) fn resend_leaves(&mut self, cx: CX![]) {
@@ -221,5 +225,6 @@
             let (instance, data_centre) = (self.me.clone(), self.data_centre.clone());
             self.live_controls.push(Holder { instance, data_centre });
         }
+        self.document_copies.retain_live(&self.live_controls);
     }
 }
--- a/crates/relay/src/feed/message.rs
+++ b/crates/relay/src/feed/message.rs
@@ -38,4 +38,6 @@
     StoreLeave(Ticket, Leave),
     /// The sender has the leave with the ticket on disk.
     LeaveStored(Ticket),
+    /// The sender, a control instance, has the document with this number on disk.
+    DocumentStored(Number),
 }
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod disk_cache;
+mod document_copies;
 mod documents;
 mod leaves;
 mod message;
@@ -15,7 +16,7 @@
 use membership::Member;
 use names::{DataCentre, Instance};
 use rand::RngExt;
-use roster::durability::{Holder, Pledges, Rounds, WriteResult, Writer};
+use roster::durability::{Holder, Pledges, Rounds, Writer};
 use roster::{Announcement, Roster, Tree};
 use settings::{Role, Settings};
 use stakker::{Actor, CX, FixedTimerKey, Fwd, after, call, fwd_to};
@@ -23,7 +24,9 @@
 use wire::{Delivery, Hub, Outgoing, Slice, Transport};
 
 use crate::interface::DocumentFormat;
-use disk_cache::{CachedState, DiskCache};
+use disk_cache::{CachedState, DiskCache, WriteEnd};
+use document_copies::DocumentCopies;
+pub(crate) use document_copies::Storage;
 use eventloop::mailbox;
 use instance::View;
 pub(crate) use leaves::Acknowledgement;
@@ -123,6 +126,8 @@
     pledges: Pledges,
     is_resend_scheduled: bool,
     write_timer: FixedTimerKey,
+    /// Copies of the newest document on the disks of control instances.
+    document_copies: DocumentCopies,
     metrics: Arc<Metrics>,
 }
 
@@ -141,7 +146,7 @@
         after!(FOLLOW_PERIOD, [cx], follow());
         after!(HEARD_REPORT_PERIOD, [cx], report_heard());
         let has_data_folder = data_folder.is_some();
-        let write_ended = fwd_to!([cx], finish_write() as (WriteResult));
+        let write_ended = fwd_to!([cx], finish_write() as (WriteEnd));
         let write_ended = mailbox(cx, write_ended);
         let opened = data_folder.and_then(|folder| DiskCache::open(&folder, write_ended));
         let (disk_cache, cached) = opened
@@ -185,6 +190,7 @@
             pledges: Pledges::default(),
             is_resend_scheduled: false,
             write_timer: FixedTimerKey::default(),
+            document_copies: DocumentCopies::default(),
             metrics,
         };
         feed.set_live_controls(&[]);
@@ -203,7 +209,7 @@
         }
         if let Some(document) = cached.document {
             self.newest.borrow_mut().adopt(document);
-            self.activate_newest("disk");
+            self.activate_newest(cx, "disk");
         }
         self.schedule_list(cx);
     }
@@ -295,12 +301,21 @@
                 self.send(sender, Transport::Tcp, &records);
             }
             Message::FetchDocument(number) => self.send_update(cx, sender, number),
-            Message::Document(document) => self.receive_document(&sender, document),
+            Message::Document(document) => self.receive_document(cx, &sender, document),
             Message::Changes(changes) => self.apply_changes(cx, &sender, &changes),
             Message::Records(records) => self.receive_records(cx, &sender, records),
             Message::HeardUpstreams(heard) => self.receive_heard(cx, &sender, &heard),
             Message::StoreLeave(ticket, leave) => self.receive_leave(cx, sender, ticket, leave),
             Message::LeaveStored(ticket) => self.record_copy(cx, &sender, ticket),
+            Message::DocumentStored(number) => self.record_document_copy(cx, &sender, number),
+        }
+    }
+
+    /// Handles the end of a write to the disk cache.
+    fn finish_write(&mut self, cx: CX![], end: WriteEnd) {
+        match end {
+            WriteEnd::Document(number, result) => self.finish_document_write(cx, number, result),
+            WriteEnd::Leaves(result) => self.finish_leaves_write(cx, result),
         }
     }
 
@@ -318,6 +333,7 @@
             let notice = Message::HasDocument(self.document_number());
             self.send(sender.clone(), Transport::Udp, &notice);
         }
+        self.report_document_copy(&sender);
         self.fetch_if_newer(cx, sender, number);
     }
 
--- a/crates/roster/src/durability.rs
+++ b/crates/roster/src/durability.rs
@@ -128,7 +128,7 @@
         Self { copies, data_centres: count_data_centres(live).min(copies).min(2) }
     }
 
-    fn is_met(&self, holders: &[Holder]) -> bool {
+    pub(crate) fn is_met(&self, holders: &[Holder]) -> bool {
         self.copies <= holders.len() && self.data_centres <= count_data_centres(holders)
     }
 }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -8,12 +8,14 @@
 //! instance follows to receive updates.
 
 mod check;
+mod copies;
 mod distribution;
 pub mod durability;
 mod record;
 mod registry;
 
 pub use check::{Error, check_born};
+pub use copies::Copies;
 pub use distribution::Tree;
 pub use record::{Announcement, Record, Status};
 pub use registry::{BUCKETS, MergeResult, Roster, short_hash};
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -46,6 +46,13 @@
         /// Number of writes of leaves since the start of the instance.
         writes: u64,
     },
+    /// Enough control instances have a committed document on disk, so that it is acknowledged.
+    DocumentStored {
+        /// Number of the document.
+        number: u64,
+        /// Time since the log committed the document.
+        after_ms: u64,
+    },
     /// A graceful shutdown has started.
     Stopping {
         /// Whether the instance has the entry role, so that callers have to move to other instances
@@ -97,7 +104,8 @@
         number: u64,
         /// Number of the committed document.
         committed: u64,
-        /// Outcome: `acknowledged`, `outdated`, `invalid` or `no-quorum`.
+        /// Outcome: `acknowledged`, `outdated`, `invalid`, `not-stored` or
+        /// `no-quorum`.
         outcome: &'static str,
         /// Reason why the document is invalid, or empty.
         reason: String,
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -81,6 +81,10 @@
     pub leave_durable: Histogram,
     /// Number of leaves that too few control instances stored in time.
     pub leaves_not_durable: Counter,
+    /// Time until enough control instances have stored a committed document, in seconds.
+    pub document_stored: Histogram,
+    /// Number of committed documents that too few control instances stored in time.
+    pub documents_not_stored: Counter,
     /// Number of requests that wait for an upstream with free capacity.
     pub waiting: Gauge,
     /// Number of control instances among the live members.
@@ -101,6 +105,8 @@
             commit: latency_histogram(),
             leave_durable: latency_histogram(),
             leaves_not_durable: Counter::default(),
+            document_stored: latency_histogram(),
+            documents_not_stored: Counter::default(),
             waiting: Gauge::default(),
             sources: Gauge::default(),
         };
@@ -125,6 +131,10 @@
         registry.register("leave_durable_seconds", help, metrics.leave_durable.clone());
         let help = "Leaves that were not durable in time";
         registry.register("leaves_not_durable", help, metrics.leaves_not_durable.clone());
+        let help = "Time until enough control instances had stored a committed document";
+        registry.register("document_stored_seconds", help, metrics.document_stored.clone());
+        let help = "Committed documents that were not stored in time";
+        registry.register("documents_not_stored", help, metrics.documents_not_stored.clone());
         registry.register("waiting", "Requests that wait for room", metrics.waiting.clone());
         let help = "Control instances that are followed";
         registry.register("followed", help, metrics.sources.clone());
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -45,6 +45,8 @@
     pub data_centre: String,
     /// Interval in milliseconds at which the instance expects announcements of upstreams.
     pub announce_period_millis: u64,
+    /// Number of lost disks that the instance has to survive.
+    pub losses_borne: usize,
     folder: PathBuf,
     pub process: Option<Process>,
 }
@@ -162,11 +164,12 @@
              peers: \"{listen}:{PEERS_PORT}\"\n  advertised: \"{ip}:{PEERS_PORT}\"\n  \
              ready: \"{listen}:{READY_PORT}\"\n  metrics: \"{listen}:{METRICS_PORT}\"\n\
              {folder}seeds: [{}]\n\
-             first_start: {is_first_start}\nlosses_borne: 1\n\
+             first_start: {is_first_start}\nlosses_borne: {}\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
              direct:\n  announce_period: {}ms\n",
             self.data_centre,
             seeds.join(", "),
+            self.losses_borne,
             self.announce_period_millis
         );
         std::fs::write(self.settings(), text).unwrap();
@@ -228,6 +231,7 @@
             is_control: number < FIRST_ENTRY_NUMBER,
             data_centre: "giza".to_string(),
             announce_period_millis: ANNOUNCE_PERIOD_MILLIS,
+            losses_borne: 1,
             folder,
             process: None,
         }
