--- a/tests/endless_bodies.rs
+++ b/tests/endless_bodies.rs
@@ -53,6 +53,14 @@
                      transfer-encoding: chunked\r\n\r\nFFFFFFFF\r\n";
 const FAILURE: &str = "HTTP/1.1 500 Broken\r\nrequest-id: ID\r\nserver-stamp: i-bad\r\n\r\n";
 
+/// An answer that begins a stream of events, and an event, which is repeated without end.
+const EVENTS: &str = "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: i-bad\r\n\
+                      content-type: text/event-stream\r\n\r\n";
+const EVENT: &str = "data: an event that is whole, of which one after the other follows\n\n";
+
+/// Number of concurrent streams, below the number of slots of [`UPSTREAMS`] engines.
+const STREAMS: usize = 560;
+
 /// Opens a connection with a small receive buffer and small segments, for which the operating
 /// system keeps a small send buffer, so that unread bytes stay in the instance.
 fn connect_narrowly(address: SocketAddr) -> TcpStream {
@@ -81,19 +89,18 @@
     }
 }
 
-/// Starts one entry instance with [`UPSTREAMS`] upstreams of the service `shop` and one of the
-/// service `engines`.
-fn start_machines() -> (Machines, Vec<Worker>, Worker) {
+/// Starts one entry instance with [`UPSTREAMS`] upstreams of `service`, and one of `other_service`.
+fn start_machines(service: &str, other_service: &str) -> (Machines, Vec<Worker>, Worker) {
     let machines = Machines::start(1, 1);
     let upstreams: Vec<Worker> = (0..UPSTREAMS)
-        .map(|number| Worker::start(&format!("i-bad-{number}"), "shop", machines.seeds()))
+        .map(|number| Worker::start(&format!("i-bad-{number}"), service, machines.seeds()))
         .collect();
-    let engine = Worker::start("i-engine", "engines", machines.seeds());
+    let other = Worker::start("i-other", other_service, machines.seeds());
     machines.put_document_until_acknowledged(&document(7));
     machines.wait_ready(7);
     let entry = &machines.entries[0];
     wait_for("all upstreams", || (entry.events("upstream").len() > UPSTREAMS).then_some(()));
-    (machines, upstreams, engine)
+    (machines, upstreams, other)
 }
 
 /// Asserts that a caller whose upstream is sound gets its whole answer.
@@ -136,7 +143,7 @@
 #[test_case(PLAIN, "HTTP/1.0"; "body that is collected for a caller without chunks")]
 fn endless_answers_that_nobody_reads_fill_no_memory(start: &'static str, version: &str) {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
-    let (machines, upstreams, _engine) = start_machines();
+    let (machines, upstreams, _engine) = start_machines("shop", "engines");
     let entry = &machines.entries[0];
     let process = entry.process.as_ref().unwrap().id();
     let bytes = if version == "HTTP/1.0" { COLLECTED_BYTES } else { ANSWER_BYTES };
@@ -160,15 +167,62 @@
     drop(calls);
 }
 
+/// Sends a request for a stream, of a context of its own, and reads nothing.
+fn start_stream(address: SocketAddr, number: usize) -> TcpStream {
+    let mut stream = connect_narrowly(address);
+    let request = format!(
+        "POST /captions/1 HTTP/1.1\r\nHost: api.example\r\nAuthorization: Token {KEY}\r\n\
+         Request-Id: t{number}\r\nPrompt-Prefix: a{number}:100,c{number}:10\r\n\
+         Token-Counts: 110,40\r\nDeadline-Remaining: {CALL_TIMEOUT}\r\nContent-Length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    stream
+}
+
+/// Returns the status of a call of the service `shop`.
+fn call_shop(address: SocketAddr, number: usize) -> u16 {
+    let (key, id) = (format!("Token {KEY}"), format!("p{number}"));
+    let headers = [("Request-Id", id.as_str()), ("Authorization", key.as_str())];
+    send_request(address, "GET", "/albums/1", &headers, "").unwrap().status
+}
+
+/// Guards against memory that grows with streams of whole events without end, which may be resumed
+/// and are sent as fast as the connection allows.
+#[test]
+fn endless_streams_of_events_that_nobody_reads_fill_no_memory() {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let (machines, engines, _shop) = start_machines("engines", "shop");
+    let entry = &machines.entries[0];
+    let process = entry.process.as_ref().unwrap().id();
+    for engine in &engines {
+        engine.set_behaviour(Behaviour::Endless(EVENTS, EVENT));
+    }
+    let mut streams = Vec::new();
+    let (mut most, mut number) = (0, 0);
+    let until = Instant::now() + Duration::from_secs(4);
+    while streams.len() < STREAMS || Instant::now() < until {
+        let first = streams.len();
+        let batch = first..STREAMS.min(first + BATCH);
+        streams.extend(batch.map(|number| start_stream(entry.callers(), number)));
+        number += 1;
+        assert_eq!(call_shop(entry.callers(), number), 200, "call {number}");
+        most = memory_kibibytes(process).max(most);
+    }
+    let executed: usize = engines.iter().map(|worker| worker.executed_requests().len()).sum();
+    println!("at most {most} KiB with {executed} answers of {STREAMS} streams");
+    assert!(executed >= STREAMS, "{executed} of {STREAMS} streams reached an engine");
+    assert!(most < MAX_MEMORY_KIBIBYTES, "{most} KiB");
+}
+
 /// Guards against endless answers that use up `limits.unread_total`, so that the sound answers of
 /// callers that read them are cut.
 #[test]
 fn endless_answers_that_nobody_reads_cut_no_answer_that_is_read() {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
-    let (machines, upstreams, engine) = start_machines();
+    let (machines, upstreams, engine) = start_machines("shop", "engines");
     let body = "y".repeat(SOUND_BYTES);
     let answer = format!(
-        "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: i-engine\r\n\
+        "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: i-other\r\n\
          content-type: text/plain\r\ncontent-length: {SOUND_BYTES}\r\n\r\n{body}"
     );
     engine.set_behaviour(Behaviour::Raw(answer.leak(), ""));
