--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -175,8 +175,8 @@
         }
     }
 
-    /// Acknowledges a document that is committed and stored. If the change did not apply, the document is
-    /// submitted again as soon as the base document has arrived.
+    /// Acknowledges a document that is committed, once it is stored. If the change did not apply, the
+    /// document is submitted again as soon as the base document has arrived.
     fn finish_submission(
         &mut self,
         cx: CX![],
@@ -234,7 +234,7 @@
                 self.log_submission(number, "not-stored", "");
                 reply.fwd(self.interface.control.refusal(document_not_stored()));
             }
-            // The instance is stopping.
+            // The feed has ended, because the instance is stopping.
             None => self.refuse_without_quorum(number, &reply),
         }
     }
--- a/crates/relay/src/feed/document_copies.rs
+++ b/crates/relay/src/feed/document_copies.rs
@@ -1,8 +1,9 @@
 //! Stores the newest document on enough disks before it is acknowledged.
 //!
-//! A quorum of the log holds each acknowledged document, but does not know after a restart that it
-//! is committed until the log has a leader. The copies let control instances distribute the
-//! document immediately.
+//! A quorum of the log holds each acknowledged document. After a restart, however, no instance knows
+//! that the last entries of its log are committed until there is a leader. Meanwhile, control
+//! instances distribute the document of their disk cache, which must not be older than the newest
+//! acknowledged one.
 
 use std::time::{Duration, Instant};
 
--- a/crates/roster/src/copies.rs
+++ b/crates/roster/src/copies.rs
@@ -8,9 +8,9 @@
 
 use crate::durability::{Holder, Requirement};
 
-/// The version that a control instance has on disk.
+/// The newest version that a control instance has on disk, as it reported.
 #[derive(Debug, Clone)]
-struct Copy<V> {
+struct Report<V> {
     holder: Holder,
     version: V,
 }
@@ -26,14 +26,14 @@
 /// Acknowledgements that wait until enough control instances have a version on disk.
 #[derive(Debug)]
 pub struct Copies<V, T> {
-    /// Sorted by instance.
-    copies: Vec<Copy<V>>,
+    /// Latest report of each instance, sorted by instance.
+    reports: Vec<Report<V>>,
     waiting: Vec<Waiting<V, T>>,
 }
 
 impl<V, T> Default for Copies<V, T> {
     fn default() -> Self {
-        Self { copies: Vec::new(), waiting: Vec::new() }
+        Self { reports: Vec::new(), waiting: Vec::new() }
     }
 }
 
@@ -45,18 +45,18 @@
     /// counts, because an instance that lost its disk has an older version than before, or none.
     pub fn record(&mut self, holder: Holder, version: V) {
         match self.position(&holder) {
-            Ok(index) => self.copies[index].version = version,
-            Err(index) => self.copies.insert(index, Copy { holder, version }),
+            Ok(index) => self.reports[index].version = version,
+            Err(index) => self.reports.insert(index, Report { holder, version }),
         }
     }
 
     fn position(&self, holder: &Holder) -> Result<usize, usize> {
-        self.copies.binary_search_by(|copy| copy.holder.instance.cmp(&holder.instance))
+        self.reports.binary_search_by(|report| report.holder.instance.cmp(&holder.instance))
     }
 
     /// Forgets the copies of instances that are not among `live`.
     pub fn retain_live(&mut self, live: &[Holder]) {
-        self.copies.retain(|copy| live.contains(&copy.holder));
+        self.reports.retain(|report| live.contains(&report.holder));
     }
 
     /// Adds an acknowledgement of `version`.
@@ -66,10 +66,10 @@
 
     /// Removes the acknowledgements of versions that have the required copies, and returns them.
     pub fn take_stored(&mut self, requirement: Requirement) -> Vec<T> {
-        let copies = &self.copies;
+        let reports = &self.reports;
         let is_stored = |waiting: &mut Waiting<V, T>| {
-            let has_version = |copy: &&Copy<V>| waiting.version <= copy.version;
-            let holders = copies.iter().filter(has_version).map(|copy| copy.holder.clone());
+            let has_version = |report: &&Report<V>| waiting.version <= report.version;
+            let holders = reports.iter().filter(has_version).map(|report| report.holder.clone());
             requirement.is_met(&holders.collect::<Vec<_>>())
         };
         let stored = self.waiting.extract_if(.., is_stored);
