Treat a response that ends within its headers as no response in tests

The cut of the proxy after 1,358 bytes fell within the headers this time, and the reader of the tests took the end of the connection for the end of the head. A head is whole only with its empty line; without it the reader now returns the error of a connection that ends before the first byte. An answer that breaks off behind its head is reported as before.

--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -121,21 +121,28 @@
 where
     R: BufRead,
 {
-    let mut start_line = String::new();
-    reader.read_line(&mut start_line)?;
-    // A connection that ends within the start line has carried no message.
-    if !start_line.ends_with('\n') {
-        return Err(ErrorKind::UnexpectedEof.into());
-    }
+    let start_line = read_head_line(reader)?;
     let mut headers = BTreeMap::new();
     loop {
-        let mut line = String::new();
-        reader.read_line(&mut line)?;
-        match line.trim_end().split_once(':') {
+        match read_head_line(reader)?.split_once(':') {
             Some((name, value)) => {
                 headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
             }
-            None => return Ok((start_line.trim_end().to_string(), headers)),
+            None => return Ok((start_line, headers)),
         }
     }
 }
+
+/// Reads a line of a head, without the line end. A connection that ends within the head has carried
+/// no message.
+fn read_head_line<R>(reader: &mut R) -> std::io::Result<String>
+where
+    R: BufRead,
+{
+    let mut line = String::new();
+    reader.read_line(&mut line)?;
+    match line.ends_with('\n') {
+        true => Ok(line.trim_end().to_string()),
+        false => Err(ErrorKind::UnexpectedEof.into()),
+    }
+}
