--- a/crates/roster/src/durability.rs
+++ b/crates/roster/src/durability.rs
@@ -3,7 +3,8 @@
 //! A control instance acknowledges a leave, or a report of draining, only once enough control
 //! instances have it on disk. [`Writer`] decides when an instance writes, [`Rounds`] which
 //! acknowledgements may be sent, and [`Pledges`] which other instances have to be told that a write
-//! has ended. All of them perform no I/O.
+//! has ended. All of them perform no I/O. [`Writer`] and [`Requirement`] also apply to documents
+//! ([`Copies`](crate::Copies)).
 
 use std::time::{Duration, Instant};
 
@@ -15,32 +16,32 @@
 /// Time after which a failed write is repeated.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Number of leaves that an instance has received since its start.
+/// Number of changes that an instance has to write, such as leaves, since its start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Revision(u64);
 
 /// What an instance does next with its disk.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
-    /// Write all known leaves, which include those up to the revision.
+    /// Write the current state, which includes the changes up to the revision.
     Write(Revision),
     /// Wait until the time at which a failed write is repeated.
     Retry(Instant),
-    /// Wait for the end of a write, or for the next leave.
+    /// Wait for the end of a write, or for the next change.
     Wait,
 }
 
 /// Result of a write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WriteResult {
-    /// The leaves are on disk.
+    /// The new content is on disk.
     Stored,
     /// The disk may have the old or the new content.
     Failed,
 }
 
-/// Order of the writes of one instance. While a write runs, the leaves that arrive are collected
-/// for the next one.
+/// Order of the writes of one file of an instance. While a write runs, the changes that arrive are
+/// collected for the next one.
 #[derive(Debug, Clone, Default)]
 pub struct Writer {
     newest: Revision,
@@ -51,12 +52,12 @@
 }
 
 impl Writer {
-    /// Records that a leave has arrived.
+    /// Records that a change has arrived.
     pub fn add(&mut self) {
         self.newest.0 += 1;
     }
 
-    /// Returns the revision that includes all leaves so far.
+    /// Returns the revision that includes all changes so far.
     pub fn newest(&self) -> Revision {
         self.newest
     }
@@ -100,7 +101,7 @@
     }
 }
 
-/// A control instance that can hold a copy of a leave.
+/// A control instance that can hold a copy of a leave or a document.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
     /// Name of the instance.
@@ -109,10 +110,10 @@
     pub data_centre: DataCentre,
 }
 
-/// Copies of a leave that are needed before it is acknowledged.
+/// Copies that are needed before a leave or a document is acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Requirement {
-    /// Number of control instances with the leave on disk.
+    /// Number of control instances with a copy on disk.
     pub copies: usize,
     /// Number of data centres in which these instances run.
     pub data_centres: usize,
