--- a/tests/platform_durable_documents.rs
+++ b/tests/platform_durable_documents.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use std::net::SocketAddr;
+
 use support::machines::{Machine, Machines, document, put_document};
 use support::wait_for;
 use test_case::test_case;
