--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -1,7 +1,7 @@
 //! Parser of request bodies with a content-length or in chunked encoding.
 
 use crate::head::BodyLength;
-use crate::{Problem, Status};
+use crate::{Problem, Rejection};
 
 /// Longest line with the size of a chunk.
 const MAX_CHUNK_SIZE_LINE_BYTES: usize = 256;
@@ -35,12 +35,12 @@
 
 fn too_large(limit: usize) -> BodyOutcome {
     let message = format!("the body is larger than {limit} bytes");
-    BodyOutcome::Refused(Problem::not_run(Status::BODY_TOO_LARGE, "body_too_large", message))
+    BodyOutcome::Refused(Problem::rejected(Rejection::BodyTooLarge, "body_too_large", message))
 }
 
 fn malformed() -> BodyOutcome {
     let message = "the chunked body is not valid";
-    BodyOutcome::Refused(Problem::not_run(Status::BAD_REQUEST, "malformed_request", message))
+    BodyOutcome::Refused(Problem::rejected(Rejection::BadRequest, "malformed_request", message))
 }
 
 impl Body {
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use dispatch::Verdict;
 use rand::RngExt;
 use stakker::{CX, FixedTimerKey, Fwd, at, fail, fwd_to, stop};
 use stakker_mio::mio::Interest;
@@ -19,7 +18,7 @@
 use crate::output_budget::{OutputBudget, OutputReservation};
 use crate::reply::{append_last_chunk, append_start, append_start_unframed, append_whole};
 use crate::server::{Bounds, SOCKET_PRIORITY};
-use crate::{Event, Form, Method, Problem, Reply, Request, Status};
+use crate::{Event, Form, Method, Problem, Reply, Request, Status, Unsent};
 
 /// Bytes per read from the socket.
 const READ_BYTES: usize = 4096;
@@ -181,7 +180,12 @@
                 let message = "the request did not arrive in time; send it whole at once";
                 self.refuse(
                     cx,
-                    Problem::not_run(Status::REQUEST_TIMEOUT, "request_timeout", message),
+                    Problem::not_run(
+                        &Unsent::new(),
+                        Status::REQUEST_TIMEOUT,
+                        "request_timeout",
+                        message,
+                    ),
                 );
             }
             Phase::Answering { .. } if self.stream.out.is_empty() => {}
@@ -314,7 +318,7 @@
         let request =
             Request { id, method: head.method, path: head.path, headers: head.headers, body };
         let reply = fwd_to!([cx], answer(id) as (Reply));
-        self.handler.fwd(Event::Arrived { request, reply });
+        self.handler.fwd(Event::Arrived { request, unsent: Unsent::new(), reply });
     }
 
     /// Handles part of the answer to the request `id`. Parts for any other request are dropped.
@@ -526,21 +530,20 @@
 /// Refusal of a request because the buffer budget of incomplete requests is used up.
 fn overloaded() -> Problem {
     let message = "too many requests are arriving at once; ask again later";
-    Problem::not_run(Status::UNAVAILABLE, "crowded", message).with_retry_after(OVERLOAD_RETRY_AFTER)
+    Problem::not_run(&Unsent::new(), Status::UNAVAILABLE, "crowded", message)
+        .with_retry_after(OVERLOAD_RETRY_AFTER)
 }
 
 /// Refusal of an answer that cannot be collected because other callers do not read theirs.
 fn too_many_unread() -> Problem {
     let message = "too many answers wait for their callers to read them; use HTTP/1.1";
-    let problem = Problem::not_run(Status::BAD_GATEWAY, "too_many_unread", message);
-    Problem { verdict: Verdict::MayHaveRun, ..problem }
+    Problem::may_have_run(Status::BAD_GATEWAY, "too_many_unread", message)
 }
 
 /// Refusal of an answer that is too large to be collected.
 fn too_large_to_collect() -> Problem {
     let message = "the answer is too large for a caller that reads no chunks; use HTTP/1.1";
-    let problem = Problem::not_run(Status::BAD_GATEWAY, "answer_too_large", message);
-    Problem { verdict: Verdict::MayHaveRun, ..problem }
+    Problem::may_have_run(Status::BAD_GATEWAY, "answer_too_large", message)
 }
 
 /// Adds the connection-level headers: the request id, and `connection: close` where it applies.
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -2,7 +2,7 @@
 
 use stakker::Fwd;
 
-use crate::{Header, Reply};
+use crate::{Header, Reply, Unsent};
 
 /// Supported HTTP methods.
 #[derive(
@@ -53,6 +53,8 @@
     Arrived {
         /// The received request.
         request: Request,
+        /// Evidence that the request has not run.
+        unsent: Unsent,
         /// Receives the parts of the answer.
         reply: Fwd<Reply>,
     },
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -5,7 +5,7 @@
 use dispatch::Verdict;
 
 use crate::problem::VERDICT_HEADER;
-use crate::{Method, Problem, Status};
+use crate::{Method, Problem, Rejection};
 
 /// Limit on the number of headers in a request.
 const MAX_HEADERS: usize = 64;
@@ -70,7 +70,7 @@
 }
 
 fn malformed(message: impl Into<String>) -> ParseOutcome {
-    ParseOutcome::Refused(Problem::not_run(Status::BAD_REQUEST, "malformed_request", message))
+    ParseOutcome::Refused(Problem::rejected(Rejection::BadRequest, "malformed_request", message))
 }
 
 fn collect_headers(raw: &[httparse::Header<'_>]) -> Option<Vec<Header>> {
@@ -116,8 +116,8 @@
             Ok(httparse::Status::Partial) if bytes.len() < limit => return ParseOutcome::Partial,
             Ok(_) => {
                 let message = format!("request line and headers are larger than {limit} bytes");
-                return ParseOutcome::Refused(Problem::not_run(
-                    Status::HEAD_TOO_LARGE,
+                return ParseOutcome::Refused(Problem::rejected(
+                    Rejection::HeadTooLarge,
                     "head_too_large",
                     message,
                 ));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,10 +16,12 @@
 mod problem;
 mod reply;
 mod server;
+mod unsent;
 
 pub use event::{Event, Method, Request};
 pub use form::{ChatForm, Form};
 pub use head::{Head, Header, ParseOutcome};
-pub use problem::Problem;
+pub use problem::{Problem, Rejection};
 pub use reply::{Reply, Status};
 pub use server::{Bounds, Server};
+pub use unsent::Unsent;
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -5,41 +5,108 @@
 use dispatch::Verdict;
 use serde_json::json;
 
-use crate::{Header, Reply, Status};
+use crate::{Header, Reply, Status, Unsent};
 
 /// Header that says whether a refused or failed request may have run.
 pub(crate) const VERDICT_HEADER: &str = "x-turmericrelay-verdict";
 
+/// Why a request itself is refused, whatever the state of the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejection {
+    /// The request is malformed.
+    BadRequest,
+    /// The API key is missing or unknown.
+    Unauthorized,
+    /// The path or service does not exist.
+    NotFound,
+    /// The path does not support the method.
+    MethodNotAllowed,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The request line and headers are larger than the limit.
+    HeadTooLarge,
+}
+
+impl Rejection {
+    fn status(self) -> Status {
+        match self {
+            Self::BadRequest => Status::BAD_REQUEST,
+            Self::Unauthorized => Status::UNAUTHORIZED,
+            Self::NotFound => Status::NOT_FOUND,
+            Self::MethodNotAllowed => Status::METHOD_NOT_ALLOWED,
+            Self::BodyTooLarge => Status::BODY_TOO_LARGE,
+            Self::HeadTooLarge => Status::HEAD_TOO_LARGE,
+        }
+    }
+}
+
 /// A refusal or failure that is reported to a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Problem {
-    /// HTTP status.
-    pub status: Status,
-    /// Stable error code for programs.
-    pub code: String,
-    /// Description of the problem and its remedy, for people.
-    pub message: String,
-    /// Whether the request may have run.
-    pub verdict: Verdict,
-    /// Time that the caller should wait before it retries, if known.
-    pub retry_after: Option<Duration>,
+    status: Status,
+    code: String,
+    message: String,
+    verdict: Verdict,
+    retry_after: Option<Duration>,
 }
 
 impl Problem {
-    /// Creates the refusal of a request that did not run.
-    pub fn not_run(status: Status, code: &str, message: impl Into<String>) -> Self {
-        Self {
-            status,
-            code: code.to_string(),
-            message: message.into(),
-            verdict: Verdict::NotRun,
-            retry_after: None,
-        }
+    fn new(verdict: Verdict, status: Status, code: &str, message: impl Into<String>) -> Self {
+        Self { status, code: code.to_string(), message: message.into(), verdict, retry_after: None }
+    }
+
+    /// Creates the refusal of a request that did not run and never will.
+    pub fn not_run(_: &Unsent, status: Status, code: &str, message: impl Into<String>) -> Self {
+        Self::new(Verdict::NotRun, status, code, message)
+    }
+
+    /// Creates the refusal of a request that is at fault itself.
+    pub fn rejected(rejection: Rejection, code: &str, message: impl Into<String>) -> Self {
+        Self::new(Verdict::NotRun, rejection.status(), code, message)
     }
 
     /// Creates the failure of a request that may have run.
     pub fn may_have_run(status: Status, code: &str, message: impl Into<String>) -> Self {
-        Self { verdict: Verdict::MayHaveRun, ..Self::not_run(status, code, message) }
+        Self::new(Verdict::MayHaveRun, status, code, message)
+    }
+
+    /// Creates the refusal or failure of a request, which may have run unless there is evidence
+    /// that it has not.
+    pub fn with_evidence(
+        unsent: Option<&Unsent>,
+        status: Status,
+        code: &str,
+        message: impl Into<String>,
+    ) -> Self {
+        match unsent {
+            Some(unsent) => Self::not_run(unsent, status, code, message),
+            None => Self::may_have_run(status, code, message),
+        }
+    }
+
+    /// Returns the HTTP status.
+    pub fn status(&self) -> Status {
+        self.status
+    }
+
+    /// Returns the stable error code for programs.
+    pub fn code(&self) -> &str {
+        &self.code
+    }
+
+    /// Returns the description of the problem and its remedy, for people.
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    /// Returns whether the request may have run.
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    /// Returns the time that the caller should wait before it retries, if known.
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
     }
 
     /// Sets the time that the caller should wait before it retries.
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -38,6 +38,12 @@
     /// The deadline expired before the answer was complete.
     pub const GATEWAY_TIMEOUT: Self = Self(504);
 
+    /// Returns whether callers take the status as the promise that the request did not run and
+    /// never will.
+    pub fn is_promise(self) -> bool {
+        matches!(self.0, 408 | 421 | 429 | 503)
+    }
+
     fn reason(self) -> &'static str {
         match self.0 {
             200 => "OK",
--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -2,47 +2,59 @@
 
 use std::time::Duration;
 
-use dispatch::Verdict;
-use entry::{Problem, Status};
+use entry::{Problem, Status, Unsent};
 use ledger::Refusal;
 
 /// Retry delay for problems that other instances or upstreams may resolve shortly.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Returns the problem for a service of which no upstream is available.
-pub(crate) fn no_upstream(service: &names::Service) -> Problem {
+pub(crate) fn no_upstream(unsent: Option<&Unsent>, service: &names::Service) -> Problem {
     let message = format!("no upstream of service \"{service}\" is available; ask again later");
-    Problem::not_run(Status::UNAVAILABLE, "no_upstream", message).with_retry_after(RETRY_DELAY)
+    Problem::with_evidence(unsent, Status::UNAVAILABLE, "no_upstream", message)
+        .with_retry_after(RETRY_DELAY)
 }
 
 /// Returns the problem for a service whose upstreams are all at their limit.
-pub(crate) fn overloaded(service: &names::Service) -> Problem {
-    busy(service, RETRY_DELAY)
+pub(crate) fn overloaded(unsent: Option<&Unsent>, service: &names::Service) -> Problem {
+    busy(unsent, service, RETRY_DELAY)
 }
 
 /// Returns the problem for a service whose upstreams can accept no request before `retry_after`.
-pub(crate) fn busy(service: &names::Service, retry_after: Duration) -> Problem {
+pub(crate) fn busy(
+    unsent: Option<&Unsent>,
+    service: &names::Service,
+    retry_after: Duration,
+) -> Problem {
     let message = format!("all upstreams of service \"{service}\" are busy; ask again later");
-    Problem::not_run(Status::TOO_MANY_REQUESTS, "overloaded", message).with_retry_after(retry_after)
+    Problem::with_evidence(unsent, Status::TOO_MANY_REQUESTS, "overloaded", message)
+        .with_retry_after(retry_after)
 }
 
 /// Returns the problem for a client account that has used up this instance's share of its limit.
-pub(crate) fn over_limit(account: &names::ClientAccount, retry_after: Duration) -> Problem {
+pub(crate) fn over_limit(
+    unsent: Option<&Unsent>,
+    account: &names::ClientAccount,
+    retry_after: Duration,
+) -> Problem {
     let message = format!("client account \"{account}\" is over its limit; ask again later");
-    Problem::not_run(Status::TOO_MANY_REQUESTS, "over_limit", message).with_retry_after(retry_after)
+    Problem::with_evidence(unsent, Status::TOO_MANY_REQUESTS, "over_limit", message)
+        .with_retry_after(retry_after)
 }
 
 /// Returns the problem for a request with a part of its prompt under which upstreams crashed, and
 /// which is not tried again within `retry_after`.
-pub(crate) fn quarantined(retry_after: Duration) -> Problem {
+pub(crate) fn quarantined(unsent: Option<&Unsent>, retry_after: Duration) -> Problem {
     let message = "upstreams crashed under a message of this conversation; send it without it";
-    Problem::not_run(Status::UNAVAILABLE, "quarantined", message).with_retry_after(retry_after)
+    Problem::with_evidence(unsent, Status::UNAVAILABLE, "quarantined", message)
+        .with_retry_after(retry_after)
 }
 
 /// Returns the problem for a request that arrives during a graceful shutdown.
-pub(crate) fn stopping() -> Problem {
+pub(crate) fn stopping(unsent: Option<&Unsent>) -> Problem {
     let message = "the instance is stopping; ask again at another one";
-    Problem::not_run(Status::UNAVAILABLE, "stopping", message).with_retry_after(RETRY_DELAY)
+    Problem::with_evidence(unsent, Status::UNAVAILABLE, "stopping", message)
+        .with_retry_after(RETRY_DELAY)
 }
 
 /// Returns the problem for a request that is at an upstream when the graceful shutdown ends.
@@ -51,22 +63,15 @@
     Problem::may_have_run(Status::BAD_GATEWAY, "stopping", message)
 }
 
-/// Changes the verdict of `problem` for a request that may be a resend.
-///
-/// The caller would apply a "not run" verdict to the earlier request as well, which may have run.
-pub(crate) fn of_resend(problem: Problem) -> Problem {
-    Problem { verdict: Verdict::MayHaveRun, ..problem }
-}
-
 /// Returns the problem for a request that the ledger refuses.
-pub(crate) fn of_refusal(refusal: Refusal) -> Problem {
+pub(crate) fn of_refusal(unsent: Option<&Unsent>, refusal: Refusal) -> Problem {
     match refusal {
-        Refusal::NoQuorum => no_quorum(),
-        Refusal::Full { retry_after: delay } => ledger_full(delay),
+        Refusal::NoQuorum => no_quorum(unsent),
+        Refusal::Full { retry_after: delay } => ledger_full(unsent, delay),
         Refusal::Conflict => {
             let message = "the idempotency key was used for another request; this one did not \
                            run, use a new key for it";
-            Problem::not_run(Status::CONFLICT, "idempotency_conflict", message)
+            Problem::with_evidence(unsent, Status::CONFLICT, "idempotency_conflict", message)
         }
         Refusal::Unknown => {
             let message = "an earlier request with this idempotency key may have run; find out \
@@ -81,22 +86,24 @@
         }
         Refusal::Withdrawn => {
             let message = "the request was withdrawn before it ran; ask again";
-            Problem::not_run(Status::UNAVAILABLE, "withdrawn", message)
+            Problem::with_evidence(unsent, Status::UNAVAILABLE, "withdrawn", message)
                 .with_retry_after(RETRY_DELAY)
         }
     }
 }
 
-fn no_quorum() -> Problem {
+fn no_quorum(unsent: Option<&Unsent>) -> Problem {
     let message = "the ledger of idempotency keys cannot be reached; this request did not run, \
                    ask again later with the same key";
-    Problem::not_run(Status::UNAVAILABLE, "no_quorum", message).with_retry_after(RETRY_DELAY)
+    Problem::with_evidence(unsent, Status::UNAVAILABLE, "no_quorum", message)
+        .with_retry_after(RETRY_DELAY)
 }
 
-fn ledger_full(delay: Duration) -> Problem {
+fn ledger_full(unsent: Option<&Unsent>, delay: Duration) -> Problem {
     let message = "the account has as many idempotency keys in use as it may; this request did \
                    not run, ask again later";
-    Problem::not_run(Status::TOO_MANY_REQUESTS, "ledger_full", message).with_retry_after(delay)
+    Problem::with_evidence(unsent, Status::TOO_MANY_REQUESTS, "ledger_full", message)
+        .with_retry_after(delay)
 }
 
 /// Returns the problem for a resend whose original response was too large to store.
--- a/crates/instance/src/router/active_request.rs
+++ b/crates/instance/src/router/active_request.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use dispatch::Progress;
-use entry::Reply;
+use entry::{Reply, Unsent};
 use names::{Attempt, Upstream};
 use stakker::Fwd;
 
@@ -18,6 +18,8 @@
 pub(super) struct RunningAttempt {
     pub(super) attempt: Attempt,
     pub(super) permit: Permit,
+    /// Evidence that no earlier attempt of the request has run.
+    pub(super) unsent: Option<Unsent>,
     /// Time of the last progress from the upstream.
     pub(super) last_progress: Instant,
     /// Number of parts of the response that have arrived.
@@ -70,8 +72,8 @@
     pub(super) last_part: Option<Instant>,
     /// Whether it is certain that no earlier request with the same idempotency key has run.
     pub(super) is_first: bool,
-    /// Whether an earlier attempt may have run.
-    pub(super) may_have_run: bool,
+    /// Evidence that the request has not run, unless the running attempt holds it.
+    pub(super) unsent: Option<Unsent>,
     /// Number of attempts whose response broke off within its first pieces.
     pub(super) broken_beginnings: usize,
     /// Whether the request is the trial of a quarantined part.
@@ -79,10 +81,16 @@
 }
 
 impl RunningAttempt {
-    pub(super) fn new(attempt: Attempt, permit: Permit, now: Instant) -> Self {
+    pub(super) fn new(
+        attempt: Attempt,
+        permit: Permit,
+        unsent: Option<Unsent>,
+        now: Instant,
+    ) -> Self {
         Self {
             attempt,
             permit,
+            unsent,
             last_progress: now,
             parts: 0,
             first_part: now,
@@ -110,6 +118,7 @@
 impl ActiveRequest {
     pub(super) fn new(
         id: names::Request,
+        unsent: Unsent,
         arrived: Instant,
         route: Route,
         reply: Fwd<Reply>,
@@ -133,12 +142,18 @@
             has_started: false,
             last_part: None,
             is_first,
-            may_have_run: false,
+            unsent: Some(unsent),
             broken_beginnings: 0,
             is_trial,
         }
     }
 
+    /// Returns the evidence that neither this request nor an earlier one with the same idempotency
+    /// key has run, if there is any.
+    pub(super) fn unsent(&self) -> Option<&Unsent> {
+        self.unsent.as_ref().filter(|_| self.is_first)
+    }
+
     /// Returns the running attempt, if there is one.
     pub(super) fn running_attempt(&mut self) -> Option<&mut RunningAttempt> {
         match &mut self.phase {
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -67,7 +67,7 @@
                     "upstream {} is not called: {reason}; request refused",
                     permit.upstream
                 );
-                let problem = problem::overloaded(&route.service);
+                let problem = problem::overloaded(active.unsent(), &active.route.service);
                 call!([self.placer], release(permit));
                 self.refuse(index, problem);
                 return;
@@ -77,7 +77,8 @@
         active.attempts += 1;
         active.attempts_without_progress += 1;
         active.tried.push(permit.upstream.clone());
-        active.phase = Phase::Calling(RunningAttempt::new(attempt, permit, now));
+        active.phase =
+            Phase::Calling(RunningAttempt::new(attempt, permit, active.unsent.take(), now));
         let id = active.id;
         if let Err(position) = self.calls.binary_search_by(|call| call.0.cmp(&attempt)) {
             self.calls.insert(position, (attempt, id));
@@ -294,7 +295,9 @@
         verdict: Verdict,
         reason: &str,
     ) {
-        self.active[index].may_have_run |= verdict == Verdict::MayHaveRun;
+        let active = &mut self.active[index];
+        let held = active.running_attempt().and_then(|running| running.unsent.take());
+        active.unsent = active.unsent.take().or(held).and_then(|unsent| unsent.after(verdict));
         if let Some(running) = self.active[index].running_attempt() {
             log::debug!("attempt at upstream {} failed: {reason}", running.permit.upstream);
         }
@@ -319,8 +322,9 @@
     /// is safe.
     fn upstream_failed(&self, cx: CX![], index: usize, verdict: Verdict, reason: &str) -> Problem {
         let message = format!("the upstream failed: {reason}");
-        let not_run = Problem::not_run(Status::BAD_GATEWAY, "upstream_failed", message);
-        let problem = Problem { verdict, ..not_run };
+        let unsent = self.active[index].unsent();
+        let problem =
+            Problem::with_evidence(unsent, Status::BAD_GATEWAY, "upstream_failed", message);
         if verdict.allows_retry(self.active[index].route.is_idempotent) {
             problem.with_retry_after(self.budget.next_retry(cx.now()))
         } else {
--- a/crates/instance/src/router/idempotency.rs
+++ b/crates/instance/src/router/idempotency.rs
@@ -77,7 +77,8 @@
                 Err(problem) => self.reply_with_problem(index, problem),
             },
             Decision::Refuse(refusal) => {
-                self.reply_with_problem(index, problem::of_refusal(refusal))
+                let problem = problem::of_refusal(self.active[index].unsent(), refusal);
+                self.reply_with_problem(index, problem);
             }
             Decision::Deliver => {
                 let phase = std::mem::replace(&mut self.active[index].phase, Phase::Placing);
@@ -98,18 +99,20 @@
         call!([self.claims], upstream_ended(fence, outcome));
     }
 
-    /// Reports the outcome of a request that is refused with `verdict` to its claim.
-    pub(super) fn settle_claim(&mut self, index: usize, verdict: Verdict) {
+    /// Reports the outcome of a request that is refused to its claim.
+    pub(super) fn settle_claim(&mut self, index: usize) {
         let active = &self.active[index];
         let Some(fence) = active.fence else {
             return;
         };
-        match (&active.phase, verdict) {
+        match (&active.phase, &active.unsent) {
             (Phase::Claiming, _) => call!([self.claims], withdraw(fence)),
-            (_, Verdict::NotRun) => {
+            (_, Some(_)) => {
                 call!([self.claims], upstream_ended(fence, UpstreamOutcome::NotRun))
             }
-            _ => call!([self.claims], upstream_ended(fence, UpstreamOutcome::MayHaveRun)),
+            (_, None) => {
+                call!([self.claims], upstream_ended(fence, UpstreamOutcome::MayHaveRun))
+            }
         }
     }
 }
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -15,7 +15,7 @@
 use admission::limit::LimitDecision;
 use declare::Declarations;
 use dispatch::{Client, OutlierDetector, RetryAllowance, RetryBudget, Verdict};
-use entry::{Event, Problem, Reply, Request, Status};
+use entry::{Event, Problem, Reply, Request, Status, Unsent};
 use names::Attempt;
 use settings::{Retries, RetryLimit, Settings};
 use stakker::{Actor, ActorOwn, CX, Fwd, StopCause, at, call, fail, fwd_to, ret_some_to};
@@ -129,7 +129,10 @@
         for index in (0..self.active.len()).rev() {
             match &self.active[index].phase {
                 Phase::Claiming | Phase::Recording(_) => {}
-                Phase::Placing | Phase::Preparing(_) => self.refuse(index, problem::stopping()),
+                Phase::Placing | Phase::Preparing(_) => {
+                    let problem = problem::stopping(self.active[index].unsent());
+                    self.refuse(index, problem);
+                }
                 Phase::Calling(_) => self.refuse(index, problem::stopped()),
             }
         }
@@ -152,7 +155,9 @@
     /// Handles an event from the callers' port.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
-            Event::Arrived { request, reply } => self.on_request(cx, request, reply),
+            Event::Arrived { request, unsent, reply } => {
+                self.on_request(cx, request, unsent, reply)
+            }
             Event::Left { request } => self.on_caller_disconnected(cx, request),
             Event::Refused { reason } => self.metrics.count_refused(reason),
         }
@@ -167,18 +172,19 @@
         self.find(self.calls[index].1)
     }
 
-    fn on_request(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
+    fn on_request(&mut self, cx: CX![], request: Request, unsent: Unsent, reply: Fwd<Reply>) {
         let id = request.id;
         let resolved = if self.is_draining {
-            Err(stopping(&request))
+            Err(stopping(&unsent, &request))
         } else {
             resolve(&self.declarations, request, cx.now())
         };
-        let admitted = resolved.and_then(|route| Ok((self.admit_parts(cx.now(), &route)?, route)));
+        let admitted =
+            resolved.and_then(|route| Ok((self.admit_parts(&unsent, cx.now(), &route)?, route)));
         let (is_trial, route) = match admitted {
             Ok(admitted) => admitted,
             Err(problem) => {
-                self.metrics.count_refused(&problem.code);
+                self.metrics.count_refused(problem.code());
                 reply.fwd(problem.into_reply());
                 return;
             }
@@ -188,7 +194,7 @@
         if is_trial {
             self.quarantine.record_trial(cx.now(), &route.parts);
         }
-        let active = ActiveRequest::new(id, cx.now(), route, reply, is_trial);
+        let active = ActiveRequest::new(id, unsent, cx.now(), route, reply, is_trial);
         let index = match self.active.binary_search_by(|other| other.id.cmp(&id)) {
             Ok(_) => return,
             Err(index) => index,
@@ -221,7 +227,9 @@
         match decision {
             LimitDecision::Pass => self.place(cx, id),
             LimitDecision::Refuse { retry_after } => {
-                let problem = problem::over_limit(&self.active[index].route.account, retry_after);
+                let active = &self.active[index];
+                let account = &active.route.account;
+                let problem = problem::over_limit(active.unsent(), account, retry_after);
                 self.refuse(index, problem);
             }
         }
@@ -251,15 +259,16 @@
             }
             return;
         };
-        let service = &self.active[index].route.service;
+        let active = &self.active[index];
+        let (unsent, service) = (active.unsent(), &active.route.service);
         match placed {
             PlacementOutcome::Granted(permit) => self.transfer_context(cx, index, permit),
             PlacementOutcome::Full { retry_after } => {
-                let problem = problem::busy(service, retry_after);
+                let problem = problem::busy(unsent, service, retry_after);
                 self.handle_not_placed(cx, index, problem);
             }
             PlacementOutcome::NoUpstream => {
-                let problem = problem::no_upstream(service);
+                let problem = problem::no_upstream(unsent, service);
                 self.handle_not_placed(cx, index, problem);
             }
         }
@@ -296,30 +305,29 @@
         let active = &self.active[index];
         match &active.phase {
             Phase::Claiming | Phase::Recording(_) => {}
-            Phase::Placing | Phase::Preparing(_) => {
-                self.refuse(index, Problem::not_run(status, code, message))
+            Phase::Placing | Phase::Preparing(_) | Phase::Calling(_) => {
+                let problem = Problem::with_evidence(active.unsent(), status, code, message);
+                self.refuse(index, problem);
             }
-            Phase::Calling(_) => self.refuse(index, Problem::may_have_run(status, code, message)),
         }
     }
 
     /// Ends a request with a problem instead of a response from an upstream.
     fn refuse(&mut self, index: usize, problem: Problem) {
-        self.settle_claim(index, problem.verdict);
+        self.settle_claim(index);
         self.reply_with_problem(index, problem);
     }
 
-    /// Sends a problem to the caller. The verdict is `not-run` only if neither an earlier attempt
-    /// nor an earlier request with the same key can have run.
+    /// Sends a problem to the caller.
     fn reply_with_problem(&mut self, index: usize, problem: Problem) {
         let active = &self.active[index];
-        let is_certain = active.is_first && !active.may_have_run;
-        let problem = if is_certain { problem } else { problem::of_resend(problem) };
-        let verdict = problem.verdict;
+        let verdict = problem.verdict();
+        let is_proven = active.unsent().is_some();
+        debug_assert!(is_proven || verdict != Verdict::NotRun, "{problem:?}");
         if active.has_started {
             active.reply.fwd(Reply::Cut);
         } else {
-            self.metrics.count_refused(&problem.code);
+            self.metrics.count_refused(problem.code());
             active.reply.fwd(problem.into_reply());
         }
         self.finish(index, verdict);
@@ -336,7 +344,7 @@
         match active.phase {
             Phase::Calling(_) | Phase::Recording(_) if !active.route.is_idempotent => {}
             _ => {
-                self.settle_claim(index, Verdict::NotRun);
+                self.settle_claim(index);
                 self.finish(index, Verdict::MayHaveRun);
             }
         }
--- a/crates/instance/src/router/quarantine.rs
+++ b/crates/instance/src/router/quarantine.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use dispatch::Listening;
-use entry::Problem;
+use entry::{Problem, Unsent};
 use names::Upstream;
 use quarantine::{Admission, BEGINNING, Check, MIN_SOUND_PIECES, Run};
 use stakker::{CX, at, call, ret_some_to};
@@ -23,12 +23,17 @@
 
 impl Router {
     /// Checks a new request. Returns whether it is the trial of a quarantined part.
-    pub(super) fn admit_parts(&self, now: Instant, route: &Route) -> Result<bool, Problem> {
+    pub(super) fn admit_parts(
+        &self,
+        unsent: &Unsent,
+        now: Instant,
+        route: &Route,
+    ) -> Result<bool, Problem> {
         match self.quarantine.check(now, &route.parts) {
             Admission::Accept => Ok(false),
             Admission::Try => Ok(true),
             Admission::Refuse { until } => {
-                Err(problem::quarantined(until.saturating_duration_since(now)))
+                Err(problem::quarantined(Some(unsent), until.saturating_duration_since(now)))
             }
         }
     }
@@ -48,7 +53,8 @@
             Admission::Refuse { until } => until.saturating_duration_since(now),
             Admission::Accept | Admission::Try => Duration::ZERO,
         };
-        self.refuse(index, problem::quarantined(wait));
+        let problem = problem::quarantined(self.active[index].unsent(), wait);
+        self.refuse(index, problem);
     }
 
     /// Returns whether another attempt of a request could crash another upstream.
--- a/crates/instance/src/router/route.rs
+++ b/crates/instance/src/router/route.rs
@@ -4,7 +4,7 @@
 
 use declare::{Declarations, Kind, Rank, Service, Target};
 use dispatch::{Adapter, ChatCompletions, Field, Plain};
-use entry::{Method, Problem, Request, Status};
+use entry::{Method, Problem, Rejection, Request, Unsent};
 use ledger::{Key, RequestIdentity};
 use names::{Attempt, ClientAccount};
 use quarantine::{MAX_PROMPT_PARTS, Part};
@@ -88,11 +88,11 @@
 }
 
 fn not_found(code: &str, message: String) -> Problem {
-    Problem::not_run(Status::NOT_FOUND, code, message)
+    Problem::rejected(Rejection::NotFound, code, message)
 }
 
 fn bad_request(code: &str, message: String) -> Problem {
-    Problem::not_run(Status::BAD_REQUEST, code, message)
+    Problem::rejected(Rejection::BadRequest, code, message)
 }
 
 /// Resolves the route of `request`, which arrived at `now`.
@@ -118,7 +118,7 @@
     let account = key.and_then(|key| declarations.account_of_key(key.trim()));
     account.map(|account| account.name.clone()).ok_or_else(|| {
         let message = "the API key is missing or unknown; send it as `Authorization: Bearer KEY`";
-        Problem::not_run(Status::UNAUTHORIZED, "invalid_api_key", message)
+        Problem::rejected(Rejection::Unauthorized, "invalid_api_key", message)
     })
 }
 
@@ -152,7 +152,7 @@
 ) -> Result<Route, Problem> {
     if request.method != Method::Post {
         let message = format!("{CHAT_PATH} takes POST, not {}", request.method);
-        return Err(Problem::not_run(Status::METHOD_NOT_ALLOWED, "method_not_allowed", message));
+        return Err(Problem::rejected(Rejection::MethodNotAllowed, "method_not_allowed", message));
     }
     let chat: Chat = serde_json::from_slice(&request.body).map_err(|error| {
         bad_request("invalid_body", format!("body is not a chat-completions request: {error}"))
@@ -271,10 +271,9 @@
 }
 
 /// Returns the problem for `request` at an instance that is shutting down.
-pub(crate) fn stopping(request: &Request) -> Problem {
+pub(crate) fn stopping(unsent: &Unsent, request: &Request) -> Problem {
     let is_possible_resend = request.header(IDEMPOTENCY_HEADER).is_some() && !is_first(request);
-    let problem = problem::stopping();
-    if is_possible_resend { problem::of_resend(problem) } else { problem }
+    problem::stopping(Some(unsent).filter(|_| !is_possible_resend))
 }
 
 /// Returns the identity of a request with an idempotency key, for its claim.
--- a/crates/instance/src/router/silence.rs
+++ b/crates/instance/src/router/silence.rs
@@ -107,7 +107,6 @@
     fn move_request(&mut self, cx: CX![], index: usize, permit: Permit) {
         self.record_outcome(cx, index, false);
         let active = &mut self.active[index];
-        active.may_have_run = true;
         let has_started = active.has_started;
         if let Phase::Calling(running) = &active.phase {
             let (from, to) = (&running.permit.upstream, &permit.upstream);
--- a/crates/relay/src/control/document_reads.rs
+++ b/crates/relay/src/control/document_reads.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use catalogue::{Command, Course, Lane, Number};
-use entry::{Problem, Reply, Status};
+use entry::{Problem, Reply, Status, Unsent};
 use instance::{Part, View};
 use names::{Instance, Request};
 use settings::Settings;
@@ -24,6 +24,7 @@
 /// A request of an operator to read the newest document.
 pub(super) struct DocumentRead {
     request: Request,
+    unsent: Unsent,
     /// Number of times that instances have redirected the request.
     hops: u32,
     reply: Fwd<Reply>,
@@ -32,8 +33,14 @@
 }
 
 impl DocumentRead {
-    pub(super) fn new(now: Instant, request: Request, hops: u32, reply: Fwd<Reply>) -> Self {
-        Self { request, hops, reply, started_at: now, expires_at: now + READ_TIMEOUT }
+    pub(super) fn new(
+        now: Instant,
+        request: Request,
+        unsent: Unsent,
+        hops: u32,
+        reply: Fwd<Reply>,
+    ) -> Self {
+        Self { request, unsent, hops, reply, started_at: now, expires_at: now + READ_TIMEOUT }
     }
 
     /// Logs the outcome of the read with the committed number, the number at this instance and the
@@ -174,7 +181,7 @@
                 }
             };
             read.log_outcome(cx.now(), outcome, (number, newest.number), 0);
-            let problem = Problem::not_run(Status::UNAVAILABLE, code, message);
+            let problem = Problem::not_run(&read.unsent, Status::UNAVAILABLE, code, message);
             read.reply.fwd(self.interface.control.refusal(problem));
             return;
         };
@@ -202,7 +209,8 @@
             (Some(address), _) => ("elsewhere", control.redirect(address, read.hops + 1)),
             (None, course) => {
                 let message = "the link is busy with answers to operators; ask again later";
-                let problem = Problem::not_run(Status::UNAVAILABLE, "link_busy", message);
+                let problem =
+                    Problem::not_run(&read.unsent, Status::UNAVAILABLE, "link_busy", message);
                 let problem = match course {
                     Course::Later(delay) => problem.with_retry_after(delay),
                     Course::Here | Course::Elsewhere(_) => problem,
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use catalogue::{Catalogue, Command, Document, Newest, Number, Outcome};
-use entry::{Event, Problem, Reply, Request, Status};
+use entry::{Event, Problem, Rejection, Reply, Request, Status, Unsent};
 use instance::{Part, Replica};
 use settings::Settings;
 use stakker::{Actor, CX, Fwd, after, call, ret_to};
@@ -62,13 +62,15 @@
     /// Handles an event on a connection.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
-            Event::Arrived { request, reply } => self.handle_request(cx, request, reply),
+            Event::Arrived { request, unsent, reply } => {
+                self.handle_request(cx, request, unsent, reply)
+            }
             Event::Left { request } => self.cancel_read(cx, request),
             Event::Refused { reason } => log::info!("closed a control connection: {reason}"),
         }
     }
 
-    fn handle_request(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
+    fn handle_request(&mut self, cx: CX![], request: Request, unsent: Unsent, reply: Fwd<Reply>) {
         let control = &self.interface.control;
         let id = request.id;
         match control.parse_request(request) {
@@ -90,10 +92,10 @@
             }
             Ok(ControlRequest::SubmitDocument(text)) => self.submit_document(cx, &text, reply),
             Ok(ControlRequest::ReadDocument { hops }) => {
-                self.read_document(cx, DocumentRead::new(cx.now(), id, hops, reply))
+                self.read_document(cx, DocumentRead::new(cx.now(), id, unsent, hops, reply))
             }
             Err(problem) => {
-                log::info!("refused a control request: {}", problem.message);
+                log::info!("refused a control request: {}", problem.message());
                 reply.fwd(control.refusal(problem));
             }
         }
@@ -109,7 +111,7 @@
     fn refuse_announcement(&self, error: &roster::Error, reply: &Fwd<Reply>) {
         log::info!("refused an announcement: {error}");
         let message = error.to_string();
-        let problem = Problem::not_run(Status::BAD_REQUEST, "malformed_announcement", message);
+        let problem = Problem::rejected(Rejection::BadRequest, "malformed_announcement", message);
         reply.fwd(self.interface.control.refusal(problem));
     }
 
@@ -123,7 +125,8 @@
             Err(problem) => {
                 let problem = names::shorten(problem);
                 self.log_submission(Number::default(), "invalid", &problem);
-                let problem = Problem::not_run(Status::BAD_REQUEST, "invalid_catalogue", problem);
+                let problem =
+                    Problem::rejected(Rejection::BadRequest, "invalid_catalogue", problem);
                 reply.fwd(self.interface.control.refusal(problem));
                 return;
             }
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use entry::{Event, Header, Method, Problem, Reply, Status};
+use entry::{Event, Header, Method, Problem, Rejection, Reply, Status};
 use stakker::CX;
 use telemetry::Metrics;
 
@@ -50,12 +50,12 @@
     }
 
     pub(crate) fn handle(&mut self, _: CX![], event: Event) {
-        let Event::Arrived { request, reply } = event else {
+        let Event::Arrived { request, reply, .. } = event else {
             return;
         };
         if request.method != Method::Get || request.path != "/metrics" {
             let message = format!("{} {} does not exist", request.method, request.path);
-            reply.fwd(Problem::not_run(Status::NOT_FOUND, "unknown_path", message).into_reply());
+            reply.fwd(Problem::rejected(Rejection::NotFound, "unknown_path", message).into_reply());
             return;
         }
         let headers = vec![Header::new("content-type", "text/plain; version=0.0.4")];
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use catalogue::{Repeat, Route};
-use entry::{Reply, Request};
+use entry::{Reply, Request, Unsent};
 use forward::{EventBoundary, FailedAttempt, RoutingKey, StreamTracker, stall_timeout};
 use names::{Attempt, ClientAccount, Service, Upstream};
 use stakker::{FixedTimerKey, Fwd};
@@ -41,6 +41,8 @@
     pub(super) upstream: Upstream,
     /// Start of the run of the upstream.
     pub(super) born: u64,
+    /// Evidence that no earlier attempt of the request has run.
+    pub(super) unsent: Option<Unsent>,
     pub(super) started_at: Instant,
     /// Number of prompt tokens that the upstream probably has to process.
     pub(super) tokens: f64,
@@ -97,6 +99,8 @@
     pub(super) tried: Vec<Upstream>,
     /// Sorted by address.
     pub(super) sent_to: Vec<SentTo>,
+    /// Evidence that the request has not run, unless the attempt in progress holds it.
+    pub(super) unsent: Option<Unsent>,
     /// Number of attempts that may have run.
     pub(super) runs: usize,
     /// Number of attempts that did not run.
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use catalogue::{Caller, Repeat};
-use entry::{Problem, Reply, Request};
+use entry::{Problem, Reply, Request, Unsent};
 use forward::StreamTracker;
 use stakker::{CX, FixedTimerKey, Fwd, at};
 use telemetry::Event;
@@ -16,11 +16,17 @@
 
 impl Forwarder {
     /// Accepts and places a request, or refuses it.
-    pub(super) fn handle_arrival(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
+    pub(super) fn handle_arrival(
+        &mut self,
+        cx: CX![],
+        request: Request,
+        unsent: Unsent,
+        reply: Fwd<Reply>,
+    ) {
         let metadata = self.interface.callers.parse_request(&request);
         let request_id = metadata.as_ref().map_or(String::new(), |metadata| metadata.id.clone());
         let admitted =
-            metadata.and_then(|metadata| self.admit(cx.now(), request, metadata, &reply));
+            metadata.and_then(|metadata| self.admit(cx.now(), request, unsent, metadata, &reply));
         match admitted.map_err(|problem| (request_id, problem)) {
             Ok(active) => {
                 let (id, deadline) = (active.id(), active.deadline);
@@ -35,14 +41,14 @@
                 self.place(cx, id);
             }
             Err((request, problem)) => {
-                self.metrics.count_refused(&problem.code);
+                self.metrics.count_refused(problem.code());
                 Event::Refused {
                     request,
                     service: String::new(),
-                    status: problem.status.0,
-                    reason: problem.code.clone(),
-                    verdict: problem.verdict.to_string(),
-                    retry_after_ms: problem.retry_after.map(millis),
+                    status: problem.status().0,
+                    reason: problem.code().to_string(),
+                    verdict: problem.verdict().to_string(),
+                    retry_after_ms: problem.retry_after().map(millis),
                     after_ms: 0,
                     left_ms: 0,
                     runs: 0,
@@ -66,10 +72,11 @@
         &self,
         now: Instant,
         mut request: Request,
+        unsent: Unsent,
         metadata: RequestMetadata,
         reply: &Fwd<Reply>,
     ) -> Result<ActiveRequest, Problem> {
-        let catalogue = self.catalogue.as_ref().ok_or_else(problems::not_ready)?;
+        let catalogue = self.catalogue.as_ref().ok_or_else(|| problems::not_ready(&unsent))?;
         let path = request.path.split(['?', '#']).next().unwrap_or_default();
         let route = catalogue
             .route(&metadata.host, path)
@@ -80,17 +87,18 @@
             Caller::Known(account) => Some(account),
             Caller::Unknown | Caller::Anyone => None,
         };
-        let service = route.service(request.id.0).cloned().ok_or_else(problems::not_ready)?;
+        let service = route.service(request.id.0).cloned();
+        let service = service.ok_or_else(|| problems::not_ready(&unsent))?;
         let connections = catalogue.service(&service).map(|service| service.connections);
         let time_left = metadata.time_left.unwrap_or(route.timeout).min(route.timeout);
         if time_left.is_zero() {
-            return Err(problems::too_late());
+            return Err(problems::too_late(&unsent));
         }
         let deadline = now + time_left;
         if self.shutdown.is_some_and(|shutdown| !shutdown.accepts(now, deadline)) {
-            return Err(problems::stopping());
+            return Err(problems::stopping(&unsent));
         }
-        let is_trial = self.admit_parts(now, &crash_parts(metadata.prompt.as_ref()))?;
+        let is_trial = self.admit_parts(&unsent, now, &crash_parts(metadata.prompt.as_ref()))?;
         let queue_until = now + max_queue_time(route.objective);
         let stream_tracker = (route.repeat == Repeat::Resumed)
             .then(|| StreamTracker::new(metadata.last_event_id.clone()));
@@ -109,6 +117,7 @@
             queue_until,
             tried: Vec::new(),
             sent_to: Vec::new(),
+            unsent: Some(unsent),
             runs: 0,
             refusals: 0,
             broken_beginnings: 0,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -126,6 +126,7 @@
             attempt,
             upstream: upstream.clone(),
             born: endpoint.born,
+            unsent: active.unsent.take(),
             started_at: now,
             tokens: active.own_tokens(),
             head_at: None,
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 use catalogue::Catalogue;
-use dispatch::{CallEvent, Client, KeepAlive};
+use dispatch::{CallEvent, Client, KeepAlive, Verdict};
 use entry::{Event, Problem, Reply, Server};
 use forward::{
     ContextHolders, Latencies, LoadCounter, MeanInFlight, RetryAllowance, RetryWindow, Shutdown,
@@ -228,13 +228,12 @@
                 self.complete(cx, id, End::Closed);
                 continue;
             }
-            let (is_started, may_have_run) =
-                (active.is_started, active.running.is_some() || active.runs > 0);
+            let is_started = active.is_started;
+            let problem = active.unsent.as_ref().map_or_else(problems::stopped, problems::stopping);
             self.stop_attempt(cx, id);
-            match (is_started, may_have_run) {
-                (true, _) => self.abort_response(now, id, "stopping"),
-                (false, true) => self.refuse(now, id, problems::stopped()),
-                (false, false) => self.refuse(now, id, problems::stopping()),
+            match is_started {
+                true => self.abort_response(now, id, "stopping"),
+                false => self.refuse(now, id, problem),
             }
             self.finish(cx, id);
         }
@@ -307,7 +306,9 @@
     /// Handles an event on a caller's connection.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
-            Event::Arrived { request, reply } => self.handle_arrival(cx, request, reply),
+            Event::Arrived { request, unsent, reply } => {
+                self.handle_arrival(cx, request, unsent, reply)
+            }
             Event::Left { request } => self.handle_disconnect(cx, request),
             Event::Refused { reason } => self.metrics.count_refused(reason),
         }
@@ -368,14 +369,15 @@
             self.complete(cx, id, End::Closed);
             return;
         }
-        let is_started = active.is_started;
-        let may_have_run = active.running.is_some() || active.runs > 0;
-        let (now, deadline) = (cx.now(), active.deadline);
+        let (is_started, now, deadline) = (active.is_started, cx.now(), active.deadline);
+        let problem = match active.unsent.as_ref() {
+            Some(unsent) => problems::full(unsent, now, deadline),
+            None => problems::timed_out(),
+        };
         self.stop_attempt(cx, id);
-        match (is_started, may_have_run) {
-            (true, _) => self.abort_response(now, id, "deadline"),
-            (false, true) => self.refuse(now, id, problems::timed_out()),
-            (false, false) => self.refuse(now, id, problems::full(now, deadline)),
+        match is_started {
+            true => self.abort_response(now, id, "deadline"),
+            false => self.refuse(now, id, problem),
         }
         self.finish(cx, id);
     }
@@ -408,16 +410,19 @@
     }
 
     fn refuse(&mut self, now: Instant, id: names::Request, problem: Problem) {
-        self.metrics.count_refused(&problem.code);
+        self.metrics.count_refused(problem.code());
         let catalogue = self.catalogue_number();
         if let Some(active) = self.active(id) {
+            let has_not_run = active.running.is_none() && active.runs == 0;
+            debug_assert!(has_not_run || !problem.status().is_promise(), "{problem:?}");
+            debug_assert!(has_not_run || problem.verdict() != Verdict::NotRun, "{problem:?}");
             events::Event::Refused {
                 request: active.metadata.id.clone(),
                 service: active.service.to_string(),
-                status: problem.status.0,
-                reason: problem.code.clone(),
-                verdict: problem.verdict.to_string(),
-                retry_after_ms: problem.retry_after.map(millis),
+                status: problem.status().0,
+                reason: problem.code().to_string(),
+                verdict: problem.verdict().to_string(),
+                retry_after_ms: problem.retry_after().map(millis),
                 after_ms: millis(now.saturating_duration_since(active.arrived_at)),
                 left_ms: millis(active.deadline.saturating_duration_since(now)),
                 runs: active.runs,
@@ -428,7 +433,7 @@
             }
             .write();
             let kind = active.route.repeat.to_string();
-            self.count_outcome(kind, &problem.verdict.to_string(), &problem.code);
+            self.count_outcome(kind, &problem.verdict().to_string(), problem.code());
         }
         let refusal = self.interface.callers.refusal(problem);
         self.reply(id, refusal);
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use entry::{Problem, Status};
+use entry::{Problem, Rejection, Status, Unsent};
 
 /// Minimum time until a refused caller retries, equal to the duration of a few of the shortest
 /// responses.
@@ -27,49 +27,61 @@
         .min(left / RETRY_AFTER_DIVISOR)
 }
 
-pub(super) fn not_ready() -> Problem {
+pub(super) fn not_ready(unsent: &Unsent) -> Problem {
     let message = "this instance knows no catalogue yet; ask again in a moment";
-    Problem::not_run(Status::UNAVAILABLE, "not_ready", message).with_retry_after(STARTUP_TIME)
+    Problem::not_run(unsent, Status::UNAVAILABLE, "not_ready", message)
+        .with_retry_after(STARTUP_TIME)
 }
 
 pub(super) fn unknown_key() -> Problem {
     let message = "no client account holds the presented API key";
-    Problem::not_run(Status::UNAUTHORIZED, "unknown_key", message)
+    Problem::rejected(Rejection::Unauthorized, "unknown_key", message)
 }
 
 pub(super) fn unknown_route(host: &str, path: &str) -> Problem {
     let message = format!("no route serves \"{host}{path}\"");
-    Problem::not_run(Status::NOT_FOUND, "unknown_route", message)
+    Problem::rejected(Rejection::NotFound, "unknown_route", message)
 }
 
-pub(super) fn too_late() -> Problem {
-    Problem::not_run(Status::REQUEST_TIMEOUT, "too_late", "the time of the request was over")
+pub(super) fn too_late(unsent: &Unsent) -> Problem {
+    Problem::not_run(
+        unsent,
+        Status::REQUEST_TIMEOUT,
+        "too_late",
+        "the time of the request was over",
+    )
 }
 
-pub(super) fn full(now: Instant, deadline: Instant) -> Problem {
+pub(super) fn full(unsent: &Unsent, now: Instant, deadline: Instant) -> Problem {
     let message = "all upstreams have as much as they can answer in time; ask again later";
-    Problem::not_run(Status::UNAVAILABLE, "full", message)
+    Problem::not_run(unsent, Status::UNAVAILABLE, "full", message)
         .with_retry_after(retry_after(now, deadline))
 }
 
 /// All upstreams asked to wait or for fewer requests; the first takes one again at `end`.
-pub(super) fn asked_to_wait(now: Instant, deadline: Instant, end: Instant) -> Problem {
+pub(super) fn asked_to_wait(
+    unsent: &Unsent,
+    now: Instant,
+    deadline: Instant,
+    end: Instant,
+) -> Problem {
     let message = "all upstreams asked for no or fewer requests for a time; ask again later";
     let max = deadline.saturating_duration_since(now) / RETRY_AFTER_DIVISOR;
     let wait = end.saturating_duration_since(now).max(MIN_RETRY_AFTER).min(max);
-    Problem::not_run(Status::UNAVAILABLE, "asked_to_wait", message).with_retry_after(wait)
+    Problem::not_run(unsent, Status::UNAVAILABLE, "asked_to_wait", message).with_retry_after(wait)
 }
 
 /// Upstreams crashed under a part of the prompt, which is not tried before `until`.
-pub(super) fn quarantined(now: Instant, until: Instant) -> Problem {
+pub(super) fn quarantined(unsent: &Unsent, now: Instant, until: Instant) -> Problem {
     let message = "upstreams crashed under a part of this prompt; send the request without it";
     let wait = until.saturating_duration_since(now).max(MIN_RETRY_AFTER);
-    Problem::not_run(Status::UNAVAILABLE, "quarantined", message).with_retry_after(wait)
+    Problem::not_run(unsent, Status::UNAVAILABLE, "quarantined", message).with_retry_after(wait)
 }
 
-pub(super) fn stopping() -> Problem {
+pub(super) fn stopping(unsent: &Unsent) -> Problem {
     let message = "this instance stops before the request would be over; another one takes it";
-    Problem::not_run(Status::UNAVAILABLE, "stopping", message).with_retry_after(MIN_RETRY_AFTER)
+    Problem::not_run(unsent, Status::UNAVAILABLE, "stopping", message)
+        .with_retry_after(MIN_RETRY_AFTER)
 }
 
 pub(super) fn stopped() -> Problem {
@@ -77,9 +89,9 @@
     Problem::may_have_run(Status::BAD_GATEWAY, "stopping", message)
 }
 
-pub(super) fn refused(now: Instant, deadline: Instant) -> Problem {
+pub(super) fn refused(unsent: &Unsent, now: Instant, deadline: Instant) -> Problem {
     let message = "no upstream took the request; ask again later";
-    Problem::not_run(Status::UNAVAILABLE, "refused", message)
+    Problem::not_run(unsent, Status::UNAVAILABLE, "refused", message)
         .with_retry_after(retry_after(now, deadline))
 }
 
--- a/crates/relay/src/forwarder/quarantine.rs
+++ b/crates/relay/src/forwarder/quarantine.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use dispatch::Listening;
-use entry::Problem;
+use entry::{Problem, Unsent};
 use names::Upstream;
 use quarantine::{Admission, BEGINNING, Check, MIN_SOUND_PIECES, Part, Run};
 use roster::short_hash;
@@ -32,11 +32,16 @@
     /// # Errors
     ///
     /// The refusal, if a part is quarantined.
-    pub(super) fn admit_parts(&self, now: Instant, parts: &[Part]) -> Result<bool, Problem> {
+    pub(super) fn admit_parts(
+        &self,
+        unsent: &Unsent,
+        now: Instant,
+        parts: &[Part],
+    ) -> Result<bool, Problem> {
         match self.quarantine.check(now, parts) {
             Admission::Accept => Ok(false),
             Admission::Try => Ok(true),
-            Admission::Refuse { until } => Err(problems::quarantined(now, until)),
+            Admission::Refuse { until } => Err(problems::quarantined(unsent, now, until)),
         }
     }
 
@@ -66,14 +71,19 @@
             return;
         };
         let parts = crash_parts(active.metadata.prompt.as_ref());
-        let (is_started, has_run) = (active.is_started, active.runs > 0);
-        match (is_started, has_run, self.quarantine.check(now, &parts)) {
-            (true, _, _) => self.abort_response(now, id, "quarantined"),
-            (false, false, Admission::Refuse { until }) => {
-                self.refuse(now, id, problems::quarantined(now, until));
-            }
-            (false, false, _) => self.refuse(now, id, problems::quarantined(now, now)),
-            (false, true, _) => self.refuse(now, id, problems::failed()),
+        if active.is_started {
+            self.abort_response(now, id, "quarantined");
+        } else {
+            let until = match self.quarantine.check(now, &parts) {
+                Admission::Refuse { until } => until,
+                Admission::Accept | Admission::Try => now,
+            };
+            let unsent = self.active(id).and_then(|active| active.unsent.as_ref());
+            let problem = match unsent {
+                Some(unsent) => problems::quarantined(unsent, now, until),
+                None => problems::failed(),
+            };
+            self.refuse(now, id, problem);
         }
         self.finish(cx, id);
     }
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -368,7 +368,7 @@
         &mut self,
         cx: CX![],
         id: names::Request,
-        running: Option<RunningAttempt>,
+        mut running: Option<RunningAttempt>,
         verdict: Verdict,
         reason: &str,
     ) {
@@ -377,6 +377,8 @@
         let Some(active) = self.active(id) else {
             return;
         };
+        let held = running.as_mut().and_then(|running| running.unsent.take());
+        active.unsent = active.unsent.take().or(held).and_then(|unsent| unsent.after(verdict));
         match verdict {
             Verdict::NotRun => active.refusals += 1,
             Verdict::MayHaveRun | Verdict::Answered => active.runs += 1,
@@ -406,9 +408,14 @@
                 return;
             }
             RetryDecision::Refuse => {
-                let problem = match self.table.pause_end(now, &service) {
-                    Some(end) => problems::asked_to_wait(now, deadline, end),
-                    None => problems::refused(now, deadline),
+                let pause_end = self.table.pause_end(now, &service);
+                let unsent = self.active(id).and_then(|active| active.unsent.as_ref());
+                let problem = match (unsent, pause_end) {
+                    (Some(unsent), Some(end)) => {
+                        problems::asked_to_wait(unsent, now, deadline, end)
+                    }
+                    (Some(unsent), None) => problems::refused(unsent, now, deadline),
+                    (None, _) => problems::failed(),
                 };
                 self.refuse(now, id, problem);
             }
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -177,15 +177,17 @@
             return;
         };
         let (now, deadline, service) = (cx.now(), active.deadline, active.service.clone());
-        let (is_started, has_run) = (active.is_started, active.runs > 0);
-        let pause_end = self.table.pause_end(now, &service);
-        match (is_started, has_run) {
-            (true, _) => self.abort_response(now, id, "no_upstream"),
-            (false, true) => self.refuse(now, id, problems::failed()),
-            (false, false) => match pause_end {
-                Some(end) => self.refuse(now, id, problems::asked_to_wait(now, deadline, end)),
-                None => self.refuse(now, id, problems::full(now, deadline)),
-            },
+        if active.is_started {
+            self.abort_response(now, id, "no_upstream");
+        } else {
+            let pause_end = self.table.pause_end(now, &service);
+            let unsent = self.active(id).and_then(|active| active.unsent.as_ref());
+            let problem = match (unsent, pause_end) {
+                (Some(unsent), Some(end)) => problems::asked_to_wait(unsent, now, deadline, end),
+                (Some(unsent), None) => problems::full(unsent, now, deadline),
+                (None, _) => problems::failed(),
+            };
+            self.refuse(now, id, problem);
         }
         self.finish(cx, id);
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use entry::{Event, Header, Method, Problem, Reply, Request, Status};
+use entry::{Event, Header, Method, Problem, Rejection, Reply, Request, Status, Unsent};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use stakker::{CX, Fwd, after};
@@ -98,7 +98,9 @@
     /// Handles an event from the HTTP server.
     pub fn handle(&mut self, cx: CX![], event: Event) {
         match event {
-            Event::Arrived { request, reply } => self.handle_request(cx, request, reply),
+            Event::Arrived { request, unsent, reply } => {
+                self.handle_request(cx, request, &unsent, reply)
+            }
             Event::Left { request } => self.cancel(cx, request),
             Event::Refused { .. } => {}
         }
@@ -116,9 +118,9 @@
         }
     }
 
-    fn handle_request(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
+    fn handle_request(&mut self, cx: CX![], request: Request, unsent: &Unsent, reply: Fwd<Reply>) {
         match request.path.as_str() {
-            "/v1/chat/completions" => self.handle_completion(cx, request, reply),
+            "/v1/chat/completions" => self.handle_completion(cx, request, unsent, reply),
             "/fault" => {
                 let name = String::from_utf8_lossy(&request.body);
                 reply.fwd(set_fault(&mut self.fault, &name));
@@ -129,7 +131,7 @@
             "/kv/import" => self.handle_import(&request, &reply),
             _ => {
                 let message = format!("path \"{}\" does not exist", request.path);
-                let problem = Problem::not_run(Status::NOT_FOUND, "unknown_path", message);
+                let problem = Problem::rejected(Rejection::NotFound, "unknown_path", message);
                 reply.fwd(problem.into_reply());
             }
         }
@@ -198,11 +200,17 @@
     }
 
     /// Handles a chat-completions request unless the fault refuses it or makes it fail.
-    fn handle_completion(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
+    fn handle_completion(
+        &mut self,
+        cx: CX![],
+        request: Request,
+        unsent: &Unsent,
+        reply: Fwd<Reply>,
+    ) {
         self.stats.taken += 1;
         match self.fault {
             Fault::Error => reply.fwd(server_error()),
-            Fault::Refuse => reply.fwd(refusal()),
+            Fault::Refuse => reply.fwd(refusal(unsent)),
             _ => self.enqueue(cx, request, reply),
         }
     }
@@ -346,7 +354,7 @@
         Ok(value) => Some(value),
         Err(error) => {
             let message = format!("body is not a {item}: {error}");
-            let problem = Problem::not_run(Status::BAD_REQUEST, "invalid_body", message);
+            let problem = Problem::rejected(Rejection::BadRequest, "invalid_body", message);
             reply.fwd(problem.into_reply());
             None
         }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use entry::{Event, Header, Problem, Reply, Request, Status};
+use entry::{Event, Header, Problem, Rejection, Reply, Request, Status, Unsent};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use stakker::{CX, Fwd, after};
@@ -54,8 +54,8 @@
 
     /// Handles an event from the HTTP server.
     pub fn handle(&mut self, cx: CX![], event: Event) {
-        if let Event::Arrived { request, reply } = event {
-            self.handle_request(cx, request, reply);
+        if let Event::Arrived { request, unsent, reply } = event {
+            self.handle_request(cx, request, &unsent, reply);
         }
     }
 
@@ -71,14 +71,14 @@
         }
     }
 
-    fn handle_request(&mut self, cx: CX![], request: Request, reply: Fwd<Reply>) {
+    fn handle_request(&mut self, cx: CX![], request: Request, unsent: &Unsent, reply: Fwd<Reply>) {
         if request.path == "/journal" {
             reply.fwd(json_reply(&self.journal));
             return;
         }
         let echo_header = attempt_echo(&request, self.fault);
         let Ok(body) = String::from_utf8(request.body) else {
-            let problem = Problem::not_run(Status::BAD_REQUEST, "invalid_body", "not UTF-8");
+            let problem = Problem::rejected(Rejection::BadRequest, "invalid_body", "not UTF-8");
             reply.fwd(problem.into_reply());
             return;
         };
@@ -88,8 +88,8 @@
         }
         match self.fault {
             Fault::Error => reply.fwd(server_error()),
-            Fault::Refuse => reply.fwd(refusal()),
-            _ => self.run_call(cx, request.path, body, echo_header, reply),
+            Fault::Refuse => reply.fwd(refusal(unsent)),
+            _ => self.run_call(cx, (request.path, body), unsent, echo_header, reply),
         }
     }
 
@@ -99,8 +99,8 @@
     fn run_call(
         &mut self,
         cx: CX![],
-        path: String,
-        body: String,
+        (path, body): (String, String),
+        unsent: &Unsent,
         echo_header: Option<Header>,
         reply: Fwd<Reply>,
     ) {
@@ -108,7 +108,7 @@
         if let Some(path) = &self.options.journal
             && !append_run(path, &run)
         {
-            reply.fwd(refusal());
+            reply.fwd(refusal(unsent));
             return;
         }
         let confirmation = json!({ "number": run.number, "booked": run.body });
@@ -157,7 +157,8 @@
         }
         Err(error) => {
             let error: crate::UnknownFault = error;
-            Problem::not_run(Status::BAD_REQUEST, "unknown_fault", error.to_string()).into_reply()
+            Problem::rejected(Rejection::BadRequest, "unknown_fault", error.to_string())
+                .into_reply()
         }
     }
 }
@@ -168,8 +169,9 @@
 }
 
 /// Returns the refusal of a request, with the verdict that it has not run.
-pub(crate) fn refusal() -> Reply {
-    Problem::not_run(Status::UNAVAILABLE, "refused", "the stand-in takes no work").into_reply()
+pub(crate) fn refusal(unsent: &Unsent) -> Reply {
+    Problem::not_run(unsent, Status::UNAVAILABLE, "refused", "the stand-in takes no work")
+        .into_reply()
 }
 
 fn json_reply<T>(value: &T) -> Reply
