--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -6,9 +6,11 @@
 mod support;
 
 use std::net::TcpStream;
+use std::time::Duration;
 
 use support::machines::{Machines, document};
-use support::platform_calls::{call_within, start_upstream};
+use support::platform_calls::{call_in_background, call_within, start_upstream};
+use support::script::{End, Script};
 use support::wait_for;
 use support::worker::{Behaviour, Worker};
 use test_case::test_case;
@@ -19,6 +21,9 @@
 /// Time for which callers wait, in milliseconds.
 const PATIENCE: &str = "400";
 
+/// Time for which a read runs before its upstream closes the connection.
+const RUN_TIME: Duration = Duration::from_millis(300);
+
 /// Starts an entry instance and an upstream with each of `behaviours`.
 fn start(behaviours: &[Behaviour]) -> (Machines, Vec<Worker>) {
     let machines = Machines::start(1, 1);
@@ -78,6 +83,26 @@
     assert!(upstreams.iter().all(|upstream| !upstream.arrivals().is_empty()));
 }
 
+/// Guards against a promise to a request that has run and finds all upstreams paused.
+#[test]
+fn a_read_that_has_run_is_not_promised_anything_while_its_upstream_asks_to_wait() {
+    const REFUSAL: &str = "HTTP/1.1 503 No\r\nrequest-id: ID\r\nnot-executed: 1\r\n\
+                           retry-after: 5\r\ncontent-length: 0\r\n\r\n";
+    let (machines, upstreams) = start(&[Behaviour::Answer]);
+    upstreams[0].set_script(|request| match request.path {
+        "/bookings/1" => Some(Script::new(REFUSAL, End::Close)),
+        _ => {
+            std::thread::sleep(RUN_TIME);
+            Some(Script::new("", End::Close))
+        }
+    });
+    let address = machines.entries[0].callers();
+    let read = call_in_background(address, "/albums/1", "read");
+    wait_for("arrival of the read", || (runs(&upstreams, "read") == 1).then_some(()));
+    assert_eq!(call_within(address, "/bookings/1", "booking", PATIENCE).status, 503);
+    assert_eq!((read.join().unwrap().status, runs(&upstreams, "read")), (502, 1));
+}
+
 /// Guards against a failure without a promise of a booking of which no byte was sent.
 #[test]
 fn a_booking_whose_upstream_refuses_connections_is_promised_not_to_have_run() {
