Pool a connection only after the whole request was sent

What callers can see, by reading: 504 or 502 for a request that has reached no upstream. It was assigned to a kept connection that still held a part of an earlier request.

Cause: an upstream may answer before it has read a long request. The connection to it is kept for the next request once the rest is sent. After each write it was checked whether the answer was complete, but not whether anything was left to send, since a write that would block is no error. So the first write of a part of the rest put the connection into the pool, and the next request went behind the rest, which the upstream perhaps never reads.

Evidence: the new test sends 64 MiB to an upstream that answers, reads 8 MiB more and then accepts another connection.

The fix: the call ends only when nothing is left to send, as where the end of the answer is read.

It explains no false promise: bytes of the earlier request counted as bytes of the next one, so that a failure counted as may have run.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -230,7 +230,7 @@
                 false
             }
             Ok(()) => {
-                if self.has_response {
+                if self.has_response && self.stream.out.is_empty() {
                     self.end_job(cx);
                 }
                 true
--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -439,3 +439,30 @@
     assert_eq!(String::from_utf8_lossy(&body), "wanted");
     assert!(upstream.join().unwrap(), "the next request did not arrive on the same connection");
 }
+
+/// Guards against a request behind the rest of another one that its upstream no longer reads.
+#[test]
+fn a_connection_with_an_unsent_rest_of_a_request_carries_no_other_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let upstream = std::thread::spawn(move || {
+        let (mut first, _) = listener.accept().unwrap();
+        read_request(&first);
+        write!(first, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").unwrap();
+        std::thread::sleep(Duration::from_millis(200));
+        // Room for a part of the rest.
+        first.read_exact(&mut vec![0; 8 << 20]).unwrap();
+        let (mut second, _) = listener.accept().unwrap();
+        read_request(&second);
+        write!(second, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").unwrap();
+        first
+    });
+    let (client, events) = start_client();
+    let body = vec![b'x'; 64 << 20];
+    client.start(Call { body, ..call(1, address, ConnectionReuse::Allowed) });
+    assert_eq!(last_progress(&events), Progress::End);
+    std::thread::sleep(Duration::from_millis(500));
+    client.start(call(2, address, ConnectionReuse::Allowed));
+    assert_eq!(last_progress(&events), Progress::End);
+    drop(upstream.join().unwrap());
+}
