Keep a connection open for reading until its caller has the answer

Callers saw the connection reset in the middle of an answer that was already written: a caller that read slowly lost the rest of it when it sent its next request before it noticed the close, or when more pipelined bytes waited than are read during an answer. A caller that still sent the body of a refused request got a write error before it could read the refusal. All of this happens at each instance that stops, because it closes every kept connection after the next answer.

Cause: the actor of the connection stopped, and so closed the socket, as soon as the last byte was with the operating system. Linux answers bytes that wait unread at the close, or arrive after it, with a reset, and discards the output that the caller has not yet received.

The connection now ends its own direction only, reads and drops what the caller sends, and closes once the caller has closed, five seconds after the last output, or after 1 MiB of dropped bytes. A connection whose last output is older than five seconds closes at once, so idle connections close as before. The number of such connections is bounded by the limit of open connections, to which they still count. The own interface and the control interface use the same server and get the same close.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -30,6 +30,14 @@
 /// Time that a new connection has for its first request after the server started to drain.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after the last byte of output for which a connection stays open for reading. If the connection
+/// were closed while bytes of the caller arrive, the operating system would send a reset and discard the
+/// output that the caller has not received.
+const LINGER_TIME: Duration = Duration::from_secs(5);
+
+/// Maximum number of bytes that are read and dropped before a connection closes.
+const MAX_DROPPED_BYTES: usize = 1 << 20;
+
 /// Size, in bytes, up to which an empty output buffer keeps its memory for the next answer.
 const KEPT_OUTPUT_BYTES: usize = 64 << 10;
 
@@ -54,8 +62,12 @@
         /// Collects the answer for a caller that cannot read chunks.
         collector: Option<Collector>,
     },
-    /// Sending the remaining output before closing.
+    /// Sending the remaining output before closing. Further bytes of the caller are dropped.
     Closing,
+    /// All output is sent. Bytes of the caller are dropped until it closes the connection.
+    Lingering,
+    /// The actor stops.
+    Closed,
 }
 
 /// Actor that reads requests and writes their answers, one request at a time.
@@ -77,6 +89,10 @@
     output: OutputReservation,
     handler: Fwd<Event>,
     timer: FixedTimerKey,
+    /// Time until which the caller may not have received all output.
+    linger_until: Instant,
+    /// Number of bytes of the caller that may still be dropped before the connection closes.
+    droppable_bytes: usize,
 }
 
 impl Connection {
@@ -118,6 +134,8 @@
             output: budgets.output.reservation(displaced),
             handler,
             timer,
+            linger_until: cx.now(),
+            droppable_bytes: MAX_DROPPED_BYTES,
         })
     }
 
@@ -186,6 +204,7 @@
             }
             Phase::Answering { .. } if self.stream.out.is_empty() => {}
             Phase::Answering { .. } | Phase::Closing => self.abort(cx, "unread"),
+            Phase::Lingering | Phase::Closed => self.stop(cx),
         }
     }
 
@@ -201,6 +220,9 @@
     fn read(&mut self, cx: CX![]) {
         while self.is_read_open && self.can_read() {
             match self.stream.read(READ_BYTES) {
+                ReadStatus::NewData if matches!(self.phase, Phase::Closing | Phase::Lingering) => {
+                    self.drop_read(cx);
+                }
                 ReadStatus::NewData => {
                     if self.is_idle() {
                         self.begin_request(cx);
@@ -218,6 +240,9 @@
                     }
                 }
                 ReadStatus::WouldBlock => return,
+                ReadStatus::EndOfStream if matches!(self.phase, Phase::Closing) => {
+                    self.is_read_open = false;
+                }
                 ReadStatus::EndOfStream | ReadStatus::Error(_) => {
                     self.is_read_open = false;
                     self.disconnect(cx);
@@ -226,6 +251,16 @@
         }
     }
 
+    /// Drops the bytes that were read from a connection that closes.
+    fn drop_read(&mut self, cx: CX![]) {
+        let dropped = self.stream.wr - self.stream.rd;
+        self.stream.rd = self.stream.wr;
+        self.droppable_bytes = self.droppable_bytes.saturating_sub(dropped);
+        if self.droppable_bytes == 0 && matches!(self.phase, Phase::Lingering) {
+            self.stop(cx);
+        }
+    }
+
     /// Drops the bytes after the current request. The connection closes after the answer in
     /// progress, so that the caller knows that the next request was not read.
     fn drop_next_request(&mut self) {
@@ -240,7 +275,8 @@
         match self.phase {
             Phase::Receiving { .. } => true,
             Phase::Answering { .. } => self.received.len() < self.bounds.get().head_bytes,
-            Phase::Closing => false,
+            Phase::Closing | Phase::Lingering => self.droppable_bytes > 0,
+            Phase::Closed => false,
         }
     }
 
@@ -249,9 +285,27 @@
         if let Phase::Answering { id, .. } = self.phase {
             self.handler.fwd(Event::Left { request: id });
         }
+        self.stop(cx);
+    }
+
+    fn stop(&mut self, cx: CX![]) {
+        self.phase = Phase::Closed;
         stop!(cx);
     }
 
+    /// Waits until the caller closes the connection, unless it must have received all output.
+    fn linger(&mut self, cx: CX![]) {
+        if !self.is_read_open || self.droppable_bytes == 0 || self.linger_until <= cx.now() {
+            self.stop(cx);
+            return;
+        }
+        self.phase = Phase::Lingering;
+        self.received = Vec::new();
+        self.input.resize(0);
+        self.set_deadline(cx, self.linger_until);
+        self.read(cx);
+    }
+
     /// Parses the next request from the received bytes and passes it to the handler if it is
     /// complete.
     fn receive(&mut self, cx: CX![]) {
@@ -507,6 +561,7 @@
         }
         let length_after = self.stream.out.len();
         if length_after < length_before {
+            self.linger_until = cx.now() + LINGER_TIME;
             self.output.shrink(length_after);
         }
         if length_after == 0 && self.stream.out.capacity() > KEPT_OUTPUT_BYTES {
@@ -517,7 +572,7 @@
             self.set_deadline(cx, deadline);
         }
         if length_after == 0 && matches!(self.phase, Phase::Closing) {
-            stop!(cx);
+            self.linger(cx);
         }
         true
     }
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -48,6 +48,8 @@
     Stall(usize),
     /// Sends all events, with a long interval between them.
     SlowEvents,
+    /// Sends all events, with this interval in milliseconds between them.
+    EventsEvery(u64),
     /// Sends nothing for a while after this many events of one response, or before the answer of a
     /// service without engines, and then goes on.
     Pause(usize),
@@ -548,8 +550,11 @@
             std::thread::sleep(PAUSE);
         }
         write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
-        let is_slow = behaviour == Behaviour::SlowEvents;
-        std::thread::sleep(if is_slow { SLOW_EVENT_INTERVAL } else { EVENT_INTERVAL });
+        std::thread::sleep(match behaviour {
+            Behaviour::SlowEvents => SLOW_EVENT_INTERVAL,
+            Behaviour::EventsEvery(millis) => Duration::from_millis(millis),
+            _ => EVENT_INTERVAL,
+        });
     }
     write!(writer, "0\r\n\r\n")
 }
