Count a graceful shutdown from when its signal may have been sent

Callers saw a stream cut that they had sent more than three seconds after SIGTERM, where it should have been refused with 503.

Cause: an entry instance accepts every request for 2.9 s and cuts what runs at nine tenths of the grace. Both counted from when the event loop handled the signal. An instance that was held up for more than 0.1 s accepted streams sent after three seconds and cut them at the end, and one that was held up for a second was killed before its own end.

The signal thread now records when it receives the signal, so a busy event loop does not delay the limits. A heartbeat of the event loop shows whether the process was held up just before; the signal may then have waited since the last beat (at most a second is assumed), and the instance refuses long requests from that time on. The end lies at nine tenths of the grace from then, but not before 0.84 of it from the receipt, so that a signal that did not wait still leaves streams the time they are owed. The own interface counts its drain time from the receipt of the signal too.

Evidence, tests/platform_stopping_streams.rs: SIGSTOP, SIGTERM, SIGCONT after 0, 0.1, 0.3 and 1 s, streams of five seconds every 50 ms from 2 to 4 s after the signal, SIGKILL at 8 s. Not shown by a test of its own: an event loop that is busy while the signal thread runs.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -15,12 +15,15 @@
 //!   retries.
 //! - A [`StreamTracker`] tracks a stream of events so that another upstream can resume the stream. An
 //!   [`EventBoundary`] shows whether any response ends within an event.
-//! - A [`Shutdown`] decides which requests an instance accepts while it shuts down.
+//! - A [`Shutdown`] decides which requests an instance accepts while it shuts down. A [`Grace`] has
+//!   the time limits of the shutdown, which count from the time at which the signal may have been sent
+//!   according to a [`Heartbeat`].
 
 mod candidate;
 mod context_source;
 mod cordon;
 mod event_boundary;
+mod grace;
 mod latency;
 mod load_counter;
 mod load_estimate;
@@ -39,6 +42,7 @@
 pub use context_source::{ContextHolders, ContextSource, find_context_source};
 pub use cordon::Cordons;
 pub use event_boundary::{EventBoundary, is_event_stream};
+pub use grace::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
 pub use latency::{LATENCY_SAMPLE_EVENTS, Latencies};
 pub use load_counter::{COUNT_REPORT_INTERVAL, LoadCounter, MeanInFlight};
 pub use load_estimate::{LoadEstimate, Report, mean_load};
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use declare::Declarations;
 use entry::{Bounds, ChatForm, Server};
@@ -199,7 +199,7 @@
             operator::Server::start(bound.operators, Arc::new(operators)).map_err(|source| {
                 Error::Listen { what: "operators", address: settings.listen.operators, source }
             })?;
-        let stop_requests = fwd_to!([cx], begin_shutdown() as (()));
+        let stop_requests = fwd_to!([cx], begin_shutdown() as (Instant));
         stop.connect(mailbox(cx, stop_requests));
         log::info!("instance {} serves callers on {}", settings.instance, settings.listen.callers);
         Ok(Self {
@@ -313,7 +313,8 @@
         }
     }
 
-    fn begin_shutdown(&mut self, cx: CX![], _: ()) {
+    /// Begins the graceful shutdown after a signal that was received at `received_at`.
+    fn begin_shutdown(&mut self, cx: CX![], received_at: Instant) {
         if self.is_shutting_down {
             return;
         }
@@ -325,7 +326,7 @@
         call!([self.replica], retire());
         let drained = fwd_to!([cx], await_idle() as (()));
         call!([self.server], drain(drained));
-        let deadline = cx.now() + self.settings.timing.drain.as_duration();
+        let deadline = received_at + self.settings.timing.drain.as_duration();
         at!(deadline, [cx], announce_leave(()));
     }
 
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -22,8 +22,8 @@
 use dispatch::{CallEvent, Client, KeepAlive};
 use entry::{Event, Problem, Reply, Server};
 use forward::{
-    ContextHolders, Latencies, LoadCounter, MeanInFlight, RetryAllowance, RetryWindow, Shutdown,
-    WaitQueue,
+    ContextHolders, Grace, Latencies, LoadCounter, MeanInFlight, RetryAllowance, RetryWindow,
+    Shutdown, WaitQueue,
 };
 use instance::{Quarantine, View};
 use names::{Attempt, Service};
@@ -205,10 +205,10 @@
         self.server = Some(server);
     }
 
-    /// Begins the graceful shutdown, which ends at `end`. Requests that could not end by then are
-    /// refused early.
-    pub(crate) fn wind_down(&mut self, cx: CX![], end: Instant) {
-        self.shutdown = Some(Shutdown::new(cx.now(), end));
+    /// Begins a graceful shutdown with these time limits. Requests that could not end within them
+    /// are refused early.
+    pub(crate) fn wind_down(&mut self, _: CX![], grace: Grace) {
+        self.shutdown = Some(Shutdown::new(grace.begin, grace.end));
     }
 
     /// Ends all requests in progress at the end of the graceful shutdown. A caller whose response
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -9,6 +9,7 @@
 use catalogue::{Catalogue, Newest};
 use entry::{Bounds, ChatForm, Event, Form, Server};
 use eventloop::mailbox;
+use forward::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
 use instance::{Members, Part, Quarantine, QuarantineExchange, Replica, Stop, View};
 use names::{Incarnation, Instance};
 use settings::Settings;
@@ -41,9 +42,6 @@
 /// and responses to operators are completed.
 const HANDOVER_TIME: Duration = Duration::from_secs(1);
 
-/// Fraction of the shutdown time after which requests in progress are aborted.
-const DRAIN_FRACTION: f64 = 0.9;
-
 /// Maximum size in bytes of a document in the body of a control request, and of the part of a
 /// response that the client has not read yet.
 const MAX_DOCUMENT_BYTES: usize = 8 << 20;
@@ -91,6 +89,7 @@
     entry: Option<EntryRole>,
     control: Option<ControlRole>,
     _metrics_endpoint: Option<(ActorOwn<MetricsEndpoint>, ActorOwn<Server>)>,
+    heartbeat: Heartbeat,
     stopping_since: Option<Instant>,
 }
 
@@ -214,9 +213,12 @@
             );
             (endpoint, server)
         });
-        let stop_requests = fwd_to!([cx], begin_stop() as (()));
+        let stop_requests = fwd_to!([cx], begin_stop() as (Instant));
         stop.connect(mailbox(cx, stop_requests));
         after!(RELOAD_PERIOD, [cx], reload());
+        if entry.is_some() {
+            after!(HEARTBEAT_INTERVAL, [cx], beat());
+        }
         LogEvent::Started { data_centre: settings.data_centre.to_string(), roles, run }.write();
         Some(Self {
             settings,
@@ -227,6 +229,7 @@
             entry,
             control,
             _metrics_endpoint: metrics_endpoint,
+            heartbeat: Heartbeat::new(cx.now()),
             stopping_since: None,
         })
     }
@@ -354,7 +357,13 @@
         after!(RELOAD_PERIOD, [cx], reload());
     }
 
-    fn begin_stop(&mut self, cx: CX![], _: ()) {
+    fn beat(&mut self, cx: CX![]) {
+        self.heartbeat.beat(cx.now());
+        after!(HEARTBEAT_INTERVAL, [cx], beat());
+    }
+
+    /// Begins the graceful shutdown after a signal that was received at `received_at`.
+    fn begin_stop(&mut self, cx: CX![], received_at: Instant) {
         if self.stopping_since.is_some() {
             return;
         }
@@ -365,11 +374,13 @@
         let end = match &self.entry {
             Some(entry) => {
                 call!([entry.readiness], stop());
-                let end = now + self.settings.timing.drain.as_duration().mul_f64(DRAIN_FRACTION);
+                let earliest = self.heartbeat.earliest_sending(received_at, now);
+                let limit = self.settings.timing.drain.as_duration();
+                let grace = Grace::new(earliest, received_at, limit);
                 call!([entry.server], wind_down());
-                call!([entry.forwarder], wind_down(end));
+                call!([entry.forwarder], wind_down(grace));
                 after!(WIND_DOWN_TIME, [cx], drain_callers());
-                end
+                grace.end
             }
             None => now + HANDOVER_TIME,
         };
--- a/tests/platform_stopping_streams.rs
+++ b/tests/platform_stopping_streams.rs
@@ -179,6 +179,44 @@
     calls.into_iter().map(|call| call.join().unwrap().0).collect()
 }
 
+/// Sends streams of five seconds to an instance that is held up for `hold_up` while it gets SIGTERM.
+fn send_around_a_late_signal(hold_up: Duration) -> Vec<String> {
+    let mut deployment = start(1, "giza", Behaviour::EventsEvery(420));
+    std::thread::sleep(Duration::from_millis(500));
+    deployment.signal(0, "STOP");
+    deployment.signal(0, "TERM");
+    let signalled = Instant::now();
+    std::thread::sleep(hold_up);
+    deployment.signal(0, "CONT");
+    let mut calls = Vec::new();
+    for index in 0..40_u32 {
+        sleep_until(signalled + Duration::from_millis(2000) + index * Duration::from_millis(50));
+        if let Ok(stream) = open(deployment.callers(0), None) {
+            calls.push(send(stream, "/captions/1", &format!("late-{index}"), signalled));
+        }
+    }
+    sleep_until(signalled + GRACE);
+    let has_ended = deployment.machines.entries[0].process().has_ended();
+    deployment.machines.entries[0].kill();
+    let mut broken = judge(&format!("held up for {hold_up:?}"), &collect(calls));
+    if !has_ended {
+        broken.push(format!("held up for {hold_up:?}: the process runs at the end of the grace"));
+    }
+    broken
+}
+
+#[test]
+fn streams_sent_after_three_seconds_are_cut_when_the_signal_is_handled_late() {
+    let runs: Vec<JoinHandle<Vec<String>>> = [0, 100, 300, 1000]
+        .into_iter()
+        .map(|millis| {
+            std::thread::spawn(move || send_around_a_late_signal(Duration::from_millis(millis)))
+        })
+        .collect();
+    let broken: Vec<String> = runs.into_iter().flat_map(|run| run.join().unwrap()).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 /// Reads an answer in small pieces, with a pause before each, until the connection ends.
 fn read_slowly(stream: &mut TcpStream) -> (Vec<u8>, Option<ErrorKind>) {
     let mut received = Vec::new();
