--- a/tests/platform_stopping_streams.rs
+++ b/tests/platform_stopping_streams.rs
@@ -36,6 +36,12 @@
 /// Number of streams at each instance that stops.
 const STREAMS: u32 = 24;
 
+/// Number of streams at each instance that stops for which there is room if an upstream ends.
+const FEW_STREAMS: u32 = 8;
+
+/// Number of instances in a fleet that asks load trackers for the load of upstreams.
+const LARGE_FLEET: u8 = 18;
+
 /// Size of the receive buffer of a caller that reads slowly.
 const SMALL_BUFFER: usize = 4096;
 
@@ -94,7 +100,7 @@
 
 struct Deployment {
     machines: Machines,
-    _engines: Vec<Worker>,
+    engines: Vec<Worker>,
 }
 
 /// Starts entry instances in the data centre `data_centre`; the upstreams are in `giza`.
@@ -117,7 +123,7 @@
             (entry.events("upstream").len() >= engines.len()).then_some(())
         });
     }
-    Deployment { machines, _engines: engines }
+    Deployment { machines, engines }
 }
 
 impl Deployment {
@@ -315,18 +321,23 @@
     assert_eq!(lost, 0);
 }
 
-/// Sends streams of four seconds to each of three instances, which are stopped one after the other,
+/// Sends streams to three of `entries` instances, which are stopped one after the other,
 /// and calls `disturb` a second after each signal.
-fn stop_in_series<F>(path: &str, behaviour: Behaviour, disturb: F) -> Vec<String>
+fn stop_in_series<F>(
+    (entries, streams): (u8, u32),
+    path: &str,
+    behaviour: Behaviour,
+    disturb: F,
+) -> Vec<String>
 where
     F: Fn(usize, &Deployment),
 {
-    let mut deployment = start(3, "luxor", behaviour);
+    let mut deployment = start(entries, "luxor", behaviour);
     let mut broken = Vec::new();
     for entry in 0..3 {
         let signalled = Instant::now() + Duration::from_millis(1000);
         let mut calls = Vec::new();
-        for index in 0..STREAMS {
+        for index in 0..streams {
             sleep_until(
                 signalled.checked_sub(Duration::from_millis(1000)).unwrap()
                     + index * Duration::from_millis(40),
@@ -349,13 +360,42 @@
 
 #[test]
 fn streams_from_another_data_centre_are_cut_while_instances_stop_in_series() {
-    let broken = stop_in_series("/reports/1", Behaviour::SlowEvents, |_, _| {});
+    let broken = stop_in_series((3, STREAMS), "/reports/1", Behaviour::SlowEvents, |_, _| {});
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
 #[test]
 fn streams_are_cut_when_their_upstream_pauses_while_the_instance_stops() {
-    let broken = stop_in_series("/reports/1", Behaviour::Pause(4), |_, _| {});
+    let broken = stop_in_series((3, STREAMS), "/reports/1", Behaviour::Pause(4), |_, _| {});
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// Sends resumable streams while an upstream ends during the stop of two of the instances.
+fn end_upstreams_in_series(entries: u8) -> Vec<String> {
+    let fleet = (entries, FEW_STREAMS);
+    stop_in_series(fleet, "/captions/1", Behaviour::SlowEvents, |entry, deployment| {
+        if entry < 2 {
+            deployment.engines[entry].end();
+        }
+    })
+}
+
+#[test]
+fn resumable_streams_are_cut_when_an_upstream_ends_while_the_instance_stops() {
+    let broken = end_upstreams_in_series(3);
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+#[test]
+fn resumable_streams_are_cut_when_an_upstream_ends_while_an_instance_of_a_large_fleet_stops() {
+    let broken = end_upstreams_in_series(LARGE_FLEET);
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+#[test]
+fn streams_are_cut_when_their_upstream_pauses_while_an_instance_of_a_large_fleet_stops() {
+    let fleet = (LARGE_FLEET, STREAMS);
+    let broken = stop_in_series(fleet, "/reports/1", Behaviour::Pause(4), |_, _| {});
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
