Record crashes under keys of requests, not parts of prompts

No change of behaviour. `quarantine::Part` becomes `quarantine::Key`: what requests have in common under which crashes are recorded. The forwarder computes the keys once, when the request arrives. The fields of log lines keep their names. Tests are renamed with the type; what they assert is unchanged.

--- a/crates/instance/src/quarantine.rs
+++ b/crates/instance/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Actor that exchanges with other instances which parts of prompts crash upstreams, and the handle
+//! Actor that exchanges with other instances which keys of requests crash upstreams, and the handle
 //! through which requests are checked.
 
 use std::cell::RefCell;
@@ -8,7 +8,7 @@
 
 use dispatch::Listening;
 use names::{Instance, Upstream};
-use quarantine::{Admission, Change, Check, Part, Record, Run, Suspects, Suspicions};
+use quarantine::{Admission, Change, Check, Key, Record, Run, Suspects, Suspicions};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use stakker::{Actor, CX, after, call};
@@ -49,7 +49,7 @@
     peers: Vec<Instance>,
 }
 
-/// Quarantine of parts of prompts, shared by the actors of an instance.
+/// Quarantine of keys of requests, shared by the actors of an instance.
 #[derive(Clone)]
 pub struct Quarantine {
     me: Instance,
@@ -58,27 +58,27 @@
 }
 
 impl Quarantine {
-    /// Creates a quarantine without any parts at the instance `me`.
+    /// Creates a quarantine without any keys at the instance `me`.
     pub fn new(me: Instance, metrics: Arc<Metrics>) -> Self {
         Self { me, state: Rc::default(), metrics }
     }
 
-    /// Returns what may be done with a request with `parts`.
-    pub fn check(&self, now: Instant, parts: &[Part]) -> Admission {
+    /// Returns what may be done with a request with `keys`.
+    pub fn check(&self, now: Instant, keys: &[Key]) -> Admission {
         let state = self.state.borrow();
         let instances = || state.peers.iter().chain([&self.me]);
-        let tries = |part: Part| placement::rendezvous_owner(part.0, instances()) == Some(&self.me);
-        state.suspects.check(now, parts, tries)
+        let tries = |key: Key| placement::rendezvous_owner(key.0, instances()) == Some(&self.me);
+        state.suspects.check(now, keys, tries)
     }
 
-    /// Records that a request with `parts` is sent as the trial of its quarantined parts.
-    pub fn record_trial(&self, now: Instant, parts: &[Part]) {
-        self.state.borrow_mut().suspects.record_trial(now, parts);
+    /// Records that a request with `keys` is sent as the trial of its quarantined keys.
+    pub fn record_trial(&self, now: Instant, keys: &[Key]) {
+        self.state.borrow_mut().suspects.record_trial(now, keys);
     }
 
-    /// Records that the answer of `run` to a request with `parts` broke off at its beginning.
-    pub fn record_broken(&self, now: Instant, run: Run, parts: &[Part]) -> Check {
-        self.state.borrow_mut().suspicions.record(now, run, parts)
+    /// Records that the answer of `run` to a request with `keys` broke off at its beginning.
+    pub fn record_broken(&self, now: Instant, run: Run, keys: &[Key]) -> Check {
+        self.state.borrow_mut().suspicions.record(now, run, keys)
     }
 
     /// Drops what is suspected of `run`, because the end of the run is planned.
@@ -89,10 +89,10 @@
     /// Records the result of the check of `run`, which is one of `upstream`.
     pub fn record_check(&self, now: Instant, run: Run, upstream: &Upstream, listening: Listening) {
         let mut state = self.state.borrow_mut();
-        let Some((at, parts)) = state.suspicions.take(run) else {
+        let Some((at, keys)) = state.suspicions.take(run) else {
             return;
         };
-        let text: Vec<String> = parts.iter().map(ToString::to_string).collect();
+        let text: Vec<String> = keys.iter().map(ToString::to_string).collect();
         Event::BrokenOff {
             upstream: upstream.to_string(),
             born: run.born,
@@ -101,15 +101,15 @@
         }
         .write();
         if listening == Listening::Refuses {
-            let changes = state.suspects.record_crash(now, run, at, &parts);
+            let changes = state.suspects.record_crash(now, run, at, &keys);
             self.report(&state, &changes, "itself");
         }
     }
 
-    /// Records that an answer to a request with `parts` has got past its beginning.
-    pub fn record_sound(&self, now: Instant, parts: &[Part]) {
+    /// Records that an answer to a request with `keys` has got past its beginning.
+    pub fn record_sound(&self, now: Instant, keys: &[Key]) {
         let mut state = self.state.borrow_mut();
-        let changes = state.suspects.record_sound(now, parts);
+        let changes = state.suspects.record_sound(now, keys);
         self.report(&state, &changes, "itself");
     }
 
@@ -122,11 +122,11 @@
 
     fn report(&self, state: &State, changes: &[Change], source: &str) {
         for change in changes {
-            let (part, is_begun) = match change {
-                Change::Quarantined(part) => (part, true),
-                Change::Released(part) => (part, false),
+            let (key, is_begun) = match change {
+                Change::Quarantined(key) => (key, true),
+                Change::Released(key) => (key, false),
             };
-            let (part, source) = (part.to_string(), source.to_string());
+            let (part, source) = (key.to_string(), source.to_string());
             Event::Quarantined { part, is_begun, source }.write();
         }
         if !changes.is_empty() {
@@ -166,7 +166,7 @@
     /// Handles a message of another instance.
     pub fn deliver(&mut self, cx: CX![], delivery: Delivery) {
         let Delivery { sender, payload, .. } = delivery;
-        match wire::decode::<Message>("parts that crash upstreams", &payload) {
+        match wire::decode::<Message>("keys that crash upstreams", &payload) {
             Ok(Message::Update(records)) => self.quarantine.merge(cx.now(), &sender, &records),
             Ok(Message::Digest(digest)) => {
                 if digest != self.quarantine.state.borrow().suspects.digest() {
@@ -222,7 +222,7 @@
         let payload = match wire::encode(message) {
             Ok(payload) => payload,
             Err(error) => {
-                log::error!("dropped a message about quarantined parts: cannot encode it: {error}");
+                log::error!("dropped a message about quarantined keys: cannot encode it: {error}");
                 return;
             }
         };
--- a/crates/instance/src/router/active_request.rs
+++ b/crates/instance/src/router/active_request.rs
@@ -74,7 +74,7 @@
     pub(super) may_have_run: bool,
     /// Number of attempts whose response broke off within its first pieces.
     pub(super) broken_beginnings: usize,
-    /// Whether the request is the trial of a quarantined part.
+    /// Whether the request is the trial of a quarantined key.
     pub(super) is_trial: bool,
 }
 
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -30,7 +30,7 @@
     /// Starts an attempt at the upstream of `permit`.
     pub(super) fn call_upstream(&mut self, cx: CX![], index: usize, permit: Permit) {
         let now = cx.now();
-        if !self.may_send_parts(now, index) {
+        if !self.may_send_keys(now, index) {
             call!([self.placer], release(permit));
             self.refuse_quarantined(now, index);
             return;
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -174,7 +174,7 @@
         } else {
             resolve(&self.declarations, request, cx.now())
         };
-        let admitted = resolved.and_then(|route| Ok((self.admit_parts(cx.now(), &route)?, route)));
+        let admitted = resolved.and_then(|route| Ok((self.admit_keys(cx.now(), &route)?, route)));
         let (is_trial, route) = match admitted {
             Ok(admitted) => admitted,
             Err(problem) => {
@@ -186,7 +186,7 @@
         let deadline = route.deadline;
         let is_keyed = route.claim_identity.is_some();
         if is_trial {
-            self.quarantine.record_trial(cx.now(), &route.parts);
+            self.quarantine.record_trial(cx.now(), &route.keys);
         }
         let active = ActiveRequest::new(id, cx.now(), route, reply, is_trial);
         let index = match self.active.binary_search_by(|other| other.id.cmp(&id)) {
--- a/crates/instance/src/router/quarantine.rs
+++ b/crates/instance/src/router/quarantine.rs
@@ -22,9 +22,9 @@
 const MAX_BROKEN_BEGINNINGS: usize = 2;
 
 impl Router {
-    /// Checks a new request. Returns whether it is the trial of a quarantined part.
-    pub(super) fn admit_parts(&self, now: Instant, route: &Route) -> Result<bool, Problem> {
-        match self.quarantine.check(now, &route.parts) {
+    /// Checks a new request. Returns whether it is the trial of a quarantined key.
+    pub(super) fn admit_keys(&self, now: Instant, route: &Route) -> Result<bool, Problem> {
+        match self.quarantine.check(now, &route.keys) {
             Admission::Accept => Ok(false),
             Admission::Try => Ok(true),
             Admission::Refuse { until } => {
@@ -33,17 +33,17 @@
         }
     }
 
-    /// Returns whether the request at `index` may be sent. A part may have been quarantined since
+    /// Returns whether the request at `index` may be sent. A key may have been quarantined since
     /// the request arrived.
-    pub(super) fn may_send_parts(&self, now: Instant, index: usize) -> bool {
+    pub(super) fn may_send_keys(&self, now: Instant, index: usize) -> bool {
         let active = &self.active[index];
         let is_trial = active.is_trial && active.attempts == 0;
-        is_trial || self.quarantine.check(now, &active.route.parts) == Admission::Accept
+        is_trial || self.quarantine.check(now, &active.route.keys) == Admission::Accept
     }
 
-    /// Refuses the request at `index`, a part of whose prompt was quarantined.
+    /// Refuses the request at `index`, a key of which was quarantined.
     pub(super) fn refuse_quarantined(&mut self, now: Instant, index: usize) {
-        let check = self.quarantine.check(now, &self.active[index].route.parts);
+        let check = self.quarantine.check(now, &self.active[index].route.keys);
         let wait = match check {
             Admission::Refuse { until } => until.saturating_duration_since(now),
             Admission::Accept | Admission::Try => Duration::ZERO,
@@ -54,7 +54,7 @@
     /// Returns whether another attempt of a request could crash another upstream.
     pub(super) fn is_dangerous(&self, now: Instant, active: &ActiveRequest) -> bool {
         active.broken_beginnings >= MAX_BROKEN_BEGINNINGS
-            || self.quarantine.check(now, &active.route.parts) != Admission::Accept
+            || self.quarantine.check(now, &active.route.keys) != Admission::Accept
     }
 
     /// Suspects a crash if the answer to the request at `index` broke off at its beginning.
@@ -72,10 +72,10 @@
         let run = Run { upstream: short_hash, born: running.permit.incarnation };
         let has_begun_well = running.parts >= MIN_SOUND_PIECES;
         active.broken_beginnings += usize::from(!has_begun_well);
-        if active.route.parts.is_empty() {
+        if active.route.keys.is_empty() {
             return;
         }
-        if let Check::At(at) = self.quarantine.record_broken(now, run, &active.route.parts) {
+        if let Check::At(at) = self.quarantine.record_broken(now, run, &active.route.keys) {
             at!(at, [cx], check_upstream(run, upstream, address));
         }
     }
@@ -102,7 +102,7 @@
             && running.head_at.is_some_and(|at| now >= at + BEGINNING);
         if !running.is_sound && (is_past || is_complete) {
             running.is_sound = true;
-            self.quarantine.record_sound(now, &active.route.parts);
+            self.quarantine.record_sound(now, &active.route.keys);
         }
     }
 }
--- a/crates/instance/src/router/route.rs
+++ b/crates/instance/src/router/route.rs
@@ -7,7 +7,7 @@
 use entry::{Method, Problem, Request, Status};
 use ledger::{Key, RequestIdentity};
 use names::{Attempt, ClientAccount};
-use quarantine::{MAX_PROMPT_PARTS, Part};
+use quarantine::MAX_KEYS;
 use serde::Deserialize;
 use units::Span;
 use xxhash_rust::xxh3::xxh3_64;
@@ -36,8 +36,8 @@
     pub(crate) deadline: Instant,
     pub(crate) target: Target,
     pub(crate) placement_key: u64,
-    /// Parts of the prompt that may crash an upstream: all messages, the last one first.
-    pub(crate) parts: Vec<Part>,
+    /// Keys under which crashes of upstreams are recorded: all messages, the last one first.
+    pub(crate) keys: Vec<quarantine::Key>,
     pub(crate) streams: bool,
     /// Estimated number of prompt tokens that earlier requests of the conversation had; 0 for a new
     /// conversation.
@@ -174,7 +174,7 @@
         deadline: request_deadline(&request, kind, now)?,
         target: service.target.clone(),
         placement_key,
-        parts: crash_parts(&chat.messages),
+        keys: crash_keys(&chat.messages),
         streams: chat.stream,
         context_tokens: context_tokens(&chat.messages, request.body.len()),
         answer_tokens: chat.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
@@ -196,13 +196,14 @@
     xxh3_64(first_messages.collect::<String>().as_bytes())
 }
 
-/// Returns the parts of a prompt that may crash an upstream: a hash of each message, the last one
-/// first, because only a limited number of parts is looked at.
-fn crash_parts(messages: &[serde_json::Value]) -> Vec<Part> {
+/// Returns the keys of a conversation: a hash of each message, the last one first, because only a
+/// limited number of keys is looked at.
+fn crash_keys(messages: &[serde_json::Value]) -> Vec<quarantine::Key> {
     let (last, shared) =
         messages.split_last().map_or((None, &[][..]), |(last, rest)| (Some(last), rest));
-    let part = |message: &serde_json::Value| Part(xxh3_64(message.to_string().as_bytes()));
-    last.into_iter().chain(shared).take(MAX_PROMPT_PARTS).map(part).collect()
+    let key =
+        |message: &serde_json::Value| quarantine::Key(xxh3_64(message.to_string().as_bytes()));
+    last.into_iter().chain(shared).take(MAX_KEYS).map(key).collect()
 }
 
 /// Returns the estimated number of tokens in all but the last of `messages`, which have `bytes`
@@ -249,7 +250,7 @@
         deadline: request_deadline(&request, kind, now)?,
         target: service.target.clone(),
         placement_key: request.id.0,
-        parts: Vec::new(),
+        keys: Vec::new(),
         streams: false,
         context_tokens: 0,
         answer_tokens: 0,
--- a/crates/quarantine/src/part.rs
+++ b/crates/quarantine/src/key.rs
@@ -1,4 +1,4 @@
-//! Identifiers of parts of prompts and of runs of upstreams.
+//! What crashes of upstreams are recorded under, and identifiers of runs of upstreams.
 
 use std::fmt;
 use std::str::FromStr;
@@ -7,22 +7,23 @@
 
 use crate::Error;
 
-/// Identifier of a part of a prompt, written as 16 hexadecimal digits.
+/// What requests have in common that may crash upstreams, such as a part of their prompts. Written
+/// as 16 hexadecimal digits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Part(pub u64);
+pub struct Key(pub u64);
 
-impl fmt::Display for Part {
+impl fmt::Display for Key {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
     }
 }
 
-impl FromStr for Part {
+impl FromStr for Key {
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self, Error> {
         let number = u64::from_str_radix(text, 16);
-        number.map(Self).map_err(|_| Error::InvalidPart { text: text.to_string() })
+        number.map(Self).map_err(|_| Error::InvalidKey { text: text.to_string() })
     }
 }
 
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,22 +1,21 @@
-//! Finds the parts of prompts that crash upstreams, and keeps requests with such parts from
-//! further upstreams.
+//! Finds the requests that crash upstreams, and keeps them from further upstreams.
 //!
-//! A part of a prompt that makes an upstream crash as soon as it begins an answer is found by its
-//! record: upstreams crashed while they began answers to requests with the part, and no answer to
-//! such a request has got past its beginning since. Parts that sound requests share are cleared by
+//! Each request has keys, such as the parts of its prompt. A key that makes an upstream crash as
+//! soon as it begins an answer is found by its record: upstreams crashed while they began answers to requests with the key, and no answer to
+//! such a request has got past its beginning since. Keys that sound requests share are cleared by
 //! the answers to these. An instance sees only some of the crashes and of the answers, so instances
 //! exchange [`Record`]s. Merging records is commutative and idempotent: a record may arrive late,
 //! twice, or by way of another instance.
 
 mod error;
-mod part;
+mod key;
 mod record;
 mod suspect;
 mod suspects;
 mod suspicions;
 
 pub use error::Error;
-pub use part::{Part, Run};
+pub use key::{Key, Run};
 pub use record::{CrashRecord, Record};
 pub use suspect::Change;
 pub use suspects::{Admission, Suspects};
@@ -24,13 +23,13 @@
 
 use std::time::Duration;
 
-/// Duration of the beginning of an answer. An upstream that a part crashes does so within this time
-/// after the first byte of the answer; an answer that goes on for longer clears its parts.
+/// Duration of the beginning of an answer. An upstream that a key crashes does so within this time
+/// after the first byte of the answer; an answer that goes on for longer clears its keys.
 pub const BEGINNING: Duration = Duration::from_millis(500);
 
 /// Number of pieces of an answer that must have arrived by the end of its beginning. Fewer may have
 /// been sent before a crash and have arrived late.
 pub const MIN_SOUND_PIECES: u32 = 3;
 
-/// Largest number of parts of one prompt that are looked at.
-pub const MAX_PROMPT_PARTS: usize = 64;
+/// Largest number of keys of one request that are looked at.
+pub const MAX_KEYS: usize = 64;
--- a/crates/quarantine/src/suspect.rs
+++ b/crates/quarantine/src/suspect.rs
@@ -1,39 +1,39 @@
-//! What is known about one part that may crash upstreams.
+//! What is known about one key that may crash upstreams.
 
 use std::time::{Duration, Instant};
 
-use crate::{CrashRecord, Part, Record, Run};
+use crate::{CrashRecord, Key, Record, Run};
 
-/// Number of upstreams that must have crashed under a part before it is quarantined. Requests that
-/// merely were at a crashed upstream rarely share a part with those at two others, without a sound
+/// Number of upstreams that must have crashed under a key before it is quarantined. Requests that
+/// merely were at a crashed upstream rarely share a key with those at two others, without a sound
 /// answer in between.
 const QUARANTINE_CRASHES: usize = 3;
 
-/// Largest number of crashes that are kept for a part.
+/// Largest number of crashes that are kept for a key.
 const MAX_CRASHES: usize = 5;
 
-/// Times after the last crash, or the last trial, at which one request with a quarantined part may
+/// Times after the last crash, or the last trial, at which one request with a quarantined key may
 /// be tried. There are no further trials, because each may cost the answers at an upstream.
 const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(120), Duration::from_secs(3600)];
 
-/// How long a part is remembered after its last crash or trial.
+/// How long a key is remembered after its last crash or trial.
 const SUSPECT_TTL: Duration = Duration::from_secs(24 * 3600);
 
-/// How long a part is remembered that was cleared. Records of its crashes that arrive later are
+/// How long a key is remembered that was cleared. Records of its crashes that arrive later are
 /// recognized as outdated.
 const CLEARED_TTL: Duration = Duration::from_secs(120);
 
-/// Time by which two instances may differ about when a part was cleared. A smaller difference is no
+/// Time by which two instances may differ about when a key was cleared. A smaller difference is no
 /// news.
 const CLEARED_TOLERANCE: Duration = Duration::from_millis(200);
 
-/// Change of what is known about a part.
+/// Change of what is known about a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
-    /// The part is quarantined from now on.
-    Quarantined(Part),
-    /// The part was quarantined and is not any more.
-    Released(Part),
+    /// The key is quarantined from now on.
+    Quarantined(Key),
+    /// The key was quarantined and is not any more.
+    Released(Key),
 }
 
 /// Crash of an upstream as it began an answer.
@@ -43,22 +43,22 @@
     pub(crate) at: Instant,
 }
 
-/// Latest trial of a part, and number of trials so far.
+/// Latest trial of a key, and number of trials so far.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Trial {
     pub(crate) count: u8,
     pub(crate) at: Instant,
 }
 
-/// A part under which upstreams crashed.
+/// A key under which upstreams crashed.
 #[derive(Debug, Clone)]
 pub(crate) struct Suspect {
-    pub(crate) part: Part,
+    pub(crate) key: Key,
     /// Sorted by run. None is older than `cleared_at`.
     pub(crate) crashes: Vec<Crash>,
     pub(crate) cleared_at: Option<Instant>,
     pub(crate) trial: Option<Trial>,
-    /// Number of times that the part is still to be sent to other instances.
+    /// Number of times that the key is still to be sent to other instances.
     pub(crate) unsent_rounds: u8,
 }
 
@@ -74,8 +74,8 @@
 }
 
 impl Suspect {
-    pub(crate) fn new(part: Part) -> Self {
-        Self { part, crashes: Vec::new(), cleared_at: None, trial: None, unsent_rounds: 0 }
+    pub(crate) fn new(key: Key) -> Self {
+        Self { key, crashes: Vec::new(), cleared_at: None, trial: None, unsent_rounds: 0 }
     }
 
     pub(crate) fn is_quarantined(&self) -> bool {
@@ -170,7 +170,7 @@
     pub(crate) fn record(&self, now: Instant) -> Record {
         let crash = |crash: &Crash| CrashRecord { run: crash.run, age_ms: age_ms(now, crash.at) };
         Record {
-            part: self.part,
+            key: self.key,
             crashes: self.crashes.iter().map(crash).collect(),
             cleared_age_ms: self.cleared_at.map(|at| age_ms(now, at)),
             trials: self.trial.map_or(0, |trial| trial.count),
@@ -181,13 +181,13 @@
     /// Returns the change between `was_quarantined` and now.
     pub(crate) fn change_since(&self, was_quarantined: bool) -> Option<Change> {
         match (was_quarantined, self.is_quarantined()) {
-            (false, true) => Some(Change::Quarantined(self.part)),
-            (true, false) => Some(Change::Released(self.part)),
+            (false, true) => Some(Change::Quarantined(self.key)),
+            (true, false) => Some(Change::Released(self.key)),
             _ => None,
         }
     }
 
-    /// Rank by which parts are kept when there are too many: those with most crashes first, the
+    /// Rank by which keys are kept when there are too many: those with most crashes first, the
     /// latest first among these.
     pub(crate) fn retention_rank(&self) -> (usize, Option<Instant>) {
         (self.crashes.len(), self.last_incident().max(self.cleared_at))
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -1,21 +1,21 @@
-//! The parts that may crash upstreams, and the requests that they keep from upstreams.
+//! The keys that may crash upstreams, and the requests that they keep from upstreams.
 
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::suspect::{Crash, Suspect, Trial};
-use crate::{Change, MAX_PROMPT_PARTS, Part, Record, Run};
+use crate::{Change, Key, MAX_KEYS, Record, Run};
 
-/// Largest number of parts that are remembered.
+/// Largest number of keys that are remembered.
 const MAX_SUSPECTS: usize = 512;
 
-/// How long an answer that got past its beginning is remembered, to clear parts whose crash is
+/// How long an answer that got past its beginning is remembered, to clear keys whose crash is
 /// reported later.
 const SOUND_TTL: Duration = Duration::from_secs(10);
 
-/// Largest number of parts of such answers that are remembered.
-const MAX_SOUND_PARTS: usize = 2048;
+/// Largest number of keys of such answers that are remembered.
+const MAX_SOUND_KEYS: usize = 2048;
 
 /// Number of times that a change is sent to other instances.
 const SEND_ROUNDS: u8 = 3;
@@ -23,11 +23,11 @@
 /// What may be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
-    /// No part of the prompt is quarantined.
+    /// No key of the request is quarantined.
     Accept,
-    /// The request is the trial of its quarantined parts.
+    /// The request is the trial of its quarantined keys.
     Try,
-    /// A part is quarantined, and no request with it is tried before `until`.
+    /// A key is quarantined, and no request with it is tried before `until`.
     Refuse {
         /// Time of the next trial, or of the end of the quarantine.
         until: Instant,
@@ -35,33 +35,33 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct SoundPart {
-    part: Part,
+struct SoundKey {
+    key: Key,
     at: Instant,
 }
 
-/// What this instance knows about parts that may crash upstreams.
+/// What this instance knows about keys that may crash upstreams.
 #[derive(Debug, Clone, Default)]
 pub struct Suspects {
-    /// Sorted by part.
+    /// Sorted by key.
     entries: Vec<Suspect>,
-    /// Parts of the latest answers here that got past their beginning, sorted by part.
-    sound: Vec<SoundPart>,
+    /// Keys of the latest answers here that got past their beginning, sorted by key.
+    sound: Vec<SoundKey>,
 }
 
 impl Suspects {
-    /// Records that `run` crashed at `at`, as it began answers to requests with `parts`.
+    /// Records that `run` crashed at `at`, as it began answers to requests with `keys`.
     pub fn record_crash(
         &mut self,
         now: Instant,
         run: Run,
         at: Instant,
-        parts: &[Part],
+        keys: &[Key],
     ) -> Vec<Change> {
         let mut changes = Vec::new();
-        for part in parts {
-            let cleared_at = self.sound_since(*part);
-            let suspect = self.entry(now, *part);
+        for key in keys {
+            let cleared_at = self.sound_since(*key);
+            let suspect = self.entry(now, *key);
             let was_quarantined = suspect.is_quarantined();
             if let Some(cleared_at) = cleared_at {
                 suspect.clear(cleared_at);
@@ -74,12 +74,12 @@
         changes
     }
 
-    /// Records that an answer to a request with `parts` has got past its beginning.
-    pub fn record_sound(&mut self, now: Instant, parts: &[Part]) -> Vec<Change> {
+    /// Records that an answer to a request with `keys` has got past its beginning.
+    pub fn record_sound(&mut self, now: Instant, keys: &[Key]) -> Vec<Change> {
         let mut changes = Vec::new();
-        for part in parts.iter().take(MAX_PROMPT_PARTS) {
-            self.remember_sound(now, *part);
-            if let Ok(index) = self.find(*part) {
+        for key in keys.iter().take(MAX_KEYS) {
+            self.remember_sound(now, *key);
+            if let Ok(index) = self.find(*key) {
                 let suspect = &mut self.entries[index];
                 let was_quarantined = suspect.is_quarantined();
                 if suspect.clear(now) {
@@ -91,14 +91,14 @@
         changes
     }
 
-    /// Returns what may be done with a request with `parts`. `may_try` returns whether this
-    /// instance is the one that tries a part.
-    pub fn check<T>(&self, now: Instant, parts: &[Part], may_try: T) -> Admission
+    /// Returns what may be done with a request with `keys`. `may_try` returns whether this
+    /// instance is the one that tries a key.
+    pub fn check<T>(&self, now: Instant, keys: &[Key], may_try: T) -> Admission
     where
-        T: Fn(Part) -> bool,
+        T: Fn(Key) -> bool,
     {
-        let quarantined = parts.iter().take(MAX_PROMPT_PARTS).filter_map(|part| {
-            let suspect = &self.entries[self.find(*part).ok()?];
+        let quarantined = keys.iter().take(MAX_KEYS).filter_map(|key| {
+            let suspect = &self.entries[self.find(*key).ok()?];
             suspect.is_quarantined().then_some(suspect)
         });
         let quarantined: Vec<&Suspect> = quarantined.collect();
@@ -106,17 +106,17 @@
             return Admission::Accept;
         };
         let is_trial = quarantined.iter().all(|suspect| suspect.may_be_tried(now));
-        if is_trial && may_try(first.part) {
+        if is_trial && may_try(first.key) {
             return Admission::Try;
         }
         let until = quarantined.iter().filter_map(|suspect| suspect.next_trial()).max();
         Admission::Refuse { until: until.unwrap_or(now) }
     }
 
-    /// Records that a request with `parts` is sent as the trial of its quarantined parts.
-    pub fn record_trial(&mut self, now: Instant, parts: &[Part]) {
-        for part in parts.iter().take(MAX_PROMPT_PARTS) {
-            let Ok(index) = self.find(*part) else {
+    /// Records that a request with `keys` is sent as the trial of its quarantined keys.
+    pub fn record_trial(&mut self, now: Instant, keys: &[Key]) {
+        for key in keys.iter().take(MAX_KEYS) {
+            let Ok(index) = self.find(*key) else {
                 continue;
             };
             let suspect = &mut self.entries[index];
@@ -128,10 +128,10 @@
         }
     }
 
-    /// Takes over what another instance knows about a part.
+    /// Takes over what another instance knows about a key.
     pub fn merge(&mut self, now: Instant, record: &Record) -> Option<Change> {
-        let sound_since = self.sound_since(record.part);
-        let suspect = self.entry(now, record.part);
+        let sound_since = self.sound_since(record.key);
+        let suspect = self.entry(now, record.key);
         let was_quarantined = suspect.is_quarantined();
         let mut is_news = suspect.merge(now, record);
         if let Some(at) = sound_since {
@@ -158,12 +158,12 @@
         self.entries.iter().map(|suspect| suspect.record(now)).collect()
     }
 
-    /// Returns a hash of what is known about suspected parts. Instances that know the same have the
+    /// Returns a hash of what is known about suspected keys. Instances that know the same have the
     /// same hash.
     pub fn digest(&self) -> u64 {
         let mut hash = Xxh3::new();
         for suspect in self.entries.iter().filter(|suspect| !suspect.crashes.is_empty()) {
-            hash.update(&suspect.part.0.to_le_bytes());
+            hash.update(&suspect.key.0.to_le_bytes());
             hash.update(&[suspect.trial.map_or(0, |trial| trial.count)]);
             for Crash { run, .. } in &suspect.crashes {
                 hash.update(&run.upstream.to_le_bytes());
@@ -173,7 +173,7 @@
         hash.digest()
     }
 
-    /// Returns the number of quarantined parts.
+    /// Returns the number of quarantined keys.
     pub fn quarantined(&self) -> usize {
         self.entries.iter().filter(|suspect| suspect.is_quarantined()).count()
     }
@@ -184,19 +184,19 @@
         self.sound.retain(|sound| now < sound.at + SOUND_TTL);
     }
 
-    fn find(&self, part: Part) -> Result<usize, usize> {
-        self.entries.binary_search_by_key(&part, |suspect| suspect.part)
+    fn find(&self, key: Key) -> Result<usize, usize> {
+        self.entries.binary_search_by_key(&key, |suspect| suspect.key)
     }
 
-    /// Returns the entry of `part`, which is added if it is unknown.
-    fn entry(&mut self, now: Instant, part: Part) -> &mut Suspect {
-        if self.find(part).is_err() {
+    /// Returns the entry of `key`, which is added if it is unknown.
+    fn entry(&mut self, now: Instant, key: Key) -> &mut Suspect {
+        if self.find(key).is_err() {
             self.make_room(now);
         }
-        let index = match self.find(part) {
+        let index = match self.find(key) {
             Ok(index) => index,
             Err(index) => {
-                self.entries.insert(index, Suspect::new(part));
+                self.entries.insert(index, Suspect::new(key));
                 index
             }
         };
@@ -216,25 +216,25 @@
         }
     }
 
-    /// Returns the time at which an answer to a request with `part` last got past its beginning
+    /// Returns the time at which an answer to a request with `key` last got past its beginning
     /// here.
-    fn sound_since(&self, part: Part) -> Option<Instant> {
-        let found = self.sound.binary_search_by_key(&part, |sound| sound.part);
+    fn sound_since(&self, key: Key) -> Option<Instant> {
+        let found = self.sound.binary_search_by_key(&key, |sound| sound.key);
         found.ok().map(|index| self.sound[index].at)
     }
 
-    fn remember_sound(&mut self, now: Instant, part: Part) {
-        match self.sound.binary_search_by_key(&part, |sound| sound.part) {
+    fn remember_sound(&mut self, now: Instant, key: Key) {
+        match self.sound.binary_search_by_key(&key, |sound| sound.key) {
             Ok(index) => self.sound[index].at = now,
             Err(_) => {
-                if self.sound.len() >= MAX_SOUND_PARTS {
+                if self.sound.len() >= MAX_SOUND_KEYS {
                     self.sound.retain(|sound| now < sound.at + SOUND_TTL / 4);
                 }
-                if self.sound.len() >= MAX_SOUND_PARTS {
+                if self.sound.len() >= MAX_SOUND_KEYS {
                     self.sound.clear();
                 }
-                let index = self.sound.partition_point(|sound| sound.part < part);
-                self.sound.insert(index, SoundPart { part, at: now });
+                let index = self.sound.partition_point(|sound| sound.key < key);
+                self.sound.insert(index, SoundKey { key, at: now });
             }
         }
     }
--- a/crates/quarantine/src/suspicions.rs
+++ b/crates/quarantine/src/suspicions.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::{MAX_PROMPT_PARTS, Part, Run};
+use crate::{Key, MAX_KEYS, Run};
 
 /// Delay between the end of an answer and the check whether its upstream still listens. A process
 /// that ends closes all its sockets within this time.
@@ -27,7 +27,7 @@
 struct Suspicion {
     run: Run,
     at: Instant,
-    parts: Vec<Part>,
+    keys: Vec<Key>,
 }
 
 /// Answers that broke off at their beginning and whose upstreams have not been checked yet.
@@ -40,25 +40,25 @@
 }
 
 impl Suspicions {
-    /// Records that the answer of `run` to a request with `parts` broke off at its beginning.
-    pub fn record(&mut self, now: Instant, run: Run, parts: &[Part]) -> Check {
+    /// Records that the answer of `run` to a request with `keys` broke off at its beginning.
+    pub fn record(&mut self, now: Instant, run: Run, keys: &[Key]) -> Check {
         self.entries.retain(|entry| now < entry.at + SUSPICION_TTL);
         let is_pending = self.entries.iter().any(|entry| entry.run == run);
         if self.entries.len() < MAX_SUSPICIONS {
-            let parts = parts.iter().take(MAX_PROMPT_PARTS).copied().collect();
-            self.entries.push(Suspicion { run, at: now, parts });
+            let keys = keys.iter().take(MAX_KEYS).copied().collect();
+            self.entries.push(Suspicion { run, at: now, keys });
         }
         if is_pending { Check::Pending } else { Check::At(now + CHECK_DELAY) }
     }
 
     /// Removes the suspicions against `run`, whose check has ended, and returns the time of the
-    /// first broken answer and the parts of the requests. The parts are sorted.
-    pub fn take(&mut self, run: Run) -> Option<(Instant, Vec<Part>)> {
+    /// first broken answer and the keys of the requests. The keys are sorted.
+    pub fn take(&mut self, run: Run) -> Option<(Instant, Vec<Key>)> {
         let taken: Vec<Suspicion> = self.entries.extract_if(.., |entry| entry.run == run).collect();
         let first = taken.iter().map(|entry| entry.at).min()?;
-        let mut parts: Vec<Part> = taken.into_iter().flat_map(|entry| entry.parts).collect();
-        parts.sort();
-        parts.dedup();
-        Some((first, parts))
+        let mut keys: Vec<Key> = taken.into_iter().flat_map(|entry| entry.keys).collect();
+        keys.sort();
+        keys.dedup();
+        Some((first, keys))
     }
 }
--- a/crates/quarantine/tests/interleavings.rs
+++ b/crates/quarantine/tests/interleavings.rs
@@ -3,27 +3,27 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use quarantine::{Admission, Part, Record, Run, Suspects};
+use quarantine::{Admission, Key, Record, Run, Suspects};
 
 const INSTANCES: usize = 4;
 
 /// Crashes every upstream that begins an answer to a request with it.
-const BAD: Part = Part(1000);
+const BAD: Key = Key(1000);
 
 /// Number of upstreams that must have crashed for a quarantine.
 const QUARANTINE_CRASHES: usize = 3;
 
 #[derive(Debug, Clone)]
 enum Step {
-    /// An upstream crashes; each instance of the mask had requests with the part there.
+    /// An upstream crashes; each instance of the mask had requests with the key there.
     Crash {
-        part: u64,
+        key: u64,
         seen_by: u8,
     },
     /// An answer gets past its beginning.
     Sound {
         instance: usize,
-        part: u64,
+        key: u64,
     },
     /// An instance sends its changes to another one; the message may be lost or arrive twice.
     Send {
@@ -47,9 +47,9 @@
 fn step() -> impl Strategy<Value = Step> {
     let instance = 0..INSTANCES;
     prop_oneof![
-        // Part 0 stands for the bad part.
-        4 => (0_u64..4, 1_u8..(1 << INSTANCES)).prop_map(|(part, seen_by)| Step::Crash { part, seen_by }),
-        3 => (instance.clone(), 1_u64..4).prop_map(|(instance, part)| Step::Sound { instance, part }),
+        // Key 0 stands for the bad key.
+        4 => (0_u64..4, 1_u8..(1 << INSTANCES)).prop_map(|(key, seen_by)| Step::Crash { key, seen_by }),
+        3 => (instance.clone(), 1_u64..4).prop_map(|(instance, key)| Step::Sound { instance, key }),
         6 => (instance.clone(), instance.clone(), 0_usize..3)
             .prop_map(|(from, to, copies)| Step::Send { from, to, copies }),
         1 => (instance.clone(), instance.clone()).prop_map(|(from, to)| Step::Compare { from, to }),
@@ -58,8 +58,8 @@
     ]
 }
 
-fn part(number: u64) -> Part {
-    if number == 0 { BAD } else { Part(number) }
+fn key(number: u64) -> Key {
+    if number == 0 { BAD } else { Key(number) }
 }
 
 fn merge(suspects: &mut Suspects, now: Instant, records: &[Record]) {
@@ -71,9 +71,9 @@
 struct Model {
     now: Instant,
     instances: Vec<Suspects>,
-    crashes: Vec<(Part, Instant)>,
+    crashes: Vec<(Key, Instant)>,
     /// Answers past their beginning, with the instance that saw them.
-    sound: Vec<(Part, Instant, usize)>,
+    sound: Vec<(Key, Instant, usize)>,
     next_upstream: u32,
 }
 
@@ -93,19 +93,19 @@
         self.now += Duration::from_millis(1);
         let now = self.now;
         match *step {
-            Step::Crash { part: number, seen_by } => {
+            Step::Crash { key: number, seen_by } => {
                 self.next_upstream += 1;
                 let run = Run { upstream: self.next_upstream, born: 1 };
                 for (index, suspects) in self.instances.iter_mut().enumerate() {
                     if seen_by & (1 << index) != 0 {
-                        suspects.record_crash(now, run, now, &[part(number)]);
+                        suspects.record_crash(now, run, now, &[key(number)]);
                     }
                 }
-                self.crashes.push((part(number), now));
+                self.crashes.push((key(number), now));
             }
-            Step::Sound { instance, part: number } => {
-                self.instances[instance].record_sound(now, &[part(number)]);
-                self.sound.push((part(number), now, instance));
+            Step::Sound { instance, key: number } => {
+                self.instances[instance].record_sound(now, &[key(number)]);
+                self.sound.push((key(number), now, instance));
             }
             Step::Send { from, to, copies } => {
                 let records = self.instances[from].take_updates(now, 100);
@@ -134,16 +134,16 @@
         }
     }
 
-    /// Returns the number of crashes under `part` since an answer last got past its beginning.
-    fn crashes_since_sound(&self, part: Part) -> usize {
-        let sound = self.sound.iter().filter(|(other, ..)| *other == part);
+    /// Returns the number of crashes under `key` since an answer last got past its beginning.
+    fn crashes_since_sound(&self, key: Key) -> usize {
+        let sound = self.sound.iter().filter(|(other, ..)| *other == key);
         let sound = sound.map(|(_, at, _)| *at).max();
-        let crashes = self.crashes.iter().filter(|(other, _)| *other == part);
+        let crashes = self.crashes.iter().filter(|(other, _)| *other == key);
         crashes.filter(|(_, at)| sound.is_none_or(|sound| *at > sound)).count()
     }
 
-    fn is_quarantined(&self, instance: usize, part: Part) -> bool {
-        self.instances[instance].check(self.now, &[part], |_| false) != Admission::Accept
+    fn is_quarantined(&self, instance: usize, key: Key) -> bool {
+        self.instances[instance].check(self.now, &[key], |_| false) != Admission::Accept
     }
 }
 
@@ -168,10 +168,10 @@
             prop_assert_eq!(model.is_quarantined(instance, BAD), is_bad, "instance {}", instance);
             prop_assert_eq!(model.instances[instance].digest(), model.instances[0].digest());
             for number in 1..4 {
-                let crashes = model.crashes_since_sound(part(number));
+                let crashes = model.crashes_since_sound(key(number));
                 prop_assert!(
-                    !model.is_quarantined(instance, part(number)) || crashes >= QUARANTINE_CRASHES,
-                    "part {} was quarantined after {} crashes", number, crashes
+                    !model.is_quarantined(instance, key(number)) || crashes >= QUARANTINE_CRASHES,
+                    "key {} was quarantined after {} crashes", number, crashes
                 );
             }
         }
@@ -184,8 +184,8 @@
         let mut model = Model::new();
         for step in &steps {
             model.apply(step);
-            if let Step::Sound { instance, part: number } = step {
-                prop_assert!(!model.is_quarantined(*instance, part(*number)));
+            if let Step::Sound { instance, key: number } = step {
+                prop_assert!(!model.is_quarantined(*instance, key(*number)));
             }
         }
     }
--- a/crates/quarantine/tests/suspects.rs
+++ b/crates/quarantine/tests/suspects.rs
@@ -1,24 +1,22 @@
-//! Decisions about parts of prompts that may crash upstreams.
+//! Decisions about keys of requests that may crash upstreams.
 
 use std::time::{Duration, Instant};
 
-use quarantine::{
-    Admission, Change, Check, CrashRecord, MAX_PROMPT_PARTS, Part, Run, Suspects, Suspicions,
-};
+use quarantine::{Admission, Change, Check, CrashRecord, Key, MAX_KEYS, Run, Suspects, Suspicions};
 use test_case::test_case;
 
-const BAD: Part = Part(7);
-const SHARED: Part = Part(1);
+const BAD: Key = Key(7);
+const SHARED: Key = Key(1);
 
 fn run(upstream: u32) -> Run {
     Run { upstream, born: 1 }
 }
 
-fn nobody(_: Part) -> bool {
+fn nobody(_: Key) -> bool {
     false
 }
 
-fn everybody(_: Part) -> bool {
+fn everybody(_: Key) -> bool {
     true
 }
 
@@ -26,8 +24,8 @@
     Duration::from_millis(millis)
 }
 
-fn is_refused(suspects: &Suspects, now: Instant, parts: &[Part]) -> bool {
-    matches!(suspects.check(now, parts, nobody), Admission::Refuse { .. })
+fn is_refused(suspects: &Suspects, now: Instant, keys: &[Key]) -> bool {
+    matches!(suspects.check(now, keys, nobody), Admission::Refuse { .. })
 }
 
 /// Returns suspects after three upstreams crashed under [`BAD`].
@@ -146,8 +144,8 @@
 fn invented_parts_take_bounded_memory_and_do_not_displace_a_quarantined_part() {
     let now = Instant::now();
     let mut suspects = quarantined(now);
-    let parts: Vec<Part> = (100..20_000).map(Part).collect();
-    for (number, chunk) in parts.chunks(1000).enumerate() {
+    let keys: Vec<Key> = (100..20_000).map(Key).collect();
+    for (number, chunk) in keys.chunks(1000).enumerate() {
         let at = now + millis(number as u64);
         suspects.record_crash(at, run(number as u32), at, chunk);
         suspects.record_sound(at, chunk);
@@ -178,14 +176,14 @@
     assert!(suspects.records(now).iter().all(|record| record.crashes.len() <= 5));
 }
 
-#[test_case(MAX_PROMPT_PARTS, true; "at the limit")]
-#[test_case(MAX_PROMPT_PARTS + 1, false; "beyond the limit")]
+#[test_case(MAX_KEYS, true; "at the limit")]
+#[test_case(MAX_KEYS + 1, false; "beyond the limit")]
 fn the_first_parts_of_a_long_prompt_are_looked_at(position: usize, is_seen: bool) {
     let now = Instant::now();
     let suspects = quarantined(now);
-    let mut parts: Vec<Part> = (100..).take(position).map(Part).collect();
-    parts[position - 1] = BAD;
-    assert_eq!(is_refused(&suspects, now, &parts), is_seen);
+    let mut keys: Vec<Key> = (100..).take(position).map(Key).collect();
+    keys[position - 1] = BAD;
+    assert_eq!(is_refused(&suspects, now, &keys), is_seen);
 }
 
 #[test]
@@ -196,9 +194,9 @@
         panic!("no check is due");
     };
     assert!(at > now);
-    assert_eq!(suspicions.record(now + millis(5), run(1), &[Part(3), BAD]), Check::Pending);
+    assert_eq!(suspicions.record(now + millis(5), run(1), &[Key(3), BAD]), Check::Pending);
     assert_eq!(suspicions.take(run(2)), None);
-    assert_eq!(suspicions.take(run(1)), Some((now, vec![SHARED, Part(3), BAD])));
+    assert_eq!(suspicions.take(run(1)), Some((now, vec![SHARED, Key(3), BAD])));
     assert_eq!(suspicions.take(run(1)), None);
     assert!(matches!(suspicions.record(now, run(1), &[BAD]), Check::At(_)));
 }
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -8,6 +8,7 @@
 use entry::{Reply, Request};
 use forward::{EventBoundary, FailedAttempt, RoutingKey, StreamTracker, stall_timeout};
 use names::{Attempt, ClientAccount, Service, Upstream};
+use quarantine::Key;
 use stakker::{FixedTimerKey, Fwd};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -103,7 +104,9 @@
     pub(super) refusals: usize,
     /// Number of attempts whose response broke off within its first pieces.
     pub(super) broken_beginnings: usize,
-    /// Whether the request is the trial of a quarantined part.
+    /// Keys under which crashes of upstreams are recorded, the most specific first.
+    pub(super) keys: Vec<Key>,
+    /// Whether the request is the trial of a quarantined key.
     pub(super) is_trial: bool,
     pub(super) running: Option<RunningAttempt>,
     /// Search for the next upstream while load trackers are asked.
@@ -197,7 +200,7 @@
     }
 
     /// Returns the state of the request after an attempt failed with `verdict`.
-    /// `is_quarantined` says whether a part of the prompt is quarantined.
+    /// `is_quarantined` says whether a key of the request is quarantined.
     pub(super) fn failed_attempt(
         &self,
         now: Instant,
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -9,7 +9,7 @@
 use telemetry::Event;
 
 use super::active_request::ActiveRequest;
-use super::quarantine::crash_parts;
+use super::quarantine::crash_keys;
 use super::upstream_selection::max_queue_time;
 use super::{Forwarder, millis, problems};
 use crate::interface::RequestMetadata;
@@ -29,8 +29,7 @@
                 self.requests.insert(index, active);
                 self.requests[index].timer = at!(deadline, [cx], expire(id));
                 if self.requests[index].is_trial {
-                    let parts = crash_parts(self.requests[index].metadata.prompt.as_ref());
-                    self.quarantine.record_trial(cx.now(), &parts);
+                    self.quarantine.record_trial(cx.now(), &self.requests[index].keys);
                 }
                 self.place(cx, id);
             }
@@ -90,7 +89,8 @@
         if self.shutdown.is_some_and(|shutdown| !shutdown.accepts(now, deadline)) {
             return Err(problems::stopping());
         }
-        let is_trial = self.admit_parts(now, &crash_parts(metadata.prompt.as_ref()))?;
+        let keys = crash_keys(metadata.prompt.as_ref());
+        let is_trial = self.admit_keys(now, &keys)?;
         let queue_until = now + max_queue_time(route.objective);
         let stream_tracker = (route.repeat == Repeat::Resumed)
             .then(|| StreamTracker::new(metadata.last_event_id.clone()));
@@ -112,6 +112,7 @@
             runs: 0,
             refusals: 0,
             broken_beginnings: 0,
+            keys,
             is_trial,
             running: None,
             search: None,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -36,7 +36,7 @@
             return;
         };
         let now = cx.now();
-        if !self.may_send_parts(now, index) {
+        if !self.may_send_keys(now, index) {
             let tokens = self.requests[index].own_tokens();
             self.release(now, upstream, tokens);
             self.refuse_quarantined(cx, id);
--- a/crates/relay/src/forwarder/quarantine.rs
+++ b/crates/relay/src/forwarder/quarantine.rs
@@ -6,7 +6,7 @@
 use dispatch::Listening;
 use entry::Problem;
 use names::Upstream;
-use quarantine::{Admission, BEGINNING, Check, MIN_SOUND_PIECES, Part, Run};
+use quarantine::{Admission, BEGINNING, Check, Key, MIN_SOUND_PIECES, Run};
 use roster::short_hash;
 use stakker::{CX, at, call, ret_some_to};
 
@@ -16,58 +16,56 @@
 /// Time that a check whether an upstream listens may take.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Returns the parts of a prompt that may crash an upstream. The last part comes first, because
-/// only a limited number of parts is looked at: a request that is sent again and again crashes
+/// Returns the keys of a request with `prompt`: the parts. The last part comes first, because
+/// only a limited number of keys is looked at: a request that is sent again and again crashes
 /// upstreams although sound requests share all of its other parts.
-pub(super) fn crash_parts(prompt: Option<&Prompt>) -> Vec<Part> {
+pub(super) fn crash_keys(prompt: Option<&Prompt>) -> Vec<Key> {
     let parts = prompt.map_or(&[][..], |prompt| prompt.parts.as_slice());
     let (last, shared) =
         parts.split_last().map_or((None, &[][..]), |(last, rest)| (Some(last), rest));
-    last.into_iter().chain(shared).map(|part| Part(part.id)).collect()
+    last.into_iter().chain(shared).map(|part| Key(part.id)).collect()
 }
 
 impl Forwarder {
-    /// Checks a new request with `parts`. Returns whether it is the trial of a quarantined part.
+    /// Checks a new request with `keys`. Returns whether it is the trial of a quarantined key.
     ///
     /// # Errors
     ///
-    /// The refusal, if a part is quarantined.
-    pub(super) fn admit_parts(&self, now: Instant, parts: &[Part]) -> Result<bool, Problem> {
-        match self.quarantine.check(now, parts) {
+    /// The refusal, if a key is quarantined.
+    pub(super) fn admit_keys(&self, now: Instant, keys: &[Key]) -> Result<bool, Problem> {
+        match self.quarantine.check(now, keys) {
             Admission::Accept => Ok(false),
             Admission::Try => Ok(true),
             Admission::Refuse { until } => Err(problems::quarantined(now, until)),
         }
     }
 
-    /// Returns whether a part of the prompt of a request is quarantined.
+    /// Returns whether a key of a request is quarantined.
     pub(super) fn is_quarantined(&self, now: Instant, id: names::Request) -> bool {
         let Ok(index) = self.find(id) else {
             return false;
         };
-        let parts = crash_parts(self.requests[index].metadata.prompt.as_ref());
-        self.quarantine.check(now, &parts) != Admission::Accept
+        self.quarantine.check(now, &self.requests[index].keys) != Admission::Accept
     }
 
-    /// Returns whether the request at `index` may be sent. A part may have been quarantined since
+    /// Returns whether the request at `index` may be sent. A key may have been quarantined since
     /// the request arrived.
-    pub(super) fn may_send_parts(&self, now: Instant, index: usize) -> bool {
+    pub(super) fn may_send_keys(&self, now: Instant, index: usize) -> bool {
         let active = &self.requests[index];
         let is_trial = active.is_trial && active.tried.is_empty();
-        let parts = crash_parts(active.metadata.prompt.as_ref());
-        is_trial || self.quarantine.check(now, &parts) == Admission::Accept
+        is_trial || self.quarantine.check(now, &active.keys) == Admission::Accept
     }
 
-    /// Ends a request that is not sent because a part of its prompt is quarantined. A request in
-    /// progress goes on.
+    /// Ends a request that is not sent because one of its keys is quarantined. A request in progress
+    /// goes on.
     pub(super) fn refuse_quarantined(&mut self, cx: CX![], id: names::Request) {
         let now = cx.now();
         let Some(active) = self.active(id).filter(|active| active.running.is_none()) else {
             return;
         };
-        let parts = crash_parts(active.metadata.prompt.as_ref());
+        let keys = active.keys.clone();
         let (is_started, has_run) = (active.is_started, active.runs > 0);
-        match (is_started, has_run, self.quarantine.check(now, &parts)) {
+        match (is_started, has_run, self.quarantine.check(now, &keys)) {
             (true, _, _) => self.abort_response(now, id, "quarantined"),
             (false, false, Admission::Refuse { until }) => {
                 self.refuse(now, id, problems::quarantined(now, until));
@@ -94,11 +92,11 @@
         let run = Run { upstream: short_hash(&upstream), born: running.born };
         let has_begun_well = running.parts >= MIN_SOUND_PIECES;
         active.broken_beginnings += usize::from(!has_begun_well);
-        let parts = crash_parts(active.metadata.prompt.as_ref());
-        if parts.is_empty() {
+        let keys = active.keys.clone();
+        if keys.is_empty() {
             return;
         }
-        if let Check::At(at) = self.quarantine.record_broken(now, run, &parts) {
+        if let Check::At(at) = self.quarantine.record_broken(now, run, &keys) {
             at!(at, [cx], check_upstream(run, upstream));
         }
     }
@@ -136,7 +134,7 @@
             return;
         }
         running.is_sound = true;
-        let parts = crash_parts(active.metadata.prompt.as_ref());
-        self.quarantine.record_sound(now, &parts);
+        let keys = active.keys.clone();
+        self.quarantine.record_sound(now, &keys);
     }
 }
