Name the key of the request in each line about a failed attempt

`key` is the same whenever the request is sent again: its last part, or for a request without a prompt a hash of method, host, path with query, caller and body. No change of what is done with requests.

--- a/crates/quarantine/src/key.rs
+++ b/crates/quarantine/src/key.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::Error;
 
@@ -12,6 +13,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key(pub u64);
 
+impl Key {
+    /// Returns the key of a request that consists of `fields`. Equal requests have equal keys.
+    pub fn of_request(fields: &[&[u8]]) -> Self {
+        let mut hash = Xxh3::new();
+        for field in fields {
+            hash.update(&(field.len() as u64).to_le_bytes());
+            hash.update(field);
+        }
+        Self(hash.digest())
+    }
+}
+
 impl fmt::Display for Key {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -104,6 +104,8 @@
     pub(super) refusals: usize,
     /// Number of attempts whose response broke off within its first pieces.
     pub(super) broken_beginnings: usize,
+    /// Key that the same request has whenever it is sent again.
+    pub(super) key: Key,
     /// Keys under which crashes of upstreams are recorded, the most specific first.
     pub(super) keys: Vec<Key>,
     /// Whether the request is the trial of a quarantined key.
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -9,7 +9,7 @@
 use telemetry::Event;
 
 use super::active_request::ActiveRequest;
-use super::quarantine::crash_keys;
+use super::quarantine::{crash_keys, request_key};
 use super::upstream_selection::max_queue_time;
 use super::{Forwarder, millis, problems};
 use crate::interface::RequestMetadata;
@@ -91,6 +91,11 @@
         }
         let keys = crash_keys(metadata.prompt.as_ref());
         let is_trial = self.admit_keys(now, &keys)?;
+        let account = caller.map(|account| &account.name);
+        let key = match keys.first() {
+            Some(key) => *key,
+            None => request_key(&request, &metadata, account),
+        };
         let queue_until = now + max_queue_time(route.objective);
         let stream_tracker = (route.repeat == Repeat::Resumed)
             .then(|| StreamTracker::new(metadata.last_event_id.clone()));
@@ -101,7 +106,7 @@
             metadata,
             service,
             connections,
-            account: caller.map(|account| account.name.clone()),
+            account: account.cloned(),
             rank: caller.and_then(|account| account.rank).unwrap_or(route.rank),
             route,
             arrived_at: now,
@@ -112,6 +117,7 @@
             runs: 0,
             refusals: 0,
             broken_beginnings: 0,
+            key,
             keys,
             is_trial,
             running: None,
--- a/crates/relay/src/forwarder/quarantine.rs
+++ b/crates/relay/src/forwarder/quarantine.rs
@@ -4,14 +4,14 @@
 use std::time::{Duration, Instant};
 
 use dispatch::Listening;
-use entry::Problem;
-use names::Upstream;
+use entry::{Problem, Request};
+use names::{ClientAccount, Upstream};
 use quarantine::{Admission, BEGINNING, Check, Key, MIN_SOUND_PIECES, Run};
 use roster::short_hash;
 use stakker::{CX, at, call, ret_some_to};
 
 use super::{Forwarder, problems};
-use crate::interface::Prompt;
+use crate::interface::{Prompt, RequestMetadata};
 
 /// Time that a check whether an upstream listens may take.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -26,6 +26,24 @@
     last.into_iter().chain(shared).map(|part| Key(part.id)).collect()
 }
 
+/// Returns the key of a whole request of `account`: all that is the same when a caller sends the
+/// request again.
+pub(super) fn request_key(
+    request: &Request,
+    metadata: &RequestMetadata,
+    account: Option<&ClientAccount>,
+) -> Key {
+    let method: &str = request.method.into();
+    let caller = account.map(ClientAccount::as_str).or(metadata.api_key.as_deref());
+    Key::of_request(&[
+        method.as_bytes(),
+        metadata.host.as_bytes(),
+        request.path.as_bytes(),
+        caller.unwrap_or_default().as_bytes(),
+        &request.body,
+    ])
+}
+
 impl Forwarder {
     /// Checks a new request with `keys`. Returns whether it is the trial of a quarantined key.
     ///
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -96,6 +96,7 @@
                 reason: reason.to_string(),
                 after_ms: millis(now.saturating_duration_since(running.started_at)),
                 begun_ms: running.head_at.map(|at| millis(now.saturating_duration_since(at))),
+                key: active.key.to_string(),
                 prompt: active.prompt_text(),
                 next: next.to_string(),
             }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -247,6 +247,9 @@
         after_ms: u64,
         /// Time since the first byte of the answer arrived, or none if none did.
         begun_ms: Option<u64>,
+        /// Key of the request, the same whenever the request is sent again: its last part, or a hash
+        /// of method, host, path, caller and body if it has no prompt.
+        key: String,
         /// Parts of the prompt, the last of which is specific to the request or its session.
         prompt: String,
         /// Action that follows the failure, such as a retry.
@@ -262,12 +265,12 @@
         /// Whether a process listens at its address: `accepts`, `refuses` or `unknown`. The
         /// upstream has ended if its address refuses connections.
         listening: String,
-        /// Parts of the prompts of the requests.
+        /// Keys of the requests.
         parts: String,
     },
-    /// A part of prompts is quarantined, or is not any more.
+    /// A key of requests is quarantined, or is not any more.
     Quarantined {
-        /// Identifier of the part.
+        /// The key.
         part: String,
         /// Whether the quarantine begins.
         is_begun: bool,
