Share the crashing upstreams of the tests, and let scripted ones crash with resets

The herd of upstreams that crash and return, the fleet of six entry instances in three data centres and the shares of served requests move from tests/platform_crashing_parts.rs to tests/support/crashes.rs, for the tests of plain requests. The herd takes the service, the number of upstreams and whether they return under another name. A scripted upstream sees headers and body of a request, can reset its connections as it crashes, and answers nothing that it still ran when it crashed.

--- a/tests/platform_crashing_parts.rs
+++ b/tests/platform_crashing_parts.rs
@@ -11,7 +11,11 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use support::machines::{Machine, Machines, document};
+use support::crashes::{
+    CONTACT, Herd, MAX_LATER_REQUESTS, RESTART_DELAY, Return, Sample, assert_none_quarantined,
+    assert_share, callers, served, start_machines, wait_until_served,
+};
+use support::machines::document;
 use support::platform_calls::call_with_prompt;
 use support::worker::{Behaviour, Worker};
 use support::{Proxy, wait_for};
@@ -26,98 +30,30 @@
 /// Number of crashes after which the fleet has to know the cause.
 const CRASHES: usize = 5;
 
-/// Time within which the fleet has to know the cause after the last of [`CRASHES`] crashes.
-const CONTACT: Duration = Duration::from_millis(3000);
-
-/// Number of requests with the part that may reach upstreams after that time.
-const MAX_LATER_REQUESTS: usize = 3;
-
-/// Time after a crash at which the upstream is back.
-const RESTART_DELAY: Duration = Duration::from_millis(1500);
-
 /// Time that the requests go on after the cause has to be known.
 const AFTERMATH: Duration = Duration::from_millis(6000);
 
-const ENTRIES: u8 = 6;
 const ENGINES: usize = 8;
 const SOUND_CALLERS: usize = 8;
 
 /// Interval between two requests that crash upstreams.
 const BAD_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Answer to a sound request.
-struct Sample {
-    sent_at: Instant,
-    is_served: bool,
+/// Starts engines that return under another name after they have crashed.
+fn start_engines(seeds: &[SocketAddr], behaviour: Behaviour) -> Herd {
+    let setup = move |worker: &Worker| worker.set_behaviour(behaviour);
+    Herd::start(seeds, "engines", ENGINES, Return::NewName, setup)
 }
 
-/// Engines that return under another name some time after they have crashed.
-struct Engines {
-    workers: Arc<Mutex<Vec<Worker>>>,
-    is_stopped: Arc<AtomicBool>,
-    supervisor: Option<JoinHandle<()>>,
-}
-
-impl Engines {
-    fn start(seeds: &[SocketAddr], behaviour: Behaviour) -> Self {
-        let start = |number| {
-            let worker = Worker::start(&format!("i-engine-{number}"), "engines", seeds.to_vec());
-            worker.set_behaviour(behaviour);
-            worker
-        };
-        let workers = Arc::new(Mutex::new((1..=ENGINES).map(start).collect::<Vec<_>>()));
-        let is_stopped = Arc::new(AtomicBool::new(false));
-        let (all, is_ended, seeds) = (workers.clone(), is_stopped.clone(), seeds.to_vec());
-        let supervisor = std::thread::spawn(move || {
-            let mut restarted = 0;
-            let mut ended: Vec<(Instant, SocketAddr)> = Vec::new();
-            while !is_ended.load(Ordering::Relaxed) {
-                for worker in all.lock().unwrap().iter() {
-                    let crash = worker.crashed_at().map(|at| (at, worker.address()));
-                    ended.extend(crash.filter(|crash| !ended.contains(crash)));
-                }
-                while ended.get(restarted).is_some_and(|(at, _)| at.elapsed() > RESTART_DELAY) {
-                    let name = format!("i-engine-{}", ENGINES + 1 + restarted);
-                    let worker =
-                        Worker::start_at(&name, "engines", seeds.clone(), ended[restarted].1);
-                    worker.set_behaviour(behaviour);
-                    all.lock().unwrap().push(worker);
-                    restarted += 1;
-                }
-                std::thread::sleep(Duration::from_millis(20));
-            }
-        });
-        Self { workers, is_stopped, supervisor: Some(supervisor) }
-    }
-
-    /// Returns the times of the crashes, in order.
-    fn crashes(&self) -> Vec<Instant> {
-        let workers = self.workers.lock().unwrap();
-        let mut times: Vec<Instant> = workers.iter().filter_map(Worker::crashed_at).collect();
-        times.sort();
-        times
-    }
-
-    /// Returns the times at which requests with `part` arrived, in order.
-    fn arrivals(&self, part: &str) -> Vec<Instant> {
-        let workers = self.workers.lock().unwrap();
-        let requests = workers.iter().flat_map(Worker::executed_requests);
-        let with_part = requests.filter(|run| {
-            run.headers.get("prompt-prefix").is_some_and(|prompt| prompt.contains(part))
-        });
-        let mut times: Vec<Instant> = with_part.map(|run| run.at).collect();
-        times.sort();
-        times
-    }
-}
-
-impl Drop for Engines {
-    fn drop(&mut self) {
-        self.is_stopped.store(true, Ordering::Relaxed);
-        if let Some(supervisor) = self.supervisor.take() {
-            let _ = supervisor.join();
-        }
-    }
+/// Returns the times at which requests with `part` arrived, in order.
+fn arrivals(engines: &Herd, part: &str) -> Vec<Instant> {
+    let workers = engines.workers.lock().unwrap();
+    let requests = workers.iter().flat_map(Worker::executed_requests);
+    let with_part = requests
+        .filter(|run| run.headers.get("prompt-prefix").is_some_and(|prompt| prompt.contains(part)));
+    let mut times: Vec<Instant> = with_part.map(|run| run.at).collect();
+    times.sort();
+    times
 }
 
 /// Requests in progress, which go on until this is dropped.
@@ -188,11 +124,7 @@
     /// Returns the share of sound requests sent from `start` to `end` that were served, and their
     /// number.
     fn served(&self, start: Instant, end: Instant) -> (f64, usize) {
-        let samples = self.samples.lock().unwrap();
-        let chosen: Vec<&Sample> =
-            samples.iter().filter(|sample| (start..end).contains(&sample.sent_at)).collect();
-        let served = chosen.iter().filter(|sample| sample.is_served).count();
-        (served as f64 / chosen.len().max(1) as f64, chosen.len())
+        served(&self.samples.lock().unwrap(), start, end)
     }
 }
 
@@ -205,37 +137,9 @@
     }
 }
 
-/// Starts three control instances and six entry instances in three data centres.
-fn start_machines<F>(mut setup: F) -> Machines
-where
-    F: FnMut(&mut Machine),
-{
-    let mut number = 0;
-    let machines = Machines::start_with_setup(3, ENTRIES, |machine| {
-        machine.data_centre = ["giza", "cairo", "delta"][number % 3].to_string();
-        number += 1;
-        setup(machine);
-    });
-    machines.put_document_until_acknowledged(&document(7));
-    machines
-}
-
-fn wait_until_served(machines: &Machines) {
-    machines.wait_ready(7);
-    for entry in &machines.entries {
-        wait_for("arrival of the upstreams at an entry instance", || {
-            (entry.events("upstream").len() >= ENGINES).then_some(())
-        });
-    }
-}
-
-fn callers(machines: &Machines) -> Vec<SocketAddr> {
-    machines.entries.iter().map(Machine::callers).collect()
-}
-
 /// Asserts that requests with `part` no longer reach upstreams once the fleet has to know the cause.
-fn assert_contained(engines: &Engines, part: &str, since: Option<Instant>) {
-    let arrivals = engines.arrivals(part);
+fn assert_contained(engines: &Herd, part: &str, since: Option<Instant>) {
+    let arrivals = arrivals(engines, part);
     let crashes = engines.crashes();
     if let Some(fifth) = crashes.get(CRASHES - 1) {
         let known = since.map_or(*fifth, |since| since.max(*fifth)) + CONTACT;
@@ -251,7 +155,7 @@
 }
 
 /// Waits for the first crash, and then until the requests have gone on for long enough.
-fn wait_for_aftermath(engines: &Engines) -> Instant {
+fn wait_for_aftermath(engines: &Herd) -> Instant {
     let first = wait_for("the first crash", || engines.crashes().first().copied());
     let deadline = first + Duration::from_secs(30);
     let known = loop {
@@ -267,13 +171,8 @@
 }
 
 fn assert_sound_requests_are_served(traffic: &Traffic, calm: (f64, usize), known: Instant) {
-    let (share, count) = traffic.served(known, Instant::now() - Duration::from_secs(1));
-    assert!(calm.1 >= 20 && count >= 20, "{calm:?} {count}");
-    assert!(
-        share >= calm.0 / 2.0,
-        "{share:.2} of {count} sound requests were served, {:.2} before the first crash",
-        calm.0
-    );
+    let share = traffic.served(known, Instant::now() - Duration::from_secs(1));
+    assert_share(share, calm, "all callers");
 }
 
 /// Returns the share of the sound requests that are served without any other requests.
@@ -291,10 +190,10 @@
     prompts: &[&'static str],
     parts: &[&str],
 ) {
-    let machines = start_machines(|_| {});
+    let machines = start_machines(&document(7), |_| {});
     // Both parts begin with the same letters, so that each engine has one behaviour for them.
-    let engines = Engines::start(&machines.seeds(), Behaviour::CrashOn("bad"));
-    wait_until_served(&machines);
+    let engines = start_engines(&machines.seeds(), Behaviour::CrashOn("bad"));
+    wait_until_served(&machines, ENGINES);
     let callers = callers(&machines);
     let calm = measure_calm(&callers);
     let traffic = Traffic::start(&callers, prompts);
@@ -310,9 +209,9 @@
 /// sound requests that shared all parts of its prompt but the last cleared these.
 #[test]
 fn a_request_that_crashes_upstreams_is_not_sent_to_further_ones() {
-    let machines = start_machines(|_| {});
-    let engines = Engines::start(&machines.seeds(), Behaviour::CrashOnLast("bad"));
-    wait_until_served(&machines);
+    let machines = start_machines(&document(7), |_| {});
+    let engines = start_engines(&machines.seeds(), Behaviour::CrashOnLast("bad"));
+    wait_until_served(&machines, ENGINES);
     let callers = callers(&machines);
     let calm = measure_calm(&callers);
     // Sound requests clear the shared part between two crashes.
@@ -327,9 +226,9 @@
 
 #[test]
 fn a_part_that_crashes_upstreams_stays_known_when_an_entry_instance_restarts_between_crashes() {
-    let mut machines = start_machines(|_| {});
-    let engines = Engines::start(&machines.seeds(), Behaviour::CrashOn("bad"));
-    wait_until_served(&machines);
+    let mut machines = start_machines(&document(7), |_| {});
+    let engines = start_engines(&machines.seeds(), Behaviour::CrashOn("bad"));
+    wait_until_served(&machines, ENGINES);
     let callers = callers(&machines);
     let calm = measure_calm(&callers);
     let traffic = Traffic::start(&callers, &["aa:100,bad0bad0:50,LAST:10"]);
@@ -340,22 +239,22 @@
     let known = wait_for_aftermath(&engines);
     assert_contained(&engines, BAD, None);
     assert_sound_requests_are_served(&traffic, calm, known);
-    assert!(engines.arrivals(BAD).len() > 2);
+    assert!(arrivals(&engines, BAD).len() > 2);
 }
 
 #[test]
 fn a_data_centre_that_was_cut_off_learns_of_a_part_that_crashes_upstreams_when_it_returns() {
     let mut proxies: Vec<Proxy> = Vec::new();
     let mut number = 0;
-    let machines = start_machines(|machine| {
+    let machines = start_machines(&document(7), |machine| {
         // The last two entry instances are in the same data centre as the third one.
         if number == 5 || number == 8 {
             proxies.extend(machine.listen_behind_proxies());
         }
         number += 1;
     });
-    let engines = Engines::start(&machines.seeds(), Behaviour::CrashOn("bad"));
-    wait_until_served(&machines);
+    let engines = start_engines(&machines.seeds(), Behaviour::CrashOn("bad"));
+    wait_until_served(&machines, ENGINES);
     let all = callers(&machines);
     let calm = measure_calm(&all);
     let cut_off = [all[2], all[5]];
@@ -382,9 +281,9 @@
 
 #[test]
 fn crashes_of_many_upstreams_at_once_let_no_request_be_refused_for_its_parts() {
-    let machines = start_machines(|_| {});
-    let engines = Engines::start(&machines.seeds(), Behaviour::Answer);
-    wait_until_served(&machines);
+    let machines = start_machines(&document(7), |_| {});
+    let engines = start_engines(&machines.seeds(), Behaviour::Answer);
+    wait_until_served(&machines, ENGINES);
     let callers = callers(&machines);
     let calm = measure_calm(&callers);
     let traffic = Traffic::start(&callers, &[]);
@@ -401,18 +300,15 @@
     }
     std::thread::sleep(Duration::from_millis(2000));
     assert_sound_requests_are_served(&traffic, calm, Instant::now() - Duration::from_secs(2));
-    for entry in &machines.entries {
-        let refusals = entry.events("refused");
-        assert!(refusals.iter().all(|line| line["reason"] != "quarantined"), "{refusals:?}");
-    }
+    assert_none_quarantined(&machines);
 }
 
 /// Guards against upstreams that break off their answers and are taken for crashed ones.
 #[test]
 fn answers_that_upstreams_only_break_off_let_no_request_be_refused_for_its_parts() {
-    let machines = start_machines(|_| {});
-    let engines = Engines::start(&machines.seeds(), Behaviour::BreakAfter(0));
-    wait_until_served(&machines);
+    let machines = start_machines(&document(7), |_| {});
+    let engines = start_engines(&machines.seeds(), Behaviour::BreakAfter(0));
+    wait_until_served(&machines, ENGINES);
     let traffic = Traffic::start(&callers(&machines), &["aa:100,bad0bad0:50,LAST:10"]);
     std::thread::sleep(Duration::from_secs(4));
     drop(traffic);
@@ -421,8 +317,5 @@
         machines.entries.iter().flat_map(|entry| entry.events("broken-off")).collect();
     assert!(checks.len() >= 3, "{checks:?}");
     assert!(checks.iter().all(|line| line["listening"] == "accepts"), "{checks:?}");
-    for entry in &machines.entries {
-        let refusals = entry.events("refused");
-        assert!(refusals.iter().all(|line| line["reason"] != "quarantined"), "{refusals:?}");
-    }
+    assert_none_quarantined(&machines);
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, unused_imports, clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod client;
+pub mod crashes;
 mod fleet;
 mod http;
 mod load;
--- a/tests/support/script.rs
+++ b/tests/support/script.rs
@@ -1,5 +1,6 @@
 //! Scripted answers of an upstream: any bytes, followed by any end of the connection.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -13,6 +14,9 @@
     pub path: &'a str,
     /// Value of the header `last-event-id`, if the request resumes a stream.
     pub last_event_id: Option<&'a str>,
+    /// Headers, with names in lower case.
+    pub headers: &'a BTreeMap<String, String>,
+    pub body: &'a [u8],
 }
 
 /// What happens to the connection after the bytes of an answer.
@@ -27,6 +31,8 @@
     /// The upstream ends as a crash of its process does: it refuses connections from then on, and
     /// all of its connections are closed.
     Crash,
+    /// As `Crash`, and all of its connections are reset.
+    CrashWithResets,
 }
 
 /// Answer to one request.
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -81,7 +81,7 @@
     CrashOnLast(&'static str),
 }
 
-/// A request that an upstream executed.
+/// A request that an upstream received or executed.
 #[derive(Debug, Clone)]
 pub struct ExecutedRequest {
     /// Value of the header `request-id`.
@@ -104,8 +104,8 @@
     script: Mutex<Option<Arc<Answers>>>,
     /// Header lines that are added to every answer.
     extra_headers: Mutex<String>,
-    /// Times at which requests arrived, including those that were refused.
-    arrivals: Mutex<Vec<Instant>>,
+    /// Requests that arrived, including those that were refused.
+    received_requests: Mutex<Vec<ExecutedRequest>>,
     announced_state: Mutex<&'static str>,
     executed_requests: Mutex<Vec<ExecutedRequest>>,
     sequence: AtomicU64,
@@ -178,7 +178,7 @@
             behaviour: Mutex::new(Behaviour::Answer),
             script: Mutex::default(),
             extra_headers: Mutex::default(),
-            arrivals: Mutex::default(),
+            received_requests: Mutex::default(),
             announced_state: Mutex::new("ready"),
             executed_requests: Mutex::default(),
             sequence: AtomicU64::new(0),
@@ -231,7 +231,12 @@
 
     /// Returns the times at which requests arrived, including those that were refused.
     pub fn arrivals(&self) -> Vec<Instant> {
-        self.shared.arrivals.lock().unwrap().clone()
+        self.received_requests().into_iter().map(|request| request.at).collect()
+    }
+
+    /// Returns all requests that arrived, including those that were refused.
+    pub fn received_requests(&self) -> Vec<ExecutedRequest> {
+        self.shared.received_requests.lock().unwrap().clone()
     }
 
     /// Returns all requests that the upstream has executed.
@@ -239,6 +244,10 @@
         self.shared.executed_requests.lock().unwrap().clone()
     }
 
+    pub fn name(&self) -> &str {
+        &self.shared.name
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.shared.address
     }
@@ -292,6 +301,18 @@
     }
 }
 
+/// Ends an upstream as a crash of its process does that leaves received bytes unread: all of its
+/// connections are reset.
+fn end_with_resets(shared: &WorkerState) {
+    shared.crashed_at.lock().unwrap().get_or_insert(Instant::now());
+    let connections = shared.connections.lock().unwrap();
+    for connection in connections.iter().filter_map(Weak::upgrade) {
+        reset_on_close(&connection);
+        // Ends the thread of the connection, which closes it.
+        let _ = connection.shutdown(Shutdown::Read);
+    }
+}
+
 /// Returns whether a part of the prompt of a request that is not the last one begins with `beginning`.
 fn has_part(request: &Request, beginning: &str) -> bool {
     let prompt = request.headers.get("prompt-prefix").map_or("", String::as_str);
@@ -387,7 +408,14 @@
     let id = request.headers.get("request-id").cloned().unwrap_or_default();
     let behaviour = *shared.behaviour.lock().unwrap();
     let extra_headers = shared.extra_headers.lock().unwrap().clone();
-    shared.arrivals.lock().unwrap().push(Instant::now());
+    let received = ExecutedRequest {
+        request: id.clone(),
+        headers: request.headers.clone(),
+        path: request.path.clone(),
+        body: request.body.clone(),
+        at: Instant::now(),
+    };
+    shared.received_requests.lock().unwrap().push(received.clone());
     let is_addressee =
         request.headers.get("expect-instance").is_none_or(|name| *name == shared.name);
     if behaviour == Behaviour::Misdirect || !is_addressee {
@@ -407,20 +435,21 @@
              {extra_headers}content-length: 0\r\n\r\n"
         );
     }
-    shared.executed_requests.lock().unwrap().push(ExecutedRequest {
-        request: id.clone(),
-        headers: request.headers.clone(),
-        path: request.path.clone(),
-        body: request.body.clone(),
-        at: Instant::now(),
-    });
+    let executed = ExecutedRequest { at: Instant::now(), ..received };
+    shared.executed_requests.lock().unwrap().push(executed);
     let answers = shared.script.lock().unwrap().clone();
     let scripted = ScriptedRequest {
         id: &id,
         path: &request.path,
         last_event_id: request.headers.get("last-event-id").map(String::as_str),
+        headers: &request.headers,
+        body: &request.body,
     };
-    if let Some(script) = answers.and_then(|answers| answers(&scripted)) {
+    let script = answers.and_then(|answers| answers(&scripted));
+    if shared.crashed_at.lock().unwrap().is_some() {
+        return Err(ErrorKind::ConnectionAborted.into());
+    }
+    if let Some(script) = script {
         return perform(shared, &id, &script, writer);
     }
     if behaviour == Behaviour::Slow {
@@ -487,12 +516,15 @@
     match script.end {
         End::Close | End::CloseAndHang => {}
         End::Reset => reset_on_close(writer),
-        End::Crash => {
+        End::Crash | End::CrashWithResets => {
             shared.is_stopped.store(true, Ordering::Relaxed);
             while !shared.is_listener_closed.load(Ordering::Relaxed) {
                 std::thread::sleep(Duration::from_millis(1));
             }
-            end(shared);
+            match script.end {
+                End::CrashWithResets => end_with_resets(shared),
+                _ => end(shared),
+            }
         }
     }
     Err(ErrorKind::ConnectionAborted.into())
