Add failing tests of deadly plain requests across kills and cuts, and guards for the innocent

Two guards pass now and have to go on passing: many upstreams that end at once under a request that is always running, and broken answers, cuts, drains and restarts, make no instance refuse a request as quarantined.

The sound callers pause between requests, since without that they used up the files of the test process.

--- a/tests/platform_deadly_requests.rs
+++ b/tests/platform_deadly_requests.rs
@@ -14,13 +14,13 @@
 
 use serde_json::{Value, json};
 use support::crashes::{
-    CONTACT, Herd, MAX_LATER_REQUESTS, RESTART_DELAY, Return, Sample, assert_share, callers,
-    served, start_machines, wait_until_served,
+    CONTACT, Herd, MAX_LATER_REQUESTS, RESTART_DELAY, Return, Sample, assert_none_quarantined,
+    assert_share, callers, served, start_machines, wait_until_served,
 };
-use support::machines::{KEY, Machines, document};
+use support::machines::{KEY, Machine, Machines, document};
 use support::script::{End, Script, ScriptedRequest};
-use support::wait_for;
 use support::worker::{ExecutedRequest, HttpResponse, Worker, send_request};
+use support::{Proxy, wait_for};
 use test_case::test_case;
 
 const UPSTREAMS: usize = 8;
@@ -35,6 +35,9 @@
 /// Interval between two requests that crash upstreams.
 const BAD_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time between the answer to a sound caller and its next request.
+const SOUND_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time for which an upstream runs a request, and one that it crashes on.
 const RUN_DURATION: Duration = Duration::from_millis(60);
 const BAD_RUN_DURATION: Duration = Duration::from_millis(80);
@@ -251,6 +254,7 @@
                 let answer = request.send(entry, key, &id);
                 let is_served = answer.is_ok_and(|answer| answer.status == 200);
                 samples.lock().unwrap().push(Sample { sent_at, is_served });
+                std::thread::sleep(SOUND_INTERVAL);
             }
         }));
     }
@@ -454,3 +458,180 @@
     assert_answers_are_true(&upstreams, &traffic, known);
     assert_sound_requests_are_served(&traffic, calm, known);
 }
+
+/// Guards against evidence that is lost with an instance.
+#[test_case(&[READ]; "safe")]
+#[test_case(&[BOOKING]; "unsafe")]
+fn a_plain_request_that_crashes_upstreams_stays_known_when_an_entry_instance_is_killed_between_ends(
+    bad: &'static [Repeat],
+) {
+    let mut machines = start_machines(&document_of_two(), |_| {});
+    let upstreams = start_upstreams(&machines, UPSTREAMS, bad, CRASH);
+    let callers = callers(&machines);
+    let calm = measure_calm(&callers, bad);
+    let pace = Pace::Each(Duration::from_millis(500));
+    let traffic = Traffic::start(&callers, bad, Some(pace));
+    wait_for("the second end", || (upstreams.crashes().len() >= 2).then_some(()));
+    std::thread::sleep(Duration::from_millis(100));
+    // The second request came to the second instance.
+    machines.entries[1].kill();
+    std::thread::sleep(Duration::from_millis(300));
+    machines.entries[1].start();
+    let known = wait_for_aftermath(&upstreams, bad);
+    assert_contained(&upstreams, bad, bad[0], None);
+    assert_answers_are_true(&upstreams, &traffic, known);
+    assert_sound_requests_are_served(&traffic, calm, known);
+}
+
+/// Starts the fleet with the peers' ports of the entry instances of one data centre behind proxies.
+fn start_machines_with_cut() -> (Machines, Vec<Proxy>) {
+    let mut proxies = Vec::new();
+    let mut number = 0;
+    let machines = start_machines(&document_of_two(), |machine| {
+        if number == 5 || number == 8 {
+            // The third proxy of an instance is that of its peers' port.
+            proxies.push(machine.listen_behind_proxies());
+        }
+        number += 1;
+    });
+    (machines, proxies.into_iter().flatten().collect())
+}
+
+fn cut_peers(proxies: &[Proxy], is_cut: bool) {
+    for proxy in proxies.iter().skip(2).step_by(3) {
+        proxy.change(|faults| faults.is_cut = is_cut);
+    }
+}
+
+/// Guards against a data centre that repeats what the others know, or hides what it knows.
+#[test_case(&[READ], &[0, 1, 3, 4]; "safe known to the others")]
+#[test_case(&[BOOKING], &[0, 1, 3, 4]; "unsafe known to the others")]
+#[test_case(&[READ], &[2, 5]; "safe known to the data centre")]
+#[test_case(&[BOOKING], &[2, 5]; "unsafe known to the data centre")]
+fn a_data_centre_that_was_cut_off_exchanges_plain_requests_that_crash_upstreams(
+    bad: &'static [Repeat],
+    aware: &[usize],
+) {
+    let (machines, proxies) = start_machines_with_cut();
+    let upstreams = start_upstreams(&machines, UPSTREAMS, bad, CRASH);
+    let all: Vec<SocketAddr> = machines.entries.iter().map(Machine::direct_callers).collect();
+    let calm = measure_calm(&all, bad);
+    cut_peers(&proxies, true);
+    let aware: Vec<SocketAddr> = aware.iter().map(|index| all[*index]).collect();
+    let traffic = Traffic::start(&aware, bad, Some(Pace::Each(BAD_INTERVAL)));
+    let known = wait_for_aftermath(&upstreams, bad);
+    assert_contained(&upstreams, bad, bad[0], None);
+    assert_answers_are_true(&upstreams, &traffic, known);
+    drop(traffic);
+    cut_peers(&proxies, false);
+    let returned_at = Instant::now();
+    std::thread::sleep(CONTACT);
+    let traffic = Traffic::start(&all, bad, Some(Pace::Each(BAD_INTERVAL)));
+    std::thread::sleep(AFTERMATH);
+    assert_contained(&upstreams, bad, bad[0], Some(returned_at));
+    assert_answers_are_true(&upstreams, &traffic, returned_at + CONTACT);
+    assert_sound_requests_are_served(&traffic, calm, returned_at);
+}
+
+/// Guards against requests that are taken for the cause because they are everywhere.
+#[test_case(&[READ]; "safe")]
+#[test_case(&[BOOKING]; "unsafe")]
+fn crashes_of_many_upstreams_at_once_let_no_plain_request_be_refused(hot: &'static [Repeat]) {
+    let machines = start_machines(&document_of_two(), |_| {});
+    let upstreams = start_upstreams(&machines, UPSTREAMS, &[], CRASH);
+    let callers = callers(&machines);
+    let calm = measure_calm(&callers, hot);
+    let traffic = Traffic::start(&callers, hot, None);
+    let start = Instant::now();
+    for _ in 0..4 {
+        std::thread::sleep(Duration::from_millis(500));
+        let ended = upstreams.crashes().len();
+        let workers = upstreams.workers.lock().unwrap();
+        let running = workers.iter().filter(|worker| worker.crashed_at().is_none());
+        running.take(UPSTREAMS * 2 / 5).for_each(Worker::end);
+        drop(workers);
+        assert!(upstreams.crashes().len() > ended);
+        std::thread::sleep(RESTART_DELAY + Duration::from_millis(500));
+    }
+    let shares = traffic.served(start, Instant::now() - Duration::from_secs(1));
+    assert_share(shares.others, calm.others, "the hot request");
+    assert_share(shares.own, calm.own, "other requests");
+    assert_none_quarantined(&machines);
+}
+
+/// Starts upstreams that close or reset the connection of one request in ten, at any stage of the
+/// answer, and go on.
+fn start_breaking_upstreams(machines: &Machines) -> Herd {
+    let count = Arc::new(AtomicUsize::new(0));
+    let setup = move |worker: &Worker| {
+        let count = count.clone();
+        worker.set_script(move |_| {
+            std::thread::sleep(RUN_DURATION);
+            let number = count.fetch_add(1, Ordering::Relaxed);
+            let sent = [Sent::Nothing, Sent::HeadPart, Sent::Head][number / 10 % 3];
+            let end = [End::Close, End::Reset][number / 30 % 2];
+            (number % 10 == 0).then(|| Script::new(sent.text(), end))
+        });
+    };
+    let herd = Herd::start(&machines.seeds(), "shop", UPSTREAMS, Return::SameName, setup);
+    wait_until_served(machines, UPSTREAMS);
+    herd
+}
+
+/// Guards against broken connections, cuts, drains and restarts that are taken for crashes.
+#[test_case(&[READ]; "safe")]
+#[test_case(&[BOOKING]; "unsafe")]
+fn ordinary_trouble_lets_no_plain_request_be_refused(hot: &'static [Repeat]) {
+    let (mut machines, proxies) = start_machines_with_cut();
+    let upstreams = start_breaking_upstreams(&machines);
+    // Two further upstreams whose links are cut and closed.
+    let links: Vec<(Worker, Proxy)> =
+        ["i-far-1", "i-far-2"].map(|name| start_behind_proxy(&machines, name)).into();
+    let callers: Vec<SocketAddr> = machines.entries.iter().map(Machine::direct_callers).collect();
+    let calm = measure_calm(&callers, hot);
+    let traffic = Traffic::start(&callers, hot, None);
+    let start = Instant::now();
+    for round in 0..4 {
+        cut_peers(&proxies, round % 2 == 0);
+        for (_, proxy) in &links {
+            proxy.change(|faults| faults.is_cut = true);
+        }
+        let workers = upstreams.workers.lock().unwrap();
+        let running = workers.iter().filter(|worker| worker.crashed_at().is_none());
+        let leaving: Vec<&Worker> = running.take(2).collect();
+        leaving.iter().for_each(|worker| assert!(worker.drain()));
+        std::thread::sleep(Duration::from_millis(600));
+        leaving.iter().for_each(|worker| worker.end());
+        drop(workers);
+        for (_, proxy) in &links {
+            proxy.change(|faults| faults.is_cut = false);
+            proxy.change(|faults| faults.truncate_after = 40);
+        }
+        machines.entries[round].kill();
+        std::thread::sleep(Duration::from_millis(400));
+        machines.entries[round].start();
+        std::thread::sleep(Duration::from_millis(1000));
+        for (_, proxy) in &links {
+            proxy.change(|faults| faults.truncate_after = 0);
+        }
+    }
+    cut_peers(&proxies, false);
+    std::thread::sleep(CONTACT);
+    let shares = traffic.served(start, Instant::now() - Duration::from_secs(1));
+    assert_share(shares.others, calm.others, "the hot request");
+    assert_share(shares.own, calm.own, "other requests");
+    assert_none_quarantined(&machines);
+}
+
+/// Starts an upstream that entry instances reach through a proxy.
+fn start_behind_proxy(machines: &Machines, name: &str) -> (Worker, Proxy) {
+    let mut proxy = None;
+    let worker = Worker::start_advertising(name, "shop", machines.seeds(), |address| {
+        proxy.insert(Proxy::start(address)).address()
+    });
+    worker.set_script(|_| {
+        std::thread::sleep(RUN_DURATION);
+        None
+    });
+    (worker, proxy.unwrap())
+}
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -73,6 +73,11 @@
         self.address(CALLERS_PORT)
     }
 
+    /// Returns the address for callers that avoids proxies.
+    pub fn direct_callers(&self) -> SocketAddr {
+        self.listen_address(CALLERS_PORT)
+    }
+
     pub fn control(&self) -> SocketAddr {
         self.address(CONTROL_PORT)
     }
