--- a/tests/platform_deadly_requests.rs
+++ b/tests/platform_deadly_requests.rs
@@ -570,7 +570,7 @@
             let number = count.fetch_add(1, Ordering::Relaxed);
             let sent = [Sent::Nothing, Sent::HeadPart, Sent::Head][number / 10 % 3];
             let end = [End::Close, End::Reset][number / 30 % 2];
-            (number % 10 == 0).then(|| Script::new(sent.text(), end))
+            number.is_multiple_of(10).then(|| Script::new(sent.text(), end))
         });
     };
     let herd = Herd::start(&machines.seeds(), "shop", UPSTREAMS, Return::SameName, setup);
