Keep plain requests that crash upstreams from further upstreams

Cause: crashes were recorded under parts of prompts only, and only if an answer had begun. A request without a prompt had no key, a break before the head was not suspected at all, and a read went to a second upstream before anyone could know.

An attempt that breaks off before the head, or of a plain request before the end of its answer, is evidence if the address refuses connections afterwards (checked after 20 ms, and after 100 ms if it still listens). The request waits for the first check before it is retried or answered, so that its retry crashes no second upstream. Changes are sent to all other instances at once (to four in a fleet of more than 17, which pass them on) and repeated as before. A request under which upstreams crashed once or twice is a hazard: it gets no further attempt under a second crash, and while fewer than three upstreams of its service are there it is refused at once (503 suspected, not run), for at most four seconds after the last crash. One crash says nothing about a request that was answered here within the last ten seconds, and one whole answer anywhere clears a key, so that hot paths go on. The memory of sound answers is a table of 4096 slots by key: an answer of a plain request costs a write there. Before the head only the most specific key of a prompt is suspected, since many requests that wait at an engine share the others.

--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use error::Error;
 pub use members::{Members, View};
-pub use quarantine::{Quarantine, QuarantineExchange};
+pub use quarantine::{CheckResult, Quarantine, QuarantineExchange};
 pub use replica::{Part, Replica, SharedMachine};
 pub use run::{Bound, run};
 pub use stop::Stop;
--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -32,13 +32,27 @@
     Problem::not_run(Status::TOO_MANY_REQUESTS, "over_limit", message).with_retry_after(retry_after)
 }
 
-/// Returns the problem for a request with a part of its prompt under which upstreams crashed, and
-/// which is not tried again within `retry_after`.
+/// Returns the problem for a request with a key under which upstreams crashed, and which is not
+/// tried again within `retry_after`.
 pub(crate) fn quarantined(retry_after: Duration) -> Problem {
-    let message = "upstreams crashed under a message of this conversation; send it without it";
+    let message =
+        "upstreams crashed under this request or a message of it; send it without that message";
     Problem::not_run(Status::UNAVAILABLE, "quarantined", message).with_retry_after(retry_after)
 }
 
+/// Returns the problem for a request under which upstreams crashed that are away until
+/// `retry_after` has passed.
+pub(crate) fn suspected(retry_after: Duration) -> Problem {
+    let message = "upstreams crashed while they ran this request; ask again later";
+    Problem::not_run(Status::UNAVAILABLE, "suspected", message).with_retry_after(retry_after)
+}
+
+/// Returns the problem for a request that ran at an upstream that crashed, and is not sent again.
+pub(crate) fn crashed() -> Problem {
+    let message = "upstreams crashed while they ran this request, which may have run";
+    Problem::may_have_run(Status::BAD_GATEWAY, "upstream_failed", message)
+}
+
 /// Returns the problem for a request that arrives during a graceful shutdown.
 pub(crate) fn stopping() -> Problem {
     let message = "the instance is stopping; ask again at another one";
--- a/crates/instance/src/quarantine.rs
+++ b/crates/instance/src/quarantine.rs
@@ -8,10 +8,10 @@
 
 use dispatch::Listening;
 use names::{Instance, Upstream};
-use quarantine::{Admission, Change, Check, Key, Record, Run, Suspects, Suspicions};
+use quarantine::{Admission, Change, Check, Hazard, Key, Record, Run, Suspects, Suspicions};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
-use stakker::{Actor, CX, after, call};
+use stakker::{Actor, CX, Fwd, after, call, fwd_to};
 use telemetry::{Event, Metrics};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport};
 
@@ -21,9 +21,12 @@
 /// Interval between two messages with the same change.
 const UPDATE_PERIOD: Duration = Duration::from_millis(200);
 
-/// Number of instances that each message is sent to.
+/// Number of instances that each message is sent to in a large fleet.
 const FANOUT: usize = 4;
 
+/// Largest number of other instances that are all told of a change directly.
+const MAX_DIRECT_PEERS: usize = 16;
+
 /// Maximum number of records in an update, so that it fits in a datagram.
 const MAX_UPDATE_RECORDS: usize = 10;
 
@@ -42,11 +45,22 @@
 }
 
 /// What this instance knows, and the other instances.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct State {
     suspects: Suspects,
     suspicions: Suspicions,
     peers: Vec<Instance>,
+    /// Notified of changes that other instances have to know at once.
+    on_news: Option<Fwd<()>>,
+}
+
+/// What follows the check of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CheckResult {
+    /// The upstream still listens, and is checked again at the given time.
+    CheckAgain(Instant),
+    /// It is known whether the upstream has ended.
+    Done,
 }
 
 /// Quarantine of keys of requests, shared by the actors of an instance.
@@ -71,9 +85,21 @@
         state.suspects.check(now, keys, tries)
     }
 
+    /// Returns what is known against a request with `keys`, the first of which is the most specific.
+    pub fn hazard(&self, now: Instant, keys: &[Key]) -> Option<Hazard> {
+        self.state.borrow().suspects.hazard(now, keys)
+    }
+
+    /// Returns whether `run` is known to have ended in a crash.
+    pub fn has_ended(&self, run: Run) -> bool {
+        self.state.borrow().suspects.has_ended(run)
+    }
+
     /// Records that a request with `keys` is sent as the trial of its quarantined keys.
     pub fn record_trial(&self, now: Instant, keys: &[Key]) {
-        self.state.borrow_mut().suspects.record_trial(now, keys);
+        let mut state = self.state.borrow_mut();
+        state.suspects.record_trial(now, keys);
+        state.notify();
     }
 
     /// Records that the answer of `run` to a request with `keys` broke off at its beginning.
@@ -87,10 +113,20 @@
     }
 
     /// Records the result of the check of `run`, which is one of `upstream`.
-    pub fn record_check(&self, now: Instant, run: Run, upstream: &Upstream, listening: Listening) {
+    pub fn record_check(
+        &self,
+        now: Instant,
+        run: Run,
+        upstream: &Upstream,
+        listening: Listening,
+    ) -> CheckResult {
         let mut state = self.state.borrow_mut();
+        let next_check = state.suspicions.next_check(now, run);
+        if let Some(at) = next_check.filter(|_| listening == Listening::Accepts) {
+            return CheckResult::CheckAgain(at);
+        }
         let Some((at, keys)) = state.suspicions.take(run) else {
-            return;
+            return CheckResult::Done;
         };
         let text: Vec<String> = keys.iter().map(ToString::to_string).collect();
         Event::BrokenOff {
@@ -103,7 +139,9 @@
         if listening == Listening::Refuses {
             let changes = state.suspects.record_crash(now, run, at, &keys);
             self.report(&state, &changes, "itself");
+            state.notify();
         }
+        CheckResult::Done
     }
 
     /// Records that an answer to a request with `keys` has got past its beginning.
@@ -111,6 +149,7 @@
         let mut state = self.state.borrow_mut();
         let changes = state.suspects.record_sound(now, keys);
         self.report(&state, &changes, "itself");
+        state.notify();
     }
 
     fn merge(&self, now: Instant, sender: &Instance, records: &[Record]) {
@@ -118,6 +157,9 @@
         let merged = records.iter().filter_map(|record| state.suspects.merge(now, record));
         let changes: Vec<Change> = merged.collect();
         self.report(&state, &changes, sender.as_str());
+        if state.peers.len() > MAX_DIRECT_PEERS {
+            state.notify();
+        }
     }
 
     fn report(&self, state: &State, changes: &[Change], source: &str) {
@@ -136,6 +178,14 @@
     }
 }
 
+impl State {
+    fn notify(&self) {
+        if let Some(on_news) = self.on_news.as_ref().filter(|_| self.suspects.has_news()) {
+            on_news.fwd(());
+        }
+    }
+}
+
 /// Exchanges the quarantine with other instances.
 pub struct QuarantineExchange {
     quarantine: Quarantine,
@@ -147,7 +197,8 @@
 impl QuarantineExchange {
     /// Creates the actor, which sends the changes of `quarantine`.
     pub fn init(cx: CX![], quarantine: Quarantine, hub: Actor<Hub>) -> Option<Self> {
-        after!(UPDATE_PERIOD, [cx], send_updates());
+        quarantine.state.borrow_mut().on_news = Some(fwd_to!([cx], send_updates() as ()));
+        after!(UPDATE_PERIOD, [cx], repeat_updates());
         after!(DIGEST_PERIOD, [cx], compare());
         Some(Self { quarantine, hub, has_asked: false })
     }
@@ -183,7 +234,13 @@
         }
     }
 
-    /// Sends what has changed, and schedules the next message.
+    /// Repeats what has changed recently, since messages may be lost.
+    fn repeat_updates(&mut self, cx: CX![]) {
+        self.send_updates(cx);
+        after!(UPDATE_PERIOD, [cx], repeat_updates());
+    }
+
+    /// Sends what has changed.
     fn send_updates(&mut self, cx: CX![]) {
         let records = {
             let suspects = &mut self.quarantine.state.borrow_mut().suspects;
@@ -191,9 +248,8 @@
         };
         for records in records.chunks(MAX_UPDATE_RECORDS) {
             let message = Message::Update(records.to_vec());
-            self.send(self.random_peers(FANOUT), Transport::Udp, &message);
+            self.send(self.addressees(), Transport::Udp, &message);
         }
-        after!(UPDATE_PERIOD, [cx], send_updates());
     }
 
     /// Compares what is known with another instance, and schedules the next comparison.
@@ -214,6 +270,12 @@
         self.send(vec![addressee], Transport::Tcp, &message);
     }
 
+    /// Returns the instances that a change is sent to. In a large fleet these tell the others.
+    fn addressees(&self) -> Vec<Instance> {
+        let count = self.quarantine.state.borrow().peers.len();
+        self.random_peers(if count > MAX_DIRECT_PEERS { FANOUT } else { count })
+    }
+
     fn random_peers(&self, count: usize) -> Vec<Instance> {
         self.quarantine.state.borrow().peers.sample(&mut rand::rng(), count).cloned().collect()
     }
--- a/crates/instance/src/router/active_request.rs
+++ b/crates/instance/src/router/active_request.rs
@@ -26,6 +26,8 @@
     pub(super) first_part: Instant,
     /// Time at which the head of the response arrived.
     pub(super) head_at: Option<Instant>,
+    /// HTTP status of the response, or 0 before the response starts.
+    pub(super) status: u16,
     /// Whether the response has got past its beginning.
     pub(super) is_sound: bool,
     /// Whether a permit at another upstream is sought because the upstream is silent.
@@ -74,6 +76,9 @@
     pub(super) may_have_run: bool,
     /// Number of attempts whose response broke off within its first pieces.
     pub(super) broken_beginnings: usize,
+    /// Time before which the request is not placed again, because it is checked whether an upstream
+    /// has ended under it.
+    pub(super) checked_until: Instant,
     /// Whether the request is the trial of a quarantined key.
     pub(super) is_trial: bool,
 }
@@ -87,6 +92,7 @@
             parts: 0,
             first_part: now,
             head_at: None,
+            status: 0,
             is_sound: false,
             is_seeking: false,
         }
@@ -95,8 +101,9 @@
     /// Records the arrival of `progress`.
     pub(super) fn record_progress(&mut self, progress: &Progress, now: Instant) {
         self.last_progress = now;
-        if matches!(progress, Progress::Head { .. }) {
+        if let Progress::Head { status, .. } = progress {
             self.head_at = Some(now);
+            self.status = *status;
         }
         if matches!(progress, Progress::Body(_)) {
             if self.parts == 0 {
@@ -135,6 +142,7 @@
             is_first,
             may_have_run: false,
             broken_beginnings: 0,
+            checked_until: arrived,
             is_trial,
         }
     }
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -105,8 +105,8 @@
         if let Some(running) = active.running_attempt() {
             running.record_progress(&event.progress, now);
         }
-        if matches!(event.progress, Progress::Failed { .. }) {
-            self.suspect_crash(cx, index);
+        if let Progress::Failed { verdict, .. } = &event.progress {
+            self.suspect_crash(cx, index, *verdict);
         }
         self.record_sound(now, index, false);
         self.end_search(cx, index);
@@ -333,6 +333,7 @@
         let active = &mut self.active[index];
         active.phase = Phase::Placing;
         let (id, attempts) = (active.id, active.attempts);
-        at!(cx.now() + FailedAttempt::backoff(attempts), [cx], place(id));
+        let due = (cx.now() + FailedAttempt::backoff(attempts)).max(active.checked_until);
+        at!(due, [cx], place(id));
     }
 }
--- a/crates/instance/src/router/quarantine.rs
+++ b/crates/instance/src/router/quarantine.rs
@@ -3,29 +3,51 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use dispatch::Listening;
+use dispatch::{Listening, Verdict};
 use entry::Problem;
 use names::Upstream;
-use quarantine::{Admission, BEGINNING, Check, MIN_SOUND_PIECES, Run};
+use quarantine::{Admission, BEGINNING, Check, Key, MIN_SOUND_PIECES, Run};
 use stakker::{CX, at, call, ret_some_to};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::active_request::{ActiveRequest, Phase};
+use super::active_request::{ActiveRequest, Phase, RunningAttempt};
 use super::{Route, Router};
 use crate::problem;
+use crate::quarantine::CheckResult;
 
 /// Time that a check whether an upstream listens may take.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time that a request whose attempt broke off waits for the check of its upstream.
+const MAX_BREAK_WAIT: Duration = Duration::from_millis(30);
+
 /// Number of attempts that may break off at the beginning of the response. A request that upstreams
 /// crash under is not sent to a third one.
 const MAX_BROKEN_BEGINNINGS: usize = 2;
 
+/// Returns the keys of a request whose attempt broke off that may have crashed the upstream, or
+/// `None` if the attempt was past its beginning. Before the answer begins only the most specific key
+/// is suspected, since many requests that wait at an upstream share the others.
+fn suspected_keys<'a>(
+    now: Instant,
+    route: &'a Route,
+    running: &RunningAttempt,
+) -> Option<&'a [Key]> {
+    match running.head_at {
+        None => route.keys.get(..1),
+        Some(at) if !route.is_conversation || now <= at + BEGINNING => Some(&route.keys),
+        Some(_) => None,
+    }
+}
+
 impl Router {
     /// Checks a new request. Returns whether it is the trial of a quarantined key.
     pub(super) fn admit_keys(&self, now: Instant, route: &Route) -> Result<bool, Problem> {
         match self.quarantine.check(now, &route.keys) {
-            Admission::Accept => Ok(false),
+            Admission::Accept => match self.held_until(now, &route.keys) {
+                Some(until) => Err(problem::suspected(until.saturating_duration_since(now))),
+                None => Ok(false),
+            },
             Admission::Try => Ok(true),
             Admission::Refuse { until } => {
                 Err(problem::quarantined(until.saturating_duration_since(now)))
@@ -33,49 +55,67 @@
         }
     }
 
-    /// Returns whether the request at `index` may be sent. A key may have been quarantined since
-    /// the request arrived.
+    /// Returns the time until which a request with `keys` is not sent, because the upstreams that
+    /// crashed under it are away and one more would be.
+    fn held_until(&self, now: Instant, keys: &[Key]) -> Option<Instant> {
+        let hazard = self.quarantine.hazard(now, keys)?;
+        (hazard.crashes > 1 && now < hazard.until).then_some(hazard.until)
+    }
+
+    /// Returns whether the request at `index` may be sent. Upstreams may have crashed under one of
+    /// its keys since the request arrived.
     pub(super) fn may_send_keys(&self, now: Instant, index: usize) -> bool {
         let active = &self.active[index];
         let is_trial = active.is_trial && active.attempts == 0;
-        is_trial || self.quarantine.check(now, &active.route.keys) == Admission::Accept
+        let keys = &active.route.keys;
+        let is_held = || !active.has_started && self.held_until(now, keys).is_some();
+        is_trial || (self.quarantine.check(now, keys) == Admission::Accept && !is_held())
     }
 
-    /// Refuses the request at `index`, a key of which was quarantined.
+    /// Refuses the request at `index`, under a key of which upstreams crashed.
     pub(super) fn refuse_quarantined(&mut self, now: Instant, index: usize) {
         let check = self.quarantine.check(now, &self.active[index].route.keys);
-        let wait = match check {
-            Admission::Refuse { until } => until.saturating_duration_since(now),
-            Admission::Accept | Admission::Try => Duration::ZERO,
+        let held_until = self.held_until(now, &self.active[index].route.keys);
+        let problem = match check {
+            _ if self.active[index].may_have_run => problem::crashed(),
+            Admission::Refuse { until } => {
+                problem::quarantined(until.saturating_duration_since(now))
+            }
+            Admission::Accept | Admission::Try => {
+                problem::suspected(held_until.unwrap_or(now).saturating_duration_since(now))
+            }
         };
-        self.refuse(index, problem::quarantined(wait));
+        self.refuse(index, problem);
     }
 
     /// Returns whether another attempt of a request could crash another upstream.
     pub(super) fn is_dangerous(&self, now: Instant, active: &ActiveRequest) -> bool {
         active.broken_beginnings >= MAX_BROKEN_BEGINNINGS
             || self.quarantine.check(now, &active.route.keys) != Admission::Accept
+            || (!active.has_started && self.held_until(now, &active.route.keys).is_some())
     }
 
     /// Suspects a crash if the answer to the request at `index` broke off at its beginning.
-    pub(super) fn suspect_crash(&mut self, cx: CX![], index: usize) {
+    pub(super) fn suspect_crash(&mut self, cx: CX![], index: usize, verdict: Verdict) {
         let now = cx.now();
         let active = &mut self.active[index];
         let Phase::Calling(running) = &active.phase else {
             return;
         };
-        if running.head_at.is_none_or(|at| now > at + BEGINNING) {
+        if verdict == Verdict::NotRun {
             return;
         }
+        let Some(keys) = suspected_keys(now, &active.route, running) else {
+            return;
+        };
         let (upstream, address) = (running.permit.upstream.clone(), running.permit.address);
         let short_hash = xxh3_64(upstream.as_str().as_bytes()) as u32;
         let run = Run { upstream: short_hash, born: running.permit.incarnation };
-        let has_begun_well = running.parts >= MIN_SOUND_PIECES;
-        active.broken_beginnings += usize::from(!has_begun_well);
-        if active.route.keys.is_empty() {
-            return;
-        }
-        if let Check::At(at) = self.quarantine.record_broken(now, run, &active.route.keys) {
+        let check = self.quarantine.record_broken(now, run, keys);
+        let is_beginning = running.head_at.is_some() && running.parts < MIN_SOUND_PIECES;
+        active.broken_beginnings += usize::from(is_beginning);
+        active.checked_until = now + MAX_BREAK_WAIT;
+        if let Check::At(at) = check {
             at!(at, [cx], check_upstream(run, upstream, address));
         }
     }
@@ -83,12 +123,22 @@
     /// Checks whether an upstream whose answer broke off has ended.
     fn check_upstream(&mut self, cx: CX![], run: Run, upstream: Upstream, address: SocketAddr) {
         let deadline = cx.now() + CHECK_TIMEOUT;
-        let result = ret_some_to!([cx], finish_check(run, upstream) as (Listening));
+        let result = ret_some_to!([cx], finish_check(run, upstream, address) as (Listening));
         call!([self.client], check_listening(address, deadline, result));
     }
 
-    fn finish_check(&mut self, cx: CX![], run: Run, upstream: Upstream, listening: Listening) {
-        self.quarantine.record_check(cx.now(), run, &upstream, listening);
+    fn finish_check(
+        &mut self,
+        cx: CX![],
+        run: Run,
+        upstream: Upstream,
+        address: SocketAddr,
+        listening: Listening,
+    ) {
+        let result = self.quarantine.record_check(cx.now(), run, &upstream, listening);
+        if let CheckResult::CheckAgain(at) = result {
+            at!(at, [cx], check_upstream(run, upstream, address));
+        }
     }
 
     /// Records that the answer to the request at `index` has got past its beginning, once for each
@@ -100,7 +150,11 @@
         };
         let is_past = running.parts >= MIN_SOUND_PIECES
             && running.head_at.is_some_and(|at| now >= at + BEGINNING);
-        if !running.is_sound && (is_past || is_complete) {
+        let is_sound = match active.route.is_conversation {
+            true => is_past || is_complete,
+            false => is_complete && quarantine::shows_run(running.status),
+        };
+        if !running.is_sound && is_sound {
             running.is_sound = true;
             self.quarantine.record_sound(now, &active.route.keys);
         }
--- a/crates/instance/src/router/route.rs
+++ b/crates/instance/src/router/route.rs
@@ -36,8 +36,11 @@
     pub(crate) deadline: Instant,
     pub(crate) target: Target,
     pub(crate) placement_key: u64,
-    /// Keys under which crashes of upstreams are recorded: all messages, the last one first.
+    /// Keys under which crashes of upstreams are recorded: all messages, the last one first, or the
+    /// whole request if it has no messages.
     pub(crate) keys: Vec<quarantine::Key>,
+    /// Whether the keys are the messages of a conversation.
+    pub(crate) is_conversation: bool,
     pub(crate) streams: bool,
     /// Estimated number of prompt tokens that earlier requests of the conversation had; 0 for a new
     /// conversation.
@@ -175,6 +178,7 @@
         target: service.target.clone(),
         placement_key,
         keys: crash_keys(&chat.messages),
+        is_conversation: true,
         streams: chat.stream,
         context_tokens: context_tokens(&chat.messages, request.body.len()),
         answer_tokens: chat.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
@@ -206,6 +210,18 @@
     last.into_iter().chain(shared).take(MAX_KEYS).map(key).collect()
 }
 
+/// Returns the key of a whole request of `account`: all that is the same when the caller sends the
+/// request again.
+fn request_key(account: &ClientAccount, request: &Request) -> quarantine::Key {
+    let method: &str = request.method.into();
+    quarantine::Key::of_request(&[
+        method.as_bytes(),
+        request.path.as_bytes(),
+        account.as_str().as_bytes(),
+        &request.body,
+    ])
+}
+
 /// Returns the estimated number of tokens in all but the last of `messages`, which have `bytes`
 /// bytes in total. Returns 0 if the messages contain no answer of the engine yet.
 fn context_tokens(messages: &[serde_json::Value], bytes: usize) -> u64 {
@@ -243,6 +259,8 @@
     let is_first = is_first(&request);
     let content_type = request.header("content-type").unwrap_or(JSON_CONTENT_TYPE).to_string();
     Ok(Route {
+        keys: vec![request_key(&account, &request)],
+        is_conversation: false,
         account,
         service: service.name.clone(),
         kind: kind.name.clone(),
@@ -250,7 +268,6 @@
         deadline: request_deadline(&request, kind, now)?,
         target: service.target.clone(),
         placement_key: request.id.0,
-        keys: Vec::new(),
         streams: false,
         context_tokens: 0,
         answer_tokens: 0,
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -18,7 +18,7 @@
 pub use key::{Key, Run};
 pub use record::{CrashRecord, Record};
 pub use suspect::Change;
-pub use suspects::{Admission, Suspects};
+pub use suspects::{Admission, Hazard, Suspects};
 pub use suspicions::{Check, Suspicions};
 
 use std::time::Duration;
@@ -33,3 +33,8 @@
 
 /// Largest number of keys of one request that are looked at.
 pub const MAX_KEYS: usize = 64;
+
+/// Returns whether an answer with `status` shows that the upstream ran the request.
+pub fn shows_run(status: u16) -> bool {
+    matches!(status, 200..=499) && !matches!(status, 408 | 421 | 429)
+}
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -14,8 +14,12 @@
 /// reported later.
 const SOUND_TTL: Duration = Duration::from_secs(10);
 
-/// Largest number of keys of such answers that are remembered.
-const MAX_SOUND_KEYS: usize = 2048;
+/// Number of such answers that are remembered. A later one may take the place of an earlier one.
+const SOUND_SLOTS: usize = 4096;
+
+/// Time after a crash until which its upstream may be away. Most processes are back within three
+/// seconds.
+const RECOVERY_TIME: Duration = Duration::from_secs(4);
 
 /// Number of times that a change is sent to other instances.
 const SEND_ROUNDS: u8 = 3;
@@ -34,6 +38,15 @@
     },
 }
 
+/// What is known against a request none of whose keys is quarantined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hazard {
+    /// Number of upstreams that crashed under the request since it was last answered.
+    pub crashes: usize,
+    /// Time at which all of these upstreams are probably back.
+    pub until: Instant,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct SoundKey {
     key: Key,
@@ -45,8 +58,9 @@
 pub struct Suspects {
     /// Sorted by key.
     entries: Vec<Suspect>,
-    /// Keys of the latest answers here that got past their beginning, sorted by key.
-    sound: Vec<SoundKey>,
+    /// Keys of the latest answers here that got past their beginning. The slot of a key follows from
+    /// its value, so that each answer of a plain request costs the same.
+    sound: Vec<Option<SoundKey>>,
 }
 
 impl Suspects {
@@ -113,6 +127,30 @@
         Admission::Refuse { until: until.unwrap_or(now) }
     }
 
+    /// Returns what is known against a request with `keys`, the first of which is the most specific.
+    /// One crash says nothing about a request that was answered here shortly before.
+    pub fn hazard(&self, now: Instant, keys: &[Key]) -> Option<Hazard> {
+        let key = *keys.first()?;
+        let suspect = &self.entries[self.find(key).ok()?];
+        let last = suspect.crashes.iter().map(|crash| crash.at).max()?;
+        let sound_at = self.sound_since(key).filter(|at| now < *at + SOUND_TTL);
+        if suspect.crashes.len() == 1 && sound_at.is_some() {
+            return None;
+        }
+        Some(Hazard { crashes: suspect.crashes.len(), until: last + RECOVERY_TIME })
+    }
+
+    /// Returns whether `run` is known to have ended in a crash.
+    pub fn has_ended(&self, run: Run) -> bool {
+        let mut crashes = self.entries.iter().flat_map(|suspect| &suspect.crashes);
+        crashes.any(|crash| crash.run == run)
+    }
+
+    /// Returns whether there are changes that no other instance was told.
+    pub fn has_news(&self) -> bool {
+        self.entries.iter().any(|suspect| suspect.unsent_rounds == SEND_ROUNDS)
+    }
+
     /// Records that a request with `keys` is sent as the trial of its quarantined keys.
     pub fn record_trial(&mut self, now: Instant, keys: &[Key]) {
         for key in keys.iter().take(MAX_KEYS) {
@@ -181,7 +219,6 @@
     /// Forgets what is too old to matter.
     pub fn expire(&mut self, now: Instant) {
         self.entries.retain(|suspect| suspect.forget_at().is_some_and(|at| now < at));
-        self.sound.retain(|sound| now < sound.at + SOUND_TTL);
     }
 
     fn find(&self, key: Key) -> Result<usize, usize> {
@@ -219,23 +256,18 @@
     /// Returns the time at which an answer to a request with `key` last got past its beginning
     /// here.
     fn sound_since(&self, key: Key) -> Option<Instant> {
-        let found = self.sound.binary_search_by_key(&key, |sound| sound.key);
-        found.ok().map(|index| self.sound[index].at)
+        let sound = self.sound.get(sound_slot(key)).copied().flatten();
+        sound.filter(|sound| sound.key == key).map(|sound| sound.at)
     }
 
     fn remember_sound(&mut self, now: Instant, key: Key) {
-        match self.sound.binary_search_by_key(&key, |sound| sound.key) {
-            Ok(index) => self.sound[index].at = now,
-            Err(_) => {
-                if self.sound.len() >= MAX_SOUND_KEYS {
-                    self.sound.retain(|sound| now < sound.at + SOUND_TTL / 4);
-                }
-                if self.sound.len() >= MAX_SOUND_KEYS {
-                    self.sound.clear();
-                }
-                let index = self.sound.partition_point(|sound| sound.key < key);
-                self.sound.insert(index, SoundKey { key, at: now });
-            }
+        if self.sound.is_empty() {
+            self.sound.resize(SOUND_SLOTS, None);
         }
+        self.sound[sound_slot(key)] = Some(SoundKey { key, at: now });
     }
 }
+
+fn sound_slot(key: Key) -> usize {
+    (key.0 % SOUND_SLOTS as u64) as usize
+}
--- a/crates/quarantine/src/suspicions.rs
+++ b/crates/quarantine/src/suspicions.rs
@@ -4,9 +4,12 @@
 
 use crate::{Key, MAX_KEYS, Run};
 
-/// Delay between the end of an answer and the check whether its upstream still listens. A process
-/// that ends closes all its sockets within this time.
-const CHECK_DELAY: Duration = Duration::from_millis(100);
+/// Delay between the end of an answer and the first check whether its upstream still listens. Most
+/// processes that end close all their sockets within this time.
+const FIRST_CHECK_DELAY: Duration = Duration::from_millis(20);
+
+/// Delay until the last check. Any process that ends closes all its sockets within this time.
+const LAST_CHECK_DELAY: Duration = Duration::from_millis(100);
 
 /// How long a suspicion waits for the result of its check.
 const SUSPICION_TTL: Duration = Duration::from_secs(5);
@@ -48,7 +51,15 @@
             let keys = keys.iter().take(MAX_KEYS).copied().collect();
             self.entries.push(Suspicion { run, at: now, keys });
         }
-        if is_pending { Check::Pending } else { Check::At(now + CHECK_DELAY) }
+        if is_pending { Check::Pending } else { Check::At(now + FIRST_CHECK_DELAY) }
+    }
+
+    /// Returns the time of another check of `run`, which still listens at `now`, or `None` if the
+    /// checks are over.
+    pub fn next_check(&self, now: Instant, run: Run) -> Option<Instant> {
+        let broken = self.entries.iter().filter(|entry| entry.run == run);
+        let at = broken.map(|entry| entry.at).min()? + LAST_CHECK_DELAY;
+        (now < at).then_some(at)
     }
 
     /// Removes the suspicions against `run`, whose check has ended, and returns the time of the
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -8,7 +8,8 @@
 use entry::{Reply, Request};
 use forward::{EventBoundary, FailedAttempt, RoutingKey, StreamTracker, stall_timeout};
 use names::{Attempt, ClientAccount, Service, Upstream};
-use quarantine::Key;
+use quarantine::{Key, Run};
+use roster::short_hash;
 use stakker::{FixedTimerKey, Fwd};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -58,6 +59,8 @@
     pub(super) is_sound: bool,
     /// Position in the events of the response.
     pub(super) boundary: EventBoundary,
+    /// Why the attempt broke off, while it is checked whether the upstream has ended.
+    pub(super) broken: Option<String>,
     /// Whether the upstream has closed the connection, and the end of the response is held back.
     pub(super) is_closed: bool,
     /// Time at which the next event is due, once the head of the response has arrived.
@@ -104,8 +107,6 @@
     pub(super) refusals: usize,
     /// Number of attempts whose response broke off within its first pieces.
     pub(super) broken_beginnings: usize,
-    /// Key that the same request has whenever it is sent again.
-    pub(super) key: Key,
     /// Keys under which crashes of upstreams are recorded, the most specific first.
     pub(super) keys: Vec<Key>,
     /// Whether the request is the trial of a quarantined key.
@@ -123,6 +124,12 @@
     pub(super) timer: FixedTimerKey,
 }
 
+impl RunningAttempt {
+    pub(super) fn run(&self) -> Run {
+        Run { upstream: short_hash(&self.upstream), born: self.born }
+    }
+}
+
 impl ActiveRequest {
     /// Returns whether only the end of the response is held back.
     pub(super) fn is_closed(&self) -> bool {
@@ -140,6 +147,17 @@
         parts.collect::<Vec<_>>().join(",")
     }
 
+    /// Returns the key that the same request has whenever it is sent again, for the log.
+    pub(super) fn key_text(&self) -> String {
+        self.keys.first().map_or(String::new(), Key::to_string)
+    }
+
+    /// Returns whether a part of the response was sent to the caller, and another upstream can
+    /// continue it.
+    pub(super) fn can_resume(&self) -> bool {
+        self.is_started && self.stream_tracker.is_some()
+    }
+
     /// Prepares a stream whose attempt has ended for its resumption. The stream may wait for an
     /// upstream while its caller waits for the next event.
     pub(super) fn resume_later(&mut self, now: Instant) {
@@ -202,12 +220,12 @@
     }
 
     /// Returns the state of the request after an attempt failed with `verdict`.
-    /// `is_quarantined` says whether a key of the request is quarantined.
+    /// `is_dangerous` says whether another attempt could crash another upstream.
     pub(super) fn failed_attempt(
         &self,
         now: Instant,
         verdict: dispatch::Verdict,
-        is_quarantined: bool,
+        is_dangerous: bool,
     ) -> FailedAttempt {
         FailedAttempt {
             verdict,
@@ -218,7 +236,7 @@
             refusals: self.refusals,
             attempts: self.route.attempts.max(1),
             has_time: now < self.deadline,
-            is_dangerous: is_quarantined || self.broken_beginnings >= MAX_BROKEN_BEGINNINGS,
+            is_dangerous: is_dangerous || self.broken_beginnings >= MAX_BROKEN_BEGINNINGS,
         }
     }
 }
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -9,7 +9,7 @@
 use telemetry::Event;
 
 use super::active_request::ActiveRequest;
-use super::quarantine::{crash_keys, request_key};
+use super::quarantine::crash_keys;
 use super::upstream_selection::max_queue_time;
 use super::{Forwarder, millis, problems};
 use crate::interface::RequestMetadata;
@@ -89,13 +89,12 @@
         if self.shutdown.is_some_and(|shutdown| !shutdown.accepts(now, deadline)) {
             return Err(problems::stopping());
         }
-        let keys = crash_keys(metadata.prompt.as_ref());
-        let is_trial = self.admit_keys(now, &keys)?;
         let account = caller.map(|account| &account.name);
-        let key = match keys.first() {
-            Some(key) => *key,
-            None => request_key(&request, &metadata, account),
-        };
+        let keys = crash_keys(&request, &metadata, account);
+        let is_trial = self.admit_keys(now, &keys)?;
+        if !is_trial {
+            self.admit_hazard(now, deadline, &service, &keys)?;
+        }
         let queue_until = now + max_queue_time(route.objective);
         let stream_tracker = (route.repeat == Repeat::Resumed)
             .then(|| StreamTracker::new(metadata.last_event_id.clone()));
@@ -117,7 +116,6 @@
             runs: 0,
             refusals: 0,
             broken_beginnings: 0,
-            key,
             keys,
             is_trial,
             running: None,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -134,6 +134,7 @@
             parts: 0,
             is_sound: false,
             boundary: EventBoundary::typed(false),
+            broken: None,
             is_closed: false,
             timer,
             event_due: None,
--- a/crates/relay/src/forwarder/ends.rs
+++ b/crates/relay/src/forwarder/ends.rs
@@ -104,6 +104,10 @@
                 let reason = "the upstream ended together with its response";
                 self.receive_failure(cx, id, Verdict::MayHaveRun, reason);
             }
+            (Listening::Accepts, _) => {
+                self.record_sound(cx.now(), id, true);
+                self.complete(cx, id, End::Closed);
+            }
             _ => self.complete(cx, id, End::Closed),
         }
     }
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -67,6 +67,13 @@
     Problem::not_run(Status::UNAVAILABLE, "quarantined", message).with_retry_after(wait)
 }
 
+/// Upstreams crashed under the request, and too few others are there to send it to one of them.
+pub(super) fn suspected(now: Instant, deadline: Instant) -> Problem {
+    let message = "an upstream crashed while it ran this request; ask again later";
+    Problem::not_run(Status::UNAVAILABLE, "suspected", message)
+        .with_retry_after(retry_after(now, deadline))
+}
+
 pub(super) fn stopping() -> Problem {
     let message = "this instance stops before the request would be over; another one takes it";
     Problem::not_run(Status::UNAVAILABLE, "stopping", message).with_retry_after(MIN_RETRY_AFTER)
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -42,8 +42,7 @@
                 self.retry_or_finish(cx, id, running, Verdict::NotRun, &reason);
             }
             Progress::Failed { verdict, reason } => {
-                self.suspect_crash(cx, id);
-                self.receive_failure(cx, id, verdict, &reason);
+                self.receive_break(cx, id, verdict, reason);
             }
         }
     }
@@ -96,7 +95,7 @@
                 reason: reason.to_string(),
                 after_ms: millis(now.saturating_duration_since(running.started_at)),
                 begun_ms: running.head_at.map(|at| millis(now.saturating_duration_since(at))),
-                key: active.key.to_string(),
+                key: active.key_text(),
                 prompt: active.prompt_text(),
                 next: next.to_string(),
             }
@@ -203,12 +202,12 @@
     /// retry from the budget.
     fn take_retry(&mut self, cx: CX![], id: names::Request) -> bool {
         let now = cx.now();
-        let is_quarantined = self.is_quarantined(now, id);
+        let is_dangerous = self.is_dangerous(now, id);
         let Some(active) = self.active(id) else {
             return false;
         };
         let service = active.service.clone();
-        let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun, is_quarantined);
+        let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun, is_dangerous);
         failed_attempt.runs += 1;
         let (entry_count, allowance) = (self.entry_count, self.allowance);
         let retry_window = &mut self.traffic(&service).retry_window;
@@ -348,19 +347,35 @@
         verdict: Verdict,
         reason: &str,
     ) {
+        self.record_failure(cx, id, verdict);
+        self.end_failed_attempt(cx, id, verdict, reason);
+    }
+
+    /// Records the failure of the attempt in progress against its upstream.
+    pub(super) fn record_failure(&mut self, cx: CX![], id: names::Request, verdict: Verdict) {
         let now = cx.now();
         let Some(active) = self.active(id) else {
             return;
         };
         let service = active.service.clone();
-        let running = self.stop_attempt(cx, id);
-        if let Some(running) = &running {
-            let upstream = &running.upstream;
-            self.table.record_failure(now, &service, upstream, verdict == Verdict::NotRun);
-            for address in self.table.unreachable_addresses(now, upstream) {
-                call!([self.client], close_idle(address));
-            }
+        let Some(upstream) = active.running.as_ref().map(|running| running.upstream.clone()) else {
+            return;
+        };
+        self.table.record_failure(now, &service, &upstream, verdict == Verdict::NotRun);
+        for address in self.table.unreachable_addresses(now, &upstream) {
+            call!([self.client], close_idle(address));
         }
+    }
+
+    /// Ends a failed attempt, and decides how its request continues.
+    pub(super) fn end_failed_attempt(
+        &mut self,
+        cx: CX![],
+        id: names::Request,
+        verdict: Verdict,
+        reason: &str,
+    ) {
+        let running = self.stop_attempt(cx, id);
         self.retry_or_finish(cx, id, running, verdict, reason);
     }
 
@@ -374,7 +389,7 @@
         reason: &str,
     ) {
         let now = cx.now();
-        let is_quarantined = self.is_quarantined(now, id);
+        let is_dangerous = self.is_dangerous(now, id);
         let Some(active) = self.active(id) else {
             return;
         };
@@ -383,7 +398,7 @@
             Verdict::MayHaveRun | Verdict::Answered => active.runs += 1,
         }
         let (failed_attempt, service) =
-            (active.failed_attempt(now, verdict, is_quarantined), active.service.clone());
+            (active.failed_attempt(now, verdict, is_dangerous), active.service.clone());
         let deadline = active.deadline;
         let (entry_count, allowance) = (self.entry_count, self.allowance);
         let retry_window = &mut self.traffic(&service).retry_window;
--- a/crates/relay/src/forwarder/stalls.rs
+++ b/crates/relay/src/forwarder/stalls.rs
@@ -30,7 +30,7 @@
 
     /// Returns what the upstream of a request has not sent in time, if anything.
     fn silence(&self, now: Instant, active: &ActiveRequest) -> Option<Silence> {
-        let running = active.running.as_ref()?;
+        let running = active.running.as_ref().filter(|running| running.broken.is_none())?;
         let is_past = |due: &Instant| now >= *due;
         if running.head_at.is_none() {
             return running.response_due.filter(is_past).map(|_| Silence::Response);
@@ -59,13 +59,13 @@
     }
 
     fn decide_on_silence(&mut self, now: Instant, id: names::Request) -> SilenceDecision {
-        let is_quarantined = self.is_quarantined(now, id);
+        let is_dangerous = self.is_dangerous(now, id);
         // A search for another upstream may already be in progress.
         let Some(active) = self.active(id).filter(|active| active.search.is_none()) else {
             return SilenceDecision::Wait;
         };
         let service = active.service.clone();
-        let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun, is_quarantined);
+        let mut failed_attempt = active.failed_attempt(now, Verdict::MayHaveRun, is_dangerous);
         failed_attempt.runs += 1;
         let (entry_count, allowance) = (self.entry_count, self.allowance);
         let retry_window = &mut self.traffic(&service).retry_window;
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -14,6 +14,7 @@
     RoutingKey,
 };
 use names::{DataCentre, Instance, Service, Upstream};
+use quarantine::Run;
 use roster::{Announcement, Status, short_hash};
 use telemetry::Metrics;
 
@@ -171,6 +172,33 @@
         self.entries.iter().filter(|entry| self.is_ready(entry)).count()
     }
 
+    /// Returns the number of addresses at which upstreams of `service` run or ran recently.
+    pub(super) fn address_count(&self, service: &Service) -> usize {
+        let of_service = self.entries.iter().filter(|entry| entry.announcement.service == *service);
+        let mut addresses: Vec<SocketAddr> =
+            of_service.map(|entry| entry.announcement.address).collect();
+        addresses.sort();
+        addresses.dedup();
+        addresses.len()
+    }
+
+    /// Returns the number of upstreams of `service` that can take requests, among those of whose run
+    /// `is_alive` returns true.
+    pub(super) fn working<A>(&self, now: Instant, service: &Service, is_alive: A) -> usize
+    where
+        A: Fn(Run) -> bool,
+    {
+        let is_working = |entry: &&TableEntry| {
+            let Announcement { service: of, upstream, born, .. } = &entry.announcement;
+            of == service
+                && self.is_open(now, entry)
+                && !self.is_unavailable(now, entry)
+                && !self.health.is_avoided(service, upstream, now)
+                && is_alive(Run { upstream: entry.short_hash, born: *born })
+        };
+        self.entries.iter().filter(is_working).count()
+    }
+
     /// Returns the upstreams of `service` that may get new requests. Those in `tried` are omitted
     /// unless there are no others, and the last of them unless it is the only one.
     pub(super) fn candidates(
