--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -42,7 +42,8 @@
     /// engine takes from all instances together.
     Limit(u32),
     /// The engine ends as it begins an answer, if one of the messages before the last one is among
-    /// this share of all messages, in thousandths. It returns after two seconds.
+    /// this share of all messages, in thousandths. It returns after two seconds. A plain service
+    /// does so at the end of a call whose path and body are among this share of all.
     Crash(u32),
     /// As `Crash`, for the last message.
     CrashLast(u32),
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -233,7 +233,8 @@
             _engine = engine;
         }
         UpstreamKind::Service => {
-            let service = actor!(stakker, Service::init(options), ret_shutdown!(stakker));
+            let crash = fwd_to!([host], crash() as (()));
+            let service = actor!(stakker, Service::init(options, crash), ret_shutdown!(stakker));
             handler = fwd_to!([service], handle() as (entry::Event));
             _service = service;
         }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -30,6 +30,10 @@
     fault: Fault,
     journal: Vec<Run>,
     running: u32,
+    /// Number of crashes.
+    crashes: u64,
+    /// Called when the service crashes.
+    crash: Fwd<()>,
 }
 
 /// Appends a call to the journal file; returns false if the file cannot be written.
@@ -47,9 +51,9 @@
 
 impl Service {
     /// Creates a service whose journal starts with the calls in the journal file, if one is set.
-    pub fn init(_: CX![], options: Options) -> Option<Self> {
+    pub(crate) fn init(_: CX![], options: Options, crash: Fwd<()>) -> Option<Self> {
         let journal = options.journal.as_deref().map(read_journal).unwrap_or_default();
-        Some(Self { options, fault: Fault::None, journal, running: 0 })
+        Some(Self { options, fault: Fault::None, journal, running: 0, crashes: 0, crash })
     }
 
     /// Handles an event from the HTTP server.
@@ -76,6 +80,10 @@
             reply.fwd(json_reply(&self.journal));
             return;
         }
+        if request.path == "/stats" {
+            reply.fwd(json_reply(&json!({ "crashes": self.crashes })));
+            return;
+        }
         let echo_header = attempt_echo(&request, self.fault);
         let Ok(body) = String::from_utf8(request.body) else {
             let problem = Problem::not_run(Status::BAD_REQUEST, "invalid_body", "not UTF-8");
@@ -112,11 +120,15 @@
             return;
         }
         let confirmation = json!({ "number": run.number, "booked": run.body });
+        let is_crash = self.fault.is_crash(&format!("{}{}", run.path, run.body));
         self.journal.push(run);
         self.running += 1;
         let duration = self.options.word_interval.as_duration() * self.fault.slowdown_factor();
         match self.fault {
             Fault::Hang => {}
+            _ if is_crash => {
+                after!(duration, [cx], crash());
+            }
             Fault::Cut(_) => reply.fwd(Reply::Cut),
             _ => {
                 after!(duration, [cx], send_confirmation(reply, confirmation, echo_header));
@@ -124,6 +136,14 @@
         }
     }
 
+    /// Ends as a crash of the process does: all calls are lost.
+    fn crash(&mut self, _: CX![]) {
+        self.crashes += 1;
+        self.running = 0;
+        self.options.incarnation.0 += 1;
+        self.crash.fwd(());
+    }
+
     fn send_confirmation(
         &mut self,
         _: CX![],
@@ -131,7 +151,7 @@
         confirmation: Value,
         echo_header: Option<Header>,
     ) {
-        self.running -= 1;
+        self.running = self.running.saturating_sub(1);
         let mut response = json_reply(&confirmation);
         if let Reply::Whole { headers, .. } = &mut response {
             headers.extend(echo_header);
--- a/tests/crashing_messages.rs
+++ b/tests/crashing_messages.rs
@@ -11,7 +11,8 @@
 
 use serde_json::{Value, json};
 use standin::Fault;
-use support::{Fleet, get, post, wait_for};
+use support::crashes::CrashCounter;
+use support::{Fleet, post, wait_for};
 use test_case::test_case;
 
 const CHAT: &str = "/v1/chat/completions";
@@ -63,38 +64,6 @@
     })
 }
 
-/// Counts the crashes of engines. One that is down keeps the count that it last told.
-struct CrashCounter {
-    engines: Vec<SocketAddr>,
-    counts: Vec<u64>,
-}
-
-impl CrashCounter {
-    fn new(engines: Vec<SocketAddr>) -> Self {
-        Self { counts: vec![0; engines.len()], engines }
-    }
-
-    fn crashes(&mut self) -> u64 {
-        for (engine, count) in self.engines.iter().zip(&mut self.counts) {
-            let Ok(text) = get(*engine, "/stats") else {
-                continue;
-            };
-            if let Ok(stats) = serde_json::from_str::<Value>(&text) {
-                *count = stats["crashes"].as_u64().unwrap();
-            }
-        }
-        self.counts.iter().sum()
-    }
-
-    /// Counts the crashes once all engines have returned from theirs.
-    fn settled(&mut self) -> u64 {
-        for engine in &self.engines {
-            wait_for("an engine to return", || get(*engine, "/stats").ok());
-        }
-        self.crashes()
-    }
-}
-
 /// Guards against a request that is sent to one engine after the other while each of them crashes.
 #[test_case(SHARED_FAULT; "before the last message")]
 #[test_case(LAST_FAULT; "last message")]
--- a/tests/support/crashes.rs
+++ b/tests/support/crashes.rs
@@ -6,9 +6,11 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
+
 use super::machines::{Machine, Machines};
-use super::wait_for;
 use super::worker::Worker;
+use super::{get, wait_for};
 
 /// Time within which the fleet has to know what crashes its upstreams.
 pub const CONTACT: Duration = Duration::from_millis(3000);
@@ -130,7 +132,7 @@
 }
 
 /// Starts three control instances and six entry instances in three data centres with `document`.
-pub fn start_machines<F>(document: &serde_json::Value, mut setup: F) -> Machines
+pub fn start_machines<F>(document: &Value, mut setup: F) -> Machines
 where
     F: FnMut(&mut Machine),
 {
@@ -166,3 +168,35 @@
         assert!(refusals.iter().all(|line| line["reason"] != "quarantined"), "{refusals:?}");
     }
 }
+
+/// Counts the crashes of stand-ins. One that is down keeps the count that it last told.
+pub struct CrashCounter {
+    upstreams: Vec<SocketAddr>,
+    counts: Vec<u64>,
+}
+
+impl CrashCounter {
+    pub fn new(upstreams: Vec<SocketAddr>) -> Self {
+        Self { counts: vec![0; upstreams.len()], upstreams }
+    }
+
+    pub fn crashes(&mut self) -> u64 {
+        for (upstream, count) in self.upstreams.iter().zip(&mut self.counts) {
+            let Ok(text) = get(*upstream, "/stats") else {
+                continue;
+            };
+            if let Ok(stats) = serde_json::from_str::<Value>(&text) {
+                *count = stats["crashes"].as_u64().unwrap();
+            }
+        }
+        self.counts.iter().sum()
+    }
+
+    /// Counts the crashes once all stand-ins have returned from theirs.
+    pub fn settled(&mut self) -> u64 {
+        for upstream in &self.upstreams {
+            wait_for("a stand-in to return", || get(*upstream, "/stats").ok());
+        }
+        self.crashes()
+    }
+}
