--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -30,7 +30,7 @@
     /// Starts an attempt at the upstream of `permit`.
     pub(super) fn call_upstream(&mut self, cx: CX![], index: usize, permit: Permit) {
         let now = cx.now();
-        if !self.may_send_parts(now, index) {
+        if !self.may_send_keys(now, index) {
             call!([self.placer], release(permit));
             self.refuse_quarantined(now, index);
             return;
@@ -106,8 +106,8 @@
         if let Some(running) = active.running_attempt() {
             running.record_progress(&event.progress, now);
         }
-        if matches!(event.progress, Progress::Failed { .. }) {
-            self.suspect_crash(cx, index);
+        if let Progress::Failed { verdict, .. } = &event.progress {
+            self.suspect_crash(cx, index, *verdict);
         }
         self.record_sound(now, index, false);
         self.end_search(cx, index);
@@ -337,6 +337,7 @@
         let active = &mut self.active[index];
         active.phase = Phase::Placing;
         let (id, attempts) = (active.id, active.attempts);
-        at!(cx.now() + FailedAttempt::backoff(attempts), [cx], place(id));
+        let due = (cx.now() + FailedAttempt::backoff(attempts)).max(active.checked_until);
+        at!(due, [cx], place(id));
     }
 }
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -9,7 +9,7 @@
 use telemetry::Event;
 
 use super::active_request::ActiveRequest;
-use super::quarantine::crash_parts;
+use super::quarantine::crash_keys;
 use super::upstream_selection::max_queue_time;
 use super::{Forwarder, millis, problems};
 use crate::interface::RequestMetadata;
@@ -35,8 +35,7 @@
                 self.requests.insert(index, active);
                 self.requests[index].timer = at!(deadline, [cx], expire(id));
                 if self.requests[index].is_trial {
-                    let parts = crash_parts(self.requests[index].metadata.prompt.as_ref());
-                    self.quarantine.record_trial(cx.now(), &parts);
+                    self.quarantine.record_trial(cx.now(), &self.requests[index].keys);
                 }
                 self.place(cx, id);
             }
@@ -98,7 +97,12 @@
         if self.shutdown.is_some_and(|shutdown| !shutdown.accepts(now, deadline)) {
             return Err(problems::stopping(&unsent));
         }
-        let is_trial = self.admit_parts(&unsent, now, &crash_parts(metadata.prompt.as_ref()))?;
+        let account = caller.map(|account| &account.name);
+        let keys = crash_keys(&request, &metadata, account);
+        let is_trial = self.admit_keys(&unsent, now, &keys)?;
+        if !is_trial {
+            self.admit_hazard(&unsent, now, deadline, &service, &keys)?;
+        }
         let queue_until = now + max_queue_time(route.objective);
         let stream_tracker = (route.repeat == Repeat::Resumed)
             .then(|| StreamTracker::new(metadata.last_event_id.clone()));
@@ -109,7 +113,7 @@
             metadata,
             service,
             connections,
-            account: caller.map(|account| account.name.clone()),
+            account: account.cloned(),
             rank: caller.and_then(|account| account.rank).unwrap_or(route.rank),
             route,
             arrived_at: now,
@@ -121,6 +125,7 @@
             runs: 0,
             refusals: 0,
             broken_beginnings: 0,
+            keys,
             is_trial,
             running: None,
             search: None,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -36,7 +36,7 @@
             return;
         };
         let now = cx.now();
-        if !self.may_send_parts(now, index) {
+        if !self.may_send_keys(now, index) {
             let tokens = self.requests[index].own_tokens();
             self.release(now, upstream, tokens);
             self.refuse_quarantined(cx, id);
@@ -135,6 +135,7 @@
             parts: 0,
             is_sound: false,
             boundary: EventBoundary::typed(false),
+            broken: None,
             is_closed: false,
             timer,
             event_due: None,
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -78,6 +78,13 @@
     Problem::not_run(unsent, Status::UNAVAILABLE, "quarantined", message).with_retry_after(wait)
 }
 
+/// Upstreams crashed under the request, and too few others are there to send it to one of them.
+pub(super) fn suspected(unsent: &Unsent, now: Instant, deadline: Instant) -> Problem {
+    let message = "an upstream crashed while it ran this request; ask again later";
+    Problem::not_run(unsent, Status::UNAVAILABLE, "suspected", message)
+        .with_retry_after(retry_after(now, deadline))
+}
+
 pub(super) fn stopping(unsent: &Unsent) -> Problem {
     let message = "this instance stops before the request would be over; another one takes it";
     Problem::not_run(unsent, Status::UNAVAILABLE, "stopping", message)
