--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -15,6 +15,15 @@
 /// Path of the program under test.
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_turmericrelay");
 
+/// Environment variable that names another build of the program to test.
+const PROGRAM_VARIABLE: &str = "TURMERICRELAY_PROGRAM";
+
+/// Returns the path of the program that platform fleets run: [`PROGRAM`], unless
+/// [`PROGRAM_VARIABLE`] names another build.
+fn platform_program() -> String {
+    std::env::var(PROGRAM_VARIABLE).unwrap_or_else(|_| PROGRAM.to_string())
+}
+
 static NEXT_HOST_NUMBER: AtomicU32 = AtomicU32::new(0);
 
 /// Held while a child process starts and while a free port is chosen. Between `fork` and `exec`,
@@ -104,7 +113,7 @@
     ) -> Self {
         let output = File::options().create(true).append(true).open(&log).unwrap();
         let errors = output.try_clone().unwrap();
-        let mut command = Command::new(PROGRAM);
+        let mut command = Command::new(platform_program());
         command.args(arguments).env(name, value).stdout(output).stderr(errors);
         Self { child: spawn(&mut command), log }
     }
