Hold upstreams up in the test of promises, and widen what goes wrong

Upstreams that are held up leave connections and requests to the kernel, so that requests run after their caller has got its answer. An entry instance that ends without being told to fails the test.

--- a/tests/promises/injector.rs
+++ b/tests/promises/injector.rs
@@ -1,5 +1,5 @@
 //! Faults of processes: entry instances that stop one after the other, processes that are held up,
-//! control instances that crash, and upstreams that drain, end and return.
+//! control instances that crash, and upstreams that are held up, drain, end and return.
 
 use std::time::{Duration, Instant};
 
@@ -63,6 +63,16 @@
         while let Some(last) = self.active_faults.iter().map(|fault| fault.until).max() {
             self.undo_due(last);
         }
+        self.check_running();
+    }
+
+    /// Checks that every entry instance runs that was not told to stop.
+    fn check_running(&mut self) {
+        let stopping = self.stopping.as_ref().map(|stopping| stopping.entry);
+        for entry in 0..self.fleet.machines.entries.len() {
+            let is_expected_down = stopping == Some(entry);
+            assert!(is_expected_down || !self.has_ended(entry), "entry instance {entry} ended");
+        }
     }
 
     fn millis(&mut self, min: u64, max: u64) -> Duration {
@@ -111,7 +121,7 @@
             12..14 => self.kill_control(),
             14..18 => self.drain_upstream(),
             18 => self.end_upstream(),
-            _ => {}
+            _ => self.hold_upstream(),
         }
     }
 
@@ -183,6 +193,13 @@
         }
     }
 
+    /// Holds up an upstream.
+    fn hold_upstream(&mut self) {
+        let index = self.random.random_range(0..self.fleet.upstreams.len());
+        let time = self.millis(100, MAX_HOLD_MILLIS);
+        self.fleet.upstreams[index].hold(Instant::now() + time);
+    }
+
     fn is_replaced(&self, index: usize) -> bool {
         self.active_faults.iter().any(|fault| fault.undo == Undo::ReplaceUpstream(index))
     }
--- a/tests/promises/upstream.rs
+++ b/tests/promises/upstream.rs
@@ -15,9 +15,9 @@
 
 use crate::fleet::CONNECTION_LIMIT;
 use crate::ledger::Ledger;
-use crate::support::bind_tcp_and_udp;
 use crate::support::script::reset_on_close;
 use crate::support::worker::send_request_with_timeout;
+use crate::support::{bind_tcp_and_udp, wait_for};
 
 /// Number of requests that an upstream runs at once, and of those that wait beside them.
 const SLOTS: usize = 2;
@@ -134,6 +134,8 @@
     sequence: AtomicU64,
     is_draining: AtomicBool,
     is_stopped: AtomicBool,
+    /// Time until which the upstream neither accepts connections nor reads requests.
+    held_until: Mutex<Instant>,
     load: Mutex<Load>,
     freed: Condvar,
     connection_count: AtomicUsize,
@@ -149,12 +151,7 @@
 
 /// Binds the address of an upstream that may have ended just now.
 fn bind(address: SocketAddr) -> TcpListener {
-    loop {
-        match TcpListener::bind(address) {
-            Ok(listener) => return listener,
-            Err(_) => std::thread::sleep(Duration::from_millis(5)),
-        }
-    }
+    wait_for("the address of an upstream that has ended", || TcpListener::bind(address).ok())
 }
 
 impl Upstream {
@@ -184,6 +181,7 @@
             sequence: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
             is_stopped: AtomicBool::new(false),
+            held_until: Mutex::new(Instant::now()),
             load: Mutex::default(),
             freed: Condvar::new(),
             connection_count: AtomicUsize::new(0),
@@ -206,6 +204,12 @@
         self.state.is_draining.store(true, Ordering::Relaxed);
     }
 
+    /// Holds the upstream up until `until`, as a busy machine does. Connections and requests wait in
+    /// the kernel.
+    pub fn hold(&self, until: Instant) {
+        *self.state.held_until.lock().unwrap() = until;
+    }
+
     /// Closes all connections and accepts no more. Requests that run or wait end as usual.
     pub fn end(&self) {
         self.state.is_stopped.store(true, Ordering::Relaxed);
@@ -221,6 +225,19 @@
     }
 }
 
+impl State {
+    fn wait_while_held(&self) {
+        loop {
+            let until = *self.held_until.lock().unwrap();
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() || self.is_stopped.load(Ordering::Relaxed) {
+                return;
+            }
+            std::thread::sleep(left.min(Duration::from_millis(5)));
+        }
+    }
+}
+
 fn announce(state: &State) {
     let sequence = state.sequence.fetch_add(1, Ordering::Relaxed) + 1;
     let is_draining = state.is_draining.load(Ordering::Relaxed);
@@ -243,6 +260,7 @@
 fn accept_connections(state: &Arc<State>, listener: &TcpListener) {
     let mut accepted = 0;
     while !state.is_stopped.load(Ordering::Relaxed) {
+        state.wait_while_held();
         let Ok((stream, _)) = listener.accept() else {
             std::thread::sleep(Duration::from_millis(1));
             continue;
@@ -332,6 +350,8 @@
                 self.state.ledger.record_ending("closed before or within the request");
                 return Ok(());
             }
+            self.wait_for_bytes(&mut reader)?;
+            self.state.wait_while_held();
             let head = Head::read(&mut reader)?;
             self.stream.set_read_timeout(Some(Duration::from_secs(3)))?;
             let arrived_at = Instant::now();
@@ -366,6 +386,15 @@
         }
     }
 
+    /// Waits for the first byte of the next request, and leaves all others to the kernel.
+    fn wait_for_bytes(&self, reader: &mut BufReader<TcpStream>) -> std::io::Result<()> {
+        let is_read = !reader.buffer().is_empty();
+        if !is_read && self.stream.peek(&mut [0])? == 0 {
+            return closed();
+        }
+        Ok(())
+    }
+
     fn answer_probe(&mut self, head: &Head) -> std::io::Result<()> {
         let status = if head.path.starts_with("/health") { 200 } else { 404 };
         let name = &self.state.name;
