Answer a request that follows a head without connection: close

Callers saw their connection end without an answer to a request that the instance had read whole, up to seconds before, when the instance stopped while the answer before it was being streamed. The head of that answer, sent before the signal, said that the connection is kept.

Cause: each part of an answer, not only its head, took the drain of the server into account, and the end of any answer closed a draining connection. The bytes of the next request, which are read during an answer, were dropped.

Evidence: tests/review_promises.rs, two requests on one connection, SIGTERM during the first stream, the second request sent before the signal or after it.

Whether a connection is kept is now decided where the head is written, and a draining connection closes after an answer only if no byte of a next request was read. The next head says connection: close, so at most one more request is answered. A pipelined request that is dropped for lack of memory still closes the connection, as before. Not covered: a next request that reaches the operating system but is not read before the last part is written; the caller sees the close without an answer.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -271,6 +271,9 @@
         self.received.clear();
         self.input.resize(0);
         self.is_draining = true;
+        if let Phase::Answering { keeps_alive, .. } = &mut self.phase {
+            *keeps_alive = false;
+        }
     }
 
     /// Returns whether more bytes may be read. This limits how much a caller can send before it has
@@ -432,7 +435,10 @@
         let Phase::Answering { keeps_alive, framing, .. } = &mut self.phase else {
             return;
         };
-        *keeps_alive &= !self.is_draining;
+        // Once the head is sent, the caller may send a request that relies on its headers.
+        if !matches!(reply, Reply::Part(_) | Reply::End | Reply::Cut) {
+            *keeps_alive &= !self.is_draining;
+        }
         let id_header = self.form.request_id_header();
         let out = &mut self.stream.out;
         let was_empty = out.is_empty();
@@ -514,7 +520,7 @@
     fn finish(&mut self, cx: CX![]) {
         self.output.settle();
         let keeps_alive = matches!(self.phase, Phase::Answering { keeps_alive: true, .. });
-        if !keeps_alive || self.is_draining {
+        if !keeps_alive || (self.is_draining && self.received.is_empty()) {
             self.phase = Phase::Closing;
             self.stream.out_eof = true;
             return;
