Take hold-ups in quick succession for one when a graceful shutdown counts

What callers can see, by reading: a stream is cut that they sent more than three seconds after SIGTERM, from an instance that runs only for moments between one hold-up and the next.

Cause: the heartbeat kept the last hold-up only. A signal that was sent in the first of two, and handled after the second, counted as sent between them.

Evidence: the new test of crates/forward/tests/grace.rs, two hold-ups of 0.5 s and 0.4 s.

A hold-up that begins less than 200 ms after the end of the one before now extends it. Grace still assumes that a signal has waited for at most a second, so an instance that is held up again and again refuses long requests from 1.9 s after the receipt on, not earlier.

--- a/crates/forward/src/grace.rs
+++ b/crates/forward/src/grace.rs
@@ -37,7 +37,11 @@
     /// Records a beat.
     pub fn beat(&mut self, now: Instant) {
         if now.saturating_duration_since(self.last) >= HOLD_UP_INTERVAL {
-            self.hold_up = Some(self.last..now);
+            // Between two hold-ups in quick succession, a signal may not have been handled.
+            let previous = self.hold_up.take().filter(|previous| {
+                self.last.saturating_duration_since(previous.end) < HOLD_UP_INTERVAL
+            });
+            self.hold_up = Some(previous.map_or(self.last, |previous| previous.start)..now);
         }
         self.last = now;
     }
--- a/crates/forward/tests/grace.rs
+++ b/crates/forward/tests/grace.rs
@@ -64,3 +64,12 @@
     assert!(grace.end >= received_at + LIMIT.mul_f64(5.0 / 6.0), "the signal was sent late");
     assert!(grace.end < sent + LIMIT, "the signal was sent early");
 }
+
+#[test]
+fn a_signal_that_waited_in_the_first_of_two_hold_ups_counts_as_sent_late() {
+    let start = Instant::now() + millis(10_000);
+    let heartbeat = held_up(start, millis(500), true);
+    let received_at = start + millis(501);
+    let earliest = heartbeat.earliest_sending(received_at, start + millis(900));
+    assert!(earliest <= start, "{:?} after the beat before", earliest - start);
+}
