Show that the kernel ends a connection whose upstream reads a body late

What callers see: 502 for a request of a megabyte whose upstream reads its body 3.5 s after its head; a safe one is sent twice. By reading, a stream whose upstream answers before it reads a long body is cut, since the same failure ends it.

Cause: the connections to upstreams set TCP_USER_TIMEOUT to two seconds against partitions. Linux applies it also to bytes that wait because the window of the peer is closed, although the peer acknowledges each probe.

Not fixed: without the option a partition is found late.

--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -48,6 +48,8 @@
     Stall(usize),
     /// Sends all events, with a long interval between them.
     SlowEvents,
+    /// Reads the body of each request only after this time in milliseconds, and answers then.
+    ReadLate(u64),
     /// Sends all events, with this interval in milliseconds between them.
     EventsEvery(u64),
     /// Sends nothing for a while after this many events of one response, or before the answer of a
@@ -365,8 +367,15 @@
     body: Vec<u8>,
 }
 
-fn read_request(reader: &mut BufReader<TcpStream>) -> std::io::Result<Request> {
+fn read_request(
+    shared: &WorkerState,
+    reader: &mut BufReader<TcpStream>,
+) -> std::io::Result<Request> {
     let (start_line, headers) = read_head(reader)?;
+    let behaviour = *shared.behaviour.lock().unwrap();
+    if let Behaviour::ReadLate(millis) = behaviour {
+        std::thread::sleep(Duration::from_millis(millis));
+    }
     let length = headers.get("content-length").map_or(0, |length| length.parse().unwrap());
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
@@ -378,7 +387,7 @@
     stream.set_nodelay(true).unwrap();
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     let mut writer = stream;
-    while let Ok(request) = read_request(&mut reader) {
+    while let Ok(request) = read_request(shared, &mut reader) {
         if respond(shared, &request, &mut writer).is_err() {
             return;
         }
