Count a stop from the last beat after a hold-up of little over a beat too

Cause: an instance accepts every request for 2.9 s, which leaves 0.1 s for a signal that waits. Hold-ups were seen only from 0.2 s between two beats on, so a signal that waited for 0.1 to 0.2 s counted as sent when it was received.

Evidence: three new cases of crates/forward/tests/grace.rs (121, 160 and 199 ms).

Hold-ups are now seen from 0.12 s on; one of 0.1 to 0.12 s still leaves up to 20 ms. A late beat on a busy machine shortens the time in which every request is accepted by its own length.

--- a/crates/forward/src/grace.rs
+++ b/crates/forward/src/grace.rs
@@ -7,7 +7,10 @@
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Interval between two beats from which on the process was held up.
-const HOLD_UP_INTERVAL: Duration = Duration::from_millis(200);
+const HOLD_UP_INTERVAL: Duration = Duration::from_millis(120);
+
+/// Time after a hold-up within which the process has not handled all that waited meanwhile.
+const CATCH_UP_TIME: Duration = Duration::from_millis(200);
 
 /// Longest time for which a signal is taken to have waited. A longer one would leave too little time
 /// for the requests in progress if the signal did not wait.
@@ -39,7 +42,7 @@
         if now.saturating_duration_since(self.last) >= HOLD_UP_INTERVAL {
             // Between two hold-ups in quick succession, a signal may not have been handled.
             let previous = self.hold_up.take().filter(|previous| {
-                self.last.saturating_duration_since(previous.end) < HOLD_UP_INTERVAL
+                self.last.saturating_duration_since(previous.end) < CATCH_UP_TIME
             });
             self.hold_up = Some(previous.map_or(self.last, |previous| previous.start)..now);
         }
@@ -53,7 +56,7 @@
         heartbeat.beat(now);
         let hold_up = heartbeat.hold_up.filter(|hold_up| {
             hold_up.contains(&received_at)
-                || received_at.saturating_duration_since(hold_up.end) < HOLD_UP_INTERVAL
+                || received_at.saturating_duration_since(hold_up.end) < CATCH_UP_TIME
         });
         hold_up.map_or(received_at, |hold_up| hold_up.start.min(received_at))
     }
--- a/crates/forward/tests/grace.rs
+++ b/crates/forward/tests/grace.rs
@@ -73,3 +73,15 @@
     let earliest = heartbeat.earliest_sending(received_at, start + millis(900));
     assert!(earliest <= start, "{:?} after the beat before", earliest - start);
 }
+
+#[test_case(121; "for little more than the interval of the heartbeat")]
+#[test_case(160; "for less than two intervals of the heartbeat")]
+#[test_case(199; "for almost two intervals of the heartbeat")]
+fn a_request_is_cut_against_the_rule_when_the_signal_waited_for_a_short_time(waited: u64) {
+    let sent = Instant::now() + millis(10_000);
+    let received_at = sent + millis(waited);
+    let earliest = held_up(sent, millis(waited), true).earliest_sending(received_at, received_at);
+    let grace = Grace::new(earliest, received_at, LIMIT);
+    let arrival = sent + millis(3000);
+    assert!(!Shutdown::new(grace.begin, grace.end).accepts(arrival, arrival + millis(6000)));
+}
