Show that a stream is cut whose upstream has not read a long body

What callers see: a stream of five seconds with a body of a megabyte ends after about 2.2 s without its end, although its upstream sends all events. Upstreams may answer before they have read a long body.

--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -52,6 +52,8 @@
     ReadLate(u64),
     /// Sends all events, with this interval in milliseconds between them.
     EventsEvery(u64),
+    /// Sends all events like [`Behaviour::EventsEvery`], without having read the body of the request.
+    UnreadEventsEvery(u64),
     /// Sends nothing for a while after this many events of one response, or before the answer of a
     /// service without engines, and then goes on.
     Pause(usize),
@@ -378,7 +380,9 @@
     }
     let length = headers.get("content-length").map_or(0, |length| length.parse().unwrap());
     let mut body = vec![0; length];
-    reader.read_exact(&mut body)?;
+    if !matches!(behaviour, Behaviour::UnreadEventsEvery(_)) {
+        reader.read_exact(&mut body)?;
+    }
     let path = start_line.split(' ').nth(1).unwrap_or_default().to_string();
     Ok(Request { path, headers, body })
 }
@@ -561,7 +565,9 @@
         write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
         std::thread::sleep(match behaviour {
             Behaviour::SlowEvents => SLOW_EVENT_INTERVAL,
-            Behaviour::EventsEvery(millis) => Duration::from_millis(millis),
+            Behaviour::EventsEvery(millis) | Behaviour::UnreadEventsEvery(millis) => {
+                Duration::from_millis(millis)
+            }
             _ => EVENT_INTERVAL,
         });
     }
