--- a/crates/instance/src/quarantine.rs
+++ b/crates/instance/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Actor that exchanges with other instances which parts of prompts crash upstreams, and the handle
+//! Actor that exchanges with other instances which keys of requests crash upstreams, and the handle
 //! through which requests are checked.
 
 use std::cell::RefCell;
@@ -8,10 +8,10 @@
 
 use dispatch::Listening;
 use names::{Instance, Upstream};
-use quarantine::{Admission, Change, Check, Part, Record, Run, Suspects, Suspicions};
+use quarantine::{Admission, Change, Check, Hazard, Key, Record, Run, Suspects, Suspicions};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
-use stakker::{Actor, CX, after, call};
+use stakker::{Actor, CX, Fwd, after, call, fwd_to};
 use telemetry::{Event, Metrics};
 use wire::{Delivery, Hub, Outgoing, Slice, Transport};
 
@@ -21,9 +21,12 @@
 /// Interval between two messages with the same change.
 const UPDATE_PERIOD: Duration = Duration::from_millis(200);
 
-/// Number of instances that each message is sent to.
+/// Number of instances that each message is sent to in a large fleet.
 const FANOUT: usize = 4;
 
+/// Largest number of other instances that are all told of a change directly.
+const MAX_DIRECT_PEERS: usize = 16;
+
 /// Maximum number of records in an update, so that it fits in a datagram.
 const MAX_UPDATE_RECORDS: usize = 10;
 
@@ -42,14 +45,25 @@
 }
 
 /// What this instance knows, and the other instances.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct State {
     suspects: Suspects,
     suspicions: Suspicions,
     peers: Vec<Instance>,
+    /// Notified of changes that other instances have to know at once.
+    on_news: Option<Fwd<()>>,
+}
+
+/// What follows the check of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CheckResult {
+    /// The upstream still listens, and is checked again at the given time.
+    CheckAgain(Instant),
+    /// It is known whether the upstream has ended.
+    Done,
 }
 
-/// Quarantine of parts of prompts, shared by the actors of an instance.
+/// Quarantine of keys of requests, shared by the actors of an instance.
 #[derive(Clone)]
 pub struct Quarantine {
     me: Instance,
@@ -58,27 +72,39 @@
 }
 
 impl Quarantine {
-    /// Creates a quarantine without any parts at the instance `me`.
+    /// Creates a quarantine without any keys at the instance `me`.
     pub fn new(me: Instance, metrics: Arc<Metrics>) -> Self {
         Self { me, state: Rc::default(), metrics }
     }
 
-    /// Returns what may be done with a request with `parts`.
-    pub fn check(&self, now: Instant, parts: &[Part]) -> Admission {
+    /// Returns what may be done with a request with `keys`.
+    pub fn check(&self, now: Instant, keys: &[Key]) -> Admission {
         let state = self.state.borrow();
         let instances = || state.peers.iter().chain([&self.me]);
-        let tries = |part: Part| placement::rendezvous_owner(part.0, instances()) == Some(&self.me);
-        state.suspects.check(now, parts, tries)
+        let tries = |key: Key| placement::rendezvous_owner(key.0, instances()) == Some(&self.me);
+        state.suspects.check(now, keys, tries)
     }
 
-    /// Records that a request with `parts` is sent as the trial of its quarantined parts.
-    pub fn record_trial(&self, now: Instant, parts: &[Part]) {
-        self.state.borrow_mut().suspects.record_trial(now, parts);
+    /// Returns what is known against a request with `keys`, the first of which is the most specific.
+    pub fn hazard(&self, now: Instant, keys: &[Key]) -> Option<Hazard> {
+        self.state.borrow().suspects.hazard(now, keys)
     }
 
-    /// Records that the answer of `run` to a request with `parts` broke off at its beginning.
-    pub fn record_broken(&self, now: Instant, run: Run, parts: &[Part]) -> Check {
-        self.state.borrow_mut().suspicions.record(now, run, parts)
+    /// Returns whether `run` is known to have ended in a crash.
+    pub fn has_ended(&self, run: Run) -> bool {
+        self.state.borrow().suspects.has_ended(run)
+    }
+
+    /// Records that a request with `keys` is sent as the trial of its quarantined keys.
+    pub fn record_trial(&self, now: Instant, keys: &[Key]) {
+        let mut state = self.state.borrow_mut();
+        state.suspects.record_trial(now, keys);
+        state.notify();
+    }
+
+    /// Records that the answer of `run` to a request with `keys` broke off at its beginning.
+    pub fn record_broken(&self, now: Instant, run: Run, keys: &[Key]) -> Check {
+        self.state.borrow_mut().suspicions.record(now, run, keys)
     }
 
     /// Drops what is suspected of `run`, because the end of the run is planned.
@@ -87,12 +113,22 @@
     }
 
     /// Records the result of the check of `run`, which is one of `upstream`.
-    pub fn record_check(&self, now: Instant, run: Run, upstream: &Upstream, listening: Listening) {
+    pub fn record_check(
+        &self,
+        now: Instant,
+        run: Run,
+        upstream: &Upstream,
+        listening: Listening,
+    ) -> CheckResult {
         let mut state = self.state.borrow_mut();
-        let Some((at, parts)) = state.suspicions.take(run) else {
-            return;
+        let next_check = state.suspicions.next_check(now, run);
+        if let Some(at) = next_check.filter(|_| listening == Listening::Accepts) {
+            return CheckResult::CheckAgain(at);
+        }
+        let Some((at, keys)) = state.suspicions.take(run) else {
+            return CheckResult::Done;
         };
-        let text: Vec<String> = parts.iter().map(ToString::to_string).collect();
+        let text: Vec<String> = keys.iter().map(ToString::to_string).collect();
         Event::BrokenOff {
             upstream: upstream.to_string(),
             born: run.born,
@@ -101,16 +137,19 @@
         }
         .write();
         if listening == Listening::Refuses {
-            let changes = state.suspects.record_crash(now, run, at, &parts);
+            let changes = state.suspects.record_crash(now, run, at, &keys);
             self.report(&state, &changes, "itself");
+            state.notify();
         }
+        CheckResult::Done
     }
 
-    /// Records that an answer to a request with `parts` has got past its beginning.
-    pub fn record_sound(&self, now: Instant, parts: &[Part]) {
+    /// Records that an answer to a request with `keys` has got past its beginning.
+    pub fn record_sound(&self, now: Instant, keys: &[Key]) {
         let mut state = self.state.borrow_mut();
-        let changes = state.suspects.record_sound(now, parts);
+        let changes = state.suspects.record_sound(now, keys);
         self.report(&state, &changes, "itself");
+        state.notify();
     }
 
     fn merge(&self, now: Instant, sender: &Instance, records: &[Record]) {
@@ -118,15 +157,18 @@
         let merged = records.iter().filter_map(|record| state.suspects.merge(now, record));
         let changes: Vec<Change> = merged.collect();
         self.report(&state, &changes, sender.as_str());
+        if state.peers.len() > MAX_DIRECT_PEERS {
+            state.notify();
+        }
     }
 
     fn report(&self, state: &State, changes: &[Change], source: &str) {
         for change in changes {
-            let (part, is_begun) = match change {
-                Change::Quarantined(part) => (part, true),
-                Change::Released(part) => (part, false),
+            let (key, is_begun) = match change {
+                Change::Quarantined(key) => (key, true),
+                Change::Released(key) => (key, false),
             };
-            let (part, source) = (part.to_string(), source.to_string());
+            let (part, source) = (key.to_string(), source.to_string());
             Event::Quarantined { part, is_begun, source }.write();
         }
         if !changes.is_empty() {
@@ -136,6 +178,14 @@
     }
 }
 
+impl State {
+    fn notify(&self) {
+        if let Some(on_news) = self.on_news.as_ref().filter(|_| self.suspects.has_news()) {
+            on_news.fwd(());
+        }
+    }
+}
+
 /// Exchanges the quarantine with other instances.
 pub struct QuarantineExchange {
     quarantine: Quarantine,
@@ -147,7 +197,8 @@
 impl QuarantineExchange {
     /// Creates the actor, which sends the changes of `quarantine`.
     pub fn init(cx: CX![], quarantine: Quarantine, hub: Actor<Hub>) -> Option<Self> {
-        after!(UPDATE_PERIOD, [cx], send_updates());
+        quarantine.state.borrow_mut().on_news = Some(fwd_to!([cx], send_updates() as ()));
+        after!(UPDATE_PERIOD, [cx], repeat_updates());
         after!(DIGEST_PERIOD, [cx], compare());
         Some(Self { quarantine, hub, has_asked: false })
     }
@@ -166,7 +217,7 @@
     /// Handles a message of another instance.
     pub fn deliver(&mut self, cx: CX![], delivery: Delivery) {
         let Delivery { sender, payload, .. } = delivery;
-        match wire::decode::<Message>("parts that crash upstreams", &payload) {
+        match wire::decode::<Message>("keys that crash upstreams", &payload) {
             Ok(Message::Update(records)) => self.quarantine.merge(cx.now(), &sender, &records),
             Ok(Message::Digest(digest)) => {
                 if digest != self.quarantine.state.borrow().suspects.digest() {
@@ -183,7 +234,13 @@
         }
     }
 
-    /// Sends what has changed, and schedules the next message.
+    /// Repeats what has changed recently, since messages may be lost.
+    fn repeat_updates(&mut self, cx: CX![]) {
+        self.send_updates(cx);
+        after!(UPDATE_PERIOD, [cx], repeat_updates());
+    }
+
+    /// Sends what has changed.
     fn send_updates(&mut self, cx: CX![]) {
         let records = {
             let suspects = &mut self.quarantine.state.borrow_mut().suspects;
@@ -191,9 +248,8 @@
         };
         for records in records.chunks(MAX_UPDATE_RECORDS) {
             let message = Message::Update(records.to_vec());
-            self.send(self.random_peers(FANOUT), Transport::Udp, &message);
+            self.send(self.addressees(), Transport::Udp, &message);
         }
-        after!(UPDATE_PERIOD, [cx], send_updates());
     }
 
     /// Compares what is known with another instance, and schedules the next comparison.
@@ -214,6 +270,12 @@
         self.send(vec![addressee], Transport::Tcp, &message);
     }
 
+    /// Returns the instances that a change is sent to. In a large fleet these tell the others.
+    fn addressees(&self) -> Vec<Instance> {
+        let count = self.quarantine.state.borrow().peers.len();
+        self.random_peers(if count > MAX_DIRECT_PEERS { FANOUT } else { count })
+    }
+
     fn random_peers(&self, count: usize) -> Vec<Instance> {
         self.quarantine.state.borrow().peers.sample(&mut rand::rng(), count).cloned().collect()
     }
@@ -222,7 +284,7 @@
         let payload = match wire::encode(message) {
             Ok(payload) => payload,
             Err(error) => {
-                log::error!("dropped a message about quarantined parts: cannot encode it: {error}");
+                log::error!("dropped a message about quarantined keys: cannot encode it: {error}");
                 return;
             }
         };
