Wait longer for acknowledgements of long requests, whose upstream may read them late

What callers saw: a stream whose upstream had not read a request of 1 MB was cut about 2.2 s after its last progress of the body, and a read of that size was sent twice and answered 502. Upstreams may answer before they have read a long body.

Cause: TCP_USER_TIMEOUT, 2 s towards upstreams, also counts the time for which the window of an upstream stays closed, although its operating system acknowledges each probe.

The fix: a connection that is opened for a request of over 32 KiB waits 10 s, 60 s on the own interface, and only such a connection carries long requests. Shorter ones fit into every receive buffer, so that their connections still notice a partition after 2 s.

Ruled out: 10 s for all connections, since a partition would be noticed that late.

--- a/crates/dispatch/benches/client.rs
+++ b/crates/dispatch/benches/client.rs
@@ -146,6 +146,7 @@
         idle_timeout: TIMEOUT,
         close_margin: Duration::ZERO,
         dead_peer_timeout: peer_timeout,
+        late_reader_timeout: peer_timeout,
     };
     let client: ActorOwn<Client> =
         actor!(stakker, Client::init(keep_alive, events, Fwd::new(|_| {})), ret_nop!());
--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -51,6 +51,8 @@
     number: u64,
     address: SocketAddr,
     keep_alive: KeepAlive,
+    /// Whether the connection was opened for a long request.
+    takes_long_requests: bool,
     events: Fwd<CallEvent>,
     stream: TcpStreamBuf,
     opened_at: Instant,
@@ -93,12 +95,17 @@
         number: u64,
         address: SocketAddr,
         keep_alive: KeepAlive,
+        takes_long_requests: bool,
         events: Fwd<CallEvent>,
     ) -> Option<Self> {
         let mut stream = TcpStreamBuf::new();
         stream.set_nodelay(true);
         let ready: Fwd<Ready> = fwd_to!([cx], on_ready() as (Ready));
-        let registered = open_stream(address, keep_alive.dead_peer_timeout).and_then(|socket| {
+        let dead_peer_timeout = match takes_long_requests {
+            true => keep_alive.late_reader_timeout,
+            false => keep_alive.dead_peer_timeout,
+        };
+        let registered = open_stream(address, dead_peer_timeout).and_then(|socket| {
             let interest = Interest::READABLE | Interest::WRITABLE;
             cx.anymap_get::<MioPoll>().add(socket, interest, SOCKET_PRIORITY, ready)
         });
@@ -113,6 +120,7 @@
             number,
             address,
             keep_alive,
+            takes_long_requests,
             events,
             stream,
             opened_at: cx.now(),
@@ -381,7 +389,11 @@
             return;
         }
         let (address, number, idle_until) = (self.address, self.number, cx.now() + idle_timeout);
-        call!([self.client], add_idle(address, number, cx.this().clone(), idle_until));
+        let (connection, takes_long_requests) = (cx.this().clone(), self.takes_long_requests);
+        call!(
+            [self.client],
+            add_idle(address, number, connection, takes_long_requests, idle_until)
+        );
     }
 
     /// Ends the call with a failure and closes the connection.
--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -28,6 +28,9 @@
 /// Interval between checks for expired idle connections.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Size in bytes of a request for which the receive buffer of every upstream has room.
+const BUFFERED_REQUEST_BYTES: usize = 32 << 10;
+
 /// Timeouts of pooled connections.
 #[derive(Debug, Clone, Copy)]
 pub struct KeepAlive {
@@ -39,6 +42,9 @@
     /// Time for which sent bytes may stay unacknowledged, or keep-alive probes unanswered, before a
     /// connection counts as broken.
     pub dead_peer_timeout: Duration,
+    /// The same for a connection with long requests. The operating system also counts the time for
+    /// which an upstream that reads a request late has no room for more of it.
+    pub late_reader_timeout: Duration,
 }
 
 /// Encoded HTTP request with its limits.
@@ -71,9 +77,18 @@
     pub max_connections: usize,
 }
 
+impl Outbound {
+    /// Returns whether an upstream may have no room for the request until it reads some of it.
+    fn is_long(&self) -> bool {
+        self.head.len() + self.body.len() > BUFFERED_REQUEST_BYTES
+    }
+}
+
 struct IdleConnection {
     connection: Actor<Connection>,
     number: u64,
+    /// Whether the connection was opened for a long request.
+    takes_long_requests: bool,
     idle_since: Instant,
     idle_until: Instant,
 }
@@ -82,7 +97,9 @@
     /// Returns whether the connection may carry the request.
     fn is_usable(&self, now: Instant, outbound: &Outbound) -> bool {
         let has_not_carried = outbound.first_sent_at.is_none_or(|at| self.idle_since < at);
-        has_not_carried && now < self.idle_since + outbound.max_connection_idle
+        has_not_carried
+            && (self.takes_long_requests || !outbound.is_long())
+            && now < self.idle_since + outbound.max_connection_idle
     }
 }
 
@@ -233,11 +250,12 @@
         self.last_connection_number += 1;
         let (client, number) = (cx.this().clone(), self.last_connection_number);
         let (keep_alive, events) = (self.keep_alive, self.events.clone());
+        let takes_long_requests = outbound.is_long();
         let job = Job::new(outbound);
         let connection = actor_in_slab!(
             self.connections,
             cx,
-            Connection::init(client, number, address, keep_alive, events),
+            Connection::init(client, number, address, keep_alive, takes_long_requests, events),
             ret_some_to!([cx], connection_ended(address, number) as (StopCause))
         );
         self.start(cx, connection, job);
@@ -274,10 +292,17 @@
         address: SocketAddr,
         number: u64,
         connection: Actor<Connection>,
+        takes_long_requests: bool,
         idle_until: Instant,
     ) {
         let idle_since = cx.now();
-        self.pool(address).idle.push(IdleConnection { connection, number, idle_since, idle_until });
+        self.pool(address).idle.push(IdleConnection {
+            connection,
+            number,
+            takes_long_requests,
+            idle_since,
+            idle_until,
+        });
     }
 
     /// Closes an idle connection that has failed.
--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -19,8 +19,12 @@
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-const KEEP_ALIVE: KeepAlive =
-    KeepAlive { idle_timeout: TIMEOUT, close_margin: Duration::ZERO, dead_peer_timeout: TIMEOUT };
+const KEEP_ALIVE: KeepAlive = KeepAlive {
+    idle_timeout: TIMEOUT,
+    close_margin: Duration::ZERO,
+    dead_peer_timeout: TIMEOUT,
+    late_reader_timeout: TIMEOUT,
+};
 
 /// Command of a test to the client.
 enum Command {
--- a/crates/dispatch/tests/full_window.rs
+++ b/crates/dispatch/tests/full_window.rs
@@ -42,6 +42,7 @@
         idle_timeout: TIMEOUT,
         close_margin: Duration::ZERO,
         dead_peer_timeout: DEAD_PEER_TIMEOUT,
+        late_reader_timeout: TIMEOUT,
     };
     let deferrer = stakker.deferrer();
     let stop = mailbox(
--- a/crates/dispatch/tests/sent_again.rs
+++ b/crates/dispatch/tests/sent_again.rs
@@ -14,8 +14,12 @@
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-const KEEP_ALIVE: KeepAlive =
-    KeepAlive { idle_timeout: TIMEOUT, close_margin: Duration::ZERO, dead_peer_timeout: TIMEOUT };
+const KEEP_ALIVE: KeepAlive = KeepAlive {
+    idle_timeout: TIMEOUT,
+    close_margin: Duration::ZERO,
+    dead_peer_timeout: TIMEOUT,
+    late_reader_timeout: TIMEOUT,
+};
 
 /// Call with the time at which its request was first sent to the address; none ends the client.
 type Command = Option<(Call, Option<Instant>)>;
--- a/crates/instance/src/upstream_client.rs
+++ b/crates/instance/src/upstream_client.rs
@@ -8,10 +8,12 @@
 /// Timeouts of the connections to upstreams. Upstreams also keep an idle connection for
 /// `idle_timeout`. A connection whose bytes stay unacknowledged is closed after
 /// `dead_peer_timeout`, which is no longer than the other timeouts between instances and upstreams.
+/// Upstreams may read a long request late, up to `late_reader_timeout`.
 const KEEP_ALIVE: KeepAlive = KeepAlive {
     idle_timeout: Duration::from_secs(15),
     close_margin: Duration::from_millis(500),
     dead_peer_timeout: Duration::from_secs(10),
+    late_reader_timeout: Duration::from_secs(60),
 };
 
 /// Error from an actor whose client has stopped. The stop also ended all calls of the client.
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -58,6 +58,10 @@
 /// next event of a stream.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2000);
 
+/// Time for which bytes of a long request may remain unacknowledged, because the upstream may be
+/// alive and read them late.
+const LATE_READER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time for which instances that are no longer visible are still counted as senders, because the
 /// total traffic that all instances may send must not grow during a network partition.
 const ENTRY_COUNT_RETENTION: Duration = Duration::from_secs(30);
@@ -141,6 +145,7 @@
             idle_timeout: IDLE_TIMEOUT,
             close_margin: IDLE_MARGIN,
             dead_peer_timeout: UNACKNOWLEDGED_TIMEOUT,
+            late_reader_timeout: LATE_READER_TIMEOUT,
         };
         let client = actor!(
             cx,
