--- a/crates/instance/src/router/quarantine.rs
+++ b/crates/instance/src/router/quarantine.rs
@@ -1,4 +1,4 @@
-//! Refuses requests with messages that crash upstreams, and reports what their answers show.
+//! Refuses requests that crash upstreams, and reports what the ends of their attempts show.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,9 +1,10 @@
 //! Finds the requests that crash upstreams, and keeps them from further upstreams.
 //!
-//! Each request has keys, such as the parts of its prompt. A key that makes an upstream crash as
-//! soon as it begins an answer is found by its record: upstreams crashed while they began answers to requests with the key, and no answer to
-//! such a request has got past its beginning since. Keys that sound requests share are cleared by
-//! the answers to these. An instance sees only some of the crashes and of the answers, so instances
+//! Each request has keys: the parts of its prompt, or the whole request if it has no prompt. A key
+//! that makes upstreams crash is found by its record: upstreams crashed while they ran requests with
+//! the key, and no such request has been answered beyond its beginning since. Keys that sound
+//! requests share are cleared by the answers to these. An instance sees only some of the crashes and
+//! of the answers, so instances
 //! exchange [`Record`]s. Merging records is commutative and idempotent: a record may arrive late,
 //! twice, or by way of another instance.
 
--- a/crates/relay/src/forwarder/quarantine.rs
+++ b/crates/relay/src/forwarder/quarantine.rs
@@ -1,4 +1,4 @@
-//! Refuses requests with parts of prompts that crash upstreams, and reports what their answers show.
+//! Refuses requests that crash upstreams, and reports what the ends of their attempts show.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -21,12 +21,13 @@
 /// not respond is no sign of a crash.
 const MAX_BREAK_WAIT: Duration = Duration::from_millis(150);
 
-/// Number of upstreams of a service that have to be there for a request that may crash one of them.
+/// Number of upstreams of a service that have to be able to take requests before a request that may
+/// crash one of them is sent.
 const MIN_WORKING: usize = 3;
 
-/// Returns the parts of a prompt as keys. The last part comes first, because
-/// only a limited number of keys is looked at: a request that is sent again and again crashes
-/// upstreams although sound requests share all of its other parts.
+/// Returns the parts of a prompt as keys. The last part comes first, because only a limited number
+/// of keys is looked at: a request that is sent again and again crashes upstreams although sound
+/// requests share all of its other parts.
 fn prompt_keys(prompt: Option<&Prompt>) -> Vec<Key> {
     let parts = prompt.map_or(&[][..], |prompt| prompt.parts.as_slice());
     let (last, shared) =
