Count upstreams that end together as one incident for requests that were answered recently

What callers saw: a read that many callers had sent before was refused as quarantined, with Retry-After 120 s, while three of eight upstreams ended together: one refusal of one instance, until the next whole answer cleared the key. Such a request is in progress at all of them, and three ends of different runs were three crashes.

The fix: while a key was answered within ten seconds, the crashes of a second count as one. Records carry the time of that answer, so all instances count alike. A request that crashes upstreams from then on is quarantined after three such seconds, or when the answer is ten seconds old; one that was never answered after three crashes, as before.

--- a/crates/instance/src/quarantine.rs
+++ b/crates/instance/src/quarantine.rs
@@ -138,7 +138,7 @@
         .write();
         if listening == Listening::Refuses {
             let changes = state.suspects.record_crash(now, run, at, &keys);
-            self.report(&state, &changes, "itself");
+            self.report(now, &state, &changes, "itself");
             state.notify();
         }
         CheckResult::Done
@@ -148,7 +148,7 @@
     pub fn record_sound(&self, now: Instant, keys: &[Key]) {
         let mut state = self.state.borrow_mut();
         let changes = state.suspects.record_sound(now, keys);
-        self.report(&state, &changes, "itself");
+        self.report(now, &state, &changes, "itself");
         state.notify();
     }
 
@@ -156,13 +156,13 @@
         let mut state = self.state.borrow_mut();
         let merged = records.iter().filter_map(|record| state.suspects.merge(now, record));
         let changes: Vec<Change> = merged.collect();
-        self.report(&state, &changes, sender.as_str());
+        self.report(now, &state, &changes, sender.as_str());
         if state.peers.len() > MAX_DIRECT_PEERS {
             state.notify();
         }
     }
 
-    fn report(&self, state: &State, changes: &[Change], source: &str) {
+    fn report(&self, now: Instant, state: &State, changes: &[Change], source: &str) {
         for change in changes {
             let (key, is_begun) = match change {
                 Change::Quarantined(key) => (key, true),
@@ -172,7 +172,7 @@
             Event::Quarantined { part, is_begun, source }.write();
         }
         if !changes.is_empty() {
-            let count = state.suspects.quarantined();
+            let count = state.suspects.quarantined(now);
             self.metrics.quarantined.set(i64::try_from(count).unwrap_or(i64::MAX));
         }
     }
--- a/crates/quarantine/src/suspect.rs
+++ b/crates/quarantine/src/suspect.rs
@@ -23,6 +23,12 @@
 /// recognized as outdated.
 const CLEARED_TTL: Duration = Duration::from_secs(120);
 
+/// How long an answer that got past its beginning shows that its keys are sound.
+pub(crate) const SOUND_TTL: Duration = Duration::from_secs(10);
+
+/// Time within which crashes may have a common cause other than their requests.
+const INCIDENT_SPAN: Duration = Duration::from_secs(1);
+
 /// Time by which two instances may differ about when a key was cleared. A smaller difference is no
 /// news.
 const CLEARED_TOLERANCE: Duration = Duration::from_millis(200);
@@ -78,8 +84,28 @@
         Self { key, crashes: Vec::new(), cleared_at: None, trial: None, unsent_rounds: 0 }
     }
 
-    pub(crate) fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= QUARANTINE_CRASHES
+    pub(crate) fn is_quarantined(&self, now: Instant) -> bool {
+        self.incidents(now) >= QUARANTINE_CRASHES
+    }
+
+    /// Returns the number of incidents that the crashes show. A request that is always in progress
+    /// somewhere is at many upstreams that end together, so that the crashes of a second count as one
+    /// while the key was answered recently.
+    pub(crate) fn incidents(&self, now: Instant) -> usize {
+        if self.cleared_at.is_none_or(|cleared_at| now >= cleared_at + SOUND_TTL) {
+            return self.crashes.len();
+        }
+        let mut times: Vec<Instant> = self.crashes.iter().map(|crash| crash.at).collect();
+        times.sort();
+        let mut incidents = 0;
+        let mut until = None;
+        for at in times {
+            if until.is_none_or(|until| at >= until) {
+                incidents += 1;
+                until = Some(at + INCIDENT_SPAN);
+            }
+        }
+        incidents
     }
 
     /// Returns the time of the last crash or trial.
@@ -179,8 +205,8 @@
     }
 
     /// Returns the change between `was_quarantined` and now.
-    pub(crate) fn change_since(&self, was_quarantined: bool) -> Option<Change> {
-        match (was_quarantined, self.is_quarantined()) {
+    pub(crate) fn change_since(&self, now: Instant, was_quarantined: bool) -> Option<Change> {
+        match (was_quarantined, self.is_quarantined(now)) {
             (false, true) => Some(Change::Quarantined(self.key)),
             (true, false) => Some(Change::Released(self.key)),
             _ => None,
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -4,17 +4,14 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::suspect::{Crash, Suspect, Trial};
+use crate::suspect::{Crash, SOUND_TTL, Suspect, Trial};
 use crate::{Change, Key, MAX_KEYS, Record, Run};
 
 /// Largest number of keys that are remembered.
 const MAX_SUSPECTS: usize = 512;
 
-/// How long an answer that got past its beginning is remembered, to clear keys whose crash is
-/// reported later.
-const SOUND_TTL: Duration = Duration::from_secs(10);
-
-/// Number of such answers that are remembered. A later one may take the place of an earlier one.
+/// Number of answers that got past their beginning that are remembered, to clear keys whose crash is
+/// reported later. A later one may take the place of an earlier one.
 const SOUND_SLOTS: usize = 4096;
 
 /// Time after a crash until which its upstream may be away. Most processes are back within three
@@ -41,7 +38,8 @@
 /// What is known against a request none of whose keys is quarantined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Hazard {
-    /// Number of upstreams that crashed under the request since it was last answered.
+    /// Number of upstreams that crashed under the request since it was last answered. Those that
+    /// crashed together count as one if that answer is recent.
     pub crashes: usize,
     /// Time at which all of these upstreams are probably back.
     pub until: Instant,
@@ -76,14 +74,14 @@
         for key in keys {
             let cleared_at = self.sound_since(*key);
             let suspect = self.entry(now, *key);
-            let was_quarantined = suspect.is_quarantined();
+            let was_quarantined = suspect.is_quarantined(now);
             if let Some(cleared_at) = cleared_at {
                 suspect.clear(cleared_at);
             }
             if suspect.add_crash(Crash { run, at }) {
                 suspect.unsent_rounds = SEND_ROUNDS;
             }
-            changes.extend(suspect.change_since(was_quarantined));
+            changes.extend(suspect.change_since(now, was_quarantined));
         }
         changes
     }
@@ -95,11 +93,11 @@
             self.remember_sound(now, *key);
             if let Ok(index) = self.find(*key) {
                 let suspect = &mut self.entries[index];
-                let was_quarantined = suspect.is_quarantined();
+                let was_quarantined = suspect.is_quarantined(now);
                 if suspect.clear(now) {
                     suspect.unsent_rounds = SEND_ROUNDS;
                 }
-                changes.extend(suspect.change_since(was_quarantined));
+                changes.extend(suspect.change_since(now, was_quarantined));
             }
         }
         changes
@@ -113,7 +111,7 @@
     {
         let quarantined = keys.iter().take(MAX_KEYS).filter_map(|key| {
             let suspect = &self.entries[self.find(*key).ok()?];
-            suspect.is_quarantined().then_some(suspect)
+            suspect.is_quarantined(now).then_some(suspect)
         });
         let quarantined: Vec<&Suspect> = quarantined.collect();
         let Some(first) = quarantined.first() else {
@@ -134,10 +132,11 @@
         let suspect = &self.entries[self.find(key).ok()?];
         let last = suspect.crashes.iter().map(|crash| crash.at).max()?;
         let sound_at = self.sound_since(key).filter(|at| now < *at + SOUND_TTL);
-        if suspect.crashes.len() == 1 && sound_at.is_some() {
+        let crashes = suspect.incidents(now);
+        if crashes == 1 && sound_at.is_some() {
             return None;
         }
-        Some(Hazard { crashes: suspect.crashes.len(), until: last + RECOVERY_TIME })
+        Some(Hazard { crashes, until: last + RECOVERY_TIME })
     }
 
     /// Returns whether `run` is known to have ended in a crash.
@@ -158,7 +157,7 @@
                 continue;
             };
             let suspect = &mut self.entries[index];
-            if suspect.is_quarantined() {
+            if suspect.is_quarantined(now) {
                 let count = suspect.trial.map_or(0, |trial| trial.count).saturating_add(1);
                 suspect.trial = Some(Trial { count, at: now });
                 suspect.unsent_rounds = SEND_ROUNDS;
@@ -170,7 +169,7 @@
     pub fn merge(&mut self, now: Instant, record: &Record) -> Option<Change> {
         let sound_since = self.sound_since(record.key);
         let suspect = self.entry(now, record.key);
-        let was_quarantined = suspect.is_quarantined();
+        let was_quarantined = suspect.is_quarantined(now);
         let mut is_news = suspect.merge(now, record);
         if let Some(at) = sound_since {
             is_news |= suspect.clear(at);
@@ -178,7 +177,7 @@
         if is_news {
             suspect.unsent_rounds = SEND_ROUNDS;
         }
-        suspect.change_since(was_quarantined)
+        suspect.change_since(now, was_quarantined)
     }
 
     /// Returns at most `limit` records to send to other instances: those that changed recently.
@@ -212,8 +211,8 @@
     }
 
     /// Returns the number of quarantined keys.
-    pub fn quarantined(&self) -> usize {
-        self.entries.iter().filter(|suspect| suspect.is_quarantined()).count()
+    pub fn quarantined(&self, now: Instant) -> usize {
+        self.entries.iter().filter(|suspect| suspect.is_quarantined(now)).count()
     }
 
     /// Forgets what is too old to matter.
