Suspect no request with a prompt before its answer begins, and pass news of crashes on at the former pace

The fix: a request with a prompt is suspected at the beginning of its answer only, as before; upstreams of plain services have few requests. In a large fleet an instance passes on what it hears with its next periodic message.

--- a/crates/instance/src/quarantine.rs
+++ b/crates/instance/src/quarantine.rs
@@ -157,9 +157,6 @@
         let merged = records.iter().filter_map(|record| state.suspects.merge(now, record));
         let changes: Vec<Change> = merged.collect();
         self.report(now, &state, &changes, sender.as_str());
-        if state.peers.len() > MAX_DIRECT_PEERS {
-            state.notify();
-        }
     }
 
     fn report(&self, now: Instant, state: &State, changes: &[Change], source: &str) {
--- a/crates/instance/src/router/quarantine.rs
+++ b/crates/instance/src/router/quarantine.rs
@@ -26,18 +26,19 @@
 const MAX_BROKEN_BEGINNINGS: usize = 2;
 
 /// Returns the keys of a request whose attempt broke off that may have crashed the upstream, or
-/// `None` if the attempt was past its beginning. Before the answer begins only the most specific key
-/// is suspected, since many requests that wait at an upstream share the others.
+/// `None` if it is not suspected. A conversation crashes an upstream at the beginning of its answer.
+/// Before that hundreds may wait at an engine, too many to suspect each of them.
 fn suspected_keys<'a>(
     now: Instant,
     route: &'a Route,
     running: &RunningAttempt,
 ) -> Option<&'a [Key]> {
-    match running.head_at {
-        None => route.keys.get(..1),
-        Some(at) if !route.is_conversation || now <= at + BEGINNING => Some(&route.keys),
-        Some(_) => None,
-    }
+    let is_suspected = match running.head_at {
+        _ if !route.is_conversation => true,
+        None => false,
+        Some(at) => now <= at + BEGINNING,
+    };
+    is_suspected.then_some(&route.keys)
 }
 
 impl Router {
--- a/crates/relay/src/forwarder/quarantine.rs
+++ b/crates/relay/src/forwarder/quarantine.rs
@@ -65,19 +65,19 @@
 }
 
 /// Returns the keys of a request whose attempt broke off that may have crashed the upstream, or
-/// `None` if the attempt was past its beginning. Before the answer begins only the most specific key
-/// is suspected, since many requests that wait at an upstream share the others.
+/// `None` if it is not suspected. Requests with a prompt crash an upstream at the beginning of their
+/// answer. Before that hundreds may wait at an engine, too many to suspect each of them.
 fn suspected_keys<'a>(
     now: Instant,
     active: &'a ActiveRequest,
     running: &RunningAttempt,
 ) -> Option<&'a [Key]> {
-    let is_plain = active.metadata.prompt.is_none() && !active.route.is_streaming;
-    match running.head_at {
-        None => active.keys.get(..1),
-        Some(at) if is_plain || now <= at + BEGINNING => Some(&active.keys),
-        Some(_) => None,
-    }
+    let is_suspected = match running.head_at {
+        None => active.metadata.prompt.is_none(),
+        Some(_) if active.metadata.prompt.is_none() && !active.route.is_streaming => true,
+        Some(at) => now <= at + BEGINNING,
+    };
+    is_suspected.then_some(&active.keys)
 }
 
 impl Forwarder {
