--- a/tests/promises/callers.rs
+++ b/tests/promises/callers.rs
@@ -4,13 +4,13 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
 use std::time::Duration;
 
-use rand::{RngExt, SeedableRng};
+use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
 use crate::ledger::Ledger;
+use crate::support::caller_threads::CallerThreads;
 use crate::support::machines::KEY;
 use crate::support::script::reset_on_close;
 use crate::support::worker::read_response;
@@ -49,36 +49,19 @@
     Kind { name: "caption", path: "/captions/1", is_at_most_once: false },
 ];
 
-/// Threads of the running callers.
-pub struct Callers {
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl Callers {
-    pub fn start(
-        entries: &[SocketAddr],
-        seed: u64,
-        is_stopped: &Arc<AtomicBool>,
-        ledger: &Arc<Ledger>,
-    ) -> Self {
-        let start_caller = |index: u64| {
-            let caller = Caller {
-                index,
-                entries: entries.to_vec(),
-                random: Pcg64Mcg::seed_from_u64(seed * 1000 + index),
-                ledger: ledger.clone(),
-                connection: None,
-                sent_count: 0,
-            };
-            let is_stopped = is_stopped.clone();
-            std::thread::spawn(move || caller.run(&is_stopped))
-        };
-        Self { threads: (0..CALLER_COUNT).map(start_caller).collect() }
-    }
-
-    pub fn join(self) {
-        self.threads.into_iter().for_each(|thread| thread.join().unwrap());
-    }
+/// Starts the callers, which run until `is_stopped` is set.
+pub fn start(
+    entries: &[SocketAddr],
+    seed: u64,
+    is_stopped: &Arc<AtomicBool>,
+    ledger: &Arc<Ledger>,
+) -> CallerThreads {
+    let (entries, ledger) = (entries.to_vec(), ledger.clone());
+    CallerThreads::start(CALLER_COUNT, seed, is_stopped, move |index, random, is_stopped| {
+        let (entries, ledger) = (entries.clone(), ledger.clone());
+        let caller = Caller { index, entries, random, ledger, connection: None, sent_count: 0 };
+        caller.run(is_stopped);
+    })
 }
 
 struct Caller {
--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -22,7 +22,6 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use callers::Callers;
 use fleet::TestFleet;
 use injector::Injector;
 use ledger::Ledger;
@@ -75,7 +74,7 @@
     let mut fleet = TestFleet::start(seed, &ledger);
     let is_stopped = Arc::new(AtomicBool::new(false));
     let busy_threads = start_busy_threads(&is_stopped);
-    let callers = Callers::start(&fleet.entry_addresses(), seed, &is_stopped, &ledger);
+    let callers = callers::start(&fleet.entry_addresses(), seed, &is_stopped, &ledger);
     Injector::new(seed, &mut fleet).run(Duration::from_secs(seconds));
     is_stopped.store(true, Ordering::Relaxed);
     callers.join();
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -4,13 +4,13 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use rand::{RngExt, SeedableRng};
+use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
 use crate::recorder::Recorder;
+use crate::support::caller_threads::CallerThreads;
 use crate::support::machines::KEY;
 use crate::support::worker::{HttpResponse, complete_stream, read_response};
 
@@ -43,36 +43,19 @@
     Kind { name: "album", path: "/albums/1", is_at_most_once: false, is_stream: false },
 ];
 
-/// Threads of the running callers.
-pub struct Callers {
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl Callers {
-    pub fn start(
-        entries: &[SocketAddr],
-        seed: u64,
-        is_stopped: &Arc<AtomicBool>,
-        recorder: &Arc<Recorder>,
-    ) -> Self {
-        let start_caller = |index: u64| {
-            let caller = Caller {
-                index,
-                entries: entries.to_vec(),
-                random: Pcg64Mcg::seed_from_u64(seed * 1000 + index),
-                recorder: recorder.clone(),
-                stream: None,
-                sent_count: 0,
-            };
-            let is_stopped = is_stopped.clone();
-            std::thread::spawn(move || caller.run(&is_stopped))
-        };
-        Self { threads: (0..CALLER_COUNT).map(start_caller).collect() }
-    }
-
-    pub fn join(self) {
-        self.threads.into_iter().for_each(|thread| thread.join().unwrap());
-    }
+/// Starts the callers, which run until `is_stopped` is set.
+pub fn start(
+    entries: &[SocketAddr],
+    seed: u64,
+    is_stopped: &Arc<AtomicBool>,
+    recorder: &Arc<Recorder>,
+) -> CallerThreads {
+    let (entries, recorder) = (entries.to_vec(), recorder.clone());
+    CallerThreads::start(CALLER_COUNT, seed, is_stopped, move |index, random, is_stopped| {
+        let (entries, recorder) = (entries.clone(), recorder.clone());
+        let caller = Caller { index, entries, random, recorder, stream: None, sent_count: 0 };
+        caller.run(is_stopped);
+    })
 }
 
 struct Caller {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -20,7 +20,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use callers::Callers;
 use fleet::TestFleet;
 use injector::Injector;
 use operators::Operators;
@@ -65,7 +64,7 @@
     let recorder = Arc::new(Recorder::default());
     let mut fleet = TestFleet::start();
     let is_stopped = Arc::new(AtomicBool::new(false));
-    let callers = Callers::start(&fleet.entry_addresses(), seed, &is_stopped, &recorder);
+    let callers = callers::start(&fleet.entry_addresses(), seed, &is_stopped, &recorder);
     let operators = Operators::start(&fleet.control_addresses(), seed, &is_stopped, &recorder);
     Injector::new(seed, &mut fleet, &recorder).run(duration);
     fleet.check_recovery(&recorder);
