--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -35,6 +35,7 @@
 mod retry_window;
 mod search;
 mod shutdown;
+mod startup;
 mod stream;
 mod wait_queue;
 
@@ -56,6 +57,7 @@
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use search::{SearchCandidate, SearchConfig, SearchStep, TrackerSearch};
 pub use shutdown::Shutdown;
+pub use startup::{StartupDecision, StartupQueue};
 pub use stream::{StreamTracker, stall_timeout};
 pub use wait_queue::WaitQueue;
 
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -10,12 +10,13 @@
 
 use super::active_request::ActiveRequest;
 use super::quarantine::crash_keys;
+use super::startup::Arrival;
 use super::upstream_selection::max_queue_time;
 use super::{Forwarder, millis, problems};
-use crate::interface::RequestMetadata;
 
 impl Forwarder {
-    /// Accepts and places a request, or refuses it.
+    /// Accepts and places a request, or refuses it. Before the end of the startup, the request may
+    /// wait first.
     pub(super) fn handle_arrival(
         &mut self,
         cx: CX![],
@@ -23,11 +24,20 @@
         unsent: Unsent,
         reply: Fwd<Reply>,
     ) {
-        let metadata = self.interface.callers.parse_request(&request);
-        let request_id = metadata.as_ref().map_or(String::new(), |metadata| metadata.id.clone());
-        let admitted =
-            metadata.and_then(|metadata| self.admit(cx.now(), request, unsent, metadata, &reply));
-        match admitted.map_err(|problem| (request_id, problem)) {
+        let arrived_at = cx.now();
+        match self.interface.callers.parse_request(&request) {
+            Ok(metadata) => {
+                let arrival = Arrival { request, unsent, metadata, reply, arrived_at };
+                self.receive_arrival(cx, arrival);
+            }
+            Err(problem) => self.refuse_arrival(String::new(), problem, &reply),
+        }
+    }
+
+    /// Accepts and places a request, or refuses it.
+    pub(super) fn admit_arrival(&mut self, cx: CX![], arrival: Arrival) {
+        let (id, reply) = (arrival.metadata.id.clone(), arrival.reply.clone());
+        match self.admit(cx.now(), arrival) {
             Ok(active) => {
                 let (id, deadline) = (active.id(), active.deadline);
                 self.traffic(&active.service).count_request(cx.now());
@@ -39,42 +49,39 @@
                 }
                 self.place(cx, id);
             }
-            Err((request, problem)) => {
-                self.metrics.count_refused(problem.code());
-                Event::Refused {
-                    request,
-                    service: String::new(),
-                    status: problem.status().0,
-                    reason: problem.code().to_string(),
-                    verdict: problem.verdict().to_string(),
-                    retry_after_ms: problem.retry_after().map(millis),
-                    after_ms: 0,
-                    left_ms: 0,
-                    runs: 0,
-                    refusals: 0,
-                    candidates: 0,
-                    unusable: 0,
-                    catalogue: self.catalogue_number(),
-                }
-                .write();
-                reply.fwd(self.interface.callers.refusal(problem));
-            }
+            Err(problem) => self.refuse_arrival(id, problem, &reply),
         }
     }
 
+    /// Refuses a request that was not accepted.
+    pub(super) fn refuse_arrival(&self, request: String, problem: Problem, reply: &Fwd<Reply>) {
+        self.metrics.count_refused(problem.code());
+        Event::Refused {
+            request,
+            service: String::new(),
+            status: problem.status().0,
+            reason: problem.code().to_string(),
+            verdict: problem.verdict().to_string(),
+            retry_after_ms: problem.retry_after().map(millis),
+            after_ms: 0,
+            left_ms: 0,
+            runs: 0,
+            refusals: 0,
+            candidates: 0,
+            unusable: 0,
+            catalogue: self.catalogue_number(),
+        }
+        .write();
+        reply.fwd(self.interface.callers.refusal(problem));
+    }
+
     /// Resolves the route and the caller of a request.
     ///
     /// # Errors
     ///
     /// The refusal, if the request cannot be accepted.
-    pub(super) fn admit(
-        &self,
-        now: Instant,
-        mut request: Request,
-        unsent: Unsent,
-        metadata: RequestMetadata,
-        reply: &Fwd<Reply>,
-    ) -> Result<ActiveRequest, Problem> {
+    pub(super) fn admit(&self, now: Instant, arrival: Arrival) -> Result<ActiveRequest, Problem> {
+        let Arrival { mut request, unsent, metadata, reply, arrived_at } = arrival;
         let catalogue = self.catalogue.as_ref().ok_or_else(|| problems::not_ready(&unsent))?;
         let path = request.path.split(['?', '#']).next().unwrap_or_default();
         let route = catalogue
@@ -90,10 +97,10 @@
         let service = service.ok_or_else(|| problems::not_ready(&unsent))?;
         let connections = catalogue.service(&service).map(|service| service.connections);
         let time_left = metadata.time_left.unwrap_or(route.timeout).min(route.timeout);
-        if time_left.is_zero() {
+        let deadline = arrived_at + time_left;
+        if deadline <= now {
             return Err(problems::too_late(&unsent));
         }
-        let deadline = now + time_left;
         if self.shutdown.is_some_and(|shutdown| !shutdown.accepts(now, deadline)) {
             return Err(problems::stopping(&unsent));
         }
@@ -109,14 +116,14 @@
         Ok(ActiveRequest {
             body: std::mem::take(&mut request.body).into(),
             request,
-            reply: reply.clone(),
+            reply,
             metadata,
             service,
             connections,
             account: account.cloned(),
             rank: caller.and_then(|account| account.rank).unwrap_or(route.rank),
             route,
-            arrived_at: now,
+            arrived_at,
             deadline,
             queue_until,
             tried: Vec::new(),
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -9,6 +9,7 @@
 mod quarantine;
 mod responses;
 mod stalls;
+mod startup;
 mod tracker_queries;
 mod tracker_reports;
 mod upstream_selection;
@@ -23,7 +24,7 @@
 use entry::{Event, Problem, Reply, Server};
 use forward::{
     ContextHolders, Grace, Latencies, LoadCounter, MeanInFlight, RetryAllowance, RetryWindow,
-    Shutdown, WaitQueue,
+    Shutdown, StartupQueue, WaitQueue,
 };
 use instance::{Quarantine, View};
 use names::{Attempt, Service};
@@ -41,6 +42,7 @@
 use ends::End;
 use load_messages::LIMIT_REPORT_PERIOD;
 use stalls::STALL_PERIOD;
+use startup::Arrival;
 use tracker_queries::{EntryPeer, PendingQuery, UnresponsiveTracker, first_message_number};
 use upstreams::UpstreamTable;
 
@@ -124,6 +126,9 @@
     /// Timer for the end of the first pause of upstreams that queued requests wait for.
     pause_timer: FixedTimerKey,
     is_ready: bool,
+    /// Requests that arrived before this instance was ready for the first time.
+    startup: StartupQueue<Arrival>,
+    startup_timer: FixedTimerKey,
     /// The graceful shutdown of this instance, once it has begun.
     shutdown: Option<Shutdown>,
 }
@@ -168,6 +173,7 @@
             direct.announce_period.as_duration(),
             metrics.clone(),
         );
+        let startup = StartupQueue::new(cx.now() + direct.startup_wait.as_duration());
         Some(Self {
             settings,
             interface,
@@ -196,6 +202,8 @@
             queue_timer: FixedTimerKey::default(),
             pause_timer: FixedTimerKey::default(),
             is_ready: false,
+            startup,
+            startup_timer: FixedTimerKey::default(),
             shutdown: None,
         })
     }
@@ -220,6 +228,7 @@
     /// has not begun is told so.
     pub(crate) fn end_requests(&mut self, cx: CX![]) {
         let now = cx.now();
+        self.refuse_arrivals();
         // Requests that wait come first, so that none of them is sent once another one has ended.
         let (running, waiting): (Vec<&ActiveRequest>, Vec<&ActiveRequest>) =
             self.requests.iter().partition(|active| active.running.is_some());
@@ -245,7 +254,7 @@
     }
 
     /// Activates a catalogue.
-    pub(crate) fn set_catalogue(&mut self, _: CX![], catalogue: Rc<Catalogue>) {
+    pub(crate) fn set_catalogue(&mut self, cx: CX![], catalogue: Rc<Catalogue>) {
         if let Some(server) = &self.server {
             let mut bounds = crate::root::caller_bounds(&self.settings);
             let limits = catalogue.limits();
@@ -258,6 +267,7 @@
         self.metrics.revision.set(i64::try_from(catalogue.number().0).unwrap_or(i64::MAX));
         self.catalogue = Some(catalogue);
         self.check_ready();
+        self.end_startup(cx);
     }
 
     /// Updates the upstreams from the feed.
@@ -266,6 +276,7 @@
             call!([self.client], close_idle(address));
         }
         self.check_ready();
+        self.end_startup(cx);
         self.serve_queues(cx);
     }
 
@@ -350,6 +361,7 @@
     /// connection is closed.
     fn handle_disconnect(&mut self, cx: CX![], id: names::Request) {
         let now = cx.now();
+        self.startup.remove(|arrival| arrival.request.id == id);
         if let Some(active) = self.active(id) {
             events::Event::Left {
                 request: active.metadata.id.clone(),
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -19,6 +19,9 @@
     pub load_bound: f64,
     /// Bandwidth of the link of this instance, in megabits per second. Documents use a share of it.
     pub link_megabits: f64,
+    /// Time after the start of an instance within which requests wait until the instance can serve
+    /// them. With 0, they are refused at once.
+    pub startup_wait: Span,
 }
 
 /// Default bandwidth of the link, in megabits per second: the slowest link that control instances
@@ -34,6 +37,7 @@
             announce_period: Span::from_seconds(1),
             load_bound: 2.0,
             link_megabits: DEFAULT_LINK_MEGABITS_PER_SECOND,
+            startup_wait: Span::from_millis(0),
         }
     }
 }
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -87,6 +87,8 @@
     pub documents_not_stored: Counter,
     /// Number of requests that wait for an upstream with free capacity.
     pub waiting: Gauge,
+    /// Number of requests that waited for the end of the startup of this instance.
+    pub startup_waits: Counter,
     /// Number of control instances among the live members.
     pub sources: Gauge,
 }
@@ -108,6 +110,7 @@
             document_stored: latency_histogram(),
             documents_not_stored: Counter::default(),
             waiting: Gauge::default(),
+            startup_waits: Counter::default(),
             sources: Gauge::default(),
         };
         metrics.initialize();
@@ -136,6 +139,8 @@
         let help = "Committed documents that were not stored in time";
         registry.register("documents_not_stored", help, metrics.documents_not_stored.clone());
         registry.register("waiting", "Requests that wait for room", metrics.waiting.clone());
+        let help = "Requests that waited for the end of the startup";
+        registry.register("startup_waits", help, metrics.startup_waits.clone());
         let help = "Control instances that are followed";
         registry.register("followed", help, metrics.sources.clone());
         metrics
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -47,6 +47,8 @@
     pub announce_period_millis: u64,
     /// Number of lost disks that the instance has to survive.
     pub losses_borne: usize,
+    /// Time in milliseconds after the start within which requests wait until the instance is ready.
+    pub startup_wait_millis: u64,
     folder: PathBuf,
     pub process: Option<Process>,
 }
@@ -171,11 +173,12 @@
              {folder}seeds: [{}]\n\
              first_start: {is_first_start}\nlosses_borne: {}\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
-             direct:\n  announce_period: {}ms\n",
+             direct:\n  announce_period: {}ms\n  startup_wait: {}ms\n",
             self.data_centre,
             seeds.join(", "),
             self.losses_borne,
-            self.announce_period_millis
+            self.announce_period_millis,
+            self.startup_wait_millis
         );
         std::fs::write(self.settings(), text).unwrap();
     }
@@ -237,6 +240,7 @@
             data_centre: "giza".to_string(),
             announce_period_millis: ANNOUNCE_PERIOD_MILLIS,
             losses_borne: 1,
+            startup_wait_millis: 0,
             folder,
             process: None,
         }
