--- a/crates/roster/src/copies.rs
+++ b/crates/roster/src/copies.rs
@@ -1,8 +1,9 @@
 //! Copies of a replicated value on the disks of control instances.
 //!
 //! The value has a version that only grows, such as the number of a document. A version is
-//! acknowledged once enough control instances have it, or a newer one, on disk. [`Copies`] performs
-//! no I/O.
+//! acknowledged once enough control instances have it, or a newer one, on disk. Versions may be
+//! partially ordered, such as sets of numbered orders: a set that includes another one is newer.
+//! [`Copies`] performs no I/O.
 
 use std::time::Instant;
 
@@ -39,7 +40,7 @@
 
 impl<V, T> Copies<V, T>
 where
-    V: Ord,
+    V: PartialOrd,
 {
     /// Records that `version` is the newest one that `holder` has on disk. The latest report
     /// counts, because an instance that lost its disk has an older version than before, or none.
