Evacuate a data centre on an operator's order

Operators had no way to take the upstreams of a data centre out of use: `POST` and `DELETE /v1/evacuation/ZONE` answered 404.

A control instance proposes the order to the log, whose new part `Evacuation` numbers it, and acknowledges it once `losses_borne + 1` control instances have it on disk outside the log. The feed pushes orders at once and compares digests every 500 ms; of two orders about a data centre the greater number is in force. An instance that lost its disk or starts is not informed until it hears from one that read its orders; an entry instance gets no upstreams before.

Entry instances send nothing new to evacuated upstreams: they are not ready, like upstreams with a cordon, and a request whose upstream was chosen before chooses again. Running requests end. A service whose upstreams are all evacuated refuses new and queued requests at once with 503 `evacuated`. The slow start begins again after the withdrawal; `forward::Evacuations` keeps the time. A control instance that is not informed stores documents later, since a folder with a document and without orders is taken for one of an earlier version.

Upstreams of the test harness can be in another data centre.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -22,6 +22,7 @@
 mod candidate;
 mod context_source;
 mod cordon;
+mod evacuation;
 mod event_boundary;
 mod grace;
 mod latency;
@@ -41,6 +42,7 @@
 pub use candidate::{Candidate, NamedLimit, slow_start_share};
 pub use context_source::{ContextHolders, ContextSource, find_context_source};
 pub use cordon::Cordons;
+pub use evacuation::Evacuations;
 pub use event_boundary::{EventBoundary, is_event_stream};
 pub use grace::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
 pub use latency::{LATENCY_SAMPLE_EVENTS, Latencies};
--- a/crates/instance/src/replica/mod.rs
+++ b/crates/instance/src/replica/mod.rs
@@ -69,6 +69,8 @@
     Voters,
     /// Numbered documents of the catalogue: routes, services and client accounts.
     Catalogue,
+    /// Orders to evacuate data centres.
+    Evacuation,
 }
 
 /// State machine that its actor reads and to which the log applies commands.
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Actor that serves upstreams and operators at a control instance.
 
 mod document_reads;
+mod evacuation_orders;
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -9,6 +10,7 @@
 
 use catalogue::{Catalogue, Command, Document, Newest, Number, Outcome};
 use entry::{Event, Problem, Rejection, Reply, Request, Status, Unsent};
+use evacuation::{OrderLog, Orders};
 use instance::{Part, Replica};
 use settings::Settings;
 use stakker::{Actor, CX, Fwd, after, call, ret_to};
@@ -17,6 +19,7 @@
 
 use crate::feed::{Acknowledgement, Feed, Storage};
 use crate::interface::{ControlRequest, Interface};
+use crate::shared_state::SharedState;
 use document_reads::{DocumentRead, DocumentReads};
 
 /// Time after which a client retries while no quorum is reachable.
@@ -38,6 +41,10 @@
     replica: Actor<Replica>,
     feed: Actor<Feed>,
     newest: Rc<RefCell<Newest>>,
+    /// Evacuation orders that the log has applied here.
+    order_log: Rc<RefCell<OrderLog>>,
+    /// Evacuation orders that this instance knows.
+    orders: Rc<RefCell<Orders>>,
     metrics: Arc<Metrics>,
     /// Time since which no quorum has answered, or `None` if a quorum answers.
     quorum_lost_since: Option<Instant>,
@@ -51,12 +58,23 @@
         interface: Interface,
         replica: Actor<Replica>,
         feed: Actor<Feed>,
-        newest: Rc<RefCell<Newest>>,
+        state: SharedState,
         metrics: Arc<Metrics>,
         settings: Rc<Settings>,
     ) -> Option<Self> {
         let reads = DocumentReads::new(&settings);
-        Some(Self { interface, replica, feed, newest, metrics, quorum_lost_since: None, reads })
+        let SharedState { newest, order_log, orders } = state;
+        Some(Self {
+            interface,
+            replica,
+            feed,
+            newest,
+            order_log,
+            orders,
+            metrics,
+            quorum_lost_since: None,
+            reads,
+        })
     }
 
     /// Handles an event on a connection.
@@ -90,6 +108,9 @@
                     Err(error) => self.refuse_announcement(&error, &reply),
                 }
             }
+            Ok(ControlRequest::Evacuate { data_centre, is_evacuated }) => {
+                self.order_evacuation(cx, data_centre, is_evacuated, reply)
+            }
             Ok(ControlRequest::SubmitDocument(text)) => self.submit_document(cx, &text, reply),
             Ok(ControlRequest::ReadDocument { hops }) => {
                 self.read_document(cx, DocumentRead::new(cx.now(), id, unsent, hops, reply))
--- a/crates/relay/src/feed/disk_cache.rs
+++ b/crates/relay/src/feed/disk_cache.rs
@@ -7,6 +7,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 
 use catalogue::{Document, Number};
+use evacuation::Orders;
 use eventloop::Sender as MailboxSender;
 use roster::Record;
 use roster::durability::WriteResult;
@@ -26,17 +27,23 @@
 /// upstreams wait for the write.
 const LEAVES_FILE: &str = "leaves";
 
+/// Name of the file with the evacuation orders. It is small and written at once, because operators
+/// wait for the write.
+const EVACUATIONS_FILE: &str = "evacuations";
+
 /// A write to the cache.
 enum WriteJob {
     Document(Document),
     Records(Vec<Record>),
     Leaves(Vec<Record>),
+    Evacuations(Orders),
 }
 
 /// The end of a write that acknowledgements wait for.
 pub(super) enum WriteEnd {
     Document(Number, WriteResult),
     Leaves(WriteResult),
+    Evacuations(Orders, WriteResult),
 }
 
 /// The state that was read from the cache.
@@ -45,6 +52,8 @@
     pub(super) document: Option<Document>,
     /// Records of upstreams; an upstream may have two.
     pub(super) records: Vec<Record>,
+    /// Evacuation orders, or `None` if the disk may have lost them.
+    pub(super) evacuations: Option<Orders>,
 }
 
 /// Handle of the thread that writes the cache. The thread ends when the handle is dropped.
@@ -95,6 +104,11 @@
         self.send(WriteJob::Leaves(leaves));
     }
 
+    /// Writes the evacuation orders, and reports the end of the write.
+    pub(super) fn write_evacuations(&self, orders: Orders) {
+        self.send(WriteJob::Evacuations(orders));
+    }
+
     fn send(&self, job: WriteJob) {
         if self.jobs.send(job).is_err() {
             log::debug!("cannot write the feed cache: the thread has ended");
@@ -109,7 +123,17 @@
     });
     let records =
         [RECORDS_FILE, LEAVES_FILE].into_iter().flat_map(|file| read_records(files, file));
-    CachedState { document, records: records.collect() }
+    let records = records.collect();
+    // A folder with a document and without orders was written by a version that knows no orders.
+    let has_no_orders = || document.as_ref().map(|_| Orders::default());
+    let evacuations = match files.read(EVACUATIONS_FILE) {
+        Ok(orders) => orders.or_else(has_no_orders),
+        Err(error) => {
+            log::warn!("cannot read the cached evacuations: {error}; continuing without them");
+            None
+        }
+    };
+    CachedState { document, records, evacuations }
 }
 
 fn read_records(files: &AtomicFiles<DataFolder>, file: &str) -> Vec<Record> {
@@ -120,22 +144,27 @@
     records.unwrap_or_default()
 }
 
-/// Writes the newest state of each file, and skips what was superseded in the meantime. Leaves are
-/// written first.
+/// Writes the newest state of each file, and skips what was superseded in the meantime. Evacuations
+/// and leaves are written first.
 fn write_jobs(
     mut files: AtomicFiles<DataFolder>,
     receiver: &Receiver<WriteJob>,
     write_ended: &MailboxSender<WriteEnd>,
 ) {
     while let Ok(first) = receiver.recv() {
-        let (mut document, mut records, mut leaves) = (None, None, None);
+        let (mut document, mut records, mut leaves, mut evacuations) = (None, None, None, None);
         for job in std::iter::once(first).chain(receiver.try_iter()) {
             match job {
                 WriteJob::Document(newest) => document = Some(newest),
                 WriteJob::Records(newest) => records = Some(newest),
                 WriteJob::Leaves(newest) => leaves = Some(newest),
+                WriteJob::Evacuations(newest) => evacuations = Some(newest),
             }
         }
+        if let Some(orders) = evacuations {
+            let result = replace(&mut files, EVACUATIONS_FILE, &orders);
+            write_ended.send(WriteEnd::Evacuations(orders, result));
+        }
         if let Some(leaves) = leaves {
             let result = replace(&mut files, LEAVES_FILE, &leaves);
             write_ended.send(WriteEnd::Leaves(result));
--- a/crates/relay/src/feed/document_copies.rs
+++ b/crates/relay/src/feed/document_copies.rs
@@ -18,14 +18,14 @@
 use super::Feed;
 use super::message::Message;
 
-/// Time in which enough control instances have to store a committed document. A lost report is
-/// repeated several times in it.
-const COPY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time in which enough control instances have to store a committed document or order. A lost report
+/// is repeated several times in it.
+pub(super) const COPY_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Result of waiting for the copies of a committed document.
+/// Result of waiting for the copies of a committed document or order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Storage {
-    /// Enough control instances have the document on disk.
+    /// Enough control instances have it on disk.
     Stored,
     /// Too few control instances stored it in time.
     TooFewCopies,
@@ -72,9 +72,11 @@
         at!(expires_at, [cx], end_document_waits());
     }
 
-    /// Writes the newest document to disk. The write begins at once unless another one runs.
+    /// Writes the newest document to disk. The write begins at once unless another one runs. An
+    /// instance that may have lost evacuation orders writes it later: a folder with a document and
+    /// without orders is taken for one of an earlier version, which has lost none.
     pub(super) fn store_document(&mut self, cx: CX![]) {
-        if self.is_control {
+        if self.is_control && self.evacuations.is_informed() {
             self.document_copies.writer.add();
             self.continue_document_write(cx);
         }
--- a/crates/relay/src/feed/leaves.rs
+++ b/crates/relay/src/feed/leaves.rs
@@ -226,5 +226,6 @@
             self.live_controls.push(Holder { instance, data_centre });
         }
         self.document_copies.retain_live(&self.live_controls);
+        self.evacuations.retain_live(&self.live_controls);
     }
 }
--- a/crates/relay/src/feed/message.rs
+++ b/crates/relay/src/feed/message.rs
@@ -1,6 +1,7 @@
 //! Messages between control instances and their followers.
 
 use catalogue::{Change, Document, Number};
+use evacuation::Orders;
 use roster::durability::{Leave, Ticket};
 use roster::{BUCKETS, Record};
 use serde::{Deserialize, Serialize};
@@ -14,6 +15,8 @@
         number: Number,
         /// Digest of the roster of the sender.
         roster: u64,
+        /// Digest of the evacuation orders of the sender, or `None` if it may know too few of them.
+        evacuations: Option<u64>,
     },
     /// The sender has the document with this number.
     HasDocument(Number),
@@ -40,4 +43,15 @@
     LeaveStored(Ticket),
     /// The sender, a control instance, has the document with this number on disk.
     DocumentStored(Number),
+    /// Evacuation orders that the sender knows.
+    Evacuations {
+        orders: Orders,
+        /// Whether the sender knows the orders of its disk, or those of an instance that does.
+        is_informed: bool,
+    },
+    /// Requests that the receiver, a control instance, stores the evacuation orders and confirms
+    /// that.
+    StoreEvacuations(Orders),
+    /// The sender, a control instance, has the evacuation orders on disk.
+    EvacuationsStored(Orders),
 }
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -4,6 +4,7 @@
 mod disk_cache;
 mod document_copies;
 mod documents;
+mod evacuations;
 mod leaves;
 mod message;
 
@@ -24,9 +25,11 @@
 use wire::{Delivery, Hub, Outgoing, Slice, Transport};
 
 use crate::interface::DocumentFormat;
+use crate::shared_state::SharedState;
 use disk_cache::{CachedState, DiskCache, WriteEnd};
 use document_copies::DocumentCopies;
 pub(crate) use document_copies::Storage;
+use evacuations::Evacuations;
 use eventloop::mailbox;
 use instance::View;
 pub(crate) use leaves::Acknowledgement;
@@ -65,6 +68,8 @@
     pub(crate) upstreams: Vec<KnownUpstream>,
     /// Time of the last report of a control instance about the upstreams that it hears from.
     pub(crate) last_report: Option<Instant>,
+    /// Evacuated data centres, whose upstreams get no new requests.
+    pub(crate) evacuated: Vec<DataCentre>,
 }
 
 struct Follower {
@@ -128,6 +133,8 @@
     write_timer: FixedTimerKey,
     /// Copies of the newest document on the disks of control instances.
     document_copies: DocumentCopies,
+    /// Orders to evacuate data centres.
+    evacuations: Evacuations,
     metrics: Arc<Metrics>,
 }
 
@@ -137,7 +144,7 @@
         settings: Rc<Settings>,
         hub: Actor<Hub>,
         documents: Rc<dyn DocumentFormat>,
-        newest: Rc<RefCell<Newest>>,
+        state: SharedState,
         listeners: Listeners,
         metrics: Arc<Metrics>,
     ) -> Option<Self> {
@@ -162,7 +169,7 @@
             data_centre: settings.data_centre.clone(),
             hub,
             documents,
-            newest,
+            newest: state.newest,
             active_number: Number::default(),
             roster: Roster::default(),
             last_report: None,
@@ -191,9 +198,11 @@
             is_resend_scheduled: false,
             write_timer: FixedTimerKey::default(),
             document_copies: DocumentCopies::default(),
+            evacuations: Evacuations::new(state.order_log, state.orders),
             metrics,
         };
         feed.set_live_controls(&[]);
+        feed.restore_evacuations(cx, cached.evacuations.clone(), settings.first_start);
         feed.restore_cached(cx, cached);
         Some(feed)
     }
@@ -239,7 +248,11 @@
     }
 
     fn follow_message(&self) -> Message {
-        Message::Follow { number: self.document_number(), roster: self.roster.digest() }
+        Message::Follow {
+            number: self.document_number(),
+            roster: self.roster.digest(),
+            evacuations: self.evacuations.digest_if_informed(),
+        }
     }
 
     /// Returns the number of the newest document at this instance.
@@ -288,7 +301,10 @@
         let now = cx.now();
         self.tree.record_message(now, &sender);
         match message {
-            Message::Follow { number, roster } => self.answer_follow(cx, sender, number, roster),
+            Message::Follow { number, roster, evacuations } => {
+                self.compare_evacuations(&sender, evacuations);
+                self.answer_follow(cx, sender, number, roster);
+            }
             Message::HasDocument(number) => self.receive_document_number(cx, sender, number),
             Message::RosterDigests(digests) => {
                 let buckets = self.roster.differing(&digests);
@@ -308,6 +324,11 @@
             Message::StoreLeave(ticket, leave) => self.receive_leave(cx, sender, ticket, leave),
             Message::LeaveStored(ticket) => self.record_copy(cx, &sender, ticket),
             Message::DocumentStored(number) => self.record_document_copy(cx, &sender, number),
+            Message::Evacuations { orders, is_informed } => {
+                self.receive_evacuations(cx, &sender, &orders, is_informed)
+            }
+            Message::StoreEvacuations(orders) => self.store_for(cx, &sender, &orders),
+            Message::EvacuationsStored(orders) => self.record_orders_copy(cx, &sender, orders),
         }
     }
 
@@ -316,6 +337,7 @@
         match end {
             WriteEnd::Document(number, result) => self.finish_document_write(cx, number, result),
             WriteEnd::Leaves(result) => self.finish_leaves_write(cx, result),
+            WriteEnd::Evacuations(orders, result) => self.finish_orders_write(cx, orders, result),
         }
     }
 
@@ -337,9 +359,10 @@
         self.fetch_if_newer(cx, sender, number);
     }
 
-    /// Schedules a new list for the forwarder.
+    /// Schedules a new list for the forwarder, which gets none before the evacuations are known.
     fn schedule_list(&mut self, cx: CX![]) {
-        if !self.is_control && !self.is_list_scheduled {
+        let is_wanted = !self.is_control && self.evacuations.is_informed();
+        if is_wanted && !self.is_list_scheduled {
             self.is_list_scheduled = true;
             after!(LIST_DELAY, [cx], send_list());
         }
@@ -351,7 +374,11 @@
             announcement: announcement.clone(),
             last_heard,
         });
-        let list = UpstreamList { upstreams: known.collect(), last_report: self.last_report };
+        let list = UpstreamList {
+            upstreams: known.collect(),
+            last_report: self.last_report,
+            evacuated: self.evacuations.evacuated(),
+        };
         self.listeners.upstreams.fwd(Rc::new(list));
     }
 }
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod attempts;
 mod ends;
+mod evacuations;
 mod load_messages;
 mod problems;
 mod quarantine;
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -58,6 +58,13 @@
         .with_retry_after(retry_after(now, deadline))
 }
 
+/// All upstreams are in evacuated data centres. Nobody knows when the evacuation ends.
+pub(super) fn evacuated(unsent: &Unsent, now: Instant, deadline: Instant) -> Problem {
+    let message = "all upstreams are in data centres that are evacuated; ask again later";
+    Problem::not_run(unsent, Status::UNAVAILABLE, "evacuated", message)
+        .with_retry_after(retry_after(now, deadline))
+}
+
 /// All upstreams asked to wait or for fewer requests; the first takes one again at `end`.
 pub(super) fn asked_to_wait(
     unsent: &Unsent,
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -158,7 +158,8 @@
         let (rank, service) = (active.rank, active.service.clone());
         let (request, candidates) = (active.metadata.id.clone(), active.candidates);
         let pause_end = self.table.pause_end(cx.now(), &service);
-        if until <= cx.now() || pause_end.is_some_and(|end| until <= end) {
+        let is_in_vain = pause_end.is_some_and(|end| until <= end);
+        if until <= cx.now() || is_in_vain || self.table.is_service_evacuated(&service) {
             self.refuse_unplaced(cx, id);
             return;
         }
@@ -172,7 +173,7 @@
 
     /// Refuses a request that was not placed, with a retry hint if the request has not run, or
     /// aborts its response if that has started.
-    fn refuse_unplaced(&mut self, cx: CX![], id: names::Request) {
+    pub(super) fn refuse_unplaced(&mut self, cx: CX![], id: names::Request) {
         let Some(active) = self.active(id) else {
             return;
         };
@@ -181,8 +182,10 @@
             self.abort_response(now, id, "no_upstream");
         } else {
             let pause_end = self.table.pause_end(now, &service);
+            let is_evacuated = self.table.is_service_evacuated(&service);
             let unsent = self.active(id).and_then(|active| active.unsent.as_ref());
             let problem = match (unsent, pause_end) {
+                (Some(unsent), _) if is_evacuated => problems::evacuated(unsent, now, deadline),
                 (Some(unsent), Some(end)) => problems::asked_to_wait(unsent, now, deadline, end),
                 (Some(unsent), None) => problems::full(unsent, now, deadline),
                 (None, _) => problems::failed(),
@@ -202,7 +205,7 @@
     }
 
     /// Sets the timer for the next request in a queue that expires.
-    fn update_queue_timer(&mut self, cx: CX![]) {
+    pub(super) fn update_queue_timer(&mut self, cx: CX![]) {
         let next =
             self.service_traffic.iter().filter_map(|traffic| traffic.queue.next_expiry()).min();
         let waiting: usize = self.service_traffic.iter().map(|traffic| traffic.queue.len()).sum();
@@ -242,6 +245,10 @@
 
     /// Sends queued requests of `service` in the order of the queue.
     pub(super) fn serve_queue(&mut self, cx: CX![], service: &names::Service) {
+        if self.table.is_service_evacuated(service) {
+            self.refuse_evacuated(cx, service);
+            return;
+        }
         if let Some(pause_end) = self.table.pause_end(cx.now(), service) {
             self.refuse_waiting(cx, service, pause_end);
             return;
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -1,6 +1,7 @@
 //! Table of the upstreams that the forwarder knows, with their loads and failures.
 
 mod cordons;
+mod evacuations;
 mod rate_limits;
 mod request_counts;
 
@@ -10,8 +11,8 @@
 
 use dispatch::OutlierDetector;
 use forward::{
-    Candidate, ContextSource, Cordons, Load, LoadEstimate, LoadGossip, RateLimits, Report,
-    RoutingKey,
+    Candidate, ContextSource, Cordons, Evacuations, Load, LoadEstimate, LoadGossip, RateLimits,
+    Report, RoutingKey,
 };
 use names::{DataCentre, Instance, Service, Upstream};
 use quarantine::Run;
@@ -84,6 +85,8 @@
     gossip: LoadGossip,
     /// Upstreams that want no new requests.
     cordons: Cordons,
+    /// Data centres whose upstreams get no new requests.
+    evacuations: Evacuations,
     rate_limits: RateLimits,
 }
 
@@ -116,6 +119,7 @@
             metrics,
             gossip: LoadGossip::default(),
             cordons: Cordons::default(),
+            evacuations: Evacuations::default(),
             rate_limits: RateLimits::new(me),
         }
     }
@@ -124,6 +128,7 @@
     /// use.
     pub(super) fn update(&mut self, now: Instant, list: &UpstreamList) -> Vec<SocketAddr> {
         self.last_report = list.last_report;
+        self.evacuations.update(now, &list.evacuated);
         let mut previous = std::mem::take(&mut self.entries);
         for KnownUpstream { announcement, last_heard } in &list.upstreams {
             let index = previous.iter().position(|entry| {
@@ -172,9 +177,11 @@
         self.entries.iter().filter(|entry| self.is_ready(entry)).count()
     }
 
-    /// Returns the number of addresses at which upstreams of `service` run or ran recently.
+    /// Returns the number of addresses at which upstreams of `service` run or ran recently, without
+    /// those of evacuated data centres.
     pub(super) fn address_count(&self, service: &Service) -> usize {
         let of_service = self.entries.iter().filter(|entry| entry.announcement.service == *service);
+        let of_service = of_service.filter(|entry| !self.is_evacuated(entry));
         let mut addresses: Vec<SocketAddr> =
             of_service.map(|entry| entry.announcement.address).collect();
         addresses.sort();
@@ -258,7 +265,7 @@
                 backlog: entry.estimate.backlog(),
                 is_unresponsive: is_large_fleet && self.is_unresponsive(now, entry),
                 slow_start_share: forward::slow_start_share(
-                    now.saturating_duration_since(entry.known_since),
+                    now.saturating_duration_since(self.slow_start_since(entry)),
                 ),
                 limit: self.named_limit(now, entry),
                 is_avoided: self.is_unavailable(now, entry)
@@ -321,12 +328,12 @@
     }
 
     /// Returns the address of the run of `upstream` that started at `born`, unless the run is
-    /// leaving or has left.
+    /// leaving or has left. The run may be in an evacuated data centre.
     pub(super) fn expected_address(&self, upstream: &Upstream, born: u64) -> Option<SocketAddr> {
         let is_run = |entry: &&TableEntry| {
             entry.announcement.upstream == *upstream && entry.announcement.born == born
         };
-        let entry = self.entries.iter().filter(|entry| self.is_ready(entry)).find(is_run);
+        let entry = self.entries.iter().filter(|entry| self.is_in_service(entry)).find(is_run);
         entry.map(|entry| entry.announcement.address)
     }
 
--- a/crates/relay/src/forwarder/upstreams/cordons.rs
+++ b/crates/relay/src/forwarder/upstreams/cordons.rs
@@ -53,7 +53,11 @@
     /// Returns whether `upstream` is known and wants no new requests at the moment.
     pub(in crate::forwarder) fn is_cordoned(&self, now: Instant, upstream: &Upstream) -> bool {
         let found = self.entries.iter().find(|entry| entry.announcement.upstream == *upstream);
-        found.is_some_and(|entry| self.is_leaving(entry) || self.closed_until(now, entry).is_some())
+        found.is_some_and(|entry| {
+            self.is_leaving(entry)
+                || self.is_evacuated(entry)
+                || self.closed_until(now, entry).is_some()
+        })
     }
 
     /// Returns whether any upstream of `service` takes new requests at the moment.
@@ -80,8 +84,14 @@
         self.is_ready(entry) && self.closed_until(now, entry).is_none()
     }
 
-    /// Returns whether an upstream takes new requests, now or after a pause.
+    /// Returns whether an upstream gets new requests, now or after a pause.
     pub(super) fn is_ready(&self, entry: &TableEntry) -> bool {
+        self.is_in_service(entry) && !self.is_evacuated(entry)
+    }
+
+    /// Returns whether an upstream takes new requests, now or after a pause, or would do so without
+    /// the evacuation of its data centre.
+    pub(super) fn is_in_service(&self, entry: &TableEntry) -> bool {
         let is_announced = entry.announcement.standing == Status::Ready;
         is_announced && !entry.is_replaced && !self.is_leaving(entry)
     }
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -8,7 +8,7 @@
 use dispatch::{CorrelationHeader, Field};
 use entry::{Form, Header, Problem, Reply, Request, Status};
 use forward::{InvalidRate, Report, RequestRate};
-use names::{ClientAccount, Upstream};
+use names::{ClientAccount, DataCentre, Upstream};
 use roster::Announcement;
 
 /// One part of a prompt.
@@ -126,6 +126,13 @@
         /// Start of the run that ends, if the upstream reports it.
         born: Option<u64>,
     },
+    /// An operator orders that upstreams of a data centre get no new requests, or withdraws that.
+    Evacuate {
+        /// Data centre that the order is about.
+        data_centre: DataCentre,
+        /// Whether the data centre is evacuated from now on.
+        is_evacuated: bool,
+    },
     /// An operator submits a document.
     SubmitDocument(Vec<u8>),
     /// An operator reads the newest document.
@@ -144,7 +151,8 @@
     /// The refusal, if the request is malformed or unknown.
     fn parse_request(&self, request: Request) -> Result<ControlRequest, Problem>;
 
-    /// Returns the acknowledgement of an announcement, a leave or a submitted document.
+    /// Returns the acknowledgement of an announcement, a leave, an evacuation order or a submitted
+    /// document.
     fn acknowledgement(&self) -> Reply;
 
     /// Returns the status and the headers of the response that carries a document.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod interface;
 mod root;
 mod run;
+mod shared_state;
 
 pub use error::Error;
 pub use interface::{
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -1,12 +1,11 @@
 //! Root actor, which creates all other actors and controls the graceful shutdown.
 
-use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use catalogue::{Catalogue, Newest};
+use catalogue::Catalogue;
 use entry::{Bounds, ChatForm, Event, Form, Server};
 use eventloop::mailbox;
 use forward::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
@@ -26,6 +25,7 @@
 use crate::forwarder::Forwarder;
 use crate::interface::Interface;
 use crate::run::{Bound, SettingsSource};
+use crate::shared_state::SharedState;
 
 /// Interval at which the settings are checked for changes.
 const RELOAD_PERIOD: Duration = Duration::from_secs(1);
@@ -143,7 +143,7 @@
         let run = identity.run.get().to_string();
         let roles: Vec<String> = settings.roles.iter().map(ToString::to_string).collect();
         let roles = roles.join(",");
-        let newest = Rc::new(RefCell::new(Newest::default()));
+        let state = SharedState::default();
         let entry = bound.callers.map(|callers| {
             let hub = hub.clone();
             Self::build_entry(cx, &settings, &interface, &metrics, hub, (callers, bound.ready))
@@ -155,7 +155,7 @@
                 settings.clone(),
                 hub.clone(),
                 interface.documents.clone(),
-                newest.clone(),
+                state.clone(),
                 listeners,
                 metrics.clone(),
             ),
@@ -169,15 +169,18 @@
                 ret_some_to!([cx], child_ended() as (StopCause))
             );
             let applied = fwd_to!([feed], handle_applied() as (Index));
-            let state_machine = newest.clone();
+            let state_machine = state.newest.clone();
             call!([replica], attach(Part::Catalogue, state_machine, applied));
+            let orders_applied = fwd_to!([feed], handle_orders_applied() as (Index));
+            let order_log = state.order_log.clone();
+            call!([replica], attach(Part::Evacuation, order_log, orders_applied));
             let control = actor!(
                 cx,
                 Control::init(
                     interface.clone(),
                     replica.clone(),
                     feed.clone(),
-                    newest.clone(),
+                    state.clone(),
                     metrics.clone(),
                     settings.clone(),
                 ),
--- a/crates/roster/src/copies.rs
+++ b/crates/roster/src/copies.rs
@@ -65,6 +65,11 @@
         self.waiting.push(Waiting { version, expires_at, acknowledgement });
     }
 
+    /// Returns whether any acknowledgement waits.
+    pub fn is_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// Removes the acknowledgements of versions that have the required copies, and returns them.
     pub fn take_stored(&mut self, requirement: Requirement) -> Vec<T> {
         let reports = &self.reports;
--- a/crates/roster/tests/copies.rs
+++ b/crates/roster/tests/copies.rs
@@ -128,6 +128,35 @@
     assert_eq!(copies.take_stored(requirement(3, 1)), ["acknowledgement"]);
 }
 
+/// A version of a value that has several parts, each of which has a number.
+#[derive(Debug, PartialEq)]
+struct Parts(u64, u64);
+
+impl PartialOrd for Parts {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        let orders = (self.0.cmp(&other.0), self.1.cmp(&other.1));
+        match orders {
+            (first, second) if first == second => Some(first),
+            (std::cmp::Ordering::Equal, other) | (other, std::cmp::Ordering::Equal) => Some(other),
+            _ => None,
+        }
+    }
+}
+
+/// Guards against copies that count although they lack a part of the version.
+#[test]
+fn a_copy_counts_only_if_it_includes_the_version() {
+    let mut copies = Copies::default();
+    copies.wait(Parts(3, 0), Instant::now() + TIMEOUT, "acknowledgement");
+    copies.record(holder(0), Parts(3, 0));
+    copies.record(holder(1), Parts(2, 9));
+    assert!(copies.take_stored(requirement(3, 1)).is_empty());
+    assert!(copies.is_waiting());
+    copies.record(holder(1), Parts(4, 9));
+    assert_eq!(copies.take_stored(requirement(3, 1)), ["acknowledgement"]);
+    assert!(!copies.is_waiting());
+}
+
 #[test]
 fn an_acknowledgement_expires_once() {
     let now = Instant::now();
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -110,6 +110,40 @@
         /// Reason why the document is invalid, or empty.
         reason: String,
     },
+    /// An operator ordered the evacuation of a data centre, or its withdrawal.
+    EvacuationOrder {
+        /// Name of the data centre.
+        data_centre: String,
+        /// Whether the data centre is to be evacuated.
+        is_evacuated: bool,
+        /// Number of the order, or 0 if there is none.
+        number: u64,
+        /// Outcome: `accepted` (committed), `acknowledged`, `not-stored`, `superseded`, `too-many`
+        /// or `no-quorum`.
+        outcome: &'static str,
+        /// Time since the order arrived.
+        after_ms: u64,
+    },
+    /// A new order about a data centre is in force at this instance.
+    Evacuation {
+        /// Name of the data centre.
+        data_centre: String,
+        /// Whether the data centre is evacuated, or its evacuation withdrawn.
+        is_evacuated: bool,
+        /// Number of the order.
+        number: u64,
+        /// Source of the order: `log`, `disk`, `order` or the name of an instance.
+        source: String,
+    },
+    /// Enough control instances have an evacuation order on disk, so that it is acknowledged.
+    EvacuationStored {
+        /// Name of the data centre.
+        data_centre: String,
+        /// Number of the order.
+        number: u64,
+        /// Time since the log committed the order.
+        after_ms: u64,
+    },
     /// An operator's read of the newest document has ended.
     Read {
         /// Number of the document in the log, or 0 if the log did not answer.
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -40,6 +40,12 @@
     reason: String,
 }
 
+/// Labels of the counter of evacuation orders.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OrderLabels {
+    outcome: String,
+}
+
 /// Retry modes of requests, which are the values of the label `kind`.
 const KINDS: [&str; 3] = ["whole", "never", "resumed"];
 
@@ -58,6 +64,10 @@
 const AVOIDANCE_REASONS: [&str; 6] =
     ["failures", "unreachable", "slow", "replaced", "leaving", "asked-to-wait"];
 
+/// Outcomes of evacuation orders, which are the values of the label `outcome`.
+const ORDER_OUTCOMES: [&str; 5] =
+    ["acknowledged", "not-stored", "superseded", "too-many", "no-quorum"];
+
 type HistogramByKind = Family<KindLabels, Histogram, fn() -> Histogram>;
 
 fn histogram_by_kind() -> HistogramByKind {
@@ -85,6 +95,11 @@
     pub document_stored: Histogram,
     /// Number of committed documents that too few control instances stored in time.
     pub documents_not_stored: Counter,
+    /// Number of data centres whose evacuation is in force at this instance.
+    pub evacuated_data_centres: Gauge,
+    evacuation_orders: Family<OrderLabels, Counter>,
+    /// Time until enough control instances have stored a committed evacuation order, in seconds.
+    pub evacuation_stored: Histogram,
     /// Number of requests that wait for an upstream with free capacity.
     pub waiting: Gauge,
     /// Number of control instances among the live members.
@@ -107,6 +122,9 @@
             leaves_not_durable: Counter::default(),
             document_stored: latency_histogram(),
             documents_not_stored: Counter::default(),
+            evacuated_data_centres: Gauge::default(),
+            evacuation_orders: Family::default(),
+            evacuation_stored: latency_histogram(),
             waiting: Gauge::default(),
             sources: Gauge::default(),
         };
@@ -135,6 +153,13 @@
         registry.register("document_stored_seconds", help, metrics.document_stored.clone());
         let help = "Committed documents that were not stored in time";
         registry.register("documents_not_stored", help, metrics.documents_not_stored.clone());
+        let help = "Data centres that are evacuated";
+        let evacuated = metrics.evacuated_data_centres.clone();
+        registry.register("evacuated_data_centres", help, evacuated);
+        let help = "Evacuation orders of operators";
+        registry.register("evacuation_orders", help, metrics.evacuation_orders.clone());
+        let help = "Time until enough control instances had stored an evacuation order";
+        registry.register("evacuation_stored_seconds", help, metrics.evacuation_stored.clone());
         registry.register("waiting", "Requests that wait for room", metrics.waiting.clone());
         let help = "Control instances that are followed";
         registry.register("followed", help, metrics.sources.clone());
@@ -158,6 +183,10 @@
         for cause in ATTEMPT_CAUSES {
             drop(self.attempts.get_or_create(&AttemptLabels { cause: cause.to_string() }));
         }
+        for outcome in ORDER_OUTCOMES {
+            let outcome = outcome.to_string();
+            drop(self.evacuation_orders.get_or_create(&OrderLabels { outcome }));
+        }
         for reason in AVOIDANCE_REASONS {
             drop(self.avoided.get_or_create(&AvoidanceLabels { reason: reason.to_string() }));
         }
@@ -178,6 +207,12 @@
         self.avoided.get_or_create(&AvoidanceLabels { reason: reason.to_string() }).inc();
     }
 
+    /// Counts an evacuation order with the given outcome.
+    pub fn count_evacuation_order(&self, outcome: &str) {
+        let outcome = outcome.to_string();
+        self.evacuation_orders.get_or_create(&OrderLabels { outcome }).inc();
+    }
+
     /// Records the time from the arrival of a request to its first attempt.
     pub fn observe_queueing(&self, kind: &str, time: Duration) {
         observe(&self.queueing, kind, time);
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -19,6 +19,9 @@
 /// Interval between announcements of an upstream.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Data centre of an upstream that is started without one.
+const DEFAULT_DATA_CENTRE: &str = "giza";
+
 /// Number of events in a complete stream.
 pub const EVENTS_PER_STREAM: usize = 12;
 
@@ -105,6 +108,7 @@
 struct WorkerState {
     name: String,
     service: String,
+    data_centre: String,
     address: SocketAddr,
     behaviour: Mutex<Behaviour>,
     script: Mutex<Option<Arc<Answers>>>,
@@ -155,7 +159,21 @@
     {
         let (listener, _) = bind_tcp_and_udp();
         let address = advertise(listener.local_addr().unwrap());
-        Self::start_with_listener(name, service, control_addresses, address, listener)
+        let origin = (name, service, DEFAULT_DATA_CENTRE);
+        Self::start_with_listener(origin, control_addresses, address, listener)
+    }
+
+    /// Starts an upstream in `data_centre`.
+    pub fn start_in(
+        data_centre: &str,
+        name: &str,
+        service: &str,
+        control_addresses: Vec<SocketAddr>,
+    ) -> Self {
+        let (listener, _) = bind_tcp_and_udp();
+        let address = listener.local_addr().unwrap();
+        let origin = (name, service, data_centre);
+        Self::start_with_listener(origin, control_addresses, address, listener)
     }
 
     /// Starts an upstream at the address of one that has ended.
@@ -166,12 +184,12 @@
         address: SocketAddr,
     ) -> Self {
         let listener = TcpListener::bind(address).unwrap();
-        Self::start_with_listener(name, service, control_addresses, address, listener)
+        let origin = (name, service, DEFAULT_DATA_CENTRE);
+        Self::start_with_listener(origin, control_addresses, address, listener)
     }
 
     fn start_with_listener(
-        name: &str,
-        service: &str,
+        (name, service, data_centre): (&str, &str, &str),
         control_addresses: Vec<SocketAddr>,
         address: SocketAddr,
         listener: TcpListener,
@@ -180,6 +198,7 @@
         let shared = Arc::new(WorkerState {
             name: name.to_string(),
             service: service.to_string(),
+            data_centre: data_centre.to_string(),
             address,
             behaviour: Mutex::new(Behaviour::Answer),
             script: Mutex::default(),
@@ -337,8 +356,8 @@
 fn announcement(shared: &WorkerState, state: &str) -> (u64, String) {
     let sequence = shared.sequence.fetch_add(1, Ordering::Relaxed) + 1;
     let body = json!({
-        "service": shared.service, "address": shared.address.to_string(), "zone": "giza",
-        "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0, "seq": sequence,
+        "service": shared.service, "address": shared.address.to_string(),
+        "zone": shared.data_centre, "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0, "seq": sequence,
         "born": shared.started_at_millis,
     });
     (sequence, body.to_string())
