Test evacuations in a large fleet, after failures and late survivors

The tests of evacuations did not cover load trackers, retries and resumptions, and passed when entry instances used upstreams before they were informed of the orders. A control instance with its disk now returns two seconds after those without, while requests are sent; 16 entry instances ask load trackers; upstreams that fail, refuse or break off leave only evacuated ones for another attempt.

--- a/tests/platform_evacuation.rs
+++ b/tests/platform_evacuation.rs
@@ -22,6 +22,13 @@
 /// Time for which requests are sent after the bound.
 const PROBE_TIME: Duration = Duration::from_secs(2);
 
+/// Number of entry instances from which on load trackers are asked.
+const LARGE_FLEET: u8 = 16;
+
+/// Time by which the last control instance returns later than the others. Upstreams have announced
+/// themselves to the others by then.
+const RETURN_DELAY: Duration = Duration::from_secs(2);
+
 /// Data centre that the tests evacuate.
 const EVACUATED: &str = "cairo";
 
@@ -59,6 +66,10 @@
 /// Starts three control and six entry instances in three data centres with the upstreams.
 fn start(losses_borne: usize) -> (Machines, Upstreams) {
     let machines = start_machines(&document(7), |machine| machine.losses_borne = losses_borne);
+    with_upstreams(machines)
+}
+
+fn with_upstreams(machines: Machines) -> (Machines, Upstreams) {
     let upstreams = Upstreams::start(&machines);
     wait_until_known(&machines, &upstreams.names());
     machines.wait_ready(7);
@@ -194,6 +205,68 @@
     wait_until_used(&machines, &upstreams);
 }
 
+/// Guards against requests of a large fleet, in which load trackers are asked about upstreams, that
+/// are sent although the upstream was evacuated in the meantime.
+#[test]
+fn an_evacuated_data_centre_gets_no_requests_of_a_large_fleet() {
+    let mut number = 0;
+    let machines = Machines::start_with_setup(3, LARGE_FLEET, |machine| {
+        machine.data_centre = ["giza", EVACUATED, "delta"][number % 3].to_string();
+        machine.losses_borne = 2;
+        number += 1;
+    });
+    machines.put_document_until_acknowledged(&document(7));
+    let (machines, upstreams) = with_upstreams(machines);
+    let seeds = machines.seeds();
+    wait_until_used(&machines, &upstreams);
+    let acknowledged_at = order_until_acknowledged(&seeds, "POST");
+    assert_evacuated(&machines, &upstreams, acknowledged_at);
+    order_until_acknowledged(&seeds, "DELETE");
+    wait_until_used(&machines, &upstreams);
+}
+
+/// Guards against retries and resumptions at evacuated upstreams after a failure of the others.
+#[test_case("GET", "/albums/1", "shop", Behaviour::Fail; "retries of failed requests")]
+#[test_case("GET", "/albums/1", "shop", Behaviour::Refuse; "retries of refused requests")]
+#[test_case("POST", "/captions/1", "engines", Behaviour::BreakAfter(3); "resumptions of streams")]
+fn requests_that_fail_elsewhere_are_not_sent_to_an_evacuated_data_centre(
+    method: &str,
+    path: &str,
+    service: &str,
+    behaviour: Behaviour,
+) {
+    let machines = start_machines(&document(7), |_| {});
+    let start = |data_centre: &str, name: &str| {
+        Worker::start_in(data_centre, name, service, machines.seeds())
+    };
+    let upstreams = Upstreams {
+        evacuated: vec![start(EVACUATED, "evacuated")],
+        remaining: vec![start("delta", "remaining")],
+    };
+    upstreams.remaining[0].set_behaviour(behaviour);
+    wait_until_known(&machines, &upstreams.names());
+    machines.wait_ready(7);
+    let send = |id: &str| {
+        for entry in &machines.entries {
+            let _ = call(entry, method, path, id);
+        }
+    };
+    let since = Instant::now();
+    wait_for("requests at the data centre", || {
+        send("before");
+        (upstreams.arrivals_since(since) > 0).then_some(())
+    });
+    let evacuated_at = order_until_acknowledged(&machines.seeds(), "POST") + BOUND;
+    std::thread::sleep(evacuated_at.saturating_duration_since(Instant::now()));
+    let is_new = |at: &Instant| *at >= evacuated_at;
+    wait_for("failures of the other upstream", || {
+        send("after");
+        let arrivals = upstreams.remaining[0].arrivals();
+        (arrivals.iter().filter(|at| is_new(at)).count() >= 20).then_some(())
+    });
+    assert_eq!(upstreams.arrivals_since(evacuated_at), 0, "requests after the evacuation");
+}
+
 /// Guards against the end of requests in progress, and against requests that are held until their
 /// deadline although all upstreams of their service are evacuated.
 #[test]
@@ -207,21 +280,19 @@
         let answer = call(entry, "POST", "/captions/1", "first").ok()?;
         (answer.status == 200 && answer.is_complete).then_some(())
     });
-    let answer = std::thread::scope(|scope| {
+    let (answer, acknowledged_at) = std::thread::scope(|scope| {
         let running = scope.spawn(|| call(entry, "POST", "/captions/1", "running").unwrap());
         wait_for("the stream to begin", || {
             let requests = engine.executed_requests();
             requests.iter().any(|executed| executed.request == "running").then_some(())
         });
-        order_until_acknowledged(&machines.seeds(), "POST");
-        running.join().unwrap()
+        let acknowledged_at = order_until_acknowledged(&machines.seeds(), "POST");
+        (running.join().unwrap(), acknowledged_at)
     });
     assert!(answer.status == 200 && answer.is_complete, "{answer:?}");
     assert_eq!(answer.text().matches("id:").count(), EVENTS_PER_STREAM, "{}", answer.text());
+    std::thread::sleep((acknowledged_at + BOUND).saturating_duration_since(Instant::now()));
     for machine in &machines.entries {
-        wait_for("the evacuation at an entry instance", || {
-            machine.events("evacuation").pop().filter(|event| event["is_evacuated"] == true)
-        });
         let begun = Instant::now();
         let refusal = call(machine, "POST", "/captions/1", "late").unwrap();
         assert_eq!(refusal.status, 503, "{refusal:?}");
@@ -264,9 +335,10 @@
     wait_until_used(&machines, &upstreams);
 }
 
-/// Kills all processes, the control instance `last` first so that it stores nothing after the
-/// acknowledgement, and deletes the data of `lost`. Starts entry instances, and the control instances
-/// of `returning` in this order. Returns the time of the restart.
+/// Kills all processes and deletes the data of `lost`. Control instances that keep their disk end
+/// first, so that they store nothing after the acknowledgement. Starts entry instances, and the
+/// control instances of `returning` in this order, the last of them after requests for
+/// [`RETURN_DELAY`]. Returns the time of the restart.
 fn restart_after_losses(machines: &mut Machines, lost: &[usize], returning: &[usize]) -> Instant {
     let seeds = machines.seeds();
     let surviving = (0..3).filter(|index| !lost.contains(index));
@@ -276,7 +348,10 @@
     lost.iter().for_each(|index| machines.controls[*index].delete_data());
     let restarted_at = Instant::now();
     machines.entries.iter_mut().for_each(|entry| start_again(entry, &seeds));
-    for index in returning {
+    for (place, index) in returning.iter().enumerate() {
+        if place + 1 == returning.len() {
+            send_probes(machines, RETURN_DELAY);
+        }
         start_again(&mut machines.controls[*index], &seeds);
     }
     restarted_at
