Bound the requests to a cold engine in model time

A cold engine crashes above a rate that all instances together have to keep, counted where requests arrive. The named limits of forward::RateLimits allow bursts of 2 s of the limit and 4 requests, forget what was granted when an instance restarts, and two load trackers can grant at once. Callers of such an engine lose every request that runs there.

Cold candidates come after warm ones, and long prompts leave half of the burst to short ones.

--- a/crates/forward/src/candidate.rs
+++ b/crates/forward/src/candidate.rs
@@ -29,7 +29,7 @@
     pub is_avoided: bool,
 }
 
-/// What is known about the rate limit of a candidate.
+/// What is known about the limit on the rate of requests to a candidate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NamedLimit {
     /// The upstream names no limit.
@@ -39,6 +39,8 @@
     /// The upstream named a limit, and has not answered for a while. The limit may have ended,
     /// which only another answer can tell.
     Old,
+    /// The upstream is cold, whether or not it names a limit. Warm upstreams are preferred.
+    Cold,
 }
 
 /// Duration of the slow start of a new upstream. The prefill of the contexts that a new upstream
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -20,6 +20,7 @@
 //!   according to a [`Heartbeat`].
 
 mod candidate;
+mod cold_allowance;
 mod context_source;
 mod cordon;
 mod event_boundary;
@@ -39,6 +40,7 @@
 mod wait_queue;
 
 pub use candidate::{Candidate, NamedLimit, slow_start_share};
+pub use cold_allowance::{ColdLimits, PromptLength};
 pub use context_source::{ContextHolders, ContextSource, find_context_source};
 pub use cordon::Cordons;
 pub use event_boundary::{EventBoundary, is_event_stream};
@@ -54,7 +56,7 @@
 pub use request_rate::{InvalidRate, RequestRate};
 pub use retry::{FailedAttempt, RetryDecision, SilenceDecision};
 pub use retry_window::{RetryAllowance, RetryWindow};
-pub use search::{SearchCandidate, SearchConfig, SearchStep, TrackerSearch};
+pub use search::{SearchCandidate, SearchConfig, SearchStep, TrackerSearch, move_cold_last};
 pub use shutdown::Shutdown;
 pub use stream::{StreamTracker, stall_timeout};
 pub use wait_queue::WaitQueue;
--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -87,9 +87,9 @@
 
 /// Returns whether most candidates have finished their slow start. Otherwise the slow start does
 /// not apply, because too few other candidates could take the requests.
-fn has_warm_majority(candidates: &[Candidate], usable: &[usize]) -> bool {
-    let warm = usable.iter().filter(|index| candidates[**index].slow_start_share >= 1.0).count();
-    warm * 2 > usable.len()
+fn has_established_majority(candidates: &[Candidate], usable: &[usize]) -> bool {
+    let is_established = |index: &&usize| candidates[**index].slow_start_share >= 1.0;
+    usable.iter().filter(is_established).count() * 2 > usable.len()
 }
 
 fn mean_utilisation(candidates: &[Candidate]) -> f64 {
@@ -144,12 +144,14 @@
         let usable = without_avoided(candidates);
         let key = routing_key.affinity_key.unwrap_or(routing_key.random);
         let least_backlog = least_backlog(candidates, &usable);
-        let has_warm_majority = has_warm_majority(candidates, &usable);
+        let has_established_majority = has_established_majority(candidates, &usable);
         let is_eligible = |index: &usize| {
             let candidate = &candidates[*index];
             let has_excess_backlog = candidate.backlog > least_backlog + MAX_EXCESS_BACKLOG_TOKENS;
-            (!has_warm_majority || is_admitted(candidate, routing_key.random))
-                && !has_excess_backlog
+            let is_admitted = !has_established_majority
+                || candidate.limit == NamedLimit::Cold
+                || is_admitted(candidate, routing_key.random);
+            is_admitted && !has_excess_backlog
         };
         let mut order: Vec<usize> = usable.iter().copied().filter(is_eligible).collect();
         order.sort_by_cached_key(|index| {
@@ -159,6 +161,46 @@
     }
 }
 
+/// Result of a choice among the candidates within the load bound.
+enum WithinBound {
+    Chosen(usize),
+    /// Those that a request may try are full.
+    Full,
+    /// No candidate is within the bound.
+    None,
+}
+
+impl Affinity {
+    /// Chooses among the candidates in `order`, the preferred first, that are within the bound.
+    fn choose_within_bound<B>(
+        &self,
+        candidates: &[Candidate],
+        order: &[usize],
+        random: u64,
+        is_within_bound: B,
+    ) -> WithinBound
+    where
+        B: Fn(&&usize) -> bool,
+    {
+        let within_bound: Vec<usize> = order.iter().filter(is_within_bound).copied().collect();
+        if within_bound.is_empty() {
+            return WithinBound::None;
+        }
+        let is_responsive = |index: &&usize| !candidates[**index].is_unresponsive;
+        let responsive = within_bound.iter().filter(is_responsive).take(MAX_ENGINES_TRIED);
+        let mut available: Vec<usize> = responsive
+            .chain(within_bound.iter().take(MAX_ENGINES_TRIED))
+            .filter(|index| candidates[**index].utilisation() < MAX_ENGINE_UTILISATION)
+            .copied()
+            .collect();
+        if self.uses_two_engines && random % 2 == 1 {
+            // Both engines have the context, since the second one fetches it from the first.
+            available = available.split_off(1.min(available.len().saturating_sub(1)));
+        }
+        available.first().map_or(WithinBound::Full, |index| WithinBound::Chosen(*index))
+    }
+}
+
 impl Policy for Affinity {
     fn choose(&self, candidates: &[Candidate], routing_key: RoutingKey) -> Option<usize> {
         let mean = mean_utilisation(candidates);
@@ -167,39 +209,43 @@
         let least_backlog = least_backlog(candidates, &usable);
         let mut order = usable.clone();
         order.sort_by_key(|index| std::cmp::Reverse(rendezvous_weight(&candidates[*index], key)));
-        let has_warm_majority = has_warm_majority(candidates, &usable);
-        let is_within_bound = |index: &&usize| {
-            let candidate = &candidates[**index];
-            (!has_warm_majority || is_admitted(candidate, routing_key.random))
-                && self.is_within_bound(candidate, mean, least_backlog)
+        let has_established_majority = has_established_majority(candidates, &usable);
+        let random = routing_key.random;
+        let (warm, cold) = warm_and_cold(candidates, order);
+        let is_within_bound =
+            |index: &&usize| self.is_within_bound(&candidates[**index], mean, least_backlog);
+        let is_warm_within_bound = |index: &&usize| {
+            (!has_established_majority || is_admitted(&candidates[**index], random))
+                && is_within_bound(index)
         };
-        let has_capacity =
-            |index: &&usize| candidates[**index].utilisation() < MAX_ENGINE_UTILISATION;
-        let is_responsive = |index: &&usize| !candidates[**index].is_unresponsive;
-        let within_bound: Vec<usize> = order.iter().filter(is_within_bound).copied().collect();
-        if within_bound.is_empty() {
+        let least_loaded_of = |order: &[usize]| {
+            let has_capacity =
+                |index: &usize| candidates[*index].utilisation() < MAX_ENGINE_UTILISATION;
+            least_loaded(candidates, order.iter().copied().filter(has_capacity), random)
+        };
+        // The allowance of a cold engine takes the place of its slow start.
+        let choose_cold =
+            || match self.choose_within_bound(candidates, &cold, random, is_within_bound) {
+                WithinBound::Chosen(index) => Some(index),
+                WithinBound::Full | WithinBound::None => None,
+            };
+        match self.choose_within_bound(candidates, &warm, random, is_warm_within_bound) {
+            WithinBound::Chosen(index) => Some(index),
+            WithinBound::Full => choose_cold(),
             // The candidates past their slow start are above the bound, and the slow start of the
             // others does not admit the request.
-            return least_loaded(
-                candidates,
-                order.iter().filter(has_capacity).copied(),
-                routing_key.random,
-            );
-        }
-        let responsive = within_bound.iter().filter(is_responsive).take(MAX_ENGINES_TRIED);
-        let mut available: Vec<usize> = responsive
-            .chain(within_bound.iter().take(MAX_ENGINES_TRIED))
-            .filter(has_capacity)
-            .copied()
-            .collect();
-        if self.uses_two_engines && routing_key.random % 2 == 1 {
-            // Both engines have the context, since the second one fetches it from the first.
-            available = available.split_off(1.min(available.len().saturating_sub(1)));
+            WithinBound::None => {
+                choose_cold().or_else(|| least_loaded_of(&warm)).or_else(|| least_loaded_of(&cold))
+            }
         }
-        available.first().copied()
     }
 }
 
+/// Separates cold candidates from the others, in the same order.
+fn warm_and_cold(candidates: &[Candidate], order: Vec<usize>) -> (Vec<usize>, Vec<usize>) {
+    order.into_iter().partition(|index| candidates[*index].limit != NamedLimit::Cold)
+}
+
 /// Returns the candidates of a service without engines in the order in which a request should try
 /// them: those of the local data centre first, each group in a pseudorandom order that depends on
 /// `random`.
@@ -224,10 +270,12 @@
 
 impl Policy for LeastLoad {
     fn choose(&self, candidates: &[Candidate], routing_key: RoutingKey) -> Option<usize> {
-        let with_capacity = || {
-            let usable = without_avoided(candidates).into_iter();
-            usable.filter(|index| candidates[*index].utilisation() < self.max_utilisation)
-        };
+        let usable = without_avoided(candidates);
+        let has_capacity = |index: &usize| candidates[*index].utilisation() < self.max_utilisation;
+        let (warm, cold) =
+            warm_and_cold(candidates, usable.into_iter().filter(has_capacity).collect());
+        let among = if warm.is_empty() { cold } else { warm };
+        let with_capacity = || among.iter().copied();
         let local = with_capacity().filter(|index| candidates[*index].is_local);
         let remote = with_capacity().filter(|index| !candidates[*index].is_local);
         let local = least_loaded(candidates, local, routing_key.random);
--- a/crates/forward/src/search.rs
+++ b/crates/forward/src/search.rs
@@ -169,7 +169,11 @@
     }
 
     fn ask(&mut self) -> SearchStep {
-        let count = self.config.breadth.max(1).min(self.remaining.len());
+        // A cold upstream is not asked about together with a warm one, which would be chosen less
+        // often than it has capacity.
+        let is_cold = self.remaining.first().is_some_and(SearchCandidate::is_cold);
+        let alike = self.remaining.iter().take_while(|choice| choice.is_cold() == is_cold).count();
+        let count = self.config.breadth.max(1).min(alike);
         let next: Vec<SearchCandidate> = self.remaining.drain(..count).collect();
         if next.is_empty() {
             return SearchStep::NoCapacity;
@@ -200,7 +204,25 @@
     }
 }
 
-/// Returns the upstream with the fewest requests per slot, the first one among equals.
+impl SearchCandidate {
+    fn is_cold(&self) -> bool {
+        self.limit == NamedLimit::Cold
+    }
+}
+
+/// Moves the cold upstreams among `choices` behind the others, and keeps at most `max_cold` of them.
+/// Returns their number.
+pub fn move_cold_last(choices: &mut Vec<SearchCandidate>, max_cold: usize) -> usize {
+    let mut cold: Vec<SearchCandidate> =
+        choices.extract_if(.., |choice| choice.is_cold()).take(max_cold).collect();
+    choices.retain(|choice| !choice.is_cold());
+    let count = cold.len();
+    choices.append(&mut cold);
+    count
+}
+
+/// Returns the warm upstream with the fewest requests per slot, the first one among equals, or a cold
+/// one if there is none.
 fn least_loaded<'a, I>(asked: I) -> Option<Upstream>
 where
     I: Iterator<Item = &'a Asked>,
@@ -208,6 +230,9 @@
     let load = |asked: &Asked| {
         asked.requests.unwrap_or_default() * asked.weight / f64::from(asked.choice.slots.max(1))
     };
-    let best = asked.min_by(|left, right| load(left).total_cmp(&load(right)));
+    let best = asked.min_by(|left, right| {
+        let by_cold = left.choice.is_cold().cmp(&right.choice.is_cold());
+        by_cold.then(load(left).total_cmp(&load(right)))
+    });
     best.map(|asked| asked.choice.upstream.clone())
 }
