Keep requests to cold engines within their allowance

Engines that are cold got as many requests as others: the document's cold-s and cold-per-s and the cold-remaining-ms of announcements were not read, so that an engine that started during traffic crashed under the requests that all instances sent it.

The remaining time travels in roster::Announcement, becomes a deadline in the roster when it is read, and reaches the forwarder's table through feed::KnownUpstream. A time that only runs down is not distributed. Where the settings have direct.cold_excess and direct.cold_slack and the service a cold-per-s, the table gives RateLimits an allowance for each cold upstream; queries to load trackers say that the upstream is cold and how long the prompt is. Log event cold, metrics cold_upstreams, cold_granted and cold_denied. Without the settings no upstream is cold and nothing changes.

The wire format of records and load queries has a new field. The existing tests of roster and catalogue name the new fields of Announcement and Service, without another change.

Not run yet: tests with real processes.

--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -26,4 +26,4 @@
 pub use newest::{Command, Document, Newest, Outcome};
 pub use number::Number;
 pub use route::{Repeat, Route, Target};
-pub use service::{Engine, Limits, Service, Transfer};
+pub use service::{Cold, Engine, Limits, Service, Transfer};
--- a/crates/catalogue/src/service.rs
+++ b/crates/catalogue/src/service.rs
@@ -33,8 +33,17 @@
     pub transfer: Option<Transfer>,
 }
 
+/// How long the upstreams of a service are cold, and what they sustain meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cold {
+    /// Time for which an upstream is cold.
+    pub duration: Duration,
+    /// Number of requests per second that an upstream sustains while it is cold.
+    pub per_second: f64,
+}
+
 /// A declared service. Each upstream announces the service that it provides.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Unique name of the service.
     pub name: Name,
@@ -42,6 +51,8 @@
     pub connections: usize,
     /// Capacity of the model engines; set if the upstreams are model engines.
     pub engine: Option<Engine>,
+    /// Limits of cold upstreams; set if upstreams sustain less while they are cold.
+    pub cold: Option<Cold>,
 }
 
 /// Limits on the requests of callers.
--- a/crates/catalogue/tests/catalogue.rs
+++ b/crates/catalogue/tests/catalogue.rs
@@ -36,8 +36,12 @@
 }
 
 fn draft() -> Draft {
-    let service =
-        |name: &str| Service { name: name.parse().unwrap(), connections: 8, engine: None };
+    let service = |name: &str| Service {
+        name: name.parse().unwrap(),
+        connections: 8,
+        engine: None,
+        cold: None,
+    };
     Draft {
         number: Number(7),
         routes: vec![
--- a/crates/forward/src/cold_allowance.rs
+++ b/crates/forward/src/cold_allowance.rs
@@ -151,8 +151,13 @@
         visible.sort();
         let share = self.visible_share();
         let mut has_grown = self.unsettled_until.is_none();
+        let until = now + SENDER_RETENTION;
+        for (known, known_until) in &mut self.known {
+            if self.visible.binary_search(known).is_ok() {
+                *known_until = until;
+            }
+        }
         for instance in &visible {
-            let until = now + SENDER_RETENTION;
             match self.known.binary_search_by(|(known, _)| known.cmp(instance)) {
                 Ok(index) => self.known[index].1 = until,
                 Err(index) => {
@@ -161,7 +166,7 @@
                 }
             }
         }
-        self.known.retain(|(known, until)| now < *until || visible.binary_search(known).is_ok());
+        self.known.retain(|(_, until)| now < *until);
         if visible != self.visible {
             self.previous_share = share;
             self.changed_at = Some(now);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,8 @@
 //! - In a large fleet a [`TrackerSearch`] asks the load trackers of upstreams. A load tracker is an
 //!   instance that counts the requests at an upstream in a [`LoadCounter`] and averages its latency
 //!   in [`Latencies`].
+//! - [`RateLimits`] keep to the rates that upstreams name, and to the allowance of cold upstreams
+//!   ([`ColdLimits`], [`ColdTime`]).
 //! - [`Cordons`] remember the upstreams that want no new requests.
 //! - [`find_context_source()`] names an engine that has a context in its cache.
 //! - A [`WaitQueue`] is the queue of requests that wait for an upstream.
@@ -21,6 +23,7 @@
 
 mod candidate;
 mod cold_allowance;
+mod cold_time;
 mod context_source;
 mod cordon;
 mod event_boundary;
@@ -41,6 +44,7 @@
 
 pub use candidate::{Candidate, NamedLimit, slow_start_share};
 pub use cold_allowance::{ColdLimits, PromptLength};
+pub use cold_time::ColdTime;
 pub use context_source::{ContextHolders, ContextSource, find_context_source};
 pub use cordon::Cordons;
 pub use event_boundary::{EventBoundary, is_event_stream};
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -57,6 +57,8 @@
     pub(crate) announcement: Announcement,
     /// Time of the last announcement.
     pub(crate) last_heard: Instant,
+    /// Time until which the upstream is cold, by its announcement.
+    pub(crate) cold_until: Option<Instant>,
 }
 
 /// The upstreams that an entry instance knows.
@@ -297,7 +299,7 @@
                 }
             }
             Message::WantRecords(buckets) => {
-                let records = Message::Records(self.roster.records_in(buckets));
+                let records = Message::Records(self.roster.records_to_send(now, buckets));
                 self.send(sender, Transport::Tcp, &records);
             }
             Message::FetchDocument(number) => self.send_update(cx, sender, number),
@@ -350,6 +352,7 @@
         let known = self.roster.present().map(|(announcement, last_heard)| KnownUpstream {
             announcement: announcement.clone(),
             last_heard,
+            cold_until: self.roster.cold_until(&announcement.upstream),
         });
         let list = UpstreamList { upstreams: known.collect(), last_report: self.last_report };
         self.listeners.upstreams.fwd(Rc::new(list));
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -70,6 +70,9 @@
             (self.connection_limit(&self.requests[index]), self.catalogue_number());
         let attempt = Attempt(rand::rng().random());
         self.table.count_sent(now, upstream, endpoint.born);
+        if !forward::is_large_fleet(self.entry_count) && self.table.is_cold(upstream) {
+            self.metrics.relay.cold_granted.inc();
+        }
         let active = &mut self.requests[index];
         let metadata = active.attempt_metadata(now, upstream.clone(), source);
         let first_sent_at = active.record_sent(now, endpoint.address);
--- a/crates/relay/src/forwarder/load_messages.rs
+++ b/crates/relay/src/forwarder/load_messages.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use forward::{LimitReport, Load};
+use forward::{LimitReport, Load, PromptLength};
 use names::Instance;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -64,6 +64,8 @@
     /// Time in microseconds that the upstream takes for an event or a response that is not
     /// streamed, or 0 if unknown.
     pub(super) micros: u32,
+    /// Length of the prompt of a query about an upstream that is cold, as far as the sender knows.
+    pub(super) cold_prompt: Option<PromptLength>,
 }
 
 /// Latency of an upstream.
@@ -101,6 +103,7 @@
             let peers = self.peers.iter().map(|peer| peer.instance.clone()).collect();
             self.send_loads(peers, &Message::Limits(reports.to_vec()));
         }
+        self.check_cold(cx);
         after!(LIMIT_REPORT_PERIOD, [cx], report_limits());
     }
 
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -3,6 +3,7 @@
 mod active_request;
 mod admission;
 mod attempts;
+mod cold_upstreams;
 mod ends;
 mod load_messages;
 mod problems;
@@ -42,7 +43,7 @@
 use load_messages::LIMIT_REPORT_PERIOD;
 use stalls::STALL_PERIOD;
 use tracker_queries::{EntryPeer, PendingQuery, UnresponsiveTracker, first_message_number};
-use upstreams::UpstreamTable;
+use upstreams::{ColdBounds, UpstreamTable};
 
 /// Time for which an idle connection to an upstream is kept open, unless the upstream states a
 /// timeout.
@@ -167,6 +168,7 @@
             settings.data_centre.clone(),
             direct.announce_period.as_duration(),
             metrics.clone(),
+            ColdBounds::new(direct),
         );
         Some(Self {
             settings,
@@ -245,7 +247,7 @@
     }
 
     /// Activates a catalogue.
-    pub(crate) fn set_catalogue(&mut self, _: CX![], catalogue: Rc<Catalogue>) {
+    pub(crate) fn set_catalogue(&mut self, cx: CX![], catalogue: Rc<Catalogue>) {
         if let Some(server) = &self.server {
             let mut bounds = crate::root::caller_bounds(&self.settings);
             let limits = catalogue.limits();
@@ -256,7 +258,9 @@
             call!([server], set_bounds(bounds));
         }
         self.metrics.revision.set(i64::try_from(catalogue.number().0).unwrap_or(i64::MAX));
+        self.table.set_cold_services(&catalogue);
         self.catalogue = Some(catalogue);
+        self.apply_cold(cx.now());
         self.check_ready();
     }
 
@@ -265,6 +269,7 @@
         for address in self.table.update(cx.now(), &list) {
             call!([self.client], close_idle(address));
         }
+        self.apply_cold(cx.now());
         self.check_ready();
         self.serve_queues(cx);
     }
@@ -306,6 +311,7 @@
         }
         let peers = self.peers.iter().map(|peer| peer.instance.clone()).collect();
         self.table.set_instances(peers, self.entry_count);
+        self.set_cold_senders(now);
     }
 
     /// Handles an event on a caller's connection.
--- a/crates/relay/src/forwarder/tracker_queries.rs
+++ b/crates/relay/src/forwarder/tracker_queries.rs
@@ -49,6 +49,9 @@
 /// most of these take no further request.
 const MAX_LIMITED_UPSTREAMS: usize = 3;
 
+/// Number of cold upstreams that are asked about if all warm ones are full.
+const MAX_COLD_UPSTREAMS: usize = 3;
+
 /// Number of requests that a load tracker reports for an upstream whose rate limit is used up.
 pub(super) const NO_REQUEST_GRANTED: u32 = u32::MAX;
 
@@ -115,6 +118,8 @@
             return None;
         }
         let mut choices = choices(candidates, has_engine, routing_key);
+        let cold_count = forward::move_cold_last(&mut choices, MAX_COLD_UPSTREAMS);
+        let mut cold = choices.split_off(choices.len() - cold_count);
         let mut config = if has_engine { ENGINE_SEARCH } else { ENGINELESS_SEARCH };
         config.load_bound *= self.settings.direct.load_bound;
         let is_limited_stranger = |choice: &mut SearchCandidate| {
@@ -126,6 +131,8 @@
         limited.truncate(MAX_LIMITED_UPSTREAMS);
         config.max_upstreams += limited.len();
         choices.append(&mut limited);
+        config.max_upstreams += cold.len();
+        choices.append(&mut cold);
         let may_answer = |choice: &SearchCandidate| {
             let request_count = self.table.request_count(&choice.upstream);
             let tracker = request_count.and_then(|request_count| {
@@ -240,6 +247,8 @@
             return TrackerReply::Unresponsive;
         };
         let (upstream, requests) = (request_count.short_hash, request_count.requests);
+        let prompt_length = self.find(request).map(|index| self.requests[index].prompt_length());
+        let cold_prompt = prompt_length.ok().filter(|_| choice.limit == NamedLimit::Cold);
         let in_flight = self.table.in_flight(request_count.service);
         let tracker = self.tracker(&choice.upstream, request_count.data_centre);
         self.last_message_number += 1;
@@ -248,9 +257,9 @@
             let me = self.settings.instance.clone();
             self.load_counter.report(now, &me, number, upstream, requests);
             let weight = self.weight(now, upstream);
-            return TrackerReply::Known(self.granted_requests(now, upstream), weight);
+            return TrackerReply::Known(self.granted_requests(now, upstream, cold_prompt), weight);
         };
-        let count = LoadCount { number, upstream, requests, in_flight, micros: 0 };
+        let count = LoadCount { number, upstream, requests, in_flight, micros: 0, cold_prompt };
         self.send_loads(vec![tracker.clone()], &Message::LoadQuery(count));
         if self.is_unresponsive(now, &tracker) {
             return TrackerReply::Unresponsive;
--- a/crates/relay/src/forwarder/tracker_reports.rs
+++ b/crates/relay/src/forwarder/tracker_reports.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use forward::PromptLength;
 use names::{Instance, Upstream};
 use stakker::{CX, after};
 
@@ -12,23 +13,29 @@
 impl Forwarder {
     /// Answers, as the load tracker of an upstream, with the number of requests at the upstream.
     pub(super) fn answer_load_query(&mut self, now: Instant, sender: Instance, count: LoadCount) {
-        let LoadCount { number, upstream, requests, in_flight, .. } = count;
+        let LoadCount { number, upstream, requests, in_flight, cold_prompt, .. } = count;
         self.load_counter.report(now, &sender, number, upstream, requests);
-        let requests = self.granted_requests(now, upstream);
+        let requests = self.granted_requests(now, upstream, cold_prompt);
         let service = self
             .table
             .request_count_by_short_hash(upstream)
             .map(|request_count| request_count.service.clone());
         let in_flight = service.map_or(in_flight, |service| self.table.in_flight(&service));
         let micros = self.latencies.mean_micros(now, upstream).unwrap_or_default();
-        let count = LoadCount { number, upstream, requests, in_flight, micros };
+        let count = LoadCount { number, upstream, requests, in_flight, micros, cold_prompt };
         self.send_loads(vec![sender], &Message::LoadAnswer(count));
     }
 
     /// Returns the number of requests at an upstream that this instance tracks, and grants another one
-    /// if the upstream names a rate limit. Returns [`NO_REQUEST_GRANTED`] if the limit is used up.
-    pub(super) fn granted_requests(&mut self, now: Instant, upstream: u32) -> u32 {
-        match self.table.grant(now, upstream) {
+    /// if the upstream names a rate limit or is cold. Returns [`NO_REQUEST_GRANTED`] if the limit or the
+    /// allowance is used up.
+    pub(super) fn granted_requests(
+        &mut self,
+        now: Instant,
+        upstream: u32,
+        cold_prompt: Option<PromptLength>,
+    ) -> u32 {
+        match self.table.grant(now, upstream, cold_prompt) {
             true => self.load_counter.requests(now, upstream),
             false => NO_REQUEST_GRANTED,
         }
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -58,7 +58,8 @@
         let active = &self.requests[index];
         let (routing_key, tokens) = (active.routing_key(), active.own_tokens());
         let has_engine = self.has_engine(&active.service);
-        let candidates = self.candidates(now, index);
+        let mut candidates = self.candidates(now, index);
+        self.withhold_cold(index, &mut candidates);
         let active = &mut self.requests[index];
         active.candidates = candidates.len();
         active.unusable = candidates.iter().filter(|candidate| candidate.is_avoided).count();
@@ -73,6 +74,7 @@
         }
         let chosen = self.choose_limited(candidates, home, has_engine, routing_key);
         let Some(Candidate { upstream, load, .. }) = &chosen else {
+            self.count_cold_denial(now, &self.requests[index].service);
             return Placement::Full;
         };
         self.table.begin_request(now, upstream, tokens);
@@ -202,7 +204,7 @@
     }
 
     /// Sets the timer for the next request in a queue that expires.
-    fn update_queue_timer(&mut self, cx: CX![]) {
+    pub(super) fn update_queue_timer(&mut self, cx: CX![]) {
         let next =
             self.service_traffic.iter().filter_map(|traffic| traffic.queue.next_expiry()).min();
         let waiting: usize = self.service_traffic.iter().map(|traffic| traffic.queue.len()).sum();
@@ -212,11 +214,15 @@
             self.queue_timer = at!(next, [cx], expire_queued());
         }
         let waiting = self.service_traffic.iter().filter(|traffic| !traffic.queue.is_empty());
-        let pause_end =
-            waiting.filter_map(|traffic| self.table.pause_end(cx.now(), &traffic.service)).min();
+        let now = cx.now();
+        let opens_at = |service| {
+            let pause_end = self.table.pause_end(now, service);
+            pause_end.or_else(|| self.table.cold_opens_at(now, service))
+        };
+        let pause_end = waiting.filter_map(|traffic| opens_at(&traffic.service)).min();
         cx.timer_del(self.pause_timer);
         if let Some(pause_end) = pause_end {
-            self.pause_timer = at!(pause_end, [cx], serve_queues());
+            self.pause_timer = at!(pause_end, [cx], serve_after_pause());
         }
     }
 
@@ -254,6 +260,10 @@
                 return;
             }
             if self.try_send(cx, id) == Placement::Full {
+                if self.find(id).is_ok_and(|index| self.gives_way(index)) {
+                    // A shorter prompt may take the allowance of a cold upstream.
+                    continue;
+                }
                 return;
             }
             self.traffic(service).queue.remove(&id);
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -1,5 +1,6 @@
 //! Table of the upstreams that the forwarder knows, with their loads and failures.
 
+mod cold;
 mod cordons;
 mod rate_limits;
 mod request_counts;
@@ -10,8 +11,8 @@
 
 use dispatch::OutlierDetector;
 use forward::{
-    Candidate, ContextSource, Cordons, Load, LoadEstimate, LoadGossip, RateLimits, Report,
-    RoutingKey,
+    Candidate, ColdTime, ContextSource, Cordons, Load, LoadEstimate, LoadGossip, RateLimits,
+    Report, RoutingKey,
 };
 use names::{DataCentre, Instance, Service, Upstream};
 use quarantine::Run;
@@ -19,6 +20,8 @@
 use telemetry::Metrics;
 
 use crate::feed::{KnownUpstream, UpstreamList};
+use cold::ColdServices;
+pub(super) use cold::{ColdBounds, ColdUpstream};
 
 /// Number of announcements that an upstream may miss before requests avoid the upstream.
 const MISSED_ANNOUNCEMENTS: u32 = 3;
@@ -69,6 +72,9 @@
     is_replaced: bool,
     /// Time since which the upstream has requests and has sent nothing.
     quiet_since: Option<Instant>,
+    cold_time: ColdTime,
+    /// Whether the upstream was cold when the allowances were last applied.
+    is_cold: bool,
 }
 
 /// All upstreams that have not left, sorted by name.
@@ -85,6 +91,8 @@
     /// Upstreams that want no new requests.
     cordons: Cordons,
     rate_limits: RateLimits,
+    /// What is declared about cold upstreams.
+    cold_services: ColdServices,
 }
 
 /// Address of an upstream, and time of its last announcement.
@@ -102,6 +110,7 @@
         data_centre: DataCentre,
         announce_period: Duration,
         metrics: Arc<Metrics>,
+        cold_bounds: Option<ColdBounds>,
     ) -> Self {
         let announcement_timeout = announce_period * MISSED_ANNOUNCEMENTS + ANNOUNCEMENT_DELAY;
         let health = OutlierDetector::default();
@@ -117,6 +126,7 @@
             gossip: LoadGossip::default(),
             cordons: Cordons::default(),
             rate_limits: RateLimits::new(me),
+            cold_services: ColdServices::new(cold_bounds),
         }
     }
 
@@ -125,12 +135,12 @@
     pub(super) fn update(&mut self, now: Instant, list: &UpstreamList) -> Vec<SocketAddr> {
         self.last_report = list.last_report;
         let mut previous = std::mem::take(&mut self.entries);
-        for KnownUpstream { announcement, last_heard } in &list.upstreams {
+        for KnownUpstream { announcement, last_heard, cold_until } in &list.upstreams {
             let index = previous.iter().position(|entry| {
                 entry.announcement.upstream == announcement.upstream
                     && entry.announcement.born == announcement.born
             });
-            let entry = match index.map(|index| previous.swap_remove(index)) {
+            let mut entry = match index.map(|index| previous.swap_remove(index)) {
                 Some(entry) => {
                     let is_replaced = entry.is_replaced && entry.announcement == *announcement;
                     TableEntry {
@@ -148,8 +158,11 @@
                     estimate: LoadEstimate::default(),
                     is_replaced: false,
                     quiet_since: None,
+                    cold_time: ColdTime::default(),
+                    is_cold: false,
                 },
             };
+            entry.cold_time.set_announced(*cold_until);
             self.entries.push(entry);
         }
         let entries = &self.entries;
--- a/crates/relay/src/forwarder/upstreams/rate_limits.rs
+++ b/crates/relay/src/forwarder/upstreams/rate_limits.rs
@@ -14,6 +14,17 @@
         self.rate_limits.set_instances(peers, instances);
     }
 
+    /// Sets the other instances among which the allowances of cold upstreams are divided. `tracked`
+    /// has the short hashes of the names of the upstreams whose load tracker this instance is.
+    pub(in crate::forwarder) fn set_senders(
+        &mut self,
+        now: Instant,
+        peers: Vec<Instance>,
+        tracked: &[u32],
+    ) {
+        self.rate_limits.set_senders(now, peers, |upstream| tracked.contains(&upstream));
+    }
+
     /// Records what a response says about the limit of a run of an upstream.
     pub(in crate::forwarder) fn record_limit(
         &mut self,
@@ -74,12 +85,6 @@
         self.rate_limits.count_request(now, roster::short_hash(upstream), born);
     }
 
-    /// Returns whether the upstream whose name has the short hash `short_hash` may get a request of
-    /// any instance, and counts it.
-    pub(in crate::forwarder) fn grant(&mut self, now: Instant, short_hash: u32) -> bool {
-        self.rate_limits.grant(now, short_hash)
-    }
-
     /// Returns what is known about the rate limit of an upstream.
     pub(super) fn named_limit(&self, now: Instant, entry: &TableEntry) -> NamedLimit {
         self.rate_limits.named(now, entry.short_hash, entry.announcement.born)
--- a/crates/roster/src/record.rs
+++ b/crates/roster/src/record.rs
@@ -50,6 +50,9 @@
     pub born: u64,
     /// Sequence number, which grows with every announcement of a run.
     pub sequence: u64,
+    /// Time in milliseconds for which the upstream stays cold from the announcement on, or 0 if it is
+    /// not cold.
+    pub cold_remaining: u32,
 }
 
 /// Record about an upstream that instances exchange: the newest announcement that differed from the
@@ -79,15 +82,21 @@
         if announcement.standing != Status::Gone {
             hasher.update(announcement.service.as_str().as_bytes());
             hasher.update(announcement.address.to_string().as_bytes());
+            if announcement.cold_remaining > 0 {
+                // The sequence number tells a time that has grown from the earlier one.
+                hasher.update(&announcement.sequence.to_le_bytes());
+            }
         }
         hasher.digest()
     }
 
-    /// Returns whether `other` is equal except for its sequence number.
+    /// Returns whether `other` is equal except for its sequence number and the time for which the
+    /// upstream stays cold.
     pub(crate) fn is_repeated_by(&self, other: &Self) -> bool {
         let sequence = self.announcement.sequence;
         let mut other = other.announcement.clone();
         other.sequence = sequence;
+        other.cold_remaining = self.announcement.cold_remaining;
         self.announcement == other
     }
 }
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -11,6 +11,10 @@
 /// does not add the upstream again. Announcements are delayed by some seconds.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// Time by which announcements are late at different instances and times. A cold upstream stays cold
+/// for longer than known if its announcement says so by more than this time.
+const COLD_TOLERANCE: Duration = Duration::from_millis(200);
+
 /// Number of parts of a roster that are compared separately, so that rosters with few differences
 /// exchange few records.
 pub const BUCKETS: usize = 16;
@@ -44,10 +48,30 @@
     sequence: u64,
     /// When the upstream was last heard of.
     last_heard: Instant,
+    /// Time until which the upstream is cold, by the record.
+    cold_until: Option<Instant>,
     /// Whether enough control instances have the record on disk.
     is_durable: bool,
 }
 
+/// Returns the time until which the upstream is cold, if its record arrives at `now`.
+fn cold_until(now: Instant, record: &Record) -> Option<Instant> {
+    let remaining = record.announcement.cold_remaining;
+    (remaining > 0).then(|| now + Duration::from_millis(u64::from(remaining)))
+}
+
+impl Entry {
+    /// Returns whether the upstream becomes cold or warm, or stays cold for longer than known. A time
+    /// that only runs down is no change.
+    fn is_cold_changed(&self, now: Instant, cold_until: Option<Instant>) -> bool {
+        match (self.cold_until, cold_until) {
+            (None, None) => false,
+            (Some(known), Some(new)) => new > known.max(now) + COLD_TOLERANCE,
+            (None, Some(_)) | (Some(_), None) => true,
+        }
+    }
+}
+
 /// The upstreams that an instance knows, by name.
 #[derive(Default)]
 pub struct Roster {
@@ -65,7 +89,9 @@
                 let sequence = record.announcement.sequence;
                 let short_hash = short_hash(&record.announcement.upstream);
                 let (last_heard, is_durable) = (now, false);
-                let entry = Entry { record, short_hash, sequence, last_heard, is_durable };
+                let cold_until = cold_until(now, &record);
+                let entry =
+                    Entry { record, short_hash, sequence, last_heard, cold_until, is_durable };
                 self.entries.insert(index, entry);
                 self.mark_replaced(index);
                 MergeResult::Changed
@@ -84,9 +110,11 @@
         }
         entry.last_heard = now;
         entry.sequence = sequence;
-        if entry.record.is_repeated_by(&record) {
+        let cold_until = cold_until(now, &record);
+        if entry.record.is_repeated_by(&record) && !entry.is_cold_changed(now, cold_until) {
             return MergeResult::Unchanged;
         }
+        entry.cold_until = cold_until;
         entry.record = record;
         entry.is_durable = false;
         self.mark_replaced(index);
@@ -133,6 +161,11 @@
             .filter(|(announcement, _)| announcement.standing != Status::Gone)
     }
 
+    /// Returns the time until which `upstream` is cold, by its last announcement that changed that.
+    pub fn cold_until(&self, upstream: &Upstream) -> Option<Instant> {
+        self.find(upstream).ok().and_then(|index| self.entries[index].cold_until)
+    }
+
     /// Returns the record of `upstream`, or `None` if the upstream is not known.
     pub fn get(&self, upstream: &Upstream) -> Option<&Record> {
         self.find(upstream).ok().map(|index| &self.entries[index].record)
@@ -174,6 +207,21 @@
         selected.cloned().collect()
     }
 
+    /// Returns the same records as [`Roster::records_in`], in which the time for which an upstream
+    /// stays cold counts from `now` on.
+    pub fn records_to_send(&self, now: Instant, buckets: u16) -> Vec<Record> {
+        let mut records = self.records_in(buckets);
+        for record in &mut records {
+            let Some(until) = self.cold_until(&record.announcement.upstream) else {
+                continue;
+            };
+            // The record of a cold upstream names a time until the upstream says that it is warm.
+            let remaining = until.saturating_duration_since(now).as_millis().max(1);
+            record.announcement.cold_remaining = u32::try_from(remaining).unwrap_or(u32::MAX);
+        }
+        records
+    }
+
     /// Returns a digest of each bucket, which is equal for rosters with the same records. Upstreams
     /// that left are not included, since instances drop them at different times.
     pub fn digests(&self) -> [u64; BUCKETS] {
--- a/crates/roster/tests/odd_announcements.rs
+++ b/crates/roster/tests/odd_announcements.rs
@@ -18,6 +18,7 @@
         standing: Status::Ready,
         born: NOW_MILLIS - HOUR_MILLIS,
         sequence: 4,
+        cold_remaining: 0,
     }
 }
 
--- a/crates/roster/tests/registry.rs
+++ b/crates/roster/tests/registry.rs
@@ -16,6 +16,7 @@
         standing,
         born,
         sequence,
+        cold_remaining: 0,
     };
     Record { announcement }
 }
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -17,6 +17,13 @@
     pub announce_period: Span,
     /// Maximum load of an upstream, as a multiple of the mean load.
     pub load_bound: f64,
+    /// Multiple of the rate that a cold upstream sustains which may arrive there in a second, before
+    /// `cold_slack` is added. Without both, cold upstreams are treated like others.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cold_excess: Option<f64>,
+    /// Number of requests by which the arrivals at a cold upstream in a second may exceed that.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cold_slack: Option<f64>,
     /// Bandwidth of the link of this instance, in megabits per second. Documents use a share of it.
     pub link_megabits: f64,
 }
@@ -33,6 +40,8 @@
             repeat_window: Span::from_seconds(10),
             announce_period: Span::from_seconds(1),
             load_bound: 2.0,
+            cold_excess: None,
+            cold_slack: None,
             link_megabits: DEFAULT_LINK_MEGABITS_PER_SECOND,
         }
     }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -288,6 +288,7 @@
         self.validate_roles()?;
         self.validate_voters()?;
         self.validate_link()?;
+        self.validate_cold_bounds()?;
         self.validate_secrets()
     }
 
@@ -303,6 +304,23 @@
         })
     }
 
+    fn validate_cold_bounds(&self) -> Result<(), Error> {
+        let bounds = [
+            ("direct.cold_excess", self.direct.cold_excess),
+            ("direct.cold_slack", self.direct.cold_slack),
+        ];
+        for (field, bound) in bounds {
+            if let Some(bound) = bound.filter(|bound| !bound.is_finite() || *bound < 0.0) {
+                return Err(Error::InvalidValue {
+                    field,
+                    problem: format!("{bound} is negative or not a number"),
+                    help: "set it to a number from 0, or leave it out",
+                });
+            }
+        }
+        Ok(())
+    }
+
     fn validate_roles(&self) -> Result<(), Error> {
         if self.roles.is_empty() {
             return Err(Error::InvalidValue {
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -39,6 +39,8 @@
 #[test_case("voters: [giza-1]", "policies: {load_bound_percent: 90}", "load bound 90% is below"; "bound below the mean")]
 #[test_case("voters: [giza-1]", "policies: {placement: best}", "placement"; "unknown policy")]
 #[test_case("voters: [giza-1]", "direct: {link_megabits: 0}", "0 is not a positive number"; "link without bandwidth")]
+#[test_case("voters: [giza-1]", "direct: {cold_excess: -1}", "-1 is negative"; "negative bound of cold upstreams")]
+#[test_case("voters: [giza-1]", "direct: {cold_slack: .nan}", "direct.cold_slack"; "bound of cold upstreams that is no number")]
 #[test_case("127.0.0.1:1", "nowhere", "listen.callers"; "invalid address")]
 fn the_error_for_invalid_settings_names_the_problem_and_a_remedy(
     part: &str,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -164,6 +164,18 @@
         /// Source: `itself` (a response to this instance) or the name of another instance.
         source: String,
     },
+    /// An upstream became cold, or warm again, as far as this instance knows.
+    Cold {
+        /// Name of the upstream.
+        upstream: String,
+        /// Whether the upstream is cold.
+        is_cold: bool,
+        /// Time for which the upstream stays cold, or 0.
+        remaining_ms: u64,
+        /// Number of requests per second that all instances together send to the upstream while it
+        /// is cold.
+        per_second: Option<f64>,
+    },
     /// This instance answered a request with an error.
     Refused {
         /// Identifier of the request.
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -89,6 +89,12 @@
     pub waiting: Gauge,
     /// Number of control instances among the live members.
     pub sources: Gauge,
+    /// Number of upstreams that are cold, as far as this instance knows.
+    pub cold_upstreams: Gauge,
+    /// Number of requests that may be sent to a cold upstream, as this instance decided.
+    pub cold_granted: Counter,
+    /// Number of requests that a cold upstream has no allowance for, as this instance decided.
+    pub cold_denied: Counter,
 }
 
 impl RelayMetrics {
@@ -109,6 +115,9 @@
             documents_not_stored: Counter::default(),
             waiting: Gauge::default(),
             sources: Gauge::default(),
+            cold_upstreams: Gauge::default(),
+            cold_granted: Counter::default(),
+            cold_denied: Counter::default(),
         };
         metrics.initialize();
         let Self { outcomes, attempts, avoided, .. } = &metrics;
@@ -138,6 +147,12 @@
         registry.register("waiting", "Requests that wait for room", metrics.waiting.clone());
         let help = "Control instances that are followed";
         registry.register("followed", help, metrics.sources.clone());
+        let help = "Upstreams that are cold";
+        registry.register("cold_upstreams", help, metrics.cold_upstreams.clone());
+        let help = "Requests granted for cold upstreams";
+        registry.register("cold_granted", help, metrics.cold_granted.clone());
+        let help = "Requests denied for cold upstreams";
+        registry.register("cold_denied", help, metrics.cold_denied.clone());
         metrics
     }
 
