Test the bound of cold engines with real processes

Nothing showed with processes that the requests to an engine that announces that it is cold stay within its bound.

In a large fleet a query to a load tracker whose answer is not awaited used up a grant for a cold engine. Such a query is no longer sent.

--- a/crates/relay/src/forwarder/tracker_queries.rs
+++ b/crates/relay/src/forwarder/tracker_queries.rs
@@ -259,6 +259,10 @@
             let weight = self.weight(now, upstream);
             return TrackerReply::Known(self.granted_requests(now, upstream, cold_prompt), weight);
         };
+        if cold_prompt.is_some() && self.is_unresponsive(now, &tracker) {
+            // A request would be granted that is not sent, since the answer is not awaited.
+            return TrackerReply::Unresponsive;
+        }
         let count = LoadCount { number, upstream, requests, in_flight, micros: 0, cold_prompt };
         self.send_loads(vec![tracker.clone()], &Message::LoadQuery(count));
         if self.is_unresponsive(now, &tracker) {
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -47,6 +47,8 @@
     pub announce_period_millis: u64,
     /// Number of lost disks that the instance has to survive.
     pub losses_borne: usize,
+    /// Bounds on the requests to cold upstreams: excess and slack.
+    pub cold_bounds: Option<(f64, f64)>,
     folder: PathBuf,
     pub process: Option<Process>,
 }
@@ -162,6 +164,9 @@
             true => format!("data_folder: \"{}\"\n", self.folder.join("data").display()),
             false => String::new(),
         };
+        let cold_bounds = self.cold_bounds.map_or(String::new(), |(excess, slack)| {
+            format!("  cold_excess: {excess}\n  cold_slack: {slack}\n")
+        });
         let text = format!(
             "instance: \"{ip}\"\ndata_centre: {}\nroles: [{role}]\n\
              listen:\n  callers: \"{listen}:{CALLERS_PORT}\"\n  \
@@ -171,7 +176,7 @@
              {folder}seeds: [{}]\n\
              first_start: {is_first_start}\nlosses_borne: {}\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
-             direct:\n  announce_period: {}ms\n",
+             direct:\n  announce_period: {}ms\n{cold_bounds}",
             self.data_centre,
             seeds.join(", "),
             self.losses_borne,
@@ -237,6 +242,7 @@
             data_centre: "giza".to_string(),
             announce_period_millis: ANNOUNCE_PERIOD_MILLIS,
             losses_borne: 1,
+            cold_bounds: None,
             folder,
             process: None,
         }
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -116,6 +116,8 @@
     executed_requests: Mutex<Vec<ExecutedRequest>>,
     sequence: AtomicU64,
     started_at_millis: u64,
+    /// Time until which the upstream announces that it is cold.
+    cold_until: Mutex<Option<Instant>>,
     is_stopped: AtomicBool,
     /// Whether the upstream serves requests but no longer announces itself.
     is_unannounced: AtomicBool,
@@ -155,7 +157,19 @@
     {
         let (listener, _) = bind_tcp_and_udp();
         let address = advertise(listener.local_addr().unwrap());
-        Self::start_with_listener(name, service, control_addresses, address, listener)
+        Self::start_with_listener(name, service, control_addresses, address, listener, None)
+    }
+
+    /// Starts an upstream that announces from its start on that it is cold for `time`.
+    pub fn start_cold(
+        name: &str,
+        service: &str,
+        control_addresses: Vec<SocketAddr>,
+        time: Duration,
+    ) -> Self {
+        let (listener, _) = bind_tcp_and_udp();
+        let (address, until) = (listener.local_addr().unwrap(), Some(Instant::now() + time));
+        Self::start_with_listener(name, service, control_addresses, address, listener, until)
     }
 
     /// Starts an upstream at the address of one that has ended.
@@ -166,7 +180,7 @@
         address: SocketAddr,
     ) -> Self {
         let listener = TcpListener::bind(address).unwrap();
-        Self::start_with_listener(name, service, control_addresses, address, listener)
+        Self::start_with_listener(name, service, control_addresses, address, listener, None)
     }
 
     fn start_with_listener(
@@ -175,6 +189,7 @@
         control_addresses: Vec<SocketAddr>,
         address: SocketAddr,
         listener: TcpListener,
+        cold_until: Option<Instant>,
     ) -> Self {
         let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
         let shared = Arc::new(WorkerState {
@@ -189,6 +204,7 @@
             executed_requests: Mutex::default(),
             sequence: AtomicU64::new(0),
             started_at_millis: now.as_millis() as u64,
+            cold_until: Mutex::new(cold_until),
             is_stopped: AtomicBool::new(false),
             is_unannounced: AtomicBool::new(false),
             is_listener_closed: AtomicBool::new(false),
@@ -221,6 +237,11 @@
         *self.shared.behaviour.lock().unwrap() = behaviour;
     }
 
+    /// Makes the upstream announce from now on that it is cold for `time`.
+    pub fn set_cold(&self, time: Duration) {
+        *self.shared.cold_until.lock().unwrap() = Some(Instant::now() + time);
+    }
+
     /// Answers requests with `answers` from now on, as far as it returns an answer.
     pub fn set_script<F>(&self, answers: F)
     where
@@ -336,9 +357,12 @@
 /// Returns the sequence number and the body of the next announcement.
 fn announcement(shared: &WorkerState, state: &str) -> (u64, String) {
     let sequence = shared.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+    let cold_until = *shared.cold_until.lock().unwrap();
+    let cold =
+        cold_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()));
     let body = json!({
         "service": shared.service, "address": shared.address.to_string(), "zone": "giza",
-        "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0, "seq": sequence,
+        "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": cold.as_millis() as u64, "seq": sequence,
         "born": shared.started_at_millis,
     });
     (sequence, body.to_string())
