--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -39,6 +39,7 @@
 mod retry_window;
 mod search;
 mod shutdown;
+mod startup;
 mod stream;
 mod wait_queue;
 
@@ -62,6 +63,7 @@
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use search::{SearchCandidate, SearchConfig, SearchStep, TrackerSearch, move_cold_last};
 pub use shutdown::Shutdown;
+pub use startup::{StartupDecision, StartupQueue};
 pub use stream::{StreamTracker, stall_timeout};
 pub use wait_queue::WaitQueue;
 
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -26,6 +26,9 @@
     pub cold_slack: Option<f64>,
     /// Bandwidth of the link of this instance, in megabits per second. Documents use a share of it.
     pub link_megabits: f64,
+    /// Time after the start of an instance within which requests wait until the instance can serve
+    /// them. With 0, they are refused at once.
+    pub startup_wait: Span,
 }
 
 /// Default bandwidth of the link, in megabits per second: the slowest link that control instances
@@ -43,6 +46,7 @@
             cold_excess: None,
             cold_slack: None,
             link_megabits: DEFAULT_LINK_MEGABITS_PER_SECOND,
+            startup_wait: Span::from_millis(0),
         }
     }
 }
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -87,6 +87,8 @@
     pub documents_not_stored: Counter,
     /// Number of requests that wait for an upstream with free capacity.
     pub waiting: Gauge,
+    /// Number of requests that waited for the end of the startup of this instance.
+    pub startup_waits: Counter,
     /// Number of control instances among the live members.
     pub sources: Gauge,
     /// Number of upstreams that are cold, as far as this instance knows.
@@ -114,6 +116,7 @@
             document_stored: latency_histogram(),
             documents_not_stored: Counter::default(),
             waiting: Gauge::default(),
+            startup_waits: Counter::default(),
             sources: Gauge::default(),
             cold_upstreams: Gauge::default(),
             cold_granted: Counter::default(),
@@ -145,6 +148,8 @@
         let help = "Committed documents that were not stored in time";
         registry.register("documents_not_stored", help, metrics.documents_not_stored.clone());
         registry.register("waiting", "Requests that wait for room", metrics.waiting.clone());
+        let help = "Requests that waited for the end of the startup";
+        registry.register("startup_waits", help, metrics.startup_waits.clone());
         let help = "Control instances that are followed";
         registry.register("followed", help, metrics.sources.clone());
         let help = "Upstreams that are cold";
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -49,6 +49,8 @@
     pub losses_borne: usize,
     /// Bounds on the requests to cold upstreams: excess and slack.
     pub cold_bounds: Option<(f64, f64)>,
+    /// Time in milliseconds after the start within which requests wait until the instance is ready.
+    pub startup_wait_millis: u64,
     folder: PathBuf,
     pub process: Option<Process>,
 }
@@ -176,11 +178,12 @@
              {folder}seeds: [{}]\n\
              first_start: {is_first_start}\nlosses_borne: {}\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
-             direct:\n  announce_period: {}ms\n{cold_bounds}",
+             direct:\n  announce_period: {}ms\n  startup_wait: {}ms\n{cold_bounds}",
             self.data_centre,
             seeds.join(", "),
             self.losses_borne,
-            self.announce_period_millis
+            self.announce_period_millis,
+            self.startup_wait_millis
         );
         std::fs::write(self.settings(), text).unwrap();
     }
@@ -243,6 +246,7 @@
             announce_period_millis: ANNOUNCE_PERIOD_MILLIS,
             losses_borne: 1,
             cold_bounds: None,
+            startup_wait_millis: 0,
             folder,
             process: None,
         }
