Look up load trackers of cold upstreams only when they become cold

The allowances are applied every 100 ms. Each time the instance looked up the load tracker of every cold upstream among all entry instances, and copied the list of them: with 60 cold upstreams and 295 instances some 180,000 hashes and 350,000 copied names a second by count, on 0.12 cores. The load tracker is now looked up when an upstream becomes cold and when the view changes.

An allowance that has run out and is extended before it was removed keeps its buckets and its load tracker.

The processor time was not measured.

--- a/crates/forward/src/cold_allowance.rs
+++ b/crates/forward/src/cold_allowance.rs
@@ -186,7 +186,7 @@
     }
 
     /// Returns the time from which all instances agree on the load trackers.
-    fn agreed_from(&self, now: Instant) -> Instant {
+    pub(crate) fn agreed_from(&self, now: Instant) -> Instant {
         let changed = self.changed_at.map_or(now, |at| at + SETTLING_TIME);
         changed.max(self.unsettled_until(now).unwrap_or(now)).max(now)
     }
@@ -233,15 +233,15 @@
 }
 
 impl ColdAllowance {
+    /// Creates an allowance from which this instance sends nothing before `settled`, and grants
+    /// nothing before `agreed`.
     pub(crate) fn new(
-        now: Instant,
         limits: ColdLimits,
         until: Instant,
-        senders: &Senders,
+        (settled, agreed): (Instant, Instant),
         is_tracker: bool,
     ) -> Self {
-        let settled = senders.unsettled_until(now).unwrap_or(now);
-        let (sent, granted) = (Bucket::empty(settled), Bucket::empty(senders.agreed_from(now)));
+        let (sent, granted) = (Bucket::empty(settled), Bucket::empty(agreed));
         Self { limits, until, sent, granted, is_tracker }
     }
 
--- a/crates/forward/src/rate_limit.rs
+++ b/crates/forward/src/rate_limit.rs
@@ -269,7 +269,7 @@
     }
 
     /// Records that the run of an upstream is cold until `until`. `is_tracker` says whether this
-    /// instance is its load tracker.
+    /// instance is its load tracker, if the run was not cold before.
     pub fn set_cold(
         &mut self,
         now: Instant,
@@ -278,11 +278,12 @@
         until: Instant,
         is_tracker: bool,
     ) {
-        let senders = self.senders.clone();
+        let settled = self.senders.unsettled_until(now).unwrap_or(now);
+        let begin = (settled, self.senders.agreed_from(now));
         let entry = self.entry(now, upstream, born);
         match &mut entry.cold {
-            Some(cold) if cold.is_cold(now) => cold.set(limits, until),
-            cold => *cold = Some(ColdAllowance::new(now, limits, until, &senders, is_tracker)),
+            Some(cold) => cold.set(limits, until),
+            cold => *cold = Some(ColdAllowance::new(limits, until, begin, is_tracker)),
         }
     }
 
--- a/crates/relay/src/forwarder/cold_upstreams.rs
+++ b/crates/relay/src/forwarder/cold_upstreams.rs
@@ -8,6 +8,7 @@
 
 use super::Forwarder;
 use super::active_request::ActiveRequest;
+use super::upstreams::ColdUpstream;
 
 /// Number of prompt tokens from which a prompt is long at a cold upstream, which has no context and
 /// reads all of it. Engines read some 65 tokens in a millisecond, so that a long prompt takes more
@@ -17,29 +18,27 @@
 impl Forwarder {
     /// Applies the allowances of cold upstreams. Returns whether any upstream has become warm.
     pub(super) fn apply_cold(&mut self, now: Instant) -> bool {
-        let tracked = self.tracked_cold_upstreams(now);
-        if tracked.is_none() && self.metrics.relay.cold_upstreams.get() == 0 {
+        let cold = self.table.cold_upstreams(now);
+        if cold.is_empty() && self.metrics.relay.cold_upstreams.get() == 0 {
             return false;
         }
-        self.table.apply_cold(now, &tracked.unwrap_or_default())
+        let new: Vec<ColdUpstream> = cold.into_iter().filter(|cold| !cold.has_allowance).collect();
+        let tracked = self.tracked(&new);
+        self.table.apply_cold(now, &tracked)
     }
 
     /// Sets the instances among which the allowances of cold upstreams are divided.
     pub(super) fn set_cold_senders(&mut self, now: Instant) {
-        let tracked = self.tracked_cold_upstreams(now).unwrap_or_default();
+        let tracked = self.tracked(&self.table.cold_upstreams(now));
         let peers = self.peers.iter().map(|peer| peer.instance.clone()).collect();
         self.table.set_senders(now, peers, &tracked);
     }
 
-    /// Returns the short hashes of the names of the cold upstreams whose load tracker this instance
-    /// is, or `None` if no upstream is cold.
-    fn tracked_cold_upstreams(&self, now: Instant) -> Option<Vec<u32>> {
-        let cold = self.table.cold_upstreams(now);
-        let is_tracked = |cold: &&super::upstreams::ColdUpstream| {
-            self.tracker(&cold.upstream, &cold.data_centre).is_none()
-        };
-        let tracked = cold.iter().filter(is_tracked).map(|cold| cold.short_hash);
-        (!cold.is_empty()).then(|| tracked.collect())
+    /// Returns the short hashes of the names of the upstreams whose load tracker this instance is.
+    fn tracked(&self, cold: &[ColdUpstream]) -> Vec<u32> {
+        let is_tracked =
+            |cold: &&ColdUpstream| self.tracker(&cold.upstream, &cold.data_centre).is_none();
+        cold.iter().filter(is_tracked).map(|cold| cold.short_hash).collect()
     }
 
     /// Applies the ends of cold times, and serves the requests that waited for them.
--- a/crates/relay/src/forwarder/upstreams/cold.rs
+++ b/crates/relay/src/forwarder/upstreams/cold.rs
@@ -56,6 +56,8 @@
     pub(in crate::forwarder) short_hash: u32,
     pub(in crate::forwarder) upstream: Upstream,
     pub(in crate::forwarder) data_centre: DataCentre,
+    /// Whether the upstream has an allowance already.
+    pub(in crate::forwarder) has_allowance: bool,
 }
 
 impl UpstreamTable {
@@ -90,22 +92,25 @@
         }
     }
 
-    /// Returns the upstreams that are cold.
+    /// Returns the upstreams that are cold or have an allowance.
     pub(in crate::forwarder) fn cold_upstreams(&self, now: Instant) -> Vec<ColdUpstream> {
         if self.cold_services.services.is_empty() {
             return Vec::new();
         }
-        let cold = self.entries.iter().filter(|entry| self.cold_until(now, entry).is_some());
+        let is_cold = |entry: &&TableEntry| entry.is_cold || self.cold_until(now, entry).is_some();
+        let cold = self.entries.iter().filter(is_cold);
         let upstream = |entry: &TableEntry| ColdUpstream {
             short_hash: entry.short_hash,
             upstream: entry.announcement.upstream.clone(),
             data_centre: entry.announcement.data_centre.clone(),
+            has_allowance: entry.is_cold,
         };
         cold.map(upstream).collect()
     }
 
     /// Applies the allowances of cold upstreams. `tracked` has the short hashes of the names of those
-    /// whose load tracker this instance is. Returns whether any upstream has become warm.
+    /// without an allowance whose load tracker this instance is. Returns whether any upstream has
+    /// become warm.
     pub(in crate::forwarder) fn apply_cold(&mut self, now: Instant, tracked: &[u32]) -> bool {
         let mut has_warmed = false;
         let mut count = 0;
