--- a/crates/forward/src/evacuation.rs
+++ b/crates/forward/src/evacuation.rs
@@ -21,10 +21,15 @@
 
 impl Evacuations {
     /// Replaces the evacuated data centres. Those that are no longer among `evacuated` are
-    /// remembered with the time `now`.
-    pub fn update(&mut self, now: Instant, evacuated: &[DataCentre]) {
+    /// remembered with the time `now`, and returned.
+    pub fn update(&mut self, now: Instant, evacuated: &[DataCentre]) -> Vec<DataCentre> {
+        let mut withdrawn = Vec::new();
         for evacuation in &mut self.list {
-            evacuation.ended_at = match evacuated.contains(&evacuation.data_centre) {
+            let is_evacuated = evacuated.contains(&evacuation.data_centre);
+            if !is_evacuated && evacuation.ended_at.is_none() {
+                withdrawn.push(evacuation.data_centre.clone());
+            }
+            evacuation.ended_at = match is_evacuated {
                 true => None,
                 false => evacuation.ended_at.or(Some(now)),
             };
@@ -35,6 +40,7 @@
                 self.list.insert(index, evacuation);
             }
         }
+        withdrawn
     }
 
     fn position(&self, data_centre: &DataCentre) -> Result<usize, usize> {
--- a/crates/forward/tests/evacuation.rs
+++ b/crates/forward/tests/evacuation.rs
@@ -20,11 +20,11 @@
     let at = |seconds| known_since + Duration::from_secs(seconds);
     let mut evacuations = Evacuations::default();
     assert_eq!(evacuations.slow_start_since(&giza, known_since), known_since);
-    evacuations.update(at(60), std::slice::from_ref(&giza));
+    assert_eq!(evacuations.update(at(60), std::slice::from_ref(&giza)), []);
     assert!(evacuations.is_evacuated(&giza) && !evacuations.is_evacuated(&cairo));
     assert_eq!(evacuations.ended_at(&giza), None);
-    evacuations.update(at(90), &[]);
-    evacuations.update(at(91), &[]);
+    assert_eq!(evacuations.update(at(90), &[]), [giza.clone()]);
+    assert_eq!(evacuations.update(at(91), &[]), []);
     assert!(!evacuations.is_evacuated(&giza));
     assert_eq!(evacuations.ended_at(&giza), Some(at(90)));
     assert_eq!(evacuations.slow_start_since(&giza, known_since), at(90));
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -3,6 +3,7 @@
 mod active_request;
 mod admission;
 mod attempts;
+mod cold_upstreams;
 mod ends;
 mod evacuations;
 mod load_messages;
@@ -45,7 +46,7 @@
 use stalls::STALL_PERIOD;
 use startup::Arrival;
 use tracker_queries::{EntryPeer, PendingQuery, UnresponsiveTracker, first_message_number};
-use upstreams::UpstreamTable;
+use upstreams::{ColdBounds, UpstreamTable};
 
 /// Time for which an idle connection to an upstream is kept open, unless the upstream states a
 /// timeout.
@@ -173,6 +174,7 @@
             settings.data_centre.clone(),
             direct.announce_period.as_duration(),
             metrics.clone(),
+            ColdBounds::new(direct),
         );
         let startup = StartupQueue::new(cx.now() + direct.startup_wait.as_duration());
         Some(Self {
@@ -266,7 +268,9 @@
             call!([server], set_bounds(bounds));
         }
         self.metrics.revision.set(i64::try_from(catalogue.number().0).unwrap_or(i64::MAX));
+        self.table.set_cold_services(&catalogue);
         self.catalogue = Some(catalogue);
+        self.apply_cold(cx.now());
         self.check_ready();
         self.end_startup(cx);
     }
@@ -276,6 +280,7 @@
         for address in self.table.update(cx.now(), &list) {
             call!([self.client], close_idle(address));
         }
+        self.apply_cold(cx.now());
         self.check_ready();
         self.end_startup(cx);
         self.serve_queues(cx);
@@ -318,6 +323,7 @@
         }
         let peers = self.peers.iter().map(|peer| peer.instance.clone()).collect();
         self.table.set_instances(peers, self.entry_count);
+        self.set_cold_senders(now);
     }
 
     /// Handles an event on a caller's connection.
