Place requests by unread prompts and by the pace of engines

Cause: the fourth figure of the load header, which says how long work takes on the machine of an upstream, was dropped, and placement counted requests only. A short urgent prompt waited behind long ones at the engine of its context, and an engine that was slow for half a second got as many requests as the others.

Change: forward::Report carries the pace; forward::PaceEstimate averages it, valid for half a second, then back to 100. Load trackers count the prompt tokens that engines have not read and the urgent requests beside the number of requests, and pass the pace on. forward::EngineCost is the time to the first token, the delay of urgent requests there and the price of context that is read again, all in tokens at the usual pace. A search asks the first engine as before and sends the request there unless another one could be cheaper by more than a chunk; only then it asks the other two, at the same time. Affinity chooses likewise among the engines that it would try. The load bound is unchanged, and so is every service whose upstreams name no pace, since its requests have no cost.

A context that is only expected at an engine counts as unread until its answer begins.

Existing tests: new fields and the type of LoadCounter::report only.

--- a/crates/forward/src/candidate.rs
+++ b/crates/forward/src/candidate.rs
@@ -4,6 +4,8 @@
 
 use names::Upstream;
 
+use crate::EngineCost;
+
 /// An upstream that can take a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
@@ -27,6 +29,8 @@
     pub limit: NamedLimit,
     /// Whether the upstream failed recently, so that other candidates are preferred.
     pub is_avoided: bool,
+    /// Cost of the request at the upstream. `None` for a service whose upstreams name no pace.
+    pub cost: Option<EngineCost>,
 }
 
 /// What is known about the rate limit of a candidate.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,8 @@
 //! - In a large fleet a [`TrackerSearch`] asks the load trackers of upstreams. A load tracker is an
 //!   instance that counts the requests at an upstream in a [`LoadCounter`] and averages its latency
 //!   in [`Latencies`].
+//! - An [`EngineCost`] compares engines by the prompts that they have not read yet and by their pace,
+//!   where upstreams name one.
 //! - [`Cordons`] remember the upstreams that want no new requests.
 //! - [`find_context_source()`] names an engine that has a context in its cache.
 //! - A [`WaitQueue`] is the queue of requests that wait for an upstream.
@@ -28,7 +30,9 @@
 mod load_counter;
 mod load_estimate;
 mod load_gossip;
+mod pace;
 mod policy;
+mod prompt_cost;
 mod rate_limit;
 mod request_rate;
 mod retry;
@@ -44,12 +48,14 @@
 pub use event_boundary::{EventBoundary, is_event_stream};
 pub use grace::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
 pub use latency::{LATENCY_SAMPLE_EVENTS, Latencies};
-pub use load_counter::{COUNT_REPORT_INTERVAL, LoadCounter, MeanInFlight};
+pub use load_counter::{COUNT_REPORT_INTERVAL, LoadCounter, MeanInFlight, UpstreamWork};
 pub use load_estimate::{LoadEstimate, Report, mean_load};
 pub use load_gossip::{GossipConfig, Load, LoadGossip};
+pub use pace::{Pace, PaceEstimate};
 pub use policy::{
     Affinity, LeastLoad, Policy, RoutingKey, home, shuffled_order, without_limited_strangers,
 };
+pub use prompt_cost::{CachedContext, EngineCost, EngineWork, PromptSize, PromptWork, cheapest};
 pub use rate_limit::{LimitChange, LimitReport, RateLimits};
 pub use request_rate::{InvalidRate, RequestRate};
 pub use retry::{FailedAttempt, RetryDecision, SilenceDecision};
--- a/crates/forward/src/load_counter.rs
+++ b/crates/forward/src/load_counter.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use names::Instance;
+use serde::{Deserialize, Serialize};
 
 /// Interval at which an instance repeats its numbers of requests at upstreams.
 pub const COUNT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -16,13 +17,39 @@
 /// How long a reported number is valid. Two repeats may be lost.
 const REPORT_TTL: Duration = Duration::from_millis(3200);
 
+/// Work at an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct UpstreamWork {
+    /// Number of requests at the upstream.
+    pub requests: u32,
+    /// Number of these requests that are urgent.
+    pub urgent: u32,
+    /// Number of prompt tokens that the upstream has not read yet.
+    pub unread_tokens: u32,
+}
+
+impl UpstreamWork {
+    /// Returns the work of `requests` requests, of whose prompts nothing is known.
+    pub fn of_requests(requests: u32) -> Self {
+        Self { requests, ..Self::default() }
+    }
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_add(other.requests),
+            urgent: self.urgent.saturating_add(other.urgent),
+            unread_tokens: self.unread_tokens.saturating_add(other.unread_tokens),
+        }
+    }
+}
+
 /// Report of one instance about one upstream.
 #[derive(Debug, Clone)]
 struct Reported {
     upstream: u32,
     sender: Instance,
-    /// Number of requests of the sender at the upstream.
-    requests: u32,
+    /// Work of the sender at the upstream.
+    work: UpstreamWork,
     /// Number of the message with the report.
     number: u64,
     until: Instant,
@@ -36,15 +63,15 @@
 }
 
 impl LoadCounter {
-    /// Records the report of `sender`, in its message `number`, that it has `requests` requests at
-    /// an upstream. A report that arrives after a newer one is ignored.
+    /// Records the report of `sender`, in its message `number`, that it has `work` at an upstream. A
+    /// report that arrives after a newer one is ignored.
     pub fn report(
         &mut self,
         now: Instant,
         sender: &Instance,
         number: u64,
         upstream: u32,
-        requests: u32,
+        work: UpstreamWork,
     ) {
         let found = self
             .reports
@@ -55,21 +82,27 @@
             }
             Ok(index) => {
                 let reported = &mut self.reports[index];
-                (reported.requests, reported.number, reported.until) = (requests, number, until);
+                (reported.work, reported.number, reported.until) = (work, number, until);
             }
             Err(index) => {
                 let sender = sender.clone();
-                self.reports.insert(index, Reported { upstream, sender, requests, number, until });
+                self.reports.insert(index, Reported { upstream, sender, work, number, until });
             }
         }
     }
 
     /// Returns the number of requests of all instances at an upstream.
     pub fn requests(&self, now: Instant, upstream: u32) -> u32 {
+        self.work(now, upstream).requests
+    }
+
+    /// Returns the work of all instances at an upstream.
+    pub fn work(&self, now: Instant, upstream: u32) -> UpstreamWork {
         let first = self.reports.partition_point(|report| report.upstream < upstream);
         let of_upstream =
             self.reports[first..].iter().take_while(|report| report.upstream == upstream);
-        of_upstream.filter(|report| now < report.until).map(|report| report.requests).sum()
+        let valid = of_upstream.filter(|report| now < report.until);
+        valid.map(|report| report.work).fold(UpstreamWork::default(), UpstreamWork::add)
     }
 
     /// Drops expired reports.
--- a/crates/forward/src/load_estimate.rs
+++ b/crates/forward/src/load_estimate.rs
@@ -3,6 +3,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::Pace;
+
 /// How long a load report has full weight. Requests last about as long.
 const FULL_WEIGHT_DURATION: Duration = Duration::from_secs(2);
 
@@ -22,6 +24,8 @@
     pub waiting: u32,
     /// Number of requests that the upstream processes concurrently at most.
     pub slots: u32,
+    /// Pace of the machine of the upstream, if the upstream names a valid one.
+    pub pace: Option<Pace>,
 }
 
 impl Report {
@@ -128,7 +132,7 @@
     pub fn merge_report(&mut self, at: Instant, requests: u32) {
         let is_outdated = self.reported.is_some_and(|last| at <= last.at);
         if !is_outdated {
-            self.report(at, Report { running: requests, waiting: 0, slots: 0 });
+            self.report(at, Report { running: requests, waiting: 0, slots: 0, pace: None });
         }
     }
 
--- a/crates/forward/src/load_gossip.rs
+++ b/crates/forward/src/load_gossip.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::is_large_fleet;
+use crate::{Pace, Report, is_large_fleet};
 
 /// Period and fan-out of the gossip about loads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,12 +47,16 @@
     pub requests: u16,
     /// Age of the observation in milliseconds.
     pub age: u16,
+    /// Pace that the upstream named, in percent, or 0 if it named none.
+    pub pace: u16,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct KnownLoad {
     upstream: u32,
     requests: u16,
+    /// Pace that the upstream named, in percent, or 0 if it named none.
+    pace: u16,
     at: Instant,
     /// Whether the upstream reported the load to this instance, which has not sent the load to
     /// other instances yet.
@@ -80,21 +84,22 @@
 }
 
 impl LoadGossip {
-    /// Records that the upstream reported `requests` requests to this instance at `now`.
-    pub fn observe(&mut self, now: Instant, upstream: u32, requests: u32) {
-        let requests = u16::try_from(requests).unwrap_or(u16::MAX);
-        self.put(KnownLoad { upstream, requests, at: now, is_unsent: true });
+    /// Records the report of the upstream that this instance received at `now`.
+    pub fn observe(&mut self, now: Instant, upstream: u32, report: Report) {
+        let requests = u16::try_from(report.requests()).unwrap_or(u16::MAX);
+        let pace = report.pace.map_or(0, Pace::percent);
+        self.put(KnownLoad { upstream, requests, pace, at: now, is_unsent: true });
     }
 
     /// Records a load that another instance reported at `now`. Returns the time at which the
     /// upstream had that load, or `None` if this instance knows a newer load.
     pub fn merge(&mut self, now: Instant, load: Load) -> Option<Instant> {
         let at = now.checked_sub(Duration::from_millis(u64::from(load.age)))?;
-        let Load { upstream, requests, .. } = load;
+        let Load { upstream, requests, pace, .. } = load;
         if self.unresponsive(upstream).is_some_and(|entry| entry.at < at) {
             self.clear_unresponsive(upstream);
         }
-        self.put(KnownLoad { upstream, requests, at, is_unsent: false }).then_some(at)
+        self.put(KnownLoad { upstream, requests, pace, at, is_unsent: false }).then_some(at)
     }
 
     /// Records the report of another instance that an engine is unresponsive: the engine has
@@ -154,6 +159,6 @@
     fn load(&self, now: Instant) -> Load {
         let age = now.saturating_duration_since(self.at).as_millis();
         let age = u16::try_from(age).unwrap_or(u16::MAX);
-        Load { upstream: self.upstream, requests: self.requests, age }
+        Load { upstream: self.upstream, requests: self.requests, age, pace: self.pace }
     }
 }
--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -3,7 +3,7 @@
 use names::Upstream;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{Candidate, NamedLimit, is_large_fleet};
+use crate::{Candidate, NamedLimit, cheapest, is_large_fleet};
 
 /// Properties of a request that determine the choice of its upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -187,16 +187,23 @@
             );
         }
         let responsive = within_bound.iter().filter(is_responsive).take(MAX_ENGINES_TRIED);
-        let mut available: Vec<usize> = responsive
+        let available: Vec<usize> = responsive
             .chain(within_bound.iter().take(MAX_ENGINES_TRIED))
             .filter(has_capacity)
             .copied()
             .collect();
+        let mut preferred = 0;
         if self.uses_two_engines && routing_key.random % 2 == 1 {
             // Both engines have the context, since the second one fetches it from the first.
-            available = available.split_off(1.min(available.len().saturating_sub(1)));
+            preferred = 1.min(available.len().saturating_sub(1));
         }
-        available.first().copied()
+        let others = (0..available.len()).filter(|other| *other != preferred);
+        let order: Vec<usize> = std::iter::once(preferred)
+            .chain(others)
+            .filter_map(|at| available.get(at).copied())
+            .collect();
+        let costs: Vec<_> = order.iter().map(|index| candidates[*index].cost).collect();
+        order.get(cheapest(&costs)).copied()
     }
 }
 
--- a/crates/forward/src/search.rs
+++ b/crates/forward/src/search.rs
@@ -2,7 +2,8 @@
 
 use names::Upstream;
 
-use crate::NamedLimit;
+use crate::prompt_cost::{self, EngineCost, EngineWork};
+use crate::{NamedLimit, UpstreamWork};
 
 /// Limits of a search.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -28,6 +29,9 @@
     pub estimate: f64,
     /// Rate limit that the upstream names.
     pub limit: NamedLimit,
+    /// Cost of the request at the upstream by what this instance knows. `None` for a service whose
+    /// upstreams name no pace.
+    pub cost: Option<EngineCost>,
 }
 
 /// The next step of a search.
@@ -71,6 +75,8 @@
     /// Upstreams that were not asked about yet, the preferred first.
     remaining: Vec<SearchCandidate>,
     asked: Vec<Asked>,
+    /// Whether the chosen upstream was taken for its cost instead of the preferred one.
+    is_moved: bool,
 }
 
 /// Number of requests that an upstream may always have, so that small loads are not spread because
@@ -83,12 +89,12 @@
     pub fn new(config: SearchConfig, mut choices: Vec<SearchCandidate>, random: u64) -> Self {
         choices.truncate(config.max_upstreams);
         let accepts_estimates = random.is_multiple_of(2);
-        Self { config, accepts_estimates, remaining: choices, asked: Vec::new() }
+        Self { config, accepts_estimates, remaining: choices, asked: Vec::new(), is_moved: false }
     }
 
     /// Returns the first step.
     pub fn start(&mut self) -> SearchStep {
-        self.ask()
+        self.ask(self.config.breadth)
     }
 
     /// Returns the upstreams whose load trackers were asked.
@@ -111,6 +117,32 @@
         asked.and_then(|asked| asked.requests).unwrap_or_default()
     }
 
+    /// Records the work and the pace of `upstream` as its load tracker reported them before the number
+    /// of requests. The work includes the request of this search. A pace of `None` leaves the one
+    /// that this instance knows.
+    pub fn record_work(&mut self, upstream: &Upstream, work: UpstreamWork, pace: Option<f64>) {
+        let asked = self.asked.iter_mut().find(|asked| asked.choice.upstream == *upstream);
+        if let Some(cost) = asked.and_then(|asked| asked.choice.cost.as_mut()) {
+            cost.work = EngineWork {
+                unread_tokens: (f64::from(work.unread_tokens) - cost.unread_tokens()).max(0.0),
+                urgent: f64::from(work.urgent),
+                pace_percent: pace.unwrap_or(cost.work.pace_percent),
+            };
+        }
+    }
+
+    /// Returns what the cost of the request at `upstream` depends on, or `None` if it is unknown.
+    pub fn cost(&self, upstream: &Upstream) -> Option<EngineCost> {
+        let asked = self.asked.iter().find(|asked| asked.choice.upstream == *upstream);
+        asked.and_then(|asked| asked.choice.cost)
+    }
+
+    /// Returns whether the search took an upstream for its cost instead of the preferred one within
+    /// the load bound.
+    pub fn is_moved(&self) -> bool {
+        self.is_moved
+    }
+
     /// Records the answer that `upstream` has `requests` requests, including this one, and returns
     /// the next step. `mean` is the mean number of requests per slot of the service.
     ///
@@ -155,12 +187,16 @@
         if self.awaited().next().is_some() {
             return SearchStep::Wait;
         }
+        let has_costs = self.asked.iter().any(|asked| asked.choice.cost.is_some());
+        if has_costs && let Some(step) = self.decide_by_cost(mean) {
+            return step;
+        }
         let within_bound = self.asked.iter().filter(|asked| self.is_within_bound(asked, mean));
         if let Some(best) = least_loaded(within_bound) {
             return SearchStep::Send(best);
         }
         if !self.remaining.is_empty() {
-            return self.ask();
+            return self.ask(self.config.breadth);
         }
         match least_loaded(self.asked.iter().filter(|asked| self.has_capacity(asked))) {
             Some(best) => SearchStep::Send(best),
@@ -168,8 +204,28 @@
         }
     }
 
-    fn ask(&mut self) -> SearchStep {
-        let count = self.config.breadth.max(1).min(self.remaining.len());
+    /// Returns the step among the upstreams within the load bound, or `None` if there are none yet.
+    /// The other upstreams are asked about at the same time, and only if one of them could be
+    /// cheaper.
+    fn decide_by_cost(&mut self, mean: f64) -> Option<SearchStep> {
+        let within_bound: Vec<&Asked> =
+            self.asked.iter().filter(|asked| self.is_within_bound(asked, mean)).collect();
+        let costs: Vec<_> = within_bound.iter().map(|asked| asked.choice.cost).collect();
+        let cheapest = prompt_cost::cheapest(&costs);
+        let best = within_bound.get(cheapest)?.choice.clone();
+        // A question to the load tracker of an upstream with a limit uses up a part of the limit.
+        let unlimited = self.remaining.iter().take_while(|other| other.limit == NamedLimit::None);
+        let cheaper: Vec<bool> =
+            unlimited.map(|other| prompt_cost::could_be_cheaper(best.cost, other.cost)).collect();
+        if cheaper.contains(&true) {
+            return Some(self.ask(cheaper.len()));
+        }
+        self.is_moved = cheapest > 0;
+        Some(SearchStep::Send(best.upstream))
+    }
+
+    fn ask(&mut self, breadth: usize) -> SearchStep {
+        let count = breadth.max(1).min(self.remaining.len());
         let next: Vec<SearchCandidate> = self.remaining.drain(..count).collect();
         if next.is_empty() {
             return SearchStep::NoCapacity;
--- a/crates/forward/tests/context_source.rs
+++ b/crates/forward/tests/context_source.rs
@@ -39,6 +39,7 @@
         is_unresponsive: false,
         limit: NamedLimit::None,
         is_avoided: false,
+        cost: None,
     };
     let candidates: Vec<Candidate> = engines.iter().map(candidate).collect();
     Affinity::new(2.0, 1)
--- a/crates/forward/tests/decisions.rs
+++ b/crates/forward/tests/decisions.rs
@@ -142,7 +142,7 @@
     estimate.begin(700.0);
     assert_eq!(estimate.backlog(), 1200.0);
     assert_eq!(estimate.load(now, 3, None), 6.0);
-    estimate.report(now, Report { running: 9, waiting: 1, slots: 64 });
+    estimate.report(now, Report { running: 9, waiting: 1, slots: 64, pace: None });
     assert_eq!(estimate.load(now, 3, None), 10.0);
     estimate.begin(0.0);
     assert_eq!(estimate.load(now, 3, None), 11.0);
--- a/crates/forward/tests/large_fleet.rs
+++ b/crates/forward/tests/large_fleet.rs
@@ -169,10 +169,10 @@
         {
             request.has_reported = true;
             let running = u32::try_from(self.held[request.engine]).unwrap();
-            let report = Report { running, waiting: 0, slots: SLOTS };
+            let report = Report { running, waiting: 0, slots: SLOTS, pace: None };
             self.estimates[request.instance][request.engine].report(now, report);
             let upstream = u32::try_from(request.engine).unwrap();
-            self.gossip[request.instance].observe(now, upstream, running);
+            self.gossip[request.instance].observe(now, upstream, report);
         }
         for request in self.requests.extract_if(.., |request| request.end <= now) {
             self.estimates[request.instance][request.engine].end();
@@ -224,6 +224,7 @@
             is_unresponsive: false,
             limit: NamedLimit::None,
             is_avoided: false,
+            cost: None,
         };
         joined.into_iter().map(|engine| (engine, candidate(engine))).collect()
     }
--- a/crates/forward/tests/load_bound.rs
+++ b/crates/forward/tests/load_bound.rs
@@ -69,7 +69,7 @@
                 let (engine, instance) = (request.engine, request.instance);
                 let running = u32::try_from(self.held(engine)).unwrap();
                 self.requests[index].has_reported = true;
-                let report = Report { running, waiting: 0, slots: 128 };
+                let report = Report { running, waiting: 0, slots: 128, pace: None };
                 self.estimates[instance][engine].report(self.now, report);
             }
         }
@@ -108,6 +108,7 @@
                     is_unresponsive: false,
                     limit: NamedLimit::None,
                     is_avoided: false,
+                    cost: None,
                 }
             })
             .collect();
--- a/crates/forward/tests/load_counter.rs
+++ b/crates/forward/tests/load_counter.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use forward::{
-    LoadCounter, MeanInFlight, NamedLimit, SearchCandidate, SearchConfig, SearchStep, TrackerSearch,
+    LoadCounter, MeanInFlight, NamedLimit, SearchCandidate, SearchConfig, SearchStep,
+    TrackerSearch, UpstreamWork,
 };
 use names::{Instance, Upstream};
 
@@ -29,6 +30,7 @@
         slots: 16,
         estimate: 4.0,
         limit: NamedLimit::None,
+        cost: None,
     };
     (0..count).map(choice).collect()
 }
@@ -44,19 +46,19 @@
 #[test]
 fn a_load_tracker_adds_up_the_newest_report_of_each_instance() {
     let (mut counter, now) = (LoadCounter::default(), Instant::now());
-    counter.report(now, &instance(1), 1, ENGINE, 3);
-    counter.report(now, &instance(2), 1, ENGINE, 4);
-    counter.report(now, &instance(2), 1, ENGINE + 1, 9);
+    counter.report(now, &instance(1), 1, ENGINE, UpstreamWork::of_requests(3));
+    counter.report(now, &instance(2), 1, ENGINE, UpstreamWork::of_requests(4));
+    counter.report(now, &instance(2), 1, ENGINE + 1, UpstreamWork::of_requests(9));
     assert_eq!(counter.requests(now, ENGINE), 7);
-    counter.report(now, &instance(1), 3, ENGINE, 1);
-    counter.report(now, &instance(1), 2, ENGINE, 8);
+    counter.report(now, &instance(1), 3, ENGINE, UpstreamWork::of_requests(1));
+    counter.report(now, &instance(1), 2, ENGINE, UpstreamWork::of_requests(8));
     assert_eq!(counter.requests(now, ENGINE), 5, "an older report arrived late");
 }
 
 #[test]
 fn a_report_that_is_not_repeated_expires() {
     let (mut counter, now) = (LoadCounter::default(), Instant::now());
-    counter.report(now, &instance(1), 1, ENGINE, 3);
+    counter.report(now, &instance(1), 1, ENGINE, UpstreamWork::of_requests(3));
     let after_lost_repeats = now + 3 * forward::COUNT_REPORT_INTERVAL;
     assert_eq!(counter.requests(after_lost_repeats, ENGINE), 3, "two lost repeats change nothing");
     let later = now + Duration::from_secs(4);
@@ -64,7 +66,7 @@
     counter.expire(later);
     // An instance that restarts after its clock was set back uses lower numbers. Its reports are
     // accepted again.
-    counter.report(later, &instance(1), 0, ENGINE, 2);
+    counter.report(later, &instance(1), 0, ENGINE, UpstreamWork::of_requests(2));
     assert_eq!(counter.requests(later, ENGINE), 2);
 }
 
--- a/crates/forward/tests/load_trackers.rs
+++ b/crates/forward/tests/load_trackers.rs
@@ -14,7 +14,7 @@
 
 use forward::{
     COUNT_REPORT_INTERVAL, LoadCounter, MeanInFlight, NamedLimit, SearchCandidate, SearchConfig,
-    SearchStep, TrackerSearch,
+    SearchStep, TrackerSearch, UpstreamWork,
 };
 use names::{Instance, Upstream};
 use rand::{RngExt, SeedableRng};
@@ -286,6 +286,7 @@
             slots: SLOTS,
             estimate: MEAN_LOAD,
             limit: NamedLimit::None,
+            cost: None,
         };
         let search = TrackerSearch::new(
             SEARCH,
@@ -307,7 +308,13 @@
             Event::Ask { from, to, request, engine, number, held } => {
                 if !self.is_affected(to) || self.fault == Fault::Partitioned {
                     let sender = self.names[from].clone();
-                    self.nodes[to].counter.report(now, &sender, number, engine as u32, held);
+                    self.nodes[to].counter.report(
+                        now,
+                        &sender,
+                        number,
+                        engine as u32,
+                        UpstreamWork::of_requests(held),
+                    );
                     let held = self.nodes[to].counter.requests(now, engine as u32);
                     let in_flight = self.nodes[to].own.iter().sum();
                     let answer = Event::Answer { to: from, request, engine, held, in_flight };
@@ -324,7 +331,13 @@
             Event::Report { from, to, engine, number, held } => {
                 if !self.is_affected(to) || self.fault == Fault::Partitioned {
                     let sender = self.names[from].clone();
-                    self.nodes[to].counter.report(now, &sender, number, engine as u32, held);
+                    self.nodes[to].counter.report(
+                        now,
+                        &sender,
+                        number,
+                        engine as u32,
+                        UpstreamWork::of_requests(held),
+                    );
                 }
             }
             Event::AnswerTimeout { request, asked } => {
--- a/crates/forward/tests/policy.rs
+++ b/crates/forward/tests/policy.rs
@@ -17,6 +17,7 @@
         is_unresponsive: false,
         limit: NamedLimit::None,
         is_avoided: false,
+        cost: None,
     }
 }
 
--- a/crates/forward/tests/unresponsive_engine.rs
+++ b/crates/forward/tests/unresponsive_engine.rs
@@ -67,12 +67,13 @@
                 || (engine == BUSY_ENGINE && self.is_engine_unresponsive(now)),
             limit: NamedLimit::None,
             is_avoided: false,
+            cost: None,
         }
     }
 }
 
 fn instances(random: &mut Pcg64Mcg, begin: Instant) -> Vec<Instance> {
-    let report = Report { running: USUAL_LOAD, waiting: 0, slots: SLOTS };
+    let report = Report { running: USUAL_LOAD, waiting: 0, slots: SLOTS, pace: None };
     let instance = |number: usize| {
         let mut estimates = vec![LoadEstimate::default(); ENGINES];
         let is_waiting = number < USUAL_LOAD as usize;
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -13,6 +13,7 @@
 use stakker::{FixedTimerKey, Fwd};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::prompt_costs::PlacementBasis;
 use super::tracker_queries::UpstreamSearch;
 use crate::interface::{AttemptMetadata, RequestMetadata};
 
@@ -116,6 +117,8 @@
     /// Whether the request is the trial of a quarantined key.
     pub(super) is_trial: bool,
     pub(super) running: Option<RunningAttempt>,
+    /// What the last placement was based on, if it depended on costs.
+    pub(super) basis: Option<PlacementBasis>,
     /// Search for the next upstream while load trackers are asked.
     pub(super) search: Option<UpstreamSearch>,
     /// Whether the head of the response was sent to the caller.
@@ -223,6 +226,14 @@
         parts.map_or(0.0, |part| part.tokens as f64)
     }
 
+    /// Returns the number of prompt tokens that other requests may share, which an upstream with the
+    /// context of the request does not process.
+    pub(super) fn shared_tokens(&self) -> f64 {
+        let parts = self.metadata.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.tokens as f64).sum()
+    }
+
     /// Returns the state of the request after an attempt failed with `verdict`.
     /// `is_dangerous` says whether another attempt could crash another upstream.
     pub(super) fn failed_attempt(
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -129,6 +129,7 @@
             is_trial,
             running: None,
             search: None,
+            basis: None,
             is_started: false,
             stream_tracker,
             candidates: 0,
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -38,7 +38,7 @@
         let now = cx.now();
         if !self.may_send_keys(now, index) {
             let tokens = self.requests[index].own_tokens();
-            self.release(now, upstream, tokens);
+            self.release(now, id, upstream, tokens);
             self.refuse_quarantined(cx, id);
             return;
         }
@@ -55,7 +55,7 @@
         {
             // The upstream has asked for no new requests since it was chosen, or the request stays.
             let tokens = self.requests[index].own_tokens();
-            self.release(now, upstream, tokens);
+            self.release(now, id, upstream, tokens);
             if !is_in_progress {
                 self.place(cx, id);
             }
@@ -105,6 +105,9 @@
             cause,
             upstream: upstream.to_string(),
             load,
+            pace: active.basis.map(|basis| basis.work.pace_percent as u64),
+            unread: active.basis.map(|basis| basis.work.unread_tokens as u64),
+            is_moved: active.basis.map(|basis| basis.is_moved),
             heard_ms: millis(now.saturating_duration_since(endpoint.last_heard)),
             candidates: active.candidates,
             left_ms: millis(active.deadline.saturating_duration_since(now)),
--- a/crates/relay/src/forwarder/load_messages.rs
+++ b/crates/relay/src/forwarder/load_messages.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use forward::{LimitReport, Load};
+use forward::{LimitReport, Load, UpstreamWork};
 use names::Instance;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -42,9 +42,14 @@
     LoadQuery(LoadCount),
     /// Answer to a query, with the number of requests of all instances.
     LoadAnswer(LoadCount),
-    /// Reports to a load tracker the number of requests of the sender at upstreams, and the latency
-    /// of one upstream.
-    Report { number: u64, counts: Vec<(u32, u32)>, latency: Option<Latency> },
+    /// Reports to a load tracker the work of the sender at upstreams, and the latency and the pace of
+    /// one upstream.
+    Report {
+        number: u64,
+        counts: Vec<(u32, UpstreamWork)>,
+        latency: Option<Latency>,
+        pace: Option<NamedPace>,
+    },
     /// Rate limits that upstreams named in responses to the sender.
     Limits(Vec<LimitReport>),
 }
@@ -57,13 +62,15 @@
     pub(super) number: u64,
     /// Short hash of the name of the upstream.
     pub(super) upstream: u32,
-    /// Number of requests at the upstream, including the request that the query is for.
-    pub(super) requests: u32,
+    /// Work at the upstream, including the request that the query is for.
+    pub(super) work: UpstreamWork,
     /// Number of requests that the sender has at all upstreams of the service.
     pub(super) in_flight: u32,
     /// Time in microseconds that the upstream takes for an event or a response that is not
     /// streamed, or 0 if unknown.
     pub(super) micros: u32,
+    /// Pace of the upstream in percent, or 0 if unknown.
+    pub(super) pace: u16,
 }
 
 /// Latency of an upstream.
@@ -75,6 +82,15 @@
     pub(super) micros: u32,
 }
 
+/// Pace that an upstream named in an answer to the sender.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct NamedPace {
+    /// Short hash of the name of the upstream.
+    pub(super) upstream: u32,
+    /// Pace in percent.
+    pub(super) percent: u16,
+}
+
 impl Forwarder {
     /// Sends recently reported loads and the unresponsive engines to a few random peers, and
     /// schedules the next exchange.
@@ -131,13 +147,14 @@
             }
             Ok(Message::LoadQuery(count)) => self.answer_load_query(now, delivery.sender, count),
             Ok(Message::LoadAnswer(count)) => self.receive_load_answer(cx, &delivery.sender, count),
-            Ok(Message::Report { number, counts, latency }) => {
-                for (upstream, requests) in counts {
-                    self.load_counter.report(now, &delivery.sender, number, upstream, requests);
+            Ok(Message::Report { number, counts, latency, pace }) => {
+                for (upstream, work) in counts {
+                    self.load_counter.report(now, &delivery.sender, number, upstream, work);
                 }
                 if let Some(Latency { upstream, micros }) = latency {
                     self.latencies.observe(now, upstream, micros);
                 }
+                self.receive_pace(now, pace);
             }
             Ok(Message::Limits(reports)) => {
                 self.table.merge_limits(now, &delivery.sender, &reports);
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod load_messages;
 mod problems;
+mod prompt_costs;
 mod quarantine;
 mod responses;
 mod stalls;
@@ -40,6 +41,7 @@
 use active_request::ActiveRequest;
 use ends::End;
 use load_messages::LIMIT_REPORT_PERIOD;
+use prompt_costs::LowestRanks;
 use stalls::STALL_PERIOD;
 use tracker_queries::{EntryPeer, PendingQuery, UnresponsiveTracker, first_message_number};
 use upstreams::UpstreamTable;
@@ -91,6 +93,7 @@
     readiness: Actor<ReadinessEndpoint>,
     server: Option<Actor<Server>>,
     catalogue: Option<Rc<Catalogue>>,
+    lowest_ranks: LowestRanks,
     table: UpstreamTable,
     /// Requests in progress, sorted by identifier.
     requests: Vec<ActiveRequest>,
@@ -177,6 +180,7 @@
             readiness,
             server: None,
             catalogue: None,
+            lowest_ranks: LowestRanks::default(),
             table,
             requests: Vec::new(),
             attempt_owners: Vec::new(),
@@ -256,6 +260,7 @@
             call!([server], set_bounds(bounds));
         }
         self.metrics.revision.set(i64::try_from(catalogue.number().0).unwrap_or(i64::MAX));
+        self.lowest_ranks = LowestRanks::new(&catalogue);
         self.catalogue = Some(catalogue);
         self.check_ready();
     }
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -65,6 +65,7 @@
             self.table.remove_tokens(&running.upstream, running.tokens);
         }
         self.table.end_request(&running.upstream);
+        self.table.end_prompt(id, &running.upstream);
         self.report_count(cx.now(), &running.upstream);
         Some(running)
     }
@@ -125,8 +126,13 @@
         let (upstream, born, tokens) = (running.upstream.clone(), running.born, running.tokens);
         let is_started = active.is_started;
         self.table.remove_tokens(&upstream, tokens);
+        self.table.record_prompt_read(id, &upstream);
         if let Some(report) = response.load {
             self.table.report(now, &upstream, report);
+            if let Some(pace) = report.pace {
+                self.metrics.relay.observe_pace(pace.percent());
+                self.report_pace(now, &upstream, pace);
+            }
         }
         if !names_request {
             // The response may be a late copy of that to another request.
--- a/crates/relay/src/forwarder/tracker_queries.rs
+++ b/crates/relay/src/forwarder/tracker_queries.rs
@@ -7,13 +7,14 @@
 
 use forward::{
     Affinity, Candidate, NamedLimit, RoutingKey, SearchCandidate, SearchConfig, SearchStep,
-    TrackerSearch, shuffled_order,
+    TrackerSearch, UpstreamWork, shuffled_order,
 };
 use names::{DataCentre, Instance, Service, Upstream};
 use stakker::{CX, FixedTimerKey, at};
 
 use super::Forwarder;
 use super::load_messages::{LoadCount, Message};
+use super::prompt_costs::PlacementBasis;
 use super::upstream_selection::Placement;
 
 /// Time to wait for the answer of a load tracker: several round trips between data centres on a
@@ -74,9 +75,9 @@
 
 /// Result of a query to a load tracker.
 enum TrackerReply {
-    /// Number of requests at the upstream and weight of each request, known because this instance
+    /// Work at the upstream and weight of each request, known because this instance
     /// is the load tracker.
-    Known(u32, f64),
+    Known(UpstreamWork, f64),
     /// The answer of the load tracker is not awaited.
     Unresponsive,
     /// The load tracker was asked, and its answer is awaited.
@@ -100,20 +101,22 @@
 }
 
 impl Forwarder {
-    /// Returns the parameters of the search for an upstream among `candidates`. Returns `None` if
+    /// Returns the parameters of the search of the request at `index` for an upstream among
+    /// `candidates`. Returns `None` if
     /// no load tracker would answer, in which case this instance chooses by the loads that it
     /// knows.
     pub(super) fn plan_search(
         &self,
         now: Instant,
+        index: usize,
         candidates: &[Candidate],
         home: Option<&Upstream>,
         has_engine: bool,
-        routing_key: RoutingKey,
     ) -> Option<(SearchConfig, Vec<SearchCandidate>)> {
         if !forward::is_large_fleet(self.entry_count) {
             return None;
         }
+        let routing_key = self.requests[index].routing_key();
         let mut choices = choices(candidates, has_engine, routing_key);
         let mut config = if has_engine { ENGINE_SEARCH } else { ENGINELESS_SEARCH };
         config.load_bound *= self.settings.direct.load_bound;
@@ -126,6 +129,11 @@
         limited.truncate(MAX_LIMITED_UPSTREAMS);
         config.max_upstreams += limited.len();
         choices.append(&mut limited);
+        if let Some(costs) = self.request_costs(index) {
+            for choice in &mut choices {
+                choice.cost = self.cost_at(now, &costs, &choice.upstream);
+            }
+        }
         let may_answer = |choice: &SearchCandidate| {
             let request_count = self.table.request_count(&choice.upstream);
             let tracker = request_count.and_then(|request_count| {
@@ -206,6 +214,9 @@
         let mut replies = Vec::new();
         for choice in choices {
             self.table.begin_request(now, &choice.upstream, tokens);
+            if let Some(cost) = choice.cost {
+                self.table.begin_prompt(id, &choice.upstream, cost);
+            }
             let reply = self.ask_tracker(now, id, choice);
             replies.push((choice.upstream.clone(), reply));
         }
@@ -218,8 +229,9 @@
         let mut step = SearchStep::Wait;
         for (upstream, reply) in replies {
             step = match reply {
-                TrackerReply::Known(requests, weight) => {
-                    search.tracker_search.on_count(&upstream, requests, weight, mean)
+                TrackerReply::Known(work, weight) => {
+                    search.tracker_search.record_work(&upstream, work, None);
+                    search.tracker_search.on_count(&upstream, work.requests, weight, mean)
                 }
                 TrackerReply::Unresponsive => search.tracker_search.on_no_answer(&upstream, mean),
                 TrackerReply::Pending => SearchStep::Wait,
@@ -239,18 +251,18 @@
         let Some(request_count) = self.table.request_count(&choice.upstream) else {
             return TrackerReply::Unresponsive;
         };
-        let (upstream, requests) = (request_count.short_hash, request_count.requests);
+        let (upstream, work) = (request_count.short_hash, request_count.work);
         let in_flight = self.table.in_flight(request_count.service);
         let tracker = self.tracker(&choice.upstream, request_count.data_centre);
         self.last_message_number += 1;
         let number = self.last_message_number;
         let Some(tracker) = tracker else {
             let me = self.settings.instance.clone();
-            self.load_counter.report(now, &me, number, upstream, requests);
+            self.load_counter.report(now, &me, number, upstream, work);
             let weight = self.weight(now, upstream);
-            return TrackerReply::Known(self.granted_requests(now, upstream), weight);
+            return TrackerReply::Known(self.granted_work(now, upstream), weight);
         };
-        let count = LoadCount { number, upstream, requests, in_flight, micros: 0 };
+        let count = LoadCount { number, upstream, work, in_flight, micros: 0, pace: 0 };
         self.send_loads(vec![tracker.clone()], &Message::LoadQuery(count));
         if self.is_unresponsive(now, &tracker) {
             return TrackerReply::Unresponsive;
@@ -317,8 +329,10 @@
         let mean = self.mean(&service);
         let search = self.active(query.request).and_then(|active| active.search.as_mut());
         if let Some(search) = search {
-            let step =
-                search.tracker_search.on_count(&query.upstream, count.requests, weight, mean);
+            let pace = (count.pace > 0).then(|| f64::from(count.pace));
+            search.tracker_search.record_work(&query.upstream, count.work, pace);
+            let requests = count.work.requests;
+            let step = search.tracker_search.on_count(&query.upstream, requests, weight, mean);
             self.continue_search(cx, query.request, step);
         }
     }
@@ -358,9 +372,13 @@
         cx.timer_del(search.timer);
         self.pending_queries.retain(|query| query.request != id);
         for upstream in search.tracker_search.asked().filter(|upstream| Some(*upstream) != chosen) {
-            self.release(cx.now(), upstream, search.tokens);
+            self.release(cx.now(), id, upstream, search.tokens);
         }
-        chosen.map_or(0.0, |chosen| search.tracker_search.load(chosen))
+        let search = search.tracker_search;
+        let cost = chosen.and_then(|chosen| search.cost(chosen));
+        let is_moved = search.is_moved();
+        self.record_basis(id, cost.map(|cost| PlacementBasis { work: cost.work, is_moved }));
+        chosen.map_or(0.0, |chosen| search.load(chosen))
     }
 
     /// Releases all reservations of a search, because its request ended.
@@ -373,12 +391,19 @@
         cx.timer_del(search.timer);
         self.pending_queries.retain(|query| query.request != id);
         for upstream in search.tracker_search.asked() {
-            self.release(cx.now(), upstream, search.tokens);
+            self.release(cx.now(), id, upstream, search.tokens);
         }
     }
 
     /// Releases the capacity that was reserved for a request at `upstream`.
-    pub(super) fn release(&mut self, now: Instant, upstream: &Upstream, tokens: f64) {
+    pub(super) fn release(
+        &mut self,
+        now: Instant,
+        id: names::Request,
+        upstream: &Upstream,
+        tokens: f64,
+    ) {
+        self.table.end_prompt(id, upstream);
         self.table.remove_tokens(upstream, tokens);
         self.table.end_request(upstream);
         self.report_count(now, upstream);
@@ -399,7 +424,13 @@
         let Candidate { upstream, slots, load, limit, .. } = &candidates[index];
         // Only the load tracker can say whether a rate limit is used up.
         let estimate = if *limit == NamedLimit::None { *load } else { f64::INFINITY };
-        SearchCandidate { upstream: upstream.clone(), slots: *slots, estimate, limit: *limit }
+        SearchCandidate {
+            upstream: upstream.clone(),
+            slots: *slots,
+            estimate,
+            limit: *limit,
+            cost: None,
+        }
     };
     order.into_iter().map(choice).collect()
 }
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -7,6 +7,7 @@
 use stakker::{CX, at};
 use telemetry::Event;
 
+use super::prompt_costs::{PlacementBasis, without_costs};
 use super::{Forwarder, millis, problems};
 
 /// Maximum number of requests per slot of a service without engines.
@@ -66,16 +67,29 @@
         let home = is_any_limited
             .then(|| self.table.home(&self.requests[index].service, routing_key))
             .flatten();
-        if let Some((config, choices)) =
-            self.plan_search(now, &candidates, home, has_engine, routing_key)
+        if let Some((config, choices)) = self.plan_search(now, index, &candidates, home, has_engine)
         {
             return self.begin_search(cx, id, config, choices);
         }
+        let mut candidates = candidates;
+        self.set_costs(now, index, &mut candidates);
+        let has_costs = candidates.iter().any(|candidate| candidate.cost.is_some());
+        let usual = has_costs.then(|| {
+            let candidates = without_costs(&candidates);
+            self.choose_limited(candidates, home, has_engine, routing_key)
+        });
         let chosen = self.choose_limited(candidates, home, has_engine, routing_key);
-        let Some(Candidate { upstream, load, .. }) = &chosen else {
+        let Some(Candidate { upstream, load, cost, .. }) = &chosen else {
             return Placement::Full;
         };
+        let usual = usual.flatten().map(|usual| usual.upstream);
+        let is_moved = usual.is_some_and(|usual| usual != *upstream);
+        let basis = cost.map(|cost| PlacementBasis { work: cost.work, is_moved });
+        self.record_basis(id, basis);
         self.table.begin_request(now, upstream, tokens);
+        if let Some(cost) = cost {
+            self.table.begin_prompt(id, upstream, *cost);
+        }
         self.send(cx, id, upstream, *load);
         Placement::Sent
     }
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -1,6 +1,7 @@
 //! Table of the upstreams that the forwarder knows, with their loads and failures.
 
 mod cordons;
+mod prompt_work;
 mod rate_limits;
 mod request_counts;
 
@@ -10,8 +11,8 @@
 
 use dispatch::OutlierDetector;
 use forward::{
-    Candidate, ContextSource, Cordons, Load, LoadEstimate, LoadGossip, RateLimits, Report,
-    RoutingKey,
+    Candidate, ContextSource, Cordons, Load, LoadEstimate, LoadGossip, Pace, PromptWork,
+    RateLimits, Report, RoutingKey,
 };
 use names::{DataCentre, Instance, Service, Upstream};
 use quarantine::Run;
@@ -65,6 +66,8 @@
     /// Time at which this instance first learned of the run.
     known_since: Instant,
     estimate: LoadEstimate,
+    /// Prompts of this instance there, and the pace that the upstream names.
+    prompt_work: PromptWork,
     /// Whether another upstream answered at the address.
     is_replaced: bool,
     /// Time since which the upstream has requests and has sent nothing.
@@ -146,6 +149,7 @@
                     last_heard: *last_heard,
                     known_since: now,
                     estimate: LoadEstimate::default(),
+                    prompt_work: PromptWork::default(),
                     is_replaced: false,
                     quiet_since: None,
                 },
@@ -263,6 +267,7 @@
                 limit: self.named_limit(now, entry),
                 is_avoided: self.is_unavailable(now, entry)
                     || avoided.contains(&announcement.upstream),
+                cost: None,
             }
         });
         let candidates: Vec<Candidate> = candidates.collect();
@@ -416,8 +421,11 @@
     pub(super) fn report(&mut self, now: Instant, upstream: &Upstream, report: Report) {
         if let Some(entry) = self.entry(upstream) {
             entry.estimate.report(now, report);
+            if let Some(pace) = report.pace {
+                entry.prompt_work.record_pace(now, pace);
+            }
         }
-        self.gossip.observe(now, short_hash(upstream), report.requests());
+        self.gossip.observe(now, short_hash(upstream), report);
     }
 
     /// Returns at most `limit` loads to forward to other instances.
@@ -433,6 +441,9 @@
         let is_reported = |entry: &&mut TableEntry| entry.short_hash == load.upstream;
         if let Some(entry) = self.entries.iter_mut().find(is_reported) {
             entry.estimate.merge_report(at, u32::from(load.requests));
+            if let Some(pace) = Pace::from_percent(load.pace.into()) {
+                entry.prompt_work.record_pace(at, pace);
+            }
         }
     }
 
--- a/crates/relay/src/forwarder/upstreams/request_counts.rs
+++ b/crates/relay/src/forwarder/upstreams/request_counts.rs
@@ -1,5 +1,6 @@
 //! Counts the requests of this instance at upstreams.
 
+use forward::UpstreamWork;
 use names::{DataCentre, Service, Upstream};
 use roster::Announcement;
 
@@ -13,6 +14,8 @@
     pub(in crate::forwarder) data_centre: &'a DataCentre,
     pub(in crate::forwarder) short_hash: u32,
     pub(in crate::forwarder) requests: u32,
+    /// These requests and their prompts, for the load tracker.
+    pub(in crate::forwarder) work: UpstreamWork,
 }
 
 impl UpstreamTable {
@@ -78,6 +81,7 @@
             data_centre,
             short_hash: self.short_hash,
             requests: self.estimate.own(),
+            work: self.upstream_work(),
         }
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -222,6 +222,15 @@
         upstream: String,
         /// Load estimate of the upstream.
         load: f64,
+        /// Pace of the upstream in percent, or none if the upstreams of the service name no pace.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pace: Option<u64>,
+        /// Prompt tokens of other requests that the upstream has not read, or none as for the pace.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        unread: Option<u64>,
+        /// Whether the upstream was chosen for its cost, or none as for the pace.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        is_moved: Option<bool>,
         /// Time since the last announcement of the upstream.
         heard_ms: u64,
         /// Number of candidate upstreams.
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -58,6 +58,9 @@
 const AVOIDANCE_REASONS: [&str; 6] =
     ["failures", "unreachable", "slow", "replaced", "leaving", "asked-to-wait"];
 
+/// Upper limits of the buckets for the pace, in percent. A usual machine has a pace of 100.
+const PACE_BUCKETS: [f64; 8] = [90.0, 110.0, 125.0, 150.0, 200.0, 300.0, 500.0, 1000.0];
+
 type HistogramByKind = Family<KindLabels, Histogram, fn() -> Histogram>;
 
 fn histogram_by_kind() -> HistogramByKind {
@@ -89,6 +92,11 @@
     pub waiting: Gauge,
     /// Number of control instances among the live members.
     pub sources: Gauge,
+    /// Number of prompt tokens that upstreams have not read, of requests of this instance.
+    pub unread_prompt_tokens: Gauge,
+    /// Number of requests that were placed at an upstream for its cost.
+    pub moved_for_cost: Counter,
+    pace: Histogram,
 }
 
 impl RelayMetrics {
@@ -109,6 +117,9 @@
             documents_not_stored: Counter::default(),
             waiting: Gauge::default(),
             sources: Gauge::default(),
+            unread_prompt_tokens: Gauge::default(),
+            moved_for_cost: Counter::default(),
+            pace: Histogram::new(PACE_BUCKETS),
         };
         metrics.initialize();
         let Self { outcomes, attempts, avoided, .. } = &metrics;
@@ -138,6 +149,12 @@
         registry.register("waiting", "Requests that wait for room", metrics.waiting.clone());
         let help = "Control instances that are followed";
         registry.register("followed", help, metrics.sources.clone());
+        let help = "Prompt tokens of requests of this instance that upstreams have not read";
+        registry.register("unread_prompt_tokens", help, metrics.unread_prompt_tokens.clone());
+        let help = "Requests that were sent to an upstream for its cost";
+        registry.register("moved_for_cost", help, metrics.moved_for_cost.clone());
+        let help = "Pace that upstreams named in answers, in percent";
+        registry.register("pace_percent", help, metrics.pace.clone());
         metrics
     }
 
@@ -199,6 +216,11 @@
         }
     }
 
+    /// Records the pace in percent that an upstream named in an answer.
+    pub fn observe_pace(&self, percent: u16) {
+        self.pace.observe(percent.into());
+    }
+
     /// Records the time that connecting to an upstream took.
     pub fn observe_connect(&self, time: Duration) {
         self.connect.observe(time.as_secs_f64());
