Count prompts as unread until the body of the answer begins

Cause: a streamed answer's head may be sent before the prompt is read, and the prompt then counted as read too early. The first byte of the body is the time to the first event that callers measure.

--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -6,7 +6,7 @@
 
 use catalogue::{Repeat, Route};
 use entry::{Reply, Request, Unsent};
-use forward::{EventBoundary, FailedAttempt, RoutingKey, StreamTracker, stall_timeout};
+use forward::{EventBoundary, FailedAttempt, Pace, RoutingKey, StreamTracker, stall_timeout};
 use names::{Attempt, ClientAccount, Service, Upstream};
 use quarantine::{Key, Run};
 use roster::short_hash;
@@ -51,6 +51,8 @@
     pub(super) tokens: f64,
     /// Time of the head of the response.
     pub(super) head_at: Option<Instant>,
+    /// Pace that the upstream named in the head of the response.
+    pub(super) pace: Option<Pace>,
     /// HTTP status of the response, or 0 before the response starts.
     pub(super) status: u16,
     /// Time of the first byte of the body.
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -133,6 +133,7 @@
             started_at: now,
             tokens: active.own_tokens(),
             head_at: None,
+            pace: None,
             status: 0,
             first_byte_at: None,
             parts: 0,
--- a/crates/relay/src/forwarder/prompt_costs.rs
+++ b/crates/relay/src/forwarder/prompt_costs.rs
@@ -99,6 +99,19 @@
         }
     }
 
+    /// Records that the upstream of a request has read its prompt, since the body of the response has
+    /// begun, and tells the load tracker. The head may be sent before the prompt is read.
+    pub(super) fn record_prompt_read(&mut self, now: Instant, id: names::Request) {
+        let Some(running) = self.active(id).and_then(|active| active.running.as_ref()) else {
+            return;
+        };
+        let (upstream, pace) = (running.upstream.clone(), running.pace);
+        self.table.record_prompt_read(id, &upstream);
+        if let Some(pace) = pace {
+            self.report_pace(now, &upstream, pace);
+        }
+    }
+
     /// Sets what the placement of a request was based on, and counts a request that was moved.
     pub(super) fn record_basis(&mut self, id: names::Request, basis: Option<PlacementBasis>) {
         if basis.is_some_and(|basis| basis.is_moved) {
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -123,15 +123,14 @@
         running.head_at = Some(now);
         running.event_due = Some(now + timeout);
         running.status = status;
+        running.pace = response.load.and_then(|report| report.pace);
         let (upstream, born, tokens) = (running.upstream.clone(), running.born, running.tokens);
         let is_started = active.is_started;
         self.table.remove_tokens(&upstream, tokens);
-        self.table.record_prompt_read(id, &upstream);
         if let Some(report) = response.load {
             self.table.report(now, &upstream, report);
             if let Some(pace) = report.pace {
                 self.metrics.relay.observe_pace(pace.percent());
-                self.report_pace(now, &upstream, pace);
             }
         }
         if !names_request {
@@ -294,8 +293,9 @@
         let Some(active) = self.active(id) else {
             return;
         };
-        let mut sample = None;
+        let (mut sample, mut is_first_byte) = (None, false);
         if let Some(running) = &mut active.running {
+            is_first_byte = running.first_byte_at.is_none();
             let first = *running.first_byte_at.get_or_insert(now);
             running.parts += 1;
             running.boundary.push(&part);
@@ -304,6 +304,9 @@
                 sample = Some((running.upstream.clone(), latency));
             }
         }
+        if is_first_byte {
+            self.record_prompt_read(now, id);
+        }
         if let Some((upstream, latency)) = sample {
             self.report_latency(now, &upstream, latency);
         }
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -1,6 +1,7 @@
 //! Table of the upstreams that the forwarder knows, with their loads and failures.
 
 mod cordons;
+mod health;
 mod prompt_work;
 mod rate_limits;
 mod request_counts;
@@ -466,65 +467,6 @@
         entry.is_quiet(now, UNRESPONSIVE_TIMEOUT)
             || self.gossip.is_unresponsive(now, entry.short_hash)
     }
-
-    /// Records that another upstream answered at the address of `upstream`.
-    pub(super) fn record_replaced(&mut self, upstream: &Upstream) {
-        if let Some(entry) = self.entry(upstream) {
-            entry.is_replaced = true;
-            let service = entry.announcement.service.clone();
-            self.log_avoided(&service, upstream, "replaced");
-        }
-    }
-
-    /// Records a successful response.
-    pub(super) fn record_success(&mut self, service: &Service, upstream: &Upstream) {
-        self.health.record_success(service, upstream);
-    }
-
-    /// Records a failure. If `is_lost` is set, the upstream could not be reached and is avoided
-    /// immediately.
-    pub(super) fn record_failure(
-        &mut self,
-        now: Instant,
-        service: &Service,
-        upstream: &Upstream,
-        is_lost: bool,
-    ) {
-        let data_centre = self.entry(upstream).map(|entry| entry.announcement.data_centre.clone());
-        if let Some(data_centre) = data_centre.filter(|_| is_lost) {
-            self.link(&data_centre).last_lost = Some(now);
-        }
-        let health_change = match is_lost {
-            true => self.health.record_unreachable(service, upstream, now),
-            false => self.health.record_failure(service, upstream, now),
-        };
-        if health_change == dispatch::HealthChange::Avoided {
-            let reason = if is_lost { "unreachable" } else { "failures" };
-            self.log_avoided(service, upstream, reason);
-        }
-    }
-
-    /// Records the time that one unit of a response took.
-    pub(super) fn record_latency(
-        &mut self,
-        now: Instant,
-        service: &Service,
-        upstream: &Upstream,
-        latency: Duration,
-    ) {
-        if self.health.record_latency(service, upstream, latency, now)
-            == dispatch::HealthChange::Avoided
-        {
-            self.log_avoided(service, upstream, "slow");
-        }
-    }
-
-    fn log_avoided(&mut self, service: &Service, upstream: &Upstream, reason: &'static str) {
-        let own = self.entry(upstream).map_or(0, |entry| entry.estimate.own());
-        let (upstream, service) = (upstream.to_string(), service.to_string());
-        telemetry::Event::Avoided { upstream, service, reason, own }.write();
-        self.metrics.relay.count_avoided(reason);
-    }
 }
 
 impl TableEntry {
