--- a/crates/forward/tests/uneven_engines.rs
+++ b/crates/forward/tests/uneven_engines.rs
@@ -15,6 +15,7 @@
 
 use test_case::test_case;
 use uneven::{Fleet, Kind, Plan, Rules, Simulation, Summary};
+use xxhash_rust::xxh3::xxh3_64;
 
 fn kind(name: &'static str, rank: u8, shared: f64, own: f64, per_second: f64) -> Kind {
     Kind {
@@ -69,6 +70,13 @@
     now.subsec_millis() < 500
 }
 
+/// Each engine is slow in 15 of 100 half seconds, as in the second deployment with demanding load.
+fn scattered_pace(engine: usize, now: Duration) -> f64 {
+    let half_second = (now.as_millis() / 500) as usize;
+    let draw = xxh3_64(&[engine, half_second].map(usize::to_le_bytes).concat()) % 100;
+    if draw < 15 { 250.0 } else { 100.0 }
+}
+
 /// Result of one simulation.
 struct Played {
     simulation: Simulation,
@@ -174,3 +182,25 @@
     let all: f64 = sent.clone().map(|sent| sent.tokens).sum();
     sent.filter(|sent| sent.engine == 0).map(|sent| sent.tokens).sum::<f64>() / all
 }
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn short_prompts_leave_engines_that_are_slow_at_times(seed: u64) {
+    let second = |rules| {
+        let mut plan = plan(seed, rules);
+        for (kind, per_second) in plan.kinds.iter_mut().zip([18.0, 41.7, 36.3]) {
+            kind.per_second = [per_second; 2];
+        }
+        plan.kinds[0].objective = Duration::from_millis(1000);
+        plan.kinds[1].objective = Duration::from_millis(400);
+        plan.kinds[2].objective = Duration::from_millis(500);
+        plan.pace = scattered_pace;
+        plan
+    };
+    let (costs, usual) = compare(second);
+    assert!(costs.short.late <= 0.002, "{:?}", costs.short);
+    assert!(costs.short.p99 * 2 < usual.short.p99, "{:?} {:?}", costs.short, usual.short);
+    assert!(costs.tags.late <= usual.tags.late, "{:?} {:?}", costs.tags, usual.tags);
+    assert!(costs.long.late <= usual.long.late + 0.005, "{:?} {:?}", costs.long, usual.long);
+}
