--- a/crates/forward/src/policy.rs
+++ b/crates/forward/src/policy.rs
@@ -3,7 +3,7 @@
 use names::Upstream;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{Candidate, NamedLimit, is_large_fleet};
+use crate::{Candidate, NamedLimit, cheapest, is_large_fleet};
 
 /// Properties of a request that determine the choice of its upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -188,16 +188,24 @@
         }
         let is_responsive = |index: &&usize| !candidates[**index].is_unresponsive;
         let responsive = within_bound.iter().filter(is_responsive).take(MAX_ENGINES_TRIED);
-        let mut available: Vec<usize> = responsive
+        let available: Vec<usize> = responsive
             .chain(within_bound.iter().take(MAX_ENGINES_TRIED))
             .filter(|index| candidates[**index].utilisation() < MAX_ENGINE_UTILISATION)
             .copied()
             .collect();
+        let mut preferred = 0;
         if self.uses_two_engines && random % 2 == 1 {
             // Both engines have the context, since the second one fetches it from the first.
-            available = available.split_off(1.min(available.len().saturating_sub(1)));
+            preferred = 1.min(available.len().saturating_sub(1));
         }
-        available.first().map_or(WithinBound::Full, |index| WithinBound::Chosen(*index))
+        let others = (0..available.len()).filter(|other| *other != preferred);
+        let order: Vec<usize> = std::iter::once(preferred)
+            .chain(others)
+            .filter_map(|at| available.get(at).copied())
+            .collect();
+        let costs: Vec<_> = order.iter().map(|index| candidates[*index].cost).collect();
+        let cheapest = order.get(cheapest(&costs)).copied();
+        cheapest.map_or(WithinBound::Full, WithinBound::Chosen)
     }
 }
 
--- a/crates/forward/tests/cold_order.rs
+++ b/crates/forward/tests/cold_order.rs
@@ -29,6 +29,7 @@
         slow_start_share: if limit == NamedLimit::Cold { 0.15 } else { 1.0 },
         is_unresponsive: false,
         limit,
+        cost: None,
         is_avoided: false,
     }
 }
@@ -73,7 +74,13 @@
 }
 
 fn choice(index: usize, limit: NamedLimit) -> SearchCandidate {
-    SearchCandidate { upstream: name(index), slots: SLOTS, estimate: f64::INFINITY, limit }
+    SearchCandidate {
+        upstream: name(index),
+        slots: SLOTS,
+        estimate: f64::INFINITY,
+        limit,
+        cost: None,
+    }
 }
 
 /// Guards against a search that asks about a cold engine first, or together with a warm one.
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -8,6 +8,7 @@
 mod evacuations;
 mod load_messages;
 mod problems;
+mod prompt_costs;
 mod quarantine;
 mod responses;
 mod stalls;
@@ -43,6 +44,7 @@
 use active_request::ActiveRequest;
 use ends::End;
 use load_messages::LIMIT_REPORT_PERIOD;
+use prompt_costs::LowestRanks;
 use stalls::STALL_PERIOD;
 use startup::Arrival;
 use tracker_queries::{EntryPeer, PendingQuery, UnresponsiveTracker, first_message_number};
@@ -95,6 +97,7 @@
     readiness: Actor<ReadinessEndpoint>,
     server: Option<Actor<Server>>,
     catalogue: Option<Rc<Catalogue>>,
+    lowest_ranks: LowestRanks,
     table: UpstreamTable,
     /// Requests in progress, sorted by identifier.
     requests: Vec<ActiveRequest>,
@@ -186,6 +189,7 @@
             readiness,
             server: None,
             catalogue: None,
+            lowest_ranks: LowestRanks::default(),
             table,
             requests: Vec::new(),
             attempt_owners: Vec::new(),
@@ -269,6 +273,7 @@
         }
         self.metrics.revision.set(i64::try_from(catalogue.number().0).unwrap_or(i64::MAX));
         self.table.set_cold_services(&catalogue);
+        self.lowest_ranks = LowestRanks::new(&catalogue);
         self.catalogue = Some(catalogue);
         self.apply_cold(cx.now());
         self.check_ready();
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -3,6 +3,8 @@
 mod cold;
 mod cordons;
 mod evacuations;
+mod health;
+mod prompt_work;
 mod rate_limits;
 mod request_counts;
 
@@ -12,8 +14,8 @@
 
 use dispatch::OutlierDetector;
 use forward::{
-    Candidate, ColdTime, ContextSource, Cordons, Evacuations, Load, LoadEstimate, LoadGossip,
-    RateLimits, Report, RoutingKey,
+    Candidate, ColdTime, ContextSource, Cordons, Evacuations, Load, LoadEstimate, LoadGossip, Pace,
+    PromptWork, RateLimits, Report, RoutingKey,
 };
 use names::{DataCentre, Instance, Service, Upstream};
 use quarantine::Run;
@@ -69,6 +71,8 @@
     /// Time at which this instance first learned of the run.
     known_since: Instant,
     estimate: LoadEstimate,
+    /// Prompts of this instance there, and the pace that the upstream names.
+    prompt_work: PromptWork,
     /// Whether another upstream answered at the address.
     is_replaced: bool,
     /// Time since which the upstream has requests and has sent nothing.
@@ -161,6 +165,7 @@
                     last_heard: *last_heard,
                     known_since: now,
                     estimate: LoadEstimate::default(),
+                    prompt_work: PromptWork::default(),
                     is_replaced: false,
                     quiet_since: None,
                     cold_time: ColdTime::default(),
@@ -286,6 +291,7 @@
                 limit: self.named_limit(now, entry),
                 is_avoided: self.is_unavailable(now, entry)
                     || avoided.contains(&announcement.upstream),
+                cost: None,
             }
         });
         let candidates: Vec<Candidate> = candidates.collect();
@@ -439,8 +445,11 @@
     pub(super) fn report(&mut self, now: Instant, upstream: &Upstream, report: Report) {
         if let Some(entry) = self.entry(upstream) {
             entry.estimate.report(now, report);
+            if let Some(pace) = report.pace {
+                entry.prompt_work.record_pace(now, pace);
+            }
         }
-        self.gossip.observe(now, short_hash(upstream), report.requests());
+        self.gossip.observe(now, short_hash(upstream), report);
     }
 
     /// Returns at most `limit` loads to forward to other instances.
@@ -456,6 +465,9 @@
         let is_reported = |entry: &&mut TableEntry| entry.short_hash == load.upstream;
         if let Some(entry) = self.entries.iter_mut().find(is_reported) {
             entry.estimate.merge_report(at, u32::from(load.requests));
+            if let Some(pace) = Pace::from_percent(load.pace.into()) {
+                entry.prompt_work.record_pace(at, pace);
+            }
         }
     }
 
@@ -478,65 +490,6 @@
         entry.is_quiet(now, UNRESPONSIVE_TIMEOUT)
             || self.gossip.is_unresponsive(now, entry.short_hash)
     }
-
-    /// Records that another upstream answered at the address of `upstream`.
-    pub(super) fn record_replaced(&mut self, upstream: &Upstream) {
-        if let Some(entry) = self.entry(upstream) {
-            entry.is_replaced = true;
-            let service = entry.announcement.service.clone();
-            self.log_avoided(&service, upstream, "replaced");
-        }
-    }
-
-    /// Records a successful response.
-    pub(super) fn record_success(&mut self, service: &Service, upstream: &Upstream) {
-        self.health.record_success(service, upstream);
-    }
-
-    /// Records a failure. If `is_lost` is set, the upstream could not be reached and is avoided
-    /// immediately.
-    pub(super) fn record_failure(
-        &mut self,
-        now: Instant,
-        service: &Service,
-        upstream: &Upstream,
-        is_lost: bool,
-    ) {
-        let data_centre = self.entry(upstream).map(|entry| entry.announcement.data_centre.clone());
-        if let Some(data_centre) = data_centre.filter(|_| is_lost) {
-            self.link(&data_centre).last_lost = Some(now);
-        }
-        let health_change = match is_lost {
-            true => self.health.record_unreachable(service, upstream, now),
-            false => self.health.record_failure(service, upstream, now),
-        };
-        if health_change == dispatch::HealthChange::Avoided {
-            let reason = if is_lost { "unreachable" } else { "failures" };
-            self.log_avoided(service, upstream, reason);
-        }
-    }
-
-    /// Records the time that one unit of a response took.
-    pub(super) fn record_latency(
-        &mut self,
-        now: Instant,
-        service: &Service,
-        upstream: &Upstream,
-        latency: Duration,
-    ) {
-        if self.health.record_latency(service, upstream, latency, now)
-            == dispatch::HealthChange::Avoided
-        {
-            self.log_avoided(service, upstream, "slow");
-        }
-    }
-
-    fn log_avoided(&mut self, service: &Service, upstream: &Upstream, reason: &'static str) {
-        let own = self.entry(upstream).map_or(0, |entry| entry.estimate.own());
-        let (upstream, service) = (upstream.to_string(), service.to_string());
-        telemetry::Event::Avoided { upstream, service, reason, own }.write();
-        self.metrics.relay.count_avoided(reason);
-    }
 }
 
 impl TableEntry {
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -67,6 +67,8 @@
 /// Outcomes of evacuation orders, which are the values of the label `outcome`.
 const ORDER_OUTCOMES: [&str; 5] =
     ["acknowledged", "not-stored", "superseded", "too-many", "no-quorum"];
+/// Upper limits of the buckets for the pace, in percent. A usual machine has a pace of 100.
+const PACE_BUCKETS: [f64; 8] = [90.0, 110.0, 125.0, 150.0, 200.0, 300.0, 500.0, 1000.0];
 
 type HistogramByKind = Family<KindLabels, Histogram, fn() -> Histogram>;
 
@@ -112,6 +114,11 @@
     pub cold_granted: Counter,
     /// Number of requests that a cold upstream has no allowance for, as this instance decided.
     pub cold_denied: Counter,
+    /// Number of prompt tokens that upstreams have not read, of requests of this instance.
+    pub unread_prompt_tokens: Gauge,
+    /// Number of requests that were placed at an upstream for its cost.
+    pub moved_for_cost: Counter,
+    pace: Histogram,
 }
 
 impl RelayMetrics {
@@ -139,6 +146,9 @@
             cold_upstreams: Gauge::default(),
             cold_granted: Counter::default(),
             cold_denied: Counter::default(),
+            unread_prompt_tokens: Gauge::default(),
+            moved_for_cost: Counter::default(),
+            pace: Histogram::new(PACE_BUCKETS),
         };
         metrics.initialize();
         let Self { outcomes, attempts, avoided, .. } = &metrics;
@@ -183,6 +193,12 @@
         registry.register("cold_granted", help, metrics.cold_granted.clone());
         let help = "Requests denied for cold upstreams";
         registry.register("cold_denied", help, metrics.cold_denied.clone());
+        let help = "Prompt tokens of requests of this instance that upstreams have not read";
+        registry.register("unread_prompt_tokens", help, metrics.unread_prompt_tokens.clone());
+        let help = "Requests that were sent to an upstream for its cost";
+        registry.register("moved_for_cost", help, metrics.moved_for_cost.clone());
+        let help = "Pace that upstreams named in answers, in percent";
+        registry.register("pace_percent", help, metrics.pace.clone());
         metrics
     }
 
@@ -254,6 +270,11 @@
         }
     }
 
+    /// Records the pace in percent that an upstream named in an answer.
+    pub fn observe_pace(&self, percent: u16) {
+        self.pace.observe(percent.into());
+    }
+
     /// Records the time that connecting to an upstream took.
     pub fn observe_connect(&self, time: Duration) {
         self.connect.observe(time.as_secs_f64());
