Test that an evacuation refuses the requests that wait for its upstreams

No test covered requests that are queued when the only upstream of their service is evacuated: they could wait until their time in the queue is over, or be sent. 40 requests now wait for an upstream that answers none; those that were not sent are refused as `evacuated`.

--- a/tests/platform_evacuation.rs
+++ b/tests/platform_evacuation.rs
@@ -304,6 +304,41 @@
     assert!(arrived.iter().all(|request| request.request != "late"), "{arrived:?}");
 }
 
+/// Guards against queued requests that wait on, or are sent, although the only upstream of their
+/// service was evacuated in the meantime.
+#[test]
+fn an_evacuation_refuses_the_requests_that_wait_for_an_evacuated_upstream() {
+    let mut document = document(7);
+    // Requests wait for an eighth of the objective, 3 s, and run for 6 s at most.
+    document["routes"][3]["objective-ms"] = 24_000.into();
+    let machines = start_machines(&document, |_| {});
+    let seeds = machines.seeds();
+    let worker = Worker::start_in(EVACUATED, "shop-1", "shop", seeds.clone());
+    worker.set_behaviour(Behaviour::Silent);
+    wait_until_known(&machines, &["shop-1".to_string()]);
+    machines.wait_ready(7);
+    let entry = &machines.entries[0];
+    let ids: Vec<String> = (0..40).map(|number| format!("waiting-{number}")).collect();
+    let (answers, arrived) = std::thread::scope(|scope| {
+        let call = |id: &String| call(entry, "GET", "/albums/1", id).unwrap();
+        let calls: Vec<_> = ids.iter().map(|id| scope.spawn(move || call(id))).collect();
+        wait_for("requests at the upstream", || (!worker.arrivals().is_empty()).then_some(()));
+        std::thread::sleep(Duration::from_millis(500));
+        let arrived = worker.arrivals().len();
+        order_until_acknowledged(&seeds, "POST");
+        let answers = calls.into_iter().map(|call| call.join().unwrap());
+        (answers.collect::<Vec<HttpResponse>>(), arrived)
+    });
+    assert!(arrived < ids.len(), "no request had to wait");
+    assert_eq!(worker.arrivals().len(), arrived, "requests that were sent after the order");
+    let refused = answers.iter().filter(|answer| answer.status == 503);
+    assert!(refused.clone().all(|answer| answer.headers.contains_key("retry-after")));
+    assert_eq!(refused.count(), ids.len() - arrived, "{answers:?}");
+    let refusals = entry.events("refused");
+    let evacuated = refusals.iter().filter(|event| event["reason"] == "evacuated").count();
+    assert_eq!(evacuated, ids.len() - arrived, "{refusals:?}");
+}
+
 /// Guards against an order that is lost, or refused when it is repeated, because the leader died
 /// before it was acknowledged.
 #[test]
