Treat an answer with an invalid status as a failure of its upstream

Cause: the reader of answers took any three digits as a status, and skipped 101 as an interim status, although no request asks for another protocol.

What callers saw: a 000, 099, 600 or 999 of an upstream was passed on as its answer, at both interfaces, and the final answer behind a 101 as well.

Final statuses are now 200 to 599, and interim ones 100 to 199 except 101. All else is a malformed answer: 502, the request may have run, and another attempt where the route allows one. All calls to upstreams and engines read with this parser, so that health, orders and moves of context follow it.

--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -221,10 +221,18 @@
         let is_http_1_1 = response.version == Some(1);
         let headers = convert_headers(response.headers)?;
         self.buffer.drain(..length);
-        if (100..200).contains(&status) {
-            self.interim_heads += 1;
-            let exceeds_limit = self.interim_heads > MAX_INTERIM_HEADS;
-            return if exceeds_limit { Err(ResponseError::Malformed) } else { Ok(Step::Continue) };
+        match status {
+            // No request asks to switch protocols.
+            101 => return Err(ResponseError::Malformed),
+            100..=199 if self.interim_heads >= MAX_INTERIM_HEADS => {
+                return Err(ResponseError::Malformed);
+            }
+            100..=199 => {
+                self.interim_heads += 1;
+                return Ok(Step::Continue);
+            }
+            200..=599 => {}
+            _ => return Err(ResponseError::Malformed),
         }
         self.read_connection_headers(is_http_1_1, &headers);
         let differs = |echo: &CorrelationHeader| {
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -133,6 +133,40 @@
     assert_eq!(parse(bytes, 512, false, false).error, Some(ResponseError::Malformed));
 }
 
+/// Guards against a status that no HTTP response may have and that reaches the caller as an answer.
+#[test_case("000")]
+#[test_case("099")]
+#[test_case("101"; "101, for which no request asks")]
+#[test_case("600")]
+#[test_case("999")]
+fn a_response_with_an_invalid_status_is_malformed(status: &str) {
+    for framing in ["content-length: 5\r\n\r\nhello", "\r\nhello"] {
+        let head = format!("HTTP/1.1 {status} Odd\r\nx-id: mine\r\n");
+        let parsed = parse(&format!("{head}{framing}"), 512, true, false);
+        assert_eq!(parsed.error, Some(ResponseError::Malformed), "{framing:?}: {parsed:?}");
+        assert!(parsed.statuses.is_empty() && !parsed.has_ended, "{framing:?}: {parsed:?}");
+        let parsed = parse(&format!("{head}\r\n{FIXED_LENGTH}"), 512, true, false);
+        assert_eq!(parsed.error, Some(ResponseError::Malformed), "as interim head: {parsed:?}");
+    }
+}
+
+#[test_case("200" => vec![200]; "lowest final status")]
+#[test_case("599" => vec![599]; "highest final status")]
+#[test_case("100" => vec![200]; "lowest interim status")]
+#[test_case("102" => vec![200]; "interim status after 101")]
+#[test_case("199" => vec![200]; "highest interim status")]
+fn a_response_with_a_status_at_the_end_of_the_valid_range_is_read(status: &str) -> Vec<u16> {
+    let first = FIXED_LENGTH.replace("200", status);
+    let (head, _) = first.split_once("\r\n").unwrap();
+    let text = match status.starts_with('1') {
+        true => format!("{head}\r\n\r\n{FIXED_LENGTH}"),
+        false => first.clone(),
+    };
+    let parsed = parse(&text, 512, true, false);
+    assert!(parsed.has_ended && parsed.error.is_none(), "{parsed:?}");
+    parsed.statuses
+}
+
 #[test]
 fn the_announced_keep_alive_timeout_is_read() {
     let mut reader = ResponseReader::new(None, false);
