Take no unframed answer for complete before its request is sent

What callers saw, shown by tests: an upstream answered a request of 3 MB before it had read it, with neither a length nor chunks, closed its side of the connection and reset it 50 ms later. The part that had arrived was passed on as a complete answer, at the users' interface on all routes, at the own one for a chat that is JSON by itself.

Cause: the end of the stream came before the reset and hides it from reads, and the write error (a broken pipe) was passed over on purpose. The operating system also took the whole 3 MB, so that the client counted the request as written. The first suspicion, a write that takes the error of a reset without a close before it, holds no longer: mended it, and all cases of resets and of closes with unread bytes passed before this change.

Now any error of the connection, in a write or in its readiness, spoils an unframed answer, and one that ends while a part of the request is left ends only once that is sent. An upstream that closes its side and reads on is served as before. TCP_NOTSENT_LOWAT of 256 KiB makes unread requests visible.

Changed test: a_response_that_ends_with_the_connection_has_not_failed_although_the_request_is_not_read expected an end for a request that is never read and a connection that is reset, which is the fault. Two tests replace it: that case is a failure now, and the same answer is an end if the upstream reads the rest.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -1,6 +1,5 @@
 //! Actor for one connection to an upstream.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -20,6 +19,11 @@
 /// Largest number of bytes in one read.
 const READ_BYTES: usize = 4096;
 
+/// Largest number of bytes of a request that the operating system takes while the upstream has no
+/// room for them. A request whose rest is larger counts as not completely written, also where the
+/// buffers of the operating system could hold it. Smaller values cost more writes.
+const MAX_UNSENT_BYTES: u32 = 256 << 10;
+
 /// Largest number of bytes of a discarded response that are read to keep the connection reusable.
 /// Beyond this limit a new connection is cheaper.
 const MAX_DISCARDED_BYTES: usize = 256 << 10;
@@ -76,8 +80,13 @@
     is_paused: bool,
     /// Whether the upstream has closed its side of the connection.
     is_read_closed: bool,
-    /// Whether a reset was seen while sending. Later reads see only an end of the stream.
-    is_reset: bool,
+    /// Whether the connection has failed in either direction. A read may see only a proper end of
+    /// the stream nevertheless: a write takes the error of the socket, and an end of the stream
+    /// that arrived before a reset hides it.
+    has_failed: bool,
+    /// Whether the upstream has ended a response without a length or chunks, while the request is
+    /// still being sent.
+    has_closed_early: bool,
     connect_timer: FixedTimerKey,
     response_timer: FixedTimerKey,
 }
@@ -85,6 +94,7 @@
 fn open_stream(address: SocketAddr, dead_peer_timeout: Duration) -> std::io::Result<TcpStream> {
     let stream = TcpStream::connect(address)?;
     eventloop::set_dead_peer_timeout(&stream, dead_peer_timeout)?;
+    eventloop::limit_unsent_bytes(&stream, MAX_UNSENT_BYTES)?;
     Ok(stream)
 }
 
@@ -135,7 +145,8 @@
             unconsumed_bytes: 0,
             is_paused: false,
             is_read_closed: false,
-            is_reset: false,
+            has_failed: false,
+            has_closed_early: false,
             connect_timer: FixedTimerKey::default(),
             response_timer: FixedTimerKey::default(),
         })
@@ -212,6 +223,7 @@
                 call!([self.client], report_connected(time));
             }
         }
+        self.has_failed |= ready.is_error();
         if ready.is_writable() && self.job.is_some() && !self.flush(cx) {
             return;
         }
@@ -227,10 +239,13 @@
         let flushed = self.stream.flush();
         self.sent += unsent_before - self.stream.out.len();
         match flushed {
-            // The upstream may have sent a response before it closed the connection.
-            Err(error) if self.sent > 0 => {
-                // A broken pipe is a reset after the upstream has closed its side properly.
-                self.is_reset |= error.kind() != ErrorKind::BrokenPipe;
+            Err(error) if self.has_closed_early => {
+                self.fail(cx, &format!("the rest of the request could not be sent: {error}"));
+                false
+            }
+            // The upstream may have sent a response before the connection failed.
+            Err(_) if self.sent > 0 => {
+                self.has_failed = true;
                 true
             }
             Err(error) => {
@@ -240,6 +255,9 @@
             Ok(()) => {
                 if self.has_response && self.stream.out.is_empty() {
                     self.end_job(cx);
+                } else if self.has_closed_early && self.stream.out.is_empty() {
+                    self.end_with_connection(cx);
+                    return false;
                 }
                 true
             }
@@ -340,22 +358,31 @@
         }
     }
 
-    /// Handles the end of the stream, which ends a response without a length or chunks.
+    /// Handles the end of the stream, which ends a response without a length or chunks. Such a
+    /// response is complete only if the whole request is sent: an upstream that has closed its side
+    /// may read on, or break the connection off.
     fn handle_end_of_stream(&mut self, cx: CX![]) {
         let Some(job) = &mut self.job else {
             self.mark_broken(cx);
             return;
         };
-        let may_be_complete = !self.has_response && !self.is_reset && job.reader.close().is_ok();
-        if may_be_complete {
-            self.report(Progress::Closed);
-            self.finish(cx);
-            stop!(cx);
-        } else {
+        let may_be_complete = !self.has_response && !self.has_failed && job.reader.close().is_ok();
+        if !may_be_complete {
             self.fail(cx, "the connection was closed before the answer was complete");
+        } else if self.stream.out.is_empty() {
+            self.end_with_connection(cx);
+        } else {
+            self.has_closed_early = true;
         }
     }
 
+    /// Ends the call whose response has ended with the connection.
+    fn end_with_connection(&mut self, cx: CX![]) {
+        self.report(Progress::Closed);
+        self.finish(cx);
+        stop!(cx);
+    }
+
     /// Removes this idle connection from the pool of the client. [`Connection::start`] hands back a
     /// request that the client has already assigned to this connection.
     fn mark_broken(&mut self, _: CX![]) {
--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -180,9 +180,11 @@
     }
 }
 
+/// Guards against a part of a response that is taken for a whole one, since its upstream closes its
+/// side properly before the unread rest of the request resets the connection.
 #[test_case(0; "at once")]
 #[test_case(100; "later")]
-fn a_response_that_ends_with_the_connection_has_not_failed_although_the_request_is_not_read(
+fn a_response_without_length_that_is_closed_and_then_reset_while_the_request_is_sent_is_a_failure(
     pause: u64,
 ) {
     for _ in 0..20 {
@@ -194,7 +196,30 @@
         let (client, events) = start_client();
         let body = vec![b'x'; 16 << 20];
         client.start(Call { body, ..call(1, address, ConnectionReuse::Never) });
+        let Progress::Failed { verdict, .. } = last_progress(&events) else {
+            panic!("the response was accepted as complete although its connection failed");
+        };
+        assert_eq!(verdict, Verdict::MayHaveRun);
+    }
+}
+
+/// Guards against a whole response that counts as failed because its upstream reads the request only
+/// after it has closed its side of the connection.
+#[test_case(0; "at once")]
+#[test_case(100; "later")]
+fn a_response_that_ends_before_the_rest_of_the_request_is_read_has_not_failed(pause: u64) {
+    for _ in 0..20 {
+        let (address, upstream) = upstream(move |mut stream| {
+            write!(stream, "HTTP/1.1 200 OK\r\n\r\nten bytes.").unwrap();
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+            std::thread::sleep(Duration::from_millis(pause));
+            std::io::copy(&mut stream, &mut std::io::sink()).unwrap()
+        });
+        let (client, events) = start_client();
+        let body = vec![b'x'; 16 << 20];
+        client.start(Call { body, ..call(1, address, ConnectionReuse::Never) });
         assert_eq!(last_progress(&events), Progress::Closed);
+        assert!(upstream.join().unwrap() > 15 << 20, "the request was not sent to its end");
     }
 }
 
--- a/tests/support/script.rs
+++ b/tests/support/script.rs
@@ -33,6 +33,13 @@
     Crash,
     /// As `Crash`, and all of its connections are reset.
     CrashWithResets,
+    /// The upstream closes its side of the connection properly, and resets the connection later.
+    CloseThenReset,
+    /// The upstream closes its side of the connection properly, and reads on until the instance
+    /// closes it as well.
+    CloseThenRead,
+    /// The upstream reads what the instance still sends, and closes the connection properly.
+    ReadThenClose,
 }
 
 /// Answer to one request.
@@ -68,6 +75,12 @@
     std::iter::from_fn(connect).collect()
 }
 
+/// Reads and drops bytes until the peer sends none for a while, or closes the connection.
+pub fn read_rest(stream: &mut TcpStream, pause: Duration) {
+    stream.set_read_timeout(Some(pause)).unwrap();
+    let _ = std::io::copy(stream, &mut std::io::sink());
+}
+
 /// Makes the connection send a reset when it is closed.
 pub fn reset_on_close(stream: &TcpStream) {
     socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -34,6 +34,9 @@
 /// Interval between bytes of an endless answer after its beginning.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time without any bytes after which an upstream has read the rest of a request.
+const READ_REST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Interval between bytes of an upstream whose stream has stalled.
 const STALL_BYTE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -54,6 +57,8 @@
     EventsEvery(u64),
     /// Sends all events like [`Behaviour::EventsEvery`], without having read the body of the request.
     UnreadEventsEvery(u64),
+    /// Answers each request without having read its body. Only scripts tell what happens to the rest.
+    Unread,
     /// Sends nothing for a while after this many events of one response, or before the answer of a
     /// service without engines, and then goes on.
     Pause(usize),
@@ -401,7 +406,7 @@
     }
     let length = headers.get("content-length").map_or(0, |length| length.parse().unwrap());
     let mut body = vec![0; length];
-    if !matches!(behaviour, Behaviour::UnreadEventsEvery(_)) {
+    if !matches!(behaviour, Behaviour::UnreadEventsEvery(_) | Behaviour::Unread) {
         reader.read_exact(&mut body)?;
     }
     let path = start_line.split(' ').nth(1).unwrap_or_default().to_string();
@@ -531,6 +536,16 @@
     match script.end {
         End::Close | End::CloseAndHang => {}
         End::Reset => reset_on_close(writer),
+        End::CloseThenReset => {
+            writer.shutdown(Shutdown::Write)?;
+            std::thread::sleep(script::PAUSE);
+            reset_on_close(writer);
+        }
+        End::CloseThenRead => {
+            writer.shutdown(Shutdown::Write)?;
+            script::read_rest(writer, READ_REST_TIMEOUT);
+        }
+        End::ReadThenClose => script::read_rest(writer, READ_REST_TIMEOUT),
         End::Crash | End::CrashWithResets => {
             shared.is_stopped.store(true, Ordering::Relaxed);
             while !shared.is_listener_closed.load(Ordering::Relaxed) {
