Limit the bytes of requests in flight at one upstream

What callers and operators saw: nothing limited the bytes that an instance sent to an upstream, only the number of requests and connections. An upstream that holds more requests than its memory ends, with all answers that it had begun.

The new setting direct.upstream_bytes, 64 MiB, limits the bodies and heads that one instance has in flight at one run of an upstream. Beyond it another upstream is chosen, or the request waits in the queue as when all are full; smaller requests behind it may go first. A single request above the limit is sent while the upstream has no other one of the instance. The decision is pure (forward::RequestBytes). The log line bytes-limited, turmericrelay_bytes_limited_total and turmericrelay_upstream_request_bytes show it. The slow reader of a whole answer counts no longer than its upstream sends.

Ruled out while the test was made: a stand-in that held a request for ever after its answer was ended by the requests of others, which says nothing about the instance.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 //!   instance that counts the requests at an upstream in a [`LoadCounter`] and averages its latency
 //!   in [`Latencies`].
 //! - [`Cordons`] remember the upstreams that want no new requests.
+//! - [`RequestBytes`] limit the bytes of requests that an upstream has to hold.
 //! - [`find_context_source()`] names an engine that has a context in its cache.
 //! - A [`WaitQueue`] is the queue of requests that wait for an upstream.
 //! - [`FailedAttempt`] decides what follows a failed or silent attempt, and [`RetryWindow`] limits
@@ -30,6 +31,7 @@
 mod load_gossip;
 mod policy;
 mod rate_limit;
+mod request_bytes;
 mod request_rate;
 mod retry;
 mod retry_window;
@@ -51,6 +53,7 @@
     Affinity, LeastLoad, Policy, RoutingKey, home, shuffled_order, without_limited_strangers,
 };
 pub use rate_limit::{LimitChange, LimitReport, RateLimits};
+pub use request_bytes::RequestBytes;
 pub use request_rate::{InvalidRate, RequestRate};
 pub use retry::{FailedAttempt, RetryDecision, SilenceDecision};
 pub use retry_window::{RetryAllowance, RetryWindow};
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -46,6 +46,8 @@
     /// Evidence that no earlier attempt of the request has run.
     pub(super) unsent: Option<Unsent>,
     pub(super) started_at: Instant,
+    /// Number of bytes of the request.
+    pub(super) size: u64,
     /// Number of prompt tokens that the upstream probably has to process.
     pub(super) tokens: f64,
     /// Time of the head of the response.
@@ -125,6 +127,8 @@
     pub(super) candidates: usize,
     /// Number of these upstreams that were avoided.
     pub(super) unusable: usize,
+    /// Whether an upstream was left out at the last placement because it has too many bytes.
+    pub(super) lacks_room: bool,
     pub(super) timer: FixedTimerKey,
 }
 
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -133,6 +133,7 @@
             stream_tracker,
             candidates: 0,
             unusable: 0,
+            lacks_room: false,
             timer: FixedTimerKey::default(),
         })
     }
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -50,10 +50,13 @@
             return;
         };
         let is_in_progress = self.requests[index].running.is_some();
+        let size = self.requests[index].size();
         if self.table.is_cordoned(now, upstream)
+            || !self.has_room(upstream, size)
             || (is_in_progress && !self.leave_silent_upstream(cx, id))
         {
-            // The upstream has asked for no new requests since it was chosen, or the request stays.
+            // Since the upstream was chosen, it has asked for no new requests or got too many bytes,
+            // or the request stays.
             let tokens = self.requests[index].own_tokens();
             self.release(now, upstream, tokens);
             if !is_in_progress {
@@ -70,6 +73,7 @@
             (self.connection_limit(&self.requests[index]), self.catalogue_number());
         let attempt = Attempt(rand::rng().random());
         self.table.count_sent(now, upstream, endpoint.born);
+        self.count_bytes(upstream, endpoint.born, size);
         let active = &mut self.requests[index];
         let metadata = active.attempt_metadata(now, upstream.clone(), source);
         let first_sent_at = active.record_sent(now, endpoint.address);
@@ -128,6 +132,7 @@
             born: endpoint.born,
             unsent: active.unsent.take(),
             started_at: now,
+            size,
             tokens: active.own_tokens(),
             head_at: None,
             status: 0,
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -7,6 +7,7 @@
 mod load_messages;
 mod problems;
 mod quarantine;
+mod request_bytes;
 mod responses;
 mod stalls;
 mod tracker_queries;
@@ -22,8 +23,8 @@
 use dispatch::{CallEvent, Client, KeepAlive, Verdict};
 use entry::{Event, Problem, Reply, Server};
 use forward::{
-    ContextHolders, Grace, Latencies, LoadCounter, MeanInFlight, RetryAllowance, RetryWindow,
-    Shutdown, WaitQueue,
+    ContextHolders, Grace, Latencies, LoadCounter, MeanInFlight, RequestBytes, RetryAllowance,
+    RetryWindow, Shutdown, WaitQueue,
 };
 use instance::{Quarantine, View};
 use names::{Attempt, Service};
@@ -92,6 +93,8 @@
     server: Option<Actor<Server>>,
     catalogue: Option<Rc<Catalogue>>,
     table: UpstreamTable,
+    /// Bytes of requests in flight at upstreams.
+    request_bytes: RequestBytes,
     /// Requests in progress, sorted by identifier.
     requests: Vec<ActiveRequest>,
     /// Requests of the attempts in progress, sorted by attempt.
@@ -168,6 +171,7 @@
             direct.announce_period.as_duration(),
             metrics.clone(),
         );
+        let request_bytes = RequestBytes::new(direct.upstream_bytes.as_bytes() as u64);
         Some(Self {
             settings,
             interface,
@@ -178,6 +182,7 @@
             server: None,
             catalogue: None,
             table,
+            request_bytes,
             requests: Vec::new(),
             attempt_owners: Vec::new(),
             service_traffic: Vec::new(),
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -65,6 +65,7 @@
             self.table.remove_tokens(&running.upstream, running.tokens);
         }
         self.table.end_request(&running.upstream);
+        self.release_bytes(&running);
         self.report_count(cx.now(), &running.upstream);
         Some(running)
     }
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -124,6 +124,7 @@
             let count = self.table.request_count(&other.upstream);
             count.is_none_or(|count| (count.requests as usize) < connections)
         });
+        self.retain_with_room(index, &mut candidates);
         candidates
     }
 
@@ -254,6 +255,10 @@
                 return;
             }
             if self.try_send(cx, id) == Placement::Full {
+                if self.active(id).is_some_and(|active| active.lacks_room) {
+                    // A smaller request may have room.
+                    continue;
+                }
                 return;
             }
             self.traffic(service).queue.remove(&id);
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -1,7 +1,7 @@
 //! Settings of entry instances that choose upstreams themselves, without permits of owners.
 
 use serde::{Deserialize, Serialize};
-use units::Span;
+use units::{Size, Span};
 
 /// Retry, load and link settings of entry instances that choose upstreams themselves.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -17,6 +17,9 @@
     pub announce_period: Span,
     /// Maximum load of an upstream, as a multiple of the mean load.
     pub load_bound: f64,
+    /// Maximum bytes of requests, bodies and heads, that this instance has in flight at one upstream.
+    /// A single request above it is sent while the upstream has no other one.
+    pub upstream_bytes: Size,
     /// Bandwidth of the link of this instance, in megabits per second. Documents use a share of it.
     pub link_megabits: f64,
 }
@@ -33,6 +36,7 @@
             repeat_window: Span::from_seconds(10),
             announce_period: Span::from_seconds(1),
             load_bound: 2.0,
+            upstream_bytes: Size::from_kibibytes(64 << 10),
             link_megabits: DEFAULT_LINK_MEGABITS_PER_SECOND,
         }
     }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -153,6 +153,18 @@
         /// Number of requests of this instance in flight at the upstream.
         own: u32,
     },
+    /// An upstream has too many bytes of requests of this instance in flight for another request.
+    /// Written once until the upstream has none.
+    BytesLimited {
+        /// Name of the upstream.
+        upstream: String,
+        /// Number of bytes in flight at the upstream.
+        bytes: u64,
+        /// Limit of this number.
+        limit: u64,
+        /// Size of the request in bytes.
+        size: u64,
+    },
     /// An upstream named a rate limit in a response, changed it, or names none any more.
     RateLimit {
         /// Name of the upstream.
@@ -338,6 +350,7 @@
         match self {
             Self::Lost { .. }
             | Self::Avoided { .. }
+            | Self::BytesLimited { .. }
             | Self::Refused { .. }
             | Self::Failed { .. }
             | Self::BrokenOff { .. }
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -87,6 +87,10 @@
     pub documents_not_stored: Counter,
     /// Number of requests that wait for an upstream with free capacity.
     pub waiting: Gauge,
+    /// Number of placements in which an upstream was left out because of its bytes in flight.
+    pub bytes_limited: Counter,
+    /// Bytes of requests in flight at the upstream that has most.
+    pub upstream_bytes: Gauge,
     /// Number of control instances among the live members.
     pub sources: Gauge,
 }
@@ -108,6 +112,8 @@
             document_stored: latency_histogram(),
             documents_not_stored: Counter::default(),
             waiting: Gauge::default(),
+            bytes_limited: Counter::default(),
+            upstream_bytes: Gauge::default(),
             sources: Gauge::default(),
         };
         metrics.initialize();
@@ -136,6 +142,10 @@
         let help = "Committed documents that were not stored in time";
         registry.register("documents_not_stored", help, metrics.documents_not_stored.clone());
         registry.register("waiting", "Requests that wait for room", metrics.waiting.clone());
+        let help = "Placements that left out an upstream because of its bytes in flight";
+        registry.register("bytes_limited", help, metrics.bytes_limited.clone());
+        let help = "Most bytes of requests in flight at one upstream";
+        registry.register("upstream_request_bytes", help, metrics.upstream_bytes.clone());
         let help = "Control instances that are followed";
         registry.register("followed", help, metrics.sources.clone());
         metrics
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -45,6 +45,8 @@
     pub data_centre: String,
     /// Interval in milliseconds at which the instance expects announcements of upstreams.
     pub announce_period_millis: u64,
+    /// Value of `direct.upstream_bytes`, if it is not the default.
+    pub upstream_bytes: Option<&'static str>,
     /// Number of lost disks that the instance has to survive.
     pub losses_borne: usize,
     folder: PathBuf,
@@ -162,6 +164,9 @@
             true => format!("data_folder: \"{}\"\n", self.folder.join("data").display()),
             false => String::new(),
         };
+        let upstream_bytes = self
+            .upstream_bytes
+            .map_or(String::new(), |bytes| format!("  upstream_bytes: {bytes}\n"));
         let text = format!(
             "instance: \"{ip}\"\ndata_centre: {}\nroles: [{role}]\n\
              listen:\n  callers: \"{listen}:{CALLERS_PORT}\"\n  \
@@ -171,7 +176,7 @@
              {folder}seeds: [{}]\n\
              first_start: {is_first_start}\nlosses_borne: {}\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
-             direct:\n  announce_period: {}ms\n",
+             direct:\n  announce_period: {}ms\n{upstream_bytes}",
             self.data_centre,
             seeds.join(", "),
             self.losses_borne,
@@ -236,6 +241,7 @@
             is_control: number < FIRST_ENTRY_NUMBER,
             data_centre: "giza".to_string(),
             announce_period_millis: ANNOUNCE_PERIOD_MILLIS,
+            upstream_bytes: None,
             losses_borne: 1,
             folder,
             process: None,
