--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 //! - An [`EngineCost`] compares engines by the prompts that they have not read yet and by their pace,
 //!   where upstreams name one.
 //! - [`Cordons`] remember the upstreams that want no new requests.
+//! - [`RequestBytes`] limit the bytes of requests that an upstream has to hold.
 //! - [`find_context_source()`] names an engine that has a context in its cache.
 //! - A [`WaitQueue`] is the queue of requests that wait for an upstream.
 //! - [`FailedAttempt`] decides what follows a failed or silent attempt, and [`RetryWindow`] limits
@@ -39,6 +40,7 @@
 mod policy;
 mod prompt_cost;
 mod rate_limit;
+mod request_bytes;
 mod request_rate;
 mod retry;
 mod retry_window;
@@ -66,6 +68,7 @@
 };
 pub use prompt_cost::{CachedContext, EngineCost, EngineWork, PromptSize, PromptWork, cheapest};
 pub use rate_limit::{LimitChange, LimitReport, RateLimits};
+pub use request_bytes::RequestBytes;
 pub use request_rate::{InvalidRate, RequestRate};
 pub use retry::{FailedAttempt, RetryDecision, SilenceDecision};
 pub use retry_window::{RetryAllowance, RetryWindow};
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -10,6 +10,7 @@
 mod problems;
 mod prompt_costs;
 mod quarantine;
+mod request_bytes;
 mod responses;
 mod stalls;
 mod startup;
@@ -26,8 +27,8 @@
 use dispatch::{CallEvent, Client, KeepAlive, Verdict};
 use entry::{Event, Problem, Reply, Server};
 use forward::{
-    ContextHolders, Grace, Latencies, LoadCounter, MeanInFlight, RetryAllowance, RetryWindow,
-    Shutdown, StartupQueue, WaitQueue,
+    ContextHolders, Grace, Latencies, LoadCounter, MeanInFlight, RequestBytes, RetryAllowance,
+    RetryWindow, Shutdown, StartupQueue, WaitQueue,
 };
 use instance::{Quarantine, View};
 use names::{Attempt, Service};
@@ -99,6 +100,8 @@
     catalogue: Option<Rc<Catalogue>>,
     lowest_ranks: LowestRanks,
     table: UpstreamTable,
+    /// Bytes of requests in flight at upstreams.
+    request_bytes: RequestBytes,
     /// Requests in progress, sorted by identifier.
     requests: Vec<ActiveRequest>,
     /// Requests of the attempts in progress, sorted by attempt.
@@ -180,6 +183,7 @@
             ColdBounds::new(direct),
         );
         let startup = StartupQueue::new(cx.now() + direct.startup_wait.as_duration());
+        let request_bytes = RequestBytes::new(direct.upstream_bytes.as_bytes() as u64);
         Some(Self {
             settings,
             interface,
@@ -191,6 +195,7 @@
             catalogue: None,
             lowest_ranks: LowestRanks::default(),
             table,
+            request_bytes,
             requests: Vec::new(),
             attempt_owners: Vec::new(),
             service_traffic: Vec::new(),
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -66,6 +66,7 @@
         }
         self.table.end_request(&running.upstream);
         self.table.end_prompt(id, &running.upstream);
+        self.release_bytes(&running);
         self.report_count(cx.now(), &running.upstream);
         Some(running)
     }
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -140,6 +140,7 @@
             let count = self.table.request_count(&other.upstream);
             count.is_none_or(|count| (count.requests as usize) < connections)
         });
+        self.retain_with_room(index, &mut candidates);
         candidates
     }
 
@@ -281,8 +282,11 @@
                 return;
             }
             if self.try_send(cx, id) == Placement::Full {
-                if self.find(id).is_ok_and(|index| self.gives_way(index)) {
-                    // A shorter prompt may take the allowance of a cold upstream.
+                let gives_way = self.find(id).is_ok_and(|index| self.gives_way(index));
+                let lacks_room = self.active(id).is_some_and(|active| active.lacks_room);
+                if gives_way || lacks_room {
+                    // A shorter prompt may take the allowance of a cold upstream, and a smaller
+                    // request may have room.
                     continue;
                 }
                 return;
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -1,7 +1,7 @@
 //! Settings of entry instances that choose upstreams themselves, without permits of owners.
 
 use serde::{Deserialize, Serialize};
-use units::Span;
+use units::{Size, Span};
 
 /// Retry, load and link settings of entry instances that choose upstreams themselves.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -24,6 +24,9 @@
     /// Number of requests by which the arrivals at a cold upstream in a second may exceed that.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub cold_slack: Option<f64>,
+    /// Maximum bytes of requests, bodies and heads, that this instance has in flight at one upstream.
+    /// A single request above it is sent while the upstream has no other one.
+    pub upstream_bytes: Size,
     /// Bandwidth of the link of this instance, in megabits per second. Documents use a share of it.
     pub link_megabits: f64,
     /// Time after the start of an instance within which requests wait until the instance can serve
@@ -45,6 +48,7 @@
             load_bound: 2.0,
             cold_excess: None,
             cold_slack: None,
+            upstream_bytes: Size::from_kibibytes(64 << 10),
             link_megabits: DEFAULT_LINK_MEGABITS_PER_SECOND,
             startup_wait: Span::from_millis(0),
         }
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -106,6 +106,10 @@
     pub waiting: Gauge,
     /// Number of requests that waited for the end of the startup of this instance.
     pub startup_waits: Counter,
+    /// Number of placements in which an upstream was left out because of its bytes in flight.
+    pub bytes_limited: Counter,
+    /// Bytes of requests in flight at the upstream that has most.
+    pub upstream_bytes: Gauge,
     /// Number of control instances among the live members.
     pub sources: Gauge,
     /// Number of upstreams that are cold, as far as this instance knows.
@@ -142,6 +146,8 @@
             evacuation_stored: latency_histogram(),
             waiting: Gauge::default(),
             startup_waits: Counter::default(),
+            bytes_limited: Counter::default(),
+            upstream_bytes: Gauge::default(),
             sources: Gauge::default(),
             cold_upstreams: Gauge::default(),
             cold_granted: Counter::default(),
@@ -185,6 +191,10 @@
         registry.register("waiting", "Requests that wait for room", metrics.waiting.clone());
         let help = "Requests that waited for the end of the startup";
         registry.register("startup_waits", help, metrics.startup_waits.clone());
+        let help = "Placements that left out an upstream because of its bytes in flight";
+        registry.register("bytes_limited", help, metrics.bytes_limited.clone());
+        let help = "Most bytes of requests in flight at one upstream";
+        registry.register("upstream_request_bytes", help, metrics.upstream_bytes.clone());
         let help = "Control instances that are followed";
         registry.register("followed", help, metrics.sources.clone());
         let help = "Upstreams that are cold";
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -45,6 +45,8 @@
     pub data_centre: String,
     /// Interval in milliseconds at which the instance expects announcements of upstreams.
     pub announce_period_millis: u64,
+    /// Value of `direct.upstream_bytes`, if it is not the default.
+    pub upstream_bytes: Option<&'static str>,
     /// Number of lost disks that the instance has to survive.
     pub losses_borne: usize,
     /// Bounds on the requests to cold upstreams: excess and slack.
@@ -169,6 +171,9 @@
         let cold_bounds = self.cold_bounds.map_or(String::new(), |(excess, slack)| {
             format!("  cold_excess: {excess}\n  cold_slack: {slack}\n")
         });
+        let upstream_bytes = self
+            .upstream_bytes
+            .map_or(String::new(), |bytes| format!("  upstream_bytes: {bytes}\n"));
         let text = format!(
             "instance: \"{ip}\"\ndata_centre: {}\nroles: [{role}]\n\
              listen:\n  callers: \"{listen}:{CALLERS_PORT}\"\n  \
@@ -178,7 +183,7 @@
              {folder}seeds: [{}]\n\
              first_start: {is_first_start}\nlosses_borne: {}\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
-             direct:\n  announce_period: {}ms\n  startup_wait: {}ms\n{cold_bounds}",
+             direct:\n  announce_period: {}ms\n  startup_wait: {}ms\n{cold_bounds}{upstream_bytes}",
             self.data_centre,
             seeds.join(", "),
             self.losses_borne,
@@ -244,6 +249,7 @@
             is_control: number < FIRST_ENTRY_NUMBER,
             data_centre: "giza".to_string(),
             announce_period_millis: ANNOUNCE_PERIOD_MILLIS,
+            upstream_bytes: None,
             losses_borne: 1,
             cold_bounds: None,
             startup_wait_millis: 0,
