--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod cold_upstreams;
 mod ends;
+mod evacuations;
 mod load_messages;
 mod problems;
 mod quarantine;
--- a/crates/relay/src/forwarder/upstreams.rs
+++ b/crates/relay/src/forwarder/upstreams.rs
@@ -2,6 +2,7 @@
 
 mod cold;
 mod cordons;
+mod evacuations;
 mod rate_limits;
 mod request_counts;
 
@@ -11,8 +12,8 @@
 
 use dispatch::OutlierDetector;
 use forward::{
-    Candidate, ColdTime, ContextSource, Cordons, Load, LoadEstimate, LoadGossip, RateLimits,
-    Report, RoutingKey,
+    Candidate, ColdTime, ContextSource, Cordons, Evacuations, Load, LoadEstimate, LoadGossip,
+    RateLimits, Report, RoutingKey,
 };
 use names::{DataCentre, Instance, Service, Upstream};
 use quarantine::Run;
@@ -90,6 +91,8 @@
     gossip: LoadGossip,
     /// Upstreams that want no new requests.
     cordons: Cordons,
+    /// Data centres whose upstreams get no new requests.
+    evacuations: Evacuations,
     rate_limits: RateLimits,
     /// What is declared about cold upstreams.
     cold_services: ColdServices,
@@ -125,6 +128,7 @@
             metrics,
             gossip: LoadGossip::default(),
             cordons: Cordons::default(),
+            evacuations: Evacuations::default(),
             rate_limits: RateLimits::new(me),
             cold_services: ColdServices::new(cold_bounds),
         }
@@ -134,6 +138,7 @@
     /// use.
     pub(super) fn update(&mut self, now: Instant, list: &UpstreamList) -> Vec<SocketAddr> {
         self.last_report = list.last_report;
+        self.evacuations.update(now, &list.evacuated);
         let mut previous = std::mem::take(&mut self.entries);
         for KnownUpstream { announcement, last_heard, cold_until } in &list.upstreams {
             let index = previous.iter().position(|entry| {
@@ -163,6 +168,9 @@
                 },
             };
             entry.cold_time.set_announced(*cold_until);
+            if let Some(ended_at) = self.evacuations.ended_at(&announcement.data_centre) {
+                entry.cold_time.end_evacuation(ended_at);
+            }
             self.entries.push(entry);
         }
         let entries = &self.entries;
@@ -185,9 +193,11 @@
         self.entries.iter().filter(|entry| self.is_ready(entry)).count()
     }
 
-    /// Returns the number of addresses at which upstreams of `service` run or ran recently.
+    /// Returns the number of addresses at which upstreams of `service` run or ran recently, without
+    /// those of evacuated data centres.
     pub(super) fn address_count(&self, service: &Service) -> usize {
         let of_service = self.entries.iter().filter(|entry| entry.announcement.service == *service);
+        let of_service = of_service.filter(|entry| !self.is_evacuated(entry));
         let mut addresses: Vec<SocketAddr> =
             of_service.map(|entry| entry.announcement.address).collect();
         addresses.sort();
@@ -271,7 +281,7 @@
                 backlog: entry.estimate.backlog(),
                 is_unresponsive: is_large_fleet && self.is_unresponsive(now, entry),
                 slow_start_share: forward::slow_start_share(
-                    now.saturating_duration_since(entry.known_since),
+                    now.saturating_duration_since(self.slow_start_since(entry)),
                 ),
                 limit: self.named_limit(now, entry),
                 is_avoided: self.is_unavailable(now, entry)
@@ -334,12 +344,12 @@
     }
 
     /// Returns the address of the run of `upstream` that started at `born`, unless the run is
-    /// leaving or has left.
+    /// leaving or has left. The run may be in an evacuated data centre.
     pub(super) fn expected_address(&self, upstream: &Upstream, born: u64) -> Option<SocketAddr> {
         let is_run = |entry: &&TableEntry| {
             entry.announcement.upstream == *upstream && entry.announcement.born == born
         };
-        let entry = self.entries.iter().filter(|entry| self.is_ready(entry)).find(is_run);
+        let entry = self.entries.iter().filter(|entry| self.is_in_service(entry)).find(is_run);
         entry.map(|entry| entry.announcement.address)
     }
 
--- a/crates/relay/src/forwarder/upstreams/cold.rs
+++ b/crates/relay/src/forwarder/upstreams/cold.rs
@@ -78,20 +78,6 @@
         self.cold_services.services = catalogue.services().iter().filter_map(limits).collect();
     }
 
-    /// Makes the upstreams of a data centre whose evacuation ends at `now` count as cold, until they
-    /// have had the time to announce that they are not.
-    #[expect(dead_code, reason = "the forwarder does not know of evacuations yet")]
-    pub(in crate::forwarder) fn mark_cold_after_evacuation(
-        &mut self,
-        now: Instant,
-        data_centre: &DataCentre,
-    ) {
-        let entries = self.entries.iter_mut();
-        for entry in entries.filter(|entry| entry.announcement.data_centre == *data_centre) {
-            entry.cold_time.end_evacuation(now);
-        }
-    }
-
     /// Returns the upstreams that are cold or have an allowance.
     pub(in crate::forwarder) fn cold_upstreams(&self, now: Instant) -> Vec<ColdUpstream> {
         if self.cold_services.services.is_empty() {
