--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -382,7 +382,8 @@
         cold_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()));
     let body = json!({
         "service": shared.service, "address": shared.address.to_string(),
-        "zone": shared.data_centre, "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": cold.as_millis() as u64, "seq": sequence,
+        "zone": shared.data_centre, "version": "v1", "slots": 8, "state": state,
+        "cold-remaining-ms": cold.as_millis() as u64, "seq": sequence,
         "born": shared.started_at_millis,
     });
     (sequence, body.to_string())
