--- a/crates/forward/src/cold_time.rs
+++ b/crates/forward/src/cold_time.rs
@@ -20,10 +20,10 @@
         self.announced_until = until;
     }
 
-    /// Records that the evacuation of the data centre of the upstream ended at `now`. Nothing was
+    /// Records that the evacuation of the data centre of the upstream ended at `at`. Nothing was
     /// sent to the upstream before, so that it may be cold whatever it announced.
-    pub fn end_evacuation(&mut self, now: Instant) {
-        self.evacuation_ended = Some(now);
+    pub fn end_evacuation(&mut self, at: Instant) {
+        self.evacuation_ended = Some(at);
     }
 
     /// Returns the time until which the upstream is cold, if it is cold at `now`. Upstreams of the
--- a/tests/platform_cold_engines.rs
+++ b/tests/platform_cold_engines.rs
@@ -15,7 +15,7 @@
 use support::machines::{Machine, Machines, document};
 use support::platform_calls::call_with_prompt;
 use support::wait_for;
-use support::worker::{Behaviour, Worker};
+use support::worker::{Behaviour, Worker, send_request};
 use test_case::test_case;
 
 const PER_SECOND: f64 = 7.9;
@@ -30,6 +30,12 @@
 /// forwarded and read.
 const NEWS: Duration = Duration::from_secs(1);
 
+/// Data centre that is evacuated.
+const EVACUATED: &str = "delta";
+
+/// Time after an evacuation in which no instance can know of a later announcement for sure.
+const AFTER_EVACUATION: Duration = Duration::from_millis(1400);
+
 const CALLERS: usize = 32;
 
 /// Returns the greatest number of requests that arrived within a second from `start` to `end`.
@@ -192,6 +198,44 @@
     assert!(most > 0, "no request");
 }
 
+/// Sends an order about the evacuation of [`EVACUATED`] until it is acknowledged.
+fn order(machines: &Machines, method: &str) {
+    let path = format!("/v1/evacuation/{EVACUATED}");
+    let mut seeds = machines.seeds().into_iter().cycle();
+    wait_for("acknowledgement of an order", || {
+        let answer = send_request(seeds.next()?, method, &path, &[], "").ok()?;
+        (answer.status == 200).then_some(())
+    });
+}
+
+/// Guards against a burst at engines that got no requests while their data centre was evacuated, and
+/// may have become cold meanwhile.
+#[test_case(6; "small fleet")]
+#[test_case(18; "large fleet")]
+fn an_engine_is_cold_after_the_evacuation_of_its_data_centre(entries: u8) {
+    let deployment = Deployment::start(entries, true);
+    let machines = &deployment.machines;
+    let back = Worker::start_in(EVACUATED, "i-back", "engines", machines.seeds());
+    let _traffic = Traffic::start(&deployment.callers());
+    wait_for("requests at an engine", || (back.arrivals().len() > 40).then_some(()));
+    order(machines, "POST");
+    wait_for("the end of the requests at an evacuated engine", || {
+        let last = back.arrivals().last().copied()?;
+        (last.elapsed() > Duration::from_secs(1)).then_some(())
+    });
+    let start = Instant::now();
+    order(machines, "DELETE");
+    let end = Instant::now() + AFTER_EVACUATION;
+    std::thread::sleep(AFTER_EVACUATION);
+    let most = most_in_a_second(&back.arrivals(), start, end);
+    println!("{entries} instances: most {most} after an evacuation");
+    assert!(most <= BOUND, "{most} requests in a second after an evacuation");
+    // The engine announces that it is not cold.
+    wait_for("more requests at an engine that is warm", || {
+        (most_in_a_second(&back.arrivals(), end, Instant::now()) > BOUND).then_some(())
+    });
+}
+
 /// Guards against an allowance that applies where the settings name no bounds.
 #[test]
 fn without_bounds_in_the_settings_a_cold_engine_is_like_any_other() {
