Test processes under crowds of callers that do not behave

Callers that nobody controls end processes, which run out of memory (docs/design/demanding-load.md, part 3). They check that the process lives, that its peak memory grows by at most two thirds of that (the rest is for the program itself), how many descriptors it opens, and that an ordinary request is answered while the connections of the crowd are still open. They check no times and no share of served requests.

The new setting `limits.memory` has no effect yet; the tests need it so that they fail for the fault and not for an unknown field. `Process::start` also takes another build of the program from TURMERICRELAY_PROGRAM, as platform fleets did.

--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -75,6 +75,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
+    /// Memory of the machine that the process may use. A fixed part of it is the budget for the
+    /// bytes that are held for callers, operators and upstreams.
+    pub memory: Size,
     /// Maximum size of the request line and the headers together.
     pub head: Size,
     /// Maximum size of a request body.
@@ -99,6 +102,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            memory: Size::from_kibibytes(1024 * 1024),
             head: Size::from_kibibytes(16),
             body: Size::from_kibibytes(4096),
             incoming: Size::from_kibibytes(32 * 1024),
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -47,6 +47,8 @@
     pub announce_period_millis: u64,
     /// Number of lost disks that the instance has to survive.
     pub losses_borne: usize,
+    /// Lines that are appended to the settings file.
+    pub extra_settings: String,
     folder: PathBuf,
     pub process: Option<Process>,
 }
@@ -86,6 +88,10 @@
         self.listen_address(METRICS_PORT)
     }
 
+    pub fn readiness(&self) -> SocketAddr {
+        self.listen_address(READY_PORT)
+    }
+
     pub fn is_ready(&self) -> bool {
         send_request(self.listen_address(READY_PORT), "GET", "/v1/readiness", &[], "")
             .is_ok_and(|answer| answer.status == 200)
@@ -171,11 +177,12 @@
              {folder}seeds: [{}]\n\
              first_start: {is_first_start}\nlosses_borne: {}\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
-             direct:\n  announce_period: {}ms\n",
+             direct:\n  announce_period: {}ms\n{}",
             self.data_centre,
             seeds.join(", "),
             self.losses_borne,
-            self.announce_period_millis
+            self.announce_period_millis,
+            self.extra_settings
         );
         std::fs::write(self.settings(), text).unwrap();
     }
@@ -237,6 +244,7 @@
             data_centre: "giza".to_string(),
             announce_period_millis: ANNOUNCE_PERIOD_MILLIS,
             losses_borne: 1,
+            extra_settings: String::new(),
             folder,
             process: None,
         }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,7 @@
 mod client;
 pub mod crashes;
 mod fleet;
+pub mod hostile;
 mod http;
 mod load;
 pub mod machines;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -18,9 +18,9 @@
 /// Environment variable that names another build of the program to test.
 const PROGRAM_VARIABLE: &str = "TURMERICRELAY_PROGRAM";
 
-/// Returns the path of the program that platform fleets run: [`PROGRAM`], unless
-/// [`PROGRAM_VARIABLE`] names another build.
-fn platform_program() -> String {
+/// Returns the path of the program that fleets run: [`PROGRAM`], unless [`PROGRAM_VARIABLE`] names
+/// another build.
+fn program() -> String {
     std::env::var(PROGRAM_VARIABLE).unwrap_or_else(|_| PROGRAM.to_string())
 }
 
@@ -96,7 +96,7 @@
     /// Starts the program with a piped standard output and with standard error written to `log`.
     pub fn start(arguments: &[String], log: PathBuf) -> Self {
         let child = spawn(
-            Command::new(PROGRAM)
+            Command::new(program())
                 .args(arguments)
                 .stdout(Stdio::piped())
                 .stderr(File::create(&log).unwrap()),
@@ -113,7 +113,7 @@
     ) -> Self {
         let output = File::options().create(true).append(true).open(&log).unwrap();
         let errors = output.try_clone().unwrap();
-        let mut command = Command::new(platform_program());
+        let mut command = Command::new(program());
         command.args(arguments).env(name, value).stdout(output).stderr(errors);
         Self { child: spawn(&mut command), log }
     }
