--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -15,6 +15,7 @@
 use crate::collector::{Collection, Collector};
 use crate::framing::{Framing, append_framed};
 use crate::head::{Head, Header, ParseOutcome};
+use crate::memory::{Hold, Room, SMALL_BYTES};
 use crate::output_budget::{OutputBudget, OutputReservation};
 use crate::reply::{append_last_chunk, append_start, append_start_unframed, append_whole};
 use crate::server::{Bounds, SOCKET_PRIORITY};
@@ -37,8 +38,19 @@
 /// Maximum number of bytes that are read and dropped before a connection closes.
 const MAX_DROPPED_BYTES: usize = 1 << 20;
 
-/// Size, in bytes, up to which an empty output buffer keeps its memory for the next answer.
-const KEPT_OUTPUT_BYTES: usize = 64 << 10;
+/// Size, in bytes, up to which an empty buffer for input or output keeps its memory.
+const KEPT_BUFFER_BYTES: usize = 4 << 10;
+
+/// Memory, in bytes, that is reserved for each open connection: the buffer of the socket, of two
+/// reads, the kept buffers, and the actor.
+pub(crate) const CONNECTION_BYTES: usize = 2 * READ_BYTES + 2 * KEPT_BUFFER_BYTES;
+
+/// Memory, in bytes, that is reserved for a request beside its head and body.
+const REQUEST_BYTES: usize = 2 << 10;
+
+/// Number of copies of a head that exist while the request is handled: its fields and the head for
+/// the upstream.
+const HEAD_COPIES: usize = 2;
 
 /// Budgets of the server, of which each connection reserves a part.
 #[derive(Clone)]
@@ -49,9 +61,20 @@
     pub(crate) output: OutputBudget,
 }
 
+/// Memory that is reserved for a connection.
+pub(crate) struct Holds {
+    /// Reserved while the connection is open.
+    pub(crate) buffers: Hold,
+    /// For the request that is being received.
+    pub(crate) input: Hold,
+    /// For unsent output.
+    pub(crate) output: Hold,
+}
+
 /// State of the connection.
 enum Phase {
-    /// Waiting for a request or receiving one.
+    /// Waiting for a request or receiving one. After an answer, the next request is not read before
+    /// all output is sent.
     Receiving { body: Option<(Head, Body)> },
     /// Waiting for the handler's answer or sending it.
     Answering {
@@ -84,6 +107,12 @@
     form: Rc<dyn Form>,
     /// Bytes of the request that is being received.
     input: Reservation,
+    /// Memory for the request that is being received.
+    hold: Hold,
+    /// Whether the body is not read because the memory of the process has no room for it.
+    is_waiting: bool,
+    /// Reserved while the connection is open.
+    _buffers: Hold,
     /// Bytes of the answer that the caller has not read.
     output: OutputReservation,
     handler: Fwd<Event>,
@@ -100,7 +129,7 @@
         stream: TcpStream,
         bounds: Rc<Cell<Bounds>>,
         form: Rc<dyn Form>,
-        budgets: Budgets,
+        (budgets, holds): (Budgets, Holds),
         handler: Fwd<Event>,
     ) -> Option<Self> {
         let displaced = fwd_to!([cx], displaced() as (()));
@@ -130,7 +159,10 @@
             bounds,
             form,
             input: budgets.input.reservation(),
-            output: budgets.output.reservation(displaced),
+            hold: holds.input,
+            is_waiting: false,
+            _buffers: holds.buffers,
+            output: budgets.output.reservation(holds.output, displaced),
             handler,
             timer,
             linger_until: cx.now(),
@@ -193,7 +225,11 @@
             return;
         }
         match self.phase {
+            Phase::Receiving { body: None } if !self.stream.out.is_empty() => {
+                self.abort(cx, "unread");
+            }
             Phase::Receiving { .. } if self.is_idle() => self.close(cx),
+            Phase::Receiving { .. } if self.is_waiting => self.refuse_without_memory(cx),
             Phase::Receiving { .. } => {
                 let message = "the request did not arrive in time; send it whole at once";
                 self.refuse(
@@ -234,13 +270,13 @@
                     let bytes = &self.stream.inp[self.stream.rd..self.stream.wr];
                     self.received.extend_from_slice(bytes);
                     self.stream.rd = self.stream.wr;
-                    if self.input.resize(self.received.len()) {
+                    if self.reserve_input() {
                         self.receive(cx);
-                        self.input.resize(self.received.len());
+                        self.release_input();
                     } else if matches!(self.phase, Phase::Answering { .. }) {
                         self.drop_next_request();
                     } else {
-                        self.refuse(cx, overloaded());
+                        self.refuse_without_memory(cx);
                     }
                 }
                 ReadStatus::WouldBlock => return,
@@ -255,6 +291,63 @@
         }
     }
 
+    /// Returns the number of bytes of the body that have arrived, and the number of bytes of memory
+    /// that the request in progress needs.
+    fn input_bytes(&self) -> (usize, usize) {
+        match &self.phase {
+            Phase::Receiving { body: Some((head, body)) } => {
+                let bytes = body.needed_bytes() * self.bounds.get().body_copies;
+                (body.collected_bytes(), bytes + head.length * HEAD_COPIES + REQUEST_BYTES)
+            }
+            _ => (0, 0),
+        }
+    }
+
+    /// Reserves the bytes that were read. Returns false if there is no room for them.
+    fn reserve_input(&mut self) -> bool {
+        let (collected, needed) = self.input_bytes();
+        self.input.resize(self.received.len() + collected)
+            && (self.received.is_empty() && needed == 0
+                || self.hold.resize(needed.max(self.received.len())))
+    }
+
+    /// Returns the memory of input that is no longer needed.
+    fn release_input(&mut self) {
+        let (collected, needed) = self.input_bytes();
+        self.input.resize(self.received.len() + collected);
+        self.hold.force(needed.max(self.received.len()));
+        if self.received.is_empty() && self.received.capacity() > KEPT_BUFFER_BYTES {
+            self.received = Vec::new();
+        }
+    }
+
+    /// Refuses the request that is being received because the process has no memory for it.
+    fn refuse_without_memory(&mut self, cx: CX![]) {
+        self.refuse_for(cx, "memory", overloaded());
+    }
+
+    /// Repeats the reservation of a request for which the process had no memory.
+    fn make_room(&mut self, cx: CX![], (): ()) {
+        if !self.is_waiting {
+            return;
+        }
+        let (_, needed) = self.input_bytes();
+        match self.hold.retry(needed) {
+            Room::Waiting => {}
+            Room::Refused => {
+                self.is_waiting = false;
+                self.refuse_without_memory(cx);
+            }
+            Room::Reserved => {
+                self.is_waiting = false;
+                self.begin_body(cx);
+                self.receive(cx);
+                self.release_input();
+                self.read(cx);
+            }
+        }
+    }
+
     /// Drops the bytes that were read from a connection that closes.
     fn drop_read(&mut self, cx: CX![]) {
         let dropped = self.stream.wr - self.stream.rd;
@@ -268,8 +361,9 @@
     /// Drops the bytes after the current request. The connection closes after the answer in
     /// progress, so that the caller knows that the next request was not read.
     fn drop_next_request(&mut self) {
-        self.received.clear();
+        self.received = Vec::new();
         self.input.resize(0);
+        self.hold.force(0);
         self.is_draining = true;
         if let Phase::Answering { keeps_alive, .. } = &mut self.phase {
             *keeps_alive = false;
@@ -280,7 +374,8 @@
     /// received the answer to its current request.
     fn can_read(&self) -> bool {
         match self.phase {
-            Phase::Receiving { .. } => true,
+            Phase::Receiving { body: None } => self.stream.out.is_empty(),
+            Phase::Receiving { .. } => !self.is_waiting,
             Phase::Answering { .. } => self.received.len() < self.bounds.get().head_bytes,
             Phase::Closing | Phase::Lingering => self.droppable_bytes > 0,
             Phase::Closed => false,
@@ -307,8 +402,6 @@
             return;
         }
         self.phase = Phase::Lingering;
-        self.received = Vec::new();
-        self.input.resize(0);
         self.set_deadline(cx, self.linger_until);
         self.read(cx);
     }
@@ -324,6 +417,9 @@
         let Phase::Receiving { body: Some((_, body)) } = &mut self.phase else {
             return;
         };
+        if self.is_waiting {
+            return;
+        }
         match body.read(&mut self.received, self.bounds.get().body_bytes) {
             BodyOutcome::Partial => {}
             BodyOutcome::Complete(bytes) => self.forward_request(cx, bytes),
@@ -341,14 +437,47 @@
             }
             ParseOutcome::Complete(head) => {
                 self.received.drain(..head.length);
-                if head.expects_continue {
-                    self.stream.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
-                    self.flush(cx);
-                }
                 let body = Body::new(head.body);
+                if let Some(problem) = body.check_length(self.bounds.get().body_bytes) {
+                    self.refuse(cx, problem);
+                    return false;
+                }
                 self.phase = Phase::Receiving { body: Some((head, body)) };
-                true
+                self.reserve_request(cx)
+            }
+        }
+    }
+
+    /// Reserves the memory of a request whose head has arrived. Returns true if its body may be
+    /// read.
+    fn reserve_request(&mut self, cx: CX![]) -> bool {
+        let (_, needed) = self.input_bytes();
+        let room = match needed.max(self.received.len()) {
+            small if small <= SMALL_BYTES => match self.hold.resize(small) {
+                true => Room::Reserved,
+                false => Room::Refused,
+            },
+            large => {
+                let room = fwd_to!([cx], make_room() as (()));
+                self.hold.reserve_in_turn(large, room)
             }
+        };
+        match room {
+            Room::Reserved => self.begin_body(cx),
+            Room::Waiting => self.is_waiting = true,
+            Room::Refused => self.refuse_without_memory(cx),
+        }
+        room == Room::Reserved
+    }
+
+    /// Asks for the body if the caller waits for that.
+    fn begin_body(&mut self, cx: CX![]) {
+        let Phase::Receiving { body: Some((head, _)) } = &self.phase else {
+            return;
+        };
+        if head.expects_continue {
+            self.stream.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+            self.flush(cx);
         }
     }
 
@@ -372,10 +501,14 @@
             }
         }
         cx.timer_del(self.timer);
+        let needed = body.capacity() * self.bounds.get().body_copies;
+        let needed = needed + head.length * HEAD_COPIES + REQUEST_BYTES;
+        self.hold.force(needed + self.received.len());
+        let hold = self.hold.split(needed);
         let request =
             Request { id, method: head.method, path: head.path, headers: head.headers, body };
         let reply = fwd_to!([cx], answer(id) as (Reply));
-        self.handler.fwd(Event::Arrived { request, unsent: Unsent::new(), reply });
+        self.handler.fwd(Event::Arrived { request, unsent: Unsent::new(), hold, reply });
     }
 
     /// Handles part of the answer to the request `id`. Parts for any other request are dropped.
@@ -499,12 +632,13 @@
             self.abort(cx, "unread");
             return;
         }
-        if finished {
-            self.finish(cx);
+        if !self.flush(cx) {
+            return;
         }
-        let is_open = self.flush(cx);
-        if is_open && !finished && !self.output.grow(self.stream.out.len()) {
+        if !self.output.grow(self.stream.out.len()) {
             self.end_unread(cx);
+        } else if finished {
+            self.finish(cx);
         }
     }
 
@@ -523,22 +657,38 @@
         if !keeps_alive || (self.is_draining && self.received.is_empty()) {
             self.phase = Phase::Closing;
             self.stream.out_eof = true;
+            self.flush(cx);
             return;
         }
         self.phase = Phase::Receiving { body: None };
+        self.release_input();
+        if self.stream.out.is_empty() {
+            self.read_next(cx);
+        }
+    }
+
+    /// Reads the next request once all output is sent, so that a caller that reads no answers cannot
+    /// send more requests.
+    fn read_next(&mut self, cx: CX![]) {
         if self.received.is_empty() {
             let deadline = cx.now() + self.bounds.get().idle;
             self.set_deadline(cx, deadline);
         } else {
             self.begin_request(cx);
             self.receive(cx);
+            self.release_input();
         }
         self.read(cx);
     }
 
     /// Answers with `problem` and closes the connection.
     fn refuse(&mut self, cx: CX![], problem: Problem) {
-        self.handler.fwd(Event::Refused { reason: "request" });
+        self.refuse_for(cx, "request", problem);
+    }
+
+    /// Answers with `problem` and closes the connection. `reason` is for the counters.
+    fn refuse_for(&mut self, cx: CX![], reason: &'static str, problem: Problem) {
+        self.handler.fwd(Event::Refused { reason });
         if let Reply::Whole { status, headers, body } = self.form.refusal(problem) {
             let id = names::Request(rand::rng().random());
             let headers = add_connection_headers(headers, id, self.form.request_id_header(), false);
@@ -550,12 +700,22 @@
     /// Closes the connection after the remaining output has been sent.
     fn close(&mut self, cx: CX![]) {
         self.phase = Phase::Closing;
+        self.discard_input();
         self.stream.out_eof = true;
         let deadline = cx.now() + self.bounds.get().unread;
         self.set_deadline(cx, deadline);
         self.flush(cx);
     }
 
+    /// Returns the memory of a request that is not answered.
+    fn discard_input(&mut self) {
+        self.received = Vec::new();
+        self.input.resize(0);
+        self.is_waiting = false;
+        self.hold.stop_waiting();
+        self.hold.force(0);
+    }
+
     /// Closes the connection immediately and discards the remaining output.
     fn abort(&mut self, cx: CX![], reason: &'static str) {
         self.handler.fwd(Event::Refused { reason });
@@ -574,7 +734,7 @@
             self.linger_until = cx.now() + LINGER_TIME;
             self.output.shrink(length_after);
         }
-        if length_after == 0 && self.stream.out.capacity() > KEPT_OUTPUT_BYTES {
+        if length_after == 0 && self.stream.out.capacity() > KEPT_BUFFER_BYTES {
             self.stream.out = Vec::new();
         }
         if length_after > 0 && length_after < length_before {
@@ -584,6 +744,12 @@
         if length_after == 0 && matches!(self.phase, Phase::Closing) {
             self.linger(cx);
         }
+        if length_before > 0
+            && length_after == 0
+            && matches!(self.phase, Phase::Receiving { body: None })
+        {
+            self.read_next(cx);
+        }
         true
     }
 }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -2,7 +2,7 @@
 
 use stakker::Fwd;
 
-use crate::{Header, Reply, Unsent};
+use crate::{Header, Hold, Reply, Unsent};
 
 /// Supported HTTP methods.
 #[derive(
@@ -55,6 +55,8 @@
         request: Request,
         /// Evidence that the request has not run.
         unsent: Unsent,
+        /// Memory that is reserved for the request. Whoever keeps the body keeps this with it.
+        hold: Hold,
         /// Receives the parts of the answer.
         reply: Fwd<Reply>,
     },
--- a/crates/entry/src/output_budget.rs
+++ b/crates/entry/src/output_budget.rs
@@ -5,6 +5,8 @@
 
 use stakker::Fwd;
 
+use crate::Hold;
+
 /// Size of unsent output, in bytes, that a connection may have although the output of all
 /// connections together has reached its limit. Callers that read their answers have less.
 const MIN_OUTPUT_BYTES: usize = 16 << 10;
@@ -32,6 +34,8 @@
 struct Holder {
     id: u64,
     bytes: usize,
+    /// Memory that is reserved for the unsent output.
+    hold: Hold,
     /// Whether the answer is incomplete, so that it can be ended for others.
     is_displaceable: bool,
     /// Whether the answer has to end, so that its bytes are no longer reserved.
@@ -47,14 +51,16 @@
         Self { shared: Rc::new(RefCell::new(shared)) }
     }
 
-    /// Returns an empty reservation. `displaced` is called when its answer has to end.
-    pub(crate) fn reservation(&self, displaced: Fwd<()>) -> OutputReservation {
+    /// Returns an empty reservation, for which memory is reserved in `hold`. `displaced` is called
+    /// when its answer has to end.
+    pub(crate) fn reservation(&self, hold: Hold, displaced: Fwd<()>) -> OutputReservation {
         let mut shared = self.shared.borrow_mut();
         let id = shared.next_id;
         shared.next_id += 1;
         shared.holders.push(Holder {
             id,
             bytes: 0,
+            hold,
             is_displaceable: false,
             is_displaced: false,
             displaced,
@@ -64,21 +70,27 @@
 }
 
 impl OutputReservation {
-    /// Changes the reservation of an incomplete answer to `bytes`. If the budget does not suffice,
-    /// the largest incomplete answers end first. Returns false if none is larger than this one; then
+    /// Changes the reservation of an answer to `bytes`. If the budget or the memory of the process
+    /// does not suffice, the largest incomplete answers end first. Returns false if none is larger than this one; then
     /// this one has to end.
     pub(crate) fn grow(&mut self, bytes: usize) -> bool {
         let mut shared = self.shared.borrow_mut();
         let Some(index) = shared.find(self.id) else {
             return false;
         };
-        shared.resize(index, bytes);
+        let mut has_memory = shared.resize(index, bytes);
         shared.holders[index].is_displaceable = true;
-        while shared.reserved_bytes > shared.limit_bytes && bytes > MIN_OUTPUT_BYTES {
+        while (shared.reserved_bytes > shared.limit_bytes || !has_memory)
+            && bytes > MIN_OUTPUT_BYTES
+        {
             match shared.largest() {
                 Some(largest) if largest != index => shared.displace(largest),
                 _ => return false,
             }
+            has_memory = shared.holders[index].hold.resize(bytes);
+        }
+        if !has_memory {
+            shared.holders[index].hold.force(bytes);
         }
         true
     }
@@ -122,9 +134,11 @@
         self.holders.binary_search_by_key(&id, |holder| holder.id).ok()
     }
 
-    fn resize(&mut self, index: usize, bytes: usize) {
+    /// Changes the size of a holder. Returns whether memory is reserved for it.
+    fn resize(&mut self, index: usize, bytes: usize) -> bool {
         let before = std::mem::replace(&mut self.holders[index].bytes, bytes);
         self.reserved_bytes = self.reserved_bytes - before + bytes;
+        self.holders[index].hold.resize(bytes)
     }
 
     /// Returns the holder of the most bytes of an incomplete answer.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,9 +11,9 @@
 use stakker_mio::{MioPoll, MioSource, Ready};
 
 use crate::budget::Budget;
-use crate::connection::{Budgets, Connection};
+use crate::connection::{Budgets, CONNECTION_BYTES, Connection, Holds};
 use crate::output_budget::OutputBudget;
-use crate::{Event, Form};
+use crate::{Event, Form, Memory};
 
 /// Priority of callers' sockets in the event loop.
 pub(crate) const SOCKET_PRIORITY: u32 = 5;
@@ -25,6 +25,9 @@
     pub head_bytes: usize,
     /// Maximum size of a request body, in bytes.
     pub body_bytes: usize,
+    /// Number of copies of a request body that exist while the request is handled: the body, and the
+    /// output to its upstream.
+    pub body_copies: usize,
     /// Maximum size of the incomplete requests of all connections together, in bytes.
     pub incoming_bytes: usize,
     /// Maximum size of the unsent output of a streamed answer, in bytes.
@@ -51,19 +54,21 @@
     form: Rc<dyn Form>,
     is_winding_down: bool,
     budgets: Budgets,
+    memory: Memory,
     handler: Fwd<Event>,
     /// Called when the last connection has closed; set once the server drains.
     drained: Option<Fwd<()>>,
 }
 
 impl Server {
-    /// Starts accepting connections on `listener`. Requests go to `handler`. The actor fails if the
-    /// socket cannot be registered with the event loop.
+    /// Starts accepting connections on `listener`. Requests go to `handler`. All bytes are reserved
+    /// in `memory`. The actor fails if the socket cannot be registered with the event loop.
     pub fn init(
         cx: CX![],
         listener: std::net::TcpListener,
         bounds: Bounds,
         form: Rc<dyn Form>,
+        memory: Memory,
         handler: Fwd<Event>,
     ) -> Option<Self> {
         let ready = fwd_to!([cx], accept() as (Ready));
@@ -81,6 +86,7 @@
                     input: Budget::new(bounds.incoming_bytes),
                     output: OutputBudget::new(bounds.unread_total_bytes),
                 },
+                memory,
                 handler,
                 drained: None,
             }),
@@ -138,14 +144,22 @@
     fn accept_pending(&mut self, cx: CX![]) {
         while let Some(listener) = &self.listener {
             match listener.accept() {
-                Ok((stream, _)) if self.open_connections < self.bounds.get().connections => {
+                Ok((stream, address)) if self.open_connections < self.bounds.get().connections => {
+                    let caller = self.memory.caller(address.ip());
+                    let mut buffers = caller.hold();
+                    if !buffers.resize(CONNECTION_BYTES) {
+                        self.handler.fwd(Event::Refused { reason: "memory" });
+                        continue;
+                    }
                     self.open_connections += 1;
+                    let holds =
+                        Holds { buffers, input: caller.hold(), output: caller.output_hold() };
                     let (bounds, form) = (self.bounds.clone(), self.form.clone());
                     let (budgets, handler) = (self.budgets.clone(), self.handler.clone());
                     let connection = actor_in_slab!(
                         self.connections,
                         cx,
-                        Connection::init(stream, bounds, form, budgets, handler),
+                        Connection::init(stream, bounds, form, (budgets, holds), handler),
                         ret_some_to!([cx], connection_closed() as (StopCause))
                     );
                     if self.is_winding_down {
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -11,6 +11,8 @@
 mod limits;
 mod listing;
 mod members;
+mod memory_monitor;
+mod operator_port;
 mod operators;
 mod orders;
 mod permit_request;
@@ -28,6 +30,7 @@
 
 pub use error::Error;
 pub use members::{Members, View};
+pub use memory_monitor::MemoryMonitor;
 pub use quarantine::{CheckResult, Quarantine, QuarantineExchange};
 pub use replica::{Part, Replica, SharedMachine};
 pub use run::{Bound, run};
--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -129,3 +129,10 @@
     );
     Problem::may_have_run(Status::CONFLICT, "answer_not_kept", message)
 }
+
+/// Refusal of a request because the process has no memory for its parsed form at present.
+pub(crate) fn no_memory(unsent: &Unsent) -> Problem {
+    let message = "too many requests are arriving at once; ask again later";
+    Problem::not_run(unsent, Status::UNAVAILABLE, "memory", message)
+        .with_retry_after(Duration::from_secs(1))
+}
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use declare::Declarations;
-use entry::{Bounds, ChatForm, Server};
+use entry::{Bounds, ChatForm, Memory, Server};
 use eventloop::mailbox;
 use names::{Incarnation, Instance};
 use operator::Response;
@@ -20,6 +20,8 @@
 use crate::context_mover::ContextMover;
 use crate::limits::Limits;
 use crate::members::{Members, View};
+use crate::memory_monitor::MemoryMonitor;
+use crate::operator_port::{OperatorPort, operator_bounds};
 use crate::operators::{OperatorHandler, PendingRequest};
 use crate::orders::Orders;
 use crate::placer::Placer;
@@ -50,7 +52,9 @@
     placer: ActorOwn<Placer>,
     router: ActorOwn<Router>,
     server: ActorOwn<Server>,
-    _operators: operator::Server,
+    _operator_port: ActorOwn<OperatorPort>,
+    _operator_server: ActorOwn<Server>,
+    _memory_monitor: ActorOwn<MemoryMonitor>,
     replica: ActorOwn<Replica>,
     config: ActorOwn<Config>,
     claims: ActorOwn<Claims>,
@@ -61,10 +65,15 @@
     is_shutting_down: bool,
 }
 
+/// Number of copies of a request body that exist while the request is handled: that of the request,
+/// that of its attempt, and the output to the upstream.
+const BODY_COPIES: usize = 3;
+
 fn connection_bounds(settings: &Settings) -> Bounds {
     Bounds {
         head_bytes: settings.limits.head.as_bytes(),
         body_bytes: settings.limits.body.as_bytes(),
+        body_copies: BODY_COPIES,
         incoming_bytes: settings.limits.incoming.as_bytes(),
         unread_bytes: settings.limits.unread.as_bytes(),
         unread_total_bytes: settings.limits.unread_total.as_bytes(),
@@ -187,18 +196,34 @@
             ret_some_to!([cx], on_child_stopped() as (StopCause))
         );
         let handler = fwd_to!([router], handle() as (entry::Event));
+        let memory = Memory::new(settings.limits.memory.as_bytes());
+        let (bounds, form) = (connection_bounds(&settings), Rc::new(ChatForm));
         let server = actor!(
             cx,
-            Server::init(bound.callers, connection_bounds(&settings), Rc::new(ChatForm), handler),
+            Server::init(bound.callers, bounds, form, memory.clone(), handler),
             ret_some_to!([cx], on_child_stopped() as (StopCause))
         );
         let requests = fwd_to!([cx], handle_operator_request() as (PendingRequest));
         let operators =
             OperatorHandler::new(mailbox(cx, requests), metrics.clone(), Access::new(&settings));
-        let operators =
-            operator::Server::start(bound.operators, Arc::new(operators)).map_err(|source| {
-                Error::Listen { what: "operators", address: settings.listen.operators, source }
-            })?;
+        let operator_port = actor!(
+            cx,
+            OperatorPort::init(Arc::new(operators), metrics.clone()),
+            ret_some_to!([cx], on_child_stopped() as (StopCause))
+        );
+        let handler = fwd_to!([operator_port], handle() as (entry::Event));
+        let (bounds, form) =
+            (operator_bounds(&settings, connection_bounds(&settings)), Rc::new(ChatForm));
+        let operator_server = actor!(
+            cx,
+            Server::init(bound.operators, bounds, form, memory.clone(), handler),
+            ret_some_to!([cx], on_child_stopped() as (StopCause))
+        );
+        let memory_monitor = actor!(
+            cx,
+            MemoryMonitor::init(memory, metrics.clone()),
+            ret_some_to!([cx], on_child_stopped() as (StopCause))
+        );
         let stop_requests = fwd_to!([cx], begin_shutdown() as (Instant));
         stop.connect(mailbox(cx, stop_requests));
         log::info!("instance {} serves callers on {}", settings.instance, settings.listen.callers);
@@ -210,7 +235,9 @@
             placer,
             router,
             server,
-            _operators: operators,
+            _operator_port: operator_port,
+            _operator_server: operator_server,
+            _memory_monitor: memory_monitor,
             replica,
             config,
             claims,
--- a/crates/instance/src/router/active_request.rs
+++ b/crates/instance/src/router/active_request.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use dispatch::Progress;
-use entry::{Reply, Unsent};
+use entry::{Hold, Reply, Unsent};
 use names::{Attempt, Upstream};
 use stakker::Fwd;
 
@@ -55,6 +55,8 @@
     pub(super) id: names::Request,
     pub(super) arrived: Instant,
     pub(super) route: Route,
+    /// Memory that is reserved for the request, which is held until its end.
+    pub(super) _hold: Hold,
     pub(super) reply: Fwd<Reply>,
     pub(super) phase: Phase,
     pub(super) response: UpstreamResponse,
@@ -127,7 +129,7 @@
         id: names::Request,
         unsent: Unsent,
         arrived: Instant,
-        route: Route,
+        (route, hold): (Route, Hold),
         reply: Fwd<Reply>,
         is_trial: bool,
     ) -> Self {
@@ -137,6 +139,7 @@
             id,
             arrived,
             route,
+            _hold: hold,
             reply,
             phase: Phase::Placing,
             response,
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -158,7 +158,7 @@
             return Room::Available;
         }
         let sizes = || self.active.iter().map(|active| active.response.collected_bytes());
-        if sizes().sum::<usize>() + growth <= self.settings.limits.collected.as_bytes() {
+        if sizes().sum::<usize>() + growth <= self.max_collected_bytes {
             return Room::Available;
         }
         match sizes().enumerate().max_by_key(|(_, bytes)| *bytes) {
--- a/crates/instance/src/router/mod.rs
+++ b/crates/instance/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod context_transfer;
 mod idempotency;
+mod messages;
 mod quarantine;
 mod response;
 mod route;
@@ -15,7 +16,7 @@
 use admission::limit::LimitDecision;
 use declare::Declarations;
 use dispatch::{Client, OutlierDetector, RetryAllowance, RetryBudget, Verdict};
-use entry::{Event, Problem, Reply, Request, Status, Unsent};
+use entry::{Event, Hold, Problem, Reply, Request, Status, Unsent};
 use names::Attempt;
 use settings::{Retries, RetryLimit, Settings};
 use stakker::{Actor, ActorOwn, CX, Fwd, StopCause, at, call, fail, fwd_to, ret_some_to};
@@ -33,6 +34,9 @@
 pub(crate) use route::Route;
 use route::{resolve, stopping};
 
+/// Part of the memory of the process that collected responses may use, beside the memory budget.
+const COLLECTED_DIVISOR: usize = 8;
+
 fn allowance(retries: &Retries) -> RetryAllowance {
     let Retries { limit, percent, per_second } = *retries;
     match limit {
@@ -63,6 +67,9 @@
     quarantine: Quarantine,
     metrics: Arc<Metrics>,
     client: ActorOwn<Client>,
+    /// Maximum size of the collected responses of all requests together: `limits.collected`, and no
+    /// more than the process has memory for.
+    max_collected_bytes: usize,
     budget: RetryBudget,
     health: OutlierDetector,
     active: Vec<ActiveRequest>,
@@ -80,6 +87,8 @@
         let events = fwd_to!([cx], on_progress() as (dispatch::CallEvent));
         let stopped = ret_some_to!([cx], on_client_stopped() as (StopCause));
         let client = upstream_client::start(cx, events, stopped);
+        let available = settings.limits.memory.as_bytes() / COLLECTED_DIVISOR;
+        let max_collected_bytes = settings.limits.collected.as_bytes().min(available);
         let budget = RetryBudget::new(allowance(&settings.retries), cx.now());
         Some(Self {
             settings,
@@ -91,6 +100,7 @@
             quarantine,
             metrics,
             client,
+            max_collected_bytes,
             budget,
             health: OutlierDetector::default(),
             active: Vec::new(),
@@ -155,8 +165,8 @@
     /// Handles an event from the callers' port.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
-            Event::Arrived { request, unsent, reply } => {
-                self.on_request(cx, request, unsent, reply)
+            Event::Arrived { request, unsent, hold, reply } => {
+                self.on_request(cx, request, unsent, hold, reply)
             }
             Event::Left { request } => self.on_caller_disconnected(cx, request),
             Event::Refused { reason } => self.metrics.count_refused(reason),
@@ -172,12 +182,19 @@
         self.find(self.calls[index].1)
     }
 
-    fn on_request(&mut self, cx: CX![], request: Request, unsent: Unsent, reply: Fwd<Reply>) {
+    fn on_request(
+        &mut self,
+        cx: CX![],
+        request: Request,
+        unsent: Unsent,
+        mut hold: Hold,
+        reply: Fwd<Reply>,
+    ) {
         let id = request.id;
         let resolved = if self.is_draining {
             Err(stopping(&unsent, &request))
         } else {
-            resolve(&self.declarations, request, cx.now())
+            resolve(&self.declarations, request, cx.now(), (&unsent, &mut hold))
         };
         let admitted =
             resolved.and_then(|route| Ok((self.admit_keys(&unsent, cx.now(), &route)?, route)));
@@ -194,7 +211,7 @@
         if is_trial {
             self.quarantine.record_trial(cx.now(), &route.keys);
         }
-        let active = ActiveRequest::new(id, unsent, cx.now(), route, reply, is_trial);
+        let active = ActiveRequest::new(id, unsent, cx.now(), (route, hold), reply, is_trial);
         let index = match self.active.binary_search_by(|other| other.id.cmp(&id)) {
             Ok(_) => return,
             Err(index) => index,
--- a/crates/instance/src/router/route.rs
+++ b/crates/instance/src/router/route.rs
@@ -4,14 +4,14 @@
 
 use declare::{Declarations, Kind, Rank, Service, Target};
 use dispatch::{Adapter, ChatCompletions, Field, Plain};
-use entry::{Method, Problem, Rejection, Request, Unsent};
+use entry::{Hold, Method, Problem, Rejection, Request, Unsent};
 use ledger::{Key, RequestIdentity};
 use names::{Attempt, ClientAccount};
-use quarantine::MAX_KEYS;
 use serde::Deserialize;
 use units::Span;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::messages::{Messages, parsed_bytes};
 use crate::permit_request::BYTES_PER_TOKEN;
 use crate::problem;
 
@@ -24,9 +24,6 @@
 const RESEND_HEADER: &str = "x-turmericrelay-resend";
 const JSON_CONTENT_TYPE: &str = "application/json";
 
-/// Number of first messages whose hash identifies a conversation without an id.
-const HASHED_MESSAGES: usize = 2;
-
 /// Resolved route of a request: its account, service, deadline and the call to the upstream.
 pub(crate) struct Route {
     pub(crate) account: ClientAccount,
@@ -87,7 +84,7 @@
     stream: bool,
     #[serde(default)]
     max_tokens: Option<u64>,
-    messages: Vec<serde_json::Value>,
+    messages: Messages,
 }
 
 fn not_found(code: &str, message: String) -> Problem {
@@ -98,16 +95,18 @@
     Problem::rejected(Rejection::BadRequest, code, message)
 }
 
-/// Resolves the route of `request`, which arrived at `now`.
+/// Resolves the route of `request`, which arrived at `now`. The memory of its parsed form is reserved
+/// in `hold` while it is parsed.
 pub(crate) fn resolve(
     declarations: &Declarations,
     request: Request,
     now: Instant,
+    (unsent, hold): (&Unsent, &mut Hold),
 ) -> Result<Route, Problem> {
     let account = authenticate(declarations, &request)?;
     let path = request.path.split('?').next().unwrap_or_default();
     if path == CHAT_PATH {
-        return resolve_chat(declarations, request, account, now);
+        return resolve_chat(declarations, request, account, now, (unsent, hold));
     }
     if path.starts_with(SERVICES_PATH) {
         return resolve_service(declarations, request, account, now);
@@ -152,14 +151,13 @@
     request: Request,
     account: ClientAccount,
     now: Instant,
+    (unsent, hold): (&Unsent, &mut Hold),
 ) -> Result<Route, Problem> {
     if request.method != Method::Post {
         let message = format!("{CHAT_PATH} takes POST, not {}", request.method);
         return Err(Problem::rejected(Rejection::MethodNotAllowed, "method_not_allowed", message));
     }
-    let chat: Chat = serde_json::from_slice(&request.body).map_err(|error| {
-        bad_request("invalid_body", format!("body is not a chat-completions request: {error}"))
-    })?;
+    let chat = parse_chat(&request.body, unsent, hold)?;
     let service = declarations.service(&chat.model).ok_or_else(|| {
         not_found("model_not_found", format!("model \"{}\" is not declared", chat.model))
     })?;
@@ -167,7 +165,7 @@
     let conversation = request.header(CONVERSATION_HEADER);
     let placement_key = match conversation {
         Some(conversation) => xxh3_64(conversation.as_bytes()),
-        None => conversation_hash(&chat.messages),
+        None => chat.messages.conversation_hash,
     };
     Ok(Route {
         account,
@@ -177,10 +175,10 @@
         deadline: request_deadline(&request, kind, now)?,
         target: service.target.clone(),
         placement_key,
-        keys: crash_keys(&chat.messages),
+        context_tokens: context_tokens(&chat.messages, request.body.len()),
+        keys: chat.messages.keys,
         is_conversation: true,
         streams: chat.stream,
-        context_tokens: context_tokens(&chat.messages, request.body.len()),
         answer_tokens: chat.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
         is_idempotent: true,
         claim_identity: None,
@@ -194,20 +192,21 @@
     })
 }
 
-/// Returns the hash of the first messages, which is the same for all requests of a conversation.
-fn conversation_hash(messages: &[serde_json::Value]) -> u64 {
-    let first_messages = messages.iter().take(HASHED_MESSAGES).map(ToString::to_string);
-    xxh3_64(first_messages.collect::<String>().as_bytes())
-}
-
-/// Returns the keys of a conversation: a hash of each message, the last one first, because only a
-/// limited number of keys is looked at.
-fn crash_keys(messages: &[serde_json::Value]) -> Vec<quarantine::Key> {
-    let (last, shared) =
-        messages.split_last().map_or((None, &[][..]), |(last, rest)| (Some(last), rest));
-    let key =
-        |message: &serde_json::Value| quarantine::Key(xxh3_64(message.to_string().as_bytes()));
-    last.into_iter().chain(shared).take(MAX_KEYS).map(key).collect()
+/// Parses a request once the memory of its parsed form is reserved.
+fn parse_chat(body: &[u8], unsent: &Unsent, hold: &mut Hold) -> Result<Chat, Problem> {
+    let (held, parsed) = (hold.bytes(), parsed_bytes(body));
+    if !hold.may_ever_be(held + parsed) {
+        let message = "the body has too many short values; send fewer, or longer ones";
+        return Err(Problem::rejected(Rejection::BodyTooLarge, "body_too_complex", message));
+    }
+    if parsed > 0 && !hold.resize(held + parsed) {
+        return Err(problem::no_memory(unsent));
+    }
+    let chat = serde_json::from_slice(body).map_err(|error| {
+        bad_request("invalid_body", format!("body is not a chat-completions request: {error}"))
+    });
+    hold.resize(held);
+    chat
 }
 
 /// Returns the key of a whole request of `account`: all that is the same when the caller sends the
@@ -224,14 +223,11 @@
 
 /// Returns the estimated number of tokens in all but the last of `messages`, which have `bytes`
 /// bytes in total. Returns 0 if the messages contain no answer of the engine yet.
-fn context_tokens(messages: &[serde_json::Value], bytes: usize) -> u64 {
-    let Some((last, earlier)) = messages.split_last() else {
+fn context_tokens(messages: &Messages, bytes: usize) -> u64 {
+    let Some(last_bytes) = messages.last_bytes.filter(|_| messages.has_answer) else {
         return 0;
     };
-    if !earlier.iter().any(|message| message["role"] == "assistant") {
-        return 0;
-    }
-    (bytes as u64).saturating_sub(last.to_string().len() as u64) / BYTES_PER_TOKEN
+    (bytes as u64).saturating_sub(last_bytes as u64) / BYTES_PER_TOKEN
 }
 
 fn resolve_service(
--- a/crates/instance/src/run.rs
+++ b/crates/instance/src/run.rs
@@ -30,7 +30,7 @@
         let Listen { callers, operators, .. } = &settings.listen;
         let callers = eventloop::listen(*callers).map_err(listen_error("callers", *callers))?;
         let operators =
-            TcpListener::bind(operators).map_err(listen_error("operators", *operators))?;
+            eventloop::listen(*operators).map_err(listen_error("operators", *operators))?;
         let peers = Sockets::bind(settings.listen.peers)?;
         Ok(Self { callers, operators, peers })
     }
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use catalogue::{Catalogue, Command, Document, Newest, Number, Outcome};
-use entry::{Event, Problem, Rejection, Reply, Request, Status, Unsent};
+use entry::{Event, Hold, Problem, Rejection, Reply, Request, Status, Unsent};
 use instance::{Part, Replica};
 use settings::Settings;
 use stakker::{Actor, CX, Fwd, after, call, ret_to};
@@ -62,15 +62,21 @@
     /// Handles an event on a connection.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
-            Event::Arrived { request, unsent, reply } => {
-                self.handle_request(cx, request, unsent, reply)
+            Event::Arrived { request, unsent, hold, reply } => {
+                self.handle_request(cx, request, (unsent, hold), reply)
             }
             Event::Left { request } => self.cancel_read(cx, request),
             Event::Refused { reason } => log::info!("closed a control connection: {reason}"),
         }
     }
 
-    fn handle_request(&mut self, cx: CX![], request: Request, unsent: Unsent, reply: Fwd<Reply>) {
+    fn handle_request(
+        &mut self,
+        cx: CX![],
+        request: Request,
+        (unsent, hold): (Unsent, Hold),
+        reply: Fwd<Reply>,
+    ) {
         let control = &self.interface.control;
         let id = request.id;
         match control.parse_request(request) {
@@ -90,7 +96,9 @@
                     Err(error) => self.refuse_announcement(&error, &reply),
                 }
             }
-            Ok(ControlRequest::SubmitDocument(text)) => self.submit_document(cx, &text, reply),
+            Ok(ControlRequest::SubmitDocument(text)) => {
+                self.submit_document(cx, &text, (hold, reply))
+            }
             Ok(ControlRequest::ReadDocument { hops }) => {
                 self.read_document(cx, DocumentRead::new(cx.now(), id, unsent, hops, reply))
             }
@@ -116,7 +124,7 @@
     }
 
     /// Validates a document and proposes it to the log.
-    fn submit_document(&mut self, cx: CX![], text: &[u8], reply: Fwd<Reply>) {
+    fn submit_document(&mut self, cx: CX![], text: &[u8], (hold, reply): (Hold, Fwd<Reply>)) {
         let draft = self.interface.documents.parse(text);
         let catalogue =
             draft.and_then(|draft| Catalogue::try_from(draft).map_err(|error| error.to_string()));
@@ -139,7 +147,15 @@
         let base = self.newest.borrow().document().number;
         self.propose_submission(
             cx,
-            Submission { number, text, base, is_full_document: false, submitted_at, reply },
+            Submission {
+                number,
+                text,
+                base,
+                is_full_document: false,
+                submitted_at,
+                _hold: hold,
+                reply,
+            },
         );
     }
 
@@ -269,6 +285,8 @@
     /// its base is the newest committed document, or the time for submissions has passed.
     is_full_document: bool,
     submitted_at: Instant,
+    /// Memory that is reserved for the document.
+    _hold: Hold,
     reply: Fwd<Reply>,
 }
 
--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use catalogue::{Repeat, Route};
-use entry::{Reply, Request, Unsent};
+use entry::{Hold, Reply, Request, Unsent};
 use forward::{EventBoundary, FailedAttempt, RoutingKey, StreamTracker, stall_timeout};
 use names::{Attempt, ClientAccount, Service, Upstream};
 use quarantine::{Key, Run};
@@ -85,6 +85,8 @@
 pub(super) struct ActiveRequest {
     pub(super) request: Request,
     pub(super) body: Rc<[u8]>,
+    /// Memory that is reserved for the request, which is held until its end.
+    pub(super) _hold: Hold,
     pub(super) reply: Fwd<Reply>,
     pub(super) metadata: RequestMetadata,
     pub(super) route: Route,
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use catalogue::{Caller, Repeat};
-use entry::{Problem, Reply, Request, Unsent};
+use entry::{Hold, Problem, Reply, Request, Unsent};
 use forward::StreamTracker;
 use stakker::{CX, FixedTimerKey, Fwd, at};
 use telemetry::Event;
@@ -20,13 +20,13 @@
         &mut self,
         cx: CX![],
         request: Request,
-        unsent: Unsent,
+        (unsent, hold): (Unsent, Hold),
         reply: Fwd<Reply>,
     ) {
         let metadata = self.interface.callers.parse_request(&request);
         let request_id = metadata.as_ref().map_or(String::new(), |metadata| metadata.id.clone());
-        let admitted =
-            metadata.and_then(|metadata| self.admit(cx.now(), request, unsent, metadata, &reply));
+        let admitted = metadata
+            .and_then(|metadata| self.admit(cx.now(), request, (unsent, hold), metadata, &reply));
         match admitted.map_err(|problem| (request_id, problem)) {
             Ok(active) => {
                 let (id, deadline) = (active.id(), active.deadline);
@@ -71,7 +71,7 @@
         &self,
         now: Instant,
         mut request: Request,
-        unsent: Unsent,
+        (unsent, hold): (Unsent, Hold),
         metadata: RequestMetadata,
         reply: &Fwd<Reply>,
     ) -> Result<ActiveRequest, Problem> {
@@ -109,6 +109,7 @@
         Ok(ActiveRequest {
             body: std::mem::take(&mut request.body).into(),
             request,
+            _hold: hold,
             reply: reply.clone(),
             metadata,
             service,
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -311,8 +311,8 @@
     /// Handles an event on a caller's connection.
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         match event {
-            Event::Arrived { request, unsent, reply } => {
-                self.handle_arrival(cx, request, unsent, reply)
+            Event::Arrived { request, unsent, hold, reply } => {
+                self.handle_arrival(cx, request, (unsent, hold), reply)
             }
             Event::Left { request } => self.handle_disconnect(cx, request),
             Event::Refused { reason } => self.metrics.count_refused(reason),
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -7,10 +7,10 @@
 use std::time::{Duration, Instant};
 
 use catalogue::{Catalogue, Newest};
-use entry::{Bounds, ChatForm, Event, Form, Server};
+use entry::{Bounds, ChatForm, Event, Form, Memory, Server};
 use eventloop::mailbox;
 use forward::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
-use instance::{Members, Part, Quarantine, QuarantineExchange, Replica, Stop, View};
+use instance::{Members, MemoryMonitor, Part, Quarantine, QuarantineExchange, Replica, Stop, View};
 use names::{Incarnation, Instance};
 use settings::Settings;
 use stakker::{
@@ -52,6 +52,16 @@
 /// Idle timeout of a control connection, and timeout for receiving a request.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Maximum size in bytes of the body of a request for the readiness or the metrics, which needs none.
+const MAX_ENDPOINT_BODY_BYTES: usize = 64 << 10;
+
+/// Number of copies of a caller's body that exist while the request is handled: that of the request,
+/// the output to the upstream, and the output buffer that the connection to the upstream keeps.
+const BODY_COPIES: usize = 3;
+
+/// Number of copies of a document that exist while it is submitted: the body, and that for the log.
+const DOCUMENT_COPIES: usize = 2;
+
 /// Parts that an instance is created from.
 pub(crate) struct InstanceParts {
     pub(crate) settings: Settings,
@@ -89,6 +99,7 @@
     entry: Option<EntryRole>,
     control: Option<ControlRole>,
     _metrics_endpoint: Option<(ActorOwn<MetricsEndpoint>, ActorOwn<Server>)>,
+    _memory_monitor: ActorOwn<MemoryMonitor>,
     heartbeat: Heartbeat,
     stopping_since: Option<Instant>,
 }
@@ -98,6 +109,7 @@
     Bounds {
         head_bytes: settings.limits.head.as_bytes(),
         body_bytes: settings.limits.body.as_bytes(),
+        body_copies: BODY_COPIES,
         incoming_bytes: settings.limits.incoming.as_bytes(),
         unread_bytes: settings.limits.unread.as_bytes(),
         unread_total_bytes: settings.limits.unread_total.as_bytes(),
@@ -112,6 +124,7 @@
     Bounds {
         head_bytes: MAX_CONTROL_HEAD_BYTES,
         body_bytes: MAX_DOCUMENT_BYTES,
+        body_copies: DOCUMENT_COPIES,
         unread_bytes: MAX_DOCUMENT_BYTES,
         receive: CONTROL_TIMEOUT,
         idle: CONTROL_TIMEOUT,
@@ -119,6 +132,10 @@
     }
 }
 
+fn endpoint_bounds(settings: &Settings) -> Bounds {
+    Bounds { body_bytes: MAX_ENDPOINT_BODY_BYTES, ..caller_bounds(settings) }
+}
+
 impl Root {
     pub(crate) fn init(cx: CX![], parts: InstanceParts) -> Option<Self> {
         let InstanceParts { settings, interface, source, bound, metrics, traffic, stop } = parts;
@@ -144,9 +161,12 @@
         let roles: Vec<String> = settings.roles.iter().map(ToString::to_string).collect();
         let roles = roles.join(",");
         let newest = Rc::new(RefCell::new(Newest::default()));
+        let memory = Memory::new(settings.limits.memory.as_bytes());
+        let memory_metrics = metrics.clone();
         let entry = bound.callers.map(|callers| {
             let hub = hub.clone();
-            Self::build_entry(cx, &settings, &interface, &metrics, hub, (callers, bound.ready))
+            let listeners = (callers, bound.ready);
+            Self::build_entry(cx, &settings, &interface, &metrics, (hub, &memory), listeners)
         });
         let listeners = Self::listeners(entry.as_ref());
         let feed = actor!(
@@ -187,7 +207,7 @@
             let form: Rc<dyn Form> = Rc::new(ChatForm);
             let server = actor!(
                 cx,
-                Server::init(listener, control_bounds(&settings), form, handler),
+                Server::init(listener, control_bounds(&settings), form, memory.clone(), handler),
                 ret_some_to!([cx], child_ended() as (StopCause))
             );
             ControlRole { replica, control, _server: server }
@@ -208,11 +228,16 @@
             let form: Rc<dyn Form> = Rc::new(ChatForm);
             let server = actor!(
                 cx,
-                Server::init(listener, caller_bounds(&settings), form, handler),
+                Server::init(listener, endpoint_bounds(&settings), form, memory.clone(), handler),
                 ret_some_to!([cx], child_ended() as (StopCause))
             );
             (endpoint, server)
         });
+        let memory_monitor = actor!(
+            cx,
+            MemoryMonitor::init(memory, memory_metrics),
+            ret_some_to!([cx], child_ended() as (StopCause))
+        );
         let stop_requests = fwd_to!([cx], begin_stop() as (Instant));
         stop.connect(mailbox(cx, stop_requests));
         after!(RELOAD_PERIOD, [cx], reload());
@@ -229,6 +254,7 @@
             entry,
             control,
             _metrics_endpoint: metrics_endpoint,
+            _memory_monitor: memory_monitor,
             heartbeat: Heartbeat::new(cx.now()),
             stopping_since: None,
         })
@@ -239,7 +265,7 @@
         settings: &Rc<Settings>,
         interface: &Interface,
         metrics: &Arc<Metrics>,
-        hub: Actor<Hub>,
+        (hub, memory): (Actor<Hub>, &Memory),
         (callers, ready): (TcpListener, Option<TcpListener>),
     ) -> EntryRole {
         let readiness =
@@ -266,7 +292,7 @@
         let form: Rc<dyn Form> = Rc::new(CallerForm(interface.clone()));
         let server = actor!(
             cx,
-            Server::init(callers, caller_bounds(settings), form, handler),
+            Server::init(callers, caller_bounds(settings), form, memory.clone(), handler),
             ret_some_to!([cx], child_ended() as (StopCause))
         );
         let callers = server.clone();
@@ -276,7 +302,7 @@
             let form: Rc<dyn Form> = Rc::new(ChatForm);
             actor!(
                 cx,
-                Server::init(listener, caller_bounds(settings), form, handler),
+                Server::init(listener, endpoint_bounds(settings), form, memory.clone(), handler),
                 ret_some_to!([cx], child_ended() as (StopCause))
             )
         });
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -15,6 +15,9 @@
 /// Minimum length of a secret in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
+/// Least value of `limits.memory`, with which one request of the largest size has room.
+const MIN_MEMORY: Size = Size::from_kibibytes(64 * 1024);
+
 /// Role of an instance.
 #[derive(
     Debug,
@@ -292,9 +295,22 @@
         self.validate_roles()?;
         self.validate_voters()?;
         self.validate_link()?;
+        self.validate_memory()?;
         self.validate_secrets()
     }
 
+    fn validate_memory(&self) -> Result<(), Error> {
+        let memory = self.limits.memory;
+        if memory >= MIN_MEMORY {
+            return Ok(());
+        }
+        Err(Error::InvalidValue {
+            field: "limits.memory",
+            problem: format!("{memory} is less than {MIN_MEMORY}"),
+            help: "give the instance more memory; with less, a single large request has no room",
+        })
+    }
+
     fn validate_link(&self) -> Result<(), Error> {
         let megabits = self.direct.link_megabits;
         if megabits.is_finite() && megabits > 0.0 {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -98,7 +98,7 @@
     /// Handles an event from the HTTP server.
     pub fn handle(&mut self, cx: CX![], event: Event) {
         match event {
-            Event::Arrived { request, unsent, reply } => {
+            Event::Arrived { request, unsent, reply, .. } => {
                 self.handle_request(cx, request, &unsent, reply)
             }
             Event::Left { request } => self.cancel(cx, request),
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use entry::{Bounds, ChatForm, Event, Server};
+use entry::{Bounds, ChatForm, Event, Memory, Server};
 use stakker::{ActorOwn, CX, Fwd, StopCause, actor, after, ret_some_to, stop};
 use upstream::Announcement;
 
@@ -14,6 +14,7 @@
 const SERVER_BOUNDS: Bounds = Bounds {
     head_bytes: 16 << 10,
     body_bytes: 16 << 20,
+    body_copies: 1,
     incoming_bytes: 256 << 20,
     unread_bytes: 1 << 20,
     unread_total_bytes: 256 << 20,
@@ -23,6 +24,9 @@
     unread: Duration::from_secs(30),
 };
 
+/// Memory that a stand-in may use, in bytes.
+const MEMORY_BYTES: usize = 4 << 30;
+
 /// Time after a crash at which the stand-in returns.
 const RESTART_DELAY: Duration = Duration::from_secs(2);
 
@@ -49,9 +53,10 @@
     pub(crate) fn listen(&mut self, cx: CX![], listener: TcpListener, handler: Fwd<Event>) {
         self.address = listener.local_addr().ok();
         self.handler = Some(handler.clone());
+        let memory = Memory::new(MEMORY_BYTES);
         let server = actor!(
             cx,
-            Server::init(listener, SERVER_BOUNDS, Rc::new(ChatForm), handler),
+            Server::init(listener, SERVER_BOUNDS, Rc::new(ChatForm), memory, handler),
             ret_some_to!([cx], server_ended() as (StopCause))
         );
         self.server = Some(server);
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -16,7 +16,7 @@
 
 /// Refusal reasons whose counters are exported at zero from the start, so that alerts can detect
 /// their first increase.
-const INITIAL_REASONS: [&str; 18] = [
+const INITIAL_REASONS: [&str; 19] = [
     "caller_left",
     "damaged_revision",
     "deadline",
@@ -24,6 +24,7 @@
     "invalid_api_key",
     "invalid_revision",
     "ledger_full",
+    "memory",
     "no_quorum",
     "no_upstream",
     "operator",
@@ -82,6 +83,10 @@
     pub membership: MembershipMetrics,
     /// Number of parts of prompts that are quarantined.
     pub quarantined: Gauge,
+    /// Size in bytes of the memory budget for callers, operators and upstreams.
+    pub memory_budget: Gauge,
+    /// Number of bytes of the memory budget that are reserved.
+    pub memory_reserved: Gauge,
     /// Metrics of requests that entry instances forward without permits of owners.
     pub relay: RelayMetrics,
 }
@@ -129,6 +134,11 @@
         let quarantined = Gauge::default();
         let help = "Parts of prompts that are quarantined";
         registry.register("quarantined", help, quarantined.clone());
+        let memory_budget = Gauge::default();
+        registry.register("memory_budget_bytes", "Memory budget", memory_budget.clone());
+        let memory_reserved = Gauge::default();
+        let help = "Bytes of the memory budget that are reserved";
+        registry.register("memory_reserved_bytes", help, memory_reserved.clone());
         let answers = AnswerMetrics::register(&mut registry);
         let ledger = LedgerMetrics::register(&mut registry);
         let by_upstream = UpstreamMetrics::default();
@@ -153,6 +163,8 @@
             available_upstreams,
             cache_resyncs,
             quarantined,
+            memory_budget,
+            memory_reserved,
         }
     }
 
