Send a whole body that its service can answer in the test of a single request

The body now has 4 MiB less 64 bytes. A chat request of 4 MiB for an unknown model, which is parsed and gets 404, is added.

--- a/tests/hostile_callers.rs
+++ b/tests/hostile_callers.rs
@@ -10,11 +10,15 @@
 
 use serde_json::json;
 use support::hostile::{MEMORY_MEBIBYTES, Shape, Target, assert_survives, run_alone};
+use support::worker::send_request;
 use support::{API_KEY, BOOKINGS, Fleet, Plan, booking, get, post, wait_for};
 use test_case::test_case;
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 
+/// Size in bytes of an answer of the booking service beside the body that it repeats.
+const ANSWER_OVERHEAD_BYTES: usize = 64;
+
 fn start_fleet() -> Fleet {
     let limits = json!({ "memory": format!("{MEMORY_MEBIBYTES}MiB") });
     let mut fleet = Fleet::start_plan(Plan::new(&["giza"]).with_setting("limits", limits));
@@ -114,9 +118,16 @@
     let _running = run_alone();
     let fleet = start_fleet();
     let callers = fleet.instances[0].addresses.callers;
-    let bytes = (4 << 20) - booking("").to_string().len();
+    // The answer of the booking service repeats the body, and is limited to 4 MiB as well.
+    let body = " ".repeat((4 << 20) - ANSWER_OVERHEAD_BYTES);
+    let unknown = json!({ "model": "unknown", "messages": [{ "content": "" }] });
+    let text = "x".repeat((4 << 20) - unknown.to_string().len());
+    let unknown = json!({ "model": "unknown", "messages": [{ "content": text }] });
+    assert_eq!(post(callers, CHAT_PATH, &[], &unknown).unwrap().status, 404);
+    let key = format!("Bearer {API_KEY}");
     for _ in 0..5 {
-        let answer = post(callers, BOOKINGS, &[], &booking(&"x".repeat(bytes))).unwrap();
-        assert_eq!(answer.status, 200, "{answer:?}");
+        let headers = [("Authorization", key.as_str())];
+        let answer = send_request(callers, "POST", BOOKINGS, &headers, &body).unwrap();
+        assert_eq!(answer.status, 200, "{:.200}", answer.text());
     }
 }
