--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use catalogue::{Caller, Repeat};
-use entry::{Problem, Reply, Request, Unsent};
+use entry::{Hold, Problem, Reply, Request, Unsent};
 use forward::StreamTracker;
 use stakker::{CX, FixedTimerKey, Fwd, at};
 use telemetry::Event;
@@ -21,13 +21,13 @@
         &mut self,
         cx: CX![],
         request: Request,
-        unsent: Unsent,
+        (unsent, hold): (Unsent, Hold),
         reply: Fwd<Reply>,
     ) {
         let arrived_at = cx.now();
         match self.interface.callers.parse_request(&request) {
             Ok(metadata) => {
-                let arrival = Arrival { request, unsent, metadata, reply, arrived_at };
+                let arrival = Arrival { request, unsent, hold, metadata, reply, arrived_at };
                 self.receive_arrival(cx, arrival);
             }
             Err(problem) => self.refuse_arrival(String::new(), problem, &reply),
@@ -81,7 +81,7 @@
     ///
     /// The refusal, if the request cannot be accepted.
     pub(super) fn admit(&self, now: Instant, arrival: Arrival) -> Result<ActiveRequest, Problem> {
-        let Arrival { mut request, unsent, metadata, reply, arrived_at } = arrival;
+        let Arrival { mut request, unsent, hold, metadata, reply, arrived_at } = arrival;
         let catalogue = self.catalogue.as_ref().ok_or_else(|| problems::not_ready(&unsent))?;
         let path = request.path.split(['?', '#']).next().unwrap_or_default();
         let route = catalogue
@@ -116,6 +116,7 @@
         Ok(ActiveRequest {
             body: std::mem::take(&mut request.body).into(),
             request,
+            _hold: hold,
             reply,
             metadata,
             service,
--- a/crates/relay/src/forwarder/startup.rs
+++ b/crates/relay/src/forwarder/startup.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use entry::{Reply, Request, Unsent};
+use entry::{Hold, Reply, Request, Unsent};
 use forward::StartupDecision;
 use stakker::{CX, Fwd, at};
 
@@ -13,6 +13,8 @@
 pub(super) struct Arrival {
     pub(super) request: Request,
     pub(super) unsent: Unsent,
+    /// Bytes that the request has reserved in the memory budget.
+    pub(super) hold: Hold,
     pub(super) metadata: RequestMetadata,
     pub(super) reply: Fwd<Reply>,
     pub(super) arrived_at: Instant,
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -15,6 +15,9 @@
 /// Minimum length of a secret in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
+/// Least value of `limits.memory`, with which one request of the largest size has room.
+const MIN_MEMORY: Size = Size::from_kibibytes(64 * 1024);
+
 /// Role of an instance.
 #[derive(
     Debug,
@@ -75,6 +78,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
+    /// Memory of the machine that the process may use. A fixed part of it is the budget for the
+    /// bytes that are held for callers, operators and upstreams.
+    pub memory: Size,
     /// Maximum size of the request line and the headers together.
     pub head: Size,
     /// Maximum size of a request body.
@@ -99,6 +105,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            memory: Size::from_kibibytes(1024 * 1024),
             head: Size::from_kibibytes(16),
             body: Size::from_kibibytes(4096),
             incoming: Size::from_kibibytes(32 * 1024),
@@ -289,9 +296,22 @@
         self.validate_voters()?;
         self.validate_link()?;
         self.validate_cold_bounds()?;
+        self.validate_memory()?;
         self.validate_secrets()
     }
 
+    fn validate_memory(&self) -> Result<(), Error> {
+        let memory = self.limits.memory;
+        if memory >= MIN_MEMORY {
+            return Ok(());
+        }
+        Err(Error::InvalidValue {
+            field: "limits.memory",
+            problem: format!("{memory} is less than {MIN_MEMORY}"),
+            help: "give the instance more memory; with less, a single large request has no room",
+        })
+    }
+
     fn validate_link(&self) -> Result<(), Error> {
         let megabits = self.direct.link_megabits;
         if megabits.is_finite() && megabits > 0.0 {
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -53,6 +53,8 @@
     pub cold_bounds: Option<(f64, f64)>,
     /// Time in milliseconds after the start within which requests wait until the instance is ready.
     pub startup_wait_millis: u64,
+    /// Lines that are appended to the settings file.
+    pub extra_settings: String,
     folder: PathBuf,
     pub process: Option<Process>,
 }
@@ -92,6 +94,10 @@
         self.listen_address(METRICS_PORT)
     }
 
+    pub fn readiness(&self) -> SocketAddr {
+        self.listen_address(READY_PORT)
+    }
+
     pub fn is_ready(&self) -> bool {
         send_request(self.listen_address(READY_PORT), "GET", "/v1/readiness", &[], "")
             .is_ok_and(|answer| answer.status == 200)
@@ -183,12 +189,13 @@
              {folder}seeds: [{}]\n\
              first_start: {is_first_start}\nlosses_borne: {}\n\
              fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
-             direct:\n  announce_period: {}ms\n  startup_wait: {}ms\n{cold_bounds}{upstream_bytes}",
+             direct:\n  announce_period: {}ms\n  startup_wait: {}ms\n{cold_bounds}{upstream_bytes}{}",
             self.data_centre,
             seeds.join(", "),
             self.losses_borne,
             self.announce_period_millis,
-            self.startup_wait_millis
+            self.startup_wait_millis,
+            self.extra_settings
         );
         std::fs::write(self.settings(), text).unwrap();
     }
@@ -253,6 +260,7 @@
             losses_borne: 1,
             cold_bounds: None,
             startup_wait_millis: 0,
+            extra_settings: String::new(),
             folder,
             process: None,
         }
