Let large requests of one address wait, and count all copies of a body

A large request whose address already held much of the budget was refused at once, although it would have found room later; crates/entry/tests/memory.rs (new) failed for that. It waits now, and is refused only if it could never fit.

The own interface holds four copies of a body for a moment, and three were counted: chunked bodies took `serve` to 78 thousand KiB of growth in one run (67 allowed). One body of 4 MiB with its parsed form needs a `limits.memory` of 96 MiB, which is the least value now.

--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -259,10 +259,13 @@
         };
         let others = shared.reserved_bytes.get() - self.bytes;
         let others_of_caller = self.caller.reserved_bytes.get() - self.bytes;
-        if others_of_caller + bytes > shared.caller_bytes {
+        if bytes > limit || bytes > shared.caller_bytes {
             return Room::Refused;
         }
-        if others + bytes <= limit { Room::Reserved } else { Room::Waiting }
+        match others + bytes <= limit && others_of_caller + bytes <= shared.caller_bytes {
+            true => Room::Reserved,
+            false => Room::Waiting,
+        }
     }
 
     fn set(&mut self, bytes: usize) {
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -66,8 +66,8 @@
 }
 
 /// Number of copies of a request body that exist while the request is handled: that of the request,
-/// that of its attempt, and the output to the upstream.
-const BODY_COPIES: usize = 3;
+/// two while that of its attempt is made, and the output to the upstream.
+const BODY_COPIES: usize = 4;
 
 fn connection_bounds(settings: &Settings) -> Bounds {
     Bounds {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -16,7 +16,7 @@
 const MIN_SECRET_BYTES: usize = 16;
 
 /// Least value of `limits.memory`, with which one request of the largest size has room.
-const MIN_MEMORY: Size = Size::from_kibibytes(64 * 1024);
+const MIN_MEMORY: Size = Size::from_kibibytes(96 * 1024);
 
 /// Role of an instance.
 #[derive(
