--- a/crates/forward/tests/evacuation.rs
+++ b/crates/forward/tests/evacuation.rs
@@ -23,7 +23,7 @@
     assert_eq!(evacuations.update(at(60), std::slice::from_ref(&giza)), []);
     assert!(evacuations.is_evacuated(&giza) && !evacuations.is_evacuated(&cairo));
     assert_eq!(evacuations.ended_at(&giza), None);
-    assert_eq!(evacuations.update(at(90), &[]), [giza.clone()]);
+    assert_eq!(evacuations.update(at(90), &[]), std::slice::from_ref(&giza));
     assert_eq!(evacuations.update(at(91), &[]), []);
     assert!(!evacuations.is_evacuated(&giza));
     assert_eq!(evacuations.ended_at(&giza), Some(at(90)));
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -72,7 +72,6 @@
         {
             return self.begin_search(cx, id, config, choices);
         }
-        let mut candidates = candidates;
         self.set_costs(now, index, &mut candidates);
         let has_costs = candidates.iter().any(|candidate| candidate.cost.is_some());
         let usual = has_costs.then(|| {
