--- a/crates/evacuation/src/orders.rs
+++ b/crates/evacuation/src/orders.rs
@@ -1,7 +1,6 @@
 //! The newest order about each data centre.
 
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
 use std::fmt;
 
 use names::DataCentre;
@@ -36,7 +35,8 @@
 /// of its orders, or newer ones about the same data centres.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Orders {
-    newest: BTreeMap<DataCentre, Order>,
+    /// Sorted by data centre.
+    newest: Vec<(DataCentre, Order)>,
 }
 
 impl Orders {
@@ -49,7 +49,7 @@
 
     /// Returns the newest order about `data_centre`; its number is 0 if there is none.
     pub fn get(&self, data_centre: &DataCentre) -> Order {
-        self.newest.get(data_centre).copied().unwrap_or_default()
+        self.position(data_centre).map(|index| self.newest[index].1).unwrap_or_default()
     }
 
     /// Returns the number of data centres about which there are orders.
@@ -64,7 +64,7 @@
 
     /// Returns the greatest number of an order.
     pub fn greatest(&self) -> Number {
-        self.newest.values().map(|order| order.number).max().unwrap_or_default()
+        self.newest.iter().map(|(_, order)| order.number).max().unwrap_or_default()
     }
 
     /// Returns the evacuated data centres, sorted by name.
@@ -75,9 +75,10 @@
 
     /// Adds the orders of `other`, and returns those that were new.
     pub fn merge(&mut self, other: &Self) -> Vec<(DataCentre, Order)> {
-        let others = other.newest.iter().map(|(data_centre, order)| (data_centre.clone(), *order));
+        let others = other.newest.iter();
         others
             .filter(|(data_centre, order)| self.merge_order(data_centre.clone(), *order))
+            .cloned()
             .collect()
     }
 
@@ -85,11 +86,18 @@
     pub(crate) fn merge_order(&mut self, data_centre: DataCentre, order: Order) -> bool {
         let is_newer = order.number > Number::default() && order > self.get(&data_centre);
         if is_newer {
-            self.newest.insert(data_centre, order);
+            match self.position(&data_centre) {
+                Ok(index) => self.newest[index].1 = order,
+                Err(index) => self.newest.insert(index, (data_centre, order)),
+            }
         }
         is_newer
     }
 
+    fn position(&self, data_centre: &DataCentre) -> Result<usize, usize> {
+        self.newest.binary_search_by(|(known, _)| known.cmp(data_centre))
+    }
+
     /// Returns a hash by which instances find out whether they have the same orders.
     pub fn digest(&self) -> u64 {
         xxh3_64(&postcard::to_allocvec(self).unwrap_or_default())
