--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -59,8 +59,9 @@
 /// the output to the upstream, and the output buffer that the connection to the upstream keeps.
 const BODY_COPIES: usize = 3;
 
-/// Number of copies of a document that exist while it is submitted: the body, and that for the log.
-const DOCUMENT_COPIES: usize = 2;
+/// Number of copies of a document that exist while it is submitted: the chunks that arrived, the body,
+/// and that for the log.
+const DOCUMENT_COPIES: usize = 3;
 
 /// Parts that an instance is created from.
 pub(crate) struct InstanceParts {
