--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -55,7 +55,7 @@
         request: Request,
         /// Evidence that the request has not run.
         unsent: Unsent,
-        /// Memory that is reserved for the request. Whoever keeps the body keeps this with it.
+        /// Memory that is reserved for the request. It has to be kept as long as the body.
         hold: Hold,
         /// Receives the parts of the answer.
         reply: Fwd<Reply>,
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -58,7 +58,7 @@
         .with_retry_after(retry_after(now, deadline))
 }
 
-/// All upstreams are in evacuated data centres. Nobody knows when the evacuation ends.
+/// All upstreams are in evacuated data centres. The end of an evacuation is not known in advance.
 pub(super) fn evacuated(unsent: &Unsent, now: Instant, deadline: Instant) -> Problem {
     let message = "all upstreams are in data centres that are evacuated; ask again later";
     Problem::not_run(unsent, Status::UNAVAILABLE, "evacuated", message)
--- a/tests/platform_cold_engines.rs
+++ b/tests/platform_cold_engines.rs
@@ -176,7 +176,7 @@
     assert_eq!(states.last(), Some(&false), "{lines:?}");
 }
 
-/// Guards against an engine that becomes cold again while it serves, which nobody notices.
+/// Guards against an engine that becomes cold again while it serves and gets as many requests as before.
 #[test]
 fn an_engine_that_becomes_cold_again_gets_no_more_than_its_bound() {
     let deployment = Deployment::start(6, true);
