Place requests by prompt cost where no pace is named, if the settings say so

Callers with short urgent prompts waited behind long ones at engines that name no pace: costs took part only once an engine had named one. With direct.prompt_costs: always all services with engines take part, at the usual pace, and the end of reading is reported to load trackers by the count of requests. The default (paced) and the services of all earlier deployments keep their decisions.

--- a/crates/forward/tests/support/uneven.rs
+++ b/crates/forward/tests/support/uneven.rs
@@ -55,6 +55,8 @@
     /// Without costs, as for services whose upstreams name no pace.
     Usual,
     Costs,
+    /// With costs, though the engines name no pace.
+    CostsWithoutPace,
 }
 
 /// How instances learn loads.
@@ -318,7 +320,7 @@
             None => CachedContext::Absent,
         };
         let work = node.prompts[engine].work(now, names::Request(request as u64));
-        (self.plan.rules == Rules::Costs).then_some(EngineCost { prompt, context, work })
+        (self.plan.rules != Rules::Usual).then_some(EngineCost { prompt, context, work })
     }
 
     fn arrive(&mut self, kind: usize) {
@@ -502,13 +504,16 @@
             }
             let Request { instance, kind, context, .. } = self.requests[request];
             let percent = (self.plan.pace)(engine, self.now.saturating_sub(PACE_AGE));
-            let pace = Pace::from_percent(percent);
+            let names_pace = self.plan.rules != Rules::CostsWithoutPace;
+            let pace = names_pace.then(|| Pace::from_percent(percent).unwrap());
             let running = self.engines[engine].requests() as u32;
             let node = &mut self.nodes[instance];
             node.estimates[engine].remove_backlog(self.plan.kinds[kind].own_tokens);
             node.estimates[engine].report(now, Report { running, waiting: 0, slots: SLOTS, pace });
             node.prompts[engine].record_read(names::Request(request as u64));
-            node.prompts[engine].record_pace(now, pace.unwrap());
+            if let Some(pace) = pace {
+                node.prompts[engine].record_pace(now, pace);
+            }
             node.holders.record(now, context, engine as u32);
             self.report(instance, engine, pace);
         }
--- a/crates/forward/tests/uneven_engines.rs
+++ b/crates/forward/tests/uneven_engines.rs
@@ -121,6 +121,23 @@
     assert!(costs.simulation.sent_above_bound() <= usual.simulation.sent_above_bound());
 }
 
+/// Guards against short prompts that wait behind long ones where engines name no pace, although every
+/// third engine is slower than the others.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn short_urgent_prompts_do_not_wait_behind_long_ones_without_a_pace(seed: u64) {
+    let costs = Played::new(plan(seed, Rules::CostsWithoutPace));
+    let usual = Played::new(plan(seed, Rules::Usual));
+    assert_eq!((costs.long.late, costs.short.late), (0.0, 0.0));
+    assert!(costs.tags.late <= 0.002, "{:?}", costs.tags);
+    assert!(costs.short.p99 * 2 < usual.short.p99, "{:?} {:?}", costs.short, usual.short);
+    assert!(costs.long.p99 < usual.long.p99 * 11 / 10, "{:?} {:?}", costs.long, usual.long);
+    let read = |simulation: &Simulation| simulation.shared_tokens_read();
+    let ratio = read(&costs.simulation) / read(&usual.simulation);
+    assert!(ratio < 1.1, "the engines read {ratio:.2} times as many shared tokens");
+}
+
 #[test_case(1)]
 #[test_case(2)]
 #[test_case(3)]
--- a/crates/relay/src/forwarder/prompt_costs.rs
+++ b/crates/relay/src/forwarder/prompt_costs.rs
@@ -1,4 +1,5 @@
-//! Costs of requests at engines, for services whose upstreams name their pace.
+//! Costs of requests at engines, for services whose upstreams name their pace, or for all services
+//! with engines if the settings say so.
 
 use std::time::Instant;
 
@@ -6,6 +7,7 @@
 use forward::{CachedContext, Candidate, EngineCost, EngineWork, PromptSize};
 use names::{Service, Upstream};
 use roster::short_hash;
+use settings::PromptCosts;
 
 use super::Forwarder;
 
@@ -52,12 +54,18 @@
 }
 
 impl Forwarder {
-    /// Returns what the costs of the request at `index` depend on, or `None` if its service has no
-    /// engines or none of them names its pace.
+    /// Returns whether requests of `service` are placed by the cost of their prompts.
+    fn has_costs(&self, service: &Service) -> bool {
+        let is_always = self.settings.direct.prompt_costs == PromptCosts::Always;
+        self.has_engine(service) && (is_always || self.table.names_pace(service))
+    }
+
+    /// Returns what the costs of the request at `index` depend on, or `None` if requests of its
+    /// service are not placed by costs.
     pub(super) fn request_costs(&self, index: usize) -> Option<RequestCosts<'_>> {
         let active = &self.requests[index];
         let service = &active.service;
-        if !self.has_engine(service) || !self.table.names_pace(service) {
+        if !self.has_costs(service) {
             return None;
         }
         let routing_key = active.routing_key();
@@ -102,13 +110,19 @@
     /// Records that the upstream of a request has read its prompt, since the body of the response has
     /// begun, and tells the load tracker. The head may be sent before the prompt is read.
     pub(super) fn record_prompt_read(&mut self, now: Instant, id: names::Request) {
-        let Some(running) = self.active(id).and_then(|active| active.running.as_ref()) else {
+        let Some(active) = self.active(id) else {
+            return;
+        };
+        let is_placed_by_cost = active.basis.is_some();
+        let Some(running) = &active.running else {
             return;
         };
         let (upstream, pace) = (running.upstream.clone(), running.pace);
         self.table.record_prompt_read(id, &upstream);
-        if let Some(pace) = pace {
-            self.report_pace(now, &upstream, pace);
+        match pace {
+            Some(pace) => self.report_pace(now, &upstream, pace),
+            None if is_placed_by_cost => self.report_count(now, &upstream),
+            None => {}
         }
     }
 
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -3,6 +3,29 @@
 use serde::{Deserialize, Serialize};
 use units::{Size, Span};
 
+/// Services with engines for which requests are placed by the cost of their prompts.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum PromptCosts {
+    /// Services of which an engine has named its pace.
+    #[default]
+    Paced,
+    /// All services. An engine that names no pace has the usual one.
+    Always,
+}
+
 /// Retry, load and link settings of entry instances that choose upstreams themselves.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -27,6 +50,8 @@
     /// Maximum bytes of requests, bodies and heads, that this instance has in flight at one upstream.
     /// A single request above it is sent while the upstream has no other one.
     pub upstream_bytes: Size,
+    /// Services with engines for which requests are placed by the cost of their prompts.
+    pub prompt_costs: PromptCosts,
     /// Bandwidth of the link of this instance, in megabits per second. Documents use a share of it.
     pub link_megabits: f64,
     /// Time after the start of an instance within which requests wait until the instance can serve
@@ -49,6 +74,7 @@
             cold_excess: None,
             cold_slack: None,
             upstream_bytes: Size::from_kibibytes(64 << 10),
+            prompt_costs: PromptCosts::default(),
             link_megabits: DEFAULT_LINK_MEGABITS_PER_SECOND,
             startup_wait: Span::from_millis(0),
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,7 @@
 mod policies;
 
 pub use context::Context;
-pub use direct::Direct;
+pub use direct::{Direct, PromptCosts};
 pub use error::Error;
 pub use model::{Limits, Listen, Logs, Peer, Retries, RetryLimit, Role, Settings, Timing};
 pub use policies::Policies;
--- a/tests/platform_pace.rs
+++ b/tests/platform_pace.rs
@@ -15,6 +15,10 @@
 
 const CONTROLS: u8 = 3;
 
+/// Values of `direct.prompt_costs`.
+const PACED: &str = "paced";
+const ALWAYS: &str = "always";
+
 /// Returns the document `number`, in which requests of the first route are more urgent than those of
 /// the second one.
 fn document_with_ranks(number: u64) -> Value {
@@ -48,17 +52,24 @@
     line.rsplit_once(' ').unwrap().1.parse().unwrap()
 }
 
-#[test_case(1, Some("1,0,8,100"), true; "in a small fleet")]
-#[test_case(16, Some("1,0,8,100"), true; "in a large fleet, where another instance has the long prompt")]
-#[test_case(1, Some("1,0,8"), false; "unless the engines name no pace")]
-#[test_case(16, Some("1,0,8,0"), false; "unless the pace is invalid, in a large fleet")]
-#[test_case(16, None, false; "unless the engines report no load, in a large fleet")]
+/// Guards against short urgent prompts that wait behind long ones, and against a change for services
+/// whose upstreams name no pace, unless the settings ask for it.
+#[test_case(1, Some("1,0,8,100"), PACED, true; "in a small fleet")]
+#[test_case(16, Some("1,0,8,100"), PACED, true; "in a large fleet, where another instance has the long prompt")]
+#[test_case(1, Some("1,0,8"), PACED, false; "unless the engines name no pace")]
+#[test_case(16, Some("1,0,8,0"), PACED, false; "unless the pace is invalid, in a large fleet")]
+#[test_case(16, None, PACED, false; "unless the engines report no load, in a large fleet")]
+#[test_case(1, Some("1,0,8"), ALWAYS, true; "without a pace in a small fleet if the settings say so")]
+#[test_case(16, None, ALWAYS, true; "without a pace in a large fleet if the settings say so")]
 fn an_urgent_prompt_leaves_an_engine_that_reads_a_long_one(
     entries: u8,
     load: Option<&str>,
+    prompt_costs: &str,
     leaves: bool,
 ) {
-    let machines = Machines::start(CONTROLS, entries);
+    let machines = Machines::start_with_setup(CONTROLS, entries, |machine| {
+        machine.extra_settings = format!("  prompt_costs: {prompt_costs}\n");
+    });
     let engines =
         ["i-engine-1", "i-engine-2"].map(|name| Worker::start(name, "engines", machines.seeds()));
     machines.put_document_until_acknowledged(&document_with_ranks(7));
