Find declarations that cannot have the intended effect

declare::findings returns entries that can never match, or whose values contradict each other: a deadline of 0, selectors that no labels satisfy, client accounts without keys or with a limit of 0, and role changes whose engines all follow an earlier one. Declarations::validated returns all errors instead of the first one.

Errors no longer contain hashes of keys, or texts in place of one, which may be a key itself. A hash that is declared twice is reported with the names of the accounts.

--- a/crates/declare/src/declarations.rs
+++ b/crates/declare/src/declarations.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use units::{Rate, Span};
 
-use crate::{Error, KeyHash, Labels, RoleChange, Rollout, Selector};
+use crate::{Error, Errors, KeyHash, Labels, RoleChange, Rollout, Selector};
 
 /// Maximum sum of the minimum shares of all kinds of work, in percent.
 const MAX_TOTAL_MIN_SHARE_PERCENT: u64 = 90;
@@ -201,12 +201,24 @@
     ///
     /// # Errors
     ///
-    /// Fails if a name is declared twice, if a referenced item is not declared or if a value is out
+    /// The first error: a name is declared twice, a referenced item is not declared or a value is out
     /// of range.
-    pub fn checked(mut self) -> Result<Self, Error> {
+    pub fn checked(self) -> Result<Self, Error> {
+        self.validated().map_err(|errors| errors.first)
+    }
+
+    /// Sorts each list and validates the declarations.
+    ///
+    /// # Errors
+    ///
+    /// All errors of the kinds that [`Declarations::checked`] names.
+    pub fn validated(mut self) -> Result<Self, Errors> {
         self.sort();
-        self.check()?;
-        Ok(self)
+        let mut errors = self.errors().into_iter();
+        match errors.next() {
+            Some(first) => Err(Errors { first, others: errors.collect() }),
+            None => Ok(self),
+        }
     }
 
     /// Parses one of the files that the declarations consist of, without validation.
@@ -261,30 +273,43 @@
         owners
     }
 
-    fn check(&self) -> Result<(), Error> {
-        check_unique("service", self.services.iter().map(|item| item.name.as_str()))?;
-        check_unique("client account", self.client_accounts.iter().map(|item| item.name.as_str()))?;
-        check_unique("kind of work", self.kinds.iter().map(|item| item.name.as_str()))?;
-        check_unique("key hash", self.owners.iter().map(|owner| owner.hash.as_str()))?;
-        self.check_service_kinds()?;
-        check_unique("rollout", self.rollouts.iter().map(|item| item.model.as_str()))?;
-        self.check_drains()?;
-        self.rollouts.iter().try_for_each(Rollout::check)?;
-        check_unique("role change", self.role_changes.iter().map(|item| item.role.as_str()))?;
-        self.role_changes.iter().try_for_each(RoleChange::check)?;
-        self.check_min_shares()
+    /// Returns all errors in the declarations, which must be sorted.
+    fn errors(&self) -> Vec<Error> {
+        let kinds = self.kinds.iter().map(|item| item.name.as_str());
+        let services = self.services.iter().map(|item| item.name.as_str());
+        let accounts = self.client_accounts.iter().map(|item| item.name.as_str());
+        let rollouts = self.rollouts.iter().map(|item| item.model.as_str());
+        let roles = self.role_changes.iter().map(|item| item.role.as_str());
+        let mut errors = duplicates("service", services);
+        errors.extend(duplicates("client account", accounts));
+        errors.extend(duplicates("kind of work", kinds));
+        errors.extend(self.shared_keys());
+        errors.extend(self.undeclared_kinds());
+        errors.extend(duplicates("rollout", rollouts));
+        errors.extend(self.check_drains().err());
+        errors.extend(self.rollouts.iter().filter_map(|item| item.check().err()));
+        errors.extend(duplicates("role change", roles));
+        errors.extend(self.role_changes.iter().filter_map(|item| item.check().err()));
+        errors.extend(self.check_min_shares().err());
+        errors
     }
 
-    fn check_service_kinds(&self) -> Result<(), Error> {
-        let undeclared = self.services.iter().find(|item| self.kind(item.kind.as_str()).is_none());
-        match undeclared {
-            Some(service) => Err(Error::Undeclared {
-                place: format!("service \"{}\"", service.name),
-                what: "kind of work",
-                name: service.kind.to_string(),
-            }),
-            None => Ok(()),
-        }
+    fn shared_keys(&self) -> impl Iterator<Item = Error> {
+        let pairs = self.owners.windows(2).filter(|pair| pair[0].hash == pair[1].hash);
+        pairs.map(|pair| Error::SharedKey {
+            first: self.client_accounts[pair[0].account].name.to_string(),
+            second: self.client_accounts[pair[1].account].name.to_string(),
+        })
+    }
+
+    fn undeclared_kinds(&self) -> impl Iterator<Item = Error> {
+        let services = self.services.iter();
+        let undeclared = services.filter(|item| self.kind(item.kind.as_str()).is_none());
+        undeclared.map(|service| Error::Undeclared {
+            place: format!("service \"{}\"", service.name),
+            what: "kind of work",
+            name: service.kind.to_string(),
+        })
     }
 
     fn check_drains(&self) -> Result<(), Error> {
@@ -328,18 +353,22 @@
     Ok(())
 }
 
-fn check_unique<'a, I>(what: &'static str, sorted: I) -> Result<(), Error>
+/// Returns an error for each name that occurs more than once in `sorted`.
+fn duplicates<'a, I>(what: &'static str, sorted: I) -> Vec<Error>
 where
     I: Iterator<Item = &'a str>,
 {
+    let mut errors = Vec::new();
     let mut previous = None;
+    let mut reported = None;
     for name in sorted {
-        if previous == Some(name) {
-            return Err(Error::Duplicate { what, name: name.to_string() });
+        if previous == Some(name) && reported != Some(name) {
+            errors.push(Error::Duplicate { what, name: name.to_string() });
+            reported = Some(name);
         }
         previous = Some(name);
     }
-    Ok(())
+    errors
 }
 
 impl TryFrom<String> for Declarations {
--- a/crates/declare/src/error.rs
+++ b/crates/declare/src/error.rs
@@ -29,6 +29,16 @@
         /// The duplicate name.
         name: String,
     },
+    /// A key hash is declared twice. The hash itself is omitted, because errors are logged.
+    #[error(
+        "client accounts \"{first}\" and \"{second}\" declare the same key hash; help: remove one of them"
+    )]
+    SharedKey {
+        /// Name of one account.
+        first: String,
+        /// Name of the other account; the same name if one account declares the hash twice.
+        second: String,
+    },
     /// A reference to an item that is not declared.
     #[error(
         "{place} names {what} \"{name}\", which is not declared; help: declare it or correct the name"
@@ -65,13 +75,9 @@
         problem: String,
     },
     /// A key hash does not consist of 64 hexadecimal digits.
-    #[error(
-        "key hash \"{text}\" is not 64 hexadecimal digits; help: make it with `turmericrelay hash-key`"
-    )]
-    InvalidKeyHash {
-        /// The invalid text.
-        text: String,
-    },
+    /// The text is omitted, because it may be the key itself.
+    #[error("a key hash is not 64 hexadecimal digits; help: make it with `turmericrelay hash-key`")]
+    InvalidKeyHash,
     /// An item of a revision cannot be encoded or decoded.
     #[error("{section} \"{name}\" of the revision is not valid: {source}")]
     InvalidItem {
@@ -107,7 +113,24 @@
     pub fn subject(&self) -> Option<&str> {
         match self {
             Self::Duplicate { name, .. } | Self::Undeclared { name, .. } => Some(name),
+            Self::SharedKey { second, .. } => Some(second),
             _ => None,
         }
     }
 }
+
+/// All errors in declarations, at least one.
+#[derive(Debug)]
+pub struct Errors {
+    /// The error that is found first.
+    pub first: Error,
+    /// The other errors.
+    pub others: Vec<Error>,
+}
+
+impl Errors {
+    /// Returns all errors.
+    pub fn iter(&self) -> impl Iterator<Item = &Error> {
+        std::iter::once(&self.first).chain(&self.others)
+    }
+}
--- a/crates/declare/src/key.rs
+++ b/crates/declare/src/key.rs
@@ -35,11 +35,7 @@
 
     fn from_str(text: &str) -> Result<Self, Error> {
         let is_hash = text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-        if is_hash {
-            Ok(Self(text.to_ascii_lowercase()))
-        } else {
-            Err(Error::InvalidKeyHash { text: text.to_string() })
-        }
+        if is_hash { Ok(Self(text.to_ascii_lowercase())) } else { Err(Error::InvalidKeyHash) }
     }
 }
 
--- a/crates/declare/src/lib.rs
+++ b/crates/declare/src/lib.rs
@@ -11,6 +11,7 @@
 mod declarations;
 mod document;
 mod error;
+mod finding;
 mod history;
 mod key;
 mod label;
@@ -26,7 +27,8 @@
 pub use command::{Apply, Command, Origin, Outcome, Rollback, WinningRevision};
 pub use declarations::{ClientAccount, Declarations, Kind, Rank, Service, Target};
 pub use document::{Document, Item, Mark, Section};
-pub use error::Error;
+pub use error::{Error, Errors};
+pub use finding::{Finding, findings};
 pub use history::{
     Cause, Entry, History, MAX_AUDIT_RECORDS, MAX_HISTORY_BYTES, MAX_HISTORY_REVISIONS, Record,
 };
--- a/crates/declare/src/selector.rs
+++ b/crates/declare/src/selector.rs
@@ -27,6 +27,23 @@
         }
     }
 
+    /// Returns the values of which the label must have one; none if it may have others.
+    fn required_values(&self) -> Option<&[String]> {
+        match self {
+            Condition::In { values, .. } => Some(values),
+            Condition::NotIn { .. } | Condition::Exists { .. } => None,
+        }
+    }
+
+    /// Whether a label with the value `value` satisfies the condition.
+    fn allows(&self, value: &str) -> bool {
+        match self {
+            Condition::In { values, .. } => contains(values, value),
+            Condition::NotIn { values, .. } => !contains(values, value),
+            Condition::Exists { .. } => true,
+        }
+    }
+
     fn matches(&self, labels: &Labels) -> bool {
         match self {
             Condition::In { key, values } => {
@@ -62,6 +79,28 @@
         self.conditions.iter().any(|condition| condition.key() == key)
     }
 
+    /// Returns the key of a label for which no value satisfies the conditions, or `None` if some
+    /// labels match the selector.
+    pub fn contradiction(&self) -> Option<&str> {
+        let mut keys = self.conditions.iter().map(Condition::key);
+        keys.find(|key| {
+            let conditions = || self.conditions.iter().filter(|condition| condition.key() == *key);
+            let mut required = conditions().filter_map(Condition::required_values);
+            let Some(values) = required.next() else {
+                return false;
+            };
+            let is_possible =
+                |value: &String| conditions().all(|condition| condition.allows(value));
+            !values.iter().any(is_possible)
+        })
+    }
+
+    /// Whether every condition of `other` is one of this selector, so that all that this selector
+    /// matches is matched by `other` too.
+    pub fn is_part_of(&self, other: &Self) -> bool {
+        other.conditions.iter().all(|condition| self.conditions.contains(condition))
+    }
+
     /// Whether `labels` satisfy every condition.
     pub fn matches(&self, labels: &Labels) -> bool {
         self.conditions.iter().all(|condition| condition.matches(labels))
