Find settings that contradict each other

settings::findings returns limits of heads, bodies and unread output above the limit that contains them, a connection timeout above the time of a graceful shutdown, a load bound of the mean or less, and one bound of cold upstreams without the other. Settings of the platform have no findings on values that documents replace.

A connection timeout above timing.receive is no finding: the first is about upstreams, the second about callers, and no request is subject to both.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,11 +6,13 @@
 mod context;
 mod direct;
 mod error;
+mod finding;
 mod model;
 mod policies;
 
 pub use context::Context;
 pub use direct::Direct;
 pub use error::Error;
+pub use finding::{Finding, findings};
 pub use model::{Limits, Listen, Logs, Peer, Retries, RetryLimit, Role, Settings, Timing};
 pub use policies::Policies;
