--- a/crates/catalogue/src/draft.rs
+++ b/crates/catalogue/src/draft.rs
@@ -60,6 +60,11 @@
         &self.limits
     }
 
+    /// Returns the client accounts; `None` if requests need no account.
+    pub fn accounts(&self) -> Option<&[Account]> {
+        self.accounts.as_deref()
+    }
+
     /// Returns the service with the given name.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         let position = self.services.binary_search_by(|service| service.name.cmp(name));
@@ -92,68 +97,93 @@
     }
 }
 
-impl TryFrom<Draft> for Catalogue {
-    type Error = Error;
+impl Draft {
+    /// Returns all errors in the draft, in the order in which they are found. A draft without errors
+    /// is a valid catalogue.
+    pub fn errors(&self) -> Vec<Error> {
+        let mut sorted = self.clone();
+        sorted.sort();
+        sorted.sorted_errors()
+    }
 
-    fn try_from(draft: Draft) -> Result<Self, Error> {
-        let Draft { number, mut routes, mut services, accounts, limits } = draft;
-        services.sort_by(|left, right| left.name.cmp(&right.name));
-        check_services(&services)?;
-        routes.sort_by(|left, right| {
+    fn sort(&mut self) {
+        self.services.sort_by(|left, right| left.name.cmp(&right.name));
+        self.routes.sort_by(|left, right| {
             (&left.host, &left.prefix, &left.name).cmp(&(&right.host, &right.prefix, &right.name))
         });
-        check_locations(&routes)?;
-        routes.iter().try_for_each(|route| check_route(route, &services))?;
-        let keys = sorted_keys(accounts.as_deref().unwrap_or_default())?;
-        Ok(Self { number, routes, services, accounts, keys, limits })
+    }
+
+    /// Returns all errors in the draft, which must be sorted.
+    fn sorted_errors(&self) -> Vec<Error> {
+        let mut errors = duplicate_services(&self.services);
+        errors.extend(duplicate_locations(&self.routes));
+        errors.extend(self.routes.iter().flat_map(|route| route_errors(route, &self.services)));
+        let keys = sorted_keys(self.accounts.as_deref().unwrap_or_default());
+        errors.extend(shared_keys(&keys, self.accounts.as_deref().unwrap_or_default()));
+        errors
     }
 }
 
-/// Fails if two services have the same name. `services` must be sorted by name.
-fn check_services(services: &[Service]) -> Result<(), Error> {
-    match services.windows(2).find(|pair| pair[0].name == pair[1].name) {
-        Some(pair) => Err(Error::DuplicateService { service: pair[0].name.clone() }),
-        None => Ok(()),
+impl TryFrom<Draft> for Catalogue {
+    type Error = Error;
+
+    fn try_from(mut draft: Draft) -> Result<Self, Error> {
+        draft.sort();
+        if let Some(error) = draft.sorted_errors().into_iter().next() {
+            return Err(error);
+        }
+        let Draft { number, routes, services, accounts, limits } = draft;
+        let keys = sorted_keys(accounts.as_deref().unwrap_or_default());
+        Ok(Self { number, routes, services, accounts, keys, limits })
     }
 }
 
-/// Fails if two routes have the same host and prefix. `routes` must be sorted by host and prefix.
-fn check_locations(routes: &[Route]) -> Result<(), Error> {
+/// Returns an error for each pair of services with the same name. `services` must be sorted by name.
+fn duplicate_services(services: &[Service]) -> Vec<Error> {
+    let pairs = services.windows(2).filter(|pair| pair[0].name == pair[1].name);
+    pairs.map(|pair| Error::DuplicateService { service: pair[0].name.clone() }).collect()
+}
+
+/// Returns an error for each pair of routes with the same host and prefix. `routes` must be sorted
+/// by host and prefix.
+fn duplicate_locations(routes: &[Route]) -> Vec<Error> {
     let has_same_location =
         |pair: &&[Route]| pair[0].host == pair[1].host && pair[0].prefix == pair[1].prefix;
-    match routes.windows(2).find(has_same_location) {
-        Some(pair) => Err(Error::DuplicateRoute {
-            first: pair[0].name.clone(),
-            second: pair[1].name.clone(),
-            host: pair[0].host.clone(),
-            prefix: pair[0].prefix.clone(),
-        }),
-        None => Ok(()),
-    }
+    let pairs = routes.windows(2).filter(has_same_location);
+    let error = |pair: &[Route]| Error::DuplicateRoute {
+        first: pair[0].name.clone(),
+        second: pair[1].name.clone(),
+        host: pair[0].host.clone(),
+        prefix: pair[0].prefix.clone(),
+    };
+    pairs.map(error).collect()
 }
 
-/// Fails if a setting of `route` is invalid. `services` must be sorted by name.
-fn check_route(route: &Route, services: &[Service]) -> Result<(), Error> {
-    let name = route.name.clone();
+/// Returns the errors in the settings of `route`. `services` must be sorted by name.
+fn route_errors(route: &Route, services: &[Service]) -> Vec<Error> {
+    let name = || route.name.clone();
+    let mut errors = Vec::new();
     if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-        return Err(Error::InvalidPrefix { route: name, prefix: route.prefix.clone() });
+        errors.push(Error::InvalidPrefix { route: name(), prefix: route.prefix.clone() });
     }
     if route.timeout.is_zero() {
-        return Err(Error::ZeroTimeout { route: name });
+        errors.push(Error::ZeroTimeout { route: name() });
     }
     let is_unknown =
         |name: &ServiceName| services.binary_search_by(|service| service.name.cmp(name)).is_err();
-    if let Some(target) = route.targets.iter().find(|target| is_unknown(&target.service)) {
-        return Err(Error::UnknownService { route: name, service: target.service.clone() });
-    }
+    let unknown = route.targets.iter().filter(|target| is_unknown(&target.service));
+    errors.extend(
+        unknown
+            .map(|target| Error::UnknownService { route: name(), service: target.service.clone() }),
+    );
     if route.targets.iter().all(|target| target.weight == 0) {
-        return Err(Error::ZeroTotalWeight { route: name });
+        errors.push(Error::ZeroTotalWeight { route: name() });
     }
-    Ok(())
+    errors
 }
 
-/// Returns the API keys of all accounts, sorted by text. Fails if two accounts have the same key.
-fn sorted_keys(accounts: &[Account]) -> Result<Vec<ApiKey>, Error> {
+/// Returns the API keys of all accounts, sorted by text and owner.
+fn sorted_keys(accounts: &[Account]) -> Vec<ApiKey> {
     let mut keys = Vec::new();
     for (owner, account) in accounts.iter().enumerate() {
         let mut texts = account.keys.clone();
@@ -162,11 +192,15 @@
         keys.extend(texts.into_iter().map(|text| ApiKey { text, owner }));
     }
     keys.sort_by(|left, right| (&left.text, left.owner).cmp(&(&right.text, right.owner)));
-    match keys.windows(2).find(|pair| pair[0].text == pair[1].text) {
-        Some(pair) => Err(Error::SharedKey {
-            first: accounts[pair[0].owner].name.to_string(),
-            second: accounts[pair[1].owner].name.to_string(),
-        }),
-        None => Ok(keys),
-    }
+    keys
+}
+
+/// Returns an error for each pair of accounts that have a key in common. `keys` must be sorted.
+fn shared_keys(keys: &[ApiKey], accounts: &[Account]) -> Vec<Error> {
+    let pairs = keys.windows(2).filter(|pair| pair[0].text == pair[1].text);
+    let error = |pair: &[ApiKey]| Error::SharedKey {
+        first: accounts[pair[0].owner].name.to_string(),
+        second: accounts[pair[1].owner].name.to_string(),
+    };
+    pairs.map(error).collect()
 }
