Check prints warnings, all errors, and what differs from the version in force

Parsers quote a value of the wrong type in their errors, which may be a key or a secret. Such values are left out, also in the errors of apply and diff.

--- a/crates/command/src/commands/check.rs
+++ b/crates/command/src/commands/check.rs
@@ -1,56 +1,37 @@
-//! `check`: checks files of settings and declarations, without a running fleet.
+//! `check`: checks files of settings, declarations and documents before they are used.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
-use bpaf::{Parser, construct, positional};
+use bpaf::{Parser, construct, long, positional};
 use serde_json::{Value, json};
-use settings::Settings;
 
-use crate::files::{self, SourceFile};
+use crate::checked::CheckedPath;
+use crate::difference::{self, Base};
+use crate::files::SourceFile;
 use crate::table::print_json;
+use crate::warning::Warning;
 use crate::{Command, CommandParser, Error, Exit, fleet};
 
-const HELP: &str = "Checks files and folders of settings or declarations; changes nothing";
+const HELP: &str = "Checks settings, declarations and documents, and shows what they would change";
 const EXAMPLES: &str = "Example: turmericrelay check giza-1.yaml declarations.yaml
-Example: turmericrelay check declarations/ --json";
-
-/// Field that only files of settings contain.
-const SETTINGS_FIELD: &str = "fleet_secrets";
+Example: turmericrelay check declarations/ --strict --json
+Example: turmericrelay check declarations/ --instance 10.0.0.1:8081 --token-file token
+Example: turmericrelay check next.json --against saved.json";
 
 struct Check {
+    strict: bool,
     json: bool,
+    base: Option<Base>,
     files: Vec<PathBuf>,
 }
 
-/// Result of checking one file.
-enum CheckResult {
-    /// The file contains valid settings or declarations.
-    Valid { path: String, kind: &'static str },
-    /// The file, or a file in the folder at this path, is invalid.
-    Invalid { path: String, error: Error },
-}
-
-impl CheckResult {
-    fn print(&self) {
-        match self {
-            Self::Valid { path, kind } => println!("{path}: valid {kind}"),
-            Self::Invalid { error, .. } => eprintln!("{error}"),
-        }
-    }
-
-    fn to_json(&self) -> Value {
-        match self {
-            Self::Valid { path, kind } => json!({ "file": path, "valid": kind }),
-            Self::Invalid { path, error } => json!({ "file": path, "error": error.to_string() }),
-        }
-    }
-}
-
 pub(crate) fn parser() -> CommandParser {
+    let strict = long("strict").help("Fail with exit code 3 if there are warnings").switch();
     let json = fleet::json_flag();
+    let base = difference::flags();
     let files =
         positional("FILE").help("Files and folders to check").some("give at least one file");
-    construct!(Check { json, files })
+    construct!(Check { strict, json, base, files })
         .map(|check| -> Box<dyn Command> { Box::new(check) })
         .to_options()
         .descr(HELP)
@@ -60,50 +41,92 @@
         .boxed()
 }
 
-fn is_settings(file: &SourceFile) -> bool {
-    file.content.contains(SETTINGS_FIELD)
+/// Outcome of checking all files.
+struct Report {
+    checked: Vec<CheckedPath>,
+    warnings: Vec<Warning>,
+    /// Differences from the base; `None` if the files were not compared.
+    changes: Option<Vec<String>>,
 }
 
-/// Checks the file or folder at `path`. The declarations in a folder are merged and checked
-/// together. Returns one result for each valid file, or the first error.
-fn check(path: &Path) -> Result<Vec<CheckResult>, Error> {
-    let paths = files::yaml_files(path)?;
-    let files =
-        paths.iter().map(|path| files::read(path)).collect::<Result<Vec<SourceFile>, Error>>()?;
-    let (settings, declarations): (Vec<SourceFile>, Vec<SourceFile>) =
-        files.into_iter().partition(is_settings);
-    let mut valid = Vec::new();
-    for SourceFile { path, content } in settings {
-        let path = path.display().to_string();
-        Settings::try_from(content)
-            .map_err(|error| Error::Invalid { path: path.clone(), reason: error.to_string() })?;
-        valid.push(CheckResult::Valid { path, kind: "settings" });
-    }
-    files::merge(&declarations)?;
-    let paths = declarations.iter().map(|file| file.path.display().to_string());
-    valid.extend(paths.map(|path| CheckResult::Valid { path, kind: "declarations" }));
-    Ok(valid)
+/// Returns the valid files at a path, with what they contain. Files of declarations are valid if
+/// their declarations are valid together.
+fn valid_files(checked: &CheckedPath) -> impl Iterator<Item = (String, &'static str)> {
+    let settings = checked.settings.iter().map(|(file, _)| (file, "settings"));
+    let declarations = checked.declaration_files.iter().map(|file| (file, "declarations"));
+    let documents = checked.documents.iter().map(|(file, _)| (file, "document"));
+    let files = settings.chain(declarations).chain(documents);
+    files.map(|(file, kind): (&SourceFile, _)| (file.path.display().to_string(), kind))
 }
 
-/// Returns the results of checking `path`; an error becomes the only result.
-fn check_results(path: &Path) -> Vec<CheckResult> {
-    check(path).unwrap_or_else(|error| {
-        let path = path.display().to_string();
-        vec![CheckResult::Invalid { path, error }]
-    })
+impl Report {
+    fn has_errors(&self) -> bool {
+        self.checked.iter().any(|checked| !checked.errors.is_empty())
+    }
+
+    fn print(&self) {
+        for checked in &self.checked {
+            for (path, kind) in valid_files(checked) {
+                println!("{path}: valid {kind}");
+            }
+            for (_, error) in &checked.errors {
+                eprintln!("{error}");
+            }
+        }
+        for warning in &self.warnings {
+            eprintln!("{warning}");
+        }
+        for change in self.changes.iter().flatten() {
+            println!("{change}");
+        }
+    }
+
+    fn to_json(&self) -> Value {
+        let files = self.checked.iter().flat_map(|checked| {
+            let valid = valid_files(checked);
+            let valid = valid.map(|(path, kind)| json!({ "file": path, "valid": kind }));
+            let errors = checked.errors.iter();
+            let errors =
+                errors.map(|(path, error)| json!({ "file": path, "error": error.to_string() }));
+            valid.chain(errors)
+        });
+        let files: Vec<Value> = files.collect();
+        let warnings: Vec<Value> = self.warnings.iter().map(Warning::to_json).collect();
+        let mut report = json!({ "files": files, "warnings": warnings });
+        if let Some(changes) = &self.changes {
+            report["changes"] = json!(changes);
+        }
+        report
+    }
 }
 
 impl Command for Check {
     fn run(&self) -> Result<Exit, Error> {
-        let results: Vec<CheckResult> =
-            self.files.iter().flat_map(|path| check_results(path)).collect();
+        let checked: Vec<CheckedPath> =
+            self.files.iter().map(|path| CheckedPath::read(path)).collect();
+        let memory_bytes = checked.iter().filter_map(CheckedPath::min_memory).min();
+        let warnings = checked.iter().flat_map(|checked| checked.warnings(memory_bytes)).collect();
+        let mut report = Report { checked, warnings, changes: None };
+        let mut failure = None;
+        if let Some(base) = self.base.as_ref().filter(|_| !report.has_errors()) {
+            match base.compare(&report.checked) {
+                Ok(comparison) => {
+                    report.warnings.extend(comparison.warnings);
+                    report.changes = Some(comparison.changes);
+                }
+                Err(error) => failure = Some(error),
+            }
+        }
         if self.json {
-            let files: Vec<Value> = results.iter().map(CheckResult::to_json).collect();
-            print_json(&json!({ "files": files }));
+            print_json(&report.to_json());
         } else {
-            results.iter().for_each(CheckResult::print);
+            report.print();
+        }
+        match failure {
+            Some(error) => Err(error),
+            None if report.has_errors() => Ok(Exit::InvalidFile),
+            None if self.strict && !report.warnings.is_empty() => Ok(Exit::InvalidFile),
+            None => Ok(Exit::Success),
         }
-        let is_invalid = results.iter().any(|result| matches!(result, CheckResult::Invalid { .. }));
-        Ok(if is_invalid { Exit::InvalidFile } else { Exit::Success })
     }
 }
--- a/crates/command/src/commands/diff.rs
+++ b/crates/command/src/commands/diff.rs
@@ -48,8 +48,7 @@
     }
 
     fn compare_files(&self) -> Result<Value, Error> {
-        let body = files::read_declarations(&self.files)?.to_yaml()?;
-        self.fleet.post("/declarations/diff", &body)
+        self.fleet.compare(&files::read_declarations(&self.files)?)
     }
 }
 
--- a/crates/command/src/error.rs
+++ b/crates/command/src/error.rs
@@ -79,6 +79,14 @@
         /// Reason why the file is invalid, and its remedy if there is one.
         reason: String,
     },
+    /// Files are compared with something that they have nothing in common with.
+    #[error("{problem}; help: {help}")]
+    Incomparable {
+        /// What is compared, and why it cannot be.
+        problem: &'static str,
+        /// Description of the remedy.
+        help: &'static str,
+    },
     /// A system call failed.
     #[error("{context}: {source}")]
     System {
@@ -94,6 +102,7 @@
     pub fn exit_status(&self) -> Exit {
         match self {
             Self::Settings(_) | Self::Invalid { .. } | Self::Declarations(_) => Exit::InvalidFile,
+            Self::Incomparable { .. } => Exit::InvalidUsage,
             Self::Refused { status: 400, .. } => Exit::InvalidFile,
             Self::Refused { status: 409, .. } => Exit::Conflict,
             Self::Refused { status: 503 | 504, .. } | Self::Unreachable { .. } => Exit::Unreachable,
--- a/crates/command/src/files.rs
+++ b/crates/command/src/files.rs
@@ -11,13 +11,36 @@
 const YAML_EXTENSIONS: [&str; 2] = ["yaml", "yml"];
 
 /// Path and content of a file.
+#[derive(Clone)]
 pub(crate) struct SourceFile {
     pub(crate) path: PathBuf,
     pub(crate) content: String,
 }
 
-fn invalid(path: &Path, reason: impl ToString) -> Error {
-    Error::Invalid { path: path.display().to_string(), reason: reason.to_string() }
+/// Texts before a value of the wrong type in errors of parsers.
+const BEFORE_INVALID_VALUE: [&str; 2] = ["invalid type: ", "invalid value: "];
+
+/// Text after such a value.
+const AFTER_INVALID_VALUE: &str = ", expected";
+
+/// Returns the error that the file at `path` is invalid.
+pub(crate) fn invalid(path: &Path, reason: impl ToString) -> Error {
+    let reason = without_value(&reason.to_string());
+    Error::Invalid { path: path.display().to_string(), reason }
+}
+
+/// Removes from an error of a parser the value that has the wrong type, because it may be a secret.
+/// Its type, which is named before it, is kept.
+fn without_value(reason: &str) -> String {
+    let starts = BEFORE_INVALID_VALUE.iter().filter_map(|text| {
+        let start = reason.find(text)? + text.len();
+        Some(start + reason[start..].find(['"', '`'])?)
+    });
+    let Some(start) = starts.min() else {
+        return reason.to_string();
+    };
+    let end = reason[start..].rfind(AFTER_INVALID_VALUE).map_or(reason.len(), |end| start + end);
+    format!("{}(value omitted){}", &reason[..start], &reason[end..])
 }
 
 /// Returns the YAML files directly in the folder `path`, sorted by path, or `path` itself if it is
@@ -64,11 +87,28 @@
 
 /// Merges the declarations of `files` and validates the result.
 pub(crate) fn merge(files: &[SourceFile]) -> Result<Declarations, Error> {
+    merge_all(files).map_err(|(first, _)| first)
+}
+
+/// Merges the declarations of `files` and validates the result. Returns the first error and the
+/// others: those of all files that cannot be parsed, or those of the merged declarations.
+pub(crate) fn merge_all(files: &[SourceFile]) -> Result<Declarations, (Error, Vec<Error>)> {
     let mut declarations = Declarations::default();
+    let mut errors = Vec::new();
     for SourceFile { path, content } in files {
-        declarations.append(Declarations::parse(content).map_err(|error| invalid(path, error))?);
+        match Declarations::parse(content) {
+            Ok(parsed) => declarations.append(parsed),
+            Err(error) => errors.push(invalid(path, error)),
+        }
+    }
+    let mut errors = errors.into_iter();
+    if let Some(first) = errors.next() {
+        return Err((first, errors.collect()));
     }
-    declarations.checked().map_err(|error| with_position(files, &error))
+    declarations.validated().map_err(|errors| {
+        let others = errors.others.iter().map(|error| with_position(files, error)).collect();
+        (with_position(files, &errors.first), others)
+    })
 }
 
 /// Adds to an error in the merged declarations the file, line and column of the last occurrence of
@@ -89,8 +129,6 @@
 /// Returns the line and the column in bytes, both counted from 1, of `name` on the last line of
 /// `content` where it is a complete word.
 fn last_position(content: &str, name: &str) -> Option<(usize, usize)> {
-    let is_name_character =
-        |character: char| character.is_ascii_alphanumeric() || "._-/".contains(character);
     content
         .lines()
         .enumerate()
@@ -104,3 +142,8 @@
         })
         .last()
 }
+
+/// Whether `character` can be part of a name.
+pub(crate) fn is_name_character(character: char) -> bool {
+    character.is_ascii_alphanumeric() || "._-/".contains(character)
+}
--- a/crates/command/src/fleet.rs
+++ b/crates/command/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bpaf::{Parser, construct, long};
-use declare::{Order, Revision};
+use declare::{Declarations, Order, Revision};
 use rand::RngExt;
 use serde_json::Value;
 use ureq::Agent;
@@ -38,16 +38,31 @@
 
 /// Returns the parser of the flags that choose the instances and the operator's token.
 pub(crate) fn flags() -> impl Parser<FleetClient> {
-    let instances = long("instance")
-        .help("Operators' address of an instance; repeat the flag to try several in turn")
-        .argument::<SocketAddr>("ADDRESS")
+    let instances = instance_flag()
         .many()
         .map(|addresses| if addresses.is_empty() { vec![DEFAULT_INSTANCE] } else { addresses });
-    let token_file = long("token-file")
+    let token_file = token_flag();
+    construct!(FleetClient { instances, token_file })
+}
+
+/// Returns the parser of the same flags for a command that uses a fleet only if an instance is given.
+pub(crate) fn explicit_flags() -> impl Parser<FleetClient> {
+    let instances = instance_flag().some("give the address of an instance");
+    let token_file = token_flag();
+    construct!(FleetClient { instances, token_file })
+}
+
+fn instance_flag() -> impl Parser<SocketAddr> {
+    long("instance")
+        .help("Operators' address of an instance; repeat the flag to try several in turn")
+        .argument::<SocketAddr>("ADDRESS")
+}
+
+fn token_flag() -> impl Parser<Option<PathBuf>> {
+    long("token-file")
         .help("File that contains the operator's token")
         .argument::<PathBuf>("FILE")
-        .optional();
-    construct!(FleetClient { instances, token_file })
+        .optional()
 }
 
 /// Returns the parser of the flag `--order`.
@@ -141,6 +156,11 @@
         }
     }
 
+    /// Returns what `declarations` would change in the newest revision, in words.
+    pub(crate) fn compare(&self, declarations: &Declarations) -> Result<Value, Error> {
+        self.post("/declarations/diff", &declarations.to_yaml()?)
+    }
+
     /// Returns the newest revision in force at the first instance that answers; 0 if there is none.
     pub(crate) fn current_revision(&self) -> Result<Revision, Error> {
         let response = self.get("/declarations")?;
--- a/crates/command/src/lib.rs
+++ b/crates/command/src/lib.rs
@@ -1,13 +1,16 @@
 //! Command line interface. Each command has its own module, and `commands::all` lists the parsers
 //! of all commands.
 
+mod checked;
 mod commands;
+mod difference;
 mod error;
 mod files;
 mod fleet;
 mod signals;
 mod table;
 mod timeline;
+mod warning;
 
 use std::process::ExitCode;
 
--- a/crates/settings/src/finding.rs
+++ b/crates/settings/src/finding.rs
@@ -35,8 +35,8 @@
     findings
 }
 
-/// A limit on heads above the memory budget. A caller that sends such a head is cut off, since the
-/// process has no memory for it.
+/// A limit on heads above the memory budget. A caller that sends such a head gets 503 each time,
+/// although the head is within the limit.
 fn large_head(settings: &Settings) -> Option<Finding> {
     let limits = &settings.limits;
     exceeds_budget(limits, limits.head.as_bytes()).then(|| Finding {
