Name the answers that callers get for a kind of work with a deadline of 0

In a trial with one instance and one upstream, requests of such a kind got 429 overloaded from the admission queue instead of the 504 of an expired request.

--- a/crates/declare/src/finding.rs
+++ b/crates/declare/src/finding.rs
@@ -30,7 +30,7 @@
 
 /// A kind of work with a deadline of 0. Every request of this kind expires on its arrival, also
 /// those that name a later deadline, because the kind limits the deadline of a request. Callers get
-/// 504.
+/// 429 `overloaded`, since no upstream answers in time, or 504 `deadline`.
 fn expired_kind(kind: &Kind) -> Option<Finding> {
     kind.deadline.as_duration().is_zero().then(|| Finding {
         section: Section::Kind,
