Add shares of client accounts at an upstream

A load tracker can count the requests of each account and decide whether a request is over the share of its account. Nothing uses the decision yet.

--- /dev/null
+++ b/crates/forward/src/fair_shares.rs
@@ -0,0 +1,130 @@
+//! Fair shares of client accounts at an upstream.
+
+use serde::{Deserialize, Serialize};
+
+/// Maximum number of accounts that an instance names for an upstream, so that its message fits in a
+/// datagram. An instance of a large fleet mostly has none to two requests at an upstream.
+pub const MAX_ACCOUNTS: usize = 16;
+
+/// Number of requests that a client account has at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AccountRequests {
+    /// Short hash of the name of the account, or `None` for all requests without an account.
+    pub account: Option<u32>,
+    /// Number of requests.
+    pub requests: u32,
+}
+
+/// Numbers of requests at an upstream by client account.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AccountCounts(Vec<AccountRequests>);
+
+impl AccountCounts {
+    /// Adds `requests` requests of an account.
+    pub fn add(&mut self, account: Option<u32>, requests: u32) {
+        if requests == 0 {
+            return;
+        }
+        match self.0.iter_mut().find(|entry| entry.account == account) {
+            Some(entry) => entry.requests = entry.requests.saturating_add(requests),
+            None => self.0.push(AccountRequests { account, requests }),
+        }
+    }
+
+    /// Adds the requests of all accounts in `other`.
+    pub fn add_all(&mut self, other: &Self) {
+        other.0.iter().for_each(|entry| self.add(entry.account, entry.requests));
+    }
+
+    /// Removes a request of an account.
+    pub fn remove(&mut self, account: Option<u32>) {
+        if let Some(entry) = self.0.iter_mut().find(|entry| entry.account == account) {
+            entry.requests = entry.requests.saturating_sub(1);
+        }
+        self.0.retain(|entry| entry.requests > 0);
+    }
+
+    /// Keeps the [`MAX_ACCOUNTS`] accounts with the most requests, the largest first. Requests of the
+    /// same number are in the order of their accounts.
+    pub fn keep_largest(&mut self) {
+        self.0.sort_by_key(|entry| (std::cmp::Reverse(entry.requests), entry.account));
+        self.0.truncate(MAX_ACCOUNTS);
+    }
+
+    /// Returns the number of requests of an account.
+    pub fn of(&self, account: Option<u32>) -> u32 {
+        let found = self.0.iter().find(|entry| entry.account == account);
+        found.map_or(0, |entry| entry.requests)
+    }
+
+    /// Returns the number of accounts that have requests.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns whether no account has requests.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+/// Numbers of requests at an upstream that a decision about a share is based on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareCounts {
+    /// Number of all requests, including the one that is decided about.
+    pub requests: u32,
+    /// Number of these requests that belong to the account of that request.
+    pub of_account: u32,
+    /// Number of accounts that have requests, including that account.
+    pub accounts: u32,
+}
+
+/// Decision about a request at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShareDecision {
+    /// The share of the account does not prevent the request.
+    Granted,
+    /// The account is over its share.
+    OverShare(ShareCounts),
+}
+
+/// Divides the places of an upstream among the client accounts that have requests there.
+///
+/// A request is granted while there are free slots. The places beyond the slots are left to accounts
+/// that are within their share, which is an equal part of all places. An account that is alone has all
+/// places.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FairShares {
+    /// Number of requests that the upstream processes concurrently.
+    pub slots: u32,
+    /// Maximum number of requests per slot.
+    pub max_utilisation: f64,
+}
+
+impl FairShares {
+    /// Decides about a request of `account` at an upstream with `requests` requests, of which `counts`
+    /// names the accounts. Both include the request.
+    pub fn decide(
+        &self,
+        account: Option<u32>,
+        requests: u32,
+        counts: &AccountCounts,
+    ) -> ShareDecision {
+        if requests <= self.slots.max(1) {
+            return ShareDecision::Granted;
+        }
+        let of_account = counts.of(account);
+        let accounts = u32::try_from(counts.len()).unwrap_or(u32::MAX);
+        if f64::from(of_account) <= self.share(accounts) {
+            return ShareDecision::Granted;
+        }
+        ShareDecision::OverShare(ShareCounts { requests, of_account, accounts })
+    }
+
+    /// Returns the number of requests that each of `accounts` accounts may have once there is no free
+    /// slot, at least 1.
+    pub fn share(&self, accounts: u32) -> f64 {
+        let capacity = f64::from(self.slots.max(1)) * self.max_utilisation;
+        (capacity / f64::from(accounts.max(1))).max(1.0)
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,8 @@
 //! - In a large fleet a [`TrackerSearch`] asks the load trackers of upstreams. A load tracker is an
 //!   instance that counts the requests at an upstream in a [`LoadCounter`] and averages its latency
 //!   in [`Latencies`].
+//! - [`FairShares`] divide the places of an upstream among client accounts, by the [`AccountCounts`]
+//!   of its load tracker.
 //! - [`RateLimits`] keep to the rates that upstreams name, and to the allowance of cold upstreams
 //!   ([`ColdLimits`], [`ColdTime`]).
 //! - An [`EngineCost`] compares engines by the prompts that they have not read yet and by their pace,
@@ -31,6 +33,7 @@
 mod cordon;
 mod evacuation;
 mod event_boundary;
+mod fair_shares;
 mod grace;
 mod latency;
 mod load_counter;
@@ -57,6 +60,9 @@
 pub use cordon::Cordons;
 pub use evacuation::Evacuations;
 pub use event_boundary::{EventBoundary, is_event_stream};
+pub use fair_shares::{
+    AccountCounts, AccountRequests, FairShares, MAX_ACCOUNTS, ShareCounts, ShareDecision,
+};
 pub use grace::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
 pub use latency::{LATENCY_SAMPLE_EVENTS, Latencies};
 pub use load_counter::{COUNT_REPORT_INTERVAL, LoadCounter, MeanInFlight, UpstreamWork};
--- a/crates/forward/src/load_counter.rs
+++ b/crates/forward/src/load_counter.rs
@@ -11,6 +11,8 @@
 use names::Instance;
 use serde::{Deserialize, Serialize};
 
+use crate::AccountCounts;
+
 /// Interval at which an instance repeats its numbers of requests at upstreams.
 pub const COUNT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -50,6 +52,8 @@
     sender: Instance,
     /// Work of the sender at the upstream.
     work: UpstreamWork,
+    /// Requests of the sender at the upstream by client account. Empty if the sender names none.
+    accounts: AccountCounts,
     /// Number of the message with the report.
     number: u64,
     until: Instant,
@@ -72,6 +76,19 @@
         number: u64,
         upstream: u32,
         work: UpstreamWork,
+    ) {
+        self.report_accounts(now, sender, number, upstream, work, AccountCounts::default());
+    }
+
+    /// Records a report like [`Self::report`] that also names the accounts of the requests.
+    pub fn report_accounts(
+        &mut self,
+        now: Instant,
+        sender: &Instance,
+        number: u64,
+        upstream: u32,
+        work: UpstreamWork,
+        accounts: AccountCounts,
     ) {
         let found = self
             .reports
@@ -82,15 +99,30 @@
             }
             Ok(index) => {
                 let reported = &mut self.reports[index];
-                (reported.work, reported.number, reported.until) = (work, number, until);
+                (reported.work, reported.accounts) = (work, accounts);
+                (reported.number, reported.until) = (number, until);
             }
             Err(index) => {
                 let sender = sender.clone();
-                self.reports.insert(index, Reported { upstream, sender, work, number, until });
+                let reported = Reported { upstream, sender, work, accounts, number, until };
+                self.reports.insert(index, reported);
             }
         }
     }
 
+    /// Removes a request of `sender` that is not sent to an upstream, because the load tracker has
+    /// refused it. Until the sender's next report, it would take a place of other requests.
+    pub fn withdraw(&mut self, sender: &Instance, upstream: u32, account: Option<u32>) {
+        let found = self
+            .reports
+            .binary_search_by(|report| (report.upstream, &report.sender).cmp(&(upstream, sender)));
+        if let Ok(index) = found {
+            let reported = &mut self.reports[index];
+            reported.work.requests = reported.work.requests.saturating_sub(1);
+            reported.accounts.remove(account);
+        }
+    }
+
     /// Returns the number of requests of all instances at an upstream.
     pub fn requests(&self, now: Instant, upstream: u32) -> u32 {
         self.work(now, upstream).requests
@@ -98,11 +130,23 @@
 
     /// Returns the work of all instances at an upstream.
     pub fn work(&self, now: Instant, upstream: u32) -> UpstreamWork {
+        let valid = self.valid(now, upstream);
+        valid.map(|report| report.work).fold(UpstreamWork::default(), UpstreamWork::add)
+    }
+
+    /// Returns the requests of all instances at an upstream by client account.
+    pub fn accounts(&self, now: Instant, upstream: u32) -> AccountCounts {
+        let mut accounts = AccountCounts::default();
+        self.valid(now, upstream).for_each(|report| accounts.add_all(&report.accounts));
+        accounts
+    }
+
+    /// Returns the reports about an upstream that have not expired.
+    fn valid(&self, now: Instant, upstream: u32) -> impl Iterator<Item = &Reported> {
         let first = self.reports.partition_point(|report| report.upstream < upstream);
         let of_upstream =
-            self.reports[first..].iter().take_while(|report| report.upstream == upstream);
-        let valid = of_upstream.filter(|report| now < report.until);
-        valid.map(|report| report.work).fold(UpstreamWork::default(), UpstreamWork::add)
+            self.reports[first..].iter().take_while(move |report| report.upstream == upstream);
+        of_upstream.filter(move |report| now < report.until)
     }
 
     /// Drops expired reports.
