Count accounts that found no place at an upstream in its shares

An account without requests at an upstream was not counted there once its refused request was withdrawn, so that another account could keep all places.

--- a/crates/forward/src/fair_shares.rs
+++ b/crates/forward/src/fair_shares.rs
@@ -1,11 +1,18 @@
 //! Fair shares of client accounts at an upstream.
 
+use std::time::{Duration, Instant};
+
 use serde::{Deserialize, Serialize};
 
 /// Maximum number of accounts that an instance names for an upstream, so that its message fits in a
 /// datagram. An instance of a large fleet mostly has none to two requests at an upstream.
 pub const MAX_ACCOUNTS: usize = 16;
 
+/// Time for which an account that found no place counts among those that share an upstream. Queued
+/// requests and refused callers return within it. Without it, an account that has no request there
+/// would not be noticed beside one that has all places.
+const WAITING_TTL: Duration = Duration::from_secs(1);
+
 /// Number of requests that a client account has at an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AccountRequests {
@@ -31,6 +38,13 @@
         }
     }
 
+    /// Adds an account that may have no requests.
+    fn include(&mut self, account: Option<u32>) {
+        if !self.0.iter().any(|entry| entry.account == account) {
+            self.0.push(AccountRequests { account, requests: 0 });
+        }
+    }
+
     /// Adds the requests of all accounts in `other`.
     pub fn add_all(&mut self, other: &Self) {
         other.0.iter().for_each(|entry| self.add(entry.account, entry.requests));
@@ -57,12 +71,12 @@
         found.map_or(0, |entry| entry.requests)
     }
 
-    /// Returns the number of accounts that have requests.
+    /// Returns the number of accounts.
     pub fn len(&self) -> usize {
         self.0.len()
     }
 
-    /// Returns whether no account has requests.
+    /// Returns whether there are no accounts.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
@@ -75,15 +89,17 @@
     pub requests: u32,
     /// Number of these requests that belong to the account of that request.
     pub of_account: u32,
-    /// Number of accounts that have requests, including that account.
+    /// Number of accounts that have requests or found no place recently, including that account.
     pub accounts: u32,
 }
 
 /// Decision about a request at an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ShareDecision {
-    /// The share of the account does not prevent the request.
+    /// The upstream has a place for the request.
     Granted,
+    /// The account is within its share, but the upstream has no place.
+    NoPlace,
     /// The account is over its share.
     OverShare(ShareCounts),
 }
@@ -115,16 +131,57 @@
         }
         let of_account = counts.of(account);
         let accounts = u32::try_from(counts.len()).unwrap_or(u32::MAX);
-        if f64::from(of_account) <= self.share(accounts) {
-            return ShareDecision::Granted;
+        if f64::from(of_account) > self.share(accounts) {
+            return ShareDecision::OverShare(ShareCounts { requests, of_account, accounts });
+        }
+        match f64::from(requests) <= self.capacity() {
+            true => ShareDecision::Granted,
+            false => ShareDecision::NoPlace,
         }
-        ShareDecision::OverShare(ShareCounts { requests, of_account, accounts })
     }
 
     /// Returns the number of requests that each of `accounts` accounts may have once there is no free
     /// slot, at least 1.
     pub fn share(&self, accounts: u32) -> f64 {
-        let capacity = f64::from(self.slots.max(1)) * self.max_utilisation;
-        (capacity / f64::from(accounts.max(1))).max(1.0)
+        (self.capacity() / f64::from(accounts.max(1))).max(1.0)
+    }
+
+    fn capacity(&self) -> f64 {
+        (f64::from(self.slots.max(1)) * self.max_utilisation).max(1.0)
+    }
+}
+
+/// An account that found no place at an upstream.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    upstream: u32,
+    account: Option<u32>,
+    until: Instant,
+}
+
+/// The accounts within their share that recently found no place at the upstreams of a load tracker.
+#[derive(Debug, Clone, Default)]
+pub struct WaitingAccounts(Vec<Waiting>);
+
+impl WaitingAccounts {
+    /// Records that an account within its share found no place at an upstream.
+    pub fn record(&mut self, now: Instant, upstream: u32, account: Option<u32>) {
+        let until = now + WAITING_TTL;
+        let is_same = |entry: &&mut Waiting| (entry.upstream, entry.account) == (upstream, account);
+        match self.0.iter_mut().find(is_same) {
+            Some(entry) => entry.until = until,
+            None => self.0.push(Waiting { upstream, account, until }),
+        }
+    }
+
+    /// Adds the accounts that recently found no place at an upstream to those with requests there.
+    pub fn add_to(&self, now: Instant, upstream: u32, counts: &mut AccountCounts) {
+        let valid = self.0.iter().filter(|entry| entry.upstream == upstream && now < entry.until);
+        valid.for_each(|entry| counts.include(entry.account));
+    }
+
+    /// Drops expired entries.
+    pub fn expire(&mut self, now: Instant) {
+        self.0.retain(|entry| now < entry.until);
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -62,6 +62,7 @@
 pub use event_boundary::{EventBoundary, is_event_stream};
 pub use fair_shares::{
     AccountCounts, AccountRequests, FairShares, MAX_ACCOUNTS, ShareCounts, ShareDecision,
+    WaitingAccounts,
 };
 pub use grace::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
 pub use latency::{LATENCY_SAMPLE_EVENTS, Latencies};
