--- a/crates/relay/src/forwarder/tracker_queries.rs
+++ b/crates/relay/src/forwarder/tracker_queries.rs
@@ -14,16 +14,12 @@
 
 use super::Forwarder;
 use super::load_messages::{LoadCount, Message};
-use super::prompt_costs::PlacementBasis;
 use super::upstream_selection::Placement;
 
 /// Time to wait for the answer of a load tracker: several round trips between data centres on a
 /// busy machine, and a small part of the shortest latency objective.
 const TRACKER_TIMEOUT: Duration = Duration::from_millis(30);
 
-/// Time for which a load tracker that did not answer is still asked, but its answer is not awaited.
-const UNRESPONSIVE_TIME: Duration = Duration::from_millis(1000);
-
 /// Search for an engine. Engines are asked one after the other, so that a context stays at its
 /// engine.
 const ENGINE_SEARCH: SearchConfig = SearchConfig {
@@ -64,16 +60,16 @@
 
 /// A query to a load tracker that is not answered yet.
 pub(super) struct PendingQuery {
-    number: u64,
-    request: names::Request,
-    upstream: Upstream,
-    tracker: Instance,
+    pub(super) number: u64,
+    pub(super) request: names::Request,
+    pub(super) upstream: Upstream,
+    pub(super) tracker: Instance,
 }
 
 /// A load tracker that did not answer.
 pub(super) struct UnresponsiveTracker {
-    tracker: Instance,
-    until: Instant,
+    pub(super) tracker: Instance,
+    pub(super) until: Instant,
 }
 
 /// Result of a query to a load tracker.
@@ -89,10 +85,10 @@
 
 /// The search of a request for an upstream.
 pub(super) struct UpstreamSearch {
-    tracker_search: TrackerSearch,
+    pub(super) tracker_search: TrackerSearch,
     /// Number of prompt tokens that are reserved at each upstream that was asked about.
-    tokens: f64,
-    timer: FixedTimerKey,
+    pub(super) tokens: f64,
+    pub(super) timer: FixedTimerKey,
 }
 
 /// Returns a message number above those of earlier runs, provided that the clock was not set back.
@@ -182,7 +178,7 @@
     }
 
     /// Performs the steps of a search.
-    fn continue_search(&mut self, cx: CX![], id: names::Request, mut step: SearchStep) {
+    pub(super) fn continue_search(&mut self, cx: CX![], id: names::Request, mut step: SearchStep) {
         loop {
             step = match step {
                 SearchStep::Ask(choices) => self.ask_trackers(cx, id, &choices),
@@ -316,112 +312,13 @@
     }
 
     /// Returns the mean number of requests per slot of `service`.
-    fn mean(&mut self, service: &Service) -> f64 {
+    pub(super) fn mean(&mut self, service: &Service) -> f64 {
         let slots = f64::from(self.table.slots(service).max(1));
         let own = self.table.in_flight(service);
         let entry_count = self.entry_count as f64;
         let mean = self.traffic(service).mean_in_flight.mean().unwrap_or(f64::from(own));
         mean * entry_count / slots
     }
-
-    /// Handles the answer of a load tracker.
-    pub(super) fn receive_load_answer(&mut self, cx: CX![], tracker: &Instance, count: LoadCount) {
-        self.unresponsive.retain(|entry| entry.tracker != *tracker);
-        let found = self.pending_queries.iter().position(|query| query.number == count.number);
-        let Some(query) = found.map(|index| self.pending_queries.swap_remove(index)) else {
-            return;
-        };
-        let Some(active) = self.active(query.request) else {
-            return;
-        };
-        let (service, now) = (active.service.clone(), cx.now());
-        self.traffic(&service).mean_in_flight.sample(count.in_flight);
-        if count.micros > 0 {
-            self.latencies.set_mean(now, count.upstream, count.micros);
-        }
-        let weight = self.weight(now, count.upstream);
-        let mean = self.mean(&service);
-        let search = self.active(query.request).and_then(|active| active.search.as_mut());
-        if let Some(search) = search {
-            let pace = (count.pace > 0).then(|| f64::from(count.pace));
-            search.tracker_search.record_work(&query.upstream, count.work, pace);
-            let requests = count.work.requests;
-            let step = search.tracker_search.on_count(&query.upstream, requests, weight, mean);
-            self.continue_search(cx, query.request, step);
-        }
-    }
-
-    /// Continues without the load trackers that have not answered.
-    fn stop_waiting(&mut self, cx: CX![], id: names::Request) {
-        let now = cx.now();
-        self.unresponsive.retain(|entry| now < entry.until);
-        for query in self.pending_queries.extract_if(.., |query| query.request == id) {
-            log::debug!(
-                "load tracker {} did not answer about upstream {}",
-                query.tracker,
-                query.upstream
-            );
-            self.unresponsive.push(UnresponsiveTracker {
-                tracker: query.tracker,
-                until: now + UNRESPONSIVE_TIME,
-            });
-        }
-        let Some(service) = self.active(id).map(|active| active.service.clone()) else {
-            return;
-        };
-        let mean = self.mean(&service);
-        let search = self.active(id).and_then(|active| active.search.as_mut());
-        if let Some(search) = search {
-            let step = search.tracker_search.on_timeout(mean);
-            self.continue_search(cx, id, step);
-        }
-    }
-
-    /// Ends the search of a request and releases all reservations except the one at `chosen`.
-    /// Returns the number of requests at `chosen`, or 0 if there is none.
-    fn end_search(&mut self, cx: CX![], id: names::Request, chosen: Option<&Upstream>) -> f64 {
-        let Some(search) = self.active(id).and_then(|active| active.search.take()) else {
-            return 0.0;
-        };
-        cx.timer_del(search.timer);
-        self.pending_queries.retain(|query| query.request != id);
-        for upstream in search.tracker_search.asked().filter(|upstream| Some(*upstream) != chosen) {
-            self.release(cx.now(), id, upstream, search.tokens);
-        }
-        let search = search.tracker_search;
-        let cost = chosen.and_then(|chosen| search.cost(chosen));
-        let is_moved = search.is_moved();
-        self.record_basis(id, cost.map(|cost| PlacementBasis { work: cost.work, is_moved }));
-        chosen.map_or(0.0, |chosen| search.load(chosen))
-    }
-
-    /// Releases all reservations of a search, because its request ended.
-    pub(super) fn abandon_search(
-        &mut self,
-        cx: CX![],
-        id: names::Request,
-        search: &UpstreamSearch,
-    ) {
-        cx.timer_del(search.timer);
-        self.pending_queries.retain(|query| query.request != id);
-        for upstream in search.tracker_search.asked() {
-            self.release(cx.now(), id, upstream, search.tokens);
-        }
-    }
-
-    /// Releases the capacity that was reserved for a request at `upstream`.
-    pub(super) fn release(
-        &mut self,
-        now: Instant,
-        id: names::Request,
-        upstream: &Upstream,
-        tokens: f64,
-    ) {
-        self.table.end_prompt(id, upstream);
-        self.table.remove_tokens(upstream, tokens);
-        self.table.end_request(upstream);
-        self.report_count(now, upstream);
-    }
 }
 
 /// Returns the candidates to ask about, the preferred first.
