--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -1,6 +1,5 @@
 //! Structured log events of the decisions and state changes of an instance.
 
-use log::Level;
 use serde::Serialize;
 
 /// Module path of log records that contain an event. The logger on standard output writes the
@@ -399,26 +398,6 @@
 }
 
 impl Event {
-    /// Returns the log level of the event. The level decides the share of the log limit that the
-    /// event may use: failures before state changes, and state changes before normal requests.
-    fn level(&self) -> Level {
-        match self {
-            Self::Lost { .. }
-            | Self::Avoided { .. }
-            | Self::BytesLimited { .. }
-            | Self::Refused { .. }
-            | Self::Failed { .. }
-            | Self::BrokenOff { .. }
-            | Self::Quarantined { .. }
-            | Self::Stalled { .. }
-            | Self::Cut { .. } => Level::Warn,
-            Self::Queued { .. } | Self::Sent { .. } | Self::Left { .. } | Self::Answered { .. } => {
-                Level::Debug
-            }
-            _ => Level::Info,
-        }
-    }
-
     /// Writes the event to the log as a JSON object.
     pub fn write(&self) {
         let level = self.level();
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod context;
 mod event;
+mod event_level;
 mod ledger;
 mod logs;
 mod membership;
