Give client accounts fair shares of upstreams in a large fleet

With direct.fair_shares, queries and reports to load trackers name how many requests of the sender each account has. The load tracker refuses a request that is over the share of its account, and the search goes on as if the upstream were full. Without the setting the new fields of the messages are empty.

An account without competitors is not over its share: requests beyond the capacity are refused for capacity, as before, and not logged or counted as shares.

--- a/crates/forward/src/fair_shares.rs
+++ b/crates/forward/src/fair_shares.rs
@@ -96,7 +96,7 @@
 /// Decision about a request at an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ShareDecision {
-    /// The upstream has a place for the request.
+    /// The upstream has a place for the request, or there is no other account.
     Granted,
     /// The account is within its share, but the upstream has no place.
     NoPlace,
@@ -126,11 +126,11 @@
         requests: u32,
         counts: &AccountCounts,
     ) -> ShareDecision {
-        if requests <= self.slots.max(1) {
-            return ShareDecision::Granted;
-        }
         let of_account = counts.of(account);
         let accounts = u32::try_from(counts.len()).unwrap_or(u32::MAX);
+        if requests <= self.slots.max(1) || accounts <= 1 {
+            return ShareDecision::Granted;
+        }
         if f64::from(of_account) > self.share(accounts) {
             return ShareDecision::OverShare(ShareCounts { requests, of_account, accounts });
         }
--- /dev/null
+++ b/crates/relay/src/forwarder/fair_shares.rs
@@ -0,0 +1,150 @@
+//! Shares of client accounts at upstreams, in a large fleet.
+//!
+//! With `direct.fair_shares`, an instance names the accounts of its requests to load trackers. The load
+//! tracker of an upstream decides whether a request is over the share of its account there.
+
+use std::time::Instant;
+
+use forward::{AccountCounts, FairShares, ShareCounts, ShareDecision};
+use names::{Instance, Upstream};
+use telemetry::Event;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Forwarder;
+use super::active_request::ActiveRequest;
+use super::tracker_queries::{UpstreamSearch, max_utilisation};
+
+/// An upstream at which a request is over the share of its account.
+pub(super) struct OverShare {
+    upstream: Upstream,
+    counts: ShareCounts,
+}
+
+/// Number of an account in messages, which is none for requests without an account. A collision of two
+/// accounts only makes them share a place.
+type AccountKey = Option<u32>;
+
+impl Forwarder {
+    /// Returns the account of a request for a query to a load tracker, or `None` if it has none or
+    /// accounts have no shares.
+    pub(super) fn account_key(&self, id: names::Request) -> AccountKey {
+        let index = self.find(id).ok().filter(|_| self.settings.direct.fair_shares)?;
+        self.requests[index].account_key()
+    }
+
+    /// Returns the requests of this instance at `upstream` by account, or nothing if accounts have no
+    /// shares.
+    pub(super) fn account_counts(&self, upstream: &Upstream) -> AccountCounts {
+        let mut counts = AccountCounts::default();
+        if !self.settings.direct.fair_shares {
+            return counts;
+        }
+        for active in &self.requests {
+            let is_running =
+                active.running.as_ref().is_some_and(|running| running.upstream == *upstream);
+            let is_reserved = active
+                .search
+                .as_ref()
+                .is_some_and(|search| search.reserved().any(|reserved| reserved == upstream));
+            counts.add(active.account_key(), u32::from(is_running) + u32::from(is_reserved));
+        }
+        counts.keep_largest();
+        counts
+    }
+
+    /// Decides, as the load tracker of an upstream, whether a request of `sender` is over the share of
+    /// its account. Returns the numbers that the decision is based on if it is. The request is not
+    /// counted at the upstream then.
+    pub(super) fn check_share(
+        &mut self,
+        now: Instant,
+        sender: &Instance,
+        upstream: u32,
+        account: AccountKey,
+    ) -> Option<ShareCounts> {
+        if !self.settings.direct.fair_shares {
+            return None;
+        }
+        let count = self.table.request_count_by_short_hash(upstream)?;
+        let slots = count.slots;
+        let max_utilisation = max_utilisation(self.has_engine(count.service));
+        let mut counts = self.load_counter.accounts(now, upstream);
+        if counts.of(account) == 0 {
+            // The sender names no accounts, or only its largest ones.
+            return None;
+        }
+        self.waiting_accounts.add_to(now, upstream, &mut counts);
+        let requests = self.load_counter.requests(now, upstream);
+        match (FairShares { slots, max_utilisation }).decide(account, requests, &counts) {
+            ShareDecision::Granted => None,
+            ShareDecision::NoPlace => {
+                self.waiting_accounts.record(now, upstream, account);
+                None
+            }
+            ShareDecision::OverShare(counts) => {
+                self.load_counter.withdraw(sender, upstream, account);
+                Some(counts)
+            }
+        }
+    }
+
+    /// Releases the place of a request at `upstream`, where it is over the share of its account.
+    pub(super) fn record_over_share(
+        &mut self,
+        now: Instant,
+        id: names::Request,
+        upstream: &Upstream,
+        counts: ShareCounts,
+    ) {
+        let search = self.active(id).and_then(|active| active.search.as_mut());
+        let Some(search) = search else {
+            return;
+        };
+        search.over_share.push(OverShare { upstream: upstream.clone(), counts });
+        let tokens = search.tokens;
+        self.release(now, id, upstream, tokens);
+    }
+
+    /// Counts a request whose search has met upstreams at which it is over the share of its account,
+    /// and logs it if the search found no other upstream.
+    pub(super) fn count_over_share(
+        &mut self,
+        id: names::Request,
+        search: &UpstreamSearch,
+        is_placed: bool,
+    ) {
+        let Some(OverShare { upstream, counts }) = search.over_share.last() else {
+            return;
+        };
+        self.metrics.relay.over_share.inc();
+        let Some(active) = self.active(id).filter(|_| !is_placed) else {
+            return;
+        };
+        let account = active.account.as_ref().map(|account| account.to_string());
+        Event::OverShare {
+            request: active.metadata.id.clone(),
+            account: account.unwrap_or_default(),
+            service: active.service.to_string(),
+            upstream: upstream.to_string(),
+            requests: counts.requests,
+            of_account: counts.of_account,
+            accounts: counts.accounts,
+        }
+        .write();
+    }
+}
+
+impl ActiveRequest {
+    fn account_key(&self) -> AccountKey {
+        self.account.as_ref().map(|account| xxh3_64(account.as_str().as_bytes()) as u32)
+    }
+}
+
+impl UpstreamSearch {
+    /// Returns the upstreams at which a place is reserved.
+    pub(super) fn reserved(&self) -> impl Iterator<Item = &Upstream> {
+        let is_released =
+            |upstream: &&Upstream| self.over_share.iter().any(|over| over.upstream == **upstream);
+        self.tracker_search.asked().filter(move |upstream| !is_released(upstream))
+    }
+}
--- a/crates/relay/src/forwarder/load_messages.rs
+++ b/crates/relay/src/forwarder/load_messages.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use forward::{LimitReport, Load, PromptLength, UpstreamWork};
+use forward::{AccountCounts, LimitReport, Load, PromptLength, ShareCounts, UpstreamWork};
 use names::Instance;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -39,9 +39,21 @@
         unresponsive: Vec<u32>,
     },
     /// Asks the load tracker of an upstream for the number of requests there.
-    LoadQuery(LoadCount),
+    LoadQuery {
+        count: LoadCount,
+        /// Account of the request that the query is for.
+        account: Option<u32>,
+        /// Requests of the sender at the upstream by account, including that request. Empty if
+        /// accounts have no shares.
+        accounts: AccountCounts,
+    },
     /// Answer to a query, with the number of requests of all instances.
-    LoadAnswer(LoadCount),
+    LoadAnswer {
+        count: LoadCount,
+        /// What the decision is based on, if the request is over the share of its account. It is not
+        /// counted at the upstream then.
+        over_share: Option<ShareCounts>,
+    },
     /// Reports to a load tracker the work of the sender at upstreams, and the latency and the pace of
     /// one upstream.
     Report {
@@ -49,6 +61,9 @@
         counts: Vec<(u32, UpstreamWork)>,
         latency: Option<Latency>,
         pace: Option<NamedPace>,
+        /// Requests of the sender at the upstreams by account, in the order of `counts`. Empty if
+        /// accounts have no shares.
+        accounts: Vec<AccountCounts>,
     },
     /// Rate limits that upstreams named in responses to the sender.
     Limits(Vec<LimitReport>),
@@ -148,12 +163,14 @@
                     .iter()
                     .for_each(|short_hash| self.table.receive_unresponsive(now, *short_hash));
             }
-            Ok(Message::LoadQuery(count)) => self.answer_load_query(now, delivery.sender, count),
-            Ok(Message::LoadAnswer(count)) => self.receive_load_answer(cx, &delivery.sender, count),
-            Ok(Message::Report { number, counts, latency, pace }) => {
-                for (upstream, work) in counts {
-                    self.load_counter.report(now, &delivery.sender, number, upstream, work);
-                }
+            Ok(Message::LoadQuery { count, account, accounts }) => {
+                self.answer_load_query(now, delivery.sender, count, account, accounts);
+            }
+            Ok(Message::LoadAnswer { count, over_share }) => {
+                self.receive_load_answer(cx, &delivery.sender, count, over_share);
+            }
+            Ok(Message::Report { number, counts, latency, pace, accounts }) => {
+                self.count_reported(now, &delivery.sender, number, counts, accounts);
                 if let Some(Latency { upstream, micros }) = latency {
                     self.latencies.observe(now, upstream, micros);
                 }
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -6,6 +6,7 @@
 mod cold_upstreams;
 mod ends;
 mod evacuations;
+mod fair_shares;
 mod load_messages;
 mod problems;
 mod prompt_costs;
@@ -30,7 +31,7 @@
 use entry::{Event, Server};
 use forward::{
     ContextHolders, Grace, Latencies, LoadCounter, MeanInFlight, RequestBytes, RetryAllowance,
-    RetryWindow, Shutdown, StartupQueue, WaitQueue,
+    RetryWindow, Shutdown, StartupQueue, WaitQueue, WaitingAccounts,
 };
 use instance::{Quarantine, View};
 use names::{Attempt, Service};
@@ -123,6 +124,8 @@
     holders: ContextHolders,
     /// Request counts of the upstreams that this instance tracks.
     load_counter: LoadCounter,
+    /// Accounts that found no place at the upstreams that this instance tracks.
+    waiting_accounts: WaitingAccounts,
     /// Latencies of upstreams.
     latencies: Latencies,
     quarantine: Quarantine,
@@ -208,6 +211,7 @@
             peers: Vec::new(),
             holders: ContextHolders::default(),
             load_counter: LoadCounter::default(),
+            waiting_accounts: WaitingAccounts::default(),
             latencies: Latencies::default(),
             quarantine,
             last_message_number: first_message_number(),
--- a/crates/relay/src/forwarder/tracker_answers.rs
+++ b/crates/relay/src/forwarder/tracker_answers.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use forward::ShareCounts;
 use names::{Instance, Upstream};
 use stakker::CX;
 
@@ -15,7 +16,13 @@
 
 impl Forwarder {
     /// Handles the answer of a load tracker.
-    pub(super) fn receive_load_answer(&mut self, cx: CX![], tracker: &Instance, count: LoadCount) {
+    pub(super) fn receive_load_answer(
+        &mut self,
+        cx: CX![],
+        tracker: &Instance,
+        count: LoadCount,
+        over_share: Option<ShareCounts>,
+    ) {
         self.unresponsive.retain(|entry| entry.tracker != *tracker);
         let found = self.pending_queries.iter().position(|query| query.number == count.number);
         let Some(query) = found.map(|index| self.pending_queries.swap_remove(index)) else {
@@ -29,6 +36,9 @@
         if count.micros > 0 {
             self.latencies.set_mean(now, count.upstream, count.micros);
         }
+        if let Some(counts) = over_share {
+            self.record_over_share(now, query.request, &query.upstream, counts);
+        }
         let weight = self.weight(now, count.upstream);
         let mean = self.mean(&service);
         let search = self.active(query.request).and_then(|active| active.search.as_mut());
@@ -80,9 +90,10 @@
         };
         cx.timer_del(search.timer);
         self.pending_queries.retain(|query| query.request != id);
-        for upstream in search.tracker_search.asked().filter(|upstream| Some(*upstream) != chosen) {
+        for upstream in search.reserved().filter(|upstream| Some(*upstream) != chosen) {
             self.release(cx.now(), id, upstream, search.tokens);
         }
+        self.count_over_share(id, &search, chosen.is_some());
         let search = search.tracker_search;
         let cost = chosen.and_then(|chosen| search.cost(chosen));
         let is_moved = search.is_moved();
@@ -99,7 +110,7 @@
     ) {
         cx.timer_del(search.timer);
         self.pending_queries.retain(|query| query.request != id);
-        for upstream in search.tracker_search.asked() {
+        for upstream in search.reserved() {
             self.release(cx.now(), id, upstream, search.tokens);
         }
     }
--- a/crates/relay/src/forwarder/tracker_queries.rs
+++ b/crates/relay/src/forwarder/tracker_queries.rs
@@ -7,12 +7,13 @@
 
 use forward::{
     Affinity, Candidate, NamedLimit, RoutingKey, SearchCandidate, SearchConfig, SearchStep,
-    TrackerSearch, UpstreamWork, shuffled_order,
+    ShareCounts, TrackerSearch, UpstreamWork, shuffled_order,
 };
 use names::{DataCentre, Instance, Service, Upstream};
 use stakker::{CX, FixedTimerKey, at};
 
 use super::Forwarder;
+use super::fair_shares::OverShare;
 use super::load_messages::{LoadCount, Message};
 use super::upstream_selection::Placement;
 
@@ -77,6 +78,8 @@
     /// Work at the upstream and weight of each request, known because this instance
     /// is the load tracker.
     Known(UpstreamWork, f64),
+    /// The request is over the share of its account, as this instance decides as the load tracker.
+    OverShare(ShareCounts),
     /// The answer of the load tracker is not awaited.
     Unresponsive,
     /// The load tracker was asked, and its answer is awaited.
@@ -88,6 +91,8 @@
     pub(super) tracker_search: TrackerSearch,
     /// Number of prompt tokens that are reserved at each upstream that was asked about.
     pub(super) tokens: f64,
+    /// Upstreams at which the request is over the share of its account and has no place reserved.
+    pub(super) over_share: Vec<OverShare>,
     pub(super) timer: FixedTimerKey,
 }
 
@@ -170,8 +175,12 @@
             return Placement::Full;
         }
         if let Some(active) = self.active(id) {
-            active.search =
-                Some(UpstreamSearch { tracker_search, tokens, timer: FixedTimerKey::default() });
+            active.search = Some(UpstreamSearch {
+                tracker_search,
+                tokens,
+                over_share: Vec::new(),
+                timer: FixedTimerKey::default(),
+            });
         }
         self.continue_search(cx, id, step);
         Placement::Asking
@@ -221,6 +230,9 @@
                 self.table.begin_prompt(id, &choice.upstream, cost);
             }
             let reply = self.ask_tracker(now, id, choice);
+            if let TrackerReply::OverShare(counts) = reply {
+                self.record_over_share(now, id, &choice.upstream, counts);
+            }
             replies.push((choice.upstream.clone(), reply));
         }
         let timer = at!(now + TRACKER_TIMEOUT, [cx], stop_waiting(id));
@@ -236,6 +248,10 @@
                     search.tracker_search.record_work(&upstream, work, None);
                     search.tracker_search.on_count(&upstream, work.requests, weight, mean)
                 }
+                TrackerReply::OverShare(_) => {
+                    let requests = NO_REQUEST_GRANTED;
+                    search.tracker_search.on_count(&upstream, requests, 1.0, mean)
+                }
                 TrackerReply::Unresponsive => search.tracker_search.on_no_answer(&upstream, mean),
                 TrackerReply::Pending => SearchStep::Wait,
             };
@@ -259,11 +275,16 @@
         let cold_prompt = prompt_length.ok().filter(|_| choice.limit == NamedLimit::Cold);
         let in_flight = self.table.in_flight(request_count.service);
         let tracker = self.tracker(&choice.upstream, request_count.data_centre);
+        let account = self.account_key(request);
+        let accounts = self.account_counts(&choice.upstream);
         self.last_message_number += 1;
         let number = self.last_message_number;
         let Some(tracker) = tracker else {
             let me = self.settings.instance.clone();
-            self.load_counter.report(now, &me, number, upstream, work);
+            self.load_counter.report_accounts(now, &me, number, upstream, work, accounts);
+            if let Some(counts) = self.check_share(now, &me, upstream, account) {
+                return TrackerReply::OverShare(counts);
+            }
             let weight = self.weight(now, upstream);
             return TrackerReply::Known(self.granted_work(now, upstream, cold_prompt), weight);
         };
@@ -273,7 +294,8 @@
         }
         let count =
             LoadCount { number, upstream, work, in_flight, micros: 0, cold_prompt, pace: 0 };
-        self.send_loads(vec![tracker.clone()], &Message::LoadQuery(count));
+        let query = Message::LoadQuery { count, account, accounts };
+        self.send_loads(vec![tracker.clone()], &query);
         if self.is_unresponsive(now, &tracker) {
             return TrackerReply::Unresponsive;
         }
@@ -321,6 +343,11 @@
     }
 }
 
+/// Returns the maximum number of requests per slot of an upstream.
+pub(super) fn max_utilisation(has_engine: bool) -> f64 {
+    if has_engine { ENGINE_SEARCH.max_utilisation } else { ENGINELESS_SEARCH.max_utilisation }
+}
+
 /// Returns the candidates to ask about, the preferred first.
 fn choices(
     candidates: &[Candidate],
--- a/crates/relay/src/forwarder/tracker_reports.rs
+++ b/crates/relay/src/forwarder/tracker_reports.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use forward::{Pace, PromptLength, UpstreamWork};
+use forward::{AccountCounts, Pace, PromptLength, UpstreamWork};
 use names::{Instance, Upstream};
 use stakker::{CX, after};
 
@@ -10,12 +10,30 @@
 use super::load_messages::{Latency, LoadCount, Message, NamedPace};
 use super::tracker_queries::NO_REQUEST_GRANTED;
 
+/// Maximum number of upstreams in a report with accounts, so that the message fits in a datagram.
+const MAX_ACCOUNT_REPORTS: usize = 8;
+
 impl Forwarder {
-    /// Answers, as the load tracker of an upstream, with the number of requests at the upstream.
-    pub(super) fn answer_load_query(&mut self, now: Instant, sender: Instance, count: LoadCount) {
+    /// Answers, as the load tracker of an upstream, with the number of requests at the upstream,
+    /// and whether the request is over the share of its account.
+    pub(super) fn answer_load_query(
+        &mut self,
+        now: Instant,
+        sender: Instance,
+        count: LoadCount,
+        account: Option<u32>,
+        accounts: AccountCounts,
+    ) {
         let LoadCount { number, upstream, work, in_flight, cold_prompt, .. } = count;
-        self.load_counter.report(now, &sender, number, upstream, work);
-        let work = self.granted_work(now, upstream, cold_prompt);
+        self.load_counter.report_accounts(now, &sender, number, upstream, work, accounts);
+        let over_share = self.check_share(now, &sender, upstream, account);
+        let work = match over_share {
+            Some(_) => UpstreamWork {
+                requests: NO_REQUEST_GRANTED,
+                ..self.load_counter.work(now, upstream)
+            },
+            None => self.granted_work(now, upstream, cold_prompt),
+        };
         let service = self
             .table
             .request_count_by_short_hash(upstream)
@@ -24,7 +42,7 @@
         let micros = self.latencies.mean_micros(now, upstream).unwrap_or_default();
         let pace = self.table.pace_percent(now, upstream).map_or(0, |percent| percent as u16);
         let count = LoadCount { number, upstream, work, in_flight, micros, cold_prompt, pace };
-        self.send_loads(vec![sender], &Message::LoadAnswer(count));
+        self.send_loads(vec![sender], &Message::LoadAnswer { count, over_share });
     }
 
     /// Returns the work at an upstream that this instance tracks, and grants another request if the
@@ -88,7 +106,35 @@
         let tracker = self.tracker(upstream, request_count.data_centre);
         let latency = micros.map(|micros| Latency { upstream: short_hash, micros });
         let pace = pace.map(|pace| NamedPace { upstream: short_hash, percent: pace.percent() });
-        self.report_to_tracker(now, tracker, vec![(short_hash, work)], latency, pace);
+        let counts = vec![(short_hash, work)];
+        let accounts = self.reported_accounts([upstream]);
+        self.report_to_tracker(now, tracker, counts, accounts, latency, pace);
+    }
+
+    /// Returns the requests of this instance at each of `upstreams` by account, or nothing if accounts
+    /// have no shares.
+    fn reported_accounts<'a, U>(&self, upstreams: U) -> Vec<AccountCounts>
+    where
+        U: IntoIterator<Item = &'a Upstream>,
+    {
+        let has_shares = self.settings.direct.fair_shares;
+        let upstreams = upstreams.into_iter().filter(|_| has_shares);
+        upstreams.map(|upstream| self.account_counts(upstream)).collect()
+    }
+
+    /// Records the work of `sender` at upstreams that this instance tracks, and its accounts.
+    pub(super) fn count_reported(
+        &mut self,
+        now: Instant,
+        sender: &Instance,
+        number: u64,
+        counts: Vec<(u32, UpstreamWork)>,
+        accounts: Vec<AccountCounts>,
+    ) {
+        let accounts = accounts.into_iter().chain(std::iter::repeat_with(AccountCounts::default));
+        for ((upstream, work), accounts) in counts.into_iter().zip(accounts) {
+            self.load_counter.report_accounts(now, sender, number, upstream, work, accounts);
+        }
     }
 
     fn report_to_tracker(
@@ -96,6 +142,7 @@
         now: Instant,
         tracker: Option<Instance>,
         counts: Vec<(u32, UpstreamWork)>,
+        accounts: Vec<AccountCounts>,
         latency: Option<Latency>,
         pace: Option<NamedPace>,
     ) {
@@ -103,7 +150,7 @@
         let number = self.last_message_number;
         match tracker {
             Some(tracker) => {
-                let message = Message::Report { number, counts, latency, pace };
+                let message = Message::Report { number, counts, latency, pace, accounts };
                 self.send_loads(vec![tracker], &message)
             }
             None => {
@@ -111,9 +158,7 @@
                     self.latencies.observe(now, upstream, micros);
                 }
                 let me = self.settings.instance.clone();
-                for (upstream, work) in counts {
-                    self.load_counter.report(now, &me, number, upstream, work);
-                }
+                self.count_reported(now, &me, number, counts, accounts);
             }
         }
     }
@@ -124,16 +169,25 @@
         let now = cx.now();
         self.load_counter.expire(now);
         self.latencies.expire(now);
+        self.waiting_accounts.expire(now);
         if forward::is_large_fleet(self.entry_count) {
             let reports = self.table.request_counts().map(|request_count| {
                 let tracker = self.tracker(request_count.upstream, request_count.data_centre);
-                (tracker, (request_count.short_hash, request_count.work))
+                let accounts = self.reported_accounts([request_count.upstream]);
+                (tracker, (request_count.short_hash, request_count.work), accounts)
             });
-            let mut reports: Vec<(Option<Instance>, (u32, UpstreamWork))> = reports.collect();
+            let mut reports: Vec<_> = reports.collect();
             reports.sort();
-            for tracker_reports in reports.chunk_by(|left, right| left.0 == right.0) {
-                let counts = tracker_reports.iter().map(|report| report.1).collect();
-                self.report_to_tracker(now, tracker_reports[0].0.clone(), counts, None, None);
+            let max = match self.settings.direct.fair_shares {
+                true => MAX_ACCOUNT_REPORTS,
+                false => usize::MAX,
+            };
+            let of_trackers = reports.chunk_by(|left, right| left.0 == right.0);
+            for reports in of_trackers.flat_map(|of_tracker| of_tracker.chunks(max)) {
+                let counts = reports.iter().map(|report| report.1).collect();
+                let accounts = reports.iter().flat_map(|report| report.2.clone()).collect();
+                let tracker = reports[0].0.clone();
+                self.report_to_tracker(now, tracker, counts, accounts, None, None);
             }
         }
         after!(forward::COUNT_REPORT_INTERVAL, [cx], repeat_reports());
--- a/crates/relay/src/forwarder/upstreams/request_counts.rs
+++ b/crates/relay/src/forwarder/upstreams/request_counts.rs
@@ -13,6 +13,8 @@
     pub(in crate::forwarder) service: &'a Service,
     pub(in crate::forwarder) data_centre: &'a DataCentre,
     pub(in crate::forwarder) short_hash: u32,
+    /// Number of requests that the upstream processes concurrently.
+    pub(in crate::forwarder) slots: u32,
     pub(in crate::forwarder) requests: u32,
     /// These requests and their prompts, for the load tracker.
     pub(in crate::forwarder) work: UpstreamWork,
@@ -74,12 +76,13 @@
 
 impl TableEntry {
     fn request_count(&self) -> RequestCount<'_> {
-        let Announcement { upstream, service, data_centre, .. } = &self.announcement;
+        let Announcement { upstream, service, data_centre, slots, .. } = &self.announcement;
         RequestCount {
             upstream,
             service,
             data_centre,
             short_hash: self.short_hash,
+            slots: *slots,
             requests: self.estimate.own(),
             work: self.upstream_work(),
         }
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -24,6 +24,9 @@
     /// Number of requests by which the arrivals at a cold upstream in a second may exceed that.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub cold_slack: Option<f64>,
+    /// Whether client accounts that send more than others get no more than an equal share of upstreams
+    /// that are full.
+    pub fair_shares: bool,
     /// Maximum bytes of requests, bodies and heads, that this instance has in flight at one upstream.
     /// A single request above it is sent while the upstream has no other one.
     pub upstream_bytes: Size,
@@ -48,6 +51,7 @@
             load_bound: 2.0,
             cold_excess: None,
             cold_slack: None,
+            fair_shares: false,
             upstream_bytes: Size::from_kibibytes(64 << 10),
             link_megabits: DEFAULT_LINK_MEGABITS_PER_SECOND,
             startup_wait: Span::from_millis(0),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -265,6 +265,23 @@
         /// Maximum time that the request may wait.
         patience_ms: u64,
     },
+    /// A request found no upstream, and is over the share of its client account at one.
+    OverShare {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the account, or empty for requests without an account.
+        account: String,
+        /// Service of the request.
+        service: String,
+        /// Name of the upstream.
+        upstream: String,
+        /// Number of requests there.
+        requests: u32,
+        /// Number of these requests that belong to the account.
+        of_account: u32,
+        /// Number of accounts that share the upstream.
+        accounts: u32,
+    },
     /// A request was sent to an upstream.
     Sent {
         /// Identifier of the request.
--- a/crates/telemetry/src/event_level.rs
+++ b/crates/telemetry/src/event_level.rs
@@ -18,9 +18,11 @@
             | Self::Quarantined { .. }
             | Self::Stalled { .. }
             | Self::Cut { .. } => Level::Warn,
-            Self::Queued { .. } | Self::Sent { .. } | Self::Left { .. } | Self::Answered { .. } => {
-                Level::Debug
-            }
+            Self::Queued { .. }
+            | Self::OverShare { .. }
+            | Self::Sent { .. }
+            | Self::Left { .. }
+            | Self::Answered { .. } => Level::Debug,
             _ => Level::Info,
         }
     }
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -122,6 +122,8 @@
     pub unread_prompt_tokens: Gauge,
     /// Number of requests that were placed at an upstream for its cost.
     pub moved_for_cost: Counter,
+    /// Number of requests for which a load tracker said that they are over the share of their account.
+    pub over_share: Counter,
     pace: Histogram,
 }
 
@@ -154,6 +156,7 @@
             cold_denied: Counter::default(),
             unread_prompt_tokens: Gauge::default(),
             moved_for_cost: Counter::default(),
+            over_share: Counter::default(),
             pace: Histogram::new(PACE_BUCKETS),
         };
         metrics.initialize();
@@ -207,6 +210,8 @@
         registry.register("unread_prompt_tokens", help, metrics.unread_prompt_tokens.clone());
         let help = "Requests that were sent to an upstream for its cost";
         registry.register("moved_for_cost", help, metrics.moved_for_cost.clone());
+        let help = "Requests over the share of their client account";
+        registry.register("over_share", help, metrics.over_share.clone());
         let help = "Pace that upstreams named in answers, in percent";
         registry.register("pace_percent", help, metrics.pace.clone());
         metrics
