Let other queues use the virtual time of client accounts

Accounts had the ranks of declarations and the names of accounts only. It now has any number of ranks and any names. The queue for production use is unchanged.

--- a/crates/admission/src/ranked/accounts.rs
+++ b/crates/admission/src/accounts.rs
@@ -5,12 +5,6 @@
 //! that idling earns no credit. A counter above the floor is kept, so that idling does not cancel
 //! debt.
 
-use declare::Rank;
-use names::ClientAccount;
-
-/// Number of ranks.
-pub(super) const RANKS: usize = 3;
-
 /// Number of virtual tokens per token at weight 1.
 const VIRTUAL_TOKENS_PER_TOKEN: u64 = 1 << 10;
 
@@ -19,43 +13,59 @@
 
 /// Id of an account in one admission queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct AccountId(pub(super) u32);
+pub struct AccountId(u32);
 
 impl AccountId {
-    pub(super) fn index(self) -> usize {
+    pub(crate) fn index(self) -> usize {
         self.0 as usize
     }
 }
 
-#[derive(Debug, Clone, Default)]
-struct Account {
+#[derive(Debug, Clone)]
+struct Account<const RANKS: usize> {
     weight: u64,
     counters: [u64; RANKS],
     waiting: [u32; RANKS],
     running: u32,
 }
 
-impl Account {
+impl<const RANKS: usize> Account<RANKS> {
     fn is_idle(&self) -> bool {
         self.running == 0 && self.waiting.iter().all(|waiting| *waiting == 0)
     }
 }
 
-/// Accounts that an admission queue tracks.
-#[derive(Debug, Default)]
-pub(super) struct Accounts {
-    ids: Vec<(ClientAccount, AccountId)>,
-    slab: Vec<Account>,
+/// Accounts that a queue with `RANKS` ranks tracks, by their name.
+#[derive(Debug)]
+pub struct Accounts<N, const RANKS: usize> {
+    ids: Vec<(N, AccountId)>,
+    slab: Vec<Account<RANKS>>,
     free: Vec<AccountId>,
     cleanup_threshold: usize,
     floors: [u64; RANKS],
     waiting_weight: [u64; RANKS],
 }
 
-impl Accounts {
+impl<N, const RANKS: usize> Default for Accounts<N, RANKS> {
+    fn default() -> Self {
+        Self {
+            ids: Vec::new(),
+            slab: Vec::new(),
+            free: Vec::new(),
+            cleanup_threshold: 0,
+            floors: [0; RANKS],
+            waiting_weight: [0; RANKS],
+        }
+    }
+}
+
+impl<N, const RANKS: usize> Accounts<N, RANKS>
+where
+    N: Ord + Clone,
+{
     /// Returns the id of the account `name` after setting its weight. Adds the account if it is not
     /// tracked yet.
-    pub(super) fn get_or_insert(&mut self, name: &ClientAccount, weight: u32) -> AccountId {
+    pub fn get_or_insert(&mut self, name: &N, weight: u32) -> AccountId {
         let weight = u64::from(weight.max(1));
         match self.ids.binary_search_by(|(existing, _)| existing.cmp(name)) {
             Ok(index) => {
@@ -67,17 +77,19 @@
         }
     }
 
-    fn insert(&mut self, name: &ClientAccount, weight: u64) -> AccountId {
+    fn insert(&mut self, name: &N, weight: u64) -> AccountId {
         self.remove_idle();
-        let account = Account { weight, counters: self.floors, ..Account::default() };
+        let account = Account { weight, counters: self.floors, waiting: [0; RANKS], running: 0 };
         let id = match self.free.pop() {
-            Some(id) => id,
+            Some(id) => {
+                self.slab[id.index()] = account;
+                id
+            }
             None => {
-                self.slab.push(Account::default());
+                self.slab.push(account);
                 AccountId(self.slab.len() as u32 - 1)
             }
         };
-        self.slab[id.index()] = account;
         let index = self.ids.partition_point(|(existing, _)| existing < name);
         self.ids.insert(index, (name.clone(), id));
         id
@@ -113,39 +125,40 @@
         self.cleanup_threshold = 2 * self.ids.len();
     }
 
-    pub(super) fn counter(&self, id: AccountId, rank: Rank) -> u64 {
-        self.slab[id.index()].counters[rank as usize]
+    /// Returns the virtual tokens that the account was served in `rank`.
+    pub fn counter(&self, id: AccountId, rank: usize) -> u64 {
+        self.slab[id.index()].counters[rank]
     }
 
-    pub(super) fn weight(&self, id: AccountId) -> u64 {
+    /// Returns the weight of the account.
+    pub fn weight(&self, id: AccountId) -> u64 {
         self.slab[id.index()].weight
     }
 
     /// Returns the sum of the weights of the accounts with waiting requests in `rank`.
-    pub(super) fn waiting_weight(&self, rank: Rank) -> u64 {
-        self.waiting_weight[rank as usize]
+    pub fn waiting_weight(&self, rank: usize) -> u64 {
+        self.waiting_weight[rank]
     }
 
     /// Raises the account's counter to the floor of `rank`. Must only be called for accounts
     /// without waiting requests in `rank`.
-    pub(super) fn raise_to_floor(&mut self, id: AccountId, rank: Rank) {
-        let counter = &mut self.slab[id.index()].counters[rank as usize];
-        *counter = (*counter).max(self.floors[rank as usize]);
+    pub fn raise_to_floor(&mut self, id: AccountId, rank: usize) {
+        let counter = &mut self.slab[id.index()].counters[rank];
+        *counter = (*counter).max(self.floors[rank]);
     }
 
     /// Records a new waiting request of the account in `rank`.
-    pub(super) fn add_waiting(&mut self, id: AccountId, rank: Rank) {
-        if self.slab[id.index()].waiting[rank as usize] == 0 {
+    pub fn add_waiting(&mut self, id: AccountId, rank: usize) {
+        if self.slab[id.index()].waiting[rank] == 0 {
             self.raise_to_floor(id, rank);
-            self.waiting_weight[rank as usize] += self.weight(id);
+            self.waiting_weight[rank] += self.weight(id);
         }
-        self.slab[id.index()].waiting[rank as usize] += 1;
+        self.slab[id.index()].waiting[rank] += 1;
     }
 
     /// Records that a waiting request of the account in `rank` was removed.
-    pub(super) fn remove_waiting(&mut self, id: AccountId, rank: Rank) {
+    pub fn remove_waiting(&mut self, id: AccountId, rank: usize) {
         let account = &mut self.slab[id.index()];
-        let rank = rank as usize;
         account.waiting[rank] -= 1;
         if account.waiting[rank] == 0 {
             self.waiting_weight[rank] -= account.weight;
@@ -154,27 +167,26 @@
 
     /// Charges the account for a request that starts. `min_counter` is the smallest counter of the
     /// accounts with waiting requests in `rank`.
-    pub(super) fn start(
-        &mut self,
-        id: AccountId,
-        rank: Rank,
-        min_counter: Option<u64>,
-        tokens: u64,
-    ) {
+    pub fn start(&mut self, id: AccountId, rank: usize, min_counter: Option<u64>, tokens: u64) {
         let account = &mut self.slab[id.index()];
         account.running += 1;
-        let counter = &mut account.counters[rank as usize];
-        let floor = &mut self.floors[rank as usize];
+        let counter = &mut account.counters[rank];
+        let floor = &mut self.floors[rank];
         *floor = (*floor).max(min_counter.unwrap_or(*counter).min(*counter));
         *counter = counter.saturating_add(virtual_tokens(tokens, account.weight));
     }
 
+    /// Returns the virtual tokens that the account is charged for `tokens` tokens.
+    pub fn charge(&self, id: AccountId, tokens: u64) -> u64 {
+        virtual_tokens(tokens, self.weight(id))
+    }
+
     /// Corrects the charge of a finished request from `charged` to `used` tokens.
-    pub(super) fn finish(&mut self, id: AccountId, rank: Rank, charged: u64, used: u64) {
+    pub fn finish(&mut self, id: AccountId, rank: usize, charged: u64, used: u64) {
         let account = &mut self.slab[id.index()];
         account.running -= 1;
         let weight = account.weight;
-        let counter = &mut account.counters[rank as usize];
+        let counter = &mut account.counters[rank];
         *counter = counter
             .saturating_add(virtual_tokens(used, weight))
             .saturating_sub(virtual_tokens(charged, weight));
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,14 +2,16 @@
 //!
 //! An [`AdmissionQueue`] belongs to one upstream and decides which requests run, wait, or are
 //! refused. [`Ranked`] is the queue for production use, and [`Fifo`] is the baseline for
-//! measurements. [`limit`] enforces the rate limits of client accounts across the whole fleet.
+//! measurements. [`Accounts`] are its order of client accounts. [`limit`] enforces the rate limits of client accounts across the whole fleet.
 
+mod accounts;
 mod admission_policy;
 mod admission_queue;
 mod fifo;
 pub mod limit;
 mod ranked;
 
+pub use accounts::{AccountId, Accounts};
 pub use admission_policy::AdmissionPolicy;
 pub use admission_queue::{
     AdmissionQueue, AdmissionRequest, Decision, QueueAction, RequestId, Tokens,
--- a/crates/admission/src/ranked/kind_queue.rs
+++ b/crates/admission/src/ranked/kind_queue.rs
@@ -5,8 +5,8 @@
 use declare::Rank;
 use names::Kind;
 
-use super::accounts::AccountId;
 use super::service_time::ServiceTime;
+use crate::accounts::AccountId;
 use crate::{RequestId, Tokens};
 
 /// Number of credit units per token. The unit is one percent of a token because shares are given in
--- a/crates/admission/src/ranked/mod.rs
+++ b/crates/admission/src/ranked/mod.rs
@@ -1,7 +1,6 @@
 //! Admission queue for production use: priority by rank with minimum shares, fair queueing by
 //! account, and deadlines.
 
-mod accounts;
 mod kind_queue;
 mod service_time;
 mod waiting;
@@ -10,13 +9,17 @@
 use std::time::{Duration, Instant};
 
 use declare::Rank;
+use names::ClientAccount;
 
+use crate::accounts::{AccountId, Accounts};
 use crate::{AdmissionQueue, AdmissionRequest, Decision, QueueAction, RequestId, Tokens};
-use accounts::{AccountId, Accounts};
 use kind_queue::KindQueue;
 use service_time::{ServiceTime, drain_time};
 use waiting::{WaitingRequest, WaitingRequests};
 
+/// Number of ranks.
+const RANKS: usize = 3;
+
 /// Shortest retry delay for the caller of a refused request.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -47,7 +50,7 @@
     running: Vec<Running>,
     waiting: WaitingRequests,
     kind_queues: Vec<KindQueue>,
-    accounts: Accounts,
+    accounts: Accounts<ClientAccount, RANKS>,
     service_time: ServiceTime,
     /// Refusals that the next call of [`AdmissionQueue::next_actions`] returns.
     evictions: Vec<QueueAction>,
@@ -109,8 +112,8 @@
         let kind_queue = &self.kind_queues[kind_queue];
         let weight = self.accounts.weight(account);
         let other_weights = match kind_queue.has_requests_of(account) {
-            true => self.accounts.waiting_weight(kind_queue.rank).saturating_sub(weight),
-            false => self.accounts.waiting_weight(kind_queue.rank),
+            true => self.accounts.waiting_weight(kind_queue.rank as usize).saturating_sub(weight),
+            false => self.accounts.waiting_weight(kind_queue.rank as usize),
         };
         let own_tokens = kind_queue.tokens_before(account, deadline);
         let fair_tokens = own_tokens + (own_tokens + cost).saturating_mul(other_weights) / weight;
@@ -163,10 +166,10 @@
         cost: u64,
     ) {
         let rank = self.kind_queues[kind_queue].rank;
-        let old = self.accounts.counter(account, rank);
+        let old = self.accounts.counter(account, rank as usize);
         let same_rank = self.kind_queues.iter().filter(|queue| queue.rank == rank);
         let min_counter = same_rank.filter_map(KindQueue::min_counter).min();
-        self.accounts.start(account, rank, min_counter, cost);
+        self.accounts.start(account, rank as usize, min_counter, cost);
         self.move_account(account, kind_queue, old);
         self.kind_queues[kind_queue].running += 1;
         self.update_credits(kind_queue, i64::try_from(cost).unwrap_or(i64::MAX));
@@ -179,7 +182,7 @@
     /// `old` to its current value.
     fn move_account(&mut self, account: AccountId, kind_queue: usize, old: u64) {
         let rank = self.kind_queues[kind_queue].rank;
-        let new = self.accounts.counter(account, rank);
+        let new = self.accounts.counter(account, rank as usize);
         for queue in self.kind_queues.iter_mut().filter(|queue| queue.rank == rank) {
             queue.move_account(account, old, new);
         }
@@ -196,10 +199,10 @@
 
     fn enqueue(&mut self, waiting: WaitingRequest) {
         let rank = self.kind_queues[waiting.kind_queue].rank;
-        let old = self.accounts.counter(waiting.account, rank);
-        self.accounts.add_waiting(waiting.account, rank);
+        let old = self.accounts.counter(waiting.account, rank as usize);
+        self.accounts.add_waiting(waiting.account, rank as usize);
         self.move_account(waiting.account, waiting.kind_queue, old);
-        let counter = self.accounts.counter(waiting.account, rank);
+        let counter = self.accounts.counter(waiting.account, rank as usize);
         let WaitingRequest { account, deadline, request_id, cost, .. } = waiting;
         self.kind_queues[waiting.kind_queue].push(account, counter, deadline, request_id, cost);
         self.waiting.insert(waiting);
@@ -208,9 +211,9 @@
     fn dequeue(&mut self, request_id: RequestId) -> Option<WaitingRequest> {
         let waiting = self.waiting.remove(request_id)?;
         let kind_queue = &mut self.kind_queues[waiting.kind_queue];
-        let counter = self.accounts.counter(waiting.account, kind_queue.rank);
+        let counter = self.accounts.counter(waiting.account, kind_queue.rank as usize);
         kind_queue.remove(waiting.account, counter, waiting.deadline, request_id);
-        self.accounts.remove_waiting(waiting.account, kind_queue.rank);
+        self.accounts.remove_waiting(waiting.account, kind_queue.rank as usize);
         Some(waiting)
     }
 
@@ -281,7 +284,7 @@
             return Decision::Refuse { retry_after: self.retry_after(kind_queue) };
         }
         if self.has_free_slot() && self.waiting.len() == 0 {
-            self.accounts.raise_to_floor(account, self.kind_queues[kind_queue].rank);
+            self.accounts.raise_to_floor(account, self.kind_queues[kind_queue].rank as usize);
             self.start(now, request_id, kind_queue, account, cost.0);
             return Decision::Run;
         }
@@ -321,8 +324,8 @@
         }
         self.kind_queues[kind_queue].running -= 1;
         let rank = self.kind_queues[kind_queue].rank;
-        let old = self.accounts.counter(account, rank);
-        self.accounts.finish(account, rank, cost.0, used.min(MAX_COST).0);
+        let old = self.accounts.counter(account, rank as usize);
+        self.accounts.finish(account, rank as usize, cost.0, used.min(MAX_COST).0);
         self.move_account(account, kind_queue, old);
     }
 
--- a/crates/admission/src/ranked/waiting.rs
+++ b/crates/admission/src/ranked/waiting.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::accounts::AccountId;
+use crate::accounts::AccountId;
 use crate::{RequestId, Tokens};
 
 /// Waiting request.
