Order the requests that wait for an upstream by account

With direct.fair_shares, the account of a rank that was given the least work goes first in the queue of an instance, by the virtual time of the crate admission. An arrival in a small fleet joins the queue if there is one.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -83,7 +83,7 @@
 pub use shutdown::Shutdown;
 pub use startup::{StartupDecision, StartupQueue};
 pub use stream::{StreamTracker, stall_timeout};
-pub use wait_queue::WaitQueue;
+pub use wait_queue::{QueuedWork, WaitQueue};
 
 /// Minimum number of instances of a large fleet, in which each instance sees only a small part of
 /// the requests.
--- a/crates/forward/tests/fair_shares.rs
+++ b/crates/forward/tests/fair_shares.rs
@@ -65,7 +65,7 @@
 #[test]
 fn a_load_tracker_adds_up_the_accounts_of_the_newest_report_of_each_instance() {
     let (mut counter, now) = (LoadCounter::default(), Instant::now());
-    let mut report = |counter: &mut LoadCounter, sender, number, entries: &[(Option<u32>, u32)]| {
+    let report = |counter: &mut LoadCounter, sender, number, entries: &[(Option<u32>, u32)]| {
         let work = UpstreamWork::of_requests(total(entries));
         let sender = instance(sender);
         counter.report_accounts(now, &sender, number, UPSTREAM, work, counts(entries));
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -47,7 +47,7 @@
                 if self.requests[index].is_trial {
                     self.quarantine.record_trial(cx.now(), &self.requests[index].keys);
                 }
-                self.place(cx, id);
+                self.place_arrival(cx, id);
             }
             Err(problem) => self.refuse_arrival(id, problem, &reply),
         }
--- a/crates/relay/src/forwarder/fair_shares.rs
+++ b/crates/relay/src/forwarder/fair_shares.rs
@@ -1,11 +1,12 @@
-//! Shares of client accounts at upstreams, in a large fleet.
+//! Shares of client accounts at upstreams and in the queues of an instance.
 //!
-//! With `direct.fair_shares`, an instance names the accounts of its requests to load trackers. The load
-//! tracker of an upstream decides whether a request is over the share of its account there.
+//! With `direct.fair_shares`, an instance of a large fleet names the accounts of its requests to load
+//! trackers. The load tracker of an upstream decides whether a request is over the share of its account
+//! there. The queue of a service orders accounts by the work that they were given.
 
 use std::time::Instant;
 
-use forward::{AccountCounts, FairShares, ShareCounts, ShareDecision};
+use forward::{AccountCounts, FairShares, QueuedWork, ShareCounts, ShareDecision};
 use names::{Instance, Upstream};
 use telemetry::Event;
 use xxhash_rust::xxh3::xxh3_64;
@@ -24,6 +25,9 @@
 /// accounts only makes them share a place.
 type AccountKey = Option<u32>;
 
+/// Largest number of tokens that one request is counted with, regardless of what its caller states.
+const MAX_TOKENS: u64 = 1 << 32;
+
 impl Forwarder {
     /// Returns the account of a request for a query to a load tracker, or `None` if it has none or
     /// accounts have no shares.
@@ -105,6 +109,17 @@
         self.release(now, id, upstream, tokens);
     }
 
+    /// Records that the request at `index` is sent to an upstream, for the order of the queue of its
+    /// service.
+    pub(super) fn record_start(&mut self, index: usize) {
+        if self.settings.direct.fair_shares {
+            let active = &self.requests[index];
+            let has_engine = self.has_engine(&active.service);
+            let (work, service) = (active.queued_work(has_engine), active.service.clone());
+            self.traffic(&service).queue.record_start(&work);
+        }
+    }
+
     /// Counts a request whose search has met upstreams at which it is over the share of its account,
     /// and logs it if the search found no other upstream.
     pub(super) fn count_over_share(
@@ -135,6 +150,18 @@
 }
 
 impl ActiveRequest {
+    /// Returns the work of the request for the queue of its service. Only engines read prompts.
+    pub(super) fn queued_work(&self, has_engine: bool) -> QueuedWork {
+        let prompt = self.metadata.prompt.iter().filter(|_| has_engine);
+        let parts = prompt.flat_map(|prompt| &prompt.parts);
+        let tokens = parts.map(|part| part.tokens).fold(0, u64::saturating_add);
+        QueuedWork {
+            rank: self.rank,
+            account: self.account.clone(),
+            tokens: tokens.clamp(1, MAX_TOKENS),
+        }
+    }
+
     fn account_key(&self) -> AccountKey {
         self.account.as_ref().map(|account| xxh3_64(account.as_str().as_bytes()) as u32)
     }
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -358,9 +358,13 @@
             match self.service_traffic.binary_search_by(|traffic| traffic.service.cmp(service)) {
                 Ok(index) => index,
                 Err(index) => {
+                    let queue = match self.settings.direct.fair_shares {
+                        true => WaitQueue::with_shares(),
+                        false => WaitQueue::default(),
+                    };
                     let traffic = ServiceTraffic {
                         service: service.clone(),
-                        queue: WaitQueue::default(),
+                        queue,
                         retry_window: RetryWindow::default(),
                         mean_in_flight: MeanInFlight::default(),
                     };
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -51,6 +51,21 @@
         }
     }
 
+    /// Sends a request that has just arrived to an upstream, or queues it. With shares of accounts,
+    /// the requests that wait already are not passed over in a small fleet.
+    pub(super) fn place_arrival(&mut self, cx: CX![], id: names::Request) {
+        let has_shares = self.settings.direct.fair_shares;
+        let service = self.active(id).map(|active| active.service.clone());
+        let service = service.filter(|_| has_shares && !forward::is_large_fleet(self.entry_count));
+        match service {
+            Some(service) if !self.traffic(&service).queue.is_empty() => {
+                self.enqueue(cx, id);
+                self.serve_queue(cx, &service);
+            }
+            _ => self.place(cx, id),
+        }
+    }
+
     fn try_send(&mut self, cx: CX![], id: names::Request) -> Placement {
         let Ok(index) = self.find(id) else {
             return Placement::Sent;
@@ -167,11 +182,16 @@
     /// Queues a request until an upstream has capacity, or refuses it if its maximum time in the
     /// queue has passed. A request in progress is not queued.
     pub(super) fn enqueue(&mut self, cx: CX![], id: names::Request) {
-        let Some(active) = self.active(id).filter(|active| active.running.is_none()) else {
+        let Ok(index) = self.find(id) else {
             return;
         };
+        let active = &self.requests[index];
+        if active.running.is_some() {
+            return;
+        }
         let until = active.queue_until.min(active.deadline);
-        let (rank, service) = (active.rank, active.service.clone());
+        let has_engine = self.has_engine(&active.service);
+        let (work, service) = (active.queued_work(has_engine), active.service.clone());
         let (request, candidates) = (active.metadata.id.clone(), active.candidates);
         let pause_end = self.table.pause_end(cx.now(), &service);
         let is_in_vain = pause_end.is_some_and(|end| until <= end);
@@ -181,8 +201,8 @@
         }
         let patience_ms = millis(until.saturating_duration_since(cx.now()));
         let queue = &mut self.traffic(&service).queue;
-        queue.push(rank, until, id);
-        let (waiting, service) = (queue.len() - 1, service.to_string());
+        queue.push_work(&work, until, id);
+        let (waiting, service, rank) = (queue.len() - 1, service.to_string(), work.rank);
         Event::Queued { request, service, rank, candidates, waiting, patience_ms }.write();
         self.update_queue_timer(cx);
     }
--- a/crates/settings/src/direct.rs
+++ b/crates/settings/src/direct.rs
@@ -25,7 +25,7 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub cold_slack: Option<f64>,
     /// Whether client accounts that send more than others get no more than an equal share of upstreams
-    /// that are full.
+    /// that are full, and of the queues for upstreams.
     pub fair_shares: bool,
     /// Maximum bytes of requests, bodies and heads, that this instance has in flight at one upstream.
     /// A single request above it is sent while the upstream has no other one.
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -14,13 +14,17 @@
 use support::machines::{KEY, Machine, Machines, document};
 use support::wait_for;
 use support::worker::{Behaviour, Worker, send_request};
+use test_case::test_case;
 
 /// Number of entry instances, enough for load trackers.
-const ENTRY_INSTANCES: u8 = 18;
+const LARGE_FLEET: u8 = 18;
+
+/// Number of entry instances that use no load trackers.
+const SMALL_FLEET: u8 = 3;
 
 const FLOOD_KEY: &str = "key-of-the-crowd";
 
-/// Callers of the flood. The two upstreams have 24 places together.
+/// Callers of the flood. The two upstreams of the large fleet have 24 places together.
 const FLOOD_CALLERS: usize = 60;
 
 const SMALL_CALLS: usize = 20;
@@ -42,8 +46,8 @@
 }
 
 impl Deployment {
-    fn start(has_shares: bool) -> Self {
-        let machines = Machines::start_with_setup(3, ENTRY_INSTANCES, |machine| {
+    fn start(entries: u8, has_shares: bool) -> Self {
+        let machines = Machines::start_with_setup(3, entries, |machine| {
             if has_shares {
                 machine.extra_settings = "  fair_shares: true\n".to_string();
             }
@@ -53,19 +57,26 @@
             shop.set_behaviour(Behaviour::Slow);
             shop
         };
-        let shops = (0..2).map(start).collect();
+        let shop_count = if entries == SMALL_FLEET { 1 } else { 2 };
+        let shops = (0..shop_count).map(start).collect();
         let mut document = document(7);
+        if entries == SMALL_FLEET {
+            // Each instance has four places, which may become free at the same time every 500 ms. A
+            // request may wait for 600 ms.
+            document["services"][1]["connection-limit"] = json!(16);
+            document["routes"][2]["objective-ms"] = json!(4800);
+        }
         let tenants = document["tenants"].as_array_mut().unwrap();
         tenants.push(json!({ "name": "crowd", "api-keys": [FLOOD_KEY] }));
         machines.put_document_until_acknowledged(&document);
         machines.wait_ready(7);
         for machine in &machines.entries {
-            wait_for("two upstreams at an instance", || {
-                (machine.events("upstream").len() >= 2).then_some(())
+            wait_for("the upstreams at an instance", || {
+                (machine.events("upstream").len() >= shop_count).then_some(())
             });
             wait_for("membership of all instances", || {
                 let metrics = send_request(machine.metrics(), "GET", "/metrics", &[], "").ok()?;
-                let members = format!("turmericrelay_members {}\n", ENTRY_INSTANCES + 3);
+                let members = format!("turmericrelay_members {}\n", entries + 3);
                 metrics.text().contains(&members).then_some(())
             });
         }
@@ -151,8 +162,8 @@
 /// Guards against an account that takes all places of a service in a large fleet, so that the requests
 /// of a small one are refused.
 #[test]
-fn a_small_account_is_served_while_another_one_floods_its_service() {
-    let deployment = Deployment::start(true);
+fn a_small_account_is_served_while_another_one_floods_a_large_fleet() {
+    let deployment = Deployment::start(LARGE_FLEET, true);
     let flood = Flood::start(&deployment.callers());
     flood.wait_full();
     let served_before = flood.served.load(Ordering::Relaxed);
@@ -172,10 +183,26 @@
     assert!(line["accounts"].as_u64() >= Some(2), "{line}");
 }
 
-/// Guards against shares where the settings do not ask for them.
+/// Guards against an account whose requests fill the queues of a small fleet, so that those of a small
+/// one expire there.
 #[test]
-fn without_the_setting_no_account_has_a_share() {
-    let deployment = Deployment::start(false);
+fn a_small_account_is_served_while_another_one_floods_a_small_fleet() {
+    let deployment = Deployment::start(SMALL_FLEET, true);
+    let flood = Flood::start(&deployment.callers());
+    flood.wait_full();
+    let served_before = flood.served.load(Ordering::Relaxed);
+    let served = deployment.count_served();
+    let of_flood = flood.served.load(Ordering::Relaxed) - served_before;
+    println!("{served} of {SMALL_CALLS} small, {of_flood} of the flood");
+    assert!(served >= SMALL_CALLS * 3 / 4, "{served} of {SMALL_CALLS} requests were served");
+    assert!(of_flood > SMALL_CALLS, "{of_flood} requests of the flood were served");
+}
+
+/// Guards against shares where the settings do not ask for them.
+#[test_case(LARGE_FLEET; "large fleet")]
+#[test_case(SMALL_FLEET; "small fleet")]
+fn without_the_setting_no_account_has_a_share(entries: u8) {
+    let deployment = Deployment::start(entries, false);
     let flood = Flood::start(&deployment.callers());
     flood.wait_full();
     let served = deployment.count_served();
