Refuse requests at once that could not leave a queue in time

With direct.fair_shares, a request that is queued behind more others than twice the recent rate of starts of its service lets start in its time is refused, with a Retry-After that has a random part and stays within a third of the time left. So far it was refused at the end of its time in the queue.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,7 +17,8 @@
 //! - [`Cordons`] remember the upstreams that want no new requests.
 //! - [`RequestBytes`] limit the bytes of requests that an upstream has to hold.
 //! - [`find_context_source()`] names an engine that has a context in its cache.
-//! - A [`WaitQueue`] is the queue of requests that wait for an upstream.
+//! - A [`WaitQueue`] is the queue of requests that wait for an upstream. A [`StartRate`] tells whether a
+//!   request can leave it in time.
 //! - [`FailedAttempt`] decides what follows a failed or silent attempt, and [`RetryWindow`] limits
 //!   retries.
 //! - A [`StreamTracker`] tracks a stream of events so that another upstream can resume the stream. An
@@ -49,6 +50,7 @@
 mod retry_window;
 mod search;
 mod shutdown;
+mod start_rate;
 mod startup;
 mod stream;
 mod wait_queue;
@@ -81,6 +83,7 @@
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use search::{SearchCandidate, SearchConfig, SearchStep, TrackerSearch, move_cold_last};
 pub use shutdown::Shutdown;
+pub use start_rate::{StartRate, spread_retry};
 pub use startup::{StartupDecision, StartupQueue};
 pub use stream::{StreamTracker, stall_timeout};
 pub use wait_queue::{QueuedWork, WaitQueue};
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -154,7 +154,7 @@
             response_due,
             is_stall_logged: false,
         });
-        self.record_start(index);
+        self.record_start(now, index);
         let position = self.attempt_owners.partition_point(|owner| owner.attempt < attempt);
         self.attempt_owners.insert(position, AttemptOwner { attempt, request: id });
         call!([self.client], call(outbound));
--- a/crates/relay/src/forwarder/fair_shares.rs
+++ b/crates/relay/src/forwarder/fair_shares.rs
@@ -7,13 +7,15 @@
 use std::time::Instant;
 
 use forward::{AccountCounts, FairShares, QueuedWork, ShareCounts, ShareDecision};
-use names::{Instance, Upstream};
+use names::{Instance, Service, Upstream};
+use rand::RngExt;
+use stakker::CX;
 use telemetry::Event;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::Forwarder;
 use super::active_request::ActiveRequest;
 use super::tracker_queries::{UpstreamSearch, max_utilisation};
+use super::{Forwarder, problems};
 
 /// An upstream at which a request is over the share of its account.
 pub(super) struct OverShare {
@@ -109,17 +111,54 @@
         self.release(now, id, upstream, tokens);
     }
 
-    /// Records that the request at `index` is sent to an upstream, for the order of the queue of its
-    /// service.
-    pub(super) fn record_start(&mut self, index: usize) {
+    /// Records that the request at `index` is sent to an upstream, for the order and the speed of the
+    /// queue of its service.
+    pub(super) fn record_start(&mut self, now: Instant, index: usize) {
         if self.settings.direct.fair_shares {
             let active = &self.requests[index];
             let has_engine = self.has_engine(&active.service);
             let (work, service) = (active.queued_work(has_engine), active.service.clone());
-            self.traffic(&service).queue.record_start(&work);
+            let traffic = self.traffic(&service);
+            traffic.queue.record_start(&work);
+            traffic.start_rate.record(now);
         }
     }
 
+    /// Refuses a queued request that cannot leave the queue before `until`, by the recent rate of starts.
+    /// Returns whether it did. A request that may have run stays, and one whose response has begun.
+    pub(super) fn refuse_at_once(
+        &mut self,
+        cx: CX![],
+        id: names::Request,
+        service: &Service,
+        until: Instant,
+    ) -> bool {
+        let now = cx.now();
+        if !self.settings.direct.fair_shares
+            || self.active(id).is_none_or(|active| active.is_started || active.unsent.is_none())
+        {
+            return false;
+        }
+        let traffic = self.traffic(service);
+        let items = traffic.queue.items();
+        let ahead = items.iter().position(|item| *item == id).unwrap_or_default();
+        if !traffic.start_rate.is_too_slow(now, ahead, until) {
+            return false;
+        }
+        traffic.queue.remove(&id);
+        let random = rand::rng().random();
+        let problem = self.active(id).and_then(|active| {
+            let unsent = active.unsent.as_ref()?;
+            Some(problems::full_queue(unsent, now, active.deadline, random))
+        });
+        if let Some(problem) = problem {
+            self.metrics.relay.refused_at_once.inc();
+            self.refuse(now, id, problem);
+        }
+        self.finish(cx, id);
+        true
+    }
+
     /// Counts a request whose search has met upstreams at which it is over the share of its account,
     /// and logs it if the search found no other upstream.
     pub(super) fn count_over_share(
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -31,7 +31,7 @@
 use entry::{Event, Server};
 use forward::{
     ContextHolders, Grace, Latencies, LoadCounter, MeanInFlight, RequestBytes, RetryAllowance,
-    RetryWindow, Shutdown, StartupQueue, WaitQueue, WaitingAccounts,
+    RetryWindow, Shutdown, StartRate, StartupQueue, WaitQueue, WaitingAccounts,
 };
 use instance::{Quarantine, View};
 use names::{Attempt, Service};
@@ -80,6 +80,8 @@
 struct ServiceTraffic {
     service: Service,
     queue: WaitQueue<names::Request>,
+    /// Recent requests that were sent to upstreams.
+    start_rate: StartRate,
     retry_window: RetryWindow,
     /// Mean number of requests of this service that an instance has in flight.
     mean_in_flight: MeanInFlight,
@@ -365,6 +367,7 @@
                     let traffic = ServiceTraffic {
                         service: service.clone(),
                         queue,
+                        start_rate: StartRate::default(),
                         retry_window: RetryWindow::default(),
                         mean_in_flight: MeanInFlight::default(),
                     };
--- a/crates/relay/src/forwarder/problems.rs
+++ b/crates/relay/src/forwarder/problems.rs
@@ -58,6 +58,15 @@
         .with_retry_after(retry_after(now, deadline))
 }
 
+/// All upstreams are full, and the request could not leave the queue in time. Callers return at
+/// different times by `random`, from 0 to 1.
+pub(super) fn full_queue(unsent: &Unsent, now: Instant, deadline: Instant, random: f64) -> Problem {
+    let message = "more requests wait than all upstreams can take in time; ask again later";
+    let longest = deadline.saturating_duration_since(now) / RETRY_AFTER_DIVISOR;
+    let wait = forward::spread_retry(retry_after(now, deadline), longest, random);
+    Problem::not_run(unsent, Status::UNAVAILABLE, "full", message).with_retry_after(wait)
+}
+
 /// All upstreams are in evacuated data centres. The end of an evacuation is not known in advance.
 pub(super) fn evacuated(unsent: &Unsent, now: Instant, deadline: Instant) -> Problem {
     let message = "all upstreams are in data centres that are evacuated; ask again later";
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -200,8 +200,11 @@
             return;
         }
         let patience_ms = millis(until.saturating_duration_since(cx.now()));
-        let queue = &mut self.traffic(&service).queue;
-        queue.push_work(&work, until, id);
+        self.traffic(&service).queue.push_work(&work, until, id);
+        if self.refuse_at_once(cx, id, &service, until) {
+            return;
+        }
+        let queue = &self.traffic(&service).queue;
         let (waiting, service, rank) = (queue.len() - 1, service.to_string(), work.rank);
         Event::Queued { request, service, rank, candidates, waiting, patience_ms }.write();
         self.update_queue_timer(cx);
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -124,6 +124,8 @@
     pub moved_for_cost: Counter,
     /// Number of requests for which a load tracker said that they are over the share of their account.
     pub over_share: Counter,
+    /// Number of requests that were refused at once, since they could not leave a queue in time.
+    pub refused_at_once: Counter,
     pace: Histogram,
 }
 
@@ -157,6 +159,7 @@
             unread_prompt_tokens: Gauge::default(),
             moved_for_cost: Counter::default(),
             over_share: Counter::default(),
+            refused_at_once: Counter::default(),
             pace: Histogram::new(PACE_BUCKETS),
         };
         metrics.initialize();
@@ -212,6 +215,8 @@
         registry.register("moved_for_cost", help, metrics.moved_for_cost.clone());
         let help = "Requests over the share of their client account";
         registry.register("over_share", help, metrics.over_share.clone());
+        let help = "Requests that could not leave a queue in time";
+        registry.register("refused_at_once", help, metrics.refused_at_once.clone());
         let help = "Pace that upstreams named in answers, in percent";
         registry.register("pace_percent", help, metrics.pace.clone());
         metrics
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -184,7 +184,7 @@
 }
 
 /// Guards against an account whose requests fill the queues of a small fleet, so that those of a small
-/// one expire there.
+/// one expire there; and against callers that wait in vain, or return at the same time.
 #[test]
 fn a_small_account_is_served_while_another_one_floods_a_small_fleet() {
     let deployment = Deployment::start(SMALL_FLEET, true);
@@ -193,9 +193,22 @@
     let served_before = flood.served.load(Ordering::Relaxed);
     let served = deployment.count_served();
     let of_flood = flood.served.load(Ordering::Relaxed) - served_before;
-    println!("{served} of {SMALL_CALLS} small, {of_flood} of the flood");
+    let at_once = deployment.sum("turmericrelay_refused_at_once_total");
+    println!("{served} of {SMALL_CALLS} small, {of_flood} of the flood, {at_once} refused at once");
     assert!(served >= SMALL_CALLS * 3 / 4, "{served} of {SMALL_CALLS} requests were served");
     assert!(of_flood > SMALL_CALLS, "{of_flood} requests of the flood were served");
+    assert!(at_once > 0);
+    let entries = deployment.machines.entries.iter();
+    let refused: Vec<_> = entries.flat_map(|machine| machine.events("refused")).collect();
+    let mut waits: Vec<u64> = Vec::new();
+    for line in refused.iter().filter(|line| line["after_ms"] == 0) {
+        let [wait, left] = ["retry_after_ms", "left_ms"].map(|name| line[name].as_u64().unwrap());
+        assert_eq!((&line["status"], &line["verdict"]), (&json!(503), &json!("not-run")));
+        assert!(wait <= left / 3 + 1, "{line}");
+        waits.push(wait);
+    }
+    let spread = waits.iter().max().unwrap() - waits.iter().min().unwrap();
+    assert!(waits.len() < 5 || spread > 100, "callers return at the same time: {waits:?}");
 }
 
 /// Guards against shares where the settings do not ask for them.
@@ -208,6 +221,7 @@
     let served = deployment.count_served();
     println!("{served} of {SMALL_CALLS} small without shares");
     assert_eq!(deployment.sum("turmericrelay_over_share_total"), 0);
+    assert_eq!(deployment.sum("turmericrelay_refused_at_once_total"), 0);
     let mut entries = deployment.machines.entries.iter();
     assert!(entries.all(|machine| machine.events("over-share").is_empty()));
 }
