Decide shares only for senders that name accounts, and keep requests that waited

A sender without direct.fair_shares names no account, which a load tracker with the setting took for the requests without an account. A queued request whose search found no upstream went to the end of the queue and could then be refused at once; now it stays until its time in the queue ends.

--- a/crates/relay/src/forwarder/active_request.rs
+++ b/crates/relay/src/forwarder/active_request.rs
@@ -106,6 +106,8 @@
     pub(super) deadline: Instant,
     /// Time until which the request may wait for an upstream with capacity.
     pub(super) queue_until: Instant,
+    /// Whether the request was queued before.
+    pub(super) has_waited: bool,
     /// Upstreams that the request was sent to.
     pub(super) tried: Vec<Upstream>,
     /// Sorted by address.
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -127,6 +127,7 @@
             arrived_at,
             deadline,
             queue_until,
+            has_waited: false,
             tried: Vec::new(),
             sent_to: Vec::new(),
             unsent: Some(unsent),
--- a/crates/relay/src/forwarder/fair_shares.rs
+++ b/crates/relay/src/forwarder/fair_shares.rs
@@ -60,25 +60,23 @@
 
     /// Decides, as the load tracker of an upstream, whether a request of `sender` is over the share of
     /// its account. Returns the numbers that the decision is based on if it is. The request is not
-    /// counted at the upstream then.
+    /// counted at the upstream then. `of_sender` has the requests that the sender names.
     pub(super) fn check_share(
         &mut self,
         now: Instant,
         sender: &Instance,
         upstream: u32,
         account: AccountKey,
+        of_sender: &AccountCounts,
     ) -> Option<ShareCounts> {
-        if !self.settings.direct.fair_shares {
+        // The sender may have other settings, or name only its largest accounts.
+        if !self.settings.direct.fair_shares || of_sender.of(account) == 0 {
             return None;
         }
         let count = self.table.request_count_by_short_hash(upstream)?;
         let slots = count.slots;
         let max_utilisation = max_utilisation(self.has_engine(count.service));
         let mut counts = self.load_counter.accounts(now, upstream);
-        if counts.of(account) == 0 {
-            // The sender names no accounts, or only its largest ones.
-            return None;
-        }
         self.waiting_accounts.add_to(now, upstream, &mut counts);
         let requests = self.load_counter.requests(now, upstream);
         match (FairShares { slots, max_utilisation }).decide(account, requests, &counts) {
@@ -125,7 +123,8 @@
     }
 
     /// Refuses a queued request that cannot leave the queue before `until`, by the recent rate of starts.
-    /// Returns whether it did. A request that may have run stays, and one whose response has begun.
+    /// Returns whether it did. A request that waited before stays, one that may have run, and one whose
+    /// response has begun.
     pub(super) fn refuse_at_once(
         &mut self,
         cx: CX![],
@@ -134,9 +133,12 @@
         until: Instant,
     ) -> bool {
         let now = cx.now();
-        if !self.settings.direct.fair_shares
-            || self.active(id).is_none_or(|active| active.is_started || active.unsent.is_none())
-        {
+        let has_shares = self.settings.direct.fair_shares;
+        let Some(active) = self.active(id).filter(|_| has_shares) else {
+            return false;
+        };
+        let has_waited = std::mem::replace(&mut active.has_waited, true);
+        if has_waited || active.is_started || active.unsent.is_none() {
             return false;
         }
         let traffic = self.traffic(service);
--- a/crates/relay/src/forwarder/tracker_queries.rs
+++ b/crates/relay/src/forwarder/tracker_queries.rs
@@ -281,8 +281,8 @@
         let number = self.last_message_number;
         let Some(tracker) = tracker else {
             let me = self.settings.instance.clone();
-            self.load_counter.report_accounts(now, &me, number, upstream, work, accounts);
-            if let Some(counts) = self.check_share(now, &me, upstream, account) {
+            self.load_counter.report_accounts(now, &me, number, upstream, work, accounts.clone());
+            if let Some(counts) = self.check_share(now, &me, upstream, account, &accounts) {
                 return TrackerReply::OverShare(counts);
             }
             let weight = self.weight(now, upstream);
--- a/crates/relay/src/forwarder/tracker_reports.rs
+++ b/crates/relay/src/forwarder/tracker_reports.rs
@@ -25,8 +25,8 @@
         accounts: AccountCounts,
     ) {
         let LoadCount { number, upstream, work, in_flight, cold_prompt, .. } = count;
-        self.load_counter.report_accounts(now, &sender, number, upstream, work, accounts);
-        let over_share = self.check_share(now, &sender, upstream, account);
+        self.load_counter.report_accounts(now, &sender, number, upstream, work, accounts.clone());
+        let over_share = self.check_share(now, &sender, upstream, account, &accounts);
         let work = match over_share {
             Some(_) => UpstreamWork {
                 requests: NO_REQUEST_GRANTED,
