--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,8 @@
 //! - In a large fleet a [`TrackerSearch`] asks the load trackers of upstreams. A load tracker is an
 //!   instance that counts the requests at an upstream in a [`LoadCounter`] and averages its latency
 //!   in [`Latencies`].
+//! - [`FairShares`] divide the places of an upstream among client accounts, by the [`AccountCounts`]
+//!   of its load tracker.
 //! - [`RateLimits`] keep to the rates that upstreams name, and to the allowance of cold upstreams
 //!   ([`ColdLimits`], [`ColdTime`]).
 //! - An [`EngineCost`] compares engines by the prompts that they have not read yet and by their pace,
@@ -15,7 +17,8 @@
 //! - [`Cordons`] remember the upstreams that want no new requests.
 //! - [`RequestBytes`] limit the bytes of requests that an upstream has to hold.
 //! - [`find_context_source()`] names an engine that has a context in its cache.
-//! - A [`WaitQueue`] is the queue of requests that wait for an upstream.
+//! - A [`WaitQueue`] is the queue of requests that wait for an upstream. A [`StartRate`] tells whether a
+//!   request can leave it in time.
 //! - [`FailedAttempt`] decides what follows a failed or silent attempt, and [`RetryWindow`] limits
 //!   retries.
 //! - A [`StreamTracker`] tracks a stream of events so that another upstream can resume the stream. An
@@ -31,6 +34,7 @@
 mod cordon;
 mod evacuation;
 mod event_boundary;
+mod fair_shares;
 mod grace;
 mod latency;
 mod load_counter;
@@ -46,6 +50,7 @@
 mod retry_window;
 mod search;
 mod shutdown;
+mod start_rate;
 mod startup;
 mod stream;
 mod wait_queue;
@@ -57,6 +62,10 @@
 pub use cordon::Cordons;
 pub use evacuation::Evacuations;
 pub use event_boundary::{EventBoundary, is_event_stream};
+pub use fair_shares::{
+    AccountCounts, AccountRequests, FairShares, MAX_ACCOUNTS, ShareCounts, ShareDecision,
+    WaitingAccounts,
+};
 pub use grace::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
 pub use latency::{LATENCY_SAMPLE_EVENTS, Latencies};
 pub use load_counter::{COUNT_REPORT_INTERVAL, LoadCounter, MeanInFlight, UpstreamWork};
@@ -74,9 +83,10 @@
 pub use retry_window::{RetryAllowance, RetryWindow};
 pub use search::{SearchCandidate, SearchConfig, SearchStep, TrackerSearch, move_cold_last};
 pub use shutdown::Shutdown;
+pub use start_rate::{StartRate, spread_retry};
 pub use startup::{StartupDecision, StartupQueue};
 pub use stream::{StreamTracker, stall_timeout};
-pub use wait_queue::WaitQueue;
+pub use wait_queue::{QueuedWork, WaitQueue};
 
 /// Minimum number of instances of a large fleet, in which each instance sees only a small part of
 /// the requests.
--- a/crates/relay/src/forwarder/admission.rs
+++ b/crates/relay/src/forwarder/admission.rs
@@ -47,7 +47,7 @@
                 if self.requests[index].is_trial {
                     self.quarantine.record_trial(cx.now(), &self.requests[index].keys);
                 }
-                self.place(cx, id);
+                self.place_arrival(cx, id);
             }
             Err(problem) => self.refuse_arrival(id, problem, &reply),
         }
@@ -127,6 +127,7 @@
             arrived_at,
             deadline,
             queue_until,
+            has_waited: false,
             tried: Vec::new(),
             sent_to: Vec::new(),
             unsent: Some(unsent),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -1,6 +1,5 @@
 //! Structured log events of the decisions and state changes of an instance.
 
-use log::Level;
 use serde::Serialize;
 
 /// Module path of log records that contain an event. The logger on standard output writes the
@@ -266,6 +265,23 @@
         /// Maximum time that the request may wait.
         patience_ms: u64,
     },
+    /// A request found no upstream, and is over the share of its client account at one.
+    OverShare {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the account, or empty for requests without an account.
+        account: String,
+        /// Service of the request.
+        service: String,
+        /// Name of the upstream.
+        upstream: String,
+        /// Number of requests there.
+        requests: u32,
+        /// Number of these requests that belong to the account.
+        of_account: u32,
+        /// Number of accounts that share the upstream.
+        accounts: u32,
+    },
     /// A request was sent to an upstream.
     Sent {
         /// Identifier of the request.
@@ -399,26 +415,6 @@
 }
 
 impl Event {
-    /// Returns the log level of the event. The level decides the share of the log limit that the
-    /// event may use: failures before state changes, and state changes before normal requests.
-    fn level(&self) -> Level {
-        match self {
-            Self::Lost { .. }
-            | Self::Avoided { .. }
-            | Self::BytesLimited { .. }
-            | Self::Refused { .. }
-            | Self::Failed { .. }
-            | Self::BrokenOff { .. }
-            | Self::Quarantined { .. }
-            | Self::Stalled { .. }
-            | Self::Cut { .. } => Level::Warn,
-            Self::Queued { .. } | Self::Sent { .. } | Self::Left { .. } | Self::Answered { .. } => {
-                Level::Debug
-            }
-            _ => Level::Info,
-        }
-    }
-
     /// Writes the event to the log as a JSON object.
     pub fn write(&self) {
         let level = self.level();
