--- a/crates/forward/src/fair_shares.rs
+++ b/crates/forward/src/fair_shares.rs
@@ -100,15 +100,19 @@
     Granted,
     /// The account is within its share, but the upstream has no place.
     NoPlace,
-    /// The account is over its share.
+    /// The account is over its share, and the places that are left are for others.
     OverShare(ShareCounts),
 }
 
+/// Places of an upstream that are left to accounts within their share. A search reserves a place at
+/// two upstreams at a time, so that one of two places is often only reserved.
+const PLACES_FOR_OTHERS: f64 = 2.0;
+
 /// Divides the places of an upstream among the client accounts that have requests there.
 ///
-/// A request is granted while there are free slots. The places beyond the slots are left to accounts
-/// that are within their share, which is an equal part of all places. An account that is alone has all
-/// places.
+/// A request is granted while there are free slots. The last [`PLACES_FOR_OTHERS`] places beyond the
+/// slots are left to accounts that are within their share, which is an equal part of all places. An
+/// account that is alone has all places.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FairShares {
     /// Number of requests that the upstream processes concurrently.
@@ -131,7 +135,9 @@
         if requests <= self.slots.max(1) || accounts <= 1 {
             return ShareDecision::Granted;
         }
-        if f64::from(of_account) > self.share(accounts) {
+        let is_over_share = f64::from(of_account) > self.share(accounts);
+        let leaves_places = f64::from(requests) + PLACES_FOR_OTHERS <= self.capacity();
+        if is_over_share && !leaves_places {
             return ShareDecision::OverShare(ShareCounts { requests, of_account, accounts });
         }
         match f64::from(requests) <= self.capacity() {
@@ -140,8 +146,8 @@
         }
     }
 
-    /// Returns the number of requests that each of `accounts` accounts may have once there is no free
-    /// slot, at least 1.
+    /// Returns the number of requests that each of `accounts` accounts may have once only the places
+    /// for others are left, at least 1.
     pub fn share(&self, accounts: u32) -> f64 {
         (self.capacity() / f64::from(accounts.max(1))).max(1.0)
     }
