--- a/crates/forward/src/fair_shares.rs
+++ b/crates/forward/src/fair_shares.rs
@@ -8,10 +8,11 @@
 /// datagram. An instance of a large fleet mostly has none to two requests at an upstream.
 pub const MAX_ACCOUNTS: usize = 16;
 
-/// Time for which an account that found no place counts among those that share an upstream. Queued
-/// requests and refused callers return within it. Without it, an account that has no request there
-/// would not be noticed beside one that has all places.
-const WAITING_TTL: Duration = Duration::from_secs(1);
+/// Time for which an account that asked for a place beyond the slots counts among those that share an
+/// upstream. Callers that were refused, or that send one request after another, return within it.
+/// Without it, an account that has no request there at the moment would not be noticed beside one that
+/// has all places.
+const COMPETITOR_TTL: Duration = Duration::from_secs(3);
 
 /// Number of requests that a client account has at an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -89,7 +90,7 @@
     pub requests: u32,
     /// Number of these requests that belong to the account of that request.
     pub of_account: u32,
-    /// Number of accounts that have requests or found no place recently, including that account.
+    /// Number of accounts that have requests or competed for places recently, including that account.
     pub accounts: u32,
 }
 
@@ -98,6 +99,8 @@
 pub enum ShareDecision {
     /// The upstream has a place for the request, or there is no other account.
     Granted,
+    /// The upstream has a place beyond its slots, and the account is within its share.
+    Competing,
     /// The account is within its share, but the upstream has no place.
     NoPlace,
     /// The account is over its share, and the places that are left are for others.
@@ -141,7 +144,8 @@
             return ShareDecision::OverShare(ShareCounts { requests, of_account, accounts });
         }
         match f64::from(requests) <= self.capacity() {
-            true => ShareDecision::Granted,
+            true if is_over_share => ShareDecision::Granted,
+            true => ShareDecision::Competing,
             false => ShareDecision::NoPlace,
         }
     }
@@ -157,30 +161,32 @@
     }
 }
 
-/// An account that found no place at an upstream.
+/// An account that asked for a place beyond the slots of an upstream.
 #[derive(Debug, Clone, Copy)]
-struct Waiting {
+struct Competitor {
     upstream: u32,
     account: Option<u32>,
     until: Instant,
 }
 
-/// The accounts within their share that recently found no place at the upstreams of a load tracker.
+/// The accounts within their share that recently asked for places beyond the slots of upstreams, at the
+/// load tracker of these upstreams.
 #[derive(Debug, Clone, Default)]
-pub struct WaitingAccounts(Vec<Waiting>);
+pub struct CompetingAccounts(Vec<Competitor>);
 
-impl WaitingAccounts {
-    /// Records that an account within its share found no place at an upstream.
+impl CompetingAccounts {
+    /// Records that an account within its share asked for a place beyond the slots of an upstream.
     pub fn record(&mut self, now: Instant, upstream: u32, account: Option<u32>) {
-        let until = now + WAITING_TTL;
-        let is_same = |entry: &&mut Waiting| (entry.upstream, entry.account) == (upstream, account);
+        let until = now + COMPETITOR_TTL;
+        let is_same =
+            |entry: &&mut Competitor| (entry.upstream, entry.account) == (upstream, account);
         match self.0.iter_mut().find(is_same) {
             Some(entry) => entry.until = until,
-            None => self.0.push(Waiting { upstream, account, until }),
+            None => self.0.push(Competitor { upstream, account, until }),
         }
     }
 
-    /// Adds the accounts that recently found no place at an upstream to those with requests there.
+    /// Adds the accounts that recently competed for places of an upstream to those with requests there.
     pub fn add_to(&self, now: Instant, upstream: u32, counts: &mut AccountCounts) {
         let valid = self.0.iter().filter(|entry| entry.upstream == upstream && now < entry.until);
         valid.for_each(|entry| counts.include(entry.account));
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -63,8 +63,8 @@
 pub use evacuation::Evacuations;
 pub use event_boundary::{EventBoundary, is_event_stream};
 pub use fair_shares::{
-    AccountCounts, AccountRequests, FairShares, MAX_ACCOUNTS, ShareCounts, ShareDecision,
-    WaitingAccounts,
+    AccountCounts, AccountRequests, CompetingAccounts, FairShares, MAX_ACCOUNTS, ShareCounts,
+    ShareDecision,
 };
 pub use grace::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
 pub use latency::{LATENCY_SAMPLE_EVENTS, Latencies};
--- a/crates/forward/tests/fair_shares.rs
+++ b/crates/forward/tests/fair_shares.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use forward::{
-    AccountCounts, FairShares, LoadCounter, MAX_ACCOUNTS, ShareCounts, ShareDecision, UpstreamWork,
-    WaitingAccounts,
+    AccountCounts, CompetingAccounts, FairShares, LoadCounter, MAX_ACCOUNTS, ShareCounts,
+    ShareDecision, UpstreamWork,
 };
 use names::Instance;
 use proptest::prelude::*;
@@ -27,6 +27,11 @@
     counts
 }
 
+/// Returns whether the upstream has a place for the request.
+fn is_placed(decision: ShareDecision) -> bool {
+    matches!(decision, ShareDecision::Granted | ShareDecision::Competing)
+}
+
 fn total(entries: &[(Option<u32>, u32)]) -> u32 {
     entries.iter().map(|entry| entry.1).sum()
 }
@@ -46,14 +51,14 @@
     is_granted: bool,
 ) {
     let decision = PLAIN.decide(LARGE, total(entries), &counts(entries));
-    assert_eq!(decision == ShareDecision::Granted, is_granted, "{decision:?}");
+    assert_eq!(is_placed(decision), is_granted, "{decision:?}");
 }
 
 /// Guards against a share of none where there are more accounts than places.
 #[test]
 fn an_account_may_always_have_one_request() {
     let entries: Vec<_> = (1..=12).map(|account| (Some(account), 1)).collect();
-    assert_eq!(PLAIN.decide(SMALL, 8, &counts(&entries)), ShareDecision::Granted);
+    assert_eq!(PLAIN.decide(SMALL, 8, &counts(&entries)), ShareDecision::Competing);
     assert_eq!(PLAIN.decide(SMALL, 12, &counts(&entries)), ShareDecision::NoPlace);
     let mut entries = entries;
     entries[0].1 = 2;
@@ -98,21 +103,21 @@
 /// Guards against an account without requests that finds no place again and again, since it does not
 /// count beside the account that has all places.
 #[test]
-fn an_account_that_found_no_place_counts_for_a_second() {
-    let (mut waiting, now) = (WaitingAccounts::default(), Instant::now());
+fn an_account_that_competed_for_places_counts_for_three_seconds() {
+    let (mut competing, now) = (CompetingAccounts::default(), Instant::now());
     assert_eq!(PLAIN.decide(SMALL, 10, &counts(&[(LARGE, 9), (SMALL, 1)])), ShareDecision::NoPlace);
-    waiting.record(now, UPSTREAM, SMALL);
-    let decide = |waiting: &WaitingAccounts, millis, upstream| {
+    competing.record(now, UPSTREAM, SMALL);
+    let decide = |competing: &CompetingAccounts, millis, upstream| {
         let mut counts = counts(&[(LARGE, 9)]);
-        waiting.add_to(now + Duration::from_millis(millis), upstream, &mut counts);
+        competing.add_to(now + Duration::from_millis(millis), upstream, &mut counts);
         PLAIN.decide(LARGE, 9, &counts)
     };
     let refused = ShareCounts { requests: 9, of_account: 9, accounts: 2 };
-    assert_eq!(decide(&waiting, 900, UPSTREAM), ShareDecision::OverShare(refused));
-    assert_eq!(decide(&waiting, 1100, UPSTREAM), ShareDecision::Granted);
-    assert_eq!(decide(&waiting, 900, UPSTREAM + 1), ShareDecision::Granted);
-    waiting.expire(now + Duration::from_millis(1100));
-    assert_eq!(decide(&waiting, 900, UPSTREAM), ShareDecision::Granted);
+    assert_eq!(decide(&competing, 2900, UPSTREAM), ShareDecision::OverShare(refused));
+    assert_eq!(decide(&competing, 3100, UPSTREAM), ShareDecision::Granted);
+    assert_eq!(decide(&competing, 2900, UPSTREAM + 1), ShareDecision::Granted);
+    competing.expire(now + Duration::from_millis(3100));
+    assert_eq!(decide(&competing, 2900, UPSTREAM), ShareDecision::Granted);
 }
 
 /// Guards against a message that does not fit in a datagram, and against one without the account that
@@ -177,7 +182,7 @@
             let is_last = f64::from(requests) + 2.0 > capacity.max(1.0);
             prop_assert_eq!(is_over, requests > slots && is_last && !is_within && !is_alone);
             let has_place = f64::from(requests) <= capacity.max(1.0);
-            let is_granted = decision == ShareDecision::Granted;
+            let is_granted = is_placed(decision);
             prop_assert_eq!(is_granted, !is_over && (has_place || is_alone));
             if !is_granted || !has_place {
                 counter.withdraw(&name, UPSTREAM, key);
--- a/crates/forward/tests/fair_shares_flood.rs
+++ b/crates/forward/tests/fair_shares_flood.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use forward::{
-    AccountCounts, FairShares, LoadCounter, MeanInFlight, NamedLimit, SearchCandidate,
-    SearchConfig, SearchStep, ShareDecision, TrackerSearch, UpstreamWork, WaitingAccounts,
+    AccountCounts, CompetingAccounts, FairShares, LoadCounter, MeanInFlight, NamedLimit,
+    SearchCandidate, SearchConfig, SearchStep, ShareDecision, TrackerSearch, UpstreamWork,
 };
 use names::{Instance, Upstream};
 use rand::{RngExt, SeedableRng};
@@ -68,8 +68,7 @@
 
 /// The plain upstreams with a single small account, which sends five requests per second. The first
 /// of them after a pause may find no place.
-const LONE: Kind =
-    Kind { accounts: 2, large_part: 100.0 / 105.0, per_second: 105.0, ..PLAIN };
+const LONE: Kind = Kind { accounts: 2, large_part: 100.0 / 105.0, per_second: 105.0, ..PLAIN };
 
 fn upstream(number: usize) -> Upstream {
     format!("upstream-{number}").parse().unwrap()
@@ -124,7 +123,7 @@
     in_flight: Vec<u32>,
     means: Vec<MeanInFlight>,
     counters: Vec<LoadCounter>,
-    waiting_accounts: Vec<WaitingAccounts>,
+    competing_accounts: Vec<CompetingAccounts>,
     running: Vec<u32>,
     waiting: Vec<VecDeque<usize>>,
     number: u64,
@@ -148,7 +147,7 @@
             in_flight: vec![0; kind.instances],
             means: vec![MeanInFlight::default(); kind.instances],
             counters: vec![LoadCounter::default(); kind.upstreams],
-            waiting_accounts: vec![WaitingAccounts::default(); kind.upstreams],
+            competing_accounts: vec![CompetingAccounts::default(); kind.upstreams],
             running: vec![0; kind.upstreams],
             waiting: vec![VecDeque::new(); kind.upstreams],
             number: 0,
@@ -285,10 +284,10 @@
         };
         let counter = &mut self.counters[upstream];
         let mut counts = counter.accounts(now, 0);
-        self.waiting_accounts[upstream].add_to(now, 0, &mut counts);
+        self.competing_accounts[upstream].add_to(now, 0, &mut counts);
         let decision = shares.decide(key, total, &counts);
-        if decision == ShareDecision::NoPlace {
-            self.waiting_accounts[upstream].record(now, 0, key);
+        if matches!(decision, ShareDecision::Competing | ShareDecision::NoPlace) {
+            self.competing_accounts[upstream].record(now, 0, key);
         }
         let requests = match decision {
             ShareDecision::OverShare(_) if self.has_shares => {
--- a/crates/relay/src/forwarder/fair_shares.rs
+++ b/crates/relay/src/forwarder/fair_shares.rs
@@ -77,12 +77,12 @@
         let slots = count.slots;
         let max_utilisation = max_utilisation(self.has_engine(count.service));
         let mut counts = self.load_counter.accounts(now, upstream);
-        self.waiting_accounts.add_to(now, upstream, &mut counts);
+        self.competing_accounts.add_to(now, upstream, &mut counts);
         let requests = self.load_counter.requests(now, upstream);
         match (FairShares { slots, max_utilisation }).decide(account, requests, &counts) {
             ShareDecision::Granted => None,
-            ShareDecision::NoPlace => {
-                self.waiting_accounts.record(now, upstream, account);
+            ShareDecision::Competing | ShareDecision::NoPlace => {
+                self.competing_accounts.record(now, upstream, account);
                 None
             }
             ShareDecision::OverShare(counts) => {
--- a/crates/relay/src/forwarder/mod.rs
+++ b/crates/relay/src/forwarder/mod.rs
@@ -30,8 +30,8 @@
 use dispatch::{CallEvent, Client, KeepAlive};
 use entry::{Event, Server};
 use forward::{
-    ContextHolders, Grace, Latencies, LoadCounter, MeanInFlight, RequestBytes, RetryAllowance,
-    RetryWindow, Shutdown, StartRate, StartupQueue, WaitQueue, WaitingAccounts,
+    CompetingAccounts, ContextHolders, Grace, Latencies, LoadCounter, MeanInFlight, RequestBytes,
+    RetryAllowance, RetryWindow, Shutdown, StartRate, StartupQueue, WaitQueue,
 };
 use instance::{Quarantine, View};
 use names::{Attempt, Service};
@@ -126,8 +126,8 @@
     holders: ContextHolders,
     /// Request counts of the upstreams that this instance tracks.
     load_counter: LoadCounter,
-    /// Accounts that found no place at the upstreams that this instance tracks.
-    waiting_accounts: WaitingAccounts,
+    /// Accounts that competed for places of the upstreams that this instance tracks.
+    competing_accounts: CompetingAccounts,
     /// Latencies of upstreams.
     latencies: Latencies,
     quarantine: Quarantine,
@@ -213,7 +213,7 @@
             peers: Vec::new(),
             holders: ContextHolders::default(),
             load_counter: LoadCounter::default(),
-            waiting_accounts: WaitingAccounts::default(),
+            competing_accounts: CompetingAccounts::default(),
             latencies: Latencies::default(),
             quarantine,
             last_message_number: first_message_number(),
--- a/crates/relay/src/forwarder/tracker_reports.rs
+++ b/crates/relay/src/forwarder/tracker_reports.rs
@@ -169,7 +169,7 @@
         let now = cx.now();
         self.load_counter.expire(now);
         self.latencies.expire(now);
-        self.waiting_accounts.expire(now);
+        self.competing_accounts.expire(now);
         if forward::is_large_fleet(self.entry_count) {
             let reports = self.table.request_counts().map(|request_count| {
                 let tracker = self.tracker(request_count.upstream, request_count.data_centre);
