Split the connection of the entry server into files

Moves the handling of input memory, of answers, and of refusals and closing into files of their own. Only moves code.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -1,32 +1,33 @@
 //! The actor that serves one connection of a caller.
 
+mod answer;
+mod closing;
+mod input;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
-use stakker::{CX, FixedTimerKey, Fwd, at, fail, fwd_to, stop};
+use stakker::{CX, FixedTimerKey, Fwd, at, fail, fwd_to};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
 
 use crate::body::{Body, BodyOutcome};
 use crate::budget::{Budget, Reservation};
-use crate::collector::{Collection, Collector};
-use crate::framing::{Framing, append_framed};
-use crate::head::{Head, Header, ParseOutcome};
-use crate::memory::{Hold, Room, SMALL_BYTES};
+use crate::collector::Collector;
+use crate::framing::Framing;
+use crate::head::{Head, ParseOutcome};
+use crate::memory::Hold;
 use crate::output_budget::{OutputBudget, OutputReservation};
-use crate::reply::{append_last_chunk, append_start, append_start_unframed, append_whole};
 use crate::server::{Bounds, SOCKET_PRIORITY};
 use crate::{Event, Form, Method, Problem, Reply, Request, Status, Unsent};
+use input::{HEAD_COPIES, REQUEST_BYTES};
 
 /// Bytes per read from the socket.
 const READ_BYTES: usize = 4096;
 
-/// Value of retry-after when a request is refused because the buffer budget is used up.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Time that a new connection has for its first request after the server started to drain.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -45,13 +46,6 @@
 /// reads, the kept buffers, and the actor.
 pub(crate) const CONNECTION_BYTES: usize = 2 * READ_BYTES + 2 * KEPT_BUFFER_BYTES;
 
-/// Memory, in bytes, that is reserved for a request beside its head and body.
-const REQUEST_BYTES: usize = 2 << 10;
-
-/// Number of copies of a head that exist while the request is handled: its fields and the head for
-/// the upstream.
-const HEAD_COPIES: usize = 2;
-
 /// Budgets of the server, of which each connection reserves a part.
 #[derive(Clone)]
 pub(crate) struct Budgets {
@@ -291,85 +285,6 @@
         }
     }
 
-    /// Returns the number of bytes of the body that have arrived, and the number of bytes of memory
-    /// that the request in progress needs.
-    fn input_bytes(&self) -> (usize, usize) {
-        match &self.phase {
-            Phase::Receiving { body: Some((head, body)) } => {
-                let bytes = body.needed_bytes() * self.bounds.get().body_copies;
-                (body.collected_bytes(), bytes + head.length * HEAD_COPIES + REQUEST_BYTES)
-            }
-            _ => (0, 0),
-        }
-    }
-
-    /// Reserves the bytes that were read. Returns false if there is no room for them.
-    fn reserve_input(&mut self) -> bool {
-        let (collected, needed) = self.input_bytes();
-        self.input.resize(self.received.len() + collected)
-            && (self.received.is_empty() && needed == 0
-                || self.hold.resize(needed.max(self.received.len())))
-    }
-
-    /// Returns the memory of input that is no longer needed.
-    fn release_input(&mut self) {
-        let (collected, needed) = self.input_bytes();
-        self.input.resize(self.received.len() + collected);
-        self.hold.force(needed.max(self.received.len()));
-        if self.received.is_empty() && self.received.capacity() > KEPT_BUFFER_BYTES {
-            self.received = Vec::new();
-        }
-    }
-
-    /// Refuses the request that is being received because the process has no memory for it.
-    fn refuse_without_memory(&mut self, cx: CX![]) {
-        self.refuse_for(cx, "memory", overloaded());
-    }
-
-    /// Repeats the reservation of a request for which the process had no memory.
-    fn make_room(&mut self, cx: CX![], (): ()) {
-        if !self.is_waiting {
-            return;
-        }
-        let (_, needed) = self.input_bytes();
-        match self.hold.retry(needed) {
-            Room::Waiting => {}
-            Room::Refused => {
-                self.is_waiting = false;
-                self.refuse_without_memory(cx);
-            }
-            Room::Reserved => {
-                self.is_waiting = false;
-                self.begin_body(cx);
-                self.receive(cx);
-                self.release_input();
-                self.read(cx);
-            }
-        }
-    }
-
-    /// Drops the bytes that were read from a connection that closes.
-    fn drop_read(&mut self, cx: CX![]) {
-        let dropped = self.stream.wr - self.stream.rd;
-        self.stream.rd = self.stream.wr;
-        self.droppable_bytes = self.droppable_bytes.saturating_sub(dropped);
-        if self.droppable_bytes == 0 && matches!(self.phase, Phase::Lingering) {
-            self.stop(cx);
-        }
-    }
-
-    /// Drops the bytes after the current request. The connection closes after the answer in
-    /// progress, so that the caller knows that the next request was not read.
-    fn drop_next_request(&mut self) {
-        self.received = Vec::new();
-        self.input.resize(0);
-        self.hold.force(0);
-        self.is_draining = true;
-        if let Phase::Answering { keeps_alive, .. } = &mut self.phase {
-            *keeps_alive = false;
-        }
-    }
-
     /// Returns whether more bytes may be read. This limits how much a caller can send before it has
     /// received the answer to its current request.
     fn can_read(&self) -> bool {
@@ -382,30 +297,6 @@
         }
     }
 
-    /// Tells the handler about an unanswered request and stops the actor.
-    fn disconnect(&mut self, cx: CX![]) {
-        if let Phase::Answering { id, .. } = self.phase {
-            self.handler.fwd(Event::Left { request: id });
-        }
-        self.stop(cx);
-    }
-
-    fn stop(&mut self, cx: CX![]) {
-        self.phase = Phase::Closed;
-        stop!(cx);
-    }
-
-    /// Waits until the caller closes the connection, unless it must have received all output.
-    fn linger(&mut self, cx: CX![]) {
-        if !self.is_read_open || self.droppable_bytes == 0 || self.linger_until <= cx.now() {
-            self.stop(cx);
-            return;
-        }
-        self.phase = Phase::Lingering;
-        self.set_deadline(cx, self.linger_until);
-        self.read(cx);
-    }
-
     /// Parses the next request from the received bytes and passes it to the handler if it is
     /// complete.
     fn receive(&mut self, cx: CX![]) {
@@ -448,28 +339,6 @@
         }
     }
 
-    /// Reserves the memory of a request whose head has arrived. Returns true if its body may be
-    /// read.
-    fn reserve_request(&mut self, cx: CX![]) -> bool {
-        let (_, needed) = self.input_bytes();
-        let room = match needed.max(self.received.len()) {
-            small if small <= SMALL_BYTES => match self.hold.resize(small) {
-                true => Room::Reserved,
-                false => Room::Refused,
-            },
-            large => {
-                let room = fwd_to!([cx], make_room() as (()));
-                self.hold.reserve_in_turn(large, room)
-            }
-        };
-        match room {
-            Room::Reserved => self.begin_body(cx),
-            Room::Waiting => self.is_waiting = true,
-            Room::Refused => self.refuse_without_memory(cx),
-        }
-        room == Room::Reserved
-    }
-
     /// Asks for the body if the caller waits for that.
     fn begin_body(&mut self, cx: CX![]) {
         let Phase::Receiving { body: Some((head, _)) } = &self.phase else {
@@ -511,162 +380,6 @@
         self.handler.fwd(Event::Arrived { request, unsent: Unsent::new(), hold, reply });
     }
 
-    /// Handles part of the answer to the request `id`. Parts for any other request are dropped.
-    fn answer(&mut self, cx: CX![], id: names::Request, reply: Reply) {
-        let Phase::Answering { id: current, collector, .. } = &mut self.phase else {
-            return;
-        };
-        if *current != id {
-            return;
-        }
-        let collection = match collector {
-            Some(collector) => collector.take(reply),
-            None => Collection::Send(reply),
-        };
-        match collection {
-            Collection::Send(reply) => self.send(cx, id, reply),
-            Collection::Wait if self.reserve_collected() => {}
-            Collection::Wait => self.end_unread(cx),
-            Collection::TooLarge => {
-                self.handler.fwd(Event::Left { request: id });
-                self.refuse(cx, too_large_to_collect());
-            }
-        }
-    }
-
-    /// Reserves the bytes of an answer that is being collected. Returns false if the answers of all
-    /// connections together exceed the limit.
-    fn reserve_collected(&mut self) -> bool {
-        let Phase::Answering { collector: Some(collector), .. } = &self.phase else {
-            return true;
-        };
-        self.output.grow(collector.collected_bytes())
-    }
-
-    /// Ends the answer in progress if it is the one that another connection has displaced.
-    fn displaced(&mut self, cx: CX![], (): ()) {
-        if self.output.is_displaced() {
-            self.end_unread(cx);
-        }
-    }
-
-    /// Ends the answer in progress, of which more is unread than of others, because the limit of all
-    /// connections together is reached.
-    fn end_unread(&mut self, cx: CX![]) {
-        match self.phase {
-            Phase::Answering { id, collector: Some(_), .. } => {
-                self.handler.fwd(Event::Left { request: id });
-                self.refuse(cx, too_many_unread());
-            }
-            Phase::Answering { .. } => self.abort(cx, "unread-total"),
-            _ => {}
-        }
-    }
-
-    /// Writes part of the answer in progress, which is that to the request `id`.
-    fn send(&mut self, cx: CX![], id: names::Request, reply: Reply) {
-        let Phase::Answering { keeps_alive, framing, .. } = &mut self.phase else {
-            return;
-        };
-        // Once the head is sent, the caller may send a request that relies on its headers.
-        if !matches!(reply, Reply::Part(_) | Reply::End | Reply::Cut) {
-            *keeps_alive &= !self.is_draining;
-        }
-        let id_header = self.form.request_id_header();
-        let out = &mut self.stream.out;
-        let was_empty = out.is_empty();
-        let finished = match reply {
-            Reply::Whole { status, headers, body } => {
-                append_whole(
-                    status,
-                    &add_connection_headers(headers, id, id_header, *keeps_alive),
-                    &body,
-                    out,
-                );
-                if matches!(framing, Framing::HeadOnly) {
-                    out.truncate(out.len() - body.len());
-                }
-                true
-            }
-            Reply::Start { status, headers, length } => {
-                if !matches!(framing, Framing::HeadOnly) {
-                    *framing = length.map_or(Framing::Chunks, Framing::Length);
-                }
-                let headers = add_connection_headers(headers, id, id_header, *keeps_alive);
-                append_start(status, &headers, length, out);
-                false
-            }
-            Reply::StartUnframed { status, headers } => {
-                *keeps_alive = false;
-                if !matches!(framing, Framing::HeadOnly) {
-                    *framing = Framing::UntilClose;
-                }
-                let headers = add_connection_headers(headers, id, id_header, *keeps_alive);
-                append_start_unframed(status, &headers, out);
-                false
-            }
-            Reply::Part(part) => {
-                append_framed(framing, &part, out);
-                false
-            }
-            Reply::End if matches!(framing, Framing::Length(left) if *left > 0) => {
-                self.truncate(cx);
-                return;
-            }
-            Reply::End => {
-                if matches!(framing, Framing::Chunks) {
-                    append_last_chunk(out);
-                }
-                true
-            }
-            Reply::Cut => {
-                self.truncate(cx);
-                return;
-            }
-        };
-        if was_empty {
-            let deadline = cx.now() + self.bounds.get().unread;
-            self.set_deadline(cx, deadline);
-        }
-        if !finished && self.stream.out.len() > self.bounds.get().unread_bytes {
-            self.abort(cx, "unread");
-            return;
-        }
-        if !self.flush(cx) {
-            return;
-        }
-        if !self.output.grow(self.stream.out.len()) {
-            self.end_unread(cx);
-        } else if finished {
-            self.finish(cx);
-        }
-    }
-
-    /// Closes the connection without the end of the answer, so that the caller can tell that the
-    /// answer is incomplete.
-    fn truncate(&mut self, cx: CX![]) {
-        self.phase = Phase::Closing;
-        self.stream.out_eof = true;
-        self.flush(cx);
-    }
-
-    /// Prepares for the next request after a complete answer, or starts to close the connection.
-    fn finish(&mut self, cx: CX![]) {
-        self.output.settle();
-        let keeps_alive = matches!(self.phase, Phase::Answering { keeps_alive: true, .. });
-        if !keeps_alive || (self.is_draining && self.received.is_empty()) {
-            self.phase = Phase::Closing;
-            self.stream.out_eof = true;
-            self.flush(cx);
-            return;
-        }
-        self.phase = Phase::Receiving { body: None };
-        self.release_input();
-        if self.stream.out.is_empty() {
-            self.read_next(cx);
-        }
-    }
-
     /// Reads the next request once all output is sent, so that a caller that reads no answers cannot
     /// send more requests.
     fn read_next(&mut self, cx: CX![]) {
@@ -681,47 +394,6 @@
         self.read(cx);
     }
 
-    /// Answers with `problem` and closes the connection.
-    fn refuse(&mut self, cx: CX![], problem: Problem) {
-        self.refuse_for(cx, "request", problem);
-    }
-
-    /// Answers with `problem` and closes the connection. `reason` is for the counters.
-    fn refuse_for(&mut self, cx: CX![], reason: &'static str, problem: Problem) {
-        self.handler.fwd(Event::Refused { reason });
-        if let Reply::Whole { status, headers, body } = self.form.refusal(problem) {
-            let id = names::Request(rand::rng().random());
-            let headers = add_connection_headers(headers, id, self.form.request_id_header(), false);
-            append_whole(status, &headers, &body, &mut self.stream.out);
-        }
-        self.close(cx);
-    }
-
-    /// Closes the connection after the remaining output has been sent.
-    fn close(&mut self, cx: CX![]) {
-        self.phase = Phase::Closing;
-        self.discard_input();
-        self.stream.out_eof = true;
-        let deadline = cx.now() + self.bounds.get().unread;
-        self.set_deadline(cx, deadline);
-        self.flush(cx);
-    }
-
-    /// Returns the memory of a request that is not answered.
-    fn discard_input(&mut self) {
-        self.received = Vec::new();
-        self.input.resize(0);
-        self.is_waiting = false;
-        self.hold.stop_waiting();
-        self.hold.force(0);
-    }
-
-    /// Closes the connection immediately and discards the remaining output.
-    fn abort(&mut self, cx: CX![], reason: &'static str) {
-        self.handler.fwd(Event::Refused { reason });
-        self.disconnect(cx);
-    }
-
     /// Sends the buffered output. Returns false if the connection has failed.
     fn flush(&mut self, cx: CX![]) -> bool {
         let length_before = self.stream.out.len();
@@ -753,38 +425,3 @@
         true
     }
 }
-
-/// Refusal of a request because the buffer budget of incomplete requests is used up.
-fn overloaded() -> Problem {
-    let message = "too many requests are arriving at once; ask again later";
-    Problem::not_run(&Unsent::new(), Status::UNAVAILABLE, "crowded", message)
-        .with_retry_after(OVERLOAD_RETRY_AFTER)
-}
-
-/// Refusal of an answer that cannot be collected because other callers do not read theirs.
-fn too_many_unread() -> Problem {
-    let message = "too many answers wait for their callers to read them; use HTTP/1.1";
-    Problem::may_have_run(Status::BAD_GATEWAY, "too_many_unread", message)
-}
-
-/// Refusal of an answer that is too large to be collected.
-fn too_large_to_collect() -> Problem {
-    let message = "the answer is too large for a caller that reads no chunks; use HTTP/1.1";
-    Problem::may_have_run(Status::BAD_GATEWAY, "answer_too_large", message)
-}
-
-/// Adds the connection-level headers: the request id, and `connection: close` where it applies.
-fn add_connection_headers(
-    mut headers: Vec<Header>,
-    id: names::Request,
-    id_header: Option<&str>,
-    keeps_alive: bool,
-) -> Vec<Header> {
-    if let Some(name) = id_header {
-        headers.push(Header::new(name, id.to_string()));
-    }
-    if !keeps_alive {
-        headers.push(Header::new("connection", "close"));
-    }
-    headers
-}
