Release the output buffer of a connection to an upstream once its request is sent

An idle connection kept the buffer of its largest request until it closed, up to 10 s after the request had ended, and nothing reserved memory for it any more. Buffers of up to 4 KiB are kept, so that small requests need no allocation.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -19,6 +19,9 @@
 /// Largest number of bytes in one read.
 const READ_BYTES: usize = 4096;
 
+/// Largest capacity in bytes of an empty output buffer that is kept for the next request.
+const KEPT_OUTPUT_BYTES: usize = 4 << 10;
+
 /// Largest number of bytes of a request that the operating system takes while the upstream has no
 /// room for them. A request whose rest is larger counts as not completely written, also where the
 /// buffers of the operating system could hold it. Smaller values cost more writes.
@@ -253,6 +256,7 @@
                 false
             }
             Ok(()) => {
+                self.release_output();
                 if self.has_response && self.stream.out.is_empty() {
                     self.end_job(cx);
                 } else if self.has_closed_early && self.stream.out.is_empty() {
@@ -264,6 +268,14 @@
         }
     }
 
+    /// Releases the buffer of a request that is sent. The connection may stay open for long, while
+    /// nothing reserves memory for it.
+    fn release_output(&mut self) {
+        if self.stream.out.is_empty() && self.stream.out.capacity() > KEPT_OUTPUT_BYTES {
+            self.stream.out = Vec::new();
+        }
+    }
+
     /// Reads the available bytes. A read that does not fill the buffer has drained the socket.
     /// Further bytes, or an end of the stream that has not been signalled yet, trigger another
     /// readiness event.
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -56,7 +56,7 @@
 const MAX_ENDPOINT_BODY_BYTES: usize = 64 << 10;
 
 /// Number of copies of a caller's body that exist while the request is handled: that of the request,
-/// the output to the upstream, and the output buffer that the connection to the upstream keeps.
+/// that of the attempt, and the output buffer of the connection to the upstream.
 const BODY_COPIES: usize = 3;
 
 /// Number of copies of a document that exist while it is submitted: the chunks that arrived, the body,
