Count a refusal before its answer is sent

The connection wrote and sent the answer to a refused request in the step of the event loop in which it told its handler, which counts the refusal in a later step. The answer is now sent in a step after that of the handler; nothing is read in between.

--- a/crates/entry/src/connection/closing.rs
+++ b/crates/entry/src/connection/closing.rs
@@ -1,7 +1,7 @@
 //! Refusals, and the end of a connection.
 
 use rand::RngExt;
-use stakker::{CX, stop};
+use stakker::{CX, call, stop};
 
 use super::{Connection, Phase};
 use crate::reply::append_whole;
@@ -55,15 +55,30 @@
         self.refuse_for(cx, "request", problem);
     }
 
-    /// Answers with `problem` and closes the connection. `reason` is for the counters.
+    /// Answers with `problem` and closes the connection. `reason` is for the counters. The answer is
+    /// sent in a later step of the event loop, once the handler has counted the refusal: a caller that
+    /// has the answer finds it in the metrics.
     pub(super) fn refuse_for(&mut self, cx: CX![], reason: &'static str, problem: Problem) {
         self.handler.fwd(Event::Refused { reason });
+        let mut answer = Vec::new();
         if let Reply::Whole { status, headers, body } = self.form.refusal(problem) {
             let id = names::Request(rand::rng().random());
             let headers = add_connection_headers(headers, id, self.form.request_id_header(), false);
-            append_whole(status, &headers, &body, &mut self.stream.out);
+            append_whole(status, &headers, &body, &mut answer);
         }
+        self.phase = Phase::Refusing;
+        self.discard_input();
+        call!([cx], send_refusal(answer));
+    }
+
+    /// Sends the answer to a request that was refused, and closes the connection.
+    fn send_refusal(&mut self, cx: CX![], answer: Vec<u8>) {
+        if !matches!(self.phase, Phase::Refusing) {
+            return;
+        }
+        self.stream.out.extend_from_slice(&answer);
         self.close(cx);
+        self.read(cx);
     }
 
     /// Closes the connection after the remaining output has been sent.
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -78,6 +78,8 @@
         /// Collects the answer for a caller that cannot read chunks.
         collector: Option<Collector>,
     },
+    /// Waiting until the handler has counted the refusal of the request, whose answer follows.
+    Refusing,
     /// Sending the remaining output before closing. Further bytes of the caller are dropped.
     Closing,
     /// All output is sent. Bytes of the caller are dropped until it closes the connection.
@@ -237,6 +239,7 @@
                 );
             }
             Phase::Answering { .. } if self.stream.out.is_empty() => {}
+            Phase::Refusing => {}
             Phase::Answering { .. } | Phase::Closing => self.abort(cx, "unread"),
             Phase::Lingering | Phase::Closed => self.stop(cx),
         }
@@ -293,7 +296,7 @@
             Phase::Receiving { .. } => !self.is_waiting,
             Phase::Answering { .. } => self.received.len() < self.bounds.get().head_bytes,
             Phase::Closing | Phase::Lingering => self.droppable_bytes > 0,
-            Phase::Closed => false,
+            Phase::Refusing | Phase::Closed => false,
         }
     }
 
