Reserve the bytes of a body in chunks before they are moved into the body

Cause: after each read, release_input reserved the grown body by force, and the check before the next read asked only for what was reserved already, so that no body in chunks was ever checked against the budget.

The blocks of a body double from 4 to 64 KiB, so that a body of 5 KB does not take 68 KiB of which 10 are counted.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -6,10 +6,12 @@
 /// Longest line with the size of a chunk.
 const MAX_CHUNK_SIZE_LINE_BYTES: usize = 256;
 
-/// Size in bytes of the first block of a body in chunks, and of the others. Blocks of equal size leave
-/// no holes in memory, which bodies that grow beside each other would.
+/// Size in bytes of the first block of a body in chunks, and of the largest ones. A block is as large
+/// as those before it together, up to this size, so that the blocks need at most twice the bytes that
+/// have arrived. Blocks of equal size leave no holes in memory, which bodies that grow beside each other
+/// would.
 const FIRST_BLOCK_BYTES: usize = 4 << 10;
-const BLOCK_BYTES: usize = 64 << 10;
+const MAX_BLOCK_BYTES: usize = 64 << 10;
 
 /// Outcome of reading a body from the received bytes.
 pub(crate) enum BodyOutcome {
@@ -69,11 +71,11 @@
     }
 
     /// Returns the number of bytes that are known to be needed for the body: its length, or what has
-    /// arrived so far.
-    pub(crate) fn needed_bytes(&self) -> usize {
+    /// arrived so far. `received_bytes` bytes have been received and not been read yet.
+    pub(crate) fn needed_bytes(&self, received_bytes: usize) -> usize {
         match self.length {
             BodyLength::Known(length) => length,
-            BodyLength::Chunked => self.collected_bytes,
+            BodyLength::Chunked => self.collected_bytes + received_bytes,
         }
     }
 
@@ -123,10 +125,10 @@
                     bytes = &bytes[count..];
                 }
                 None => {
+                    let filled: usize = self.blocks.iter().map(Vec::len).sum();
                     let capacity = match self.length {
                         BodyLength::Known(length) => length,
-                        BodyLength::Chunked if self.blocks.is_empty() => FIRST_BLOCK_BYTES,
-                        BodyLength::Chunked => BLOCK_BYTES,
+                        BodyLength::Chunked => filled.clamp(FIRST_BLOCK_BYTES, MAX_BLOCK_BYTES),
                     };
                     self.blocks.push(Vec::with_capacity(capacity));
                 }
--- a/crates/entry/src/connection/input.rs
+++ b/crates/entry/src/connection/input.rs
@@ -20,18 +20,19 @@
 
 impl Connection {
     /// Returns the number of bytes of the body that have arrived, and the number of bytes of memory
-    /// that the request in progress needs.
+    /// that the request in progress needs, with the bytes that were received and not read yet.
     pub(super) fn input_bytes(&self) -> (usize, usize) {
         match &self.phase {
             Phase::Receiving { body: Some((head, body)) } => {
-                let bytes = body.needed_bytes() * self.bounds.get().body_copies;
+                let bytes = body.needed_bytes(self.received.len()) * self.bounds.get().body_copies;
                 (body.collected_bytes(), bytes + head.length * HEAD_COPIES + REQUEST_BYTES)
             }
             _ => (0, 0),
         }
     }
 
-    /// Reserves the bytes that were read. Returns false if there is no room for them.
+    /// Reserves the bytes that were received, before they are read. Returns false if there is no room
+    /// for them.
     pub(super) fn reserve_input(&mut self) -> bool {
         let (collected, needed) = self.input_bytes();
         self.input.resize(self.received.len() + collected)
@@ -39,7 +40,8 @@
                 || self.hold.resize(needed.max(self.received.len())))
     }
 
-    /// Returns the memory of input that is no longer needed.
+    /// Returns the memory of input that is no longer needed. Bytes that were moved into the body are
+    /// already reserved.
     pub(super) fn release_input(&mut self) {
         let (collected, needed) = self.input_bytes();
         self.input.resize(self.received.len() + collected);
--- a/crates/entry/tests/server.rs
+++ b/crates/entry/tests/server.rs
@@ -5,26 +5,36 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
+use std::sync::{Arc, Barrier};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use entry::{Bounds, ChatForm, Event, Hold, Memory, Reply, Server, Status};
 use eventloop::{Loop, Sender, mailbox};
-use stakker::{ActorOwn, CX, Fwd, StopCause, actor, fwd_to, ret_nop};
+use stakker::{ActorOwn, CX, Fwd, StopCause, actor, after, fwd_to, ret_nop};
 use test_case::test_case;
 
 /// Memory of the process in bytes, of which the budget is one half.
 const MEMORY: usize = 8 << 20;
 
+/// Interval at which the reserved bytes are read.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Time for which the handler holds up the event loop before it counts a refusal.
 const COUNT_DELAY: Duration = Duration::from_millis(300);
 
 /// Timeout of a read from the server.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Number of callers that send bodies at once. Their first chunks fit into the budget.
+const CALLERS: usize = 20;
+
+/// Size in bytes of a body, and of each of its chunks.
+const BODY_BYTES: usize = 1 << 20;
+const CHUNK_BYTES: usize = 32 << 10;
+
 const BOUNDS: Bounds = Bounds {
     head_bytes: 16 << 10,
     body_bytes: 4 << 20,
@@ -42,20 +52,34 @@
 #[derive(Default)]
 struct Seen {
     is_refusal_counted: AtomicBool,
+    most_reserved_bytes: AtomicUsize,
 }
 
 /// Handler that answers each request with 200, and keeps its memory reserved.
 struct Handler {
     seen: Arc<Seen>,
+    memory: Memory,
+    count_delay: Duration,
     holds: Vec<Hold>,
 }
 
 impl Handler {
-    fn init(_: CX![], seen: Arc<Seen>) -> Option<Self> {
-        Some(Self { seen, holds: Vec::new() })
+    fn init(cx: CX![], seen: Arc<Seen>, memory: Memory, count_delay: Duration) -> Option<Self> {
+        after!(SAMPLE_INTERVAL, [cx], sample());
+        Some(Self { seen, memory, count_delay, holds: Vec::new() })
+    }
+
+    fn sample(&mut self, cx: CX![]) {
+        self.record_reserved();
+        after!(SAMPLE_INTERVAL, [cx], sample());
+    }
+
+    fn record_reserved(&self) {
+        self.seen.most_reserved_bytes.fetch_max(self.memory.reserved_bytes(), Ordering::Relaxed);
     }
 
     fn handle(&mut self, _: CX![], event: Event) {
+        self.record_reserved();
         match event {
             Event::Arrived { hold, reply, .. } => {
                 self.holds.push(hold);
@@ -64,7 +88,7 @@
             }
             Event::Left { .. } => {}
             Event::Refused { .. } => {
-                std::thread::sleep(COUNT_DELAY);
+                std::thread::sleep(self.count_delay);
                 self.seen.is_refusal_counted.store(true, Ordering::Relaxed);
             }
         }
@@ -75,12 +99,13 @@
 struct ServerThread {
     address: SocketAddr,
     seen: Arc<Seen>,
+    budget_bytes: usize,
     stop: Sender<()>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl ServerThread {
-    fn start() -> Self {
+    fn start(count_delay: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
@@ -91,8 +116,12 @@
             let mut event_loop = Loop::new().unwrap();
             let stakker = event_loop.stakker();
             let memory = Memory::new(MEMORY);
-            let handler: ActorOwn<Handler> =
-                actor!(stakker, Handler::init(handler_seen), ret_nop!());
+            let budget_bytes = memory.total_bytes();
+            let handler: ActorOwn<Handler> = actor!(
+                stakker,
+                Handler::init(handler_seen, memory.clone(), count_delay),
+                ret_nop!()
+            );
             let events = fwd_to!([handler], handle() as (Event));
             let form = Rc::new(ChatForm);
             let _server: ActorOwn<Server> =
@@ -100,11 +129,11 @@
             let deferrer = stakker.deferrer();
             let stop =
                 Fwd::new(move |()| deferrer.defer(|stakker| stakker.shutdown(StopCause::Stopped)));
-            ready.send(mailbox(stakker, stop)).unwrap();
+            ready.send((mailbox(stakker, stop), budget_bytes)).unwrap();
             event_loop.run().unwrap();
         });
-        let stop = ready_receiver.recv().unwrap();
-        Self { address, seen, stop, thread: Some(thread) }
+        let (stop, budget_bytes) = ready_receiver.recv().unwrap();
+        Self { address, seen, budget_bytes, stop, thread: Some(thread) }
     }
 
     fn connect(&self) -> TcpStream {
@@ -123,6 +152,44 @@
     }
 }
 
+/// Sends a body in chunks, of which all callers together send the first ones, and returns the status
+/// of the answer, if one arrives.
+fn send_chunks(mut stream: TcpStream, barrier: &Barrier) -> Option<String> {
+    let chunk = [format!("{CHUNK_BYTES:x}\r\n").into_bytes(), vec![b'x'; CHUNK_BYTES]].concat();
+    // The server may refuse the request while the body is sent.
+    let _ = stream.write_all(b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n");
+    for number in 0..BODY_BYTES / CHUNK_BYTES {
+        let _ = stream.write_all(&chunk).and_then(|()| stream.write_all(b"\r\n"));
+        if number == 0 {
+            barrier.wait();
+        }
+    }
+    let _ = stream.write_all(b"0\r\n\r\n");
+    let mut status = [0; 12];
+    stream.read_exact(&mut status).ok()?;
+    Some(String::from_utf8_lossy(&status).into_owned())
+}
+
+/// Guards against bodies in chunks that grow without a check of the budget: bytes that were moved
+/// from the socket into a body were reserved by force.
+#[test]
+fn bodies_in_chunks_exceed_no_budget() {
+    let server = ServerThread::start(Duration::ZERO);
+    let barrier = Arc::new(Barrier::new(CALLERS));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let stream = server.connect();
+            let barrier = barrier.clone();
+            std::thread::spawn(move || send_chunks(stream, &barrier))
+        })
+        .collect();
+    let statuses: Vec<_> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
+    let most = server.seen.most_reserved_bytes.load(Ordering::Relaxed);
+    assert!(most <= server.budget_bytes, "{most} of {} bytes; {statuses:?}", server.budget_bytes);
+    assert!(statuses.contains(&Some("HTTP/1.1 200".to_string())), "{statuses:?}");
+    assert!(statuses.contains(&Some("HTTP/1.1 503".to_string())), "{statuses:?}");
+}
+
 /// Guards against an answer that reaches its caller before the refusal is counted, so that the
 /// metrics lack a refusal that is already known outside.
 #[test_case("NONSENSE\r\n\r\n"; "malformed head")]
@@ -130,7 +197,7 @@
 #[test_case("POST / HTTP/1.1\r\ncontent-length: 10\r\n\r\n123"; "stalled body")]
 #[test_case("POST / HTTP/1.1\r\ncontent-length: 4000000\r\n\r\n"; "body above the budget")]
 fn a_refusal_is_counted_before_its_answer_is_sent(request: &str) {
-    let server = ServerThread::start();
+    let server = ServerThread::start(COUNT_DELAY);
     let mut stream = server.connect();
     stream.write_all(request.as_bytes()).unwrap();
     let mut answer = [0; 10];
