Hold the answers of slow readers within the memory budget

An answer of 8 MiB whose caller reads 2 MB per second ended after about 4 MB, since limits.unread (256 KiB) cut an answer of which more than that waits. limits.unread now has no value by default: limits.unread_total, the budget and timing.unread end an answer.

Cause: buffers in front of the output and the spare capacity of the output were not counted.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -17,7 +17,7 @@
 pub(super) const SOCKET_PRIORITY: u32 = 6;
 
 /// Largest number of bytes in one read.
-const READ_BYTES: usize = 4096;
+pub(super) const READ_BYTES: usize = 4096;
 
 /// Largest capacity in bytes of an empty output buffer that is kept for the next request.
 const KEPT_OUTPUT_BYTES: usize = 4 << 10;
--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -17,13 +17,18 @@
 pub use reader::{CorrelationHeader, ResponseError, ResponsePart, ResponseReader};
 
 use crate::{CallEvent, Progress, Verdict};
-use connection::{Connection, Job};
+use connection::{Connection, Job, READ_BYTES};
 use listen_check::ListenCheck;
 
 /// Bytes of a response body that may be delivered to the consumer but not yet consumed. Reading
 /// pauses at this limit, so that a slow consumer applies backpressure to the upstream and memory
-/// use stays bounded.
-const MAX_UNCONSUMED_BYTES: usize = 64 << 10;
+/// use stays bounded. All connections may be readable at once, so that their events together need
+/// this number of bytes for each of them.
+const MAX_UNCONSUMED_BYTES: usize = 16 << 10;
+
+/// Memory in bytes that a call takes for its response: the buffer of the socket, of two reads, the
+/// events for the consumer, and what the consumer makes of them.
+pub const CALL_BUFFER_BYTES: usize = 2 * READ_BYTES + 2 * MAX_UNCONSUMED_BYTES;
 
 /// Interval between checks for expired idle connections.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,8 +23,8 @@
 pub use budget::{RetryAllowance, RetryBudget};
 pub use call::{Call, CallEvent, ConnectionReuse, Field, InvalidCall, Progress};
 pub use client::{
-    Client, CorrelationHeader, KeepAlive, Listening, Outbound, ResponseError, ResponsePart,
-    ResponseReader,
+    CALL_BUFFER_BYTES, Client, CorrelationHeader, KeepAlive, Listening, Outbound, ResponseError,
+    ResponsePart, ResponseReader,
 };
 pub use event_scanner::EventScanner;
 pub use events::{Event as StreamEvent, EventSplitter};
--- a/crates/entry/src/collector.rs
+++ b/crates/entry/src/collector.rs
@@ -26,9 +26,9 @@
         Self { limit, started: None, body: Vec::new() }
     }
 
-    /// Returns the number of bytes that are held.
+    /// Returns the number of bytes of memory that the collected part of the answer takes.
     pub(crate) fn collected_bytes(&self) -> usize {
-        self.body.len()
+        self.body.capacity()
     }
 
     /// Takes the next reply.
--- a/crates/entry/src/connection/answer.rs
+++ b/crates/entry/src/connection/answer.rs
@@ -9,6 +9,9 @@
 use crate::reply::{append_last_chunk, append_start, append_start_unframed, append_whole};
 use crate::{Event, Problem, Reply, Status};
 
+/// Bytes by which a chunk is larger than the part that it carries: its size and two line ends.
+const CHUNK_OVERHEAD_BYTES: usize = 32;
+
 impl Connection {
     /// Handles part of the answer to the request `id`. Parts for any other request are dropped.
     pub(super) fn answer(&mut self, cx: CX![], id: names::Request, reply: Reply) {
@@ -39,7 +42,7 @@
         let Phase::Answering { collector: Some(collector), .. } = &self.phase else {
             return true;
         };
-        self.output.grow(collector.collected_bytes())
+        self.output.grow(collector.collected_bytes(), dispatch::CALL_BUFFER_BYTES)
     }
 
     /// Ends the answer in progress if it is the one that another connection has displaced.
@@ -72,8 +75,12 @@
             *keeps_alive &= !self.is_draining;
         }
         let id_header = self.form.request_id_header();
-        let out = &mut self.stream.out;
-        let was_empty = out.is_empty();
+        let was_empty = self.stream.out.is_empty();
+        let part_bytes = match &reply {
+            Reply::Part(part) => part.len() + CHUNK_OVERHEAD_BYTES,
+            _ => CHUNK_OVERHEAD_BYTES,
+        };
+        let out = self.queue.next_buffer(&mut self.stream.out, part_bytes);
         let finished = match reply {
             Reply::Whole { status, headers, body } => {
                 append_whole(
@@ -127,14 +134,16 @@
             let deadline = cx.now() + self.bounds.get().unread;
             self.set_deadline(cx, deadline);
         }
-        if !finished && self.stream.out.len() > self.bounds.get().unread_bytes {
+        if !finished && self.unsent_bytes() > self.bounds.get().unread_bytes {
             self.abort(cx, "unread");
             return;
         }
         if !self.flush(cx) {
             return;
         }
-        if !self.output.grow(self.stream.out.len()) {
+        // The call to the upstream ends with the answer.
+        let front_bytes = if finished { 0 } else { dispatch::CALL_BUFFER_BYTES };
+        if !self.output.grow(self.output_memory(), front_bytes) {
             self.end_unread(cx);
         } else if finished {
             self.finish(cx);
@@ -147,7 +156,7 @@
         let keeps_alive = matches!(self.phase, Phase::Answering { keeps_alive: true, .. });
         if !keeps_alive || (self.is_draining && self.received.is_empty()) {
             self.phase = Phase::Closing;
-            self.stream.out_eof = true;
+            self.ends_output = true;
             self.flush(cx);
             return;
         }
--- a/crates/entry/src/connection/closing.rs
+++ b/crates/entry/src/connection/closing.rs
@@ -46,7 +46,7 @@
     /// answer is incomplete.
     pub(super) fn truncate(&mut self, cx: CX![]) {
         self.phase = Phase::Closing;
-        self.stream.out_eof = true;
+        self.ends_output = true;
         self.flush(cx);
     }
 
@@ -85,7 +85,7 @@
     pub(super) fn close(&mut self, cx: CX![]) {
         self.phase = Phase::Closing;
         self.discard_input();
-        self.stream.out_eof = true;
+        self.ends_output = true;
         let deadline = cx.now() + self.bounds.get().unread;
         self.set_deadline(cx, deadline);
         self.flush(cx);
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -21,6 +21,7 @@
 use crate::head::{Head, ParseOutcome};
 use crate::memory::Hold;
 use crate::output_budget::{OutputBudget, OutputReservation};
+use crate::output_queue::OutputQueue;
 use crate::server::{Bounds, SOCKET_PRIORITY};
 use crate::{Event, Form, Method, Problem, Reply, Request, Status, Unsent};
 use input::{HEAD_COPIES, REQUEST_BYTES};
@@ -109,6 +110,10 @@
     is_waiting: bool,
     /// Reserved while the connection is open.
     _buffers: Hold,
+    /// Output that follows the buffer of the socket.
+    queue: OutputQueue,
+    /// Whether the connection is closed for writing after the output.
+    ends_output: bool,
     /// Bytes of the answer that the caller has not read.
     output: OutputReservation,
     handler: Fwd<Event>,
@@ -158,6 +163,8 @@
             hold: holds.input,
             is_waiting: false,
             _buffers: holds.buffers,
+            queue: OutputQueue::default(),
+            ends_output: false,
             output: budgets.output.reservation(holds.output, displaced),
             handler,
             timer,
@@ -397,17 +404,45 @@
         self.read(cx);
     }
 
+    /// Returns the number of bytes of output that are not passed to the operating system.
+    fn unsent_bytes(&self) -> usize {
+        self.stream.out.len() + self.queue.len()
+    }
+
+    /// Returns the number of bytes of memory that the unsent output takes.
+    fn output_memory(&self) -> usize {
+        match self.stream.out.is_empty() {
+            true => 0,
+            false => self.stream.out.capacity() + self.queue.capacity(),
+        }
+    }
+
+    /// Passes output to the operating system until that takes no more.
+    fn write_output(&mut self) -> std::io::Result<()> {
+        loop {
+            self.stream.out_eof = self.ends_output && self.queue.is_empty();
+            self.stream.flush()?;
+            if !self.stream.out.is_empty() {
+                return Ok(());
+            }
+            match self.queue.pop() {
+                Some(block) => self.stream.out = block,
+                None => return Ok(()),
+            }
+        }
+    }
+
     /// Sends the buffered output. Returns false if the connection has failed.
     fn flush(&mut self, cx: CX![]) -> bool {
-        let length_before = self.stream.out.len();
-        if self.stream.flush().is_err() {
+        let length_before = self.unsent_bytes();
+        if self.write_output().is_err() {
             self.disconnect(cx);
             return false;
         }
-        let length_after = self.stream.out.len();
+        let length_after = self.unsent_bytes();
         if length_after < length_before {
             self.linger_until = cx.now() + LINGER_TIME;
-            self.output.shrink(length_after);
+            self.output.shrink(self.output_memory());
         }
         if length_after == 0 && self.stream.out.capacity() > KEPT_BUFFER_BYTES {
             self.stream.out = Vec::new();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod head;
 mod memory;
 mod output_budget;
+mod output_queue;
 mod problem;
 mod reply;
 mod server;
--- a/crates/entry/src/output_budget.rs
+++ b/crates/entry/src/output_budget.rs
@@ -34,7 +34,10 @@
 struct Holder {
     id: u64,
     bytes: usize,
-    /// Memory that is reserved for the unsent output.
+    /// Bytes in front of the unsent output: in the buffers of the call to the upstream, and in parts
+    /// on their way.
+    front_bytes: usize,
+    /// Memory that is reserved for the unsent output and what is in front of it.
     hold: Hold,
     /// Whether the answer is incomplete, so that it can be ended for others.
     is_displaceable: bool,
@@ -60,6 +63,7 @@
         shared.holders.push(Holder {
             id,
             bytes: 0,
+            front_bytes: 0,
             hold,
             is_displaceable: false,
             is_displaced: false,
@@ -70,14 +74,16 @@
 }
 
 impl OutputReservation {
-    /// Changes the reservation of an answer to `bytes`. If the budget or the memory of the process
+    /// Changes the reservation of an answer to `bytes`, and the memory that is reserved for buffers in
+    /// front of it to `front_bytes`. If the budget or the memory of the process
     /// does not suffice, the largest incomplete answers end first. Returns false if none is larger than this one; then
     /// this one has to end.
-    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
+    pub(crate) fn grow(&mut self, bytes: usize, front_bytes: usize) -> bool {
         let mut shared = self.shared.borrow_mut();
         let Some(index) = shared.find(self.id) else {
             return false;
         };
+        shared.holders[index].front_bytes = front_bytes;
         let mut has_memory = shared.resize(index, bytes);
         shared.holders[index].is_displaceable = true;
         while (shared.reserved_bytes > shared.limit_bytes || !has_memory)
@@ -87,10 +93,10 @@
                 Some(largest) if largest != index => shared.displace(largest),
                 _ => return false,
             }
-            has_memory = shared.holders[index].hold.resize(bytes);
+            has_memory = shared.holders[index].hold.resize(bytes + front_bytes);
         }
         if !has_memory {
-            shared.holders[index].hold.force(bytes);
+            shared.holders[index].hold.force(bytes + front_bytes);
         }
         true
     }
@@ -123,6 +129,7 @@
     fn drop(&mut self) {
         let mut shared = self.shared.borrow_mut();
         if let Some(index) = shared.find(self.id) {
+            shared.holders[index].front_bytes = 0;
             shared.resize(index, 0);
             shared.holders.remove(index);
         }
@@ -138,7 +145,8 @@
     fn resize(&mut self, index: usize, bytes: usize) -> bool {
         let before = std::mem::replace(&mut self.holders[index].bytes, bytes);
         self.reserved_bytes = self.reserved_bytes - before + bytes;
-        self.holders[index].hold.resize(bytes)
+        let holder = &mut self.holders[index];
+        holder.hold.resize(bytes + holder.front_bytes)
     }
 
     /// Returns the holder of the most bytes of an incomplete answer.
@@ -149,6 +157,7 @@
 
     /// Takes the bytes of a holder, whose answer ends in the next step of the event loop.
     fn displace(&mut self, index: usize) {
+        self.holders[index].front_bytes = 0;
         self.resize(index, 0);
         let holder = &mut self.holders[index];
         holder.is_displaceable = false;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -30,7 +30,8 @@
     pub body_copies: usize,
     /// Maximum size of the incomplete requests of all connections together, in bytes.
     pub incoming_bytes: usize,
-    /// Maximum size of the unsent output of a streamed answer, in bytes.
+    /// Maximum size of the unsent output of a streamed answer, in bytes. `usize::MAX` stands for no limit
+    /// beside those of all answers together.
     pub unread_bytes: usize,
     /// Maximum size of the unsent output of the streamed answers of all connections together, in
     /// bytes.
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -87,8 +87,9 @@
     pub body: Size,
     /// Maximum size of the incomplete requests of all callers together.
     pub incoming: Size,
-    /// Maximum size of the unsent output that is buffered for a caller that reads slowly.
-    pub unread: Size,
+    /// Maximum size of the unsent output that is buffered for a caller that reads slowly. Without a
+    /// value, only the limits of all callers together apply.
+    pub unread: Option<Size>,
     /// Maximum size of the unsent output that is buffered for all callers together.
     pub unread_total: Size,
     /// Maximum size of the responses of upstreams that are collected before they are sent, for all
@@ -109,7 +110,7 @@
             head: Size::from_kibibytes(16),
             body: Size::from_kibibytes(4096),
             incoming: Size::from_kibibytes(32 * 1024),
-            unread: Size::from_kibibytes(256),
+            unread: None,
             unread_total: Size::from_kibibytes(32 * 1024),
             collected: Size::from_kibibytes(64 * 1024),
             connections: 4096,
