Keep the limit of 256 KiB for answers that are collected for callers of HTTP/1.0

Without a value of limits.unread, an answer of 360,000 bytes was collected where platform_whole_ends expects a refusal (502, use HTTP/1.1). The limit of collected answers is separate now: 256 KiB unless limits.unread is set.

--- a/crates/entry/src/collector.rs
+++ b/crates/entry/src/collector.rs
@@ -12,6 +12,10 @@
     TooLarge,
 }
 
+/// Maximum size in bytes of a collected answer where no limit is set. The caller gets nothing of such an
+/// answer before its end, so that a larger one is better refused early.
+const DEFAULT_LIMIT_BYTES: usize = 256 << 10;
+
 /// Collects a streamed answer, so that it is sent with its length. Without chunks and without a
 /// length, a caller could not tell a cut answer from a complete one.
 pub(crate) struct Collector {
@@ -21,9 +25,9 @@
 }
 
 impl Collector {
-    /// Creates a collector for an answer of at most `limit` bytes.
-    pub(crate) fn new(limit: usize) -> Self {
-        Self { limit, started: None, body: Vec::new() }
+    /// Creates a collector for an answer of at most `limit` bytes, if there is a limit.
+    pub(crate) fn new(limit: Option<usize>) -> Self {
+        Self { limit: limit.unwrap_or(DEFAULT_LIMIT_BYTES), started: None, body: Vec::new() }
     }
 
     /// Returns the number of bytes of memory that the collected part of the answer takes.
--- a/crates/entry/src/connection/answer.rs
+++ b/crates/entry/src/connection/answer.rs
@@ -134,7 +134,8 @@
             let deadline = cx.now() + self.bounds.get().unread;
             self.set_deadline(cx, deadline);
         }
-        if !finished && self.unsent_bytes() > self.bounds.get().unread_bytes {
+        let limit = self.bounds.get().unread_bytes;
+        if !finished && limit.is_some_and(|limit| self.unsent_bytes() > limit) {
             self.abort(cx, "unread");
             return;
         }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -30,9 +30,9 @@
     pub body_copies: usize,
     /// Maximum size of the incomplete requests of all connections together, in bytes.
     pub incoming_bytes: usize,
-    /// Maximum size of the unsent output of a streamed answer, in bytes. `usize::MAX` stands for no limit
-    /// beside those of all answers together.
-    pub unread_bytes: usize,
+    /// Maximum size of the unsent output of a streamed answer, in bytes. Without a value, only the
+    /// limits of all answers together apply.
+    pub unread_bytes: Option<usize>,
     /// Maximum size of the unsent output of the streamed answers of all connections together, in
     /// bytes.
     pub unread_total_bytes: usize,
--- a/crates/entry/tests/server.rs
+++ b/crates/entry/tests/server.rs
@@ -46,7 +46,7 @@
     body_bytes: 4 << 20,
     body_copies: 2,
     incoming_bytes: 64 << 20,
-    unread_bytes: usize::MAX,
+    unread_bytes: None,
     unread_total_bytes: 32 << 20,
     connections: 100,
     receive: Duration::from_millis(500),
--- a/crates/instance/src/root.rs
+++ b/crates/instance/src/root.rs
@@ -75,7 +75,7 @@
         body_bytes: settings.limits.body.as_bytes(),
         body_copies: BODY_COPIES,
         incoming_bytes: settings.limits.incoming.as_bytes(),
-        unread_bytes: settings.limits.unread.map_or(usize::MAX, |size| size.as_bytes()),
+        unread_bytes: settings.limits.unread.map(|size| size.as_bytes()),
         unread_total_bytes: settings.limits.unread_total.as_bytes(),
         connections: settings.limits.connections,
         receive: settings.timing.receive.as_duration(),
--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -112,7 +112,7 @@
         body_bytes: settings.limits.body.as_bytes(),
         body_copies: BODY_COPIES,
         incoming_bytes: settings.limits.incoming.as_bytes(),
-        unread_bytes: settings.limits.unread.map_or(usize::MAX, |size| size.as_bytes()),
+        unread_bytes: settings.limits.unread.map(|size| size.as_bytes()),
         unread_total_bytes: settings.limits.unread_total.as_bytes(),
         connections: settings.limits.connections,
         receive: settings.timing.receive.as_duration(),
@@ -126,7 +126,7 @@
         head_bytes: MAX_CONTROL_HEAD_BYTES,
         body_bytes: MAX_DOCUMENT_BYTES,
         body_copies: DOCUMENT_COPIES,
-        unread_bytes: MAX_DOCUMENT_BYTES,
+        unread_bytes: Some(MAX_DOCUMENT_BYTES),
         receive: CONTROL_TIMEOUT,
         idle: CONTROL_TIMEOUT,
         ..caller_bounds(settings)
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -16,7 +16,7 @@
     body_bytes: 16 << 20,
     body_copies: 1,
     incoming_bytes: 256 << 20,
-    unread_bytes: 1 << 20,
+    unread_bytes: Some(1 << 20),
     unread_total_bytes: 256 << 20,
     connections: 8192,
     receive: Duration::from_secs(30),
