--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -56,7 +56,7 @@
 const MAX_ENDPOINT_BODY_BYTES: usize = 64 << 10;
 
 /// Number of copies of a caller's body that exist while the request is handled: that of the request,
-/// the output to the upstream, and the output buffer that the connection to the upstream keeps.
+/// that of the attempt, and the output buffer of the connection to the upstream.
 const BODY_COPIES: usize = 3;
 
 /// Number of copies of a document that exist while it is submitted: the chunks that arrived, the body,
@@ -112,7 +112,7 @@
         body_bytes: settings.limits.body.as_bytes(),
         body_copies: BODY_COPIES,
         incoming_bytes: settings.limits.incoming.as_bytes(),
-        unread_bytes: settings.limits.unread.as_bytes(),
+        unread_bytes: settings.limits.unread.map(|size| size.as_bytes()),
         unread_total_bytes: settings.limits.unread_total.as_bytes(),
         connections: settings.limits.connections,
         receive: settings.timing.receive.as_duration(),
@@ -126,7 +126,7 @@
         head_bytes: MAX_CONTROL_HEAD_BYTES,
         body_bytes: MAX_DOCUMENT_BYTES,
         body_copies: DOCUMENT_COPIES,
-        unread_bytes: MAX_DOCUMENT_BYTES,
+        unread_bytes: Some(MAX_DOCUMENT_BYTES),
         receive: CONTROL_TIMEOUT,
         idle: CONTROL_TIMEOUT,
         ..caller_bounds(settings)
