Elect a leader of the replicated log while syncs are slow

Causes: - the lease of a new leader counts from the start of its election, so that one whose two ballots took more than 0.9 s to sync stepped down with the next input; - a candidate gave up at its election timer while its ballot was not synced, and its request for votes, sent afterwards, bound the voters to a campaign that had ended; - votes that came after the election timeout were dropped; - voters that had granted a pre-vote campaigned themselves while the candidate still synced.

A new leader now has one lease duration for its first contact with a quorum, without a lease until then. Timers restart at the sync of the ballot, a vote counts until the term changes, requests of a campaign that has ended are not sent, and a voter that granted a pre-vote waits for a sync as slow as its own last one.

--- a/crates/state/src/core/election.rs
+++ b/crates/state/src/core/election.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Maximum time for which a voter that grants a pre-vote waits for a slow sync of the candidate.
+const MAX_AWAITED_SYNC_TIME: Duration = Duration::from_secs(2);
+
 impl Core {
     /// Starts a pre-vote, which asks the other voters whether they would grant their votes. It
     /// prevents a voter that was partitioned from disrupting the group when it returns.
@@ -11,7 +14,12 @@
             return;
         }
         self.leader = None;
-        self.state = State::PreCandidate { granted: vec![self.me], since: now };
+        let candidacy = match &self.state {
+            State::Candidate(candidacy) => Some(candidacy.clone()),
+            State::PreCandidate { candidacy, .. } => candidacy.clone(),
+            State::Follower | State::Leader(_) => None,
+        };
+        self.state = State::PreCandidate { granted: vec![self.me], since: now, candidacy };
         let next_term = Term(self.ballot.term.0 + 1);
         let last = self.log.last();
         self.send_to_voters(Message::PreVote { next_term, last });
@@ -50,13 +58,17 @@
             self.reply(from, instance, Message::Removed { committed });
             return;
         }
+        // While a vote is being synced, its candidate may be about to win.
         let is_granted = next_term > self.ballot.term
+            && self.persistence.is_ballot_synced()
             && !self.is_uninitialized()
             && !self.is_withholding_votes(now)
             && last >= self.log.last()
             && !self.has_priority_over(now, from, last);
         if is_granted {
-            self.election_at = self.election_at.max(now + self.timing.pre_vote_window);
+            // The candidate requests votes only after a sync, which may be as slow as those here.
+            let sync_time = self.persistence.sync_time().min(MAX_AWAITED_SYNC_TIME);
+            self.election_at = self.election_at.max(now + self.timing.pre_vote_window + sync_time);
         }
         self.reply(from, instance, Message::PreVoted { next_term, is_granted });
     }
@@ -129,8 +141,9 @@
         let term = Term(self.ballot.term.0 + 1);
         self.ballot = Ballot { term, vote: Some(self.me) };
         self.persistence.mark_ballot_changed();
+        self.persistence.discard_vote_requests();
         self.verified = Index::default();
-        self.state = State::Candidate { granted: Vec::new(), since: now };
+        self.state = State::Candidate(Candidacy { granted: Vec::new(), since: now });
         let last = self.log.last();
         self.send_to_voters(Message::Vote { is_leadership_transfer, last });
     }
@@ -160,15 +173,27 @@
         self.reply(from, instance, Message::Voted { is_granted });
     }
 
+    /// Restarts the election timer once the ballot is synced and messages can be sent again: a
+    /// candidate requests its votes only now, and a candidate that was voted for has the vote only
+    /// now.
+    pub(super) fn on_ballot_synced(&mut self, now: Instant) {
+        self.reset_election_timer(now);
+        if let State::Candidate(candidacy) = &mut self.state {
+            candidacy.since = now;
+        }
+    }
+
     pub(super) fn on_voted(&mut self, now: Instant, from: VoterId, term: Term, is_granted: bool) {
         self.adopt_newer_term(now, term);
-        if let State::Candidate { granted, .. } = &mut self.state
-            && is_granted
-            && term == self.ballot.term
-            && !granted.contains(&from)
-        {
-            granted.push(from);
-            self.count_votes(now);
+        let (State::Candidate(candidacy) | State::PreCandidate { candidacy: Some(candidacy), .. }) =
+            &mut self.state
+        else {
+            return;
+        };
+        if is_granted && term == self.ballot.term && !candidacy.granted.contains(&from) {
+            candidacy.granted.push(from);
+            let candidacy = candidacy.clone();
+            self.count_votes(now, &candidacy);
         }
     }
 
@@ -179,11 +204,10 @@
         }
     }
 
-    fn count_votes(&mut self, now: Instant) {
-        if let State::Candidate { granted, since } = &self.state
-            && self.members().is_quorum(granted)
-        {
-            let leader = Leader::new(self.epoch, now, *since, granted.clone());
+    fn count_votes(&mut self, now: Instant, candidacy: &Candidacy) {
+        if self.members().is_quorum(&candidacy.granted) {
+            let Candidacy { granted, since } = candidacy.clone();
+            let leader = Leader::new(self.epoch, now, since, granted);
             self.state = State::Leader(leader);
             self.leader = Some(self.me);
             let first = self.append(Payload::Empty);
--- a/crates/state/src/core/leader.rs
+++ b/crates/state/src/core/leader.rs
@@ -12,11 +12,13 @@
 pub(super) struct Leader {
     /// Time from which send times are measured.
     epoch: Instant,
+    /// Time at which this leader received the votes of a quorum.
+    elected_at: Instant,
     /// Time at which the next heartbeats are due.
     pub(super) heartbeat_at: Instant,
     first_index: Index,
     elected_by: Vec<VoterId>,
-    /// Start of the election that this leader won.
+    /// Time at which the votes for this leader were requested.
     candidate_since: Instant,
     progress: Vec<Progress>,
     non_members: Vec<NonMember>,
@@ -31,6 +33,7 @@
     ) -> Self {
         Self {
             epoch,
+            elected_at: now,
             heartbeat_at: now,
             first_index: Index::default(),
             elected_by,
@@ -40,6 +43,11 @@
         }
     }
 
+    /// Returns the time at which this leader received the votes of a quorum.
+    pub(super) fn elected_at(&self) -> Instant {
+        self.elected_at
+    }
+
     /// Returns the index of the leader's first entry in its term.
     pub(super) fn first_index(&self) -> Index {
         self.first_index
--- a/crates/state/src/core/mod.rs
+++ b/crates/state/src/core/mod.rs
@@ -36,11 +36,25 @@
 /// Role of the core, with the state of its election or leadership.
 enum State {
     Follower,
-    PreCandidate { granted: Vec<VoterId>, since: Instant },
-    Candidate { granted: Vec<VoterId>, since: Instant },
+    /// Asks for pre-votes. Votes of a preceding candidacy in the current term still count, because
+    /// slow syncs may delay them by more than the election timeout.
+    PreCandidate {
+        granted: Vec<VoterId>,
+        since: Instant,
+        candidacy: Option<Candidacy>,
+    },
+    Candidate(Candidacy),
     Leader(Leader),
 }
 
+/// Votes for this voter in the current term.
+#[derive(Clone)]
+struct Candidacy {
+    granted: Vec<VoterId>,
+    /// Time at which the votes were requested.
+    since: Instant,
+}
+
 /// The consensus state of one voter or learner.
 pub struct Core {
     me: VoterId,
@@ -157,7 +171,7 @@
     pub fn role(&self) -> Role {
         match &self.state {
             State::Leader(_) => Role::Leader,
-            State::PreCandidate { .. } | State::Candidate { .. } => Role::Candidate,
+            State::PreCandidate { .. } | State::Candidate(_) => Role::Candidate,
             State::Follower if self.is_voter() => Role::Follower,
             State::Follower => Role::Learner,
         }
@@ -302,6 +316,7 @@
     fn adopt_newer_term(&mut self, now: Instant, term: Term) {
         if term > self.ballot.term {
             self.persistence.mark_ballot_changed();
+            self.persistence.discard_vote_requests();
             self.ballot = Ballot { term, vote: None };
             self.verified = Index::default();
             self.incoming = None;
@@ -328,8 +343,16 @@
     }
 
     /// Steps down if the lease has expired. Runs before each input is processed.
+    ///
+    /// The lease of a new leader counts from its request for votes. It may have expired before the
+    /// votes arrive if the voters sync slowly, so a new leader has one lease duration to contact a
+    /// quorum.
     fn check_lease(&mut self, now: Instant) {
-        if self.lease_until().is_some_and(|until| now >= until) {
+        let State::Leader(leader) = &self.state else {
+            return;
+        };
+        let contact_deadline = leader.elected_at() + self.timing.lease_duration;
+        if self.lease_until().is_some_and(|until| now >= until.max(contact_deadline)) {
             self.leader = None;
             self.become_follower(now);
         }
@@ -346,6 +369,9 @@
         }
         if matches!(self.state, State::Leader(_)) {
             self.run_leader(now);
+        } else if now >= self.election_at && !self.persistence.is_ballot_synced() {
+            // No message can be sent before the sync, which restarts the timer.
+            self.reset_election_timer(now);
         } else if now >= self.election_at {
             self.start_pre_vote(now);
         }
--- a/crates/state/src/core/persist.rs
+++ b/crates/state/src/core/persist.rs
@@ -9,12 +9,15 @@
     last: Index,
     /// Index of the snapshot that the write installs.
     installed: Option<Index>,
+    since: Instant,
 }
 
 /// Collects the changes of a step and holds back messages until the ballot is synced.
 pub(super) struct Persistence {
     last_write_number: u64,
     synced_write_number: u64,
+    /// Time that the most recently synced write took.
+    sync_time: Duration,
     /// Last synced entry.
     durable: Index,
     pending: VecDeque<PendingWrite>,
@@ -34,6 +37,7 @@
         Self {
             last_write_number: 0,
             synced_write_number: 0,
+            sync_time: Duration::ZERO,
             durable,
             pending: VecDeque::new(),
             ballot_write_number: 0,
@@ -86,6 +90,18 @@
         self.held_messages.push(action);
     }
 
+    /// Drops the requests for votes that are held back, because this voter no longer campaigns in
+    /// their term. Voters that grant them would reject other candidates for one election timeout.
+    pub(super) fn discard_vote_requests(&mut self) {
+        let is_request = |action: &Action| match action {
+            Action::Send { envelope, .. } => {
+                matches!(envelope.message, Message::Vote { .. } | Message::PreVote { .. })
+            }
+            _ => false,
+        };
+        self.held_messages.retain(|action| !is_request(action));
+    }
+
     /// Returns the messages that may be sent; none until the ballot is synced.
     fn take_sendable(&mut self) -> Vec<Action> {
         if self.is_ballot_synced() { std::mem::take(&mut self.held_messages) } else { Vec::new() }
@@ -96,8 +112,13 @@
         !self.is_ballot_changed && self.synced_write_number >= self.ballot_write_number
     }
 
+    /// Returns the time that the most recently synced write took.
+    pub(super) fn sync_time(&self) -> Duration {
+        self.sync_time
+    }
+
     /// Records that writes are synced. Returns the index of the snapshot installed by them, if any.
-    fn complete(&mut self, write_number: u64) -> Option<Index> {
+    fn complete(&mut self, now: Instant, write_number: u64) -> Option<Index> {
         let mut installed = None;
         self.synced_write_number = self.synced_write_number.max(write_number);
         while let Some(pending) =
@@ -105,6 +126,7 @@
         {
             self.durable = self.durable.max(pending.last);
             installed = pending.installed.or(installed);
+            self.sync_time = now.saturating_duration_since(pending.since);
         }
         installed
     }
@@ -116,7 +138,7 @@
         if matches!(self.state, State::Leader(_)) {
             self.replicate(now);
         }
-        if let Some(write) = self.take_write() {
+        if let Some(write) = self.take_write(now) {
             self.actions.push(Action::Persist(write));
         }
         self.actions.extend(self.persistence.take_sendable());
@@ -124,7 +146,7 @@
     }
 
     /// Returns the write with the changes of this step, if there are any.
-    fn take_write(&mut self) -> Option<Write> {
+    fn take_write(&mut self, now: Instant) -> Option<Write> {
         let log = &self.log;
         let persistence = &mut self.persistence;
         let has_ballot = std::mem::take(&mut persistence.is_ballot_changed);
@@ -147,6 +169,7 @@
             write_number,
             last: log.last_index(),
             installed,
+            since: now,
         });
         let ballot = has_ballot.then_some(self.ballot);
         Some(Write { write_number, ballot, snapshot, replaces_log, entries })
@@ -154,12 +177,16 @@
 
     /// Processes the sync of all writes up to `write_number`.
     pub(super) fn on_synced(&mut self, now: Instant, write_number: u64) {
-        if let Some(installed) = self.persistence.complete(write_number) {
+        let was_ballot_synced = self.persistence.is_ballot_synced();
+        if let Some(installed) = self.persistence.complete(now, write_number) {
             self.verified = self.verified.max(installed);
         }
+        if !was_ballot_synced && self.persistence.is_ballot_synced() {
+            self.on_ballot_synced(now);
+        }
         match &self.state {
             State::Leader(_) => self.advance_commit(),
-            State::Candidate { .. } => self.count_own_vote(now),
+            State::Candidate(_) => self.count_own_vote(now),
             _ => self.report_synced(),
         }
     }
--- a/crates/state/tests/common/cluster.rs
+++ b/crates/state/tests/common/cluster.rs
@@ -21,7 +21,7 @@
     pub loss: u32,
     pub duplicates: u32,
     pub max_delay: Duration,
-    /// Whether nodes crash, pause, retire or are partitioned, and disks fail.
+    /// Whether nodes crash, pause, retire or are partitioned, and disks fail or sync slowly.
     pub has_outages: bool,
     pub has_lost_folders: bool,
     /// Whether operators change the target voters.
@@ -42,6 +42,10 @@
     writes: Vec<Write>,
     /// Time until which the disk is busy.
     sync_at: Instant,
+    /// Time that each sync takes; a random time below 40 ms if `None`.
+    sync_time: Option<Duration>,
+    /// Writes that are being synced with `sync_time`.
+    syncing: Vec<Write>,
     pub is_paused: bool,
     pub is_partitioned: bool,
     /// Whether incoming messages are lost while outgoing ones are delivered.
@@ -91,6 +95,8 @@
             journal: None,
             writes: Vec::new(),
             sync_at: now,
+            sync_time: None,
+            syncing: Vec::new(),
             is_paused: false,
             is_partitioned: false,
             drops_incoming: false,
@@ -131,6 +137,7 @@
         node.is_paused = false;
         node.is_retired = false;
         node.writes.clear();
+        node.syncing.clear();
         let instance = node.instance.clone();
         // Low limits, so that every exchange takes several messages.
         let flow =
@@ -155,6 +162,7 @@
         node.core = None;
         node.journal = None;
         node.writes.clear();
+        node.syncing.clear();
         node.folder.crash(seed);
     }
 
@@ -232,6 +240,17 @@
         })
     }
 
+    /// Sets the time that each sync of a node takes, or ends this fault. A sync in progress ends no
+    /// earlier for it.
+    pub fn set_sync_time(&mut self, index: usize, sync_time: Option<Duration>) {
+        self.nodes[index].sync_time = sync_time;
+    }
+
+    /// Makes the disk of a node complete no sync until `end`.
+    pub fn stall_disk(&mut self, index: usize, end: Instant) {
+        self.nodes[index].sync_at = end;
+    }
+
     /// Proposes a command to every node that considers itself the leader.
     pub fn propose(&mut self) {
         let leaders: Vec<usize> = (0..self.nodes.len())
@@ -252,6 +271,11 @@
         }
     }
 
+    /// Returns the number of commands that were applied at any node.
+    pub fn commands(&self) -> usize {
+        self.applied.values().filter_map(command).count()
+    }
+
     /// Announces the planned stop of a node.
     pub fn retire(&mut self, index: usize) {
         self.nodes[index].is_retired = true;
@@ -331,14 +355,21 @@
         let now = self.now;
         let busy = Duration::from_millis(self.random.random_range(0..40));
         let node = &mut self.nodes[index];
-        if node.is_paused || node.writes.is_empty() || now < node.sync_at {
+        if node.is_paused || now < node.sync_at {
             return;
         }
-        node.sync_at = now + busy;
-        let Some(journal) = &mut node.journal else {
+        let mut writes = std::mem::take(&mut node.syncing);
+        if writes.is_empty() && !node.writes.is_empty() {
+            writes = std::mem::take(&mut node.writes);
+            node.sync_at = now + node.sync_time.unwrap_or(busy);
+            if node.sync_time.is_some() {
+                node.syncing = writes;
+                return;
+            }
+        }
+        let Some(journal) = node.journal.as_mut().filter(|_| !writes.is_empty()) else {
             return;
         };
-        let writes = std::mem::take(&mut node.writes);
         match journal.write(&writes) {
             Ok(Some(write_number)) => self.input(index, Input::Synced { write_number }),
             Ok(None) => {}
@@ -360,6 +391,7 @@
             self.nodes[index].is_partitioned = false;
             self.nodes[index].drops_incoming = false;
             self.nodes[index].is_paused = false;
+            self.nodes[index].sync_time = None;
         }
         let deadline = self.now + Duration::from_secs(120);
         let mut last = 0;
--- a/crates/state/tests/simulation.rs
+++ b/crates/state/tests/simulation.rs
@@ -1,5 +1,5 @@
 //! Simulation of groups of cores under message loss, reordering and duplication, crashes,
-//! partitions and process pauses.
+//! partitions, process pauses and slow disks.
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
@@ -43,7 +43,7 @@
 fn inject_fault(cluster: &mut Cluster) {
     let index = cluster.random.random_range(0..cluster.nodes.len());
     let is_down = cluster.nodes[index].core.is_none();
-    match cluster.random.random_range(0..14) {
+    match cluster.random.random_range(0..16) {
         0 if !is_down => cluster.crash(index),
         1 if !is_down => {
             let count = cluster.random.random_range(0..8);
@@ -54,6 +54,11 @@
         7 if !is_down => cluster.retire(index),
         4 if cluster.faults.has_lost_folders && cluster.is_repaired() => cluster.lose_folder(index),
         8 => cluster.nodes[index].drops_incoming = true,
+        14 => {
+            let millis = cluster.random.random_range(100..3000);
+            cluster.set_sync_time(index, Some(Duration::from_millis(millis)));
+        }
+        15 => (0..cluster.nodes.len()).for_each(|index| cluster.set_sync_time(index, None)),
         5 | 6 => cluster.nodes.iter_mut().for_each(|node| {
             node.is_partitioned = false;
             node.drops_incoming = false;
