Say in the text of no_quorum only what its verdict says

An instance that cannot reach the ledger answered 503 no_quorum with the verdict may-have-run and the text "this request did not run". The verdict is right (docs/CALLERS.md): the attempt did not run, but an earlier request with the key may have, through another instance. Callers read "did not run" as a promise for the key. Without evidence the text now says that an earlier request with the key may have run. The other refusals of the ledger always have the evidence, since the ledger has answered.

--- a/crates/instance/src/problem.rs
+++ b/crates/instance/src/problem.rs
@@ -108,8 +108,16 @@
 }
 
 fn no_quorum(unsent: Option<&Unsent>) -> Problem {
-    let message = "the ledger of idempotency keys cannot be reached; this request did not run, \
-                   ask again later with the same key";
+    let message = match unsent {
+        Some(_) => {
+            "the ledger of idempotency keys cannot be reached; this request did not run, ask \
+             again later with the same key"
+        }
+        None => {
+            "the ledger of idempotency keys cannot be reached, so an earlier request with this \
+             key may have run; ask again later with the same key"
+        }
+    };
     Problem::with_evidence(unsent, Status::UNAVAILABLE, "no_quorum", message)
         .with_retry_after(RETRY_DELAY)
 }
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -10,7 +10,8 @@
 use std::time::{Duration, Instant};
 
 use support::{
-    API_KEY, Answer, BOOKINGS, Fleet, Plan, booking, post, post_booking, set_fault, wait_for,
+    API_KEY, Answer, BOOKINGS, Fleet, Plan, booking, post, post_booking, post_first_booking,
+    set_fault, wait_for,
 };
 
 fn start_fleet(voters: usize) -> Fleet {
@@ -143,6 +144,29 @@
     assert_eq!(runs(&fleet, "Hassan"), 0);
 }
 
+/// Guards against a refusal whose text says that the request did not run while its verdict says that
+/// it may have: an instance that cannot reach the ledger does not know of earlier requests.
+#[test]
+fn the_text_of_a_refusal_without_a_quorum_agrees_with_its_verdict() {
+    let mut fleet = start_fleet(3);
+    fleet.kill(0);
+    fleet.kill(1);
+    let address = fleet.instances[2].addresses.callers;
+    let refusal = |post: fn(SocketAddr, &str, &str) -> Result<Answer, String>, key: &str| {
+        wait_for("a refusal without a quorum", || {
+            let answer = post(address, key, "Hassan").unwrap();
+            answer.body.contains("no_quorum").then_some(answer)
+        })
+    };
+    let possible_resend = refusal(post_booking, "k1");
+    assert_eq!(possible_resend.verdict.as_deref(), Some("may-have-run"), "{possible_resend:?}");
+    assert!(!possible_resend.body.contains("did not run"), "{possible_resend:?}");
+    let first = refusal(post_first_booking, "k2");
+    assert_eq!(first.verdict.as_deref(), Some("not-run"), "{first:?}");
+    assert!(first.body.contains("did not run"), "{first:?}");
+    assert_eq!(runs(&fleet, "Hassan"), 0);
+}
+
 #[test]
 fn an_invalid_idempotency_key_is_named_in_the_error() {
     let fleet = start_fleet(1);
