Send unread output to callers until the grace of a stop ends

An entry instance ended its process 0.2 s after it had ended the requests at 0.9 of timing.drain, whatever output its callers had not read yet. platform_stopping_readers failed before: of 15 answers of 100 to 240 KB whose callers began to read at 18.5 s of a grace of 20 s, 12 lost all beyond the 121 KB that the operating system held. The process now ends once all callers' connections are closed, and 0.2 s after the announcement of the leave at the earliest; at 0.97 of timing.drain it ends in any case, so that it is not killed. A caller that reads nothing makes a stop take up to that long (checked by the second test).

The seeded fleet (crates/instance) is not affected: there, the server waits for all connections until timing.drain.

--- a/crates/relay/src/root.rs
+++ b/crates/relay/src/root.rs
@@ -1,5 +1,7 @@
 //! Root actor, which creates all other actors and controls the graceful shutdown.
 
+mod stop;
+
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,13 +10,11 @@
 use catalogue::Catalogue;
 use entry::{Bounds, ChatForm, Event, Form, Memory, Server};
 use eventloop::mailbox;
-use forward::{Grace, HEARTBEAT_INTERVAL, Heartbeat};
+use forward::{HEARTBEAT_INTERVAL, Heartbeat};
 use instance::{Members, MemoryMonitor, Part, Quarantine, QuarantineExchange, Replica, Stop, View};
 use names::{Incarnation, Instance};
 use settings::Settings;
-use stakker::{
-    Actor, ActorOwn, CX, Fwd, StopCause, actor, after, at, call, fwd_to, ret_some_to, stop,
-};
+use stakker::{Actor, ActorOwn, CX, Fwd, StopCause, actor, after, call, fwd_to, ret_some_to};
 use state::Index;
 use telemetry::{Event as LogEvent, Metrics};
 use wire::{Delivery, Hub, Identity, Keyring, Peer, Run, Slice, Traffic};
@@ -26,22 +26,11 @@
 use crate::interface::Interface;
 use crate::run::{Bound, SettingsSource};
 use crate::shared_state::SharedState;
+use stop::Exit;
 
 /// Interval at which the settings are checked for changes.
 const RELOAD_PERIOD: Duration = Duration::from_secs(1);
 
-/// Delay between the announcement of the leave and the end of the instance, so that the
-/// announcement reaches the peers.
-const LEAVE_DELAY: Duration = Duration::from_millis(200);
-
-/// Time for which a stopping entry instance continues to accept requests, so that load balancers
-/// that probe every second have seen twice that the instance is not ready.
-const WIND_DOWN_TIME: Duration = Duration::from_millis(3500);
-
-/// Time for which a stopping control instance continues to run, so that leadership is transferred
-/// and responses to operators are completed.
-const HANDOVER_TIME: Duration = Duration::from_secs(1);
-
 /// Maximum size in bytes of a document in the body of a control request, and of the part of a
 /// response that the client has not read yet.
 const MAX_DOCUMENT_BYTES: usize = 8 << 20;
@@ -102,7 +91,8 @@
     _metrics_endpoint: Option<(ActorOwn<MetricsEndpoint>, ActorOwn<Server>)>,
     _memory_monitor: ActorOwn<MemoryMonitor>,
     heartbeat: Heartbeat,
-    stopping_since: Option<Instant>,
+    /// Set once the graceful shutdown has begun.
+    exit: Option<Exit>,
 }
 
 /// Returns the limits of callers' connections that apply before a catalogue is known.
@@ -260,7 +250,7 @@
             _metrics_endpoint: metrics_endpoint,
             _memory_monitor: memory_monitor,
             heartbeat: Heartbeat::new(cx.now()),
-            stopping_since: None,
+            exit: None,
         })
     }
 
@@ -391,59 +381,6 @@
         self.heartbeat.beat(cx.now());
         after!(HEARTBEAT_INTERVAL, [cx], beat());
     }
-
-    /// Begins the graceful shutdown after a signal that was received at `received_at`.
-    fn begin_stop(&mut self, cx: CX![], received_at: Instant) {
-        if self.stopping_since.is_some() {
-            return;
-        }
-        LogEvent::Stopping { is_entry: self.entry.is_some() }.write();
-        let now = cx.now();
-        self.stopping_since = Some(now);
-        call!([self.members], drain());
-        let end = match &self.entry {
-            Some(entry) => {
-                call!([entry.readiness], stop());
-                let earliest = self.heartbeat.earliest_sending(received_at, now);
-                let limit = self.settings.timing.drain.as_duration();
-                let grace = Grace::new(earliest, received_at, limit);
-                call!([entry.server], wind_down());
-                call!([entry.forwarder], wind_down(grace));
-                after!(WIND_DOWN_TIME, [cx], drain_callers());
-                grace.end
-            }
-            None => now + HANDOVER_TIME,
-        };
-        if let Some(control) = &self.control {
-            call!([control.replica], retire());
-            call!([control.control], redirect_reads());
-        }
-        at!(end, [cx], finish_stop(()));
-    }
-
-    /// Closes callers' connections as they become idle, and stops when all requests are answered.
-    fn drain_callers(&mut self, cx: CX![]) {
-        let Some(entry) = &self.entry else {
-            return;
-        };
-        let drained = fwd_to!([cx], finish_stop() as (()));
-        call!([entry.server], drain(drained));
-    }
-
-    /// Ends the requests that still run, announces the leave, and waits so that the answers and the
-    /// announcement can be sent.
-    fn finish_stop(&mut self, cx: CX![], _: ()) {
-        if let Some(entry) = &self.entry {
-            call!([entry.forwarder], end_requests());
-        }
-        call!([self.members], leave());
-        after!(LEAVE_DELAY, [cx], end());
-    }
-
-    fn end(&mut self, cx: CX![]) {
-        LogEvent::Stopped.write();
-        stop!(cx);
-    }
 }
 
 /// Part of the callers' protocol with which the server encodes its own refusals.
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -27,6 +27,9 @@
 /// Interval at which the upstreams of the tests announce themselves, in milliseconds.
 const ANNOUNCE_PERIOD_MILLIS: u64 = 300;
 
+/// Default value of `timing.drain` in the tests, in seconds.
+const DRAIN_SECONDS: u64 = 8;
+
 /// Lowest number of an entry instance; instances with the control role have lower numbers.
 const FIRST_ENTRY_NUMBER: u8 = 100;
 
@@ -49,6 +52,8 @@
     pub upstream_bytes: Option<&'static str>,
     /// Number of lost disks that the instance has to survive.
     pub losses_borne: usize,
+    /// Value of `timing.drain` in seconds: the time between SIGTERM and SIGKILL.
+    pub drain_seconds: u64,
     /// Bounds on the requests to cold upstreams: excess and slack.
     pub cold_bounds: Option<(f64, f64)>,
     /// Time in milliseconds after the start within which requests wait until the instance is ready.
@@ -188,11 +193,12 @@
              ready: \"{listen}:{READY_PORT}\"\n  metrics: \"{listen}:{METRICS_PORT}\"\n\
              {folder}seeds: [{}]\n\
              first_start: {is_first_start}\nlosses_borne: {}\n\
-             fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: 8s\n\
+             fleet_secrets: [\"a-secret-of-these-tests\"]\ntiming:\n  drain: {}s\n\
              direct:\n  announce_period: {}ms\n  startup_wait: {}ms\n{cold_bounds}{upstream_bytes}{}",
             self.data_centre,
             seeds.join(", "),
             self.losses_borne,
+            self.drain_seconds,
             self.announce_period_millis,
             self.startup_wait_millis,
             self.extra_settings
@@ -257,6 +263,7 @@
             data_centre: "giza".to_string(),
             announce_period_millis: ANNOUNCE_PERIOD_MILLIS,
             upstream_bytes: None,
+            drain_seconds: DRAIN_SECONDS,
             losses_borne: 1,
             cold_bounds: None,
             startup_wait_millis: 0,
