--- a/crates/state/tests/slow_disks.rs
+++ b/crates/state/tests/slow_disks.rs
@@ -101,3 +101,38 @@
     let limit = 2 * MAX_RECOVERY + 8 * sync_time;
     assert_none_late((0..SEEDS).map(election).collect(), limit);
 }
+
+/// Guards against a group that finds no leader after a restart because its disks stall in between. It
+/// passed before the syncs were allowed for, too.
+#[test_case(3, 4_000)]
+#[test_case(3, 1_500)]
+#[test_case(5, 4_000)]
+fn a_restarted_group_commits_although_its_disks_stall_again_and_again(
+    voters: usize,
+    stall_ms: u64,
+) {
+    let stall = Duration::from_millis(stall_ms);
+    let restart = |seed| {
+        let mut cluster = start_group(seed, voters);
+        (0..voters).for_each(|index| cluster.crash(index));
+        let first = cluster.now + Duration::from_millis(seed * 37 % (2 * stall_ms));
+        (0..voters).for_each(|index| cluster.start(index));
+        let mut next = first;
+        let begin = cluster.now;
+        let applied = cluster.commands();
+        while cluster.commands() == applied {
+            if cluster.now >= next {
+                (0..voters).for_each(|index| cluster.stall_disk(index, next + stall));
+                next += 2 * stall;
+            }
+            if cluster.leader().is_some() {
+                cluster.propose();
+            }
+            cluster.advance();
+            let limit = begin + Duration::from_secs(60);
+            assert!(cluster.now < limit, "seed {seed}: no command was committed");
+        }
+        (cluster.now - begin, seed)
+    };
+    assert_none_late((0..SEEDS).map(restart).collect(), 2 * stall + MAX_RECOVERY);
+}
