--- a/crates/settings/src/finding.rs
+++ b/crates/settings/src/finding.rs
@@ -97,15 +97,15 @@
 }
 
 /// A limit on the unread output of one caller above that of all callers together. The answer to a
-/// slow caller is cut at the lower limit. The default is no finding, since nobody asked for it.
+/// slow caller is cut at the lower limit.
 fn large_unread(settings: &Settings) -> Option<Finding> {
     let limits = &settings.limits;
-    let is_set = limits.unread != Limits::default().unread;
-    (is_set && limits.unread > limits.unread_total).then(|| Finding {
+    let unread = limits.unread.filter(|unread| *unread > limits.unread_total)?;
+    Some(Finding {
         field: "limits.unread",
         problem: format!(
-            "{} is more than limits.unread_total ({}), at which answers are cut off",
-            limits.unread, limits.unread_total
+            "{unread} is more than limits.unread_total ({}), at which answers are cut off",
+            limits.unread_total
         ),
         help: "lower it, or raise limits.unread_total",
     })
