Let a cut answer make room for others

An answer that was cut kept its unsent output while its connection closed, though the budget for unsent output counted it as ended when it had to make room: up to limits.unread_total stayed in memory without a reservation, and the answers of others ended instead. The connection is now closed. The 40 KiB for buffers in front of an answer are returned when it is cut or refused, since its call has ended. The new test of crates/entry/tests/server.rs fails without the change.

--- a/crates/entry/src/connection/answer.rs
+++ b/crates/entry/src/connection/answer.rs
@@ -60,7 +60,8 @@
                 self.handler.fwd(Event::Left { request: id });
                 self.refuse(cx, too_many_unread());
             }
-            Phase::Answering { .. } => self.abort(cx, "unread-total"),
+            // An answer that was cut keeps its unsent output while the connection closes.
+            Phase::Answering { .. } | Phase::Closing => self.abort(cx, "unread-total"),
             _ => {}
         }
     }
--- a/crates/entry/src/connection/closing.rs
+++ b/crates/entry/src/connection/closing.rs
@@ -47,6 +47,7 @@
     pub(super) fn truncate(&mut self, cx: CX![]) {
         self.phase = Phase::Closing;
         self.ends_output = true;
+        self.output.release_front();
         self.flush(cx);
     }
 
@@ -67,6 +68,7 @@
             append_whole(status, &headers, &body, &mut answer);
         }
         self.phase = Phase::Refusing;
+        self.output.release_front();
         self.discard_input();
         call!([cx], send_refusal(answer));
     }
--- a/crates/entry/src/output_budget.rs
+++ b/crates/entry/src/output_budget.rs
@@ -101,6 +101,17 @@
         true
     }
 
+    /// Returns the memory of the buffers in front of the answer, whose call has ended.
+    pub(crate) fn release_front(&mut self) {
+        let mut shared = self.shared.borrow_mut();
+        if let Some(index) = shared.find(self.id) {
+            let holder = &mut shared.holders[index];
+            holder.front_bytes = 0;
+            let bytes = holder.bytes;
+            shared.resize(index, bytes);
+        }
+    }
+
     /// Changes the reservation to what remains after output was sent.
     pub(crate) fn shrink(&mut self, bytes: usize) {
         let mut shared = self.shared.borrow_mut();
--- a/crates/entry/tests/server.rs
+++ b/crates/entry/tests/server.rs
@@ -9,7 +9,7 @@
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Barrier};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use entry::{Bounds, ChatForm, Event, Hold, Memory, Reply, Server, Status};
 use eventloop::{Loop, Sender, mailbox};
@@ -41,6 +41,16 @@
 /// Path of a request that is answered with [`stream_parts`].
 const STREAM_PATH: &str = "/stream";
 
+/// Path of a request whose answer of [`CUT_BYTES`] bytes is cut, and of one that is answered with
+/// [`LARGE_BYTES`] bytes. Both together exceed the budget for unsent output, with [`STREAM_MEMORY`].
+const CUT_PATH: &str = "/cut";
+const LARGE_PATH: &str = "/large";
+const CUT_BYTES: usize = 20 << 20;
+const LARGE_BYTES: usize = 14 << 20;
+
+/// Size in bytes of the parts of these answers.
+const PART_BYTES: usize = 8 << 10;
+
 const BOUNDS: Bounds = Bounds {
     head_bytes: 16 << 10,
     body_bytes: 4 << 20,
@@ -64,6 +74,13 @@
     stream_parts().flatten().collect()
 }
 
+/// Sends the start of an answer and `bytes` bytes of it.
+fn send_parts(reply: &Fwd<Reply>, bytes: usize) {
+    let length = Some(LARGE_BYTES as u64).filter(|_| bytes == LARGE_BYTES);
+    reply.fwd(Reply::Start { status: Status::OK, headers: Vec::new(), length });
+    (0..bytes / PART_BYTES).for_each(|_| reply.fwd(Reply::Part(vec![b'x'; PART_BYTES])));
+}
+
 /// What the handler has seen.
 #[derive(Default)]
 struct Seen {
@@ -105,6 +122,14 @@
                 }
                 reply.fwd(Reply::End);
             }
+            Event::Arrived { request, reply, .. } if request.path == CUT_PATH => {
+                send_parts(&reply, CUT_BYTES);
+                reply.fwd(Reply::Cut);
+            }
+            Event::Arrived { request, reply, .. } if request.path == LARGE_PATH => {
+                send_parts(&reply, LARGE_BYTES);
+                reply.fwd(Reply::End);
+            }
             Event::Arrived { hold, reply, .. } => {
                 self.holds.push(hold);
                 let body = b"served".to_vec();
@@ -250,3 +275,32 @@
     assert!(most > answer.len() / 4, "no more than {most} bytes had to wait");
     assert!(answer[head + 4..] == stream_bytes(), "{} bytes", answer.len() - head - 4);
 }
+
+/// Sends a request to `path` on a new connection, and waits until `reserved` bytes were reserved.
+fn request(server: &ServerThread, path: &str, reserved: usize) -> TcpStream {
+    let mut stream = server.connect();
+    let request = format!("GET {path} HTTP/1.1\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).unwrap();
+    let sent_at = Instant::now();
+    while server.seen.most_reserved_bytes.load(Ordering::Relaxed) < reserved {
+        assert!(sent_at.elapsed() < READ_TIMEOUT, "{reserved} bytes were not reserved");
+        std::thread::sleep(SAMPLE_INTERVAL);
+    }
+    stream
+}
+
+/// Guards against a cut answer whose unsent output stays in memory although it has to make room for
+/// that of others.
+#[test]
+fn a_cut_answer_makes_room_for_others() {
+    let server = ServerThread::start(STREAM_MEMORY, Duration::ZERO);
+    let mut cut = request(&server, CUT_PATH, CUT_BYTES / 2);
+    let mut large = request(&server, LARGE_PATH, 0);
+    std::thread::sleep(Duration::from_millis(200));
+    let mut answer = Vec::new();
+    large.read_to_end(&mut answer).unwrap();
+    assert!(answer.len() > LARGE_BYTES, "{} bytes", answer.len());
+    let mut received = Vec::new();
+    let _ = cut.read_to_end(&mut received);
+    assert!(received.len() < CUT_BYTES, "all of the cut answer was kept");
+}
