Refuse a queued request at once only after it was tried and with a known rate

At three starts per second, as in an instance of the first deployment, every second request in the queue was refused. An arrival is now tried first, requests behind one with tried upstreams are tried too, and a rate needs five starts in a second. start_rate.rs tests the rate; the other two have no test of their own.

--- a/crates/forward/src/start_rate.rs
+++ b/crates/forward/src/start_rate.rs
@@ -10,6 +10,10 @@
 /// is.
 const RATE_MARGIN: f64 = 2.0;
 
+/// Minimum number of starts in the window for a rate. With fewer, the upstreams may have had room for
+/// more requests than there were.
+const MIN_STARTS: usize = 5;
+
 /// Maximum number of starts that are kept. At higher rates, the window is shorter.
 const MAX_STARTS: usize = 512;
 
@@ -29,12 +33,13 @@
     }
 
     /// Returns whether a request with `ahead` others before it in the queue cannot start by `until`.
-    /// Nothing is known without recent starts, and the first one in the queue may start at any time.
+    /// Nothing is known with few recent starts, and the first one in the queue may start at any time.
     pub fn is_too_slow(&mut self, now: Instant, ahead: usize, until: Instant) -> bool {
         while self.starts.front().is_some_and(|at| *at + WINDOW <= now) {
             self.starts.pop_front();
         }
-        let Some(first) = self.starts.front().filter(|_| ahead > 0) else {
+        let is_known = self.starts.len() >= MIN_STARTS;
+        let Some(first) = self.starts.front().filter(|_| is_known && ahead > 0) else {
             return false;
         };
         let window = match self.starts.len() {
--- a/crates/forward/tests/start_rate.rs
+++ b/crates/forward/tests/start_rate.rs
@@ -8,6 +8,8 @@
 /// Guards against a request that waits in vain, and against one that is refused although it could start
 /// in time. A request may wait for 100 ms.
 #[test_case(0, 5, false; "nothing is known without starts")]
+#[test_case(4, 5, false; "little is known with few starts")]
+#[test_case(5, 5, true; "enough starts")]
 #[test_case(20, 0, false; "the first one in the queue")]
 #[test_case(20, 4, false; "twice the rate suffices")]
 #[test_case(20, 5, true; "twice the rate does not suffice")]
--- a/crates/relay/src/forwarder/fair_shares.rs
+++ b/crates/relay/src/forwarder/fair_shares.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use forward::{AccountCounts, FairShares, QueuedWork, ShareCounts, ShareDecision};
-use names::{Instance, Service, Upstream};
+use names::{Instance, Upstream};
 use rand::RngExt;
 use stakker::CX;
 use telemetry::Event;
@@ -122,30 +122,33 @@
         }
     }
 
-    /// Refuses a queued request that cannot leave the queue before `until`, by the recent rate of starts.
-    /// Returns whether it did. A request that waited before stays, one that may have run, and one whose
-    /// response has begun.
-    pub(super) fn refuse_at_once(
-        &mut self,
-        cx: CX![],
-        id: names::Request,
-        service: &Service,
-        until: Instant,
-    ) -> bool {
+    /// Returns whether a queued request cannot use all upstreams, so that others behind it may use the
+    /// ones that it has tried. Without shares of accounts, arrivals do not wait behind it.
+    pub(super) fn excludes_upstreams(&mut self, id: names::Request) -> bool {
+        let has_shares = self.settings.direct.fair_shares;
+        self.active(id).is_some_and(|active| has_shares && !active.tried.is_empty())
+    }
+
+    /// Refuses a queued request that cannot leave the queue in time, by the recent rate of starts. A
+    /// request that waited before stays, one that may have run, and one whose response has begun.
+    pub(super) fn refuse_at_once(&mut self, cx: CX![], id: names::Request) {
         let now = cx.now();
         let has_shares = self.settings.direct.fair_shares;
         let Some(active) = self.active(id).filter(|_| has_shares) else {
-            return false;
+            return;
         };
+        let until = active.queue_until.min(active.deadline);
+        let service = active.service.clone();
         let has_waited = std::mem::replace(&mut active.has_waited, true);
         if has_waited || active.is_started || active.unsent.is_none() {
-            return false;
+            return;
         }
-        let traffic = self.traffic(service);
-        let items = traffic.queue.items();
-        let ahead = items.iter().position(|item| *item == id).unwrap_or_default();
+        let traffic = self.traffic(&service);
+        let Some(ahead) = traffic.queue.items().iter().position(|item| *item == id) else {
+            return;
+        };
         if !traffic.start_rate.is_too_slow(now, ahead, until) {
-            return false;
+            return;
         }
         traffic.queue.remove(&id);
         let random = rand::rng().random();
@@ -158,7 +161,7 @@
             self.refuse(now, id, problem);
         }
         self.finish(cx, id);
-        true
+        self.update_queue_timer(cx);
     }
 
     /// Counts a request whose search has met upstreams at which it is over the share of its account,
--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -59,8 +59,12 @@
         let service = service.filter(|_| has_shares && !forward::is_large_fleet(self.entry_count));
         match service {
             Some(service) if !self.traffic(&service).queue.is_empty() => {
-                self.enqueue(cx, id);
-                self.serve_queue(cx, &service);
+                // Those that wait may lack what this request needs not, so that it is refused only
+                // once it was tried.
+                if self.join_queue(cx, id) {
+                    self.serve_queue(cx, &service);
+                    self.refuse_at_once(cx, id);
+                }
             }
             _ => self.place(cx, id),
         }
@@ -182,12 +186,20 @@
     /// Queues a request until an upstream has capacity, or refuses it if its maximum time in the
     /// queue has passed. A request in progress is not queued.
     pub(super) fn enqueue(&mut self, cx: CX![], id: names::Request) {
+        if self.join_queue(cx, id) {
+            self.refuse_at_once(cx, id);
+        }
+    }
+
+    /// Queues a request, or refuses it if its maximum time in the queue has passed. Returns whether it
+    /// is queued.
+    fn join_queue(&mut self, cx: CX![], id: names::Request) -> bool {
         let Ok(index) = self.find(id) else {
-            return;
+            return false;
         };
         let active = &self.requests[index];
         if active.running.is_some() {
-            return;
+            return false;
         }
         let until = active.queue_until.min(active.deadline);
         let has_engine = self.has_engine(&active.service);
@@ -197,17 +209,15 @@
         let is_in_vain = pause_end.is_some_and(|end| until <= end);
         if until <= cx.now() || is_in_vain || self.table.is_service_evacuated(&service) {
             self.refuse_unplaced(cx, id);
-            return;
+            return false;
         }
         let patience_ms = millis(until.saturating_duration_since(cx.now()));
         self.traffic(&service).queue.push_work(&work, until, id);
-        if self.refuse_at_once(cx, id, &service, until) {
-            return;
-        }
         let queue = &self.traffic(&service).queue;
         let (waiting, service, rank) = (queue.len() - 1, service.to_string(), work.rank);
         Event::Queued { request, service, rank, candidates, waiting, patience_ms }.write();
         self.update_queue_timer(cx);
+        true
     }
 
     /// Refuses a request that was not placed, with a retry hint if the request has not run, or
@@ -306,9 +316,10 @@
             if self.try_send(cx, id) == Placement::Full {
                 let gives_way = self.find(id).is_ok_and(|index| self.gives_way(index));
                 let lacks_room = self.active(id).is_some_and(|active| active.lacks_room);
-                if gives_way || lacks_room {
-                    // A shorter prompt may take the allowance of a cold upstream, and a smaller
-                    // request may have room.
+                if gives_way || lacks_room || self.excludes_upstreams(id) {
+                    // A shorter prompt may take the allowance of a cold upstream, a smaller request
+                    // may have room, and another request may use the upstreams that this one has
+                    // tried.
                     continue;
                 }
                 return;
