--- a/crates/relay/src/forwarder/upstream_selection.rs
+++ b/crates/relay/src/forwarder/upstream_selection.rs
@@ -59,8 +59,8 @@
         let service = service.filter(|_| has_shares && !forward::is_large_fleet(self.entry_count));
         match service {
             Some(service) if !self.traffic(&service).queue.is_empty() => {
-                // Those that wait may lack what this request needs not, so that it is refused only
-                // once it was tried.
+                // A waiting request may lack room that this one does not need, so that this one is
+                // refused only after it was tried.
                 if self.join_queue(cx, id) {
                     self.serve_queue(cx, &service);
                     self.refuse_at_once(cx, id);
