--- a/review/harness-2/cases/deadly.rs
+++ b/review/harness-2/cases/deadly.rs
@@ -24,6 +24,9 @@
 /// Time for which requests are sent, in seconds.
 const TRAFFIC_S: f64 = 25.0;
 
+/// Time in which a sound answer ends.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+
 /// Part of a prompt that crashes workers.
 const DEADLY_PART: &str = "bad0c0de";
 
@@ -203,7 +206,8 @@
         let record = record.clone();
         std::thread::spawn(move || send_sound(&fronts, until, &record))
     };
-    let lines = keep_running(&fleet, workers, until, record);
+    // The last answers end before the workers do.
+    let lines = keep_running(&fleet, workers, until + ANSWER_TIME, record);
     let _ = deadly_client.join();
     let Sound { sent, served, lost } = sound_client.join().unwrap_or_default();
     let crashes: Vec<f64> =
--- a/review/harness-2/cases/mod.rs
+++ b/review/harness-2/cases/mod.rs
@@ -3,8 +3,8 @@
 mod crowd;
 mod deadly;
 mod evacuation;
-mod leaving;
-mod woken;
+mod late;
+mod reborn;
 
 use crate::fleet::{Deployment, Fleet};
 use crate::record::Record;
@@ -19,8 +19,8 @@
         "crowd" => crowd::run(&record, has_trouble),
         "deadly-request" => deadly::run(&record, has_trouble, deadly::Deadly::Request),
         "deadly-part" => deadly::run(&record, has_trouble, deadly::Deadly::Part),
-        "woken" => woken::run(&record, has_trouble),
-        "leaving" => leaving::run(&record, has_trouble),
+        "late" => late::run(&record, has_trouble),
+        "reborn" => reborn::run(&record, has_trouble),
         "evacuation" => evacuation::run(&record, has_trouble),
         _ => 2,
     };
@@ -106,19 +106,34 @@
     fleet: &Fleet,
     record: &Record,
     number: usize,
-    (service, zone): (&str, &str),
+    role: (&str, &str),
     answers: Answers,
 ) -> Worker {
-    let setup = Setup {
+    start(fleet, record, worker_setup(fleet, number, role, answers))
+}
+
+pub fn start(fleet: &Fleet, record: &Record, setup: Setup) -> Worker {
+    Worker::start(setup, record).unwrap_or_else(|_| fleet.cannot_run("a worker does not start"))
+}
+
+/// Returns the setup of a worker of a service in a zone.
+pub fn worker_setup(
+    fleet: &Fleet,
+    number: usize,
+    (service, zone): (&str, &str),
+    answers: Answers,
+) -> Setup {
+    Setup {
         id: worker_id(number, 0),
         service: service.to_string(),
         zone: zone.to_string(),
         address: fleet.worker_address(number),
+        listen: fleet.worker_address(number),
+        held_ms: 0,
         slots: if service == "app" { 6 } else { 128 },
         answers,
         controls: fleet.controls(),
-    };
-    Worker::start(setup, record).unwrap_or_else(|_| fleet.cannot_run("a worker does not start"))
+    }
 }
 
 /// Waits until `is_done`, at most `seconds`. Returns whether it is done.
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod fleet;
 mod http;
+mod proxy;
 mod record;
 mod worker;
 
--- a/review/harness-2/worker.rs
+++ b/review/harness-2/worker.rs
@@ -39,7 +39,12 @@
     pub id: String,
     pub service: String,
     pub zone: String,
+    /// Address that the worker reports.
     pub address: SocketAddr,
+    /// Address at which the worker listens, which differs behind a proxy.
+    pub listen: SocketAddr,
+    /// Time by which the first liveness report is late, in milliseconds. No other one is sent before.
+    pub held_ms: u64,
     pub slots: u32,
     pub answers: Answers,
     pub controls: Vec<SocketAddr>,
@@ -54,6 +59,8 @@
             self.service.clone(),
             self.zone.clone(),
             self.address.to_string(),
+            self.listen.to_string(),
+            self.held_ms.to_string(),
             self.slots.to_string(),
             self.answers.is_framed.to_string(),
             self.answers.pieces.to_string(),
@@ -69,6 +76,8 @@
             service,
             zone,
             address,
+            listen,
+            held_ms,
             slots,
             is_framed,
             pieces,
@@ -85,6 +94,8 @@
             service: service.clone(),
             zone: zone.clone(),
             address: address.parse().ok()?,
+            listen: listen.parse().ok()?,
+            held_ms: held_ms.parse().ok()?,
             slots: slots.parse().ok()?,
             answers: Answers {
                 is_framed: is_framed.parse().ok()?,
@@ -137,7 +148,7 @@
         self.lines().iter().any(|(_, line)| line.contains(text))
     }
 
-    /// Sends a command: `drain`, `leave`.
+    /// Sends a command: `drain`, `leave`, or `cut` to end the reports.
     pub fn command(&mut self, command: &str) {
         if let Some(input) = &mut self.input {
             let _ = writeln!(input, "{command}");
@@ -180,10 +191,10 @@
         eprintln!("wrong arguments of a worker");
         return 2;
     };
-    let listener = match TcpListener::bind(setup.address) {
+    let listener = match TcpListener::bind(setup.listen) {
         Ok(listener) => listener,
         Err(error) => {
-            eprintln!("cannot listen at {}: {error}", setup.address);
+            eprintln!("cannot listen at {}: {error}", setup.listen);
             return 2;
         }
     };
@@ -202,21 +213,32 @@
         }
     });
     let beating = state.clone();
-    std::thread::spawn(move || loop {
-        let reported = *beating.reported.lock().unwrap_or_else(|lock| lock.into_inner());
-        match reported {
-            Some(reported) => beat(&beating, reported),
-            None => return,
-        };
-        std::thread::sleep(BEAT_INTERVAL);
+    std::thread::spawn(move || {
+        let first = beat(&beating, "ready");
+        std::thread::sleep(Duration::from_millis(beating.setup.held_ms));
+        let is_acknowledged = control_call(&beating, "PUT", first.as_bytes());
+        say(format!("the first report has arrived, acknowledged: {is_acknowledged}"));
+        loop {
+            std::thread::sleep(BEAT_INTERVAL);
+            let reported = *beating.reported.lock().unwrap_or_else(|lock| lock.into_inner());
+            match reported {
+                Some(reported) => {
+                    let report = beat(&beating, reported);
+                    control_call(&beating, "PUT", report.as_bytes())
+                }
+                None => return,
+            };
+        }
     });
     for line in std::io::stdin().lines().map_while(Result::ok) {
         match line.as_str() {
             "drain" => {
                 *state.reported.lock().unwrap_or_else(|lock| lock.into_inner()) = Some("draining");
-                let is_acknowledged = beat(&state, "draining");
+                let report = beat(&state, "draining");
+                let is_acknowledged = control_call(&state, "PUT", report.as_bytes());
                 say(format!("reported draining, acknowledged: {is_acknowledged}"));
             }
+            "cut" => *state.reported.lock().unwrap_or_else(|lock| lock.into_inner()) = None,
             "leave" => {
                 *state.reported.lock().unwrap_or_else(|lock| lock.into_inner()) = None;
                 let is_acknowledged = control_call(&state, "DELETE", b"");
@@ -228,21 +250,21 @@
     0
 }
 
-/// Sends a liveness report; another node is called after a failure. Returns whether it was
-/// acknowledged.
-fn beat(state: &State, reported: &str) -> bool {
+/// Returns the next liveness report.
+fn beat(state: &State, reported: &str) -> String {
     let Setup { service, address, zone, slots, .. } = &state.setup;
     let sequence = state.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-    let body = format!(
+    format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\
          \"v1\",\"slots\":{slots},\"state\":\"{reported}\",\"cold-remaining-ms\":0,\"stage\":\
          \"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"seq\":{sequence},\
          \"born\":{}}}",
         state.born
-    );
-    control_call(state, "PUT", body.as_bytes())
+    )
 }
 
+/// Sends a call to a node; another one is called after a failure. Returns whether it was
+/// acknowledged.
 fn control_call(state: &State, method: &str, body: &[u8]) -> bool {
     let path = format!("/v1/workers/{}", state.setup.id);
     let controls = &state.setup.controls;
