Ignore orders about data centres that come late

What operators saw: an evacuation that was acknowledged was undone for good. A control instance paused with a withdrawal in its socket; the operator sent it to another instance, and then had the data centre evacuated again.

Cause: a control instance proposed each order that it read, whether or not its caller still waited, and the log numbered each one that differed from the order in force. The copy that was committed last was in force, not the order that was given last.

Evidence: the log lines of the case. The woken instance logs the order as accepted 3 s after the operator closed the connection.

Each order that is applied gets a new number.

Why this works: an acknowledged order has a greater number than every base that was read before it was given. No clock is involved.

--- a/crates/evacuation/src/log.rs
+++ b/crates/evacuation/src/log.rs
@@ -13,7 +13,8 @@
 /// A command in the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
-    /// Evacuates a data centre, or withdraws its evacuation.
+    /// Evacuates a data centre, or withdraws its evacuation, whichever order is in force. Earlier
+    /// versions propose it; a log on disk may hold it.
     Order {
         /// Data centre that the order is about.
         data_centre: DataCentre,
@@ -24,17 +25,35 @@
         /// have survived outside the log.
         known: Number,
     },
+    /// Evacuates a data centre, or withdraws its evacuation, unless the opposite was ordered since the
+    /// operator gave this order. A command that is committed late undoes nothing, because every order
+    /// that was acknowledged in the meantime has a greater number than its base.
+    Replace {
+        /// Data centre that the order is about.
+        data_centre: DataCentre,
+        /// Whether the data centre is evacuated from now on.
+        is_evacuated: bool,
+        /// Greatest number that the proposing instance knows, as in [`Command::Order`].
+        known: Number,
+        /// Number of the newest order about the data centre that the proposing instance knew while
+        /// the operator waited for the answer. It may be from a log that was lost, and greater than
+        /// all numbers of this one.
+        base: Number,
+    },
 }
 
 /// Result of a [`Command`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// The order is in force, under this number. A repeat of the order in force keeps its number.
+    /// The order is in force, under this number.
     InForce(Order),
     /// Orders about as many data centres are remembered as the limit allows.
     TooMany,
     /// The command cannot be decoded.
     Malformed,
+    /// The command changed nothing, because this order, the opposite, was committed after the one that
+    /// the command replaces.
+    Outdated(Order),
 }
 
 /// Replicated state machine that numbers orders. It changes by committed commands alone, so that all
@@ -57,6 +76,7 @@
         self.last
     }
 
+    /// Applies an order of an earlier version. A repeat of the order in force keeps its number.
     fn order(&mut self, data_centre: DataCentre, is_evacuated: bool, known: Number) -> Outcome {
         let current = self.orders.get(&data_centre);
         // A greater number than the log has given comes from a log that was lost. Its orders may
@@ -65,10 +85,39 @@
         if is_current && current.is_evacuated == is_evacuated {
             return Outcome::InForce(current);
         }
-        let is_known = current.number > Number::default();
-        if !is_known && self.orders.len() >= MAX_DATA_CENTRES {
-            return Outcome::TooMany;
+        match self.has_room_for(current) {
+            true => self.append(data_centre, is_evacuated, known),
+            false => Outcome::TooMany,
         }
+    }
+
+    /// Replaces the order `base`, or a later one that ordered the same. The order gets a new number
+    /// also if it changes nothing, so that an opposite command that was given earlier is outdated.
+    fn replace(
+        &mut self,
+        data_centre: DataCentre,
+        is_evacuated: bool,
+        known: Number,
+        base: Number,
+    ) -> Outcome {
+        let current = self.orders.get(&data_centre);
+        if base < current.number && current.is_evacuated != is_evacuated {
+            return Outcome::Outdated(current);
+        }
+        match self.has_room_for(current) {
+            true => self.append(data_centre, is_evacuated, known),
+            false if is_evacuated => Outcome::TooMany,
+            // No order about the data centre can come into force, so none has to be outdated.
+            false => Outcome::InForce(current),
+        }
+    }
+
+    /// Returns whether an order may follow `current`, the order in force about its data centre.
+    fn has_room_for(&self, current: Order) -> bool {
+        current.number > Number::default() || self.orders.len() < MAX_DATA_CENTRES
+    }
+
+    fn append(&mut self, data_centre: DataCentre, is_evacuated: bool, known: Number) -> Outcome {
         self.last = Number(self.last.max(known).0.saturating_add(1));
         let order = Order { number: self.last, is_evacuated };
         self.orders.merge_order(data_centre, order);
@@ -82,6 +131,9 @@
             Ok(Command::Order { data_centre, is_evacuated, known }) => {
                 self.order(data_centre, is_evacuated, known)
             }
+            Ok(Command::Replace { data_centre, is_evacuated, known, base }) => {
+                self.replace(data_centre, is_evacuated, known, base)
+            }
             Err(_) => Outcome::Malformed,
         };
         postcard::to_allocvec(&outcome).unwrap_or_default()
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod document_reads;
 mod evacuation_orders;
+mod senders;
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -21,6 +22,7 @@
 use crate::interface::{ControlRequest, Interface};
 use crate::shared_state::SharedState;
 use document_reads::{DocumentRead, DocumentReads};
+use senders::Senders;
 
 /// Time after which a client retries while no quorum is reachable.
 const NO_QUORUM_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -50,6 +52,8 @@
     quorum_lost_since: Option<Instant>,
     /// Reads of the newest document.
     reads: DocumentReads,
+    /// Callers of the requests that take effect only if their callers wait.
+    senders: Senders,
 }
 
 impl Control {
@@ -74,6 +78,7 @@
             metrics,
             quorum_lost_since: None,
             reads,
+            senders: Senders::default(),
         })
     }
 
@@ -83,7 +88,10 @@
             Event::Arrived { request, unsent, hold, reply } => {
                 self.handle_request(cx, request, (unsent, hold), reply)
             }
-            Event::Left { request } => self.cancel_read(cx, request),
+            Event::Left { request } => {
+                self.senders.remove(request);
+                self.cancel_read(cx, request);
+            }
             Event::Refused { reason } => log::info!("closed a control connection: {reason}"),
         }
     }
@@ -115,7 +123,7 @@
                 }
             }
             Ok(ControlRequest::Evacuate { data_centre, is_evacuated }) => {
-                self.order_evacuation(cx, data_centre, is_evacuated, reply)
+                self.order_evacuation(cx, id, (data_centre, is_evacuated), (unsent, reply))
             }
             Ok(ControlRequest::SubmitDocument(text)) => {
                 self.submit_document(cx, &text, (hold, reply))
--- a/crates/relay/src/feed/evacuations.rs
+++ b/crates/relay/src/feed/evacuations.rs
@@ -138,6 +138,13 @@
         }
     }
 
+    /// Takes over committed orders that the log here may not have applied yet.
+    pub(crate) fn learn_orders(&mut self, cx: CX![], orders: Orders) {
+        if self.merge_orders(cx, &orders, "order") {
+            self.send_to_followers(Transport::Tcp, &self.evacuations.message());
+        }
+    }
+
     /// Merges `orders`, which are committed. Returns whether any were new.
     fn merge_orders(&mut self, cx: CX![], orders: &Orders, source: &str) -> bool {
         let new_orders = self.evacuations.orders.borrow_mut().merge(orders);
@@ -199,10 +206,7 @@
         on_stored: Ret<Storage>,
     ) {
         let single = Orders::single(data_centre.clone(), order);
-        // The log may not have applied the order here yet.
-        if self.merge_orders(cx, &single, "order") {
-            self.send_to_followers(Transport::Tcp, &self.evacuations.message());
-        }
+        self.learn_orders(cx, single.clone());
         let arrived_at = cx.now();
         let expires_at = arrived_at + COPY_TIMEOUT;
         let waiting = Waiting { data_centre, order, arrived_at, on_stored };
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -117,8 +117,9 @@
         is_evacuated: bool,
         /// Number of the order, or 0 if there is none.
         number: u64,
-        /// Outcome: `accepted` (committed), `acknowledged`, `not-stored`, `superseded`, `too-many`
-        /// or `no-quorum`.
+        /// Outcome: `accepted` (committed), `acknowledged`, `left` (the operator left before the order
+        /// was proposed), `outdated` (the opposite was committed since the order was read),
+        /// `not-stored`, `superseded`, `too-many` or `no-quorum`.
         outcome: &'static str,
         /// Time since the order arrived.
         after_ms: u64,
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -65,8 +65,9 @@
     ["failures", "unreachable", "slow", "replaced", "leaving", "asked-to-wait"];
 
 /// Outcomes of evacuation orders, which are the values of the label `outcome`.
-const ORDER_OUTCOMES: [&str; 5] =
-    ["acknowledged", "not-stored", "superseded", "too-many", "no-quorum"];
+const ORDER_OUTCOMES: [&str; 7] =
+    ["acknowledged", "left", "outdated", "not-stored", "superseded", "too-many", "no-quorum"];
+
 /// Upper limits of the buckets for the pace, in percent. A usual machine has a pace of 100.
 const PACE_BUCKETS: [f64; 8] = [90.0, 110.0, 125.0, 150.0, 200.0, 300.0, 500.0, 1000.0];
 
