Keep leaves that arrive before the announcement of their run

What callers and upstreams saw: an upstream left before its first announcement had arrived, and the leave was acknowledged.

Cause: a leave was stored as a change of the record of its upstream, and a record needs an announcement. A leave of an unknown name left nothing behind at any control instance, and was acknowledged all the same. A leave that names no run ended the known run, also if the run that left was a later one that was not known yet.

Evidence: the log lines of the case: leave-durable without any line upstream before it, and upstream with the status ready after it.

Change: such a leave is kept as a departure (roster::departure). It is on the disks that the acknowledgement waits for, is sent to all instances, and makes them ignore announcements of the runs that it ends. A leave that names no run ends the runs that began before it; a run that began within 3 s of it is ignored for 10 s. At most 4,096 are kept; a leave above that is refused at once. The file of leaves of an earlier version is read.

Why this works: leave and announcement may arrive in either order at any instance; the departure ends the run in use when it arrives, and later announcements of the run are compared with it. An instance that missed it gets it when it asks, or when it sends the record of an ended run.

--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod document_reads;
 mod evacuation_orders;
+mod leaves;
 mod senders;
 
 use std::cell::RefCell;
@@ -18,7 +19,7 @@
 use state::ProposalOutcome;
 use telemetry::{Event as LogEvent, Metrics};
 
-use crate::feed::{Acknowledgement, Feed, Storage};
+use crate::feed::{Acknowledgement, Feed, Leaving, Storage};
 use crate::interface::{ControlRequest, Interface};
 use crate::shared_state::SharedState;
 use document_reads::{DocumentRead, DocumentReads};
@@ -108,16 +109,18 @@
         match control.parse_request(request) {
             Ok(ControlRequest::Announce(announcement)) => match announcement.check(unix_millis()) {
                 Ok(()) => {
-                    let acknowledgement = self.acknowledgement(reply);
+                    let acknowledgement = self.acknowledgement(unsent, reply);
                     call!([self.feed], announce(announcement, acknowledgement));
                 }
                 Err(error) => self.refuse_announcement(&error, &reply),
             },
             Ok(ControlRequest::Leave { upstream, born }) => {
-                match roster::check_born(&upstream, born.unwrap_or_default(), unix_millis()) {
+                let left_at_millis = unix_millis();
+                match roster::check_born(&upstream, born.unwrap_or_default(), left_at_millis) {
                     Ok(()) => {
-                        let acknowledgement = self.acknowledgement(reply);
-                        call!([self.feed], withdraw(upstream, born, acknowledgement));
+                        let acknowledgement = self.acknowledgement(unsent, reply);
+                        let leaving = Leaving { upstream, born, left_at_millis };
+                        call!([self.feed], withdraw(leaving, acknowledgement));
                     }
                     Err(error) => self.refuse_announcement(&error, &reply),
                 }
@@ -138,11 +141,11 @@
         }
     }
 
-    fn acknowledgement(&self, reply: Fwd<Reply>) -> Acknowledgement {
-        let control = &self.interface.control;
-        let (accepted, not_durable) =
-            (control.acknowledgement(), control.refusal(leave_not_durable()));
-        Acknowledgement { accepted, not_durable, reply }
+    fn acknowledgement(&self, unsent: Unsent, reply: Fwd<Reply>) -> Acknowledgement {
+        let control = self.interface.control.clone();
+        let accepted = control.acknowledgement();
+        let refusal = move |reason| control.refusal(leaves::problem(reason, &unsent));
+        Acknowledgement { accepted, refusal: Box::new(refusal), reply }
     }
 
     fn refuse_announcement(&self, error: &roster::Error, reply: &Fwd<Reply>) {
@@ -347,13 +350,6 @@
     u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn leave_not_durable() -> Problem {
-    let message = "the upstream gets no new requests, but too few control instances have stored that \
-                   yet; send the request again, to another control instance";
-    Problem::may_have_run(Status::UNAVAILABLE, "not_durable", message)
-        .with_retry_after(NOT_DURABLE_RETRY_AFTER)
-}
-
 fn document_not_stored() -> Problem {
     let message = "the document is committed, but too few control instances have stored it yet; \
                    send it again";
--- a/crates/relay/src/feed/announcements.rs
+++ b/crates/relay/src/feed/announcements.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use names::{Instance, Upstream};
+use names::Instance;
 use roster::{Announcement, MergeResult, Record, Status, short_hash};
 use stakker::{CX, after};
 use telemetry::Event;
@@ -25,7 +25,7 @@
         announcement: Announcement,
         acknowledgement: Acknowledgement,
     ) {
-        let (upstream, born) = (announcement.upstream.clone(), announcement.born);
+        let upstream = announcement.upstream.clone();
         let is_leave = announcement.standing != Status::Ready;
         let short_hash = short_hash(&upstream);
         let record = Record { announcement };
@@ -39,25 +39,19 @@
             MergeResult::Stale => {
                 log::debug!("ignored an outdated announcement of upstream {upstream}");
             }
+            MergeResult::Ended => {
+                log::info!("ignored an announcement of upstream {upstream}, whose run has ended");
+            }
         }
         match is_leave {
-            true => self.acknowledge_leave(cx, upstream, Some(born), acknowledgement),
+            true => {
+                let leave = self.undurable_record(&upstream);
+                self.acknowledge_leave(cx, leave, acknowledgement);
+            }
             false => acknowledgement.accept(),
         }
     }
 
-    /// Handles the leave of an upstream. The leave is acknowledged once it is durable.
-    pub(crate) fn withdraw(
-        &mut self,
-        cx: CX![],
-        upstream: Upstream,
-        born: Option<u64>,
-        acknowledgement: Acknowledgement,
-    ) {
-        self.apply_leave(cx, &upstream, born);
-        self.acknowledge_leave(cx, upstream, born, acknowledgement);
-    }
-
     fn record_heard(&mut self, upstream: u32) {
         if let Err(index) = self.heard_since_report.binary_search(&upstream) {
             self.heard_since_report.insert(index, upstream);
@@ -97,13 +91,18 @@
 
     /// Handles records of another instance, and forwards those that are new.
     pub(super) fn receive_records(&mut self, cx: CX![], sender: &Instance, records: Vec<Record>) {
-        let mut new_records = Vec::new();
+        let (mut new_records, mut ended) = (Vec::new(), Vec::new());
         for record in records {
-            if self.roster.merge(cx.now(), record.clone()) == MergeResult::Changed {
-                log_upstream(&record.announcement, sender.as_str());
-                new_records.push(record);
+            match self.roster.merge(cx.now(), record.clone()) {
+                MergeResult::Changed => {
+                    log_upstream(&record.announcement, sender.as_str());
+                    new_records.push(record);
+                }
+                MergeResult::Ended => ended.push(record.announcement.upstream),
+                MergeResult::Unchanged | MergeResult::Stale => {}
             }
         }
+        self.send_departures(cx.now(), sender, &ended);
         let is_forwarded = self.tree.forwards_updates_of(sender);
         self.publish(cx, new_records, is_forwarded);
     }
--- a/crates/relay/src/feed/disk_cache.rs
+++ b/crates/relay/src/feed/disk_cache.rs
@@ -10,6 +10,7 @@
 use evacuation::Orders;
 use eventloop::Sender as MailboxSender;
 use roster::Record;
+use roster::departure::Departure;
 use roster::durability::WriteResult;
 use serde::Serialize;
 use state::{AtomicFiles, DataFolder};
@@ -35,10 +36,13 @@
 enum WriteJob {
     Document(Document),
     Records(Vec<Record>),
-    Leaves(Vec<Record>),
+    Leaves(StoredLeaves),
     Evacuations(Orders),
 }
 
+/// Leaves on disk. Earlier versions stored the records alone.
+type StoredLeaves = (Vec<Record>, Vec<Departure>);
+
 /// The end of a write that acknowledgements wait for.
 pub(super) enum WriteEnd {
     Document(Number, WriteResult),
@@ -52,6 +56,8 @@
     pub(super) document: Option<Document>,
     /// Records of upstreams; an upstream may have two.
     pub(super) records: Vec<Record>,
+    /// Leaves that do not tell which announced run ends.
+    pub(super) departures: Vec<Departure>,
     /// Evacuation orders, or `None` if the disk may have lost them.
     pub(super) evacuations: Option<Orders>,
 }
@@ -99,9 +105,10 @@
         self.send(WriteJob::Records(records));
     }
 
-    /// Writes the records of upstreams that drain or left, and reports the end of the write.
-    pub(super) fn write_leaves(&self, leaves: Vec<Record>) {
-        self.send(WriteJob::Leaves(leaves));
+    /// Writes the records of upstreams that drain or left, and the departures, and reports the end of
+    /// the write.
+    pub(super) fn write_leaves(&self, records: Vec<Record>, departures: Vec<Departure>) {
+        self.send(WriteJob::Leaves((records, departures)));
     }
 
     /// Writes the evacuation orders, and reports the end of the write.
@@ -121,9 +128,13 @@
         log::warn!("cannot read the cached document: {error}; continuing without it");
         None
     });
-    let records =
-        [RECORDS_FILE, LEAVES_FILE].into_iter().flat_map(|file| read_records(files, file));
-    let records = records.collect();
+    let mut records = read_records(files, RECORDS_FILE);
+    let (leaves, departures) = match files.read::<StoredLeaves>(LEAVES_FILE) {
+        Ok(leaves) => leaves.unwrap_or_default(),
+        // The file of an earlier version has no departures.
+        Err(_) => (read_records(files, LEAVES_FILE), Vec::new()),
+    };
+    records.extend(leaves);
     // A folder with a document and without orders was written by a version that knows no orders.
     let has_no_orders = || document.as_ref().map(|_| Orders::default());
     let evacuations = match files.read(EVACUATIONS_FILE) {
@@ -133,7 +144,7 @@
             None
         }
     };
-    CachedState { document, records, evacuations }
+    CachedState { document, records, departures, evacuations }
 }
 
 fn read_records(files: &AtomicFiles<DataFolder>, file: &str) -> Vec<Record> {
--- a/crates/relay/src/feed/leaves.rs
+++ b/crates/relay/src/feed/leaves.rs
@@ -20,22 +20,40 @@
 /// Interval at which unconfirmed leaves are sent again to control instances.
 const RESEND_PERIOD: Duration = Duration::from_millis(200);
 
+/// Leave of an upstream.
+pub(crate) struct Leaving {
+    pub(crate) upstream: Upstream,
+    /// Start of the run that ends, if the upstream reported it.
+    pub(crate) born: Option<u64>,
+    /// Time at which the leave arrived, in milliseconds of Unix time.
+    pub(crate) left_at_millis: u64,
+}
+
 /// Acknowledgement of an announcement or a leave.
 pub(crate) struct Acknowledgement {
     /// Response if what the upstream said is in force, and durable if it has to be.
     pub(crate) accepted: Reply,
-    /// Response if a leave is in force, but not durable in time.
-    pub(crate) not_durable: Reply,
+    /// Returns the response to a leave that is not acknowledged.
+    pub(crate) refusal: Box<dyn Fn(Refusal) -> Reply>,
     pub(crate) reply: Fwd<Reply>,
 }
 
+/// Why a leave is not acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// The leave is in force, but was not durable in time.
+    NotDurable,
+    /// As many departures are kept as the limit allows.
+    Full,
+}
+
 impl Acknowledgement {
     pub(super) fn accept(self) {
         self.reply.fwd(self.accepted);
     }
 
-    fn refuse(self) {
-        self.reply.fwd(self.not_durable);
+    fn refuse(self, refusal: Refusal) {
+        self.reply.fwd((self.refusal)(refusal));
     }
 }
 
@@ -46,22 +64,56 @@
 }
 
 impl Feed {
-    /// Sends the acknowledgement once the leave of `upstream`, which the roster includes, is
-    /// durable. A leave that is repeated waits as well, since the first one may not be durable yet.
-    pub(super) fn acknowledge_leave(
+    /// Handles the leave of an upstream. The leave is acknowledged once it is durable.
+    pub(crate) fn withdraw(
         &mut self,
         cx: CX![],
-        upstream: Upstream,
-        born: Option<u64>,
+        leaving: Leaving,
         acknowledgement: Acknowledgement,
     ) {
-        let leave = match self.roster.get(&upstream) {
+        let Leaving { upstream, born, left_at_millis } = leaving;
+        let Some(departure) = self.roster.departure_for(&upstream, born, left_at_millis) else {
+            self.apply_leave(cx, &upstream, born);
+            let leave = self.undurable_record(&upstream);
+            self.acknowledge_leave(cx, leave, acknowledgement);
+            return;
+        };
+        let now = cx.now();
+        if !self.roster.has_room_for_departure(now, &upstream) {
+            self.metrics.relay.departures_refused.inc();
+            acknowledgement.refuse(Refusal::Full);
+            return;
+        }
+        self.add_departures(cx, vec![(now, departure)], "itself", true);
+        let leave = self.undurable_departure(&upstream);
+        self.acknowledge_leave(cx, leave, acknowledgement);
+    }
+
+    /// Returns the record of `upstream` if it is a leave that may not be durable.
+    pub(super) fn undurable_record(&self, upstream: &Upstream) -> Option<Leave> {
+        match self.roster.get(upstream) {
             // A later announcement of the upstream takes precedence.
             Some(record) if record.announcement.standing == Status::Ready => None,
-            Some(_) if self.roster.is_durable(&upstream) => None,
+            Some(_) if self.roster.is_durable(upstream) => None,
             Some(record) => Some(Leave::Record(record.clone())),
-            None => Some(Leave::Unknown { upstream, born }),
-        };
+            None => self.undurable_departure(upstream),
+        }
+    }
+
+    fn undurable_departure(&self, upstream: &Upstream) -> Option<Leave> {
+        let (departure, is_durable) = self.roster.departure(upstream)?;
+        (!is_durable).then(|| Leave::Departure(departure.clone()))
+    }
+
+    /// Sends the acknowledgement once `leave`, which the roster includes, is durable, or at once if
+    /// there is none. A leave that is repeated waits as well, since the first one may not be durable
+    /// yet.
+    pub(super) fn acknowledge_leave(
+        &mut self,
+        cx: CX![],
+        leave: Option<Leave>,
+        acknowledgement: Acknowledgement,
+    ) {
         let Some(leave) = leave else {
             acknowledgement.accept();
             return;
@@ -107,7 +159,11 @@
 
     fn begin_write(&mut self, cx: CX![]) {
         match &self.disk_cache {
-            Some(disk_cache) => disk_cache.write_leaves(self.roster.leaves()),
+            Some(disk_cache) => {
+                let reports = self.roster.departures(cx.now());
+                let departures = reports.into_iter().map(|report| report.departure);
+                disk_cache.write_leaves(self.roster.leaves(), departures.collect());
+            }
             // The write never ends, because a data folder that cannot be used holds no copy.
             None if self.has_data_folder => {}
             // Without a data folder, memory is the only place for a copy.
@@ -135,7 +191,13 @@
         let now = cx.now();
         match leave {
             Leave::Record(record) => self.receive_records(cx, &sender, vec![record]),
-            Leave::Unknown { upstream, born } => self.apply_leave(cx, &upstream, born),
+            Leave::Departure(departure) => {
+                let is_forwarded = self.tree.forwards_updates_of(&sender);
+                let departures = vec![(now, departure)];
+                if !self.add_departures(cx, departures, sender.as_str(), is_forwarded) {
+                    return;
+                }
+            }
         }
         if !self.is_control {
             return;
@@ -146,7 +208,7 @@
     }
 
     /// Applies the leave of an upstream, and publishes it if it is new.
-    pub(super) fn apply_leave(&mut self, cx: CX![], upstream: &Upstream, born: Option<u64>) {
+    fn apply_leave(&mut self, cx: CX![], upstream: &Upstream, born: Option<u64>) {
         if self.roster.withdraw(cx.now(), upstream, born) == MergeResult::Changed
             && let Some(record) = self.roster.get(upstream).cloned()
         {
@@ -174,8 +236,9 @@
     fn end_durable_rounds(&mut self, cx: CX![]) {
         self.rounds.record_own(self.writer.stored());
         for (leave, waiting) in self.rounds.take_durable(self.requirement()) {
-            if let Leave::Record(record) = &leave {
-                self.roster.mark_durable(record);
+            match &leave {
+                Leave::Record(record) => self.roster.mark_durable(record),
+                Leave::Departure(departure) => self.roster.mark_departure_durable(departure),
             }
             let time = cx.now().saturating_duration_since(waiting.arrived_at);
             self.metrics.relay.leave_durable.observe(time.as_secs_f64());
@@ -200,7 +263,7 @@
         self.is_resend_scheduled = false;
         for waiting in self.rounds.take_expired(cx.now()) {
             self.metrics.relay.leaves_not_durable.inc();
-            waiting.acknowledgement.refuse();
+            waiting.acknowledgement.refuse(Refusal::NotDurable);
         }
         for control in self.other_controls() {
             for (ticket, leave) in self.rounds.missing(&control) {
--- a/crates/relay/src/feed/message.rs
+++ b/crates/relay/src/feed/message.rs
@@ -2,6 +2,7 @@
 
 use catalogue::{Change, Document, Number};
 use evacuation::Orders;
+use roster::departure::Report;
 use roster::durability::{Leave, Ticket};
 use roster::{BUCKETS, Record};
 use serde::{Deserialize, Serialize};
@@ -54,4 +55,8 @@
     StoreEvacuations(Orders),
     /// The sender, a control instance, has the evacuation orders on disk.
     EvacuationsStored(Orders),
+    /// Requests the departures that the receiver keeps.
+    WantDepartures,
+    /// Departures that the sender keeps.
+    Departures(Vec<Report>),
 }
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -1,6 +1,7 @@
 //! Actor that holds the newest catalogue and the upstreams, and distributes them.
 
 mod announcements;
+mod departures;
 mod disk_cache;
 mod document_copies;
 mod documents;
@@ -32,8 +33,8 @@
 use evacuations::Evacuations;
 use eventloop::mailbox;
 use instance::View;
-pub(crate) use leaves::Acknowledgement;
 use leaves::Waiting;
+pub(crate) use leaves::{Acknowledgement, Leaving, Refusal};
 use message::Message;
 
 /// Interval at which an instance sends its state to the instances that it follows. Updates are
@@ -101,6 +102,8 @@
     tree: Tree,
     /// Instances that are followed now.
     followed: Vec<Instance>,
+    /// Followed instances that have not sent their departures yet, sorted.
+    unheard_sources: Vec<Instance>,
     is_large_fleet: bool,
     /// Other entry instances of the data centre.
     neighbours: Vec<Instance>,
@@ -178,6 +181,7 @@
             is_control,
             tree: Tree::new(settings.instance.clone(), is_control),
             followed: Vec::new(),
+            unheard_sources: Vec::new(),
             is_large_fleet: false,
             neighbours: Vec::new(),
             followers: Vec::new(),
@@ -214,7 +218,10 @@
         for record in cached.records {
             self.roster.merge(cx.now(), record);
         }
-        if !self.roster.leaves().is_empty() {
+        for departure in cached.departures {
+            self.roster.restore_departure(cx.now(), departure);
+        }
+        if !self.roster.leaves().is_empty() || self.roster.departure_count() > 0 {
             // A crashed process may have replaced the file without syncing the directory.
             self.store_leaves(cx);
         }
@@ -238,9 +245,10 @@
         self.neighbours = local.map(|member| member.instance).collect();
         self.tree.set_members(cx.now(), controls, &self.neighbours, self.is_large_fleet);
         let added = self.update_followed(cx.now());
-        for source in added {
-            self.send(source, Transport::Udp, &self.follow_message());
+        for source in &added {
+            self.send(source.clone(), Transport::Udp, &self.follow_message());
         }
+        self.want_departures(added);
     }
 
     /// Selects the instances to follow, and returns those that were not followed before.
@@ -263,10 +271,11 @@
     }
 
     fn follow(&mut self, cx: CX![]) {
-        self.update_followed(cx.now());
+        let added = self.update_followed(cx.now());
         for source in &self.followed {
             self.send(source.clone(), Transport::Udp, &self.follow_message());
         }
+        self.want_departures(added);
         after!(FOLLOW_PERIOD, [cx], follow());
     }
 
@@ -331,6 +340,11 @@
             }
             Message::StoreEvacuations(orders) => self.store_for(cx, &sender, &orders),
             Message::EvacuationsStored(orders) => self.record_orders_copy(cx, &sender, orders),
+            Message::WantDepartures => {
+                let departures = Message::Departures(self.roster.departures(now));
+                self.send(sender, Transport::Tcp, &departures);
+            }
+            Message::Departures(reports) => self.receive_departures(cx, &sender, reports),
         }
     }
 
--- a/crates/roster/src/durability.rs
+++ b/crates/roster/src/durability.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Record;
+use crate::departure::Departure;
 
 /// Time after which a failed write is repeated.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -147,13 +148,8 @@
 pub enum Leave {
     /// The record of the upstream that leaves or drains.
     Record(Record),
-    /// The leave of an upstream that the sender has not heard of.
-    Unknown {
-        /// Name of the upstream.
-        upstream: Upstream,
-        /// Start of the run that ends, if the upstream reported it.
-        born: Option<u64>,
-    },
+    /// A leave that does not tell which announced run ends.
+    Departure(Departure),
 }
 
 impl Leave {
@@ -161,7 +157,7 @@
     pub fn upstream(&self) -> &Upstream {
         match self {
             Self::Record(record) => &record.announcement.upstream,
-            Self::Unknown { upstream, .. } => upstream,
+            Self::Departure(departure) => &departure.upstream,
         }
     }
 }
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -5,11 +5,12 @@
 use names::Upstream;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::departure::{Addition, Departure, Departures, LATENESS, Report};
 use crate::{Announcement, Record, Status};
 
 /// How long an upstream is kept after it left or was last heard of, so that a delayed announcement
 /// does not add the upstream again. Announcements are delayed by some seconds.
-const RETENTION: Duration = Duration::from_secs(60);
+pub(crate) const RETENTION: Duration = Duration::from_secs(60);
 
 /// Time by which announcements are late at different instances and times. A cold upstream stays cold
 /// for longer than known if its announcement says so by more than this time.
@@ -39,6 +40,20 @@
     Unchanged,
     /// A newer record is known.
     Stale,
+    /// The upstream has left before this announcement of its run arrived.
+    Ended,
+}
+
+/// Result of adding a departure to a roster.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DepartResult {
+    /// The departure is new and has to be sent to other instances. If the upstream was in use, its
+    /// record is changed, too.
+    Changed(Option<Record>),
+    /// The departure is known, or too old to matter.
+    Unchanged,
+    /// There is no room for the departure.
+    Full,
 }
 
 struct Entry {
@@ -77,12 +92,14 @@
 pub struct Roster {
     /// Sorted by name.
     entries: Vec<Entry>,
+    departures: Departures,
 }
 
 impl Roster {
     /// Adds a record, which the upstream itself or another instance sent.
     pub fn merge(&mut self, now: Instant, record: Record) -> MergeResult {
         let result = match self.find(&record.announcement.upstream) {
+            found if self.is_ended(found, now, &record) => MergeResult::Ended,
             Ok(index) => self.update(index, now, record),
             Err(_) if self.is_superseded(&record) => MergeResult::Stale,
             Err(index) => {
@@ -121,6 +138,94 @@
         MergeResult::Changed
     }
 
+    /// Returns whether the run of the record has ended by a departure. A run that is in use goes on: the
+    /// departure ended it when it arrived, or spared it.
+    fn is_ended(&self, found: Result<usize, usize>, now: Instant, record: &Record) -> bool {
+        let Announcement { upstream, born, standing, .. } = &record.announcement;
+        let is_in_use = found.is_ok_and(|index| {
+            let known = &self.entries[index].record.announcement;
+            known.born == *born && known.standing != Status::Gone
+        });
+        *standing != Status::Gone && !is_in_use && self.departures.ends(now, upstream, *born)
+    }
+
+    /// Returns the departure for a leave at `left_at_millis`, in milliseconds of Unix time, or `None`
+    /// if the record of the upstream can hold the leave: it names a run, and the upstream is known.
+    pub fn departure_for(
+        &self,
+        upstream: &Upstream,
+        born: Option<u64>,
+        left_at_millis: u64,
+    ) -> Option<Departure> {
+        let known = self.get(upstream).map(|record| record.announcement.born);
+        if born.is_some() && known.is_some() {
+            return None;
+        }
+        let before = born.is_none().then_some(left_at_millis);
+        Some(Departure { upstream: upstream.clone(), through: born.or(known), before })
+    }
+
+    /// Returns whether a departure of `upstream` can be added.
+    pub fn has_room_for_departure(&self, now: Instant, upstream: &Upstream) -> bool {
+        self.departures.has_room(now, upstream)
+    }
+
+    /// Adds a departure whose leave was at `left_at`, and ends the run in use if the departure ends it.
+    pub fn depart(&mut self, now: Instant, left_at: Instant, departure: Departure) -> DepartResult {
+        let upstream = departure.upstream.clone();
+        match self.departures.add(now, left_at, departure) {
+            Addition::Full => DepartResult::Full,
+            Addition::Unchanged => DepartResult::Unchanged,
+            Addition::Changed => DepartResult::Changed(self.end_run(now, &upstream)),
+        }
+    }
+
+    /// Ends the run of `upstream` that is in use if its departure ends it. Returns the new record.
+    fn end_run(&mut self, now: Instant, upstream: &Upstream) -> Option<Record> {
+        let index = self.find(upstream).ok()?;
+        let entry = &mut self.entries[index];
+        let Announcement { born, standing, .. } = &mut entry.record.announcement;
+        if *standing == Status::Gone || !self.departures.ends(now, upstream, *born) {
+            return None;
+        }
+        *standing = Status::Gone;
+        entry.is_durable = false;
+        Some(entry.record.clone())
+    }
+
+    /// Adds a departure that an earlier process of this instance stored, to a roster with the records
+    /// that it stored. A departure ends the run in use before it is stored, so that a run that may
+    /// have ended and is still in use is a later one.
+    pub fn restore_departure(&mut self, now: Instant, departure: Departure) {
+        let is_spared = self.get(&departure.upstream).is_some_and(|record| {
+            let announcement = &record.announcement;
+            announcement.standing != Status::Gone
+                && Departures::may_end(&departure, announcement.born)
+        });
+        let age = if is_spared { LATENESS } else { Duration::ZERO };
+        self.departures.add(now, now.checked_sub(age).unwrap_or(now), departure);
+    }
+
+    /// Returns the departure of `upstream`, if there is one, and whether it is marked as durable.
+    pub fn departure(&self, upstream: &Upstream) -> Option<(&Departure, bool)> {
+        self.departures.get(upstream)
+    }
+
+    /// Marks a departure as durable, unless it has changed.
+    pub fn mark_departure_durable(&mut self, departure: &Departure) {
+        self.departures.mark_durable(departure);
+    }
+
+    /// Returns all departures.
+    pub fn departures(&self, now: Instant) -> Vec<Report> {
+        self.departures.reports(now)
+    }
+
+    /// Returns the number of departures.
+    pub fn departure_count(&self) -> usize {
+        self.departures.len()
+    }
+
     /// Records that an upstream leaves, as announced by the upstream or on its behalf. The leave
     /// applies to the run that started at `born`, or to the known run if `born` is `None`.
     pub fn withdraw(
@@ -278,5 +383,6 @@
 
     fn drop_expired(&mut self, now: Instant) {
         self.entries.retain(|entry| now < entry.last_heard + RETENTION);
+        self.departures.drop_expired(now);
     }
 }
--- a/crates/roster/tests/durability.rs
+++ b/crates/roster/tests/durability.rs
@@ -8,6 +8,7 @@
 
 use names::Instance;
 use proptest::prelude::*;
+use roster::departure::Departure;
 use roster::durability::{
     Holder, Leave, Pledges, Requirement, Revision, Rounds, Step, Ticket, WriteResult, Writer,
 };
@@ -23,7 +24,8 @@
 }
 
 fn leave(upstream: &str) -> Leave {
-    Leave::Unknown { upstream: upstream.parse().unwrap(), born: None }
+    let upstream = upstream.parse().unwrap();
+    Leave::Departure(Departure { upstream, through: None, before: Some(1) })
 }
 
 /// Names of the upstreams whose leaves an instance knows, or a disk holds.
@@ -31,7 +33,7 @@
 
 fn name(leave: &Leave) -> String {
     match leave {
-        Leave::Unknown { upstream, .. } => upstream.to_string(),
+        Leave::Departure(departure) => departure.upstream.to_string(),
         Leave::Record(record) => record.announcement.upstream.to_string(),
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -176,6 +176,18 @@
         /// Source of the announcement: `itself` (the upstream) or the name of another instance.
         source: String,
     },
+    /// A leave that does not tell which announced run ends. Announcements of runs that it ends are
+    /// ignored.
+    Departure {
+        /// Name of the upstream.
+        upstream: String,
+        /// Start of the last run that is known to end, in milliseconds of Unix time.
+        through: Option<u64>,
+        /// Time of a leave that names no run, in milliseconds of Unix time.
+        before: Option<u64>,
+        /// Source of the leave: `itself` (the upstream) or the name of another instance.
+        source: String,
+    },
     /// An upstream is avoided: requests go to other upstreams if possible.
     Avoided {
         /// Name of the upstream.
--- a/crates/telemetry/src/relay.rs
+++ b/crates/telemetry/src/relay.rs
@@ -94,6 +94,10 @@
     pub leave_durable: Histogram,
     /// Number of leaves that too few control instances stored in time.
     pub leaves_not_durable: Counter,
+    /// Number of leaves that are kept although they do not tell which announced run ends.
+    pub departures: Gauge,
+    /// Number of such leaves that were refused because too many are kept.
+    pub departures_refused: Counter,
     /// Time until enough control instances have stored a committed document, in seconds.
     pub document_stored: Histogram,
     /// Number of committed documents that too few control instances stored in time.
@@ -144,6 +148,8 @@
             commit: latency_histogram(),
             leave_durable: latency_histogram(),
             leaves_not_durable: Counter::default(),
+            departures: Gauge::default(),
+            departures_refused: Counter::default(),
             document_stored: latency_histogram(),
             documents_not_stored: Counter::default(),
             evacuated_data_centres: Gauge::default(),
@@ -184,6 +190,10 @@
         registry.register("leave_durable_seconds", help, metrics.leave_durable.clone());
         let help = "Leaves that were not durable in time";
         registry.register("leaves_not_durable", help, metrics.leaves_not_durable.clone());
+        let help = "Leaves that are kept and do not tell which announced run ends";
+        registry.register("departures", help, metrics.departures.clone());
+        let help = "Leaves that were refused because too many are kept";
+        registry.register("departures_refused", help, metrics.departures_refused.clone());
         let help = "Time until enough control instances had stored a committed document";
         registry.register("document_stored_seconds", help, metrics.document_stored.clone());
         let help = "Committed documents that were not stored in time";
