Ignore leaves that come late and name no run

What callers saw: an upstream left, and started again under its name. A copy of the leave that was held up on its way to another control instance ended the new run, which got no requests for the rest of its life.

Cause: a leave that names no run ends the runs that are known when it is read, and was applied whether or not its caller still waited.

Evidence: the log lines of the test: upstream with the status gone and the start of the new run, at the instance whose link was held up.

Leaves that name a run are applied at once.

Why this works: an upstream closes the connection after a second and sends the leave elsewhere; the end follows a leave that was held up.

--- a/crates/relay/src/control/leaves.rs
+++ b/crates/relay/src/control/leaves.rs
@@ -1,9 +1,56 @@
-//! Answers to the leaves of upstreams.
+//! Handles the leaves of upstreams.
 
 use entry::{Problem, Status, Unsent};
+use names::Request;
+use stakker::{CX, at, call};
 
-use super::NOT_DURABLE_RETRY_AFTER;
-use crate::feed::Refusal;
+use super::senders::{Confirmation, Step};
+use super::{Control, NOT_DURABLE_RETRY_AFTER};
+use crate::feed::{Acknowledgement, Leaving, Refusal};
+
+impl Control {
+    /// Handles the leave of an upstream. A leave that names no run ends all runs so far. If it is read
+    /// late, its upstream may have left elsewhere and started again, so that it takes effect only if
+    /// its caller still waits.
+    pub(super) fn receive_leave(
+        &mut self,
+        cx: CX![],
+        request: Request,
+        leaving: Leaving,
+        acknowledgement: Acknowledgement,
+    ) {
+        if leaving.born.is_some() {
+            call!([self.feed], withdraw(leaving, acknowledgement));
+            return;
+        }
+        self.senders.add(request);
+        self.confirm_leave(cx, request, (leaving, acknowledgement), Confirmation::default());
+    }
+
+    /// Passes a leave on once it is confirmed that its caller waits.
+    fn confirm_leave(
+        &mut self,
+        cx: CX![],
+        request: Request,
+        (leaving, acknowledgement): (Leaving, Acknowledgement),
+        confirmation: Confirmation,
+    ) {
+        match self.senders.next_step(cx.now(), request, confirmation) {
+            Step::CheckAt(at, confirmation) => {
+                let leave = (leaving, acknowledgement);
+                at!(at, [cx], confirm_leave(request, leave, confirmation));
+            }
+            Step::Proceed => {
+                self.senders.remove(request);
+                call!([self.feed], withdraw(leaving, acknowledgement));
+            }
+            Step::Drop => {
+                let upstream = &leaving.upstream;
+                log::info!("ignored a leave of upstream {upstream}, whose caller has left");
+            }
+        }
+    }
+}
 
 /// Returns the answer to a leave that is not acknowledged.
 pub(super) fn problem(refusal: Refusal, unsent: &Unsent) -> Problem {
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -120,7 +120,7 @@
                     Ok(()) => {
                         let acknowledgement = self.acknowledgement(unsent, reply);
                         let leaving = Leaving { upstream, born, left_at_millis };
-                        call!([self.feed], withdraw(leaving, acknowledgement));
+                        self.receive_leave(cx, id, leaving, acknowledgement);
                     }
                     Err(error) => self.refuse_announcement(&error, &reply),
                 }
--- a/tests/platform_early_leaves.rs
+++ b/tests/platform_early_leaves.rs
@@ -240,3 +240,34 @@
     std::thread::sleep(CONTACT_TIME);
     assert_unused(&machines, &[&earlier, &later]);
 }
+
+/// Guards against a leave of an earlier run that ends the next one, because it was held up on its way.
+#[test]
+fn a_leave_that_arrives_late_does_not_end_the_next_run() {
+    let mut proxies = Vec::new();
+    let (machines, _remaining) = start(|machine| {
+        if proxies.is_empty() {
+            proxies = machine.listen_behind_proxies();
+        }
+    });
+    let controls: Vec<SocketAddr> = machines.controls.iter().map(Machine::control).collect();
+    let earlier = Upstream::start("i-early");
+    assert!(earlier.announce(controls[1], &earlier.worker.announcement("ready")));
+    wait_until_used(&machines, &earlier, CONTACT_TIME);
+    // The second proxy is that for operators and announcements.
+    proxies[1].change(|faults| faults.is_cut = true);
+    assert_eq!(earlier.leave(controls[0], Leave::Unnamed), None);
+    earlier.leave_until_acknowledged(controls[1], Leave::Unnamed);
+    earlier.worker.end();
+    let next = Upstream::start("i-early");
+    wait_for("the next run to be used", || {
+        assert!(next.announce(controls[1], &next.worker.announcement("ready")));
+        let since = Instant::now();
+        send_probes(&machines, Duration::from_millis(300));
+        (next.requests_since(since) > 0).then_some(())
+    });
+    proxies[1].change(|faults| faults.is_cut = false);
+    std::thread::sleep(CONTACT_TIME);
+    assert!(next.announce(controls[1], &next.worker.announcement("ready")));
+    wait_until_used(&machines, &next, CONTACT_TIME);
+}
