Pass a request on after its socket is read

What callers saw: an instance paused, and callers closed their connections meanwhile. When it woke, it sent one of 20 requests to an upstream, a booking too, although its caller had left.

Cause: a connection passed a request to its handler as soon as it was complete, before it read the end of the connection that followed it. A request that met an open connection to its upstream was sent in the same turn of the event loop.

Evidence: the failing test; the others of the 20 requests were cancelled while their connections to the upstream were being opened.

Change: a request is passed on once the socket has nothing more to read. If the connection has ended by then, the handler learns of neither. The type that confirms callers at control instances is named after them.

Why this works: what arrived during a pause is read before anything is passed on. The socket was read to the end before, too, so that no read is added.

Test: platform_gone_callers failed on, bookings and reads, and passes.

Measured: nothing besides tests.

--- a/crates/entry/src/connection/closing.rs
+++ b/crates/entry/src/connection/closing.rs
@@ -18,9 +18,13 @@
         }
     }
 
-    /// Tells the handler about an unanswered request and stops the actor.
+    /// Tells the handler about an unanswered request, unless it does not know the request yet, and
+    /// stops the actor.
     pub(super) fn disconnect(&mut self, cx: CX![]) {
-        if let Phase::Answering { id, .. } = self.phase {
+        let is_unknown = self.arrived.take().is_some();
+        if let Phase::Answering { id, .. } = self.phase
+            && !is_unknown
+        {
             self.handler.fwd(Event::Left { request: id });
         }
         self.stop(cx);
--- a/crates/entry/src/connection/mod.rs
+++ b/crates/entry/src/connection/mod.rs
@@ -95,6 +95,9 @@
     stream: TcpStreamBuf,
     received: Vec<u8>,
     phase: Phase,
+    /// The request that was read and is passed to the handler once the socket has nothing more to
+    /// read. After a pause of the process, the end of the connection may follow the request.
+    arrived: Option<Event>,
     deadline: Instant,
     is_read_open: bool,
     /// Whether the connection closes after the current or next answer.
@@ -154,6 +157,7 @@
             stream,
             received: Vec::new(),
             phase: Phase::Receiving { body: None },
+            arrived: None,
             deadline,
             is_read_open: true,
             is_draining: false,
@@ -284,7 +288,7 @@
                         self.refuse_without_memory(cx);
                     }
                 }
-                ReadStatus::WouldBlock => return,
+                ReadStatus::WouldBlock => break,
                 ReadStatus::EndOfStream if matches!(self.phase, Phase::Closing) => {
                     self.is_read_open = false;
                 }
@@ -294,6 +298,9 @@
                 }
             }
         }
+        if let Some(arrived) = self.arrived.take() {
+            self.handler.fwd(arrived);
+        }
     }
 
     /// Returns whether more bytes may be read. This limits how much a caller can send before it has
@@ -308,8 +315,8 @@
         }
     }
 
-    /// Parses the next request from the received bytes and passes it to the handler if it is
-    /// complete.
+    /// Parses the next request from the received bytes. If it is complete, [`read`](Self::read)
+    /// passes it to the handler.
     fn receive(&mut self, cx: CX![]) {
         if let Phase::Receiving { body: None } = self.phase
             && !self.receive_head(cx)
@@ -324,7 +331,7 @@
         }
         match body.read(&mut self.received, self.bounds.get().body_bytes) {
             BodyOutcome::Partial => {}
-            BodyOutcome::Complete(bytes) => self.forward_request(cx, bytes),
+            BodyOutcome::Complete(bytes) => self.complete_request(cx, bytes),
             BodyOutcome::Refused(problem) => self.refuse(cx, problem),
         }
     }
@@ -361,8 +368,8 @@
         }
     }
 
-    /// Passes a complete request to the handler.
-    fn forward_request(&mut self, cx: CX![], body: Vec<u8>) {
+    /// Begins to wait for the answer to a complete request.
+    fn complete_request(&mut self, cx: CX![], body: Vec<u8>) {
         self.is_new = false;
         let id = names::Request(rand::rng().random());
         let keeps_alive = !self.is_draining;
@@ -388,7 +395,7 @@
         let request =
             Request { id, method: head.method, path: head.path, headers: head.headers, body };
         let reply = fwd_to!([cx], answer(id) as (Reply));
-        self.handler.fwd(Event::Arrived { request, unsent: Unsent::new(), hold, reply });
+        self.arrived = Some(Event::Arrived { request, unsent: Unsent::new(), hold, reply });
     }
 
     /// Reads the next request once all output is sent, so that a caller that reads no answers cannot
--- a/crates/relay/src/control/senders.rs
+++ b/crates/relay/src/control/callers.rs
@@ -29,18 +29,18 @@
     CheckAt(Instant, Confirmation),
     /// Handle the request, since its caller waits.
     Proceed,
-    /// Drop the request, since its caller has left.
-    Drop,
+    /// Ignore the request, since its caller has left.
+    Ignore,
 }
 
 /// Requests whose callers wait for an answer.
 #[derive(Debug, Default)]
-pub(super) struct Senders {
+pub(super) struct Callers {
     /// Sorted.
     waiting: Vec<Request>,
 }
 
-impl Senders {
+impl Callers {
     /// Adds a request whose caller is connected.
     pub(super) fn add(&mut self, request: Request) {
         if let Err(index) = self.waiting.binary_search(&request) {
@@ -64,7 +64,7 @@
     ) -> Step {
         let is_waiting = self.waiting.binary_search(&request).is_ok();
         match confirmation.checks_left.checked_sub(1) {
-            _ if !is_waiting => Step::Drop,
+            _ if !is_waiting => Step::Ignore,
             Some(checks_left) => Step::CheckAt(now + CHECK_DELAY, Confirmation { checks_left }),
             None => Step::Proceed,
         }
--- a/crates/relay/src/control/evacuation_orders.rs
+++ b/crates/relay/src/control/evacuation_orders.rs
@@ -16,7 +16,7 @@
 use state::ProposalOutcome;
 use telemetry::Event as LogEvent;
 
-use super::senders::{Confirmation, Step};
+use super::callers::{Confirmation, Step};
 use super::{Control, NOT_DURABLE_RETRY_AFTER, no_quorum};
 use crate::feed::Storage;
 
@@ -48,18 +48,18 @@
         let arrived_at = cx.now();
         let pending =
             PendingOrder { request, data_centre, is_evacuated, base, arrived_at, unsent, reply };
-        self.senders.add(request);
+        self.callers.add(request);
         self.confirm_order(cx, pending, Confirmation::default());
     }
 
     /// Proposes an order once it is confirmed that its caller waits.
     fn confirm_order(&mut self, cx: CX![], pending: PendingOrder, confirmation: Confirmation) {
-        match self.senders.next_step(cx.now(), pending.request, confirmation) {
+        match self.callers.next_step(cx.now(), pending.request, confirmation) {
             Step::CheckAt(at, confirmation) => {
                 at!(at, [cx], confirm_order(pending, confirmation));
             }
             Step::Proceed => self.propose_order(cx, pending),
-            Step::Drop => {
+            Step::Ignore => {
                 self.log_order(cx.now(), &pending, pending.base, "left");
                 self.metrics.relay.count_evacuation_order("left");
             }
@@ -150,7 +150,7 @@
         outcome: &'static str,
         problem: Option<Problem>,
     ) {
-        self.senders.remove(pending.request);
+        self.callers.remove(pending.request);
         self.log_order(now, pending, number, outcome);
         self.metrics.relay.count_evacuation_order(outcome);
         let control = &self.interface.control;
--- a/crates/relay/src/control/leaves.rs
+++ b/crates/relay/src/control/leaves.rs
@@ -4,7 +4,7 @@
 use names::Request;
 use stakker::{CX, at, call};
 
-use super::senders::{Confirmation, Step};
+use super::callers::{Confirmation, Step};
 use super::{Control, NOT_DURABLE_RETRY_AFTER};
 use crate::feed::{Acknowledgement, Leaving, Refusal};
 
@@ -23,7 +23,7 @@
             call!([self.feed], withdraw(leaving, acknowledgement));
             return;
         }
-        self.senders.add(request);
+        self.callers.add(request);
         self.confirm_leave(cx, request, (leaving, acknowledgement), Confirmation::default());
     }
 
@@ -35,16 +35,16 @@
         (leaving, acknowledgement): (Leaving, Acknowledgement),
         confirmation: Confirmation,
     ) {
-        match self.senders.next_step(cx.now(), request, confirmation) {
+        match self.callers.next_step(cx.now(), request, confirmation) {
             Step::CheckAt(at, confirmation) => {
                 let leave = (leaving, acknowledgement);
                 at!(at, [cx], confirm_leave(request, leave, confirmation));
             }
             Step::Proceed => {
-                self.senders.remove(request);
+                self.callers.remove(request);
                 call!([self.feed], withdraw(leaving, acknowledgement));
             }
-            Step::Drop => {
+            Step::Ignore => {
                 let upstream = &leaving.upstream;
                 log::info!("ignored a leave of upstream {upstream}, whose caller has left");
             }
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -1,9 +1,9 @@
 //! Actor that serves upstreams and operators at a control instance.
 
+mod callers;
 mod document_reads;
 mod evacuation_orders;
 mod leaves;
-mod senders;
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -22,8 +22,8 @@
 use crate::feed::{Acknowledgement, Feed, Leaving, Storage};
 use crate::interface::{ControlRequest, Interface};
 use crate::shared_state::SharedState;
+use callers::Callers;
 use document_reads::{DocumentRead, DocumentReads};
-use senders::Senders;
 
 /// Time after which a client retries while no quorum is reachable.
 const NO_QUORUM_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -54,7 +54,7 @@
     /// Reads of the newest document.
     reads: DocumentReads,
     /// Callers of the requests that take effect only if their callers wait.
-    senders: Senders,
+    callers: Callers,
 }
 
 impl Control {
@@ -79,7 +79,7 @@
             metrics,
             quorum_lost_since: None,
             reads,
-            senders: Senders::default(),
+            callers: Callers::default(),
         })
     }
 
@@ -90,7 +90,7 @@
                 self.handle_request(cx, request, (unsent, hold), reply)
             }
             Event::Left { request } => {
-                self.senders.remove(request);
+                self.callers.remove(request);
                 self.cancel_read(cx, request);
             }
             Event::Refused { reason } => log::info!("closed a control connection: {reason}"),
