Ask for departures among control instances, and count copies for repeats

An upstream whose leave was not acknowledged within a second waited for all disks again with each repeat.

Cause: each entry instance asked each control instance for departures over a connection of its own, at the time at which they fetch everything else. A repeated leave that names no run has a later time, so that it was another departure, of which no disk had a copy.

Change: only control instances ask. A leave that arrives within 3 s of the kept one, with no later run known, is a repeat and has its departure.

Why this works: a control instance that has a departure sends no record of the runs that it ends, and entry instances get records from there alone. An announcement of a run that a repeat within 3 s would end in addition began after the first leave.

Test: roster departure a_repeated_leave_is_the_same_departure.

--- a/crates/relay/src/feed/departures.rs
+++ b/crates/relay/src/feed/departures.rs
@@ -1,8 +1,9 @@
 //! Distributes leaves that do not tell which announced run ends.
 //!
-//! New departures are sent to followers at once. An instance that starts, or that was cut off, asks the
-//! instances that it follows. An instance that sends a record of a run that has ended gets the
-//! departure in return.
+//! New departures are sent to followers at once. A control instance that starts, or that was cut off,
+//! asks the others. An instance that sends a record of a run that has ended gets the departure in
+//! return. Entry instances do not ask: control instances that have a departure send them no record of
+//! the runs that it ends.
 
 use std::time::Instant;
 
@@ -18,8 +19,11 @@
 use super::message::Message;
 
 impl Feed {
-    /// Asks the instances `sources` for their departures, until they answer.
+    /// Asks the control instances `sources` for their departures, until they answer.
     pub(super) fn want_departures(&mut self, sources: Vec<Instance>) {
+        if !self.is_control {
+            return;
+        }
         self.unheard_sources.extend(sources);
         self.unheard_sources.retain(|source| self.followed.contains(source));
         self.unheard_sources.sort();
--- a/crates/relay/src/feed/mod.rs
+++ b/crates/relay/src/feed/mod.rs
@@ -102,7 +102,7 @@
     tree: Tree,
     /// Instances that are followed now.
     followed: Vec<Instance>,
-    /// Followed instances that have not sent their departures yet, sorted.
+    /// Other control instances that have not sent their departures yet, sorted.
     unheard_sources: Vec<Instance>,
     is_large_fleet: bool,
     /// Other entry instances of the data centre.
--- a/crates/roster/src/departure.rs
+++ b/crates/roster/src/departure.rs
@@ -87,6 +87,19 @@
         }
     }
 
+    /// Returns whether `other` is the same leave, repeated because the first acknowledgement did not
+    /// arrive. Its copies count for the repeat, which would otherwise wait for disks from the beginning.
+    pub(crate) fn is_repeated_by(&self, other: &Self) -> bool {
+        let is_same_time = match (self.before, other.before) {
+            (Some(before), Some(repeated)) => {
+                repeated <= before.saturating_add(CLOCK_TOLERANCE_MILLIS)
+            }
+            (_, None) => true,
+            (None, Some(_)) => false,
+        };
+        other.through <= self.through && is_same_time
+    }
+
     /// Adds the runs that `other` ends. Returns whether there are any.
     fn include(&mut self, other: &Self) -> bool {
         let (through, before) = (self.through.max(other.through), self.before.max(other.before));
--- a/crates/roster/src/registry.rs
+++ b/crates/roster/src/registry.rs
@@ -150,7 +150,8 @@
     }
 
     /// Returns the departure for a leave at `left_at_millis`, in milliseconds of Unix time, or `None`
-    /// if the record of the upstream can hold the leave: it names a run, and the upstream is known.
+    /// if the record of the upstream can hold the leave: it names a run, and the upstream is known. A
+    /// repeated leave has the same departure.
     pub fn departure_for(
         &self,
         upstream: &Upstream,
@@ -162,7 +163,9 @@
             return None;
         }
         let before = born.is_none().then_some(left_at_millis);
-        Some(Departure { upstream: upstream.clone(), through: born.or(known), before })
+        let departure = Departure { upstream: upstream.clone(), through: born.or(known), before };
+        let kept = self.departures.get(upstream).map(|(kept, _)| kept);
+        Some(kept.filter(|kept| kept.is_repeated_by(&departure)).cloned().unwrap_or(departure))
     }
 
     /// Returns whether a departure of `upstream` can be added.
--- a/crates/roster/tests/departure.rs
+++ b/crates/roster/tests/departure.rs
@@ -273,6 +273,29 @@
     assert!(!is_present(&roster));
 }
 
+/// Guards against a repeated leave that waits for disks from the beginning, and against the leave of the
+/// next run that is taken for a repeat.
+#[test_case(None, 0, 1000, true; "no run and a second later")]
+#[test_case(None, 0, CLOCK_TOLERANCE_MILLIS + 1, false; "no run and later")]
+#[test_case(None, START_MILLIS + 500, 1000, false; "no run after the next run was known")]
+#[test_case(Some(500), 0, 60_000, true; "the same run")]
+fn a_repeated_leave_is_the_same_departure(
+    named: Option<u64>,
+    next_run: u64,
+    delay: u64,
+    is_same: bool,
+) {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    leave(&mut roster, now, named, START_MILLIS);
+    let first = roster.departure(&upstream("a")).unwrap().0.clone();
+    if next_run > 0 {
+        roster.merge(now + LATENESS, record(next_run, 1));
+    }
+    let repeated = roster.departure_for(&upstream("a"), named, START_MILLIS + delay);
+    assert_eq!(repeated == Some(first), is_same, "{repeated:?}");
+}
+
 /// Guards against leaves without a limit, and against a limit at which a recent leave is dropped.
 #[test]
 fn recent_leaves_are_not_dropped_for_others() {
