Decide the framing of an answer once

What callers saw: an upstream sent an answer whose head told the length of its body wrongly, and the caller got a complete 200. With both a length and chunks, plain routes got the body cut to the length (10 of 30 bytes); with a sign before the length, a blank that is not ASCII behind it, a second transfer-encoding, or chunks in HTTP/1.0, all routes got 200.

Cause: the framing was decided three times from the same fields. The reader let chunks win over a length, the forwarder took the length for the caller, and Head::has_delimited_body searched the text for "chunked". Each used str::trim and the parser of integers, which accept more than the grammar, and the first of several fields.

Evidence: a stand-in that sends such answers, on four routes, at once, byte by byte and split within the line.

Change: the crate http1 turns the fields of a head into one checked Framing, which the reader uses and passes on to the forwarder, the adapters and the stream tracker. What two readers could understand differently breaks a rule, and the rule is part of the failure. The fields of interim answers, 204, 304 and answers to HEAD are checked too.

Why this works: there is no second reading that could disagree, and a head that is refused is a failure before anything is passed on: 502, may have run, and the connection is closed.

The tests of the reader name the rule that they expect.

--- a/crates/context/src/moves.rs
+++ b/crates/context/src/moves.rs
@@ -145,8 +145,8 @@
         limit: usize,
     ) -> Result<MoveStep, TransferError> {
         match progress {
-            Progress::Head { status, headers } => {
-                self.head = Some(Head { status, headers });
+            Progress::Head { status, headers, framing } => {
+                self.head = Some(Head { status, headers, framing });
                 Ok(MoveStep::Wait)
             }
             Progress::Body(part) if self.body.len() + part.len() > limit => {
--- a/crates/context/tests/moves.rs
+++ b/crates/context/tests/moves.rs
@@ -9,6 +9,7 @@
     TransferError,
 };
 use dispatch::{Call, Field, Progress, Verdict};
+use http1::Framing;
 use names::Attempt;
 use test_case::test_case;
 
@@ -38,7 +39,8 @@
 
 fn head(status: u16, attempt: u128) -> Progress {
     let value = Attempt(attempt as _).to_string();
-    Progress::Head { status, headers: vec![Field { name: "x-attempt-id".to_string(), value }] }
+    let headers = vec![Field { name: "x-attempt-id".to_string(), value }];
+    Progress::Head { status, headers, framing: Framing::UntilClose }
 }
 
 fn body(text: &str) -> Progress {
@@ -92,7 +94,7 @@
 
 /// Returns the progress of a call whose connection is lost.
 fn connection_lost() -> Progress {
-    Progress::Failed { verdict: Verdict::MayHaveRun, reason: "cut".to_string() }
+    Progress::Failed { verdict: Verdict::MayHaveRun, rule: None, reason: "cut".to_string() }
 }
 
 #[test_case(vec![head(404, 7), Progress::End], "engine-1"; "no export")]
--- a/crates/dispatch/src/adapter/mod.rs
+++ b/crates/dispatch/src/adapter/mod.rs
@@ -3,6 +3,7 @@
 mod chat_completions;
 mod plain;
 
+use http1::Framing;
 use names::Attempt;
 
 use crate::{Field, Verdict};
@@ -28,6 +29,8 @@
     pub status: u16,
     /// Response headers.
     pub headers: Vec<Field>,
+    /// Where the body ends.
+    pub framing: Framing,
 }
 
 impl Head {
@@ -36,12 +39,10 @@
         self.headers.iter().find(|field| field.name == name).map(|field| field.value.as_str())
     }
 
-    /// Returns whether the headers delimit the body, so that the end of the body can be
+    /// Returns whether the head delimits the body, so that the end of the body can be
     /// distinguished from a broken connection.
     pub fn has_delimited_body(&self) -> bool {
-        matches!(self.status, 204 | 304)
-            || self.header("content-length").is_some()
-            || self.header("transfer-encoding").is_some_and(|value| value.contains("chunked"))
+        matches!(self.status, 204 | 304) || self.framing.is_delimited()
     }
 
     /// Returns whether the response carries the id of `attempt`.
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use http1::{Framing, Rule};
 use names::Attempt;
 
 use crate::{Outbound, Verdict};
@@ -59,6 +60,8 @@
         status: u16,
         /// Response headers.
         headers: Vec<Field>,
+        /// Where the body ends.
+        framing: Framing,
     },
     /// The next bytes of the response body arrived.
     Body(Vec<u8>),
@@ -77,6 +80,8 @@
     Failed {
         /// Whether the request may have run.
         verdict: Verdict,
+        /// Rule of HTTP/1.1 that the response breaks, if that is the failure.
+        rule: Option<Rule>,
         /// Description of the failure.
         reason: String,
     },
--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use http1::Rule;
 use names::Attempt;
 use stakker::{Actor, CX, FixedTimerKey, Fwd, at, call, fwd_to, stop};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
 
-use super::reader::{ResponsePart, ResponseReader};
+use super::reader::{ResponseError, ResponsePart, ResponseReader};
 use super::{Client, KeepAlive, MAX_UNCONSUMED_BYTES, Outbound};
 use crate::{CallEvent, Progress, Verdict};
 
@@ -325,8 +326,8 @@
             match job.reader.next_part() {
                 Ok(None) => break,
                 Ok(Some(ResponsePart::Body(bytes))) => body.extend_from_slice(&bytes),
-                Ok(Some(ResponsePart::Head { status, headers })) => {
-                    self.report(Progress::Head { status, headers });
+                Ok(Some(ResponsePart::Head { status, headers, framing })) => {
+                    self.report(Progress::Head { status, headers, framing });
                 }
                 Ok(Some(ResponsePart::End)) => {
                     self.report_body(&mut body);
@@ -339,7 +340,7 @@
                 }
                 Err(error) => {
                     self.report_body(&mut body);
-                    self.fail(cx, &format!("the answer is {error}"));
+                    self.fail_malformed(cx, error);
                     return false;
                 }
             }
@@ -435,8 +436,21 @@
         );
     }
 
+    /// Ends the call whose response is malformed and closes the connection.
+    fn fail_malformed(&mut self, cx: CX![], error: ResponseError) {
+        let rule = match error {
+            ResponseError::Malformed(rule) => Some(rule),
+            ResponseError::Truncated => None,
+        };
+        self.end_failed(cx, rule, &format!("the answer is {error}"));
+    }
+
     /// Ends the call with a failure and closes the connection.
     fn fail(&mut self, cx: CX![], reason: &str) {
+        self.end_failed(cx, None, reason);
+    }
+
+    fn end_failed(&mut self, cx: CX![], rule: Option<Rule>, reason: &str) {
         let is_stale = self.sent == 0 && self.is_reused;
         let Some(job) = self.job.take() else {
             stop!(cx);
@@ -452,7 +466,7 @@
             let attempt = job.attempt();
             call!([self.client], call_finished(attempt));
             if !self.is_discarded {
-                let progress = Progress::Failed { verdict, reason: reason.to_string() };
+                let progress = Progress::Failed { verdict, rule, reason: reason.to_string() };
                 self.events.fwd(CallEvent { attempt, progress });
             }
         }
--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -161,7 +161,7 @@
         let now = cx.now();
         if outbound.deadline.is_some_and(|deadline| deadline <= now) {
             let reason = "the deadline passed before the call".to_string();
-            let progress = Progress::Failed { verdict: Verdict::NotRun, reason };
+            let progress = Progress::Failed { verdict: Verdict::NotRun, rule: None, reason };
             self.events.fwd(CallEvent { attempt: outbound.attempt, progress });
             return;
         }
--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -1,5 +1,7 @@
 //! Incremental parser for HTTP/1 responses.
 
+use http1::{Declaration, Framing, Rule, Version};
+
 use crate::Field;
 
 /// Largest size of a response head in bytes.
@@ -47,6 +49,8 @@
         status: u16,
         /// Headers with names in lower case.
         headers: Vec<Field>,
+        /// Where the body ends.
+        framing: Framing,
     },
     /// The next bytes of the body.
     Body(Vec<u8>),
@@ -55,12 +59,13 @@
 }
 
 /// Error in a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum ResponseError {
     /// The bytes are not a valid HTTP response, or the response exceeds a size limit.
-    Malformed,
+    #[error("malformed: {0}")]
+    Malformed(#[from] Rule),
     /// The connection was closed before the response was complete.
+    #[error("truncated")]
     Truncated,
 }
 
@@ -201,7 +206,7 @@
     fn count_unmatched(&mut self, bytes: usize) -> Result<(), ResponseError> {
         self.unmatched_bytes += bytes;
         if self.unmatched_bytes > MAX_UNMATCHED_BYTES {
-            Err(ResponseError::Malformed)
+            Err(Rule::OtherResponses.into())
         } else {
             Ok(())
         }
@@ -215,41 +220,49 @@
             Ok(httparse::Status::Partial) if self.buffer.len() < MAX_HEAD_BYTES => {
                 return Ok(Step::NeedMoreBytes);
             }
-            Ok(httparse::Status::Partial) | Err(_) => return Err(ResponseError::Malformed),
+            Ok(httparse::Status::Partial) => return Err(Rule::HeadSize.into()),
+            Err(error) => return Err(broken_rule(error).into()),
         };
-        let status = response.code.ok_or(ResponseError::Malformed)?;
-        let is_http_1_1 = response.version == Some(1);
+        let status = response.code.ok_or(Rule::Status)?;
+        let version = if response.version == Some(1) { Version::Http11 } else { Version::Http10 };
         let headers = convert_headers(response.headers)?;
         self.buffer.drain(..length);
+        // Checked for every head, since damage to a status may hide the body that follows.
+        let fields = headers.iter().map(|field| (field.name.as_str(), field.value.as_str()));
+        let framing = Framing::try_from(Declaration::new(version, fields))?;
         match status {
             // No request asks to switch protocols.
-            101 => return Err(ResponseError::Malformed),
+            101 => return Err(Rule::Status.into()),
             100..=199 if self.interim_heads >= MAX_INTERIM_HEADS => {
-                return Err(ResponseError::Malformed);
+                return Err(Rule::OtherResponses.into());
             }
             100..=199 => {
                 self.interim_heads += 1;
                 return Ok(Step::Continue);
             }
             200..=599 => {}
-            _ => return Err(ResponseError::Malformed),
+            _ => return Err(Rule::Status.into()),
         }
-        self.read_connection_headers(is_http_1_1, &headers);
+        self.read_connection_headers(version, &headers);
         let differs = |echo: &CorrelationHeader| {
             let found = find_header(&headers, &echo.name);
             found.is_some_and(|value| value != echo.value)
         };
         self.is_unmatched = self.echo.as_ref().is_some_and(differs);
         let has_no_body = matches!(status, 204 | 304) || (self.has_no_body && !self.is_unmatched);
-        self.state =
-            if has_no_body { State::FixedLength(0) } else { initial_body_state(&headers)? };
-        Ok(Step::Emit(ResponsePart::Head { status, headers }))
+        self.state = match framing {
+            _ if has_no_body => State::FixedLength(0),
+            Framing::Length(length) => State::FixedLength(length.0),
+            Framing::Chunks => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
+        };
+        Ok(Step::Emit(ResponsePart::Head { status, headers, framing }))
     }
 
-    fn read_connection_headers(&mut self, is_http_1_1: bool, headers: &[Field]) {
+    fn read_connection_headers(&mut self, version: Version, headers: &[Field]) {
         let has_close = find_header(headers, "connection")
             .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
-        self.is_keep_alive = is_http_1_1 && !has_close;
+        self.is_keep_alive = version == Version::Http11 && !has_close;
         let timeout = find_header(headers, "keep-alive").and_then(|value| {
             let mut parameters =
                 value.split(',').filter_map(|parameter| parameter.trim().split_once('='));
@@ -299,7 +312,7 @@
             Ok(httparse::Status::Partial) if self.buffer.len() < MAX_LINE_BYTES => {
                 Ok(Step::NeedMoreBytes)
             }
-            Ok(httparse::Status::Partial) | Err(_) => Err(ResponseError::Malformed),
+            Ok(httparse::Status::Partial) | Err(_) => Err(Rule::ChunkSize.into()),
         }
     }
 
@@ -311,7 +324,7 @@
                 self.state = State::ChunkSize;
                 Ok(Step::Continue)
             }
-            Some(_) => Err(ResponseError::Malformed),
+            Some(_) => Err(Rule::ChunkEnd.into()),
         }
     }
 
@@ -319,16 +332,12 @@
     fn read_trailer(&mut self) -> Result<Step, ResponseError> {
         let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") else {
             let is_too_long = self.buffer.len() >= MAX_LINE_BYTES;
-            return if is_too_long {
-                Err(ResponseError::Malformed)
-            } else {
-                Ok(Step::NeedMoreBytes)
-            };
+            return if is_too_long { Err(Rule::Trailer.into()) } else { Ok(Step::NeedMoreBytes) };
         };
         self.buffer.drain(..end + 2);
         self.trailer_bytes += end + 2;
         if self.trailer_bytes > MAX_TRAILER_BYTES {
-            return Err(ResponseError::Malformed);
+            return Err(Rule::Trailer.into());
         }
         if end > 0 {
             return Ok(Step::Continue);
@@ -344,9 +353,21 @@
     Emit(ResponsePart),
 }
 
+fn broken_rule(error: httparse::Error) -> Rule {
+    match error {
+        httparse::Error::HeaderName => Rule::FieldLine,
+        httparse::Error::HeaderValue => Rule::FieldValue,
+        httparse::Error::NewLine => Rule::LineEnd,
+        httparse::Error::TooManyHeaders => Rule::HeadSize,
+        httparse::Error::Status | httparse::Error::Token | httparse::Error::Version => {
+            Rule::StartLine
+        }
+    }
+}
+
 fn convert_headers(raw: &[httparse::Header<'_>]) -> Result<Vec<Field>, ResponseError> {
     let convert = |header: &httparse::Header<'_>| {
-        let value = std::str::from_utf8(header.value).map_err(|_| ResponseError::Malformed)?;
+        let value = std::str::from_utf8(header.value).map_err(|_| Rule::FieldValue)?;
         Ok(Field { name: header.name.to_ascii_lowercase(), value: value.to_string() })
     };
     raw.iter().map(convert).collect()
@@ -356,21 +377,3 @@
     let field = headers.iter().find(|field| field.name == name)?;
     Some(field.value.trim())
 }
-
-fn initial_body_state(headers: &[Field]) -> Result<State, ResponseError> {
-    if let Some(encoding) = find_header(headers, "transfer-encoding") {
-        let is_chunked = encoding.eq_ignore_ascii_case("chunked");
-        return if is_chunked { Ok(State::ChunkSize) } else { Err(ResponseError::Malformed) };
-    }
-    let mut lengths = headers.iter().filter(|field| field.name == "content-length");
-    match (lengths.next(), lengths.next()) {
-        (None, _) => Ok(State::UntilClose),
-        (Some(length), None) => length
-            .value
-            .trim()
-            .parse()
-            .map(State::FixedLength)
-            .map_err(|_| ResponseError::Malformed),
-        (Some(_), Some(_)) => Err(ResponseError::Malformed),
-    }
-}
--- a/crates/dispatch/tests/endless.rs
+++ b/crates/dispatch/tests/endless.rs
@@ -63,7 +63,8 @@
         match collect_parts(&mut reader, &mut body) {
             Ok(has_ended) => assert!(!has_ended),
             Err(error) => {
-                assert_eq!((error, body.len()), (ResponseError::Malformed, 0));
+                assert!(matches!(error, ResponseError::Malformed(_)), "{error}");
+                assert_eq!(body.len(), 0);
                 return;
             }
         }
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use dispatch::{CorrelationHeader, Field, ResponseError, ResponsePart, ResponseReader};
+use http1::Rule;
 use test_case::test_case;
 
 #[derive(Debug, Default, PartialEq)]
@@ -124,13 +125,28 @@
     assert!(parse("HTTP/1.1 204 No Content\r\n\r\n", 512, false, false).has_ended);
 }
 
-#[test_case("garbage\r\n\r\n"; "invalid head")]
-#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n"; "two lengths")]
-#[test_case("HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n"; "length that is not a number")]
-#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n"; "unknown encoding")]
-#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n"; "invalid chunk size")]
-fn bytes_that_are_no_response_are_malformed(bytes: &str) {
-    assert_eq!(parse(bytes, 512, false, false).error, Some(ResponseError::Malformed));
+#[test_case("garbage\r\n\r\n", Rule::StartLine; "invalid head")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n", Rule::ContentLength; "two lengths")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n", Rule::ContentLength; "length that is not a number")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: +5\r\n\r\nhello", Rule::ContentLength; "length with a sign")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 5\u{a0}\r\n\r\nhello", Rule::ContentLength; "length with a blank that is not ASCII")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n", Rule::TransferEncoding; "unknown encoding")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n\r\n", Rule::TransferEncoding; "two encodings")]
+#[test_case("HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", Rule::TransferEncoding; "encoding in a version without encodings")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", Rule::LengthAndEncoding; "length and chunks")]
+#[test_case("HTTP/1.1 204 No Content\r\ncontent-length: x\r\n\r\n", Rule::ContentLength; "invalid length of a response without a body")]
+#[test_case("HTTP/1.1 100 Continue\r\ncontent-length: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", Rule::ContentLength; "invalid length of an interim response")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", Rule::ChunkSize; "invalid chunk size")]
+fn bytes_that_are_no_response_are_malformed(bytes: &str, rule: Rule) {
+    for has_no_body in [false, true].into_iter().take(if rule == Rule::ChunkSize { 1 } else { 2 }) {
+        let parsed = parse(bytes, 512, false, has_no_body);
+        assert_eq!(parsed.error, Some(ResponseError::Malformed(rule)));
+        assert!(!parsed.has_ended && !parsed.is_reusable, "{parsed:?}");
+    }
+}
+
+fn invalid_status() -> Option<ResponseError> {
+    Some(ResponseError::Malformed(Rule::Status))
 }
 
 /// Guards against a status that no HTTP response may have and that reaches the caller as an answer.
@@ -143,10 +159,10 @@
     for framing in ["content-length: 5\r\n\r\nhello", "\r\nhello"] {
         let head = format!("HTTP/1.1 {status} Odd\r\nx-id: mine\r\n");
         let parsed = parse(&format!("{head}{framing}"), 512, true, false);
-        assert_eq!(parsed.error, Some(ResponseError::Malformed), "{framing:?}: {parsed:?}");
+        assert_eq!(parsed.error, invalid_status(), "{framing:?}: {parsed:?}");
         assert!(parsed.statuses.is_empty() && !parsed.has_ended, "{framing:?}: {parsed:?}");
         let parsed = parse(&format!("{head}\r\n{FIXED_LENGTH}"), 512, true, false);
-        assert_eq!(parsed.error, Some(ResponseError::Malformed), "as interim head: {parsed:?}");
+        assert_eq!(parsed.error, invalid_status(), "as interim head: {parsed:?}");
     }
 }
 
--- a/crates/dispatch/tests/unframed.rs
+++ b/crates/dispatch/tests/unframed.rs
@@ -1,13 +1,18 @@
 //! Whole bodies that the adapters accept although nothing frames them.
 
+#![allow(clippy::unwrap_used)]
+
 use dispatch::{Adapter, ChatCompletions, Field, Head, Plain};
+use http1::{Declaration, Framing, Version};
 use test_case::test_case;
 
 const ERROR: &str = "{\"error\": {\"message\": \"no such model\"}}";
 
 fn head(status: u16, framing: Option<(&str, &str)>) -> Head {
     let field = |(name, value): (&str, &str)| Field { name: name.into(), value: value.into() };
-    Head { status, headers: framing.map(field).into_iter().collect() }
+    let declaration = Declaration::new(Version::Http11, framing);
+    let headers = framing.map(field).into_iter().collect();
+    Head { status, headers, framing: Framing::try_from(declaration).unwrap() }
 }
 
 #[test_case(200; "answer")]
--- a/crates/forward/tests/resumed_streams.rs
+++ b/crates/forward/tests/resumed_streams.rs
@@ -4,6 +4,7 @@
 
 use dispatch::{Field, Head, StreamError};
 use forward::{EventBoundary, StreamTracker};
+use http1::{Declaration, Framing, Version};
 use test_case::test_case;
 
 const HEAD_TEXT: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\n";
@@ -17,7 +18,9 @@
         name: (*name).to_string(),
         value: (*value).to_string(),
     };
-    Head { status, headers: headers.iter().map(field).collect() }
+    let declaration = Declaration::new(Version::Http11, headers.iter().copied());
+    let framing = Framing::try_from(declaration).unwrap();
+    Head { status, headers: headers.iter().map(field).collect(), framing }
 }
 
 fn chunked_stream() -> Head {
--- /dev/null
+++ b/crates/http1/src/lib.rs
@@ -0,0 +1,15 @@
+//! Rules of HTTP/1.1 that decide where a message ends (RFC 9112, sections 2.2, 5, 6 and 7.1).
+//!
+//! A [`Framing`] is decided once from the [`Declaration`] of a head, and every reader of the message
+//! uses it. Grammar is checked to the letter: a line that breaks a [`Rule`] may be a damaged one that
+//! told of another length.
+
+mod declaration;
+mod framing;
+mod length;
+mod rule;
+
+pub use declaration::{Declaration, Version};
+pub use framing::Framing;
+pub use length::Length;
+pub use rule::Rule;
--- a/crates/instance/src/router/response.rs
+++ b/crates/instance/src/router/response.rs
@@ -130,13 +130,15 @@
     /// `limit` bytes.
     pub(super) fn process(&mut self, progress: Progress, limit: usize) -> ResponseStep {
         match progress {
-            Progress::Head { status, headers } => self.start(Head { status, headers }),
+            Progress::Head { status, headers, framing } => {
+                self.start(Head { status, headers, framing })
+            }
             Progress::Body(part) => self.add(&part, limit),
             // The adapter checks a response without a length or chunks by its content.
             Progress::End | Progress::Closed => self.end(),
             Progress::Failed { .. } if self.is_complete_stream() => self.end(),
             Progress::NotSent { reason } => attempt_failed(Verdict::NotRun, reason),
-            Progress::Failed { verdict, reason } => attempt_failed(verdict, reason),
+            Progress::Failed { verdict, reason, .. } => attempt_failed(verdict, reason),
         }
     }
 
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use dispatch::{CallEvent, Field, Head, Progress, StreamError, Verdict};
+use dispatch::{CallEvent, Head, Progress, StreamError, Verdict};
 use entry::{Reply, Status};
 use forward::{EventBoundary, LATENCY_SAMPLE_EVENTS, RetryDecision, StreamTracker, stall_timeout};
 use names::Upstream;
@@ -30,7 +30,9 @@
             self.table.record_bytes(cx.now(), &upstream);
         }
         match progress {
-            Progress::Head { status, headers } => self.receive_head(cx, id, status, headers),
+            Progress::Head { status, headers, framing } => {
+                self.receive_head(cx, id, Head { status, headers, framing });
+            }
             Progress::Body(part) => {
                 call!([self.client], record_consumed(attempt, part.len()));
                 self.receive_part(cx, id, part);
@@ -41,7 +43,7 @@
                 let running = self.stop_attempt(cx, id);
                 self.retry_or_finish(cx, id, running, Verdict::NotRun, &reason);
             }
-            Progress::Failed { verdict, reason } => {
+            Progress::Failed { verdict, reason, .. } => {
                 self.receive_break(cx, id, verdict, reason);
             }
         }
@@ -105,16 +107,16 @@
         }
     }
 
-    fn receive_head(&mut self, cx: CX![], id: names::Request, status: u16, headers: Vec<Field>) {
-        let now = cx.now();
+    fn receive_head(&mut self, cx: CX![], id: names::Request, head: Head) {
+        let (now, status) = (cx.now(), head.status);
         let upstreams = self.interface.upstreams.clone();
-        let response = upstreams.parse_response_head(status, &headers);
+        let response = upstreams.parse_response_head(status, &head.headers);
         let Some(active) = self.active(id) else {
             return;
         };
         let is_refusal = response.is_wrong_upstream || response.has_not_run;
         let echo = upstreams.expected_echo(&active.request);
-        let names_request = echo.is_none_or(|echo| echo.is_in(&headers));
+        let names_request = echo.is_none_or(|echo| echo.is_in(&head.headers));
         let is_unproven_promise = response.promises_not_run && !active.route.repeat.is_idempotent();
         let service = active.service.clone();
         let timeout = stall_timeout(active.route.objective, active.route.pause);
@@ -190,7 +192,7 @@
                 return;
             }
         }
-        self.start_response(cx, id, status, headers);
+        self.start_response(cx, id, head);
     }
 
     /// Records that an engine has processed the context of a request, because the engine responds
@@ -230,17 +232,16 @@
     }
 
     /// Forwards the head of a response.
-    fn start_response(&mut self, cx: CX![], id: names::Request, status: u16, headers: Vec<Field>) {
+    fn start_response(&mut self, cx: CX![], id: names::Request, head: Head) {
         let Ok(index) = self.find(id) else {
             return;
         };
-        let head = Head { status, headers };
         if self.requests[index].is_started {
             self.resume_response(cx, id, &head);
             return;
         }
         let event_stream = forward::is_event_stream(&head);
-        let headers = head.headers;
+        let Head { status, headers, framing } = head;
         let is_streaming = self.requests[index].route.is_streaming;
         if let Some(running) = &mut self.requests[index].running {
             running.boundary = match event_stream {
@@ -253,7 +254,7 @@
         let has_no_body = matches!(status, 204 | 304);
         let length = match is_streaming && status == Status::OK.0 {
             true => None,
-            false => content_length(&headers),
+            false => framing.length(),
         };
         let headers = self.interface.upstreams.response_headers(headers);
         let status = Status(status);
@@ -451,8 +452,3 @@
         self.finish(cx, id);
     }
 }
-
-fn content_length(headers: &[Field]) -> Option<u64> {
-    let field = headers.iter().find(|field| field.name == "content-length")?;
-    field.value.trim().parse().ok()
-}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -11,6 +11,7 @@
 mod http;
 mod load;
 pub mod machines;
+pub mod malformed;
 mod operator_client;
 pub mod platform_calls;
 mod process;
--- a/tests/support/script.rs
+++ b/tests/support/script.rs
@@ -1,12 +1,16 @@
 //! Scripted answers of an upstream: any bytes, followed by any end of the connection.
 
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 /// Pause within an answer, in which the first bytes arrive on their own.
 pub const PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause after a byte that arrives on its own.
+const BYTE_PAUSE: Duration = Duration::from_micros(300);
+
 /// A request to be answered by a script.
 pub struct ScriptedRequest<'a> {
     /// Value of the header `request-id`.
@@ -24,6 +28,8 @@
 pub enum End {
     /// The upstream closes the connection and goes on.
     Close,
+    /// The upstream keeps the connection open and reads the next request from it.
+    KeepOpen,
     /// The upstream resets the connection and goes on.
     Reset,
     /// The upstream closes the connection, and its host responds to no new ones from then on.
@@ -42,6 +48,19 @@
     ReadThenClose,
 }
 
+/// How the bytes of an answer arrive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    AtOnce,
+    /// Each byte on its own.
+    ByteByByte,
+    /// With a pause of [`PAUSE`] at each [`SPLIT_MARK`].
+    Split,
+}
+
+/// Mark in the bytes of an answer that is not sent, see [`Arrival::Split`].
+pub const SPLIT_MARK: char = '^';
+
 /// Answer to one request.
 #[derive(Debug, Clone)]
 pub struct Script {
@@ -49,6 +68,8 @@
     pub bytes: Vec<u8>,
     /// Number of bytes of the body after which the upstream pauses for [`PAUSE`], if it does.
     pub pause_at: Option<usize>,
+    /// How the bytes arrive; `None` for the head at once, and the body as `pause_at` says.
+    pub arrival: Option<Arrival>,
     pub end: End,
 }
 
@@ -58,7 +79,7 @@
     where
         T: Into<String>,
     {
-        Self { bytes: text.into().into_bytes(), pause_at: None, end }
+        Self { bytes: text.into().into_bytes(), pause_at: None, arrival: None, end }
     }
 
     /// Returns the length of the head, including the empty line that ends it.
@@ -68,6 +89,26 @@
     }
 }
 
+/// Sends `text` as `arrival` says. A pause follows the bytes that are sent on their own, so that
+/// their receiver reads them apart.
+pub fn send_text(stream: &mut TcpStream, text: &str, arrival: Arrival) -> std::io::Result<()> {
+    match arrival {
+        Arrival::AtOnce => stream.write_all(text.replace(SPLIT_MARK, "").as_bytes()),
+        Arrival::ByteByByte => {
+            text.replace(SPLIT_MARK, "").as_bytes().iter().try_for_each(|byte| {
+                stream.write_all(&[*byte])?;
+                std::thread::sleep(BYTE_PAUSE);
+                Ok(())
+            })
+        }
+        Arrival::Split => text.split(SPLIT_MARK).try_for_each(|part| {
+            stream.write_all(part.as_bytes())?;
+            std::thread::sleep(PAUSE);
+            Ok(())
+        }),
+    }
+}
+
 /// Opens connections to `address` until its queue of connections that were not accepted is full.
 /// The host drops further ones while the returned connections are open.
 pub fn fill_queue(address: SocketAddr) -> Vec<TcpStream> {
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -291,6 +291,12 @@
         self.shared.received_requests.lock().unwrap().clone()
     }
 
+    /// Forgets the requests that arrived so far.
+    pub fn forget_requests(&self) {
+        self.shared.received_requests.lock().unwrap().clear();
+        self.shared.executed_requests.lock().unwrap().clear();
+    }
+
     /// Returns all requests that the upstream has executed.
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
         self.shared.executed_requests.lock().unwrap().clone()
@@ -559,7 +565,7 @@
     }
 }
 
-/// Sends a scripted answer and ends the connection.
+/// Sends a scripted answer and does with the connection what the script says.
 fn perform(
     shared: &WorkerState,
     id: &str,
@@ -570,6 +576,11 @@
         shared.is_hanging.store(true, Ordering::Relaxed);
         *shared.waiting_connections.lock().unwrap() = script::fill_queue(shared.address);
     }
+    if let Some(arrival) = script.arrival {
+        let text = String::from_utf8_lossy(&script.bytes).replace("ID", id);
+        script::send_text(writer, &text, arrival)?;
+        return end_answer(shared, script.end, writer);
+    }
     let (head, body) = script.bytes.split_at(script.head_length());
     writer.write_all(String::from_utf8_lossy(head).replace("ID", id).as_bytes())?;
     let (first, rest) = body.split_at(script.pause_at.unwrap_or(body.len()));
@@ -578,7 +589,17 @@
         std::thread::sleep(script::PAUSE);
         writer.write_all(rest)?;
     }
-    match script.end {
+    end_answer(shared, script.end, writer)
+}
+
+/// Does with the connection what follows the bytes of a scripted answer.
+fn end_answer(
+    shared: &WorkerState,
+    end_of_answer: End,
+    writer: &mut TcpStream,
+) -> std::io::Result<()> {
+    match end_of_answer {
+        End::KeepOpen => return Ok(()),
         End::Close | End::CloseAndHang => {}
         End::Reset => reset_on_close(writer),
         End::CloseThenReset => {
@@ -596,7 +617,7 @@
             while !shared.is_listener_closed.load(Ordering::Relaxed) {
                 std::thread::sleep(Duration::from_millis(1));
             }
-            match script.end {
+            match end_of_answer {
                 End::CrashWithResets => end_with_resets(shared),
                 _ => end(shared),
             }
