Refuse answers whose head has a line that ends with LF alone

What callers saw: an upstream sent a head in which one line was a line feed alone. The caller got a complete 200, and the fields behind that line as the beginning of the body. A field that ended with LF alone, and an empty line before the head, were accepted as well.

Cause: the parser of heads takes LF alone for a line end and for the end of the head, and skips empty lines before the head, which RFC 9112 allows before a request only.

The other ways (no colon, blank before the colon, folded line, empty name, CR alone) got 502 before.

Change: http1::check_line_ends checks the bytes of a head, also while the head is incomplete, and a head that begins with a line end is refused.

Why this works: RFC 9112 lets a recipient accept LF alone, and does not ask for it; no sender may send it. A head in which every line ends with CR LF ends at the first empty line, as its upstream meant.

The test that compares parses of damaged answers in pieces of several sizes no longer compares the rule, which errors did not have before: which of several broken rules is seen first depends on what has arrived.

--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -216,8 +216,16 @@
         let mut raw = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut response = httparse::Response::new(&mut raw);
         let length = match response.parse(&self.buffer) {
-            Ok(httparse::Status::Complete(length)) => length,
+            // The parser skips empty lines, which may come before a request only.
+            _ if matches!(self.buffer.first(), Some(b'\r' | b'\n')) => {
+                return Err(Rule::StartLine.into());
+            }
+            Ok(httparse::Status::Complete(length)) => {
+                http1::check_line_ends(&self.buffer[..length])?;
+                length
+            }
             Ok(httparse::Status::Partial) if self.buffer.len() < MAX_HEAD_BYTES => {
+                http1::check_line_ends(&self.buffer)?;
                 return Ok(Step::NeedMoreBytes);
             }
             Ok(httparse::Status::Partial) => return Err(Rule::HeadSize.into()),
--- a/crates/dispatch/tests/endless.rs
+++ b/crates/dispatch/tests/endless.rs
@@ -124,18 +124,37 @@
     }
 }
 
+/// Outcome of a response. A head that breaks several rules is refused for the one that is seen first,
+/// which depends on what has arrived.
+#[derive(Debug, PartialEq)]
+enum Outcome {
+    Ended(bool),
+    Malformed,
+    Truncated,
+}
+
+impl From<Result<bool, ResponseError>> for Outcome {
+    fn from(result: Result<bool, ResponseError>) -> Self {
+        match result {
+            Ok(has_ended) => Self::Ended(has_ended),
+            Err(ResponseError::Malformed(_)) => Self::Malformed,
+            Err(ResponseError::Truncated) => Self::Truncated,
+        }
+    }
+}
+
 /// Parses `bytes` in chunks of `chunk_size` bytes and returns the body and the outcome.
-fn parse(bytes: &[u8], chunk_size: usize) -> (Vec<u8>, Result<bool, ResponseError>) {
+fn parse(bytes: &[u8], chunk_size: usize) -> (Vec<u8>, Outcome) {
     let (mut reader, mut body) = (reader(), Vec::new());
     for part in bytes.chunks(chunk_size) {
         reader.push(part);
         match collect_parts(&mut reader, &mut body) {
             Ok(false) => {}
-            outcome => return (body, outcome),
+            outcome => return (body, outcome.into()),
         }
     }
     let closed = reader.close();
-    (body, closed.map(|()| true))
+    (body, closed.map(|()| true).into())
 }
 
 #[test_case(1; "seed 1")]
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -126,6 +126,12 @@
 }
 
 #[test_case("garbage\r\n\r\n", Rule::StartLine; "invalid head")]
+#[test_case("\r\nHTTP/1.1 204 No Content\r\n\r\n", Rule::StartLine; "empty line before the head")]
+#[test_case("HTTP/1.1 204 No Content\n\r\n", Rule::LineEnd; "status line that ends with a line feed")]
+#[test_case("HTTP/1.1 200 OK\r\n\ncontent-length: 5\r\n\r\nhello", Rule::LineEnd; "line that is a line feed")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 0\n\r\n", Rule::LineEnd; "field that ends with a line feed")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\n", Rule::LineEnd; "head that ends with a line feed")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx: y\n", Rule::LineEnd; "head that goes on behind a line feed")]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n", Rule::ContentLength; "two lengths")]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n", Rule::ContentLength; "length that is not a number")]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: +5\r\n\r\nhello", Rule::ContentLength; "length with a sign")]
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -6,10 +6,12 @@
 
 mod declaration;
 mod framing;
+mod head;
 mod length;
 mod rule;
 
 pub use declaration::{Declaration, Version};
 pub use framing::Framing;
+pub use head::check_line_ends;
 pub use length::Length;
 pub use rule::Rule;
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -122,6 +122,7 @@
 /// Guards against an answer with a malformed head that a caller gets as an answer, and against a
 /// connection that is used again after one.
 #[test_case(HeadFault::Length; "length of the body")]
+#[test_case(HeadFault::Line; "line that is no field")]
 #[test_case(HeadFault::Status; "status 000")]
 #[test_case(HeadFault::Name; "blank or control byte in a name")]
 fn an_answer_with_a_malformed_head_is_a_failure_of_its_upstream(fault: HeadFault) {
