Cut streams whose framing breaks behind the last event

What callers saw: on the own interface, a streamed chat ended as complete although the bytes behind its last event were not what its framing allows.

Cause: a failed attempt counted as the proper end of a stream whose [DONE] had been passed on. This is right for a connection that breaks there. But chunk lines that are damaged earlier can move bytes into the body, and the first rule that the answer breaks visibly may be behind [DONE].

Evidence: a stand-in that sends a byte more behind the chunk with [DONE]: 200, with the last chunk.

Change: only a failure that breaks no rule of the framing may be the end of a whole stream. Behind [DONE] no other attempt resumes the stream.

Why this works: the caller sees the connection close without the last chunk, as for every other answer that broke off.

Test: malformed_answers_own a_stream_whose_framing_is_malformed_behind_its_last_event_is_cut failed on the parent commit and passes.

--- a/crates/instance/src/router/response.rs
+++ b/crates/instance/src/router/response.rs
@@ -98,9 +98,11 @@
     }
 
     /// Returns whether another attempt can resume the stream where this attempt stopped. After an
-    /// upstream that did not resume it, only one that the request left before can.
+    /// upstream that did not resume it, only one that the request left before can. Behind the last
+    /// event there is nothing to resume.
     pub(super) fn can_resume(&self, can_return: bool) -> bool {
-        self.adapter.can_resume() && (self.is_resumed || can_return)
+        let may_return = self.is_resumed || can_return;
+        self.adapter.can_resume() && may_return && !self.joiner.is_complete()
     }
 
     /// Drops what the ended attempt has left.
@@ -136,7 +138,8 @@
             Progress::Body(part) => self.add(&part, limit),
             // The adapter checks a response without a length or chunks by its content.
             Progress::End | Progress::Closed => self.end(),
-            Progress::Failed { .. } if self.is_complete_stream() => self.end(),
+            // The last event proves the end, unless the framing around the events is damaged.
+            Progress::Failed { rule: None, .. } if self.is_complete_stream() => self.end(),
             Progress::NotSent { reason } => attempt_failed(Verdict::NotRun, reason),
             Progress::Failed { verdict, reason, .. } => attempt_failed(verdict, reason),
         }
--- a/tests/malformed_answers_own.rs
+++ b/tests/malformed_answers_own.rs
@@ -213,3 +213,14 @@
         check_kinds(answers, end);
     }
 }
+
+/// Guards against a stream that passes as complete because of its last event, although the framing
+/// around its events is damaged.
+#[test]
+fn a_stream_whose_framing_is_malformed_behind_its_last_event_is_cut() {
+    let [_, _, stream] = kinds();
+    let text = stream.text(7);
+    let head = format!("HTTP/1.1 200 OK\r\n{}transfer-encoding: chunked\r\n\r\n", stream.fields());
+    let answer = format!("{head}{:x}\r\n{text}^x\r\n0\r\n\r\n", text.len());
+    Deployment::start().check(&stream, &[answer], End::KeepOpen, Arrival::Split);
+}
