Check the lines between chunks and behind them to the letter

What callers saw: an upstream sent an answer in chunks, one of whose lines was damaged, and the caller got half of the body, or a body that was not the upstream's, as a complete 200.

Cause: the parser of chunk sizes takes a line without a digit (empty, a blank, an extension alone) for the size 0, which ends the body, and accepts blanks behind a size and any bytes in an extension. Trailers were skipped unread, so that a chunk behind a size that had turned into 0 counted as trailers.

Change: http1::Chunks reads sizes, extensions, line ends and trailers by the grammar of RFC 9112, section 7.1. Trailers that are fields are still dropped, and extensions that are valid are ignored.

Why this works: a size needs a digit, so that no damage other than one that leaves a valid size line ends the body early, and then what follows has to be fields or the end.

The reader's tests have 19 broken chunks, and four sound ones with zeros, extensions and trailers.

--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -1,6 +1,6 @@
 //! Incremental parser for HTTP/1 responses.
 
-use http1::{Declaration, Framing, Rule, Version};
+use http1::{Bounds, Chunks, Declaration, Framing, Rule, Step as ChunkStep, Version};
 
 use crate::Field;
 
@@ -10,11 +10,8 @@
 /// Largest number of headers in a response.
 const MAX_HEADERS: usize = 64;
 
-/// Largest length of a chunk-size line and of a trailer line in bytes.
-const MAX_LINE_BYTES: usize = 4096;
-
-/// Largest total size of all trailer lines in bytes.
-const MAX_TRAILER_BYTES: usize = 64 << 10;
+/// Limits on the lines between the chunks of a response and behind them.
+const CHUNK_BOUNDS: Bounds = Bounds { line_bytes: 4096, trailer_bytes: 64 << 10 };
 
 /// Largest number of interim (1xx) responses before the final response. A correct upstream sends at
 /// most one.
@@ -73,10 +70,7 @@
 enum State {
     Head,
     FixedLength(u64),
-    ChunkSize,
-    Chunk(u64),
-    ChunkTerminator,
-    Trailer,
+    Chunks(Chunks),
     UntilClose,
     Done,
 }
@@ -93,7 +87,6 @@
     /// Whether bytes arrived after the end of the response.
     has_excess_bytes: bool,
     interim_heads: usize,
-    trailer_bytes: usize,
     unmatched_bytes: usize,
     is_keep_alive: bool,
     /// Idle timeout in seconds that the upstream announced in the `keep-alive` header.
@@ -113,7 +106,6 @@
             is_unmatched: false,
             has_excess_bytes: false,
             interim_heads: 0,
-            trailer_bytes: 0,
             unmatched_bytes: 0,
             is_keep_alive: true,
             keep_alive_seconds: None,
@@ -156,12 +148,9 @@
         loop {
             let step = match self.state {
                 State::Head => self.read_head()?,
-                State::FixedLength(remaining) => self.read_bytes(remaining, State::FixedLength),
-                State::Chunk(remaining) => self.read_bytes(remaining, State::Chunk),
+                State::FixedLength(remaining) => self.read_bytes(remaining),
+                State::Chunks(chunks) => self.read_chunks(chunks)?,
                 State::UntilClose => self.read_until_close(),
-                State::ChunkSize => self.read_chunk_size()?,
-                State::ChunkTerminator => self.read_chunk_terminator()?,
-                State::Trailer => self.read_trailer()?,
                 State::Done => return Ok(None),
             };
             match step {
@@ -261,7 +250,7 @@
         self.state = match framing {
             _ if has_no_body => State::FixedLength(0),
             Framing::Length(length) => State::FixedLength(length.0),
-            Framing::Chunks => State::ChunkSize,
+            Framing::Chunks => State::Chunks(Chunks::new(CHUNK_BOUNDS)),
             Framing::UntilClose => State::UntilClose,
         };
         Ok(Step::Emit(ResponsePart::Head { status, headers, framing }))
@@ -280,17 +269,9 @@
         self.keep_alive_seconds = timeout;
     }
 
-    /// Reads up to `remaining` bytes of the body. `state` creates the next state from the number of
-    /// bytes that remain afterwards.
-    fn read_bytes<S>(&mut self, remaining: u64, state: S) -> Step
-    where
-        S: Fn(u64) -> State,
-    {
+    /// Reads up to `remaining` bytes of the body.
+    fn read_bytes(&mut self, remaining: u64) -> Step {
         if remaining == 0 {
-            if matches!(self.state, State::Chunk(_)) {
-                self.state = State::ChunkTerminator;
-                return Step::Continue;
-            }
             self.state = State::Done;
             return Step::Emit(ResponsePart::End);
         }
@@ -299,7 +280,7 @@
         }
         let length = self.buffer.len().min(usize::try_from(remaining).unwrap_or(usize::MAX));
         let part: Vec<u8> = self.buffer.drain(..length).collect();
-        self.state = state(remaining - length as u64);
+        self.state = State::FixedLength(remaining - length as u64);
         Step::Emit(ResponsePart::Body(part))
     }
 
@@ -310,49 +291,25 @@
         }
     }
 
-    fn read_chunk_size(&mut self) -> Result<Step, ResponseError> {
-        match httparse::parse_chunk_size(&self.buffer) {
-            Ok(httparse::Status::Complete((length, size))) => {
-                self.buffer.drain(..length);
-                self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
+    fn read_chunks(&mut self, mut chunks: Chunks) -> Result<Step, ResponseError> {
+        let step = chunks.next(&self.buffer)?;
+        self.state = State::Chunks(chunks);
+        match step {
+            ChunkStep::NeedMoreBytes => Ok(Step::NeedMoreBytes),
+            ChunkStep::Framing(bytes) => {
+                self.buffer.drain(..bytes);
                 Ok(Step::Continue)
             }
-            Ok(httparse::Status::Partial) if self.buffer.len() < MAX_LINE_BYTES => {
-                Ok(Step::NeedMoreBytes)
+            ChunkStep::Data(bytes) => {
+                Ok(Step::Emit(ResponsePart::Body(self.buffer.drain(..bytes).collect())))
             }
-            Ok(httparse::Status::Partial) | Err(_) => Err(Rule::ChunkSize.into()),
-        }
-    }
-
-    fn read_chunk_terminator(&mut self) -> Result<Step, ResponseError> {
-        match self.buffer.get(..2) {
-            None => Ok(Step::NeedMoreBytes),
-            Some(b"\r\n") => {
-                self.buffer.drain(..2);
-                self.state = State::ChunkSize;
-                Ok(Step::Continue)
+            ChunkStep::End(bytes) => {
+                self.buffer.drain(..bytes);
+                self.state = State::Done;
+                Ok(Step::Emit(ResponsePart::End))
             }
-            Some(_) => Err(Rule::ChunkEnd.into()),
         }
     }
-
-    /// Skips the trailers up to and including the empty line that ends them.
-    fn read_trailer(&mut self) -> Result<Step, ResponseError> {
-        let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") else {
-            let is_too_long = self.buffer.len() >= MAX_LINE_BYTES;
-            return if is_too_long { Err(Rule::Trailer.into()) } else { Ok(Step::NeedMoreBytes) };
-        };
-        self.buffer.drain(..end + 2);
-        self.trailer_bytes += end + 2;
-        if self.trailer_bytes > MAX_TRAILER_BYTES {
-            return Err(Rule::Trailer.into());
-        }
-        if end > 0 {
-            return Ok(Step::Continue);
-        }
-        self.state = State::Done;
-        Ok(Step::Emit(ResponsePart::End))
-    }
 }
 
 enum Step {
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -142,15 +142,55 @@
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", Rule::LengthAndEncoding; "length and chunks")]
 #[test_case("HTTP/1.1 204 No Content\r\ncontent-length: x\r\n\r\n", Rule::ContentLength; "invalid length of a response without a body")]
 #[test_case("HTTP/1.1 100 Continue\r\ncontent-length: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", Rule::ContentLength; "invalid length of an interim response")]
-#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", Rule::ChunkSize; "invalid chunk size")]
 fn bytes_that_are_no_response_are_malformed(bytes: &str, rule: Rule) {
-    for has_no_body in [false, true].into_iter().take(if rule == Rule::ChunkSize { 1 } else { 2 }) {
+    for has_no_body in [false, true] {
         let parsed = parse(bytes, 512, false, has_no_body);
         assert_eq!(parsed.error, Some(ResponseError::Malformed(rule)));
         assert!(!parsed.has_ended && !parsed.is_reusable, "{parsed:?}");
     }
 }
 
+const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+#[test_case("zz\r\n", Rule::ChunkSize; "size that is not a number")]
+#[test_case("\r\n\r\n", Rule::ChunkSize; "empty line for a size")]
+#[test_case(" \r\n\r\n", Rule::ChunkSize; "blank for a size")]
+#[test_case(";a\r\n\r\n", Rule::ChunkSize; "extension without a size")]
+#[test_case("5x\r\nhello\r\n0\r\n\r\n", Rule::ChunkSize; "letter behind a size")]
+#[test_case("10000000000000005\r\nhello\r\n0\r\n\r\n", Rule::ChunkSize; "size that is too large")]
+#[test_case("5 \r\nhello\r\n0\r\n\r\n", Rule::ChunkExtension; "blank behind a size")]
+#[test_case("5;\r\nhello\r\n0\r\n\r\n", Rule::ChunkExtension; "extension without a name")]
+#[test_case("5;a=\r\nhello\r\n0\r\n\r\n", Rule::ChunkExtension; "extension without a value")]
+#[test_case("5;a b\r\nhello\r\n0\r\n\r\n", Rule::ChunkExtension; "blank within an extension")]
+#[test_case("5;a=\"b\r\nhello\r\n0\r\n\r\n", Rule::ChunkExtension; "quote that does not end")]
+#[test_case("5\nhello\r\n0\r\n\r\n", Rule::LineEnd; "line feed behind a size")]
+#[test_case("5\r\nhello\n0\r\n\r\n", Rule::LineEnd; "line feed behind a chunk")]
+#[test_case("5\r\nhello!\r\n0\r\n\r\n", Rule::ChunkEnd; "byte behind a chunk")]
+#[test_case("0\r\nhello\r\n0\r\n\r\n", Rule::Trailer; "chunk behind the last one")]
+#[test_case("0\r\nodd name: 1\r\n\r\n", Rule::Trailer; "blank in the name of a trailer")]
+#[test_case("0\r\n folded: 1\r\n\r\n", Rule::Trailer; "trailer that begins with a blank")]
+#[test_case("0\r\nname: \u{7}\r\n\r\n", Rule::Trailer; "control byte in a trailer")]
+#[test_case("0\r\nname: 1\n\r\n", Rule::Trailer; "line feed behind a trailer")]
+fn chunks_that_break_a_rule_are_malformed(chunks: &str, rule: Rule) {
+    for chunk_size in [1, 512] {
+        let parsed = parse(&format!("{CHUNKED_HEAD}{chunks}"), chunk_size, true, false);
+        assert_eq!(parsed.error, Some(ResponseError::Malformed(rule)), "{parsed:?}");
+        assert!(!parsed.has_ended && !parsed.is_reusable, "{parsed:?}");
+    }
+}
+
+#[test_case("5\r\nhello\r\n0\r\n\r\n"; "chunk")]
+#[test_case("000000000000000000005\r\nhello\r\n000\r\n\r\n"; "zeros before a size")]
+#[test_case("2;a\r\nhe\r\n3 ; b = c\t;d=\"e;\\\" \"\r\nllo\r\n0;f\r\n\r\n"; "extensions")]
+#[test_case("5\r\nhello\r\n0\r\none: 1\r\ntwo:\r\nthree:\t \u{e9} 3 \r\n\r\n"; "trailers")]
+fn chunks_that_keep_to_the_rules_are_read(chunks: &str) {
+    for chunk_size in [1, 512] {
+        let parsed = parse(&format!("{CHUNKED_HEAD}{chunks}"), chunk_size, true, false);
+        assert_eq!(parsed.body, b"hello", "{parsed:?}");
+        assert!(parsed.has_ended && parsed.is_reusable, "{parsed:?}");
+    }
+}
+
 fn invalid_status() -> Option<ResponseError> {
     Some(ResponseError::Malformed(Rule::Status))
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -4,12 +4,16 @@
 //! uses it. Grammar is checked to the letter: a line that breaks a [`Rule`] may be a damaged one that
 //! told of another length.
 
+mod chunks;
+mod cursor;
 mod declaration;
+mod field;
 mod framing;
 mod head;
 mod length;
 mod rule;
 
+pub use chunks::{Bounds, Chunks, Step};
 pub use declaration::{Declaration, Version};
 pub use framing::Framing;
 pub use head::check_line_ends;
--- a/crates/http1/src/rule.rs
+++ b/crates/http1/src/rule.rs
@@ -34,9 +34,12 @@
     /// Both `content-length` and `transfer-encoding` are given.
     #[error("it has both a content-length and a transfer-encoding")]
     LengthAndEncoding,
-    /// The line before a chunk does not begin with its size.
-    #[error("the size of a chunk is not a number")]
+    /// The line before a chunk does not begin with its size, or is too long.
+    #[error("the line before a chunk is not its size")]
     ChunkSize,
+    /// The extensions in the line before a chunk are not valid.
+    #[error("the extensions of a chunk are not valid")]
+    ChunkExtension,
     /// Other bytes than a line end follow a chunk.
     #[error("a chunk does not end after its size")]
     ChunkEnd,
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -130,3 +130,12 @@
         .map(|framing| (malformed::heads(fault, framing, FIELDS, BODY), end_of_answer(framing)));
     check_groups(&groups);
 }
+
+/// Guards against a part of an answer that passes as complete because a chunk is malformed.
+#[test]
+fn an_answer_with_malformed_chunks_is_never_complete() {
+    let answers = malformed::chunks(FIELDS, BODY);
+    let groups: Vec<_> =
+        answers.chunks(8).map(|answers| (answers.to_vec(), End::KeepOpen)).collect();
+    check_groups(&groups);
+}
--- a/tests/malformed_answers_own.rs
+++ b/tests/malformed_answers_own.rs
@@ -181,21 +181,26 @@
     }
 }
 
-/// Plays the answers that `answers` returns for each kind of request, in each way of arrival, all at
-/// once on deployments of their own.
+/// Number of answers that are played one after the other.
+const GROUP: usize = 9;
+
+/// Plays the answers that `answers` returns for each kind of request, in each way of arrival, in groups
+/// at the same time on deployments of their own.
 fn check_kinds<F>(answers: F, end: End)
 where
     F: Fn(&Kind) -> Vec<String>,
 {
-    let plays = kinds().into_iter().flat_map(|kind| {
-        let answers = answers(&kind);
-        ARRIVALS.map(|arrival| (kind.clone(), answers.clone(), arrival))
-    });
-    let checks: Vec<_> = plays
-        .map(|(kind, answers, arrival)| {
-            std::thread::spawn(move || Deployment::start().check(&kind, &answers, end, arrival))
-        })
-        .collect();
+    let mut checks = Vec::new();
+    for kind in kinds() {
+        for arrival in ARRIVALS {
+            for group in answers(&kind).chunks(GROUP) {
+                let (kind, group) = (kind.clone(), group.to_vec());
+                checks.push(std::thread::spawn(move || {
+                    Deployment::start().check(&kind, &group, end, arrival);
+                }));
+            }
+        }
+    }
     let failed = checks.into_iter().filter_map(|check| check.join().err()).count();
     assert_eq!(failed, 0, "groups with faults");
 }
@@ -214,6 +219,12 @@
     }
 }
 
+/// Guards against a part of an answer that passes as complete because a chunk is malformed.
+#[test]
+fn an_answer_with_malformed_chunks_is_never_complete() {
+    check_kinds(|kind| malformed::chunks(&kind.fields(), &kind.text(7)), End::KeepOpen);
+}
+
 /// Guards against a stream that passes as complete because of its last event, although the framing
 /// around its events is damaged.
 #[test]
