Decide the length of a request's body as that of an answer

What callers saw: a request whose head told the length of its body wrongly ran: a blank that is not ASCII behind the length or behind "chunked", a second transfer-encoding, chunks in HTTP/1.0.

Cause: as for answers, with a reading of its own: str::trim accepts more blanks than the grammar, and of several transfer-encodings the first one counted.

Change: entry uses http1::Framing. A refusal names the rule.

Why this works: a request is read further only if its head has one meaning; otherwise it is refused with 400 before any byte reaches an upstream.

--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -3,6 +3,7 @@
 use std::str::FromStr;
 
 use dispatch::Verdict;
+use http1::{Declaration, Framing, Rule, Version};
 
 use crate::problem::VERDICT_HEADER;
 use crate::{Method, Problem, Rejection};
@@ -88,21 +89,15 @@
     Some(header.value.trim())
 }
 
-fn body_length(headers: &[Header]) -> Result<BodyLength, String> {
-    let count = headers.iter().filter(|header| header.name == "content-length").count();
-    let length = find(headers, "content-length");
-    let encoding = find(headers, "transfer-encoding");
-    match (length, encoding) {
-        (None, None) => Ok(BodyLength::Known(0)),
-        (None, Some(value)) if value.eq_ignore_ascii_case("chunked") => Ok(BodyLength::Chunked),
-        (None, Some(value)) => Err(format!("transfer-encoding \"{value}\" is not supported")),
-        (Some(_), Some(_)) => Err("both content-length and transfer-encoding are given".into()),
-        (Some(_), None) if count > 1 => Err("content-length is given more than once".into()),
-        (Some(value), None) if value.bytes().all(|byte| byte.is_ascii_digit()) => value
-            .parse()
-            .map(BodyLength::Known)
-            .map_err(|_| format!("content-length \"{value}\" is too large")),
-        (Some(value), None) => Err(format!("content-length \"{value}\" is not a number")),
+/// Returns the length of the body that follows a head.
+fn body_length(version: Version, headers: &[Header]) -> Result<BodyLength, Rule> {
+    let fields = headers.iter().map(|header| (header.name.as_str(), header.value.as_str()));
+    match Framing::try_from(Declaration::new(version, fields))? {
+        Framing::Length(length) => {
+            usize::try_from(length.0).map(BodyLength::Known).map_err(|_| Rule::ContentLength)
+        }
+        Framing::Chunks => Ok(BodyLength::Chunked),
+        Framing::UntilClose => Ok(BodyLength::Known(0)),
     }
 }
 
@@ -135,14 +130,16 @@
         let Some(headers) = collect_headers(request.headers) else {
             return malformed("a header value is not UTF-8");
         };
-        let body = match body_length(&headers) {
+        let version = if request.version == Some(1) { Version::Http11 } else { Version::Http10 };
+        let body = match body_length(version, &headers) {
             Ok(body) => body,
-            Err(message) => return malformed(message),
+            Err(rule) => return malformed(format!("the request is not valid HTTP: {rule}")),
         };
         let connection = find(&headers, "connection").unwrap_or_default().to_ascii_lowercase();
-        let is_http_1_1 = request.version == Some(1);
-        let keeps_alive =
-            if is_http_1_1 { connection != "close" } else { connection == "keep-alive" };
+        let keeps_alive = match version {
+            Version::Http11 => connection != "close",
+            Version::Http10 => connection == "keep-alive",
+        };
         let expects_continue = find(&headers, "expect")
             .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
         ParseOutcome::Complete(Self {
@@ -150,7 +147,7 @@
             path: request.path.unwrap_or_default().to_string(),
             headers,
             keeps_alive,
-            reads_chunks: is_http_1_1,
+            reads_chunks: version == Version::Http11,
             expects_continue,
             length,
             body,
--- a/tests/support/malformed.rs
+++ b/tests/support/malformed.rs
@@ -140,33 +140,47 @@
     chunked_bodies(body).iter().map(|chunks| format!("{head}{chunks}")).collect()
 }
 
-/// Returns `POST` requests for `path`, each of which breaks a rule in its head or in its body.
+/// Rule that a request breaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UploadFault {
+    /// The head does not tell the length of the body, or tells it twice.
+    Length,
+    /// A line of the head is not a field.
+    Line,
+    /// A line between chunks or behind them is not valid.
+    Chunks,
+}
+
+/// Returns `POST` requests for `path` with `body`, one for each way in which they break the rule.
 /// `fields` are the other header lines.
-pub fn uploads(path: &str, fields: &str, body: &str) -> Vec<String> {
+pub fn uploads(fault: UploadFault, path: &str, fields: &str, body: &str) -> Vec<String> {
     let request = |version: &str, lines: &str, encoded: &str| {
         format!("POST {path} HTTP/{version}\r\n{fields}{lines}\r\n\r\n{encoded}")
     };
-    let chunked = "transfer-encoding: chunked";
-    let with_chunks = |chunks: &String| request("1.1", chunked, chunks);
-    let with_lines = |framing: Framing| {
-        let encoded = framing.encode(body);
-        let lines = length_lines(framing, body);
-        lines.into_iter().map(move |lines| request("1.1", &lines, &encoded))
-    };
-    let length = format!("content-length: {}", body.len());
-    let odd_lines = LINES.iter().map(|line| request("1.1", &format!("{line}{length}"), body));
-    let odd_names =
-        NAMES.iter().map(|name| request("1.1", &format!("{name}: 1\r\n{length}"), body));
-    let old_version = request("1.0", chunked, &Framing::Chunks.encode(body));
-    let chunked_bodies = chunked_bodies(body);
-    let bodies = chunked_bodies.iter().map(with_chunks);
-    bodies
-        .chain(with_lines(Framing::Length))
-        .chain(with_lines(Framing::Chunks))
-        .chain(odd_lines)
-        .chain(odd_names)
-        .chain([old_version])
-        .collect()
+    let (chunked, length) = (Framing::Chunks.line(body), Framing::Length.line(body));
+    match fault {
+        UploadFault::Chunks => {
+            chunked_bodies(body).iter().map(|chunks| request("1.1", &chunked, chunks)).collect()
+        }
+        UploadFault::Line => {
+            let lines = LINES.iter().map(|line| request("1.1", &format!("{line}{length}"), body));
+            let names =
+                NAMES.iter().map(|name| request("1.1", &format!("{name}: 1\r\n{length}"), body));
+            lines.chain(names).collect()
+        }
+        UploadFault::Length => {
+            let old_version = request("1.0", &chunked, &Framing::Chunks.encode(body));
+            let framings = [Framing::Length, Framing::Chunks].into_iter();
+            let lines = framings.flat_map(|framing| {
+                let lines = length_lines(framing, body);
+                lines.into_iter().map(move |lines| (framing, lines))
+            });
+            lines
+                .map(|(framing, lines)| request("1.1", &lines, &framing.encode(body)))
+                .chain([old_version])
+                .collect()
+        }
+    }
 }
 
 /// Returns encodings of `body` in chunks that break a rule.
