Refuse requests whose head has a line that ends with LF alone

What callers saw: a line feed alone within the head of a request ended the head. A booking ran with an empty body, and the fields and the body behind that line were read as the next request on the connection.

Cause: the parser of heads takes LF alone for a line end.

Change: entry checks the line ends of heads as the reader of answers does. Empty lines before a request are still skipped if they end with CR LF.

Why this works: the first empty line that ends with CR LF ends the head, so that no byte of a body can be read as a request.

--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -74,6 +74,10 @@
     ParseOutcome::Refused(Problem::rejected(Rejection::BadRequest, "malformed_request", message))
 }
 
+fn broken(rule: Rule) -> ParseOutcome {
+    malformed(format!("the request is not valid HTTP: {rule}"))
+}
+
 fn collect_headers(raw: &[httparse::Header<'_>]) -> Option<Vec<Header>> {
     let mut headers = Vec::with_capacity(raw.len());
     for header in raw {
@@ -108,7 +112,12 @@
         let mut request = httparse::Request::new(&mut raw);
         let length = match request.parse(bytes) {
             Ok(httparse::Status::Complete(length)) if length <= limit => length,
-            Ok(httparse::Status::Partial) if bytes.len() < limit => return ParseOutcome::Partial,
+            Ok(httparse::Status::Partial) if bytes.len() < limit => {
+                return match http1::check_line_ends(bytes) {
+                    Ok(()) => ParseOutcome::Partial,
+                    Err(rule) => broken(rule),
+                };
+            }
             Ok(_) => {
                 let message = format!("request line and headers are larger than {limit} bytes");
                 return ParseOutcome::Refused(Problem::rejected(
@@ -119,6 +128,9 @@
             }
             Err(error) => return malformed(format!("request is not valid HTTP: {error}")),
         };
+        if let Err(rule) = http1::check_line_ends(&bytes[..length]) {
+            return broken(rule);
+        }
         Self::from_request(&request, length)
     }
 
@@ -133,7 +145,7 @@
         let version = if request.version == Some(1) { Version::Http11 } else { Version::Http10 };
         let body = match body_length(version, &headers) {
             Ok(body) => body,
-            Err(rule) => return malformed(format!("the request is not valid HTTP: {rule}")),
+            Err(rule) => return broken(rule),
         };
         let connection = find(&headers, "connection").unwrap_or_default().to_ascii_lowercase();
         let keeps_alive = match version {
