Check the lines between the chunks of a request to the letter

What callers saw: a request in chunks whose last size line had lost its digit (empty, a blank, an extension alone) was accepted, and the part of the body that had arrived ran as a booking. Blanks behind a size and extensions of any bytes were accepted too.

Cause: the parser of chunk sizes takes a line without a digit for the size 0, as in answers.

Change: entry reads bodies with http1::Chunks. Trailers stay refused, as before. A chunk above the limit is refused when its size line is read.

Why this works: only a size line with the digit 0 ends a body, and only the empty line may follow it.

A request with zeros before its sizes and with extensions is served, as before.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -1,10 +1,12 @@
 //! Parser of request bodies with a content-length or in chunked encoding.
 
+use http1::{Bounds, Chunks, Rule, Step};
+
 use crate::head::BodyLength;
 use crate::{Problem, Rejection};
 
-/// Longest line with the size of a chunk.
-const MAX_CHUNK_SIZE_LINE_BYTES: usize = 256;
+/// Limits on the lines between chunks. Trailers are refused, since nothing reads them.
+const CHUNK_BOUNDS: Bounds = Bounds { line_bytes: 256, trailer_bytes: 0 };
 
 /// Size in bytes of the first block of a body in chunks, and of the largest ones. A block is as large
 /// as those before it together, up to this size, so that the blocks need at most twice the bytes that
@@ -23,33 +25,11 @@
     Refused(Problem),
 }
 
-/// Outcome of parsing the size line of the next chunk.
-enum ChunkSize {
-    Partial,
-    /// Length of the size line and size of the chunk's data, in bytes.
-    Complete {
-        line_length: usize,
-        size: usize,
-    },
-    Malformed,
-}
-
-/// Position in a chunked body.
-enum ChunkPosition {
-    /// The next byte belongs to the size line of a chunk.
-    SizeLine,
-    /// This number of bytes of the chunk's data follows.
-    Data(usize),
-    /// The line end after the chunk's data follows.
-    DataEnd,
-    /// The line end after the last chunk follows.
-    LastEnd,
-}
-
 /// A request body that is being received.
 pub(crate) struct Body {
     length: BodyLength,
-    position: ChunkPosition,
+    /// Position in the body, if it comes in chunks.
+    chunks: Chunks,
     /// Bytes that have arrived: one block for a body with a length.
     blocks: Vec<Vec<u8>>,
     collected_bytes: usize,
@@ -60,14 +40,15 @@
     Problem::rejected(Rejection::BodyTooLarge, "body_too_large", message)
 }
 
-fn malformed() -> BodyOutcome {
-    let message = "the chunked body is not valid";
+fn malformed(rule: Rule) -> BodyOutcome {
+    let message = format!("the chunked body is not valid: {rule}");
     BodyOutcome::Refused(Problem::rejected(Rejection::BadRequest, "malformed_request", message))
 }
 
 impl Body {
     pub(crate) fn new(length: BodyLength) -> Self {
-        Self { length, position: ChunkPosition::SizeLine, blocks: Vec::new(), collected_bytes: 0 }
+        let chunks = Chunks::new(CHUNK_BOUNDS);
+        Self { length, chunks, blocks: Vec::new(), collected_bytes: 0 }
     }
 
     /// Returns the number of bytes that are known to be needed for the body: its length, or what has
@@ -153,58 +134,28 @@
     fn read_chunks(&mut self, received: &[u8], read: &mut usize, limit: usize) -> BodyOutcome {
         loop {
             let rest = &received[*read..];
-            match self.position {
-                ChunkPosition::SizeLine => {
-                    let (line_length, size) = match parse_chunk_size(rest) {
-                        ChunkSize::Partial => return BodyOutcome::Partial,
-                        ChunkSize::Malformed => return malformed(),
-                        ChunkSize::Complete { line_length, size } => (line_length, size),
-                    };
-                    if self.collected_bytes + size > limit {
-                        return BodyOutcome::Refused(too_large(limit));
-                    }
-                    *read += line_length;
-                    self.position = match size {
-                        0 => ChunkPosition::LastEnd,
-                        size => ChunkPosition::Data(size),
-                    };
+            match self.chunks.next(rest) {
+                Ok(Step::NeedMoreBytes) => return BodyOutcome::Partial,
+                Ok(Step::Framing(_)) if self.exceeds(limit) => {
+                    return BodyOutcome::Refused(too_large(limit));
                 }
-                ChunkPosition::Data(0) => self.position = ChunkPosition::DataEnd,
-                ChunkPosition::Data(_) if rest.is_empty() => return BodyOutcome::Partial,
-                ChunkPosition::Data(missing) => {
-                    let count = missing.min(rest.len());
-                    self.collect(&rest[..count]);
-                    *read += count;
-                    self.position = ChunkPosition::Data(missing - count);
+                Ok(Step::Framing(bytes)) => *read += bytes,
+                Ok(Step::Data(bytes)) => {
+                    self.collect(&rest[..bytes]);
+                    *read += bytes;
                 }
-                ChunkPosition::DataEnd | ChunkPosition::LastEnd => {
-                    match rest.get(..2) {
-                        None => return BodyOutcome::Partial,
-                        Some(b"\r\n") => *read += 2,
-                        Some(_) => return malformed(),
-                    }
-                    if matches!(self.position, ChunkPosition::LastEnd) {
-                        return BodyOutcome::Complete(self.take());
-                    }
-                    self.position = ChunkPosition::SizeLine;
+                Ok(Step::End(bytes)) => {
+                    *read += bytes;
+                    return BodyOutcome::Complete(self.take());
                 }
+                Err(rule) => return malformed(rule),
             }
         }
     }
-}
 
-fn parse_chunk_size(received: &[u8]) -> ChunkSize {
-    match httparse::parse_chunk_size(received) {
-        Ok(httparse::Status::Complete((line_length, size))) => match usize::try_from(size) {
-            Ok(size) if size <= isize::MAX as usize / 2 => {
-                ChunkSize::Complete { line_length, size }
-            }
-            _ => ChunkSize::Malformed,
-        },
-        Ok(httparse::Status::Partial) if received.len() > MAX_CHUNK_SIZE_LINE_BYTES => {
-            ChunkSize::Malformed
-        }
-        Ok(httparse::Status::Partial) => ChunkSize::Partial,
-        Err(_) => ChunkSize::Malformed,
+    /// Returns whether the body has more than `limit` bytes with the current chunk.
+    fn exceeds(&self, limit: usize) -> bool {
+        let missing = usize::try_from(self.chunks.missing_bytes()).unwrap_or(usize::MAX);
+        self.collected_bytes.saturating_add(missing) > limit
     }
 }
--- a/tests/malformed_uploads.rs
+++ b/tests/malformed_uploads.rs
@@ -66,6 +66,7 @@
 /// read as another request.
 #[test_case(UploadFault::Length; "length of the body")]
 #[test_case(UploadFault::Line; "line that is no field")]
+#[test_case(UploadFault::Chunks; "chunks")]
 fn no_part_of_a_malformed_request_reaches_an_upstream(fault: UploadFault) {
     let deployment = Deployment::start();
     let uploads = malformed::uploads(fault, "/bookings/1", &fields(1), BODY);
@@ -88,6 +89,7 @@
 /// Guards against a malformed request at the product's own interface that is not refused as such.
 #[test_case(UploadFault::Length; "length of the body")]
 #[test_case(UploadFault::Line; "line that is no field")]
+#[test_case(UploadFault::Chunks; "chunks")]
 fn a_malformed_request_at_the_own_interface_is_refused(fault: UploadFault) {
     let fleet = Fleet::start(&["giza"]);
     let fields = format!(
