Log and count malformed answers by the rule that they break

What on-call saw: an answer that is refused for its head or its chunks gave the same line as a connection that broke, and no count told them apart.

Change: the failure of a call names the rule that the answer breaks. The forwarder writes a line `malformed` with request, attempt, upstream, rule and reason before the line `failed`; the own interface logs a warning. Both count turmericrelay_malformed_answers_total by rule, from zero on. What the failure earns the upstream (health, trials) is unchanged.

Tests: malformed_answers a_malformed_answer_is_logged_and_counted_by_the_rule_that_it_breaks and malformed_answers_own a_malformed_answer_is_counted_by_the_rule_that_it_breaks; neither the line nor the metric existed before.

--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -6,6 +6,7 @@
     Call, ConnectionReuse, FailedAttempt, FailureAction, HealthChange, Outbound, Progress, Verdict,
 };
 use entry::{Problem, Reply, Status};
+use http1::Rule;
 use names::Attempt;
 use rand::RngExt;
 use stakker::{CX, at, call};
@@ -106,7 +107,10 @@
         if let Some(running) = active.running_attempt() {
             running.record_progress(&event.progress, now);
         }
-        if let Progress::Failed { verdict, .. } = &event.progress {
+        if let Progress::Failed { verdict, rule, .. } = &event.progress {
+            if let Some(rule) = rule {
+                self.record_malformed(index, *rule);
+            }
             self.suspect_crash(cx, index, *verdict);
         }
         self.record_sound(now, index, false);
@@ -134,6 +138,18 @@
         }
     }
 
+    /// Counts and logs a response that breaks `rule`.
+    fn record_malformed(&mut self, index: usize, rule: Rule) {
+        self.metrics.count_malformed(rule);
+        if let Some(running) = self.active[index].running_attempt() {
+            let (upstream, attempt) = (&running.permit.upstream, running.attempt);
+            log::warn!(
+                "upstream {upstream} sent a malformed answer to attempt {attempt}: {rule}; \
+                 the answer is not passed on as complete"
+            );
+        }
+    }
+
     /// Ends attempts with larger collected responses until a part of the response of `attempt` fits
     /// into the limit on those of all requests together. Returns whether it fits.
     fn make_room(&mut self, cx: CX![], attempt: Attempt, part_bytes: usize) -> bool {
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -5,6 +5,7 @@
 use dispatch::{CallEvent, Head, Progress, StreamError, Verdict};
 use entry::{Reply, Status};
 use forward::{EventBoundary, LATENCY_SAMPLE_EVENTS, RetryDecision, StreamTracker, stall_timeout};
+use http1::Rule;
 use names::Upstream;
 use stakker::{CX, call};
 use telemetry::Event;
@@ -43,12 +44,34 @@
                 let running = self.stop_attempt(cx, id);
                 self.retry_or_finish(cx, id, running, Verdict::NotRun, &reason);
             }
-            Progress::Failed { verdict, reason, .. } => {
+            Progress::Failed { verdict, rule, reason } => {
+                if let Some(rule) = rule {
+                    self.record_malformed(id, rule);
+                }
                 self.receive_break(cx, id, verdict, reason);
             }
         }
     }
 
+    /// Counts and logs a response that breaks `rule`.
+    fn record_malformed(&mut self, id: names::Request, rule: Rule) {
+        self.metrics.count_malformed(rule);
+        let Some(active) = self.active(id) else {
+            return;
+        };
+        if let Some(running) = &active.running {
+            let name: &'static str = rule.into();
+            Event::Malformed {
+                request: active.metadata.id.clone(),
+                attempt: running.attempt.to_string(),
+                upstream: running.upstream.to_string(),
+                rule: name.to_string(),
+                reason: rule.to_string(),
+            }
+            .write();
+        }
+    }
+
     /// Removes an attempt that has ended from all counts, and ends the search for an upstream to
     /// which its request could have moved.
     pub(super) fn end_attempt(&mut self, cx: CX![], id: names::Request) -> Option<RunningAttempt> {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -351,6 +351,19 @@
         /// Action that follows the failure, such as a retry.
         next: String,
     },
+    /// An upstream sent an answer that breaks a rule of HTTP/1.1. A line `failed` follows.
+    Malformed {
+        /// Identifier of the request.
+        request: String,
+        /// Identifier of the attempt.
+        attempt: String,
+        /// Name of the upstream.
+        upstream: String,
+        /// Name of the rule.
+        rule: String,
+        /// Description of what is wrong with the answer.
+        reason: String,
+    },
     /// Answers of an upstream broke off at their beginning, and it was checked whether the upstream
     /// has ended.
     BrokenOff {
--- a/crates/telemetry/src/event_level.rs
+++ b/crates/telemetry/src/event_level.rs
@@ -14,6 +14,7 @@
             | Self::BytesLimited { .. }
             | Self::Refused { .. }
             | Self::Failed { .. }
+            | Self::Malformed { .. }
             | Self::BrokenOff { .. }
             | Self::Quarantined { .. }
             | Self::Stalled { .. }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Registry of all metrics of an instance.
 
+use http1::Rule;
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -7,6 +8,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use strum::IntoEnumIterator;
 
 use crate::answers::latency_histogram;
 use crate::{
@@ -55,11 +57,25 @@
     reason: String,
 }
 
+/// Labels of a malformed answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RuleLabels {
+    rule: String,
+}
+
+impl From<Rule> for RuleLabels {
+    fn from(rule: Rule) -> Self {
+        let name: &'static str = rule.into();
+        Self { rule: name.to_string() }
+    }
+}
+
 /// All metrics of an instance, shared between its threads.
 pub struct Metrics {
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
+    malformed: Family<RuleLabels, Counter>,
     first_byte: Histogram,
     /// Metrics of the replicated log.
     pub replica: ReplicaMetrics,
@@ -108,6 +124,12 @@
             drop(refusals.get_or_create(&ReasonLabels { reason: reason.to_string() }));
         }
         registry.register("refused", "Refused connections and requests", refusals.clone());
+        let malformed = Family::<RuleLabels, Counter>::default();
+        for rule in Rule::iter() {
+            drop(malformed.get_or_create(&rule.into()));
+        }
+        let help = "Answers of upstreams that break a rule of HTTP/1.1";
+        registry.register("malformed_answers", help, malformed.clone());
         let first_byte = latency_histogram();
         registry.register(
             "first_byte_seconds",
@@ -150,6 +172,7 @@
             registry,
             requests,
             refusals,
+            malformed,
             first_byte,
             replica,
             answers,
@@ -185,6 +208,11 @@
         self.refusals.get_or_create(&ReasonLabels { reason: reason.to_string() }).inc();
     }
 
+    /// Counts an answer of an upstream that breaks `rule`.
+    pub fn count_malformed(&self, rule: Rule) {
+        self.malformed.get_or_create(&rule.into()).inc();
+    }
+
     /// Records the time from the arrival of a request to the first byte of its answer, in seconds.
     pub fn observe_first_byte(&self, seconds: f64) {
         self.first_byte.observe(seconds);
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -12,7 +12,7 @@
 use support::platform_calls::call;
 use support::script::{Arrival, End, Script};
 use support::wait_for;
-use support::worker::{HttpResponse, Worker, complete_stream};
+use support::worker::{HttpResponse, Worker, complete_stream, send_request};
 use test_case::test_case;
 
 const ROUTES: [&str; 4] = ["albums", "bookings", "captions", "reports"];
@@ -139,3 +139,38 @@
         answers.chunks(8).map(|answers| (answers.to_vec(), End::KeepOpen)).collect();
     check_groups(&groups);
 }
+
+/// Guards against a malformed answer that on-call cannot tell from a broken connection.
+#[test]
+fn a_malformed_answer_is_logged_and_counted_by_the_rule_that_it_breaks() {
+    let mut deployment = Deployment::start();
+    let answers = [
+        ("content-length: +30\r\n\r\n", "content-length"),
+        ("content-length: 30\r\ntransfer-encoding: chunked\r\n\r\n", "length-and-encoding"),
+        ("\ncontent-length: 30\r\n\r\n", "line-end"),
+        ("server load: 1\r\n\r\n", "field-line"),
+        ("transfer-encoding: chunked\r\n\r\n\r\n", "chunk-size"),
+    ];
+    for (rest, rule) in answers {
+        let script = Script::new(format!("HTTP/1.1 200 OK\r\n{FIELDS}{rest}{BODY}"), End::Close);
+        let (id, _) = deployment.call("bookings", Some(script));
+        let entry = &deployment.machines.entries[0];
+        let line = wait_for("a line about the answer", || {
+            entry.events("malformed").into_iter().find(|line| line["request"] == id.as_str())
+        });
+        assert_eq!((&line["rule"], &line["upstream"]), (&rule.into(), &"i-shop-1".into()));
+        let failed = entry.events("failed");
+        let failed = failed.iter().find(|line| line["request"] == id.as_str()).unwrap();
+        assert_eq!(
+            failed["reason"],
+            format!("the answer is malformed: {}", line["reason"].as_str().unwrap())
+        );
+        let metrics = send_request(entry.metrics(), "GET", "/metrics", &[], "").unwrap().text();
+        let count = format!("turmericrelay_malformed_answers_total{{rule=\"{rule}\"}} 1");
+        assert!(metrics.lines().any(|line| line == count), "{metrics}");
+    }
+    let head = format!("HTTP/1.1 200 OK\r\n{FIELDS}content-length: 30\r\n\r\nid");
+    let (id, _) = deployment.call("bookings", Some(Script::new(head, End::Close)));
+    let lines = deployment.machines.entries[0].events("malformed");
+    assert!(lines.iter().all(|line| line["request"] != id.as_str()), "{lines:?}");
+}
--- a/tests/malformed_answers_own.rs
+++ b/tests/malformed_answers_own.rs
@@ -13,7 +13,7 @@
 use support::malformed::{self, Framing, HeadFault};
 use support::script::{Arrival, End, Script, send_text};
 use support::worker::read_attempt;
-use support::{Answer, BOOKINGS, CHAT, Fleet, booking, chat, post, streamed_text, wait_for};
+use support::{Answer, BOOKINGS, CHAT, Fleet, booking, chat, get, post, streamed_text, wait_for};
 use test_case::test_case;
 
 const ARRIVALS: [Arrival; 3] = [Arrival::AtOnce, Arrival::ByteByByte, Arrival::Split];
@@ -235,3 +235,16 @@
     let answer = format!("{head}{:x}\r\n{text}^x\r\n0\r\n\r\n", text.len());
     Deployment::start().check(&stream, &[answer], End::KeepOpen, Arrival::Split);
 }
+
+/// Guards against a malformed answer that operators cannot tell from a broken connection.
+#[test]
+fn a_malformed_answer_is_counted_by_the_rule_that_it_breaks() {
+    let mut deployment = Deployment::start();
+    let [booking, ..] = kinds();
+    let answer = format!("HTTP/1.1 200 OK\r\n{}content-length: +2\r\n\r\n{{}}", booking.fields());
+    deployment.call(&booking, Some(Script::new(answer, End::Close))).unwrap();
+    let operators = deployment.fleet.instances[0].addresses.operators;
+    let metrics = get(operators, "/metrics").unwrap();
+    let count = "turmericrelay_malformed_answers_total{rule=\"content-length\"} 1";
+    assert!(metrics.lines().any(|line| line == count), "{metrics}");
+}
