Read every field of a response that may be sent twice

What callers saw: an answer with two fields that name the request it belongs to was taken for the answer of the first one, whatever the second one said. A connection whose `Connection: close` was in a second field was used again, and the next request on it could fail.

Cause: find_header reads the first of several fields.

Change: an answer whose correlation fields differ is malformed. `close` counts in any `connection` field. Blanks around these values are those of the grammar.

Why this works: the answer is refused unless all of its fields name the same request, so that it cannot reach the caller of another one.

Tests: reader, cases two_ids and close_in_a_second_field, failed before and pass. Through processes: malformed_answers, an answer with two request ids.

--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -33,7 +33,7 @@
 impl CorrelationHeader {
     /// Returns whether `headers` name the request that this header belongs to.
     pub fn is_in(&self, headers: &[Field]) -> bool {
-        find_header(headers, &self.name) == Some(&self.value)
+        find_headers(headers, &self.name).next() == Some(&self.value)
     }
 }
 
@@ -241,11 +241,10 @@
             _ => return Err(Rule::Status.into()),
         }
         self.read_connection_headers(version, &headers);
-        let differs = |echo: &CorrelationHeader| {
-            let found = find_header(&headers, &echo.name);
-            found.is_some_and(|value| value != echo.value)
+        self.is_unmatched = match &self.echo {
+            Some(echo) => names_another_request(&headers, echo)?,
+            None => false,
         };
-        self.is_unmatched = self.echo.as_ref().is_some_and(differs);
         let has_no_body = matches!(status, 204 | 304) || (self.has_no_body && !self.is_unmatched);
         self.state = match framing {
             _ if has_no_body => State::FixedLength(0),
@@ -257,10 +256,10 @@
     }
 
     fn read_connection_headers(&mut self, version: Version, headers: &[Field]) {
-        let has_close = find_header(headers, "connection")
-            .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+        let has_close = find_headers(headers, "connection")
+            .any(|value| value.to_ascii_lowercase().contains("close"));
         self.is_keep_alive = version == Version::Http11 && !has_close;
-        let timeout = find_header(headers, "keep-alive").and_then(|value| {
+        let timeout = find_headers(headers, "keep-alive").next().and_then(|value| {
             let mut parameters =
                 value.split(',').filter_map(|parameter| parameter.trim().split_once('='));
             let (_, seconds) = parameters.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
@@ -338,7 +337,20 @@
     raw.iter().map(convert).collect()
 }
 
-fn find_header<'a>(headers: &'a [Field], name: &str) -> Option<&'a str> {
-    let field = headers.iter().find(|field| field.name == name)?;
-    Some(field.value.trim())
+fn find_headers<'a>(headers: &'a [Field], name: &str) -> impl Iterator<Item = &'a str> {
+    let fields = headers.iter().filter(move |field| field.name == name);
+    fields.map(|field| field.value.trim_matches([' ', '\t']))
+}
+
+/// Returns whether the response with `headers` belongs to another request than `echo`.
+fn names_another_request(headers: &[Field], echo: &CorrelationHeader) -> Result<bool, Rule> {
+    let mut values = find_headers(headers, &echo.name);
+    let Some(first) = values.next() else {
+        return Ok(false);
+    };
+    if values.any(|value| value != first) {
+        Err(Rule::Correlation)
+    } else {
+        Ok(first != echo.value)
+    }
 }
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -105,6 +105,7 @@
 }
 
 #[test_case("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"; "close")]
+#[test_case("HTTP/1.1 200 OK\r\nConnection: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"; "close in a second field")]
 #[test_case("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"; "HTTP 1.0")]
 fn a_connection_that_the_upstream_closes_is_not_reused(bytes: &str) {
     let parsed = parse(bytes, 512, false, false);
@@ -140,6 +141,7 @@
 #[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n\r\n", Rule::TransferEncoding; "two encodings")]
 #[test_case("HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", Rule::TransferEncoding; "encoding in a version without encodings")]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", Rule::LengthAndEncoding; "length and chunks")]
+#[test_case("HTTP/1.1 204 No Content\r\nx-id: mine\r\nx-id: other\r\n\r\n", Rule::Correlation; "two ids")]
 #[test_case("HTTP/1.1 204 No Content\r\ncontent-length: x\r\n\r\n", Rule::ContentLength; "invalid length of a response without a body")]
 #[test_case("HTTP/1.1 100 Continue\r\ncontent-length: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", Rule::ContentLength; "invalid length of an interim response")]
 fn bytes_that_are_no_response_are_malformed(bytes: &str, rule: Rule) {
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -150,10 +150,12 @@
         ("\ncontent-length: 30\r\n\r\n", "line-end"),
         ("server load: 1\r\n\r\n", "field-line"),
         ("transfer-encoding: chunked\r\n\r\n\r\n", "chunk-size"),
+        ("request-id: other\r\ncontent-length: 30\r\n\r\n", "correlation"),
     ];
     for (rest, rule) in answers {
         let script = Script::new(format!("HTTP/1.1 200 OK\r\n{FIELDS}{rest}{BODY}"), End::Close);
-        let (id, _) = deployment.call("bookings", Some(script));
+        let (id, answer) = deployment.call("bookings", Some(script));
+        assert!(answer.status == 502 || !answer.is_complete, "{rule}: {answer:?}");
         let entry = &deployment.machines.entries[0];
         let line = wait_for("a line about the answer", || {
             entry.events("malformed").into_iter().find(|line| line["request"] == id.as_str())
