Compare damaged messages with a second reading of the grammar

The tests of damaged answers had a list of damages each. The outcome is a failure, or exactly what the bytes mean by a reading that was written from RFC 9112 for the test; a connection is used again only if nothing follows.

entry::Body is public for the test, as entry::Head was.

--- /dev/null
+++ b/crates/dispatch/tests/damaged_answers.rs
@@ -0,0 +1,122 @@
+//! Answers of which one byte is replaced by every value, dropped, or doubled: the reader reports a
+//! failure, or exactly what the bytes mean by a second reading of the grammar.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "../../http1/tests/grammar/mod.rs"]
+mod grammar;
+
+use dispatch::{CorrelationHeader, ResponsePart, ResponseReader};
+use grammar::Message;
+use test_case::test_case;
+
+const ID: &str = "mine";
+
+/// Largest number of interim responses that the reader accepts.
+const MAX_INTERIM: usize = 8;
+
+/// What an answer means: its status and its body.
+type Meaning = Option<(u16, Vec<u8>)>;
+
+/// Returns the meaning by the reader, and whether the connection is used again.
+fn read(bytes: &[u8], piece: usize, has_no_body: bool) -> (Meaning, bool) {
+    let echo = CorrelationHeader { name: "x-id".to_string(), value: ID.to_string() };
+    let mut reader = ResponseReader::new(Some(echo), has_no_body);
+    let (mut status, mut body) = (None, Vec::new());
+    for piece in bytes.chunks(piece) {
+        reader.push(piece);
+        loop {
+            match reader.next_part() {
+                Ok(None) => break,
+                Ok(Some(ResponsePart::Head { status: code, .. })) => status = Some(code),
+                Ok(Some(ResponsePart::Body(part))) => body.extend_from_slice(&part),
+                Ok(Some(ResponsePart::End)) => {}
+                Err(_) => return (None, reader.is_reusable()),
+            }
+        }
+    }
+    let is_reusable = reader.is_reusable();
+    let is_whole = reader.close().is_ok();
+    (status.filter(|_| is_whole).map(|status| (status, body)), is_reusable)
+}
+
+/// Returns the status of a first line, which RFC 9112 lets a recipient read without the blank behind
+/// the status.
+fn status(line: &str) -> Option<u16> {
+    let rest = line.strip_prefix("HTTP/1.1 ").or_else(|| line.strip_prefix("HTTP/1.0 "))?;
+    let digits = rest.get(..3).filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()))?;
+    let is_ended = rest.len() == 3 || rest.as_bytes()[3] == b' ';
+    digits.parse().ok().filter(|_| is_ended)
+}
+
+/// Returns the meaning by the second reading, and whether bytes follow the answer.
+fn mean(mut bytes: &[u8], has_no_body: bool) -> (Meaning, bool) {
+    let mut message: Option<Message>;
+    for _ in 0..=MAX_INTERIM {
+        let is_other = |fields: &[(String, String)]| {
+            fields.iter().any(|(name, value)| name == "x-id" && value != ID)
+        };
+        let names_other = grammar::message(bytes, is_http_1_0, |_| true)
+            .is_some_and(|head| is_other(&head.fields));
+        let ends_with_head = |line: &str| {
+            let code = status(line).unwrap_or_default();
+            matches!(code, 100..=199 | 204 | 304) || (has_no_body && !names_other)
+        };
+        message = grammar::message(bytes, is_http_1_0, ends_with_head);
+        let Some(message) = message else {
+            return (None, false);
+        };
+        let behind = &bytes[bytes.len() - message.rest.len()..];
+        match (status(&message.start_line), message.body) {
+            (Some(100 | 102..=199), _) => bytes = behind,
+            (Some(200..=599), Some(_)) if names_other => bytes = behind,
+            (Some(200..=599), None) if names_other => return (None, false),
+            (Some(code @ 200..=599), Some(body)) => {
+                return (Some((code, body)), !behind.is_empty());
+            }
+            (Some(code @ 200..=599), None) => return (Some((code, behind.to_vec())), false),
+            _ => return (None, false),
+        }
+    }
+    (None, false)
+}
+
+fn is_http_1_0(line: &str) -> bool {
+    line.starts_with("HTTP/1.0")
+}
+
+#[test_case("HTTP/1.1 200 OK\r\nx-id: mine\r\nContent-Length: 12\r\n\r\nhello, world", false; "length")]
+#[test_case("HTTP/1.1 200 OK\r\nx-id: mine\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nhello, \r\n05;a = \"b\\\"\"; c=d\r\nworld\r\n0\r\nx-sum: 1\r\n\r\n", false; "chunks")]
+#[test_case("HTTP/1.1 200 OK\r\nx-id: mine\r\ntransfer-encoding: chunked\r\n\r\n11\r\nkey: value\r\nab: c\r\n0\r\n\r\n", false; "chunk that looks like fields")]
+#[test_case("HTTP/1.1 200 OK\r\nx-id: mine\r\nconnection: close\r\n\r\nhello, world", false; "until close")]
+#[test_case("HTTP/1.0 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\nhello", false; "HTTP 1 0")]
+#[test_case("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nx-id: mine\r\ncontent-length: 5\r\n\r\nhello", false; "behind an interim answer")]
+#[test_case("HTTP/1.1 200 OK\r\nx-id: late\r\ncontent-length: 4\r\n\r\ncopyHTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\nhello", false; "behind a late copy")]
+#[test_case("HTTP/1.1 200 OK\r\nx-id: late\r\ntransfer-encoding: chunked\r\n\r\n4\r\ncopy\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\nhello", false; "behind a late copy in chunks")]
+#[test_case("HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\n", true; "to a request for the head")]
+#[test_case("HTTP/1.1 204 No Content\r\nx-id: mine\r\n\r\n", false; "without a body")]
+#[test_case("HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\n", false; "before other bytes")]
+fn a_damaged_answer_is_a_failure_or_what_its_bytes_mean(sound: &str, has_no_body: bool) {
+    let (meaning, has_rest) = mean(sound.as_bytes(), has_no_body);
+    assert!(meaning.is_some());
+    assert_eq!(
+        read(sound.as_bytes(), sound.len(), has_no_body),
+        (meaning, !has_rest && is_kept(sound))
+    );
+    let mut plays = 0;
+    grammar::for_each_damage(sound.as_bytes(), |bytes| {
+        plays += 1;
+        let (meaning, has_rest) = mean(bytes, has_no_body);
+        for piece in [bytes.len(), 1] {
+            let (found, is_reusable) = read(bytes, piece, has_no_body);
+            let text = String::from_utf8_lossy(bytes);
+            assert_eq!(found, meaning, "in pieces of {piece}: {text:?}");
+            assert!(!is_reusable || (found.is_some() && !has_rest), "used again after {text:?}");
+        }
+    });
+    assert!(plays >= sound.len() * 258);
+}
+
+fn is_kept(sound: &str) -> bool {
+    sound.starts_with("HTTP/1.1") && !sound.contains("connection: close")
+}
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -16,7 +16,7 @@
 const MAX_BLOCK_BYTES: usize = 64 << 10;
 
 /// Outcome of reading a body from the received bytes.
-pub(crate) enum BodyOutcome {
+pub enum BodyOutcome {
     /// More bytes are needed.
     Partial,
     /// The body is complete.
@@ -26,7 +26,7 @@
 }
 
 /// A request body that is being received.
-pub(crate) struct Body {
+pub struct Body {
     length: BodyLength,
     /// Position in the body, if it comes in chunks.
     chunks: Chunks,
@@ -46,7 +46,8 @@
 }
 
 impl Body {
-    pub(crate) fn new(length: BodyLength) -> Self {
+    /// Creates an empty body with the length that its head tells.
+    pub fn new(length: BodyLength) -> Self {
         let chunks = Chunks::new(CHUNK_BOUNDS);
         Self { length, chunks, blocks: Vec::new(), collected_bytes: 0 }
     }
@@ -74,7 +75,7 @@
     }
 
     /// Moves bytes of the body out of `received`. The body may have at most `limit` bytes.
-    pub(crate) fn read(&mut self, received: &mut Vec<u8>, limit: usize) -> BodyOutcome {
+    pub fn read(&mut self, received: &mut Vec<u8>, limit: usize) -> BodyOutcome {
         match self.length {
             BodyLength::Known(length) => {
                 let missing = length - self.collected_bytes;
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -34,8 +34,10 @@
 
 /// Length of the body that follows a head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum BodyLength {
+pub enum BodyLength {
+    /// A number of bytes.
     Known(usize),
+    /// The body comes in chunks.
     Chunked,
 }
 
@@ -56,7 +58,8 @@
     pub expects_continue: bool,
     /// Length of the head in bytes.
     pub length: usize,
-    pub(crate) body: BodyLength,
+    /// Length of the body that follows.
+    pub body: BodyLength,
 }
 
 /// Outcome of parsing the bytes received so far.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,9 +20,10 @@
 mod server;
 mod unsent;
 
+pub use body::{Body, BodyOutcome};
 pub use event::{Event, Method, Request};
 pub use form::{ChatForm, Form};
-pub use head::{Head, Header, ParseOutcome};
+pub use head::{BodyLength, Head, Header, ParseOutcome};
 pub use memory::{Caller, Hold, Memory, Room, SMALL_BYTES};
 pub use problem::{Problem, Rejection};
 pub use reply::{Reply, Status};
