Refuse answers that tell no length and keep their connection

What callers saw: an answer whose field with the length or the chunks had lost its name passed as one that ends with its connection: a complete 200 whose body held the chunk lines, if the upstream then closed, or an answer that came to no end until the deadline.

Cause: without a known field nothing told of a length, and an answer without one is valid.

The damage of one name leaves `keep-alive` in the head.

Change: an answer with neither a length nor chunks whose upstream says that it keeps the connection open, and not `close`, is malformed. Without either statement it passes as before. Answers without a body are not concerned.

Why this works: such a head contradicts itself, since the answer could only end with the connection that it says stays open.

--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -246,6 +246,11 @@
             None => false,
         };
         let has_no_body = matches!(status, 204 | 304) || (self.has_no_body && !self.is_unmatched);
+        // Such an answer would end with its connection, which its upstream says that it keeps open. A
+        // field that told of the length has probably lost its name.
+        if !has_no_body && !framing.is_delimited() && stays_open(&headers) {
+            return Err(Rule::NoLength.into());
+        }
         self.state = match framing {
             _ if has_no_body => State::FixedLength(0),
             Framing::Length(length) => State::FixedLength(length.0),
@@ -256,9 +261,7 @@
     }
 
     fn read_connection_headers(&mut self, version: Version, headers: &[Field]) {
-        let has_close = find_headers(headers, "connection")
-            .any(|value| value.to_ascii_lowercase().contains("close"));
-        self.is_keep_alive = version == Version::Http11 && !has_close;
+        self.is_keep_alive = version == Version::Http11 && !has_option(headers, "close");
         let timeout = find_headers(headers, "keep-alive").next().and_then(|value| {
             let mut parameters =
                 value.split(',').filter_map(|parameter| parameter.trim().split_once('='));
@@ -342,6 +345,17 @@
     fields.map(|field| field.value.trim_matches([' ', '\t']))
 }
 
+/// Returns whether the upstream names the connection option `option`.
+fn has_option(headers: &[Field], option: &str) -> bool {
+    find_headers(headers, "connection").any(|value| value.to_ascii_lowercase().contains(option))
+}
+
+/// Returns whether the upstream says that it keeps the connection open for further requests.
+fn stays_open(headers: &[Field]) -> bool {
+    let is_kept = find_headers(headers, "keep-alive").next().is_some();
+    (is_kept || has_option(headers, "keep-alive")) && !has_option(headers, "close")
+}
+
 /// Returns whether the response with `headers` belongs to another request than `echo`.
 fn names_another_request(headers: &[Field], echo: &CorrelationHeader) -> Result<bool, Rule> {
     let mut values = find_headers(headers, &echo.name);
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -152,6 +152,21 @@
     }
 }
 
+/// Guards against chunks that pass as the body because the field that names them is damaged.
+#[test_case("keep-alive: timeout=10\r\n", false => Some(ResponseError::Malformed(Rule::NoLength)); "timeout of the idle connection")]
+#[test_case("connection: Keep-Alive\r\n", false => Some(ResponseError::Malformed(Rule::NoLength)); "connection that is kept")]
+#[test_case("connection: close\r\nkeep-alive: timeout=10\r\n", false => None; "connection that is closed")]
+#[test_case("", false => None; "nothing about the connection")]
+#[test_case("keep-alive: timeout=10\r\n", true => None; "no body")]
+fn an_answer_without_a_length_that_keeps_its_connection_is_malformed(
+    fields: &str,
+    has_no_body: bool,
+) -> Option<ResponseError> {
+    let body = if has_no_body { "" } else { "2\r\nok\r\n0\r\n\r\n" };
+    let text = format!("HTTP/1.1 200 OK\r\nxransfer-encoding: chunked\r\n{fields}\r\n{body}");
+    parse(&text, 512, true, has_no_body).error
+}
+
 const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
 #[test_case("zz\r\n", Rule::ChunkSize; "size that is not a number")]
--- a/crates/http1/src/rule.rs
+++ b/crates/http1/src/rule.rs
@@ -34,6 +34,9 @@
     /// Both `content-length` and `transfer-encoding` are given.
     #[error("it has both a content-length and a transfer-encoding")]
     LengthAndEncoding,
+    /// Neither a length nor chunks are given, and the connection stays open behind the message.
+    #[error("it tells no length and keeps the connection open")]
+    NoLength,
     /// The line before a chunk does not begin with its size, or is too long.
     #[error("the line before a chunk is not its size")]
     ChunkSize,
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -150,6 +150,7 @@
         ("\ncontent-length: 30\r\n\r\n", "line-end"),
         ("server load: 1\r\n\r\n", "field-line"),
         ("transfer-encoding: chunked\r\n\r\n\r\n", "chunk-size"),
+        ("keep-alive: timeout=10\r\nxontent-length: 30\r\n\r\n", "no-length"),
         ("request-id: other\r\ncontent-length: 30\r\n\r\n", "correlation"),
     ];
     for (rest, rule) in answers {
