Take a success without its signature for a failure

What callers saw: an upstream sent a 200 in which the field with the signature had lost its name. The caller got it as a complete 200, which does not count, and which no caller sends again.

Cause: the head of a response was not checked for the signature. The interface of upstreams says that a success counts only with it.

Change: the platform's adapter says that a success lacks its signature, and the forwarder takes such a response for a failure after which the request may have run.

Why this works: what may be repeated is sent to another upstream, and the caller of anything else gets 502 in place of an answer that does not count.

Stand-ins of four other tests, which left the signature out of answers that are meant to be sound, send it now; what these tests check is unchanged.

--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -140,6 +140,7 @@
         let is_refusal = response.is_wrong_upstream || response.has_not_run;
         let echo = upstreams.expected_echo(&active.request);
         let names_request = echo.is_none_or(|echo| echo.is_in(&head.headers));
+        let lacks_signature = response.lacks_signature;
         let is_unproven_promise = response.promises_not_run && !active.route.repeat.is_idempotent();
         let service = active.service.clone();
         let timeout = stall_timeout(active.route.objective, active.route.pause);
@@ -190,6 +191,13 @@
             self.receive_failure(cx, id, Verdict::MayHaveRun, &reason);
             return;
         }
+        if lacks_signature {
+            // Callers would take the response for an answer that does not count, and not repeat the
+            // request.
+            let reason = format!("the upstream answered {status} without its signature");
+            self.receive_failure(cx, id, Verdict::MayHaveRun, &reason);
+            return;
+        }
         if status == Status::OK.0 {
             self.record_context_holder(now, id, &upstream);
         }
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -72,6 +72,8 @@
     pub has_not_run: bool,
     /// Whether callers take the status for the promise that the request did not run.
     pub promises_not_run: bool,
+    /// Whether the response counts as an answer to the caller only with a signature, which it lacks.
+    pub lacks_signature: bool,
     /// Whether another upstream answered at the address.
     pub is_wrong_upstream: bool,
     /// Whether the upstream will close the connection, because it leaves or for another reason.
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -140,6 +140,20 @@
     check_groups(&groups);
 }
 
+/// Guards against a success without the signature, which a caller does not count and does not repeat.
+#[test]
+fn a_success_without_its_signature_is_a_failure_of_its_upstream() {
+    let bodies = [
+        format!("content-length: {}\r\n\r\n{BODY}", BODY.len()),
+        format!("transfer-encoding: chunked\r\n\r\n1e\r\n{BODY}\r\n0\r\n\r\n"),
+    ];
+    let answers = bodies.map(|body| {
+        let fields = FIELDS.replace("server-stamp", "server-st^bmp");
+        format!("HTTP/1.1 200 OK\r\n{fields}{body}")
+    });
+    check_groups(&[(answers.to_vec(), End::KeepOpen)]);
+}
+
 /// Guards against a malformed answer that on-call cannot tell from a broken connection.
 #[test]
 fn a_malformed_answer_is_logged_and_counted_by_the_rule_that_it_breaks() {
--- a/tests/platform_deadly_requests.rs
+++ b/tests/platform_deadly_requests.rs
@@ -100,7 +100,9 @@
         match self {
             Self::Nothing => "",
             Self::HeadPart => "HTTP/1.1 200 OK\r\nrequest-id: ID\r\ncont",
-            Self::Head => "HTTP/1.1 200 OK\r\nrequest-id: ID\r\ncontent-length: 4\r\n\r\n",
+            Self::Head => {
+                "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: s\r\ncontent-length: 4\r\n\r\n"
+            }
         }
     }
 }
--- a/tests/platform_heads.rs
+++ b/tests/platform_heads.rs
@@ -56,7 +56,7 @@
     wait_for("arrival of the upstreams at the entry instance", || {
         (machines.entries[0].events("upstream").len() >= 2).then_some(())
     });
-    let raw = format!("HTTP/1.1 200 OK\r\nrequest-id: ID\r\n{framing}");
+    let raw = format!("HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: s\r\n{framing}");
     for worker in &workers {
         worker.set_behaviour(Behaviour::Raw(Box::leak(raw.clone().into_boxed_str()), ""));
     }
--- a/tests/platform_streams.rs
+++ b/tests/platform_streams.rs
@@ -67,7 +67,7 @@
 /// Returns a response whose body has a length.
 fn response(status: &str, headers: &str, body: &str) -> String {
     format!(
-        "HTTP/1.1 {status}\r\nrequest-id: ID\r\n{headers}content-length: {}\r\n\r\n{body}",
+        "HTTP/1.1 {status}\r\nrequest-id: ID\r\nserver-stamp: s\r\n{headers}content-length: {}\r\n\r\n{body}",
         body.len()
     )
 }
--- a/tests/platform_unproven_ends.rs
+++ b/tests/platform_unproven_ends.rs
@@ -239,7 +239,7 @@
         Some("1") => &body[body.len() / 2..],
         Some(_) => "",
     };
-    let head = "HTTP/1.1 200 OK\r\nrequest-id: ID\r\n";
+    let head = "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nserver-stamp: s\r\n";
     let (content_type, length) = (case.content_type(), rest.len());
     let text = format!("{head}{content_type}content-length: {length}\r\n\r\n{rest}");
     Some(Script::new(text, End::Close))
