Hold chunks of a stream back until their ends have arrived

What callers saw: the size of a chunk was damaged into a greater one, so that lines between chunks became data. The events among them were passed on before the damage showed, the attempt failed, another upstream resumed the stream behind them, and the caller got a complete stream that holds lines like "1b" which no upstream sent.

Cause: data of a chunk is passed on before the end of the chunk shows whether its size is right. A cut answer may hold such bytes, but a resumed one counts as complete.

Change: for streams that another attempt may resume, the reader returns the data of a chunk of up to 4 KiB, and the last 4 KiB of a larger one, once the line end behind it has arrived. The call reports Received meanwhile, so that the upstream does not count as silent. Other answers pass as before.

Why this works: where the size is wrong, no line end is at its end, and no byte of the chunk was passed on. The stream is resumed behind the last event of a sound chunk.

--- a/crates/context/src/moves.rs
+++ b/crates/context/src/moves.rs
@@ -156,6 +156,7 @@
                 self.body.extend_from_slice(&part);
                 Ok(MoveStep::Wait)
             }
+            Progress::Received => Ok(MoveStep::Wait),
             // The context is JSON, which shows whether it is complete.
             Progress::End | Progress::Closed => self.finish_phase(),
             Progress::NotSent { reason } | Progress::Failed { reason, .. } => {
--- a/crates/dispatch/benches/client.rs
+++ b/crates/dispatch/benches/client.rs
@@ -121,6 +121,7 @@
         deadline: None,
         max_connection_idle: TIMEOUT,
         first_sent_at: None,
+        holds_chunks: true,
         max_connections: CONCURRENT_STREAMS,
     }
 }
@@ -139,7 +140,7 @@
         }
         Progress::NotSent { reason } | Progress::Failed { reason, .. } => panic!("{reason}"),
         Progress::Closed => panic!("the connection was closed"),
-        Progress::Head { .. } | Progress::Body(_) => {}
+        Progress::Head { .. } | Progress::Body(_) | Progress::Received => {}
     });
     let peer_timeout = Duration::from_secs(5);
     let keep_alive = KeepAlive {
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -65,6 +65,8 @@
     },
     /// The next bytes of the response body arrived.
     Body(Vec<u8>),
+    /// Bytes of the response arrived that are not passed on yet.
+    Received,
     /// The response is complete, as its length or its last chunk shows.
     End,
     /// The upstream has closed the connection properly, and the response has neither a length nor
@@ -142,6 +144,7 @@
                 ConnectionReuse::Never => Duration::ZERO,
             },
             first_sent_at: None,
+            holds_chunks: false,
             max_connections: usize::MAX,
         })
     }
--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -44,7 +44,10 @@
 
 impl Job {
     pub(super) fn new(outbound: Outbound) -> Self {
-        let reader = ResponseReader::new(outbound.echo.clone(), outbound.has_no_body);
+        let mut reader = ResponseReader::new(outbound.echo.clone(), outbound.has_no_body);
+        if outbound.holds_chunks {
+            reader.hold_chunks();
+        }
         Self { outbound, reader }
     }
 
@@ -324,6 +327,10 @@
         let mut body = Vec::new();
         while let Some(job) = &mut self.job {
             match job.reader.next_part() {
+                Ok(None) if body.is_empty() && job.reader.holds_bytes() => {
+                    self.report(Progress::Received);
+                    break;
+                }
                 Ok(None) => break,
                 Ok(Some(ResponsePart::Body(bytes))) => body.extend_from_slice(&bytes),
                 Ok(Some(ResponsePart::Head { status, headers, framing })) => {
--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -78,6 +78,9 @@
     /// was in use since then is not reused, because a late copy of the response to the earlier
     /// attempt would be taken for the response to this one.
     pub first_sent_at: Option<Instant>,
+    /// Whether the data of small chunks is passed on only once their ends have arrived, because another
+    /// call may resume the response.
+    pub holds_chunks: bool,
     /// Largest number of simultaneous connections to the address.
     pub max_connections: usize,
 }
--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -13,6 +13,10 @@
 /// Limits on the lines between the chunks of a response and behind them.
 const CHUNK_BOUNDS: Bounds = Bounds { line_bytes: 4096, trailer_bytes: 64 << 10 };
 
+/// Largest size in bytes of the rest of a chunk that is held back until its end has arrived. It fits
+/// into the buffers that a call reserves.
+const MAX_HELD_BYTES: usize = 4 << 10;
+
 /// Largest number of interim (1xx) responses before the final response. A correct upstream sends at
 /// most one.
 const MAX_INTERIM_HEADS: usize = 8;
@@ -81,6 +85,8 @@
     buffer: Vec<u8>,
     state: State,
     has_no_body: bool,
+    /// Whether chunks are held back until their ends have arrived.
+    holds_chunks: bool,
     echo: Option<CorrelationHeader>,
     /// Whether the current response belongs to another request.
     is_unmatched: bool,
@@ -102,6 +108,7 @@
             buffer: Vec::new(),
             state: State::Head,
             has_no_body,
+            holds_chunks: false,
             echo,
             is_unmatched: false,
             has_excess_bytes: false,
@@ -112,6 +119,20 @@
         }
     }
 
+    /// Returns the data of a chunk of up to 4 KiB only once its end has arrived. Data of a chunk whose
+    /// size is damaged would hold lines between chunks, and a stream that is resumed would go on behind
+    /// them.
+    pub fn hold_chunks(&mut self) {
+        self.holds_chunks = true;
+    }
+
+    /// Returns whether the beginning of a chunk has arrived that is held back.
+    pub fn holds_bytes(&self) -> bool {
+        let is_within_chunk =
+            matches!(self.state, State::Chunks(chunks) if chunks.missing_bytes() > 0);
+        is_within_chunk && !self.buffer.is_empty()
+    }
+
     /// Appends the next bytes of the connection. Bytes after the end of the response belong to no
     /// request and are dropped.
     pub fn push(&mut self, bytes: &[u8]) {
@@ -293,7 +314,23 @@
         }
     }
 
+    /// Returns whether the end of the current chunk, unless it is a large one, is still to come.
+    fn is_chunk_incomplete(&self, chunks: &Chunks) -> Result<bool, Rule> {
+        let missing = usize::try_from(chunks.missing_bytes()).unwrap_or(usize::MAX);
+        if missing == 0 || missing > MAX_HELD_BYTES {
+            return Ok(false);
+        }
+        match self.buffer.get(missing..).unwrap_or_default() {
+            [] | [b'\r'] => Ok(true),
+            [b'\r', b'\n', ..] => Ok(false),
+            _ => Err(Rule::ChunkEnd),
+        }
+    }
+
     fn read_chunks(&mut self, mut chunks: Chunks) -> Result<Step, ResponseError> {
+        if self.holds_chunks && self.is_chunk_incomplete(&chunks)? {
+            return Ok(Step::NeedMoreBytes);
+        }
         let step = chunks.next(&self.buffer)?;
         self.state = State::Chunks(chunks);
         match step {
--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -325,7 +325,7 @@
             Progress::End => break,
             Progress::NotSent { reason } | Progress::Failed { reason, .. } => panic!("{reason}"),
             Progress::Closed => panic!("the connection was closed"),
-            Progress::Head { .. } | Progress::Body(_) => {}
+            Progress::Head { .. } | Progress::Body(_) | Progress::Received => {}
         }
     }
     assert_eq!(consumed, LENGTH);
--- a/crates/dispatch/tests/damaged_answers.rs
+++ b/crates/dispatch/tests/damaged_answers.rs
@@ -19,9 +19,12 @@
 type Meaning = Option<(u16, Vec<u8>)>;
 
 /// Returns the meaning by the reader, and whether the connection is used again.
-fn read(bytes: &[u8], piece: usize, has_no_body: bool) -> (Meaning, bool) {
+fn read(bytes: &[u8], piece: usize, has_no_body: bool, holds_chunks: bool) -> (Meaning, bool) {
     let echo = CorrelationHeader { name: "x-id".to_string(), value: ID.to_string() };
     let mut reader = ResponseReader::new(Some(echo), has_no_body);
+    if holds_chunks {
+        reader.hold_chunks();
+    }
     let (mut status, mut body) = (None, Vec::new());
     for piece in bytes.chunks(piece) {
         reader.push(piece);
@@ -100,15 +103,15 @@
     let (meaning, has_rest) = mean(sound.as_bytes(), has_no_body);
     assert!(meaning.is_some());
     assert_eq!(
-        read(sound.as_bytes(), sound.len(), has_no_body),
+        read(sound.as_bytes(), sound.len(), has_no_body, false),
         (meaning, !has_rest && is_kept(sound))
     );
     let mut plays = 0;
     grammar::for_each_damage(sound.as_bytes(), |bytes| {
         plays += 1;
         let (meaning, has_rest) = mean(bytes, has_no_body);
-        for piece in [bytes.len(), 1] {
-            let (found, is_reusable) = read(bytes, piece, has_no_body);
+        for (piece, holds_chunks) in [(bytes.len(), false), (1, false), (1, true)] {
+            let (found, is_reusable) = read(bytes, piece, has_no_body, holds_chunks);
             let text = String::from_utf8_lossy(bytes);
             assert_eq!(found, meaning, "in pieces of {piece}: {text:?}");
             assert!(!is_reusable || (found.is_some() && !has_rest), "used again after {text:?}");
--- a/crates/dispatch/tests/full_window.rs
+++ b/crates/dispatch/tests/full_window.rs
@@ -50,7 +50,10 @@
         Fwd::new(move |()| deferrer.defer(|stakker| stakker.shutdown(StopCause::Stopped))),
     );
     let handle = Fwd::new(move |event: CallEvent| {
-        let is_last = !matches!(event.progress, Progress::Head { .. } | Progress::Body(_));
+        let is_last = !matches!(
+            event.progress,
+            Progress::Head { .. } | Progress::Body(_) | Progress::Received
+        );
         sender.send(event).unwrap();
         if is_last {
             stop.send(());
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -208,6 +208,30 @@
     }
 }
 
+/// Guards against lines between chunks that are passed on as data, because the size of a chunk is
+/// damaged, in an answer that another call resumes.
+#[test]
+fn a_held_chunk_is_passed_on_once_its_end_has_arrived() {
+    let mut reader = ResponseReader::new(None, false);
+    reader.hold_chunks();
+    let mut parsed = ParsedResponse::default();
+    let mut push = |text: &str| {
+        reader.push(text.as_bytes());
+        collect_parts(&mut reader, &mut parsed);
+        (parsed.body.len(), reader.holds_bytes(), parsed.error)
+    };
+    assert_eq!(push(CHUNKED_HEAD), (0, false, None));
+    assert_eq!(push("5\r\nhel"), (0, true, None));
+    assert_eq!(push("lo\r"), (0, true, None));
+    assert_eq!(push("\n"), (5, false, None));
+    assert_eq!(push(&format!("2000\r\n{}", "x".repeat(0x1000))), (0x1005, false, None), "large");
+    assert_eq!(push(&"x".repeat(0xfff)), (0x1005, true, None), "the rest of a large one");
+    assert_eq!(push("x\r\n"), (0x2005, false, None));
+    assert_eq!(push("8\r\nab\r\n2\r\n"), (0x2005, true, None));
+    let malformed = Some(ResponseError::Malformed(Rule::ChunkEnd));
+    assert_eq!(push("cd\r\n0\r\n\r\n"), (0x2005, true, malformed));
+}
+
 fn invalid_status() -> Option<ResponseError> {
     Some(ResponseError::Malformed(Rule::Status))
 }
--- a/crates/instance/src/router/attempt.rs
+++ b/crates/instance/src/router/attempt.rs
@@ -60,7 +60,9 @@
         let detects_silence = route.is_idempotent;
         let limit = self.settings.limits.calls;
         let outbound = match Outbound::try_from(call) {
-            Ok(outbound) if self.calls.len() < limit => outbound,
+            Ok(outbound) if self.calls.len() < limit => {
+                Outbound { holds_chunks: active.route.streams, ..outbound }
+            }
             rejected => {
                 let reason = rejected.err().map(|invalid_call| invalid_call.to_string());
                 let reason = reason.unwrap_or_else(|| format!("all {limit} calls are in use"));
--- a/crates/instance/src/router/response.rs
+++ b/crates/instance/src/router/response.rs
@@ -136,6 +136,7 @@
                 self.start(Head { status, headers, framing })
             }
             Progress::Body(part) => self.add(&part, limit),
+            Progress::Received => ResponseStep::Nothing,
             // The adapter checks a response without a length or chunks by its content.
             Progress::End | Progress::Closed => self.end(),
             // The last event proves the end, unless the framing around the events is damaged.
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -98,6 +98,7 @@
             },
             echo,
             first_sent_at,
+            holds_chunks: active.stream_tracker.is_some(),
             max_connections: connections,
         };
         let cause = match (active.is_started, active.tried.is_empty()) {
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -38,6 +38,7 @@
                 call!([self.client], record_consumed(attempt, part.len()));
                 self.receive_part(cx, id, part);
             }
+            Progress::Received => {}
             Progress::End => self.receive_end(cx, id),
             Progress::Closed => self.receive_close(cx, id),
             Progress::NotSent { reason } => {
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -12,7 +12,7 @@
 use support::platform_calls::call;
 use support::script::{Arrival, End, Script};
 use support::wait_for;
-use support::worker::{HttpResponse, Worker, complete_stream, send_request};
+use support::worker::{HttpResponse, Worker, complete_stream, event, send_request};
 use test_case::test_case;
 
 const ROUTES: [&str; 4] = ["albums", "bookings", "captions", "reports"];
@@ -191,3 +191,55 @@
     let lines = deployment.machines.entries[0].events("malformed");
     assert!(lines.iter().all(|line| line["request"] != id.as_str()), "{lines:?}");
 }
+
+/// Returns a stream of four events, one in each chunk. `size` stands in place of the size of the chunk
+/// `damaged`.
+fn stream_with_size(damaged: usize, size: &str) -> String {
+    let chunks = (1..=4).map(|number| {
+        let event = event("stream", number);
+        let sound = format!("{:x}", event.len());
+        let size = if number == damaged { size } else { sound.as_str() };
+        format!("{size}\r\n{event}\r\n")
+    });
+    let chunks: String = chunks.collect();
+    format!("HTTP/1.1 200 OK\r\n{FIELDS}transfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n")
+}
+
+/// Sizes that stand in place of the one of a chunk of 27 bytes.
+const SIZES: [&str; 11] = ["19", "1a", "1c", "2a", "30", "3a", "48", "70", "ff", "1", "10"];
+
+/// Answers with a stream whose chunk `damaged` has each of [`SIZES`], and resumes it properly. Returns the
+/// complete answers that are not the whole stream.
+fn resume_damaged_streams(damaged: usize, end: End) -> Vec<String> {
+    let mut deployment = Deployment::start();
+    let whole: String = (1..=4).map(|number| event("stream", number)).collect();
+    let mut faults = Vec::new();
+    for size in SIZES {
+        let first = Script::new(stream_with_size(damaged, size), end);
+        deployment.workers[1].set_script(move |request| {
+            let Some(last) = request.last_event_id else {
+                return Some(first.clone());
+            };
+            let last: usize = last.parse().unwrap();
+            let rest: String = (last + 1..=4).map(|number| event("stream", number)).collect();
+            let head = format!("HTTP/1.1 200 OK\r\n{FIELDS}content-length: {}", rest.len());
+            Some(Script::new(format!("{head}\r\n\r\n{rest}"), End::Close))
+        });
+        let (_, answer) = deployment.call("captions", None);
+        if answer.is_complete && answer.text() != whole {
+            faults.push(format!("chunk {damaged} of size {size}: {:?}", answer.text()));
+        }
+    }
+    faults
+}
+
+/// Guards against lines of damaged chunks within a stream that another attempt completes.
+#[test_case(End::Close; "of an upstream that closes the connection")]
+#[test_case(End::KeepOpen; "of an upstream that keeps the connection")]
+fn a_resumed_stream_holds_no_lines_of_damaged_chunks(end: End) {
+    let plays: Vec<_> = (1..=4)
+        .map(|damaged| std::thread::spawn(move || resume_damaged_streams(damaged, end)))
+        .collect();
+    let faults: Vec<_> = plays.into_iter().flat_map(|play| play.join().unwrap()).collect();
+    assert!(faults.is_empty(), "{} of 44 plays: {faults:#?}", faults.len());
+}
