Move the heads of responses into a file of their own

The reader held the parsing of heads, their connection options and the framing of bodies. client::head parses and checks a head; the reader reads what follows. Without a change of behaviour.

--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP client for upstreams on the event loop, with a connection pool per address.
 
 mod connection;
+mod head;
 mod listen_check;
 mod reader;
 
@@ -13,8 +14,9 @@
     Actor, ActorOwnSlab, CX, Fwd, Ret, StopCause, actor_in_slab, after, call, ret_nop, ret_some_to,
 };
 
+pub use head::CorrelationHeader;
 pub use listen_check::Listening;
-pub use reader::{CorrelationHeader, ResponseError, ResponsePart, ResponseReader};
+pub use reader::{ResponseError, ResponsePart, ResponseReader};
 
 use crate::{CallEvent, Progress, Verdict};
 use connection::{Connection, Job, READ_BYTES};
--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -1,15 +1,10 @@
 //! Incremental parser for HTTP/1 responses.
 
-use http1::{Bounds, Chunks, Declaration, Framing, Rule, Step as ChunkStep, Version};
+use http1::{Bounds, Chunks, Framing, Rule, Step as ChunkStep};
 
+use super::head::{self, CorrelationHeader, MAX_HEAD_BYTES, Parsed, ResponseHead};
 use crate::Field;
 
-/// Largest size of a response head in bytes.
-const MAX_HEAD_BYTES: usize = 16 << 10;
-
-/// Largest number of headers in a response.
-const MAX_HEADERS: usize = 64;
-
 /// Limits on the lines between the chunks of a response and behind them.
 const CHUNK_BOUNDS: Bounds = Bounds { line_bytes: 4096, trailer_bytes: 64 << 10 };
 
@@ -25,22 +20,6 @@
 /// late duplicates.
 const MAX_UNMATCHED_BYTES: usize = 4 << 20;
 
-/// Header that the upstream returns unchanged and that matches a response to its request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CorrelationHeader {
-    /// Header name in lower case.
-    pub name: String,
-    /// Header value of the request.
-    pub value: String,
-}
-
-impl CorrelationHeader {
-    /// Returns whether `headers` name the request that this header belongs to.
-    pub fn is_in(&self, headers: &[Field]) -> bool {
-        find_headers(headers, &self.name).next() == Some(&self.value)
-    }
-}
-
 /// Part of a response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ResponsePart {
@@ -223,32 +202,14 @@
     }
 
     fn read_head(&mut self) -> Result<Step, ResponseError> {
-        let mut raw = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut response = httparse::Response::new(&mut raw);
-        let length = match response.parse(&self.buffer) {
-            // The parser skips empty lines, which may come before a request only.
-            _ if matches!(self.buffer.first(), Some(b'\r' | b'\n')) => {
-                return Err(Rule::StartLine.into());
+        let head = match head::parse(&self.buffer)? {
+            Parsed::Partial => return Ok(Step::NeedMoreBytes),
+            Parsed::Complete { length, head } => {
+                self.buffer.drain(..length);
+                head
             }
-            Ok(httparse::Status::Complete(length)) => {
-                http1::check_line_ends(&self.buffer[..length])?;
-                length
-            }
-            Ok(httparse::Status::Partial) if self.buffer.len() < MAX_HEAD_BYTES => {
-                http1::check_line_ends(&self.buffer)?;
-                return Ok(Step::NeedMoreBytes);
-            }
-            Ok(httparse::Status::Partial) => return Err(Rule::HeadSize.into()),
-            Err(error) => return Err(broken_rule(error).into()),
         };
-        let status = response.code.ok_or(Rule::Status)?;
-        let version = if response.version == Some(1) { Version::Http11 } else { Version::Http10 };
-        let headers = convert_headers(response.headers)?;
-        self.buffer.drain(..length);
-        // Checked for every head, since damage to a status may hide the body that follows.
-        let fields = headers.iter().map(|field| (field.name.as_str(), field.value.as_str()));
-        let framing = Framing::try_from(Declaration::new(version, fields))?;
-        match status {
+        match head.status {
             // No request asks to switch protocols.
             101 => return Err(Rule::Status.into()),
             100..=199 if self.interim_heads >= MAX_INTERIM_HEADS => {
@@ -261,37 +222,32 @@
             200..=599 => {}
             _ => return Err(Rule::Status.into()),
         }
-        self.read_connection_headers(version, &headers);
+        self.is_keep_alive = head.keeps_connection();
+        self.keep_alive_seconds = head.keep_alive_seconds();
         self.is_unmatched = match &self.echo {
-            Some(echo) => names_another_request(&headers, echo)?,
+            Some(echo) => echo.is_of_another(&head.headers)?,
             None => false,
         };
-        let has_no_body = matches!(status, 204 | 304) || (self.has_no_body && !self.is_unmatched);
+        self.start_body(head)
+    }
+
+    fn start_body(&mut self, head: ResponseHead) -> Result<Step, ResponseError> {
+        let is_empty = matches!(head.status, 204 | 304) || (self.has_no_body && !self.is_unmatched);
         // Such an answer would end with its connection, which its upstream says that it keeps open. A
         // field that told of the length has probably lost its name.
-        if !has_no_body && !framing.is_delimited() && stays_open(&headers) {
+        if !is_empty && !head.framing.is_delimited() && head.says_that_connection_stays() {
             return Err(Rule::NoLength.into());
         }
-        self.state = match framing {
-            _ if has_no_body => State::FixedLength(0),
+        self.state = match head.framing {
+            _ if is_empty => State::FixedLength(0),
             Framing::Length(length) => State::FixedLength(length.0),
             Framing::Chunks => State::Chunks(Chunks::new(CHUNK_BOUNDS)),
             Framing::UntilClose => State::UntilClose,
         };
+        let ResponseHead { status, headers, framing, .. } = head;
         Ok(Step::Emit(ResponsePart::Head { status, headers, framing }))
     }
 
-    fn read_connection_headers(&mut self, version: Version, headers: &[Field]) {
-        self.is_keep_alive = version == Version::Http11 && !has_option(headers, "close");
-        let timeout = find_headers(headers, "keep-alive").next().and_then(|value| {
-            let mut parameters =
-                value.split(',').filter_map(|parameter| parameter.trim().split_once('='));
-            let (_, seconds) = parameters.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
-            seconds.trim().parse().ok()
-        });
-        self.keep_alive_seconds = timeout;
-    }
-
     /// Reads up to `remaining` bytes of the body.
     fn read_bytes(&mut self, remaining: u64) -> Step {
         if remaining == 0 {
@@ -356,52 +312,3 @@
     Continue,
     Emit(ResponsePart),
 }
-
-fn broken_rule(error: httparse::Error) -> Rule {
-    match error {
-        httparse::Error::HeaderName => Rule::FieldLine,
-        httparse::Error::HeaderValue => Rule::FieldValue,
-        httparse::Error::NewLine => Rule::LineEnd,
-        httparse::Error::TooManyHeaders => Rule::HeadSize,
-        httparse::Error::Status | httparse::Error::Token | httparse::Error::Version => {
-            Rule::StartLine
-        }
-    }
-}
-
-fn convert_headers(raw: &[httparse::Header<'_>]) -> Result<Vec<Field>, ResponseError> {
-    let convert = |header: &httparse::Header<'_>| {
-        let value = std::str::from_utf8(header.value).map_err(|_| Rule::FieldValue)?;
-        Ok(Field { name: header.name.to_ascii_lowercase(), value: value.to_string() })
-    };
-    raw.iter().map(convert).collect()
-}
-
-fn find_headers<'a>(headers: &'a [Field], name: &str) -> impl Iterator<Item = &'a str> {
-    let fields = headers.iter().filter(move |field| field.name == name);
-    fields.map(|field| field.value.trim_matches([' ', '\t']))
-}
-
-/// Returns whether the upstream names the connection option `option`.
-fn has_option(headers: &[Field], option: &str) -> bool {
-    find_headers(headers, "connection").any(|value| value.to_ascii_lowercase().contains(option))
-}
-
-/// Returns whether the upstream says that it keeps the connection open for further requests.
-fn stays_open(headers: &[Field]) -> bool {
-    let is_kept = find_headers(headers, "keep-alive").next().is_some();
-    (is_kept || has_option(headers, "keep-alive")) && !has_option(headers, "close")
-}
-
-/// Returns whether the response with `headers` belongs to another request than `echo`.
-fn names_another_request(headers: &[Field], echo: &CorrelationHeader) -> Result<bool, Rule> {
-    let mut values = find_headers(headers, &echo.name);
-    let Some(first) = values.next() else {
-        return Ok(false);
-    };
-    if values.any(|value| value != first) {
-        Err(Rule::Correlation)
-    } else {
-        Ok(first != echo.value)
-    }
-}
