--- a/review/harness-3/cases.rs
+++ b/review/harness-3/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Command, ExitCode, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -11,7 +11,9 @@
 use crate::fleet::{Fleet, KEY, Machine, document};
 use crate::http::{call, request};
 use crate::record::Record;
-use crate::worker::{DEADLY, DEADLY_PART, Run, Workers, millis, wait_served};
+use crate::worker::{
+    DEADLY, DEADLY_PART, Run, UNFRAMED_EVENTS, Workers, millis, start_unframed, wait_served,
+};
 
 /// `contact-ms` of a small deployment.
 const CONTACT: Duration = Duration::from_millis(3000);
@@ -34,6 +36,8 @@
         "deadly-prompt" => deadly_prompt(&record, has_trouble),
         "forgotten" => forgotten(&record, has_trouble),
         "half-heads" => crowd(&record, has_trouble),
+        "odd-report" => odd_report(&record, has_trouble),
+        "spot" => spot(&record, has_trouble),
         "sent-ahead" => sent_ahead(&record, has_trouble),
         "many-fields" => many_fields(&record, has_trouble),
         _ => Err("no such case".to_string()),
@@ -466,3 +470,135 @@
     ));
     Ok(late > 5 || worked_on * 4 > begun)
 }
+
+/// A worker is gone 2 s after the notice that it has to leave, while streams that end with their
+/// channels run there.
+fn spot(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    let fleet = Fleet::start(3, 2).map_err(text)?;
+    let workers = Workers::start(&fleet, &[("shop", 2)], false).map_err(text)?;
+    let mut engines = Vec::new();
+    for number in 1..=4 {
+        engines.push(start_unframed(&fleet, number).map_err(text)?);
+    }
+    fleet.configure(&document())?;
+    wait_served(&fleet, &usual_requests()[1..])?;
+    let counts: Arc<Mutex<Vec<usize>>> = Arc::default();
+    let clients: Vec<_> = (0..40)
+        .map(|number: usize| {
+            let address = fleet.fronts[number % 2].callers();
+            let (record, counts) = (record.clone(), counts.clone());
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(50 * number as u64));
+                let (id, key) = (format!("57{number:014x}"), key());
+                let prompt = format!("aa{number}:200,e{number:x}:30");
+                let mut fields = fields(&id, &key, Some(&prompt));
+                fields.retain(|(name, _)| *name != "Deadline-Remaining");
+                fields.push(("Deadline-Remaining", "12000"));
+                let path = ["/report/3f", "/caption/3f"][number / 2 % 2];
+                let answer = call(address, &request("POST", path, &fields, "{}"), CONTACT * 4);
+                let line = match answer {
+                    Ok(answer) => {
+                        let body = String::from_utf8_lossy(&answer.body).into_owned();
+                        let events = body.matches("data: token").count();
+                        let is_whole = answer.is_whole && answer.status == 200;
+                        if is_whole && let Ok(mut counts) = counts.lock() {
+                            counts.push(events);
+                        }
+                        let end = if answer.is_whole { "complete" } else { "cut off" };
+                        format!("{}, {events} events, {end}", answer.status)
+                    }
+                    Err(error) => error.to_string(),
+                };
+                record.add(format!("stream {id} {path}: {line}"));
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(2200));
+    for engine in &mut engines[..2] {
+        if let Some(notice) = &mut engine.stdin {
+            notice.write_all(b"n").map_err(text)?;
+        }
+    }
+    record.say(format!("two workers get the notice that they have to leave at {}", millis()));
+    std::thread::sleep(Duration::from_secs(2));
+    if has_trouble {
+        for engine in &mut engines[..2] {
+            engine.kill().map_err(text)?;
+        }
+        record.say(format!("they are gone at {}", millis()));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    for mut engine in engines {
+        let _ = engine.kill();
+        let _ = engine.wait();
+    }
+    record_runs(record, &workers.runs());
+    let counts = counts.lock().map(|counts| counts.clone()).unwrap_or_default();
+    let short = counts.iter().filter(|count| **count < UNFRAMED_EVENTS).count();
+    record.say(format!(
+        "{} of 40 streams came to the client as complete, {short} of them without their last events",
+        counts.len()
+    ));
+    Ok(short > 0)
+}
+
+/// Another writer reports two workers, with fields of other types.
+fn odd_report(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    let fleet = Fleet::start(3, 2).map_err(text)?;
+    let workers = Workers::start(&fleet, &[("llm", 3), ("shop", 2)], false).map_err(text)?;
+    fleet.configure(&document())?;
+    wait_served(&fleet, &usual_requests())?;
+    for number in if has_trouble { 1..=2 } else { 1..=0 } {
+        // The address and the id of a model worker. The first report has a field of another type, and
+        // the second one lacks a field.
+        let address = SocketAddr::new(fleet.ip(20 + number).into(), 8120);
+        let odd = if number == 1 { "\"version\":7," } else { "" };
+        let body = format!(
+            "{{\"service\":\"shop\",\"address\":\"{address}\",\"zone\":\"cairo-a\",{odd}\
+             \"slots\":64,\"state\":\"ready\",\"cold-remaining-ms\":0,\"stage\":\"both\",\
+             \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"seq\":1,\"born\":{}}}",
+            millis()
+        );
+        let path = format!("/v1/workers/i-llm-{number}");
+        let fields = [("Host", "control"), ("Content-Type", "application/json")];
+        let report = request("PUT", &path, &fields, &body);
+        let answer = call(fleet.controls[0].control(), &report, Duration::from_secs(2));
+        let answer = answer.map(|answer| answer.status).unwrap_or(0);
+        record.say(format!("another writer: PUT {path} {body}: {answer}"));
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    let clients: Vec<_> = (0..16)
+        .map(|client: usize| {
+            let (record, address) = (record.clone(), fleet.fronts[client % 2].callers());
+            std::thread::spawn(move || {
+                for number in 0..15 {
+                    let (id, key) = (format!("c4{client:04x}{number:010x}"), key());
+                    let bytes = request("POST", "/charge/8f", &fields(&id, &key, None), "{}");
+                    let answer = match call(address, &bytes, Duration::from_secs(3)) {
+                        Ok(answer) => answer.status.to_string(),
+                        Err(error) => error.to_string(),
+                    };
+                    record.add(format!("sent {id} /charge/8f to {address}: {answer}"));
+                    std::thread::sleep(Duration::from_millis(50));
+                }
+            })
+        })
+        .collect();
+    for client in clients {
+        let _ = client.join();
+    }
+    let runs = workers.runs();
+    record_runs(record, &runs);
+    let charges = runs.iter().filter(|run| run.path.starts_with("/charge/"));
+    let at = |id: &str| charges.clone().filter(|run| run.worker == id).count();
+    let (typed, missing) = (at("i-llm-1"), at("i-llm-2"));
+    record.say(format!(
+        "{} bookings ran; workers of the service llm, to which no desired state lets them go, ran \
+         {typed} after the report with a field of another type and {missing} after the one that lacks \
+         a field",
+        charges.clone().count()
+    ));
+    Ok(typed + missing > 0)
+}
--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -10,6 +10,7 @@
 /// An answer to a request.
 pub struct Answer {
     pub status: u16,
+    pub body: Vec<u8>,
     /// Whether the length or the last chunk shows that the answer is whole.
     pub is_whole: bool,
 }
@@ -68,11 +69,11 @@
                 (None, true) => dechunk(rest),
                 (None, false) => None,
             };
-            if whole.is_some() {
-                return Ok(Answer { status, is_whole: true });
+            if let Some(body) = whole {
+                return Ok(Answer { status, body, is_whole: true });
             }
             if is_closed {
-                return Ok(Answer { status, is_whole: false });
+                return Ok(Answer { status, body: rest.to_vec(), is_whole: false });
             }
         }
         if is_closed {
--- a/review/harness-3/worker.rs
+++ b/review/harness-3/worker.rs
@@ -37,14 +37,15 @@
     address: SocketAddr,
     seeds: String,
     log: PathBuf,
-    has_trouble: bool,
+    /// What the worker does: `1` for crashes, `unframed` for streams that end with their channels.
+    mode: &'static str,
 }
 
 fn spawn(setup: &Setup, id: &str) -> std::io::Result<Child> {
     Command::new(std::env::current_exe()?)
         .args(["worker", id, setup.service, &setup.address.to_string(), &setup.seeds])
         .arg(&setup.log)
-        .arg(if setup.has_trouble { "1" } else { "0" })
+        .arg(setup.mode)
         .stdin(Stdio::piped())
         .spawn()
 }
@@ -83,7 +84,8 @@
                 number += 1;
                 let address = SocketAddr::new(fleet.ip(20 + number).into(), 8120);
                 let (seeds, log) = (seeds.join(","), log.clone());
-                let setup = Setup { service, address, seeds, log, has_trouble };
+                let mode = if has_trouble { "1" } else { "0" };
+                let setup = Setup { service, address, seeds, log, mode };
                 let child = spawn(&setup, &format!("i-{service}-{number}"))?;
                 running.push((setup, child));
             }
@@ -162,15 +164,22 @@
         id: id.clone(),
         log: Path::new(log).to_path_buf(),
         has_trouble: trouble == "1",
+        is_unframed: trouble == "unframed",
+        is_leaving: AtomicBool::new(false),
         running: AtomicUsize::new(0),
     });
-    std::thread::spawn(|| {
-        let _ = std::io::stdin().read(&mut [0]);
+    let notified = worker.clone();
+    std::thread::spawn(move || {
+        // A byte is the notice that the worker has to leave.
+        while std::io::stdin().read(&mut [0]).is_ok_and(|count| count > 0) {
+            notified.is_leaving.store(true, Ordering::Relaxed);
+        }
         std::process::exit(0);
     });
     let seeds: Vec<SocketAddr> = seeds.split(',').filter_map(|seed| seed.parse().ok()).collect();
     let report = (id.clone(), service.clone(), address.clone());
-    std::thread::spawn(move || report_liveness(&report, &seeds));
+    let reported = worker.clone();
+    std::thread::spawn(move || report_liveness(&report, &seeds, &reported.is_leaving));
     for stream in listener.incoming().flatten() {
         let worker = worker.clone();
         std::thread::spawn(move || worker.serve(stream));
@@ -178,12 +187,18 @@
     Ok(())
 }
 
-fn report_liveness((id, service, address): &(String, String, String), seeds: &[SocketAddr]) {
+fn report_liveness(
+    (id, service, address): &(String, String, String),
+    seeds: &[SocketAddr],
+    is_leaving: &AtomicBool,
+) {
     let born = millis();
     for sequence in 1.. {
+        let is_draining = is_leaving.load(Ordering::Relaxed);
+        let state = if is_draining { "draining" } else { "ready" };
         let body = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"cairo-a\",\
-             \"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold-remaining-ms\":0,\
+             \"version\":\"v1\",\"slots\":64,\"state\":\"{state}\",\"cold-remaining-ms\":0,\
              \"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
              \"seq\":{sequence},\"born\":{born}}}"
         );
@@ -191,7 +206,10 @@
         let report = request("PUT", &format!("/v1/workers/{id}"), &fields, &body);
         let mut answers = seeds.iter().map(|seed| call(*seed, &report, Duration::from_secs(1)));
         answers.any(|answer| answer.is_ok_and(|answer| answer.status == 200));
-        std::thread::sleep(HEARTBEAT);
+        let next = Instant::now() + HEARTBEAT;
+        while Instant::now() < next && is_leaving.load(Ordering::Relaxed) == is_draining {
+            std::thread::sleep(Duration::from_millis(10));
+        }
     }
 }
 
@@ -199,6 +217,9 @@
     id: String,
     log: PathBuf,
     has_trouble: bool,
+    /// Whether streams have neither a length nor chunks, and last for long.
+    is_unframed: bool,
+    is_leaving: AtomicBool,
     running: AtomicUsize,
 }
 
@@ -258,10 +279,14 @@
         let running = self.running.fetch_add(1, Ordering::Relaxed) + 1;
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
-             Server-Load: {running},0,64\r\n"
+             Server-Load: {running},0,64\r\n{}",
+            if self.is_leaving.load(Ordering::Relaxed) { "Server-Leaving: 1\r\n" } else { "" }
         );
         let result = if path.starts_with("/caption/") || path.starts_with("/report/") {
-            stream_events(stream, &head, crashes)
+            match self.is_unframed {
+                true => stream_unframed(stream, &head),
+                false => stream_events(stream, &head, crashes),
+            }
         } else {
             if path.ends_with("/slow") {
                 self.work_slowly(stream, id, path)?;
@@ -318,6 +343,32 @@
     stream.write_all(b"0\r\n\r\n")
 }
 
+/// Number of events of a stream that ends with its channel.
+pub const UNFRAMED_EVENTS: usize = 60;
+
+/// Sends a stream of events that ends with its channel. Each event is one write.
+fn stream_unframed(stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
+    let head = format!("{head}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes())?;
+    for number in 1..=UNFRAMED_EVENTS {
+        std::thread::sleep(Duration::from_millis(60));
+        stream.write_all(format!("id: {number}\ndata: token {number}\n\n").as_bytes())?;
+    }
+    Err(std::io::Error::other("the stream ends with its channel"))
+}
+
+/// Starts a worker whose streams end with their channels.
+pub fn start_unframed(fleet: &Fleet, number: u8) -> std::io::Result<Child> {
+    let setup = Setup {
+        service: "llm",
+        address: SocketAddr::new(fleet.ip(60 + number).into(), 8120),
+        seeds: fleet.seeds().iter().map(ToString::to_string).collect::<Vec<_>>().join(","),
+        log: fleet.folder.join("runs"),
+        mode: "unframed",
+    };
+    spawn(&setup, &format!("i-unframed-{number}"))
+}
+
 /// Waits until `front` serves a request of each route.
 pub fn wait_served(fleet: &Fleet, requests: &[Vec<u8>]) -> Result<(), String> {
     for front in &fleet.fronts {
