Look behind the end of an answer before it is passed on

What callers saw: an upstream sent a `content-length` that was damaged to a lesser number (0, 00, 3, 15 or 29 of 30), with the rest of the body behind it. On plain routes the caller got a complete 200 with the cut body, on streams too where the cut fell between two events. The same with a second answer behind the body, with a chunk whose size turned into 0 if its data pass as trailers, and with a body behind a 204 or a 304.

Cause: the reader told the end of an answer as soon as the declared number of bytes had arrived. Bytes behind it only kept the connection from being used again. A caller counts bytes by the same length, so that closing its connection afterwards tells it nothing.

Change: bytes behind the end that do not begin another answer (`HTTP/1.`, or as much of it as is there) break the rule `excess-bytes`. While the last read filled its buffer, more bytes may be in the socket, and the reader holds back the end, with the last part of a body with a length and with the head of an answer without a body. The next read proves the end.

Why this works: the declared number of bytes reaches the caller only once the bytes that arrived with the last of them were looked at. No timer is needed, and an answer that ends within a read is not held. A second answer behind a whole one belongs to no request, as before, and is dropped. Bytes behind an answer to a HEAD request may be a body that is not passed on anyway.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -300,28 +300,50 @@
                     };
                     let read_bytes = self.stream.wr - self.stream.rd - unread_before;
                     job.reader.push(&self.stream.inp[self.stream.rd..self.stream.wr]);
+                    job.reader.expect_more(read_bytes == READ_BYTES);
                     self.stream.rd = self.stream.wr;
                     if !self.report_parts(cx) || (read_bytes < READ_BYTES && !self.is_read_closed) {
                         return;
                     }
                 }
-                ReadStatus::WouldBlock => return,
-                ReadStatus::EndOfStream => {
-                    self.handle_end_of_stream(cx);
+                ReadStatus::WouldBlock => {
+                    self.report_held_parts(cx);
                     return;
                 }
-                ReadStatus::Error(_) if self.job.is_none() => {
-                    self.mark_broken(cx);
+                ReadStatus::EndOfStream => {
+                    if self.report_held_parts(cx) {
+                        self.handle_end_of_stream(cx);
+                    }
                     return;
                 }
                 ReadStatus::Error(error) => {
-                    self.fail(cx, &format!("the connection failed: {error}"));
+                    if self.report_held_parts(cx) {
+                        self.handle_error(cx, &error);
+                    }
                     return;
                 }
             }
         }
     }
 
+    /// Reports the parts of the response that were held back while the socket could hold more bytes.
+    /// Returns false if the connection was abandoned.
+    fn report_held_parts(&mut self, cx: CX![]) -> bool {
+        if let Some(job) = &mut self.job {
+            job.reader.expect_more(false);
+        }
+        self.report_parts(cx)
+    }
+
+    /// Handles an error of the socket.
+    fn handle_error(&mut self, cx: CX![], error: &std::io::Error) {
+        if self.job.is_none() {
+            self.mark_broken(cx);
+        } else {
+            self.fail(cx, &format!("the connection failed: {error}"));
+        }
+    }
+
     /// Reports the available parts of the response. Returns false if the connection was abandoned.
     fn report_parts(&mut self, cx: CX![]) -> bool {
         let mut body = Vec::new();
--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -20,6 +20,9 @@
 /// late duplicates.
 const MAX_UNMATCHED_BYTES: usize = 4 << 20;
 
+/// Beginning of every response.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
+
 /// Part of a response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ResponsePart {
@@ -71,6 +74,8 @@
     is_unmatched: bool,
     /// Whether bytes arrived after the end of the response.
     has_excess_bytes: bool,
+    /// Whether the connection may already hold more bytes than those that were pushed.
+    expects_more: bool,
     interim_heads: usize,
     unmatched_bytes: usize,
     is_keep_alive: bool,
@@ -91,6 +96,7 @@
             echo,
             is_unmatched: false,
             has_excess_bytes: false,
+            expects_more: false,
             interim_heads: 0,
             unmatched_bytes: 0,
             is_keep_alive: true,
@@ -122,6 +128,14 @@
         }
     }
 
+    /// Tells whether the connection may already hold more bytes. While it may, the end of the response is
+    /// held back, with the last part of a body with a length and with the head of a response without a
+    /// body: bytes behind the end may show that the length is damaged, and a caller that has received the
+    /// declared number of bytes takes the response for complete.
+    pub fn expect_more(&mut self, expects_more: bool) {
+        self.expects_more = expects_more;
+    }
+
     /// Returns the number of buffered bytes that have not been returned as a part yet.
     pub fn buffered_bytes(&self) -> usize {
         self.buffer.len()
@@ -148,7 +162,7 @@
         loop {
             let step = match self.state {
                 State::Head => self.read_head()?,
-                State::FixedLength(remaining) => self.read_bytes(remaining),
+                State::FixedLength(remaining) => self.read_bytes(remaining)?,
                 State::Chunks(chunks) => self.read_chunks(chunks)?,
                 State::UntilClose => self.read_until_close(),
                 State::Done => return Ok(None),
@@ -202,12 +216,9 @@
     }
 
     fn read_head(&mut self) -> Result<Step, ResponseError> {
-        let head = match head::parse(&self.buffer)? {
+        let (length, head) = match head::parse(&self.buffer)? {
             Parsed::Partial => return Ok(Step::NeedMoreBytes),
-            Parsed::Complete { length, head } => {
-                self.buffer.drain(..length);
-                head
-            }
+            Parsed::Complete { length, head } => (length, head),
         };
         match head.status {
             // No request asks to switch protocols.
@@ -217,6 +228,7 @@
             }
             100..=199 => {
                 self.interim_heads += 1;
+                self.buffer.drain(..length);
                 return Ok(Step::Continue);
             }
             200..=599 => {}
@@ -228,39 +240,76 @@
             Some(echo) => echo.is_of_another(&head.headers)?,
             None => false,
         };
-        self.start_body(head)
+        let state = self.body_state(&head)?;
+        if let State::FixedLength(body_bytes) = state {
+            let end = self.check_end(length, body_bytes)?;
+            if end == End::Unproven && body_bytes == 0 {
+                return Ok(Step::NeedMoreBytes);
+            }
+        }
+        self.buffer.drain(..length);
+        self.state = state;
+        let ResponseHead { status, headers, framing, .. } = head;
+        Ok(Step::Emit(ResponsePart::Head { status, headers, framing }))
     }
 
-    fn start_body(&mut self, head: ResponseHead) -> Result<Step, ResponseError> {
+    /// Returns the state behind `head`.
+    fn body_state(&self, head: &ResponseHead) -> Result<State, Rule> {
         let is_empty = matches!(head.status, 204 | 304) || (self.has_no_body && !self.is_unmatched);
         // Such an answer would end with its connection, which its upstream says that it keeps open. A
         // field that told of the length has probably lost its name.
         if !is_empty && !head.framing.is_delimited() && head.says_that_connection_stays() {
-            return Err(Rule::NoLength.into());
+            return Err(Rule::NoLength);
         }
-        self.state = match head.framing {
+        Ok(match head.framing {
             _ if is_empty => State::FixedLength(0),
             Framing::Length(length) => State::FixedLength(length.0),
             Framing::Chunks => State::Chunks(Chunks::new(CHUNK_BOUNDS)),
             Framing::UntilClose => State::UntilClose,
-        };
-        let ResponseHead { status, headers, framing, .. } = head;
-        Ok(Step::Emit(ResponsePart::Head { status, headers, framing }))
+        })
+    }
+
+    /// Checks the end of the response, of which `missing` bytes are to come behind the first `position`
+    /// bytes of the buffer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Rule::ExcessBytes`] if other bytes than another response follow the end.
+    fn check_end(&self, position: usize, missing: u64) -> Result<End, Rule> {
+        let missing = usize::try_from(missing).unwrap_or(usize::MAX);
+        let behind = self.buffer.get(position.saturating_add(missing)..);
+        match behind {
+            None => Ok(End::NotReached),
+            // The bytes behind a response to another request have to be a response. Those behind a
+            // response to a `HEAD` request may be a body, which is no part of it.
+            Some(_) if self.is_unmatched || self.has_no_body => Ok(End::Proven),
+            Some([]) if self.expects_more => Ok(End::Unproven),
+            Some(behind) => {
+                let compared = behind.len().min(RESPONSE_START.len());
+                match behind[..compared] == RESPONSE_START[..compared] {
+                    true => Ok(End::Proven),
+                    false => Err(Rule::ExcessBytes),
+                }
+            }
+        }
     }
 
     /// Reads up to `remaining` bytes of the body.
-    fn read_bytes(&mut self, remaining: u64) -> Step {
+    fn read_bytes(&mut self, remaining: u64) -> Result<Step, Rule> {
+        if self.check_end(0, remaining)? == End::Unproven {
+            return Ok(Step::NeedMoreBytes);
+        }
         if remaining == 0 {
             self.state = State::Done;
-            return Step::Emit(ResponsePart::End);
+            return Ok(Step::Emit(ResponsePart::End));
         }
         if self.buffer.is_empty() {
-            return Step::NeedMoreBytes;
+            return Ok(Step::NeedMoreBytes);
         }
         let length = self.buffer.len().min(usize::try_from(remaining).unwrap_or(usize::MAX));
         let part: Vec<u8> = self.buffer.drain(..length).collect();
         self.state = State::FixedLength(remaining - length as u64);
-        Step::Emit(ResponsePart::Body(part))
+        Ok(Step::Emit(ResponsePart::Body(part)))
     }
 
     fn read_until_close(&mut self) -> Step {
@@ -298,6 +347,9 @@
             ChunkStep::Data(bytes) => {
                 Ok(Step::Emit(ResponsePart::Body(self.buffer.drain(..bytes).collect())))
             }
+            ChunkStep::End(bytes) if self.check_end(bytes, 0)? == End::Unproven => {
+                Ok(Step::NeedMoreBytes)
+            }
             ChunkStep::End(bytes) => {
                 self.buffer.drain(..bytes);
                 self.state = State::Done;
@@ -307,6 +359,17 @@
     }
 }
 
+/// End of the response in the buffered bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// It has not arrived.
+    NotReached,
+    /// Bytes behind it may have arrived that were not read yet.
+    Unproven,
+    /// Nothing follows it, or another response.
+    Proven,
+}
+
 enum Step {
     NeedMoreBytes,
     Continue,
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -104,6 +104,54 @@
     assert!(parsed.has_ended && !parsed.is_reusable);
 }
 
+fn excess_bytes() -> Option<ResponseError> {
+    Some(ResponseError::Malformed(Rule::ExcessBytes))
+}
+
+/// Guards against a body that is cut at a length which is too small, or at a chunk whose size turned into
+/// 0.
+#[test_case("content-length: 3\r\n\r\nhello" => excess_bytes(); "length")]
+#[test_case("content-length: 3\r\n\r\nheyHTTP/2" => excess_bytes(); "length before bytes that resemble an answer")]
+#[test_case("content-length: 0\r\n\r\nhello" => excess_bytes(); "length of 0")]
+#[test_case("transfer-encoding: chunked\r\n\r\n0\r\na:\r\n\r\n0\r\n\r\n" => excess_bytes(); "last chunk")]
+#[test_case("content-length: 3\r\n\r\nheyHTTP/1.1 200 OK\r\n" => None; "length before an answer")]
+#[test_case("content-length: 3\r\n\r\nheyHTT" => None; "length before the beginning of an answer")]
+#[test_case("content-length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" => None; "length of 0 before an answer")]
+#[test_case("transfer-encoding: chunked\r\n\r\n0\r\na:\r\n\r\nHTTP/1.0 200" => None; "last chunk before an answer")]
+fn bytes_behind_a_response_that_are_no_response_are_malformed(rest: &str) -> Option<ResponseError> {
+    let text = format!("HTTP/1.1 200 OK\r\n{rest}");
+    let parsed = parse(&text, 512, false, false);
+    assert_ne!(parsed.has_ended, parsed.error.is_some(), "{parsed:?}");
+    assert!(!parsed.is_reusable, "{parsed:?}");
+    let expects_nothing = parse(&text, 512, false, true);
+    assert!(expects_nothing.has_ended, "response to a request for the head: {expects_nothing:?}");
+    parsed.error
+}
+
+/// Guards against a caller that gets the declared number of bytes before the bytes behind them are read.
+#[test_case("content-length: 0\r\n\r\n", 0, 0; "no body")]
+#[test_case("content-length: 5\r\n\r\nhello", 1, 0; "body that begins with the head")]
+#[test_case("transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 1, 5; "chunks")]
+fn the_end_of_a_response_is_held_back_while_more_bytes_are_expected(
+    rest: &str,
+    heads: usize,
+    body_bytes: usize,
+) {
+    for (behind, error) in [("", None), ("x", excess_bytes()), ("HTTP/1.1 200", None)] {
+        let mut reader = ResponseReader::new(None, false);
+        let mut parsed = ParsedResponse::default();
+        reader.push(format!("HTTP/1.1 200 OK\r\n{rest}").as_bytes());
+        reader.expect_more(true);
+        collect_parts(&mut reader, &mut parsed);
+        assert_eq!((parsed.statuses.len(), parsed.body.len()), (heads, body_bytes), "{parsed:?}");
+        assert!(!parsed.has_ended && parsed.error.is_none(), "{parsed:?}");
+        reader.push(behind.as_bytes());
+        reader.expect_more(false);
+        collect_parts(&mut reader, &mut parsed);
+        assert_eq!((parsed.error, parsed.has_ended), (error, error.is_none()), "{behind:?}");
+    }
+}
+
 #[test_case("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"; "close")]
 #[test_case("HTTP/1.1 200 OK\r\nConnection: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"; "close in a second field")]
 #[test_case("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"; "HTTP 1.0")]
--- a/crates/http1/src/rule.rs
+++ b/crates/http1/src/rule.rs
@@ -49,6 +49,9 @@
     /// A line after the last chunk is not a field, or the trailers exceed the limit.
     #[error("a line after its last chunk is not a field, or too long")]
     Trailer,
+    /// Bytes that do not begin another message follow the end of the message.
+    #[error("bytes follow its end that are no answer")]
+    ExcessBytes,
     /// Two fields name different requests that the response belongs to.
     #[error("it names more than one request")]
     Correlation,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, unused_imports, clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+pub mod answer_plays;
 pub mod caller_threads;
 mod client;
 pub mod crashes;
