Refuse content behind a status that allows none

What callers saw: an upstream answered 204 or 205 with a length or chunks and a body behind them. The caller got a complete answer without the body. An interim answer with a length was passed over.

Cause: a 204 ended with its head, whatever the head said of its body, and a 205 was read like a 200.

Change: a length above 0 or chunks in a 1xx, 204 or 205 break the rule `content` (RFC 9110, sections 8.6 and 15.3.6). A 205 ends with its head, so that bytes behind it break `excess-bytes`. A length of 0 passes, and a 304 and the answer to a HEAD request may tell of a body that they do not have.

Why this works: such a head contradicts itself, and the status is as likely to be damaged as the fields.

--- a/crates/dispatch/src/adapter/mod.rs
+++ b/crates/dispatch/src/adapter/mod.rs
@@ -42,7 +42,7 @@
     /// Returns whether the head delimits the body, so that the end of the body can be
     /// distinguished from a broken connection.
     pub fn has_delimited_body(&self) -> bool {
-        matches!(self.status, 204 | 304) || self.framing.is_delimited()
+        !http1::allows_content(self.status) || self.framing.is_delimited()
     }
 
     /// Returns whether the response carries the id of `attempt`.
--- a/crates/dispatch/src/client/head.rs
+++ b/crates/dispatch/src/client/head.rs
@@ -66,6 +66,23 @@
             && !self.has_connection_option("close")
     }
 
+    /// Checks that the head tells of no content if its status allows none (RFC 9110, sections 8.6 and
+    /// 15.3.6). The status is probably damaged otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Rule::Content`] if it does.
+    pub(super) fn check_content(&self) -> Result<(), Rule> {
+        let has_content = match self.framing {
+            Framing::Length(length) => length.0 > 0,
+            Framing::Chunks => true,
+            Framing::UntilClose => false,
+        };
+        // A 304 tells of the content that a 200 would have.
+        let may_tell = http1::allows_content(self.status) || self.status == 304;
+        if has_content && !may_tell { Err(Rule::Content) } else { Ok(()) }
+    }
+
     /// Returns the idle timeout in seconds that the upstream announced, if any.
     pub(super) fn keep_alive_seconds(&self) -> Option<u64> {
         let value = find_headers(&self.headers, "keep-alive").next()?;
--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -227,6 +227,7 @@
                 return Err(Rule::OtherResponses.into());
             }
             100..=199 => {
+                head.check_content()?;
                 self.interim_heads += 1;
                 self.buffer.drain(..length);
                 return Ok(Step::Continue);
@@ -255,7 +256,9 @@
 
     /// Returns the state behind `head`.
     fn body_state(&self, head: &ResponseHead) -> Result<State, Rule> {
-        let is_empty = matches!(head.status, 204 | 304) || (self.has_no_body && !self.is_unmatched);
+        head.check_content()?;
+        let is_empty =
+            !http1::allows_content(head.status) || (self.has_no_body && !self.is_unmatched);
         // Such an answer would end with its connection, which its upstream says that it keeps open. A
         // field that told of the length has probably lost its name.
         if !is_empty && !head.framing.is_delimited() && head.says_that_connection_stays() {
--- a/crates/dispatch/tests/damaged_answers.rs
+++ b/crates/dispatch/tests/damaged_answers.rs
@@ -52,6 +52,14 @@
     digits.parse().ok().filter(|_| is_ended)
 }
 
+/// Returns whether valid fields tell of a body that is not empty.
+fn tells_content(fields: &[(String, String)]) -> bool {
+    fields.iter().any(|(name, value)| match name.as_str() {
+        "content-length" => value.chars().any(|digit| digit != '0'),
+        name => name == "transfer-encoding",
+    })
+}
+
 /// Returns whether `bytes` begin another answer, or would if more arrived.
 fn begins_answer(bytes: &[u8]) -> bool {
     bytes.starts_with(b"HTTP/1.") || b"HTTP/1.".starts_with(bytes)
@@ -69,13 +77,18 @@
             .is_some_and(|head| is_other(&head.fields));
         let ends_with_head = |line: &str| {
             let code = status(line).unwrap_or_default();
-            matches!(code, 100..=199 | 204 | 304) || (has_no_body && !names_other)
+            matches!(code, 100..=199 | 204 | 205 | 304) || (has_no_body && !names_other)
         };
         message = grammar::message(bytes, is_http_1_0, ends_with_head);
         let Some(message) = message else {
             return (None, false);
         };
         let behind = &bytes[bytes.len() - message.rest.len()..];
+        if matches!(status(&message.start_line), Some(100..=199 | 204 | 205))
+            && tells_content(&message.fields)
+        {
+            return (None, false);
+        }
         match (status(&message.start_line), message.body) {
             (Some(100 | 102..=199), _) => bytes = behind,
             (Some(200..=599), Some(_)) if names_other => bytes = behind,
@@ -107,6 +120,8 @@
 #[test_case("HTTP/1.1 200 OK\r\nx-id: late\r\ntransfer-encoding: chunked\r\n\r\n4\r\ncopy\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\nhello", false; "behind a late copy in chunks")]
 #[test_case("HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\n", true; "to a request for the head")]
 #[test_case("HTTP/1.1 204 No Content\r\nx-id: mine\r\n\r\n", false; "without a body")]
+#[test_case("HTTP/1.1 205 Reset\r\nx-id: mine\r\ncontent-length: 0\r\n\r\n", false; "with a length of 0")]
+#[test_case("HTTP/1.1 304 Not Modified\r\nx-id: mine\r\ncontent-length: 5\r\n\r\n", false; "without the body that it tells of")]
 #[test_case("HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\n", false; "before other bytes")]
 fn a_damaged_answer_is_a_failure_or_what_its_bytes_mean(sound: &str, has_no_body: bool) {
     let (meaning, has_rest) = mean(sound.as_bytes(), has_no_body, true);
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -171,7 +171,16 @@
 fn a_response_without_a_body_ends_after_its_head() {
     let head = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
     assert!(parse(head, 512, false, true).has_ended);
-    assert!(parse("HTTP/1.1 204 No Content\r\n\r\n", 512, false, false).has_ended);
+    for status in ["204 No Content", "205 Reset Content", "304 Not Modified"] {
+        for field in ["", "content-length: 0\r\n"] {
+            let text = format!("HTTP/1.1 {status}\r\n{field}\r\n");
+            assert!(parse(&text, 512, false, false).has_ended, "{text:?}");
+        }
+    }
+    assert!(
+        parse("HTTP/1.1 304 Not Modified\r\ncontent-length: 5\r\n\r\n", 512, false, false)
+            .has_ended
+    );
 }
 
 #[test_case("garbage\r\n\r\n", Rule::StartLine; "invalid head")]
@@ -192,6 +201,10 @@
 #[test_case("HTTP/1.1 204 No Content\r\nx-id: mine\r\nx-id: other\r\n\r\n", Rule::Correlation; "two ids")]
 #[test_case("HTTP/1.1 204 No Content\r\ncontent-length: x\r\n\r\n", Rule::ContentLength; "invalid length of a response without a body")]
 #[test_case("HTTP/1.1 100 Continue\r\ncontent-length: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", Rule::ContentLength; "invalid length of an interim response")]
+#[test_case("HTTP/1.1 204 No Content\r\ncontent-length: 5\r\n\r\n", Rule::Content; "204 with a length")]
+#[test_case("HTTP/1.1 204 No Content\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", Rule::Content; "204 with chunks")]
+#[test_case("HTTP/1.1 205 Reset Content\r\ncontent-length: 5\r\n\r\nhello", Rule::Content; "205 with a length")]
+#[test_case("HTTP/1.1 103 Early Hints\r\ncontent-length: 5\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", Rule::Content; "interim response with a length")]
 fn bytes_that_are_no_response_are_malformed(bytes: &str, rule: Rule) {
     for has_no_body in [false, true] {
         let parsed = parse(bytes, 512, false, has_no_body);
--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -30,6 +30,11 @@
     }
 }
 
+/// Returns whether a response with `status` may have a body (RFC 9110, sections 8.6, 15.3.6 and 15.4.5).
+pub fn allows_content(status: u16) -> bool {
+    !matches!(status, 100..=199 | 204 | 205 | 304)
+}
+
 impl TryFrom<Declaration<'_>> for Framing {
     type Error = Rule;
 
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use chunks::{Bounds, Chunks, Step};
 pub use declaration::{Declaration, Version};
-pub use framing::Framing;
+pub use framing::{Framing, allows_content};
 pub use head::check_line_ends;
 pub use length::Length;
 pub use rule::Rule;
--- a/crates/http1/src/rule.rs
+++ b/crates/http1/src/rule.rs
@@ -34,6 +34,9 @@
     /// Both `content-length` and `transfer-encoding` are given.
     #[error("it has both a content-length and a transfer-encoding")]
     LengthAndEncoding,
+    /// A length above 0 or chunks are given, and the status allows no content.
+    #[error("it has content, which its status does not allow")]
+    Content,
     /// Neither a length nor chunks are given, and the connection stays open behind the message.
     #[error("it tells no length and keeps the connection open")]
     NoLength,
--- a/crates/relay/src/forwarder/responses.rs
+++ b/crates/relay/src/forwarder/responses.rs
@@ -283,7 +283,7 @@
                 _ => EventBoundary::typed(event_stream == Some(true)),
             };
         }
-        let has_no_body = matches!(status, 204 | 304);
+        let has_no_body = !http1::allows_content(status);
         let length = match is_streaming && status == Status::OK.0 {
             true => None,
             false => framing.length(),
--- a/tests/damaged_framing.rs
+++ b/tests/damaged_framing.rs
@@ -65,7 +65,7 @@
 /// Guards against bytes behind an answer without a body, which its upstream meant to have one.
 #[test]
 fn bytes_behind_an_answer_without_a_body_are_a_failure_of_its_upstream() {
-    let texts = ["204 No Content", "304 Not Modified"].map(|status| {
+    let texts = ["204 No Content", "205 Reset Content", "304 Not Modified"].map(|status| {
         let text = ok(CLOSE, &format!("^{BODY}")).replace("200 OK", status);
         let code = status[..3].parse().unwrap();
         Case::new(text, End::Close, Expected::FailureAtOnce(code, String::new()))
@@ -93,6 +93,23 @@
     check_cases(&cases);
 }
 
+/// Guards against an answer that has lost its body because its status allows none.
+#[test]
+fn a_body_behind_a_status_that_allows_none_is_a_failure_of_its_upstream() {
+    let mut cases = Vec::new();
+    for status in ["204 No Content", "205 Reset Content", "103 Early Hints"] {
+        for (field, body) in [("content-length: 30", BODY), ("transfer-encoding: chunked", CHUNKS)]
+        {
+            for connection in ["", CLOSE] {
+                let text = ok(&format!("{connection}{field}\r\n"), &format!("^{body}"));
+                let text = text.replace("200 OK", status);
+                cases.extend(each_end(&text, &Expected::Failure));
+            }
+        }
+    }
+    check_cases(&cases);
+}
+
 /// Guards against the refusal of a sound answer.
 #[test]
 fn a_sound_answer_stays_whole() {
