Refuse answers without framing that have a damaged field of the framing

What callers saw: the field `transfer-encoding` of an answer in chunks had lost its name (`transfer-encodinx`, `transfer_encoding`, a letter less or more, another name), and the connection was closed behind it. The caller got a complete 200 with the chunk lines in its body, on all kinds of routes, with and without `connection: close`. If the field of a length had lost its name, a cut body was complete, and so was one with a second answer behind it.

Cause: without a known field nothing tells of a length, and such an answer may end with its connection.

Change: an answer with neither a length nor chunks breaks the rule `framing-field` if the name of a field is one edit away from `content-length` or `transfer-encoding`, or if the value of a field is `chunked`. Names with other damage leave no sign in the head.

Why this works: no other field has such a name or value, and an answer that means to end with its connection has no use for one. The check is made in no other answer.

Ruled out: to refuse all answers without framing that do not say `close`. RFC 9112, section 6.3, allows them, and platform_whole_ends and platform_unproven_ends hold that they stay whole.

The cases of dispatch reader an_answer_without_a_length_that_keeps_its_connection_is_malformed had such a damaged field in all heads, and two of them passed; these two are refused now. What passed in them because nothing in the head was wrong is in an_ answer_without_a_length_is_checked_for_damaged_fields. damaged_answers has the rule in its second reading.

--- a/crates/dispatch/src/client/head.rs
+++ b/crates/dispatch/src/client/head.rs
@@ -60,12 +60,34 @@
     }
 
     /// Returns whether the upstream says that it keeps the connection open for further requests.
-    pub(super) fn says_that_connection_stays(&self) -> bool {
+    fn says_that_connection_stays(&self) -> bool {
         let has_timeout = find_headers(&self.headers, "keep-alive").next().is_some();
         (has_timeout || self.has_connection_option("keep-alive"))
             && !self.has_connection_option("close")
     }
 
+    /// Checks that nothing in the head contradicts a body that ends with its connection, if it has one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Rule::NoLength`] if the upstream says that the connection stays open, and
+    /// [`Rule::FramingField`] if a field that told of the length has probably lost its name.
+    pub(super) fn check_close(&self) -> Result<(), Rule> {
+        let resembles_framing = |field: &Field| {
+            let value = field.value.trim_matches([' ', '\t']);
+            http1::resembles_framing(&field.name, value)
+        };
+        if self.framing.is_delimited() {
+            Ok(())
+        } else if self.says_that_connection_stays() {
+            Err(Rule::NoLength)
+        } else if self.headers.iter().any(resembles_framing) {
+            Err(Rule::FramingField)
+        } else {
+            Ok(())
+        }
+    }
+
     /// Checks that the head tells of no content if its status allows none (RFC 9110, sections 8.6 and
     /// 15.3.6). The status is probably damaged otherwise.
     ///
--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -259,10 +259,8 @@
         head.check_content()?;
         let is_empty =
             !http1::allows_content(head.status) || (self.has_no_body && !self.is_unmatched);
-        // Such an answer would end with its connection, which its upstream says that it keeps open. A
-        // field that told of the length has probably lost its name.
-        if !is_empty && !head.framing.is_delimited() && head.says_that_connection_stays() {
-            return Err(Rule::NoLength);
+        if !is_empty {
+            head.check_close()?;
         }
         Ok(match head.framing {
             _ if is_empty => State::FixedLength(0),
--- a/crates/dispatch/tests/damaged_answers.rs
+++ b/crates/dispatch/tests/damaged_answers.rs
@@ -60,6 +60,32 @@
     })
 }
 
+/// Returns whether `text` becomes `target` if one byte is replaced, added or removed, or if two
+/// neighbours are swapped.
+fn is_one_edit_away(text: &str, target: &str) -> bool {
+    let (text, target) = (text.as_bytes(), target.as_bytes());
+    let shared = text.iter().zip(target).take_while(|(one, other)| one == other).count();
+    let (text, target) = (&text[shared..], &target[shared..]);
+    match (text, target) {
+        ([], []) => false,
+        ([_, text @ ..], [_, target @ ..]) if text == target => true,
+        ([one, two, text @ ..], [first, second, target @ ..])
+            if (one, two) == (second, first) && text == target =>
+        {
+            true
+        }
+        ([_, rest @ ..], _) if rest == target => true,
+        (_, [_, rest @ ..]) => rest == text,
+        _ => false,
+    }
+}
+
+/// Returns whether a field is a damaged one that told of the end of a body.
+fn resembles_framing((name, value): &(String, String)) -> bool {
+    ["content-length", "transfer-encoding"].iter().any(|field| is_one_edit_away(name, field))
+        || value.to_lowercase() == "chunked"
+}
+
 /// Returns whether `bytes` begin another answer, or would if more arrived.
 fn begins_answer(bytes: &[u8]) -> bool {
     bytes.starts_with(b"HTTP/1.") || b"HTTP/1.".starts_with(bytes)
@@ -99,6 +125,9 @@
             (Some(code @ 200..=599), Some(body)) => {
                 return (Some((code, body)), !behind.is_empty());
             }
+            (Some(200..=599), None) if message.fields.iter().any(resembles_framing) => {
+                return (None, false);
+            }
             (Some(code @ 200..=599), None) => return (Some((code, behind.to_vec())), false),
             _ => return (None, false),
         }
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -213,21 +213,50 @@
     }
 }
 
+fn no_length() -> Option<ResponseError> {
+    Some(ResponseError::Malformed(Rule::NoLength))
+}
+
+fn framing_field() -> Option<ResponseError> {
+    Some(ResponseError::Malformed(Rule::FramingField))
+}
+
 /// Guards against chunks that pass as the body because the field that names them is damaged.
-#[test_case("keep-alive: timeout=10\r\n", false => Some(ResponseError::Malformed(Rule::NoLength)); "timeout of the idle connection")]
-#[test_case("connection: Keep-Alive\r\n", false => Some(ResponseError::Malformed(Rule::NoLength)); "connection that is kept")]
-#[test_case("connection: close\r\nkeep-alive: timeout=10\r\n", false => None; "connection that is closed")]
-#[test_case("", false => None; "nothing about the connection")]
+#[test_case("keep-alive: timeout=10\r\n", false => no_length(); "timeout of the idle connection")]
+#[test_case("connection: Keep-Alive\r\n", false => no_length(); "connection that is kept")]
+#[test_case("connection: close\r\nkeep-alive: timeout=10\r\n", false => framing_field(); "connection that is closed")]
+#[test_case("", false => framing_field(); "nothing about the connection")]
 #[test_case("keep-alive: timeout=10\r\n", true => None; "no body")]
-fn an_answer_without_a_length_that_keeps_its_connection_is_malformed(
+fn an_answer_whose_field_of_the_encoding_is_damaged_is_malformed(
     fields: &str,
     has_no_body: bool,
 ) -> Option<ResponseError> {
     let body = if has_no_body { "" } else { "2\r\nok\r\n0\r\n\r\n" };
-    let text = format!("HTTP/1.1 200 OK\r\nxransfer-encoding: chunked\r\n{fields}\r\n{body}");
+    let text = format!("HTTP/1.1 200 OK\r\nxtransfer-encoding: chunked\r\n{fields}\r\n{body}");
     parse(&text, 512, true, has_no_body).error
 }
 
+/// Guards against an answer whose field of the length has lost its name, and against the refusal of one
+/// that has no such field.
+#[test_case("xontent-length: 5\r\n" => framing_field(); "replaced byte")]
+#[test_case("contentlength: 5\r\n" => framing_field(); "dropped byte")]
+#[test_case("content--length: 5\r\n" => framing_field(); "doubled byte")]
+#[test_case("Content-Lenght: 5\r\n" => framing_field(); "swapped bytes")]
+#[test_case("transfer_encoding: gzip\r\n" => framing_field(); "encoding")]
+#[test_case("x: \t Chunked \r\n" => framing_field(); "value of the encoding")]
+#[test_case("x-content-length: 5\r\n" => None; "field of another use")]
+#[test_case("content-language: en\r\ncontent-encoding: gzip\r\n" => None; "fields of content")]
+#[test_case("x: chunked, gzip\r\n" => None; "value that holds the encoding")]
+#[test_case("keep-alive: timeout=10\r\n" => no_length(); "connection that is kept")]
+#[test_case("connection: close\r\nkeep-alive: timeout=10\r\n" => None; "connection that is closed")]
+#[test_case("" => None; "nothing")]
+fn an_answer_without_a_length_is_checked_for_damaged_fields(fields: &str) -> Option<ResponseError> {
+    let text = format!("HTTP/1.1 200 OK\r\nx-id: mine\r\n{fields}\r\nhello");
+    let parsed = parse(&text, 512, true, false);
+    assert_ne!(parsed.has_ended, parsed.error.is_some(), "{parsed:?}");
+    parsed.error
+}
+
 const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
 #[test_case("zz\r\n", Rule::ChunkSize; "size that is not a number")]
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -11,6 +11,7 @@
 mod framing;
 mod head;
 mod length;
+mod resemblance;
 mod rule;
 
 pub use chunks::{Bounds, Chunks, Step};
@@ -18,4 +19,5 @@
 pub use framing::{Framing, allows_content};
 pub use head::check_line_ends;
 pub use length::Length;
+pub use resemblance::resembles_framing;
 pub use rule::Rule;
--- a/crates/http1/src/rule.rs
+++ b/crates/http1/src/rule.rs
@@ -40,6 +40,9 @@
     /// Neither a length nor chunks are given, and the connection stays open behind the message.
     #[error("it tells no length and keeps the connection open")]
     NoLength,
+    /// Neither a length nor chunks are given, and a field resembles one that tells of them.
+    #[error("it tells no length, and a field resembles content-length or transfer-encoding")]
+    FramingField,
     /// The line before a chunk does not begin with its size, or is too long.
     #[error("the line before a chunk is not its size")]
     ChunkSize,
--- a/tests/damaged_framing.rs
+++ b/tests/damaged_framing.rs
@@ -110,6 +110,46 @@
     check_cases(&cases);
 }
 
+/// Guards against lines between chunks that pass as the body because the field of the encoding has lost
+/// its name.
+#[test_case("transfer-encodi^nx"; "last letter")]
+#[test_case("xransfer-enco^ding"; "first letter")]
+#[test_case("transfer_enc^oding"; "hyphen")]
+#[test_case("transfer-encod^in"; "a letter less")]
+#[test_case("transfer-enncod^ing"; "a letter more")]
+#[test_case("x-oth^er"; "another name")]
+fn chunks_whose_field_has_another_name_are_a_failure_of_their_upstream(name: &str) {
+    let field = format!("{name}: chunked\r\n");
+    let later = CHUNKS.replacen("\r\nid", "\r\ni^d", 1);
+    let mut cases = Vec::new();
+    for chunks in
+        [CHUNKS, "1e^\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", &later, "0\r\n^\r\n"]
+    {
+        for connection in ["", CLOSE] {
+            let text = ok(&format!("{connection}{field}"), chunks);
+            cases.push(Case::new(text, End::Close, Expected::Failure));
+        }
+    }
+    check_cases(&cases);
+}
+
+/// Guards against a part of a body, or bytes behind it, that pass as complete because the field of the
+/// length has lost its name.
+#[test]
+fn a_length_whose_field_has_another_name_is_a_failure_of_its_upstream() {
+    let names =
+        ["content-lengtx", "contentt-length", "content_length", "content-lenght", "ontent-length"];
+    let bodies = [&BODY[..15], &format!("{BODY}{SECOND}")].map(str::to_string);
+    let mut cases = Vec::new();
+    for name in names {
+        for body in &bodies {
+            let text = ok(&format!("{CLOSE}{name}: 30\r\n"), body);
+            cases.push(Case::new(text, End::Close, Expected::Failure));
+        }
+    }
+    check_cases(&cases);
+}
+
 /// Guards against the refusal of a sound answer.
 #[test]
 fn a_sound_answer_stays_whole() {
