Refuse chunks in a body that ends with its connection

What callers saw: an answer in chunks had lost the field `transfer-encoding` altogether, or its name had more than one damaged byte. The caller got a complete 200 with the chunk lines in its body.

Cause: nothing in such a head tells of chunks, and bodies without framing were passed on unread.

Change: `http1::Opening` reads a body without framing along as chunks. A body that begins with a whole chunk (size line, data, line end), or that is a last chunk alone, breaks the rule `chunks-in-body`. Up to 16 KiB of it are held back until that is known. A larger chunk is passed on and the answer is cut at its end; where another call could resume the stream behind the chunk lines it is refused at 16 KiB.

Why this works: the chunks of a sound encoding always begin at the first byte. A body that only begins with hexadecimal digits leaves the check at the first byte that no chunk could have, and passes whole.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -408,10 +408,16 @@
             self.mark_broken(cx);
             return;
         };
-        let may_be_complete = !self.has_response && !self.has_failed && job.reader.close().is_ok();
-        if !may_be_complete {
+        let rest = match self.has_response || self.has_failed {
+            true => None,
+            false => job.reader.close().ok(),
+        };
+        let Some(mut rest) = rest else {
             self.fail(cx, "the connection was closed before the answer was complete");
-        } else if self.stream.out.is_empty() {
+            return;
+        };
+        self.report_body(&mut rest);
+        if self.stream.out.is_empty() {
             self.end_with_connection(cx);
         } else {
             self.has_closed_early = true;
--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -1,6 +1,6 @@
 //! Incremental parser for HTTP/1 responses.
 
-use http1::{Bounds, Chunks, Framing, Rule, Step as ChunkStep};
+use http1::{Bounds, Chunks, Finding, Framing, Opening, Rule, Step as ChunkStep};
 
 use super::head::{self, CorrelationHeader, MAX_HEAD_BYTES, Parsed, ResponseHead};
 use crate::Field;
@@ -12,6 +12,10 @@
 /// into the buffers that a call reserves.
 const MAX_HELD_BYTES: usize = 4 << 10;
 
+/// Largest size in bytes of the beginning of a body without framing that is held back until it is known
+/// whether it is a chunk. It fits into the buffers that a call reserves.
+const MAX_OPENING_BYTES: usize = 16 << 10;
+
 /// Largest number of interim (1xx) responses before the final response. A correct upstream sends at
 /// most one.
 const MAX_INTERIM_HEADS: usize = 8;
@@ -57,7 +61,7 @@
     Head,
     FixedLength(u64),
     Chunks(Chunks),
-    UntilClose,
+    UntilClose(Opening),
     Done,
 }
 
@@ -111,11 +115,15 @@
         self.holds_chunks = true;
     }
 
-    /// Returns whether the beginning of a chunk has arrived that is held back.
+    /// Returns whether the beginning of a chunk, or of a body without framing, has arrived that is held
+    /// back.
     pub fn holds_bytes(&self) -> bool {
-        let is_within_chunk =
-            matches!(self.state, State::Chunks(chunks) if chunks.missing_bytes() > 0);
-        is_within_chunk && !self.buffer.is_empty()
+        let may_hold = match self.state {
+            State::Chunks(chunks) => chunks.missing_bytes() > 0,
+            State::UntilClose(_) => true,
+            State::Head | State::FixedLength(_) | State::Done => false,
+        };
+        may_hold && !self.buffer.is_empty()
     }
 
     /// Appends the next bytes of the connection. Bytes after the end of the response belong to no
@@ -164,7 +172,7 @@
                 State::Head => self.read_head()?,
                 State::FixedLength(remaining) => self.read_bytes(remaining)?,
                 State::Chunks(chunks) => self.read_chunks(chunks)?,
-                State::UntilClose => self.read_until_close(),
+                State::UntilClose(opening) => self.read_until_close(opening)?,
                 State::Done => return Ok(None),
             };
             match step {
@@ -177,19 +185,20 @@
         }
     }
 
-    /// Handles the end of the connection.
+    /// Handles the end of the connection, and returns the rest of the body that was held back.
     ///
     /// # Errors
     ///
     /// Returns [`ResponseError::Truncated`] if the response is incomplete.
-    pub fn close(&mut self) -> Result<(), ResponseError> {
-        let is_complete = self.state == State::UntilClose && !self.is_unmatched;
-        if !is_complete && self.state != State::Done {
-            return Err(ResponseError::Truncated);
-        }
+    pub fn close(&mut self) -> Result<Vec<u8>, ResponseError> {
+        let rest = match self.state {
+            State::UntilClose(_) if !self.is_unmatched => std::mem::take(&mut self.buffer),
+            State::Done => Vec::new(),
+            _ => return Err(ResponseError::Truncated),
+        };
         self.state = State::Done;
         self.is_keep_alive = false;
-        Ok(())
+        Ok(rest)
     }
 
     fn start_next_response(&mut self) -> Result<(), ResponseError> {
@@ -266,7 +275,7 @@
             _ if is_empty => State::FixedLength(0),
             Framing::Length(length) => State::FixedLength(length.0),
             Framing::Chunks => State::Chunks(Chunks::new(CHUNK_BOUNDS)),
-            Framing::UntilClose => State::UntilClose,
+            Framing::UntilClose => State::UntilClose(Opening::new(CHUNK_BOUNDS)),
         })
     }
 
@@ -313,10 +322,25 @@
         Ok(Step::Emit(ResponsePart::Body(part)))
     }
 
-    fn read_until_close(&mut self) -> Step {
-        match self.buffer.is_empty() {
-            true => Step::NeedMoreBytes,
-            false => Step::Emit(ResponsePart::Body(std::mem::take(&mut self.buffer))),
+    /// Reads a body without framing. Its beginning is held back while it may be a chunk, since another call
+    /// could resume the response behind lines between chunks.
+    fn read_until_close(&mut self, mut opening: Opening) -> Result<Step, Rule> {
+        if self.buffer.is_empty() {
+            return Ok(Step::NeedMoreBytes);
+        }
+        let finding = opening.check(&self.buffer)?;
+        if finding == Finding::NeedMoreBytes && self.buffer.len() <= MAX_OPENING_BYTES {
+            self.state = State::UntilClose(opening);
+            return Ok(Step::NeedMoreBytes);
+        }
+        if self.holds_chunks && opening.is_within_chunk() {
+            return Err(Rule::ChunksInBody);
+        }
+        let passed = opening.pass(&self.buffer);
+        self.state = State::UntilClose(opening);
+        match passed {
+            0 => Ok(Step::NeedMoreBytes),
+            _ => Ok(Step::Emit(ResponsePart::Body(self.buffer.drain(..passed).collect()))),
         }
     }
 
--- a/crates/http1/src/chunks.rs
+++ b/crates/http1/src/chunks.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Returns whether the line before a chunk comes next.
+    pub(crate) fn is_before_chunk(&self) -> bool {
+        self.position == Position::SizeLine
+    }
+
     /// Says what the start of `received` is, and moves behind it.
     ///
     /// # Errors
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -11,6 +11,7 @@
 mod framing;
 mod head;
 mod length;
+mod opening;
 mod resemblance;
 mod rule;
 
@@ -19,5 +20,6 @@
 pub use framing::{Framing, allows_content};
 pub use head::check_line_ends;
 pub use length::Length;
+pub use opening::{Finding, Opening};
 pub use resemblance::resembles_framing;
 pub use rule::Rule;
--- a/crates/http1/src/rule.rs
+++ b/crates/http1/src/rule.rs
@@ -43,6 +43,9 @@
     /// Neither a length nor chunks are given, and a field resembles one that tells of them.
     #[error("it tells no length, and a field resembles content-length or transfer-encoding")]
     FramingField,
+    /// Neither a length nor chunks are given, and the body begins with a whole chunk.
+    #[error("it tells no length, and its body is in chunks")]
+    ChunksInBody,
     /// The line before a chunk does not begin with its size, or is too long.
     #[error("the line before a chunk is not its size")]
     ChunkSize,
--- a/crates/http1/tests/grammar/mod.rs
+++ b/crates/http1/tests/grammar/mod.rs
@@ -181,6 +181,18 @@
     }
 }
 
+/// Returns whether `bytes` begin with a whole chunk, or are a body that is a last chunk alone.
+pub fn begins_with_chunk(bytes: &[u8]) -> bool {
+    let Some((line, behind)) = split_line(bytes) else {
+        return false;
+    };
+    match chunk_size(line).and_then(|size| usize::try_from(size).ok()) {
+        None => false,
+        Some(0) => chunked_body(bytes).is_some(),
+        Some(size) => behind.get(size..).is_some_and(|behind| behind.starts_with(b"\r\n")),
+    }
+}
+
 /// Reads the message at the start of `bytes`; `None` if it is invalid or incomplete. `has_no_body` says
 /// from the first line whether no body follows.
 pub fn message<F, G>(bytes: &[u8], is_http_1_0: F, has_no_body: G) -> Option<Message>
--- a/tests/damaged_framing.rs
+++ b/tests/damaged_framing.rs
@@ -150,6 +150,20 @@
     check_cases(&cases);
 }
 
+/// Guards against chunks that pass as the body because nothing is left of the field of the encoding.
+#[test]
+fn chunks_without_a_field_are_a_failure_of_their_upstream() {
+    let large = format!("5000\r\n{}\r\n0\r\n\r\n", "x".repeat(0x5000));
+    let bodies =
+        [CHUNKS.to_string(), CHUNKS.replace("f\r\n", "f;a=b^\r\n"), "0^\r\n\r\n".to_string()];
+    let case = |text: String| Case::new(text, End::Close, Expected::Failure);
+    let of_any_size = bodies.iter().flat_map(|body| [ok("", body), ok(CLOSE, body)]);
+    // It arrives byte by byte, too, and is therefore played on few routes.
+    let large = Case { routes: &["bookings", "captions"], ..case(ok(CLOSE, &large)) };
+    let cases: Vec<_> = of_any_size.map(case).chain([large]).collect();
+    check_cases(&cases);
+}
+
 /// Guards against the refusal of a sound answer.
 #[test]
 fn a_sound_answer_stays_whole() {
