Refuse fields of a head in a body that ends with its connection

What callers saw: an empty line within the head of an answer ended it before the field of the length or the chunks. The rest of the head arrived as a part of a complete 200.

Cause: a head may end before a field that tells of the length, and a body that ends with its connection was passed on whatever it looks like.

Change: `http1::Opening` reads the first lines of a body without framing along as fields. If one of them is `content-length`, `transfer-encoding`, `connection` or `keep-alive`, or resembles the first two, the answer breaks the rule `head-in-body`. Empty lines before them are passed over.

Why this works: the fields behind an empty line are still there, with the one that told of the length. The check ends at the first line that is no field or is empty, so that such names later in a body, in a line that ends with a line feed, or within a text do not count.

--- a/crates/dispatch/tests/damaged_answers.rs
+++ b/crates/dispatch/tests/damaged_answers.rs
@@ -86,6 +86,12 @@
         || value.to_lowercase() == "chunked"
 }
 
+/// Returns whether a field tells of the end of a body or of the connection.
+fn belongs_to_head(field: &(String, String)) -> bool {
+    let names = ["content-length", "transfer-encoding", "connection", "keep-alive"];
+    names.contains(&field.0.as_str()) || resembles_framing(field)
+}
+
 /// Returns whether `bytes` begin another answer, or would if more arrived.
 fn begins_answer(bytes: &[u8]) -> bool {
     bytes.starts_with(b"HTTP/1.") || b"HTTP/1.".starts_with(bytes)
@@ -127,7 +133,8 @@
             }
             (Some(200..=599), None)
                 if message.fields.iter().any(resembles_framing)
-                    || grammar::begins_with_chunk(behind) =>
+                    || grammar::begins_with_chunk(behind)
+                    || grammar::first_fields(behind).iter().any(belongs_to_head) =>
             {
                 return (None, false);
             }
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -279,6 +279,12 @@
 #[test_case("data: 2\r\nok\r\n" => None; "hexadecimal digits at the start of a word")]
 #[test_case("x\r\n2\r\nok\r\n0\r\n\r\n" => None; "chunks later on")]
 fn a_body_without_framing_is_checked_for_chunks(body: &str) -> Option<ResponseError> {
+    check_body_without_framing(body)
+}
+
+/// Returns the error of an answer with `body`, which is the same whatever its pieces are. Without an error
+/// the body is whole.
+fn check_body_without_framing(body: &str) -> Option<ResponseError> {
     let text = format!("HTTP/1.1 200 OK\r\nx-id: mine\r\nconnection: close\r\n\r\n{body}");
     let whole = parse(&text, text.len(), true, false);
     for chunk_size in [1, 2, 3] {
@@ -292,6 +298,30 @@
     whole.error
 }
 
+fn head_in_body() -> Option<ResponseError> {
+    Some(ResponseError::Malformed(Rule::HeadInBody))
+}
+
+/// Guards against fields that pass as the body because an empty line within the head ends it.
+#[test_case("Content-Length: 2\r\n\r\nok" => head_in_body(); "length")]
+#[test_case("server: a\r\n\r\nok" => None; "other field")]
+#[test_case("server: a\r\ntransfer-encoding: chunked\r\n\r\n" => head_in_body(); "encoding behind another field")]
+#[test_case("connection: close\r\n" => head_in_body(); "connection")]
+#[test_case("\r\nkeep-alive: timeout=1\r\n" => head_in_body(); "field behind another empty line")]
+#[test_case("\r\n2\r\nok\r\n" => chunks_in_body(); "chunk behind another empty line")]
+#[test_case("content-lengt: 2\r\n\r\nok" => head_in_body(); "damaged length")]
+#[test_case("server: \u{e9}\r\nx: chunked\r\n" => head_in_body(); "damaged encoding")]
+#[test_case("content-length: 2" => None; "field without an end")]
+#[test_case("content-length: 2\n\nok" => None; "field with a line feed")]
+#[test_case("content-length 2\r\n\r\nok" => None; "no field")]
+#[test_case("server: a\r\n\r\ncontent-length: 2\r\n\r\nok" => None; "length behind an empty line")]
+#[test_case("data: a\r\nid: 1\r\n\r\ndata: b\r\n\r\n" => None; "events")]
+#[test_case("\r\n" => None; "empty line")]
+#[test_case("\r" => None; "carriage return")]
+fn a_body_without_framing_is_checked_for_fields(body: &str) -> Option<ResponseError> {
+    check_body_without_framing(body)
+}
+
 /// Guards against memory that a body takes which only looks like a large chunk, and against a large chunk
 /// that passes as a complete body.
 #[test]
--- a/crates/http1/src/opening.rs
+++ b/crates/http1/src/opening.rs
@@ -1,11 +1,16 @@
 //! Openings of bodies that end with their connection.
 
+use crate::field;
+use crate::resemblance::{FRAMING_FIELDS, resembles_framing};
 use crate::{Bounds, Chunks, Rule, Step};
 
+/// Fields that tell what becomes of a connection.
+const CONNECTION_FIELDS: [&str; 2] = ["connection", "keep-alive"];
+
 /// What the received bytes of a body say.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
-    /// The body does not begin with a chunk, or with one that is too large to wait for its end.
+    /// The body begins neither with the rest of a head nor with a chunk, or with one that is too large to wait for its end.
     Body,
     /// More bytes are needed.
     NeedMoreBytes,
@@ -17,6 +22,8 @@
     Start,
     /// Within the first chunk, if it is one.
     Chunk(Chunks),
+    /// Behind lines that are fields.
+    Fields,
     /// Nothing that follows is checked.
     Body,
 }
@@ -28,8 +35,8 @@
     To(Place, usize),
 }
 
-/// Check of a body that ends with its connection. A body that begins with a whole chunk belongs to an
-/// answer whose head has lost the field of its encoding.
+/// Check of a body that ends with its connection. A body that begins with a whole chunk, or with fields of
+/// which one tells of its end, belongs to an answer whose head is damaged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Opening {
     bounds: Bounds,
@@ -50,13 +57,17 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Rule::ChunksInBody`] if the body begins with a whole chunk.
+    /// Returns [`Rule::ChunksInBody`] if the body begins with a whole chunk, and [`Rule::HeadInBody`] if
+    /// it begins with fields of which one tells of the end of the body or of the connection. Empty lines
+    /// may precede them.
     pub fn check(&mut self, received: &[u8]) -> Result<Finding, Rule> {
         loop {
             let rest = &received[self.checked..];
             let read = match self.place {
-                Place::Start => read_first_line(Chunks::new(self.bounds), rest),
+                Place::Start if rest.starts_with(b"\r\n") => Read::To(Place::Start, 2),
+                Place::Start => read_first_line(Chunks::new(self.bounds), rest)?,
                 Place::Chunk(chunks) => read_chunk(chunks, rest)?,
+                Place::Fields => read_field(rest)?,
                 Place::Body => return Ok(Finding::Body),
             };
             match read {
@@ -87,14 +98,35 @@
     }
 }
 
-fn read_first_line(mut chunks: Chunks, rest: &[u8]) -> Read {
+fn read_first_line(mut chunks: Chunks, rest: &[u8]) -> Result<Read, Rule> {
     match chunks.next(rest) {
-        Ok(Step::Framing(length)) => Read::To(Place::Chunk(chunks), length),
-        Ok(_) => Read::NeedMoreBytes,
-        Err(_) => Read::To(Place::Body, 0),
+        Ok(Step::Framing(length)) => Ok(Read::To(Place::Chunk(chunks), length)),
+        Ok(_) => Ok(Read::NeedMoreBytes),
+        Err(_) if rest == b"\r" => Ok(Read::NeedMoreBytes),
+        Err(_) => read_field(rest),
     }
 }
 
+/// Reads a line that may be a field of a head.
+fn read_field(rest: &[u8]) -> Result<Read, Rule> {
+    match field::line_length(rest) {
+        Ok(None) => Ok(Read::NeedMoreBytes),
+        Ok(Some(length)) if belongs_to_head(&rest[..length]) => Err(Rule::HeadInBody),
+        Ok(Some(length)) => Ok(Read::To(Place::Fields, length)),
+        // An empty line would end the head.
+        Err(_) => Ok(Read::To(Place::Body, 0)),
+    }
+}
+
+/// Returns whether the field `line` tells of the end of a body or of the connection.
+fn belongs_to_head(line: &[u8]) -> bool {
+    let line = String::from_utf8_lossy(line).to_ascii_lowercase();
+    let (name, value) = line.split_once(':').unwrap_or((&line, ""));
+    FRAMING_FIELDS.contains(&name)
+        || CONNECTION_FIELDS.contains(&name)
+        || resembles_framing(name, value.trim())
+}
+
 fn read_chunk(mut chunks: Chunks, rest: &[u8]) -> Result<Read, Rule> {
     match chunks.next(rest) {
         Ok(Step::NeedMoreBytes) => Ok(Read::NeedMoreBytes),
--- a/crates/http1/src/resemblance.rs
+++ b/crates/http1/src/resemblance.rs
@@ -1,7 +1,7 @@
 //! Fields that are probably damaged ones.
 
 /// Fields that tell where a body ends.
-const FRAMING_FIELDS: [&str; 2] = ["content-length", "transfer-encoding"];
+pub(crate) const FRAMING_FIELDS: [&str; 2] = ["content-length", "transfer-encoding"];
 
 /// Returns whether a field is probably a damaged one that told where the body ends: its name, in lower
 /// case, is one edit away from that of such a field, or its value is `chunked`.
--- a/crates/http1/tests/grammar/mod.rs
+++ b/crates/http1/tests/grammar/mod.rs
@@ -181,8 +181,31 @@
     }
 }
 
-/// Returns whether `bytes` begin with a whole chunk, or are a body that is a last chunk alone.
+/// Returns `bytes` without the empty lines before them.
+fn skip_empty_lines(mut bytes: &[u8]) -> &[u8] {
+    while let Some(rest) = bytes.strip_prefix(b"\r\n") {
+        bytes = rest;
+    }
+    bytes
+}
+
+/// Returns the fields with which `bytes` begin, behind empty lines. Values that are not UTF-8 are
+/// replaced.
+pub fn first_fields(bytes: &[u8]) -> Vec<Field> {
+    let mut bytes = skip_empty_lines(bytes);
+    let mut fields = Vec::new();
+    while let Some((line, behind)) = split_line(bytes).filter(|(line, _)| is_field(line)) {
+        let text = String::from_utf8_lossy(line);
+        let (name, value) = text.split_once(':').unwrap();
+        fields.push((name.to_ascii_lowercase(), value.trim().to_string()));
+        bytes = behind;
+    }
+    fields
+}
+
+/// Returns whether `bytes` begin with a whole chunk behind empty lines, or are a last chunk alone.
 pub fn begins_with_chunk(bytes: &[u8]) -> bool {
+    let bytes = skip_empty_lines(bytes);
     let Some((line, behind)) = split_line(bytes) else {
         return false;
     };
--- a/tests/damaged_framing.rs
+++ b/tests/damaged_framing.rs
@@ -164,6 +164,29 @@
     check_cases(&cases);
 }
 
+/// Guards against fields that pass as the body because an empty line within the head ends it.
+#[test]
+fn an_empty_line_within_a_head_is_a_failure_of_its_upstream() {
+    let mut cases = Vec::new();
+    let framings = [("content-length: 30\r\n", BODY), ("transfer-encoding: chunked\r\n", CHUNKS)];
+    for (framing, body) in framings {
+        for (before, behind) in [
+            (CLOSE, String::new()),
+            (CLOSE, "server-load: 1,0,8\r\n".to_string()),
+            ("", String::new()),
+            ("", CLOSE.to_string()),
+        ] {
+            for empty in ["\r^\n", "\r\n^\r\n"] {
+                let text = ok(before, &format!("{behind}{framing}{empty}{body}"));
+                cases.push(Case::new(text, End::Close, Expected::Failure));
+            }
+        }
+    }
+    let text = ok("", &format!("{CLOSE}\r^\n{BODY}"));
+    cases.push(Case::new(text, End::Close, Expected::Failure));
+    check_cases(&cases);
+}
+
 /// Guards against the refusal of a sound answer.
 #[test]
 fn a_sound_answer_stays_whole() {
