Tell fields of the protocol from the beginning of a body

What callers saw: an empty line within the head of an answer without framing left fields such as `server-load` in a complete 200.

Cause: the check of a body that ends with its connection knew the fields of HTTP/1.1 alone.

Change: the interface of upstreams names the fields that only heads of answers have (`head_fields`), and a body without framing that begins with one breaks the rule `head-in-body`. `content-type` and others that texts such as mails begin with are not among them.

Why this works: no body has a reason to begin with a field of this protocol, and the names stay with the adapter that defines them.

--- a/crates/dispatch/benches/client.rs
+++ b/crates/dispatch/benches/client.rs
@@ -116,6 +116,7 @@
         head: b"POST / HTTP/1.1\r\nhost: bench\r\ncontent-length: 0\r\n\r\n".to_vec(),
         body: Rc::from(Vec::new()),
         has_no_body: false,
+        head_fields: &[],
         echo: None,
         connect_deadline: Instant::now() + TIMEOUT,
         deadline: None,
--- a/crates/dispatch/src/adapter/mod.rs
+++ b/crates/dispatch/src/adapter/mod.rs
@@ -22,6 +22,9 @@
 /// Response header by which an upstream reports that it rejected a request before running it.
 const VERDICT_HEADER: &str = "x-turmericrelay-verdict";
 
+/// Response headers of this protocol.
+pub(crate) const HEAD_FIELDS: [&str; 3] = [ATTEMPT_HEADER, RESUME_HEADER, VERDICT_HEADER];
+
 /// Status and headers of an upstream's response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Head {
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -7,6 +7,7 @@
 use http1::{Framing, Rule};
 use names::Attempt;
 
+use crate::adapter::HEAD_FIELDS;
 use crate::{Outbound, Verdict};
 
 /// HTTP header of a request or a response.
@@ -137,6 +138,7 @@
             has_no_body: call.method == "HEAD",
             body: Rc::from(call.body),
             echo: None,
+            head_fields: &HEAD_FIELDS,
             connect_deadline: call.connect_deadline.min(call.deadline),
             deadline: Some(call.deadline),
             max_connection_idle: match call.reuse {
--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -48,6 +48,7 @@
         if outbound.holds_chunks {
             reader.hold_chunks();
         }
+        reader.set_head_fields(outbound.head_fields);
         Self { outbound, reader }
     }
 
--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -69,6 +69,9 @@
     pub has_no_body: bool,
     /// Header that matches the response to this request.
     pub echo: Option<CorrelationHeader>,
+    /// Names of fields that only heads of responses have, beside those of HTTP/1.1, in lower case. A body
+    /// without framing that begins with one is the rest of a damaged head.
+    pub head_fields: &'static [&'static str],
     /// Deadline for establishing a new connection.
     pub connect_deadline: Instant,
     /// Deadline for the complete response; none if the consumer enforces a deadline.
--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -74,6 +74,8 @@
     /// Whether chunks are held back until their ends have arrived.
     holds_chunks: bool,
     echo: Option<CorrelationHeader>,
+    /// Names of fields that only heads have, beside those of HTTP/1.1, in lower case.
+    head_fields: &'static [&'static str],
     /// Whether the current response belongs to another request.
     is_unmatched: bool,
     /// Whether bytes arrived after the end of the response.
@@ -98,6 +100,7 @@
             has_no_body,
             holds_chunks: false,
             echo,
+            head_fields: &[],
             is_unmatched: false,
             has_excess_bytes: false,
             expects_more: false,
@@ -115,6 +118,12 @@
         self.holds_chunks = true;
     }
 
+    /// Takes a body without framing that begins with one of the fields `names`, in lower case, for the rest
+    /// of a damaged head.
+    pub fn set_head_fields(&mut self, names: &'static [&'static str]) {
+        self.head_fields = names;
+    }
+
     /// Returns whether the beginning of a chunk, or of a body without framing, has arrived that is held
     /// back.
     pub fn holds_bytes(&self) -> bool {
@@ -275,7 +284,7 @@
             _ if is_empty => State::FixedLength(0),
             Framing::Length(length) => State::FixedLength(length.0),
             Framing::Chunks => State::Chunks(Chunks::new(CHUNK_BOUNDS)),
-            Framing::UntilClose => State::UntilClose(Opening::new(CHUNK_BOUNDS)),
+            Framing::UntilClose => State::UntilClose(Opening::new(CHUNK_BOUNDS, self.head_fields)),
         })
     }
 
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -322,6 +322,20 @@
     check_body_without_framing(body)
 }
 
+#[test_case("x-load: 1\r\n\r\nok" => head_in_body(); "field of the protocol")]
+#[test_case("a: 1\r\nX-Load: 1\r\n\r\nok" => head_in_body(); "field of the protocol behind another one")]
+#[test_case("x-loaded: 1\r\n\r\nok" => None; "other field")]
+fn a_body_without_framing_is_checked_for_fields_of_the_protocol(
+    body: &str,
+) -> Option<ResponseError> {
+    let mut reader = ResponseReader::new(None, false);
+    reader.set_head_fields(&["x-load"]);
+    reader.push(format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{body}").as_bytes());
+    let mut parsed = ParsedResponse::default();
+    collect_parts(&mut reader, &mut parsed);
+    parsed.error
+}
+
 /// Guards against memory that a body takes which only looks like a large chunk, and against a large chunk
 /// that passes as a complete body.
 #[test]
--- a/crates/http1/src/opening.rs
+++ b/crates/http1/src/opening.rs
@@ -36,10 +36,12 @@
 }
 
 /// Check of a body that ends with its connection. A body that begins with a whole chunk, or with fields of
-/// which one tells of its end, belongs to an answer whose head is damaged.
+/// which one belongs to a head, is the rest of an answer whose head is damaged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Opening {
     bounds: Bounds,
+    /// Names of fields that only heads have, beside those of HTTP/1.1, in lower case.
+    head_fields: &'static [&'static str],
     place: Place,
     /// Number of bytes that were checked and not passed on.
     checked: usize,
@@ -49,8 +51,9 @@
 
 impl Opening {
     /// Creates the check of a body of which nothing has arrived. `bounds` limit the line before a chunk.
-    pub fn new(bounds: Bounds) -> Self {
-        Self { bounds, place: Place::Start, checked: 0, is_passing: false }
+    /// `head_fields` are names of fields that only heads have, beside those of HTTP/1.1, in lower case.
+    pub fn new(bounds: Bounds, head_fields: &'static [&'static str]) -> Self {
+        Self { bounds, head_fields, place: Place::Start, checked: 0, is_passing: false }
     }
 
     /// Checks `received`, the bytes of the body that were not passed on.
@@ -58,16 +61,15 @@
     /// # Errors
     ///
     /// Returns [`Rule::ChunksInBody`] if the body begins with a whole chunk, and [`Rule::HeadInBody`] if
-    /// it begins with fields of which one tells of the end of the body or of the connection. Empty lines
-    /// may precede them.
+    /// it begins with fields of which one belongs to a head. Empty lines may precede them.
     pub fn check(&mut self, received: &[u8]) -> Result<Finding, Rule> {
         loop {
             let rest = &received[self.checked..];
             let read = match self.place {
                 Place::Start if rest.starts_with(b"\r\n") => Read::To(Place::Start, 2),
-                Place::Start => read_first_line(Chunks::new(self.bounds), rest)?,
+                Place::Start => self.read_first_line(rest)?,
                 Place::Chunk(chunks) => read_chunk(chunks, rest)?,
-                Place::Fields => read_field(rest)?,
+                Place::Fields => self.read_field(rest)?,
                 Place::Body => return Ok(Finding::Body),
             };
             match read {
@@ -96,35 +98,37 @@
         }
         std::mem::take(&mut self.checked)
     }
-}
 
-fn read_first_line(mut chunks: Chunks, rest: &[u8]) -> Result<Read, Rule> {
-    match chunks.next(rest) {
-        Ok(Step::Framing(length)) => Ok(Read::To(Place::Chunk(chunks), length)),
-        Ok(_) => Ok(Read::NeedMoreBytes),
-        Err(_) if rest == b"\r" => Ok(Read::NeedMoreBytes),
-        Err(_) => read_field(rest),
+    fn read_first_line(&self, rest: &[u8]) -> Result<Read, Rule> {
+        let mut chunks = Chunks::new(self.bounds);
+        match chunks.next(rest) {
+            Ok(Step::Framing(length)) => Ok(Read::To(Place::Chunk(chunks), length)),
+            Ok(_) => Ok(Read::NeedMoreBytes),
+            Err(_) if rest == b"\r" => Ok(Read::NeedMoreBytes),
+            Err(_) => self.read_field(rest),
+        }
     }
-}
 
-/// Reads a line that may be a field of a head.
-fn read_field(rest: &[u8]) -> Result<Read, Rule> {
-    match field::line_length(rest) {
-        Ok(None) => Ok(Read::NeedMoreBytes),
-        Ok(Some(length)) if belongs_to_head(&rest[..length]) => Err(Rule::HeadInBody),
-        Ok(Some(length)) => Ok(Read::To(Place::Fields, length)),
-        // An empty line would end the head.
-        Err(_) => Ok(Read::To(Place::Body, 0)),
+    /// Reads a line that may be a field of a head.
+    fn read_field(&self, rest: &[u8]) -> Result<Read, Rule> {
+        match field::line_length(rest) {
+            Ok(None) => Ok(Read::NeedMoreBytes),
+            Ok(Some(length)) if self.belongs_to_head(&rest[..length]) => Err(Rule::HeadInBody),
+            Ok(Some(length)) => Ok(Read::To(Place::Fields, length)),
+            // An empty line would end the head.
+            Err(_) => Ok(Read::To(Place::Body, 0)),
+        }
     }
-}
 
-/// Returns whether the field `line` tells of the end of a body or of the connection.
-fn belongs_to_head(line: &[u8]) -> bool {
-    let line = String::from_utf8_lossy(line).to_ascii_lowercase();
-    let (name, value) = line.split_once(':').unwrap_or((&line, ""));
-    FRAMING_FIELDS.contains(&name)
-        || CONNECTION_FIELDS.contains(&name)
-        || resembles_framing(name, value.trim())
+    /// Returns whether the field `line` belongs to the head of an answer.
+    fn belongs_to_head(&self, line: &[u8]) -> bool {
+        let line = String::from_utf8_lossy(line).to_ascii_lowercase();
+        let (name, value) = line.split_once(':').unwrap_or((&line, ""));
+        FRAMING_FIELDS.contains(&name)
+            || CONNECTION_FIELDS.contains(&name)
+            || self.head_fields.contains(&name)
+            || resembles_framing(name, value.trim())
+    }
 }
 
 fn read_chunk(mut chunks: Chunks, rest: &[u8]) -> Result<Read, Rule> {
--- a/crates/http1/src/rule.rs
+++ b/crates/http1/src/rule.rs
@@ -46,8 +46,8 @@
     /// Neither a length nor chunks are given, and the body begins with a whole chunk.
     #[error("it tells no length, and its body is in chunks")]
     ChunksInBody,
-    /// Neither a length nor chunks are given, and the body begins with fields of which one tells of its
-    /// end or of the connection.
+    /// Neither a length nor chunks are given, and the body begins with fields of which one belongs to a
+    /// head.
     #[error("it tells no length, and its body begins with fields of a head")]
     HeadInBody,
     /// The line before a chunk does not begin with its size, or is too long.
--- a/crates/relay/src/forwarder/attempts.rs
+++ b/crates/relay/src/forwarder/attempts.rs
@@ -97,6 +97,7 @@
                 (true, None) => Duration::ZERO,
             },
             echo,
+            head_fields: self.interface.upstreams.head_fields(),
             first_sent_at,
             holds_chunks: active.stream_tracker.is_some(),
             max_connections: connections,
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -112,6 +112,9 @@
     /// Returns the response headers that are forwarded to the caller.
     fn response_headers(&self, headers: Vec<Field>) -> Vec<Header>;
 
+    /// Returns the names, in lower case, of the headers that only this protocol gives to responses.
+    fn head_fields(&self) -> &'static [&'static str];
+
     /// Returns the fields that events have beside those of the published format.
     fn event_fields(&self) -> &[&str];
 }
--- a/tests/damaged_framing.rs
+++ b/tests/damaged_framing.rs
@@ -182,8 +182,10 @@
             }
         }
     }
-    let text = ok("", &format!("{CLOSE}\r^\n{BODY}"));
-    cases.push(Case::new(text, End::Close, Expected::Failure));
+    for fields in [CLOSE, "server-load: 1,0^,8\r\n", "date: today\r\nServer-Leaving: 1\r\n"] {
+        let text = ok("", &format!("{fields}\r^\n{BODY}"));
+        cases.push(Case::new(text, End::Close, Expected::Failure));
+    }
     check_cases(&cases);
 }
 
