Test the rest of a request behind a length that is too small, and the log

With a `content-length` of 0, 1, 9, 15, 18 or 29 for a body of 30 bytes the first part is a whole request, and the rest is refused with 400 and the connection closed, unrun, on both interfaces. This holds without a change of the product.

--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -7,7 +7,7 @@
 
 use support::answer_plays::{BODY, Deployment, FIELDS, check_failures, end_of_answer};
 use support::malformed::{self, Framing, HeadFault};
-use support::script::{End, Script};
+use support::script::{Arrival, End, Script};
 use support::wait_for;
 use support::worker::{event, send_request};
 use test_case::test_case;
@@ -59,9 +59,14 @@
         ("transfer-encoding: chunked\r\n\r\n\r\n", "chunk-size"),
         ("keep-alive: timeout=10\r\nxontent-length: 30\r\n\r\n", "no-length"),
         ("request-id: other\r\ncontent-length: 30\r\n\r\n", "correlation"),
+        ("content-length: 29\r\n\r\n", "excess-bytes"),
+        ("contentlength: 30\r\n\r\n", "framing-field"),
+        ("\r\n1e\r\n", "chunks-in-body"),
+        ("\r\ncontent-length: 30\r\n\r\n", "head-in-body"),
     ];
     for (rest, rule) in answers {
-        let script = Script::new(format!("HTTP/1.1 200 OK\r\n{FIELDS}{rest}{BODY}"), End::Close);
+        let text = format!("HTTP/1.1 200 OK\r\n{FIELDS}{rest}{BODY}\r\n");
+        let script = Script { arrival: Some(Arrival::AtOnce), ..Script::new(text, End::Close) };
         let (id, answer) = deployment.call("bookings", Some(script));
         assert!(answer.status == 502 || !answer.is_complete, "{rule}: {answer:?}");
         let entry = &deployment.machines.entries[0];
--- a/tests/malformed_uploads.rs
+++ b/tests/malformed_uploads.rs
@@ -113,6 +113,58 @@
     assert!(faults.is_empty(), "{} of {plays} plays: {faults:#?}", faults.len());
 }
 
+/// Sends `text` and returns the first two answers on its connection.
+fn send_twofold(address: SocketAddr, text: &str) -> [Option<HttpResponse>; 2] {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    let _ = send_text(&mut stream, text, Arrival::AtOnce);
+    let mut reader = BufReader::new(stream);
+    [read_response(&mut reader).ok(), read_response(&mut reader).ok()]
+}
+
+/// Returns `POST` requests for `path` whose length is less than that of their body. The rest of the body
+/// is the beginning of the next request.
+fn short_uploads(path: &str, fields: &str) -> Vec<String> {
+    let upload = |length: usize| {
+        format!("POST {path} HTTP/1.1\r\n{fields}content-length: {length}\r\n\r\n{BODY}")
+    };
+    [0, 1, 9, 15, 18, BODY.len() - 1].map(upload).to_vec()
+}
+
+/// Returns whether `answer` refuses a malformed request and closes the connection.
+fn is_refusal(answer: Option<&HttpResponse>) -> bool {
+    answer.is_some_and(|answer| {
+        let connection = answer.headers.get("connection");
+        answer.status == 400 && connection.is_some_and(|value| value == "close")
+    })
+}
+
+/// Guards against the rest of a body that runs as a request of its own, because the length of the request
+/// is too small. By the pages its first part is a whole request.
+#[test]
+fn the_rest_of_a_request_behind_its_length_is_refused() {
+    let deployment = Deployment::start();
+    for text in short_uploads("/bookings/1", &fields(1)) {
+        let [first, second] = send_twofold(deployment.callers(), &text);
+        assert_eq!(first.map(|answer| answer.status), Some(200), "{text:?}");
+        assert!(is_refusal(second.as_ref()), "{text:?}: {second:?}");
+        assert_eq!(deployment.worker.received_requests().len(), 1, "{text:?}");
+        deployment.worker.forget_requests();
+    }
+}
+
+/// Guards against the same at the product's own interface.
+#[test]
+fn the_rest_of_a_request_at_the_own_interface_behind_its_length_is_refused() {
+    let fleet = Fleet::start(&["giza"]);
+    let fields = format!("host: a\r\nauthorization: Bearer {API_KEY}\r\n");
+    for text in short_uploads(BOOKINGS, &fields) {
+        let [_, second] = send_twofold(fleet.instances[0].addresses.callers, &text);
+        assert!(is_refusal(second.as_ref()), "{text:?}: {second:?}");
+        assert!(second.unwrap().text().contains("malformed_request"), "{text:?}");
+    }
+}
+
 /// Guards against the refusal of a body that keeps to the rules.
 #[test_case("content-length: 30\r\n\r\n", BODY; "length")]
 #[test_case("content-length: \t 00030\t \r\n\r\n", BODY; "length with zeros and blanks")]
