Measure which damage of one byte passes as another answer

Of answers with a length or chunks whose bytes are all there, each byte replaced by every value, dropped and doubled: what is complete and differs from the sound answer has to be another valid status, or other bytes of a body of the same length. Nothing else may pass.

If each byte arrives on its own, the 9 lesser lengths still pass.

--- a/crates/dispatch/tests/damaged_answers.rs
+++ b/crates/dispatch/tests/damaged_answers.rs
@@ -186,3 +186,50 @@
 fn is_kept(sound: &str) -> bool {
     sound.starts_with("HTTP/1.1") && !sound.contains("connection: close")
 }
+
+const BODY: &[u8] = b"hello, world";
+
+/// How a complete answer differs from the sound one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Difference {
+    /// Another status.
+    Status,
+    /// Other bytes in a body of the same length.
+    Bytes,
+    /// A body of another length.
+    Length,
+}
+
+fn difference(status: u16, body: &[u8]) -> Option<Difference> {
+    match status {
+        200 if body == BODY => None,
+        _ if body == BODY => Some(Difference::Status),
+        _ if body.len() == BODY.len() => Some(Difference::Bytes),
+        _ => Some(Difference::Length),
+    }
+}
+
+/// Guards against damage of one byte that leaves a valid answer with another body. Nothing tells of damage
+/// to a byte of the body or to a digit of the status. `later` is the number of damages that pass as a
+/// body of another length if the bytes behind its end arrive later.
+#[test_case("content-length: 12\r\n\r\nhello, world", 9; "length")]
+#[test_case("connection: close\r\ncontent-length: 12\r\n\r\nhello, world", 9; "length, and the connection is closed")]
+#[test_case("transfer-encoding: chunked\r\n\r\n7\r\nhello, \r\n5\r\nworld\r\n0\r\n\r\n", 0; "chunks")]
+#[test_case("connection: close\r\ntransfer-encoding: chunked\r\n\r\n7\r\nhello, \r\n5\r\nworld\r\n0\r\n\r\n", 0; "chunks, and the connection is closed")]
+fn damage_of_one_byte_passes_no_body_of_another_length(rest: &str, later: usize) {
+    let sound = format!("HTTP/1.1 200 OK\r\nx-id: mine\r\n{rest}");
+    let differences = |is_at_once: bool| {
+        let mut differences = Vec::new();
+        grammar::for_each_damage(sound.as_bytes(), |bytes| {
+            let piece = if is_at_once { bytes.len() } else { 1 };
+            let (found, _) = read(bytes, piece, false, false);
+            differences.extend(found.and_then(|(status, body)| difference(status, &body)));
+        });
+        let count = |kind| differences.iter().filter(|found| **found == kind).count();
+        [Difference::Status, Difference::Bytes, Difference::Length].map(count)
+    };
+    // 200 may become 201 to 209 without 204 and 205, 210 to 290, and 300, 400 or 500.
+    let statuses = 7 + 9 + 3;
+    assert_eq!(differences(true), [statuses, BODY.len() * 255, 0]);
+    assert_eq!(differences(false)[2], later);
+}
