Limit the line that is held back at the beginning of a body

A first line without an end, as of a text that begins with a word and a colon, was held back up to 16 KiB and read again with each byte that arrived. It is passed on from 4 KiB on, which is the limit of the lines between chunks.

Test: dispatch reader a_long_first_line_of_a_body_without_framing_is_passed_on failed before (nothing was passed on of 5,006 bytes) and passes.

--- a/crates/dispatch/src/client/reader.rs
+++ b/crates/dispatch/src/client/reader.rs
@@ -13,7 +13,7 @@
 const MAX_HELD_BYTES: usize = 4 << 10;
 
 /// Largest size in bytes of the beginning of a body without framing that is held back until it is known
-/// whether it is a chunk. It fits into the buffers that a call reserves.
+/// whether it is a chunk or the rest of a head. It fits into the buffers that a call reserves.
 const MAX_OPENING_BYTES: usize = 16 << 10;
 
 /// Largest number of interim (1xx) responses before the final response. A correct upstream sends at
@@ -331,8 +331,8 @@
         Ok(Step::Emit(ResponsePart::Body(part)))
     }
 
-    /// Reads a body without framing. Its beginning is held back while it may be a chunk, since another call
-    /// could resume the response behind lines between chunks.
+    /// Reads a body without framing. Its beginning is held back while it may be a chunk or the rest of a
+    /// head: the caller gets none of it if it is, and no other call resumes the response behind it.
     fn read_until_close(&mut self, mut opening: Opening) -> Result<Step, Rule> {
         if self.buffer.is_empty() {
             return Ok(Step::NeedMoreBytes);
--- a/crates/dispatch/tests/reader.rs
+++ b/crates/dispatch/tests/reader.rs
@@ -336,6 +336,19 @@
     parsed.error
 }
 
+/// Guards against a line without end that is held back, and read again with each byte of it.
+#[test]
+fn a_long_first_line_of_a_body_without_framing_is_passed_on() {
+    let mut reader = ResponseReader::new(None, false);
+    let mut parsed = ParsedResponse::default();
+    reader.push(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nword: ");
+    for _ in 0..5000 {
+        reader.push(b"x");
+        collect_parts(&mut reader, &mut parsed);
+    }
+    assert_eq!((parsed.body.len(), parsed.error), (5006, None));
+}
+
 /// Guards against memory that a body takes which only looks like a large chunk, and against a large chunk
 /// that passes as a complete body.
 #[test]
--- a/crates/http1/src/opening.rs
+++ b/crates/http1/src/opening.rs
@@ -10,7 +10,8 @@
 /// What the received bytes of a body say.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
-    /// The body begins neither with the rest of a head nor with a chunk, or with one that is too large to wait for its end.
+    /// The body begins neither with the rest of a head nor with a chunk, or with a chunk that is passed on
+    /// before its end.
     Body,
     /// More bytes are needed.
     NeedMoreBytes,
@@ -50,7 +51,7 @@
 }
 
 impl Opening {
-    /// Creates the check of a body of which nothing has arrived. `bounds` limit the line before a chunk.
+    /// Creates the check of a body of which nothing has arrived. `bounds` limit the length of a line.
     /// `head_fields` are names of fields that only heads have, beside those of HTTP/1.1, in lower case.
     pub fn new(bounds: Bounds, head_fields: &'static [&'static str]) -> Self {
         Self { bounds, head_fields, place: Place::Start, checked: 0, is_passing: false }
@@ -112,11 +113,11 @@
     /// Reads a line that may be a field of a head.
     fn read_field(&self, rest: &[u8]) -> Result<Read, Rule> {
         match field::line_length(rest) {
-            Ok(None) => Ok(Read::NeedMoreBytes),
+            Ok(None) if rest.len() < self.bounds.line_bytes => Ok(Read::NeedMoreBytes),
             Ok(Some(length)) if self.belongs_to_head(&rest[..length]) => Err(Rule::HeadInBody),
             Ok(Some(length)) => Ok(Read::To(Place::Fields, length)),
             // An empty line would end the head.
-            Err(_) => Ok(Read::To(Place::Body, 0)),
+            Ok(None) | Err(_) => Ok(Read::To(Place::Body, 0)),
         }
     }
 
