Test damage that leaves a valid head at the own interface

Nine answers with a damaged name of the framing, chunks without a field, an empty line within the head, or a 204 or 205 with a body, for bookings, chats and streams, in each way of arrival.

The body of the test of the last chunk is written out.

--- a/tests/damaged_framing.rs
+++ b/tests/damaged_framing.rs
@@ -77,17 +77,11 @@
 /// chunk passes as trailers.
 #[test]
 fn bytes_behind_the_last_chunk_are_a_failure_of_its_upstream() {
-    let event = |size: &str, number: u8| format!("{size}\r\nid: {number}\r\ndata: a\r\n\r\n\r\n");
-    let body = format!(
-        "{}{}^{}0\r\n\r\n",
-        event("12", 1),
-        event("0", 2).trim_end_matches("\r\n\r\n"),
-        "\r\n\r\n\r\n"
-    );
+    let body = "12\r\nid: 1\r\ndata: a\r\n\r\n\r\n0\r\nid: 2\r\ndata: a\r\n\r\n^\r\n0\r\n\r\n";
     let first = "id: 1\r\ndata: a\r\n\r\n".to_string();
     let cases: Vec<_> = ["", CLOSE]
         .iter()
-        .map(|connection| ok(&format!("{connection}transfer-encoding: chunked\r\n"), &body))
+        .map(|connection| ok(&format!("{connection}transfer-encoding: chunked\r\n"), body))
         .flat_map(|text| each_end(&text, &Expected::FailureAtOnce(200, first.clone())))
         .collect();
     check_cases(&cases);
--- a/tests/malformed_answers_own.rs
+++ b/tests/malformed_answers_own.rs
@@ -263,6 +263,35 @@
     check_kinds(cases, end);
 }
 
+/// Returns answers to a request of `kind` whose heads are damaged to other valid ones.
+fn damaged_heads(kind: &Kind) -> Vec<String> {
+    let body = kind.text(7);
+    let chunks = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+    let part = &body[..body.len() - 9];
+    let length = format!("content-length: {}\r\n", body.len());
+    let close = "connection: close\r\n";
+    let answers = [
+        ("200 OK", format!("{close}transfer-encodi^nx: chunked\r\n\r\n{chunks}")),
+        ("200 OK", format!("x-oth^er: chunked\r\n\r\n{chunks}")),
+        ("200 OK", format!("{close}\r\n{chunks}")),
+        ("200 OK", format!("{close}contentleng^th: {}\r\n\r\n{part}", body.len())),
+        ("200 OK", format!("{close}\r\n{length}\r^\n{body}")),
+        ("200 OK", format!("{close}\r\ntransfer-encoding: chunked\r\n\r^\n{chunks}")),
+        ("204 No Content", format!("{length}\r\n^{body}")),
+        ("205 Reset Content", format!("{length}\r\n^{body}")),
+        ("204 No Content", format!("transfer-encoding: chunked\r\n\r\n^{chunks}")),
+    ];
+    let answer = |(status, rest)| format!("HTTP/1.1 {status}\r\n{}{rest}", kind.fields());
+    answers.map(answer).to_vec()
+}
+
+/// Guards against chunk lines, fields, a part of a body or no body that pass as a complete answer because
+/// its damaged head is a valid one.
+#[test]
+fn an_answer_with_another_valid_head_is_a_failure_of_its_upstream() {
+    check_kinds(damaged_heads, End::Close);
+}
+
 /// Guards against a stream that passes as complete because of its last event, although the framing
 /// around its events is damaged.
 #[test]
