--- a/tests/damaged_framing.rs
+++ b/tests/damaged_framing.rs
@@ -11,6 +11,7 @@
 
 const PLAIN_ROUTES: [&str; 2] = ["albums", "bookings"];
 
+/// Field of an answer whose upstream closes the connection.
 const CLOSE: &str = "connection: close\r\n";
 
 /// [`BODY`] in two chunks, one for each event.
@@ -20,6 +21,7 @@
 const SECOND: &str =
     "HTTP/1.1 200 OK\r\nrequest-id: other\r\nserver-stamp: s\r\ncontent-length: 5\r\n\r\nother";
 
+/// Returns a success with `fields` and `body`.
 fn ok(fields: &str, body: &str) -> String {
     format!("HTTP/1.1 200 OK\r\n{FIELDS}{fields}\r\n{body}")
 }
@@ -114,10 +116,10 @@
 #[test_case("x-oth^er"; "another name")]
 fn chunks_whose_field_has_another_name_are_a_failure_of_their_upstream(name: &str) {
     let field = format!("{name}: chunked\r\n");
-    let later = CHUNKS.replacen("\r\nid", "\r\ni^d", 1);
+    let split = CHUNKS.replacen("\r\nid", "\r\ni^d", 1);
     let mut cases = Vec::new();
     for chunks in
-        [CHUNKS, "1e^\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", &later, "0\r\n^\r\n"]
+        [CHUNKS, "1e^\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", &split, "0\r\n^\r\n"]
     {
         for connection in ["", CLOSE] {
             let text = ok(&format!("{connection}{field}"), chunks);
--- a/tests/support/answer_plays.rs
+++ b/tests/support/answer_plays.rs
@@ -17,6 +17,7 @@
 /// Two whole events, which are a whole stream as well.
 pub const BODY: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
+/// Fields of a sound answer, in which `ID` stands for the id of the request.
 pub const FIELDS: &str = "request-id: ID\r\nserver-stamp: s\r\ncontent-type: text/event-stream\r\n";
 
 /// Returns what an upstream does with the connection after an answer with `framing`.
@@ -24,6 +25,7 @@
     if framing == Framing::UntilClose { End::Close } else { End::KeepOpen }
 }
 
+/// One control instance and one entry instance with an upstream for each kind of routes.
 pub struct Deployment {
     pub machines: Machines,
     pub workers: Vec<Worker>,
