Take no memory for calls on idle connections

With the check of bodies without framing the state of a call grew by some 100 bytes, which each connection to an upstream held, also while it was idle.

The call is boxed, so that an idle connection holds a pointer in its place.

--- a/crates/dispatch/src/client/connection.rs
+++ b/crates/dispatch/src/client/connection.rs
@@ -73,7 +73,8 @@
     is_reused: bool,
     /// Whether the connection failed while it was idle.
     is_broken: bool,
-    job: Option<Job>,
+    /// Boxed, since most connections are idle.
+    job: Option<Box<Job>>,
     /// Number of request bytes that were passed to the operating system.
     sent: usize,
     /// Whether the consumer needs no further events of the call.
@@ -161,7 +162,7 @@
     }
 
     /// Starts a call. If the connection has failed, hands the call back to the client.
-    pub(super) fn start(&mut self, cx: CX![], job: Job) {
+    pub(super) fn start(&mut self, cx: CX![], job: Box<Job>) {
         if self.is_broken {
             call!([self.client], retry_on_new_connection(job.outbound));
             stop!(cx);
@@ -442,7 +443,7 @@
         }
     }
 
-    fn finish(&mut self, cx: CX![]) -> Option<Job> {
+    fn finish(&mut self, cx: CX![]) -> Option<Box<Job>> {
         cx.timer_del(self.response_timer);
         let job = self.job.take()?;
         call!([self.client], call_finished(job.attempt()));
--- a/crates/dispatch/src/client/mod.rs
+++ b/crates/dispatch/src/client/mod.rs
@@ -179,7 +179,7 @@
         }
         let usable = pool.idle.iter().rposition(|idle| idle.is_usable(now, &outbound));
         match usable.map(|index| pool.idle.remove(index)) {
-            Some(idle) => self.start(cx, idle.connection, Job::new(outbound)),
+            Some(idle) => self.start(cx, idle.connection, Box::new(Job::new(outbound))),
             None => self.open_connection(cx, outbound),
         }
     }
@@ -264,7 +264,7 @@
         let (client, number) = (cx.this().clone(), self.last_connection_number);
         let (keep_alive, events) = (self.keep_alive, self.events.clone());
         let takes_long_requests = outbound.is_long();
-        let job = Job::new(outbound);
+        let job = Box::new(Job::new(outbound));
         let connection = actor_in_slab!(
             self.connections,
             cx,
@@ -274,7 +274,7 @@
         self.start(cx, connection, job);
     }
 
-    fn start(&mut self, _: CX![], connection: Actor<Connection>, job: Job) {
+    fn start(&mut self, _: CX![], connection: Actor<Connection>, job: Box<Job>) {
         let attempt = job.attempt();
         let found = self.active_calls.binary_search_by_key(&attempt, |active| active.attempt);
         let index = found.unwrap_or_else(|index| index);
